--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for those who work on the project."""
--- /dev/null
+++ b/tools/lock.py
@@ -0,0 +1,52 @@
+"""Writes requirements.lock: every package pinned, with the hashes of its files.
+
+Run it with a plain interpreter of the version that the project supports:
+``python3 tools/lock.py``. It asks pip to resolve the declared dependencies
+and records name, version and SHA-256, never an index or a host.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import tomllib
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def _declared() -> list[str]:
+    with (_ROOT / "pyproject.toml").open("rb") as file:
+        project = tomllib.load(file)
+    extras = project["project"]["optional-dependencies"]["dev"]
+    build = project["build-system"]["requires"]
+    return [*project["project"]["dependencies"], *extras, *build]
+
+
+def _resolve(report: pathlib.Path) -> list[tuple[str, str, str]]:
+    command = [sys.executable, "-m", "pip", "install", "--quiet", "--dry-run"]
+    command += ["--ignore-installed", "--only-binary", ":all:"]
+    command += ["--report", str(report), *_declared()]
+    subprocess.run(command, check=True)
+    pinned = []
+    for item in json.loads(report.read_text())["install"]:
+        metadata = item["metadata"]
+        digest = item["download_info"]["archive_info"]["hashes"]["sha256"]
+        pinned.append((metadata["name"].lower(), metadata["version"], digest))
+    return sorted(pinned)
+
+
+def main() -> None:
+    """Resolves the dependencies and writes the lock file."""
+    with tempfile.TemporaryDirectory() as folder:
+        pinned = _resolve(pathlib.Path(folder) / "report.json")
+    lines = ["# Written by tools/lock.py; do not edit."]
+    for name, version, digest in pinned:
+        lines.append(f"{name}=={version} \\\n    --hash=sha256:{digest}")
+    (_ROOT / "requirements.lock").write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/trefoilpitch/__init__.py
@@ -0,0 +1,1 @@
+"""A model-aware router for versions and cascades."""
