--- a/trefoilpitch/bundle/__init__.py
+++ b/trefoilpitch/bundle/__init__.py
@@ -1,5 +1,16 @@
 """The versioned bundle that operators sign off."""
 
+from trefoilpitch.bundle._check import check_bundle
+from trefoilpitch.bundle._codec import (
+    MAX_ENCODED_BYTES,
+    bundle_digest,
+    decode_bundle,
+    decode_encoded_bundle,
+    encode_bundle,
+    token_digest,
+)
+from trefoilpitch.bundle._exceptions import BundleError, Fault
+from trefoilpitch.bundle._index import BundleIndex, index_bundle
 from trefoilpitch.bundle._nodes import (
     ANY_VERSION,
     VERSION_SEPARATOR,
@@ -20,8 +31,12 @@
 
 __all__ = [
     "ANY_VERSION",
+    "MAX_ENCODED_BYTES",
     "VERSION_SEPARATOR",
     "Bundle",
+    "BundleError",
+    "BundleIndex",
+    "Fault",
     "Model",
     "ModelVersion",
     "Operation",
@@ -34,4 +49,11 @@
     "UpstreamKind",
     "VersionRef",
     "Workspace",
+    "bundle_digest",
+    "check_bundle",
+    "decode_bundle",
+    "decode_encoded_bundle",
+    "encode_bundle",
+    "index_bundle",
+    "token_digest",
 ]
