--- a/trefoilpitch/configuration/__init__.py
+++ b/trefoilpitch/configuration/__init__.py
@@ -1,5 +1,19 @@
 """The configuration in force, and how changes to it reach every node."""
 
+from trefoilpitch.configuration._apply import apply_change
+from trefoilpitch.configuration._changes import (
+    AdvanceRollout,
+    Change,
+    PauseRollout,
+    ResumeRollout,
+    RollBack,
+    SetFailureDomain,
+    SetVm,
+    SignOffBundle,
+    StartRollout,
+    WithdrawVersion,
+)
+from trefoilpitch.configuration._exceptions import ChangeError, Refusal
 from trefoilpitch.configuration._nodes import (
     EMPTY_CONFIGURATION,
     Configuration,
@@ -9,7 +23,20 @@
 
 __all__ = [
     "EMPTY_CONFIGURATION",
+    "AdvanceRollout",
+    "Change",
+    "ChangeError",
     "Configuration",
+    "PauseRollout",
+    "Refusal",
+    "ResumeRollout",
+    "RollBack",
     "RolloutPhase",
     "RolloutState",
+    "SetFailureDomain",
+    "SetVm",
+    "SignOffBundle",
+    "StartRollout",
+    "WithdrawVersion",
+    "apply_change",
 ]
--- /dev/null
+++ b/trefoilpitch/configuration/_refuse.py
@@ -0,0 +1,17 @@
+"""What the rules of the configuration return."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from returns.result import Failure, Result
+
+from trefoilpitch.configuration._exceptions import ChangeError, Refusal
+from trefoilpitch.configuration._nodes import Configuration
+
+Outcome: TypeAlias = Result[Configuration, ChangeError]
+
+
+def refuse(refusal: Refusal, message: str) -> Outcome:
+    """Returns a refusal with a message for the operator."""
+    return Failure(ChangeError(refusal=refusal, message=message))
--- /dev/null
+++ b/trefoilpitch/configuration/tests/test_apply.py
@@ -0,0 +1,171 @@
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from collections.abc import Iterable
+
+import pytest
+
+from trefoilpitch.bundle import VersionRef, decode_bundle
+from trefoilpitch.configuration import (
+    EMPTY_CONFIGURATION,
+    AdvanceRollout,
+    Change,
+    ChangeError,
+    Configuration,
+    PauseRollout,
+    Refusal,
+    ResumeRollout,
+    RollBack,
+    RolloutPhase,
+    SetFailureDomain,
+    SetVm,
+    SignOffBundle,
+    StartRollout,
+    WithdrawVersion,
+    apply_change,
+)
+
+_EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
+_BUNDLE = decode_bundle((_EXAMPLES / "archive.toml").read_text()).unwrap()
+_SMALL = "sermon-small"
+_NEW = VersionRef(_SMALL, "2026.11")
+
+
+def _by(number: int = 1) -> dict[str, str]:
+    return {"change_id": f"c{number}", "author": "mere"}
+
+
+def _sign_off(**fields: object) -> SignOffBundle:
+    bundle = dataclasses.replace(_BUNDLE, **fields)  # type: ignore[arg-type]
+    return SignOffBundle(bundle=bundle, **_by())
+
+
+def _after(changes: Iterable[Change]) -> Configuration:
+    configuration = EMPTY_CONFIGURATION
+    for change in changes:
+        configuration = apply_change(configuration, change).unwrap()
+    return configuration
+
+
+_START = StartRollout(model=_SMALL, to_version="2026.11", **_by())
+_WITHDRAW = WithdrawVersion(ref=_NEW, **_by())
+_OUT = SetFailureDomain(failure_domain="nadi", in_service=False, **_by())
+_SIGNED = (_sign_off(),)
+
+
+def _advance(from_step: int) -> AdvanceRollout:
+    return AdvanceRollout(model=_SMALL, from_step=from_step, **_by())
+
+
+_COMPLETE: tuple[Change, ...] = (_START, *(_advance(step) for step in range(4)))
+
+
+def _sign_off_without_new_version() -> SignOffBundle:
+    model = dataclasses.replace(
+        _BUNDLE.models[0], versions=_BUNDLE.models[0].versions[:1]
+    )
+    models = (model, *_BUNDLE.models[1:])
+    return _sign_off(version=2, models=models, rollouts=())
+
+
+@pytest.mark.parametrize(
+    ("before", "change", "refusal"),
+    [
+        ((), _OUT, Refusal.NO_BUNDLE),
+        ((), _WITHDRAW, Refusal.NO_BUNDLE),
+        ((), _START, Refusal.UNKNOWN_NAME),
+        (_SIGNED, _sign_off(), Refusal.NOT_NEWER),
+        (_SIGNED, _sign_off(name="other", version=9), Refusal.NOT_NEWER),
+        (
+            _SIGNED,
+            SetFailureDomain(failure_domain="x", in_service=False, **_by()),
+            Refusal.UNKNOWN_NAME,
+        ),
+        ((*_SIGNED, _OUT), _OUT, Refusal.NO_EFFECT),
+        (
+            _SIGNED,
+            SetVm(vm="small-suva", in_service=True, **_by()),
+            Refusal.NO_EFFECT,
+        ),
+        (
+            _SIGNED,
+            WithdrawVersion(ref=VersionRef(_SMALL, "1"), **_by()),
+            Refusal.UNKNOWN_NAME,
+        ),
+        ((*_SIGNED, _WITHDRAW), _WITHDRAW, Refusal.NO_EFFECT),
+        ((*_SIGNED, _WITHDRAW), _sign_off(version=2), Refusal.WITHDRAWN),
+        ((*_SIGNED, _WITHDRAW), _START, Refusal.WITHDRAWN),
+        ((*_SIGNED, _START), _START, Refusal.WRONG_PHASE),
+        ((*_SIGNED, _START), _advance(1), Refusal.WRONG_PHASE),
+        (
+            (*_SIGNED, _START),
+            ResumeRollout(model=_SMALL, **_by()),
+            Refusal.WRONG_PHASE,
+        ),
+        (_SIGNED, RollBack(model=_SMALL, **_by()), Refusal.UNKNOWN_NAME),
+        (
+            (*_SIGNED, _START),
+            _sign_off(version=2, rollouts=()),
+            Refusal.WRONG_PHASE,
+        ),
+        (
+            (*_SIGNED, *_COMPLETE),
+            _sign_off(version=2, rollouts=()),
+            Refusal.WRONG_PHASE,
+        ),
+        (
+            _SIGNED,
+            SetVm(vm="a", in_service=False, change_id="", author="mere"),
+            Refusal.UNKNOWN_NAME,
+        ),
+    ],
+)
+def test_refused_change_says_why(
+    before: tuple[Change, ...], change: Change, refusal: Refusal
+) -> None:
+    error = apply_change(_after(before), change).failure()
+    assert isinstance(error, ChangeError)
+    assert error.refusal is refusal
+    assert error.message
+
+
+def test_rollout_walks_its_steps_to_completion() -> None:
+    paused = (_START, PauseRollout(model=_SMALL, **_by()))
+    state = _after((*_SIGNED, *paused)).rollouts[0]
+    assert (state.step, state.phase) == (0, RolloutPhase.PAUSED)
+    resumed = (*paused, ResumeRollout(model=_SMALL, **_by()))
+    steps = tuple(_advance(step) for step in range(4))
+    state = _after((*_SIGNED, *resumed, *steps)).rollouts[0]
+    assert (state.step, state.phase) == (3, RolloutPhase.COMPLETED)
+
+
+@pytest.mark.parametrize("phase_changes", [(_START,), _COMPLETE])
+def test_withdrawal_rolls_back_the_rollout_to_it(
+    phase_changes: tuple[Change, ...],
+) -> None:
+    configuration = _after((*_SIGNED, *phase_changes, _WITHDRAW))
+    assert configuration.rollouts[0].phase is RolloutPhase.ROLLED_BACK
+    assert configuration.withdrawn == {_NEW}
+
+
+def test_withdrawal_and_service_states_outlive_the_bundle() -> None:
+    vm_out = SetVm(vm="entry-1", in_service=False, **_by())
+    before = (*_SIGNED, _OUT, vm_out, _WITHDRAW)
+    configuration = _after((*before, _sign_off_without_new_version()))
+    assert configuration.revision == len(before) + 1
+    assert configuration.withdrawn == {_NEW}
+    assert configuration.failure_domains_out == {"nadi"}
+    assert configuration.vms_out == {"entry-1"}
+    back = dataclasses.replace(_BUNDLE, version=3)
+    change = SignOffBundle(bundle=back, **_by())
+    error = apply_change(configuration, change).failure()
+    assert error.refusal is Refusal.WITHDRAWN
+
+
+def test_completed_rollout_ends_when_its_version_becomes_the_default() -> None:
+    model = dataclasses.replace(_BUNDLE.models[0], default_version="2026.11")
+    models = (model, *_BUNDLE.models[1:])
+    change = _sign_off(version=2, models=models, rollouts=())
+    configuration = _after((*_SIGNED, *_COMPLETE, change))
+    assert configuration.rollouts == ()
