--- a/trefoilpitch/bundle/__init__.py
+++ b/trefoilpitch/bundle/__init__.py
@@ -9,6 +9,11 @@
     encode_bundle,
     token_digest,
 )
+from trefoilpitch.bundle._diff import (
+    Difference,
+    DifferenceKind,
+    diff_bundles,
+)
 from trefoilpitch.bundle._exceptions import BundleError, Fault
 from trefoilpitch.bundle._index import BundleIndex, index_bundle
 from trefoilpitch.bundle._nodes import (
@@ -28,6 +33,7 @@
     VersionRef,
     Workspace,
 )
+from trefoilpitch.bundle._patch import apply_patch, make_patch
 
 __all__ = [
     "ANY_VERSION",
@@ -36,6 +42,8 @@
     "Bundle",
     "BundleError",
     "BundleIndex",
+    "Difference",
+    "DifferenceKind",
     "Fault",
     "Model",
     "ModelVersion",
@@ -49,11 +57,14 @@
     "UpstreamKind",
     "VersionRef",
     "Workspace",
+    "apply_patch",
     "bundle_digest",
     "check_bundle",
     "decode_bundle",
     "decode_encoded_bundle",
+    "diff_bundles",
     "encode_bundle",
     "index_bundle",
+    "make_patch",
     "token_digest",
 ]
--- /dev/null
+++ b/trefoilpitch/bundle/_patch.py
@@ -0,0 +1,120 @@
+"""The difference between two bundles in a form that can be applied.
+
+A bundle of thousands of upstreams takes hundreds of kilobytes; most sign-offs
+change a few values of it. A patch carries only those.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.bundle._elements import Table, identify_elements, to_table
+from trefoilpitch.bundle._exceptions import BundleError, Fault
+from trefoilpitch.bundle._nodes import Bundle
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Patch:
+    # New values by field, or new elements by identity.
+    values: dict[str, Any] = dataclasses.field(default_factory=dict)
+    # Patches of fields, or of elements by identity.
+    patches: dict[str, _Patch] = dataclasses.field(default_factory=dict)
+    # Identities of the elements that are gone.
+    removed: tuple[str, ...] = ()
+    # Identities in their new order, None if new elements come last.
+    order: tuple[str, ...] | None = None
+
+
+# The order of a patch's new elements is part of it, so keys stay unsorted.
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Patch)
+
+
+def make_patch(old: Bundle, new: Bundle) -> bytes:
+    """Returns what ``apply_patch`` needs to turn one bundle into another."""
+    return _ENCODER.encode(_diff_tables(to_table(old), to_table(new)))
+
+
+def apply_patch(old: Bundle, patch: bytes) -> Result[Bundle, BundleError]:
+    """Returns the patched bundle; compare its digest before relying on it.
+
+    Args:
+        old: The bundle that the patch was made from.
+        patch: What ``make_patch`` returned.
+
+    Returns:
+        The new bundle, or that the patch does not fit.
+    """
+    try:
+        table = _patch_table(to_table(old), _DECODER.decode(patch))
+        return Success(msgspec.convert(table, Bundle))
+    except (msgspec.MsgspecError, LookupError, TypeError, ValueError) as error:
+        fault = Fault(place="", message=f"the patch does not fit: {error}")
+        return Failure(BundleError(faults=(fault,)))
+
+
+def _diff_tables(old: Table, new: Table) -> _Patch:
+    values: dict[str, Any] = {}
+    patches: dict[str, _Patch] = {}
+    for key, value in new.items():
+        if old.get(key) == value:
+            continue
+        patch = _diff_lists(old.get(key), value)
+        if patch is None:
+            values[key] = value
+        else:
+            patches[key] = patch
+    return _Patch(values=values, patches=patches)
+
+
+def _diff_lists(old: Any, new: Any) -> _Patch | None:
+    """Returns a patch, None unless both are lists of distinct tables."""
+    if not (isinstance(old, tuple) and isinstance(new, tuple)):
+        return None
+    old_elements = identify_elements(old)
+    new_elements = identify_elements(new)
+    if not old_elements or not new_elements:
+        return None
+    return _diff_elements(old_elements, new_elements)
+
+
+def _diff_elements(old: dict[str, Table], new: dict[str, Table]) -> _Patch:
+    added = {name: new[name] for name in new if name not in old}
+    patches = {
+        name: _diff_tables(old[name], new[name])
+        for name in new
+        if name in old and old[name] != new[name]
+    }
+    kept = [name for name in old if name in new]
+    in_order = [*kept, *added] == list(new)
+    return _Patch(
+        values=added,
+        patches=patches,
+        removed=tuple(name for name in old if name not in new),
+        order=None if in_order else tuple(new),
+    )
+
+
+def _patch_table(old: Table, patch: _Patch) -> Table:
+    table = {**old, **patch.values}
+    for key, inner in patch.patches.items():
+        table[key] = _patch_list(old[key], inner)
+    return table
+
+
+def _patch_list(old: Any, patch: _Patch) -> list[Table]:
+    elements = identify_elements(old)
+    if elements is None:
+        raise TypeError("only a list of distinct tables can be patched")
+    for name in patch.removed:
+        del elements[name]
+    for name, inner in patch.patches.items():
+        elements[name] = _patch_table(elements[name], inner)
+    elements.update(patch.values)
+    if patch.order is not None:
+        return [elements[name] for name in patch.order]
+    return list(elements.values())
