--- a/trefoilpitch/standins/_kv.py
+++ b/trefoilpitch/standins/_kv.py
@@ -6,26 +6,25 @@
 
 from __future__ import annotations
 
-import http.server
 import select
-import threading
 import time
 from types import TracebackType
-from typing import Self
 
 import msgspec
 
 from trefoilpitch.clock import Clock, SystemClock
-from trefoilpitch.standins._kv_gateway import (
-    Gateway,
-    watch_messages,
+from trefoilpitch.standins._json_server import (
+    BoundServer,
+    JsonHandler,
+    JsonServer,
 )
+from trefoilpitch.standins._kv_gateway import Gateway, watch_messages
 from trefoilpitch.store import MemoryStore, memory_store
 
 _MS_PER_S = 1_000
 # The caller's own timeout is what ends a slow call.
 _SERVER_TIMEOUT_MS = 3_600_000
-_SHUTDOWN_POLL_S = 0.02
+_CONTROL_PATH = "/standin/faults"
 _STREAM_END = b"0\r\n\r\n"
 
 
@@ -48,112 +47,73 @@
     redeliver: int = 0
 
 
-class KvServer:
+class _BoundServer(BoundServer):
+    """Carries the store to its handlers."""
+
+    def __init__(self, address: tuple[str, int], store: MemoryStore) -> None:
+        super().__init__(address, _Handler)
+        self.store = store
+        self.gateway = Gateway(store)
+
+
+class KvServer(JsonServer):
     """Serves a `MemoryStore` over HTTP; a context manager.
 
     Args:
-        server: The bound HTTP server.
-        store: What it serves.
+        bound: The bound server.
     """
 
-    def __init__(
-        self, server: http.server.ThreadingHTTPServer, store: MemoryStore
-    ) -> None:
-        self._server = server
-        self._store = store
-        self._thread = threading.Thread(
-            target=server.serve_forever,
-            args=(_SHUTDOWN_POLL_S,),
-            name="kv-standin",
-            daemon=True,
-        )
-
-    @property
-    def host(self) -> str:
-        """The IP number that it listens at."""
-        return str(self._server.server_address[0])
-
-    @property
-    def port(self) -> int:
-        """The port that it listens at."""
-        return self._server.server_port
+    def __init__(self, bound: _BoundServer) -> None:
+        super().__init__(bound)
+        self._store = bound.store
 
     @property
     def store(self) -> MemoryStore:
         """What it serves, for setting faults from the same process."""
         return self._store
 
-    def wait(self) -> None:
-        """Waits until the server is closed."""
-        self._thread.join()
-
-    def __enter__(self) -> Self:
-        self._thread.start()
-        return self
-
     def __exit__(
         self,
         exc_type: type[BaseException] | None,
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._server.shutdown()
+        super().__exit__(exc_type, exc, traceback)
         self._store.cut_watches()
-        self._server.server_close()
-
 
-class _Server(http.server.ThreadingHTTPServer):
-    """Carries the gateway to its handlers."""
 
-    daemon_threads = True
-    block_on_close = False
-    request_queue_size = 1_024
-
-    def __init__(self, address: tuple[str, int], store: MemoryStore) -> None:
-        super().__init__(address, _Handler)
-        self.store = store
-        self.gateway = Gateway(store)
-
-
-class _Handler(http.server.BaseHTTPRequestHandler):
+class _Handler(JsonHandler):
     """Answers the calls of one connection."""
 
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-    wbufsize = -1
-    server: _Server
+    server: _BoundServer
 
-    def do_GET(self) -> None:
+    def do_GET(self) -> None:  # noqa: N802
         """Reports the store's counters."""
-        if self.path != "/standin/faults":
-            self._reply(404, b"{}")
+        if self.path != _CONTROL_PATH:
+            self.reply(404, b"{}")
             return
-        self._reply(200, msgspec.json.encode(self.server.store.counters))
+        self.reply(200, msgspec.json.encode(self.server.store.counters))
 
-    def do_POST(self) -> None:
+    def do_POST(self) -> None:  # noqa: N802
         """Answers one call."""
-        length = int(self.headers.get("Content-Length", "0"))
-        body = self.rfile.read(length)
-        if self.path == "/standin/faults":
+        body = self.read_body()
+        if self.path == _CONTROL_PATH:
             self._set_faults(body)
         elif self.path == "/v3/watch":
             self._watch(body)
         else:
             self._call(body)
 
-    def log_message(self, format: str, *args: object) -> None:
-        """Keeps quiet: the counters tell what was asked for."""
-
     def _call(self, body: bytes) -> None:
         reply = self.server.gateway.call(self.path, body)
         if reply is None:
-            self.close_connection = True
+            self.drop_connection()
             return
-        self._reply(reply.status, reply.body)
+        self.reply(reply.status, reply.body)
 
     def _watch(self, body: bytes) -> None:
         watch = self.server.gateway.open_watch(body)
-        self.close_connection = True
+        self.drop_connection()
         if watch is None:
             return
         with watch:
@@ -181,17 +141,10 @@
         try:
             faults = msgspec.json.decode(body, type=Faults)
         except msgspec.MsgspecError as error:
-            self._reply(400, msgspec.json.encode({"error": str(error)}))
+            self.reply(400, msgspec.json.encode({"error": str(error)}))
             return
         _apply(faults, self.server.store)
-        self._reply(200, b"{}")
-
-    def _reply(self, status: int, body: bytes) -> None:
-        self.send_response(status)
-        self.send_header("Content-Type", "application/json")
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
+        self.reply(200, b"{}")
 
 
 def _apply(faults: Faults, store: MemoryStore) -> None:
@@ -226,4 +179,4 @@
         sleep_ms=lambda delay_ms: time.sleep(delay_ms / _MS_PER_S),
         timeout_ms=_SERVER_TIMEOUT_MS,
     )
-    return KvServer(_Server((host, port), store), store)
+    return KvServer(_BoundServer((host, port), store))
--- a/trefoilpitch/store/_etcd_watch.py
+++ b/trefoilpitch/store/_etcd_watch.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from trefoilpitch.store import _wire as wire
+from trefoilpitch.store._counting import CallCounter
 from trefoilpitch.store._exceptions import (
     CompactedError,
     OutcomeUnknownError,
@@ -34,11 +35,17 @@
     Args:
         response: The open stream.
         from_revision: The first revision watched.
+        counter: Told of the watch while it is open.
     """
 
     def __init__(
-        self, response: urllib3.BaseHTTPResponse, from_revision: int
+        self,
+        response: urllib3.BaseHTTPResponse,
+        from_revision: int,
+        counter: CallCounter,
     ) -> None:
+        self._counter = counter
+        counter.count(watches_opened=1, watches_waiting=1)
         self._response = response
         self._revision = from_revision - 1
         self._results: queue.Queue[Result[WatchBatch, StoreError]] = (
@@ -104,6 +111,7 @@
         finally:
             self._response.close()
             self._response.release_conn()
+            self._counter.count(watches_waiting=-1)
         if self._cancelled.is_set():
             reason = WatchClosedError(detail="the watch was cancelled")
         self._queue(Failure(reason), force=True)
@@ -117,11 +125,16 @@
                 self._results.put(result, timeout=_PUT_POLL_S)
             except queue.Full:
                 if self._cancelled.is_set():
-                    self._results.get_nowait()
+                    self._drop_one()
             else:
                 return True
         return False
 
+    def _drop_one(self) -> None:
+        """Makes room for the last result when nobody reads the others."""
+        with contextlib.suppress(queue.Empty):
+            self._results.get_nowait()
+
 
 def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Splits the stream into the messages that have arrived whole."""
@@ -146,9 +159,23 @@
     if response.canceled:
         return Failure(OutcomeUnknownError(detail="the store ended the watch"))
     events = tuple(_event_of(event) for event in response.events)
-    # The reply to the creation tells the store's revision, not what was told.
-    revision = 0 if response.created else int(response.header.revision)
-    return Success(WatchBatch(events=events, revision=revision))
+    return Success(
+        WatchBatch(events=events, revision=_told_revision(response, events))
+    )
+
+
+def _told_revision(
+    response: wire.WatchResponse, events: tuple[WatchEvent, ...]
+) -> int:
+    """Returns the revision up to which changes have been told.
+
+    A reply with changes carries the store's revision, which may be ahead of
+    the changes while the watch catches up. Only a progress notification tells
+    of changes up to its own revision.
+    """
+    if events:
+        return events[-1].revision
+    return 0 if response.created else int(response.header.revision)
 
 
 def _event_of(event: wire.Event) -> WatchEvent:
--- /dev/null
+++ b/trefoilpitch/store/_memory_watch.py
@@ -0,0 +1,123 @@
+"""Watches of a store in memory."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.store._exceptions import (
+    CompactedError,
+    OutcomeUnknownError,
+    StoreError,
+    WatchClosedError,
+)
+from trefoilpitch.store._state import StoreState
+from trefoilpitch.store._types import WatchBatch
+
+_MS_PER_S = 1_000
+
+
+class MemoryWatch:
+    """A position in the history of a store in memory.
+
+    Args:
+        changed: Guards the state and is notified of its changes.
+        state: What is watched.
+        prefix: The keys that are watched.
+        from_revision: The first revision to tell of.
+        on_end: Called once, with the lock held, when the watch ends.
+    """
+
+    def __init__(
+        self,
+        *,
+        changed: threading.Condition,
+        state: StoreState,
+        prefix: str,
+        from_revision: int,
+        on_end: Callable[[MemoryWatch], None],
+    ) -> None:
+        self._changed = changed
+        self._state = state
+        self._prefix = prefix
+        self._next_revision = max(from_revision, 1)
+        self._on_end = on_end
+        self._ended: StoreError | None = None
+
+    def receive(self, timeout_ms: int) -> Result[WatchBatch, StoreError]:
+        """Waits for changes; see `Watch.receive`."""
+        remaining_ms = timeout_ms
+        with self._changed:
+            while True:
+                result = self._take()
+                if result is not None:
+                    return result
+                if remaining_ms <= 0:
+                    revision = self._next_revision - 1
+                    return Success(WatchBatch(revision=revision))
+                wait_ms = self._wait_ms(remaining_ms)
+                notified = self._changed.wait(wait_ms / _MS_PER_S)
+                remaining_ms -= 0 if notified else wait_ms
+
+    def cancel(self) -> None:
+        """Ends the watch from any thread; a waiting `receive` returns."""
+        self._end(WatchClosedError(detail="the watch was cancelled"))
+
+    def cut(self) -> None:
+        """Breaks the watch as a lost connection would."""
+        self._end(OutcomeUnknownError(detail="the connection was lost"))
+
+    def step_back(self, revisions: int) -> None:
+        """Has the last changes told again."""
+        with self._changed:
+            self._next_revision = max(self._next_revision - revisions, 1)
+            self._changed.notify_all()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.cancel()
+
+    def _take(self) -> Result[WatchBatch, StoreError] | None:
+        """Returns what there is to tell, if anything."""
+        self._state.expire_leases()
+        if self._ended is not None:
+            return Failure(self._ended)
+        history = self._state.history
+        if self._next_revision < history.oldest_watchable:
+            compacted = CompactedError(
+                detail="the changes are no longer kept",
+                oldest_revision=history.oldest_watchable,
+            )
+            self._end(compacted)
+            return Failure(compacted)
+        events = history.events_from(self._next_revision, self._prefix)
+        self._next_revision = max(self._next_revision, history.revision + 1)
+        if not events:
+            return None
+        return Success(WatchBatch(events=events, revision=history.revision))
+
+    def _wait_ms(self, remaining_ms: int) -> int:
+        """Returns how long to wait: a lease may expire meanwhile."""
+        until_expiry_ms = self._state.until_expiry_ms()
+        if until_expiry_ms is None:
+            return remaining_ms
+        return max(min(remaining_ms, until_expiry_ms), 1)
+
+    def _end(self, reason: StoreError) -> None:
+        with self._changed:
+            if self._ended is not None:
+                return
+            self._ended = reason
+            self._on_end(self)
+            self._changed.notify_all()
--- a/trefoilpitch/store/_protocols.py
+++ b/trefoilpitch/store/_protocols.py
@@ -13,6 +13,7 @@
     Entry,
     Lease,
     Listing,
+    StoreCounters,
     WatchBatch,
 )
 
@@ -52,6 +53,10 @@
     latest revision.
     """
 
+    @property
+    def counters(self) -> StoreCounters:
+        """This client's calls so far."""
+
     def get(self, key: str) -> Result[Entry | None, StoreError]:
         """Reads one key; None if it is absent."""
 
--- a/trefoilpitch/store/_wire.py
+++ b/trefoilpitch/store/_wire.py
@@ -164,12 +164,14 @@
     message: str = ""
 
 
-def range_end_of(prefix: bytes) -> bytes:
-    """Returns the first key after every key with the prefix."""
-    trimmed = prefix.rstrip(b"\xff")
+def range_of(prefix: str) -> tuple[bytes, bytes]:
+    """Returns the first key with a prefix, and the first one after all."""
+    # A single zero byte stands for the first key of all, and for no end.
+    first = prefix.encode() or b"\x00"
+    trimmed = prefix.encode().rstrip(b"\xff")
     if not trimmed:
-        return b"\x00"
-    return trimmed[:-1] + bytes([trimmed[-1] + 1])
+        return first, b"\x00"
+    return first, trimmed[:-1] + bytes([trimmed[-1] + 1])
 
 
 def entry_of(kv: KeyValue) -> Entry:
@@ -184,9 +186,11 @@
 
 def key_value_of(entry: Entry) -> KeyValue:
     """Returns the wire shape of an entry."""
-    return KeyValue(
+    kv = KeyValue(
         key=entry.key.encode(),
         value=entry.value,
         mod_revision=str(entry.revision),
-        lease=str(entry.lease_id),
     )
+    if entry.lease_id != NO_LEASE:
+        kv.lease = str(entry.lease_id)
+    return kv
--- a/trefoilpitch/store/tests/test_contract.py
+++ b/trefoilpitch/store/tests/test_contract.py
@@ -22,6 +22,7 @@
     MemoryStore,
     NotAppliedError,
     OutcomeUnknownError,
+    StoreCounters,
     StoreError,
     Watch,
     WatchClosedError,
@@ -199,6 +200,27 @@
         canceller.join()
 
 
+def test_counters_tell_calls_by_kind_and_outcome(subject: _Subject) -> None:
+    store = subject.store
+    with store.watch("a", 1).unwrap():
+        store.put_if("a", b"", ABSENT)
+        store.put_if("a", b"", ABSENT)
+        subject.faults.lose_replies(1)
+        store.get("a")
+        lease = store.grant_lease(1_000).unwrap()
+        subject.faults.lose_replies(1)
+        store.keep_alive(lease.lease_id)
+        assert store.counters == StoreCounters(
+            reads=1,
+            writes=4,
+            watches_opened=1,
+            watches_waiting=1,
+            outcome_unknown=2,
+            conflicts=1,
+        )
+    assert store.counters.watches_waiting == 0
+
+
 def test_store_that_is_down_has_no_effect_and_comes_back(
     subject: _Subject,
 ) -> None:
--- /dev/null
+++ b/trefoilpitch/store/tests/test_etcd.py
@@ -0,0 +1,151 @@
+"""Failures below HTTP, which the stand-in does not bring about."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import pytest
+from returns.pipeline import is_successful
+
+from trefoilpitch.store import (
+    ABSENT,
+    EtcdStore,
+    EventKind,
+    LeaseNotFoundError,
+    NotAppliedError,
+    OutcomeUnknownError,
+    StoreError,
+    UnavailableError,
+    Watch,
+    etcd_store,
+)
+
+_SHORT_MS = 50
+_WAIT_MS = 5_000
+
+
+@contextmanager
+def _scripted(answer: Callable[[socket.socket], None]) -> Iterator[EtcdStore]:
+    """Serves one connection with raw bytes."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65_536)
+            answer(connection)
+
+    server = threading.Thread(target=serve)
+    server.start()
+    host, port = listener.getsockname()
+    with etcd_store(
+        host, port, read_timeout_ms=_SHORT_MS, idle_timeout_ms=_SHORT_MS
+    ) as store:
+        yield store
+    server.join()
+    listener.close()
+
+
+def _http(status: str, body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def _wait_for_close(connection: socket.socket) -> None:
+    while connection.recv(1):
+        pass
+
+
+@pytest.mark.parametrize(
+    ("reply", "expected"),
+    [
+        (b"", OutcomeUnknownError),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{",
+            OutcomeUnknownError,
+        ),
+        (_http("200 OK", b"<html>"), OutcomeUnknownError),
+        (
+            _http("503 Unavailable", b'{"code":14,"message":"timed out"}'),
+            OutcomeUnknownError,
+        ),
+        (_http("429 Too Many", b'{"code":8}'), NotAppliedError),
+        (_http("404 Not Found", b'{"code":5}'), LeaseNotFoundError),
+    ],
+)
+def test_reply_tells_whether_the_write_may_have_happened(
+    reply: bytes, expected: type[StoreError]
+) -> None:
+    with _scripted(lambda connection: connection.sendall(reply)) as store:
+        error = store.put_if("a", b"", ABSENT).failure()
+    assert type(error) is expected
+
+
+def test_late_reply_leaves_the_outcome_unknown() -> None:
+    with _scripted(_wait_for_close) as store:
+        error = store.put_if("a", b"", ABSENT).failure()
+    assert type(error) is OutcomeUnknownError
+
+
+def test_refused_connection_was_never_sent() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+    with etcd_store(host, port) as store:
+        error = store.put_if("a", b"", ABSENT).failure()
+    assert type(error) is UnavailableError
+
+
+def _stream_slowly(connection: socket.socket) -> None:
+    """Sends one message in two chunks, then nothing."""
+    parts = [
+        b'{"result":{"created":true}}\n{"result":{"header":{"revision":"9"},',
+        b'"events":[{"type":"DELETE","kv":{"key":"YQ==","mod_revision":"7"}}',
+        b"]}}\n",
+    ]
+    connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for part in parts:
+        connection.sendall(b"%x\r\n%s\r\n" % (len(part), part))
+    _wait_for_close(connection)
+
+
+def _events_until_end(watch: Watch) -> Iterator[tuple[EventKind, int, int]]:
+    while True:
+        result = watch.receive(_WAIT_MS)
+        if not is_successful(result):
+            assert type(result.failure()) is OutcomeUnknownError
+            return
+        batch = result.unwrap()
+        for event in batch.events:
+            yield event.kind, event.revision, batch.revision
+
+
+def test_silent_watch_ends_after_whole_messages_were_told() -> None:
+    """A store's revision ahead of the changes told is not taken as told."""
+    with (
+        _scripted(_stream_slowly) as store,
+        store.watch("a", 1).unwrap() as watch,
+    ):
+        assert list(_events_until_end(watch)) == [(EventKind.DELETE, 7, 7)]
+
+
+def test_call_without_a_free_connection_was_never_sent() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+    store = etcd_store(
+        host,
+        port,
+        connect_timeout_ms=_SHORT_MS,
+        read_timeout_ms=_WAIT_MS,
+        pool_size=1,
+    )
+    first = threading.Thread(target=store.get, args=("a",))
+    with listener, store:
+        first.start()
+        connection, _ = listener.accept()
+        with connection:
+            error = store.get("b").failure()
+        assert type(error) is UnavailableError
+        first.join()
