--- /dev/null
+++ b/trefoilpitch/store/_etcd.py
@@ -0,0 +1,216 @@
+"""The adapter to etcd's v3 JSON gateway."""
+
+from __future__ import annotations
+
+from types import TracebackType
+from typing import Self, TypeVar
+
+import msgspec
+from returns.result import Failure, Result
+
+from trefoilpitch.store import _etcd_replies as replies
+from trefoilpitch.store import _wire as wire
+from trefoilpitch.store._counting import CallCounter
+from trefoilpitch.store._etcd_http import GatewayPool
+from trefoilpitch.store._etcd_watch import EtcdWatch
+from trefoilpitch.store._exceptions import NotAppliedError, StoreError
+from trefoilpitch.store._types import (
+    MAX_VALUE_BYTES,
+    NO_LEASE,
+    Entry,
+    Lease,
+    Listing,
+    StoreCounters,
+)
+
+_MS_PER_S = 1_000
+_DEFAULT_CONNECT_TIMEOUT_MS = 500
+_DEFAULT_READ_TIMEOUT_MS = 1_500
+_DEFAULT_IDLE_TIMEOUT_MS = 60_000
+_DEFAULT_POOL_SIZE = 4
+
+_T = TypeVar("_T")
+
+
+class EtcdStore:
+    """A client of etcd's v3 JSON gateway; a context manager.
+
+    Calls are made once, never retried, on a bounded pool of connections.
+
+    Args:
+        calls: The connections for calls.
+        watches: The connections for watches.
+    """
+
+    def __init__(self, *, calls: GatewayPool, watches: GatewayPool) -> None:
+        self._calls = calls
+        self._watches = watches
+        self._counter = CallCounter()
+
+    @property
+    def counters(self) -> StoreCounters:
+        """This client's calls so far."""
+        return self._counter.counters
+
+    def get(self, key: str) -> Result[Entry | None, StoreError]:
+        """Reads one key; None if it is absent."""
+        request = wire.RangeRequest(key=key.encode())
+        return self._range(request).map(replies.first_entry)
+
+    def list_prefix(self, prefix: str) -> Result[Listing, StoreError]:
+        """Reads every key that starts with a prefix at one revision."""
+        first, end = wire.range_of(prefix)
+        request = wire.RangeRequest(key=first, range_end=end)
+        return self._range(request).map(replies.listing_of)
+
+    def put_if(
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = NO_LEASE,
+    ) -> Result[int, StoreError]:
+        """Writes a key if its revision is the expected one."""
+        if len(value) > MAX_VALUE_BYTES:
+            detail = f"{len(value)} bytes is too big"
+            return Failure(NotAppliedError(detail=detail))
+        put = wire.PutRequest(
+            key=key.encode(), value=value, lease=str(lease_id)
+        )
+        change = wire.RequestOp(request_put=put)
+        return self._swap(key, expected_revision, change)
+
+    def delete_if(
+        self, key: str, expected_revision: int
+    ) -> Result[int, StoreError]:
+        """Deletes a key if its revision is the expected one."""
+        delete = wire.DeleteRangeRequest(key=key.encode())
+        change = wire.RequestOp(request_delete_range=delete)
+        return self._swap(key, expected_revision, change)
+
+    def grant_lease(self, ttl_ms: int) -> Result[Lease, StoreError]:
+        """Grants a lease; the time to live is rounded up to whole seconds."""
+        ttl_s = -(-ttl_ms // _MS_PER_S)
+        request = wire.LeaseRequest(TTL=str(ttl_s))
+        reply = self._post("/v3/lease/grant", request, wire.LeaseResponse)
+        return self._written(reply.map(replies.lease_of))
+
+    def keep_alive(self, lease_id: int) -> Result[Lease, StoreError]:
+        """Starts a lease's time to live again."""
+        request = wire.LeaseRequest(ID=str(lease_id))
+        reply = self._post(
+            "/v3/lease/keepalive", request, wire.KeepAliveResponse
+        )
+        return self._written(reply.bind(replies.kept_lease))
+
+    def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
+        """Ends a lease and deletes its keys."""
+        request = wire.LeaseRequest(ID=str(lease_id))
+        reply = self._post("/v3/lease/revoke", request, wire.LeaseResponse)
+        return self._written(reply.map(lambda _: None))
+
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> Result[EtcdWatch, StoreError]:
+        """Watches a prefix from a revision on, that one included."""
+        first, end = wire.range_of(prefix)
+        create = wire.WatchCreate(
+            key=first,
+            range_end=end,
+            # 0 would ask for changes from now on.
+            start_revision=str(max(from_revision, 1)),
+            progress_notify=True,
+        )
+        body = msgspec.json.encode(wire.WatchRequest(create_request=create))
+        stream = self._watches.open_stream("/v3/watch", body)
+        return self._counter.record(stream).map(
+            lambda response: EtcdWatch(response, from_revision, self._counter)
+        )
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._calls.close()
+        self._watches.close()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def _range(
+        self, request: wire.RangeRequest
+    ) -> Result[wire.RangeResponse, StoreError]:
+        self._counter.count(reads=1)
+        reply = self._post("/v3/kv/range", request, wire.RangeResponse)
+        return self._counter.record(reply)
+
+    def _swap(
+        self, key: str, expected_revision: int, change: wire.RequestOp
+    ) -> Result[int, StoreError]:
+        """Makes a change if the key's revision is the expected one."""
+        compare = wire.Compare(
+            key=key.encode(), mod_revision=str(expected_revision)
+        )
+        read = wire.RequestOp(request_range=wire.RangeRequest(key=key.encode()))
+        request = wire.TxnRequest(
+            compare=[compare], success=[change], failure=[read]
+        )
+        reply = self._post("/v3/kv/txn", request, wire.TxnResponse)
+        return self._written(
+            reply.bind(lambda done: replies.swap_revision(key, done))
+        )
+
+    def _written(
+        self, result: Result[_T, StoreError]
+    ) -> Result[_T, StoreError]:
+        """Counts a write and what came of it."""
+        self._counter.count(writes=1)
+        return self._counter.record(result)
+
+    def _post(
+        self, path: str, request: msgspec.Struct, reply_type: type[_T]
+    ) -> Result[_T, StoreError]:
+        body = msgspec.json.encode(request)
+        return self._calls.post(path, body).bind(
+            lambda data: replies.decode(data, reply_type)
+        )
+
+
+def etcd_store(
+    host: str,
+    port: int,
+    *,
+    connect_timeout_ms: int = _DEFAULT_CONNECT_TIMEOUT_MS,
+    read_timeout_ms: int = _DEFAULT_READ_TIMEOUT_MS,
+    idle_timeout_ms: int = _DEFAULT_IDLE_TIMEOUT_MS,
+    pool_size: int = _DEFAULT_POOL_SIZE,
+) -> EtcdStore:
+    """Creates a client of the gateway at an address.
+
+    Args:
+        host: The gateway's IP number.
+        port: The gateway's port.
+        connect_timeout_ms: Time to open a connection, or to wait for a free
+            one.
+        read_timeout_ms: Time to wait for the next bytes of a reply.
+        idle_timeout_ms: A watch without any message for so long has ended.
+        pool_size: Connections used at once for calls, and watches open at
+            once.
+    """
+
+    def pool(timeout_ms: int) -> GatewayPool:
+        return GatewayPool(
+            host=host,
+            port=port,
+            connect_timeout_ms=connect_timeout_ms,
+            read_timeout_ms=timeout_ms,
+            size=pool_size,
+        )
+
+    return EtcdStore(calls=pool(read_timeout_ms), watches=pool(idle_timeout_ms))
