Commit configuration changes by compare-and-swap on one head key

A write whose outcome is unknown is settled by looking for its change id and tried again against the same base, so that at most one try succeeds. Merging a lost race on the operator's behalf was ruled out: the operator has not seen what changed.

--- a/trefoilpitch/configuration/__init__.py
+++ b/trefoilpitch/configuration/__init__.py
@@ -13,23 +13,50 @@
     StartRollout,
     WithdrawVersion,
 )
-from trefoilpitch.configuration._exceptions import ChangeError, Refusal
+from trefoilpitch.configuration._deltas import Delta
+from trefoilpitch.configuration._describe import describe_delta
+from trefoilpitch.configuration._exceptions import (
+    ChangeError,
+    ChangeRefusedError,
+    CommitError,
+    CommitUnknownError,
+    Refusal,
+    RevisionConflictError,
+    StoreBehindError,
+    StoreDamagedError,
+    StoreUnavailableError,
+)
+from trefoilpitch.configuration._head import HEAD_KEY, KEY_PREFIX
 from trefoilpitch.configuration._nodes import (
     EMPTY_CONFIGURATION,
     Configuration,
     RolloutPhase,
     RolloutState,
 )
+from trefoilpitch.configuration._writer import (
+    Committed,
+    ConfigurationWriter,
+    configuration_writer,
+)
 
 __all__ = [
     "EMPTY_CONFIGURATION",
+    "HEAD_KEY",
+    "KEY_PREFIX",
     "AdvanceRollout",
     "Change",
     "ChangeError",
+    "ChangeRefusedError",
+    "CommitError",
+    "CommitUnknownError",
+    "Committed",
     "Configuration",
+    "ConfigurationWriter",
+    "Delta",
     "PauseRollout",
     "Refusal",
     "ResumeRollout",
+    "RevisionConflictError",
     "RollBack",
     "RolloutPhase",
     "RolloutState",
@@ -37,6 +64,11 @@
     "SetVm",
     "SignOffBundle",
     "StartRollout",
+    "StoreBehindError",
+    "StoreDamagedError",
+    "StoreUnavailableError",
     "WithdrawVersion",
     "apply_change",
+    "configuration_writer",
+    "describe_delta",
 ]
--- a/trefoilpitch/configuration/tests/test_apply.py
+++ b/trefoilpitch/configuration/tests/test_apply.py
@@ -1,12 +1,11 @@
 from __future__ import annotations
 
 import dataclasses
-import pathlib
 from collections.abc import Iterable
 
 import pytest
 
-from trefoilpitch.bundle import VersionRef, decode_bundle
+from trefoilpitch.bundle import VersionRef
 from trefoilpitch.configuration import (
     EMPTY_CONFIGURATION,
     AdvanceRollout,
@@ -25,9 +24,8 @@
     WithdrawVersion,
     apply_change,
 )
+from trefoilpitch.configuration.tests.examples import BUNDLE
 
-_EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
-_BUNDLE = decode_bundle((_EXAMPLES / "archive.toml").read_text()).unwrap()
 _SMALL = "sermon-small"
 _NEW = VersionRef(_SMALL, "2026.11")
 
@@ -37,7 +35,7 @@
 
 
 def _sign_off(**fields: object) -> SignOffBundle:
-    bundle = dataclasses.replace(_BUNDLE, **fields)  # type: ignore[arg-type]
+    bundle = dataclasses.replace(BUNDLE, **fields)  # type: ignore[arg-type]
     return SignOffBundle(bundle=bundle, **_by())
 
 
@@ -63,9 +61,9 @@
 
 def _sign_off_without_new_version() -> SignOffBundle:
     model = dataclasses.replace(
-        _BUNDLE.models[0], versions=_BUNDLE.models[0].versions[:1]
+        BUNDLE.models[0], versions=BUNDLE.models[0].versions[:1]
     )
-    models = (model, *_BUNDLE.models[1:])
+    models = (model, *BUNDLE.models[1:])
     return _sign_off(version=2, models=models, rollouts=())
 
 
@@ -157,15 +155,15 @@
     assert configuration.withdrawn == {_NEW}
     assert configuration.failure_domains_out == {"nadi"}
     assert configuration.vms_out == {"entry-1"}
-    back = dataclasses.replace(_BUNDLE, version=3)
+    back = dataclasses.replace(BUNDLE, version=3)
     change = SignOffBundle(bundle=back, **_by())
     error = apply_change(configuration, change).failure()
     assert error.refusal is Refusal.WITHDRAWN
 
 
 def test_completed_rollout_ends_when_its_version_becomes_the_default() -> None:
-    model = dataclasses.replace(_BUNDLE.models[0], default_version="2026.11")
-    models = (model, *_BUNDLE.models[1:])
+    model = dataclasses.replace(BUNDLE.models[0], default_version="2026.11")
+    models = (model, *BUNDLE.models[1:])
     change = _sign_off(version=2, models=models, rollouts=())
     configuration = _after((*_SIGNED, *_COMPLETE, change))
     assert configuration.rollouts == ()
