Add request keys, signed tokens, the at-most-once registry and bill segments

Cause: the daemon needs to know who may run a request, which version a session keeps and what a request cost, without a store call for each request.

Ruled out: a store write for every request (the store takes several hundred writes a second, the fleet serves thousands of requests); unsigned sessions (a caller could name a version that its workspace is not allowed).

Change: homed keys carry their home incarnation and their time of issue; the registry forgets a key only after the key itself has expired; bills go into create-only segments whose key and bytes never change.

Conclusion: the decisions stand without input or output; the daemon wires them.

--- /dev/null
+++ b/trefoilpitch/identity/__init__.py
@@ -0,0 +1,39 @@
+"""Who may run a request, and the tokens that callers keep for the nodes."""
+
+from trefoilpitch.identity._exceptions import (
+    IdentityError,
+    InvalidTokenError,
+    MalformedKeyError,
+)
+from trefoilpitch.identity._keys import (
+    MAX_KEY_LENGTH,
+    ForeignKey,
+    HomedKey,
+    RequestKey,
+    create_incarnation,
+    issue_key_prefix,
+    parse_request_key,
+)
+from trefoilpitch.identity._tokens import (
+    MAX_TOKEN_LENGTH,
+    ResumePoint,
+    Session,
+    TokenSigner,
+)
+
+__all__ = [
+    "MAX_KEY_LENGTH",
+    "MAX_TOKEN_LENGTH",
+    "ForeignKey",
+    "HomedKey",
+    "RequestKey",
+    "ResumePoint",
+    "Session",
+    "TokenSigner",
+    "create_incarnation",
+    "issue_key_prefix",
+    "parse_request_key",
+    "IdentityError",
+    "InvalidTokenError",
+    "MalformedKeyError",
+]
--- /dev/null
+++ b/trefoilpitch/ledger/__init__.py
@@ -0,0 +1,42 @@
+"""Bills each request once, across crashes and store outages."""
+
+from trefoilpitch.ledger._exceptions import (
+    DamagedSegmentError,
+    LedgerError,
+    LedgerFullError,
+)
+from trefoilpitch.ledger._nodes import Bill, BillLine
+from trefoilpitch.ledger._reader import (
+    WorkspaceTotal,
+    total_by_workspace,
+    unite_bills,
+)
+from trefoilpitch.ledger._segments import (
+    LEDGER_PREFIX,
+    MAX_UNWRITTEN_BYTES,
+    SEAL_AFTER_MS,
+    SEAL_AT_BYTES,
+    Segment,
+    SegmentWriter,
+    decode_segment,
+    encode_segment,
+)
+
+__all__ = [
+    "Bill",
+    "BillLine",
+    "LEDGER_PREFIX",
+    "MAX_UNWRITTEN_BYTES",
+    "SEAL_AFTER_MS",
+    "SEAL_AT_BYTES",
+    "Segment",
+    "SegmentWriter",
+    "WorkspaceTotal",
+    "decode_segment",
+    "encode_segment",
+    "total_by_workspace",
+    "unite_bills",
+    "DamagedSegmentError",
+    "LedgerError",
+    "LedgerFullError",
+]
--- /dev/null
+++ b/trefoilpitch/ledger/tests/test_segments.py
@@ -0,0 +1,63 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from trefoilpitch.ledger import (
+    SEAL_AFTER_MS,
+    Bill,
+    BillLine,
+    SegmentWriter,
+    decode_segment,
+    unite_bills,
+)
+
+
+def _bill(request_id: str, cost_nano: int = 5) -> Bill:
+    line = BillLine(
+        item="small@1",
+        upstream="engine-1",
+        prompt_tokens=1,
+        output_tokens=2,
+        cost_nano=cost_nano,
+    )
+    return Bill(
+        request_id=request_id,
+        workspace="suva-parish",
+        subject="tag",
+        ended_ms=0,
+        lines=(line,),
+    )
+
+
+def test_a_lost_reply_leads_to_the_same_key_and_bytes() -> None:
+    writer = SegmentWriter("n1")
+    writer.record(_bill("a"), 0)
+    (first,) = writer.due(SEAL_AFTER_MS)
+    writer.write_failed(SEAL_AFTER_MS)
+    writer.record(_bill("b"), SEAL_AFTER_MS)
+    again = writer.due(10 * SEAL_AFTER_MS)
+    assert again[0] == first
+    assert again[1].key != first.key
+
+
+def test_an_outage_is_survived_until_memory_is_full() -> None:
+    writer = SegmentWriter("n1", max_unwritten_bytes=1_000)
+    outcomes = [writer.record(_bill(str(i)), 0) for i in range(20)]
+    assert isinstance(outcomes[0], Success)
+    assert isinstance(outcomes[-1], Failure)
+    for segment in writer.due(0, flush=True):
+        writer.written(segment.key)
+    assert writer.is_empty
+    assert not writer.is_full
+
+
+def test_a_request_recorded_by_two_nodes_is_one_bill() -> None:
+    bills = [_bill("a", 9), _bill("a", 5), _bill("b")]
+    assert unite_bills(bills) == unite_bills(reversed(bills))
+    assert [bill.cost_nano for bill in unite_bills(bills)] == [5, 5]
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary())
+def test_any_payload_is_bills_or_a_typed_error(payload: bytes) -> None:
+    assert isinstance(decode_segment(payload), Success | Failure)
--- /dev/null
+++ b/trefoilpitch/requests/_registry.py
@@ -0,0 +1,207 @@
+"""The home's memory of the keyed requests that it has admitted.
+
+A non-idempotent request runs at most once because only its home dispatches it
+and the home remembers every key for as long as the key is valid. A key that
+is no longer valid is refused, so forgetting an entry can never lead to a
+second run.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections import OrderedDict
+from typing import Generic, TypeVar
+
+KEY_VALIDITY_MS = 600_000
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+AnswerT = TypeVar("AnswerT")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestSlot:
+    """Identifies one keyed request of one workspace."""
+
+    # The workspace that sent the request.
+    workspace: str
+    # The idempotency key as sent.
+    key: str
+
+
+class Phase(enum.Enum):
+    """How far a keyed request has come."""
+
+    RUNNING = "running"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Verdict(enum.Enum):
+    """What to do with a keyed request that arrives."""
+
+    # Nothing is known of the key: dispatch the request.
+    RUN = "run"
+    # The same request is running: wait for its answer.
+    JOIN = "join"
+    # The request ran: send the answer that it gave.
+    REPLAY = "replay"
+    # The request ran, but its answer is no longer held.
+    ANSWER_DROPPED = "answer_dropped"
+    # Whether the request ran cannot be told; it must not run again.
+    UNKNOWN = "unknown"
+    # The key was used for a request with other content.
+    MISMATCH = "mismatch"
+    # The key is older than its validity and its history is not held.
+    EXPIRED = "expired"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission(Generic[AnswerT]):
+    """The registry's decision on a request that arrived."""
+
+    # What to do.
+    verdict: Verdict
+    # The answer to replay, where there is one.
+    answer: AnswerT | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry(Generic[AnswerT]):
+    fingerprint: bytes
+    expires_ms: int
+    phase: Phase = Phase.RUNNING
+    answer: AnswerT | None = None
+    answer_bytes: int = 0
+
+
+class RequestRegistry(Generic[AnswerT]):
+    """Admits keyed requests; the owner serialises the calls.
+
+    Args:
+        key_validity_ms: How long after its issue a key may be used.
+        max_answer_bytes: Bytes of finished answers to hold; the oldest are
+            dropped first. The fact that a request ran is never dropped
+            before its key expires.
+    """
+
+    def __init__(
+        self,
+        key_validity_ms: int = KEY_VALIDITY_MS,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        self._key_validity_ms = key_validity_ms
+        self._max_answer_bytes = max_answer_bytes
+        self._answer_bytes = 0
+        self._entries: OrderedDict[RequestSlot, _Entry[AnswerT]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes of finished answers that are held."""
+        return self._answer_bytes
+
+    @property
+    def running(self) -> int:
+        """Keyed requests whose outcome is not known yet."""
+        entries = self._entries.values()
+        return sum(entry.phase is Phase.RUNNING for entry in entries)
+
+    def admit(
+        self,
+        slot: RequestSlot,
+        fingerprint: bytes,
+        issued_ms: int,
+        now_ms: int,
+    ) -> Admission[AnswerT]:
+        """Decides on a request that arrived.
+
+        Args:
+            slot: The workspace and the key.
+            fingerprint: Digest of the request's operation and content.
+            issued_ms: When the key was issued, on this node's clock.
+            now_ms: The present time on the same clock.
+        """
+        self._forget_expired(now_ms)
+        entry = self._entries.get(slot)
+        if entry is not None:
+            return _repeat(entry, fingerprint)
+        expires_ms = issued_ms + self._key_validity_ms
+        if issued_ms > now_ms or expires_ms <= now_ms:
+            return Admission(Verdict.EXPIRED)
+        self._entries[slot] = _Entry(fingerprint, expires_ms)
+        return Admission(Verdict.RUN)
+
+    def finish_not_run(self, slot: RequestSlot) -> None:
+        """Records that the request did not run, so that it may run later."""
+        self._entries.pop(slot, None)
+
+    def finish_unknown(self, slot: RequestSlot) -> None:
+        """Records that nobody can tell whether the request ran."""
+        self._entries[slot].phase = Phase.UNKNOWN
+
+    def finish_ran(
+        self, slot: RequestSlot, answer: AnswerT | None, answer_bytes: int
+    ) -> None:
+        """Records that the request ran, and its answer.
+
+        Args:
+            slot: The request.
+            answer: What to replay to a repeat; None holds no answer.
+            answer_bytes: Size of the answer.
+        """
+        entry = self._entries[slot]
+        entry.phase = Phase.RAN
+        entry.answer = answer
+        entry.answer_bytes = answer_bytes
+        self._answer_bytes += answer_bytes
+        self._drop_answers()
+
+    def answer_of(self, slot: RequestSlot) -> Admission[AnswerT]:
+        """Returns what a request that joined another one should send."""
+        entry = self._entries.get(slot)
+        if entry is None:
+            return Admission(Verdict.RUN)
+        return _repeat(entry, entry.fingerprint)
+
+    def _forget_expired(self, now_ms: int) -> None:
+        for slot, entry in list(self._oldest()):
+            if entry.expires_ms > now_ms or entry.phase is Phase.RUNNING:
+                return
+            self._answer_bytes -= entry.answer_bytes
+            del self._entries[slot]
+
+    def _oldest(self) -> list[tuple[RequestSlot, _Entry[AnswerT]]]:
+        batch = []
+        for item in self._entries.items():
+            batch.append(item)
+            if len(batch) == _FORGET_BATCH:
+                break
+        return batch
+
+    def _drop_answers(self) -> None:
+        if self._answer_bytes <= self._max_answer_bytes:
+            return
+        for entry in self._entries.values():
+            self._answer_bytes -= entry.answer_bytes
+            entry.answer = None
+            entry.answer_bytes = 0
+            if self._answer_bytes <= self._max_answer_bytes:
+                return
+
+
+_FORGET_BATCH = 64
+
+
+def _repeat(entry: _Entry[AnswerT], fingerprint: bytes) -> Admission[AnswerT]:
+    if entry.fingerprint != fingerprint:
+        return Admission(Verdict.MISMATCH)
+    if entry.phase is Phase.RUNNING:
+        return Admission(Verdict.JOIN)
+    if entry.phase is Phase.UNKNOWN:
+        return Admission(Verdict.UNKNOWN)
+    if entry.answer is None:
+        return Admission(Verdict.ANSWER_DROPPED)
+    return Admission(Verdict.REPLAY, entry.answer)
