--- /dev/null
+++ b/trefoilpitch/web/__init__.py
@@ -0,0 +1,39 @@
+"""HTTP towards callers and operators, on waitress."""
+
+from trefoilpitch.web._problems import (
+    PROBLEM_TYPE,
+    Outcome,
+    Problem,
+    encode_problem,
+)
+from trefoilpitch.web._server import HttpServer, ServerLimits, open_server
+from trefoilpitch.web._wsgi import (
+    JSON_TYPE,
+    Body,
+    Handler,
+    Header,
+    Request,
+    Response,
+    WsgiApp,
+    create_wsgi_app,
+    problem_response,
+)
+
+__all__ = [
+    "JSON_TYPE",
+    "PROBLEM_TYPE",
+    "Body",
+    "Handler",
+    "Header",
+    "HttpServer",
+    "Outcome",
+    "Problem",
+    "Request",
+    "Response",
+    "ServerLimits",
+    "WsgiApp",
+    "create_wsgi_app",
+    "encode_problem",
+    "open_server",
+    "problem_response",
+]
--- /dev/null
+++ b/trefoilpitch/web/_server.py
@@ -0,0 +1,127 @@
+"""HTTP servers that keep nothing on disk and bear long streams."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import threading
+import time
+from types import TracebackType
+
+import waitress.server
+
+from trefoilpitch.web._wsgi import WsgiApp
+
+_NEVER_TO_DISK_BYTES = 1 << 40
+_MS_PER_S = 1_000
+_CLOSE_POLL_MS = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLimits:
+    """What one HTTP server accepts."""
+
+    # Requests handled at once; each stream occupies one thread.
+    threads: int = 64
+    # Open connections, idle ones included.
+    connections: int = 1_024
+    # Largest request body, in bytes.
+    body_bytes: int = 8 * 1024 * 1024
+    # Largest request header, in bytes.
+    header_bytes: int = 64 * 1024
+    # Unsent bytes of a response after which its producer waits.
+    unsent_bytes: int = 256 * 1024
+    # Time after which a connection without traffic is closed.
+    idle_ms: int = 300_000
+
+
+class HttpServer:
+    """Serves a WSGI application on one address; a context manager.
+
+    Args:
+        app: The application.
+        host: IP number to listen on.
+        port: Port to listen on; 0 lets the system choose.
+        limits: What the server accepts.
+        name: Names the server's thread.
+    """
+
+    def __init__(
+        self,
+        app: WsgiApp,
+        host: str,
+        port: int,
+        limits: ServerLimits,
+        name: str,
+    ) -> None:
+        # The VMs have no disk: the overflow thresholds are never reached.
+        self._server = waitress.server.create_server(
+            app,
+            host=host,
+            port=port,
+            threads=limits.threads,
+            connection_limit=limits.connections,
+            max_request_body_size=limits.body_bytes,
+            max_request_header_size=limits.header_bytes,
+            inbuf_overflow=_NEVER_TO_DISK_BYTES,
+            outbuf_overflow=_NEVER_TO_DISK_BYTES,
+            outbuf_high_watermark=limits.unsent_bytes,
+            channel_timeout=limits.idle_ms // _MS_PER_S,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
+            clear_untrusted_proxy_headers=True,
+            ident=None,
+        )
+        self._thread = threading.Thread(
+            target=self._server.run, name=name, daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that the server listens on."""
+        return int(self._server.effective_port)
+
+    def __enter__(self) -> HttpServer:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self, patience_ms: int = 2_000) -> None:
+        """Stops listening and closes every connection.
+
+        Args:
+            patience_ms: How long to let responses reach their callers.
+        """
+        until = time.monotonic() + patience_ms / _MS_PER_S
+        while self._has_unsent() and time.monotonic() < until:
+            time.sleep(_CLOSE_POLL_MS / _MS_PER_S)
+        with contextlib.suppress(OSError):
+            self._server.close()
+        self._thread.join(patience_ms / _MS_PER_S)
+
+    def _has_unsent(self) -> bool:
+        channels = list(self._server._map.values())
+        return any(
+            getattr(channel, "total_outbufs_len", 0)
+            or getattr(channel, "requests", None)
+            for channel in channels
+        )
+
+
+def open_server(
+    app: WsgiApp,
+    *,
+    host: str,
+    port: int,
+    limits: ServerLimits,
+    name: str,
+) -> HttpServer:
+    """Returns a server that is ready to be entered."""
+    return HttpServer(app, host, port, limits, name)
--- /dev/null
+++ b/trefoilpitch/web/_wsgi.py
@@ -0,0 +1,153 @@
+"""Requests and responses on top of WSGI."""
+
+from __future__ import annotations
+
+import dataclasses
+import http
+import urllib.parse
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Protocol
+
+from trefoilpitch.web._problems import (
+    PROBLEM_TYPE,
+    Problem,
+    encode_problem,
+)
+
+JSON_TYPE = "application/json"
+_BEARER = "bearer "
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Header:
+    """One header field of a response."""
+
+    # The field's name.
+    name: str
+    # The field's value, one line.
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A request whose body has been read."""
+
+    # The HTTP method, in capitals.
+    method: str
+    # The decoded path, beginning with a slash.
+    path: str
+    # Query parameters; the last of several values counts.
+    query: Mapping[str, str]
+    # Header fields by their names in lower case.
+    headers: Mapping[str, str]
+    # The whole body.
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Returns a header's value, or the empty string."""
+        return self.headers.get(name.lower(), "")
+
+    @property
+    def bearer_token(self) -> str:
+        """The token of the ``Authorization`` header, or the empty string."""
+        value = self.header("authorization")
+        if not value.lower().startswith(_BEARER):
+            return ""
+        return value[len(_BEARER) :].strip()
+
+
+class Body(Protocol):
+    """The parts of a response, closed when the caller has or leaves them."""
+
+    def __iter__(self) -> Body:
+        """Returns itself."""
+
+    def __next__(self) -> bytes:
+        """Returns the next part."""
+
+    def close(self) -> None:
+        """Releases what the body holds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """What to send back."""
+
+    # The HTTP status.
+    status: int = 200
+    # The media type of the body.
+    content_type: str = JSON_TYPE
+    # The body: bytes, or parts that are sent as they come.
+    body: bytes | Body = b""
+    # Further header fields.
+    headers: tuple[Header, ...] = ()
+
+
+Handler = Callable[[Request], Response]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
+
+def problem_response(problem: Problem, *headers: Header) -> Response:
+    """Returns the response that tells a caller of a problem."""
+    fields = list(headers)
+    if problem.retry_after_s is not None:
+        seconds = str(problem.retry_after_s)
+        fields.append(Header(name="Retry-After", value=seconds))
+    if problem.request_id:
+        fields.append(Header(name="Request-Id", value=problem.request_id))
+    return Response(
+        status=problem.status,
+        content_type=PROBLEM_TYPE,
+        body=encode_problem(problem),
+        headers=tuple(fields),
+    )
+
+
+def create_wsgi_app(handler: Handler) -> WsgiApp:
+    """Returns a WSGI application that calls a handler for each request."""
+
+    def application(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        response = handler(_read_request(environ))
+        fields = [("Content-Type", response.content_type)]
+        fields += [(field.name, field.value) for field in response.headers]
+        body = response.body
+        if isinstance(body, bytes):
+            fields.append(("Content-Length", str(len(body))))
+        start_response(_status_line(response.status), fields)
+        return [body] if isinstance(body, bytes) else body
+
+    return application
+
+
+def _read_request(environ: dict[str, Any]) -> Request:
+    query = urllib.parse.parse_qsl(environ.get("QUERY_STRING", ""))
+    # WSGI hands the path over as Latin-1 whatever the caller's encoding.
+    raw_path = environ.get("PATH_INFO", "/").encode("latin-1")
+    return Request(
+        method=environ["REQUEST_METHOD"].upper(),
+        path=raw_path.decode("utf-8", errors="replace"),
+        query=dict(query),
+        headers=_read_headers(environ),
+        body=environ["wsgi.input"].read(),
+    )
+
+
+def _read_headers(environ: dict[str, Any]) -> dict[str, str]:
+    headers = {
+        name[5:].replace("_", "-").lower(): str(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    headers["content-type"] = environ.get("CONTENT_TYPE", "")
+    return headers
+
+
+def _status_line(status: int) -> str:
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"{status} {phrase}"
