Add the serving layer's nodes, upstream directory and keyed requests

Cause: the daemon needs one place where running work is counted and a decision is confirmed in the same step. Ruled out: confirming without the lock that counts, because two requests could then take the same place.

--- a/trefoilpitch/identity/__init__.py
+++ b/trefoilpitch/identity/__init__.py
@@ -12,6 +12,7 @@
     RequestKey,
     create_incarnation,
     issue_key_prefix,
+    node_of,
     parse_request_key,
 )
 from trefoilpitch.identity._tokens import (
@@ -32,6 +33,7 @@
     "TokenSigner",
     "create_incarnation",
     "issue_key_prefix",
+    "node_of",
     "parse_request_key",
     "IdentityError",
     "InvalidTokenError",
--- a/trefoilpitch/identity/_keys.py
+++ b/trefoilpitch/identity/_keys.py
@@ -21,7 +21,8 @@
 _MARK = "tp1"
 _SEPARATOR = "."
 _NONCE_BYTES = 6
-_INCARNATION_BYTES = 6
+_INCARNATION_BYTES = 4
+_START_DIGITS = 12
 _VALID = re.compile(r"[A-Za-z0-9._:~-]+\Z")
 _HOMED = re.compile(
     rf"{_MARK}\.(?P<home>[A-Za-z0-9_-]+)\.(?P<issued>\d{{1,15}})"
@@ -52,13 +53,20 @@
 RequestKey = HomedKey | ForeignKey
 
 
-def create_incarnation(node: str) -> str:
+def create_incarnation(node: str, wall_ms: int) -> str:
     """Returns a name for one run of a node's process, never used before.
 
     Args:
         node: The node's name; letters, digits and hyphens.
+        wall_ms: Wall time; later incarnations of a node sort higher.
     """
-    return f"{node}_{secrets.token_hex(_INCARNATION_BYTES)}"
+    started = f"{wall_ms:0{_START_DIGITS}x}"
+    return f"{node}_{started}{secrets.token_hex(_INCARNATION_BYTES)}"
+
+
+def node_of(incarnation: str) -> str:
+    """Returns the name of the node that an incarnation ran on."""
+    return incarnation.rpartition("_")[0]
 
 
 def issue_key_prefix(incarnation: str, now_ms: int) -> str:
--- a/trefoilpitch/identity/_tokens.py
+++ b/trefoilpitch/identity/_tokens.py
@@ -19,6 +19,7 @@
 
 from trefoilpitch.bundle import VersionRef
 from trefoilpitch.identity._exceptions import InvalidTokenError
+from trefoilpitch.ledger import BillLine
 
 MAX_TOKEN_LENGTH = 4_096
 
@@ -56,6 +57,8 @@
     version: VersionRef
     # The task that the request named.
     task: str
+    # What earlier attempts at the request cost.
+    spent: tuple[BillLine, ...] = ()
 
 
 class TokenSigner:
--- a/trefoilpitch/identity/tests/test_keys.py
+++ b/trefoilpitch/identity/tests/test_keys.py
@@ -10,12 +10,14 @@
     MalformedKeyError,
     create_incarnation,
     issue_key_prefix,
+    node_of,
     parse_request_key,
 )
 
 
 def test_key_made_from_a_prefix_names_its_home() -> None:
-    incarnation = create_incarnation("node-1")
+    incarnation = create_incarnation("node-1", 7)
+    assert node_of(incarnation) == "node-1"
     key = issue_key_prefix(incarnation, 1_234) + "loan-7"
     assert parse_request_key(key) == Success(HomedKey(key, incarnation, 1_234))
 
--- a/trefoilpitch/ledger/_nodes.py
+++ b/trefoilpitch/ledger/_nodes.py
@@ -35,6 +35,8 @@
     ended_ms: int
     # The attempts, in order.
     lines: tuple[BillLine, ...]
+    # Whether the caller got the whole answer.
+    is_whole: bool = True
 
     @property
     def cost_nano(self) -> int:
--- a/trefoilpitch/ledger/_reader.py
+++ b/trefoilpitch/ledger/_reader.py
@@ -25,8 +25,9 @@
 
     A request is recorded twice when a segment and the copy of it that a peer
     held are both written, or when its answer was taken up again on another
-    node. Of several bills the cheapest counts, so that work which a fault
-    caused is not charged; the choice does not depend on the order.
+    node. The bill of a whole answer counts before that of a partial one, and
+    the cheaper one before the dearer, so that work which a fault caused is
+    not charged; the choice does not depend on the order.
     """
     united: dict[str, Bill] = {}
     for bill in bills:
@@ -51,5 +52,5 @@
     )
 
 
-def _preference(bill: Bill) -> tuple[int, Bill]:
-    return (bill.cost_nano, bill)
+def _preference(bill: Bill) -> tuple[bool, int, Bill]:
+    return (not bill.is_whole, bill.cost_nano, bill)
--- /dev/null
+++ b/trefoilpitch/serving/_directory.py
@@ -0,0 +1,313 @@
+"""The upstreams that a node follows: clients, load and running work."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Callable, Mapping
+from types import TracebackType
+from typing import Protocol, Self
+
+from trefoilpitch.bundle import Upstream, UpstreamKind
+from trefoilpitch.clock import Clock
+from trefoilpitch.routing import (
+    Confirmed,
+    Decision,
+    LoadReport,
+    Revised,
+    RoutingTable,
+    UpstreamState,
+    confirm_dispatch,
+)
+from trefoilpitch.upstreams import EngineClient, ServiceClient
+from trefoilpitch.upstreams import LoadReport as ReceivedReport
+
+Client = EngineClient | ServiceClient
+
+
+class ClientFactory(Protocol):
+    """Makes the clients of upstreams."""
+
+    def engine(self, upstream: Upstream) -> EngineClient:
+        """Returns a client of a model engine."""
+
+    def service(self, upstream: Upstream) -> ServiceClient:
+        """Returns a client of a plain service."""
+
+
+class ColdStartGate(Protocol):
+    """Bounds the work that this node starts on upstreams in a cold start."""
+
+    def allowance(self, upstream: str) -> int | None:
+        """Returns the requests that may start now; None while warm."""
+
+    def started(self, upstream: str) -> None:
+        """Records that a request starts; uses up allowance while cold."""
+
+    def finished(self, upstream: str, *, succeeded: bool) -> None:
+        """Records that a request that started has ended."""
+
+
+class ConcurrencyGate(Protocol):
+    """Adapts the work that this node runs on an upstream at once."""
+
+    def limit(self, upstream: Upstream) -> int:
+        """Returns the requests that may run at once."""
+
+    def finished(
+        self, upstream: Upstream, *, succeeded: bool, latency_ms: int
+    ) -> None:
+        """Records how a request ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowedUpstream:
+    """An upstream and what it runs."""
+
+    # The upstream.
+    upstream: Upstream
+    # What it runs.
+    kind: UpstreamKind
+
+
+class _Followed:
+    def __init__(self, node: FollowedUpstream, client: Client) -> None:
+        self.node = node
+        self.client = client
+        self.in_flight = 0
+        self.in_flight_at_report = 0
+        self.report: ReceivedReport | None = None
+        self.report_ms = 0
+        self.leaving = False
+        self.is_dropped = False
+
+
+class Slot:
+    """One running request's place on an upstream.
+
+    A context manager that gives the place back. A request counts as failed
+    unless :meth:`succeed` was called.
+    """
+
+    def __init__(
+        self, directory: UpstreamDirectory, followed: _Followed, now_ms: int
+    ) -> None:
+        self._directory = directory
+        self._followed = followed
+        self._started_ms = now_ms
+        self._succeeded = False
+        self._is_open = True
+
+    @property
+    def upstream(self) -> Upstream:
+        """The upstream."""
+        return self._followed.node.upstream
+
+    @property
+    def client(self) -> Client:
+        """The upstream's client."""
+        return self._followed.client
+
+    def succeed(self) -> None:
+        """Records that the upstream gave a whole answer."""
+        self._succeeded = True
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Gives the place back; harmless when that was done before."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        self._directory._release(
+            self._followed, self._started_ms, succeeded=self._succeeded
+        )
+
+
+class UpstreamDirectory:
+    """Keeps the state that choices rest on; safe for use by many threads.
+
+    Args:
+        clock: Tells the age of load reports.
+        clients: Makes the clients.
+        cold_starts: Bounds work on upstreams in a cold start.
+        concurrency: Adapts the work that runs at once.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        clients: ClientFactory,
+        cold_starts: ColdStartGate,
+        concurrency: ConcurrencyGate,
+    ) -> None:
+        self._clock = clock
+        self._clients = clients
+        self._cold_starts = cold_starts
+        self._concurrency = concurrency
+        self._lock = threading.Lock()
+        self._followed: dict[str, _Followed] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_release(self, listener: Callable[[], None]) -> None:
+        """Calls a listener whenever a request ends on any upstream."""
+        self._listeners.append(listener)
+
+    def apply(self, table: RoutingTable) -> None:
+        """Follows the upstreams that a configuration names."""
+        wanted = _members(table)
+        with self._lock:
+            for name in list(self._followed):
+                followed = self._followed[name]
+                if wanted.get(name) != followed.node:
+                    self._drop(name)
+            for name, node in wanted.items():
+                if name not in self._followed:
+                    self._followed[name] = self._follow(node)
+
+    def followed(self) -> tuple[FollowedUpstream, ...]:
+        """Returns the upstreams that the node follows."""
+        with self._lock:
+            return tuple(one.node for one in self._followed.values())
+
+    def client(self, upstream: str) -> Client | None:
+        """Returns an upstream's client; None where it is not followed."""
+        with self._lock:
+            followed = self._followed.get(upstream)
+        return followed.client if followed else None
+
+    def states(self) -> Mapping[str, UpstreamState]:
+        """Returns what is known of every followed upstream now."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return {
+                name: self._state(followed, now_ms)
+                for name, followed in self._followed.items()
+            }
+
+    def acquire(
+        self, decision: Decision, newest: RoutingTable
+    ) -> Slot | Revised:
+        """Takes a place on the chosen upstream if the decision still holds.
+
+        The check and the count are one step, so that two requests cannot
+        take the same place.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            states = {}
+            followed = self._followed.get(decision.upstream)
+            if followed is not None:
+                states[decision.upstream] = self._state(followed, now_ms)
+            outcome = confirm_dispatch(decision, newest, states)
+            if followed is None or not isinstance(outcome, Confirmed):
+                assert isinstance(outcome, Revised)
+                return outcome
+            followed.in_flight += 1
+            self._cold_starts.started(decision.upstream)
+        return Slot(self, followed, now_ms)
+
+    def record_report(self, upstream: str, report: ReceivedReport) -> None:
+        """Takes in a load report."""
+        with self._lock:
+            followed = self._followed.get(upstream)
+            if followed is None:
+                return
+            followed.report = report
+            followed.report_ms = self._clock.now_ms()
+            followed.in_flight_at_report = followed.in_flight
+            followed.leaving = report.leaving
+
+    def record_leaving(self, upstreams: frozenset[str]) -> None:
+        """Takes in the names that the VM list says are leaving."""
+        with self._lock:
+            for name, followed in self._followed.items():
+                said_so = followed.report and followed.report.leaving
+                followed.leaving = name in upstreams or bool(said_so)
+
+    def in_flight(self) -> int:
+        """Returns the requests that are running on all upstreams."""
+        with self._lock:
+            return sum(one.in_flight for one in self._followed.values())
+
+    def close(self) -> None:
+        """Closes every client."""
+        with self._lock:
+            for name in list(self._followed):
+                self._drop(name)
+
+    def _state(self, followed: _Followed, now_ms: int) -> UpstreamState:
+        name = followed.node.upstream.name
+        allowance = self._cold_starts.allowance(name)
+        report = followed.report
+        return UpstreamState(
+            name=name,
+            in_flight=followed.in_flight,
+            in_flight_change=followed.in_flight - followed.in_flight_at_report,
+            report=_routing_report(report, now_ms - followed.report_ms),
+            cold=allowance is not None,
+            allowance=allowance or 0,
+            concurrency_limit=self._concurrency.limit(followed.node.upstream),
+            leaving=followed.leaving,
+            incarnation=report.incarnation if report else "",
+        )
+
+    def _follow(self, node: FollowedUpstream) -> _Followed:
+        if node.kind is UpstreamKind.ENGINE:
+            return _Followed(node, self._clients.engine(node.upstream))
+        return _Followed(node, self._clients.service(node.upstream))
+
+    def _drop(self, name: str) -> None:
+        followed = self._followed.pop(name)
+        followed.is_dropped = True
+        if followed.in_flight == 0:
+            followed.client.__exit__(None, None, None)
+
+    def _release(
+        self, followed: _Followed, started_ms: int, *, succeeded: bool
+    ) -> None:
+        upstream = followed.node.upstream
+        latency_ms = self._clock.now_ms() - started_ms
+        with self._lock:
+            followed.in_flight -= 1
+            is_last = followed.is_dropped and followed.in_flight == 0
+            self._cold_starts.finished(upstream.name, succeeded=succeeded)
+            self._concurrency.finished(
+                upstream, succeeded=succeeded, latency_ms=latency_ms
+            )
+        if is_last:
+            followed.client.__exit__(None, None, None)
+        for listener in self._listeners:
+            listener()
+
+
+def _members(table: RoutingTable) -> dict[str, FollowedUpstream]:
+    bundle = table.configuration.bundle
+    kinds = {pool.name: pool.kind for pool in bundle.pools} if bundle else {}
+    return {
+        upstream.name: FollowedUpstream(upstream, kinds[pool])
+        for pool, upstreams in table.pool_members.items()
+        for upstream in upstreams
+    }
+
+
+def _routing_report(
+    report: ReceivedReport | None, age_ms: int
+) -> LoadReport | None:
+    if report is None:
+        return None
+    return LoadReport(
+        running=report.running,
+        waiting=report.waiting,
+        capacity=report.capacity,
+        age_ms=age_ms,
+    )
--- /dev/null
+++ b/trefoilpitch/serving/_problems.py
@@ -0,0 +1,122 @@
+"""The problems that serving a request can end in."""
+
+from __future__ import annotations
+
+from trefoilpitch.retries import Execution, FailureKind
+from trefoilpitch.routing import (
+    NoEligibleUpstreamError,
+    PinnedVersionWithdrawnError,
+    RoutingError,
+    TargetNotAllowedError,
+    UpstreamsFullError,
+)
+from trefoilpitch.upstreams import (
+    ConnectError,
+    DeadlineExceededError,
+    ErrorReplyError,
+    IncompleteReplyError,
+    MismatchedReplyError,
+    OverloadedError,
+    PoolExhaustedError,
+    RefusedError,
+    UpstreamError,
+)
+from trefoilpitch.web import Outcome, Problem
+
+RETRY_SOON_MS = 1_000
+RETRY_LATER_MS = 5_000
+_SERVER_ERROR = 500
+
+_OUTCOMES = {
+    Execution.NOT_RUN: Outcome.NOT_RUN,
+    Execution.UNKNOWN: Outcome.UNKNOWN,
+    Execution.RAN: Outcome.FAILED,
+}
+_STATUSES = {
+    Execution.NOT_RUN: 503,
+    Execution.UNKNOWN: 504,
+    Execution.RAN: 502,
+}
+
+
+def routing_problem(error: RoutingError, request_id: str) -> Problem:
+    """Returns the refusal for a request that no upstream may take."""
+    if isinstance(error, PinnedVersionWithdrawnError):
+        return Problem(
+            status=409,
+            code="session-version-withdrawn",
+            title=str(error),
+            detail="Begin a new session: send the request without Session.",
+            outcome=Outcome.NOT_RUN,
+            request_id=request_id,
+        )
+    if isinstance(error, TargetNotAllowedError):
+        return Problem(
+            status=403,
+            code="not-allowed",
+            title=str(error),
+            outcome=Outcome.NOT_RUN,
+            request_id=request_id,
+        )
+    is_brief = isinstance(error, UpstreamsFullError)
+    return Problem(
+        status=503,
+        code="busy" if is_brief else "no-upstream",
+        title=str(error),
+        detail="Retry after the time that Retry-After gives.",
+        outcome=Outcome.NOT_RUN,
+        retry_after_ms=RETRY_SOON_MS if is_brief else RETRY_LATER_MS,
+        request_id=request_id,
+    )
+
+
+def is_temporary(error: RoutingError) -> bool:
+    """Returns whether waiting a moment may give the request a place."""
+    return isinstance(error, NoEligibleUpstreamError | UpstreamsFullError)
+
+
+def failure_problem(
+    error: UpstreamError, execution: Execution, request_id: str
+) -> Problem:
+    """Returns the answer to a request whose tries have failed.
+
+    Args:
+        error: The last failure.
+        execution: What all tries prove together.
+        request_id: The request.
+    """
+    is_safe = execution is Execution.NOT_RUN
+    retry_ms = error.retry_after_ms or RETRY_SOON_MS
+    return Problem(
+        status=_STATUSES[execution],
+        code="upstream-failed",
+        title=str(error),
+        detail="" if is_safe else "The request may have had its effect.",
+        outcome=_OUTCOMES[execution],
+        retry_after_ms=retry_ms if is_safe else None,
+        request_id=request_id,
+    )
+
+
+def failure_kind(error: UpstreamError) -> FailureKind:
+    """Returns how a try failed, as the retry rules name it."""
+    if isinstance(error, ErrorReplyError):
+        is_server_error = error.status >= _SERVER_ERROR
+        if is_server_error:
+            return FailureKind.SERVER_ERROR
+        return FailureKind.INVALID_REQUEST
+    for error_type, kind in _KINDS.items():
+        if isinstance(error, error_type):
+            return kind
+    return FailureKind.CONNECTION_LOST
+
+
+_KINDS: dict[type[UpstreamError], FailureKind] = {
+    ConnectError: FailureKind.CONNECT_REFUSED,
+    PoolExhaustedError: FailureKind.NOT_SENT,
+    RefusedError: FailureKind.REFUSED_NOT_RUN,
+    OverloadedError: FailureKind.OVERLOADED,
+    DeadlineExceededError: FailureKind.ANSWER_TIMEOUT,
+    IncompleteReplyError: FailureKind.CONNECTION_LOST,
+    MismatchedReplyError: FailureKind.MALFORMED_ANSWER,
+}
