Decide eligibility, upstream, retries and a first cascade

Cause: the daemon needs one place that says where a request may run, whether it may run again, and which model is tried first.

Ruled out: checking eligibility only at the choice (a queued request would outlive a withdrawal); retry counts per request (they multiply in an outage); scanning all members of a pool at each choice (cost grows with the fleet).

Change: routing builds a table per revision, bounded to the subset that the node follows, chooses versions and upstreams, and confirms each decision at dispatch. retries classifies failures and pays for tries from a budget earned by traffic. cascade plans from Beta posteriors by bin of the confidence signal, with a lower bound against the target and a bounded share of exploration.

Conclusion: an interface to build on. A version that turns bad under an unchanged name is left too slowly by the cascade; drift detection follows.

--- /dev/null
+++ b/trefoilpitch/cascade/__init__.py
@@ -0,0 +1,31 @@
+"""Least expected cost that meets a task's quality target."""
+
+from trefoilpitch.cascade._counts import CountsSnapshot, KeyCounts
+from trefoilpitch.cascade._nodes import (
+    AnswerKey,
+    AnswerLabel,
+    Candidate,
+    CascadePlan,
+    CascadeStep,
+    Finish,
+    Rating,
+    Target,
+    Verdict,
+)
+from trefoilpitch.cascade._policy import CascadePolicy, CascadeSettings
+
+__all__ = [
+    "AnswerKey",
+    "AnswerLabel",
+    "Candidate",
+    "CascadePlan",
+    "CascadePolicy",
+    "CascadeSettings",
+    "CascadeStep",
+    "CountsSnapshot",
+    "Finish",
+    "KeyCounts",
+    "Rating",
+    "Target",
+    "Verdict",
+]
--- /dev/null
+++ b/trefoilpitch/cascade/_counts.py
@@ -0,0 +1,172 @@
+"""Counts of answers and ratings, shared between nodes."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+
+from trefoilpitch.cascade._nodes import AnswerKey
+
+BIN_COUNT = 16
+_COLUMNS = 3
+_ROW_LENGTH = BIN_COUNT * _COLUMNS
+_ANSWERS, _RATINGS, _GOOD = range(_COLUMNS)
+
+
+def signal_bin(signal: float | None) -> int:
+    """Returns the bin of a confidence signal; a missing one counts as 0."""
+    if signal is None:
+        return 0
+    return min(max(int(signal * BIN_COUNT), 0), BIN_COUNT - 1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BinCounts:
+    """Weighted counts of one kind of answer in one bin of the signal."""
+
+    # Answers given.
+    answers: float
+    # Answers rated.
+    ratings: float
+    # Answers rated good.
+    good: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeyCounts:
+    """Counts of one kind of answer in one epoch, as one node made them."""
+
+    # The epoch that the answers were rated in.
+    epoch: int
+    # The kind of answer.
+    key: AnswerKey
+    # Answers, ratings and good ratings of each bin, one after the other.
+    counts: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CountsSnapshot:
+    """All counts of one incarnation of one node; each only ever grows."""
+
+    # The incarnation that made the counts.
+    incarnation: str
+    # Its counts in the epochs that are kept.
+    entries: tuple[KeyCounts, ...]
+
+
+class CountsTable:
+    """Sums the counts of all nodes, the newer epochs weighing more.
+
+    A node's counts only grow within its incarnation, so a snapshot that
+    arrives twice, late or out of order changes nothing: the largest value
+    seen of each count is the one that holds.
+
+    Args:
+        incarnation: Names this node's own counts.
+        decay: Weight of an epoch relative to the one that follows it.
+        kept_epochs: Epochs whose counts are still told apart by node.
+    """
+
+    def __init__(
+        self, incarnation: str, decay: float = 0.7, kept_epochs: int = 3
+    ) -> None:
+        self._incarnation = incarnation
+        self._decay = decay
+        self._kept_epochs = kept_epochs
+        self._epoch = 0
+        self._by_node: dict[str, dict[tuple[int, AnswerKey], list[int]]] = {
+            incarnation: {}
+        }
+        self._sums: dict[AnswerKey, list[float]] = {}
+
+    @property
+    def epoch(self) -> int:
+        """The epoch that new counts belong to."""
+        return self._epoch
+
+    def keys(self) -> Iterator[AnswerKey]:
+        """Yields the kinds of answers that have been counted."""
+        yield from self._sums
+
+    def add_answer(self, key: AnswerKey, position: int) -> None:
+        """Counts an answer in a bin."""
+        self._add_own(key, position, _ANSWERS)
+
+    def add_rating(self, key: AnswerKey, position: int, good: bool) -> None:
+        """Counts a rating of an answer in a bin."""
+        self._add_own(key, position, _RATINGS)
+        if good:
+            self._add_own(key, position, _GOOD)
+
+    def bins(self, key: AnswerKey) -> tuple[BinCounts, ...]:
+        """Returns the weighted sums over all nodes, bin by bin."""
+        row = self._sums.get(key)
+        if row is None:
+            return (BinCounts(0.0, 0.0, 0.0),) * BIN_COUNT
+        return tuple(
+            BinCounts(*row[start : start + _COLUMNS])
+            for start in range(0, _ROW_LENGTH, _COLUMNS)
+        )
+
+    def advance_epoch(self, epoch: int) -> None:
+        """Moves on to a later epoch and lets the earlier ones fade."""
+        if epoch <= self._epoch:
+            return
+        factor = self._decay ** (epoch - self._epoch)
+        self._epoch = epoch
+        for row in self._sums.values():
+            for index, value in enumerate(row):
+                row[index] = value * factor
+        oldest = epoch - self._kept_epochs + 1
+        for node, table in list(self._by_node.items()):
+            for entry in [entry for entry in table if entry[0] < oldest]:
+                del table[entry]
+            if not table and node != self._incarnation:
+                del self._by_node[node]
+
+    def scale(self, key: AnswerKey, factor: float) -> None:
+        """Lets what is known of one kind of answer fade at once."""
+        row = self._sums.get(key, [])
+        for index, value in enumerate(row):
+            row[index] = value * factor
+
+    def snapshot(self) -> CountsSnapshot:
+        """Returns this node's own counts for the other nodes."""
+        own = self._by_node[self._incarnation]
+        entries = tuple(
+            KeyCounts(epoch=epoch, key=key, counts=tuple(row))
+            for (epoch, key), row in own.items()
+        )
+        return CountsSnapshot(incarnation=self._incarnation, entries=entries)
+
+    def merge(self, snapshot: CountsSnapshot) -> None:
+        """Takes in another node's counts; idempotent."""
+        if snapshot.incarnation == self._incarnation:
+            return
+        table = self._by_node.setdefault(snapshot.incarnation, {})
+        for entry in snapshot.entries:
+            age = self._epoch - entry.epoch
+            if age >= self._kept_epochs or len(entry.counts) != _ROW_LENGTH:
+                continue
+            weight = self._decay ** max(age, 0)
+            known = table.setdefault((entry.epoch, entry.key), _empty_row())
+            self._take_growth(entry, known, weight)
+
+    def _take_growth(
+        self, entry: KeyCounts, known: list[int], weight: float
+    ) -> None:
+        sums = self._sums.setdefault(entry.key, [0.0] * _ROW_LENGTH)
+        for index, value in enumerate(entry.counts):
+            if value > known[index]:
+                sums[index] += weight * (value - known[index])
+                known[index] = value
+
+    def _add_own(self, key: AnswerKey, position: int, column: int) -> None:
+        own = self._by_node[self._incarnation]
+        index = position * _COLUMNS + column
+        own.setdefault((self._epoch, key), _empty_row())[index] += 1
+        self._sums.setdefault(key, [0.0] * _ROW_LENGTH)[index] += 1.0
+
+
+def _empty_row() -> list[int]:
+    return [0] * _ROW_LENGTH
--- /dev/null
+++ b/trefoilpitch/cascade/_policy.py
@@ -0,0 +1,300 @@
+"""Chooses, judges and learns cascades."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+from collections.abc import Sequence
+
+from trefoilpitch.cascade._counts import (
+    BIN_COUNT,
+    CountsSnapshot,
+    CountsTable,
+    signal_bin,
+)
+from trefoilpitch.cascade._estimate import BinQuality, bin_qualities
+from trefoilpitch.cascade._nodes import (
+    AnswerKey,
+    AnswerLabel,
+    Candidate,
+    CascadePlan,
+    CascadeStep,
+    Finish,
+    Rating,
+    Target,
+    Verdict,
+)
+from trefoilpitch.cascade._search import (
+    Option,
+    cheapest_safe,
+    confidence_factor,
+    direct_option,
+    threshold_options,
+)
+
+_ALL_WORKSPACES = "*"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CascadeSettings:
+    """How cautious and how curious the policy is."""
+
+    # Share of requests that may depart from the best known plan.
+    exploration_share: float = 0.03
+    # Ratings of the dearest version before cheaper ones deliver anything.
+    min_ratings: int = 20
+    # Changes of the counts after which a plan is computed afresh.
+    refresh_changes: int = 64
+
+
+DEFAULT_SETTINGS = CascadeSettings()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Question:
+    workspace: str
+    task: str
+    candidates: tuple[Candidate, ...]
+    target: Target
+    max_steps: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CachedOption:
+    option: Option
+    changes: int
+
+
+class CascadePolicy:
+    """Learns which answers of cheap versions are good enough.
+
+    Counts are kept for each workspace, task and version, so a new version
+    starts without a past of its own. The policy is not thread-safe; one
+    actor owns it.
+
+    Args:
+        incarnation: Names this node's own counts in snapshots.
+        settings: How cautious and how curious it is.
+    """
+
+    def __init__(
+        self, incarnation: str, settings: CascadeSettings = DEFAULT_SETTINGS
+    ) -> None:
+        self._settings = settings
+        self._counts = CountsTable(incarnation)
+        self._cache: dict[_Question, _CachedOption] = {}
+        self._changes = 0
+
+    def plan(
+        self,
+        workspace: str,
+        task: str,
+        candidates: Sequence[Candidate],
+        target: Target,
+        rng: random.Random,
+        *,
+        max_steps: int = 2,
+    ) -> CascadePlan:
+        """Plans the least expected cost that meets the target.
+
+        Args:
+            workspace: The workspace that asks.
+            task: The task that it asks for.
+            candidates: Eligible versions, at least one.
+            target: What the answers must reach.
+            rng: Source of random numbers.
+            max_steps: 1 when the deadline or the session leaves no room for
+                a second run.
+
+        Raises:
+            ValueError: If there is no candidate.
+        """
+        if not candidates:
+            raise ValueError("a plan needs at least one candidate")
+        ordered = tuple(sorted(candidates, key=lambda one: one.cost_nano))
+        question = _Question(workspace, task, ordered, target, max_steps)
+        option = self._best_option(question)
+        exploring = max_steps > 1 and len(ordered) > 1
+        exploring = exploring and rng.random() < self._exploration_share()
+        if exploring:
+            option = _explored(option, ordered, rng)
+        steps = _steps(option, ordered)
+        return CascadePlan(
+            workspace=workspace, task=task, steps=steps, exploring=exploring
+        )
+
+    def judge(self, plan: CascadePlan, step: int, finish: Finish) -> Verdict:
+        """Decides whether a step's whole answer is delivered.
+
+        Args:
+            plan: The plan of the request.
+            step: Index of the step that finished.
+            finish: How it finished.
+        """
+        if step == 0:
+            key = _key(plan, 0)
+            self._count_answer(key, signal_bin(finish.signal))
+        if step == len(plan.steps) - 1:
+            return Verdict.ACCEPT
+        threshold = plan.steps[step].accept_threshold
+        if signal_bin(finish.signal) >= round(threshold * BIN_COUNT):
+            return Verdict.ACCEPT
+        return Verdict.ESCALATE
+
+    def label(
+        self, plan: CascadePlan, step: int, first_signal: float | None
+    ) -> AnswerLabel:
+        """Returns what a rating of the delivered answer must carry.
+
+        Args:
+            plan: The plan of the request.
+            step: Index of the step whose answer was delivered.
+            first_signal: The confidence signal of the first step's answer.
+        """
+        return AnswerLabel(key=_key(plan, step), signal=first_signal or 0.0)
+
+    def observe(self, rating: Rating) -> None:
+        """Learns from a rating, however late it comes."""
+        key = rating.label.key
+        position = signal_bin(rating.label.signal)
+        for one in (key, _pooled(key)):
+            self._counts.add_rating(one, position, rating.good)
+        self._changes += 1
+
+    def advance_epoch(self, epoch: int) -> None:
+        """Lets earlier ratings fade; called at a steady pace."""
+        self._counts.advance_epoch(epoch)
+        self._cache.clear()
+
+    def snapshot(self) -> CountsSnapshot:
+        """Returns this node's own counts for the other nodes."""
+        return self._counts.snapshot()
+
+    def merge(self, snapshot: CountsSnapshot) -> None:
+        """Takes in another node's counts; idempotent, in any order."""
+        self._counts.merge(snapshot)
+        self._cache.clear()
+
+    def _exploration_share(self) -> float:
+        return self._settings.exploration_share
+
+    def _count_answer(self, key: AnswerKey, position: int) -> None:
+        self._counts.add_answer(key, position)
+        self._counts.add_answer(_pooled(key), position)
+        self._changes += 1
+
+    def _best_option(self, question: _Question) -> Option:
+        cached = self._cache.get(question)
+        limit = self._settings.refresh_changes
+        if cached is not None and self._changes - cached.changes < limit:
+            return cached.option
+        option = self._search(question)
+        self._cache[question] = _CachedOption(option, self._changes)
+        return option
+
+    def _search(self, question: _Question) -> Option:
+        ordered = question.candidates
+        factor = confidence_factor(question.target.confidence)
+        firsts = [self._qualities(question, one) for one in ordered]
+        directs = [
+            direct_option(index, one.cost_nano, firsts[index], factor)
+            for index, one in enumerate(ordered)
+        ]
+        if not self._has_evidence(question):
+            return directs[-1]
+        options = list(directs)
+        if question.max_steps > 1:
+            for pair in itertools.combinations(range(len(ordered)), 2):
+                options += self._pair_options(question, firsts, pair, factor)
+        return cheapest_safe(options, question.target.quality)
+
+    def _pair_options(
+        self,
+        question: _Question,
+        firsts: Sequence[Sequence[BinQuality]],
+        pair: tuple[int, int],
+        factor: float,
+    ) -> list[Option]:
+        first, second = (question.candidates[index] for index in pair)
+        key = AnswerKey(
+            workspace=question.workspace,
+            task=question.task,
+            version=second.version,
+            after=first.version,
+        )
+        prior = sum(one.share * one.mean for one in firsts[pair[1]])
+        after = self._estimate(key, prior)
+        costs = (first.cost_nano, second.cost_nano)
+        return threshold_options(pair, costs, firsts[pair[0]], after, factor)
+
+    def _qualities(
+        self, question: _Question, candidate: Candidate
+    ) -> tuple[BinQuality, ...]:
+        key = AnswerKey(
+            workspace=question.workspace,
+            task=question.task,
+            version=candidate.version,
+        )
+        return self._estimate(key, candidate.prior_quality)
+
+    def _estimate(
+        self, key: AnswerKey, prior_quality: float
+    ) -> tuple[BinQuality, ...]:
+        own = self._counts.bins(key)
+        pooled = self._counts.bins(_pooled(key))
+        return bin_qualities(own, pooled, prior_quality)
+
+    def _has_evidence(self, question: _Question) -> bool:
+        key = AnswerKey(
+            workspace=_ALL_WORKSPACES,
+            task=question.task,
+            version=question.candidates[-1].version,
+        )
+        ratings = sum(one.ratings for one in self._counts.bins(key))
+        return ratings >= self._settings.min_ratings
+
+
+def _explored(
+    option: Option, ordered: Sequence[Candidate], rng: random.Random
+) -> Option:
+    if option.second is None and option.first == 0:
+        return option
+    first = 0 if option.second is None else option.first
+    second = len(ordered) - 1 if option.second is None else option.second
+    highest = BIN_COUNT if option.second is None else option.accept_from
+    return dataclasses.replace(
+        option,
+        first=first,
+        second=second,
+        accept_from=rng.randint(0, highest),
+    )
+
+
+def _steps(
+    option: Option, ordered: Sequence[Candidate]
+) -> tuple[CascadeStep, ...]:
+    first = ordered[option.first].version
+    if option.second is None:
+        return (CascadeStep(version=first, accept_threshold=0.0),)
+    threshold = option.accept_from / BIN_COUNT
+    return (
+        CascadeStep(version=first, accept_threshold=threshold),
+        CascadeStep(
+            version=ordered[option.second].version, accept_threshold=0.0
+        ),
+    )
+
+
+def _key(plan: CascadePlan, step: int) -> AnswerKey:
+    after = plan.steps[step - 1].version if step > 0 else None
+    return AnswerKey(
+        workspace=plan.workspace,
+        task=plan.task,
+        version=plan.steps[step].version,
+        after=after,
+    )
+
+
+def _pooled(key: AnswerKey) -> AnswerKey:
+    return dataclasses.replace(key, workspace=_ALL_WORKSPACES)
--- /dev/null
+++ b/trefoilpitch/retries/__init__.py
@@ -0,0 +1,37 @@
+"""Whether and when a failed request is tried again."""
+
+from trefoilpitch.retries._budget import RetryBudget
+from trefoilpitch.retries._outcome import (
+    Execution,
+    FailureKind,
+    classify_failure,
+    combined_execution,
+    may_run_again,
+)
+from trefoilpitch.retries._policy import (
+    GiveUp,
+    Request,
+    RetryDecision,
+    RetrySettings,
+    StopReason,
+    TryAgain,
+    decide_hedge,
+    decide_retry,
+)
+
+__all__ = [
+    "Execution",
+    "FailureKind",
+    "GiveUp",
+    "Request",
+    "RetryBudget",
+    "RetryDecision",
+    "RetrySettings",
+    "StopReason",
+    "TryAgain",
+    "classify_failure",
+    "combined_execution",
+    "decide_hedge",
+    "decide_retry",
+    "may_run_again",
+]
--- /dev/null
+++ b/trefoilpitch/routing/__init__.py
@@ -0,0 +1,67 @@
+"""Decides which version and which upstream a request runs on."""
+
+from trefoilpitch.routing._balance import (
+    BalanceSettings,
+    choose_upstream,
+    utilisation,
+)
+from trefoilpitch.routing._dispatch import confirm_dispatch
+from trefoilpitch.routing._exceptions import (
+    NoEligibleUpstreamError,
+    NoEligibleVersionError,
+    PinnedVersionWithdrawnError,
+    RoutingError,
+    TargetNotAllowedError,
+    UpstreamsFullError,
+)
+from trefoilpitch.routing._nodes import (
+    Confirmed,
+    Decision,
+    LoadReport,
+    Revised,
+    RevisionReason,
+    ServiceRef,
+    Target,
+    UpstreamState,
+)
+from trefoilpitch.routing._subset import followed_upstreams
+from trefoilpitch.routing._table import (
+    RoutingTable,
+    parse_version,
+    routing_table,
+)
+from trefoilpitch.routing._upstreams import eligible_upstreams
+from trefoilpitch.routing._versions import (
+    choose_versions,
+    eligible_versions,
+    rollout_weight,
+)
+
+__all__ = [
+    "BalanceSettings",
+    "Confirmed",
+    "Decision",
+    "LoadReport",
+    "NoEligibleUpstreamError",
+    "NoEligibleVersionError",
+    "PinnedVersionWithdrawnError",
+    "RevisionReason",
+    "Revised",
+    "RoutingError",
+    "RoutingTable",
+    "ServiceRef",
+    "Target",
+    "TargetNotAllowedError",
+    "UpstreamState",
+    "UpstreamsFullError",
+    "choose_upstream",
+    "choose_versions",
+    "confirm_dispatch",
+    "eligible_upstreams",
+    "eligible_versions",
+    "followed_upstreams",
+    "parse_version",
+    "rollout_weight",
+    "routing_table",
+    "utilisation",
+]
--- /dev/null
+++ b/trefoilpitch/routing/_dispatch.py
@@ -0,0 +1,103 @@
+"""Checks a decision again at the moment of dispatch."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.routing._nodes import (
+    Confirmed,
+    Decision,
+    Revised,
+    RevisionReason,
+    UpstreamState,
+)
+from trefoilpitch.routing._table import RoutingTable
+
+
+def confirm_dispatch(
+    decision: Decision,
+    newest: RoutingTable,
+    states: Mapping[str, UpstreamState],
+) -> Confirmed | Revised:
+    """Checks that a decision still holds; call it right before sending.
+
+    Every rule is checked again, also when the revision has not changed,
+    because upstreams leave, restart and fill up between revisions.
+
+    Args:
+        decision: What was decided, perhaps before a wait in a queue.
+        newest: The newest configuration that the node has.
+        states: The upstreams as the node knows them now.
+
+    Returns:
+        The decision at the newest revision, or why it must be taken again.
+    """
+    reason = _objection(decision, newest, states.get(decision.upstream))
+    if reason is not None:
+        return Revised(decision=decision, reason=reason)
+    confirmed = dataclasses.replace(decision, revision=newest.revision)
+    return Confirmed(decision=confirmed)
+
+
+def _objection(
+    decision: Decision, newest: RoutingTable, state: UpstreamState | None
+) -> RevisionReason | None:
+    reason = _target_objection(decision, newest)
+    if reason is None:
+        reason = _placement_objection(decision, newest)
+    if reason is None:
+        reason = _state_objection(decision, state)
+    return reason
+
+
+def _target_objection(
+    decision: Decision, newest: RoutingTable
+) -> RevisionReason | None:
+    target = decision.target
+    withdrawn = newest.configuration.withdrawn
+    if isinstance(target, VersionRef) and target in withdrawn:
+        return RevisionReason.VERSION_WITHDRAWN
+    if not newest.allows(decision.workspace, target):
+        return RevisionReason.TARGET_NOT_ALLOWED
+    if decision.task is None:
+        return None
+    workspace = newest.workspaces[decision.workspace]
+    task = newest.tasks.get(decision.task)
+    if task is None or task.name not in workspace.tasks:
+        return RevisionReason.TARGET_NOT_ALLOWED
+    if isinstance(target, VersionRef) and target.model not in task.cascade:
+        return RevisionReason.TARGET_NOT_ALLOWED
+    return None
+
+
+def _placement_objection(
+    decision: Decision, newest: RoutingTable
+) -> RevisionReason | None:
+    upstream = newest.upstreams.get(decision.upstream)
+    if upstream is None:
+        return RevisionReason.UPSTREAM_REMOVED
+    serving = newest.pools_by_target.get(decision.target, ())
+    member_of = newest.pools_by_upstream[upstream.name]
+    if member_of.isdisjoint(serving):
+        return RevisionReason.UPSTREAM_REMOVED
+    if upstream.failure_domain in newest.configuration.failure_domains_out:
+        return RevisionReason.FAILURE_DOMAIN_OUT
+    if upstream.name in newest.configuration.vms_out:
+        return RevisionReason.VM_OUT
+    return None
+
+
+def _state_objection(
+    decision: Decision, state: UpstreamState | None
+) -> RevisionReason | None:
+    if state is None:
+        return RevisionReason.UPSTREAM_UNKNOWN
+    if state.leaving:
+        return RevisionReason.UPSTREAM_LEAVING
+    if state.incarnation != decision.incarnation:
+        return RevisionReason.UPSTREAM_RESTARTED
+    if not state.has_room:
+        return RevisionReason.UPSTREAM_FULL
+    return None
--- /dev/null
+++ b/trefoilpitch/routing/_table.py
@@ -0,0 +1,209 @@
+"""Look-up tables derived once from each revision of the configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from trefoilpitch.bundle import (
+    ANY_VERSION,
+    VERSION_SEPARATOR,
+    Bundle,
+    Model,
+    Operation,
+    RolloutPlan,
+    Task,
+    Upstream,
+    VersionRef,
+    Workspace,
+)
+from trefoilpitch.configuration import Configuration, RolloutState
+from trefoilpitch.routing._nodes import ServiceRef, Target
+from trefoilpitch.routing._subset import (
+    DEFAULT_SUBSET_SIZE,
+    followed_upstreams,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RoutingTable:
+    """One revision of the configuration, arranged for look-ups.
+
+    Building it takes time linear in the bundle; each look-up takes constant
+    time. All mappings are read-only by convention.
+    """
+
+    # The configuration that the table was built from.
+    configuration: Configuration
+    # Workspaces by name.
+    workspaces: Mapping[str, Workspace]
+    # Tasks by name.
+    tasks: Mapping[str, Task]
+    # Models by name.
+    models: Mapping[str, Model]
+    # Versions that a workspace may use and that are not withdrawn.
+    usable_versions: Mapping[str, frozenset[VersionRef]]
+    # Operations by reference.
+    operations: Mapping[ServiceRef, Operation]
+    # Names of the pools that serve a target.
+    pools_by_target: Mapping[Target, tuple[str, ...]]
+    # Members of each pool that the node follows, without those taken out.
+    pool_members: Mapping[str, tuple[Upstream, ...]]
+    # Every upstream by name, taken out or not.
+    upstreams: Mapping[str, Upstream]
+    # Pools of each upstream.
+    pools_by_upstream: Mapping[str, frozenset[str]]
+    # Roll-outs by model.
+    rollouts: Mapping[str, tuple[RolloutPlan, RolloutState]]
+
+    @property
+    def revision(self) -> int:
+        """The revision of the configuration."""
+        return self.configuration.revision
+
+    def is_out(self, upstream: Upstream) -> bool:
+        """Returns whether operators took the upstream out of service."""
+        configuration = self.configuration
+        return (
+            upstream.name in configuration.vms_out
+            or upstream.failure_domain in configuration.failure_domains_out
+        )
+
+    def allows(self, workspace: str, target: Target) -> bool:
+        """Returns whether the workspace may run the target now."""
+        if isinstance(target, VersionRef):
+            return target in self.usable_versions.get(workspace, frozenset())
+        node = self.workspaces.get(workspace)
+        if node is None or target.service not in node.services:
+            return False
+        return target in self.operations
+
+
+def routing_table(
+    configuration: Configuration,
+    *,
+    node: str | None = None,
+    subset_size: int = DEFAULT_SUBSET_SIZE,
+) -> RoutingTable:
+    """Builds the table of a configuration; empty when there is no bundle.
+
+    Args:
+        configuration: The revision to arrange.
+        node: The name of the node that decides; bounds each pool's members
+            to the subset that it follows. None keeps all members.
+        subset_size: The most upstreams to follow in a pool.
+    """
+    bundle = configuration.bundle or Bundle(
+        name="", version=0, failure_domains=()
+    )
+    workspaces = {node.name: node for node in bundle.workspaces}
+    known = frozenset(
+        VersionRef(model.name, version.name)
+        for model in bundle.models
+        for version in model.versions
+    )
+    available = known - configuration.withdrawn
+    return RoutingTable(
+        configuration=configuration,
+        workspaces=workspaces,
+        tasks={task.name: task for task in bundle.tasks},
+        models={model.name: model for model in bundle.models},
+        usable_versions={
+            node.name: _usable_versions(node, available)
+            for node in bundle.workspaces
+        },
+        operations={
+            ServiceRef(service.name, operation.name): operation
+            for service in bundle.services
+            for operation in service.operations
+        },
+        pools_by_target=_pools_by_target(bundle),
+        pool_members=_members_in_service(
+            configuration, bundle, node, subset_size
+        ),
+        upstreams={
+            upstream.name: upstream
+            for pool in bundle.pools
+            for upstream in pool.upstreams
+        },
+        pools_by_upstream=_pools_by_upstream(bundle),
+        rollouts=_rollouts(configuration, bundle),
+    )
+
+
+def parse_version(text: str) -> VersionRef:
+    """Parses ``model@version``.
+
+    Raises:
+        ValueError: If the separator is missing.
+    """
+    model, separator, version = text.partition(VERSION_SEPARATOR)
+    if not separator:
+        raise ValueError(f"{text!r} does not name a model and a version")
+    return VersionRef(model, version)
+
+
+def _usable_versions(
+    workspace: Workspace, available: frozenset[VersionRef]
+) -> frozenset[VersionRef]:
+    patterns = {parse_version(text) for text in workspace.allowed}
+    return frozenset(
+        version
+        for version in available
+        if version in patterns
+        or VersionRef(version.model, ANY_VERSION) in patterns
+    )
+
+
+def _pools_by_target(bundle: Bundle) -> dict[Target, tuple[str, ...]]:
+    pools: dict[Target, tuple[str, ...]] = {}
+    for pool in bundle.pools:
+        for text in pool.serves:
+            version = parse_version(text)
+            pools[version] = (*pools.get(version, ()), pool.name)
+    for service in bundle.services:
+        for operation in service.operations:
+            target = ServiceRef(service.name, operation.name)
+            pools[target] = (service.pool,)
+    return pools
+
+
+def _members_in_service(
+    configuration: Configuration,
+    bundle: Bundle,
+    node: str | None,
+    subset_size: int,
+) -> dict[str, tuple[Upstream, ...]]:
+    members = {}
+    for pool in bundle.pools:
+        in_service = tuple(
+            upstream
+            for upstream in pool.upstreams
+            if upstream.name not in configuration.vms_out
+            and upstream.failure_domain not in configuration.failure_domains_out
+        )
+        if node is not None:
+            in_service = followed_upstreams(node, in_service, subset_size)
+        members[pool.name] = in_service
+    return members
+
+
+def _pools_by_upstream(bundle: Bundle) -> dict[str, frozenset[str]]:
+    pools: dict[str, frozenset[str]] = {}
+    for pool in bundle.pools:
+        for upstream in pool.upstreams:
+            name = upstream.name
+            pools[name] = pools.get(name, frozenset()) | {pool.name}
+    return pools
+
+
+def _rollouts(
+    configuration: Configuration, bundle: Bundle
+) -> dict[str, tuple[RolloutPlan, RolloutState]]:
+    plans = {(plan.model, plan.to_version): plan for plan in bundle.rollouts}
+    found: dict[str, tuple[RolloutPlan, RolloutState]] = {}
+    for state in configuration.rollouts:
+        plan = plans.get((state.model, state.to_version))
+        if plan is not None:
+            found[state.model] = (plan, state)
+    return found
--- /dev/null
+++ b/trefoilpitch/routing/_upstreams.py
@@ -0,0 +1,28 @@
+"""Which upstreams may take new work for a target."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from trefoilpitch.bundle import Upstream
+from trefoilpitch.routing._nodes import Target, UpstreamState
+from trefoilpitch.routing._table import RoutingTable
+
+
+def eligible_upstreams(
+    table: RoutingTable,
+    target: Target,
+    states: Mapping[str, UpstreamState],
+) -> tuple[Upstream, ...]:
+    """Returns the upstreams that may take new work for the target.
+
+    An upstream qualifies when it is in service, not leaving, and followed by
+    this node, that is, has a state. Room is not considered.
+    """
+    found = []
+    for pool in table.pools_by_target.get(target, ()):
+        for upstream in table.pool_members.get(pool, ()):
+            state = states.get(upstream.name)
+            if state is not None and not state.leaving:
+                found.append(upstream)
+    return tuple(found)
--- /dev/null
+++ b/trefoilpitch/routing/_versions.py
@@ -0,0 +1,185 @@
+"""Which versions a request may run on, and which it gets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.bundle import Model, VersionRef, Workspace
+from trefoilpitch.configuration import RolloutPhase
+from trefoilpitch.routing._exceptions import (
+    NoEligibleVersionError,
+    PinnedVersionWithdrawnError,
+    RoutingError,
+    TargetNotAllowedError,
+)
+from trefoilpitch.routing._table import RoutingTable
+
+_HASH_RANGE = 2**64
+_NO_FACTORS: Mapping[VersionRef, float] = {}
+
+
+def eligible_versions(
+    table: RoutingTable, workspace: str, task: str
+) -> tuple[VersionRef, ...]:
+    """Returns every version that the workspace may use for the task.
+
+    Withdrawn versions and those outside the workspace's list are left out.
+
+    Returns:
+        The versions in the order of the task's cascade, each model's oldest
+        first; empty when the workspace may not ask for the task at all.
+    """
+    node = table.workspaces.get(workspace)
+    if node is None or task not in node.tasks or task not in table.tasks:
+        return ()
+    usable = table.usable_versions[workspace]
+    return tuple(
+        VersionRef(model, version.name)
+        for model in table.tasks[task].cascade
+        if model in table.models
+        for version in table.models[model].versions
+        if VersionRef(model, version.name) in usable
+    )
+
+
+def choose_versions(
+    table: RoutingTable,
+    workspace: str,
+    task: str,
+    *,
+    key: str,
+    pins: tuple[VersionRef, ...] = (),
+    weight_factors: Mapping[VersionRef, float] = _NO_FACTORS,
+) -> Result[tuple[VersionRef, ...], RoutingError]:
+    """Chooses one version of each model of the task's cascade.
+
+    A pinned session runs on its pinned versions alone. Without a pin, a
+    roll-out under way takes its share of the keys, and the model's default
+    version the rest.
+
+    Args:
+        table: The newest configuration.
+        workspace: The workspace that asks.
+        task: The task that it asks for.
+        key: The session's key, or the request's when there is no session;
+            equal keys get equal versions at equal weights.
+        pins: Versions that the session is pinned to, at most one a model.
+        weight_factors: Multiplies the roll-out's weight of a version, from
+            0 to 1; a local breaker narrows a version with it.
+
+    Returns:
+        The candidates in the order of the cascade, or why there is none.
+    """
+    node = table.workspaces.get(workspace)
+    if node is None or task not in node.tasks or task not in table.tasks:
+        return Failure(TargetNotAllowedError(workspace, task))
+    if pins:
+        return _pinned_versions(table, workspace, task, pins)
+    chosen = []
+    for name in table.tasks[task].cascade:
+        model = table.models.get(name)
+        if model is None:
+            continue
+        version = _choose_version(table, node, model, key, weight_factors)
+        if version is not None:
+            chosen.append(version)
+    if not chosen:
+        return Failure(NoEligibleVersionError(workspace, task))
+    return Success(tuple(chosen))
+
+
+def rollout_weight(table: RoutingTable, model: str) -> float:
+    """Returns the share of new sessions that a roll-out's version gets.
+
+    A paused roll-out keeps its step's share: pausing stops the advance.
+
+    Returns:
+        From 0 to 1; 0 when no roll-out is under way.
+    """
+    entry = table.rollouts.get(model)
+    if entry is None:
+        return 0.0
+    plan, state = entry
+    if state.phase is RolloutPhase.ROLLED_BACK:
+        return 0.0
+    if state.phase is RolloutPhase.COMPLETED:
+        return 1.0
+    step = min(max(state.step, 0), len(plan.steps_percent) - 1)
+    return plan.steps_percent[step] / 100
+
+
+def _pinned_versions(
+    table: RoutingTable,
+    workspace: str,
+    task: str,
+    pins: tuple[VersionRef, ...],
+) -> Result[tuple[VersionRef, ...], RoutingError]:
+    usable = table.usable_versions[workspace]
+    for pin in pins:
+        if pin not in usable:
+            return Failure(PinnedVersionWithdrawnError(pin))
+    cascade = table.tasks[task].cascade
+    relevant = [pin for pin in pins if pin.model in cascade]
+    if not relevant:
+        return Failure(NoEligibleVersionError(workspace, task))
+    relevant.sort(key=lambda pin: cascade.index(pin.model))
+    return Success(tuple(relevant))
+
+
+def _choose_version(
+    table: RoutingTable,
+    workspace: Workspace,
+    model: Model,
+    key: str,
+    weight_factors: Mapping[VersionRef, float],
+) -> VersionRef | None:
+    usable = table.usable_versions[workspace.name]
+    target = _rollout_target(table, model)
+    if target in usable:
+        weight = rollout_weight(table, model.name)
+        weight *= weight_factors.get(target, 1.0)
+        if _unit_hash(f"{target}\0{key}") < weight:
+            return target
+    for version in _fallback_order(table, workspace, model):
+        if version in usable:
+            return version
+    return None
+
+
+def _rollout_target(table: RoutingTable, model: Model) -> VersionRef:
+    entry = table.rollouts.get(model.name)
+    if entry is None:
+        return VersionRef(model.name, model.default_version)
+    return VersionRef(model.name, entry[1].to_version)
+
+
+def _fallback_order(
+    table: RoutingTable, workspace: Workspace, model: Model
+) -> Iterator[VersionRef]:
+    """Yields the default version, then older ones, then those named.
+
+    Versions newer than the default serve only under a roll-out, unless the
+    workspace names them itself.
+    """
+    refs = [VersionRef(model.name, node.name) for node in model.versions]
+    default = VersionRef(model.name, model.default_version)
+    position = refs.index(default) if default in refs else len(refs)
+    yield default
+    yield from reversed(refs[:position])
+    for ref in refs[position + 1 :]:
+        if str(ref) in workspace.allowed and not _rolled_back(table, ref):
+            yield ref
+
+
+def _rolled_back(table: RoutingTable, version: VersionRef) -> bool:
+    entry = table.rollouts.get(version.model)
+    if entry is None or entry[1].to_version != version.version:
+        return False
+    return entry[1].phase is RolloutPhase.ROLLED_BACK
+
+
+def _unit_hash(text: str) -> float:
+    return xxhash.xxh64_intdigest(text.encode()) / _HASH_RANGE
--- /dev/null
+++ b/trefoilpitch/routing/tests/test_dispatch.py
@@ -0,0 +1,117 @@
+"""Changes that arrive between the choice and the dispatch."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from trefoilpitch.configuration import Configuration
+from trefoilpitch.routing import (
+    Confirmed,
+    Decision,
+    Revised,
+    RevisionReason,
+    ServiceRef,
+    UpstreamState,
+    confirm_dispatch,
+    routing_table,
+)
+from trefoilpitch.routing.tests import examples
+
+
+def _without_engines() -> Configuration:
+    bundle = examples.bundle()
+    pool = dataclasses.replace(bundle.pools[0], upstreams=())
+    pools = (pool, *bundle.pools[1:])
+    return examples.changed(bundle=dataclasses.replace(bundle, pools=pools))
+
+
+def _narrowed_workspace() -> Configuration:
+    bundle = examples.bundle()
+    node = dataclasses.replace(bundle.workspaces[0], allowed=("dear@1",))
+    workspaces = (node, *bundle.workspaces[1:])
+    return examples.changed(
+        bundle=dataclasses.replace(bundle, workspaces=workspaces)
+    )
+
+
+@pytest.mark.parametrize(
+    ("newest", "reason"),
+    [
+        (
+            examples.changed(withdrawn=frozenset({examples.CHEAP_1})),
+            RevisionReason.VERSION_WITHDRAWN,
+        ),
+        (_narrowed_workspace(), RevisionReason.TARGET_NOT_ALLOWED),
+        (
+            examples.changed(failure_domains_out=frozenset({"north"})),
+            RevisionReason.FAILURE_DOMAIN_OUT,
+        ),
+        (
+            examples.changed(vms_out=frozenset({"engine-0"})),
+            RevisionReason.VM_OUT,
+        ),
+        (_without_engines(), RevisionReason.UPSTREAM_REMOVED),
+        (Configuration(revision=3), RevisionReason.TARGET_NOT_ALLOWED),
+    ],
+)
+def test_queued_decision_is_revised_after_a_change(
+    newest: Configuration, reason: RevisionReason
+) -> None:
+    decision = examples.decision()
+    outcome = confirm_dispatch(
+        decision, routing_table(newest), examples.states()
+    )
+    assert outcome == Revised(decision=decision, reason=reason)
+
+
+@pytest.mark.parametrize(
+    ("state", "reason"),
+    [
+        (None, RevisionReason.UPSTREAM_UNKNOWN),
+        ({"leaving": True}, RevisionReason.UPSTREAM_LEAVING),
+        ({"incarnation": "b"}, RevisionReason.UPSTREAM_RESTARTED),
+        ({"cold": True}, RevisionReason.UPSTREAM_FULL),
+        (
+            {"in_flight": 4, "concurrency_limit": 4},
+            RevisionReason.UPSTREAM_FULL,
+        ),
+    ],
+)
+def test_queued_decision_is_revised_when_the_upstream_changed(
+    state: dict[str, object] | None, reason: RevisionReason
+) -> None:
+    states = {}
+    if state is not None:
+        made = UpstreamState(name="engine-0", **state)  # type: ignore[arg-type]
+        states["engine-0"] = made
+    outcome = confirm_dispatch(
+        examples.decision(), routing_table(examples.BASE), states
+    )
+    assert isinstance(outcome, Revised)
+    assert outcome.reason is reason
+
+
+@pytest.mark.parametrize(
+    "decision",
+    [
+        examples.decision(),
+        Decision(
+            workspace="parish",
+            target=ServiceRef("loans", "lend"),
+            upstream="loans-0",
+            incarnation="",
+            revision=1,
+        ),
+    ],
+)
+def test_decision_that_still_holds_carries_the_newest_revision(
+    decision: Decision,
+) -> None:
+    states = examples.states()
+    states["loans-0"] = UpstreamState(name="loans-0")
+    unrelated = examples.changed(vms_out=frozenset({"engine-5"}))
+    outcome = confirm_dispatch(decision, routing_table(unrelated), states)
+    assert isinstance(outcome, Confirmed)
+    assert outcome.decision.revision == 2
--- /dev/null
+++ b/trefoilpitch/routing/tests/test_versions.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+import pytest
+from returns.result import Failure
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.configuration import (
+    Configuration,
+    RolloutPhase,
+    RolloutState,
+)
+from trefoilpitch.routing import (
+    NoEligibleVersionError,
+    PinnedVersionWithdrawnError,
+    TargetNotAllowedError,
+    choose_versions,
+    eligible_versions,
+    routing_table,
+)
+from trefoilpitch.routing.tests import examples
+
+
+def _rollout(phase: RolloutPhase, step: int = 2) -> tuple[RolloutState, ...]:
+    return (
+        RolloutState(model="cheap", to_version="2", step=step, phase=phase),
+    )
+
+
+def _share_of_new(
+    configuration: Configuration, factor: float = 1.0, workspace: str = "parish"
+) -> float:
+    table = routing_table(configuration)
+    chosen = [
+        choose_versions(
+            table,
+            workspace,
+            "tag",
+            key=f"session-{index}",
+            weight_factors={examples.CHEAP_2: factor},
+        ).unwrap()
+        for index in range(2_000)
+    ]
+    return sum(examples.CHEAP_2 in versions for versions in chosen) / 2_000
+
+
+def test_workspace_sees_only_its_own_versions() -> None:
+    table = routing_table(examples.BASE)
+    assert eligible_versions(table, "visitor", "tag") == (examples.CHEAP_1,)
+    assert eligible_versions(table, "visitor", "other") == ()
+
+
+def test_withdrawn_pin_is_refused_and_never_replaced() -> None:
+    table = routing_table(
+        examples.changed(withdrawn=frozenset({examples.CHEAP_2}))
+    )
+    result = choose_versions(
+        table, "parish", "tag", key="s", pins=(examples.CHEAP_2,)
+    )
+    assert isinstance(result.failure(), PinnedVersionWithdrawnError)
+
+
+def test_pin_of_a_foreign_version_is_refused() -> None:
+    result = choose_versions(
+        routing_table(examples.BASE),
+        "visitor",
+        "tag",
+        key="s",
+        pins=(examples.DEAR_1,),
+    )
+    assert isinstance(result.failure(), PinnedVersionWithdrawnError)
+
+
+def test_pinned_session_runs_on_its_pin_alone_during_a_roll_out() -> None:
+    table = routing_table(
+        examples.changed(rollouts=_rollout(RolloutPhase.COMPLETED))
+    )
+    result = choose_versions(
+        table, "parish", "tag", key="s", pins=(examples.CHEAP_1,)
+    )
+    assert result.unwrap() == (examples.CHEAP_1,)
+
+
+@pytest.mark.parametrize(
+    ("phase", "step", "factor", "share"),
+    [
+        (RolloutPhase.RUNNING, 2, 1.0, 0.25),
+        (RolloutPhase.PAUSED, 2, 1.0, 0.25),
+        (RolloutPhase.RUNNING, 2, 0.2, 0.05),
+        (RolloutPhase.RUNNING, 2, 0.0, 0.0),
+        (RolloutPhase.ROLLED_BACK, 2, 1.0, 0.0),
+        (RolloutPhase.COMPLETED, 0, 1.0, 1.0),
+        (RolloutPhase.RUNNING, 99, 1.0, 1.0),
+    ],
+)
+def test_roll_out_takes_its_share_of_new_sessions(
+    phase: RolloutPhase, step: int, factor: float, share: float
+) -> None:
+    configuration = examples.changed(rollouts=_rollout(phase, step))
+    assert _share_of_new(configuration, factor) == pytest.approx(
+        share, abs=0.02
+    )
+
+
+def test_roll_out_stops_at_a_workspace_that_forbids_the_version() -> None:
+    configuration = examples.changed(rollouts=_rollout(RolloutPhase.COMPLETED))
+    assert _share_of_new(configuration, workspace="visitor") == 0.0
+
+
+def test_sessions_moved_by_a_small_step_stay_moved_at_a_larger_one() -> None:
+    def moved(step: int) -> set[int]:
+        rollouts = _rollout(RolloutPhase.RUNNING, step)
+        table = routing_table(examples.changed(rollouts=rollouts))
+        return {
+            index
+            for index in range(1_000)
+            if examples.CHEAP_2
+            in choose_versions(table, "parish", "tag", key=str(index)).unwrap()
+        }
+
+    assert moved(1) < moved(2)
+
+
+def test_withdrawn_default_gives_way_to_an_older_version() -> None:
+    table = routing_table(
+        examples.changed(withdrawn=frozenset({examples.CHEAP_1}))
+    )
+    chosen = choose_versions(table, "parish", "tag", key="s").unwrap()
+    assert chosen[0] == VersionRef("cheap", "0")
+
+
+def test_refusals_say_what_is_missing() -> None:
+    everything = frozenset({examples.CHEAP_1})
+    table = routing_table(examples.changed(withdrawn=everything))
+    missing = choose_versions(table, "visitor", "tag", key="s")
+    assert isinstance(missing, Failure)
+    assert isinstance(missing.failure(), NoEligibleVersionError)
+    foreign = choose_versions(table, "parish", "other", key="s")
+    assert isinstance(foreign.failure(), TargetNotAllowedError)
