Add the chat and call flows

Cause: requests need a path from the cascade plan to the upstream and the bill. Ruled out: streaming the cheap step while it is being judged (a rejected answer would leak).

--- a/trefoilpitch/identity/_tokens.py
+++ b/trefoilpitch/identity/_tokens.py
@@ -57,6 +57,8 @@
     version: VersionRef
     # The task that the request named.
     task: str
+    # Which attempt at the request the answer is.
+    step: int = 0
     # What earlier attempts at the request cost.
     spent: tuple[BillLine, ...] = ()
 
--- /dev/null
+++ b/trefoilpitch/serving/_calls.py
@@ -0,0 +1,166 @@
+"""Serves calls of plain services."""
+
+from __future__ import annotations
+
+from returns.result import Failure, Result, Success
+from trefoilpitch.upstreams import (
+    ErrorReplyError,
+    ServiceReply,
+    ServiceRequest,
+    UpstreamError,
+)
+
+from trefoilpitch.bundle import Operation
+from trefoilpitch.clock import Clock
+from trefoilpitch.ledger import Bill
+from trefoilpitch.routing import ServiceRef
+from trefoilpitch.serving._bills import BillSink, service_line
+from trefoilpitch.serving._directory import Slot
+from trefoilpitch.serving._dispatcher import Dispatcher, Errand, Placed
+from trefoilpitch.serving._nodes import (
+    CallAnswer,
+    CallRequest,
+    ConfigurationSource,
+)
+from trefoilpitch.web import Outcome, Problem
+
+_SERVER_ERROR = 500
+_DEFAULT_TYPE = "application/octet-stream"
+
+
+class CallFlow:
+    """Runs and bills calls of plain services.
+
+    Args:
+        configuration: The newest configuration.
+        dispatcher: Finds upstreams.
+        bills: Takes the bills.
+        clock: Measures deadlines.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationSource,
+        dispatcher: Dispatcher,
+        bills: BillSink,
+        clock: Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+        self._bills = bills
+        self._clock = clock
+
+    def operation(self, request: CallRequest) -> Result[Operation, Problem]:
+        """Returns the operation that a request calls, or the refusal."""
+        table = self._configuration.table()
+        reference = ServiceRef(request.service, request.operation)
+        operation = table.operations.get(reference)
+        if operation is None:
+            title = f"there is no operation {reference}"
+            return Failure(_refusal(404, "unknown-operation", title, request))
+        if not table.allows(request.workspace.name, reference):
+            title = f"the workspace may not use {reference}"
+            return Failure(_refusal(403, "not-allowed", title, request))
+        if request.method != operation.method:
+            title = f"{reference} takes {operation.method}"
+            return Failure(_refusal(405, "wrong-method", title, request))
+        return Success(operation)
+
+    def call(
+        self, request: CallRequest, operation: Operation
+    ) -> Result[CallAnswer, Problem]:
+        """Runs a call to its end.
+
+        A non-idempotent call is tried again only where the try before it is
+        proven not to have run.
+        """
+        deadline_ms = self._clock.now_ms() + operation.deadline_ms
+        errand = Errand(
+            request_id=request.request_id,
+            workspace=request.workspace.name,
+            target=ServiceRef(request.service, request.operation),
+            task=None,
+            idempotent=operation.idempotent,
+            rank=operation.priority.rank,
+            weight=request.workspace.weight,
+            deadline_ms=deadline_ms,
+        )
+        sent = ServiceRequest(
+            request_id=request.request_id,
+            method=request.method,
+            path=f"/{request.service}{request.path}",
+            deadline_ms=deadline_ms,
+            body=request.body,
+            headers=(("Content-Type", request.content_type),),
+        )
+        result = self._dispatcher.run(errand, lambda slot: _call(slot, sent))
+        return result.map(lambda placed: self._finish(request, placed))
+
+    def _finish(
+        self, request: CallRequest, placed: Placed[ServiceReply]
+    ) -> CallAnswer:
+        placed.slot.close()
+        reply = placed.value
+        self._bill(request, placed.slot.upstream.name)
+        return CallAnswer(
+            request_id=request.request_id,
+            status=reply.status,
+            content_type=_content_type(reply),
+            body=reply.body,
+        )
+
+    def _bill(self, request: CallRequest, upstream: str) -> None:
+        bundle = self._configuration.table().configuration.bundle
+        services = bundle.services if bundle else ()
+        costs = {node.name: node.call_cost_nano for node in services}
+        cost_nano = costs.get(request.service, 0)
+        line = service_line(request.service, upstream, cost_nano)
+        self._bills.record(
+            Bill(
+                request_id=request.request_id,
+                workspace=request.workspace.name,
+                subject=f"{request.service}/{request.operation}",
+                ended_ms=self._clock.wall_ms(),
+                lines=(line,),
+            )
+        )
+
+
+def _call(
+    slot: Slot, request: ServiceRequest
+) -> Result[ServiceReply, UpstreamError]:
+    client = slot.client
+    if hasattr(client, "resume"):
+        raise TypeError(f"{slot.upstream.name} is not a plain service")
+    result = client.call(request)
+    if isinstance(result, Success):
+        slot.succeed()
+        return result
+    error = result.failure()
+    if isinstance(error, ErrorReplyError) and error.status < _SERVER_ERROR:
+        # The service answered; what it says is the caller's to read.
+        slot.succeed()
+        return Success(
+            ServiceReply(status=error.status, body=error.body, headers=())
+        )
+    return Failure(error)
+
+
+def _content_type(reply: ServiceReply) -> str:
+    for name, value in reply.headers:
+        if name.lower() == "content-type":
+            return value
+    return _DEFAULT_TYPE
+
+
+def _refusal(
+    status: int, code: str, title: str, request: CallRequest
+) -> Problem:
+    return Problem(
+        status=status,
+        code=code,
+        title=title,
+        outcome=Outcome.NOT_RUN,
+        request_id=request.request_id,
+    )
--- /dev/null
+++ b/trefoilpitch/serving/_chat.py
@@ -0,0 +1,416 @@
+"""Serves requests for an answer by a model."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterator
+
+from returns.result import Failure, Result, Success
+from trefoilpitch.upstreams import (
+    Chunk,
+    CompletionRequest,
+    Finish,
+    UpstreamError,
+)
+
+from trefoilpitch.bundle import Task, VersionRef
+from trefoilpitch.cascade import CascadePlan, Verdict
+from trefoilpitch.cascade import Finish as StepFinish
+from trefoilpitch.clock import Clock
+from trefoilpitch.identity import ResumePoint, Session
+from trefoilpitch.ledger import Bill, BillLine
+from trefoilpitch.retries import Execution
+from trefoilpitch.routing import RoutingTable, choose_versions
+from trefoilpitch.serving._bills import BillSink, model_line
+from trefoilpitch.serving._dispatcher import Dispatcher, Errand, Placed
+from trefoilpitch.serving._nodes import (
+    AnswerInfo,
+    Broken,
+    ChatEvent,
+    ChatRequest,
+    Completed,
+    ConfigurationSource,
+    Delta,
+)
+from trefoilpitch.serving._planning import CascadePlanner
+from trefoilpitch.serving._problems import failure_problem, routing_problem
+from trefoilpitch.serving._runs import (
+    LiveRun,
+    WholeRun,
+    begin_live,
+    run_whole,
+)
+from trefoilpitch.web import Outcome, Problem
+
+
+def attempt_id(request_id: str, step: int) -> str:
+    """Returns the identifier that an upstream gets for one attempt."""
+    return f"{request_id}:{step}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Delivered:
+    """A whole answer that reached its caller, for those who learn from it."""
+
+    # The request.
+    request: ChatRequest
+    # The plan that it ran by.
+    plan: CascadePlan
+    # Index of the step whose answer was delivered.
+    step: int
+    # The first step's confidence signal.
+    first_signal: float | None
+    # The text.
+    text: str
+
+
+DeliveryListener = Callable[[Delivered], None]
+
+
+class ChatAnswer:
+    """An answer on its way to the caller.
+
+    Iterate over it once; close it whether or not it came to its end.
+
+    Args:
+        info: What is known before the first part.
+        events: Yields the parts and the end.
+        finish: Called once with whether the answer was whole.
+    """
+
+    def __init__(
+        self,
+        info: AnswerInfo,
+        events: Iterator[ChatEvent],
+        finish: Callable[[bool], None],
+    ) -> None:
+        self._info = info
+        self._events = events
+        self._finish = finish
+        self._is_open = True
+
+    @property
+    def info(self) -> AnswerInfo:
+        """What is known of the answer before its first part."""
+        return self._info
+
+    def __iter__(self) -> Iterator[ChatEvent]:
+        for event in self._events:
+            if isinstance(event, Completed):
+                self._end(is_whole=True)
+            yield event
+
+    def close(self) -> None:
+        """Ends the answer, whole or not."""
+        self._end(is_whole=False)
+
+    def _end(self, *, is_whole: bool) -> None:
+        if self._is_open:
+            self._is_open = False
+            self._finish(is_whole)
+
+
+class ChatFlow:
+    """Plans, runs and bills requests for an answer by a model.
+
+    Args:
+        configuration: The newest configuration.
+        dispatcher: Finds upstreams.
+        planner: Plans cascades.
+        bills: Takes the bills.
+        clock: Measures deadlines.
+        on_delivered: Told of every whole answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationSource,
+        dispatcher: Dispatcher,
+        planner: CascadePlanner,
+        bills: BillSink,
+        clock: Clock,
+        on_delivered: DeliveryListener,
+    ) -> None:
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+        self._planner = planner
+        self._bills = bills
+        self._clock = clock
+        self._on_delivered = on_delivered
+
+    def answer(self, request: ChatRequest) -> Result[ChatAnswer, Problem]:
+        """Runs a request until its first part is there.
+
+        Returns:
+            The answer, which the caller closes, or the final refusal.
+        """
+        table = self._configuration.table()
+        task = table.tasks.get(request.task)
+        if task is None:
+            return Failure(_unknown_task(request))
+        chosen = choose_versions(
+            table,
+            request.workspace.name,
+            request.task,
+            key=request.session.seed,
+            pins=request.session.pins,
+        )
+        if not isinstance(chosen, Success):
+            return Failure(
+                routing_problem(chosen.failure(), request.request_id)
+            )
+        versions = chosen.unwrap()
+        plan = self._planner.plan(table, request.workspace.name, task, versions)
+        session = _with_pins(request.session, versions)
+        return _ChatRun(self, request, task, plan, session).begin()
+
+
+class _ChatRun:
+    """One request on its way through the steps of its plan."""
+
+    def __init__(
+        self,
+        flow: ChatFlow,
+        request: ChatRequest,
+        task: Task,
+        plan: CascadePlan,
+        session: Session,
+    ) -> None:
+        self._flow = flow
+        self._request = request
+        self._task = task
+        self._plan = plan
+        self._session = session
+        self._deadline_ms = flow._clock.now_ms() + task.deadline_ms
+        self._spent: list[BillLine] = []
+        self._first_signal: float | None = None
+        self._text: list[str] = []
+
+    def begin(self) -> Result[ChatAnswer, Problem]:
+        last = len(self._plan.steps) - 1
+        for step in range(last):
+            whole = self._run_whole(step)
+            if not isinstance(whole, Success):
+                return Failure(self._spoiled(whole.failure()))
+            placed = whole.unwrap()
+            if self._is_accepted(step, placed):
+                return Success(self._deliver_whole(step, placed))
+            self._spend(step, placed)
+        live = self._run_live(last)
+        if not isinstance(live, Success):
+            return Failure(self._spoiled(live.failure()))
+        return Success(self._deliver_live(last, live.unwrap().value))
+
+    def _run_whole(self, step: int) -> Result[Placed[WholeRun], Problem]:
+        completion = self._completion(step)
+        result = self._flow._dispatcher.run(
+            self._errand(step), lambda slot: run_whole(slot, completion)
+        )
+        if isinstance(result, Success):
+            result.unwrap().slot.close()
+        return result
+
+    def _run_live(self, step: int) -> Result[Placed[LiveRun], Problem]:
+        completion = self._completion(step)
+        return self._flow._dispatcher.run(
+            self._errand(step),
+            lambda slot: begin_live(
+                slot, completion, lambda client: client.start(completion)
+            ),
+        )
+
+    def _is_accepted(self, step: int, placed: Placed[WholeRun]) -> bool:
+        finish = placed.value.finish
+        if step == 0:
+            self._first_signal = finish.confidence
+        line = self._line(step, placed.slot.upstream.name, finish)
+        judged = StepFinish(signal=finish.confidence, cost_nano=line.cost_nano)
+        verdict = self._flow._planner.judge(self._plan, step, judged)
+        return verdict is Verdict.ACCEPT
+
+    def _spend(self, step: int, placed: Placed[WholeRun]) -> None:
+        upstream = placed.slot.upstream.name
+        line = self._line(step, upstream, placed.value.finish)
+        self._spent.append(line)
+
+    def _deliver_whole(self, step: int, placed: Placed[WholeRun]) -> ChatAnswer:
+        upstream = placed.slot.upstream.name
+        whole = placed.value
+        items: Iterator[Chunk | Finish] = iter((*whole.chunks, whole.finish))
+        return self._chat_answer(step, upstream, items, lambda: None)
+
+    def _deliver_live(self, step: int, run: LiveRun) -> ChatAnswer:
+        items = run.items()
+        return self._chat_answer(step, run.upstream, items, run.close)
+
+    def _chat_answer(
+        self,
+        step: int,
+        upstream: str,
+        items: Iterator[Chunk | Finish],
+        release: Callable[[], None],
+    ) -> ChatAnswer:
+        delivery = _Delivery(self, step, upstream, release)
+        info = AnswerInfo(
+            request_id=self._request.request_id,
+            task=self._task.name,
+            version=self._version(step),
+            session=self._session,
+            resume_point=self._resume_point(step, upstream),
+        )
+        return ChatAnswer(info, delivery.events(items), delivery.finish)
+
+    def _resume_point(self, step: int, upstream: str) -> ResumePoint:
+        return ResumePoint(
+            workspace=self._request.workspace.name,
+            request_id=self._request.request_id,
+            upstream=upstream,
+            version=self._version(step),
+            task=self._task.name,
+            step=step,
+            spent=tuple(self._spent),
+        )
+
+    def _spoiled(self, problem: Problem) -> Problem:
+        """Corrects a refusal when an earlier step of the plan ran."""
+        if not self._spent or problem.outcome is not Outcome.NOT_RUN:
+            return problem
+        return dataclasses.replace(problem, outcome=Outcome.FAILED)
+
+    def _errand(self, step: int) -> Errand:
+        return Errand(
+            request_id=self._request.request_id,
+            workspace=self._request.workspace.name,
+            target=self._version(step),
+            task=self._task.name,
+            idempotent=True,
+            rank=self._task.priority.rank,
+            weight=self._request.workspace.weight,
+            deadline_ms=self._deadline_ms,
+        )
+
+    def _completion(self, step: int) -> CompletionRequest:
+        limit = self._task.max_output_tokens
+        wanted = self._request.max_output_tokens
+        return CompletionRequest(
+            request_id=attempt_id(self._request.request_id, step),
+            version=self._version(step),
+            messages=self._request.messages,
+            max_output_tokens=min(limit, wanted or limit),
+            deadline_ms=self._deadline_ms,
+            priority=self._task.priority,
+            affinity=self._session.seed,
+        )
+
+    def _version(self, step: int) -> VersionRef:
+        return self._plan.steps[step].version
+
+    def _line(self, step: int, upstream: str, finish: Finish) -> BillLine:
+        return model_line(
+            self._table(),
+            self._version(step),
+            upstream,
+            finish.prompt_tokens,
+            finish.output_tokens,
+        )
+
+    def _table(self) -> RoutingTable:
+        return self._flow._configuration.table()
+
+
+class _Delivery:
+    """The delivered answer's parts, bill and report to those who learn."""
+
+    def __init__(
+        self,
+        run: _ChatRun,
+        step: int,
+        upstream: str,
+        release: Callable[[], None],
+    ) -> None:
+        self._run = run
+        self._step = step
+        self._upstream = upstream
+        self._release = release
+        self._text: list[str] = []
+        self._tokens = 0
+        self._finish: Finish | None = None
+
+    def events(self, items: Iterator[Chunk | Finish]) -> Iterator[ChatEvent]:
+        try:
+            for item in items:
+                yield self._event(item)
+        except UpstreamError as error:
+            request_id = self._run._request.request_id
+            problem = failure_problem(error, Execution.RAN, request_id)
+            yield Broken(problem=problem)
+
+    def finish(self, is_whole: bool) -> None:
+        self._release()
+        run = self._run
+        if not is_whole and not self._text:
+            return
+        finish = self._finish or Finish(
+            finish_reason="cut",
+            prompt_tokens=0,
+            output_tokens=self._tokens,
+            confidence=None,
+        )
+        line = run._line(self._step, self._upstream, finish)
+        run._flow._bills.record(
+            Bill(
+                request_id=run._request.request_id,
+                workspace=run._request.workspace.name,
+                subject=run._task.name,
+                ended_ms=run._flow._clock.wall_ms(),
+                lines=(*run._spent, line),
+                is_whole=is_whole,
+            )
+        )
+        if is_whole:
+            self._report()
+
+    def _event(self, item: Chunk | Finish) -> ChatEvent:
+        if isinstance(item, Chunk):
+            self._text.append(item.text)
+            self._tokens += item.tokens
+            return Delta(index=item.index, text=item.text)
+        self._finish = item
+        return Completed(
+            finish_reason=item.finish_reason,
+            prompt_tokens=item.prompt_tokens,
+            output_tokens=item.output_tokens,
+        )
+
+    def _report(self) -> None:
+        run = self._run
+        signal = run._first_signal
+        if self._step == 0 and self._finish is not None:
+            signal = self._finish.confidence
+        run._flow._on_delivered(
+            Delivered(
+                request=run._request,
+                plan=run._plan,
+                step=self._step,
+                first_signal=signal,
+                text="".join(self._text),
+            )
+        )
+
+
+def _with_pins(session: Session, versions: tuple[VersionRef, ...]) -> Session:
+    pinned = {pin.model for pin in session.pins}
+    added = tuple(one for one in versions if one.model not in pinned)
+    return dataclasses.replace(session, pins=session.pins + added)
+
+
+def _unknown_task(request: ChatRequest) -> Problem:
+    return Problem(
+        status=404,
+        code="unknown-task",
+        title=f"there is no task {request.task}",
+        detail="Send the name of one of your workspace's tasks as model.",
+        outcome=Outcome.NOT_RUN,
+        request_id=request.request_id,
+    )
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -8,6 +8,9 @@
 from types import TracebackType
 from typing import Protocol, Self
 
+from trefoilpitch.upstreams import EngineClient, ServiceClient
+from trefoilpitch.upstreams import LoadReport as ReceivedReport
+
 from trefoilpitch.bundle import Upstream, UpstreamKind
 from trefoilpitch.clock import Clock
 from trefoilpitch.routing import (
@@ -19,8 +22,6 @@
     UpstreamState,
     confirm_dispatch,
 )
-from trefoilpitch.upstreams import EngineClient, ServiceClient
-from trefoilpitch.upstreams import LoadReport as ReceivedReport
 
 Client = EngineClient | ServiceClient
 
--- a/trefoilpitch/serving/_nodes.py
+++ b/trefoilpitch/serving/_nodes.py
@@ -5,10 +5,11 @@
 import dataclasses
 from typing import Protocol, TypeAlias
 
+from trefoilpitch.upstreams import Message
+
 from trefoilpitch.bundle import VersionRef, Workspace
 from trefoilpitch.identity import RequestKey, ResumePoint, Session
 from trefoilpitch.routing import RoutingTable
-from trefoilpitch.upstreams import Message
 from trefoilpitch.web import Problem
 
 
--- a/trefoilpitch/serving/_problems.py
+++ b/trefoilpitch/serving/_problems.py
@@ -2,14 +2,6 @@
 
 from __future__ import annotations
 
-from trefoilpitch.retries import Execution, FailureKind
-from trefoilpitch.routing import (
-    NoEligibleUpstreamError,
-    PinnedVersionWithdrawnError,
-    RoutingError,
-    TargetNotAllowedError,
-    UpstreamsFullError,
-)
 from trefoilpitch.upstreams import (
     ConnectError,
     DeadlineExceededError,
@@ -21,6 +13,15 @@
     RefusedError,
     UpstreamError,
 )
+
+from trefoilpitch.retries import Execution, FailureKind
+from trefoilpitch.routing import (
+    NoEligibleUpstreamError,
+    PinnedVersionWithdrawnError,
+    RoutingError,
+    TargetNotAllowedError,
+    UpstreamsFullError,
+)
 from trefoilpitch.web import Outcome, Problem
 
 RETRY_SOON_MS = 1_000
--- /dev/null
+++ b/trefoilpitch/serving/_runs.py
@@ -0,0 +1,171 @@
+"""Single runs of a model version: whole, or part by part."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterator
+
+from returns.result import Failure, Result, Success
+from trefoilpitch.upstreams import (
+    AnswerStream,
+    Chunk,
+    CompletionRequest,
+    EngineClient,
+    Finish,
+    IncompleteReplyError,
+    UpstreamError,
+    collect,
+)
+
+from trefoilpitch.serving._directory import Slot
+
+MAX_RESUMPTIONS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeRun:
+    """A run that gave its whole answer."""
+
+    # The answer's parts, in order.
+    chunks: tuple[Chunk, ...]
+    # How it ended.
+    finish: Finish
+
+
+def engine_client(slot: Slot) -> EngineClient:
+    """Returns the client of a slot on an engine.
+
+    Raises:
+        TypeError: If the upstream is not an engine.
+    """
+    client = slot.client
+    if hasattr(client, "resume"):
+        return client
+    raise TypeError(f"{slot.upstream.name} is not an engine")
+
+
+def run_whole(
+    slot: Slot, request: CompletionRequest
+) -> Result[WholeRun, UpstreamError]:
+    """Runs a request to its end before anything of it is delivered."""
+    started = engine_client(slot).start(request)
+    if not isinstance(started, Success):
+        return Failure(started.failure())
+    try:
+        with started.unwrap() as stream:
+            chunks, finish = collect(stream)
+    except UpstreamError as error:
+        return Failure(error)
+    slot.succeed()
+    return Success(WholeRun(tuple(chunks), finish))
+
+
+class LiveRun:
+    """A run whose parts are delivered as they come.
+
+    When the connection breaks, the run is taken up again on the same engine,
+    which holds the answer; what was delivered is never contradicted.
+
+    Args:
+        slot: The place on the engine; closed with the run.
+        request: What runs.
+        stream: The stream of parts.
+        first: The first item, which was read to see that the run began.
+    """
+
+    def __init__(
+        self,
+        slot: Slot,
+        request: CompletionRequest,
+        stream: AnswerStream,
+        first: Chunk | Finish,
+    ) -> None:
+        self._slot = slot
+        self._request = request
+        self._stream = stream
+        self._first = first
+        self._next_index = 0
+        self._resumptions = 0
+
+    @property
+    def upstream(self) -> str:
+        """The engine's name."""
+        return self._slot.upstream.name
+
+    def items(self) -> Iterator[Chunk | Finish]:
+        """Yields the parts and then the finish.
+
+        Raises:
+            UpstreamError: If the answer broke off and is held nowhere.
+        """
+        source = self._with_first()
+        while True:
+            try:
+                yield from self._checked(source)
+            except UpstreamError as error:
+                source = iter(self._resume(error))
+            else:
+                self._slot.succeed()
+                return
+
+    def close(self) -> None:
+        """Ends the run; the engine cancels what it has not generated."""
+        self._stream.__exit__(None, None, None)
+        self._slot.close()
+
+    def _with_first(self) -> Iterator[Chunk | Finish]:
+        yield self._first
+        if isinstance(self._first, Chunk):
+            yield from self._stream
+
+    def _checked(
+        self, source: Iterator[Chunk | Finish]
+    ) -> Iterator[Chunk | Finish]:
+        for item in source:
+            if isinstance(item, Chunk):
+                self._next_index = item.index + 1
+            yield item
+
+    def _resume(self, error: UpstreamError) -> AnswerStream:
+        if self._resumptions >= MAX_RESUMPTIONS:
+            raise error
+        self._resumptions += 1
+        self._stream.__exit__(None, None, None)
+        resumed = engine_client(self._slot).resume(
+            self._request.request_id,
+            self._request.version,
+            after_index=self._next_index - 1,
+            deadline_ms=self._request.deadline_ms,
+        )
+        if not isinstance(resumed, Success):
+            raise error
+        self._stream = resumed.unwrap()
+        return self._stream
+
+
+def begin_live(
+    slot: Slot,
+    request: CompletionRequest,
+    open_stream: Callable[[EngineClient], Result[AnswerStream, UpstreamError]],
+) -> Result[LiveRun, UpstreamError]:
+    """Starts a run and waits for its first part.
+
+    Args:
+        slot: The place on the engine.
+        request: What runs.
+        open_stream: Starts the run, or takes one up that the engine holds.
+    """
+    opened = open_stream(engine_client(slot))
+    if not isinstance(opened, Success):
+        return Failure(opened.failure())
+    stream = opened.unwrap()
+    try:
+        first = next(iter(stream), None)
+    except UpstreamError as error:
+        stream.__exit__(None, None, None)
+        return Failure(error)
+    if first is None:
+        stream.__exit__(None, None, None)
+        name = slot.upstream.name
+        return Failure(IncompleteReplyError(name, "the answer is empty"))
+    return Success(LiveRun(slot, request, stream, first))
