Add clients of engines and services, and stand-ins for them

Cause: the daemon needs an upstream side, and nothing in the repository speaks to one. urllib3's pool manager was ruled out: it hides when the first byte was sent, and an exchange under way cannot be aborted from another thread. The clients drive urllib3's connections from a bounded pool of their own instead.

Change: engine client (answers as streams, resumption, load reports, cache events), service client, typed failures that say what they prove about execution, and engine, service and rating stand-ins.

--- /dev/null
+++ b/trefoilpitch/standins/__init__.py
@@ -0,0 +1,28 @@
+"""Small servers that take the platform's place in tests and demonstrations."""
+
+from trefoilpitch.standins._engine import EngineStandIn, open_engine_stand_in
+from trefoilpitch.standins._engine_nodes import EngineSettings
+from trefoilpitch.standins._faults import Fault
+from trefoilpitch.standins._rating import (
+    RatingSettings,
+    RatingStandIn,
+    open_rating_stand_in,
+)
+from trefoilpitch.standins._service import (
+    ServiceSettings,
+    ServiceStandIn,
+    open_service_stand_in,
+)
+
+__all__ = [
+    "EngineSettings",
+    "EngineStandIn",
+    "Fault",
+    "RatingSettings",
+    "RatingStandIn",
+    "ServiceSettings",
+    "ServiceStandIn",
+    "open_engine_stand_in",
+    "open_rating_stand_in",
+    "open_service_stand_in",
+]
--- /dev/null
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -0,0 +1,207 @@
+"""A model engine that streams deterministic answers and misbehaves on command.
+
+Paths: ``POST /v1/chat/completions``, ``GET /v1/chat/completions/<request id>``
+with ``Last-Event-ID`` to resume, ``GET /v1/load``, ``GET /v1/cache-events``,
+``POST /v1/orders``; for tests ``POST /standin/faults``,
+``POST /standin/settings``, ``POST /standin/restart`` and
+``GET /standin/counts``.
+
+Kinds of fault: ``slow_headers``, ``refuse``, ``cut_stream``, ``drop_answer``
+(cut and not held), ``stall``, ``gap``, ``repeat``, ``missing_end``,
+``malformed``, ``wrong_version``, ``error_event``, ``crossed`` (events and
+headers of another request) and ``crossed_events`` (its events only).
+"""
+
+from __future__ import annotations
+
+import time
+import urllib.parse
+from collections.abc import Callable
+from typing import ClassVar
+
+import msgspec
+
+from trefoilpitch.standins._engine_nodes import Answer
+from trefoilpitch.standins._engine_state import (
+    EngineState,
+    Prompt,
+    RefusalError,
+)
+from trefoilpitch.standins._faults import Fault, FaultPlan
+from trefoilpitch.standins._http_server import Handler
+from trefoilpitch.standins._stream_writer import (
+    STREAM_FAULTS,
+    StreamWriter,
+)
+from trefoilpitch.upstreams import prompt_prefix_hash
+
+_COMPLETIONS_PATH = "/v1/chat/completions"
+_NOT_RUN = {"Not-Run": "true"}
+_DEFAULT_MAX_TOKENS = 4096
+_MS_PER_S = 1000
+
+
+class _Message(msgspec.Struct, frozen=True):
+    role: str
+    content: str
+
+
+class _CompletionBody(msgspec.Struct, frozen=True):
+    model: str
+    messages: list[_Message]
+    max_tokens: int = _DEFAULT_MAX_TOKENS
+
+
+class _OrderBody(msgspec.Struct, frozen=True):
+    kind: str
+    fencing_number: int
+    version: str = ""
+    role: str = ""
+
+
+class EngineHandler(Handler):
+    """Serves one connection to the engine stand-in."""
+
+    state: ClassVar[EngineState]
+    faults: ClassVar[FaultPlan]
+    restarts: ClassVar[Callable[[], None]]
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Serves resumption, reports and counts."""
+        url = urllib.parse.urlsplit(self.path)
+        if url.path.startswith(f"{_COMPLETIONS_PATH}/"):
+            self._resume(urllib.parse.unquote(url.path.rpartition("/")[2]))
+        elif url.path == "/v1/load":
+            self.reply_json(self.state.load_report())
+        elif url.path == "/v1/cache-events":
+            after = urllib.parse.parse_qs(url.query).get("after", ["0"])[0]
+            self._reply_cache_events(int(after))
+        elif url.path == "/standin/counts":
+            self._reply_counts()
+        else:
+            self.reply_json({"error": "no such path"}, status=404)
+
+    def do_POST(self) -> None:  # noqa: N802
+        """Serves answers, orders and commands."""
+        routes: dict[str, Callable[[], None]] = {
+            _COMPLETIONS_PATH: self._complete,
+            "/v1/orders": self._order,
+            "/standin/faults": self._plan_fault,
+            "/standin/settings": self._change_settings,
+            "/standin/restart": self._restart,
+        }
+        route = routes.get(self.path)
+        if route is None:
+            self.read_body()
+            self.reply_json({"error": "no such path"}, status=404)
+            return
+        try:
+            route()
+        except msgspec.MsgspecError as error:
+            self.reply_json({"error": str(error)}, status=400)
+
+    def _complete(self) -> None:
+        body = self.read_json(_CompletionBody)
+        self._delay()
+        if self._refuse_on_command():
+            return
+        prompt = Prompt(
+            request_id=self.request_id,
+            version=body.model,
+            text="\n".join(message.content for message in body.messages),
+            prefix=prompt_prefix_hash(body.messages[0].content),
+            max_tokens=body.max_tokens,
+        )
+        try:
+            answer = self.state.admit(prompt)
+        except RefusalError as error:
+            self._refuse(str(error))
+            return
+        if answer is None:
+            type(self).restarts()
+            return
+        self._stream(answer, 0)
+
+    def _resume(self, request_id: str) -> None:
+        self._delay()
+        answer = self.state.attach(request_id)
+        if answer is None:
+            self.reply_json({"error": "not held"}, status=404)
+            return
+        last = self.headers.get("Last-Event-ID", "-1")
+        self.state.counts["resumed"] += 1
+        self._stream(answer, int(last) + 1)
+
+    def _stream(self, answer: Answer, first: int) -> None:
+        fault = self.faults.take(self.path, *STREAM_FAULTS)
+        writer = StreamWriter(self, self.state, answer, fault)
+        try:
+            writer.write(first)
+        finally:
+            self.state.detach(answer)
+
+    def _delay(self) -> None:
+        fault = self.faults.take(self.path, "slow_headers")
+        if fault is not None:
+            time.sleep(fault.delay_ms / _MS_PER_S)
+
+    def _refuse_on_command(self) -> bool:
+        fault = self.faults.take(self.path, "refuse")
+        if fault is None:
+            return False
+        headers = _NOT_RUN if fault.not_run else {}
+        error = {"error": "refused on command"}
+        self.reply_json(error, status=fault.status, headers=headers)
+        return True
+
+    def _refuse(self, reason: str) -> None:
+        self.state.counts[f"refused_{reason}"] += 1
+        headers = {**_NOT_RUN, "Retry-After": "1"}
+        self.reply_json({"error": reason}, status=503, headers=headers)
+
+    def _order(self) -> None:
+        order = self.read_json(_OrderBody)
+        if not self.state.accept_fencing(order.fencing_number):
+            error = {"error": "stale_fencing_number"}
+            self.reply_json(error, status=409, headers=_NOT_RUN)
+            return
+        if order.kind == "load":
+            self.state.load(order.version)
+        elif order.kind == "unload":
+            self.state.unload(order.version)
+        elif order.kind == "role":
+            self.state.settings.role = order.role
+        else:
+            self.reply_json({"error": "no such order"}, status=400)
+            return
+        versions = self.state.versions()
+        self.reply_json({"versions": versions, "role": order.role})
+
+    def _plan_fault(self) -> None:
+        self.faults.add(self.read_json(Fault))
+        self.reply_json({})
+
+    def _change_settings(self) -> None:
+        changes = self.read_json(dict)
+        settings = self.state.settings
+        merged = {**msgspec.to_builtins(settings), **changes}
+        checked = msgspec.convert(merged, type=type(settings))
+        for name in changes:
+            setattr(settings, name, getattr(checked, name))
+        self.reply_json({})
+
+    def _restart(self) -> None:
+        self.read_body()
+        self.reply_json({})
+        type(self).restarts()
+
+    def _reply_cache_events(self, after: int) -> None:
+        incarnation = self.state.incarnation
+        events = self.state.cache_events(after)
+        self.reply_json({"incarnation": incarnation, "events": events})
+
+    def _reply_counts(self) -> None:
+        with self.state.lock:
+            counts = dict(self.state.counts)
+            runs = list(self.state.runs)
+        self.reply_json({"counts": counts, "runs": runs})
--- /dev/null
+++ b/trefoilpitch/standins/_http_server.py
@@ -0,0 +1,179 @@
+"""What the stand-ins' HTTP servers have in common."""
+
+from __future__ import annotations
+
+import contextlib
+import http.server
+import socket
+import threading
+from collections.abc import Callable, Mapping
+from types import TracebackType
+from typing import Any, Self, TypeVar
+
+import msgspec
+
+REQUEST_ID_HEADER = "Request-Id"
+LOOPBACK = "127.0.0.1"
+
+T = TypeVar("T")
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Serves one connection; subclasses add the paths."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    @property
+    def request_id(self) -> str:
+        """The request's id, empty when it has none."""
+        return self.headers.get(REQUEST_ID_HEADER, "")
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Logs nothing: counts tell what happened."""
+
+    def handle(self) -> None:
+        """Serves until the peer leaves or the server drops it."""
+        with contextlib.suppress(OSError, ValueError):
+            super().handle()
+
+    def read_body(self) -> bytes:
+        """Reads the request's body."""
+        return self.rfile.read(int(self.headers.get("Content-Length", "0")))
+
+    def read_json(self, kind: type[T]) -> T:
+        """Reads the request's body.
+
+        Raises:
+            msgspec.MsgspecError: If it is not JSON of that type.
+        """
+        return msgspec.json.decode(self.read_body() or b"{}", type=kind)
+
+    def reply_json(
+        self,
+        value: object,
+        *,
+        status: int = 200,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Sends a whole JSON reply that echoes the request's id."""
+        body = msgspec.json.encode(value)
+        self.begin_reply(status, len(body), headers or {})
+        self.wfile.write(body)
+
+    def begin_reply(
+        self,
+        status: int,
+        length: int,
+        headers: Mapping[str, str],
+        *,
+        request_id: str | None = None,
+    ) -> None:
+        """Sends the headers of a JSON reply of the given length."""
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(length))
+        self.send_header(REQUEST_ID_HEADER, request_id or self.request_id)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.end_headers()
+
+    def drop_connection(self) -> None:
+        """Closes the connection at once."""
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.connection.shutdown(socket.SHUT_RDWR)
+
+    def peer_left(self) -> bool:
+        """Whether the peer has closed the connection."""
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            received: bytes = self.connection.recv(1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return not received
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+    block_on_close = False
+
+    def __init__(self, port: int, handler: type[Handler]) -> None:
+        super().__init__((LOOPBACK, port), handler)
+        self._sockets: set[socket.socket] = set()
+        self._sockets_lock = threading.Lock()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        with self._sockets_lock:
+            self._sockets.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        with self._sockets_lock:
+            self._sockets.discard(request)
+        super().shutdown_request(request)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Stays silent: peers of a stand-in leave at any moment."""
+
+    def drop_connections(self) -> None:
+        with self._sockets_lock:
+            sockets = list(self._sockets)
+        for sock in sockets:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class StandInServer:
+    """An HTTP server on the loopback address, in threads of its own.
+
+    Args:
+        handler: Makes the handler class of the server's connections.
+        port: The port; 0 takes a free one.
+    """
+
+    def __init__(
+        self, handler: Callable[[], type[Handler]], port: int = 0
+    ) -> None:
+        self._server = _Server(port, handler())
+        self._thread = threading.Thread(
+            target=self._server.serve_forever,
+            kwargs={"poll_interval": 0.02},
+            name="stand-in",
+            daemon=True,
+        )
+        self._thread.start()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    @property
+    def address(self) -> str:
+        """IP number and port."""
+        return f"{LOOPBACK}:{self._server.server_address[1]}"
+
+    def drop_connections(self) -> None:
+        """Cuts every connection."""
+        self._server.drop_connections()
+
+    def wait(self) -> None:
+        """Blocks until the server is closed."""
+        self._thread.join()
+
+    def close(self) -> None:
+        """Stops listening and cuts every connection."""
+        self._server.shutdown()
+        self._server.server_close()
+        self._server.drop_connections()
+        self._thread.join()
--- /dev/null
+++ b/trefoilpitch/standins/_service.py
@@ -0,0 +1,291 @@
+"""A plain service with idempotent and non-idempotent operations.
+
+The first part of a path names the operation. A ``GET`` is a look-up without
+effect; any other method has an effect, which is counted for each request id
+and operation, even when the reply is lost.
+
+Kinds of fault: ``delay``, ``drop_reply`` (after the effect), ``short_body``,
+``missing_end``, ``excess_body``, ``wrong_length``, ``refuse``, ``crossed``,
+``error_status`` (after the effect).
+"""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+import urllib.parse
+from collections.abc import Callable
+from types import TracebackType
+from typing import ClassVar, Self
+
+import msgspec
+
+from trefoilpitch.standins._faults import Fault, FaultPlan
+from trefoilpitch.standins._http_server import Handler, StandInServer
+
+_MS_PER_S = 1000
+_OTHER_REQUEST = "another-request"
+
+
+class ServiceSettings(msgspec.Struct, kw_only=True):
+    """How the service behaves."""
+
+    # The upstream's name.
+    name: str = "service"
+    # Calls served at once.
+    capacity: int = 16
+    # Time that each call takes, in milliseconds.
+    call_ms: int = 0
+    # Whether the service says that it is about to leave.
+    leaving: bool = False
+
+
+class Effects:
+    """Counts what the service did; safe to use from many threads."""
+
+    def __init__(self) -> None:
+        self._counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._lookups = 0
+        self._running = 0
+        self._lock = threading.Lock()
+
+    @property
+    def running(self) -> int:
+        """Calls being served."""
+        return self._running
+
+    def enter(self, change: int) -> None:
+        """Adds to the calls being served."""
+        with self._lock:
+            self._running += change
+
+    def record(self, operation: str, request_id: str) -> int:
+        """Counts an effect and returns how often it has happened."""
+        with self._lock:
+            self._counts[operation, request_id] += 1
+            return self._counts[operation, request_id]
+
+    def record_lookup(self) -> None:
+        """Counts a call without effect."""
+        with self._lock:
+            self._lookups += 1
+
+    def count(self, operation: str, request_id: str) -> int:
+        """Returns how often a request has had its effect."""
+        with self._lock:
+            return self._counts[operation, request_id]
+
+    def summary(self) -> dict[str, object]:
+        """Returns all counts."""
+        with self._lock:
+            effects = [
+                {"operation": operation, "request_id": request_id, "times": n}
+                for (operation, request_id), n in self._counts.items()
+            ]
+            return {"effects": effects, "lookups": self._lookups}
+
+
+class _ServiceHandler(Handler):
+    settings: ClassVar[ServiceSettings]
+    effects: ClassVar[Effects]
+    faults: ClassVar[FaultPlan]
+    incarnation: ClassVar[str]
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Serves look-ups, the load report and counts."""
+        if self.path == "/standin/counts":
+            self.reply_json(self.effects.summary())
+        elif self.path == "/v1/load":
+            self.reply_json(self._load_report())
+        else:
+            self._call()
+
+    def do_POST(self) -> None:  # noqa: N802
+        """Serves operations and commands."""
+        if self.path == "/standin/faults":
+            self.faults.add(self.read_json(Fault))
+            self.reply_json({})
+        else:
+            self._call()
+
+    do_PUT = do_DELETE = do_POST  # noqa: N815
+
+    def _call(self) -> None:
+        body = self.read_body()
+        if self._refuse_on_command():
+            return
+        self.effects.enter(1)
+        try:
+            reply = self._run(body)
+        finally:
+            self.effects.enter(-1)
+        self._reply(reply)
+
+    def _run(self, body: bytes) -> dict[str, object]:
+        operation = urllib.parse.urlsplit(self.path).path.split("/")[1]
+        times = 0
+        if self.command == "GET":
+            self.effects.record_lookup()
+        else:
+            times = self.effects.record(operation, self.request_id)
+        fault = self.faults.take(self.path, "delay")
+        delay_ms = self.settings.call_ms + (fault.delay_ms if fault else 0)
+        time.sleep(delay_ms / _MS_PER_S)
+        return {
+            "operation": operation,
+            "request_id": self.request_id,
+            "times": times,
+            "length": len(body),
+        }
+
+    def _reply(self, reply: dict[str, object]) -> None:
+        fault = self.faults.take(self.path, *_REPLY_FAULTS)
+        if fault is None:
+            self.reply_json(reply)
+            return
+        _REPLY_FAULTS[fault.kind](self, msgspec.json.encode(reply))
+
+    def _refuse_on_command(self) -> bool:
+        fault = self.faults.take(self.path, "refuse")
+        if fault is None:
+            return False
+        headers = {"Not-Run": "true"} if fault.not_run else {}
+        error = {"error": "refused on command"}
+        self.reply_json(error, status=fault.status, headers=headers)
+        return True
+
+    def _load_report(self) -> dict[str, object]:
+        return {
+            "incarnation": self.incarnation,
+            "running": self.effects.running,
+            "waiting": 0,
+            "capacity": self.settings.capacity,
+            "warm": True,
+            "leaving": self.settings.leaving,
+            "reported_ms": time.time_ns() // 1_000_000,
+        }
+
+    def drop_reply(self, body: bytes) -> None:
+        """Closes the connection in place of a reply."""
+        del body
+        self.drop_connection()
+
+    def send_short_body(self, body: bytes) -> None:
+        """Sends half of the body and closes the connection."""
+        self.begin_reply(200, len(body), {})
+        self.wfile.write(body[: len(body) // 2])
+        self.drop_connection()
+
+    def send_excess_body(self, body: bytes) -> None:
+        """Sends more than the length announced."""
+        self.begin_reply(200, len(body) // 2, {})
+        self.wfile.write(body)
+
+    def send_without_end(self, body: bytes) -> None:
+        """Sends a chunked body without its last chunk."""
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.send_header("Request-Id", self.request_id)
+        self.end_headers()
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(body), body))
+        self.drop_connection()
+
+    def send_without_length(self, body: bytes) -> None:
+        """Sends a body whose end only the closed connection marks."""
+        self.send_response(200)
+        self.send_header("Request-Id", self.request_id)
+        self.end_headers()
+        self.wfile.write(body)
+        self.drop_connection()
+
+    def send_crossed(self, body: bytes) -> None:
+        """Sends the reply as that of another request."""
+        self.begin_reply(200, len(body), {}, request_id=_OTHER_REQUEST)
+        self.wfile.write(body)
+
+    def send_failure(self, body: bytes) -> None:
+        """Sends an error status though the operation ran."""
+        self.begin_reply(500, len(body), {})
+        self.wfile.write(body)
+
+
+_REPLY_FAULTS: dict[str, Callable[[_ServiceHandler, bytes], None]] = {
+    "drop_reply": _ServiceHandler.drop_reply,
+    "short_body": _ServiceHandler.send_short_body,
+    "excess_body": _ServiceHandler.send_excess_body,
+    "missing_end": _ServiceHandler.send_without_end,
+    "missing_length": _ServiceHandler.send_without_length,
+    "crossed": _ServiceHandler.send_crossed,
+    "error_status": _ServiceHandler.send_failure,
+}
+
+
+class ServiceStandIn:
+    """A running service stand-in.
+
+    Args:
+        settings: How it behaves; may be changed while it runs.
+        port: The port; 0 takes a free one.
+    """
+
+    def __init__(self, settings: ServiceSettings, port: int) -> None:
+        self._settings = settings
+        self._effects = Effects()
+        self._faults = FaultPlan()
+        self._server = StandInServer(self._handler, port)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._server.close()
+
+    @property
+    def address(self) -> str:
+        """IP number and port."""
+        return self._server.address
+
+    @property
+    def effects(self) -> Effects:
+        """Counts what it did."""
+        return self._effects
+
+    def commit(self, fault: Fault) -> None:
+        """Plans a fault."""
+        self._faults.add(fault)
+
+    def wait(self) -> None:
+        """Blocks until the server is closed."""
+        self._server.wait()
+
+    def _handler(self) -> type[Handler]:
+        class BoundHandler(_ServiceHandler):
+            settings = self._settings
+            effects = self._effects
+            faults = self._faults
+            incarnation = f"{self._settings.name}-{time.time_ns():x}"
+
+        return BoundHandler
+
+
+def open_service_stand_in(
+    settings: ServiceSettings, *, port: int = 0
+) -> ServiceStandIn:
+    """Starts a service stand-in on the loopback address.
+
+    Args:
+        settings: How it behaves.
+        port: The port; 0 takes a free one.
+
+    Returns:
+        The stand-in, a context manager that stops it.
+    """
+    return ServiceStandIn(settings, port)
--- /dev/null
+++ b/trefoilpitch/upstreams/__init__.py
@@ -0,0 +1,77 @@
+"""Clients of model engines and plain services."""
+
+from trefoilpitch.upstreams._answer_stream import AnswerStream, collect
+from trefoilpitch.upstreams._deadlines import DeadlineWatch
+from trefoilpitch.upstreams._engine_client import (
+    EngineClient,
+    open_engine_client,
+)
+from trefoilpitch.upstreams._exceptions import (
+    AnswerGoneError,
+    CancelledError,
+    ConnectError,
+    DeadlineExceededError,
+    ErrorReplyError,
+    Execution,
+    IncompleteReplyError,
+    MismatchedReplyError,
+    OverloadedError,
+    PoolExhaustedError,
+    RefusedError,
+    ReplyTooLargeError,
+    UpstreamError,
+)
+from trefoilpitch.upstreams._nodes import (
+    CacheEvent,
+    CacheEvents,
+    Chunk,
+    CompletionRequest,
+    Finish,
+    LoadReport,
+    Message,
+    ServiceReply,
+    ServiceRequest,
+    Timeouts,
+)
+from trefoilpitch.upstreams._prefixes import prompt_prefix_hash
+from trefoilpitch.upstreams._service_client import (
+    ServiceClient,
+    open_service_client,
+)
+
+__all__ = [
+    # Clients.
+    "AnswerStream",
+    "DeadlineWatch",
+    "EngineClient",
+    "ServiceClient",
+    "collect",
+    "open_engine_client",
+    "open_service_client",
+    "prompt_prefix_hash",
+    # Nodes.
+    "CacheEvent",
+    "CacheEvents",
+    "Chunk",
+    "CompletionRequest",
+    "Finish",
+    "LoadReport",
+    "Message",
+    "ServiceReply",
+    "ServiceRequest",
+    "Timeouts",
+    # Errors.
+    "AnswerGoneError",
+    "CancelledError",
+    "ConnectError",
+    "DeadlineExceededError",
+    "ErrorReplyError",
+    "Execution",
+    "IncompleteReplyError",
+    "MismatchedReplyError",
+    "OverloadedError",
+    "PoolExhaustedError",
+    "RefusedError",
+    "ReplyTooLargeError",
+    "UpstreamError",
+]
--- /dev/null
+++ b/trefoilpitch/upstreams/_answer_events.py
@@ -0,0 +1,145 @@
+"""Decodes and checks the events of one answer."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from trefoilpitch.upstreams._exceptions import (
+    ErrorReplyError,
+    IncompleteReplyError,
+    MismatchedReplyError,
+)
+from trefoilpitch.upstreams._nodes import Chunk, Finish
+from trefoilpitch.upstreams._sse import SseEvent
+
+_END_MARKER = "[DONE]"
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    delta: _Delta = _Delta()
+    finish_reason: str | None = None
+
+
+class _Usage(msgspec.Struct, frozen=True):
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class _Event(msgspec.Struct, frozen=True):
+    id: str = ""
+    model: str = ""
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+    confidence: float | None = None
+    tokens: int | None = None
+    error: dict[str, Any] | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Event)
+
+
+class AnswerDecoder:
+    """Checks that events belong to one answer, in order and without gaps.
+
+    Args:
+        upstream: The upstream's name.
+        request_id: What every event must echo.
+        version: The version that every event must echo.
+        next_index: Index of the first chunk to come.
+    """
+
+    def __init__(
+        self, *, upstream: str, request_id: str, version: str, next_index: int
+    ) -> None:
+        self._upstream = upstream
+        self._request_id = request_id
+        self._version = version
+        self._next_index = next_index
+        self._finish_reason: str | None = None
+        self._usage: _Usage | None = None
+        self._confidence: float | None = None
+        self._done = False
+
+    @property
+    def done(self) -> bool:
+        """Whether the end marker has come."""
+        return self._done
+
+    def take(self, event: SseEvent) -> Chunk | Finish | None:
+        """Takes the next event.
+
+        Returns:
+            The chunk or the finish that it completes, if any.
+
+        Raises:
+            UpstreamError: If the event breaks the answer.
+        """
+        if self._done:
+            raise self._invalid("an event follows the end marker")
+        if event.data == _END_MARKER:
+            return self._finish()
+        decoded = self._decode(event.data)
+        self._check_owner(decoded)
+        if decoded.usage is not None:
+            self._usage = decoded.usage
+        if decoded.confidence is not None:
+            self._confidence = decoded.confidence
+        return self._take_choices(event, decoded)
+
+    def _decode(self, data: str) -> _Event:
+        try:
+            return _DECODER.decode(data)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise self._invalid(f"an event is malformed: {error}") from error
+
+    def _check_owner(self, event: _Event) -> None:
+        if event.error is not None:
+            detail = f"generation failed: {event.error.get('message')}"
+            raise ErrorReplyError(self._upstream, detail, status=200)
+        if event.id != self._request_id:
+            detail = f"an event of request {event.id!r} arrived"
+            raise MismatchedReplyError(self._upstream, detail)
+        if event.model != self._version:
+            detail = f"version {event.model!r} answered"
+            raise MismatchedReplyError(self._upstream, detail)
+
+    def _take_choices(self, event: SseEvent, decoded: _Event) -> Chunk | None:
+        if not decoded.choices:
+            return None
+        if len(decoded.choices) > 1:
+            raise self._invalid("an event holds more than one choice")
+        if self._finish_reason is not None:
+            raise self._invalid("a choice follows the finish")
+        choice = decoded.choices[0]
+        self._finish_reason = choice.finish_reason
+        if not choice.delta.content:
+            return None
+        return self._chunk(event.event_id, choice.delta.content, decoded.tokens)
+
+    def _chunk(self, event_id: str, text: str, tokens: int | None) -> Chunk:
+        index = self._next_index
+        if event_id != str(index):
+            raise self._invalid(f"chunk {event_id!r} came in place of {index}")
+        self._next_index += 1
+        tokens = 1 if tokens is None else tokens
+        return Chunk(index=index, text=text, tokens=tokens)
+
+    def _finish(self) -> Finish:
+        if self._finish_reason is None or self._usage is None:
+            raise self._invalid("the answer ended without finish or usage")
+        self._done = True
+        return Finish(
+            finish_reason=self._finish_reason,
+            prompt_tokens=self._usage.prompt_tokens,
+            output_tokens=self._usage.completion_tokens,
+            confidence=self._confidence,
+        )
+
+    def _invalid(self, detail: str) -> IncompleteReplyError:
+        return IncompleteReplyError(self._upstream, detail)
--- /dev/null
+++ b/trefoilpitch/upstreams/_deadlines.py
@@ -0,0 +1,106 @@
+"""Aborts exchanges whose time has run out."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import threading
+from types import TracebackType
+from typing import Protocol, Self
+
+from trefoilpitch.clock import Clock
+
+_MAX_WAIT_S = 0.05
+
+
+class Abortable(Protocol):
+    """Something that must end by a time that may move later."""
+
+    @property
+    def due_ms(self) -> int | None:
+        """Monotonic time by which it must end; None once it has ended."""
+
+    def expire(self) -> None:
+        """Ends it because its time ran out; must not block."""
+
+
+class DeadlineWatch:
+    """A thread that expires exchanges at their due times.
+
+    A due time that moves later needs no call: the watch reads it again when
+    the earlier one comes. A due time that moves earlier needs ``add``.
+
+    Args:
+        clock: Measures due times.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._heap: list[tuple[int, int, Abortable]] = []
+        self._ties = itertools.count()
+        self._changed = threading.Condition()
+        self._closed = False
+        self._thread = threading.Thread(
+            target=self._run, name="deadline-watch", daemon=True
+        )
+        self._thread.start()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def add(self, item: Abortable) -> None:
+        """Watches an item until its due time is None."""
+        due_ms = item.due_ms
+        if due_ms is None:
+            return
+        with self._changed:
+            earliest = self._heap[0][0] if self._heap else None
+            heapq.heappush(self._heap, (due_ms, next(self._ties), item))
+            if earliest is None or due_ms < earliest:
+                self._changed.notify()
+
+    def close(self) -> None:
+        """Stops the thread; items still watched no longer expire."""
+        with self._changed:
+            self._closed = True
+            self._changed.notify()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                if self._closed:
+                    return
+                expired = self._take_expired()
+                if not expired:
+                    self._changed.wait(self._wait_s())
+            for item in expired:
+                item.expire()
+
+    def _wait_s(self) -> float | None:
+        if not self._heap:
+            return None
+        remaining_ms = self._heap[0][0] - self._clock.now_ms()
+        return min(max(remaining_ms, 1) / 1000, _MAX_WAIT_S)
+
+    def _take_expired(self) -> list[Abortable]:
+        now_ms = self._clock.now_ms()
+        expired: list[Abortable] = []
+        while self._heap and self._heap[0][0] <= now_ms:
+            _, _, item = heapq.heappop(self._heap)
+            due_ms = item.due_ms
+            if due_ms is None:
+                continue
+            if due_ms <= now_ms:
+                expired.append(item)
+            else:
+                heapq.heappush(self._heap, (due_ms, next(self._ties), item))
+        return expired
--- /dev/null
+++ b/trefoilpitch/upstreams/tests/harness.py
@@ -0,0 +1,89 @@
+"""Stand-ins and clients that tests share."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.clock import Clock, SystemClock
+from trefoilpitch.standins import (
+    EngineSettings,
+    EngineStandIn,
+    open_engine_stand_in,
+)
+from trefoilpitch.upstreams import (
+    CompletionRequest,
+    DeadlineWatch,
+    EngineClient,
+    Message,
+    Timeouts,
+    open_engine_client,
+)
+
+VERSION = VersionRef("small", "1")
+CLOCK = SystemClock()
+DEADLINE_MS = 20_000
+_WAIT_LIMIT_S = 10
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EngineBench:
+    """An engine stand-in and a client of it."""
+
+    engine: EngineStandIn
+    client: EngineClient
+
+
+@contextlib.contextmanager
+def engine_bench(
+    *,
+    timeouts: Timeouts | None = None,
+    max_connections: int = 64,
+    clock: Clock = CLOCK,
+    settings: EngineSettings | None = None,
+) -> Iterator[EngineBench]:
+    settings = settings or EngineSettings(warm_after=0, token_ms=0)
+    settings.versions = settings.versions or [str(VERSION)]
+    with (
+        DeadlineWatch(clock) as watch,
+        open_engine_stand_in(settings) as engine,
+        open_engine_client(
+            upstream="e1",
+            address=engine.address,
+            clock=clock,
+            watch=watch,
+            max_connections=max_connections,
+            timeouts=timeouts,
+        ) as client,
+    ):
+        yield EngineBench(engine=engine, client=client)
+
+
+def completion(
+    request_id: str = "r1",
+    *,
+    prompt: str = "tag this hymn",
+    version: VersionRef = VERSION,
+    clock: Clock = CLOCK,
+    deadline_ms: int = DEADLINE_MS,
+) -> CompletionRequest:
+    return CompletionRequest(
+        request_id=request_id,
+        version=version,
+        messages=(Message(role="user", content=prompt),),
+        max_output_tokens=1000,
+        deadline_ms=clock.now_ms() + deadline_ms,
+    )
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Waits for a condition; fails if it does not come true."""
+    limit_s = time.monotonic() + _WAIT_LIMIT_S
+    pause = threading.Event()
+    while not condition():
+        assert time.monotonic() < limit_s, "the condition did not come true"
+        pause.wait(0.002)
