--- a/trefoilpitch/serving/_calls.py
+++ b/trefoilpitch/serving/_calls.py
@@ -3,12 +3,6 @@
 from __future__ import annotations
 
 from returns.result import Failure, Result, Success
-from trefoilpitch.upstreams import (
-    ErrorReplyError,
-    ServiceReply,
-    ServiceRequest,
-    UpstreamError,
-)
 
 from trefoilpitch.bundle import Operation
 from trefoilpitch.clock import Clock
@@ -22,6 +16,12 @@
     CallRequest,
     ConfigurationSource,
 )
+from trefoilpitch.upstreams import (
+    ErrorReplyError,
+    ServiceReply,
+    ServiceRequest,
+    UpstreamError,
+)
 from trefoilpitch.web import Outcome, Problem
 
 _SERVER_ERROR = 500
--- a/trefoilpitch/serving/_runs.py
+++ b/trefoilpitch/serving/_runs.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterator
 
 from returns.result import Failure, Result, Success
+
+from trefoilpitch.serving._directory import Slot
 from trefoilpitch.upstreams import (
     AnswerStream,
     Chunk,
@@ -17,8 +19,6 @@
     collect,
 )
 
-from trefoilpitch.serving._directory import Slot
-
 MAX_RESUMPTIONS = 2
 
 
--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -1,5 +1,31 @@
-"""Small HTTP servers that take the platform's place in tests and demos."""
+"""Small servers that take the platform's place in tests and demonstrations."""
 
+from trefoilpitch.standins._engine import EngineStandIn, open_engine_stand_in
+from trefoilpitch.standins._engine_nodes import EngineSettings
+from trefoilpitch.standins._faults import Fault
 from trefoilpitch.standins._kv import KvServer, kv_server
+from trefoilpitch.standins._rating import (
+    RatingSettings,
+    RatingStandIn,
+    open_rating_stand_in,
+)
+from trefoilpitch.standins._service import (
+    ServiceSettings,
+    ServiceStandIn,
+    open_service_stand_in,
+)
 
-__all__ = ["KvServer", "kv_server"]
+__all__ = [
+    "EngineSettings",
+    "EngineStandIn",
+    "Fault",
+    "KvServer",
+    "RatingSettings",
+    "RatingStandIn",
+    "ServiceSettings",
+    "ServiceStandIn",
+    "kv_server",
+    "open_engine_stand_in",
+    "open_rating_stand_in",
+    "open_service_stand_in",
+]
