Add membership: heartbeats on a sparse overlay with incarnations

Cause: every daemon has to know which others live, leave or are gone. Change: a pure state machine with heartbeats to at most six neighbours on hash rings, indirect probes, refutation, announced leaving, paged table fetches after a start, pause or partition, and a host that runs it on a peer transport.

--- /dev/null
+++ b/trefoilpitch/membership/__init__.py
@@ -0,0 +1,81 @@
+"""Which daemons make up the fleet, and what state each of them is in."""
+
+from trefoilpitch.membership._events import (
+    Departed,
+    Disconnect,
+    LeaveRequested,
+    MembershipAction,
+    MembershipEvent,
+    MessageReceived,
+    ReportChanged,
+    SeedsChanged,
+    SendMessage,
+    Superseded,
+    Tick,
+    ViewChanged,
+)
+from trefoilpitch.membership._host import MembershipHost
+from trefoilpitch.membership._incarnation import create_incarnation
+from trefoilpitch.membership._messages import (
+    PAYLOAD_KINDS,
+    Digest,
+    MemberRecord,
+    MemberReport,
+    MembershipMessage,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+    SyncPage,
+    SyncRequest,
+)
+from trefoilpitch.membership._nodes import (
+    Endpoints,
+    Member,
+    MembershipView,
+    MemberState,
+    Report,
+)
+from trefoilpitch.membership._state import (
+    MembershipSettings,
+    MembershipState,
+    create_membership,
+    create_view,
+)
+from trefoilpitch.membership._step import step
+
+__all__ = [
+    "step",
+    "create_membership",
+    "create_view",
+    "create_incarnation",
+    "MembershipHost",
+    "MembershipSettings",
+    "MembershipState",
+    "MembershipView",
+    "Member",
+    "MemberState",
+    "Endpoints",
+    "Report",
+    "MembershipEvent",
+    "Tick",
+    "MessageReceived",
+    "SeedsChanged",
+    "ReportChanged",
+    "LeaveRequested",
+    "Departed",
+    "MembershipAction",
+    "SendMessage",
+    "Disconnect",
+    "ViewChanged",
+    "Superseded",
+    "PAYLOAD_KINDS",
+    "MembershipMessage",
+    "MemberRecord",
+    "MemberReport",
+    "Digest",
+    "ProbeRequest",
+    "Probe",
+    "ProbeAnswer",
+    "SyncRequest",
+    "SyncPage",
+]
--- /dev/null
+++ b/trefoilpitch/membership/_records.py
@@ -0,0 +1,134 @@
+"""Order and merging of member records."""
+
+from __future__ import annotations
+
+import functools
+
+import msgspec
+import xxhash
+
+from trefoilpitch.membership._messages import MemberRecord, MemberReport
+from trefoilpitch.membership._nodes import (
+    Endpoints,
+    Member,
+    MemberState,
+    Report,
+)
+
+_PERMILLE = 1000
+# States that others conclude outrank what the member said before.
+_RANKS = {
+    MemberState.ALIVE.value: 0,
+    MemberState.LEAVING.value: 0,
+    MemberState.SUSPECT.value: 1,
+    MemberState.GONE.value: 2,
+}
+
+Precedence = tuple[str, int, int]
+
+
+def precedence(record: MemberRecord) -> Precedence:
+    """Returns the sort key by which the newer of two records wins.
+
+    A state of a newer protocol version ranks lowest.
+    """
+    rank = _RANKS.get(record.state, 0)
+    return (record.incarnation, record.refutation, rank)
+
+
+def state_of(record: MemberRecord) -> MemberState:
+    """Returns the record's state; an unknown one counts as suspect."""
+    try:
+        return MemberState(record.state)
+    except ValueError:
+        return MemberState.SUSPECT
+
+
+def with_state(record: MemberRecord, state: MemberState) -> MemberRecord:
+    """Returns the record with another state, concluded by an observer."""
+    return msgspec.structs.replace(record, state=state.value)
+
+
+def merge_records(known: MemberRecord, heard: MemberRecord) -> MemberRecord:
+    """Unites two records of one name; the order of merging is irrelevant."""
+    newer, older = known, heard
+    if precedence(heard) > precedence(known):
+        newer, older = heard, known
+    if newer.incarnation != older.incarnation:
+        return newer
+    if older.report.version > newer.report.version:
+        return msgspec.structs.replace(newer, report=older.report)
+    return newer
+
+
+def merge_report(known: MemberRecord, report: MemberReport) -> MemberRecord:
+    """Takes a newer report of the same incarnation into a record."""
+    if report.incarnation_hash != hash_incarnation(known.incarnation):
+        return known
+    if report.version <= known.report.version:
+        return known
+    return msgspec.structs.replace(known, report=report)
+
+
+@functools.lru_cache(maxsize=4096)
+def hash_incarnation(incarnation: str) -> int:
+    """Returns the short form of an incarnation that reports carry."""
+    return xxhash.xxh32_intdigest(incarnation.encode())
+
+
+def create_report(
+    name: str, incarnation: str, version: int, report: Report
+) -> MemberReport:
+    """Builds the wire form of a report."""
+    share = min(max(report.in_flight_share, 0.0), 1.0)
+    return MemberReport(
+        name=name,
+        incarnation_hash=hash_incarnation(incarnation),
+        version=version,
+        in_flight_permille=round(share * _PERMILLE),
+        configuration_revision=report.configuration_revision,
+    )
+
+
+def create_record(
+    *,
+    name: str,
+    incarnation: str,
+    failure_domain: str,
+    endpoints: Endpoints,
+) -> MemberRecord:
+    """Builds the first record of a process."""
+    return MemberRecord(
+        name=name,
+        incarnation=incarnation,
+        refutation=0,
+        state=MemberState.ALIVE.value,
+        failure_domain=failure_domain,
+        caller_address=endpoints.caller_address,
+        admin_address=endpoints.admin_address,
+        peer_address=endpoints.peer_address,
+        report=create_report(name, incarnation, 0, Report()),
+    )
+
+
+def to_member(
+    record: MemberRecord, *, report_ms: int, is_confirmed: bool
+) -> Member:
+    """Builds the public form of a record."""
+    return Member(
+        name=record.name,
+        incarnation=record.incarnation,
+        failure_domain=record.failure_domain,
+        endpoints=Endpoints(
+            caller_address=record.caller_address,
+            admin_address=record.admin_address,
+            peer_address=record.peer_address,
+        ),
+        state=state_of(record),
+        report=Report(
+            in_flight_share=record.report.in_flight_permille / _PERMILLE,
+            configuration_revision=record.report.configuration_revision,
+        ),
+        report_ms=report_ms,
+        is_confirmed=is_confirmed,
+    )
--- /dev/null
+++ b/trefoilpitch/membership/_state.py
@@ -0,0 +1,171 @@
+"""The state of the membership protocol in one daemon."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from trefoilpitch.membership._messages import MemberRecord
+from trefoilpitch.membership._nodes import Endpoints, MembershipView
+from trefoilpitch.membership._records import create_record, to_member
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipSettings:
+    """Intervals and limits of the protocol."""
+
+    # How often the owner sends ``Tick``.
+    tick_interval_ms: int = 200
+    # How often a heartbeat goes to each neighbour.
+    heartbeat_interval_ms: int = 1_000
+    # A neighbour silent this long is probed through other members.
+    probe_after_ms: int = 1_500
+    # A neighbour silent this long, directly and indirectly, is suspect.
+    suspect_after_ms: int = 3_000
+    # A member suspect this long without refuting it is gone.
+    gone_after_ms: int = 6_000
+    # How long gone members are remembered.
+    gone_retention_ms: int = 120_000
+    # A gap between ticks from which the daemon counts as paused.
+    pause_threshold_ms: int = 2_000
+    # How long a start or a pause may leave the view unsettled.
+    settle_limit_ms: int = 5_000
+    # How often an address of the VM list without a member is tried.
+    seed_interval_ms: int = 10_000
+    # The same while no peer is known.
+    lonely_seed_interval_ms: int = 1_000
+    # How long tables may differ before one is fetched from a peer.
+    sync_delay_ms: int = 3_000
+    # Shortest time between two such fetches.
+    sync_interval_ms: int = 15_000
+    # Rings of the overlay; neighbours number at most twice as many.
+    rings: int = 3
+    # Members asked to probe a silent neighbour.
+    probe_helpers: int = 3
+    # Heartbeats to every neighbour that carry a changed record.
+    rumour_rounds: int = 2
+    # Changed records in one message.
+    max_records: int = 16
+    # Reports of other members in one heartbeat.
+    max_reports: int = 16
+    # Records in one page of a fetched table.
+    page_records: int = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Peer:
+    """Another member and what this daemon observed of it."""
+
+    # What is believed of it.
+    record: MemberRecord
+    # When its state last changed here.
+    changed_ms: int
+    # When it last gave a sign of life, or began to be monitored.
+    heard_ms: int
+    # When its newest report arrived.
+    report_ms: int
+    # When it was last probed through others.
+    probed_ms: int | None = None
+    # False after a pause of this daemon until news of it arrives.
+    is_confirmed: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipState:
+    """Everything that the protocol remembers."""
+
+    # Intervals and limits.
+    settings: MembershipSettings
+    # This daemon's own record.
+    own: MemberRecord
+    # Other members by name, gone ones included until forgotten.
+    peers: Mapping[str, Peer]
+    # Names of the members that heartbeats go to.
+    neighbours: tuple[str, ...] = ()
+    # Names of other members that are not gone, sorted.
+    names: tuple[str, ...] = ()
+    # Names of changed records and the rounds that still carry them.
+    rumours: Mapping[str, int]
+    # Hash over the states of all members that are not gone.
+    table_hash: int = 0
+    # Peer addresses from the VM list.
+    seeds: tuple[str, ...] = ()
+    # The address of the VM list tried last, while unanswered.
+    tried_seed: str | None = None
+    # Position in ``names`` of the next report to pass on.
+    report_cursor: int = 0
+    # Position in the addresses of the VM list to try next.
+    seed_cursor: int = 0
+    # When each periodic duty is due.
+    next_heartbeat_ms: int
+    next_seed_ms: int
+    # When a table may be fetched; ``None`` while no difference is known.
+    sync_due_ms: int | None = None
+    # When the last fetch of a table began.
+    sync_began_ms: int | None = None
+    # When the last tick came.
+    last_tick_ms: int
+    # When a peer was last heard.
+    last_contact_ms: int | None = None
+    # Since when the view is unsettled; ``None`` once it has caught up.
+    unsettled_since_ms: int | None
+
+
+def create_membership(
+    *,
+    name: str,
+    incarnation: str,
+    failure_domain: str,
+    endpoints: Endpoints,
+    now_ms: int,
+    seeds: tuple[str, ...] = (),
+    settings: MembershipSettings | None = None,
+) -> MembershipState:
+    """Builds the state of a daemon that just started.
+
+    Args:
+        name: The VM's name.
+        incarnation: From ``create_incarnation``.
+        failure_domain: The failure domain that the VM runs in.
+        endpoints: Where the daemon is reached.
+        now_ms: Monotonic time.
+        seeds: Peer addresses from the VM list.
+        settings: Intervals and limits.
+    """
+    return MembershipState(
+        settings=settings or MembershipSettings(),
+        own=create_record(
+            name=name,
+            incarnation=incarnation,
+            failure_domain=failure_domain,
+            endpoints=endpoints,
+        ),
+        peers={},
+        rumours={},
+        seeds=seeds,
+        next_heartbeat_ms=now_ms,
+        next_seed_ms=now_ms,
+        last_tick_ms=now_ms,
+        unsettled_since_ms=now_ms,
+    )
+
+
+def create_view(state: MembershipState, now_ms: int) -> MembershipView:
+    """Takes the view that other subsystems work on."""
+    members = [to_member(state.own, report_ms=now_ms, is_confirmed=True)]
+    for peer in state.peers.values():
+        members.append(
+            to_member(
+                peer.record,
+                report_ms=peer.report_ms,
+                is_confirmed=peer.is_confirmed,
+            )
+        )
+    members.sort(key=lambda member: member.name)
+    return MembershipView(
+        own_name=state.own.name,
+        members=tuple(members),
+        as_of_ms=now_ms,
+        last_contact_ms=state.last_contact_ms,
+        is_settled=state.unsettled_since_ms is None,
+    )
