--- /dev/null
+++ b/trefoilpitch/callers/_encode.py
@@ -0,0 +1,132 @@
+"""Encodes answers in OpenAI's shapes."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from trefoilpitch.serving import AnswerInfo, Completed, Delta
+from trefoilpitch.web import Problem, encode_problem
+
+EVENT_STREAM_TYPE = "text/event-stream"
+END_OF_STREAM = b"data: [DONE]\n\n"
+EVENT_ID_SEPARATOR = ":"
+
+_CHUNK_OBJECT = "chat.completion.chunk"
+_WHOLE_OBJECT = "chat.completion"
+_ROLE = "assistant"
+
+
+class _Delta(msgspec.Struct, omit_defaults=True):
+    role: str | None = None
+    content: str | None = None
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class _ChunkChoice(msgspec.Struct):
+    index: int
+    delta: _Delta
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct, omit_defaults=True):
+    id: str
+    object: str
+    model: str
+    choices: list[_ChunkChoice]
+    usage: _Usage | None = None
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str
+
+
+class _Choice(msgspec.Struct):
+    index: int
+    message: _Message
+    finish_reason: str
+
+
+class _Whole(msgspec.Struct):
+    id: str
+    object: str
+    model: str
+    choices: list[_Choice]
+    usage: _Usage
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WholeAnswer:
+    """An answer with all of its parts."""
+
+    # What is known of it.
+    info: AnswerInfo
+    # The text.
+    text: str
+    # How it ended.
+    completed: Completed
+
+
+def encode_delta(info: AnswerInfo, token: str, delta: Delta) -> bytes:
+    """Returns the event for a part of an answer.
+
+    Args:
+        info: What is known of the answer.
+        token: The signed resume point; part of the event's identifier.
+        delta: The part.
+    """
+    role = _ROLE if delta.index == 0 else None
+    choice = _ChunkChoice(0, _Delta(role=role, content=delta.text))
+    chunk = _Chunk(
+        id=info.request_id,
+        object=_CHUNK_OBJECT,
+        model=str(info.version),
+        choices=[choice],
+    )
+    event_id = f"{token}{EVENT_ID_SEPARATOR}{delta.index}"
+    data = msgspec.json.encode(chunk)
+    return b"id: " + event_id.encode("ascii") + b"\ndata: " + data + b"\n\n"
+
+
+def encode_completed(info: AnswerInfo, completed: Completed) -> bytes:
+    """Returns the events that end a whole answer."""
+    choice = _ChunkChoice(0, _Delta(), completed.finish_reason)
+    chunk = _Chunk(
+        id=info.request_id,
+        object=_CHUNK_OBJECT,
+        model=str(info.version),
+        choices=[choice],
+        usage=_usage(completed),
+    )
+    return b"data: " + msgspec.json.encode(chunk) + b"\n\n" + END_OF_STREAM
+
+
+def encode_broken(problem: Problem) -> bytes:
+    """Returns the event that ends an answer that cannot be completed."""
+    return b"event: error\ndata: " + encode_problem(problem) + b"\n\n"
+
+
+def encode_whole(answer: WholeAnswer) -> bytes:
+    """Returns the body of an answer that is sent in one piece."""
+    message = _Message(_ROLE, answer.text)
+    choice = _Choice(0, message, answer.completed.finish_reason)
+    whole = _Whole(
+        id=answer.info.request_id,
+        object=_WHOLE_OBJECT,
+        model=str(answer.info.version),
+        choices=[choice],
+        usage=_usage(answer.completed),
+    )
+    return msgspec.json.encode(whole)
+
+
+def _usage(completed: Completed) -> _Usage:
+    total = completed.prompt_tokens + completed.output_tokens
+    return _Usage(completed.prompt_tokens, completed.output_tokens, total)
--- a/trefoilpitch/retries/_outcome.py
+++ b/trefoilpitch/retries/_outcome.py
@@ -6,13 +6,13 @@
 
 
 class Execution(enum.Enum):
-    """Whether an upstream ran a request."""
+    """What is proven about whether an upstream ran a request."""
 
-    # No byte of it can have been processed.
+    # The upstream has not run the request and will not run it.
     NOT_RUN = "not_run"
-    # It may have run, wholly or in part, or not at all.
+    # The upstream may have run it, may be running it or may run it later.
     UNKNOWN = "unknown"
-    # It ran, at least in part.
+    # The upstream ran the request, at least in part.
     RAN = "ran"
 
 
--- a/trefoilpitch/serving/_calls.py
+++ b/trefoilpitch/serving/_calls.py
@@ -130,10 +130,7 @@
 def _call(
     slot: Slot, request: ServiceRequest
 ) -> Result[ServiceReply, UpstreamError]:
-    client = slot.client
-    if hasattr(client, "resume"):
-        raise TypeError(f"{slot.upstream.name} is not a plain service")
-    result = client.call(request)
+    result = slot.service.call(request)
     if isinstance(result, Success):
         slot.succeed()
         return result
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -6,12 +6,6 @@
 from collections.abc import Callable, Iterator
 
 from returns.result import Failure, Result, Success
-from trefoilpitch.upstreams import (
-    Chunk,
-    CompletionRequest,
-    Finish,
-    UpstreamError,
-)
 
 from trefoilpitch.bundle import Task, VersionRef
 from trefoilpitch.cascade import CascadePlan, Verdict
@@ -40,6 +34,12 @@
     begin_live,
     run_whole,
 )
+from trefoilpitch.upstreams import (
+    Chunk,
+    CompletionRequest,
+    Finish,
+    UpstreamError,
+)
 from trefoilpitch.web import Outcome, Problem
 
 
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -22,8 +22,6 @@
 from trefoilpitch.upstreams import EngineClient, ServiceClient
 from trefoilpitch.upstreams import LoadReport as ReceivedReport
 
-Client = EngineClient | ServiceClient
-
 
 class ClientFactory(Protocol):
     """Makes the clients of upstreams."""
@@ -71,9 +69,15 @@
 
 
 class _Followed:
-    def __init__(self, node: FollowedUpstream, client: Client) -> None:
+    def __init__(
+        self,
+        node: FollowedUpstream,
+        engine: EngineClient | None,
+        service: ServiceClient | None,
+    ) -> None:
         self.node = node
-        self.client = client
+        self.engine = engine
+        self.service = service
         self.in_flight = 0
         self.in_flight_at_report = 0
         self.report: ReceivedReport | None = None
@@ -104,9 +108,26 @@
         return self._followed.node.upstream
 
     @property
-    def client(self) -> Client:
-        """The upstream's client."""
-        return self._followed.client
+    def engine(self) -> EngineClient:
+        """The client of the engine.
+
+        Raises:
+            TypeError: If the upstream is not an engine.
+        """
+        if self._followed.engine is None:
+            raise TypeError(f"{self.upstream.name} is not an engine")
+        return self._followed.engine
+
+    @property
+    def service(self) -> ServiceClient:
+        """The client of the plain service.
+
+        Raises:
+            TypeError: If the upstream is not a plain service.
+        """
+        if self._followed.service is None:
+            raise TypeError(f"{self.upstream.name} is not a plain service")
+        return self._followed.service
 
     def succeed(self) -> None:
         """Records that the upstream gave a whole answer."""
@@ -179,11 +200,17 @@
         with self._lock:
             return tuple(one.node for one in self._followed.values())
 
-    def client(self, upstream: str) -> Client | None:
-        """Returns an upstream's client; None where it is not followed."""
+    def reporter(self, upstream: str) -> EngineClient | ServiceClient | None:
+        """Returns what fetches an upstream's load; None if not followed."""
         with self._lock:
             followed = self._followed.get(upstream)
-        return followed.client if followed else None
+        return (followed.engine or followed.service) if followed else None
+
+    def engine(self, upstream: str) -> EngineClient | None:
+        """Returns an engine's client; None where it is not followed."""
+        with self._lock:
+            followed = self._followed.get(upstream)
+        return followed.engine if followed else None
 
     def states(self) -> Mapping[str, UpstreamState]:
         """Returns what is known of every followed upstream now."""
@@ -263,14 +290,14 @@
 
     def _follow(self, node: FollowedUpstream) -> _Followed:
         if node.kind is UpstreamKind.ENGINE:
-            return _Followed(node, self._clients.engine(node.upstream))
-        return _Followed(node, self._clients.service(node.upstream))
+            return _Followed(node, self._clients.engine(node.upstream), None)
+        return _Followed(node, None, self._clients.service(node.upstream))
 
     def _drop(self, name: str) -> None:
         followed = self._followed.pop(name)
         followed.is_dropped = True
         if followed.in_flight == 0:
-            followed.client.__exit__(None, None, None)
+            _close(followed)
 
     def _release(
         self, followed: _Followed, started_ms: int, *, succeeded: bool
@@ -285,11 +312,17 @@
                 upstream, succeeded=succeeded, latency_ms=latency_ms
             )
         if is_last:
-            followed.client.__exit__(None, None, None)
+            _close(followed)
         for listener in self._listeners:
             listener()
 
 
+def _close(followed: _Followed) -> None:
+    client = followed.engine or followed.service
+    if client is not None:
+        client.__exit__(None, None, None)
+
+
 def _members(table: RoutingTable) -> dict[str, FollowedUpstream]:
     bundle = table.configuration.bundle
     kinds = {pool.name: pool.kind for pool in bundle.pools} if bundle else {}
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -9,7 +9,6 @@
 from typing import Generic, TypeVar
 
 from returns.result import Failure, Result, Success
-from trefoilpitch.upstreams import UpstreamError
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.retries import (
@@ -40,6 +39,7 @@
     routing_problem,
 )
 from trefoilpitch.serving._queue import PlaceQueue
+from trefoilpitch.upstreams import UpstreamError
 from trefoilpitch.web import Outcome, Problem
 
 _MS_PER_S = 1_000
--- /dev/null
+++ b/trefoilpitch/serving/_resumption.py
@@ -0,0 +1,178 @@
+"""Takes up answers that another node began to deliver."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.bundle import Task, Upstream
+from trefoilpitch.clock import Clock
+from trefoilpitch.identity import ResumePoint, Session
+from trefoilpitch.ledger import Bill
+from trefoilpitch.retries import Execution
+from trefoilpitch.serving._bills import BillSink, model_line
+from trefoilpitch.serving._chat import ChatAnswer, attempt_id
+from trefoilpitch.serving._directory import ClientFactory
+from trefoilpitch.serving._nodes import (
+    AnswerInfo,
+    Broken,
+    ChatEvent,
+    Completed,
+    ConfigurationSource,
+    Delta,
+)
+from trefoilpitch.serving._problems import failure_problem
+from trefoilpitch.upstreams import (
+    AnswerStream,
+    Chunk,
+    EngineClient,
+    Finish,
+    UpstreamError,
+)
+from trefoilpitch.web import Outcome, Problem
+
+
+class ResumeFlow:
+    """Delivers the rest of an answer that an engine holds.
+
+    Nothing is run anew: an answer that the engine no longer holds is a
+    failure. The bill carries the identifier of the original request, so it
+    counts once however many nodes deliver parts of the answer.
+
+    Args:
+        configuration: The newest configuration.
+        clients: Makes clients of engines.
+        bills: Takes the bills.
+        clock: Measures deadlines.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationSource,
+        clients: ClientFactory,
+        bills: BillSink,
+        clock: Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._clients = clients
+        self._bills = bills
+        self._clock = clock
+
+    def resume(
+        self, point: ResumePoint, after_index: int
+    ) -> Result[ChatAnswer, Problem]:
+        """Returns the parts that follow the last one that was received.
+
+        Args:
+            point: Where the answer is.
+            after_index: The last part that the caller has; -1 if none.
+        """
+        table = self._configuration.table()
+        upstream = table.upstreams.get(point.upstream)
+        task = table.tasks.get(point.task)
+        if upstream is None or task is None:
+            return Failure(_gone(point, "its engine or task was removed"))
+        return self._open(point, after_index, upstream, task)
+
+    def _open(
+        self,
+        point: ResumePoint,
+        after_index: int,
+        upstream: Upstream,
+        task: Task,
+    ) -> Result[ChatAnswer, Problem]:
+        client = self._clients.engine(upstream)
+        resumed = client.resume(
+            attempt_id(point.request_id, point.step),
+            point.version,
+            after_index=after_index,
+            deadline_ms=self._clock.now_ms() + task.deadline_ms,
+        )
+        if not isinstance(resumed, Success):
+            client.__exit__(None, None, None)
+            return Failure(_gone(point, str(resumed.failure())))
+        delivery = _Delivery(self, point, client, resumed.unwrap())
+        info = AnswerInfo(
+            request_id=point.request_id,
+            task=point.task,
+            version=point.version,
+            session=Session(
+                workspace=point.workspace,
+                seed=point.request_id,
+                pins=(point.version,),
+            ),
+            resume_point=point,
+        )
+        return Success(ChatAnswer(info, delivery.events(), delivery.finish))
+
+
+class _Delivery:
+    def __init__(
+        self,
+        flow: ResumeFlow,
+        point: ResumePoint,
+        client: EngineClient,
+        stream: AnswerStream,
+    ) -> None:
+        self._flow = flow
+        self._point = point
+        self._client = client
+        self._stream = stream
+        self._finish: Finish | None = None
+
+    def events(self) -> Iterator[ChatEvent]:
+        try:
+            for item in self._stream:
+                yield self._event(item)
+        except UpstreamError as error:
+            request_id = self._point.request_id
+            problem = failure_problem(error, Execution.RAN, request_id)
+            yield Broken(problem=problem)
+
+    def finish(self, is_whole: bool) -> None:
+        self._stream.__exit__(None, None, None)
+        self._client.__exit__(None, None, None)
+        if is_whole and self._finish is not None:
+            self._bill(self._finish)
+
+    def _event(self, item: Chunk | Finish) -> ChatEvent:
+        if isinstance(item, Chunk):
+            return Delta(index=item.index, text=item.text)
+        self._finish = item
+        return Completed(
+            finish_reason=item.finish_reason,
+            prompt_tokens=item.prompt_tokens,
+            output_tokens=item.output_tokens,
+        )
+
+    def _bill(self, finish: Finish) -> None:
+        point = self._point
+        line = model_line(
+            self._flow._configuration.table(),
+            point.version,
+            point.upstream,
+            finish.prompt_tokens,
+            finish.output_tokens,
+        )
+        self._flow._bills.record(
+            Bill(
+                request_id=point.request_id,
+                workspace=point.workspace,
+                subject=point.task,
+                ended_ms=self._flow._clock.wall_ms(),
+                lines=(*point.spent, line),
+            )
+        )
+
+
+def _gone(point: ResumePoint, detail: str) -> Problem:
+    return Problem(
+        status=410,
+        code="answer-gone",
+        title="the rest of the answer is no longer held",
+        detail=detail,
+        outcome=Outcome.FAILED,
+        request_id=point.request_id,
+    )
--- a/trefoilpitch/serving/_runs.py
+++ b/trefoilpitch/serving/_runs.py
@@ -32,23 +32,11 @@
     finish: Finish
 
 
-def engine_client(slot: Slot) -> EngineClient:
-    """Returns the client of a slot on an engine.
-
-    Raises:
-        TypeError: If the upstream is not an engine.
-    """
-    client = slot.client
-    if hasattr(client, "resume"):
-        return client
-    raise TypeError(f"{slot.upstream.name} is not an engine")
-
-
 def run_whole(
     slot: Slot, request: CompletionRequest
 ) -> Result[WholeRun, UpstreamError]:
     """Runs a request to its end before anything of it is delivered."""
-    started = engine_client(slot).start(request)
+    started = slot.engine.start(request)
     if not isinstance(started, Success):
         return Failure(started.failure())
     try:
@@ -131,7 +119,7 @@
             raise error
         self._resumptions += 1
         self._stream.__exit__(None, None, None)
-        resumed = engine_client(self._slot).resume(
+        resumed = self._slot.engine.resume(
             self._request.request_id,
             self._request.version,
             after_index=self._next_index - 1,
@@ -155,7 +143,7 @@
         request: What runs.
         open_stream: Starts the run, or takes one up that the engine holds.
     """
-    opened = open_stream(engine_client(slot))
+    opened = open_stream(slot.engine)
     if not isinstance(opened, Success):
         return Failure(opened.failure())
     stream = opened.unwrap()
--- a/trefoilpitch/upstreams/_connections.py
+++ b/trefoilpitch/upstreams/_connections.py
@@ -20,12 +20,12 @@
 from urllib3.connection import HTTPConnection
 
 from trefoilpitch.clock import Clock
+from trefoilpitch.retries import Execution
 from trefoilpitch.upstreams._deadlines import DeadlineWatch
 from trefoilpitch.upstreams._exceptions import (
     CancelledError,
     ConnectError,
     DeadlineExceededError,
-    Execution,
     IncompleteReplyError,
     PoolExhaustedError,
     UpstreamError,
