Add the caller API: chat, services, entries, keyed calls

Cause: callers need one HTTP surface whose refusals say truly whether anything ran. Ruled out: answering unknown keys of a dead home by running them (they may have run before); releasing a keyed slot after an exception (the call may have run).

--- /dev/null
+++ b/trefoilpitch/callers/__init__.py
@@ -0,0 +1,40 @@
+"""The API that callers use."""
+
+from trefoilpitch.callers._api import (
+    CHAT_PATH,
+    ENTRIES_PATH,
+    FORWARDED_HEADER,
+    HEALTH_PATH,
+    SERVICES_PREFIX,
+    CallerApi,
+    CallerServices,
+)
+from trefoilpitch.callers._entries import EntriesEndpoint, ViewSource
+from trefoilpitch.callers._keyed_calls import (
+    CallResult,
+    Forwarder,
+    Homes,
+    KeyedCall,
+    KeyedCalls,
+    KeyRegister,
+    Registration,
+)
+
+__all__ = [
+    "CHAT_PATH",
+    "ENTRIES_PATH",
+    "FORWARDED_HEADER",
+    "HEALTH_PATH",
+    "SERVICES_PREFIX",
+    "CallResult",
+    "CallerApi",
+    "CallerServices",
+    "EntriesEndpoint",
+    "Forwarder",
+    "Homes",
+    "KeyRegister",
+    "KeyedCall",
+    "KeyedCalls",
+    "Registration",
+    "ViewSource",
+]
--- a/trefoilpitch/routing/_table.py
+++ b/trefoilpitch/routing/_table.py
@@ -37,6 +37,8 @@
     configuration: Configuration
     # Workspaces by name.
     workspaces: Mapping[str, Workspace]
+    # Workspaces by the SHA-256 of their bearer token.
+    workspaces_by_token: Mapping[str, Workspace]
     # Tasks by name.
     tasks: Mapping[str, Task]
     # Models by name.
@@ -106,6 +108,9 @@
     return RoutingTable(
         configuration=configuration,
         workspaces=workspaces,
+        workspaces_by_token={
+            node.token_sha256: node for node in bundle.workspaces
+        },
         tasks={task.name: task for task in bundle.tasks},
         models={model.name: model for model in bundle.models},
         usable_versions={
