--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -29,3 +29,6 @@
     "open_rating_stand_in",
     "open_service_stand_in",
 ]
+from trefoilpitch.standins._vm_list import VmListServer, vm_list_server
+
+__all__ = ["KvServer", "VmListServer", "kv_server", "vm_list_server"]
