Add the client of the rating service

Cause: the cascade learns from ratings, which come late or never.

Ruled out: a call that waits for its score, because a rating may take longer than any request. The service hands out tickets instead.

Change: a Protocol, the HTTP adapter and a fake, tested against the rating stand-in; a reply that is malformed, for another ticket or outside 0 to 1 is a typed failure.

--- /dev/null
+++ b/trefoilpitch/ratings/_fake.py
@@ -0,0 +1,73 @@
+"""A rating service in memory."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from types import TracebackType
+from typing import Self
+
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.ratings._exceptions import (
+    RatingError,
+    RatingUnavailableError,
+    UnknownTicketError,
+)
+from trefoilpitch.ratings._nodes import Rating, RatingRequest
+
+
+class FakeRatingClient:
+    """Keeps requests until it is told their scores."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._numbers = itertools.count()
+        self._requests: dict[str, RatingRequest] = {}
+        self._scores: dict[str, float] = {}
+        self._available = True
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.set_available(False)
+
+    @property
+    def requests(self) -> dict[str, RatingRequest]:
+        """What was submitted, by ticket."""
+        with self._lock:
+            return dict(self._requests)
+
+    def set_available(self, available: bool) -> None:
+        """Makes every later call succeed or fail."""
+        self._available = available
+
+    def set_score(self, ticket: str, score: float) -> None:
+        """Decides a rating."""
+        with self._lock:
+            self._scores[ticket] = score
+
+    def submit(self, request: RatingRequest) -> Result[Rating, RatingError]:
+        """Keeps an answer until its score is set."""
+        if not self._available:
+            return Failure(RatingUnavailableError("set unavailable"))
+        with self._lock:
+            ticket = f"t{next(self._numbers)}"
+            self._requests[ticket] = request
+        return Success(Rating(ticket=ticket, score=None))
+
+    def fetch(self, ticket: str) -> Result[Rating, RatingError]:
+        """Returns the score if it was set."""
+        if not self._available:
+            return Failure(RatingUnavailableError("set unavailable"))
+        with self._lock:
+            if ticket not in self._requests:
+                return Failure(UnknownTicketError(ticket))
+            score = self._scores.get(ticket)
+        return Success(Rating(ticket=ticket, score=score))
--- /dev/null
+++ b/trefoilpitch/ratings/tests/test_client.py
@@ -0,0 +1,93 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.ratings import (
+    InvalidRatingError,
+    Rating,
+    RatingError,
+    RatingRequest,
+    RatingUnavailableError,
+    UnknownTicketError,
+    open_rating_client,
+)
+from trefoilpitch.ratings._client import _decode
+from trefoilpitch.standins import RatingSettings, open_rating_stand_in
+from trefoilpitch.standins._answers import answer_words
+
+_VERSION = VersionRef("small", "1")
+
+
+def _request(*, good: bool, cut: int = 0) -> RatingRequest:
+    words = answer_words("p", str(_VERSION), good=good, max_tokens=999)
+    answer = " ".join(words[: len(words) - cut])
+    return RatingRequest(task="t", version=_VERSION, prompt="p", answer=answer)
+
+
+@pytest.mark.parametrize(
+    ("good", "cut", "low", "high"),
+    [(True, 0, 1.0, 1.0), (False, 0, 0.0, 0.4), (True, 1, 0.0, 0.0)],
+)
+def test_score_tells_good_answers_from_bad_and_cut_ones(
+    good: bool, cut: int, low: float, high: float
+) -> None:
+    with (
+        open_rating_stand_in(RatingSettings()) as service,
+        open_rating_client(address=service.address) as client,
+    ):
+        ticket = client.submit(_request(good=good, cut=cut)).unwrap().ticket
+        score = client.fetch(ticket).unwrap().score
+    assert score is not None
+    assert low <= score <= high
+
+
+def test_score_is_absent_until_it_is_due() -> None:
+    clock = ManualClock()
+    settings = RatingSettings(delay_ms=1000)
+    with (
+        open_rating_stand_in(settings, clock=clock) as service,
+        open_rating_client(address=service.address) as client,
+    ):
+        ticket = client.submit(_request(good=True)).unwrap().ticket
+        clock.advance(999)
+        assert client.fetch(ticket).unwrap() == Rating(
+            ticket=ticket, score=None
+        )
+        clock.advance(1)
+        assert client.fetch(ticket).unwrap().score == 1.0
+        settings.down = True
+        assert isinstance(
+            client.fetch(ticket).failure(), RatingUnavailableError
+        )
+        settings.down = False
+        assert isinstance(
+            client.fetch("no/such ticket").failure(), UnknownTicketError
+        )
+    assert isinstance(client.fetch(ticket).failure(), RatingUnavailableError)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b'{"ticket":"a","score":1.5}',
+        b'{"ticket":"a","score":-0.1}',
+        b'{"ticket":"a","score":"1"}',
+        b'{"score":0.5}',
+        b"",
+    ],
+)
+def test_an_invalid_reply_is_never_a_score(data: bytes) -> None:
+    assert isinstance(_decode(200, data).failure(), InvalidRatingError)
+
+
+@given(st.integers(100, 599), st.binary())
+@settings(derandomize=True, deadline=None)
+def test_any_reply_is_decoded_or_a_typed_failure(
+    status: int, data: bytes
+) -> None:
+    decoded = _decode(status, data)
+    if isinstance(decoded, Failure):
+        assert isinstance(decoded.failure(), RatingError)
