--- /dev/null
+++ b/tools/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measurements of the decisions in virtual time."""
