Send services the path below their name

Cause: the service's name is the router's, the operation's path is the service's. Ruled out: sending both (the services do not know the router's names).

--- a/trefoilpitch/serving/_calls.py
+++ b/trefoilpitch/serving/_calls.py
@@ -89,7 +89,7 @@
         sent = ServiceRequest(
             request_id=request.request_id,
             method=request.method,
-            path=f"/{request.service}{request.path}",
+            path=request.path,
             deadline_ms=deadline_ms,
             body=request.body,
             headers=(("Content-Type", request.content_type),),
--- a/trefoilpitch/serving/_nodes.py
+++ b/trefoilpitch/serving/_nodes.py
@@ -48,7 +48,7 @@
     operation: str
     # The HTTP method.
     method: str
-    # Path and query below the service, beginning with a slash.
+    # Path and query below the service; begins with the operation.
     path: str
     # The body.
     body: bytes
--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -14,6 +14,7 @@
     ServiceStandIn,
     open_service_stand_in,
 )
+from trefoilpitch.standins._vm_list import VmListServer, vm_list_server
 
 __all__ = [
     "EngineSettings",
@@ -24,11 +25,10 @@
     "RatingStandIn",
     "ServiceSettings",
     "ServiceStandIn",
+    "VmListServer",
     "kv_server",
     "open_engine_stand_in",
     "open_rating_stand_in",
     "open_service_stand_in",
+    "vm_list_server",
 ]
-from trefoilpitch.standins._vm_list import VmListServer, vm_list_server
-
-__all__ = ["KvServer", "VmListServer", "kv_server", "vm_list_server"]
