Replicate the configuration: relays, deltas between peers, freshness

Watching the store from every node would cost it 390 waiting watches and as many events per change. A few relays in each failure domain, chosen by rendezvous hashing, watch and read it; the others learn from them by probes that carry deltas. An election was ruled out: two relays more do no harm.

A change counts as confirmed once most failure domains have heard of it. Proofs and contacts count from the probe that asked for them.

--- /dev/null
+++ b/trefoilpitch/configuration/replication/_peer_side.py
@@ -0,0 +1,291 @@
+"""How a replica learns from its peers and teaches them."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+from returns.result import Success
+
+from trefoilpitch.configuration._codec import decode_delta, encode_delta
+from trefoilpitch.configuration._deltas import Delta
+from trefoilpitch.configuration.replication._adopt import (
+    adopt_deltas,
+    adopt_snapshot,
+)
+from trefoilpitch.configuration.replication._draft import Draft
+from trefoilpitch.configuration.replication._events import PeerNode
+from trefoilpitch.configuration.replication._links import plan_links
+from trefoilpitch.configuration.replication._messages import (
+    DomainContact,
+    ReplicaMessage,
+    RevisionAnswer,
+    RevisionProbe,
+    SnapshotPage,
+    SnapshotRequest,
+)
+from trefoilpitch.configuration.replication._state import (
+    Contact,
+    OutstandingProbe,
+    SnapshotFetch,
+)
+
+# Peers asked at once when the first membership view arrives.
+_FIRST_PROBES = 3
+_MAX_SNAPSHOT_BYTES = 1_000_000
+
+
+def on_peers_changed(draft: Draft, peers: tuple[PeerNode, ...]) -> None:
+    """Chooses whom to ask from now on."""
+    state, settings = draft.state, draft.state.settings
+    if peers == state.peers:
+        return
+    own = PeerNode(
+        name=settings.name,
+        failure_domain=settings.failure_domain,
+        address=settings.address,
+    )
+    links = plan_links(own, peers, settings.relays_per_domain)
+    domains = {peer.failure_domain for peer in peers}
+    draft.update(
+        joined_ms=draft.now_ms if state.joined_ms is None else state.joined_ms,
+        peers=peers,
+        links=links,
+        known_domains=state.known_domains | domains,
+        has_company=state.has_company or own.failure_domain in domains,
+    )
+    if not state.peers:
+        for node in links.relays[:_FIRST_PROBES]:
+            draft.probe(node.address, is_urgent=True)
+
+
+def on_message(draft: Draft, address: str, message: ReplicaMessage) -> None:
+    """Handles a message of a peer."""
+    match message:
+        case RevisionProbe():
+            _on_probe(draft, address, message)
+        case RevisionAnswer():
+            _on_answer(draft, address, message)
+        case SnapshotRequest():
+            _on_snapshot_request(draft, address, message)
+        case SnapshotPage():
+            _on_snapshot_page(draft, address, message)
+
+
+def tick_peers(draft: Draft) -> None:
+    """Gives up on what was lost and sends the probe that is due."""
+    _expire_probes(draft)
+    _expire_fetch(draft)
+    if draft.now_ms >= draft.state.next_probe_ms:
+        _send_due_probes(draft)
+
+
+def start_fetch(draft: Draft, address: str) -> None:
+    """Asks a peer for its configuration."""
+    fetch = SnapshotFetch(address=address, asked_ms=draft.now_ms)
+    draft.update(fetch=fetch)
+    draft.send(address, SnapshotRequest(digest="", offset=0))
+
+
+def _send_due_probes(draft: Draft) -> None:
+    state, settings = draft.state, draft.state.settings
+    links = state.links
+    interval_ms = settings.probe_interval_ms
+    if links.is_relay:
+        interval_ms = settings.relay_probe_interval_ms
+    turn = state.probe_turn
+    draft.update(next_probe_ms=draft.now_ms + interval_ms, probe_turn=turn + 1)
+    if links.relays:
+        index = turn if links.is_relay else state.relay_offset
+        draft.probe(links.relays[index % len(links.relays)].address)
+    is_neighbours_turn = turn % settings.probes_per_neighbour_probe == 0
+    if links.neighbour and is_neighbours_turn:
+        draft.probe(links.neighbour.address)
+
+
+def _expire_probes(draft: Draft) -> None:
+    state = draft.state
+    oldest_ms = draft.now_ms - state.settings.probe_timeout_ms
+    live = tuple(p for p in state.outstanding if p.sent_ms > oldest_ms)
+    lost = [p for p in state.outstanding if p.sent_ms <= oldest_ms]
+    if not lost:
+        return
+    draft.update(outstanding=live)
+    draft.count(probes_lost=len(lost))
+    relays = state.links.relays
+    if state.links.is_relay or not relays:
+        return
+    current = relays[state.relay_offset % len(relays)].address
+    if any(probe.address == current for probe in lost):
+        draft.update(relay_offset=state.relay_offset + 1)
+
+
+def _expire_fetch(draft: Draft) -> None:
+    state = draft.state
+    timeout_ms = state.settings.probe_timeout_ms
+    if state.fetch and draft.now_ms - state.fetch.asked_ms >= timeout_ms:
+        _abandon_fetch(draft)
+
+
+def _abandon_fetch(draft: Draft) -> None:
+    """Leaves the snapshot to the store, and the peer out of account."""
+    draft.update(fetch=None, informant="")
+    draft.count(abandoned_fetches=1)
+
+
+def _on_probe(draft: Draft, address: str, probe: RevisionProbe) -> None:
+    state, now_ms = draft.state, draft.now_ms
+    proof_age_ms = None if state.proven_ms is None else now_ms - state.proven_ms
+    answer = RevisionAnswer(
+        nonce=probe.nonce,
+        revision=state.revision,
+        digest=state.digest,
+        head_revision=state.known_revision,
+        proof_age_ms=proof_age_ms,
+        contacts=_recent_contacts(draft),
+        deltas=_encode_deltas_since(draft, probe.revision),
+    )
+    draft.send(address, answer)
+    if probe.revision > state.revision:
+        draft.note_head(probe.revision, address)
+        if all(sent.address != address for sent in state.outstanding):
+            draft.probe(address, is_urgent=True)
+
+
+def _recent_contacts(draft: Draft) -> tuple[DomainContact, ...]:
+    settings, now_ms = draft.state.settings, draft.now_ms
+    own = Contact(heard_ms=now_ms, revision=draft.state.known_revision)
+    contacts = {**draft.state.contacts, settings.failure_domain: own}
+    return tuple(
+        DomainContact(
+            failure_domain=domain,
+            age_ms=now_ms - contacts[domain].heard_ms,
+            revision=contacts[domain].revision,
+        )
+        for domain in sorted(contacts)
+        if now_ms - contacts[domain].heard_ms <= settings.freshness_ms
+    )
+
+
+def _encode_deltas_since(draft: Draft, revision: int) -> tuple[bytes, ...]:
+    log = draft.state.log
+    if not log or not log[0].revision <= revision + 1 <= log[-1].revision:
+        return ()
+    return tuple(
+        encode_delta(delta) for delta in log if delta.revision > revision
+    )
+
+
+def _on_answer(draft: Draft, address: str, answer: RevisionAnswer) -> None:
+    probe = _take_outstanding(draft, address, answer.nonce)
+    if probe:
+        _note_contacts(draft, probe, answer)
+    mismatches = draft.state.counters.digest_mismatches
+    if answer.revision > draft.state.revision:
+        deltas = _decode_deltas(draft, answer.deltas)
+        if deltas:
+            adopt_deltas(draft, deltas, answer.revision, answer.digest)
+    # Either side may have diverged; the store decides if it can be asked.
+    is_doubtful = draft.state.counters.digest_mismatches > mismatches
+    ask_store = is_doubtful and draft.state.read_failures == 0
+    draft.note_head(answer.revision, "" if ask_store else address)
+    draft.note_head(answer.head_revision)
+    if answer.revision == draft.state.revision:
+        _compare(draft, probe, answer)
+
+
+def _compare(
+    draft: Draft, probe: OutstandingProbe | None, answer: RevisionAnswer
+) -> None:
+    """Takes over the proof of a peer that has the same configuration."""
+    if answer.digest != draft.state.digest:
+        draft.count(divergences=1)
+        draft.update(next_read_ms=min(draft.state.next_read_ms, draft.now_ms))
+    elif probe and answer.proof_age_ms is not None:
+        draft.prove(probe.sent_ms - answer.proof_age_ms)
+
+
+def _take_outstanding(
+    draft: Draft, address: str, nonce: int
+) -> OutstandingProbe | None:
+    for probe in draft.state.outstanding:
+        if (probe.address, probe.nonce) == (address, nonce):
+            left = tuple(p for p in draft.state.outstanding if p != probe)
+            draft.update(outstanding=left)
+            return probe
+    return None
+
+
+def _note_contacts(
+    draft: Draft, probe: OutstandingProbe, answer: RevisionAnswer
+) -> None:
+    contacts = dict(draft.state.contacts)
+    for told in answer.contacts:
+        heard_ms = probe.sent_ms - told.age_ms
+        new = Contact(heard_ms=heard_ms, revision=told.revision)
+        known = contacts.get(told.failure_domain, new)
+        contacts[told.failure_domain] = Contact(
+            heard_ms=max(known.heard_ms, new.heard_ms),
+            revision=max(known.revision, new.revision),
+        )
+    draft.update(contacts=MappingProxyType(contacts))
+
+
+def _decode_deltas(draft: Draft, encoded: tuple[bytes, ...]) -> list[Delta]:
+    deltas: list[Delta] = []
+    for data in encoded:
+        decoded = decode_delta(data)
+        if not isinstance(decoded, Success):
+            draft.count(damaged=1)
+            return []
+        deltas.append(decoded.unwrap())
+    return deltas
+
+
+def _on_snapshot_request(
+    draft: Draft, address: str, request: SnapshotRequest
+) -> None:
+    state = draft.state
+    offset = request.offset if request.digest == state.digest else 0
+    end = offset + state.settings.page_bytes
+    page = SnapshotPage(
+        revision=state.revision,
+        digest=state.digest,
+        offset=offset,
+        total_bytes=len(state.snapshot),
+        data=state.snapshot[offset:end],
+    )
+    draft.send(address, page)
+
+
+def _on_snapshot_page(draft: Draft, address: str, page: SnapshotPage) -> None:
+    fetch = draft.state.fetch
+    if fetch is None or fetch.address != address:
+        return
+    if page.revision <= draft.state.revision or not _is_plausible(page):
+        _abandon_fetch(draft)
+        return
+    data = fetch.data if page.digest == fetch.digest else b""
+    if page.offset != len(data):
+        return
+    data += page.data
+    if len(data) < page.total_bytes:
+        draft.update(
+            fetch=SnapshotFetch(
+                address=address,
+                asked_ms=draft.now_ms,
+                digest=page.digest,
+                data=data,
+            )
+        )
+        request = SnapshotRequest(digest=page.digest, offset=len(data))
+        draft.send(address, request)
+        return
+    draft.update(fetch=None)
+    if adopt_snapshot(draft, data, page.digest):
+        draft.count(peer_snapshots=1)
+    else:
+        _abandon_fetch(draft)
+
+
+def _is_plausible(page: SnapshotPage) -> bool:
+    return bool(page.data) and page.total_bytes <= _MAX_SNAPSHOT_BYTES
