Test the replica's rules one by one

Covers what the fuzzing did not: deltas whose digest does not match, an answer that was held up, a revision that nobody can supply, a diverged replica, a damaged head, a store that lost its data, and how links spread at 387 nodes.

--- a/trefoilpitch/configuration/replication/tests/fleet.py
+++ b/trefoilpitch/configuration/replication/tests/fleet.py
@@ -153,6 +153,8 @@
     def _reaches(self, sender: str, receiver: str) -> bool:
         if sender in self.isolated or receiver in self.isolated:
             return False
+        if receiver not in self.nodes:
+            return False
         ends = {
             self.nodes[sender].failure_domain,
             self.nodes[receiver].failure_domain,
--- /dev/null
+++ b/trefoilpitch/configuration/replication/tests/test_rules.py
@@ -0,0 +1,208 @@
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from trefoilpitch.configuration import HEAD_KEY
+from trefoilpitch.configuration._codec import decode_head, encode_head
+from trefoilpitch.configuration.replication import (
+    HeadRead,
+    MessageReceived,
+    NodeRevision,
+    PeerNode,
+    ReplicaEvent,
+    RevisionAnswer,
+    RevisionProbe,
+    SendMessage,
+    Standing,
+    Tick,
+    in_force,
+    plan_links,
+    standing,
+    step,
+)
+from trefoilpitch.configuration.replication._state import ReplicaState
+from trefoilpitch.configuration.replication.tests.fleet import (
+    Fleet,
+    fresh_fleet,
+)
+from trefoilpitch.configuration.tests.examples import sign_off, vm_out
+
+
+def _signed_fleet() -> Fleet:
+    fleet = fresh_fleet(nodes_per_domain=2)
+    fleet.commit("a-0", sign_off()).unwrap()
+    fleet.run(1_000)
+    return fleet
+
+
+def _probe_of(
+    state: ReplicaState, now_ms: int
+) -> tuple[ReplicaState, SendMessage]:
+    """Ticks until a probe is sent."""
+    for later_ms in range(now_ms, now_ms + 1_000, 100):
+        state, actions = step(state, Tick(), later_ms)
+        for action in actions:
+            if isinstance(action, SendMessage):
+                return state, action
+    raise AssertionError("no probe was sent")
+
+
+def _answer(fleet: Fleet, name: str, probe: SendMessage) -> RevisionAnswer:
+    event = MessageReceived(address="x", message=probe.message)
+    _, actions = step(fleet.states[name], event, fleet.now_ms)
+    (action,) = (a for a in actions if isinstance(a, SendMessage))
+    assert isinstance(action.message, RevisionAnswer)
+    return action.message
+
+
+def test_deltas_with_another_digest_are_left_and_the_store_is_asked() -> None:
+    fleet = _signed_fleet()
+    behind, probe = _probe_of(fleet.states["b-0"], fleet.now_ms)
+    fleet.commit("a-0", vm_out("x")).unwrap()
+    answer = dataclasses.replace(_answer(fleet, "a-0", probe), digest="0" * 64)
+    event = MessageReceived(address=probe.address, message=answer)
+    state, _ = step(behind, event, fleet.now_ms)
+    assert state.revision == 1
+    assert state.counters.digest_mismatches == 1
+    fleet.states["b-0"] = state
+    fleet.run(3_000)
+    assert fleet.states["b-0"].revision == 2
+
+
+@pytest.mark.parametrize("delay_ms", [0, 900, 4_000])
+def test_held_up_answer_proves_no_more_than_its_probe(delay_ms: int) -> None:
+    fleet = _signed_fleet()
+    state, probe = _probe_of(fleet.states["b-0"], fleet.now_ms)
+    sent_ms = state.outstanding[-1].sent_ms
+    answer = dataclasses.replace(_answer(fleet, "a-0", probe), proof_age_ms=0)
+    state = dataclasses.replace(state, proven_ms=None, head_read_ms=None)
+    arrival_ms = sent_ms + delay_ms
+    state, _ = step(state, Tick(), arrival_ms)
+    event = MessageReceived(address=probe.address, message=answer)
+    state, _ = step(state, event, arrival_ms)
+    expected = sent_ms if delay_ms < 1_000 else None
+    assert state.proven_ms == expected
+
+
+def test_node_that_knows_of_a_revision_it_cannot_get_refuses() -> None:
+    fleet = _signed_fleet()
+    fleet.store.set_down(True)
+    fleet.run(6_000)
+    assert fleet.standings()["b-0"] is Standing.STORE_LOST
+    probe = RevisionProbe(nonce=0, revision=2, digest="")
+    event: ReplicaEvent = MessageReceived(address="gone", message=probe)
+    fleet.handle("b-0", event)
+    fleet.run(1_500)
+    assert fleet.standings()["b-0"] is Standing.STORE_LOST
+    fleet.run(1_000)
+    assert fleet.standings()["b-0"] is Standing.BEHIND
+
+
+def test_diverged_replica_is_repaired_from_the_store() -> None:
+    fleet = _signed_fleet()
+    state = fleet.states["b-0"]
+    wrong = dataclasses.replace(state.configuration, vms_out=frozenset("z"))
+    fleet.states["b-0"] = dataclasses.replace(
+        state, configuration=wrong, digest="0" * 64
+    )
+    fleet.run(3_000)
+    repaired = fleet.states["b-0"]
+    assert repaired.counters.divergences > 0
+    assert repaired.configuration == fleet.states["a-0"].configuration
+
+
+def test_peers_do_not_take_over_a_diverged_configuration() -> None:
+    fleet = _signed_fleet()
+    fleet.store.set_down(True)
+    state = fleet.states["b-0"]
+    wrong = dataclasses.replace(state.configuration, vms_out=frozenset("z"))
+    fleet.states["b-0"] = dataclasses.replace(
+        state, configuration=wrong, digest="0" * 64
+    )
+    fleet.run(8_000)
+    others = [s for n, s in fleet.states.items() if n != "b-0"]
+    assert {s.configuration.vms_out for s in others} == {frozenset()}
+
+
+def test_damaged_head_proves_nothing_and_stops_nobody() -> None:
+    fleet = _signed_fleet()
+    entry = fleet.store.get(HEAD_KEY).unwrap()
+    assert entry is not None
+    fleet.store.put_if(HEAD_KEY, b"x", entry.revision).unwrap()
+    fleet.run(8_000)
+    assert set(fleet.standings().values()) == {Standing.STORE_LOST}
+    assert fleet.states["a-0"].counters.damaged > 0
+
+
+def test_store_that_lost_its_data_turns_nobody_back() -> None:
+    fleet = _signed_fleet()
+    first = fleet.store.get(HEAD_KEY).unwrap()
+    assert first is not None
+    fleet.commit("a-0", vm_out("x")).unwrap()
+    fleet.run(1_000)
+    entry = fleet.store.get(HEAD_KEY).unwrap()
+    assert entry is not None
+    fleet.store.put_if(HEAD_KEY, first.value, entry.revision).unwrap()
+    fleet.run(8_000)
+    assert fleet.revisions() == {2}
+    assert fleet.commit("a-0", vm_out("y")).failure()
+
+
+def test_head_whose_deltas_do_not_add_up_is_not_taken() -> None:
+    fleet = _signed_fleet()
+    state = fleet.states["b-0"]
+    fleet.commit("a-0", vm_out("x")).unwrap()
+    entry = fleet.store.get(HEAD_KEY).unwrap()
+    assert entry is not None
+    head = decode_head(entry.value).unwrap()
+    wrong = dataclasses.replace(head, digest="0" * 64)
+    event = HeadRead(value=encode_head(wrong), sent_ms=fleet.now_ms)
+    state, _ = step(state, event, fleet.now_ms)
+    assert state.revision == 1
+    assert state.counters.digest_mismatches == 1
+
+
+def test_links_spread_clients_over_relays_and_reach_every_domain() -> None:
+    nodes = [
+        PeerNode(name=f"{d}-{n}", failure_domain=d, address=f"{d}-{n}")
+        for d in "abcdefghi"
+        for n in range(43)
+    ]
+    links = {
+        node.name: plan_links(node, [n for n in nodes if n != node], 3)
+        for node in nodes
+    }
+    relays = {name: each for name, each in links.items() if each.is_relay}
+    assert len(relays) == 27
+    for name, each in relays.items():
+        assert {n.failure_domain for n in each.relays} == set("abcdefghi")
+        assert len(each.relays) + len(each.clients) < 48
+        assert all(links[c.name].relays[0].name == name for c in each.clients)
+    assert sum(len(each.clients) for each in relays.values()) == 387 - 27
+
+
+def test_in_force_names_who_lacks_a_revision() -> None:
+    reports = [
+        NodeRevision(name="c", revision=6, age_ms=60_000),
+        NodeRevision(name="b", revision=6, age_ms=100),
+        NodeRevision(name="a", revision=7, age_ms=60_000),
+        NodeRevision(name="d", revision=8, age_ms=100),
+    ]
+    status = in_force(7, reports)
+    assert status.in_force == ("a", "d")
+    assert [report.name for report in status.behind] == ["b"]
+    assert [report.name for report in status.silent] == ["c"]
+    assert not status.is_everywhere
+    assert in_force(6, reports).is_everywhere
+
+
+def test_standing_before_the_first_view_is_starting() -> None:
+    fleet = Fleet("a", 1)
+    fleet.start()
+    state = dataclasses.replace(fleet.states["a-0"], joined_ms=None)
+    for later_ms in range(0, 5_000, 100):
+        head = HeadRead(value=None, sent_ms=later_ms)
+        state, _ = step(state, head, later_ms)
+        assert standing(state, later_ms) is Standing.STARTING
