Never claim not_run for a key whose history is not known

Cause: a repeat of a call that ran could be refused as not_run, when the store was down or the workspace had lost the operation since; a caller that believes it sends the call again under a new key. Ruled out: refusing with not_run and asking for patience. Change: the outcome is unknown unless this node is the key's home and has no history of it.

--- a/trefoilpitch/callers/_api.py
+++ b/trefoilpitch/callers/_api.py
@@ -302,7 +302,7 @@
         call = self._call_request(request, workspace, key.unwrap())
         operation = self._services.calls.operation(call)
         if not isinstance(operation, Success):
-            return self._refuse(operation.failure())
+            return self._refuse(self._without_claim(operation.failure(), call))
         result = self._run_call(request, call, operation.unwrap())
         if not isinstance(result, Success):
             return self._refuse(result.failure())
@@ -318,6 +318,18 @@
             headers=(header,),
         )
 
+    def _without_claim(self, problem: Problem, call: CallRequest) -> Problem:
+        """Drops a claim that nothing ran where a repeat may be refused.
+
+        The key's earlier request may have run while it was still allowed.
+        """
+        if call.key is None or call.method == "GET":
+            return problem
+        slot = RequestSlot(call.workspace.name, call.key.text)
+        if self._services.keyed_calls.is_first(slot, call.key):
+            return problem
+        return dataclasses.replace(problem, outcome=Outcome.UNKNOWN)
+
     def _run_call(
         self, request: Request, call: CallRequest, operation: Operation
     ) -> Result[CallAnswer | Response, Problem]:
--- a/trefoilpitch/callers/_keyed_calls.py
+++ b/trefoilpitch/callers/_keyed_calls.py
@@ -120,6 +120,12 @@
             return self._run_here(call, call.key.issued_ms, execute)
         return self._run_registered(call, call.key, execute)
 
+    def is_first(self, slot: RequestSlot, key: RequestKey) -> bool:
+        """Returns whether no request with the key can have run before."""
+        if not isinstance(key, HomedKey) or key.home != self._homes.own:
+            return False
+        return self._keyed.is_first(slot, key.issued_ms)
+
     def _run_registered(
         self,
         call: KeyedCall,
--- /dev/null
+++ b/trefoilpitch/daemon/_load.py
@@ -0,0 +1,66 @@
+"""Fetches the load reports of the upstreams that the node follows."""
+
+from __future__ import annotations
+
+import concurrent.futures
+
+import pykka
+from returns.result import Success
+
+from trefoilpitch.clock import Clock
+from trefoilpitch.metrics import Metrics
+from trefoilpitch.serving import UpstreamDirectory
+from trefoilpitch.supervision import Tick
+
+LOAD_TICK_MS = 500
+
+_FETCH_TIMEOUT_MS = 300
+_FETCHERS = 4
+
+
+class LoadActor(pykka.ThreadingActor):
+    """Fetches every report on each tick.
+
+    Args:
+        directory: Names the upstreams and takes their reports.
+        clock: Measures deadlines.
+        metrics: Counts failures.
+    """
+
+    def __init__(
+        self, directory: UpstreamDirectory, clock: Clock, metrics: Metrics
+    ) -> None:
+        super().__init__()
+        self._directory = directory
+        self._clock = clock
+        self._metrics = metrics
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            _FETCHERS, thread_name_prefix="load"
+        )
+
+    def on_receive(self, message: object) -> None:
+        """Fetches all reports."""
+        if not isinstance(message, Tick):
+            return
+        followed = self._directory.followed()
+        names = [one.upstream.name for one in followed]
+        list(self._pool.map(self._fetch, names))
+
+    def on_stop(self) -> None:
+        """Ends the fetching threads."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def on_failure(self, *exc_info: object) -> None:
+        """Ends the fetching threads."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _fetch(self, name: str) -> None:
+        reporter = self._directory.reporter(name)
+        if reporter is None:
+            return
+        deadline_ms = self._clock.now_ms() + _FETCH_TIMEOUT_MS
+        report = reporter.load_report(deadline_ms=deadline_ms)
+        if isinstance(report, Success):
+            self._directory.record_report(name, report.unwrap())
+        else:
+            self._metrics.count("load_report_failures")
--- /dev/null
+++ b/trefoilpitch/daemon/tests/test_settings.py
@@ -0,0 +1,54 @@
+import pytest
+
+from trefoilpitch.daemon._exceptions import SettingsError
+from trefoilpitch.daemon._settings import Settings, read_settings
+
+_ENVIRONMENT = {
+    "TREFOILPITCH_VM_NAME": "entry-1",
+    "TREFOILPITCH_FAILURE_DOMAIN": "suva",
+    "TREFOILPITCH_SHARED_KEY": "0123456789abcdef",
+    "TREFOILPITCH_ADMIN_TOKEN_SHA256": "0" * 64,
+}
+
+
+def _read(*flags: str, **environment: str) -> Settings:
+    return read_settings(
+        ["trefoilpitchd", *flags], {**_ENVIRONMENT, **environment}
+    )
+
+
+def test_a_flag_goes_before_the_environment_before_the_default() -> None:
+    settings = _read("--vm_name=entry-2", TREFOILPITCH_MAX_REQUESTS="7")
+    assert settings.vm_name == "entry-2"
+    assert settings.max_requests == 7
+    assert str(settings.store_address) == "127.0.0.1:2379"
+
+
+def test_every_fault_is_listed_at_once() -> None:
+    with pytest.raises(SettingsError) as caught:
+        read_settings(["trefoilpitchd", "--peer_address=entry-1:80"], {})
+    text = str(caught.value)
+    for expected in (
+        "--vm_name (TREFOILPITCH_VM_NAME): is required",
+        "--shared_key",
+        "--admin_token_sha256",
+        "names are not resolved",
+    ):
+        assert expected in text
+
+
+@pytest.mark.parametrize(
+    "flag",
+    [
+        "--caller_address=127.0.0.1",
+        "--caller_address=127.0.0.1:99999",
+        "--max_requests=many",
+        "--rating_share=2",
+        "--log_format=xml",
+        "--shared_key=short",
+        "--no_such_flag=1",
+    ],
+)
+def test_unusable_settings_are_refused(flag: str) -> None:
+    with pytest.raises(SettingsError):
+        _read(flag)
--- a/trefoilpitch/requests/_registry.py
+++ b/trefoilpitch/requests/_registry.py
@@ -128,12 +128,18 @@
         entry = self._entries.get(slot)
         if entry is not None:
             return _repeat(entry, fingerprint)
-        expires_ms = issued_ms + self._key_validity_ms
-        if issued_ms > now_ms or expires_ms <= now_ms:
+        if not self.is_first(slot, issued_ms, now_ms):
             return Admission(Verdict.EXPIRED)
+        expires_ms = issued_ms + self._key_validity_ms
         self._entries[slot] = _Entry(fingerprint, expires_ms)
         return Admission(Verdict.RUN)
 
+    def is_first(self, slot: RequestSlot, issued_ms: int, now_ms: int) -> bool:
+        """Returns whether the key is valid and no request has used it."""
+        if slot in self._entries:
+            return False
+        return issued_ms <= now_ms < issued_ms + self._key_validity_ms
+
     def finish_not_run(self, slot: RequestSlot) -> None:
         """Records that the request did not run, so that it may run later."""
         self._entries.pop(slot, None)
--- a/trefoilpitch/serving/_keyed.py
+++ b/trefoilpitch/serving/_keyed.py
@@ -82,6 +82,12 @@
             self._registry.finish_ran(slot, answer, answer_bytes)
             self._changed.notify_all()
 
+    def is_first(self, slot: RequestSlot, issued_ms: int) -> bool:
+        """Returns whether the key is valid and has no history."""
+        with self._changed:
+            now_ms = self._clock.now_ms()
+            return self._registry.is_first(slot, issued_ms, now_ms)
+
     def size(self) -> int:
         """Returns the number of requests that are remembered."""
         with self._changed:
