--- a/trefoilpitch/standins/_engine_handler.py
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -6,10 +6,11 @@
 ``POST /standin/settings``, ``POST /standin/restart`` and
 ``GET /standin/counts``.
 
-Kinds of fault: ``slow_headers``, ``refuse``, ``cut_stream``, ``drop_answer``
-(cut and not held), ``stall``, ``gap``, ``repeat``, ``missing_end``,
-``malformed``, ``wrong_version``, ``error_event``, ``crossed`` (events and
-headers of another request) and ``crossed_events`` (its events only).
+Kinds of fault: ``slow_headers``, ``refuse``, ``refuse_resume``,
+``cut_stream``, ``drop_answer`` (cut and not held), ``stall``, ``gap``,
+``repeat``, ``missing_end``, ``malformed``, ``wrong_version``,
+``error_event``, ``crossed`` (events and headers of another request) and
+``crossed_events`` (its events only).
 """
 
 from __future__ import annotations
@@ -103,7 +104,7 @@
     def _complete(self) -> None:
         body = self.read_json(_CompletionBody)
         self._delay()
-        if self._refuse_on_command():
+        if self._refuse_on_command("refuse"):
             return
         prompt = Prompt(
             request_id=self.request_id,
@@ -124,6 +125,8 @@
 
     def _resume(self, request_id: str) -> None:
         self._delay()
+        if self._refuse_on_command("refuse_resume"):
+            return
         answer = self.state.attach(request_id)
         if answer is None:
             self.reply_json({"error": "not held"}, status=404)
@@ -145,8 +148,8 @@
         if fault is not None:
             time.sleep(fault.delay_ms / _MS_PER_S)
 
-    def _refuse_on_command(self) -> bool:
-        fault = self.faults.take(self.path, "refuse")
+    def _refuse_on_command(self, kind: str) -> bool:
+        fault = self.faults.take(self.path, kind)
         if fault is None:
             return False
         headers = _NOT_RUN if fault.not_run else {}
--- a/trefoilpitch/standins/_stream_writer.py
+++ b/trefoilpitch/standins/_stream_writer.py
@@ -138,7 +138,7 @@
             "completion_tokens": sum(self._answer.tokens),
         }
         end = self._event(
-            "",
+            f"id: {len(self._answer.texts)}\n",
             choices=[choice],
             usage=usage,
             confidence=self._answer.confidence,
--- a/trefoilpitch/upstreams/__init__.py
+++ b/trefoilpitch/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """Clients of model engines and plain services."""
 
 from trefoilpitch.upstreams._answer_stream import AnswerStream, collect
+from trefoilpitch.upstreams._cancellation import Cancellation
 from trefoilpitch.upstreams._deadlines import DeadlineWatch
 from trefoilpitch.upstreams._engine_client import (
     EngineClient,
@@ -14,13 +15,20 @@
     ErrorReplyError,
     Execution,
     IncompleteReplyError,
+    InvalidRequestError,
     MismatchedReplyError,
     OverloadedError,
     PoolExhaustedError,
     RefusedError,
     ReplyTooLargeError,
+    ResumeError,
+    StaleFencingError,
     UpstreamError,
 )
+from trefoilpitch.upstreams._fakes import (
+    FakeEngineClient,
+    FakeServiceClient,
+)
 from trefoilpitch.upstreams._nodes import (
     CacheEvent,
     CacheEvents,
@@ -29,6 +37,9 @@
     Finish,
     LoadReport,
     Message,
+    Order,
+    OrderKind,
+    OrderReply,
     ServiceReply,
     ServiceRequest,
     Timeouts,
@@ -42,8 +53,11 @@
 __all__ = [
     # Clients.
     "AnswerStream",
+    "Cancellation",
     "DeadlineWatch",
     "EngineClient",
+    "FakeEngineClient",
+    "FakeServiceClient",
     "ServiceClient",
     "collect",
     "open_engine_client",
@@ -57,6 +71,9 @@
     "Finish",
     "LoadReport",
     "Message",
+    "Order",
+    "OrderKind",
+    "OrderReply",
     "ServiceReply",
     "ServiceRequest",
     "Timeouts",
@@ -68,10 +85,13 @@
     "ErrorReplyError",
     "Execution",
     "IncompleteReplyError",
+    "InvalidRequestError",
     "MismatchedReplyError",
     "OverloadedError",
     "PoolExhaustedError",
     "RefusedError",
     "ReplyTooLargeError",
+    "ResumeError",
+    "StaleFencingError",
     "UpstreamError",
 ]
--- a/trefoilpitch/upstreams/_answer_events.py
+++ b/trefoilpitch/upstreams/_answer_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -17,6 +17,10 @@
 _END_MARKER = "[DONE]"
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
 class _Delta(msgspec.Struct, frozen=True):
     content: str | None = None
 
@@ -27,8 +31,8 @@
 
 
 class _Usage(msgspec.Struct, frozen=True):
-    prompt_tokens: int
-    completion_tokens: int
+    prompt_tokens: _Count
+    completion_tokens: _Count
 
 
 class _Event(msgspec.Struct, frozen=True):
@@ -36,8 +40,8 @@
     model: str = ""
     choices: list[_Choice] = []
     usage: _Usage | None = None
-    confidence: float | None = None
-    tokens: int | None = None
+    confidence: _Share | None = None
+    tokens: _Count | None = None
     error: dict[str, Any] | None = None
 
 
@@ -63,7 +67,7 @@
         self._next_index = next_index
         self._finish_reason: str | None = None
         self._usage: _Usage | None = None
-        self._confidence: float | None = None
+        self._confidence: _Share | None = None
         self._done = False
 
     @property
@@ -95,7 +99,7 @@
     def _decode(self, data: str) -> _Event:
         try:
             return _DECODER.decode(data)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise self._invalid(f"an event is malformed: {error}") from error
 
     def _check_owner(self, event: _Event) -> None:
@@ -116,19 +120,25 @@
             raise self._invalid("an event holds more than one choice")
         if self._finish_reason is not None:
             raise self._invalid("a choice follows the finish")
+        self._check_index(event.event_id)
         choice = decoded.choices[0]
         self._finish_reason = choice.finish_reason
-        if not choice.delta.content:
+        text = choice.delta.content or ""
+        if not text and self._finish_reason is not None:
             return None
-        return self._chunk(event.event_id, choice.delta.content, decoded.tokens)
-
-    def _chunk(self, event_id: str, text: str, tokens: int | None) -> Chunk:
-        index = self._next_index
-        if event_id != str(index):
-            raise self._invalid(f"chunk {event_id!r} came in place of {index}")
+        tokens = decoded.tokens
+        if tokens is None:
+            tokens = 1 if text else 0
+        return Chunk(index=int(event.event_id), text=text, tokens=tokens)
+
+    def _check_index(self, event_id: str) -> None:
+        # The finish is numbered too, or the loss of the last chunk would go
+        # unnoticed.
+        expected = str(self._next_index)
+        if event_id != expected:
+            detail = f"event {event_id!r} came in place of {expected!r}"
+            raise self._invalid(detail)
         self._next_index += 1
-        tokens = 1 if tokens is None else tokens
-        return Chunk(index=index, text=text, tokens=tokens)
 
     def _finish(self) -> Finish:
         if self._finish_reason is None or self._usage is None:
--- a/trefoilpitch/upstreams/_answer_stream.py
+++ b/trefoilpitch/upstreams/_answer_stream.py
@@ -7,11 +7,10 @@
 from typing import Protocol, Self
 
 from trefoilpitch.upstreams._answer_events import AnswerDecoder
-from trefoilpitch.upstreams._connections import Exchange
 from trefoilpitch.upstreams._exceptions import (
     IncompleteReplyError,
-    UpstreamError,
 )
+from trefoilpitch.upstreams._exchange import Exchange
 from trefoilpitch.upstreams._nodes import Chunk, Finish
 from trefoilpitch.upstreams._sse import SseDecoder, SseFormatError
 
@@ -111,4 +110,4 @@
         if isinstance(item, Finish):
             return chunks, item
         chunks.append(item)
-    raise UpstreamError("unknown", "the stream ended without a finish")
+    raise IncompleteReplyError("unknown", "the stream has no finish")
--- /dev/null
+++ b/trefoilpitch/upstreams/_connection_pool.py
@@ -0,0 +1,132 @@
+"""A bounded pool of connections to one upstream.
+
+The pool drives urllib3's connections itself rather than through urllib3's
+pools, so that what was sent when a failure comes is known, an exchange can be
+aborted from another thread, and nothing is retried or redirected unseen.
+"""
+
+from __future__ import annotations
+
+import threading
+
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.clock import Clock
+from trefoilpitch.upstreams._cancellation import Cancellation
+from trefoilpitch.upstreams._checked_connection import CheckedConnection
+from trefoilpitch.upstreams._deadlines import DeadlineWatch
+from trefoilpitch.upstreams._exceptions import (
+    InvalidRequestError,
+    PoolExhaustedError,
+    UpstreamError,
+)
+from trefoilpitch.upstreams._exchange import Exchange
+from trefoilpitch.upstreams._http_request import HttpRequest
+from trefoilpitch.upstreams._nodes import Timeouts
+
+
+class ConnectionPool:
+    """At most a fixed number of connections to one upstream.
+
+    Args:
+        upstream: The upstream's name.
+        address: IP number and port.
+        max_connections: Most connections in use at once.
+        timeouts: How long each phase of an exchange may take.
+        clock: Measures deadlines.
+        watch: Expires exchanges; shared by many pools.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstream: str,
+        address: str,
+        max_connections: int,
+        timeouts: Timeouts,
+        clock: Clock,
+        watch: DeadlineWatch,
+    ) -> None:
+        self._upstream = upstream
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._timeouts = timeouts
+        self._clock = clock
+        self._watch = watch
+        self._slots = threading.BoundedSemaphore(max_connections)
+        self._idle: list[CheckedConnection] = []
+        self._lock = threading.Lock()
+        self._closed = False
+
+    @property
+    def upstream(self) -> str:
+        """The upstream's name."""
+        return self._upstream
+
+    def send(
+        self, request: HttpRequest, cancellation: Cancellation | None = None
+    ) -> Result[Exchange, UpstreamError]:
+        """Sends a request and reads the reply's headers.
+
+        Args:
+            request: What to send.
+            cancellation: Cancels the exchange from another thread.
+
+        Returns:
+            The exchange, which the caller must close, or why there is none.
+        """
+        defect = request.defect()
+        if defect is not None:
+            return Failure(InvalidRequestError(self._upstream, defect))
+        if not self._slots.acquire(blocking=False):
+            detail = "all connections are in use"
+            return Failure(PoolExhaustedError(self._upstream, detail))
+        exchange = self._exchange(request)
+        try:
+            if cancellation is not None:
+                cancellation.attach(exchange)
+            failure = exchange.open(self._take())
+        except BaseException:
+            exchange.close()
+            raise
+        if failure is not None:
+            exchange.close()
+            return Failure(failure)
+        return Success(exchange)
+
+    def close(self) -> None:
+        """Closes idle connections; exchanges under way end on their own."""
+        with self._lock:
+            self._closed = True
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _exchange(self, request: HttpRequest) -> Exchange:
+        return Exchange(
+            upstream=self._upstream,
+            request=request,
+            timeouts=self._timeouts,
+            clock=self._clock,
+            watch=self._watch,
+            release=self._release,
+        )
+
+    def _take(self) -> CheckedConnection:
+        while True:
+            with self._lock:
+                connection = self._idle.pop() if self._idle else None
+            if connection is None:
+                return CheckedConnection(self._host, self._port)
+            if connection.is_connected:
+                return connection
+            connection.close()
+
+    def _release(self, connection: CheckedConnection, reusable: bool) -> None:
+        with self._lock:
+            keep = reusable and not self._closed and connection.is_connected
+            if keep:
+                self._idle.append(connection)
+        if not keep:
+            connection.close()
+        self._slots.release()
--- a/trefoilpitch/upstreams/_deadlines.py
+++ b/trefoilpitch/upstreams/_deadlines.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import threading
+import weakref
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -36,7 +37,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._heap: list[tuple[int, int, Abortable]] = []
+        self._heap: list[tuple[int, int, weakref.ref[Abortable]]] = []
         self._ties = itertools.count()
         self._changed = threading.Condition()
         self._closed = False
@@ -63,7 +64,7 @@
             return
         with self._changed:
             earliest = self._heap[0][0] if self._heap else None
-            heapq.heappush(self._heap, (due_ms, next(self._ties), item))
+            self._push(due_ms, item)
             if earliest is None or due_ms < earliest:
                 self._changed.notify()
 
@@ -95,12 +96,18 @@
         now_ms = self._clock.now_ms()
         expired: list[Abortable] = []
         while self._heap and self._heap[0][0] <= now_ms:
-            _, _, item = heapq.heappop(self._heap)
-            due_ms = item.due_ms
-            if due_ms is None:
+            _, _, reference = heapq.heappop(self._heap)
+            item = reference()
+            due_ms = item.due_ms if item is not None else None
+            if item is None or due_ms is None:
                 continue
             if due_ms <= now_ms:
                 expired.append(item)
             else:
-                heapq.heappush(self._heap, (due_ms, next(self._ties), item))
+                self._push(due_ms, item)
         return expired
+
+    def _push(self, due_ms: int, item: Abortable) -> None:
+        # A weak reference lets an ended item go before its due time.
+        entry = (due_ms, next(self._ties), weakref.ref(item))
+        heapq.heappush(self._heap, entry)
--- a/trefoilpitch/upstreams/_exceptions.py
+++ b/trefoilpitch/upstreams/_exceptions.py
@@ -64,6 +64,12 @@
         return self._retry_after_ms
 
 
+class InvalidRequestError(UpstreamError):
+    """The request cannot be sent as HTTP or is too large; nothing was sent."""
+
+    default_execution = Execution.NOT_RUN
+
+
 class ConnectError(UpstreamError):
     """No connection was made, so no byte was sent."""
 
@@ -136,5 +142,33 @@
     """The reply exceeds the limit on its size."""
 
 
-class AnswerGoneError(UpstreamError):
+class ResumeError(UpstreamError):
+    """An answer could not be resumed.
+
+    Whatever stood in the way of attaching again proves nothing about the
+    request itself, which may have run.
+
+    Args:
+        cause: What stood in the way.
+    """
+
+    def __init__(self, cause: UpstreamError) -> None:
+        super().__init__(
+            cause.upstream, cause.detail, retry_after_ms=cause.retry_after_ms
+        )
+        self._cause = cause
+
+    @property
+    def cause(self) -> UpstreamError:
+        """What stood in the way."""
+        return self._cause
+
+
+class AnswerGoneError(ResumeError):
     """The engine does not hold the answer that was to be resumed."""
+
+
+class StaleFencingError(UpstreamError):
+    """The engine has seen a higher fencing number and ignores the order."""
+
+    default_execution = Execution.NOT_RUN
--- /dev/null
+++ b/trefoilpitch/upstreams/_fakes.py
@@ -0,0 +1,266 @@
+"""An engine and a plain service in memory."""
+
+from __future__ import annotations
+
+import collections
+import threading
+from collections.abc import Callable, Iterator, Sequence
+from types import TracebackType
+from typing import Self
+
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.upstreams._answer_stream import AnswerStream
+from trefoilpitch.upstreams._cancellation import Cancellation
+from trefoilpitch.upstreams._exceptions import (
+    AnswerGoneError,
+    CancelledError,
+    ConnectError,
+    IncompleteReplyError,
+    StaleFencingError,
+    UpstreamError,
+)
+from trefoilpitch.upstreams._nodes import (
+    CacheEvents,
+    Chunk,
+    CompletionRequest,
+    Finish,
+    LoadReport,
+    Order,
+    OrderKind,
+    OrderReply,
+    ServiceReply,
+    ServiceRequest,
+)
+
+AnswerItem = Chunk | Finish | UpstreamError
+
+
+class _FakeAnswerStream:
+    def __init__(self, upstream: str, items: Sequence[AnswerItem]) -> None:
+        self._upstream = upstream
+        self._items = items
+        self._cancelled = threading.Event()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.cancel()
+
+    def __iter__(self) -> Iterator[Chunk | Finish]:
+        for item in self._items:
+            if self._cancelled.is_set():
+                raise CancelledError(self._upstream, "cancelled")
+            if isinstance(item, UpstreamError):
+                raise item
+            yield item
+            if isinstance(item, Finish):
+                return
+        detail = "the answer has no end marker"
+        raise IncompleteReplyError(self._upstream, detail)
+
+    def cancel(self) -> None:
+        self._cancelled.set()
+
+
+class FakeEngineClient:
+    """Gives scripted answers and remembers what it was asked.
+
+    Args:
+        upstream: The upstream's name.
+    """
+
+    def __init__(self, upstream: str = "fake") -> None:
+        self._upstream = upstream
+        self._lock = threading.Lock()
+        self._script: collections.deque[Sequence[AnswerItem]] = (
+            collections.deque()
+        )
+        self._held: dict[str, Sequence[AnswerItem]] = {}
+        self._requests: list[CompletionRequest] = []
+        self._orders: list[Order] = []
+        self._versions: set[VersionRef] = set()
+        self._report: LoadReport | None = None
+        self._events: CacheEvents | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Holds nothing that needs closing."""
+
+    @property
+    def requests(self) -> list[CompletionRequest]:
+        """The requests that were started, in order."""
+        with self._lock:
+            return list(self._requests)
+
+    @property
+    def orders(self) -> list[Order]:
+        """The orders that were carried out, in order."""
+        with self._lock:
+            return list(self._orders)
+
+    def script(self, *items: AnswerItem) -> None:
+        """Plans the next answer; an error in first place refuses it."""
+        with self._lock:
+            self._script.append(items)
+
+    def hold(self, request_id: str, *items: AnswerItem) -> None:
+        """Holds a whole answer, so that it can be resumed."""
+        with self._lock:
+            self._held[request_id] = items
+
+    def set_load_report(self, report: LoadReport | None) -> None:
+        """Sets the load report; None makes it unreachable."""
+        self._report = report
+
+    def set_cache_events(self, events: CacheEvents | None) -> None:
+        """Sets the cache events; None makes them unreachable."""
+        self._events = events
+
+    def start(
+        self,
+        request: CompletionRequest,
+        cancellation: Cancellation | None = None,
+    ) -> Result[AnswerStream, UpstreamError]:
+        """Gives the next scripted answer."""
+        with self._lock:
+            self._requests.append(request)
+            items = self._script.popleft() if self._script else ()
+        if not items:
+            return Failure(ConnectError(self._upstream, "nothing scripted"))
+        if isinstance(items[0], UpstreamError):
+            return Failure(items[0])
+        stream = _FakeAnswerStream(self._upstream, items)
+        if cancellation is not None:
+            cancellation.attach(stream)
+        return Success(stream)
+
+    def resume(
+        self,
+        request_id: str,
+        version: VersionRef,
+        *,
+        after_index: int,
+        deadline_ms: int,
+    ) -> Result[AnswerStream, UpstreamError]:
+        """Gives the rest of an answer that is held."""
+        del version, deadline_ms
+        with self._lock:
+            items = self._held.get(request_id)
+        if items is None:
+            cause = ConnectError(self._upstream, "not held")
+            return Failure(AnswerGoneError(cause))
+        rest = [
+            item
+            for item in items
+            if not isinstance(item, Chunk) or item.index > after_index
+        ]
+        return Success(_FakeAnswerStream(self._upstream, rest))
+
+    def load_report(
+        self, *, deadline_ms: int
+    ) -> Result[LoadReport, UpstreamError]:
+        """Returns the report that was set."""
+        del deadline_ms
+        if self._report is None:
+            return Failure(ConnectError(self._upstream, "no report"))
+        return Success(self._report)
+
+    def cache_events(
+        self, *, after: int, deadline_ms: int
+    ) -> Result[CacheEvents, UpstreamError]:
+        """Returns the events that were set."""
+        del after, deadline_ms
+        if self._events is None:
+            return Failure(ConnectError(self._upstream, "no events"))
+        return Success(self._events)
+
+    def send_order(
+        self, order: Order, *, deadline_ms: int
+    ) -> Result[OrderReply, UpstreamError]:
+        """Carries an order out unless its fencing number is old."""
+        del deadline_ms
+        with self._lock:
+            numbers = [earlier.fencing_number for earlier in self._orders]
+            if order.fencing_number < max(numbers, default=0):
+                detail = "the fencing number is old"
+                return Failure(StaleFencingError(self._upstream, detail))
+            self._orders.append(order)
+            if order.version is not None and order.kind is OrderKind.LOAD:
+                self._versions.add(order.version)
+            if order.version is not None and order.kind is OrderKind.UNLOAD:
+                self._versions.discard(order.version)
+            versions = frozenset(self._versions)
+        return Success(OrderReply(versions=versions, role=order.role))
+
+
+class FakeServiceClient:
+    """Lets a function answer calls and remembers them.
+
+    Args:
+        answer: Called for each request.
+    """
+
+    def __init__(
+        self,
+        answer: Callable[[ServiceRequest], Result[ServiceReply, UpstreamError]],
+    ) -> None:
+        self._answer = answer
+        self._lock = threading.Lock()
+        self._requests: list[ServiceRequest] = []
+        self._report: LoadReport | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Holds nothing that needs closing."""
+
+    @property
+    def requests(self) -> list[ServiceRequest]:
+        """The calls that were made, in order."""
+        with self._lock:
+            return list(self._requests)
+
+    def set_load_report(self, report: LoadReport | None) -> None:
+        """Sets the load report; None makes it unreachable."""
+        self._report = report
+
+    def call(
+        self,
+        request: ServiceRequest,
+        cancellation: Cancellation | None = None,
+    ) -> Result[ServiceReply, UpstreamError]:
+        """Lets the function answer."""
+        del cancellation
+        with self._lock:
+            self._requests.append(request)
+        return self._answer(request)
+
+    def load_report(
+        self, *, deadline_ms: int
+    ) -> Result[LoadReport, UpstreamError]:
+        """Returns the report that was set."""
+        del deadline_ms
+        if self._report is None:
+            return Failure(ConnectError("fake", "no report"))
+        return Success(self._report)
--- /dev/null
+++ b/trefoilpitch/upstreams/_http_engine_client.py
@@ -0,0 +1,247 @@
+"""The adapter to engines that speak HTTP."""
+
+from __future__ import annotations
+
+import urllib.parse
+from types import TracebackType
+from typing import Self
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.upstreams._answer_events import AnswerDecoder
+from trefoilpitch.upstreams._answer_stream import AnswerStream, HttpAnswerStream
+from trefoilpitch.upstreams._cancellation import Cancellation
+from trefoilpitch.upstreams._connection_pool import ConnectionPool
+from trefoilpitch.upstreams._exceptions import (
+    AnswerGoneError,
+    ErrorReplyError,
+    IncompleteReplyError,
+    MismatchedReplyError,
+    ResumeError,
+    UpstreamError,
+)
+from trefoilpitch.upstreams._exchange import Exchange
+from trefoilpitch.upstreams._http_request import HttpRequest
+from trefoilpitch.upstreams._nodes import (
+    CacheEvents,
+    CompletionRequest,
+    LoadReport,
+    Order,
+    OrderReply,
+)
+from trefoilpitch.upstreams._orders import (
+    as_order_error,
+    decode_order_reply,
+    encode_order,
+)
+from trefoilpitch.upstreams._replies import (
+    REQUEST_ID_HEADER,
+    classify_error,
+    exchange_whole,
+)
+from trefoilpitch.upstreams._reports import (
+    fetch_cache_events,
+    fetch_load_report,
+)
+
+_VERSION_HEADER = "Model-Version"
+_PRIORITY_HEADER = "Priority"
+_AFFINITY_HEADER = "Session-Affinity"
+_COMPLETIONS_PATH = "/v1/chat/completions"
+_ORDERS_PATH = "/v1/orders"
+_MAX_ERROR_BYTES = 64 << 10
+_OK = 200
+_NOT_FOUND = 404
+
+
+class HttpEngineClient:
+    """Speaks the OpenAI chat completions protocol.
+
+    Args:
+        pool: Connections for answers.
+        control: Connections for reports and orders, so that answers never
+            hold these up.
+    """
+
+    def __init__(self, pool: ConnectionPool, control: ConnectionPool) -> None:
+        self._pool = pool
+        self._control = control
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._pool.close()
+        self._control.close()
+
+    def start(
+        self,
+        request: CompletionRequest,
+        cancellation: Cancellation | None = None,
+    ) -> Result[AnswerStream, UpstreamError]:
+        """Starts an answer."""
+        wire = HttpRequest(
+            method="POST",
+            path=_COMPLETIONS_PATH,
+            headers=_request_headers(request),
+            body=_encode(request),
+            deadline_ms=request.deadline_ms,
+        )
+        return self._open(
+            wire,
+            request.request_id,
+            str(request.version),
+            next_index=0,
+            cancellation=cancellation,
+        )
+
+    def resume(
+        self,
+        request_id: str,
+        version: VersionRef,
+        *,
+        after_index: int,
+        deadline_ms: int,
+    ) -> Result[AnswerStream, UpstreamError]:
+        """Attaches again to an answer that the engine holds."""
+        quoted = urllib.parse.quote(request_id, safe="")
+        headers = {
+            REQUEST_ID_HEADER: request_id,
+            "Accept": "text/event-stream",
+        }
+        if after_index >= 0:
+            headers["Last-Event-ID"] = str(after_index)
+        wire = HttpRequest(
+            method="GET",
+            path=f"{_COMPLETIONS_PATH}/{quoted}",
+            headers=headers,
+            body=None,
+            deadline_ms=deadline_ms,
+        )
+        opened = self._open(
+            wire, request_id, str(version), next_index=after_index + 1
+        )
+        return opened.alt(_as_resume_error)
+
+    def send_order(
+        self, order: Order, *, deadline_ms: int
+    ) -> Result[OrderReply, UpstreamError]:
+        """Sends an order."""
+        reply = exchange_whole(
+            self._control,
+            HttpRequest(
+                method="POST",
+                path=_ORDERS_PATH,
+                headers={
+                    REQUEST_ID_HEADER: order.request_id,
+                    "Content-Type": "application/json",
+                },
+                body=encode_order(order),
+                deadline_ms=deadline_ms,
+            ),
+            order.request_id,
+            _MAX_ERROR_BYTES,
+        )
+        upstream = self._control.upstream
+        return reply.alt(as_order_error).bind(
+            lambda whole: decode_order_reply(upstream, whole.body)
+        )
+
+    def load_report(
+        self, *, deadline_ms: int
+    ) -> Result[LoadReport, UpstreamError]:
+        """Fetches the engine's last load report."""
+        return fetch_load_report(self._control, deadline_ms)
+
+    def cache_events(
+        self, *, after: int, deadline_ms: int
+    ) -> Result[CacheEvents, UpstreamError]:
+        """Fetches the cache events after a position."""
+        return fetch_cache_events(self._control, after, deadline_ms)
+
+    def _open(
+        self,
+        wire: HttpRequest,
+        request_id: str,
+        version: str,
+        *,
+        next_index: int,
+        cancellation: Cancellation | None = None,
+    ) -> Result[AnswerStream, UpstreamError]:
+        sent = self._pool.send(wire, cancellation)
+        if isinstance(sent, Failure):
+            return Failure(sent.failure())
+        exchange = sent.unwrap()
+        upstream = self._pool.upstream
+        failure = _check_reply(exchange, upstream, request_id, version)
+        if failure is not None:
+            exchange.close()
+            return Failure(failure)
+        decoder = AnswerDecoder(
+            upstream=upstream,
+            request_id=request_id,
+            version=version,
+            next_index=next_index,
+        )
+        return Success(HttpAnswerStream(exchange, decoder, upstream))
+
+
+def _request_headers(request: CompletionRequest) -> dict[str, str]:
+    headers = {
+        REQUEST_ID_HEADER: request.request_id,
+        _PRIORITY_HEADER: request.priority.value,
+        "Content-Type": "application/json",
+        "Accept": "text/event-stream",
+    }
+    if request.affinity:
+        headers[_AFFINITY_HEADER] = request.affinity
+    return headers
+
+
+def _encode(request: CompletionRequest) -> bytes:
+    messages = [
+        {"role": message.role, "content": message.content}
+        for message in request.messages
+    ]
+    return msgspec.json.encode(
+        {
+            "model": str(request.version),
+            "messages": messages,
+            "max_tokens": request.max_output_tokens,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+    )
+
+
+def _check_reply(
+    exchange: Exchange, upstream: str, request_id: str, version: str
+) -> UpstreamError | None:
+    if exchange.status != _OK:
+        return classify_error(exchange, upstream, request_id, _MAX_ERROR_BYTES)
+    answered_id = exchange.headers.get(REQUEST_ID_HEADER)
+    if answered_id != request_id:
+        detail = f"the answer to request {answered_id!r} arrived"
+        return MismatchedReplyError(upstream, detail)
+    answered_version = exchange.headers.get(_VERSION_HEADER, version)
+    if answered_version != version:
+        detail = f"version {answered_version!r} answered"
+        return MismatchedReplyError(upstream, detail)
+    media_type = exchange.headers.get("Content-Type", "")
+    if not media_type.startswith("text/event-stream"):
+        detail = f"the reply is {media_type!r} in place of a stream"
+        return IncompleteReplyError(upstream, detail)
+    return None
+
+
+def _as_resume_error(error: UpstreamError) -> UpstreamError:
+    if isinstance(error, ErrorReplyError) and error.status == _NOT_FOUND:
+        return AnswerGoneError(error)
+    return ResumeError(error)
--- a/trefoilpitch/upstreams/_nodes.py
+++ b/trefoilpitch/upstreams/_nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 
 from trefoilpitch.bundle import Priority, VersionRef
 
@@ -130,6 +131,40 @@
     gap: bool
 
 
+class OrderKind(enum.Enum):
+    """What an engine is ordered to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """An order to an engine; giving it twice has the effect of once."""
+
+    # Identifies the order across retries.
+    request_id: str
+    # What to do.
+    kind: OrderKind
+    # Grows with every holder of the lease under which orders are given.
+    fencing_number: int
+    # The version to load or unload.
+    version: VersionRef | None = None
+    # The role to take.
+    role: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OrderReply:
+    """What an engine reports after carrying out an order."""
+
+    # Versions that serve now; one being loaded is not among them.
+    versions: frozenset[VersionRef]
+    # The engine's role.
+    role: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceRequest:
     """One call of a plain service."""
--- a/trefoilpitch/upstreams/_replies.py
+++ b/trefoilpitch/upstreams/_replies.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 
 from returns.result import Failure, Result, Success
 
-from trefoilpitch.upstreams._connections import Exchange
+from trefoilpitch.upstreams._cancellation import Cancellation
+from trefoilpitch.upstreams._connection_pool import ConnectionPool
 from trefoilpitch.upstreams._exceptions import (
     ErrorReplyError,
     IncompleteReplyError,
@@ -16,13 +18,36 @@
     ReplyTooLargeError,
     UpstreamError,
 )
+from trefoilpitch.upstreams._exchange import Exchange
+from trefoilpitch.upstreams._http_request import HttpRequest
+from trefoilpitch.upstreams._nodes import ServiceReply
 
 REQUEST_ID_HEADER = "Request-Id"
 NOT_RUN_HEADER = "Not-Run"
+# Header fields that concern one connection only, in lower case.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
 _REFUSAL_STATUSES = frozenset({429, 503})
 # A gateway on the way may send these without knowing what became of a request.
 _INCONCLUSIVE_STATUSES = frozenset({408, 429, 502, 503, 504})
+_FIRST_ERROR_STATUS = 400
 _MS_PER_S = 1000
+# Statuses whose replies have no body, whatever their headers say.
+_BODILESS_STATUSES = frozenset({204, 304})
+_NUMBER = re.compile(r"[0-9]{1,15}")
 
 
 def read_whole(
@@ -38,8 +63,8 @@
     Returns:
         The whole body, or why it is not whole.
     """
-    if not _has_marked_end(exchange.headers):
-        detail = "the reply has neither a length nor an end marker"
+    if not _has_marked_end(exchange):
+        detail = "the reply has no valid length and no end marker"
         return Failure(IncompleteReplyError(upstream, detail))
     parts: list[bytes] = []
     size = 0
@@ -55,6 +80,35 @@
     return Success(b"".join(parts))
 
 
+def exchange_whole(
+    pool: ConnectionPool,
+    request: HttpRequest,
+    request_id: str,
+    max_bytes: int,
+    cancellation: Cancellation | None = None,
+) -> Result[ServiceReply, UpstreamError]:
+    """Sends a request and reads its whole reply.
+
+    Args:
+        pool: Connections to the upstream.
+        request: What to send.
+        request_id: What the reply must echo.
+        max_bytes: Largest body of the reply in bytes.
+        cancellation: Cancels the exchange from another thread.
+
+    Returns:
+        The whole reply, or the failure and what it proves.
+    """
+    sent = pool.send(request, cancellation)
+    if isinstance(sent, Failure):
+        return Failure(sent.failure())
+    exchange = sent.unwrap()
+    try:
+        return _read_reply(exchange, pool.upstream, request_id, max_bytes)
+    finally:
+        exchange.close()
+
+
 def classify_error(
     exchange: Exchange, upstream: str, request_id: str, max_bytes: int
 ) -> UpstreamError:
@@ -84,9 +138,45 @@
     )
 
 
-def _has_marked_end(headers: Mapping[str, str]) -> bool:
-    chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
-    return chunked or headers.get("Content-Length", "").isdigit()
+def _read_reply(
+    exchange: Exchange, upstream: str, request_id: str, max_bytes: int
+) -> Result[ServiceReply, UpstreamError]:
+    if exchange.status >= _FIRST_ERROR_STATUS:
+        return Failure(
+            classify_error(exchange, upstream, request_id, max_bytes)
+        )
+    answered_id = exchange.headers.get(REQUEST_ID_HEADER)
+    if answered_id != request_id:
+        detail = f"the reply to request {answered_id!r} arrived"
+        return Failure(MismatchedReplyError(upstream, detail))
+    body = read_whole(exchange, upstream, max_bytes)
+    return body.map(
+        lambda data: ServiceReply(
+            status=exchange.status,
+            body=data,
+            headers=_end_to_end_headers(exchange.headers),
+        )
+    )
+
+
+def _end_to_end_headers(
+    headers: Mapping[str, str],
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in CONNECTION_HEADERS
+    )
+
+
+def _has_marked_end(exchange: Exchange) -> bool:
+    if exchange.method == "HEAD" or exchange.status in _BODILESS_STATUSES:
+        return True
+    coding = exchange.headers.get("Transfer-Encoding", "").lower()
+    length = exchange.headers.get("Content-Length")
+    if length is None:
+        return coding == "chunked"
+    return not coding and _NUMBER.fullmatch(length) is not None
 
 
 def _says_not_run(headers: Mapping[str, str]) -> bool:
@@ -95,4 +185,4 @@
 
 def _retry_after_ms(headers: Mapping[str, str]) -> int | None:
     value = headers.get("Retry-After", "")
-    return int(value) * _MS_PER_S if value.isdecimal() else None
+    return int(value) * _MS_PER_S if _NUMBER.fullmatch(value) else None
--- a/trefoilpitch/upstreams/_reports.py
+++ b/trefoilpitch/upstreams/_reports.py
@@ -1,23 +1,36 @@
-"""Decodes load reports and cache events."""
+"""Fetches and decodes load reports and cache events."""
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from returns.result import Failure, Result, Success
 
 from trefoilpitch.bundle import VERSION_SEPARATOR, VersionRef
+from trefoilpitch.upstreams._connection_pool import ConnectionPool
 from trefoilpitch.upstreams._exceptions import (
+    ErrorReplyError,
     IncompleteReplyError,
     UpstreamError,
 )
+from trefoilpitch.upstreams._http_request import HttpRequest
 from trefoilpitch.upstreams._nodes import CacheEvent, CacheEvents, LoadReport
+from trefoilpitch.upstreams._replies import read_whole
+
+_LOAD_PATH = "/v1/load"
+_CACHE_EVENTS_PATH = "/v1/cache-events"
+_MAX_REPORT_BYTES = 1 << 20
+_OK = 200
+
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _WireReport(msgspec.Struct, frozen=True):
     incarnation: str
-    running: int
-    waiting: int
-    capacity: int
+    running: _Count
+    waiting: _Count
+    capacity: _Count
     warm: bool
     reported_ms: int
     leaving: bool = False
@@ -36,13 +49,32 @@
     events: list[_WireEvent]
 
 
+def fetch_load_report(
+    pool: ConnectionPool, deadline_ms: int
+) -> Result[LoadReport, UpstreamError]:
+    """Fetches and decodes ``GET /v1/load``."""
+    body = _fetch(pool, _LOAD_PATH, deadline_ms)
+    return body.bind(lambda data: decode_load_report(pool.upstream, data))
+
+
+def fetch_cache_events(
+    pool: ConnectionPool, after: int, deadline_ms: int
+) -> Result[CacheEvents, UpstreamError]:
+    """Fetches and decodes ``GET /v1/cache-events``."""
+    body = _fetch(pool, f"{_CACHE_EVENTS_PATH}?after={after}", deadline_ms)
+    return body.bind(
+        lambda data: decode_cache_events(pool.upstream, after, data)
+    )
+
+
 def decode_load_report(
     upstream: str, data: bytes
 ) -> Result[LoadReport, UpstreamError]:
     """Decodes the reply to ``GET /v1/load``."""
     try:
         wire = msgspec.json.decode(data, type=_WireReport)
-    except msgspec.MsgspecError as error:
+        versions = frozenset(map(parse_version, wire.versions))
+    except (msgspec.MsgspecError, ValueError) as error:
         detail = f"the load report is malformed: {error}"
         return Failure(IncompleteReplyError(upstream, detail))
     return Success(
@@ -55,7 +87,7 @@
             warm=wire.warm,
             leaving=wire.leaving,
             cached_prefixes=frozenset(wire.cached_prefixes),
-            versions=frozenset(map(_version_ref, wire.versions)),
+            versions=versions,
             reported_ms=wire.reported_ms,
         )
     )
@@ -70,7 +102,7 @@
     """
     try:
         wire = msgspec.json.decode(data, type=_WireEvents)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         detail = f"the cache events are malformed: {error}"
         return Failure(IncompleteReplyError(upstream, detail))
     by_sequence = {
@@ -87,6 +119,40 @@
     )
 
 
-def _version_ref(name: str) -> VersionRef:
+def parse_version(name: str) -> VersionRef:
+    """Parses ``model@version``.
+
+    Raises:
+        ValueError: If it has another form.
+    """
     model, _, version = name.partition(VERSION_SEPARATOR)
+    if not model or not version:
+        raise ValueError(f"{name!r} does not name a version")
     return VersionRef(model, version)
+
+
+def _fetch(
+    pool: ConnectionPool, path: str, deadline_ms: int
+) -> Result[bytes, UpstreamError]:
+    request = HttpRequest(
+        method="GET",
+        path=path,
+        headers={},
+        body=None,
+        deadline_ms=deadline_ms,
+    )
+    sent = pool.send(request)
+    if isinstance(sent, Failure):
+        return Failure(sent.failure())
+    exchange = sent.unwrap()
+    try:
+        body = read_whole(exchange, pool.upstream, _MAX_REPORT_BYTES)
+        if exchange.status == _OK:
+            return body
+        return Failure(_error_reply(pool.upstream, exchange.status))
+    finally:
+        exchange.close()
+
+
+def _error_reply(upstream: str, status: int) -> UpstreamError:
+    return ErrorReplyError(upstream, f"status {status}", status=status)
--- a/trefoilpitch/upstreams/_service_client.py
+++ b/trefoilpitch/upstreams/_service_client.py
@@ -5,19 +5,17 @@
 from types import TracebackType
 from typing import Protocol, Self
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from trefoilpitch.clock import Clock
-from trefoilpitch.upstreams._connections import (
-    ConnectionPool,
-    Exchange,
-    HttpRequest,
-)
+from trefoilpitch.upstreams._cancellation import Cancellation
+from trefoilpitch.upstreams._connection_pool import ConnectionPool
 from trefoilpitch.upstreams._deadlines import DeadlineWatch
 from trefoilpitch.upstreams._exceptions import (
-    MismatchedReplyError,
+    InvalidRequestError,
     UpstreamError,
 )
+from trefoilpitch.upstreams._http_request import HttpRequest
 from trefoilpitch.upstreams._nodes import (
     LoadReport,
     ServiceReply,
@@ -25,18 +23,15 @@
     Timeouts,
 )
 from trefoilpitch.upstreams._replies import (
+    CONNECTION_HEADERS,
     REQUEST_ID_HEADER,
-    classify_error,
-    read_whole,
+    exchange_whole,
 )
-from trefoilpitch.upstreams._reports import decode_load_report
+from trefoilpitch.upstreams._reports import fetch_load_report
 
 DEFAULT_MAX_BODY_BYTES = 4 << 20
-_LOAD_PATH = "/v1/load"
-_FIRST_ERROR_STATUS = 400
-_CONNECTION_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length"}
-)
+_CONTROL_CONNECTIONS = 1
+_RESERVED_HEADERS = CONNECTION_HEADERS | {REQUEST_ID_HEADER.lower()}
 
 
 class ServiceClient(Protocol):
@@ -52,16 +47,19 @@
     ) -> None: ...
 
     def call(
-        self, request: ServiceRequest
+        self,
+        request: ServiceRequest,
+        cancellation: Cancellation | None = None,
     ) -> Result[ServiceReply, UpstreamError]:
         """Makes one call, sent at most once.
 
+        Args:
+            request: What to call.
+            cancellation: Cancels the call from another thread.
+
         Returns:
             The whole reply, or the failure and what it proves. A whole reply
             with an error status is ``ErrorReplyError``, with the body.
-
-        Raises:
-            ValueError: If the body exceeds the limit.
         """
 
     def load_report(
@@ -71,8 +69,14 @@
 
 
 class _HttpServiceClient:
-    def __init__(self, pool: ConnectionPool, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        control: ConnectionPool,
+        max_body_bytes: int,
+    ) -> None:
         self._pool = pool
+        self._control = control
         self._max_body_bytes = max_body_bytes
 
     def __enter__(self) -> Self:
@@ -85,75 +89,37 @@
         trace: TracebackType | None,
     ) -> None:
         self._pool.close()
+        self._control.close()
 
     def call(
-        self, request: ServiceRequest
+        self,
+        request: ServiceRequest,
+        cancellation: Cancellation | None = None,
     ) -> Result[ServiceReply, UpstreamError]:
         """Makes one call, sent at most once."""
         if len(request.body) > self._max_body_bytes:
-            raise ValueError(f"the body exceeds {self._max_body_bytes} bytes")
+            detail = f"the body exceeds {self._max_body_bytes} bytes"
+            return Failure(InvalidRequestError(self._pool.upstream, detail))
         wire = HttpRequest(
             method=request.method,
             path=request.path,
-            headers={
-                **dict(request.headers),
-                REQUEST_ID_HEADER: request.request_id,
-            },
+            headers=_request_headers(request),
             body=request.body or None,
             deadline_ms=request.deadline_ms,
         )
-        return self._exchange(wire, request.request_id)
+        return exchange_whole(
+            self._pool,
+            wire,
+            request.request_id,
+            self._max_body_bytes,
+            cancellation,
+        )
 
     def load_report(
         self, *, deadline_ms: int
     ) -> Result[LoadReport, UpstreamError]:
         """Fetches the service's last load report."""
-        wire = HttpRequest(
-            method="GET",
-            path=_LOAD_PATH,
-            headers={REQUEST_ID_HEADER: "load"},
-            body=None,
-            deadline_ms=deadline_ms,
-        )
-        reply = self._exchange(wire, "load")
-        upstream = self._pool.upstream
-        return reply.bind(lambda it: decode_load_report(upstream, it.body))
-
-    def _exchange(
-        self, wire: HttpRequest, request_id: str
-    ) -> Result[ServiceReply, UpstreamError]:
-        sent = self._pool.send(wire)
-        if isinstance(sent, Failure):
-            return Failure(sent.failure())
-        exchange = sent.unwrap()
-        try:
-            return self._read(exchange, request_id)
-        finally:
-            exchange.close()
-
-    def _read(
-        self, exchange: Exchange, request_id: str
-    ) -> Result[ServiceReply, UpstreamError]:
-        upstream = self._pool.upstream
-        limit = self._max_body_bytes
-        if exchange.status >= _FIRST_ERROR_STATUS:
-            return Failure(
-                classify_error(exchange, upstream, request_id, limit)
-            )
-        answered_id = exchange.headers.get(REQUEST_ID_HEADER)
-        if answered_id != request_id:
-            detail = f"the reply to request {answered_id!r} arrived"
-            return Failure(MismatchedReplyError(upstream, detail))
-        body = read_whole(exchange, upstream, limit)
-        if isinstance(body, Failure):
-            return Failure(body.failure())
-        return Success(
-            ServiceReply(
-                status=exchange.status,
-                body=body.unwrap(),
-                headers=_end_to_end_headers(exchange),
-            )
-        )
+        return fetch_load_report(self._control, deadline_ms)
 
 
 def open_service_client(
@@ -180,20 +146,26 @@
     Returns:
         The client, a context manager that closes idle connections.
     """
-    pool = ConnectionPool(
-        upstream=upstream,
-        address=address,
-        max_connections=max_connections,
-        timeouts=timeouts or Timeouts(),
-        clock=clock,
-        watch=watch,
-    )
-    return _HttpServiceClient(pool, max_body_bytes)
-
-
-def _end_to_end_headers(exchange: Exchange) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (name, value)
-        for name, value in exchange.headers.items()
-        if name.lower() not in _CONNECTION_HEADERS
-    )
+
+    def pool(connections: int) -> ConnectionPool:
+        return ConnectionPool(
+            upstream=upstream,
+            address=address,
+            max_connections=connections,
+            timeouts=timeouts or Timeouts(),
+            clock=clock,
+            watch=watch,
+        )
+
+    control = pool(_CONTROL_CONNECTIONS)
+    return _HttpServiceClient(pool(max_connections), control, max_body_bytes)
+
+
+def _request_headers(request: ServiceRequest) -> dict[str, str]:
+    headers = {
+        name: value
+        for name, value in request.headers
+        if name.lower() not in _RESERVED_HEADERS
+    }
+    headers[REQUEST_ID_HEADER] = request.request_id
+    return headers
--- /dev/null
+++ b/trefoilpitch/upstreams/tests/raw_server.py
@@ -0,0 +1,83 @@
+"""A server that replies with given bytes, for replies no library would send."""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import socket
+import threading
+from collections.abc import Iterator, Sequence
+
+
+class RawServer:
+    """Serves connections one after another with scripted bytes."""
+
+    def __init__(
+        self, replies: Sequence[Sequence[bytes]], *, hold: bool = False
+    ) -> None:
+        self.requests: list[bytes] = []
+        self.accepted = 0
+        self.release = threading.Event()
+        if not hold:
+            self.release.set()
+        self._replies = replies
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def close(self) -> None:
+        self.release.set()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._thread.join()
+
+    def _serve(self) -> None:
+        with contextlib.suppress(OSError):
+            for replies in self._replies:
+                connection, _ = self._listener.accept()
+                self.accepted += 1
+                with connection, contextlib.suppress(OSError):
+                    self._answer(connection, replies)
+
+    def _answer(
+        self, connection: socket.socket, replies: Sequence[bytes]
+    ) -> None:
+        for reply in replies:
+            received = _read_request(connection)
+            if not received:
+                return
+            self.requests.append(received)
+            connection.sendall(reply)
+        self.release.wait()
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(1 << 16):
+            pass
+
+
+def _read_request(connection: socket.socket) -> bytes:
+    received = b""
+    while True:
+        data = connection.recv(1 << 16)
+        received += data
+        head, end, body = received.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)content-length: (\d+)", head)
+        expected = int(length.group(1)) if length else 0
+        if not data or (end and len(body) >= expected):
+            return received
+
+
+@contextlib.contextmanager
+def raw_server(
+    *replies: Sequence[bytes], hold: bool = False
+) -> Iterator[RawServer]:
+    """Each argument is one connection's replies, one for each request."""
+    server = RawServer(replies, hold=hold)
+    try:
+        yield server
+    finally:
+        server.close()
--- a/trefoilpitch/upstreams/tests/test_engine_client.py
+++ b/trefoilpitch/upstreams/tests/test_engine_client.py
@@ -1,5 +1,61 @@
-from trefoilpitch.upstreams import collect
-from trefoilpitch.upstreams.tests.harness import completion, engine_bench
+import threading
+
+import pytest
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.standins import EngineSettings, Fault
+from trefoilpitch.upstreams import (
+    AnswerGoneError,
+    Cancellation,
+    CancelledError,
+    Chunk,
+    ConnectError,
+    DeadlineExceededError,
+    DeadlineWatch,
+    ErrorReplyError,
+    Execution,
+    Finish,
+    IncompleteReplyError,
+    MismatchedReplyError,
+    Order,
+    OrderKind,
+    OverloadedError,
+    PoolExhaustedError,
+    RefusedError,
+    ResumeError,
+    StaleFencingError,
+    Timeouts,
+    UpstreamError,
+    collect,
+    open_engine_client,
+)
+from trefoilpitch.upstreams.tests.harness import (
+    CLOCK,
+    DEADLINE_MS,
+    VERSION,
+    EngineBench,
+    completion,
+    engine_bench,
+    wait_until,
+)
+from trefoilpitch.upstreams.tests.raw_server import raw_server
+
+
+def _failure(bench: EngineBench, request_id: str = "r1") -> UpstreamError:
+    """Starts an answer that must fail, at its start or in the middle."""
+    started = bench.client.start(completion(request_id))
+    try:
+        stream = started.unwrap()
+    except Exception:
+        return started.failure()
+    with stream, pytest.raises(UpstreamError) as raised:
+        collect(stream)
+    return raised.value
+
+
+def _deadline_ms() -> int:
+    return CLOCK.now_ms() + DEADLINE_MS
 
 
 def test_a_whole_answer_arrives_in_order() -> None:
@@ -9,3 +65,294 @@
         assert [chunk.index for chunk in chunks] == list(range(len(chunks)))
         assert sum(chunk.tokens for chunk in chunks) == finish.output_tokens
         assert bench.engine.run_counts() == {"r1": 1}
+
+
+@pytest.mark.parametrize(
+    ("fault", "error", "execution"),
+    [
+        (Fault(kind="crossed"), MismatchedReplyError, Execution.UNKNOWN),
+        (Fault(kind="crossed_events"), MismatchedReplyError, Execution.UNKNOWN),
+        (Fault(kind="wrong_version"), MismatchedReplyError, Execution.UNKNOWN),
+        (
+            Fault(kind="cut_stream", after=2),
+            IncompleteReplyError,
+            Execution.UNKNOWN,
+        ),
+        (Fault(kind="gap", after=2), IncompleteReplyError, Execution.UNKNOWN),
+        (
+            Fault(kind="repeat", after=2),
+            IncompleteReplyError,
+            Execution.UNKNOWN,
+        ),
+        (Fault(kind="missing_end"), IncompleteReplyError, Execution.UNKNOWN),
+        (Fault(kind="malformed"), IncompleteReplyError, Execution.UNKNOWN),
+        (Fault(kind="error_event", after=2), ErrorReplyError, Execution.RAN),
+        (Fault(kind="refuse"), RefusedError, Execution.NOT_RUN),
+        (Fault(kind="refuse", status=429), RefusedError, Execution.NOT_RUN),
+        (
+            Fault(kind="refuse", not_run=False),
+            OverloadedError,
+            Execution.UNKNOWN,
+        ),
+        (
+            Fault(kind="refuse", status=500, not_run=False),
+            ErrorReplyError,
+            Execution.RAN,
+        ),
+        # Only statuses that mean a refusal can carry the claim.
+        (Fault(kind="refuse", status=500), ErrorReplyError, Execution.RAN),
+    ],
+)
+def test_a_broken_answer_is_never_taken_for_a_whole_one(
+    fault: Fault, error: type[UpstreamError], execution: Execution
+) -> None:
+    with engine_bench() as bench:
+        bench.engine.commit(fault)
+        failure = _failure(bench)
+        assert (type(failure), failure.execution) == (error, execution)
+        # The next answer is not affected by what is left of this one.
+        with bench.client.start(completion("r2")).unwrap() as stream:
+            collect(stream)
+
+
+def test_a_refused_connection_ran_nothing() -> None:
+    with engine_bench() as bench:
+        address = bench.engine.address
+    with (
+        DeadlineWatch(CLOCK) as watch,
+        open_engine_client(
+            upstream="e1", address=address, clock=CLOCK, watch=watch
+        ) as client,
+    ):
+        failure = client.start(completion()).failure()
+    assert type(failure) is ConnectError
+    assert failure.execution is Execution.NOT_RUN
+
+
+def test_an_exhausted_pool_refuses_before_sending() -> None:
+    with engine_bench(max_connections=1) as bench:
+        with bench.client.start(completion("r1")).unwrap():
+            failure = bench.client.start(completion("r2")).failure()
+            assert type(failure) is PoolExhaustedError
+            assert failure.execution is Execution.NOT_RUN
+        with bench.client.start(completion("r3")).unwrap() as stream:
+            collect(stream)
+        assert sorted(bench.engine.run_counts()) == ["r1", "r3"]
+
+
+def test_a_version_not_loaded_is_refused_as_not_run() -> None:
+    with engine_bench() as bench:
+        request = completion(version=VersionRef("small", "2"))
+        failure = bench.client.start(request).failure()
+        assert type(failure) is RefusedError
+        assert failure.retry_after_ms == 1000
+        assert bench.engine.run_counts() == {}
+
+
+@pytest.mark.parametrize(
+    ("fault", "timeouts"),
+    [
+        (
+            Fault(kind="slow_headers", delay_ms=300),
+            Timeouts(first_byte_ms=20),
+        ),
+        (Fault(kind="stall", after=1), Timeouts(chunk_gap_ms=20)),
+    ],
+)
+def test_a_silent_engine_meets_the_timeout_of_its_phase(
+    fault: Fault, timeouts: Timeouts
+) -> None:
+    with engine_bench(timeouts=timeouts) as bench:
+        bench.engine.commit(fault)
+        failure = _failure(bench)
+        assert type(failure) is DeadlineExceededError
+        assert failure.execution is Execution.UNKNOWN
+        # The late answer to the first request must not reach the second.
+        with bench.client.start(completion("r2")).unwrap() as stream:
+            collect(stream)
+
+
+def test_deadline_is_measured_by_the_injected_clock() -> None:
+    clock = ManualClock(1000)
+    with engine_bench(clock=clock) as bench:
+        bench.engine.commit(Fault(kind="stall", after=1))
+        request = completion(clock=clock, deadline_ms=50)
+        with bench.client.start(request).unwrap() as stream:
+            items = iter(stream)
+            next(items)
+            clock.advance(50)
+            with pytest.raises(DeadlineExceededError):
+                next(items)
+
+
+def test_a_request_past_its_deadline_is_not_sent() -> None:
+    with engine_bench() as bench:
+        failure = bench.client.start(completion(deadline_ms=0)).failure()
+        assert type(failure) is DeadlineExceededError
+        assert failure.execution is Execution.NOT_RUN
+        assert bench.engine.run_counts() == {}
+
+
+def test_cancel_from_another_thread_ends_the_iteration() -> None:
+    with engine_bench() as bench:
+        bench.engine.commit(Fault(kind="stall", after=1))
+        with bench.client.start(completion()).unwrap() as stream:
+            items = iter(stream)
+            next(items)
+            canceller = threading.Thread(target=stream.cancel)
+            canceller.start()
+            with pytest.raises(CancelledError):
+                next(items)
+            canceller.join()
+
+
+def test_cancel_reaches_a_request_that_waits_for_its_first_byte() -> None:
+    with raw_server([b""], hold=True) as server:
+        cancellation = Cancellation()
+
+        def cancel_once_sent() -> None:
+            wait_until(lambda: bool(server.requests))
+            cancellation.cancel()
+
+        canceller = threading.Thread(target=cancel_once_sent)
+        canceller.start()
+        with (
+            DeadlineWatch(CLOCK) as watch,
+            open_engine_client(
+                upstream="e1", address=server.address, clock=CLOCK, watch=watch
+            ) as client,
+        ):
+            failure = client.start(completion(), cancellation).failure()
+        canceller.join()
+    assert type(failure) is CancelledError
+    assert failure.execution is Execution.UNKNOWN
+
+
+def test_cancelled_before_sending_ran_nothing() -> None:
+    with engine_bench() as bench:
+        cancellation = Cancellation()
+        cancellation.cancel()
+        failure = bench.client.start(completion(), cancellation).failure()
+        assert type(failure) is CancelledError
+        assert failure.execution is Execution.NOT_RUN
+        assert bench.engine.run_counts() == {}
+
+
+@pytest.mark.parametrize("after", [0, 1, 3])
+def test_resume_after_a_cut_gives_exactly_the_rest(after: int) -> None:
+    settings = EngineSettings(warm_after=0, token_ms=2)
+    with engine_bench(settings=settings) as bench:
+        with bench.client.start(completion("whole")).unwrap() as stream:
+            whole, _ = collect(stream)
+        bench.engine.commit(Fault(kind="cut_stream", after=after))
+        received: list[Chunk | Finish] = []
+        with (
+            bench.client.start(completion("r1")).unwrap() as stream,
+            pytest.raises(IncompleteReplyError),
+        ):
+            received.extend(stream)
+        resumed = bench.client.resume(
+            "r1", VERSION, after_index=after - 1, deadline_ms=_deadline_ms()
+        )
+        with resumed.unwrap() as stream:
+            rest, finish = collect(stream)
+        assert [*received, *rest] == whole
+        assert finish.output_tokens == sum(chunk.tokens for chunk in whole)
+        assert bench.engine.run_counts()["r1"] == 1
+
+
+@pytest.mark.parametrize("status", [404, 503])
+def test_failing_to_resume_proves_nothing_about_the_request(
+    status: int,
+) -> None:
+    with engine_bench() as bench:
+        if status != 404:
+            bench.engine.commit(Fault(kind="refuse_resume", status=status))
+        resumed = bench.client.resume(
+            "r1", VERSION, after_index=2, deadline_ms=_deadline_ms()
+        )
+        failure = resumed.failure()
+    assert isinstance(failure, ResumeError)
+    assert isinstance(failure, AnswerGoneError) == (status == 404)
+    assert failure.execution is Execution.UNKNOWN
+    unreachable = bench.client.resume(
+        "r1", VERSION, after_index=2, deadline_ms=_deadline_ms()
+    ).failure()
+    assert isinstance(unreachable, ResumeError)
+    assert type(unreachable.cause) is ConnectError
+    assert unreachable.execution is Execution.UNKNOWN
+
+
+def test_an_answer_of_another_version_is_not_resumed() -> None:
+    with engine_bench() as bench:
+        with bench.client.start(completion()).unwrap() as stream:
+            collect(stream)
+        resumed = bench.client.resume(
+            "r1",
+            VersionRef("small", "2"),
+            after_index=-1,
+            deadline_ms=_deadline_ms(),
+        )
+        failure = resumed.failure()
+    assert isinstance(failure, ResumeError)
+    assert type(failure.cause) is MismatchedReplyError
+
+
+def test_an_engine_overfed_while_cold_drops_everything() -> None:
+    settings = EngineSettings(cold_capacity=2, warm_after=1, token_ms=5)
+    with engine_bench(settings=settings) as bench:
+        before = bench.client.load_report(deadline_ms=_deadline_ms()).unwrap()
+        first = bench.client.start(completion("r1")).unwrap()
+        second = bench.client.start(completion("r2")).unwrap()
+        with first, second:
+            third = bench.client.start(completion("r3")).failure()
+            assert third.execution is Execution.UNKNOWN
+            for stream in (first, second):
+                with pytest.raises(IncompleteReplyError):
+                    collect(stream)
+        after = bench.client.load_report(deadline_ms=_deadline_ms()).unwrap()
+        assert not after.warm
+        assert after.incarnation != before.incarnation
+        gone = bench.client.resume(
+            "r1", VERSION, after_index=-1, deadline_ms=_deadline_ms()
+        )
+        assert type(gone.failure()) is AnswerGoneError
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_orders_with_an_old_fencing_number(checks: bool) -> None:
+    settings = EngineSettings(checks_fencing=checks)
+    large = VersionRef("large", "1")
+
+    def order(kind: OrderKind, number: int) -> Order:
+        return Order(
+            request_id=f"o{number}",
+            kind=kind,
+            fencing_number=number,
+            version=large,
+        )
+
+    with engine_bench(settings=settings) as bench:
+        loaded = bench.client.send_order(
+            order(OrderKind.LOAD, 7), deadline_ms=_deadline_ms()
+        )
+        assert loaded.unwrap().versions == {VERSION, large}
+        late = bench.client.send_order(
+            order(OrderKind.UNLOAD, 6), deadline_ms=_deadline_ms()
+        )
+        if checks:
+            assert type(late.failure()) is StaleFencingError
+        else:
+            assert late.unwrap().versions == {VERSION}
+
+
+def test_cache_events_tell_of_a_gap() -> None:
+    with engine_bench() as bench:
+        bench.engine.settings.cache_event_loss = 2
+        for number in range(3):
+            request = completion(f"r{number}", prompt=f"prompt {number}")
+            with bench.client.start(request).unwrap() as stream:
+                collect(stream)
+        events = bench.client.cache_events(after=0, deadline_ms=_deadline_ms())
+        assert [event.sequence for event in events.unwrap().events] == [1, 3]
+        assert events.unwrap().gap
