--- a/trefoilpitch/upstreams/_exchange.py
+++ b/trefoilpitch/upstreams/_exchange.py
@@ -12,13 +12,13 @@
 import urllib3
 
 from trefoilpitch.clock import Clock
+from trefoilpitch.retries import Execution
 from trefoilpitch.upstreams._checked_connection import CheckedConnection
 from trefoilpitch.upstreams._deadlines import DeadlineWatch
 from trefoilpitch.upstreams._exceptions import (
     CancelledError,
     ConnectError,
     DeadlineExceededError,
-    Execution,
     IncompleteReplyError,
     UpstreamError,
 )
--- a/trefoilpitch/upstreams/tests/test_engine_client.py
+++ b/trefoilpitch/upstreams/tests/test_engine_client.py
@@ -4,6 +4,7 @@
 
 from trefoilpitch.bundle import VersionRef
 from trefoilpitch.clock import ManualClock
+from trefoilpitch.retries import Execution
 from trefoilpitch.standins import EngineSettings, Fault
 from trefoilpitch.upstreams import (
     AnswerGoneError,
@@ -14,7 +15,6 @@
     DeadlineExceededError,
     DeadlineWatch,
     ErrorReplyError,
-    Execution,
     Finish,
     IncompleteReplyError,
     MismatchedReplyError,
--- a/trefoilpitch/upstreams/tests/test_service_client.py
+++ b/trefoilpitch/upstreams/tests/test_service_client.py
@@ -6,12 +6,12 @@
 from hypothesis import strategies as st
 from returns.result import Result
 
+from trefoilpitch.retries import Execution
 from trefoilpitch.standins import Fault, ServiceSettings, open_service_stand_in
 from trefoilpitch.upstreams import (
     DeadlineExceededError,
     DeadlineWatch,
     ErrorReplyError,
-    Execution,
     IncompleteReplyError,
     InvalidRequestError,
     MismatchedReplyError,
