--- /dev/null
+++ b/trefoilpitch/rollout/__init__.py
@@ -0,0 +1,39 @@
+"""How a new version takes over, and when it is narrowed or sent back."""
+
+from trefoilpitch.rollout._advice import (
+    Advice,
+    AdviceReason,
+    AdviceSettings,
+    Move,
+    advise,
+    next_state,
+)
+from trefoilpitch.rollout._breaker import (
+    Breaker,
+    BreakerPhase,
+    BreakerSettings,
+)
+from trefoilpitch.rollout._evidence import (
+    Trials,
+    VersionEvidence,
+    evidence_of_harm,
+    evidence_of_safety,
+    tolerated_rate,
+)
+
+__all__ = [
+    "Advice",
+    "AdviceReason",
+    "AdviceSettings",
+    "Breaker",
+    "BreakerPhase",
+    "BreakerSettings",
+    "Move",
+    "Trials",
+    "VersionEvidence",
+    "advise",
+    "evidence_of_harm",
+    "evidence_of_safety",
+    "next_state",
+    "tolerated_rate",
+]
--- /dev/null
+++ b/trefoilpitch/rollout/_advice.py
@@ -0,0 +1,160 @@
+"""Recommends the next move of a roll-out."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from trefoilpitch.bundle import RolloutPlan
+from trefoilpitch.configuration import RolloutPhase, RolloutState
+from trefoilpitch.rollout._evidence import (
+    Trials,
+    VersionEvidence,
+    evidence_of_harm,
+    evidence_of_safety,
+    tolerated_rate,
+)
+
+
+class Move(enum.Enum):
+    """What to do with a roll-out."""
+
+    ADVANCE = "advance"
+    HOLD = "hold"
+    GO_BACK = "go_back"
+
+
+class AdviceReason(enum.Enum):
+    """Why a move is recommended."""
+
+    NOT_RUNNING = "not_running"
+    WITHDRAWN = "withdrawn"
+    MORE_ERRORS = "more_errors"
+    WORSE_RATINGS = "worse_ratings"
+    FEW_ANSWERS = "few_answers"
+    FEW_RATINGS = "few_ratings"
+    UNPROVEN = "unproven"
+    NO_WORSE = "no_worse"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AdviceSettings:
+    """How sure a recommendation must be."""
+
+    # Chance that a version that is no worse is ever sent back.
+    harm_alpha: float = 0.005
+    # Evidence for safety that an advance needs.
+    safety_evidence: float = 3.0
+    # Ratings that an advance needs.
+    min_ratings: int = 30
+    # Tolerated rise of the share of errors, from 0 to 1.
+    error_tolerance: float = 0.01
+
+
+DEFAULT_SETTINGS = AdviceSettings()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Advice:
+    """A recommendation; operators or an automaton carry it out."""
+
+    # What to do.
+    move: Move
+    # Why.
+    reason: AdviceReason
+
+
+def advise(
+    plan: RolloutPlan,
+    state: RolloutState,
+    old: VersionEvidence,
+    new: VersionEvidence,
+    *,
+    withdrawn: bool = False,
+    settings: AdviceSettings = DEFAULT_SETTINGS,
+) -> Advice:
+    """Recommends whether a roll-out advances, holds or goes back.
+
+    A roll-out that stopped at any step resumes from its state alone; the
+    evidence is cumulative and needs no memory here. Without ratings it
+    never advances by itself.
+
+    Args:
+        plan: The roll-out's plan.
+        state: Where it stands.
+        old: Outcomes of the version in place, of all nodes.
+        new: Outcomes of the new version, of all nodes.
+        withdrawn: Whether operators withdrew the new version.
+        settings: How sure the recommendation must be.
+    """
+    if withdrawn:
+        return Advice(move=Move.GO_BACK, reason=AdviceReason.WITHDRAWN)
+    if state.phase in (RolloutPhase.ROLLED_BACK, RolloutPhase.COMPLETED):
+        return Advice(move=Move.HOLD, reason=AdviceReason.NOT_RUNNING)
+    harm = _harm(plan, old, new, settings)
+    if harm is not None:
+        return Advice(move=Move.GO_BACK, reason=harm)
+    if state.phase is RolloutPhase.PAUSED:
+        return Advice(move=Move.HOLD, reason=AdviceReason.NOT_RUNNING)
+    doubt = _doubt(plan, state, old, new, settings)
+    if doubt is not None:
+        return Advice(move=Move.HOLD, reason=doubt)
+    return Advice(move=Move.ADVANCE, reason=AdviceReason.NO_WORSE)
+
+
+def next_state(
+    plan: RolloutPlan, state: RolloutState, move: Move
+) -> RolloutState:
+    """Returns the state after a move; every result is legal to serve in."""
+    if move is Move.GO_BACK:
+        return dataclasses.replace(state, phase=RolloutPhase.ROLLED_BACK)
+    if move is Move.HOLD or state.phase is not RolloutPhase.RUNNING:
+        return state
+    last = len(plan.steps_percent) - 1
+    if state.step >= last:
+        return dataclasses.replace(state, phase=RolloutPhase.COMPLETED)
+    return dataclasses.replace(state, step=state.step + 1)
+
+
+def _harm(
+    plan: RolloutPlan,
+    old: VersionEvidence,
+    new: VersionEvidence,
+    settings: AdviceSettings,
+) -> AdviceReason | None:
+    if _is_worse(old.answers, new.answers, settings.error_tolerance, settings):
+        return AdviceReason.MORE_ERRORS
+    if _is_worse(old.ratings, new.ratings, plan.tolerance, settings):
+        return AdviceReason.WORSE_RATINGS
+    return None
+
+
+def _is_worse(
+    old: Trials, new: Trials, tolerance: float, settings: AdviceSettings
+) -> bool:
+    tolerated = tolerated_rate(old, tolerance)
+    # Errors and ratings are two tests; each gets half of the chance.
+    return evidence_of_harm(new, tolerated) >= 2.0 / settings.harm_alpha
+
+
+def _doubt(
+    plan: RolloutPlan,
+    state: RolloutState,
+    old: VersionEvidence,
+    new: VersionEvidence,
+    settings: AdviceSettings,
+) -> AdviceReason | None:
+    if new.answers.count < plan.answers_per_step * (state.step + 1):
+        return AdviceReason.FEW_ANSWERS
+    if new.ratings.count < settings.min_ratings:
+        return AdviceReason.FEW_RATINGS
+    kinds = (
+        (old.answers, new.answers, settings.error_tolerance),
+        (old.ratings, new.ratings, plan.tolerance),
+    )
+    for before, after, tolerance in kinds:
+        limit = tolerated_rate(before, 2.0 * tolerance)
+        safety = evidence_of_safety(after, before.rate, limit)
+        if safety < settings.safety_evidence:
+            return AdviceReason.UNPROVEN
+    return None
--- /dev/null
+++ b/trefoilpitch/rollout/tests/test_rollout.py
@@ -0,0 +1,177 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from trefoilpitch.bundle import RolloutPlan
+from trefoilpitch.configuration import RolloutPhase, RolloutState
+from trefoilpitch.rollout import (
+    Advice,
+    AdviceReason,
+    Breaker,
+    BreakerPhase,
+    Move,
+    Trials,
+    VersionEvidence,
+    advise,
+    evidence_of_harm,
+    next_state,
+    tolerated_rate,
+)
+
+_PLAN = RolloutPlan(model="cheap", to_version="2")
+_OLD = VersionEvidence(
+    answers=Trials(count=20_000, bad=100), ratings=Trials(count=2_000, bad=200)
+)
+
+
+def _state(
+    step: int = 0, phase: RolloutPhase = RolloutPhase.RUNNING
+) -> RolloutState:
+    return RolloutState(model="cheap", to_version="2", step=step, phase=phase)
+
+
+def _new(answers: int, errors: int, ratings: int, bad: int) -> VersionEvidence:
+    return VersionEvidence(
+        answers=Trials(count=answers, bad=errors),
+        ratings=Trials(count=ratings, bad=bad),
+    )
+
+
+@pytest.mark.parametrize(
+    ("new", "phase", "expected"),
+    [
+        (
+            _new(10, 8, 0, 0),
+            RolloutPhase.RUNNING,
+            (Move.GO_BACK, AdviceReason.MORE_ERRORS),
+        ),
+        (
+            _new(100, 0, 60, 30),
+            RolloutPhase.PAUSED,
+            (Move.GO_BACK, AdviceReason.WORSE_RATINGS),
+        ),
+        (
+            _new(50, 0, 50, 5),
+            RolloutPhase.RUNNING,
+            (Move.HOLD, AdviceReason.FEW_ANSWERS),
+        ),
+        (
+            _new(9_000, 45, 0, 0),
+            RolloutPhase.RUNNING,
+            (Move.HOLD, AdviceReason.FEW_RATINGS),
+        ),
+        (
+            _new(9_000, 45, 900, 90),
+            RolloutPhase.RUNNING,
+            (Move.ADVANCE, AdviceReason.NO_WORSE),
+        ),
+        (
+            _new(9_000, 45, 900, 90),
+            RolloutPhase.PAUSED,
+            (Move.HOLD, AdviceReason.NOT_RUNNING),
+        ),
+        (
+            _new(9_000, 4_500, 900, 90),
+            RolloutPhase.ROLLED_BACK,
+            (Move.HOLD, AdviceReason.NOT_RUNNING),
+        ),
+    ],
+)
+def test_advice(
+    new: VersionEvidence,
+    phase: RolloutPhase,
+    expected: tuple[Move, AdviceReason],
+) -> None:
+    advice = advise(_PLAN, _state(phase=phase), _OLD, new)
+    assert advice == Advice(move=expected[0], reason=expected[1])
+
+
+def test_withdrawn_version_goes_back_whatever_its_evidence() -> None:
+    new = _new(9_000, 45, 900, 90)
+    advice = advise(_PLAN, _state(), _OLD, new, withdrawn=True)
+    assert advice.move is Move.GO_BACK
+
+
+def test_a_good_version_is_rarely_sent_back_however_often_it_is_looked_at() -> (
+    None
+):
+    rng = random.Random(4)
+    sent_back = 0
+    for _ in range(200):
+        errors = bad = 0
+        for count in range(1, 1_500):
+            errors += rng.random() < 0.005
+            bad += rng.random() < 0.1
+            new = _new(count, errors, count, bad)
+            if count % 10 == 0 and (
+                advise(_PLAN, _state(), _OLD, new).move is Move.GO_BACK
+            ):
+                sent_back += 1
+                break
+    assert sent_back <= 2
+
+
+def test_evidence_at_the_tolerated_rate_seldom_crosses_its_bound() -> None:
+    rng = random.Random(9)
+    tolerated = tolerated_rate(_OLD.ratings, 0.02)
+    crossed = 0
+    for _ in range(400):
+        bad = 0
+        for count in range(1, 400):
+            bad += rng.random() < tolerated
+            if evidence_of_harm(Trials(count=count, bad=bad), tolerated) >= 20:
+                crossed += 1
+                break
+    assert crossed / 400 <= 0.05
+
+
+def test_half_done_roll_out_resumes_at_its_step() -> None:
+    state = _state(step=2)
+    paused = _state(step=2, phase=RolloutPhase.PAUSED)
+    assert next_state(_PLAN, paused, Move.ADVANCE) == paused
+    assert next_state(_PLAN, state, Move.ADVANCE).step == 3
+    last = next_state(_PLAN, _state(step=3), Move.ADVANCE)
+    assert last.phase is RolloutPhase.COMPLETED
+    back = next_state(_PLAN, paused, Move.GO_BACK)
+    assert back.phase is RolloutPhase.ROLLED_BACK
+
+
+def test_breaker_opens_within_a_few_errors_despite_a_good_past() -> None:
+    breaker = Breaker()
+    for _ in range(5_000):
+        breaker = breaker.answered(_OLD, 0, failed=False)
+    failures = 0
+    while breaker.phase is BreakerPhase.CLOSED:
+        breaker = breaker.answered(_OLD, 0, failed=True)
+        failures += 1
+    assert failures <= 5
+    assert breaker.factor(0) == 0.0
+
+
+def test_breaker_probes_with_a_small_share_and_doubles_its_wait() -> None:
+    breaker = _opened(Breaker(), 0)
+    assert breaker.factor(29_999) == 0.0
+    assert breaker.factor(30_000) == 0.1
+    again = _opened(breaker, 30_000)
+    assert again.factor(89_999) == 0.0
+    for _ in range(20):
+        again = again.answered(_OLD, 90_000, failed=False)
+    assert again.phase is BreakerPhase.CLOSED
+
+
+def test_breaker_opened_by_ratings_is_not_closed_by_answers() -> None:
+    breaker = Breaker()
+    while breaker.phase is BreakerPhase.CLOSED:
+        breaker = breaker.rated(_OLD, 0, bad=True)
+    for _ in range(100):
+        breaker = breaker.answered(_OLD, 40_000, failed=False)
+    assert breaker.phase is BreakerPhase.PROBING
+
+
+def _opened(breaker: Breaker, now_ms: int) -> Breaker:
+    for _ in range(50):
+        breaker = breaker.answered(_OLD, now_ms, failed=True)
+    assert breaker.phase is BreakerPhase.OPEN
+    return breaker
