Keep the probe of an upstream's baseline whole when the limit moves

The probe's start and end were computed from the limit of the moment, so a back-off could skip the probe and take a single loaded sample for the baseline (16.9 ms in place of 10).

Change: the probe counts finishes down, independent of the limit.

--- a/trefoilpitch/limits/_concurrency.py
+++ b/trefoilpitch/limits/_concurrency.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,10 +46,12 @@
     baseline_ms: float | None = None
     # Finishes until the limit may back off again.
     holdoff: int = 0
-    # Finishes since the last probe ended.
-    since_probe: int = 0
-    # Lowest latency of the running probe, in milliseconds; None outside.
-    probe_ms: float | None = None
+    # Finishes until the next probe begins; None during a probe.
+    until_probe: int | None = 0
+    # Finishes until the running probe ends.
+    probe_left: int = 0
+    # Lowest latency of the running probe, in milliseconds.
+    probe_ms: float = math.inf
     # The factor of the limit that is in force, from 0 to 1.
     factor: float = 1.0
 
@@ -101,22 +104,29 @@
     def _probed(
         self, latency_ms: float, settings: LimitSettings
     ) -> ConcurrencyLimit:
-        since = self.since_probe + 1
-        start = settings.probe_interval * self.limit
-        if since < start:
-            return dataclasses.replace(self, since_probe=since)
-        lowest_ms = min(self.probe_ms or latency_ms, latency_ms)
-        if since < start + settings.probe_length * self.limit:
+        if self.until_probe is None:
+            return self._in_probe(latency_ms, settings)
+        if self.until_probe > 0:
+            return dataclasses.replace(self, until_probe=self.until_probe - 1)
+        return dataclasses.replace(
+            self,
+            until_probe=None,
+            probe_left=int(settings.probe_length * self.limit),
+            probe_ms=latency_ms,
+            factor=settings.probe_factor,
+        )
+
+    def _in_probe(
+        self, latency_ms: float, settings: LimitSettings
+    ) -> ConcurrencyLimit:
+        lowest_ms = min(self.probe_ms, latency_ms)
+        if self.probe_left > 0:
             return dataclasses.replace(
-                self,
-                since_probe=since,
-                probe_ms=lowest_ms,
-                factor=settings.probe_factor,
+                self, probe_left=self.probe_left - 1, probe_ms=lowest_ms
             )
         return dataclasses.replace(
             self,
-            since_probe=0,
-            probe_ms=None,
+            until_probe=int(settings.probe_interval * self.limit),
             baseline_ms=lowest_ms,
             factor=1.0,
         )
