Remember ratings longer and notice drops in quality by cumulative sums

Ruled out: a still shorter memory, which notices the drop by forgetting everything else.

Change: an epoch weighs 0.97 of the next; cumulative sums of log likelihood ratios look for a drop of 0.15 in each kind of answer, for a workspace and over all; plans are refreshed by the changes of their own cell.

Conclusion: the drop is noticed; the cascade still learns too little.

--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -68,7 +68,7 @@
     """
 
     def __init__(
-        self, incarnation: str, decay: float = 0.7, kept_epochs: int = 3
+        self, incarnation: str, decay: float = 0.97, kept_epochs: int = 3
     ) -> None:
         self._incarnation = incarnation
         self._decay = decay
@@ -108,6 +108,14 @@
             for start in range(0, _ROW_LENGTH, _COLUMNS)
         )
 
+    def one_bin(self, key: AnswerKey, position: int) -> BinCounts:
+        """Returns the weighted sums over all nodes in one bin."""
+        row = self._sums.get(key)
+        if row is None:
+            return BinCounts(0.0, 0.0, 0.0)
+        start = position * _COLUMNS
+        return BinCounts(*row[start : start + _COLUMNS])
+
     def advance_epoch(self, epoch: int) -> None:
         """Moves on to a later epoch and lets the earlier ones fade."""
         if epoch <= self._epoch:
--- a/trefoilpitch/cascade/_policy.py
+++ b/trefoilpitch/cascade/_policy.py
@@ -13,6 +13,7 @@
     CountsTable,
     signal_bin,
 )
+from trefoilpitch.cascade._drift import DriftDetector
 from trefoilpitch.cascade._estimate import BinQuality, bin_qualities
 from trefoilpitch.cascade._nodes import (
     AnswerKey,
@@ -45,7 +46,9 @@
     # Ratings of the dearest version before cheaper ones deliver anything.
     min_ratings: int = 20
     # Changes of the counts after which a plan is computed afresh.
-    refresh_changes: int = 64
+    refresh_changes: int = 32
+    # Share of what is known that remains after a drop in quality.
+    forgetting_factor: float = 0.02
 
 
 DEFAULT_SETTINGS = CascadeSettings()
@@ -84,7 +87,8 @@
         self._settings = settings
         self._counts = CountsTable(incarnation)
         self._cache: dict[_Question, _CachedOption] = {}
-        self._changes = 0
+        self._changes: dict[tuple[str, str], int] = {}
+        self._drift = DriftDetector()
 
     def plan(
         self,
@@ -159,8 +163,11 @@
         key = rating.label.key
         position = signal_bin(rating.label.signal)
         for one in (key, _pooled(key)):
+            earlier = self._counts.one_bin(one, position)
+            if self._drift.observe(one, earlier, rating.good):
+                self._forget(one)
             self._counts.add_rating(one, position, rating.good)
-        self._changes += 1
+        self._note_change(key)
 
     def advance_epoch(self, epoch: int) -> None:
         """Lets earlier ratings fade; called at a steady pace."""
@@ -182,15 +189,31 @@
     def _count_answer(self, key: AnswerKey, position: int) -> None:
         self._counts.add_answer(key, position)
         self._counts.add_answer(_pooled(key), position)
-        self._changes += 1
+        self._note_change(key)
+
+    def _note_change(self, key: AnswerKey) -> None:
+        cell = (key.workspace, key.task)
+        self._changes[cell] = self._changes.get(cell, 0) + 1
+
+    def _forget(self, key: AnswerKey) -> None:
+        """Drops most of what is known of a kind of answer that got worse.
+
+        A drop over all workspaces together concerns each of them.
+        """
+        for one in list(self._counts.keys()):
+            alike = dataclasses.replace(one, workspace=key.workspace) == key
+            if one == key or (alike and key.workspace == _ALL_WORKSPACES):
+                self._counts.scale(one, self._settings.forgetting_factor)
+        self._cache.clear()
 
     def _best_option(self, question: _Question) -> Option:
         cached = self._cache.get(question)
         limit = self._settings.refresh_changes
-        if cached is not None and self._changes - cached.changes < limit:
+        changes = self._changes.get((question.workspace, question.task), 0)
+        if cached is not None and changes - cached.changes < limit:
             return cached.option
         option = self._search(question)
-        self._cache[question] = _CachedOption(option, self._changes)
+        self._cache[question] = _CachedOption(option, changes)
         return option
 
     def _search(self, question: _Question) -> Option:
--- a/trefoilpitch/cascade/tests/test_policy.py
+++ b/trefoilpitch/cascade/tests/test_policy.py
@@ -89,6 +89,17 @@
     assert direct > 0.9
 
 
+def test_version_that_turns_bad_is_left() -> None:
+    world = _World(CascadePolicy("a"))
+    for _ in range(8_000):
+        world.request()
+    world.bad_version = True
+    for _ in range(4_000):
+        world.request()
+    late = [world.request() for _ in range(1_000)]
+    assert sum(good for _, _, good in late) / len(late) >= 0.9
+
+
 def test_explores_a_bounded_share() -> None:
     policy = CascadePolicy("a", CascadeSettings(exploration_share=0.05))
     rng = random.Random(5)
