Add cold start credits: gatekeepers, holders and their ramp

Cause: several daemons send work to one upstream, which bears little while in a cold start. Change: pure state machines for the gatekeeper, chosen by rendezvous hash, and the holders of credits; a world with an engine as the oracle. Ruled out: releasing a credit when its validity ends, since its work may still run; counting report ages from arrival, since a paused process reads old reports when it wakes.

--- /dev/null
+++ b/trefoilpitch/coldstart/_holder.py
@@ -0,0 +1,342 @@
+"""The credit holder's side of the cold start protocol."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from trefoilpitch.bundle import Upstream
+from trefoilpitch.coldstart._account import (
+    Account,
+    HeldCredit,
+    PendingRequest,
+    end_work,
+    expire,
+    held_refs,
+    settled_sequence,
+    take_usable,
+)
+from trefoilpitch.coldstart._events import (
+    Admission,
+    AdmissionChanged,
+    AdmissionKind,
+    DemandChanged,
+    FleetObserved,
+    GatekeeperSpoke,
+    HolderAction,
+    HolderEvent,
+    SendToGatekeeper,
+    TimePassed,
+    UpstreamReported,
+    UpstreamsChanged,
+    WorkEnded,
+    WorkOutcome,
+)
+from trefoilpitch.coldstart._messages import (
+    ColdNotice,
+    ColdSign,
+    CreditGrant,
+    CreditRefusal,
+    CreditRequest,
+    CreditReturn,
+    HolderMessage,
+    Holding,
+    WarmNotice,
+)
+from trefoilpitch.coldstart._rendezvous import choose_gatekeeper
+from trefoilpitch.coldstart._settings import ColdStartSettings
+from trefoilpitch.coldstart._warmth import (
+    current_incarnation,
+    declare_warm,
+    find_cold,
+    is_warm_here,
+    note_latency,
+    note_report,
+)
+from trefoilpitch.membership import Member, MembershipView
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HolderState:
+    """What one daemon knows as a user of upstreams."""
+
+    # Intervals and limits.
+    settings: ColdStartSettings
+    # Every upstream of the bundle, by name.
+    upstreams: Mapping[str, Upstream] = dataclasses.field(default_factory=dict)
+    # The latest view; ``None`` before the first.
+    view: MembershipView | None = None
+    # Evidence, credits and demand by upstream name.
+    accounts: Mapping[str, Account] = dataclasses.field(default_factory=dict)
+    # The number of the next request.
+    next_sequence: int = 1
+
+
+Outcome = tuple[HolderState, tuple[HolderAction, ...]]
+
+
+def create_holder(settings: ColdStartSettings | None = None) -> HolderState:
+    """Builds the state of a daemon that just started."""
+    return HolderState(settings=settings or ColdStartSettings())
+
+
+def step_holder(state: HolderState, event: HolderEvent, now_ms: int) -> Outcome:
+    """Applies one event.
+
+    Args:
+        state: The state before; not modified.
+        event: What happened.
+        now_ms: Monotonic time.
+
+    Returns:
+        The state after, and what the owner has to do.
+    """
+    outcome: Outcome
+    match event:
+        case FleetObserved(view=view):
+            outcome = dataclasses.replace(state, view=view), ()
+        case UpstreamsChanged(upstreams=upstreams):
+            outcome = _change_upstreams(state, upstreams), ()
+        case UpstreamReported():
+            outcome = _note_report(state, event, now_ms)
+        case GatekeeperSpoke():
+            outcome = _hear_gatekeeper(state, event, now_ms)
+        case DemandChanged():
+            outcome = _change_demand(state, event, now_ms)
+        case WorkEnded():
+            outcome = _end_work(state, event, now_ms)
+        case TimePassed():
+            outcome = _pass_time(state, now_ms)
+    return outcome
+
+
+def admit_work(
+    state: HolderState, upstream: str, now_ms: int
+) -> tuple[HolderState, Admission]:
+    """Asks whether one piece of work may be sent to an upstream now.
+
+    Work that is admitted must be sent at once or be reported as not run; its
+    end must be reported by ``WorkEnded`` in either case.
+
+    Args:
+        state: The state before; not modified.
+        upstream: The upstream's name.
+        now_ms: Monotonic time, read just before the work is sent.
+    """
+    settings = state.settings
+    account = state.accounts.get(upstream, Account())
+    if is_warm_here(account.warmth, now_ms, settings):
+        return state, Admission(upstream=upstream, kind=AdmissionKind.WARM)
+    incarnation = current_incarnation(account.warmth, now_ms, settings)
+    account, credit = take_usable(account, incarnation, now_ms)
+    if credit is None:
+        return state, Admission(upstream=upstream, kind=AdmissionKind.WAIT)
+    admission = Admission(
+        upstream=upstream, kind=AdmissionKind.CREDIT, credit=credit
+    )
+    return _with_account(state, upstream, account), admission
+
+
+def is_cold(state: HolderState, upstream: str, now_ms: int) -> bool:
+    """Tells whether an upstream takes work on credits only."""
+    account = state.accounts.get(upstream, Account())
+    return not is_warm_here(account.warmth, now_ms, state.settings)
+
+
+def _change_upstreams(
+    state: HolderState, upstreams: tuple[Upstream, ...]
+) -> HolderState:
+    by_name = {upstream.name: upstream for upstream in upstreams}
+    accounts = {
+        name: account
+        for name, account in state.accounts.items()
+        if name in by_name or account.running
+    }
+    return dataclasses.replace(state, upstreams=by_name, accounts=accounts)
+
+
+def _note_report(
+    state: HolderState, event: UpstreamReported, now_ms: int
+) -> Outcome:
+    account = state.accounts.get(event.upstream, Account())
+    warmth = note_report(
+        account.warmth,
+        incarnation=event.incarnation,
+        running=event.running,
+        as_of_ms=event.as_of_ms,
+        settings=state.settings,
+    )
+    account = dataclasses.replace(account, warmth=warmth)
+    return _with_account(state, event.upstream, account), ()
+
+
+def _hear_gatekeeper(
+    state: HolderState, event: GatekeeperSpoke, now_ms: int
+) -> Outcome:
+    message = event.message
+    name = message.upstream
+    account = state.accounts.get(name, Account())
+    if isinstance(message, ColdNotice):
+        if message.upstream_incarnation != account.warmth.warm_incarnation:
+            return state, ()
+        return _find_cold(state, name, account, now_ms), ()
+    pending = account.pending
+    if pending is None or pending.sequence != message.sequence:
+        return state, ()
+    account = dataclasses.replace(account, pending=None)
+    match message:
+        case CreditGrant():
+            account = _accept_grant(account, pending, message, now_ms)
+        case WarmNotice(upstream_incarnation=incarnation):
+            warmth = declare_warm(
+                account.warmth,
+                incarnation,
+                pending.sent_ms,
+                now_ms,
+                state.settings,
+            )
+            account = dataclasses.replace(
+                account,
+                warmth=warmth,
+                retry_ms=now_ms + state.settings.retry_ms,
+            )
+        case CreditRefusal():
+            account = dataclasses.replace(
+                account, retry_ms=now_ms + state.settings.retry_ms
+            )
+    return _with_account(state, name, account), (AdmissionChanged(name),)
+
+
+def _accept_grant(
+    account: Account, pending: PendingRequest, grant: CreditGrant, now_ms: int
+) -> Account:
+    expires_ms = pending.sent_ms + grant.validity_ms
+    if now_ms >= expires_ms:
+        return account
+    received = tuple(
+        HeldCredit(
+            ref=ref,
+            upstream_incarnation=grant.upstream_incarnation,
+            expires_ms=expires_ms,
+        )
+        for ref in grant.credits
+    )
+    return dataclasses.replace(account, unused=account.unused + received)
+
+
+def _change_demand(
+    state: HolderState, event: DemandChanged, now_ms: int
+) -> Outcome:
+    account = state.accounts.get(event.upstream, Account())
+    account = dataclasses.replace(account, waiting=event.waiting)
+    state = _with_account(state, event.upstream, account)
+    return _ask_for_credits(state, event.upstream, now_ms)
+
+
+def _end_work(state: HolderState, event: WorkEnded, now_ms: int) -> Outcome:
+    name = event.admission.upstream
+    settings = state.settings
+    account = state.accounts.get(name, Account())
+    before = account.warmth
+    messages: list[HolderMessage] = []
+    credit = event.admission.credit
+    if credit is not None:
+        account = end_work(account, credit)
+        is_success = event.outcome is WorkOutcome.SUCCEEDED
+        messages.append(CreditReturn(name, credit, is_success))
+    warmth = before
+    if event.outcome is WorkOutcome.REFUSED:
+        warmth = find_cold(warmth, now_ms)
+    elif event.latency_ms is not None:
+        warmth = note_latency(warmth, event.latency_ms, now_ms, settings)
+    if warmth.cold_ms != before.cold_ms:
+        messages.append(ColdSign(name, before.incarnation))
+    account = dataclasses.replace(account, warmth=warmth)
+    state = _with_account(state, name, account)
+    return state, _to_gatekeeper(state, name, messages)
+
+
+def _find_cold(
+    state: HolderState, name: str, account: Account, now_ms: int
+) -> HolderState:
+    warmth = find_cold(account.warmth, now_ms)
+    account = dataclasses.replace(account, warmth=warmth)
+    return _with_account(state, name, account)
+
+
+def _pass_time(state: HolderState, now_ms: int) -> Outcome:
+    actions: list[HolderAction] = []
+    for name in list(state.accounts):
+        account = expire(state.accounts[name], now_ms, state.settings)
+        state = _with_account(state, name, account)
+        state, asked = _ask_for_credits(state, name, now_ms)
+        state, told = _tell_holding(state, name, now_ms)
+        actions.extend(asked + told)
+    return state, tuple(actions)
+
+
+def _ask_for_credits(state: HolderState, name: str, now_ms: int) -> Outcome:
+    account = state.accounts[name]
+    missing = account.waiting - len(account.unused)
+    if (
+        missing <= 0
+        or account.pending is not None
+        or now_ms < account.retry_ms
+        or is_warm_here(account.warmth, now_ms, state.settings)
+    ):
+        return state, ()
+    gatekeeper = _gatekeeper_of(state, name)
+    if gatekeeper is None:
+        return state, ()
+    sequence = state.next_sequence
+    account = dataclasses.replace(
+        account,
+        pending=PendingRequest(sequence=sequence, sent_ms=now_ms),
+        last_sequence=sequence,
+    )
+    state = dataclasses.replace(state, next_sequence=sequence + 1)
+    state = _with_account(state, name, account)
+    count = min(missing, state.settings.max_credits)
+    request = CreditRequest(name, sequence, count)
+    return state, _to_gatekeeper(state, name, [request])
+
+
+def _tell_holding(state: HolderState, name: str, now_ms: int) -> Outcome:
+    account = state.accounts[name]
+    held = held_refs(account)
+    settled = settled_sequence(account)
+    is_told = not held and account.told_sequence == settled
+    if is_told or now_ms < account.next_holding_ms:
+        return state, ()
+    account = dataclasses.replace(
+        account,
+        told_sequence=settled if not held else account.told_sequence,
+        next_holding_ms=now_ms + state.settings.holding_interval_ms,
+    )
+    state = _with_account(state, name, account)
+    return state, _to_gatekeeper(state, name, [Holding(name, settled, held)])
+
+
+def _to_gatekeeper(
+    state: HolderState, name: str, messages: list[HolderMessage]
+) -> tuple[HolderAction, ...]:
+    gatekeeper = _gatekeeper_of(state, name)
+    if gatekeeper is None:
+        return ()
+    address = gatekeeper.endpoints.peer_address
+    return tuple(SendToGatekeeper(address, message) for message in messages)
+
+
+def _gatekeeper_of(state: HolderState, name: str) -> Member | None:
+    upstream = state.upstreams.get(name)
+    if state.view is None or upstream is None:
+        return None
+    return choose_gatekeeper(state.view, upstream, state.settings)
+
+
+def _with_account(
+    state: HolderState, name: str, account: Account
+) -> HolderState:
+    return dataclasses.replace(
+        state, accounts={**state.accounts, name: account}
+    )
--- /dev/null
+++ b/trefoilpitch/coldstart/_ledger.py
@@ -0,0 +1,263 @@
+"""What a gatekeeper knows of one upstream: its credits and its ramp."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from trefoilpitch.bundle import Upstream
+from trefoilpitch.coldstart._messages import UNKNOWN_INCARNATION, Holding
+from trefoilpitch.coldstart._settings import ColdStartSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OutstandingCredit:
+    """A credit that was granted and not given back."""
+
+    # The holder's process incarnation.
+    holder: str
+    # The holder's request.
+    sequence: int
+    # The upstream's incarnation that it is for; empty if unknown.
+    upstream_incarnation: str
+    # When its work can't be running any more, whatever became of the holder.
+    release_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InheritedWork:
+    """Work that began on other terms than a credit of this tenure."""
+
+    # How many pieces may still be running.
+    count: int
+    # When none can be running any more.
+    release_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ledger:
+    """A gatekeeper's books on one upstream."""
+
+    # Since when this daemon is the gatekeeper in its own view, without a
+    # break; ``None`` if it is not.
+    tenure_ms: int | None = None
+    # From when work that the ledger doesn't list can't be started any more.
+    void_ms: int = 0
+    # The upstream's incarnation; empty if no recent report tells.
+    incarnation: str = UNKNOWN_INCARNATION
+    # When the latest report was asked for.
+    report_ms: int | None = None
+    # Pieces of work that succeeded since the upstream was last cold.
+    successes: int = 0
+    # Credits by number.
+    outstanding: Mapping[int, OutstandingCredit] = dataclasses.field(
+        default_factory=dict
+    )
+    # Work that the ledger doesn't list; ``None`` until it is known.
+    inherited: InheritedWork | None = None
+    # Peer addresses of holders that were told that the upstream is warm.
+    warm_holders: frozenset[str] = frozenset()
+
+
+def ramp_bound(upstream: Upstream, successes: int) -> int:
+    """Returns how much work an upstream bears after so many successes.
+
+    The bound doubles each time that as many pieces of work succeeded as it
+    allows at once, until it reaches the capacity.
+    """
+    bound = max(upstream.cold_capacity, 1)
+    remaining = successes
+    while bound < upstream.capacity and remaining >= bound:
+        remaining -= bound
+        bound = min(2 * bound, upstream.capacity)
+    return bound
+
+
+def is_warm(ledger: Ledger, upstream: Upstream) -> bool:
+    """Tells whether the upstream has come through its ramp."""
+    if ledger.incarnation == UNKNOWN_INCARNATION:
+        return False
+    return ledger.successes >= _successes_when_warm(upstream)
+
+
+def available_credits(ledger: Ledger, upstream: Upstream) -> int:
+    """Returns how many credits may be granted now."""
+    if ledger.inherited is None:
+        return 0
+    bound = upstream.cold_capacity
+    if ledger.incarnation != UNKNOWN_INCARNATION:
+        bound = ramp_bound(upstream, ledger.successes)
+    used = len(ledger.outstanding) + ledger.inherited.count
+    return max(bound - used, 0)
+
+
+def begin_tenure(
+    ledger: Ledger, now_ms: int, settings: ColdStartSettings
+) -> Ledger:
+    """Begins to count the time until earlier credits are void."""
+    return dataclasses.replace(
+        end_tenure(ledger),
+        tenure_ms=now_ms,
+        void_ms=now_ms + settings.takeover_ms,
+    )
+
+
+def end_tenure(ledger: Ledger) -> Ledger:
+    """Forgets all that only holds while being the gatekeeper."""
+    return dataclasses.replace(
+        ledger,
+        tenure_ms=None,
+        successes=0,
+        outstanding={},
+        inherited=None,
+        warm_holders=frozenset(),
+    )
+
+
+def take_report(
+    ledger: Ledger,
+    *,
+    incarnation: str,
+    running: int,
+    as_of_ms: int,
+    settings: ColdStartSettings,
+) -> Ledger:
+    """Takes in an upstream's report of its load."""
+    if ledger.report_ms is not None and as_of_ms < ledger.report_ms:
+        return ledger
+    if incarnation != ledger.incarnation:
+        ledger = _change_incarnation(ledger, incarnation)
+    ledger = dataclasses.replace(ledger, report_ms=as_of_ms)
+    if ledger.tenure_ms is None:
+        return ledger
+    if ledger.inherited is not None:
+        fewer = min(ledger.inherited.count, running)
+        return _inherit(ledger, fewer, ledger.inherited.release_ms)
+    if as_of_ms >= ledger.void_ms + settings.report_lag_ms:
+        release_ms = ledger.void_ms + settings.max_work_ms
+        return _inherit(ledger, running, release_ms)
+    return ledger
+
+
+def pass_time(
+    ledger: Ledger, now_ms: int, settings: ColdStartSettings
+) -> Ledger:
+    """Releases what can't be running any more and drops an old report."""
+    report_ms = ledger.report_ms
+    if report_ms is not None and (
+        now_ms - report_ms > settings.report_age_limit_ms
+    ):
+        ledger = dataclasses.replace(
+            _change_incarnation(ledger, UNKNOWN_INCARNATION), report_ms=None
+        )
+    if ledger.tenure_ms is None:
+        return ledger
+    idle_ms = ledger.void_ms + settings.max_work_ms
+    if ledger.inherited is None:
+        if now_ms >= idle_ms:
+            ledger = _inherit(ledger, 0, now_ms)
+    elif now_ms >= ledger.inherited.release_ms and ledger.inherited.count:
+        ledger = _inherit(ledger, 0, now_ms)
+    kept = {
+        number: credit
+        for number, credit in ledger.outstanding.items()
+        if now_ms < credit.release_ms
+    }
+    if len(kept) != len(ledger.outstanding):
+        ledger = dataclasses.replace(ledger, outstanding=kept)
+    return ledger
+
+
+def settle(
+    ledger: Ledger, *, issuer: str, holder: str, holding: Holding
+) -> Ledger:
+    """Releases credits that a holder says it neither uses nor will use."""
+    held = {ref.number for ref in holding.held if ref.issuer == issuer}
+    kept = {
+        number: credit
+        for number, credit in ledger.outstanding.items()
+        if credit.holder != holder
+        or credit.sequence > holding.settled_sequence
+        or number in held
+    }
+    return dataclasses.replace(ledger, outstanding=kept)
+
+
+def give_back(
+    ledger: Ledger, *, number: int, holder: str, is_success: bool
+) -> Ledger:
+    """Takes a credit back; a success counts towards the ramp."""
+    credit = ledger.outstanding.get(number)
+    if credit is None or credit.holder != holder:
+        return ledger
+    kept = dict(ledger.outstanding)
+    del kept[number]
+    counts = (
+        is_success
+        and credit.upstream_incarnation == ledger.incarnation
+        and ledger.incarnation != UNKNOWN_INCARNATION
+    )
+    return dataclasses.replace(
+        ledger,
+        outstanding=kept,
+        successes=ledger.successes + 1 if counts else ledger.successes,
+    )
+
+
+def turn_cold(
+    ledger: Ledger, now_ms: int, settings: ColdStartSettings
+) -> Ledger:
+    """Returns to the start of the ramp on a sign of a cold start.
+
+    Grants nothing until a report tells how much work is running that began
+    while the upstream was warm.
+    """
+    return dataclasses.replace(
+        ledger,
+        successes=0,
+        warm_holders=frozenset(),
+        inherited=None,
+        void_ms=now_ms + settings.margin_ms,
+    )
+
+
+def _is_over(inherited: InheritedWork | None, now_ms: int) -> bool:
+    if inherited is None or inherited.count == 0:
+        return False
+    return now_ms >= inherited.release_ms
+
+
+def _inherit(ledger: Ledger, count: int, release_ms: int) -> Ledger:
+    work = InheritedWork(count=count, release_ms=release_ms)
+    return dataclasses.replace(ledger, inherited=work)
+
+
+def _change_incarnation(ledger: Ledger, incarnation: str) -> Ledger:
+    """Notes a restart, or that the incarnation is unknown or known again.
+
+    Work on a known earlier incarnation ended with it.
+    """
+    outstanding = ledger.outstanding
+    if incarnation != UNKNOWN_INCARNATION:
+        outstanding = {
+            number: credit
+            for number, credit in outstanding.items()
+            if credit.upstream_incarnation in (UNKNOWN_INCARNATION, incarnation)
+        }
+    return dataclasses.replace(
+        ledger,
+        incarnation=incarnation,
+        successes=0,
+        warm_holders=frozenset(),
+        outstanding=outstanding,
+    )
+
+
+def _successes_when_warm(upstream: Upstream) -> int:
+    """Returns how many successes end the ramp, the last round included."""
+    bound = max(upstream.cold_capacity, 1)
+    total = bound
+    while bound < upstream.capacity:
+        bound = min(2 * bound, upstream.capacity)
+        total += bound
+    return total
--- /dev/null
+++ b/trefoilpitch/coldstart/tests/world.py
@@ -0,0 +1,441 @@
+"""Daemons, one upstream and a network that fail, and an oracle for them."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import random
+from collections.abc import Callable
+from typing import cast
+
+from trefoilpitch.bundle import Upstream
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.coldstart import (
+    PAYLOAD_KINDS,
+    Admission,
+    AdmissionKind,
+    ColdStartSettings,
+    DemandChanged,
+    FleetObserved,
+    GatekeeperEvent,
+    GatekeeperMessage,
+    GatekeeperSpoke,
+    HolderEvent,
+    HolderMessage,
+    HolderSpoke,
+    SendToGatekeeper,
+    TimePassed,
+    UpstreamReported,
+    UpstreamsChanged,
+    WorkEnded,
+    WorkOutcome,
+    admit_work,
+    create_gatekeeper,
+    create_holder,
+    step_gatekeeper,
+    step_holder,
+)
+from trefoilpitch.membership import (
+    Endpoints,
+    Member,
+    MembershipView,
+    MemberState,
+    Report,
+)
+from trefoilpitch.peering import (
+    LinkFaults,
+    MemoryNetwork,
+    PeerIdentity,
+    PeerKeys,
+    ReceivedMessage,
+    create_payload_registry,
+)
+
+SETTINGS = ColdStartSettings(
+    validity_ms=400,
+    margin_ms=40,
+    view_lag_ms=800,
+    view_age_limit_ms=200,
+    max_work_ms=2_000,
+    report_age_limit_ms=400,
+    report_lag_ms=200,
+    retry_ms=60,
+    holding_interval_ms=100,
+)
+UPSTREAM = Upstream(
+    name="u",
+    address="127.0.0.1:1",
+    failure_domain="fd0",
+    capacity=8,
+    cold_capacity=2,
+)
+# Successes needed for each bound; after the last the upstream is warm.
+BEARS = ((0, 2), (2, 4), (6, 8))
+WARM_SUCCESSES = 14
+STEP_MS = 20
+TICK_MS = 60
+REPORT_MS = 100
+MIN_RESTART_MS = 640
+VIEW_LAG_MS = SETTINGS.view_lag_ms - SETTINGS.view_age_limit_ms - TICK_MS
+REGISTRY = create_payload_registry(PAYLOAD_KINDS)
+KEYS = PeerKeys(current=b"key")
+HOLDER_KINDS = ("CreditRequest", "CreditReturn", "Holding", "ColdSign")
+
+
+class OverloadError(AssertionError):
+    """A cold upstream ran more work than it bears."""
+
+
+@dataclasses.dataclass
+class Work:
+    process: Process
+    admission: Admission
+    end_ms: int
+
+
+class Engine:
+    """The upstream: work goes on even if nobody waits for it."""
+
+    def __init__(self) -> None:
+        self.number = 1
+        self.up_ms = 0
+        self.running: list[Work] = []
+        self.successes = 0
+        self.history: list[tuple[int, str, int]] = []
+        self.peak = 0
+
+    @property
+    def incarnation(self) -> str:
+        return f"e{self.number}"
+
+    @property
+    def is_warm(self) -> bool:
+        return self.successes >= WARM_SUCCESSES
+
+    def bears(self) -> int:
+        return max(b for needed, b in BEARS if self.successes >= needed)
+
+    def start(self, work: Work, now_ms: int) -> bool:
+        if now_ms < self.up_ms:
+            return False
+        self.running.append(work)
+        self.peak = max(self.peak, len(self.running))
+        if not self.is_warm and len(self.running) > self.bears():
+            raise OverloadError(
+                f"{len(self.running)} running, bears {self.bears()}"
+            )
+        return True
+
+    def restart(self, now_ms: int, down_ms: int) -> list[Work]:
+        lost, self.running = self.running, []
+        self.number += 1
+        self.up_ms = now_ms + down_ms
+        self.successes = 0
+        return lost
+
+
+class Process:
+    """One process incarnation of a daemon."""
+
+    def __init__(self, world: World, name: str, incarnation: str) -> None:
+        self.world = world
+        self.name = name
+        self.incarnation = incarnation
+        self.started_ms = world.now_ms
+        self.settled_ms = world.now_ms + VIEW_LAG_MS
+        self.paused_until_ms = 0
+        self.is_alive = True
+        self.waiting = 0
+        self.backlog: list[Callable[[], None]] = []
+        self.known: dict[str, Member] = {}
+        self.known_due_ms = 0
+        self.gatekeeper = create_gatekeeper(incarnation, SETTINGS)
+        self.holder = create_holder(SETTINGS)
+        self.tell_both(UpstreamsChanged((UPSTREAM,)))
+        self.transport = world.network.attach(
+            PeerIdentity(
+                deployment="test",
+                name=name,
+                incarnation=incarnation,
+                address=name,
+            ),
+            keys=KEYS,
+            registry=REGISTRY,
+            handler=lambda message: self.when_awake(
+                functools.partial(self.receive, message)
+            ),
+        )
+
+    @property
+    def is_paused(self) -> bool:
+        return self.world.now_ms < self.paused_until_ms
+
+    def when_awake(self, call: Callable[[], None]) -> None:
+        if self.is_paused:
+            self.backlog.append(call)
+        elif self.is_alive:
+            call()
+
+    def tick(self) -> None:
+        view = MembershipView(
+            own_name=self.name,
+            members=tuple(self.known.values()) or (self._myself(),),
+            as_of_ms=self.world.now_ms,
+            last_contact_ms=None,
+            is_settled=self.world.now_ms >= self.settled_ms,
+            unmet_seeds=self.world.size - max(len(self.known), 1),
+        )
+        self.tell_both(FleetObserved(view))
+        self.tell_holder(DemandChanged("u", self.waiting))
+        self.tell_holder(TimePassed())
+
+    def work(self) -> None:
+        while self.waiting:
+            self.holder, admission = admit_work(
+                self.holder, "u", self.world.now_ms
+            )
+            if admission.kind is AdmissionKind.WAIT:
+                return
+            self.waiting -= 1
+            self.world.send_work(self, admission)
+
+    def receive(self, message: ReceivedMessage) -> None:
+        payload = message.payload
+        if type(payload).__name__ in HOLDER_KINDS:
+            event = HolderSpoke(
+                holder=message.incarnation,
+                address=message.address,
+                message=cast(HolderMessage, payload),
+            )
+            self.tell_gatekeeper(event)
+        else:
+            self.tell_holder(
+                GatekeeperSpoke(
+                    gatekeeper=message.incarnation,
+                    message=cast(GatekeeperMessage, payload),
+                )
+            )
+
+    def tell_both(
+        self, event: FleetObserved | UpstreamsChanged | UpstreamReported
+    ) -> None:
+        self.tell_gatekeeper(event)
+        self.tell_holder(event)
+
+    def tell_gatekeeper(self, event: GatekeeperEvent) -> None:
+        self.gatekeeper, sends = step_gatekeeper(
+            self.gatekeeper, event, self.world.now_ms
+        )
+        for send in sends:
+            self.transport.send(send.address, send.message)
+
+    def tell_holder(self, event: HolderEvent) -> None:
+        self.holder, actions = step_holder(
+            self.holder, event, self.world.now_ms
+        )
+        for action in actions:
+            if isinstance(action, SendToGatekeeper):
+                self.transport.send(action.address, action.message)
+
+    def _myself(self) -> Member:
+        return create_member(self.name, self.incarnation, MemberState.ALIVE)
+
+
+class World:
+    """Lets time pass; every random choice comes from one seed.
+
+    Views lag by a bounded time, work ends within its limit, and a restart
+    takes longer than a report is trusted; nothing else is assumed.
+    """
+
+    def __init__(self, size: int = 4, seed: int = 0) -> None:
+        self.size = size
+        self.random = random.Random(seed)
+        self.clock = ManualClock(10_000)
+        self.network = MemoryNetwork(self.clock, seed=seed)
+        self.engine = Engine()
+        self.processes: dict[str, Process] = {}
+        self.noticed_paused: set[str] = set()
+        self.sides: dict[str, int] = {}
+        self.report_loss = 0.0
+        self.started = 0
+        self.updates: list[tuple[int, Process, dict[str, Member]]] = []
+        self.reports: list[tuple[int, Process, UpstreamReported]] = []
+        for index in range(size):
+            self.start(f"vm{index}")
+
+    @property
+    def now_ms(self) -> int:
+        return self.clock.now_ms()
+
+    def start(self, name: str) -> None:
+        """Starts or replaces a VM's process; its work goes on."""
+        self.crash(name, is_noticed=False)
+        self.started += 1
+        self.processes[name] = Process(self, name, f"i{self.started:04d}")
+        self.fleet_changed()
+
+    def crash(self, name: str, *, is_noticed: bool = True) -> None:
+        process = self.processes.pop(name, None)
+        if process is not None:
+            process.is_alive = False
+            process.transport.close()
+        self.noticed_paused.discard(name)
+        if is_noticed:
+            self.fleet_changed()
+
+    def pause(self, name: str, for_ms: int, *, is_noticed: bool) -> None:
+        self.processes[name].paused_until_ms = self.now_ms + for_ms
+        if is_noticed:
+            self.noticed_paused.add(name)
+            self.fleet_changed()
+
+    def partition(self, names: set[str]) -> None:
+        self.sides = {name: int(name in names) for name in self.names()}
+        self.network.partition(tuple(names))
+        self.fleet_changed()
+
+    def heal(self) -> None:
+        self.sides = {}
+        self.network.heal()
+        self.fleet_changed()
+
+    def set_faults(self, faults: LinkFaults) -> None:
+        self.network.set_default_faults(faults)
+
+    def restart_engine(self, down_ms: int) -> None:
+        for work in self.engine.restart(self.now_ms, down_ms):
+            self._end(work, WorkOutcome.FAILED)
+
+    def want(self, name: str, count: int) -> None:
+        self.processes[name].waiting += count
+
+    def run(self, for_ms: int) -> None:
+        for _ in range(for_ms // STEP_MS):
+            self.clock.advance(STEP_MS)
+            self._step()
+
+    def names(self) -> list[str]:
+        return [f"vm{index}" for index in range(self.size)]
+
+    def fleet_changed(self) -> None:
+        """Sends every process, after its own lag, what is now true for it."""
+        for process in self.processes.values():
+            lag_ms = self.random.randint(0, VIEW_LAG_MS)
+            process.known_due_ms = max(
+                process.known_due_ms, self.now_ms + lag_ms
+            )
+            known = {name: self._truth(process, name) for name in self.names()}
+            self.updates.append((process.known_due_ms, process, known))
+
+    def send_work(self, process: Process, admission: Admission) -> None:
+        duration_ms = self.random.choice((40, 200, SETTINGS.max_work_ms))
+        work = Work(process, admission, self.now_ms + duration_ms)
+        never_sent = self.random.random() < 0.05
+        if never_sent or not self.engine.start(work, self.now_ms):
+            self._end(work, WorkOutcome.NOT_RUN)
+
+    def _truth(self, observer: Process, name: str) -> Member:
+        process = self.processes.get(name)
+        near = self.sides.get(observer.name, 0) == self.sides.get(name, 0)
+        is_seen = name not in self.noticed_paused or name == observer.name
+        if process is None or not near or not is_seen:
+            return create_member(name, "", MemberState.GONE)
+        return create_member(name, process.incarnation, MemberState.ALIVE)
+
+    def _step(self) -> None:
+        self._finish_work()
+        self._publish_reports()
+        self._wake()
+        self._deliver_updates()
+        self._deliver_reports()
+        self.network.deliver_due()
+        for process in list(self.processes.values()):
+            if process.is_paused:
+                continue
+            if self.now_ms % TICK_MS < STEP_MS:
+                process.tick()
+            process.work()
+
+    def _wake(self) -> None:
+        for process in self.processes.values():
+            if process.paused_until_ms and not process.is_paused:
+                process.paused_until_ms = 0
+                if process.name in self.noticed_paused:
+                    self.noticed_paused.discard(process.name)
+                    self.fleet_changed()
+                process.settled_ms = self.now_ms + VIEW_LAG_MS
+                backlog, process.backlog = process.backlog, []
+                for call in backlog:
+                    call()
+
+    def _deliver_updates(self) -> None:
+        due = [u for u in self.updates if u[0] <= self.now_ms]
+        self.updates = [u for u in self.updates if u[0] > self.now_ms]
+        for _, process, known in due:
+            process.when_awake(
+                functools.partial(setattr, process, "known", known)
+            )
+
+    def _publish_reports(self) -> None:
+        engine = self.engine
+        if self.now_ms >= engine.up_ms:
+            engine.history.append(
+                (self.now_ms, engine.incarnation, len(engine.running))
+            )
+            del engine.history[:-40]
+        if self.now_ms % REPORT_MS >= STEP_MS:
+            return
+        for process in self.processes.values():
+            if process.is_paused or self.random.random() < self.report_loss:
+                continue
+            self._ask_report(process)
+
+    def _ask_report(self, process: Process) -> None:
+        if self.now_ms < self.engine.up_ms:
+            return
+        oldest_ms = self.now_ms - self.random.randint(0, SETTINGS.report_lag_ms)
+        states = [s for s in self.engine.history if s[0] >= oldest_ms]
+        _, incarnation, running = states[0]
+        report = UpstreamReported(
+            upstream="u",
+            incarnation=incarnation,
+            running=running,
+            as_of_ms=self.now_ms,
+        )
+        due_ms = self.now_ms + self.random.randint(0, 60)
+        self.reports.append((due_ms, process, report))
+
+    def _deliver_reports(self) -> None:
+        due = [r for r in self.reports if r[0] <= self.now_ms]
+        self.reports = [r for r in self.reports if r[0] > self.now_ms]
+        for _, process, report in due:
+            process.when_awake(functools.partial(process.tell_both, report))
+
+    def _finish_work(self) -> None:
+        ended = [w for w in self.engine.running if w.end_ms <= self.now_ms]
+        for work in ended:
+            self.engine.running.remove(work)
+            self.engine.successes += 1
+            self._end(work, WorkOutcome.SUCCEEDED)
+
+    def _end(self, work: Work, outcome: WorkOutcome) -> None:
+        event = WorkEnded(admission=work.admission, outcome=outcome)
+        work.process.when_awake(
+            functools.partial(work.process.tell_holder, event)
+        )
+
+
+def create_member(name: str, incarnation: str, state: MemberState) -> Member:
+    """Builds a member with the name as its peer address."""
+    return Member(
+        name=name,
+        incarnation=incarnation,
+        failure_domain="fd0",
+        endpoints=Endpoints(
+            caller_address=name, admin_address=name, peer_address=name
+        ),
+        state=state,
+        report=Report(),
+        report_ms=0,
+    )
--- a/trefoilpitch/membership/_draft.py
+++ b/trefoilpitch/membership/_draft.py
@@ -118,11 +118,11 @@
         """Changes the state of another member by own observation."""
         self._replace(with_state(self.peers[name].record, state))
 
-    def announce(self, state: MemberState) -> None:
+    def announce(self, state: str) -> None:
         """Changes the state of this daemon and spreads it."""
         self.own = msgspec.structs.replace(
             self.own,
-            state=state.value,
+            state=state,
             refutation=self.own.refutation + 1,
         )
         self._touch(self.own.name)
--- a/trefoilpitch/membership/_monitor.py
+++ b/trefoilpitch/membership/_monitor.py
@@ -10,7 +10,7 @@
 )
 from trefoilpitch.membership._nodes import MemberState
 from trefoilpitch.membership._overlay import rank_helpers
-from trefoilpitch.membership._records import state_of
+from trefoilpitch.membership._records import DEPARTED, state_of
 from trefoilpitch.membership._state import Peer
 
 
@@ -42,7 +42,7 @@
         state = state_of(peer.record)
         if state is MemberState.SUSPECT and age_ms >= settings.gone_after_ms:
             draft.conclude(name, MemberState.GONE)
-        elif state is MemberState.GONE and age_ms >= settings.gone_retention_ms:
+        elif state is MemberState.GONE and age_ms >= _retention_ms(draft, peer):
             draft.forget(name)
 
 
@@ -95,6 +95,13 @@
         draft.heard(answer.record.name)
 
 
+def _retention_ms(draft: Draft, peer: Peer) -> int:
+    record = peer.record
+    if record.state != DEPARTED and record.peer_address in draft.before.seeds:
+        return draft.settings.listed_retention_ms
+    return draft.settings.gone_retention_ms
+
+
 def _is_doubtable(peer: Peer) -> bool:
     return state_of(peer.record) in (MemberState.ALIVE, MemberState.LEAVING)
 
--- a/trefoilpitch/membership/_nodes.py
+++ b/trefoilpitch/membership/_nodes.py
@@ -63,6 +63,8 @@
     report_ms: int
     # False after the owner was paused, until news of the member arrives.
     is_confirmed: bool = True
+    # Whether a member that is gone announced its end.
+    has_departed: bool = False
 
     @property
     def is_eligible(self) -> bool:
@@ -78,12 +80,14 @@
     own_name: str
     # Every known member, itself included, by name; gone ones for a while.
     members: tuple[Member, ...]
-    # When the view was taken, on the owner's monotonic clock.
+    # When the protocol last ran, on the owner's monotonic clock.
     as_of_ms: int
     # When a peer was last heard; ``None`` before the first.
     last_contact_ms: int | None
     # Whether the view has caught up with a peer since a start or a pause.
     is_settled: bool
+    # Addresses on the VM list at which no member was ever met.
+    unmet_seeds: int = 0
 
     @functools.cached_property
     def by_name(self) -> Mapping[str, Member]:
--- a/trefoilpitch/membership/_records.py
+++ b/trefoilpitch/membership/_records.py
@@ -16,12 +16,15 @@
 )
 
 _PERMILLE = 1000
+# The state on the wire of a member that announced its end.
+DEPARTED = "departed"
 # States that others conclude outrank what the member said before.
 _RANKS = {
     MemberState.ALIVE.value: 0,
     MemberState.LEAVING.value: 0,
     MemberState.SUSPECT.value: 1,
     MemberState.GONE.value: 2,
+    DEPARTED: 3,
 }
 
 Precedence = tuple[str, int, int]
@@ -38,6 +41,8 @@
 
 def state_of(record: MemberRecord) -> MemberState:
     """Returns the record's state; an unknown one counts as suspect."""
+    if record.state == DEPARTED:
+        return MemberState.GONE
     try:
         return MemberState(record.state)
     except ValueError:
@@ -131,4 +136,5 @@
         ),
         report_ms=report_ms,
         is_confirmed=is_confirmed,
+        has_departed=record.state == DEPARTED,
     )
--- a/trefoilpitch/membership/_state.py
+++ b/trefoilpitch/membership/_state.py
@@ -26,6 +26,9 @@
     gone_after_ms: int = 6_000
     # How long gone members are remembered.
     gone_retention_ms: int = 120_000
+    # The same while the VM list names a member that never announced its end;
+    # longer than regions lose each other.
+    listed_retention_ms: int = 7_200_000
     # A gap between ticks from which the daemon counts as paused.
     pause_threshold_ms: int = 2_000
     # How long a start or a pause may leave the view unsettled.
@@ -165,7 +168,14 @@
     return MembershipView(
         own_name=state.own.name,
         members=tuple(members),
-        as_of_ms=now_ms,
+        as_of_ms=state.last_tick_ms,
         last_contact_ms=state.last_contact_ms,
         is_settled=state.unsettled_since_ms is None,
+        unmet_seeds=_count_unmet_seeds(state),
     )
+
+
+def _count_unmet_seeds(state: MembershipState) -> int:
+    met = {peer.record.peer_address for peer in state.peers.values()}
+    met.add(state.own.peer_address)
+    return sum(1 for seed in set(state.seeds) if seed not in met)
--- a/trefoilpitch/membership/_step.py
+++ b/trefoilpitch/membership/_step.py
@@ -39,7 +39,7 @@
     receive_probe_request,
 )
 from trefoilpitch.membership._nodes import MemberState
-from trefoilpitch.membership._records import create_report, state_of
+from trefoilpitch.membership._records import DEPARTED, create_report, state_of
 from trefoilpitch.membership._state import MembershipState
 
 
@@ -74,10 +74,10 @@
             _change_report(draft, event)
         case LeaveRequested():
             if state_of(draft.own) is MemberState.ALIVE:
-                draft.announce(MemberState.LEAVING)
+                draft.announce(MemberState.LEAVING.value)
                 send_news(draft)
         case Departed():
-            draft.announce(MemberState.GONE)
+            draft.announce(DEPARTED)
             send_news(draft)
 
 
--- a/trefoilpitch/membership/tests/fleet.py
+++ b/trefoilpitch/membership/tests/fleet.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+from collections.abc import Iterable
 
 from trefoilpitch.clock import ManualClock
 from trefoilpitch.membership import (
@@ -14,6 +15,7 @@
     MembershipView,
     MemberState,
     MessageReceived,
+    SeedsChanged,
     Tick,
     create_membership,
 )
@@ -100,6 +102,12 @@
             host, self.clock.now_ms() + len(self.nodes) * 7 % 200
         )
 
+    def list_vms(self, names: Iterable[str]) -> None:
+        """Gives every VM a new VM list."""
+        addresses = tuple(address_of(name) for name in names)
+        for node in self.nodes.values():
+            node.host.handle(SeedsChanged(addresses))
+
     def crash(self, name: str) -> None:
         """Stops a VM without a word."""
         del self.nodes[name]
