Add the daemon, its settings and the administration API

Cause: the parts need a process that owns them. Ruled out: one thread per concern without supervision (a failed part would go unnoticed).

--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,169 @@
+"""Starts the project's programs as separate processes on loopback."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from types import TracebackType
+from typing import Any, Self
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+ADMIN_TOKEN = "example-admin-token"
+SHARED_KEY = "example-shared-key-0123456789"
+
+_POLL_S = 0.05
+_END_PATIENCE_S = 30
+
+
+class Processes:
+    """Owns processes and ends them; a context manager."""
+
+    def __init__(self) -> None:
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for process in self._running.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self._running.values():
+            process.wait()
+
+    def start(
+        self, name: str, module: str, *arguments: str, **environment: str
+    ) -> subprocess.Popen[bytes]:
+        """Starts a module of the project."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            cwd=ROOT,
+            env={**os.environ, **environment},
+            stdout=subprocess.DEVNULL,
+            stderr=sys.stderr,
+        )
+        self._running[name] = process
+        return process
+
+    def pid(self, name: str) -> int:
+        """Returns the id of a process."""
+        return self._running[name].pid
+
+    def kill(self, name: str) -> None:
+        """Kills a process at once."""
+        self._running[name].kill()
+        self._running.pop(name).wait()
+
+    def end(self, name: str) -> int:
+        """Ends a process gracefully and returns its exit status."""
+        process = self._running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(_END_PATIENCE_S)
+
+
+def start_daemon(
+    processes: Processes,
+    name: str,
+    *,
+    failure_domain: str,
+    base_port: int,
+    store_port: int,
+    seeds: tuple[str, ...] = (),
+    **flags: str,
+) -> None:
+    """Starts a daemon that listens on three ports from ``base_port`` on."""
+    digest = hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest()
+    settings = {
+        "vm_name": name,
+        "failure_domain": failure_domain,
+        "caller_address": f"127.0.0.1:{base_port}",
+        "admin_address": f"127.0.0.1:{base_port + 1}",
+        "peer_address": f"127.0.0.1:{base_port + 2}",
+        "store_address": f"127.0.0.1:{store_port}",
+        "seeds": ",".join(seeds),
+        "shared_key": SHARED_KEY,
+        "admin_token_sha256": digest,
+        **flags,
+    }
+    variables = {
+        f"TREFOILPITCH_{flag.upper()}": value
+        for flag, value in settings.items()
+    }
+    processes.start(name, "trefoilpitch.daemon", **variables)
+
+
+class HttpReply:
+    """The reply to one request.
+
+    Args:
+        status: The HTTP status.
+        headers: The header fields.
+        body: The whole body.
+    """
+
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self) -> Any:
+        """Returns the decoded body."""
+        return json.loads(self.body)
+
+
+def http(
+    method: str,
+    url: str,
+    body: Any = None,
+    timeout_s: float = 30.0,
+    **headers: str,
+) -> HttpReply:
+    """Sends a request; a dictionary is sent as JSON.
+
+    Header names are given with underscores in place of hyphens.
+    """
+    data = body
+    if body is not None and not isinstance(body, bytes):
+        data = json.dumps(body).encode()
+        headers.setdefault("Content_Type", "application/json")
+    fields = {name.replace("_", "-"): text for name, text in headers.items()}
+    request = urllib.request.Request(
+        url, data=data, method=method, headers=fields
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as reply:
+            return HttpReply(reply.status, dict(reply.headers), reply.read())
+    except urllib.error.HTTPError as error:
+        return HttpReply(error.code, dict(error.headers), error.read())
+
+
+def wait_until(condition: Any, what: str, patience_s: float = 30.0) -> Any:
+    """Waits until a condition holds and returns what it returned.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    until = time.monotonic() + patience_s
+    while time.monotonic() < until:
+        try:
+            found = condition()
+        except OSError:
+            found = None
+        if found:
+            return found
+        time.sleep(_POLL_S)
+    raise TimeoutError(f"{what} did not happen within {patience_s} s")
--- a/trefoilpitch/configuration/__init__.py
+++ b/trefoilpitch/configuration/__init__.py
@@ -27,6 +27,7 @@
     StoreUnavailableError,
 )
 from trefoilpitch.configuration._head import HEAD_KEY, KEY_PREFIX
+from trefoilpitch.configuration._head_reader import HeadReader
 from trefoilpitch.configuration._nodes import (
     EMPTY_CONFIGURATION,
     Configuration,
@@ -53,6 +54,7 @@
     "Configuration",
     "ConfigurationWriter",
     "Delta",
+    "HeadReader",
     "PauseRollout",
     "Refusal",
     "ResumeRollout",
--- /dev/null
+++ b/trefoilpitch/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon: ``python -m trefoilpitch.daemon``."""
+
+from trefoilpitch.daemon import run
+
+run()
--- a/trefoilpitch/web/__init__.py
+++ b/trefoilpitch/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP towards callers and operators, on waitress."""
 
+from trefoilpitch.web._in_flight import InFlight, count_in_flight
 from trefoilpitch.web._problems import (
     PROBLEM_TYPE,
     Outcome,
@@ -26,12 +27,14 @@
     "Handler",
     "Header",
     "HttpServer",
+    "InFlight",
     "Outcome",
     "Problem",
     "Request",
     "Response",
     "ServerLimits",
     "WsgiApp",
+    "count_in_flight",
     "create_wsgi_app",
     "encode_problem",
     "open_server",
