Wire cold start credits into the dispatch of requests

Cause: a cold upstream must get no more than it bears from all nodes together; until now each node sent up to its own limit. Ruled out: a local bound on each node (the sum over nodes exceeds the bound). Change: a request takes a credit with its place, and waiting requests ask for credits. Also: a live run counts as succeeded when its finish is handed on, because its consumer closes it then; the adaptive limit had fallen from 32 to 22 after one whole answer.

--- a/trefoilpitch/coldstart/__init__.py
+++ b/trefoilpitch/coldstart/__init__.py
@@ -31,6 +31,7 @@
     create_holder,
     is_cold,
     step_holder,
+    usable_credits,
 )
 from trefoilpitch.coldstart._ledger import ramp_bound
 from trefoilpitch.coldstart._messages import (
@@ -56,6 +57,7 @@
     "step_holder",
     "admit_work",
     "is_cold",
+    "usable_credits",
     "HolderState",
     "HolderEvent",
     "HolderAction",
--- a/trefoilpitch/coldstart/_holder.py
+++ b/trefoilpitch/coldstart/_holder.py
@@ -143,6 +143,19 @@
     return not is_warm_here(account.warmth, now_ms, state.settings)
 
 
+def usable_credits(state: HolderState, upstream: str, now_ms: int) -> int:
+    """Returns how many pieces of work may start on a cold upstream now."""
+    account = state.accounts.get(upstream, Account())
+    settings = state.settings
+    incarnation = current_incarnation(account.warmth, now_ms, settings)
+    count = 0
+    while True:
+        account, credit = take_usable(account, incarnation, now_ms)
+        if credit is None:
+            return count
+        count += 1
+
+
 def _change_upstreams(
     state: HolderState, upstreams: tuple[Upstream, ...]
 ) -> HolderState:
--- a/trefoilpitch/daemon/_gates.py
+++ b/trefoilpitch/daemon/_gates.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 from trefoilpitch.bundle import Upstream
-from trefoilpitch.limits import ConcurrencyLimit, concurrency_limit
+from trefoilpitch.coldstart import WorkOutcome
+from trefoilpitch.limits import (
+    ConcurrencyLimit,
+    LimitSettings,
+    concurrency_limit,
+)
+
+# Latencies below this one are all alike: they tell nothing about the load.
+_LATENCY_FLOOR_MS = 200
 
 
 class AdaptiveConcurrency:
     """Adapts the concurrency of each upstream; the directory's lock guards it.
 
-    The first limit is the upstream's capacity.
+    The first limit is the upstream's capacity, and so is the highest.
     """
 
     def __init__(self) -> None:
@@ -20,28 +28,23 @@
         return self._current(upstream).requests
 
     def finished(
-        self, upstream: Upstream, *, succeeded: bool, latency_ms: int
+        self,
+        upstream: Upstream,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+        in_flight: int,
     ) -> None:
         """Records how a request ended."""
-        del latency_ms
-        if not succeeded:
-            self._limits[upstream.name] = self._current(upstream).failed()
+        settings = LimitSettings(max_limit=upstream.capacity)
+        current = self._current(upstream)
+        if outcome is WorkOutcome.REFUSED:
+            self._limits[upstream.name] = current.failed(settings)
+        elif latency_ms is not None:
+            latency_ms = max(latency_ms, _LATENCY_FLOOR_MS)
+            self._limits[upstream.name] = current.finished(
+                latency_ms, in_flight, settings
+            )
 
     def _current(self, upstream: Upstream) -> ConcurrencyLimit:
         known = self._limits.get(upstream.name)
         return known or concurrency_limit(upstream.capacity)
-
-
-class NoColdStarts:
-    """Treats every upstream as warm."""
-
-    def allowance(self, upstream: str) -> int | None:
-        """Returns None: there is no bound."""
-        del upstream
-        return None
-
-    def started(self, upstream: str) -> None:
-        """Does nothing."""
-
-    def finished(self, upstream: str, *, succeeded: bool) -> None:
-        """Does nothing."""
--- a/trefoilpitch/daemon/_load.py
+++ b/trefoilpitch/daemon/_load.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from trefoilpitch.clock import Clock
+from trefoilpitch.daemon._cold_starts import ColdStarts
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.serving import UpstreamDirectory
 from trefoilpitch.supervision import Tick
@@ -23,15 +24,21 @@
 
     Args:
         directory: Names the upstreams and takes their reports.
+        cold_starts: Takes the reports too.
         clock: Measures deadlines.
         metrics: Counts failures.
     """
 
     def __init__(
-        self, directory: UpstreamDirectory, clock: Clock, metrics: Metrics
+        self,
+        directory: UpstreamDirectory,
+        cold_starts: ColdStarts,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
         self._directory = directory
+        self._cold_starts = cold_starts
         self._clock = clock
         self._metrics = metrics
         self._pool = concurrent.futures.ThreadPoolExecutor(
@@ -58,9 +65,14 @@
         reporter = self._directory.reporter(name)
         if reporter is None:
             return
-        deadline_ms = self._clock.now_ms() + _FETCH_TIMEOUT_MS
-        report = reporter.load_report(deadline_ms=deadline_ms)
-        if isinstance(report, Success):
-            self._directory.record_report(name, report.unwrap())
-        else:
+        asked_ms = self._clock.now_ms()
+        deadline_ms = asked_ms + _FETCH_TIMEOUT_MS
+        fetched = reporter.load_report(deadline_ms=deadline_ms)
+        if not isinstance(fetched, Success):
             self._metrics.count("load_report_failures")
+            return
+        report = fetched.unwrap()
+        self._directory.record_report(name, report)
+        self._cold_starts.note_report(
+            name, report.incarnation, report.running, asked_ms
+        )
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -10,6 +10,7 @@
 
 import logbook
 
+from trefoilpitch import coldstart, membership
 from trefoilpitch.administration import AdminApi, AdminServices
 from trefoilpitch.callers import (
     CallerApi,
@@ -20,15 +21,21 @@
 )
 from trefoilpitch.cascade import CascadePolicy
 from trefoilpitch.clock import Clock
+from trefoilpitch.coldstart import GatekeeperMessage, HolderMessage
 from trefoilpitch.configuration import HeadReader, configuration_writer
 from trefoilpitch.daemon._clients import HttpClients
+from trefoilpitch.daemon._cold_starts import (
+    COLD_START_TICK_MS,
+    ColdStartActor,
+    ColdStarts,
+)
 from trefoilpitch.daemon._configuration import (
     CONFIGURATION_TICK_MS,
     ConfigurationActor,
     CurrentConfiguration,
 )
 from trefoilpitch.daemon._draining import Draining, NodePhase
-from trefoilpitch.daemon._gates import AdaptiveConcurrency, NoColdStarts
+from trefoilpitch.daemon._gates import AdaptiveConcurrency
 from trefoilpitch.daemon._homes import (
     FleetHomes,
     HttpForwarder,
@@ -51,7 +58,6 @@
 from trefoilpitch.identity import TokenSigner, create_incarnation
 from trefoilpitch.ledger import SegmentWriter
 from trefoilpitch.membership import (
-    PAYLOAD_KINDS,
     Endpoints,
     LeaveRequested,
     MembershipHost,
@@ -65,6 +71,7 @@
 from trefoilpitch.peering import (
     PeerIdentity,
     PeerKeys,
+    PeerTransport,
     ReceivedMessage,
     create_payload_registry,
     open_nng_transport,
@@ -135,10 +142,14 @@
         )
         self._watch = DeadlineWatch(clock)
         clients = HttpClients(clock, self._watch)
+        self._queue = PlaceQueue(clock)
+        self._transport = self._open_transport()
+        self._cold_starts = ColdStarts(
+            clock, self._transport, self._queue.notify
+        )
         self._directory = UpstreamDirectory(
-            clock, clients, NoColdStarts(), AdaptiveConcurrency()
+            clock, clients, self._cold_starts, AdaptiveConcurrency()
         )
-        self._queue = PlaceQueue(clock)
         self._directory.on_release(self._queue.notify)
         self._current = CurrentConfiguration(
             settings.vm_name, self._on_new_table
@@ -230,27 +241,32 @@
             "latencies": self.metrics.latencies(),
         }
 
-    def _create_members(self) -> MembershipHost:
+    def _open_transport(self) -> PeerTransport:
         settings = self._settings
-        endpoints = Endpoints(
-            caller_address=str(settings.caller_address),
-            admin_address=str(settings.admin_address),
-            peer_address=str(settings.peer_address),
-        )
-        self._transport = open_nng_transport(
+        return open_nng_transport(
             clock=self._clock,
             identity=PeerIdentity(
                 deployment=settings.deployment,
                 name=settings.vm_name,
                 incarnation=self.incarnation,
-                address=endpoints.peer_address,
+                address=str(settings.peer_address),
             ),
             keys=PeerKeys(
                 current=settings.shared_key, other=settings.other_shared_key
             ),
-            registry=create_payload_registry(PAYLOAD_KINDS),
+            registry=create_payload_registry(
+                membership.PAYLOAD_KINDS, coldstart.PAYLOAD_KINDS
+            ),
             handler=self._on_peer_message,
         )
+
+    def _create_members(self) -> MembershipHost:
+        settings = self._settings
+        endpoints = Endpoints(
+            caller_address=str(settings.caller_address),
+            admin_address=str(settings.admin_address),
+            peer_address=str(settings.peer_address),
+        )
         state = create_membership(
             name=settings.vm_name,
             incarnation=self.incarnation,
@@ -360,10 +376,20 @@
                 ),
                 tick_ms=LEDGER_TICK_MS,
             ),
+            ChildSpec(
+                name="cold-starts",
+                start=lambda: ColdStartActor.start(
+                    self._cold_starts, self.view
+                ),
+                tick_ms=COLD_START_TICK_MS,
+            ),
             ChildSpec(
                 name="load",
                 start=lambda: LoadActor.start(
-                    self._directory, self._clock, self.metrics
+                    self._directory,
+                    self._cold_starts,
+                    self._clock,
+                    self.metrics,
                 ),
                 tick_ms=LOAD_TICK_MS,
             ),
@@ -433,11 +459,15 @@
 
     def _on_new_table(self, table: RoutingTable) -> None:
         self._directory.apply(table)
+        self._cold_starts.set_upstreams(tuple(table.upstreams.values()))
         self._queue.notify()
 
     def _on_peer_message(self, message: ReceivedMessage) -> None:
-        if isinstance(message.payload, MembershipMessage):
+        payload = message.payload
+        if isinstance(payload, MembershipMessage):
             self._supervisor.tell("membership", message)
+        elif isinstance(payload, HolderMessage | GatekeeperMessage):
+            self._supervisor.tell("cold-starts", message)
 
     def _on_seeds(self, seeds: SeedsChanged) -> None:
         self._supervisor.tell("membership", seeds)
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -215,9 +215,7 @@
         completion = self._completion(step)
         return self._flow._dispatcher.run(
             self._errand(step),
-            lambda slot: begin_live(
-                slot, completion, lambda client: client.start(completion)
-            ),
+            lambda slot: begin_live(slot, completion),
         )
 
     def _is_accepted(self, step: int, placed: Placed[WholeRun]) -> bool:
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -2,24 +2,34 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from types import TracebackType
 from typing import Protocol, Self
 
 from trefoilpitch.bundle import Upstream, UpstreamKind
 from trefoilpitch.clock import Clock
+from trefoilpitch.coldstart import Admission, AdmissionKind, WorkOutcome
+from trefoilpitch.retries import Execution
 from trefoilpitch.routing import (
     Confirmed,
     Decision,
     LoadReport,
     Revised,
+    RevisionReason,
     RoutingTable,
     UpstreamState,
     confirm_dispatch,
 )
-from trefoilpitch.upstreams import EngineClient, ServiceClient
+from trefoilpitch.upstreams import (
+    EngineClient,
+    OverloadedError,
+    RefusedError,
+    ServiceClient,
+    UpstreamError,
+)
 from trefoilpitch.upstreams import LoadReport as ReceivedReport
 
 
@@ -39,11 +49,19 @@
     def allowance(self, upstream: str) -> int | None:
         """Returns the requests that may start now; None while warm."""
 
-    def started(self, upstream: str) -> None:
-        """Records that a request starts; uses up allowance while cold."""
+    def admit(self, upstream: str) -> Admission:
+        """Asks for the start of one request, which must be ended."""
 
-    def finished(self, upstream: str, *, succeeded: bool) -> None:
-        """Records that a request that started has ended."""
+    def ended(
+        self,
+        admission: Admission,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+    ) -> None:
+        """Records how a request that was admitted ended."""
+
+    def demand(self, upstream: str, change: int) -> None:
+        """Changes the number of requests that wait for an upstream."""
 
 
 class ConcurrencyGate(Protocol):
@@ -53,7 +71,11 @@
         """Returns the requests that may run at once."""
 
     def finished(
-        self, upstream: Upstream, *, succeeded: bool, latency_ms: int
+        self,
+        upstream: Upstream,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+        in_flight: int,
     ) -> None:
         """Records how a request ended."""
 
@@ -90,16 +112,23 @@
     """One running request's place on an upstream.
 
     A context manager that gives the place back. A request counts as failed
-    unless :meth:`succeed` was called.
+    unless its owner said otherwise.
     """
 
     def __init__(
-        self, directory: UpstreamDirectory, followed: _Followed, now_ms: int
+        self,
+        directory: UpstreamDirectory,
+        followed: _Followed,
+        admission: Admission,
+        clock: Clock,
     ) -> None:
         self._directory = directory
         self._followed = followed
-        self._started_ms = now_ms
-        self._succeeded = False
+        self._admission = admission
+        self._clock = clock
+        self._started_ms = clock.now_ms()
+        self._outcome = WorkOutcome.FAILED
+        self._latency_ms: int | None = None
         self._is_open = True
 
     @property
@@ -129,9 +158,24 @@
             raise TypeError(f"{self.upstream.name} is not a plain service")
         return self._followed.service
 
+    def note_first_part(self) -> None:
+        """Records that the first part of the answer is there."""
+        if self._latency_ms is None:
+            self._latency_ms = self._clock.now_ms() - self._started_ms
+
     def succeed(self) -> None:
         """Records that the upstream gave a whole answer."""
-        self._succeeded = True
+        self.note_first_part()
+        self._outcome = WorkOutcome.SUCCEEDED
+
+    def fail(self, error: UpstreamError) -> None:
+        """Records how the upstream failed."""
+        if isinstance(error, RefusedError | OverloadedError):
+            self._outcome = WorkOutcome.REFUSED
+        elif error.execution is Execution.NOT_RUN:
+            self._outcome = WorkOutcome.NOT_RUN
+        else:
+            self._outcome = WorkOutcome.FAILED
 
     def __enter__(self) -> Self:
         return self
@@ -150,7 +194,7 @@
             return
         self._is_open = False
         self._directory._release(
-            self._followed, self._started_ms, succeeded=self._succeeded
+            self._followed, self._admission, self._outcome, self._latency_ms
         )
 
 
@@ -239,9 +283,13 @@
             if followed is None or not isinstance(outcome, Confirmed):
                 assert isinstance(outcome, Revised)
                 return outcome
+            admission = self._cold_starts.admit(decision.upstream)
+            if admission.kind is AdmissionKind.WAIT:
+                return Revised(
+                    decision=decision, reason=RevisionReason.UPSTREAM_FULL
+                )
             followed.in_flight += 1
-            self._cold_starts.started(decision.upstream)
-        return Slot(self, followed, now_ms)
+        return Slot(self, followed, admission, self._clock)
 
     def record_report(self, upstream: str, report: ReceivedReport) -> None:
         """Takes in a load report."""
@@ -261,6 +309,28 @@
                 said_so = followed.report and followed.report.leaving
                 followed.leaving = name in upstreams or bool(said_so)
 
+    @contextlib.contextmanager
+    def demand(self) -> Iterator[Callable[[tuple[str, ...]], None]]:
+        """Lets a request that waits ask for places on cold upstreams.
+
+        Yields:
+            A function that takes the names of upstreams that would do; the
+            demand ends with the context.
+        """
+        asked: set[str] = set()
+
+        def ask(upstreams: tuple[str, ...]) -> None:
+            for name in upstreams:
+                if name not in asked and self._is_cold(name):
+                    asked.add(name)
+                    self._cold_starts.demand(name, 1)
+
+        try:
+            yield ask
+        finally:
+            for name in asked:
+                self._cold_starts.demand(name, -1)
+
     def in_flight(self) -> int:
         """Returns the requests that are running on all upstreams."""
         with self._lock:
@@ -272,6 +342,9 @@
             for name in list(self._followed):
                 self._drop(name)
 
+    def _is_cold(self, upstream: str) -> bool:
+        return self._cold_starts.allowance(upstream) is not None
+
     def _state(self, followed: _Followed, now_ms: int) -> UpstreamState:
         name = followed.node.upstream.name
         allowance = self._cold_starts.allowance(name)
@@ -300,17 +373,20 @@
             _close(followed)
 
     def _release(
-        self, followed: _Followed, started_ms: int, *, succeeded: bool
+        self,
+        followed: _Followed,
+        admission: Admission,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
     ) -> None:
         upstream = followed.node.upstream
-        latency_ms = self._clock.now_ms() - started_ms
         with self._lock:
-            followed.in_flight -= 1
-            is_last = followed.is_dropped and followed.in_flight == 0
-            self._cold_starts.finished(upstream.name, succeeded=succeeded)
             self._concurrency.finished(
-                upstream, succeeded=succeeded, latency_ms=latency_ms
+                upstream, outcome, latency_ms, followed.in_flight
             )
+            followed.in_flight -= 1
+            is_last = followed.is_dropped and followed.in_flight == 0
+        self._cold_starts.ended(admission, outcome, latency_ms)
         if is_last:
             _close(followed)
         for listener in self._listeners:
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -29,6 +29,7 @@
     RoutingTable,
     Target,
     choose_upstream,
+    eligible_upstreams,
 )
 from trefoilpitch.serving._directory import Slot, UpstreamDirectory
 from trefoilpitch.serving._nodes import ConfigurationSource
@@ -141,8 +142,9 @@
             started = _start(start, slot)
             if isinstance(started, Success):
                 return Success(Placed(slot, started.unwrap()))
-            slot.close()
             error = started.failure()
+            slot.fail(error)
+            slot.close()
             excluded.add(error.upstream)
             failures.append(failure_kind(error))
             problem = self._consider_retry(errand, failures, error)
@@ -176,7 +178,10 @@
     def _place(
         self, errand: Errand, excluded: set[str]
     ) -> Result[Slot, Problem]:
-        with self._queue.ticket(errand) as ticket:
+        with (
+            self._queue.ticket(errand) as ticket,
+            self._directory.demand() as ask,
+        ):
             while True:
                 attempt = self._try_place(errand, excluded)
                 if isinstance(attempt, Success):
@@ -184,10 +189,19 @@
                 error = attempt.failure()
                 if not is_temporary(error):
                     return Failure(routing_problem(error, errand.request_id))
+                ask(self._candidates(errand))
                 refusal = ticket.wait(error)
                 if refusal is not None:
                     return Failure(refusal)
 
+    def _candidates(self, errand: Errand) -> tuple[str, ...]:
+        eligible = eligible_upstreams(
+            self._configuration.table(),
+            errand.target,
+            self._directory.states(),
+        )
+        return tuple(upstream.name for upstream in eligible)
+
     def _try_place(
         self, errand: Errand, excluded: set[str]
     ) -> Result[Slot, RoutingError]:
--- a/trefoilpitch/serving/_runs.py
+++ b/trefoilpitch/serving/_runs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from returns.result import Failure, Result, Success
 
@@ -12,11 +12,9 @@
     AnswerStream,
     Chunk,
     CompletionRequest,
-    EngineClient,
     Finish,
     IncompleteReplyError,
     UpstreamError,
-    collect,
 )
 
 MAX_RESUMPTIONS = 2
@@ -32,22 +30,6 @@
     finish: Finish
 
 
-def run_whole(
-    slot: Slot, request: CompletionRequest
-) -> Result[WholeRun, UpstreamError]:
-    """Runs a request to its end before anything of it is delivered."""
-    started = slot.engine.start(request)
-    if not isinstance(started, Success):
-        return Failure(started.failure())
-    try:
-        with started.unwrap() as stream:
-            chunks, finish = collect(stream)
-    except UpstreamError as error:
-        return Failure(error)
-    slot.succeed()
-    return Success(WholeRun(tuple(chunks), finish))
-
-
 class LiveRun:
     """A run whose parts are delivered as they come.
 
@@ -57,8 +39,9 @@
     Args:
         slot: The place on the engine; closed with the run.
         request: What runs.
-        stream: The stream of parts.
-        first: The first item, which was read to see that the run began.
+        stream: The stream of parts; owned from here on.
+        parts: Iterates over the stream's parts from its second one.
+        first: The first part, which was read to see that the run began.
     """
 
     def __init__(
@@ -66,11 +49,13 @@
         slot: Slot,
         request: CompletionRequest,
         stream: AnswerStream,
+        parts: Iterator[Chunk | Finish],
         first: Chunk | Finish,
     ) -> None:
         self._slot = slot
         self._request = request
         self._stream = stream
+        self._parts = parts
         self._first = first
         self._next_index = 0
         self._resumptions = 0
@@ -90,11 +75,9 @@
         while True:
             try:
                 yield from self._checked(source)
+                return
             except UpstreamError as error:
                 source = iter(self._resume(error))
-            else:
-                self._slot.succeed()
-                return
 
     def close(self) -> None:
         """Ends the run; the engine cancels what it has not generated."""
@@ -104,7 +87,7 @@
     def _with_first(self) -> Iterator[Chunk | Finish]:
         yield self._first
         if isinstance(self._first, Chunk):
-            yield from self._stream
+            yield from self._parts
 
     def _checked(
         self, source: Iterator[Chunk | Finish]
@@ -112,6 +95,9 @@
         for item in source:
             if isinstance(item, Chunk):
                 self._next_index = item.index + 1
+            else:
+                # The consumer closes the run as soon as it has the finish.
+                self._slot.succeed()
             yield item
 
     def _resume(self, error: UpstreamError) -> AnswerStream:
@@ -132,23 +118,21 @@
 
 
 def begin_live(
-    slot: Slot,
-    request: CompletionRequest,
-    open_stream: Callable[[EngineClient], Result[AnswerStream, UpstreamError]],
+    slot: Slot, request: CompletionRequest
 ) -> Result[LiveRun, UpstreamError]:
     """Starts a run and waits for its first part.
 
     Args:
         slot: The place on the engine.
         request: What runs.
-        open_stream: Starts the run, or takes one up that the engine holds.
     """
-    opened = open_stream(slot.engine)
+    opened = slot.engine.start(request)
     if not isinstance(opened, Success):
         return Failure(opened.failure())
     stream = opened.unwrap()
+    parts = iter(stream)
     try:
-        first = next(iter(stream), None)
+        first = next(parts, None)
     except UpstreamError as error:
         stream.__exit__(None, None, None)
         return Failure(error)
@@ -156,4 +140,28 @@
         stream.__exit__(None, None, None)
         name = slot.upstream.name
         return Failure(IncompleteReplyError(name, "the answer is empty"))
-    return Success(LiveRun(slot, request, stream, first))
+    slot.note_first_part()
+    return Success(LiveRun(slot, request, stream, parts, first))
+
+
+def run_whole(
+    slot: Slot, request: CompletionRequest
+) -> Result[WholeRun, UpstreamError]:
+    """Runs a request to its end before anything of it is delivered."""
+    begun = begin_live(slot, request)
+    if not isinstance(begun, Success):
+        return Failure(begun.failure())
+    run = begun.unwrap()
+    chunks: list[Chunk] = []
+    try:
+        for item in run.items():
+            if isinstance(item, Chunk):
+                chunks.append(item)
+            else:
+                return Success(WholeRun(tuple(chunks), item))
+    except UpstreamError as error:
+        return Failure(error)
+    finally:
+        run.close()
+    name = slot.upstream.name
+    return Failure(IncompleteReplyError(name, "the answer has no end"))
