Add leases with fencing numbers on compare-and-swap alone

Cause: loading models and releasing cold-start credits need one holder at a time, also when the holder is paused, replies are lost or reads are stale.

Ruled out: keys that go with a store's lease. The store may lapse them early, so that a successor would have to wait out the validity in any case, and absence does not tell a release from a lapse.

Change: a pure state machine over one key; every write names the revision it replaces, validity counts from the sending, a successor knows the same revision for the validity stated in the record and a margin, and the fencing number is the revision of the winning write. `LeaseKeeper` runs it against a store.

--- /dev/null
+++ b/trefoilpitch/leases/__init__.py
@@ -0,0 +1,51 @@
+"""Leases with fencing numbers, held by compare-and-swap alone."""
+
+from trefoilpitch.leases._events import (
+    Action,
+    Event,
+    ReadFailed,
+    ReadRecord,
+    RecordRead,
+    Release,
+    Tick,
+    WriteConflicted,
+    WriteNotApplied,
+    WriteRecord,
+    WriteSucceeded,
+    WriteUnknown,
+)
+from trefoilpitch.leases._keeper import LeaseKeeper, lease_keeper
+from trefoilpitch.leases._machine import initial_state, step
+from trefoilpitch.leases._types import (
+    LeaseCounters,
+    LeaseRecord,
+    LeaseState,
+    LeaseTerms,
+    Term,
+    lease_terms,
+)
+
+__all__ = [
+    "Action",
+    "Event",
+    "LeaseCounters",
+    "LeaseKeeper",
+    "LeaseRecord",
+    "LeaseState",
+    "LeaseTerms",
+    "ReadFailed",
+    "ReadRecord",
+    "RecordRead",
+    "Release",
+    "Term",
+    "Tick",
+    "WriteConflicted",
+    "WriteNotApplied",
+    "WriteRecord",
+    "WriteSucceeded",
+    "WriteUnknown",
+    "initial_state",
+    "lease_keeper",
+    "lease_terms",
+    "step",
+]
