--- /dev/null
+++ b/trefoilpitch/orders/_desired.py
@@ -0,0 +1,107 @@
+"""Derives what each engine should serve from the configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from trefoilpitch.bundle import (
+    VERSION_SEPARATOR,
+    Bundle,
+    Pool,
+    Upstream,
+    UpstreamKind,
+    VersionRef,
+)
+from trefoilpitch.configuration import Configuration, RolloutPhase
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EngineTarget:
+    """What one engine should serve."""
+
+    # The engine.
+    upstream: Upstream
+    # The versions, the most urgent to load first.
+    versions: tuple[VersionRef, ...]
+
+
+def desired_targets(
+    configuration: Configuration,
+) -> Mapping[str, EngineTarget]:
+    """Returns the targets by engine; engines taken out get no orders.
+
+    An engine serves its pool's versions except withdrawn ones and those of
+    roll-outs that have not begun. A version that was rolled back stays: its
+    sessions keep it until it is withdrawn.
+    """
+    bundle = configuration.bundle
+    if bundle is None:
+        return {}
+    excluded = configuration.withdrawn | _not_begun(bundle, configuration)
+    urgent = _rolling_out(configuration)
+    targets: dict[str, EngineTarget] = {}
+    for pool in bundle.pools:
+        if pool.kind is not UpstreamKind.ENGINE:
+            continue
+        versions = _pool_versions(pool, excluded, urgent)
+        for upstream in pool.upstreams:
+            if _is_in_service(upstream, configuration):
+                earlier = targets.get(upstream.name)
+                targets[upstream.name] = _merged(upstream, earlier, versions)
+    return targets
+
+
+def _pool_versions(
+    pool: Pool, excluded: frozenset[VersionRef], urgent: frozenset[VersionRef]
+) -> tuple[VersionRef, ...]:
+    served = [_parse(text) for text in pool.serves]
+    wanted = [version for version in served if version not in excluded]
+    return tuple(sorted(wanted, key=lambda version: version not in urgent))
+
+
+def _merged(
+    upstream: Upstream,
+    earlier: EngineTarget | None,
+    versions: tuple[VersionRef, ...],
+) -> EngineTarget:
+    """Unites the versions of all pools that the engine is a member of."""
+    before = () if earlier is None else earlier.versions
+    united = dict.fromkeys(before + versions)
+    return EngineTarget(upstream=upstream, versions=tuple(united))
+
+
+def _parse(text: str) -> VersionRef:
+    model, _, version = text.rpartition(VERSION_SEPARATOR)
+    return VersionRef(model, version)
+
+
+def _not_begun(
+    bundle: Bundle, configuration: Configuration
+) -> frozenset[VersionRef]:
+    planned = {
+        VersionRef(plan.model, plan.to_version) for plan in bundle.rollouts
+    }
+    begun = {
+        VersionRef(rollout.model, rollout.to_version)
+        for rollout in configuration.rollouts
+    }
+    defaults = {
+        VersionRef(model.name, model.default_version) for model in bundle.models
+    }
+    return frozenset(planned - begun - defaults)
+
+
+def _rolling_out(configuration: Configuration) -> frozenset[VersionRef]:
+    return frozenset(
+        VersionRef(rollout.model, rollout.to_version)
+        for rollout in configuration.rollouts
+        if rollout.phase is RolloutPhase.RUNNING
+    )
+
+
+def _is_in_service(upstream: Upstream, configuration: Configuration) -> bool:
+    return (
+        upstream.name not in configuration.vms_out
+        and upstream.failure_domain not in configuration.failure_domains_out
+    )
