Test what altered clients would get wrong, and distrust idle connections

A test of idle connections failed once in five runs: the upstream's close could arrive after the next request had gone out.

Ruled out: a second attempt on a new connection, because nothing proves that the first did not run.

Change: tests for the alterations that passed unnoticed; the pool gives up connections that were idle for more than 4 s, before servers commonly close them; the test waits until the server has closed.

--- a/trefoilpitch/upstreams/_connection_pool.py
+++ b/trefoilpitch/upstreams/_connection_pool.py
@@ -24,6 +24,10 @@
 from trefoilpitch.upstreams._http_request import HttpRequest
 from trefoilpitch.upstreams._nodes import Timeouts
 
+# An upstream may close an idle connection just as a request goes out on it,
+# which leaves unknown whether the request ran. Servers commonly wait 5 s.
+MAX_IDLE_MS = 4_000
+
 
 class ConnectionPool:
     """At most a fixed number of connections to one upstream.
@@ -54,7 +58,8 @@
         self._clock = clock
         self._watch = watch
         self._slots = threading.BoundedSemaphore(max_connections)
-        self._idle: list[CheckedConnection] = []
+        # With the monotonic time since when each is idle.
+        self._idle: list[tuple[CheckedConnection, int]] = []
         self._lock = threading.Lock()
         self._closed = False
 
@@ -99,7 +104,7 @@
         with self._lock:
             self._closed = True
             idle, self._idle = self._idle, []
-        for connection in idle:
+        for connection, _ in idle:
             connection.close()
 
     def _exchange(self, request: HttpRequest) -> Exchange:
@@ -115,10 +120,11 @@
     def _take(self) -> CheckedConnection:
         while True:
             with self._lock:
-                connection = self._idle.pop() if self._idle else None
-            if connection is None:
-                return CheckedConnection(self._host, self._port)
-            if connection.is_connected:
+                if not self._idle:
+                    return CheckedConnection(self._host, self._port)
+                connection, since_ms = self._idle.pop()
+            idle_ms = self._clock.now_ms() - since_ms
+            if idle_ms <= MAX_IDLE_MS and connection.is_connected:
                 return connection
             connection.close()
 
@@ -126,7 +132,7 @@
         with self._lock:
             keep = reusable and not self._closed and connection.is_connected
             if keep:
-                self._idle.append(connection)
+                self._idle.append((connection, self._clock.now_ms()))
         if not keep:
             connection.close()
         self._slots.release()
--- a/trefoilpitch/upstreams/tests/harness.py
+++ b/trefoilpitch/upstreams/tests/harness.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 
 from trefoilpitch.bundle import VersionRef
-from trefoilpitch.clock import Clock, SystemClock
+from trefoilpitch.clock import Clock, ManualClock, SystemClock
 from trefoilpitch.standins import (
     EngineSettings,
     EngineStandIn,
@@ -38,6 +38,27 @@
     client: EngineClient
 
 
+class WatchedClock(ManualClock):
+    """A manual clock that tells when the deadline watch has read it."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        super().__init__(start_ms)
+        self._watch_reads = 0
+
+    def now_ms(self) -> int:
+        now_ms = super().now_ms()
+        if threading.current_thread().name == "deadline-watch":
+            self._watch_reads += 1
+        return now_ms
+
+    def advance_seen(self, by_ms: int) -> None:
+        """Moves the clock and waits until the watch has acted on it."""
+        self.advance(by_ms)
+        # The second full round after the change has surely seen it.
+        target = self._watch_reads + 4
+        wait_until(lambda: self._watch_reads >= target)
+
+
 @contextlib.contextmanager
 def engine_bench(
     *,
@@ -45,12 +66,13 @@
     max_connections: int = 64,
     clock: Clock = CLOCK,
     settings: EngineSettings | None = None,
+    engine_clock: Clock = CLOCK,
 ) -> Iterator[EngineBench]:
     settings = settings or EngineSettings(warm_after=0, token_ms=0)
     settings.versions = settings.versions or [str(VERSION)]
     with (
         DeadlineWatch(clock) as watch,
-        open_engine_stand_in(settings) as engine,
+        open_engine_stand_in(settings, clock=engine_clock) as engine,
         open_engine_client(
             upstream="e1",
             address=engine.address,
@@ -63,6 +85,17 @@
         yield EngineBench(engine=engine, client=client)
 
 
+@contextlib.contextmanager
+def raw_client(address: str) -> Iterator[EngineClient]:
+    with (
+        DeadlineWatch(CLOCK) as watch,
+        open_engine_client(
+            upstream="e1", address=address, clock=CLOCK, watch=watch
+        ) as client,
+    ):
+        yield client
+
+
 def completion(
     request_id: str = "r1",
     *,
--- a/trefoilpitch/upstreams/tests/raw_server.py
+++ b/trefoilpitch/upstreams/tests/raw_server.py
@@ -10,17 +10,19 @@
 
 
 class RawServer:
-    """Serves connections one after another with scripted bytes."""
+    """Serves each connection with scripted bytes."""
 
     def __init__(
         self, replies: Sequence[Sequence[bytes]], *, hold: bool = False
     ) -> None:
         self.requests: list[bytes] = []
         self.accepted = 0
+        self.finished = 0
         self.release = threading.Event()
         if not hold:
             self.release.set()
         self._replies = replies
+        self._workers: list[threading.Thread] = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
@@ -35,14 +37,25 @@
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self._thread.join()
+        for worker in self._workers:
+            worker.join()
 
     def _serve(self) -> None:
         with contextlib.suppress(OSError):
             for replies in self._replies:
                 connection, _ = self._listener.accept()
                 self.accepted += 1
-                with connection, contextlib.suppress(OSError):
-                    self._answer(connection, replies)
+                worker = threading.Thread(
+                    target=self._serve_connection, args=(connection, replies)
+                )
+                self._workers.append(worker)
+                worker.start()
+
+    def _serve_connection(
+        self, connection: socket.socket, replies: Sequence[bytes]
+    ) -> None:
+        with connection, contextlib.suppress(OSError):
+            self._answer(connection, replies)
 
     def _answer(
         self, connection: socket.socket, replies: Sequence[bytes]
@@ -55,6 +68,7 @@
             connection.sendall(reply)
         self.release.wait()
         connection.shutdown(socket.SHUT_WR)
+        self.finished += 1
         while connection.recv(1 << 16):
             pass
 
--- a/trefoilpitch/upstreams/tests/test_engine_client.py
+++ b/trefoilpitch/upstreams/tests/test_engine_client.py
@@ -12,7 +12,6 @@
     Chunk,
     ConnectError,
     DeadlineExceededError,
-    DeadlineWatch,
     ErrorReplyError,
     Execution,
     Finish,
@@ -28,15 +27,16 @@
     Timeouts,
     UpstreamError,
     collect,
-    open_engine_client,
 )
 from trefoilpitch.upstreams.tests.harness import (
     CLOCK,
     DEADLINE_MS,
     VERSION,
     EngineBench,
+    WatchedClock,
     completion,
     engine_bench,
+    raw_client,
     wait_until,
 )
 from trefoilpitch.upstreams.tests.raw_server import raw_server
@@ -50,7 +50,7 @@
     except Exception:
         return started.failure()
     with stream, pytest.raises(UpstreamError) as raised:
-        collect(stream)
+        list(stream)
     return raised.value
 
 
@@ -118,12 +118,7 @@
 def test_a_refused_connection_ran_nothing() -> None:
     with engine_bench() as bench:
         address = bench.engine.address
-    with (
-        DeadlineWatch(CLOCK) as watch,
-        open_engine_client(
-            upstream="e1", address=address, clock=CLOCK, watch=watch
-        ) as client,
-    ):
+    with raw_client(address) as client:
         failure = client.start(completion()).failure()
     assert type(failure) is ConnectError
     assert failure.execution is Execution.NOT_RUN
@@ -185,6 +180,84 @@
                 next(items)
 
 
+def test_each_chunk_renews_the_limit_on_the_time_to_the_next() -> None:
+    clock = WatchedClock()
+    engine_clock = ManualClock()
+    timeouts = Timeouts(first_byte_ms=10**6, chunk_gap_ms=100)
+    settings = EngineSettings(warm_after=0, token_ms=1, prefill_ms=0)
+    request = completion(clock=clock, deadline_ms=10**6)
+    with (
+        engine_bench(
+            clock=clock,
+            timeouts=timeouts,
+            settings=settings,
+            engine_clock=engine_clock,
+        ) as bench,
+        bench.client.start(request).unwrap() as stream,
+    ):
+        items = iter(stream)
+        for _ in range(4):
+            next(items)
+            clock.advance_seen(60)
+            engine_clock.advance(1)
+        next(items)
+        clock.advance_seen(100)
+        engine_clock.advance(1)
+        with pytest.raises(DeadlineExceededError):
+            next(items)
+
+
+def test_an_engine_may_think_longer_than_it_takes_to_connect() -> None:
+    with engine_bench(timeouts=Timeouts(connect_ms=50)) as bench:
+        bench.engine.commit(Fault(kind="slow_headers", delay_ms=100))
+        with bench.client.start(completion()).unwrap() as stream:
+            collect(stream)
+
+
+_JSON_REPLY = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nModel-Version: small@1\r\n"
+    b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "error"),
+    [
+        (b"r1", b"r2", MismatchedReplyError),
+        (b"small@1", b"small@2", MismatchedReplyError),
+        (b"", b"", IncompleteReplyError),
+    ],
+)
+def test_a_reply_that_cannot_be_the_answer_fails_at_the_start(
+    old: bytes, new: bytes, error: type[UpstreamError]
+) -> None:
+    with (
+        raw_server([_JSON_REPLY.replace(old, new)]) as server,
+        raw_client(server.address) as client,
+    ):
+        failure = client.start(completion()).failure()
+    assert (type(failure), failure.execution) == (error, Execution.UNKNOWN)
+
+
+def test_cancel_of_a_stream_that_only_its_connection_delimits() -> None:
+    reply = (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nConnection: close\r\n"
+        b"Content-Type: text/event-stream\r\n\r\n"
+        b'id: 0\ndata: {"id": "r1", "model": "small@1", '
+        b'"choices": [{"delta": {"content": "a"}}]}\n\n'
+    )
+    with (
+        raw_server([reply], hold=True) as server,
+        raw_client(server.address) as client,
+        client.start(completion()).unwrap() as stream,
+    ):
+        items = iter(stream)
+        assert next(items) == Chunk(index=0, text="a", tokens=1)
+        stream.cancel()
+        with pytest.raises(CancelledError):
+            next(items)
+
+
 def test_a_request_past_its_deadline_is_not_sent() -> None:
     with engine_bench() as bench:
         failure = bench.client.start(completion(deadline_ms=0)).failure()
@@ -216,12 +289,7 @@
 
         canceller = threading.Thread(target=cancel_once_sent)
         canceller.start()
-        with (
-            DeadlineWatch(CLOCK) as watch,
-            open_engine_client(
-                upstream="e1", address=server.address, clock=CLOCK, watch=watch
-            ) as client,
-        ):
+        with raw_client(server.address) as client:
             failure = client.start(completion(), cancellation).failure()
         canceller.join()
     assert type(failure) is CancelledError
--- a/trefoilpitch/upstreams/tests/test_service_client.py
+++ b/trefoilpitch/upstreams/tests/test_service_client.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from returns.result import Result
 
+from trefoilpitch.clock import Clock, ManualClock
 from trefoilpitch.standins import Fault, ServiceSettings, open_service_stand_in
 from trefoilpitch.upstreams import (
     DeadlineExceededError,
@@ -25,7 +26,12 @@
     UpstreamError,
     open_service_client,
 )
-from trefoilpitch.upstreams.tests.harness import CLOCK, DEADLINE_MS
+from trefoilpitch.upstreams._connection_pool import MAX_IDLE_MS
+from trefoilpitch.upstreams.tests.harness import (
+    CLOCK,
+    DEADLINE_MS,
+    wait_until,
+)
 from trefoilpitch.upstreams.tests.raw_server import raw_server
 
 _OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
@@ -33,14 +39,14 @@
 
 @contextlib.contextmanager
 def _client(
-    address: str, timeouts: Timeouts | None = None
+    address: str, timeouts: Timeouts | None = None, *, clock: Clock = CLOCK
 ) -> Iterator[ServiceClient]:
     with (
-        DeadlineWatch(CLOCK) as watch,
+        DeadlineWatch(clock) as watch,
         open_service_client(
             upstream="s1",
             address=address,
-            clock=CLOCK,
+            clock=clock,
             watch=watch,
             max_body_bytes=1000,
             timeouts=timeouts,
@@ -58,6 +64,7 @@
     body: bytes = b"{}",
     headers: tuple[tuple[str, str], ...] = (),
     deadline_ms: int = DEADLINE_MS,
+    clock: Clock = CLOCK,
 ) -> Result[ServiceReply, UpstreamError]:
     request = ServiceRequest(
         request_id=request_id,
@@ -65,7 +72,7 @@
         path=path,
         body=body,
         headers=headers,
-        deadline_ms=CLOCK.now_ms() + deadline_ms,
+        deadline_ms=clock.now_ms() + deadline_ms,
     )
     return client.call(request)
 
@@ -163,10 +170,24 @@
         _client(server.address) as client,
     ):
         assert _call(client).unwrap().body == b"ok"
+        wait_until(lambda: server.finished == 1)
         assert _call(client).unwrap().body == b"ok"
         assert server.accepted == 2
 
 
+def test_a_connection_idle_for_long_is_not_trusted() -> None:
+    reply = _OK + b"Content-Length: 2\r\n\r\nok"
+    clock = ManualClock()
+    with (
+        raw_server([reply, reply], [reply], hold=True) as server,
+        _client(server.address, clock=clock) as client,
+    ):
+        assert _call(client, clock=clock).unwrap().body == b"ok"
+        clock.advance(MAX_IDLE_MS + 1)
+        assert _call(client, clock=clock).unwrap().body == b"ok"
+        assert server.accepted == 2
+
+
 @pytest.mark.parametrize(
     ("reply", "error"),
     [
@@ -202,6 +223,11 @@
             _OK + b"Transfer-Encoding: chunked\r\n\r\n-1\r\nok\r\n0\r\n\r\n",
             IncompleteReplyError,
         ),
+        # A line that is no header field.
+        (
+            _OK + b"Content-Length: 2\r\nnonsense\r\n\r\nok",
+            IncompleteReplyError,
+        ),
         # Two replies to one request.
         (
             (_OK + b"Content-Length: 2\r\n\r\nok") * 2,
--- a/trefoilpitch/upstreams/tests/test_sse.py
+++ b/trefoilpitch/upstreams/tests/test_sse.py
@@ -123,6 +123,11 @@
     assert _take(events) == _take(list(_ANSWER))
 
 
+def test_no_chunk_follows_the_finish() -> None:
+    with pytest.raises(UpstreamError):
+        _take([*_ANSWER[:5], _chunk(5), _END])
+
+
 @pytest.mark.parametrize(
     "event",
     [
