Explore by what there is to save and pool the workspaces that agree

Cause: cheap answers were rated too seldom to meet a lower bound; at 60,000 requests the transcripts of all workspaces together had some 90 rated cheap answers, and each workspace used those of the others only at a small weight.

Change: the share of exploration follows what the hopeful plan would save over the safe one, up to a quarter, and four fifths of it go to the plan that is expected to meet the target. Nothing is explored before there are ratings. Ratings of other workspaces count in full as far as the workspace's own agree with them, up to 1,000.

--- a/trefoilpitch/cascade/_estimate.py
+++ b/trefoilpitch/cascade/_estimate.py
@@ -7,9 +7,11 @@
 
 from trefoilpitch.cascade._counts import BinCounts
 
-_PRIOR_RATINGS = 1.0
-_POOL_SHARE = 0.25
-_MAX_POOLED_RATINGS = 8.0
+# Ratings that the bundle's prior quality counts for, over all bins.
+_PRIOR_RATINGS = 4.0
+# Ratings that those of other workspaces count for at most, over all bins.
+_MAX_POOLED_RATINGS = 1_000.0
+_MIN_MEAN = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,9 +43,11 @@
         prior_quality: Mean quality before any rating has been seen.
     """
     shares = _shares(own, pooled)
+    others = [_without(*pair) for pair in zip(pooled, own, strict=True)]
+    trust = _likeness(own, others)
     means, weights = [], []
-    for mine, everyone in zip(own, pooled, strict=True):
-        mean, weight = _posterior(mine, everyone, prior_quality)
+    for share, mine, rest in zip(shares, own, others, strict=True):
+        mean, weight = _posterior(share, mine, rest, prior_quality, trust)
         means.append(mean)
         weights.append(weight)
     monotone = isotonic(means, weights)
@@ -73,16 +77,48 @@
     return tuple(value for value, _, length in blocks for _ in range(length))
 
 
+def _without(everyone: BinCounts, mine: BinCounts) -> BinCounts:
+    ratings = max(everyone.ratings - mine.ratings, 0.0)
+    return BinCounts(
+        answers=max(everyone.answers - mine.answers, 0.0),
+        ratings=ratings,
+        good=min(max(everyone.good - mine.good, 0.0), ratings),
+    )
+
+
+def _likeness(own: Sequence[BinCounts], others: Sequence[BinCounts]) -> float:
+    """Returns how far a workspace's ratings agree with the others'.
+
+    Returns:
+        From 0 to 1; 1 when they differ by no more than one standard error.
+    """
+    surplus, variance = 0.0, 0.0
+    for mine, rest in zip(own, others, strict=True):
+        if mine.ratings <= 0.0 or rest.ratings <= 0.0:
+            continue
+        mean = (rest.good + 1.0) / (rest.ratings + 2.0)
+        mean = min(max(mean, _MIN_MEAN), 1.0 - _MIN_MEAN)
+        spread = 1.0 + mine.ratings / rest.ratings
+        surplus += mine.good - mine.ratings * mean
+        variance += mine.ratings * mean * (1.0 - mean) * spread
+    if variance <= 0.0:
+        return 1.0
+    return 1.0 / (1.0 + max(surplus**2 / variance - 1.0, 0.0))
+
+
 def _posterior(
-    mine: BinCounts, everyone: BinCounts, prior_quality: float
+    share: float,
+    mine: BinCounts,
+    others: BinCounts,
+    prior_quality: float,
+    trust: float,
 ) -> tuple[float, float]:
-    others = max(everyone.ratings - mine.ratings, 0.0)
-    others_good = max(everyone.good - mine.good, 0.0)
-    scale = min(
-        _POOL_SHARE, _MAX_POOLED_RATINGS / others if others else _POOL_SHARE
-    )
-    good = _PRIOR_RATINGS * prior_quality + scale * others_good + mine.good
-    weight = _PRIOR_RATINGS + scale * others + mine.ratings
+    most = _MAX_POOLED_RATINGS * share
+    pooled = trust * min(others.ratings, most)
+    pooled_mean = others.good / others.ratings if others.ratings else 0.0
+    prior = max(_PRIOR_RATINGS * share, 0.01)
+    weight = prior + pooled + mine.ratings
+    good = prior * prior_quality + pooled * pooled_mean + mine.good
     return good / weight, weight
 
 
--- a/trefoilpitch/cascade/_policy.py
+++ b/trefoilpitch/cascade/_policy.py
@@ -28,6 +28,8 @@
 )
 from trefoilpitch.cascade._search import (
     Option,
+    cheapest_expected,
+    cheapest_possible,
     cheapest_safe,
     confidence_factor,
     direct_option,
@@ -35,14 +37,20 @@
 )
 
 _ALL_WORKSPACES = "*"
+# Share of exploration that goes to what is expected to be good enough.
+_HOPEFUL_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CascadeSettings:
     """How cautious and how curious the policy is."""
 
-    # Share of requests that may depart from the best known plan.
-    exploration_share: float = 0.03
+    # Largest share of requests that may depart from the best known plan.
+    exploration_share: float = 0.25
+    # Share that goes on exploring when much is known.
+    min_exploration_share: float = 0.01
+    # Ratings of a cheap version that halve its exploration.
+    halving_ratings: float = 200.0
     # Ratings of the dearest version before cheaper ones deliver anything.
     min_ratings: int = 20
     # Changes of the counts after which a plan is computed afresh.
@@ -64,8 +72,18 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _CachedOption:
-    option: Option
+class _Choice:
+    # The cheapest option that meets the target with confidence.
+    safe: Option
+    # The cheapest option that is expected to meet it.
+    hopeful: Option
+    # Share of requests that try something else, from 0 to 1.
+    exploration: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CachedChoice:
+    choice: _Choice
     changes: int
 
 
@@ -86,7 +104,7 @@
     ) -> None:
         self._settings = settings
         self._counts = CountsTable(incarnation)
-        self._cache: dict[_Question, _CachedOption] = {}
+        self._cache: dict[_Question, _CachedChoice] = {}
         self._changes: dict[tuple[str, str], int] = {}
         self._drift = DriftDetector()
 
@@ -118,11 +136,12 @@
             raise ValueError("a plan needs at least one candidate")
         ordered = tuple(sorted(candidates, key=lambda one: one.cost_nano))
         question = _Question(workspace, task, ordered, target, max_steps)
-        option = self._best_option(question)
+        choice = self._choose(question)
+        option = choice.safe
         exploring = max_steps > 1 and len(ordered) > 1
-        exploring = exploring and rng.random() < self._exploration_share()
+        exploring = exploring and rng.random() < choice.exploration
         if exploring:
-            option = _explored(option, ordered, rng)
+            option = _explored(choice, ordered, rng)
         steps = _steps(option, ordered)
         return CascadePlan(
             workspace=workspace, task=task, steps=steps, exploring=exploring
@@ -183,8 +202,32 @@
         self._counts.merge(snapshot)
         self._cache.clear()
 
-    def _exploration_share(self) -> float:
-        return self._settings.exploration_share
+    def _exploration_share(
+        self,
+        question: _Question,
+        safe: Option,
+        hopeful: Option,
+        possible: Option,
+    ) -> float:
+        """Returns how much to explore, by what there is to save.
+
+        What is expected to be good enough is tried for as long as it is not
+        yet certain; what is merely possible, less and less with each rating.
+        """
+        settings = self._settings
+        key = AnswerKey(
+            workspace=question.workspace,
+            task=question.task,
+            version=question.candidates[0].version,
+        )
+        rated = sum(one.ratings for one in self._counts.bins(_pooled(key)))
+        doubt = 1.0 + rated / settings.halving_ratings
+        saving = max(
+            _saving(safe, hopeful), _saving(safe, possible) / doubt, 0.0
+        )
+        least = min(settings.min_exploration_share, settings.exploration_share)
+        share = settings.exploration_share * min(2.0 * saving, 1.0)
+        return max(share, least)
 
     def _count_answer(self, key: AnswerKey, position: int) -> None:
         self._counts.add_answer(key, position)
@@ -206,17 +249,17 @@
                 self._counts.scale(one, self._settings.forgetting_factor)
         self._cache.clear()
 
-    def _best_option(self, question: _Question) -> Option:
+    def _choose(self, question: _Question) -> _Choice:
         cached = self._cache.get(question)
         limit = self._settings.refresh_changes
         changes = self._changes.get((question.workspace, question.task), 0)
         if cached is not None and changes - cached.changes < limit:
-            return cached.option
-        option = self._search(question)
-        self._cache[question] = _CachedOption(option, changes)
-        return option
+            return cached.choice
+        choice = self._search(question)
+        self._cache[question] = _CachedChoice(choice, changes)
+        return choice
 
-    def _search(self, question: _Question) -> Option:
+    def _search(self, question: _Question) -> _Choice:
         ordered = question.candidates
         factor = confidence_factor(question.target.confidence)
         firsts = [self._qualities(question, one) for one in ordered]
@@ -225,12 +268,17 @@
             for index, one in enumerate(ordered)
         ]
         if not self._has_evidence(question):
-            return directs[-1]
+            return _Choice(directs[-1], directs[-1], 0.0)
         options = list(directs)
         if question.max_steps > 1:
             for pair in itertools.combinations(range(len(ordered)), 2):
                 options += self._pair_options(question, firsts, pair, factor)
-        return cheapest_safe(options, question.target.quality)
+        target = question.target.quality
+        safe = cheapest_safe(options, target)
+        hopeful = cheapest_expected(options, target)
+        possible = cheapest_possible(options, target)
+        share = self._exploration_share(question, safe, hopeful, possible)
+        return _Choice(safe, hopeful, share)
 
     def _pair_options(
         self,
@@ -278,9 +326,18 @@
         return ratings >= self._settings.min_ratings
 
 
+def _saving(safe: Option, other: Option) -> float:
+    return 1.0 - other.cost_nano / max(safe.cost_nano, 1e-9)
+
+
 def _explored(
-    option: Option, ordered: Sequence[Candidate], rng: random.Random
+    choice: _Choice, ordered: Sequence[Candidate], rng: random.Random
 ) -> Option:
+    """Departs towards what is expected to be good enough, or anywhere."""
+    option = choice.safe
+    hopeful = choice.hopeful.cost_nano < option.cost_nano
+    if hopeful and rng.random() < _HOPEFUL_SHARE:
+        return choice.hopeful
     if option.second is None and option.first == 0:
         return option
     first = 0 if option.second is None else option.first
