Add the operators' command line

Cause: operators had only the administration API's HTTP.

The administration API has typed replies, which the client shares, and POST /v1/dry-run, which applies a change to the revision in force on the answering node without asking the store.

--- a/trefoilpitch/administration/_api.py
+++ b/trefoilpitch/administration/_api.py
@@ -16,6 +16,14 @@
     decode_change_body,
     to_change,
 )
+from trefoilpitch.administration._replies import (
+    BundleReply,
+    ChangeReply,
+    DryRunReply,
+    HistoryLine,
+    HistoryReply,
+    LedgerReply,
+)
 from trefoilpitch.administration._status import fleet_status
 from trefoilpitch.clock import Clock
 from trefoilpitch.configuration import (
@@ -27,6 +35,7 @@
     ConfigurationWriter,
     HeadReader,
     RevisionConflictError,
+    apply_change,
     describe_delta,
 )
 from trefoilpitch.ledger import (
@@ -88,6 +97,7 @@
             ("GET", "/v1/history"): self._history,
             ("GET", "/v1/ledger"): self._ledger,
             ("POST", "/v1/changes"): self._change,
+            ("POST", "/v1/dry-run"): self._dry_run,
             ("GET", "/metrics"): self._metrics,
         }
 
@@ -120,11 +130,11 @@
             self._services.configuration(),
             self._services.clock.now_ms(),
         )
-        return Response(body=msgspec.json.encode(status))
+        return _json_response(status)
 
     def _dump(self, request: Request) -> Response:
         del request
-        return Response(body=msgspec.json.encode(self._services.dump()))
+        return _json_response(self._services.dump())
 
     def _metrics(self, request: Request) -> Response:
         del request
@@ -135,27 +145,27 @@
     def _bundle(self, request: Request) -> Response:
         del request
         configuration = self._services.configuration()
-        body = {
-            "revision": configuration.revision,
-            "bundle": configuration.bundle,
-        }
-        return Response(body=msgspec.json.encode(body))
+        return _json_response(
+            BundleReply(
+                revision=configuration.revision, bundle=configuration.bundle
+            )
+        )
 
     def _history(self, request: Request) -> Response:
         del request
         read = self._services.reader.read()
         if not isinstance(read, Success):
             return problem_response(_commit_problem(read.failure()))
-        changes = [
-            {
-                "revision": delta.revision,
-                "change_id": delta.change_id,
-                "author": delta.change.author,
-                "description": describe_delta(delta),
-            }
+        changes = tuple(
+            HistoryLine(
+                revision=delta.revision,
+                change_id=delta.change_id,
+                author=delta.change.author,
+                description=describe_delta(delta),
+            )
             for delta in read.unwrap().head.deltas
-        ]
-        return Response(body=msgspec.json.encode({"changes": changes}))
+        )
+        return _json_response(HistoryReply(changes=changes))
 
     def _ledger(self, request: Request) -> Response:
         del request
@@ -163,8 +173,8 @@
         if not isinstance(read, Success):
             return problem_response(read.failure())
         bills = unite_bills(read.unwrap())
-        body = {"bills": bills, "totals": total_by_workspace(bills)}
-        return Response(body=msgspec.json.encode(body))
+        totals = total_by_workspace(bills)
+        return _json_response(LedgerReply(bills=bills, totals=totals))
 
     def _read_bills(self) -> Result[list[Bill], Problem]:
         listed = self._services.store.list_prefix(LEDGER_PREFIX)
@@ -202,18 +212,49 @@
         if not isinstance(committed, Success):
             return problem_response(_commit_problem(committed.failure()))
         self._services.on_committed(committed.unwrap())
-        answer = {
-            "revision": committed.unwrap().revision,
-            "is_repeated": committed.unwrap().is_repeated,
-        }
-        return Response(body=msgspec.json.encode(answer))
+        return _json_response(
+            ChangeReply(
+                revision=committed.unwrap().revision,
+                is_repeated=committed.unwrap().is_repeated,
+            )
+        )
+
+    def _dry_run(self, request: Request) -> Response:
+        """Applies a change to the revision in force here, and drops it.
+
+        Asks nothing of the store, so a later revision may decide otherwise.
+        """
+        body = decode_change_body(request.body)
+        if not isinstance(body, Success):
+            return problem_response(body.failure())
+        change = to_change(body.unwrap())
+        if not isinstance(change, Success):
+            return problem_response(change.failure())
+        configuration = self._services.configuration()
+        applied = apply_change(configuration, change.unwrap())
+        if not isinstance(applied, Success):
+            return problem_response(_refusal(str(applied.failure())))
+        return _json_response(DryRunReply(revision=configuration.revision))
+
+
+def _json_response(reply: object) -> Response:
+    return Response(body=msgspec.json.encode(reply))
+
+
+def _refusal(message: str) -> Problem:
+    return Problem(
+        status=422,
+        code="refused",
+        title=message,
+        detail="Nothing was changed.",
+    )
 
 
 def _commit_problem(error: CommitError) -> Problem:
     if isinstance(error, RevisionConflictError):
         status, code, detail = 409, "conflict", "Look at the changes, retry."
     elif isinstance(error, ChangeRefusedError):
-        status, code, detail = 422, "refused", "Nothing was changed."
+        return _refusal(str(error))
     elif isinstance(error, CommitUnknownError):
         status, code = 504, "outcome-unknown"
         detail = "Send the change again with the same change_id."
--- /dev/null
+++ b/trefoilpitch/administration/_replies.py
@@ -0,0 +1,68 @@
+"""What the administration API answers, for it and for its clients."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from trefoilpitch.bundle import Bundle
+from trefoilpitch.ledger import Bill, WorkspaceTotal
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BundleReply:
+    """The bundle in force on the answering node."""
+
+    # The revision in force.
+    revision: int
+    # The bundle; None before the first sign-off.
+    bundle: Bundle | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HistoryLine:
+    """One accepted change."""
+
+    # The revision that it made.
+    revision: int
+    # Chosen by whoever asked.
+    change_id: str
+    # Who asked.
+    author: str
+    # The change in words.
+    description: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HistoryReply:
+    """The accepted changes that the store still lists, oldest first."""
+
+    # The changes.
+    changes: tuple[HistoryLine, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LedgerReply:
+    """The bills that the store holds, one a request."""
+
+    # The bills, by request id.
+    bills: tuple[Bill, ...]
+    # Sums of the bills, by workspace.
+    totals: tuple[WorkspaceTotal, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeReply:
+    """An accepted change."""
+
+    # The revision that it made.
+    revision: int
+    # Whether an earlier request with the same change id made it.
+    is_repeated: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DryRunReply:
+    """A change that the revision in force on the answering node admits."""
+
+    # The revision in force, unchanged.
+    revision: int
--- /dev/null
+++ b/trefoilpitch/cli/__init__.py
@@ -0,0 +1,6 @@
+"""The operators' command line."""
+
+from trefoilpitch.cli._exceptions import ExitStatus
+from trefoilpitch.cli._main import main, run
+
+__all__ = ["ExitStatus", "main", "run"]
--- /dev/null
+++ b/trefoilpitch/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line."""
+
+from trefoilpitch.cli import run
+
+run()
