--- a/trefoilpitch/upstreams/__init__.py
+++ b/trefoilpitch/upstreams/__init__.py
@@ -1,6 +1,7 @@
 """Clients of model engines and plain services."""
 
 from trefoilpitch.upstreams._answer_stream import AnswerStream, collect
+from trefoilpitch.upstreams._cancellation import Cancellation
 from trefoilpitch.upstreams._deadlines import DeadlineWatch
 from trefoilpitch.upstreams._engine_client import (
     EngineClient,
@@ -13,13 +14,20 @@
     DeadlineExceededError,
     ErrorReplyError,
     IncompleteReplyError,
+    InvalidRequestError,
     MismatchedReplyError,
     OverloadedError,
     PoolExhaustedError,
     RefusedError,
     ReplyTooLargeError,
+    ResumeError,
+    StaleFencingError,
     UpstreamError,
 )
+from trefoilpitch.upstreams._fakes import (
+    FakeEngineClient,
+    FakeServiceClient,
+)
 from trefoilpitch.upstreams._nodes import (
     CacheEvent,
     CacheEvents,
@@ -28,6 +36,9 @@
     Finish,
     LoadReport,
     Message,
+    Order,
+    OrderKind,
+    OrderReply,
     ServiceReply,
     ServiceRequest,
     Timeouts,
@@ -41,8 +52,11 @@
 __all__ = [
     # Clients.
     "AnswerStream",
+    "Cancellation",
     "DeadlineWatch",
     "EngineClient",
+    "FakeEngineClient",
+    "FakeServiceClient",
     "ServiceClient",
     "collect",
     "open_engine_client",
@@ -56,6 +70,9 @@
     "Finish",
     "LoadReport",
     "Message",
+    "Order",
+    "OrderKind",
+    "OrderReply",
     "ServiceReply",
     "ServiceRequest",
     "Timeouts",
@@ -66,10 +83,13 @@
     "DeadlineExceededError",
     "ErrorReplyError",
     "IncompleteReplyError",
+    "InvalidRequestError",
     "MismatchedReplyError",
     "OverloadedError",
     "PoolExhaustedError",
     "RefusedError",
     "ReplyTooLargeError",
+    "ResumeError",
+    "StaleFencingError",
     "UpstreamError",
 ]
