--- a/trefoilpitch/configuration/replication/_peer_side.py
+++ b/trefoilpitch/configuration/replication/_peer_side.py
@@ -10,10 +10,14 @@
 from trefoilpitch.configuration._deltas import Delta
 from trefoilpitch.configuration.replication._adopt import (
     adopt_deltas,
-    adopt_snapshot,
 )
 from trefoilpitch.configuration.replication._draft import Draft
 from trefoilpitch.configuration.replication._events import PeerNode
+from trefoilpitch.configuration.replication._fetch import (
+    expire_fetch,
+    on_snapshot_page,
+    on_snapshot_request,
+)
 from trefoilpitch.configuration.replication._links import plan_links
 from trefoilpitch.configuration.replication._messages import (
     DomainContact,
@@ -26,12 +30,10 @@
 from trefoilpitch.configuration.replication._state import (
     Contact,
     OutstandingProbe,
-    SnapshotFetch,
 )
 
 # Peers asked at once when the first membership view arrives.
 _FIRST_PROBES = 3
-_MAX_SNAPSHOT_BYTES = 1_000_000
 
 
 def on_peers_changed(draft: Draft, peers: tuple[PeerNode, ...]) -> None:
@@ -66,26 +68,19 @@
         case RevisionAnswer():
             _on_answer(draft, address, message)
         case SnapshotRequest():
-            _on_snapshot_request(draft, address, message)
+            on_snapshot_request(draft, address, message)
         case SnapshotPage():
-            _on_snapshot_page(draft, address, message)
+            on_snapshot_page(draft, address, message)
 
 
 def tick_peers(draft: Draft) -> None:
     """Gives up on what was lost and sends the probe that is due."""
     _expire_probes(draft)
-    _expire_fetch(draft)
+    expire_fetch(draft)
     if draft.now_ms >= draft.state.next_probe_ms:
         _send_due_probes(draft)
 
 
-def start_fetch(draft: Draft, address: str) -> None:
-    """Asks a peer for its configuration."""
-    fetch = SnapshotFetch(address=address, asked_ms=draft.now_ms)
-    draft.update(fetch=fetch)
-    draft.send(address, SnapshotRequest(digest="", offset=0))
-
-
 def _send_due_probes(draft: Draft) -> None:
     state, settings = draft.state, draft.state.settings
     links = state.links
@@ -119,19 +114,6 @@
         draft.update(relay_offset=state.relay_offset + 1)
 
 
-def _expire_fetch(draft: Draft) -> None:
-    state = draft.state
-    timeout_ms = state.settings.probe_timeout_ms
-    if state.fetch and draft.now_ms - state.fetch.asked_ms >= timeout_ms:
-        _abandon_fetch(draft)
-
-
-def _abandon_fetch(draft: Draft) -> None:
-    """Leaves the snapshot to the store, and the peer out of account."""
-    draft.update(fetch=None, informant="")
-    draft.count(abandoned_fetches=1)
-
-
 def _on_probe(draft: Draft, address: str, probe: RevisionProbe) -> None:
     state, now_ms = draft.state, draft.now_ms
     proof_age_ms = None if state.proven_ms is None else now_ms - state.proven_ms
@@ -239,53 +221,3 @@
             return []
         deltas.append(decoded.unwrap())
     return deltas
-
-
-def _on_snapshot_request(
-    draft: Draft, address: str, request: SnapshotRequest
-) -> None:
-    state = draft.state
-    offset = request.offset if request.digest == state.digest else 0
-    end = offset + state.settings.page_bytes
-    page = SnapshotPage(
-        revision=state.revision,
-        digest=state.digest,
-        offset=offset,
-        total_bytes=len(state.snapshot),
-        data=state.snapshot[offset:end],
-    )
-    draft.send(address, page)
-
-
-def _on_snapshot_page(draft: Draft, address: str, page: SnapshotPage) -> None:
-    fetch = draft.state.fetch
-    if fetch is None or fetch.address != address:
-        return
-    if page.revision <= draft.state.revision or not _is_plausible(page):
-        _abandon_fetch(draft)
-        return
-    data = fetch.data if page.digest == fetch.digest else b""
-    if page.offset != len(data):
-        return
-    data += page.data
-    if len(data) < page.total_bytes:
-        draft.update(
-            fetch=SnapshotFetch(
-                address=address,
-                asked_ms=draft.now_ms,
-                digest=page.digest,
-                data=data,
-            )
-        )
-        request = SnapshotRequest(digest=page.digest, offset=len(data))
-        draft.send(address, request)
-        return
-    draft.update(fetch=None)
-    if adopt_snapshot(draft, data, page.digest):
-        draft.count(peer_snapshots=1)
-    else:
-        _abandon_fetch(draft)
-
-
-def _is_plausible(page: SnapshotPage) -> bool:
-    return bool(page.data) and page.total_bytes <= _MAX_SNAPSHOT_BYTES
--- a/trefoilpitch/configuration/replication/_state.py
+++ b/trefoilpitch/configuration/replication/_state.py
@@ -37,8 +37,12 @@
     relay_probe_interval_ms: int = 500
     # Probes of a node to its relay for one to its neighbour.
     probes_per_neighbour_probe: int = 4
-    # Time after which a probe or a page counts as lost.
+    # Time after which a probe counts as lost.
     probe_timeout_ms: int = 1_000
+    # Time after which a page is asked for again.
+    page_timeout_ms: int = 400
+    # Requests for one page before its peer is given up.
+    page_attempts: int = 3
     # Time between a relay's reads of the head.
     read_interval_ms: int = 1_500
     # Time after which a read counts as failed.
@@ -115,6 +119,8 @@
     digest: str = ""
     # The pages so far.
     data: bytes = b""
+    # How often the next page was asked for.
+    attempts: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/configuration/replication/_store_side.py
+++ b/trefoilpitch/configuration/replication/_store_side.py
@@ -20,7 +20,7 @@
     StartWatch,
     StopWatch,
 )
-from trefoilpitch.configuration.replication._peer_side import start_fetch
+from trefoilpitch.configuration.replication._fetch import start_fetch
 
 # Time before a snapshot that could not be had is asked for again.
 _PURSUIT_INTERVAL_MS = 500
