--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -302,10 +302,10 @@
     state = create_replica(settings)
     state, _ = step(state, PeersChanged(peers[1:]), 0)
     probe = MessageReceived(
-        address="b-1", message=RevisionProbe(nonce=1, revision=0)
+        address="b-1",
+        message=RevisionProbe(nonce=state.outstanding[0].nonce, revision=0),
     )
-    probed, actions = step(state, probe, 1)
-    del probed
+    _, actions = step(state, probe, 1)
     (answer,) = (a.message for a in actions if isinstance(a, SendMessage))
     events: dict[str, ReplicaEvent] = {
         "tick": Tick(),
