--- a/trefoilpitch/configuration/tests/test_writer.py
+++ b/trefoilpitch/configuration/tests/test_writer.py
@@ -1,8 +1,6 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
-from typing import TypeAlias
 
 from returns.result import Failure, Result
 
@@ -25,62 +23,34 @@
     sign_off,
     vm_out,
 )
+from trefoilpitch.configuration.tests.stores import HookedStore, Put
 from trefoilpitch.store import (
-    Entry,
-    MemoryStore,
     OutcomeUnknownError,
     StoreError,
     memory_store,
 )
 
-_Put: TypeAlias = Callable[[], Result[int, StoreError]]
 _LOST: Result[int, StoreError] = Failure(OutcomeUnknownError(detail="lost"))
 
 
-class _HookedStore:
-    """Hands each write of the head to the next hook, if one is left."""
-
-    def __init__(self, inner: MemoryStore) -> None:
-        self.inner = inner
-        self.hooks: list[Callable[[_Put], Result[int, StoreError]]] = []
-
-    def get(self, key: str) -> Result[Entry | None, StoreError]:
-        return self.inner.get(key)
-
-    def put_if(
-        self, key: str, value: bytes, expected_revision: int
-    ) -> Result[int, StoreError]:
-        def put() -> Result[int, StoreError]:
-            return self.inner.put_if(key, value, expected_revision)
-
-        if key == HEAD_KEY and self.hooks:
-            return self.hooks.pop(0)(put)
-        return put()
-
-    def delete_if(
-        self, key: str, expected_revision: int
-    ) -> Result[int, StoreError]:
-        return self.inner.delete_if(key, expected_revision)
-
-
-def _store() -> _HookedStore:
-    store = _HookedStore(memory_store(ManualClock()))
+def _store() -> HookedStore:
+    store = HookedStore(memory_store(ManualClock()))
     configuration_writer(store).commit(sign_off()).unwrap()
     return store
 
 
-def _revision(store: _HookedStore) -> int:
+def _revision(store: HookedStore) -> int:
     """Commits one more change and returns the revision before it."""
     writer = configuration_writer(store.inner.new_client())
     return writer.commit(vm_out("probe")).unwrap().revision - 1
 
 
-def _lose_reply(put: _Put) -> Result[int, StoreError]:
+def _lose_reply(put: Put) -> Result[int, StoreError]:
     put()
     return _LOST
 
 
-def _lose_request(_: _Put) -> Result[int, StoreError]:
+def _lose_request(_: Put) -> Result[int, StoreError]:
     return _LOST
 
 
@@ -101,13 +71,13 @@
 
 def test_write_delayed_past_its_retry_commits_once() -> None:
     store = _store()
-    delayed: list[_Put] = []
+    delayed: list[Put] = []
 
-    def delay(put: _Put) -> Result[int, StoreError]:
+    def delay(put: Put) -> Result[int, StoreError]:
         delayed.append(put)
         return _LOST
 
-    def overtaken(put: _Put) -> Result[int, StoreError]:
+    def overtaken(put: Put) -> Result[int, StoreError]:
         delayed[0]()
         return put()
 
@@ -120,7 +90,7 @@
 def test_unknown_outcome_is_settled_by_asking_again() -> None:
     store = _store()
 
-    def lose_store(put: _Put) -> Result[int, StoreError]:
+    def lose_store(put: Put) -> Result[int, StoreError]:
         put()
         store.inner.set_down(True)
         return _LOST
@@ -139,7 +109,7 @@
     store = _store()
     rival = configuration_writer(store.inner.new_client())
 
-    def race(put: _Put) -> Result[int, StoreError]:
+    def race(put: Put) -> Result[int, StoreError]:
         rival.commit(vm_out("b", author="josefa")).unwrap()
         return put()
 
@@ -156,7 +126,7 @@
     store = _store()
     rival = configuration_writer(store.inner.new_client())
 
-    def race(put: _Put) -> Result[int, StoreError]:
+    def race(put: Put) -> Result[int, StoreError]:
         rival.commit(vm_out("b")).unwrap()
         store.inner.set_read_lag(1)
         return put()
@@ -241,3 +211,33 @@
     store.inner.put_if(HEAD_KEY, b"x", head.revision).unwrap()
     error = configuration_writer(store).commit(vm_out("a")).failure()
     assert isinstance(error, StoreDamagedError)
+
+
+def test_change_that_the_head_no_longer_lists_is_not_called_lost() -> None:
+    store = _store()
+    rival = configuration_writer(store.inner.new_client())
+
+    def overtake(put: Put) -> Result[int, StoreError]:
+        put().unwrap()
+        for number in range(60):
+            rival.commit(vm_out(f"rival-{number}")).unwrap()
+        return _LOST
+
+    store.hooks = [overtake]
+    error = configuration_writer(store).commit(vm_out("a")).failure()
+    assert isinstance(error, CommitUnknownError)
+
+
+def test_own_write_that_lagging_reads_hide_is_not_called_lost() -> None:
+    store = _store()
+
+    def hide(put: Put) -> Result[int, StoreError]:
+        put().unwrap()
+        store.inner.set_read_lag(1)
+        return _LOST
+
+    store.hooks = [hide]
+    error = configuration_writer(store).commit(vm_out("a")).failure()
+    assert isinstance(error, CommitUnknownError)
+    store.inner.set_read_lag(0)
+    assert configuration_writer(store).commit(vm_out("a")).unwrap().is_repeated
