--- a/trefoilpitch/configuration/replication/__init__.py
+++ b/trefoilpitch/configuration/replication/__init__.py
@@ -26,10 +26,6 @@
     may_accept_changes,
     standing,
 )
-from trefoilpitch.configuration.replication._host import (
-    ReplicaHost,
-    StoreRequest,
-)
 from trefoilpitch.configuration.replication._links import Links, plan_links
 from trefoilpitch.configuration.replication._messages import (
     PAYLOAD_KINDS,
@@ -54,17 +50,12 @@
     in_force,
 )
 from trefoilpitch.configuration.replication._step import step
-from trefoilpitch.configuration.replication._store_actors import (
-    HeadWatchActor,
-    StoreReadActor,
-)
 
 __all__ = [
     "PAYLOAD_KINDS",
     "DomainContact",
     "HeadRead",
     "HeadReadFailed",
-    "HeadWatchActor",
     "HeadWatched",
     "InForce",
     "Links",
@@ -78,7 +69,6 @@
     "ReplicaAction",
     "ReplicaCounters",
     "ReplicaEvent",
-    "ReplicaHost",
     "ReplicaMessage",
     "ReplicaSettings",
     "ReplicaState",
@@ -93,8 +83,6 @@
     "Standing",
     "StartWatch",
     "StopWatch",
-    "StoreReadActor",
-    "StoreRequest",
     "Tick",
     "WatchEnded",
     "create_replica",
