--- a/trefoilpitch/upstreams/tests/test_service_client.py
+++ b/trefoilpitch/upstreams/tests/test_service_client.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from returns.result import Result
 
+from trefoilpitch.clock import Clock, ManualClock
 from trefoilpitch.retries import Execution
 from trefoilpitch.standins import Fault, ServiceSettings, open_service_stand_in
 from trefoilpitch.upstreams import (
