Run the configuration's replication in the daemon

Cause: polling the head from each node costs a store read each half second and leaves a node that is cut off serving. Ruled out: every node watching the store (counts against its rates). Change: the replica state machine with relays, peer probes and freshness; commits wait for most failure domains.

--- a/trefoilpitch/administration/_api.py
+++ b/trefoilpitch/administration/_api.py
@@ -52,6 +52,16 @@
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 _STORE_RETRY_MS = 2_000
+_NOT_ACCEPTED = Problem(
+    status=503,
+    code="not-current",
+    title="this VM cannot commit changes now",
+    detail=(
+        "It cannot reach the store, or hears from too few failure domains. "
+        "Nothing was changed. Retry, or ask another VM."
+    ),
+    retry_after_ms=_STORE_RETRY_MS,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,8 +76,10 @@
     writer: ConfigurationWriter
     # Reads the head for the history.
     reader: HeadReader
-    # Called with each commit, so that this node has it at once.
-    on_committed: Callable[[Committed], None]
+    # Returns whether this node may commit changes now.
+    accepts_changes: Callable[[], bool]
+    # Waits until a commit, sent at a time, is confirmed; returns whether so.
+    confirm: Callable[[Committed, int], bool]
     # Holds the bills.
     store: KeyValueStore
     # Returns the process's state.
@@ -203,6 +215,9 @@
         change = to_change(body.unwrap())
         if not isinstance(change, Success):
             return problem_response(change.failure())
+        if not self._services.accepts_changes():
+            return problem_response(_NOT_ACCEPTED)
+        sent_ms = self._services.clock.now_ms()
         with self._commits:
             committed = self._services.writer.commit(
                 change.unwrap(),
@@ -211,11 +226,12 @@
             )
         if not isinstance(committed, Success):
             return problem_response(_commit_problem(committed.failure()))
-        self._services.on_committed(committed.unwrap())
+        done = committed.unwrap()
         return _json_response(
             ChangeReply(
-                revision=committed.unwrap().revision,
-                is_repeated=committed.unwrap().is_repeated,
+                revision=done.revision,
+                is_repeated=done.is_repeated,
+                is_confirmed=self._services.confirm(done, sent_ms),
             )
         )
 
--- a/trefoilpitch/daemon/_configuration.py
+++ b/trefoilpitch/daemon/_configuration.py
@@ -1,24 +1,13 @@
-"""Keeps the node's configuration up to date."""
+"""The configuration in force on this node."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 import logbook
-import pykka
-from returns.result import Success
 
-from trefoilpitch.clock import Clock
-from trefoilpitch.configuration import (
-    EMPTY_CONFIGURATION,
-    Configuration,
-    HeadReader,
-)
-from trefoilpitch.metrics import Metrics
+from trefoilpitch.configuration import EMPTY_CONFIGURATION, Configuration
 from trefoilpitch.routing import RoutingTable, routing_table
-from trefoilpitch.supervision import Tick
-
-CONFIGURATION_TICK_MS = 500
 
 _LOG = logbook.Logger("trefoilpitch.configuration")
 
@@ -50,42 +39,3 @@
         self._on_change(self._table)
         _LOG.info("revision {} is in force", configuration.revision)
         return True
-
-
-class ConfigurationActor(pykka.ThreadingActor):
-    """Reads the head on each tick.
-
-    Args:
-        reader: Reads the store.
-        current: Takes new revisions.
-        clock: Tells the time.
-        metrics: Counts failures.
-    """
-
-    def __init__(
-        self,
-        reader: HeadReader,
-        current: CurrentConfiguration,
-        clock: Clock,
-        metrics: Metrics,
-    ) -> None:
-        super().__init__()
-        self._reader = reader
-        self._current = current
-        self._clock = clock
-        self._metrics = metrics
-
-    def on_receive(self, message: object) -> None:
-        """Reads the head."""
-        if not isinstance(message, Tick):
-            return
-        read = self._reader.read()
-        if not isinstance(read, Success):
-            self._metrics.count("head_read_failures")
-            return
-        head = read.unwrap().head
-        if head.revision <= self._current.table().revision:
-            return
-        loaded = self._reader.materialize(head)
-        if isinstance(loaded, Success):
-            self._current.advance(loaded.unwrap())
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -22,18 +22,22 @@
 from trefoilpitch.cascade import CascadePolicy
 from trefoilpitch.clock import Clock
 from trefoilpitch.coldstart import GatekeeperMessage, HolderMessage
-from trefoilpitch.configuration import HeadReader, configuration_writer
+from trefoilpitch.configuration import (
+    HeadReader,
+    configuration_writer,
+    replication,
+)
+from trefoilpitch.configuration.replication import (
+    ReplicaMessage,
+    ReplicaSettings,
+)
 from trefoilpitch.daemon._clients import HttpClients
 from trefoilpitch.daemon._cold_starts import (
     COLD_START_TICK_MS,
     ColdStartActor,
     ColdStarts,
 )
-from trefoilpitch.daemon._configuration import (
-    CONFIGURATION_TICK_MS,
-    ConfigurationActor,
-    CurrentConfiguration,
-)
+from trefoilpitch.daemon._configuration import CurrentConfiguration
 from trefoilpitch.daemon._draining import Draining, NodePhase
 from trefoilpitch.daemon._gates import AdaptiveConcurrency
 from trefoilpitch.daemon._homes import (
@@ -54,6 +58,11 @@
     MembershipActor,
     VmListActor,
 )
+from trefoilpitch.daemon._replica import (
+    REPLICA_TICK_MS,
+    ReplicaActor,
+    ReplicaHost,
+)
 from trefoilpitch.daemon._settings import Settings
 from trefoilpitch.identity import TokenSigner, create_incarnation
 from trefoilpitch.ledger import SegmentWriter
@@ -155,6 +164,17 @@
             settings.vm_name, self._on_new_table
         )
         self._reader = HeadReader(self._store)
+        self._replica = ReplicaHost(
+            ReplicaSettings(
+                name=settings.vm_name,
+                failure_domain=settings.failure_domain,
+                address=str(settings.peer_address),
+            ),
+            clock,
+            self._store,
+            self._transport,
+            self._current.advance,
+        )
         self._members = self._create_members()
         self._draining = Draining(
             clock, self._announce_leaving, self._in_flight
@@ -173,6 +193,7 @@
             stack.enter_context(self._watch)
             stack.callback(self._store.close)
             stack.callback(self._transport.close)
+            stack.enter_context(self._replica)
             stack.enter_context(self._supervisor)
             stack.enter_context(self._open_admin_server())
             stack.enter_context(self._open_caller_server())
@@ -211,7 +232,7 @@
 
     def is_fresh(self) -> bool:
         """Returns whether the configuration may still be the newest."""
-        return True
+        return self._replica.standing().admits_new_work
 
     def accepts_work(self) -> bool:
         """Returns whether the node is not about to end."""
@@ -230,7 +251,7 @@
         return {
             "incarnation": self.incarnation,
             "phase": self._draining.phase.value,
-            "revision": self._current.table().revision,
+            "configuration": self._replica.status(),
             "in_flight": self._in_flight(),
             "waiting": self._queue.waiting,
             "ledger_unwritten_bytes": self._ledger.unwritten_bytes,
@@ -255,7 +276,9 @@
                 current=settings.shared_key, other=settings.other_shared_key
             ),
             registry=create_payload_registry(
-                membership.PAYLOAD_KINDS, coldstart.PAYLOAD_KINDS
+                membership.PAYLOAD_KINDS,
+                replication.PAYLOAD_KINDS,
+                coldstart.PAYLOAD_KINDS,
             ),
             handler=self._on_peer_message,
         )
@@ -346,7 +369,8 @@
             configuration=lambda: self._current.table().configuration,
             writer=configuration_writer(self._store),
             reader=self._reader,
-            on_committed=lambda committed: None,
+            accepts_changes=self._replica.accepts_changes,
+            confirm=self._replica.confirm,
             store=self._store,
             dump=self.dump,
             metrics=self.metrics,
@@ -356,11 +380,9 @@
     def _children(self) -> tuple[ChildSpec, ...]:
         children = [
             ChildSpec(
-                name="configuration",
-                start=lambda: ConfigurationActor.start(
-                    self._reader, self._current, self._clock, self.metrics
-                ),
-                tick_ms=CONFIGURATION_TICK_MS,
+                name="replica",
+                start=lambda: ReplicaActor.start(self._replica, self.view),
+                tick_ms=REPLICA_TICK_MS,
             ),
             ChildSpec(
                 name="membership",
@@ -466,6 +488,8 @@
         payload = message.payload
         if isinstance(payload, MembershipMessage):
             self._supervisor.tell("membership", message)
+        elif isinstance(payload, ReplicaMessage):
+            self._supervisor.tell("replica", message)
         elif isinstance(payload, HolderMessage | GatekeeperMessage):
             self._supervisor.tell("cold-starts", message)
 
