Drive engines that load and unload one version at a time

Cause: the engines' client takes one load or unload an order, and their load reports tell neither what is being fetched nor what is in use. The reconciler would have ordered an unseen load again at every confirmation, each time taking a token of the weight store's share.

Ruled out: reading the difference from the status that the order was decided from; an engine may have changed since, so the control reads it again.

Change: `EngineClientControl` turns a set into loads, then unloads. Accepted loads of engines that do not tell of them stay reserved until they show, the engine restarts or a timeout passes; loads of orders on their way count too.

--- a/trefoilpitch/orders/__init__.py
+++ b/trefoilpitch/orders/__init__.py
@@ -1,5 +1,9 @@
 """Orders to engines to load and unload versions, one holder at a time."""
 
+from trefoilpitch.orders._client_control import (
+    EngineClientControl,
+    engine_client_control,
+)
 from trefoilpitch.orders._desired import EngineTarget, desired_targets
 from trefoilpitch.orders._events import (
     Action,
@@ -37,6 +41,7 @@
     "Action",
     "CallFailed",
     "ConfigurationChanged",
+    "EngineClientControl",
     "EngineControl",
     "EngineOrder",
     "EngineStatus",
@@ -60,6 +65,7 @@
     "TermEnded",
     "Tick",
     "desired_targets",
+    "engine_client_control",
     "initial_state",
     "memory_engines",
     "reconciler",
--- a/trefoilpitch/orders/_exceptions.py
+++ b/trefoilpitch/orders/_exceptions.py
@@ -17,8 +17,8 @@
 class StaleFencingError(OrderError):
     """The engine has had an order with a higher fencing number."""
 
-    # The highest number that the engine has had.
-    highest_number: int
+    # The highest number that the engine has had; None if it does not tell.
+    highest_number: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/orders/_machine.py
+++ b/trefoilpitch/orders/_machine.py
@@ -81,9 +81,13 @@
     state: ReconcilerState, name: str, now_ms: int
 ) -> ReconcilerState:
     """Has an accepted order confirmed by another read."""
+    view = state.engines[name]
+    loads = frozenset() if view.call is None else view.call.loads
+    failed_ms = now_ms + state.terms.load_timeout_ms
     view = dataclasses.replace(
-        state.engines[name],
+        view,
         call=None,
+        reserved={**view.reserved, **dict.fromkeys(loads, failed_ms)},
         due_ms=now_ms + state.terms.confirm_interval_ms,
     )
     return state.with_engine(name, view)
@@ -185,13 +189,12 @@
         return _after_failure(state, failure, now_ms), ()
     age_ms = 0 if call is None else now_ms - call.sent_ms
     wanted = state.targets[name].versions
+    view = view.with_status(status, now_ms)
+    present = status.present if view.status is None else view.status.present
     view = dataclasses.replace(
         view,
-        status=status,
-        call=None,
-        reserved=frozenset(),
         unwanted_since_ms=unwanted_since(
-            status=status,
+            present=present,
             wanted=wanted,
             before=view.unwanted_since_ms,
             now_ms=now_ms,
@@ -201,7 +204,7 @@
     if age_ms > state.terms.max_status_age_ms:
         return state.with_due(name, now_ms + state.terms.retry_interval_ms), ()
     plan = next_plan(
-        status=status,
+        status=view.status or status,
         wanted=wanted,
         unwanted_since_ms=view.unwanted_since_ms,
         may_load=state.may_load,
@@ -224,8 +227,10 @@
         view = dataclasses.replace(view, failures=0)
         state = state.with_engine(name, view)
         return state.with_due(name, now_ms + interval_ms), ()
-    call = Call(call_id=state.last_call_id + 1, sent_ms=now_ms)
-    view = dataclasses.replace(view, call=call, reserved=_loads(plan))
+    call = Call(
+        call_id=state.last_call_id + 1, sent_ms=now_ms, loads=_loads(plan)
+    )
+    view = dataclasses.replace(view, call=call)
     state = state.with_engine(name, view).counting(
         orders=1,
         loads=len(_loads(plan)),
--- a/trefoilpitch/orders/_plan.py
+++ b/trefoilpitch/orders/_plan.py
@@ -59,7 +59,7 @@
 
 def unwanted_since(
     *,
-    status: EngineStatus,
+    present: frozenset[VersionRef],
     wanted: tuple[VersionRef, ...],
     before: Mapping[VersionRef, int],
     now_ms: int,
@@ -67,6 +67,6 @@
     """Returns since when each unwanted version has been seen as such."""
     return {
         version: before.get(version, now_ms)
-        for version in status.present
+        for version in present
         if version not in wanted
     }
--- a/trefoilpitch/orders/_state.py
+++ b/trefoilpitch/orders/_state.py
@@ -23,18 +23,20 @@
     call_id: int
     # When it was sent.
     sent_ms: int
+    # The loads that it orders.
+    loads: frozenset[VersionRef] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineView:
     """What is known of one engine."""
 
-    # Its last status; None before the first.
+    # Its last status, with the reserved loads; None before the first.
     status: EngineStatus | None = None
     # The call on its way; there is one at a time.
     call: Call | None = None
-    # Loads that were ordered since the last status.
-    reserved: frozenset[VersionRef] = frozenset()
+    # Accepted loads that no status has shown yet, and when each has failed.
+    reserved: Mapping[VersionRef, int] = dataclasses.field(default_factory=dict)
     # When versions it has were first seen unwanted.
     unwanted_since_ms: Mapping[VersionRef, int] = dataclasses.field(
         default_factory=dict
@@ -47,9 +49,31 @@
     @property
     def loading(self) -> int:
         """Loads from the weight store under way."""
-        if self.status is None:
-            return len(self.reserved)
-        return len(self.status.loading | self.reserved)
+        told = frozenset() if self.status is None else self.status.loading
+        ordered = frozenset() if self.call is None else self.call.loads
+        return len(told | ordered | self.reserved.keys())
+
+    def with_status(self, status: EngineStatus, now_ms: int) -> EngineView:
+        """Returns the view after the engine has told its status."""
+        is_restarted = (
+            self.status is not None
+            and self.status.incarnation != status.incarnation
+        )
+        reserved = {
+            version: failed_ms
+            for version, failed_ms in self.reserved.items()
+            if not status.reports_loading
+            and not is_restarted
+            and version not in status.present
+            and now_ms < failed_ms
+        }
+        loading = status.loading | reserved.keys()
+        return dataclasses.replace(
+            self,
+            status=dataclasses.replace(status, loading=loading),
+            reserved=reserved,
+            call=None,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/orders/_types.py
+++ b/trefoilpitch/orders/_types.py
@@ -23,7 +23,9 @@
     loading: frozenset[VersionRef] = frozenset()
     # Versions that it has requests of.
     busy: frozenset[VersionRef] = frozenset()
-    # The highest fencing number it has had; 0 if it ignores them.
+    # Whether it tells which versions it is fetching.
+    reports_loading: bool = True
+    # The highest fencing number it has had; 0 if it does not tell.
     fencing_number: int = 0
 
     @property
@@ -79,6 +81,8 @@
     max_status_age_ms: int = 2_000
     # A version is unloaded only after it has been unwanted for so long.
     unload_after_ms: int = 30_000
+    # An engine that does not tell of its loads has failed one after so long.
+    load_timeout_ms: int = 120_000
     # Loads from the weight store at once, over all engines.
     max_concurrent_loads: int = 4
     # Time in which one more load may begin.
--- a/trefoilpitch/orders/tests/test_reconciler.py
+++ b/trefoilpitch/orders/tests/test_reconciler.py
@@ -163,6 +163,21 @@
     assert fleet.loaded() == {OLD}
 
 
+def test_unwanted_version_stays_for_a_while() -> None:
+    """Other nodes may still send it work while they learn of the change."""
+    terms = OrderTerms()
+    fleet = Fleet()
+    fleet.reconciler.set_configuration(fleet_configuration())
+    fleet.run(_MINUTE_MS)
+    fleet.reconciler.set_configuration(
+        fleet_configuration(withdrawn=frozenset({OLD}))
+    )
+    fleet.run(terms.unload_after_ms)
+    assert fleet.loaded() == {OLD}
+    fleet.run(terms.poll_interval_ms)
+    assert fleet.loaded() == set()
+
+
 def test_restarted_engine_gets_its_versions_back() -> None:
     fleet = Fleet()
     fleet.reconciler.set_configuration(fleet_configuration())
