Divide the engines among several leases

Cause: one lease a failure domain has 400 engines at the size to design for.

Ruled out: a scope a pool, as an engine may be in several pools.

Change: `EngineScope` covers a share of a failure domain's engines by a hash of the name, and names its lease's key.

Conclusion: a lease's work no longer grows with the failure domain.

--- a/trefoilpitch/orders/__init__.py
+++ b/trefoilpitch/orders/__init__.py
@@ -28,6 +28,7 @@
 from trefoilpitch.orders._fake import MemoryEngines, memory_engines
 from trefoilpitch.orders._machine import step
 from trefoilpitch.orders._runner import Reconciler, reconciler
+from trefoilpitch.orders._scope import EngineScope, engine_scopes
 from trefoilpitch.orders._state import ReconcilerState, initial_state
 from trefoilpitch.orders._types import (
     EngineControl,
@@ -44,6 +45,7 @@
     "EngineClientControl",
     "EngineControl",
     "EngineOrder",
+    "EngineScope",
     "EngineStatus",
     "EngineTarget",
     "Event",
@@ -66,6 +68,7 @@
     "Tick",
     "desired_targets",
     "engine_client_control",
+    "engine_scopes",
     "initial_state",
     "memory_engines",
     "reconciler",
--- a/trefoilpitch/orders/_desired.py
+++ b/trefoilpitch/orders/_desired.py
@@ -14,6 +14,7 @@
     VersionRef,
 )
 from trefoilpitch.configuration import Configuration, RolloutPhase
+from trefoilpitch.orders._scope import EngineScope
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,13 +28,17 @@
 
 
 def desired_targets(
-    configuration: Configuration,
+    configuration: Configuration, scope: EngineScope | None = None
 ) -> Mapping[str, EngineTarget]:
     """Returns the targets by engine; engines taken out get no orders.
 
     An engine serves its pool's versions except withdrawn ones and those of
     roll-outs that have not begun. A version that was rolled back stays: its
     sessions keep it until it is withdrawn.
+
+    Args:
+        configuration: The configuration in force.
+        scope: The engines to give targets for; every engine if absent.
     """
     bundle = configuration.bundle
     if bundle is None:
@@ -46,7 +51,8 @@
             continue
         versions = _pool_versions(pool, excluded, urgent)
         for upstream in pool.upstreams:
-            if _is_in_service(upstream, configuration):
+            is_covered = scope is None or scope.covers(upstream)
+            if is_covered and _is_in_service(upstream, configuration):
                 earlier = targets.get(upstream.name)
                 targets[upstream.name] = _merged(upstream, earlier, versions)
     return targets
--- a/trefoilpitch/orders/_machine.py
+++ b/trefoilpitch/orders/_machine.py
@@ -60,7 +60,7 @@
         case Tick():
             return _poll(_without_lost_calls(state, now_ms), now_ms)
         case ConfigurationChanged(configuration=configuration):
-            targets = desired_targets(configuration)
+            targets = desired_targets(configuration, state.scope)
             return _poll(_retargeted(state, targets, now_ms), now_ms)
         case TermBegan(fencing_number=number):
             return _poll(_in_term(state, number, now_ms), now_ms)
--- a/trefoilpitch/orders/_runner.py
+++ b/trefoilpitch/orders/_runner.py
@@ -25,6 +25,7 @@
 )
 from trefoilpitch.orders._exceptions import OrderError, OrderNotSentError
 from trefoilpitch.orders._machine import step
+from trefoilpitch.orders._scope import EngineScope
 from trefoilpitch.orders._state import ReconcilerState, initial_state
 from trefoilpitch.orders._types import EngineControl, OrderTerms
 
@@ -43,6 +44,7 @@
         fencing_number: Tells the lease's number if it is valid right now.
         submit: Runs a call, perhaps on another thread.
         terms: Paces the calls and loads.
+        scope: The engines to order; every engine if absent.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         fencing_number: Callable[[], int | None],
         submit: Submit,
         terms: OrderTerms,
+        scope: EngineScope | None,
     ) -> None:
         self._control = control
         self._clock = clock
@@ -61,7 +64,7 @@
         self._polling = threading.Lock()
         self._inbox: collections.deque[Event] = collections.deque()
         self._lease_number: int | None = None
-        self._state = initial_state(terms, clock.now_ms())
+        self._state = initial_state(terms, clock.now_ms(), scope)
 
     @property
     def state(self) -> ReconcilerState:
@@ -150,6 +153,7 @@
     fencing_number: Callable[[], int | None],
     submit: Submit = _run_now,
     terms: OrderTerms | None = None,
+    scope: EngineScope | None = None,
 ) -> Reconciler:
     """Creates a reconciler that knows no engine yet.
 
@@ -159,6 +163,7 @@
         fencing_number: Tells the lease's number if it is valid right now.
         submit: Runs a call; by default at once, on the polling thread.
         terms: Paces the calls and loads.
+        scope: The engines to order; every engine if absent.
     """
     return Reconciler(
         control=control,
@@ -166,4 +171,5 @@
         fencing_number=fencing_number,
         submit=submit,
         terms=terms or OrderTerms(),
+        scope=scope,
     )
--- a/trefoilpitch/orders/_state.py
+++ b/trefoilpitch/orders/_state.py
@@ -8,6 +8,7 @@
 from trefoilpitch.bundle import VersionRef
 from trefoilpitch.orders._desired import EngineTarget
 from trefoilpitch.orders._load_budget import LoadBudget
+from trefoilpitch.orders._scope import EngineScope
 from trefoilpitch.orders._types import (
     EngineStatus,
     OrderCounters,
@@ -82,6 +83,8 @@
 
     # How it paces its calls and loads.
     terms: OrderTerms
+    # The engines that it gives orders to; every engine if absent.
+    scope: EngineScope | None = None
     # The fencing number of its lease; None while it may give no orders.
     fencing_number: int | None = None
     # What each engine should serve.
@@ -134,11 +137,13 @@
         return dataclasses.replace(self, counters=counters)
 
 
-def initial_state(terms: OrderTerms, now_ms: int) -> ReconcilerState:
+def initial_state(
+    terms: OrderTerms, now_ms: int, scope: EngineScope | None = None
+) -> ReconcilerState:
     """Returns the state of a reconciler without a lease."""
     budget = LoadBudget(
         interval_ms=terms.load_interval_ms,
         burst=terms.load_burst,
         updated_ms=now_ms,
     )
-    return ReconcilerState(terms=terms, budget=budget)
+    return ReconcilerState(terms=terms, scope=scope, budget=budget)
--- a/trefoilpitch/orders/tests/test_desired.py
+++ b/trefoilpitch/orders/tests/test_desired.py
@@ -8,7 +8,7 @@
     RolloutPhase,
     RolloutState,
 )
-from trefoilpitch.orders import desired_targets
+from trefoilpitch.orders import desired_targets, engine_scopes
 from trefoilpitch.orders.tests.fleet import NEW, OLD, fleet_configuration
 
 
@@ -60,3 +60,13 @@
     configuration: Configuration,
 ) -> None:
     assert not desired_targets(configuration)
+
+
+def test_scopes_cover_every_engine_once() -> None:
+    configuration = fleet_configuration(engines=40)
+    scopes = engine_scopes(("suva", "nadi"), 4)
+    covered = [desired_targets(configuration, scope) for scope in scopes]
+    names = sorted(name for targets in covered for name in targets)
+    assert names == sorted(desired_targets(configuration))
+    assert all(covered[:4])
+    assert len({scope.lease_key for scope in scopes}) == len(scopes)
