--- a/trefoilpitch/orders/__init__.py
+++ b/trefoilpitch/orders/__init__.py
@@ -1,5 +1,9 @@
 """Orders to engines to load and unload versions, one holder at a time."""
 
+from trefoilpitch.orders._client_control import (
+    EngineClientControl,
+    engine_client_control,
+)
 from trefoilpitch.orders._desired import EngineTarget, desired_targets
 from trefoilpitch.orders._events import (
     Action,
@@ -24,6 +28,7 @@
 from trefoilpitch.orders._fake import MemoryEngines, memory_engines
 from trefoilpitch.orders._machine import step
 from trefoilpitch.orders._runner import Reconciler, reconciler
+from trefoilpitch.orders._scope import EngineScope, engine_scopes
 from trefoilpitch.orders._state import ReconcilerState, initial_state
 from trefoilpitch.orders._types import (
     EngineControl,
@@ -37,8 +42,10 @@
     "Action",
     "CallFailed",
     "ConfigurationChanged",
+    "EngineClientControl",
     "EngineControl",
     "EngineOrder",
+    "EngineScope",
     "EngineStatus",
     "EngineTarget",
     "Event",
@@ -60,6 +67,8 @@
     "TermEnded",
     "Tick",
     "desired_targets",
+    "engine_client_control",
+    "engine_scopes",
     "initial_state",
     "memory_engines",
     "reconciler",
