Let the engine stand-in serve reports that hide a restart

Cause: the stand-in's late load reports were forgotten by a restart, so that a client learnt at once that an engine had turned cold again. Real reports describe the incarnation before for as long as they lag.

Ruled out: a separate thread that makes reports, because time in the stand-in passes when somebody looks.

--- a/trefoilpitch/standins/_engine_handler.py
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -22,10 +22,9 @@
 
 import msgspec
 
-from trefoilpitch.standins._engine_nodes import Answer
+from trefoilpitch.standins._engine_nodes import Answer, Prompt
 from trefoilpitch.standins._engine_state import (
     EngineState,
-    Prompt,
     RefusalError,
 )
 from trefoilpitch.standins._faults import Fault, FaultPlan
--- a/trefoilpitch/standins/_engine_nodes.py
+++ b/trefoilpitch/standins/_engine_nodes.py
@@ -109,3 +109,29 @@
         if self.chunk_ms <= 0:
             return len(self.texts)
         return min(len(self.texts), 1 + int(elapsed_ms / self.chunk_ms))
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that began to run."""
+
+    # The request's id.
+    request_id: str
+    # The version that ran it.
+    version: str
+    # The engine's incarnation.
+    incarnation: str
+
+
+class Prompt(msgspec.Struct, frozen=True, kw_only=True):
+    """One request for an answer."""
+
+    # The request's id.
+    request_id: str
+    # The version that must answer.
+    version: str
+    # The whole prompt.
+    text: str
+    # Hash of the prompt's prefix.
+    prefix: str
+    # Longest answer, in tokens.
+    max_tokens: int
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -6,8 +6,6 @@
 import threading
 import uuid
 
-import msgspec
-
 from trefoilpitch.clock import Clock
 from trefoilpitch.standins._answers import (
     answer_words,
@@ -18,43 +16,20 @@
     Answer,
     AnswerState,
     EngineSettings,
+    Prompt,
+    Run,
 )
+from trefoilpitch.standins._engine_versions import LoadedVersions
 from trefoilpitch.standins._prefix_cache import CacheEventEntry, PrefixCache
+from trefoilpitch.standins._report_log import EngineReport, ReportLog
 
 _DEFAULT_QUALITY = 0.7
-_MAX_REPORTS = 4096
 
 
 class RefusalError(Exception):
     """The engine refuses a request without running it."""
 
 
-class Run(msgspec.Struct, frozen=True, kw_only=True):
-    """One request that began to run."""
-
-    # The request's id.
-    request_id: str
-    # The version that ran it.
-    version: str
-    # The engine's incarnation.
-    incarnation: str
-
-
-class Prompt(msgspec.Struct, frozen=True, kw_only=True):
-    """One request for an answer."""
-
-    # The request's id.
-    request_id: str
-    # The version that must answer.
-    version: str
-    # The whole prompt.
-    text: str
-    # Hash of the prompt's prefix.
-    prefix: str
-    # Longest answer, in tokens.
-    max_tokens: int
-
-
 class EngineState:
     """The engine without its HTTP server; safe to use from many threads.
 
@@ -73,14 +48,11 @@
         self._clock = clock
         self._incarnation = ""
         self._finished_since_start = 0
-        self._loaded_ms = dict.fromkeys(settings.versions, 0)
+        self._versions = LoadedVersions(settings.versions, clock)
         self._answers: dict[str, Answer] = {}
         self._active: list[Answer] = []
-        self._reports: collections.deque[dict[str, object]] = collections.deque(
-            maxlen=_MAX_REPORTS
-        )
+        self._reports = ReportLog()
         self._cache = PrefixCache()
-        self._highest_fencing = 0
         self.restart()
 
     @property
@@ -105,7 +77,6 @@
             self._active.clear()
             self._answers.clear()
             self._cache.clear()
-            self._reports.clear()
             self._finished_since_start = 0
             self._incarnation = uuid.uuid4().hex[:12]
             self._record_report()
@@ -133,6 +104,7 @@
             answer = self._generate(prompt)
             self._answers[prompt.request_id] = answer
             self._active.append(answer)
+            self._count_peak()
             self._update()
             return answer
 
@@ -167,18 +139,13 @@
                 self._active.remove(answer)
                 answer.state = AnswerState.CANCELLED
 
-    def load_report(self) -> dict[str, object]:
+    def load_report(self) -> EngineReport:
         """Returns the newest report that is as old as the lag."""
         with self.lock:
             self._update()
             self._record_report()
             due_ms = self._clock.wall_ms() - self.settings.load_lag_ms
-            chosen = self._reports[0]
-            for report in self._reports:
-                reported_ms = report["reported_ms"]
-                if isinstance(reported_ms, int) and reported_ms <= due_ms:
-                    chosen = report
-            return chosen
+            return self._reports.newest(due_ms)
 
     def cache_events(self, after: int) -> list[CacheEventEntry]:
         """Returns the cache events that are as old as the lag."""
@@ -189,35 +156,32 @@
     def accept_fencing(self, number: int) -> bool:
         """Whether an order with this fencing number is to be carried out."""
         with self.lock:
-            if self.settings.checks_fencing and number < self._highest_fencing:
-                self.counts["orders_refused"] += 1
-                return False
-            self._highest_fencing = max(self._highest_fencing, number)
-            self.counts["orders"] += 1
-            return True
+            checked = self.settings.checks_fencing
+            accepted = self._versions.accept_fencing(number, checked=checked)
+            self.counts["orders" if accepted else "orders_refused"] += 1
+            return accepted
 
     def load(self, version: str) -> None:
         """Loads a version; it serves once the time to load has passed."""
         with self.lock:
-            ready_ms = self._clock.now_ms() + self.settings.load_ms
-            self._loaded_ms.setdefault(version, ready_ms)
+            self._versions.load(version, self.settings.load_ms)
 
     def unload(self, version: str) -> None:
         """Unloads a version; answers under way go on."""
         with self.lock:
-            self._loaded_ms.pop(version, None)
+            self._versions.unload(version)
 
     def versions(self) -> list[str]:
         """Returns the versions that serve now."""
-        now_ms = self._clock.now_ms()
-        return sorted(
-            name
-            for name, ready_ms in self._loaded_ms.items()
-            if ready_ms <= now_ms
-        )
+        with self.lock:
+            return self._versions.serving
+
+    def _count_peak(self) -> None:
+        name = "peak_warm" if self.warm else "peak_cold"
+        self.counts[name] = max(self.counts[name], len(self._active))
 
     def _check_version(self, version: str) -> None:
-        if version not in self.versions():
+        if version not in self._versions.serving:
             raise RefusalError("version_not_loaded")
 
     def _generate(self, prompt: Prompt) -> Answer:
@@ -300,20 +264,19 @@
 
     def _record_report(self) -> None:
         states = [answer.state for answer in self._active]
-        self._reports.append(
-            {
-                "incarnation": self._incarnation,
-                "running": states.count(AnswerState.RUNNING),
-                "waiting": states.count(AnswerState.WAITING),
-                "capacity": self.settings.capacity,
-                "warm": self.warm,
-                "leaving": self.settings.leaving,
-                "role": self.settings.role,
-                "cached_prefixes": self._cache.prefixes,
-                "versions": self.versions(),
-                "reported_ms": self._clock.wall_ms(),
-            }
+        report = EngineReport(
+            incarnation=self._incarnation,
+            running=states.count(AnswerState.RUNNING),
+            waiting=states.count(AnswerState.WAITING),
+            capacity=self.settings.capacity,
+            warm=self.warm,
+            leaving=self.settings.leaving,
+            role=self.settings.role,
+            cached_prefixes=self._cache.prefixes,
+            versions=self._versions.serving,
+            reported_ms=self._clock.wall_ms(),
         )
+        self._reports.add(report)
 
 
 def _cut(words: list[str], size: int) -> tuple[list[str], list[int]]:
--- /dev/null
+++ b/trefoilpitch/standins/tests/test_engine.py
@@ -0,0 +1,137 @@
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.standins import EngineSettings, open_engine_stand_in
+from trefoilpitch.standins._engine_nodes import Prompt
+from trefoilpitch.standins._engine_state import (
+    EngineState,
+    RefusalError,
+)
+
+_VERSION = "small@1"
+
+
+def _state(clock: ManualClock, **changes: object) -> EngineState:
+    settings = msgspec.convert(
+        {
+            "versions": [_VERSION],
+            "warm_after": 0,
+            "prefill_ms": 0,
+            "token_ms": 1,
+            **changes,
+        },
+        EngineSettings,
+    )
+    return EngineState(settings, clock)
+
+
+def _prompt(request_id: str, *, text: str = "prompt") -> Prompt:
+    return Prompt(
+        request_id=request_id,
+        version=_VERSION,
+        text=text,
+        prefix=text,
+        max_tokens=5,
+    )
+
+
+def _admit(state: EngineState, count: int) -> Iterator[str]:
+    for number in range(count):
+        answer = state.admit(_prompt(f"r{number}"))
+        yield answer.state.value if answer is not None else "fell over"
+
+
+def test_what_exceeds_the_batch_waits_and_then_is_refused() -> None:
+    clock = ManualClock()
+    state = _state(clock, capacity=2, max_waiting=1)
+    assert list(_admit(state, 3)) == ["running", "running", "waiting"]
+    with pytest.raises(RefusalError, match="overloaded"):
+        state.admit(_prompt("r3"))
+    assert len(state.runs) == 2
+    clock.advance(5)
+    assert state.load_report().running == 1
+    assert [run.request_id for run in state.runs] == ["r0", "r1", "r2"]
+
+
+def test_a_cold_engine_falls_over_and_starts_cold_again() -> None:
+    clock = ManualClock()
+    state = _state(clock, warm_after=2, cold_capacity=2, capacity=8)
+    before = state.incarnation
+    assert list(_admit(state, 3)) == ["running", "running", "fell over"]
+    assert (state.incarnation != before, state.warm) == (True, False)
+    assert state.load_report().running == 0
+    list(_admit(state, 2))
+    clock.advance(5)
+    assert state.load_report().warm
+    assert list(_admit(state, 3)) == ["running"] * 3
+    assert state.counts["falls"] == 1
+    assert state.counts["peak_cold"] == 2
+
+
+def test_an_abandoned_answer_is_cancelled_after_the_hold() -> None:
+    clock = ManualClock()
+    state = _state(clock, token_ms=1000, hold_ms=100)
+    answer = state.admit(_prompt("r0"))
+    assert answer is not None
+    state.detach(answer)
+    clock.advance(100)
+    assert state.attach("r0") is answer
+    state.detach(answer)
+    clock.advance(101)
+    assert state.attach("r0") is None
+    assert state.counts["cancelled"] == 1
+
+
+def test_reports_lag_and_hide_a_restart() -> None:
+    clock = ManualClock()
+    state = _state(clock, load_lag_ms=100)
+    before = state.incarnation
+    clock.advance(50)
+    state.load_report()
+    state.restart()
+    clock.advance(60)
+    assert state.load_report().incarnation == before
+    clock.advance(100)
+    assert state.load_report().incarnation == state.incarnation
+
+
+def test_a_version_serves_only_once_loaded() -> None:
+    clock = ManualClock()
+    state = _state(clock, versions=[], load_ms=100)
+    state.load(_VERSION)
+    clock.advance(99)
+    with pytest.raises(RefusalError, match="version_not_loaded"):
+        state.admit(_prompt("r0"))
+    clock.advance(1)
+    assert state.admit(_prompt("r0")) is not None
+    state.unload(_VERSION)
+    with pytest.raises(RefusalError, match="version_not_loaded"):
+        state.admit(_prompt("r1"))
+
+
+def test_quality_is_the_share_answered_well() -> None:
+    state = _state(ManualClock(), capacity=4000, quality={_VERSION: 0.8})
+    confidences = []
+    for number in range(1000):
+        answer = state.admit(_prompt(f"r{number}", text=f"prompt {number}"))
+        assert answer is not None
+        confidences.append(answer.confidence)
+    # A good answer's confidence is above 0.5 in 7 of 8 cases, a bad one's in
+    # 3 of 10.
+    confident = sum(value > 0.5 for value in confidences)
+    assert 700 < confident < 820
+
+
+def test_settings_change_over_http_and_wrong_ones_are_refused() -> None:
+    with open_engine_stand_in(EngineSettings()) as engine:
+        url = f"http://{engine.address}/standin/settings"
+        urllib.request.urlopen(url, data=b'{"leaving": true}').close()
+        assert engine.settings.leaving
+        with pytest.raises(urllib.error.HTTPError, match="400"):
+            urllib.request.urlopen(url, data=b'{"capacity": "many"}')
+        assert engine.settings.capacity == EngineSettings().capacity
