--- /dev/null
+++ b/trefoilpitch/serving/_directory.py
@@ -0,0 +1,422 @@
+"""The upstreams that a node follows: clients, load and running work."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import threading
+from collections.abc import Callable, Iterator, Mapping
+from types import TracebackType
+from typing import Protocol, Self
+
+from trefoilpitch.bundle import Upstream, UpstreamKind
+from trefoilpitch.clock import Clock
+from trefoilpitch.coldstart import Admission, AdmissionKind, WorkOutcome
+from trefoilpitch.retries import Execution
+from trefoilpitch.routing import (
+    Confirmed,
+    Decision,
+    LoadReport,
+    Revised,
+    RevisionReason,
+    RoutingTable,
+    UpstreamState,
+    confirm_dispatch,
+)
+from trefoilpitch.upstreams import (
+    EngineClient,
+    OverloadedError,
+    RefusedError,
+    ServiceClient,
+    UpstreamError,
+)
+from trefoilpitch.upstreams import LoadReport as ReceivedReport
+
+
+class ClientFactory(Protocol):
+    """Makes the clients of upstreams."""
+
+    def engine(self, upstream: Upstream) -> EngineClient:
+        """Returns a client of a model engine."""
+
+    def service(self, upstream: Upstream) -> ServiceClient:
+        """Returns a client of a plain service."""
+
+
+class ColdStartGate(Protocol):
+    """Bounds the work that this node starts on upstreams in a cold start."""
+
+    def allowance(self, upstream: str) -> int | None:
+        """Returns the requests that may start now; None while warm."""
+
+    def admit(self, upstream: str) -> Admission:
+        """Asks for the start of one request, which must be ended."""
+
+    def ended(
+        self,
+        admission: Admission,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+    ) -> None:
+        """Records how a request that was admitted ended."""
+
+    def demand(self, upstream: str, change: int) -> None:
+        """Changes the number of requests that wait for an upstream."""
+
+
+class ConcurrencyGate(Protocol):
+    """Adapts the work that this node runs on an upstream at once."""
+
+    def limit(self, upstream: Upstream) -> int:
+        """Returns the requests that may run at once."""
+
+    def finished(
+        self,
+        upstream: Upstream,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+        in_flight: int,
+    ) -> None:
+        """Records how a request ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowedUpstream:
+    """An upstream and what it runs."""
+
+    # The upstream.
+    upstream: Upstream
+    # What it runs.
+    kind: UpstreamKind
+
+
+class _Followed:
+    def __init__(
+        self,
+        node: FollowedUpstream,
+        engine: EngineClient | None,
+        service: ServiceClient | None,
+    ) -> None:
+        self.node = node
+        self.engine = engine
+        self.service = service
+        self.in_flight = 0
+        self.in_flight_at_report = 0
+        self.report: ReceivedReport | None = None
+        self.report_ms = 0
+        self.leaving = False
+        self.is_dropped = False
+
+
+class Slot:
+    """One running request's place on an upstream.
+
+    A context manager that gives the place back. A request counts as failed
+    unless its owner said otherwise.
+    """
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        followed: _Followed,
+        admission: Admission,
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._followed = followed
+        self._admission = admission
+        self._clock = clock
+        self._started_ms = clock.now_ms()
+        self._outcome = WorkOutcome.FAILED
+        self._latency_ms: int | None = None
+        self._is_open = True
+
+    @property
+    def upstream(self) -> Upstream:
+        """The upstream."""
+        return self._followed.node.upstream
+
+    @property
+    def engine(self) -> EngineClient:
+        """The client of the engine.
+
+        Raises:
+            TypeError: If the upstream is not an engine.
+        """
+        if self._followed.engine is None:
+            raise TypeError(f"{self.upstream.name} is not an engine")
+        return self._followed.engine
+
+    @property
+    def service(self) -> ServiceClient:
+        """The client of the plain service.
+
+        Raises:
+            TypeError: If the upstream is not a plain service.
+        """
+        if self._followed.service is None:
+            raise TypeError(f"{self.upstream.name} is not a plain service")
+        return self._followed.service
+
+    def note_first_part(self) -> None:
+        """Records that the first part of the answer is there."""
+        if self._latency_ms is None:
+            self._latency_ms = self._clock.now_ms() - self._started_ms
+
+    def succeed(self) -> None:
+        """Records that the upstream gave a whole answer."""
+        self.note_first_part()
+        self._outcome = WorkOutcome.SUCCEEDED
+
+    def fail(self, error: UpstreamError) -> None:
+        """Records how the upstream failed."""
+        if isinstance(error, RefusedError | OverloadedError):
+            self._outcome = WorkOutcome.REFUSED
+        elif error.execution is Execution.NOT_RUN:
+            self._outcome = WorkOutcome.NOT_RUN
+        else:
+            self._outcome = WorkOutcome.FAILED
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Gives the place back; harmless when that was done before."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        self._directory._release(
+            self._followed, self._admission, self._outcome, self._latency_ms
+        )
+
+
+class UpstreamDirectory:
+    """Keeps the state that choices rest on; safe for use by many threads.
+
+    Args:
+        clock: Tells the age of load reports.
+        clients: Makes the clients.
+        cold_starts: Bounds work on upstreams in a cold start.
+        concurrency: Adapts the work that runs at once.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        clients: ClientFactory,
+        cold_starts: ColdStartGate,
+        concurrency: ConcurrencyGate,
+    ) -> None:
+        self._clock = clock
+        self._clients = clients
+        self._cold_starts = cold_starts
+        self._concurrency = concurrency
+        self._lock = threading.Lock()
+        self._followed: dict[str, _Followed] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_release(self, listener: Callable[[], None]) -> None:
+        """Calls a listener whenever a request ends on any upstream."""
+        self._listeners.append(listener)
+
+    def apply(self, table: RoutingTable) -> None:
+        """Follows the upstreams that a configuration names."""
+        wanted = _members(table)
+        with self._lock:
+            for name in list(self._followed):
+                followed = self._followed[name]
+                if wanted.get(name) != followed.node:
+                    self._drop(name)
+            for name, node in wanted.items():
+                if name not in self._followed:
+                    self._followed[name] = self._follow(node)
+
+    def followed(self) -> tuple[FollowedUpstream, ...]:
+        """Returns the upstreams that the node follows."""
+        with self._lock:
+            return tuple(one.node for one in self._followed.values())
+
+    def reporter(self, upstream: str) -> EngineClient | ServiceClient | None:
+        """Returns what fetches an upstream's load; None if not followed."""
+        with self._lock:
+            followed = self._followed.get(upstream)
+        return (followed.engine or followed.service) if followed else None
+
+    def engine(self, upstream: str) -> EngineClient | None:
+        """Returns an engine's client; None where it is not followed."""
+        with self._lock:
+            followed = self._followed.get(upstream)
+        return followed.engine if followed else None
+
+    def states(self) -> Mapping[str, UpstreamState]:
+        """Returns what is known of every followed upstream now."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return {
+                name: self._state(followed, now_ms)
+                for name, followed in self._followed.items()
+            }
+
+    def acquire(
+        self, decision: Decision, newest: RoutingTable
+    ) -> Slot | Revised:
+        """Takes a place on the chosen upstream if the decision still holds.
+
+        The check and the count are one step, so that two requests cannot
+        take the same place.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            states = {}
+            followed = self._followed.get(decision.upstream)
+            if followed is not None:
+                states[decision.upstream] = self._state(followed, now_ms)
+            outcome = confirm_dispatch(decision, newest, states)
+            if followed is None or not isinstance(outcome, Confirmed):
+                assert isinstance(outcome, Revised)
+                return outcome
+            admission = self._cold_starts.admit(decision.upstream)
+            if admission.kind is AdmissionKind.WAIT:
+                return Revised(
+                    decision=decision, reason=RevisionReason.UPSTREAM_FULL
+                )
+            followed.in_flight += 1
+        return Slot(self, followed, admission, self._clock)
+
+    def record_report(self, upstream: str, report: ReceivedReport) -> None:
+        """Takes in a load report."""
+        with self._lock:
+            followed = self._followed.get(upstream)
+            if followed is None:
+                return
+            followed.report = report
+            followed.report_ms = self._clock.now_ms()
+            followed.in_flight_at_report = followed.in_flight
+            followed.leaving = report.leaving
+
+    def record_leaving(self, upstreams: frozenset[str]) -> None:
+        """Takes in the names that the VM list says are leaving."""
+        with self._lock:
+            for name, followed in self._followed.items():
+                said_so = followed.report and followed.report.leaving
+                followed.leaving = name in upstreams or bool(said_so)
+
+    @contextlib.contextmanager
+    def demand(self) -> Iterator[Callable[[tuple[str, ...]], None]]:
+        """Lets a request that waits ask for places on cold upstreams.
+
+        Yields:
+            A function that takes the names of upstreams that would do; the
+            demand ends with the context.
+        """
+        asked: set[str] = set()
+
+        def ask(upstreams: tuple[str, ...]) -> None:
+            for name in upstreams:
+                if name not in asked and self._is_cold(name):
+                    asked.add(name)
+                    self._cold_starts.demand(name, 1)
+
+        try:
+            yield ask
+        finally:
+            for name in asked:
+                self._cold_starts.demand(name, -1)
+
+    def in_flight(self) -> int:
+        """Returns the requests that are running on all upstreams."""
+        with self._lock:
+            return sum(one.in_flight for one in self._followed.values())
+
+    def close(self) -> None:
+        """Closes every client."""
+        with self._lock:
+            for name in list(self._followed):
+                self._drop(name)
+
+    def _is_cold(self, upstream: str) -> bool:
+        return self._cold_starts.allowance(upstream) is not None
+
+    def _state(self, followed: _Followed, now_ms: int) -> UpstreamState:
+        name = followed.node.upstream.name
+        allowance = self._cold_starts.allowance(name)
+        report = followed.report
+        return UpstreamState(
+            name=name,
+            in_flight=followed.in_flight,
+            in_flight_change=followed.in_flight - followed.in_flight_at_report,
+            report=_routing_report(report, now_ms - followed.report_ms),
+            cold=allowance is not None,
+            allowance=allowance or 0,
+            concurrency_limit=self._concurrency.limit(followed.node.upstream),
+            leaving=followed.leaving,
+            incarnation=report.incarnation if report else "",
+        )
+
+    def _follow(self, node: FollowedUpstream) -> _Followed:
+        if node.kind is UpstreamKind.ENGINE:
+            return _Followed(node, self._clients.engine(node.upstream), None)
+        return _Followed(node, None, self._clients.service(node.upstream))
+
+    def _drop(self, name: str) -> None:
+        followed = self._followed.pop(name)
+        followed.is_dropped = True
+        if followed.in_flight == 0:
+            _close(followed)
+
+    def _release(
+        self,
+        followed: _Followed,
+        admission: Admission,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+    ) -> None:
+        upstream = followed.node.upstream
+        with self._lock:
+            self._concurrency.finished(
+                upstream, outcome, latency_ms, followed.in_flight
+            )
+            followed.in_flight -= 1
+            is_last = followed.is_dropped and followed.in_flight == 0
+        self._cold_starts.ended(admission, outcome, latency_ms)
+        if is_last:
+            _close(followed)
+        for listener in self._listeners:
+            listener()
+
+
+def _close(followed: _Followed) -> None:
+    client = followed.engine or followed.service
+    if client is not None:
+        client.__exit__(None, None, None)
+
+
+def _members(table: RoutingTable) -> dict[str, FollowedUpstream]:
+    bundle = table.configuration.bundle
+    kinds = {pool.name: pool.kind for pool in bundle.pools} if bundle else {}
+    return {
+        upstream.name: FollowedUpstream(upstream, kinds[pool])
+        for pool, upstreams in table.pool_members.items()
+        for upstream in upstreams
+    }
+
+
+def _routing_report(
+    report: ReceivedReport | None, age_ms: int
+) -> LoadReport | None:
+    if report is None:
+        return None
+    return LoadReport(
+        running=report.running,
+        waiting=report.waiting,
+        capacity=report.capacity,
+        age_ms=age_ms,
+    )
--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -3,6 +3,7 @@
 from trefoilpitch.standins._engine import EngineStandIn, open_engine_stand_in
 from trefoilpitch.standins._engine_nodes import EngineSettings
 from trefoilpitch.standins._faults import Fault
+from trefoilpitch.standins._kv import KvServer, kv_server
 from trefoilpitch.standins._rating import (
     RatingSettings,
     RatingStandIn,
@@ -13,16 +14,21 @@
     ServiceStandIn,
     open_service_stand_in,
 )
+from trefoilpitch.standins._vm_list import VmListServer, vm_list_server
 
 __all__ = [
     "EngineSettings",
     "EngineStandIn",
     "Fault",
+    "KvServer",
     "RatingSettings",
     "RatingStandIn",
     "ServiceSettings",
     "ServiceStandIn",
+    "VmListServer",
+    "kv_server",
     "open_engine_stand_in",
     "open_rating_stand_in",
     "open_service_stand_in",
+    "vm_list_server",
 ]
--- a/trefoilpitch/upstreams/_exceptions.py
+++ b/trefoilpitch/upstreams/_exceptions.py
@@ -2,19 +2,9 @@
 
 from __future__ import annotations
 
-import enum
 from typing import ClassVar
 
-
-class Execution(enum.Enum):
-    """What a failure proves about whether the upstream ran the request."""
-
-    # The upstream has not run the request and will not run it.
-    NOT_RUN = "not_run"
-    # The upstream may have run it, may be running it or may run it later.
-    UNKNOWN = "unknown"
-    # The upstream handled the request and reported how it ended.
-    RAN = "ran"
+from trefoilpitch.retries import Execution
 
 
 class UpstreamError(Exception):
