Count how requests to upstreams end

Cause: operators could not see which upstream fails in which way.

Ruled out: counting in the callers of the clients, because only the client sees connections and what a failure proves.

Change: clients have stats: connections in use, idle and opened, successes, and failures by kind and by what they prove.

--- a/trefoilpitch/upstreams/__init__.py
+++ b/trefoilpitch/upstreams/__init__.py
@@ -48,6 +48,7 @@
     ServiceClient,
     open_service_client,
 )
+from trefoilpitch.upstreams._stats import ClientStats, FailureCount
 
 __all__ = [
     # Clients.
@@ -66,7 +67,9 @@
     "CacheEvent",
     "CacheEvents",
     "Chunk",
+    "ClientStats",
     "CompletionRequest",
+    "FailureCount",
     "Finish",
     "LoadReport",
     "Message",
--- a/trefoilpitch/upstreams/_answer_stream.py
+++ b/trefoilpitch/upstreams/_answer_stream.py
@@ -9,10 +9,12 @@
 from trefoilpitch.upstreams._answer_events import AnswerDecoder
 from trefoilpitch.upstreams._exceptions import (
     IncompleteReplyError,
+    UpstreamError,
 )
 from trefoilpitch.upstreams._exchange import Exchange
 from trefoilpitch.upstreams._nodes import Chunk, Finish
 from trefoilpitch.upstreams._sse import SseDecoder, SseFormatError
+from trefoilpitch.upstreams._stats import OutcomeCounter
 
 
 class AnswerStream(Protocol):
@@ -46,14 +48,20 @@
         exchange: The exchange, with the headers read.
         decoder: Checks the events.
         upstream: The upstream's name.
+        outcomes: Counts how the answer ends.
     """
 
     def __init__(
-        self, exchange: Exchange, decoder: AnswerDecoder, upstream: str
+        self,
+        exchange: Exchange,
+        decoder: AnswerDecoder,
+        upstream: str,
+        outcomes: OutcomeCounter,
     ) -> None:
         self._exchange = exchange
         self._decoder = decoder
         self._upstream = upstream
+        self._outcomes = outcomes
         self._events = self._iterate()
 
     def __enter__(self) -> Self:
@@ -76,6 +84,13 @@
         self._exchange.cancel()
 
     def _iterate(self) -> Generator[Chunk | Finish, None, None]:
+        try:
+            yield from self._read()
+        except UpstreamError as error:
+            self._outcomes.fail(error)
+            raise
+
+    def _read(self) -> Iterator[Chunk | Finish]:
         sse = SseDecoder()
         finish: Finish | None = None
         for data in self._exchange.read():
@@ -88,6 +103,7 @@
             raise IncompleteReplyError(
                 self._upstream, "the answer has no end marker"
             )
+        self._outcomes.succeed()
         yield finish
 
     def _decode(self, sse: SseDecoder, data: bytes) -> list[Chunk | Finish]:
--- a/trefoilpitch/upstreams/_connection_pool.py
+++ b/trefoilpitch/upstreams/_connection_pool.py
@@ -23,6 +23,7 @@
 from trefoilpitch.upstreams._exchange import Exchange
 from trefoilpitch.upstreams._http_request import HttpRequest
 from trefoilpitch.upstreams._nodes import Timeouts
+from trefoilpitch.upstreams._stats import ClientStats, OutcomeCounter
 
 # An upstream may close an idle connection just as a request goes out on it,
 # which leaves unknown whether the request ran. Servers commonly wait 5 s.
@@ -62,12 +63,33 @@
         self._idle: list[tuple[CheckedConnection, int]] = []
         self._lock = threading.Lock()
         self._closed = False
+        self._in_use = 0
+        self._opened = 0
+        self._outcomes = OutcomeCounter()
 
     @property
     def upstream(self) -> str:
         """The upstream's name."""
         return self._upstream
 
+    @property
+    def outcomes(self) -> OutcomeCounter:
+        """Counts what became of requests."""
+        return self._outcomes
+
+    @property
+    def stats(self) -> ClientStats:
+        """What was done so far and what is held now."""
+        with self._lock:
+            return ClientStats(
+                upstream=self._upstream,
+                connections_in_use=self._in_use,
+                connections_idle=len(self._idle),
+                connections_opened=self._opened,
+                successes=self._outcomes.successes,
+                failures=self._outcomes.failures,
+            )
+
     def send(
         self, request: HttpRequest, cancellation: Cancellation | None = None
     ) -> Result[Exchange, UpstreamError]:
@@ -80,6 +102,14 @@
         Returns:
             The exchange, which the caller must close, or why there is none.
         """
+        opened = self._send(request, cancellation)
+        if isinstance(opened, Failure):
+            self._outcomes.fail(opened.failure())
+        return opened
+
+    def _send(
+        self, request: HttpRequest, cancellation: Cancellation | None
+    ) -> Result[Exchange, UpstreamError]:
         defect = request.defect()
         if defect is not None:
             return Failure(InvalidRequestError(self._upstream, defect))
@@ -121,15 +151,20 @@
         while True:
             with self._lock:
                 if not self._idle:
+                    self._in_use += 1
+                    self._opened += 1
                     return CheckedConnection(self._host, self._port)
                 connection, since_ms = self._idle.pop()
             idle_ms = self._clock.now_ms() - since_ms
             if idle_ms <= MAX_IDLE_MS and connection.is_connected:
+                with self._lock:
+                    self._in_use += 1
                 return connection
             connection.close()
 
     def _release(self, connection: CheckedConnection, reusable: bool) -> None:
         with self._lock:
+            self._in_use -= 1
             keep = reusable and not self._closed and connection.is_connected
             if keep:
                 self._idle.append((connection, self._clock.now_ms()))
--- a/trefoilpitch/upstreams/_engine_client.py
+++ b/trefoilpitch/upstreams/_engine_client.py
@@ -23,6 +23,7 @@
     OrderReply,
     Timeouts,
 )
+from trefoilpitch.upstreams._stats import ClientStats
 
 _CONTROL_CONNECTIONS = 2
 
@@ -39,6 +40,10 @@
         trace: TracebackType | None,
     ) -> None: ...
 
+    @property
+    def stats(self) -> ClientStats:
+        """What became of requests; reports and orders are not counted."""
+
     def start(
         self,
         request: CompletionRequest,
--- a/trefoilpitch/upstreams/_fakes.py
+++ b/trefoilpitch/upstreams/_fakes.py
@@ -33,6 +33,7 @@
     ServiceReply,
     ServiceRequest,
 )
+from trefoilpitch.upstreams._stats import ClientStats
 
 AnswerItem = Chunk | Finish | UpstreamError
 
@@ -101,6 +102,11 @@
     ) -> None:
         """Holds nothing that needs closing."""
 
+    @property
+    def stats(self) -> ClientStats:
+        """Empty: a fake counts nothing."""
+        return _empty_stats(self._upstream)
+
     @property
     def requests(self) -> list[CompletionRequest]:
         """The requests that were started, in order."""
@@ -235,6 +241,11 @@
     ) -> None:
         """Holds nothing that needs closing."""
 
+    @property
+    def stats(self) -> ClientStats:
+        """Empty: a fake counts nothing."""
+        return _empty_stats("fake")
+
     @property
     def requests(self) -> list[ServiceRequest]:
         """The calls that were made, in order."""
@@ -264,3 +275,14 @@
         if self._report is None:
             return Failure(ConnectError("fake", "no report"))
         return Success(self._report)
+
+
+def _empty_stats(upstream: str) -> ClientStats:
+    return ClientStats(
+        upstream=upstream,
+        connections_in_use=0,
+        connections_idle=0,
+        connections_opened=0,
+        successes=0,
+        failures=(),
+    )
--- a/trefoilpitch/upstreams/_http_engine_client.py
+++ b/trefoilpitch/upstreams/_http_engine_client.py
@@ -45,6 +45,7 @@
     fetch_cache_events,
     fetch_load_report,
 )
+from trefoilpitch.upstreams._stats import ClientStats
 
 _VERSION_HEADER = "Model-Version"
 _PRIORITY_HEADER = "Priority"
@@ -81,6 +82,11 @@
         self._pool.close()
         self._control.close()
 
+    @property
+    def stats(self) -> ClientStats:
+        """What became of answers; reports and orders are not counted."""
+        return self._pool.stats
+
     def start(
         self,
         request: CompletionRequest,
@@ -183,6 +189,7 @@
         failure = _check_reply(exchange, upstream, request_id, version)
         if failure is not None:
             exchange.close()
+            self._pool.outcomes.fail(failure)
             return Failure(failure)
         decoder = AnswerDecoder(
             upstream=upstream,
@@ -190,7 +197,8 @@
             version=version,
             next_index=next_index,
         )
-        return Success(HttpAnswerStream(exchange, decoder, upstream))
+        outcomes = self._pool.outcomes
+        return Success(HttpAnswerStream(exchange, decoder, upstream, outcomes))
 
 
 def _request_headers(request: CompletionRequest) -> dict[str, str]:
--- a/trefoilpitch/upstreams/_replies.py
+++ b/trefoilpitch/upstreams/_replies.py
@@ -104,9 +104,14 @@
         return Failure(sent.failure())
     exchange = sent.unwrap()
     try:
-        return _read_reply(exchange, pool.upstream, request_id, max_bytes)
+        reply = _read_reply(exchange, pool.upstream, request_id, max_bytes)
     finally:
         exchange.close()
+    if isinstance(reply, Failure):
+        pool.outcomes.fail(reply.failure())
+    else:
+        pool.outcomes.succeed()
+    return reply
 
 
 def classify_error(
--- a/trefoilpitch/upstreams/_service_client.py
+++ b/trefoilpitch/upstreams/_service_client.py
@@ -28,6 +28,7 @@
     exchange_whole,
 )
 from trefoilpitch.upstreams._reports import fetch_load_report
+from trefoilpitch.upstreams._stats import ClientStats
 
 DEFAULT_MAX_BODY_BYTES = 4 << 20
 _CONTROL_CONNECTIONS = 1
@@ -46,6 +47,10 @@
         trace: TracebackType | None,
     ) -> None: ...
 
+    @property
+    def stats(self) -> ClientStats:
+        """What became of requests; reports and orders are not counted."""
+
     def call(
         self,
         request: ServiceRequest,
@@ -91,6 +96,11 @@
         self._pool.close()
         self._control.close()
 
+    @property
+    def stats(self) -> ClientStats:
+        """What became of calls; reports are not counted."""
+        return self._pool.stats
+
     def call(
         self,
         request: ServiceRequest,
--- a/trefoilpitch/upstreams/tests/test_engine_client.py
+++ b/trefoilpitch/upstreams/tests/test_engine_client.py
@@ -207,6 +207,25 @@
             next(items)
 
 
+def test_stats_tell_how_requests_ended_and_that_nothing_is_held() -> None:
+    with engine_bench() as bench:
+        for kind in ("crossed", "crossed_events", "missing_end", "refuse"):
+            bench.engine.commit(Fault(kind=kind))
+            _failure(bench)
+        with bench.client.start(completion("r2")).unwrap() as stream:
+            assert bench.client.stats.connections_in_use == 1
+            collect(stream)
+        stats = bench.client.stats
+    counts = {(it.kind, it.execution): it.count for it in stats.failures}
+    assert counts == {
+        ("MismatchedReplyError", Execution.UNKNOWN): 2,
+        ("IncompleteReplyError", Execution.UNKNOWN): 1,
+        ("RefusedError", Execution.NOT_RUN): 1,
+    }
+    assert stats.successes == 1
+    assert (stats.connections_in_use, stats.connections_idle) == (0, 1)
+
+
 def test_an_engine_may_think_longer_than_it_takes_to_connect() -> None:
     with engine_bench(timeouts=Timeouts(connect_ms=50)) as bench:
         bench.engine.commit(Fault(kind="slow_headers", delay_ms=100))
