Refuse kinds of fault that a stand-in does not know

Cause: a misspelt fault was planned and never committed, so that a test of it could not fail.

Ruled out: an enum shared by all stand-ins, because each knows other faults.

Change: a plan of faults takes the kinds that its stand-in knows; others are refused with a ValueError, over HTTP with status 400.

--- a/trefoilpitch/standins/_engine.py
+++ b/trefoilpitch/standins/_engine.py
@@ -6,7 +6,7 @@
 from typing import Self
 
 from trefoilpitch.clock import Clock, SystemClock
-from trefoilpitch.standins._engine_handler import EngineHandler
+from trefoilpitch.standins._engine_handler import FAULT_KINDS, EngineHandler
 from trefoilpitch.standins._engine_nodes import EngineSettings
 from trefoilpitch.standins._engine_state import EngineState
 from trefoilpitch.standins._faults import Fault, FaultPlan
@@ -26,7 +26,7 @@
         self, settings: EngineSettings, port: int, clock: Clock
     ) -> None:
         self._state = EngineState(settings, clock)
-        self._faults = FaultPlan()
+        self._faults = FaultPlan(FAULT_KINDS)
         self._server = StandInServer(self._handler, port)
 
     def __enter__(self) -> Self:
--- a/trefoilpitch/standins/_engine_handler.py
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -39,6 +39,7 @@
 _NOT_RUN = {"Not-Run": "true"}
 _DEFAULT_MAX_TOKENS = 4096
 _MS_PER_S = 1000
+FAULT_KINDS = ("slow_headers", "refuse", "refuse_resume", *STREAM_FAULTS)
 
 
 class _Message(msgspec.Struct, frozen=True):
@@ -97,7 +98,7 @@
             return
         try:
             route()
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError) as error:
             self.reply_json({"error": str(error)}, status=400)
 
     def _complete(self) -> None:
--- a/trefoilpitch/standins/_faults.py
+++ b/trefoilpitch/standins/_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Iterable
 
 import msgspec
 
@@ -27,14 +28,25 @@
 
 
 class FaultPlan:
-    """The faults still to be committed; safe to use from many threads."""
+    """The faults still to be committed; safe to use from many threads.
 
-    def __init__(self) -> None:
+    Args:
+        kinds: Kinds of fault that the stand-in knows.
+    """
+
+    def __init__(self, kinds: Iterable[str]) -> None:
+        self._kinds = frozenset(kinds)
         self._faults: list[Fault] = []
         self._lock = threading.Lock()
 
     def add(self, fault: Fault) -> None:
-        """Plans a fault."""
+        """Plans a fault.
+
+        Raises:
+            ValueError: If the stand-in knows no such fault.
+        """
+        if fault.kind not in self._kinds:
+            raise ValueError(f"no such kind of fault: {fault.kind!r}")
         with self._lock:
             self._faults.append(fault)
 
--- a/trefoilpitch/standins/_service.py
+++ b/trefoilpitch/standins/_service.py
@@ -4,9 +4,9 @@
 effect; any other method has an effect, which is counted for each request id
 and operation, even when the reply is lost.
 
-Kinds of fault: ``delay``, ``drop_reply`` (after the effect), ``short_body``,
-``missing_end``, ``excess_body``, ``wrong_length``, ``refuse``, ``crossed``,
-``error_status`` (after the effect).
+Kinds of fault: ``delay``, ``refuse``; after the effect ``drop_reply``,
+``short_body``, ``excess_body``, ``missing_end``, ``missing_length``,
+``crossed`` and ``error_status``.
 """
 
 from __future__ import annotations
@@ -106,13 +106,20 @@
     def do_POST(self) -> None:  # noqa: N802
         """Serves operations and commands."""
         if self.path == "/standin/faults":
-            self.faults.add(self.read_json(Fault))
-            self.reply_json({})
+            self._plan_fault()
         else:
             self._call()
 
     do_PUT = do_DELETE = do_POST  # noqa: N815
 
+    def _plan_fault(self) -> None:
+        try:
+            self.faults.add(self.read_json(Fault))
+        except (msgspec.MsgspecError, ValueError) as error:
+            self.reply_json({"error": str(error)}, status=400)
+            return
+        self.reply_json({})
+
     def _call(self) -> None:
         body = self.read_body()
         if self._refuse_on_command():
@@ -234,7 +241,7 @@
     def __init__(self, settings: ServiceSettings, port: int) -> None:
         self._settings = settings
         self._effects = Effects()
-        self._faults = FaultPlan()
+        self._faults = FaultPlan(("delay", "refuse", *_REPLY_FAULTS))
         self._server = StandInServer(self._handler, port)
 
     def __enter__(self) -> Self:
--- /dev/null
+++ b/trefoilpitch/standins/tests/test_faults.py
@@ -0,0 +1,34 @@
+import urllib.error
+import urllib.request
+
+import pytest
+
+from trefoilpitch.standins import (
+    EngineSettings,
+    ServiceSettings,
+    open_engine_stand_in,
+    open_service_stand_in,
+)
+from trefoilpitch.standins._faults import Fault, FaultPlan
+
+
+def test_a_fault_befalls_as_many_requests_as_planned() -> None:
+    plan = FaultPlan(["cut", "refuse"])
+    plan.add(Fault(kind="cut", times=2, path="/loans"))
+    assert plan.take("/loans", "refuse") is None
+    assert plan.take("/catalogue", "cut") is None
+    taken = [plan.take("/loans/7", "refuse", "cut") for _ in range(3)]
+    assert [fault is not None for fault in taken] == [True, True, False]
+
+
+def test_a_fault_that_a_stand_in_does_not_know_is_refused() -> None:
+    with (
+        open_engine_stand_in(EngineSettings()) as engine,
+        open_service_stand_in(ServiceSettings()) as service,
+    ):
+        for stand_in in (engine, service):
+            with pytest.raises(ValueError, match="no such kind"):
+                stand_in.commit(Fault(kind="typo"))
+            url = f"http://{stand_in.address}/standin/faults"
+            with pytest.raises(urllib.error.HTTPError, match="400"):
+                urllib.request.urlopen(url, data=b'{"kind": "typo"}')
