--- a/trefoilpitch/coldstart/tests/world.py
+++ b/trefoilpitch/coldstart/tests/world.py
@@ -263,7 +263,7 @@
         self.noticed_paused: set[str] = set()
         self.sides: dict[str, int] = {}
         self.report_loss = 0.0
-        self.durations_ms = (40, 200, SETTINGS.max_work_ms)
+        self.durations_ms: tuple[int, ...] = (40, 200, SETTINGS.max_work_ms)
         self.started = 0
         self.updates: list[tuple[int, Process, dict[str, Member]]] = []
         self.reports: list[tuple[int, Process, UpstreamReported]] = []
--- a/trefoilpitch/peering/_dialer.py
+++ b/trefoilpitch/peering/_dialer.py
@@ -9,8 +9,9 @@
 
 from trefoilpitch.peering._exceptions import DialFailedError
 
-# Frames that the library may hold for a peer that reads slowly.
-_SOCKET_BUFFER_FRAMES = 4
+# The library's own buffer would take frames while there is no connection and
+# deliver them however late; the dialer's queue lets them expire instead.
+_SOCKET_BUFFER_FRAMES = 0
 
 
 class Dialer:
