--- a/trefoilpitch/coldstart/__init__.py
+++ b/trefoilpitch/coldstart/__init__.py
@@ -32,6 +32,7 @@
     is_cold,
     step_holder,
 )
+from trefoilpitch.coldstart._host import ColdStartHost
 from trefoilpitch.coldstart._ledger import ramp_bound
 from trefoilpitch.coldstart._messages import (
     PAYLOAD_KINDS,
@@ -49,8 +50,16 @@
 )
 from trefoilpitch.coldstart._rendezvous import choose_gatekeeper, has_quorum
 from trefoilpitch.coldstart._settings import ColdStartSettings
+from trefoilpitch.coldstart._summary import (
+    GatekeeperPhase,
+    GatekeeperSummary,
+    HolderSummary,
+    summarize_gatekeeper,
+    summarize_holder,
+)
 
 __all__ = [
+    "ColdStartHost",
     "ColdStartSettings",
     "create_holder",
     "step_holder",
@@ -81,6 +90,11 @@
     "choose_gatekeeper",
     "has_quorum",
     "ramp_bound",
+    "summarize_gatekeeper",
+    "summarize_holder",
+    "GatekeeperPhase",
+    "GatekeeperSummary",
+    "HolderSummary",
     "PAYLOAD_KINDS",
     "HolderMessage",
     "GatekeeperMessage",
--- /dev/null
+++ b/trefoilpitch/coldstart/_host.py
@@ -0,0 +1,151 @@
+"""Runs both sides of the cold start protocol on a peer transport."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import get_args
+
+from trefoilpitch.clock import Clock
+from trefoilpitch.coldstart._events import (
+    Admission,
+    AdmissionChanged,
+    FleetObserved,
+    GatekeeperEvent,
+    GatekeeperSpoke,
+    HolderEvent,
+    HolderSpoke,
+    SendToGatekeeper,
+    UpstreamReported,
+    UpstreamsChanged,
+)
+from trefoilpitch.coldstart._gatekeeper import (
+    GatekeeperState,
+    create_gatekeeper,
+    step_gatekeeper,
+)
+from trefoilpitch.coldstart._holder import (
+    HolderState,
+    admit_work,
+    create_holder,
+    step_holder,
+)
+from trefoilpitch.coldstart._messages import GatekeeperMessage, HolderMessage
+from trefoilpitch.coldstart._settings import ColdStartSettings
+from trefoilpitch.peering import PeerTransport, ReceivedMessage
+
+_HOLDER_TYPES = get_args(HolderMessage)
+_GATEKEEPER_TYPES = get_args(GatekeeperMessage)
+
+
+class ColdStartHost:
+    """Feeds events to both state machines and carries out their actions.
+
+    Belongs to one actor or thread.
+
+    Args:
+        clock: Tells the time of each event.
+        transport: Carries the messages.
+        on_admission_changed: Called with an upstream's name when work that
+            waits for it should ask again.
+        settings: Intervals and limits.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        transport: PeerTransport,
+        on_admission_changed: Callable[[str], None],
+        settings: ColdStartSettings | None = None,
+    ) -> None:
+        self._clock = clock
+        self._transport = transport
+        self._on_admission_changed = on_admission_changed
+        incarnation = transport.identity.incarnation
+        self._gatekeeper = create_gatekeeper(incarnation, settings)
+        self._holder = create_holder(settings)
+        self._send_failures = 0
+
+    @property
+    def gatekeeper(self) -> GatekeeperState:
+        """The state as a gatekeeper, for dumps."""
+        return self._gatekeeper
+
+    @property
+    def holder(self) -> HolderState:
+        """The state as a holder of credits, for dumps."""
+        return self._holder
+
+    @property
+    def send_failures(self) -> int:
+        """Messages that the transport refused."""
+        return self._send_failures
+
+    def observe(
+        self, event: FleetObserved | UpstreamsChanged | UpstreamReported
+    ) -> None:
+        """Tells both sides of the fleet, the bundle or an upstream."""
+        self._tell_gatekeeper(event)
+        self.handle(event)
+
+    def handle(self, event: HolderEvent) -> None:
+        """Tells the holder's side what happened."""
+        self._holder, actions = step_holder(
+            self._holder, event, self._clock.now_ms()
+        )
+        for action in actions:
+            match action:
+                case SendToGatekeeper(address=address, message=message):
+                    self._send(address, message)
+                case AdmissionChanged(upstream=upstream):
+                    self._on_admission_changed(upstream)
+
+    def admit(self, upstream: str) -> Admission:
+        """Asks for admission; see ``admit_work``."""
+        self._holder, admission = admit_work(
+            self._holder, upstream, self._clock.now_ms()
+        )
+        return admission
+
+    def receive(self, message: ReceivedMessage) -> bool:
+        """Takes in a peer's message; returns whether it belongs here."""
+        payload = message.payload
+        if isinstance(payload, _HOLDER_TYPES):
+            self._tell_gatekeeper(
+                HolderSpoke(
+                    holder=message.incarnation,
+                    address=message.address,
+                    message=payload,
+                )
+            )
+            return True
+        if isinstance(payload, _GATEKEEPER_TYPES):
+            self.handle(
+                GatekeeperSpoke(gatekeeper=message.incarnation, message=payload)
+            )
+            return True
+        return False
+
+    def _tell_gatekeeper(self, event: GatekeeperEvent) -> None:
+        self._gatekeeper, sends = step_gatekeeper(
+            self._gatekeeper, event, self._clock.now_ms()
+        )
+        for send in sends:
+            self._send(send.address, send.message)
+
+    def _send(
+        self, address: str, message: HolderMessage | GatekeeperMessage
+    ) -> None:
+        identity = self._transport.identity
+        if address == identity.address:
+            # This daemon is both sides of the exchange.
+            self.receive(
+                ReceivedMessage(
+                    sender=identity.name,
+                    incarnation=identity.incarnation,
+                    address=address,
+                    payload=message,
+                )
+            )
+            return
+        sent = self._transport.send(address, message, urgent=True)
+        self._send_failures += sent.map(lambda _: 0).value_or(1)
--- a/trefoilpitch/coldstart/tests/world.py
+++ b/trefoilpitch/coldstart/tests/world.py
@@ -6,7 +6,6 @@
 import functools
 import random
 from collections.abc import Callable
-from typing import cast
 
 from trefoilpitch.bundle import Upstream
 from trefoilpitch.clock import ManualClock
@@ -14,26 +13,15 @@
     PAYLOAD_KINDS,
     Admission,
     AdmissionKind,
+    ColdStartHost,
     ColdStartSettings,
     DemandChanged,
     FleetObserved,
-    GatekeeperEvent,
-    GatekeeperMessage,
-    GatekeeperSpoke,
-    HolderEvent,
-    HolderMessage,
-    HolderSpoke,
-    SendToGatekeeper,
     TimePassed,
     UpstreamReported,
     UpstreamsChanged,
     WorkEnded,
     WorkOutcome,
-    admit_work,
-    create_gatekeeper,
-    create_holder,
-    step_gatekeeper,
-    step_holder,
 )
 from trefoilpitch.membership import (
     Endpoints,
@@ -47,7 +35,6 @@
     MemoryNetwork,
     PeerIdentity,
     PeerKeys,
-    ReceivedMessage,
     create_payload_registry,
 )
 
@@ -79,7 +66,6 @@
 VIEW_LAG_MS = SETTINGS.view_lag_ms - SETTINGS.view_age_limit_ms - TICK_MS
 REGISTRY = create_payload_registry(PAYLOAD_KINDS)
 KEYS = PeerKeys(current=b"key")
-HOLDER_KINDS = ("CreditRequest", "CreditReturn", "Holding", "ColdSign")
 
 
 class OverloadError(AssertionError):
@@ -151,12 +137,9 @@
         self.waiting = 0
         # Whether work waits although there may be credits.
         self.pause_work = False
-        self.backlog: list[Callable[[], None]] = []
+        self.backlog: list[Callable[[], object]] = []
         self.known: dict[str, Member] = {}
         self.known_due_ms = 0
-        self.gatekeeper = create_gatekeeper(incarnation, SETTINGS)
-        self.holder = create_holder(SETTINGS)
-        self.tell_both(UpstreamsChanged((UPSTREAM,)))
         self.transport = world.network.attach(
             PeerIdentity(
                 deployment="test",
@@ -167,15 +150,19 @@
             keys=KEYS,
             registry=REGISTRY,
             handler=lambda message: self.when_awake(
-                functools.partial(self.receive, message)
+                functools.partial(self.host.receive, message)
             ),
         )
+        self.host = ColdStartHost(
+            world.clock, self.transport, lambda upstream: None, SETTINGS
+        )
+        self.host.observe(UpstreamsChanged((UPSTREAM,)))
 
     @property
     def is_paused(self) -> bool:
         return self.world.now_ms < self.paused_until_ms
 
-    def when_awake(self, call: Callable[[], None]) -> None:
+    def when_awake(self, call: Callable[[], object]) -> None:
         if self.is_paused:
             self.backlog.append(call)
         elif self.is_alive:
@@ -190,58 +177,18 @@
             is_settled=self.world.now_ms >= self.settled_ms,
             unmet_seeds=self.world.size - max(len(self.known), 1),
         )
-        self.tell_both(FleetObserved(view))
-        self.tell_holder(DemandChanged("u", self.waiting))
-        self.tell_holder(TimePassed())
+        self.host.observe(FleetObserved(view))
+        self.host.handle(DemandChanged("u", self.waiting))
+        self.host.handle(TimePassed())
 
     def work(self) -> None:
         while self.waiting and not self.pause_work:
-            self.holder, admission = admit_work(
-                self.holder, "u", self.world.now_ms
-            )
+            admission = self.host.admit("u")
             if admission.kind is AdmissionKind.WAIT:
                 return
             self.waiting -= 1
             self.world.send_work(self, admission)
 
-    def receive(self, message: ReceivedMessage) -> None:
-        payload = message.payload
-        if type(payload).__name__ in HOLDER_KINDS:
-            event = HolderSpoke(
-                holder=message.incarnation,
-                address=message.address,
-                message=cast(HolderMessage, payload),
-            )
-            self.tell_gatekeeper(event)
-        else:
-            self.tell_holder(
-                GatekeeperSpoke(
-                    gatekeeper=message.incarnation,
-                    message=cast(GatekeeperMessage, payload),
-                )
-            )
-
-    def tell_both(
-        self, event: FleetObserved | UpstreamsChanged | UpstreamReported
-    ) -> None:
-        self.tell_gatekeeper(event)
-        self.tell_holder(event)
-
-    def tell_gatekeeper(self, event: GatekeeperEvent) -> None:
-        self.gatekeeper, sends = step_gatekeeper(
-            self.gatekeeper, event, self.world.now_ms
-        )
-        for send in sends:
-            self.transport.send(send.address, send.message)
-
-    def tell_holder(self, event: HolderEvent) -> None:
-        self.holder, actions = step_holder(
-            self.holder, event, self.world.now_ms
-        )
-        for action in actions:
-            if isinstance(action, SendToGatekeeper):
-                self.transport.send(action.address, action.message)
-
     def _myself(self) -> Member:
         return create_member(self.name, self.incarnation, MemberState.ALIVE)
 
@@ -418,7 +365,7 @@
         due = [r for r in self.reports if r[0] <= self.now_ms]
         self.reports = [r for r in self.reports if r[0] > self.now_ms]
         for _, process, report in due:
-            process.when_awake(functools.partial(process.tell_both, report))
+            process.when_awake(functools.partial(process.host.observe, report))
 
     def _finish_work(self) -> None:
         ended = [w for w in self.engine.running if w.end_ms <= self.now_ms]
@@ -430,7 +377,7 @@
     def _end(self, work: Work, outcome: WorkOutcome) -> None:
         event = WorkEnded(admission=work.admission, outcome=outcome)
         work.process.when_awake(
-            functools.partial(work.process.tell_holder, event)
+            functools.partial(work.process.host.handle, event)
         )
 
 
