Bound exploration by the quality that can be spared, with finer bins

Cause: 40% of the cheap answers fell into the last of sixteen even bins, and the thresholds above which quality is decided could not be told apart.

Change: bins are finer towards 1; thresholds are tried at random as long as little is known, at most for the share that the safe plan's margin over the target pays for.

--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 from collections.abc import Iterator
 
 from trefoilpitch.cascade._nodes import AnswerKey
 
-BIN_COUNT = 16
+# Lower edges of the bins; finer where most signals lie.
+_EDGES = (
+    0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.65,
+    0.7, 0.75, 0.8, 0.85, 0.9, 0.94, 0.97, 0.99,
+)  # fmt: skip
+BIN_COUNT = len(_EDGES)
 _COLUMNS = 3
 _ROW_LENGTH = BIN_COUNT * _COLUMNS
 _ANSWERS, _RATINGS, _GOOD = range(_COLUMNS)
@@ -17,7 +23,12 @@
     """Returns the bin of a confidence signal; a missing one counts as 0."""
     if signal is None:
         return 0
-    return min(max(int(signal * BIN_COUNT), 0), BIN_COUNT - 1)
+    return max(bisect.bisect_right(_EDGES, signal) - 1, 0)
+
+
+def bin_edge(position: int) -> float:
+    """Returns the least signal of a bin; above 1 past the last bin."""
+    return _EDGES[position] if position < BIN_COUNT else 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/trefoilpitch/cascade/_policy.py
+++ b/trefoilpitch/cascade/_policy.py
@@ -11,6 +11,7 @@
     BIN_COUNT,
     CountsSnapshot,
     CountsTable,
+    bin_edge,
     signal_bin,
 )
 from trefoilpitch.cascade._drift import DriftDetector
@@ -29,7 +30,6 @@
 from trefoilpitch.cascade._search import (
     Option,
     cheapest_expected,
-    cheapest_possible,
     cheapest_safe,
     confidence_factor,
     direct_option,
@@ -37,8 +37,6 @@
 )
 
 _ALL_WORKSPACES = "*"
-# Share of exploration that goes to what is expected to be good enough.
-_HOPEFUL_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,8 +75,10 @@
     safe: Option
     # The cheapest option that is expected to meet it.
     hopeful: Option
-    # Share of requests that try something else, from 0 to 1.
-    exploration: float
+    # Share of requests that try the hopeful option, from 0 to 1.
+    hopeful_share: float
+    # Share of requests that try any threshold, from 0 to 1.
+    random_share: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,10 +138,9 @@
         question = _Question(workspace, task, ordered, target, max_steps)
         choice = self._choose(question)
         option = choice.safe
-        exploring = max_steps > 1 and len(ordered) > 1
-        exploring = exploring and rng.random() < choice.exploration
-        if exploring:
+        if max_steps > 1 and len(ordered) > 1:
             option = _explored(choice, ordered, rng)
+        exploring = option is not choice.safe
         steps = _steps(option, ordered)
         return CascadePlan(
             workspace=workspace, task=task, steps=steps, exploring=exploring
@@ -161,7 +160,7 @@
         if step == len(plan.steps) - 1:
             return Verdict.ACCEPT
         threshold = plan.steps[step].accept_threshold
-        if signal_bin(finish.signal) >= round(threshold * BIN_COUNT):
+        if (finish.signal or 0.0) >= threshold:
             return Verdict.ACCEPT
         return Verdict.ESCALATE
 
@@ -202,32 +201,36 @@
         self._counts.merge(snapshot)
         self._cache.clear()
 
-    def _exploration_share(
-        self,
-        question: _Question,
-        safe: Option,
-        hopeful: Option,
-        possible: Option,
+    def _hopeful_share(self, safe: Option, hopeful: Option) -> float:
+        """Returns how often to try what is expected to meet the target."""
+        saving = 1.0 - hopeful.cost_nano / max(safe.cost_nano, 1e-9)
+        share = min(max(2.0 * saving, 0.0), 1.0)
+        return self._settings.exploration_share * share
+
+    def _random_share(
+        self, question: _Question, safe: Option, cheapest: Option
     ) -> float:
-        """Returns how much to explore, by what there is to save.
+        """Returns how often to try any threshold.
 
-        What is expected to be good enough is tried for as long as it is not
-        yet certain; what is merely possible, less and less with each rating.
+        The less is known of the cheapest version the more often, but never
+        so often that quality would fall to the target.
         """
         settings = self._settings
         key = AnswerKey(
-            workspace=question.workspace,
+            workspace=_ALL_WORKSPACES,
             task=question.task,
             version=question.candidates[0].version,
         )
-        rated = sum(one.ratings for one in self._counts.bins(_pooled(key)))
-        doubt = 1.0 + rated / settings.halving_ratings
-        saving = max(
-            _saving(safe, hopeful), _saving(safe, possible) / doubt, 0.0
-        )
+        rated = sum(one.ratings for one in self._counts.bins(key))
+        doubt = 1.0 + (rated / settings.halving_ratings) ** 2
+        dearest = question.candidates[-1].cost_nano
+        potential = 1.0 - cheapest.cost_nano / max(dearest, 1e-9)
+        share = settings.exploration_share * potential / doubt
+        slack = safe.lower_bound - question.target.quality
+        loss = (safe.lower_bound - cheapest.quality) / 2.0
+        affordable = max(slack, 0.0) / max(loss, slack, 1e-9)
         least = min(settings.min_exploration_share, settings.exploration_share)
-        share = settings.exploration_share * min(2.0 * saving, 1.0)
-        return max(share, least)
+        return max(min(share, affordable), least)
 
     def _count_answer(self, key: AnswerKey, position: int) -> None:
         self._counts.add_answer(key, position)
@@ -268,7 +271,7 @@
             for index, one in enumerate(ordered)
         ]
         if not self._has_evidence(question):
-            return _Choice(directs[-1], directs[-1], 0.0)
+            return _Choice(directs[-1], directs[-1], 0.0, 0.0)
         options = list(directs)
         if question.max_steps > 1:
             for pair in itertools.combinations(range(len(ordered)), 2):
@@ -276,9 +279,12 @@
         target = question.target.quality
         safe = cheapest_safe(options, target)
         hopeful = cheapest_expected(options, target)
-        possible = cheapest_possible(options, target)
-        share = self._exploration_share(question, safe, hopeful, possible)
-        return _Choice(safe, hopeful, share)
+        return _Choice(
+            safe,
+            hopeful,
+            self._hopeful_share(safe, hopeful),
+            self._random_share(question, safe, directs[0]),
+        )
 
     def _pair_options(
         self,
@@ -326,19 +332,16 @@
         return ratings >= self._settings.min_ratings
 
 
-def _saving(safe: Option, other: Option) -> float:
-    return 1.0 - other.cost_nano / max(safe.cost_nano, 1e-9)
-
-
 def _explored(
     choice: _Choice, ordered: Sequence[Candidate], rng: random.Random
 ) -> Option:
-    """Departs towards what is expected to be good enough, or anywhere."""
-    option = choice.safe
-    hopeful = choice.hopeful.cost_nano < option.cost_nano
-    if hopeful and rng.random() < _HOPEFUL_SHARE:
+    """Departs from the safe option for the shares that are set for it."""
+    draw = rng.random()
+    if draw < choice.hopeful_share:
         return choice.hopeful
-    if option.second is None and option.first == 0:
+    option = choice.safe
+    answered_cheaply = option.second is None and option.first == 0
+    if answered_cheaply or draw >= choice.hopeful_share + choice.random_share:
         return option
     first = 0 if option.second is None else option.first
     second = len(ordered) - 1 if option.second is None else option.second
@@ -357,7 +360,7 @@
     first = ordered[option.first].version
     if option.second is None:
         return (CascadeStep(version=first, accept_threshold=0.0),)
-    threshold = option.accept_from / BIN_COUNT
+    threshold = bin_edge(option.accept_from)
     return (
         CascadeStep(version=first, accept_threshold=threshold),
         CascadeStep(
--- a/trefoilpitch/cascade/_search.py
+++ b/trefoilpitch/cascade/_search.py
@@ -30,11 +30,6 @@
     # Lower confidence bound of that share.
     lower_bound: float
 
-    @property
-    def upper_bound(self) -> float:
-        """The upper confidence bound of the quality."""
-        return 2.0 * self.quality - self.lower_bound
-
 
 def confidence_factor(confidence: float) -> float:
     """Returns the standard deviations below the mean of a lower bound."""
@@ -115,14 +110,3 @@
     if enough:
         return min(enough, key=lambda option: option.cost_nano)
     return max(options, key=lambda option: option.quality)
-
-
-def cheapest_possible(options: Sequence[Option], target: float) -> Option:
-    """Returns the cheapest option whose upper bound meets the target.
-
-    When none does, the one with the highest upper bound.
-    """
-    possible = [option for option in options if option.upper_bound >= target]
-    if possible:
-        return min(possible, key=lambda option: option.cost_nano)
-    return max(options, key=lambda option: option.upper_bound)
