--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -16,7 +16,7 @@
 
 from absl import app, flags
 
-from tools.decisions import cascade
+from tools.decisions import cascade, load
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of every measurement.")
 _ONLY = flags.DEFINE_list("only", [], "Sections to run; all by default.")
@@ -27,6 +27,7 @@
 
 _SECTIONS: Mapping[str, Callable[[int], Sequence[Any]]] = {
     "cascade": cascade.measure,
+    "load": load.measure,
 }
 
 
