Tell operators what is known after a lost reply, and keep status reachable

Cause: a dry run that timed out was reported as a change that may have been accepted; a fault while waiting for a revision as a change that was not; and four changes that wait for a store that hangs took all four threads of the administration API, so that status, dump and metrics could not be had.

Change: only a posted change can end with an unknown outcome; any failed look at the fleet while waiting counts as not yet in force. Two requests at most use the store at once in the administration API, the others are refused after a second. Refusals carry their kind, and the command line says what to do about each. JSON output is one document, errors included. Change ids and authors are bounded, since the head lists them. rollout status shows the share of new sessions; ledger asks for totals, or lists one workspace.

--- a/trefoilpitch/administration/_api.py
+++ b/trefoilpitch/administration/_api.py
@@ -7,7 +7,7 @@
 import hmac
 import threading
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeAlias
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -16,6 +16,13 @@
     decode_change_body,
     to_change,
 )
+from trefoilpitch.administration._problems import (
+    busy_problem,
+    commit_problem,
+    conflict_problem,
+    refusal_problem,
+    store_problem,
+)
 from trefoilpitch.administration._replies import (
     BundleReply,
     ChangeReply,
@@ -27,14 +34,10 @@
 from trefoilpitch.administration._status import fleet_status
 from trefoilpitch.clock import Clock
 from trefoilpitch.configuration import (
-    ChangeRefusedError,
-    CommitError,
     Committed,
-    CommitUnknownError,
     Configuration,
     ConfigurationWriter,
     HeadReader,
-    RevisionConflictError,
     apply_change,
     describe_delta,
 )
@@ -51,7 +54,11 @@
 from trefoilpitch.web import Problem, Request, Response, problem_response
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-_STORE_RETRY_MS = 2_000
+_STORE_PATIENCE_MS = 1_000
+# Fewer than the server has threads, so that a store that hangs does not
+# keep operators from the status, the dump and the metrics.
+_STORE_REQUESTS = 2
+_MS_PER_S = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,25 +85,37 @@
     clock: Clock
 
 
+_Route: TypeAlias = Callable[[Request], Response]
+
+
 class AdminApi:
     """Authenticates operators and answers their requests.
 
     Args:
         token_sha256: SHA-256 of the administration token, in hexadecimal.
         services: What the API reads and changes.
+        store_patience_ms: How long a request waits for others that use the
+            store.
     """
 
-    def __init__(self, token_sha256: str, services: AdminServices) -> None:
+    def __init__(
+        self,
+        token_sha256: str,
+        services: AdminServices,
+        store_patience_ms: int = _STORE_PATIENCE_MS,
+    ) -> None:
         self._token_sha256 = token_sha256
         self._services = services
+        self._store_patience_ms = store_patience_ms
+        self._store_requests = threading.BoundedSemaphore(_STORE_REQUESTS)
         self._commits = threading.Lock()
-        self._routes: dict[tuple[str, str], Callable[[Request], Response]] = {
+        self._routes: dict[tuple[str, str], _Route] = {
             ("GET", "/v1/status"): self._status,
             ("GET", "/v1/dump"): self._dump,
             ("GET", "/v1/bundle"): self._bundle,
-            ("GET", "/v1/history"): self._history,
-            ("GET", "/v1/ledger"): self._ledger,
-            ("POST", "/v1/changes"): self._change,
+            ("GET", "/v1/history"): self._using_store(self._history),
+            ("GET", "/v1/ledger"): self._using_store(self._ledger),
+            ("POST", "/v1/changes"): self._using_store(self._change),
             ("POST", "/v1/dry-run"): self._dry_run,
             ("GET", "/metrics"): self._metrics,
         }
@@ -118,6 +137,18 @@
             return problem_response(problem)
         return route(request)
 
+    def _using_store(self, route: _Route) -> _Route:
+        def bounded(request: Request) -> Response:
+            patience_s = self._store_patience_ms / _MS_PER_S
+            if not self._store_requests.acquire(timeout=patience_s):
+                return problem_response(busy_problem())
+            try:
+                return route(request)
+            finally:
+                self._store_requests.release()
+
+        return bounded
+
     def _is_operator(self, request: Request) -> bool:
         token = request.bearer_token.encode("utf-8", "surrogatepass")
         digest = hashlib.sha256(token).hexdigest()
@@ -155,7 +186,7 @@
         del request
         read = self._services.reader.read()
         if not isinstance(read, Success):
-            return problem_response(_commit_problem(read.failure()))
+            return problem_response(commit_problem(read.failure()))
         changes = tuple(
             HistoryLine(
                 revision=delta.revision,
@@ -168,18 +199,19 @@
         return _json_response(HistoryReply(changes=changes))
 
     def _ledger(self, request: Request) -> Response:
-        del request
         read = self._read_bills()
         if not isinstance(read, Success):
             return problem_response(read.failure())
         bills = unite_bills(read.unwrap())
         totals = total_by_workspace(bills)
+        if request.query.get("totals_only") == "true":
+            bills = ()
         return _json_response(LedgerReply(bills=bills, totals=totals))
 
     def _read_bills(self) -> Result[list[Bill], Problem]:
         listed = self._services.store.list_prefix(LEDGER_PREFIX)
         if not isinstance(listed, Success):
-            return Failure(_store_problem(listed.failure().detail))
+            return Failure(store_problem(listed.failure().detail))
         bills: list[Bill] = []
         for entry in listed.unwrap().entries:
             decoded = decode_segment(entry.value)
@@ -210,7 +242,7 @@
                 known_revision=self._services.configuration().revision,
             )
         if not isinstance(committed, Success):
-            return problem_response(_commit_problem(committed.failure()))
+            return problem_response(commit_problem(committed.failure()))
         self._services.on_committed(committed.unwrap())
         return _json_response(
             ChangeReply(
@@ -231,43 +263,16 @@
         if not isinstance(change, Success):
             return problem_response(change.failure())
         configuration = self._services.configuration()
+        revision = configuration.revision
+        if body.unwrap().expected_revision not in (None, revision):
+            message = f"revision {revision} is in force on this VM"
+            return problem_response(conflict_problem(message))
         applied = apply_change(configuration, change.unwrap())
         if not isinstance(applied, Success):
-            return problem_response(_refusal(str(applied.failure())))
-        return _json_response(DryRunReply(revision=configuration.revision))
+            error = applied.failure()
+            return problem_response(refusal_problem(error.refusal, str(error)))
+        return _json_response(DryRunReply(revision=revision))
 
 
 def _json_response(reply: object) -> Response:
     return Response(body=msgspec.json.encode(reply))
-
-
-def _refusal(message: str) -> Problem:
-    return Problem(
-        status=422,
-        code="refused",
-        title=message,
-        detail="Nothing was changed.",
-    )
-
-
-def _commit_problem(error: CommitError) -> Problem:
-    if isinstance(error, RevisionConflictError):
-        status, code, detail = 409, "conflict", "Look at the changes, retry."
-    elif isinstance(error, ChangeRefusedError):
-        return _refusal(str(error))
-    elif isinstance(error, CommitUnknownError):
-        status, code = 504, "outcome-unknown"
-        detail = "Send the change again with the same change_id."
-    else:
-        return _store_problem(str(error))
-    return Problem(status=status, code=code, title=str(error), detail=detail)
-
-
-def _store_problem(detail: str) -> Problem:
-    return Problem(
-        status=503,
-        code="store-unavailable",
-        title="the store cannot be used now",
-        detail=detail,
-        retry_after_ms=_STORE_RETRY_MS,
-    )
--- a/trefoilpitch/administration/_changes.py
+++ b/trefoilpitch/administration/_changes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -22,11 +22,30 @@
 )
 from trefoilpitch.web import Problem
 
+# The head lists the recent changes and has to fit in one value of the store.
+_MAX_NAME_LENGTH = 128
+
+_ChangeId = Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1, max_length=_MAX_NAME_LENGTH, pattern=r"^[!-~]+\Z"
+    ),
+]
+_Author = Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1,
+        max_length=_MAX_NAME_LENGTH,
+        pattern=r"^[^\x00-\x1f\x7f-\x9f]+\Z",
+    ),
+]
+_Revision = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class _Base(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    change_id: str
-    author: str
-    expected_revision: int | None = None
+    change_id: _ChangeId
+    author: _Author
+    expected_revision: _Revision | None = None
 
 
 class SignOffBody(_Base, tag_field="kind", tag="sign-off"):
--- a/trefoilpitch/administration/_status.py
+++ b/trefoilpitch/administration/_status.py
@@ -6,6 +6,7 @@
 
 from trefoilpitch.configuration import Configuration
 from trefoilpitch.membership import Member, MembershipView, MemberState
+from trefoilpitch.routing import rollout_weight, routing_table
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -18,6 +19,8 @@
     failure_domain: str
     # What is known of it.
     state: str
+    # Whether it may be serving, so that it needs the newest revision.
+    is_live: bool
     # The revision that it reported last.
     revision: int
     # Age of that report, in milliseconds.
@@ -38,6 +41,8 @@
     step: int
     # Where it stands.
     phase: str
+    # Share of new sessions that the version gets, from 0 to 1.
+    share: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,19 +96,29 @@
         failure_domains_out=tuple(sorted(configuration.failure_domains_out)),
         vms_out=tuple(sorted(configuration.vms_out)),
         withdrawn=tuple(sorted(map(str, configuration.withdrawn))),
-        rollouts=tuple(
-            RolloutLine(
-                model=state.model,
-                to_version=state.to_version,
-                step=state.step,
-                phase=state.phase.value,
-            )
-            for state in configuration.rollouts
-        ),
+        rollouts=_rollout_lines(configuration, view.own_name),
         nodes=tuple(_node_line(member, now_ms) for member in view.members),
     )
 
 
+def _rollout_lines(
+    configuration: Configuration, node: str
+) -> tuple[RolloutLine, ...]:
+    if not configuration.rollouts:
+        return ()
+    table = routing_table(configuration, node=node)
+    return tuple(
+        RolloutLine(
+            model=state.model,
+            to_version=state.to_version,
+            step=state.step,
+            phase=state.phase.value,
+            share=rollout_weight(table, state.model),
+        )
+        for state in configuration.rollouts
+    )
+
+
 def _is_live(member: Member) -> bool:
     return member.state is not MemberState.GONE
 
@@ -113,6 +128,7 @@
         name=member.name,
         failure_domain=member.failure_domain,
         state=member.state.value,
+        is_live=_is_live(member),
         revision=member.report.configuration_revision,
         report_age_ms=max(0, now_ms - member.report_ms),
         in_flight_share=member.report.in_flight_share,
--- a/trefoilpitch/cli/_bundle.py
+++ b/trefoilpitch/cli/_bundle.py
@@ -33,11 +33,11 @@
     if isinstance(decoded, Success):
         bundle = decoded.unwrap()
         context.console.show(f"{path}: {_title(bundle)} has no faults")
-        context.console.finish({"faults": []})
+        context.console.record(faults=())
         return ExitStatus.DONE
     faults = decoded.failure().faults
     context.console.show(*(f"{path}: {fault}" for fault in faults))
-    context.console.finish({"faults": faults})
+    context.console.record(faults=faults)
     raise _faulty(path, len(faults))
 
 
@@ -48,9 +48,7 @@
     in_force = fetch(context, "/v1/bundle", BundleReply)
     differences = diff_bundles(in_force.bundle or _NOTHING, bundle)
     context.console.show(*_describe(in_force, differences))
-    context.console.finish(
-        {"revision": in_force.revision, "differences": differences}
-    )
+    context.console.record(revision=in_force.revision, differences=differences)
     return ExitStatus.DONE
 
 
@@ -62,10 +60,11 @@
     in_force = fetch(context, "/v1/bundle", BundleReply)
     differences = diff_bundles(in_force.bundle or _NOTHING, bundle)
     context.console.show(*_describe(in_force, differences))
+    context.console.record(differences=differences)
     header = change_header(context, based_on=in_force.revision)
     body = SignOffBody(bundle=text, **header.fields())
     what = f"bundle {_title(bundle)} signed off"
-    return send_change(context, body, what, differences=differences)
+    return send_change(context, body, what)
 
 
 def show(context: Context) -> ExitStatus:
@@ -82,7 +81,7 @@
             "",
             _workspace_table(bundle),
         )
-    context.console.finish(reply)
+    context.console.record(revision=reply.revision, bundle=bundle)
     return ExitStatus.DONE
 
 
@@ -95,7 +94,7 @@
         if newest_first
         else ("no change has been accepted",)
     )
-    context.console.finish({"changes": newest_first})
+    context.console.record(changes=newest_first)
     return ExitStatus.DONE
 
 
--- a/trefoilpitch/cli/_change.py
+++ b/trefoilpitch/cli/_change.py
@@ -16,8 +16,10 @@
 )
 from trefoilpitch.cli._context import (
     Context,
+    decode_change_reply,
     decode_reply,
     fetch,
+    outcome_unknown,
     require_token,
 )
 from trefoilpitch.cli._exceptions import CommandError, ExitStatus, UsageError
@@ -58,7 +60,8 @@
     settings = context.settings
     if not settings.author:
         raise UsageError(
-            "no author was given", "Give --author=NAME; history shows it."
+            "no author was given",
+            "Give --author=NAME; bundle history shows it.",
         )
     expected = settings.expected_revision
     return ChangeHeader(
@@ -68,16 +71,13 @@
     )
 
 
-def send_change(
-    context: Context, body: ChangeBody, what: str, **result: Any
-) -> ExitStatus:
+def send_change(context: Context, body: ChangeBody, what: str) -> ExitStatus:
     """Sends a change and prints what became of it.
 
     Args:
         context: What the command works with.
         body: The change.
         what: The change in words, ``vm entry-1 out``.
-        **result: More for the JSON output.
 
     Raises:
         CommandError: If the change was not accepted or is not known to be.
@@ -85,68 +85,84 @@
     require_token(context)
     encoded = msgspec.json.encode(body)
     if context.settings.dry_run:
-        return _dry_run(context, encoded, what, result)
-    context.console.remark(f"change id {body.change_id}")
-    posted = context.admin.post("/v1/changes", encoded)
-    reply = decode_reply(posted, ChangeReply)
+        return _dry_run(context, encoded, what)
+    console = context.console
+    console.remark(f"change id {body.change_id}")
+    console.record(change_id=body.change_id)
+    reply = _post(context, encoded)
     repeated = " (already accepted before)" if reply.is_repeated else ""
-    context.console.show(f"{what}: revision {reply.revision}{repeated}")
-    is_in_force = _wait(context, reply.revision)
-    context.console.finish(
-        {
-            **result,
-            "revision": reply.revision,
-            "is_repeated": reply.is_repeated,
-            "change_id": body.change_id,
-            "in_force": is_in_force,
-        }
-    )
+    console.show(f"{what}: revision {reply.revision}{repeated}")
+    console.record(revision=reply.revision, is_repeated=reply.is_repeated)
+    if context.settings.wait:
+        _wait(context, reply.revision)
     return ExitStatus.DONE
 
 
-def _dry_run(
-    context: Context, encoded: bytes, what: str, result: dict[str, Any]
-) -> ExitStatus:
+def _dry_run(context: Context, encoded: bytes, what: str) -> ExitStatus:
     posted = context.admin.post("/v1/dry-run", encoded)
     reply = decode_reply(posted, DryRunReply)
     context.console.show(
         f"{what}: revision {reply.revision} admits it; nothing was changed"
     )
-    context.console.finish(
-        {**result, "dry_run": True, "revision": reply.revision}
-    )
+    context.console.record(dry_run=True, revision=reply.revision)
     return ExitStatus.DONE
 
 
-def _wait(context: Context, revision: int) -> bool | None:
-    """Waits until a revision is in force; returns None without --wait."""
-    if not context.settings.wait:
-        return None
+def _post(context: Context, encoded: bytes) -> ChangeReply:
+    try:
+        posted = context.admin.post("/v1/changes", encoded)
+    except KeyboardInterrupt as interrupt:
+        raise outcome_unknown("interrupted") from interrupt
+    return decode_change_reply(posted, ChangeReply)
+
+
+def _wait(context: Context, revision: int) -> None:
+    """Waits until a revision is in force on every live VM.
+
+    Raises:
+        CommandError: If it is not in time.
+    """
+    lacking = "the fleet was not asked"
     until_ms = context.clock.now_ms() + context.settings.wait_ms
-    while True:
+    try:
+        while True:
+            lacking = _find_lacking(context, revision)
+            if not lacking:
+                break
+            if context.clock.now_ms() >= until_ms:
+                raise _not_in_force(context, revision, lacking)
+            context.sleep(_POLL_MS)
+    except KeyboardInterrupt as interrupt:
+        raise _not_in_force(context, revision, lacking) from interrupt
+    context.console.show(f"revision {revision} is in force everywhere")
+    context.console.record(in_force=True)
+
+
+def _find_lacking(context: Context, revision: int) -> str:
+    """Returns what lacks a revision, the empty string if nothing does."""
+    try:
         status = fetch(context, "/v1/status", FleetStatus)
-        if status.revision >= revision and status.in_force:
-            context.console.show(f"revision {revision} is in force everywhere")
-            return True
-        if context.clock.now_ms() >= until_ms:
-            raise _not_in_force(context, status, revision)
-        context.sleep(_POLL_MS)
+    except CommandError as error:
+        # The change is accepted whatever becomes of this question.
+        return error.message
+    lacking = [
+        node.name
+        for node in status.nodes
+        if node.is_live and node.revision < revision
+    ]
+    if status.revision < revision and status.vm not in lacking:
+        lacking.append(status.vm)
+    return ", ".join(lacking)
 
 
 def _not_in_force(
-    context: Context, status: FleetStatus, revision: int
+    context: Context, revision: int, lacking: str
 ) -> CommandError:
-    missing = [
-        node.name
-        for node in status.nodes
-        if node.state != "gone" and node.revision < revision
-    ]
-    message = (
-        f"revision {revision} is accepted, but not in force after "
-        f"{context.settings.wait_ms} ms on: {', '.join(missing)}"
-    )
+    context.console.record(in_force=False)
     return CommandError(
         ExitStatus.NOT_IN_FORCE,
-        message,
-        "It will not be taken back. Look at these VMs: trefoilpitch status.",
+        f"revision {revision} is accepted, but not known to be in force "
+        f"everywhere; lacking: {lacking}",
+        "It stays accepted and need not be sent again. "
+        "Watch trefoilpitch status.",
     )
--- a/trefoilpitch/cli/_client.py
+++ b/trefoilpitch/cli/_client.py
@@ -13,8 +13,8 @@
 _CONNECT_TIMEOUT_MS = 2_000
 _MS_PER_S = 1_000
 _OK = 200
+_SERVER_ERROR = 500
 _UNAVAILABLE = 503
-_OUTCOME_UNKNOWN = 504
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,7 +39,7 @@
     attempts: tuple[str, ...]
     # The problem that the last reply described; None without a reply.
     problem: ProblemReply | None = None
-    # Whether some address may have acted on the request.
+    # Whether some address may have acted on the body that was posted.
     may_have_run: bool = False
 
 
@@ -50,7 +50,7 @@
         """Returns the body of a successful reply."""
 
     def post(self, path: str, body: bytes) -> Result[bytes, RequestError]:
-        """Sends a change that may be sent twice without harm."""
+        """Sends a body that may be sent twice without harm."""
 
 
 class HttpDaemonClient:
@@ -85,7 +85,7 @@
         return self._send("GET", path, None)
 
     def post(self, path: str, body: bytes) -> Result[bytes, RequestError]:
-        """Sends a change that may be sent twice without harm."""
+        """Sends a body that may be sent twice without harm."""
         return self._send("POST", path, body)
 
     def _send(
@@ -121,7 +121,7 @@
             RequestError(
                 attempts=(f"{url}: {problem.status} {problem.title}",),
                 problem=problem,
-                may_have_run=problem.status == _OUTCOME_UNKNOWN,
+                may_have_run=body is not None and _is_doubtful(problem),
             )
         )
 
@@ -138,7 +138,18 @@
     """Returns whether another address would say the same."""
     if error.problem is None:
         return False
-    return error.problem.status not in (_UNAVAILABLE, _OUTCOME_UNKNOWN)
+    return error.problem.status < _SERVER_ERROR
+
+
+def _is_doubtful(problem: ProblemReply) -> bool:
+    """Returns whether a reply leaves open what became of a change.
+
+    A daemon that says it is unavailable has changed nothing; something
+    between here and there that says so may have passed the change on.
+    """
+    if problem.status < _SERVER_ERROR:
+        return False
+    return problem.status != _UNAVAILABLE or not problem.code
 
 
 def _is_unsent(error: urllib3.exceptions.HTTPError) -> bool:
--- a/trefoilpitch/cli/_commands.py
+++ b/trefoilpitch/cli/_commands.py
@@ -180,7 +180,7 @@
         (),
         "Show what each workspace owes.",
         _reports.ledger,
-        _CONNECTION,
+        (*_CONNECTION, "workspace"),
     ),
     Command(
         "entries",
--- a/trefoilpitch/cli/_context.py
+++ b/trefoilpitch/cli/_context.py
@@ -64,13 +64,13 @@
 def decode_reply(
     reply: Result[bytes, RequestError], reply_type: type[_T]
 ) -> _T:
-    """Returns a decoded reply.
+    """Returns a decoded reply to a request that changes nothing.
 
     Raises:
         CommandError: If there is none or it is not understood.
     """
     if not isinstance(reply, Success):
-        raise to_command_error(reply.failure())
+        raise _to_command_error(reply.failure())
     try:
         return msgspec.json.decode(reply.unwrap(), type=reply_type)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
@@ -81,25 +81,47 @@
         ) from error
 
 
-def to_command_error(error: RequestError) -> CommandError:
-    """Returns how a command ends whose request got no useful reply."""
+def decode_change_reply(
+    reply: Result[bytes, RequestError], reply_type: type[_T]
+) -> _T:
+    """Returns a decoded reply to a change.
+
+    Raises:
+        CommandError: If there is none or it is not understood; says so
+            where the change may have been accepted all the same.
+    """
+    if not isinstance(reply, Success) and reply.failure().may_have_run:
+        raise outcome_unknown("\n".join(reply.failure().attempts))
+    try:
+        return decode_reply(reply, reply_type)
+    except CommandError as error:
+        if isinstance(reply, Success):
+            raise outcome_unknown(error.message) from error
+        raise
+
+
+def outcome_unknown(cause: str) -> CommandError:
+    """Returns how a command ends whose change may have been accepted."""
+    return CommandError(
+        ExitStatus.OUTCOME_UNKNOWN,
+        f"the change may have been accepted\n{cause}",
+        "Repeat the command with the same --change_id; that is safe.",
+    )
+
+
+def _to_command_error(error: RequestError) -> CommandError:
     problem = error.problem
-    if error.may_have_run:
-        return CommandError(
-            ExitStatus.OUTCOME_UNKNOWN,
-            _join("the change may have been accepted", error),
-            "Repeat the command with the same --change_id; that is safe.",
-        )
     if problem is None:
         return CommandError(
             ExitStatus.UNREACHABLE,
-            _join("no daemon could be reached", error),
+            "\n".join(("no daemon could be reached", *error.attempts)),
             "Check --admin_address (or --entry_address) and that it runs.",
         )
     status, advice = _BY_HTTP_STATUS.get(
         problem.status,
         (ExitStatus.FAILED, "See the daemon's log and trefoilpitch dump."),
     )
+    advice = _BY_CODE.get(problem.code, advice)
     return CommandError(status, _message(problem.title, problem.detail), advice)
 
 
@@ -107,7 +129,13 @@
     400: (ExitStatus.REFUSED, "Correct the command."),
     401: (
         ExitStatus.UNAUTHENTICATED,
-        "Check TREFOILPITCH_ADMIN_TOKEN or --admin_token.",
+        "Check TREFOILPITCH_ADMIN_TOKEN or --admin_token, and that "
+        "--admin_address names the administration port.",
+    ),
+    404: (
+        ExitStatus.FAILED,
+        "Check that --admin_address names the administration port of a "
+        "daemon of this release.",
     ),
     409: (
         ExitStatus.CONFLICT,
@@ -119,11 +147,18 @@
         "Nothing was changed; the fleet serves on. Try again later.",
     ),
 }
+_BY_CODE = {
+    "no-effect": "It is so already; there is nothing to do.",
+    "unknown-name": "See trefoilpitch bundle show for the names.",
+    "no-bundle": "Sign off a bundle first: trefoilpitch bundle sign-off FILE.",
+    "not-newer": "Raise the bundle's version in the file and sign off again.",
+    "withdrawn": "A withdrawal is for good; name another version.",
+    "wrong-phase": "See trefoilpitch rollout status.",
+    "change-id-reused": "Leave --change_id out, or give a new one.",
+    "too-large": "Make the bundle smaller.",
+    "no-entries": "See trefoilpitch status for what is out of service.",
+}
 
 
 def _message(title: str, detail: str) -> str:
     return f"{title}\n{detail}" if detail else title
-
-
-def _join(headline: str, error: RequestError) -> str:
-    return "\n".join((headline, *error.attempts))
--- a/trefoilpitch/cli/_exceptions.py
+++ b/trefoilpitch/cli/_exceptions.py
@@ -26,6 +26,8 @@
     UNAUTHENTICATED = 7
     # The daemon failed or answered what this release does not understand.
     FAILED = 8
+    # Interrupted by the keyboard before a change was sent.
+    INTERRUPTED = 130
 
 
 class CommandError(Exception):
--- a/trefoilpitch/cli/_main.py
+++ b/trefoilpitch/cli/_main.py
@@ -5,31 +5,41 @@
 import os
 import sys
 import time
-from collections.abc import Mapping, Sequence
-from typing import TextIO
+from collections.abc import Callable, Mapping, Sequence
+from typing import TextIO, TypeAlias
 
-from trefoilpitch.cli._client import HttpDaemonClient
+from trefoilpitch.cli._client import DaemonClient, HttpDaemonClient
 from trefoilpitch.cli._commands import Command, find_command
 from trefoilpitch.cli._context import Context
 from trefoilpitch.cli._exceptions import CommandError, ExitStatus, UsageError
 from trefoilpitch.cli._help import help_text
-from trefoilpitch.cli._output import Console
+from trefoilpitch.cli._output import Console, printable
 from trefoilpitch.cli._settings import (
-    CliSettings,
     CommandLine,
     parse_command_line,
     read_settings,
 )
-from trefoilpitch.clock import SystemClock
+from trefoilpitch.clock import Clock, SystemClock
 
 _MS_PER_S = 1_000
 
+# Takes URLs, the bearer token and the time for one request.
+Connect: TypeAlias = Callable[[Sequence[str], str, int], DaemonClient]
+
+
+def _sleep(duration_ms: int) -> None:
+    time.sleep(duration_ms / _MS_PER_S)
+
 
 def main(
     argv: Sequence[str],
     environment: Mapping[str, str],
     out: TextIO,
     err: TextIO,
+    *,
+    connect: Connect = HttpDaemonClient,
+    clock: Clock | None = None,
+    sleep: Callable[[int], None] = _sleep,
 ) -> ExitStatus:
     """Runs one command.
 
@@ -38,6 +48,9 @@
         environment: The environment variables.
         out: Gets the results.
         err: Gets remarks and errors.
+        connect: Creates the clients of the daemons.
+        clock: Tells the time; the machine's where none is given.
+        sleep: Waits for a number of milliseconds.
     """
     try:
         line = parse_command_line(argv)
@@ -46,13 +59,22 @@
             return ExitStatus.DONE
         command, arguments = find_command(line.words)
         _check_flags(command, line)
-        settings = read_settings(line.given, environment)
-        context = _create_context(settings, arguments, out, err)
-        return command.run(context)
+        settings = read_settings(line.given, environment, command.flags)
     except CommandError as error:
-        print(f"trefoilpitch: {error.message}", file=err)
-        print(error.advice, file=err)
-        return error.status
+        return _report(error, err)
+    console = Console(out, err, settings.is_json)
+    context = Context(
+        settings=settings,
+        arguments=arguments,
+        console=console,
+        admin=connect(
+            settings.admin_urls, settings.admin_token, settings.timeout_ms
+        ),
+        callers=connect(settings.entry_urls, "", settings.timeout_ms),
+        clock=clock or SystemClock(),
+        sleep=sleep,
+    )
+    return _run(command, context, err)
 
 
 def run() -> None:
@@ -60,12 +82,36 @@
     try:
         status = main(sys.argv, os.environ, sys.stdout, sys.stderr)
     except BrokenPipeError:
-        # The reader of a pipe went away; nothing is left to be told.
-        sys.stdout = None
-        status = ExitStatus.DONE
+        # Keeps the interpreter from flushing into the closed pipe again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        status = ExitStatus.FAILED
+    except KeyboardInterrupt:
+        status = ExitStatus.INTERRUPTED
     sys.exit(int(status))
 
 
+def _run(command: Command, context: Context, err: TextIO) -> ExitStatus:
+    try:
+        status = command.run(context)
+    except CommandError as error:
+        status = _report(error, err)
+        context.console.record(
+            error={
+                "kind": error.status.name.lower(),
+                "message": error.message,
+                "advice": error.advice,
+            }
+        )
+    context.console.finish()
+    return status
+
+
+def _report(error: CommandError, err: TextIO) -> ExitStatus:
+    print(f"trefoilpitch: {printable(error.message)}", file=err)
+    print(error.advice, file=err)
+    return error.status
+
+
 def _check_flags(command: Command, line: CommandLine) -> None:
     for name in line.given:
         if name not in command.flags:
@@ -73,22 +119,3 @@
                 f"{command.name} has no flag --{name}",
                 f"See trefoilpitch {command.name} --help.",
             )
-
-
-def _create_context(
-    settings: CliSettings,
-    arguments: tuple[str, ...],
-    out: TextIO,
-    err: TextIO,
-) -> Context:
-    return Context(
-        settings=settings,
-        arguments=arguments,
-        console=Console(out, err, settings.is_json),
-        admin=HttpDaemonClient(
-            settings.admin_urls, settings.admin_token, settings.timeout_ms
-        ),
-        callers=HttpDaemonClient(settings.entry_urls, "", settings.timeout_ms),
-        clock=SystemClock(),
-        sleep=lambda duration_ms: time.sleep(duration_ms / _MS_PER_S),
-    )
--- a/trefoilpitch/cli/_output.py
+++ b/trefoilpitch/cli/_output.py
@@ -36,10 +36,11 @@
         self._out = out
         self._err = err
         self._is_json = is_json
+        self._document: dict[str, Any] = {}
 
     def remark(self, text: str) -> None:
-        """Tells people something that is no part of the result."""
-        print(text, file=self._err, flush=True)
+        """Tells people what is no part of the result."""
+        print(printable(text), file=self._err, flush=True)
 
     def show(self, *blocks: Table | str) -> None:
         """Prints results for people; nothing where the output is JSON."""
@@ -47,17 +48,32 @@
             return
         for block in blocks:
             text = render(block) if isinstance(block, Table) else block
-            print(text, file=self._out, flush=True)
+            print(printable(text), file=self._out, flush=True)
 
-    def finish(self, result: Any) -> None:
-        """Prints the whole result where the output is JSON."""
+    def record(self, **fields: Any) -> None:
+        """Adds fields to the document that programs get."""
+        self._document.update(fields)
+
+    def finish(self) -> None:
+        """Prints the document where the output is JSON."""
         if not self._is_json:
             return
-        encoded = msgspec.json.encode(result, enc_hook=str)
+        encoded = msgspec.json.encode(self._document)
         text = msgspec.json.format(encoded, indent=2).decode()
         print(text, file=self._out, flush=True)
 
 
+def printable(text: str) -> str:
+    """Returns a text with its control characters escaped.
+
+    Names and authors come from others and must not steer the terminal.
+    """
+    return "".join(
+        char if char.isprintable() or char == "\n" else ascii(char)[1:-1]
+        for char in text
+    )
+
+
 def render(table: Table) -> str:
     """Returns a table as lines whose columns are aligned."""
     if not table.rows:
--- a/trefoilpitch/cli/_reports.py
+++ b/trefoilpitch/cli/_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import urllib.parse
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
@@ -11,6 +12,7 @@
 from trefoilpitch.cli._context import Context, decode_reply, fetch
 from trefoilpitch.cli._exceptions import ExitStatus
 from trefoilpitch.cli._output import Table
+from trefoilpitch.ledger import Bill
 
 _NANO = 1_000_000_000
 _PERCENT = 100
@@ -43,7 +45,7 @@
         "",
         _node_table(reply),
     )
-    context.console.finish(reply)
+    context.console.record(**msgspec.to_builtins(reply))
     return ExitStatus.DONE
 
 
@@ -52,13 +54,16 @@
     state = fetch(context, "/v1/dump", dict[str, Any])
     text = msgspec.json.format(msgspec.json.encode(state), indent=2).decode()
     context.console.show(text)
-    context.console.finish(state)
+    context.console.record(**state)
     return ExitStatus.DONE
 
 
 def ledger(context: Context) -> ExitStatus:
-    """Shows what each workspace owes."""
-    reply = fetch(context, "/v1/ledger", LedgerReply)
+    """Shows what each workspace owes, or each request of one workspace."""
+    workspace = context.settings.workspace
+    query = "" if workspace else "?totals_only=true"
+    reply = fetch(context, f"/v1/ledger{query}", LedgerReply)
+    bills = tuple(bill for bill in reply.bills if bill.workspace == workspace)
     table = Table(
         headings=("WORKSPACE", "REQUESTS", "COST"),
         rows=tuple(
@@ -71,8 +76,8 @@
         ),
         empty="the store holds no bills yet",
     )
-    context.console.show(table)
-    context.console.finish(reply)
+    context.console.show(_bill_table(bills) if workspace else table)
+    context.console.record(bills=bills, totals=reply.totals)
     return ExitStatus.DONE
 
 
@@ -91,7 +96,7 @@
         ),
     )
     context.console.show(table, f"valid for {reply.ttl_ms} ms")
-    context.console.finish(reply)
+    context.console.record(**msgspec.to_builtins(reply))
     return ExitStatus.DONE
 
 
@@ -118,6 +123,23 @@
     )
 
 
+def _bill_table(bills: Sequence[Bill]) -> Table:
+    return Table(
+        headings=("REQUEST", "SUBJECT", "ITEMS", "WHOLE", "COST"),
+        rows=tuple(
+            (
+                bill.request_id,
+                bill.subject,
+                " ".join(line.item for line in bill.lines),
+                "yes" if bill.is_whole else "no",
+                format_cost(bill.cost_nano),
+            )
+            for bill in bills
+        ),
+        empty="the store holds no bills of this workspace",
+    )
+
+
 def _node_table(reply: FleetStatus) -> Table:
     return Table(
         headings=(
--- a/trefoilpitch/cli/_rollout.py
+++ b/trefoilpitch/cli/_rollout.py
@@ -17,6 +17,8 @@
 from trefoilpitch.cli._exceptions import CommandError, ExitStatus, UsageError
 from trefoilpitch.cli._output import Table
 
+_PERCENT = 100
+
 
 def withdraw(context: Context) -> ExitStatus:
     """Bars a version from new work for good."""
@@ -68,17 +70,21 @@
     """Shows the roll-outs and how far they have come."""
     reply = fetch(context, "/v1/status", FleetStatus)
     table = Table(
-        headings=("MODEL", "TO VERSION", "STEP", "PHASE"),
+        headings=("MODEL", "TO VERSION", "STEP", "PHASE", "NEW SESSIONS"),
         rows=tuple(
-            (line.model, line.to_version, str(line.step), line.phase)
+            (
+                line.model,
+                line.to_version,
+                str(line.step),
+                line.phase,
+                f"{line.share * _PERCENT:.0f}%",
+            )
             for line in reply.rollouts
         ),
         empty="no roll-out has been started",
     )
     context.console.show(table)
-    context.console.finish(
-        {"revision": reply.revision, "rollouts": reply.rollouts}
-    )
+    context.console.record(revision=reply.revision, rollouts=reply.rollouts)
     return ExitStatus.DONE
 
 
--- a/trefoilpitch/cli/_settings.py
+++ b/trefoilpitch/cli/_settings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import TypeVar
 
 import urllib3.exceptions
@@ -52,6 +52,8 @@
     wait: bool
     # The longest wait, in milliseconds.
     wait_ms: int
+    # The workspace whose bills to list; empty for totals only.
+    workspace: str
     # The step that a roll-out stands at; None to ask for it.
     from_step: int | None
 
@@ -105,6 +107,7 @@
         "wait", "false", "Wait until the change is in force everywhere.", True
     ),
     FlagSpec("wait_ms", "30000", "The longest wait, in ms."),
+    FlagSpec("workspace", "", "List the bills of this workspace."),
     FlagSpec(
         "from_step", "", "The step that the roll-out stands at (advance)."
     ),
@@ -155,21 +158,24 @@
 
 
 def read_settings(
-    given: Mapping[str, str], environment: Mapping[str, str]
+    given: Mapping[str, str],
+    environment: Mapping[str, str],
+    heeded: Collection[str],
 ) -> CliSettings:
     """Reads and checks the settings.
 
     Args:
         given: The flags that were given.
         environment: The environment variables.
+        heeded: The flags that count; the others keep their defaults.
 
     Raises:
         UsageError: If any setting cannot be used; lists every fault.
     """
-    reader = _Reader(given, environment)
+    reader = _Reader(given, environment, heeded)
     settings = CliSettings(
         admin_urls=reader.read("admin_address", _urls, ()),
-        admin_token=reader.text("admin_token"),
+        admin_token=reader.read("admin_token", _token, ""),
         entry_urls=reader.read("entry_address", _urls, ()),
         failure_domain=reader.text("failure_domain"),
         timeout_ms=reader.read("timeout_ms", _milliseconds, 1),
@@ -180,6 +186,7 @@
         author=reader.text("author") or environment.get("USER", ""),
         wait=reader.read("wait", _switch, False),
         wait_ms=reader.read("wait_ms", _milliseconds, 1),
+        workspace=reader.text("workspace"),
         from_step=reader.read("from_step", _whole, None),
     )
     if reader.faults:
@@ -208,15 +215,21 @@
     """Reads single settings and collects their faults."""
 
     def __init__(
-        self, given: Mapping[str, str], environment: Mapping[str, str]
+        self,
+        given: Mapping[str, str],
+        environment: Mapping[str, str],
+        heeded: Collection[str],
     ) -> None:
         self._given = given
         self._environment = environment
+        self._heeded = heeded
         self._defaults = {flag.name: flag.default for flag in FLAGS}
         self.faults: list[str] = []
 
     def text(self, name: str) -> str:
         """Returns a setting as written, or its default."""
+        if name not in self._heeded:
+            return self._defaults[name]
         if name in self._given:
             return self._given[name]
         variable = environment_variable(name)
@@ -254,6 +267,12 @@
     return f"{scheme}://{url.host}:{url.port}"
 
 
+def _token(text: str) -> str:
+    if not text.isascii() or not text.isprintable() or " " in text:
+        raise ValueError("holds characters that no token has")
+    return text
+
+
 def _milliseconds(text: str) -> int:
     if not text.isdecimal() or not 1 <= int(text) <= _MAX_WAIT_MS:
         raise ValueError(f"{text!r} is not between 1 and {_MAX_WAIT_MS}")
