Test the administration API under faults

Change: tests of malformed changes, dry runs without the store, a change sent again after its reply was lost, a store that hangs, and the status of nodes in every state.

--- /dev/null
+++ b/trefoilpitch/administration/tests/fleet.py
@@ -0,0 +1,125 @@
+"""Administration APIs of a small fleet on one store in memory."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+from trefoilpitch.administration import AdminApi, AdminServices
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.configuration import (
+    EMPTY_CONFIGURATION,
+    Committed,
+    Configuration,
+    HeadReader,
+    configuration_writer,
+)
+from trefoilpitch.membership import (
+    Endpoints,
+    Member,
+    MembershipView,
+    MemberState,
+    Report,
+)
+from trefoilpitch.metrics import Metrics
+from trefoilpitch.store import MemoryStore, memory_store
+from trefoilpitch.web import Request, Response
+
+TOKEN = "operator"
+_NAMES = ("entry-1", "entry-2")
+
+
+class Fleet:
+    """What the answering node of a fleet knows, and its API."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.store: MemoryStore = memory_store(self.clock)
+        self.configuration: Configuration = EMPTY_CONFIGURATION
+        self.reported = dict.fromkeys(_NAMES, 0)
+        self.states = dict.fromkeys(_NAMES, MemberState.ALIVE)
+        # Whether the other nodes report each commit at once.
+        self.follows = True
+        self._reader = HeadReader(self.store)
+        services = AdminServices(
+            view=self._view,
+            configuration=lambda: self.configuration,
+            writer=configuration_writer(self.store),
+            reader=HeadReader(self.store),
+            on_committed=self._on_committed,
+            store=self.store,
+            dump=lambda: {"phase": "serving"},
+            metrics=Metrics(),
+            clock=self.clock,
+        )
+        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+        self.api = AdminApi(digest, services, store_patience_ms=0)
+
+    def send(
+        self, method: str, path: str, body: Any = None, token: str = TOKEN
+    ) -> Response:
+        path, _, query = path.partition("?")
+        pairs = dict(part.split("=") for part in query.split("&") if part)
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self.api.handle(
+            Request(
+                method=method,
+                path=path,
+                query=pairs,
+                headers={"authorization": f"Bearer {token}"},
+                body=data,
+            )
+        )
+
+    def catch_up(self) -> None:
+        head = self._reader.read().unwrap().head
+        self.configuration = self._reader.materialize(head).unwrap()
+        self.reported = dict.fromkeys(_NAMES, self.configuration.revision)
+
+    def _on_committed(self, committed: Committed) -> None:
+        del committed
+        if self.follows:
+            self.catch_up()
+
+    def _view(self) -> MembershipView:
+        return MembershipView(
+            own_name="entry-1",
+            members=tuple(map(self._member, _NAMES)),
+            as_of_ms=0,
+            last_contact_ms=0,
+            is_settled=True,
+        )
+
+    def _member(self, name: str) -> Member:
+        return Member(
+            name=name,
+            incarnation="1",
+            failure_domain="suva",
+            endpoints=Endpoints(
+                caller_address="", admin_address="", peer_address=""
+            ),
+            state=self.states[name],
+            report=Report(configuration_revision=self.reported[name]),
+            report_ms=0,
+        )
+
+
+def change(kind: str, **fields: Any) -> dict[str, Any]:
+    return {"kind": kind, "change_id": "c-1", "author": "mere", **fields}
+
+
+def decode(response: Response) -> dict[str, Any]:
+    assert isinstance(response.body, bytes)
+    decoded: dict[str, Any] = json.loads(response.body)
+    return decoded
+
+
+def with_status(response: Response, status: int) -> dict[str, Any]:
+    assert response.status == status, response.body
+    return decode(response)
+
+
+def replace_bundle_version(text: str, version: int) -> str:
+    assert "version = 1\n" in text
+    return text.replace("version = 1\n", f"version = {version}\n", 1)
--- /dev/null
+++ b/trefoilpitch/administration/tests/test_api.py
@@ -0,0 +1,126 @@
+import pathlib
+import threading
+from typing import Any
+
+import pytest
+from returns.result import Result
+
+from trefoilpitch.administration.tests.fleet import (
+    Fleet,
+    change,
+    decode,
+    with_status,
+)
+from trefoilpitch.store import Listing, StoreError
+
+_EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
+ARCHIVE = (_EXAMPLES / "archive.toml").read_text()
+DOMAIN_OUT = change("failure-domain", name="suva", in_service=False)
+
+
+def _signed_off() -> Fleet:
+    fleet = Fleet()
+    body = change("sign-off", bundle=ARCHIVE) | {"change_id": "first"}
+    with_status(fleet.send("POST", "/v1/changes", body), 200)
+    return fleet
+
+
+@pytest.mark.parametrize("token", ["", "other", "operator\u00e9"])
+def test_only_operators_are_answered(token: str) -> None:
+    fleet = _signed_off()
+    for method, path in (("GET", "/v1/dump"), ("POST", "/v1/changes")):
+        response = fleet.send(method, path, DOMAIN_OUT, token=token)
+        assert response.status == 401
+    assert fleet.configuration.revision == 1
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"change_id": ""},
+        {"change_id": "two words"},
+        {"change_id": "x" * 129},
+        {"author": ""},
+        {"author": "mere\x1b[2J"},
+        {"author": "x" * 129},
+        {"expected_revision": -1},
+        {"kind": "no-such-kind"},
+        {"surplus": 1},
+    ],
+)
+def test_malformed_changes_are_refused(fields: dict[str, Any]) -> None:
+    fleet = _signed_off()
+    response = fleet.send("POST", "/v1/changes", DOMAIN_OUT | fields)
+    assert with_status(response, 400)["code"] == "malformed-change"
+    assert fleet.configuration.revision == 1
+
+
+def test_a_dry_run_asks_nothing_of_the_store() -> None:
+    fleet = _signed_off()
+    fleet.store.set_down(True)
+    response = fleet.send("POST", "/v1/dry-run", DOMAIN_OUT)
+    assert with_status(response, 200) == {"revision": 1}
+    fleet.store.set_down(False)
+    fleet.catch_up()
+    assert fleet.configuration.revision == 1
+
+
+@pytest.mark.parametrize(
+    ("fields", "status", "code"),
+    [
+        ({"name": "no-such"}, 422, "unknown-name"),
+        ({"in_service": True}, 422, "no-effect"),
+        ({"expected_revision": 0}, 409, "conflict"),
+    ],
+)
+@pytest.mark.parametrize("path", ["/v1/dry-run", "/v1/changes"])
+def test_a_dry_run_refuses_what_the_change_would_be_refused(
+    path: str, fields: dict[str, Any], status: int, code: str
+) -> None:
+    response = _signed_off().send("POST", path, DOMAIN_OUT | fields)
+    assert with_status(response, status)["code"] == code
+
+
+def test_a_change_sent_again_after_a_lost_reply_is_one_change() -> None:
+    fleet = _signed_off()
+    fleet.store.lose_replies(100)
+    first = fleet.send("POST", "/v1/changes", DOMAIN_OUT)
+    assert first.status in (503, 504)
+    fleet.store.lose_replies(0)
+    again = with_status(fleet.send("POST", "/v1/changes", DOMAIN_OUT), 200)
+    assert again["revision"] == 2
+    history = decode(fleet.send("GET", "/v1/history"))["changes"]
+    assert [line["change_id"] for line in history] == ["first", "c-1"]
+
+
+def test_a_store_that_hangs_leaves_the_status_reachable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = _signed_off()
+    entered = threading.Semaphore(0)
+    opened = threading.Event()
+    list_prefix = fleet.store.list_prefix
+
+    def hang(prefix: str) -> Result[Listing, StoreError]:
+        entered.release()
+        opened.wait()
+        return list_prefix(prefix)
+
+    monkeypatch.setattr(fleet.store, "list_prefix", hang)
+    threads = [
+        threading.Thread(target=fleet.send, args=("GET", "/v1/ledger"))
+        for _ in range(2)
+    ]
+    try:
+        for thread in threads:
+            thread.start()
+            assert entered.acquire(timeout=30)
+        refused = fleet.send("POST", "/v1/changes", DOMAIN_OUT)
+        assert with_status(refused, 503)["code"] == "busy"
+        for path in ("/v1/status", "/v1/dump", "/metrics"):
+            assert fleet.send("GET", path).status == 200
+    finally:
+        opened.set()
+        for thread in threads:
+            thread.join()
+    assert fleet.send("POST", "/v1/changes", DOMAIN_OUT).status == 200
--- /dev/null
+++ b/trefoilpitch/administration/tests/test_status.py
@@ -0,0 +1,44 @@
+import pytest
+
+from trefoilpitch.administration.tests.fleet import Fleet, change, decode
+from trefoilpitch.administration.tests.test_api import ARCHIVE
+from trefoilpitch.membership import MemberState
+
+
+@pytest.mark.parametrize(
+    ("state", "is_missed"),
+    [
+        (MemberState.ALIVE, True),
+        (MemberState.SUSPECT, True),
+        (MemberState.LEAVING, True),
+        (MemberState.GONE, False),
+    ],
+)
+def test_a_node_that_may_be_serving_is_missed(
+    state: MemberState, is_missed: bool
+) -> None:
+    fleet = Fleet()
+    fleet.send("POST", "/v1/changes", change("sign-off", bundle=ARCHIVE))
+    fleet.reported["entry-2"] = 0
+    fleet.states["entry-2"] = state
+    status = decode(fleet.send("GET", "/v1/status"))
+    assert status["missing"] == (["entry-2"] if is_missed else [])
+    assert status["in_force"] is not is_missed
+
+
+def test_a_rollout_shows_the_share_of_new_sessions() -> None:
+    fleet = Fleet()
+    steps = (
+        (change("sign-off", bundle=ARCHIVE), None),
+        (change("rollout-start", version="sermon-small@2026.11"), 0.01),
+        (change("rollout-advance", model="sermon-small", from_step=0), 0.05),
+        (change("rollout-pause", model="sermon-small"), 0.05),
+        (change("rollout-back", model="sermon-small"), 0.0),
+    )
+    for number, (body, share) in enumerate(steps):
+        body["change_id"] = f"c-{number}"
+        assert fleet.send("POST", "/v1/changes", body).status == 200
+        rollouts = decode(fleet.send("GET", "/v1/status"))["rollouts"]
+        assert [line["share"] for line in rollouts] == (
+            [] if share is None else [share]
+        )
