Bound the wait for a watch's first byte as for any call

Cause: a store that accepts a watch and never answers held its opener for the idle timeout, 60 s, instead of the read timeout.

Ruled out: one short timeout for both, since a watch may be silent for long.

Change: the read timeout holds until the headers have come, then the idle timeout. Two tests over scripted sockets.

Conclusion: opening a watch fails as quickly as any other call.

--- a/trefoilpitch/store/_etcd.py
+++ b/trefoilpitch/store/_etcd.py
@@ -204,13 +204,14 @@
             once.
     """
 
-    def pool(timeout_ms: int) -> GatewayPool:
+    def pool() -> GatewayPool:
         return GatewayPool(
             host=host,
             port=port,
             connect_timeout_ms=connect_timeout_ms,
-            read_timeout_ms=timeout_ms,
+            read_timeout_ms=read_timeout_ms,
+            idle_timeout_ms=idle_timeout_ms,
             size=pool_size,
         )
 
-    return EtcdStore(calls=pool(read_timeout_ms), watches=pool(idle_timeout_ms))
+    return EtcdStore(calls=pool(), watches=pool())
--- a/trefoilpitch/store/_etcd_http.py
+++ b/trefoilpitch/store/_etcd_http.py
@@ -31,6 +31,7 @@
         connect_timeout_ms: Time to open a connection, or to wait for a free
             one.
         read_timeout_ms: Time to wait for the next bytes of a reply.
+        idle_timeout_ms: The same within a stream, once it has begun.
         size: Connections open at once.
     """
 
@@ -41,8 +42,10 @@
         port: int,
         connect_timeout_ms: int,
         read_timeout_ms: int,
+        idle_timeout_ms: int,
         size: int,
     ) -> None:
+        self._idle_timeout_s = idle_timeout_ms / _MS_PER_S
         self._connect_timeout_s = connect_timeout_ms / _MS_PER_S
         self._pool = urllib3.HTTPConnectionPool(
             host,
@@ -66,7 +69,12 @@
         self, path: str, body: bytes
     ) -> Result[urllib3.BaseHTTPResponse, StoreError]:
         """Sends a call and leaves its reply to be read by the caller."""
-        return self._send(path, body, preload_content=False)
+        opened = self._send(path, body, preload_content=False)
+        if isinstance(opened, Success):
+            connection = opened.unwrap().connection
+            if isinstance(connection, urllib3.connection.HTTPConnection):
+                connection.sock.settimeout(self._idle_timeout_s)
+        return opened
 
     def close(self) -> None:
         """Closes the idle connections."""
--- a/trefoilpitch/store/tests/test_etcd.py
+++ b/trefoilpitch/store/tests/test_etcd.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 
 import pytest
 from returns.pipeline import is_successful
@@ -27,8 +27,10 @@
 _WAIT_MS = 5_000
 
 
-@contextmanager
-def _scripted(answer: Callable[[socket.socket], None]) -> Iterator[EtcdStore]:
+@contextlib.contextmanager
+def _scripted(
+    answer: Callable[[socket.socket], None], idle_timeout_ms: int = _SHORT_MS
+) -> Iterator[EtcdStore]:
     """Serves one connection with raw bytes."""
     listener = socket.create_server(("127.0.0.1", 0))
 
@@ -42,7 +44,7 @@
     server.start()
     host, port = listener.getsockname()
     with etcd_store(
-        host, port, read_timeout_ms=_SHORT_MS, idle_timeout_ms=_SHORT_MS
+        host, port, read_timeout_ms=_SHORT_MS, idle_timeout_ms=idle_timeout_ms
     ) as store:
         yield store
     server.join()
@@ -131,6 +133,32 @@
         assert list(_events_until_end(watch)) == [(EventKind.DELETE, 7, 7)]
 
 
+def test_watch_that_does_not_begin_fails_as_a_call_does() -> None:
+    with _scripted(_wait_for_close, idle_timeout_ms=60_000) as store:
+        error = store.watch("a", 1).failure()
+    assert type(error) is OutcomeUnknownError
+
+
+def _begin_late(connection: socket.socket) -> None:
+    """Sends a message after a pause longer than a call may take."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    connection.sendall(head)
+    connection.settimeout(3 * _SHORT_MS / 1_000)
+    with contextlib.suppress(TimeoutError):
+        connection.recv(1)
+    message = b'{"result":{"header":{"revision":"5"}}}\n'
+    connection.sendall(b"%x\r\n%s\r\n" % (len(message), message))
+
+
+def test_watch_may_be_silent_for_longer_than_a_call() -> None:
+    with (
+        _scripted(_begin_late, idle_timeout_ms=60_000) as store,
+        store.watch("a", 1).unwrap() as watch,
+    ):
+        batch = watch.receive(_WAIT_MS).unwrap()
+    assert (batch.events, batch.revision) == ((), 5)
+
+
 def test_call_without_a_free_connection_was_never_sent() -> None:
     listener = socket.create_server(("127.0.0.1", 0))
     host, port = listener.getsockname()
