Let engines that reject orders wait longer and give their loads back

A load put off for want of a token reset the count of failures, so that the interval did not grow, and each rejected load used up a token.

Ruled out: a longer first interval, which would have hidden the reset.

Change: only an engine that serves what is wanted has its failures reset; a load that was refused or not sent gives its token back. Tests for rejections and for loads that fail unseen.

Conclusion: an engine that is out of memory does not hold up the others.

--- a/trefoilpitch/orders/_fake.py
+++ b/trefoilpitch/orders/_fake.py
@@ -14,6 +14,7 @@
     OrderError,
     OrderNotSentError,
     OrderOutcomeUnknownError,
+    OrderRejectedError,
     StaleFencingError,
 )
 from trefoilpitch.orders._types import EngineOrder, EngineStatus
@@ -56,6 +57,9 @@
         self._orders_to_lose = 0
         self._replies_to_lose = 0
         self._orders_to_hold = 0
+        self._orders_to_reject = 0
+        self._loads_to_fail = 0
+        self._reports_loading = True
 
     def set_down(self, down: bool) -> None:
         """Refuses every call while down."""
@@ -77,6 +81,21 @@
         with self._lock:
             self._orders_to_hold = count
 
+    def reject_orders(self, count: int) -> None:
+        """Refuses the next orders as if for want of memory."""
+        with self._lock:
+            self._orders_to_reject = count
+
+    def fail_loads(self, count: int) -> None:
+        """Accepts the next orders but does not begin their loads."""
+        with self._lock:
+            self._loads_to_fail = count
+
+    def set_reports_loading(self, reports_loading: bool) -> None:
+        """Sets whether statuses tell of loads under way."""
+        with self._lock:
+            self._reports_loading = reports_loading
+
     def deliver_held(self, *, repeat: bool = False) -> None:
         """Delivers the orders held back; keeps them for another time."""
         with self._lock:
@@ -110,7 +129,10 @@
             return EngineStatus(
                 incarnation=str(engine.starts),
                 loaded=loaded,
-                loading=frozenset(engine.ready_ms) - loaded,
+                loading=frozenset(engine.ready_ms) - loaded
+                if self._reports_loading
+                else frozenset(),
+                reports_loading=self._reports_loading,
                 busy=engine.busy,
                 fencing_number=engine.fencing_number,
             )
@@ -157,6 +179,12 @@
                     )
                 )
             engine.fencing_number = order.fencing_number
+        if self._orders_to_reject:
+            self._orders_to_reject -= 1
+            return Failure(OrderRejectedError(detail="out of memory"))
+        if self._loads_to_fail:
+            self._loads_to_fail -= 1
+            return Success(None)
         ready_ms = self._clock.now_ms() + self._load_ms
         engine.ready_ms = {
             version: engine.ready_ms.get(version, ready_ms)
--- a/trefoilpitch/orders/_load_budget.py
+++ b/trefoilpitch/orders/_load_budget.py
@@ -37,7 +37,13 @@
         return self.saved_ms >= self.interval_ms
 
     def taken(self) -> LoadBudget:
-        """Returns the budget after one load has begun."""
+        """Returns the budget after one load has been ordered."""
         return dataclasses.replace(
             self, saved_ms=self.saved_ms - self.interval_ms
         )
+
+    def given_back(self) -> LoadBudget:
+        """Returns the budget after an ordered load was refused."""
+        return dataclasses.replace(
+            self, saved_ms=self.saved_ms + self.interval_ms
+        )
--- a/trefoilpitch/orders/_machine.py
+++ b/trefoilpitch/orders/_machine.py
@@ -224,8 +224,9 @@
         interval_ms = state.poll_interval_ms(name)
         if plan.is_deferred:
             interval_ms = min(interval_ms, state.terms.load_interval_ms)
-        view = dataclasses.replace(view, failures=0)
-        state = state.with_engine(name, view)
+        else:
+            view = dataclasses.replace(view, failures=0)
+            state = state.with_engine(name, view)
         return state.with_due(name, now_ms + interval_ms), ()
     call = Call(
         call_id=state.last_call_id + 1, sent_ms=now_ms, loads=_loads(plan)
@@ -256,6 +257,10 @@
 ) -> ReconcilerState:
     """Puts the next read off, for longer with each failure in a row."""
     view = state.engines[event.engine]
+    has_no_effect = not isinstance(event.error, OrderOutcomeUnknownError)
+    if has_no_effect and view.call is not None and view.call.loads:
+        budget = state.budget.given_back()
+        state = dataclasses.replace(state, budget=budget)
     retry_ms = min(
         state.terms.retry_interval_ms << view.failures,
         state.terms.max_retry_interval_ms,
--- a/trefoilpitch/orders/tests/test_reconciler.py
+++ b/trefoilpitch/orders/tests/test_reconciler.py
@@ -187,6 +187,34 @@
     assert fleet.loaded() == {OLD}
 
 
+def test_load_that_failed_unseen_is_ordered_again_after_its_timeout() -> None:
+    terms = OrderTerms()
+    fleet = Fleet(load_ms=1_000)
+    fleet.engines.set_reports_loading(False)
+    fleet.engines.fail_loads(1)
+    fleet.reconciler.set_configuration(fleet_configuration())
+    fleet.run(terms.load_timeout_ms)
+    assert fleet.loaded() == set()
+    assert fleet.reconciler.state.counters.loads == 1
+    fleet.run(_MINUTE_MS)
+    assert fleet.loaded() == {OLD}
+
+
+def test_engine_that_rejects_orders_is_retried_ever_more_rarely() -> None:
+    fleet = Fleet()
+    fleet.engines.reject_orders(1_000)
+    fleet.reconciler.set_configuration(fleet_configuration(engines=2))
+    fleet.run(_MINUTE_MS // 2)
+    deferred_at_start = fleet.reconciler.state.counters.deferred_loads
+    fleet.run(10 * _MINUTE_MS)
+    counters = fleet.reconciler.state.counters
+    assert 10 <= counters.rejections <= 40
+    assert counters.deferred_loads == deferred_at_start
+    fleet.engines.reject_orders(0)
+    fleet.run(2 * _MINUTE_MS)
+    assert fleet.loaded("engine-0") == fleet.loaded("engine-1") == {OLD}
+
+
 def test_nothing_is_ordered_without_a_lease() -> None:
     fleet = Fleet()
     fleet.number = None
