--- a/trefoilpitch/standins/_engine_handler.py
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from trefoilpitch.bundle import Priority
 from trefoilpitch.standins._engine_nodes import Answer, Prompt
 from trefoilpitch.standins._engine_state import (
     EngineState,
@@ -112,6 +113,7 @@
             text="\n".join(message.content for message in body.messages),
             prefix=prompt_prefix_hash(body.messages[0].content),
             max_tokens=body.max_tokens,
+            rank=self._rank(),
         )
         try:
             answer = self.state.admit(prompt)
@@ -123,6 +125,12 @@
             return
         self._stream(answer, 0)
 
+    def _rank(self) -> int:
+        try:
+            return Priority(self.headers.get("Priority")).rank
+        except ValueError:
+            return Priority.STANDARD.rank
+
     def _resume(self, request_id: str) -> None:
         self._delay()
         if self._refuse_on_command("refuse_resume"):
--- a/trefoilpitch/standins/_engine_nodes.py
+++ b/trefoilpitch/standins/_engine_nodes.py
@@ -77,6 +77,8 @@
     finish_reason: str
     # The engine's confidence.
     confidence: float
+    # Place in the order of service; lower ranks start first.
+    rank: int = 0
     # Where it stands.
     state: AnswerState = AnswerState.WAITING
     # When generation began, in milliseconds.
@@ -135,3 +137,5 @@
     prefix: str
     # Longest answer, in tokens.
     max_tokens: int
+    # Place in the order of service; lower ranks start first.
+    rank: int = 0
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -213,6 +213,7 @@
             prefill_ms=0 if hit else settings.prefill_ms,
             chunk_ms=settings.token_ms * settings.chunk_tokens,
             readers=1,
+            rank=prompt.rank,
         )
 
     def _update(self) -> None:
@@ -222,12 +223,14 @@
         running = sum(
             answer.state is AnswerState.RUNNING for answer in self._active
         )
-        for answer in self._active:
-            if running >= self.settings.capacity:
-                break
-            if answer.state is AnswerState.WAITING:
-                self._start(answer, now_ms)
-                running += 1
+        waiting = [
+            answer
+            for answer in self._active
+            if answer.state is AnswerState.WAITING
+        ]
+        waiting.sort(key=lambda answer: answer.rank)
+        for answer in waiting[: max(self.settings.capacity - running, 0)]:
+            self._start(answer, now_ms)
         self._forget_held(now_ms)
 
     def _start(self, answer: Answer, now_ms: int) -> None:
--- a/trefoilpitch/standins/tests/test_engine.py
+++ b/trefoilpitch/standins/tests/test_engine.py
@@ -30,13 +30,14 @@
     return EngineState(settings, clock)
 
 
-def _prompt(request_id: str, *, text: str = "prompt") -> Prompt:
+def _prompt(request_id: str, *, text: str = "prompt", rank: int = 0) -> Prompt:
     return Prompt(
         request_id=request_id,
         version=_VERSION,
         text=text,
         prefix=text,
         max_tokens=5,
+        rank=rank,
     )
 
 
@@ -58,6 +59,17 @@
     assert [run.request_id for run in state.runs] == ["r0", "r1", "r2"]
 
 
+def test_waiting_requests_start_in_the_order_of_their_priority() -> None:
+    clock = ManualClock()
+    state = _state(clock, capacity=1)
+    state.admit(_prompt("r0"))
+    state.admit(_prompt("batch", rank=2))
+    state.admit(_prompt("interactive", rank=0))
+    clock.advance(5)
+    state.load_report()
+    assert [run.request_id for run in state.runs] == ["r0", "interactive"]
+
+
 def test_a_cold_engine_falls_over_and_starts_cold_again() -> None:
     clock = ManualClock()
     state = _state(clock, warm_after=2, cold_capacity=2, capacity=8)
--- a/trefoilpitch/upstreams/tests/test_sse.py
+++ b/trefoilpitch/upstreams/tests/test_sse.py
@@ -123,9 +123,11 @@
     assert _take(events) == _take(list(_ANSWER))
 
 
-def test_no_chunk_follows_the_finish() -> None:
+@pytest.mark.parametrize("finish_reason", [None, "stop"])
+def test_no_chunk_follows_the_finish(finish_reason: str | None) -> None:
+    choice = {"delta": {"content": "x"}, "finish_reason": finish_reason}
     with pytest.raises(UpstreamError):
-        _take([*_ANSWER[:5], _chunk(5), _END])
+        _take([*_ANSWER[:5], _event("5", choices=[choice]), _END])
 
 
 @pytest.mark.parametrize(
