Bound the connection pool with its own count

Cause: a semaphore beside the count of connections in use held the same number twice and took most of an idle client's memory.

Ruled out: a pool shared by all upstreams, because the bound is per upstream.

Change: the count of connections in use is the bound.

--- a/trefoilpitch/upstreams/_cancellation.py
+++ b/trefoilpitch/upstreams/_cancellation.py
@@ -41,8 +41,3 @@
             cancelled = self._cancelled
         if cancelled:
             target.cancel()
-
-    def detach(self) -> None:
-        """Forgets the exchange, which has ended."""
-        with self._lock:
-            self._target = None
--- a/trefoilpitch/upstreams/_connection_pool.py
+++ b/trefoilpitch/upstreams/_connection_pool.py
@@ -58,7 +58,7 @@
         self._timeouts = timeouts
         self._clock = clock
         self._watch = watch
-        self._slots = threading.BoundedSemaphore(max_connections)
+        self._max_connections = max_connections
         # With the monotonic time since when each is idle.
         self._idle: list[tuple[CheckedConnection, int]] = []
         self._lock = threading.Lock()
@@ -113,7 +113,7 @@
         defect = request.defect()
         if defect is not None:
             return Failure(InvalidRequestError(self._upstream, defect))
-        if not self._slots.acquire(blocking=False):
+        if not self._reserve():
             detail = "all connections are in use"
             return Failure(PoolExhaustedError(self._upstream, detail))
         exchange = self._exchange(request)
@@ -147,18 +147,22 @@
             release=self._release,
         )
 
+    def _reserve(self) -> bool:
+        with self._lock:
+            if self._in_use >= self._max_connections:
+                return False
+            self._in_use += 1
+            return True
+
     def _take(self) -> CheckedConnection:
         while True:
             with self._lock:
                 if not self._idle:
-                    self._in_use += 1
                     self._opened += 1
                     return CheckedConnection(self._host, self._port)
                 connection, since_ms = self._idle.pop()
             idle_ms = self._clock.now_ms() - since_ms
             if idle_ms <= MAX_IDLE_MS and connection.is_connected:
-                with self._lock:
-                    self._in_use += 1
                 return connection
             connection.close()
 
@@ -170,4 +174,3 @@
                 self._idle.append((connection, self._clock.now_ms()))
         if not keep:
             connection.close()
-        self._slots.release()
