Change the settings of every stand-in while it runs

Cause: only the engine stand-in checked changes of its settings, the service stand-in could not be told to leave, and unknown names were ignored.

Ruled out: one settings type for all, because they share hardly a field.

Change: one function changes settings and refuses unknown names and unfit values; a recorded run tells when it began; the service stand-in's nodes have a module of their own.

--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -10,10 +10,10 @@
     open_rating_stand_in,
 )
 from trefoilpitch.standins._service import (
-    ServiceSettings,
     ServiceStandIn,
     open_service_stand_in,
 )
+from trefoilpitch.standins._service_nodes import ServiceSettings
 from trefoilpitch.standins._vm_list import VmListServer, vm_list_server
 
 __all__ = [
--- a/trefoilpitch/standins/_engine_nodes.py
+++ b/trefoilpitch/standins/_engine_nodes.py
@@ -122,6 +122,8 @@
     version: str
     # The engine's incarnation.
     incarnation: str
+    # When it began, in milliseconds since the Unix epoch.
+    started_ms: int
 
 
 class Prompt(msgspec.Struct, frozen=True, kw_only=True):
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -241,6 +241,7 @@
                 request_id=answer.request_id,
                 version=answer.version,
                 incarnation=self._incarnation,
+                started_ms=self._clock.wall_ms(),
             )
         )
 
--- a/trefoilpitch/standins/_rating.py
+++ b/trefoilpitch/standins/_rating.py
@@ -17,6 +17,7 @@
 from trefoilpitch.clock import Clock, SystemClock
 from trefoilpitch.standins._answers import fraction, score
 from trefoilpitch.standins._http_server import Handler, StandInServer
+from trefoilpitch.standins._settings import change_settings
 
 _RATINGS_PATH = "/v1/ratings"
 _MAX_TICKETS = 100_000
@@ -97,14 +98,14 @@
 
     def do_POST(self) -> None:  # noqa: N802
         """Takes answers to rate, and commands."""
-        if self.path == "/standin/settings":
-            self.state.settings = self.read_json(RatingSettings)
-            self.reply_json({})
-            return
-        body = self.read_json(_RatingBody)
-        if self._is_down():
-            return
-        self.reply_json({"ticket": self.state.add(body)}, status=202)
+        try:
+            if self.path == "/standin/settings":
+                change_settings(self.state.settings, self.read_json(dict))
+                self.reply_json({})
+            else:
+                self._take_answer()
+        except msgspec.MsgspecError as error:
+            self.reply_json({"error": str(error)}, status=400)
 
     def do_GET(self) -> None:  # noqa: N802
         """Serves scores and counts."""
@@ -122,6 +123,12 @@
         else:
             self.reply_json({"ticket": ticket}, status=202)
 
+    def _take_answer(self) -> None:
+        body = self.read_json(_RatingBody)
+        if self._is_down():
+            return
+        self.reply_json({"ticket": self.state.add(body)}, status=202)
+
     def _is_down(self) -> bool:
         if self.state.settings.down:
             self.reply_json({"error": "down"}, status=503)
--- a/trefoilpitch/standins/service.py
+++ b/trefoilpitch/standins/service.py
@@ -4,10 +4,8 @@
 
 from absl import app, flags
 
-from trefoilpitch.standins._service import (
-    ServiceSettings,
-    open_service_stand_in,
-)
+from trefoilpitch.standins._service import open_service_stand_in
+from trefoilpitch.standins._service_nodes import ServiceSettings
 
 _PORT = flags.DEFINE_integer("port", 0, "Port; 0 takes a free one.")
 _NAME = flags.DEFINE_string("name", "service", "The upstream's name.")
--- a/trefoilpitch/upstreams/tests/test_service_client.py
+++ b/trefoilpitch/upstreams/tests/test_service_client.py
@@ -163,6 +163,16 @@
         assert server.accepted == 1
 
 
+def test_a_connection_that_the_upstream_will_close_is_not_kept() -> None:
+    reply = _OK + b"Connection: close\r\nContent-Length: 2\r\n\r\nok"
+    with (
+        raw_server([reply], hold=True) as server,
+        _client(server.address) as client,
+    ):
+        assert _call(client).unwrap().body == b"ok"
+        assert client.stats.connections_idle == 0
+
+
 def test_a_connection_closed_while_idle_is_replaced_before_sending() -> None:
     reply = _OK + b"Content-Length: 2\r\n\r\nok"
     with (
