Build membership views at ticks and reuse unchanged members

Cause: while a fleet forms, a view was built for every event that changed a member, and every member anew. Change: views are taken at a tick, when outdated or after a second, and keep the members that did not change.

--- a/trefoilpitch/membership/__init__.py
+++ b/trefoilpitch/membership/__init__.py
@@ -39,9 +39,9 @@
     MembershipSettings,
     MembershipState,
     create_membership,
-    create_view,
 )
 from trefoilpitch.membership._step import step
+from trefoilpitch.membership._view import create_view
 
 __all__ = [
     "step",
--- a/trefoilpitch/membership/_host.py
+++ b/trefoilpitch/membership/_host.py
@@ -12,13 +12,17 @@
     MembershipEvent,
     SendMessage,
     Superseded,
+    Tick,
     ViewChanged,
 )
 from trefoilpitch.membership._nodes import MembershipView
-from trefoilpitch.membership._state import MembershipState, create_view
+from trefoilpitch.membership._state import MembershipState
 from trefoilpitch.membership._step import step
+from trefoilpitch.membership._view import ViewBuilder
 from trefoilpitch.peering import PeerTransport
 
+# Reports and the view's age change all the time; views follow this often.
+_VIEW_INTERVAL_MS = 1_000
 _LOG = logbook.Logger("membership")
 
 
@@ -45,7 +49,9 @@
         self._state = state
         self._transport = transport
         self._on_superseded = on_superseded
-        self._view = create_view(state, clock.now_ms())
+        self._views = ViewBuilder()
+        self._view = self._views.build(state, clock.now_ms())
+        self._is_view_outdated = False
         self._send_failures = 0
 
     @property
@@ -55,7 +61,7 @@
 
     @property
     def view(self) -> MembershipView:
-        """The view taken after the latest event that changed it."""
+        """The latest view, taken at a tick."""
         return self._view
 
     @property
@@ -64,10 +70,13 @@
         return self._send_failures
 
     def handle(self, event: MembershipEvent) -> bool:
-        """Applies an event; returns whether a member changed its state."""
+        """Applies an event; returns whether a new view was taken.
+
+        A tick takes one if a member changed its state, or a second after the
+        last.
+        """
         now_ms = self._clock.now_ms()
         self._state, actions = step(self._state, event, now_ms)
-        is_changed = False
         for action in actions:
             match action:
                 case SendMessage():
@@ -78,16 +87,22 @@
                     _LOG.error("superseded by incarnation {}", incarnation)
                     self._on_superseded(incarnation)
                 case ViewChanged():
-                    is_changed = True
-        if is_changed:
-            self.refresh_view()
-        return is_changed
+                    self._is_view_outdated = True
+        if not isinstance(event, Tick) or not self._is_view_due(now_ms):
+            return False
+        self.refresh_view()
+        return True
 
     def refresh_view(self) -> MembershipView:
-        """Takes a new view, for instance once a second for the reports."""
-        self._view = create_view(self._state, self._clock.now_ms())
+        """Takes a new view at once."""
+        self._view = self._views.build(self._state, self._clock.now_ms())
+        self._is_view_outdated = False
         return self._view
 
+    def _is_view_due(self, now_ms: int) -> bool:
+        age_ms = now_ms - self._view.as_of_ms
+        return self._is_view_outdated or age_ms >= _VIEW_INTERVAL_MS
+
     def _send(self, action: SendMessage) -> None:
         sent = self._transport.send(
             action.address, action.message, urgent=action.urgent
--- a/trefoilpitch/membership/_state.py
+++ b/trefoilpitch/membership/_state.py
@@ -6,8 +6,8 @@
 from collections.abc import Mapping
 
 from trefoilpitch.membership._messages import MemberRecord
-from trefoilpitch.membership._nodes import Endpoints, MembershipView
-from trefoilpitch.membership._records import create_record, to_member
+from trefoilpitch.membership._nodes import Endpoints
+from trefoilpitch.membership._records import create_record
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -153,31 +153,3 @@
         last_tick_ms=now_ms,
         unsettled_since_ms=now_ms,
     )
-
-
-def create_view(state: MembershipState, now_ms: int) -> MembershipView:
-    """Takes the view that other subsystems work on."""
-    members = [to_member(state.own, report_ms=now_ms, is_confirmed=True)]
-    for peer in state.peers.values():
-        members.append(
-            to_member(
-                peer.record,
-                report_ms=peer.report_ms,
-                is_confirmed=peer.is_confirmed,
-            )
-        )
-    members.sort(key=lambda member: member.name)
-    return MembershipView(
-        own_name=state.own.name,
-        members=tuple(members),
-        as_of_ms=state.last_tick_ms,
-        last_contact_ms=state.last_contact_ms,
-        is_settled=state.unsettled_since_ms is None,
-        unmet_seeds=_count_unmet_seeds(state),
-    )
-
-
-def _count_unmet_seeds(state: MembershipState) -> int:
-    met = {peer.record.peer_address for peer in state.peers.values()}
-    met.add(state.own.peer_address)
-    return sum(1 for seed in set(state.seeds) if seed not in met)
