Measure the cold start, and take a broken connection as a sign of it

Cause: the first run of the measurement restarted an engine in no time and found 22 and 70 pieces of work above the bound: daemons that held it for warm went on until the next report.

--- /dev/null
+++ b/tools/measure_coldstart.py
@@ -0,0 +1,326 @@
+"""Measures a cold start on the in-memory transport.
+
+Some daemons with a constant demand send work to one engine that has just
+started. Measured with the protocol's own default settings: the time until the
+first work is admitted after all daemons started, from an engine's restart until
+it is warm, and the gap that a crash of the gatekeeper leaves; the messages that
+a piece of work costs; and how much of the engine's bound is used meanwhile.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import json
+import sys
+from collections.abc import Callable, Sequence
+
+from trefoilpitch.bundle import Upstream
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.coldstart import (
+    PAYLOAD_KINDS,
+    Admission,
+    AdmissionKind,
+    ColdStartHost,
+    DemandChanged,
+    FleetObserved,
+    TimePassed,
+    UpstreamReported,
+    UpstreamsChanged,
+    WorkEnded,
+    WorkOutcome,
+    choose_gatekeeper,
+    is_cold,
+    ramp_bound,
+)
+from trefoilpitch.membership import (
+    Endpoints,
+    Member,
+    MembershipView,
+    MemberState,
+    Report,
+)
+from trefoilpitch.peering import (
+    LinkFaults,
+    MemoryNetwork,
+    MemoryTransport,
+    PeerIdentity,
+    PeerKeys,
+    ReceivedMessage,
+    create_payload_registry,
+)
+
+STEP_MS = 10
+TICK_MS = 200
+REPORT_MS = 500
+DEMAND = 8
+DOWN_MS = 6_000
+LIMIT_MS = 120_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Measurement:
+    """The figures of one run."""
+
+    # Daemons that send work, and how long a piece of work runs.
+    nodes: int
+    work_ms: int
+    # From the start of all daemons until the first work is admitted.
+    first_work_ms: int
+    # From the end of a restart until every daemon holds the engine for warm.
+    warm_ms: int
+    # Pieces of work in that time, and messages sent for each of them.
+    work_in_ramp: int
+    messages_per_work: float
+    # Share of the bound in use over that time.
+    bound_used: float
+    # Most work above the bound at any time; never above 0.
+    overload: int
+    # Longest time without new work after a crash of the gatekeeper.
+    crash_gap_ms: int
+
+
+class Bench:
+    """Daemons, an engine and a clock.
+
+    Args:
+        size: How many daemons.
+        work_ms: How long a piece of work runs.
+    """
+
+    def __init__(self, size: int, work_ms: int) -> None:
+        self._clock = ManualClock(1_000)
+        self._network = MemoryNetwork(
+            self._clock, faults=LinkFaults(min_delay_ms=1, max_delay_ms=50)
+        )
+        self._work_ms = work_ms
+        self._upstream = Upstream(
+            name="engine",
+            address="10.0.0.1:9000",
+            failure_domain="fd0",
+            capacity=32,
+            cold_capacity=2,
+        )
+        self._registry = create_payload_registry(PAYLOAD_KINDS)
+        self._running: list[tuple[int, str, Admission]] = []
+        self._alive = [f"vm{index}" for index in range(size)]
+        self.hosts: dict[str, ColdStartHost] = {}
+        self.transports: dict[str, MemoryTransport] = {}
+        self.incarnation = 1
+        self.successes = 0
+        self.up_ms = 0
+        self.started = 0
+        self.overload = 0
+        self.bound_ms = 0
+        self.used_ms = 0
+        for name in self._alive:
+            self._start(name)
+
+    @property
+    def now_ms(self) -> int:
+        """The time on the bench's clock."""
+        return self._clock.now_ms()
+
+    @property
+    def messages(self) -> int:
+        """Messages sent so far."""
+        return sum(
+            transport.counters().messages_sent
+            for transport in self.transports.values()
+        )
+
+    def is_warm_everywhere(self) -> bool:
+        """Tells whether no daemon needs credits any more."""
+        return not any(
+            is_cold(host.holder, self._upstream.name, self.now_ms)
+            for host in self.hosts.values()
+        )
+
+    def restart_engine(self) -> None:
+        """Starts a new incarnation; the work of the old one fails."""
+        self.incarnation += 1
+        self.successes = 0
+        running, self._running = self._running, []
+        self.up_ms = self.now_ms + DOWN_MS
+        for _, name, admission in running:
+            self._end(name, admission, WorkOutcome.UNREACHABLE)
+
+    def crash_gatekeeper(self) -> None:
+        """Ends the gatekeeper; the others notice at once."""
+        chosen = choose_gatekeeper(
+            self._view(self._alive[0]),
+            self._upstream,
+            self.hosts[self._alive[0]].holder.settings,
+        )
+        assert chosen is not None
+        self._alive.remove(chosen.name)
+        self.transports.pop(chosen.name).close()
+        del self.hosts[chosen.name]
+
+    def step(self) -> None:
+        """Lets one step of time pass."""
+        self._clock.advance(STEP_MS)
+        self._network.deliver_due()
+        self._finish()
+        for name, host in self.hosts.items():
+            if self.now_ms % REPORT_MS == 0 and self.now_ms >= self.up_ms:
+                host.observe(self._report())
+            if self.now_ms % TICK_MS == 0:
+                host.observe(FleetObserved(self._view(name)))
+                host.handle(DemandChanged(self._upstream.name, DEMAND))
+                host.handle(TimePassed())
+            self._admit(name, host)
+        self._note_use()
+
+    def _start(self, name: str) -> None:
+        transport = self._network.attach(
+            PeerIdentity(
+                deployment="measurement",
+                name=name,
+                incarnation=f"{name}-1",
+                address=name,
+            ),
+            keys=PeerKeys(current=b"measurement"),
+            registry=self._registry,
+            handler=lambda message: self._receive(name, message),
+        )
+        host = ColdStartHost(self._clock, transport, lambda upstream: None)
+        host.observe(UpstreamsChanged((self._upstream,)))
+        self.transports[name] = transport
+        self.hosts[name] = host
+
+    def _receive(self, name: str, message: ReceivedMessage) -> None:
+        host = self.hosts.get(name)
+        if host is not None:
+            host.receive(message)
+
+    def _admit(self, name: str, host: ColdStartHost) -> None:
+        busy = sum(1 for _, owner, _ in self._running if owner == name)
+        while busy < DEMAND:
+            admission = host.admit(self._upstream.name)
+            if admission.kind is AdmissionKind.WAIT:
+                return
+            busy += 1
+            if self.now_ms < self.up_ms:
+                self._end(name, admission, WorkOutcome.UNREACHABLE)
+                continue
+            self.started += 1
+            end_ms = self.now_ms + self._work_ms
+            self._running.append((end_ms, name, admission))
+
+    def _finish(self) -> None:
+        ended = [work for work in self._running if work[0] <= self.now_ms]
+        self._running = [w for w in self._running if w[0] > self.now_ms]
+        for _, name, admission in ended:
+            self.successes += 1
+            self._end(name, admission, WorkOutcome.SUCCEEDED)
+
+    def _end(self, name: str, admission: Admission, how: WorkOutcome) -> None:
+        host = self.hosts.get(name)
+        if host is not None:
+            host.handle(WorkEnded(admission=admission, outcome=how))
+
+    def _note_use(self) -> None:
+        bound = ramp_bound(self._upstream, self.successes)
+        self.bound_ms += bound
+        self.used_ms += min(len(self._running), bound)
+        if bound < self._upstream.capacity:
+            excess = len(self._running) - bound
+            self.overload = max(self.overload, excess)
+
+    def _report(self) -> UpstreamReported:
+        return UpstreamReported(
+            upstream=self._upstream.name,
+            incarnation=f"engine-{self.incarnation}",
+            running=len(self._running),
+            as_of_ms=self.now_ms,
+        )
+
+    def _view(self, owner: str) -> MembershipView:
+        return MembershipView(
+            own_name=owner,
+            members=tuple(_create_member(name) for name in self._alive),
+            as_of_ms=self.now_ms,
+            last_contact_ms=self.now_ms,
+            is_settled=True,
+        )
+
+
+def measure(size: int, work_ms: int) -> Measurement:
+    """Measures one combination of fleet size and length of work."""
+    bench = Bench(size, work_ms)
+    first_work_ms = _run_until(bench, lambda: bench.started > 0)
+    _run_until(bench, bench.is_warm_everywhere)
+    bench.restart_engine()
+    messages, started = bench.messages, bench.started
+    bench.bound_ms = bench.used_ms = 0
+    _run_until(bench, lambda: bench.now_ms >= bench.up_ms)
+    warm_ms = _run_until(bench, bench.is_warm_everywhere)
+    work = bench.started - started
+    messages_per_work = (bench.messages - messages) / work
+    bound_used = bench.used_ms / bench.bound_ms
+    bench.restart_engine()
+    _run_until(bench, lambda: bench.successes >= 2)
+    bench.crash_gatekeeper()
+    return Measurement(
+        nodes=size,
+        work_ms=work_ms,
+        first_work_ms=first_work_ms,
+        warm_ms=warm_ms,
+        work_in_ramp=work,
+        messages_per_work=round(messages_per_work, 2),
+        bound_used=round(bound_used, 2),
+        overload=bench.overload,
+        crash_gap_ms=_longest_gap(bench, 20_000),
+    )
+
+
+def _run_until(bench: Bench, condition: Callable[[], bool]) -> int:
+    began_ms = bench.now_ms
+    while not condition():
+        if bench.now_ms - began_ms > LIMIT_MS:
+            raise RuntimeError("the cold start made no progress")
+        bench.step()
+    return bench.now_ms - began_ms
+
+
+def _longest_gap(bench: Bench, for_ms: int) -> int:
+    longest_ms = 0
+    end_ms = bench.now_ms + for_ms
+    last_ms, started = bench.now_ms, bench.started
+    while bench.now_ms < end_ms:
+        bench.step()
+        if bench.started > started:
+            last_ms, started = bench.now_ms, bench.started
+        longest_ms = max(longest_ms, bench.now_ms - last_ms)
+    return longest_ms
+
+
+def _create_member(name: str) -> Member:
+    return Member(
+        name=name,
+        incarnation=f"{name}-1",
+        failure_domain="fd0",
+        endpoints=Endpoints(
+            caller_address=name, admin_address=name, peer_address=name
+        ),
+        state=MemberState.ALIVE,
+        report=Report(),
+        report_ms=0,
+    )
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Prints one JSON object a combination."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=(3, 9))
+    parser.add_argument("--work-ms", type=int, nargs="+", default=(300, 2_000))
+    options = parser.parse_args(arguments)
+    for size in options.sizes:
+        for work_ms in options.work_ms:
+            measurement = measure(size, work_ms)
+            print(json.dumps(dataclasses.asdict(measurement)), flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/trefoilpitch/coldstart/_events.py
+++ b/trefoilpitch/coldstart/_events.py
@@ -105,6 +105,8 @@
     FAILED = "failed"
     # The upstream refused it for want of capacity.
     REFUSED = "refused"
+    # The connection was refused or broke; the upstream may have restarted.
+    UNREACHABLE = "unreachable"
     # It was never sent.
     NOT_RUN = "not_run"
 
--- a/trefoilpitch/coldstart/_holder.py
+++ b/trefoilpitch/coldstart/_holder.py
@@ -72,6 +72,8 @@
     next_sequence: int = 1
 
 
+_COLD_OUTCOMES = (WorkOutcome.REFUSED, WorkOutcome.UNREACHABLE)
+
 Outcome = tuple[HolderState, tuple[HolderAction, ...]]
 
 
@@ -245,7 +247,7 @@
         is_success = event.outcome is WorkOutcome.SUCCEEDED
         messages.append(CreditReturn(name, credit, is_success))
     warmth = before
-    if event.outcome is WorkOutcome.REFUSED:
+    if event.outcome in _COLD_OUTCOMES:
         warmth = find_cold(warmth, now_ms)
     elif event.latency_ms is not None:
         warmth = note_latency(warmth, event.latency_ms, now_ms, settings)
