Keep places of a priority apart and foresee who will pass a request

Ruled out: a fixed safety factor on the wait (too much at 0.9, too little at 2).

Change: each priority has its own bounded places; the wait is computed from the capacity that the arrival rate of higher priorities leaves, at least what the bound on passing over guarantees.

Retry-after is too short in a lasting overload, where it only counts what waits already.

--- a/trefoilpitch/limits/_nodes.py
+++ b/trefoilpitch/limits/_nodes.py
@@ -73,8 +73,10 @@
 class QueueSettings:
     """Bounds of a queue."""
 
-    # Most requests that wait at once.
+    # Most requests of one priority that wait at once.
     max_waiting: int = 256
+    # Time over which arriving work is averaged, in milliseconds.
+    rate_window_ms: float = 10_000.0
     # Requests of higher priority served while a lower one waits, at most.
     max_passed_over: int = 16
     # Share of a full queue's wait after which a place is likely free.
--- a/trefoilpitch/limits/_queue.py
+++ b/trefoilpitch/limits/_queue.py
@@ -15,6 +15,7 @@
     Refused,
     Ticket,
 )
+from trefoilpitch.limits._work_rate import WorkRate
 
 DEFAULT_SETTINGS = QueueSettings()
 _RANKS = tuple(sorted(priority.rank for priority in Priority))
@@ -43,6 +44,9 @@
         self._idle_since_ms: int | None = None
         self._settings = settings
         self._queues = {rank: FairQueue() for rank in _RANKS}
+        self._rates = {
+            rank: WorkRate(settings.rate_window_ms) for rank in _RANKS
+        }
         self._passed_over = dict.fromkeys(_RANKS, 0)
         self._waiting: dict[str, Ticket] = {}
         self._starts: list[tuple[int, str]] = []
@@ -67,17 +71,19 @@
         """
         if ticket.request_id in self._waiting:
             raise ValueError(f"request {ticket.request_id!r} waits already")
-        wait_ms = self._outage_ms(now_ms) + self._expected_wait_ms(ticket)
+        rank = ticket.priority.rank
+        wait_ms = self._expected_wait_ms(ticket, now_ms)
         if now_ms + wait_ms > ticket.latest_start_ms:
             return self._refuse(ticket, self._lateness_reason(), now_ms)
         displaced = None
-        if len(self._waiting) >= self._settings.max_waiting:
+        if len(self._queues[rank]) >= self._settings.max_waiting:
             victim = self._victim(ticket)
             if victim is None:
                 return self._refuse(ticket, RefusalReason.QUEUE_FULL, now_ms)
             self.cancel(victim.request_id)
             displaced = self._refuse(victim, RefusalReason.DISPLACED, now_ms)
         self._add(ticket)
+        self._rates[rank].add(ticket.expected_run_ms, now_ms)
         return Queued(
             ticket=ticket,
             expected_wait_ms=math.ceil(wait_ms),
@@ -167,25 +173,28 @@
         return waiting[0] if waiting else None
 
     def _victim(self, ticket: Ticket) -> Ticket | None:
-        """Returns the request whose place the ticket has a better claim to."""
-        own_rank = ticket.priority.rank
-        for rank in reversed(_RANKS[own_rank + 1 :]):
-            longest = self._queues[rank].longest()
-            if longest is not None:
-                return longest[1]
-        longest = self._queues[own_rank].longest()
-        if longest is None:
-            return None
-        overdraft, newest = longest
-        if overdraft <= self._queues[own_rank].overdraft(ticket):
+        """Returns the request whose place the ticket has a better claim to.
+
+        Priorities do not take places from each other: what was admitted to
+        wait may wait.
+        """
+        queue = self._queues[ticket.priority.rank]
+        longest = queue.longest()
+        if longest is None or longest[0] <= queue.overdraft(ticket):
             return None
-        return newest
+        return longest[1]
 
-    def _expected_wait_ms(self, ticket: Ticket) -> float:
+    def _expected_wait_ms(self, ticket: Ticket, now_ms: int) -> float:
+        """Estimates the wait, with what will arrive before it and pass it."""
         rank = ticket.priority.rank
         higher_ms = sum(self._queues[one].work_ms for one in _RANKS[:rank])
         ahead_ms = self._queues[rank].work_ahead_ms(ticket)
-        return (higher_ms + ahead_ms) / max(self._concurrency, 1)
+        concurrency = max(self._concurrency, 1)
+        passing = sum(self._rates[one].at(now_ms) for one in _RANKS[:rank])
+        least = concurrency / (self._settings.max_passed_over + 1)
+        available = max(concurrency - passing, least)
+        outage_ms = self._outage_ms(now_ms)
+        return outage_ms + higher_ms / concurrency + ahead_ms / available
 
     def _refuse(
         self, ticket: Ticket, reason: RefusalReason, now_ms: int
@@ -198,10 +207,10 @@
 
     def _retry_after_ms(self, ticket: Ticket, now_ms: int) -> int:
         settings = self._settings
-        wait_ms = self._outage_ms(now_ms) + self._expected_wait_ms(ticket)
+        wait_ms = self._expected_wait_ms(ticket, now_ms)
         allowed_ms = max(ticket.latest_start_ms - now_ms, 0)
         excess_ms = wait_ms - allowed_ms
-        if len(self._waiting) >= settings.max_waiting:
+        if len(self._queues[ticket.priority.rank]) >= settings.max_waiting:
             excess_ms = max(excess_ms, wait_ms * settings.full_queue_share)
         bounded = max(excess_ms, settings.min_retry_after_ms)
         return math.ceil(min(bounded, settings.max_retry_after_ms))
