Measure exposure to bad versions, outages, recovery and speed

Change: roll-outs of versions that are bad from the start or turn bad after a good start, without a guard, with the sequential test and with the breaker as well; tries for each request in outages; a failure domain that leaves and comes back cold; processor time for each decision by size of the fleet.

--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -16,7 +16,14 @@
 
 from absl import app, flags
 
-from tools.decisions import cascade, load
+from tools.decisions import (
+    cascade,
+    exposure,
+    load,
+    outage,
+    recovery,
+    speed,
+)
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of every measurement.")
 _ONLY = flags.DEFINE_list("only", [], "Sections to run; all by default.")
@@ -28,6 +35,10 @@
 _SECTIONS: Mapping[str, Callable[[int], Sequence[Any]]] = {
     "cascade": cascade.measure,
     "load": load.measure,
+    "exposure": exposure.measure,
+    "outage": outage.measure,
+    "recovery": recovery.measure,
+    "speed": speed.measure,
 }
 
 
