Judge each step of a roll-out by itself and watch for a late turn

Ruled out: forgetting by time alone; at one percent of the sessions a version gathers ratings over hours.

Change: an advance counts the outcomes since the present step began; a HarmWatch keeps recent outcomes until they clearly speak for the version; probes close the breaker only once the evidence for harm is gone.

--- a/tools/decisions/exposure.py
+++ b/tools/decisions/exposure.py
@@ -10,6 +10,7 @@
 from trefoilpitch.configuration import RolloutPhase, RolloutState
 from trefoilpitch.rollout import (
     Breaker,
+    HarmWatch,
     Move,
     Trials,
     VersionEvidence,
@@ -29,7 +30,7 @@
 _SPREAD_MS = 5_000
 _STEP_MS = 600_000
 _GOOD_START = VersionEvidence(
-    answers=Trials(count=5_000, bad=25), ratings=Trials(count=500, bad=40)
+    answers=Trials(count=180, bad=1), ratings=Trials(count=20, bad=1)
 )
 _PLAN = RolloutPlan(model="small", to_version="2")
 
@@ -114,6 +115,8 @@
             answers=Trials(count=20_000, bad=100),
             ratings=Trials(count=2_000, bad=160),
         )
+        self._watch = HarmWatch()
+        self._unwatched = VersionEvidence()
         self._new = _GOOD_START if case.turned else VersionEvidence()
         self._ratings: list[tuple[int, int, int, bool]] = []
         self._exposed = 0
@@ -147,7 +150,7 @@
         bad = not failed and self._rng.random() < self._case.bad
         self._exposed += 1
         self._harmed += failed or bad
-        self._new += VersionEvidence(answers=Trials(count=1, bad=int(failed)))
+        self._learn(VersionEvidence(answers=Trials(count=1, bad=int(failed))))
         self._breakers[node] = self._breakers[node].answered(
             self._old, now_ms, failed=failed
         )
@@ -155,10 +158,14 @@
             due_ms = now_ms + self._rng.randrange(_MAX_DELAY_MS)
             heapq.heappush(self._ratings, (due_ms, number, node, bad))
 
+    def _learn(self, seen: VersionEvidence) -> None:
+        self._new += seen
+        self._unwatched += seen
+
     def _take_ratings(self, now_ms: int) -> None:
         while self._ratings and self._ratings[0][0] <= now_ms:
             _, _, node, bad = heapq.heappop(self._ratings)
-            self._new += VersionEvidence(ratings=Trials(count=1, bad=int(bad)))
+            self._learn(VersionEvidence(ratings=Trials(count=1, bad=int(bad))))
             self._breakers[node] = self._breakers[node].rated(
                 self._old, now_ms, bad=bad
             )
@@ -166,13 +173,22 @@
     def _consider(self, now_ms: int) -> None:
         if self._pending is not None and self._pending[0] <= now_ms:
             self._state, self._pending = self._pending[1], None
+            self._new = VersionEvidence()
         if self._pending is not None:
             return
         if not self._uses_test:
             if now_ms - self._stepped_ms >= _STEP_MS:
                 self._move(Move.ADVANCE, now_ms)
             return
-        advice = advise(_PLAN, self._state, self._old, self._new)
+        self._watch = self._watch.observed(_PLAN, self._old, self._unwatched)
+        self._unwatched = VersionEvidence()
+        advice = advise(
+            _PLAN,
+            self._state,
+            self._old,
+            self._new,
+            recent=self._watch.evidence,
+        )
         if advice.move is not Move.HOLD:
             self._move(advice.move, now_ms)
 
--- a/trefoilpitch/rollout/_advice.py
+++ b/trefoilpitch/rollout/_advice.py
@@ -8,6 +8,7 @@
 from trefoilpitch.bundle import RolloutPlan
 from trefoilpitch.configuration import RolloutPhase, RolloutState
 from trefoilpitch.rollout._evidence import (
+    NO_EVIDENCE,
     Trials,
     VersionEvidence,
     evidence_of_harm,
@@ -45,6 +46,10 @@
     harm_alpha: float = 0.005
     # Evidence for safety that an advance needs.
     safety_evidence: float = 3.0
+    # Evidence for harm above which there is no advance.
+    suspicion_evidence: float = 2.0
+    # Evidence for harm below which recent outcomes are forgotten.
+    forgetting_evidence: float = 0.05
     # Ratings that an advance needs.
     min_ratings: int = 30
     # Tolerated rise of the share of errors, from 0 to 1.
@@ -64,26 +69,71 @@
     reason: AdviceReason
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HarmWatch:
+    """The recent outcomes of a version, as far as they may matter.
+
+    Outcomes that clearly speak for the version are forgotten, so that a
+    good start does not speak for it later. Feed it what came since the last
+    time, of all nodes together; if its state is lost, it starts afresh.
+    """
+
+    # Outcomes since there last was nothing to suspect.
+    evidence: VersionEvidence = NO_EVIDENCE
+
+    def observed(
+        self,
+        plan: RolloutPlan,
+        old: VersionEvidence,
+        seen: VersionEvidence,
+        settings: AdviceSettings = DEFAULT_SETTINGS,
+    ) -> HarmWatch:
+        """Returns the watch after further outcomes.
+
+        Args:
+            plan: The roll-out's plan.
+            old: Outcomes of the version in place, of all nodes.
+            seen: Outcomes of the new version since the last time.
+            settings: When outcomes are forgotten.
+        """
+        kept = self.evidence + seen
+        error_tolerance = settings.error_tolerance
+        errors = _harm_of(kept.answers, old.answers, error_tolerance)
+        ratings = _harm_of(kept.ratings, old.ratings, plan.tolerance)
+        least = settings.forgetting_evidence
+        return HarmWatch(
+            evidence=VersionEvidence(
+                answers=Trials() if errors < least else kept.answers,
+                ratings=Trials() if ratings < least else kept.ratings,
+            )
+        )
+
+
 def advise(
     plan: RolloutPlan,
     state: RolloutState,
     old: VersionEvidence,
     new: VersionEvidence,
     *,
+    recent: VersionEvidence = NO_EVIDENCE,
     withdrawn: bool = False,
     settings: AdviceSettings = DEFAULT_SETTINGS,
 ) -> Advice:
     """Recommends whether a roll-out advances, holds or goes back.
 
     A roll-out that stopped at any step resumes from its state alone; the
-    evidence is cumulative and needs no memory here. Without ratings it
+    evidence of its step needs no memory here. Without ratings it
     never advances by itself.
 
     Args:
         plan: The roll-out's plan.
         state: Where it stands.
         old: Outcomes of the version in place, of all nodes.
-        new: Outcomes of the new version, of all nodes.
+        new: Outcomes of the new version since its present step began, of
+            all nodes. Earlier ones do not count: what served 1% well may
+            have changed since.
+        recent: Its outcomes at any step that a ``HarmWatch`` holds; they
+            tell of a version that turned bad after a good start.
         withdrawn: Whether operators withdrew the new version.
         settings: How sure the recommendation must be.
     """
@@ -92,11 +142,13 @@
     if state.phase in (RolloutPhase.ROLLED_BACK, RolloutPhase.COMPLETED):
         return Advice(move=Move.HOLD, reason=AdviceReason.NOT_RUNNING)
     harm = _harm(plan, old, new, settings)
+    harm = harm or _harm(plan, old, recent, settings)
     if harm is not None:
         return Advice(move=Move.GO_BACK, reason=harm)
     if state.phase is RolloutPhase.PAUSED:
         return Advice(move=Move.HOLD, reason=AdviceReason.NOT_RUNNING)
-    doubt = _doubt(plan, state, old, new, settings)
+    doubt = _doubt(plan, old, new, settings)
+    doubt = doubt or _suspicion(plan, old, recent, settings)
     if doubt is not None:
         return Advice(move=Move.HOLD, reason=doubt)
     return Advice(move=Move.ADVANCE, reason=AdviceReason.NO_WORSE)
@@ -122,29 +174,40 @@
     new: VersionEvidence,
     settings: AdviceSettings,
 ) -> AdviceReason | None:
-    if _is_worse(old.answers, new.answers, settings.error_tolerance, settings):
+    # Errors and ratings are two tests; each gets half of the chance.
+    threshold = 2.0 / settings.harm_alpha
+    errors = _harm_of(new.answers, old.answers, settings.error_tolerance)
+    if errors >= threshold:
         return AdviceReason.MORE_ERRORS
-    if _is_worse(old.ratings, new.ratings, plan.tolerance, settings):
+    if _harm_of(new.ratings, old.ratings, plan.tolerance) >= threshold:
         return AdviceReason.WORSE_RATINGS
     return None
 
 
-def _is_worse(
-    old: Trials, new: Trials, tolerance: float, settings: AdviceSettings
-) -> bool:
-    tolerated = tolerated_rate(old, tolerance)
-    # Errors and ratings are two tests; each gets half of the chance.
-    return evidence_of_harm(new, tolerated) >= 2.0 / settings.harm_alpha
+def _suspicion(
+    plan: RolloutPlan,
+    old: VersionEvidence,
+    recent: VersionEvidence,
+    settings: AdviceSettings,
+) -> AdviceReason | None:
+    errors = _harm_of(recent.answers, old.answers, settings.error_tolerance)
+    ratings = _harm_of(recent.ratings, old.ratings, plan.tolerance)
+    if max(errors, ratings) > settings.suspicion_evidence:
+        return AdviceReason.UNPROVEN
+    return None
+
+
+def _harm_of(new: Trials, old: Trials, tolerance: float) -> float:
+    return evidence_of_harm(new, tolerated_rate(old, tolerance))
 
 
 def _doubt(
     plan: RolloutPlan,
-    state: RolloutState,
     old: VersionEvidence,
     new: VersionEvidence,
     settings: AdviceSettings,
 ) -> AdviceReason | None:
-    if new.answers.count < plan.answers_per_step * (state.step + 1):
+    if new.answers.count < plan.answers_per_step:
         return AdviceReason.FEW_ANSWERS
     if new.ratings.count < settings.min_ratings:
         return AdviceReason.FEW_RATINGS
--- a/trefoilpitch/rollout/_breaker.py
+++ b/trefoilpitch/rollout/_breaker.py
@@ -30,6 +30,8 @@
     opening_evidence: float = 100.0
     # Evidence of harm at which a closed breaker forgets its past.
     forgetting_evidence: float = 0.05
+    # Evidence of harm above which probes do not close it.
+    closing_evidence: float = 0.1
     # Tolerated rise of the share of errors or of bad ratings, from 0 to 1.
     tolerance: float = 0.03
     # Time that it stays open at first, in milliseconds; doubles each time.
@@ -137,7 +139,8 @@
         if max(by_errors, by_ratings) >= settings.opening_evidence:
             return self._opened(now_ms, by_ratings > by_errors, settings)
         if self.phase is BreakerPhase.PROBING:
-            return self._probed(evidence, settings)
+            harm = by_ratings if self.opened_by_ratings else by_errors
+            return self._probed(evidence, harm, settings)
         kept = VersionEvidence(
             answers=_kept(evidence.answers, by_errors, settings),
             ratings=_kept(evidence.ratings, by_ratings, settings),
@@ -156,12 +159,13 @@
         )
 
     def _probed(
-        self, evidence: VersionEvidence, settings: BreakerSettings
+        self, evidence: VersionEvidence, harm: float, settings: BreakerSettings
     ) -> Breaker:
         answers, ratings = evidence.answers, evidence.ratings
         needed = settings.closing_ratings if self.opened_by_ratings else 0
         enough = answers.count - answers.bad >= settings.closing_answers
-        if enough and ratings.count - ratings.bad >= needed:
+        enough = enough and ratings.count - ratings.bad >= needed
+        if enough and harm < settings.closing_evidence:
             return Breaker()
         return dataclasses.replace(self, evidence=evidence)
 
--- a/trefoilpitch/rollout/tests/test_rollout.py
+++ b/trefoilpitch/rollout/tests/test_rollout.py
@@ -11,6 +11,7 @@
     AdviceReason,
     Breaker,
     BreakerPhase,
+    HarmWatch,
     Move,
     Trials,
     VersionEvidence,
@@ -175,3 +176,31 @@
         breaker = breaker.answered(_OLD, now_ms, failed=True)
     assert breaker.phase is BreakerPhase.OPEN
     return breaker
+
+
+def test_version_that_turns_bad_after_a_good_start_goes_back() -> None:
+    watch = HarmWatch()
+    for _ in range(100):
+        watch = watch.observed(_PLAN, _OLD, _new(100, 0, 10, 1))
+    answers = 0
+    while answers < 200:
+        answers += 1
+        watch = watch.observed(_PLAN, _OLD, _new(1, answers % 5 == 0, 0, 0))
+        advice = advise(
+            _PLAN,
+            _state(step=2),
+            _OLD,
+            _new(9_000, 45, 900, 90),
+            recent=watch.evidence,
+        )
+        if advice.move is Move.GO_BACK:
+            break
+    assert answers <= 60
+
+
+def test_breaker_is_not_closed_by_probes_that_fail_one_time_in_five() -> None:
+    breaker = _opened(Breaker(), 0)
+    for index in range(200):
+        breaker = breaker.answered(_OLD, 40_000, failed=index % 5 == 0)
+    assert breaker.phase is not BreakerPhase.CLOSED
+    assert breaker.openings >= 2
