Refuse to take out a VM that nobody knows

Cause: vm out accepted any name, so that a mistyped one was accepted, in force everywhere and without effect, during an outage of all times.

Ruled out: a rule of the configuration. Its rules are deterministic and do not know the fleet.

Flags have a module of their own.

--- a/trefoilpitch/administration/_api.py
+++ b/trefoilpitch/administration/_api.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from trefoilpitch.administration._bills import read_bills
 from trefoilpitch.administration._changes import (
     decode_change_body,
     to_change,
@@ -21,7 +22,7 @@
     commit_problem,
     conflict_problem,
     refusal_problem,
-    store_problem,
+    unknown_vm_problem,
 )
 from trefoilpitch.administration._replies import (
     BundleReply,
@@ -32,8 +33,10 @@
     LedgerReply,
 )
 from trefoilpitch.administration._status import fleet_status
+from trefoilpitch.administration._vm_names import find_unknown_vm
 from trefoilpitch.clock import Clock
 from trefoilpitch.configuration import (
+    Change,
     Committed,
     Configuration,
     ConfigurationWriter,
@@ -42,9 +45,6 @@
     describe_delta,
 )
 from trefoilpitch.ledger import (
-    LEDGER_PREFIX,
-    Bill,
-    decode_segment,
     total_by_workspace,
     unite_bills,
 )
@@ -85,6 +85,14 @@
     clock: Clock
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Asked:
+    # The change that an operator asks for.
+    change: Change
+    # The revision that it is based on; None for any.
+    expected_revision: int | None
+
+
 _Route: TypeAlias = Callable[[Request], Response]
 
 
@@ -199,7 +207,7 @@
         return _json_response(HistoryReply(changes=changes))
 
     def _ledger(self, request: Request) -> Response:
-        read = self._read_bills()
+        read = read_bills(self._services.store)
         if not isinstance(read, Success):
             return problem_response(read.failure())
         bills = unite_bills(read.unwrap())
@@ -208,37 +216,31 @@
             bills = ()
         return _json_response(LedgerReply(bills=bills, totals=totals))
 
-    def _read_bills(self) -> Result[list[Bill], Problem]:
-        listed = self._services.store.list_prefix(LEDGER_PREFIX)
-        if not isinstance(listed, Success):
-            return Failure(store_problem(listed.failure().detail))
-        bills: list[Bill] = []
-        for entry in listed.unwrap().entries:
-            decoded = decode_segment(entry.value)
-            if not isinstance(decoded, Success):
-                title = f"segment {entry.key} is damaged"
-                detail = str(decoded.failure())
-                problem = Problem(
-                    status=500,
-                    code="damaged-segment",
-                    title=title,
-                    detail=detail,
-                )
-                return Failure(problem)
-            bills.extend(decoded.unwrap())
-        return Success(bills)
+    def _read_change(self, request: Request) -> Result[_Asked, Problem]:
+        decoded = decode_change_body(request.body)
+        if not isinstance(decoded, Success):
+            return Failure(decoded.failure())
+        body = decoded.unwrap()
+        unknown = find_unknown_vm(
+            body, self._services.view(), self._services.configuration()
+        )
+        if unknown:
+            return Failure(unknown_vm_problem(unknown))
+        return to_change(body).map(
+            lambda change: _Asked(
+                change=change, expected_revision=body.expected_revision
+            )
+        )
 
     def _change(self, request: Request) -> Response:
-        body = decode_change_body(request.body)
-        if not isinstance(body, Success):
-            return problem_response(body.failure())
-        change = to_change(body.unwrap())
-        if not isinstance(change, Success):
-            return problem_response(change.failure())
+        read = self._read_change(request)
+        if not isinstance(read, Success):
+            return problem_response(read.failure())
+        asked = read.unwrap()
         with self._commits:
             committed = self._services.writer.commit(
-                change.unwrap(),
-                expected_revision=body.unwrap().expected_revision,
+                asked.change,
+                expected_revision=asked.expected_revision,
                 known_revision=self._services.configuration().revision,
             )
         if not isinstance(committed, Success):
@@ -256,18 +258,16 @@
 
         Asks nothing of the store, so a later revision may decide otherwise.
         """
-        body = decode_change_body(request.body)
-        if not isinstance(body, Success):
-            return problem_response(body.failure())
-        change = to_change(body.unwrap())
-        if not isinstance(change, Success):
-            return problem_response(change.failure())
+        read = self._read_change(request)
+        if not isinstance(read, Success):
+            return problem_response(read.failure())
+        asked = read.unwrap()
         configuration = self._services.configuration()
         revision = configuration.revision
-        if body.unwrap().expected_revision not in (None, revision):
+        if asked.expected_revision not in (None, revision):
             message = f"revision {revision} is in force on this VM"
             return problem_response(conflict_problem(message))
-        applied = apply_change(configuration, change.unwrap())
+        applied = apply_change(configuration, asked.change)
         if not isinstance(applied, Success):
             error = applied.failure()
             return problem_response(refusal_problem(error.refusal, str(error)))
--- a/trefoilpitch/administration/_changes.py
+++ b/trefoilpitch/administration/_changes.py
@@ -72,6 +72,8 @@
 
     name: str
     in_service: bool
+    # Takes out a VM that the answering node does not know.
+    allow_unknown: bool = False
 
 
 class RolloutStartBody(_Base, tag_field="kind", tag="rollout-start"):
--- a/trefoilpitch/administration/_problems.py
+++ b/trefoilpitch/administration/_problems.py
@@ -41,6 +41,16 @@
     )
 
 
+def unknown_vm_problem(message: str) -> Problem:
+    """Returns the problem of a VM that nobody has heard of."""
+    return Problem(
+        status=422,
+        code="unknown-vm",
+        title=message,
+        detail="Nothing was changed.",
+    )
+
+
 def conflict_problem(message: str) -> Problem:
     """Returns the problem of a change that is based on an old revision."""
     return Problem(
--- a/trefoilpitch/administration/tests/test_api.py
+++ b/trefoilpitch/administration/tests/test_api.py
@@ -81,6 +81,22 @@
     assert with_status(response, status)["code"] == code
 
 
+@pytest.mark.parametrize(
+    ("fields", "status"),
+    [
+        ({"name": "entry-2"}, 200),
+        ({"name": "small-suva"}, 200),
+        ({"name": "entry-9"}, 422),
+        ({"name": "entry-9", "allow_unknown": True}, 200),
+    ],
+)
+def test_a_mistyped_vm_is_not_taken_out(
+    fields: dict[str, Any], status: int
+) -> None:
+    body = change("vm", in_service=False) | fields
+    assert _signed_off().send("POST", "/v1/changes", body).status == status
+
+
 def test_a_change_sent_again_after_a_lost_reply_is_one_change() -> None:
     fleet = _signed_off()
     fleet.store.lose_replies(100)
--- a/trefoilpitch/cli/_commands.py
+++ b/trefoilpitch/cli/_commands.py
@@ -103,7 +103,7 @@
         ("VM",),
         "Give an entry VM or an upstream no new work.",
         _fleet.vm_out,
-        _CHANGE,
+        (*_CHANGE, "allow_unknown"),
     ),
     Command(
         "vm in",
--- a/trefoilpitch/cli/_context.py
+++ b/trefoilpitch/cli/_context.py
@@ -150,6 +150,7 @@
 _BY_CODE = {
     "no-effect": "It is so already; there is nothing to do.",
     "unknown-name": "See trefoilpitch bundle show for the names.",
+    "unknown-vm": "See trefoilpitch status, or add --allow_unknown.",
     "no-bundle": "Sign off a bundle first: trefoilpitch bundle sign-off FILE.",
     "not-newer": "Raise the bundle's version in the file and sign off again.",
     "withdrawn": "A withdrawal is for good; name another version.",
--- a/trefoilpitch/cli/_fleet.py
+++ b/trefoilpitch/cli/_fleet.py
@@ -40,7 +40,10 @@
 def _set_vm(context: Context, *, in_service: bool) -> ExitStatus:
     name = context.arguments[0]
     body = VmBody(
-        name=name, in_service=in_service, **change_header(context).fields()
+        name=name,
+        in_service=in_service,
+        allow_unknown=context.settings.allow_unknown,
+        **change_header(context).fields(),
     )
     return send_change(context, body, f"VM {name} {_direction(in_service)}")
 
--- a/trefoilpitch/cli/_help.py
+++ b/trefoilpitch/cli/_help.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 from trefoilpitch.cli._commands import COMMANDS, Command, commands_under
-from trefoilpitch.cli._settings import FLAGS, FlagSpec, environment_variable
+from trefoilpitch.cli._flags import FLAGS, FlagSpec, environment_variable
 
 _INDENT = "  "
 
--- a/trefoilpitch/cli/_main.py
+++ b/trefoilpitch/cli/_main.py
@@ -12,13 +12,10 @@
 from trefoilpitch.cli._commands import Command, find_command
 from trefoilpitch.cli._context import Context
 from trefoilpitch.cli._exceptions import CommandError, ExitStatus, UsageError
+from trefoilpitch.cli._flags import CommandLine, parse_command_line
 from trefoilpitch.cli._help import help_text
 from trefoilpitch.cli._output import Console, printable
-from trefoilpitch.cli._settings import (
-    CommandLine,
-    parse_command_line,
-    read_settings,
-)
+from trefoilpitch.cli._settings import read_settings
 from trefoilpitch.clock import Clock, SystemClock
 
 _MS_PER_S = 1_000
--- a/trefoilpitch/cli/tests/test_main.py
+++ b/trefoilpitch/cli/tests/test_main.py
@@ -135,13 +135,19 @@
     [
         ("status --admin_token=x", ExitStatus.UNAUTHENTICATED, "ADMIN_TOKEN"),
         ("domain out no-such", ExitStatus.REFUSED, "bundle show"),
+        ("vm out entri-1", ExitStatus.REFUSED, "did you mean entry-1?"),
+        ("vm out other", ExitStatus.REFUSED, "--allow_unknown"),
         ("domain in suva", ExitStatus.REFUSED, "nothing to do"),
         ("rollout pause sermon-small", ExitStatus.REFUSED, "bundle show"),
         ("rollout advance sermon-small", ExitStatus.REFUSED, "rollout status"),
         ("version withdraw a@b", ExitStatus.REFUSED, "bundle show"),
         (f"bundle sign-off {ARCHIVE}", ExitStatus.REFUSED, "Raise the"),
         ("vm out a --change_id=a\x07", ExitStatus.REFUSED, "Correct"),
-        ("vm out a --expected_revision=7", ExitStatus.CONFLICT, "history"),
+        (
+            "vm out entry-1 --expected_revision=7",
+            ExitStatus.CONFLICT,
+            "history",
+        ),
         ("entries", ExitStatus.UNAUTHENTICATED, "administration port"),
     ],
 )
