--- a/trefoilpitch/cli/_reports.py
+++ b/trefoilpitch/cli/_reports.py
@@ -63,7 +63,10 @@
     workspace = context.settings.workspace
     query = "" if workspace else "?totals_only=true"
     reply = fetch(context, f"/v1/ledger{query}", LedgerReply)
-    bills = tuple(bill for bill in reply.bills if bill.workspace == workspace)
+    bills = sorted(
+        (bill for bill in reply.bills if bill.workspace == workspace),
+        key=lambda bill: (bill.ended_ms, bill.request_id),
+    )
     table = Table(
         headings=("WORKSPACE", "REQUESTS", "COST"),
         rows=tuple(
