--- a/tools/processes.py
+++ b/tools/processes.py
@@ -10,7 +10,9 @@
 import subprocess
 import sys
 import time
+import urllib.error
 import urllib.request
+from collections.abc import Mapping
 from types import TracebackType
 from typing import Any, Self
 
@@ -66,11 +68,18 @@
         self._running[name].kill()
         self._running.pop(name).wait()
 
+    def signal(self, name: str, number: int = signal.SIGTERM) -> None:
+        """Sends a signal to a process."""
+        self._running[name].send_signal(number)
+
+    def wait(self, name: str) -> int:
+        """Waits for a process to end and returns its exit status."""
+        return self._running.pop(name).wait(_END_PATIENCE_S)
+
     def end(self, name: str) -> int:
         """Ends a process gracefully and returns its exit status."""
-        process = self._running.pop(name)
-        process.send_signal(signal.SIGTERM)
-        return process.wait(_END_PATIENCE_S)
+        self.signal(name)
+        return self.wait(name)
 
 
 def start_daemon(
@@ -129,18 +138,15 @@
     method: str,
     url: str,
     body: Any = None,
+    headers: Mapping[str, str] | None = None,
     timeout_s: float = 30.0,
-    **headers: str,
 ) -> HttpReply:
-    """Sends a request; a dictionary is sent as JSON.
-
-    Header names are given with underscores in place of hyphens.
-    """
+    """Sends a request; a body that is not bytes is sent as JSON."""
+    fields = dict(headers or {})
     data = body
     if body is not None and not isinstance(body, bytes):
         data = json.dumps(body).encode()
-        headers.setdefault("Content_Type", "application/json")
-    fields = {name.replace("_", "-"): text for name, text in headers.items()}
+        fields.setdefault("Content-Type", "application/json")
     request = urllib.request.Request(
         url, data=data, method=method, headers=fields
     )
--- a/trefoilpitch/cli/_commands.py
+++ b/trefoilpitch/cli/_commands.py
@@ -103,7 +103,7 @@
         ("VM",),
         "Give an entry VM or an upstream no new work.",
         _fleet.vm_out,
-        _CHANGE,
+        (*_CHANGE, "allow_unknown"),
     ),
     Command(
         "vm in",
@@ -180,7 +180,7 @@
         (),
         "Show what each workspace owes.",
         _reports.ledger,
-        _CONNECTION,
+        (*_CONNECTION, "workspace"),
     ),
     Command(
         "entries",
--- a/trefoilpitch/orders/tests/test_reconciler.py
+++ b/trefoilpitch/orders/tests/test_reconciler.py
@@ -163,6 +163,21 @@
     assert fleet.loaded() == {OLD}
 
 
+def test_unwanted_version_stays_for_a_while() -> None:
+    """Other nodes may still send it work while they learn of the change."""
+    terms = OrderTerms()
+    fleet = Fleet()
+    fleet.reconciler.set_configuration(fleet_configuration())
+    fleet.run(_MINUTE_MS)
+    fleet.reconciler.set_configuration(
+        fleet_configuration(withdrawn=frozenset({OLD}))
+    )
+    fleet.run(terms.unload_after_ms)
+    assert fleet.loaded() == {OLD}
+    fleet.run(terms.poll_interval_ms)
+    assert fleet.loaded() == set()
+
+
 def test_restarted_engine_gets_its_versions_back() -> None:
     fleet = Fleet()
     fleet.reconciler.set_configuration(fleet_configuration())
@@ -172,6 +187,34 @@
     assert fleet.loaded() == {OLD}
 
 
+def test_load_that_failed_unseen_is_ordered_again_after_its_timeout() -> None:
+    terms = OrderTerms()
+    fleet = Fleet(load_ms=1_000)
+    fleet.engines.set_reports_loading(False)
+    fleet.engines.fail_loads(1)
+    fleet.reconciler.set_configuration(fleet_configuration())
+    fleet.run(terms.load_timeout_ms)
+    assert fleet.loaded() == set()
+    assert fleet.reconciler.state.counters.loads == 1
+    fleet.run(_MINUTE_MS)
+    assert fleet.loaded() == {OLD}
+
+
+def test_engine_that_rejects_orders_is_retried_ever_more_rarely() -> None:
+    fleet = Fleet()
+    fleet.engines.reject_orders(1_000)
+    fleet.reconciler.set_configuration(fleet_configuration(engines=2))
+    fleet.run(_MINUTE_MS // 2)
+    deferred_at_start = fleet.reconciler.state.counters.deferred_loads
+    fleet.run(10 * _MINUTE_MS)
+    counters = fleet.reconciler.state.counters
+    assert 10 <= counters.rejections <= 40
+    assert counters.deferred_loads == deferred_at_start
+    fleet.engines.reject_orders(0)
+    fleet.run(2 * _MINUTE_MS)
+    assert fleet.loaded("engine-0") == fleet.loaded("engine-1") == {OLD}
+
+
 def test_nothing_is_ordered_without_a_lease() -> None:
     fleet = Fleet()
     fleet.number = None
