Refuse a task whose allowed versions no pool serves; find echoes in one pass

A workspace could be allowed only versions that nothing serves. Leaving out the echoes of earlier faults compared each fault with each place; it now looks up the places that enclose a fault.

--- a/trefoilpitch/bundle/_check_access.py
+++ b/trefoilpitch/bundle/_check_access.py
@@ -9,6 +9,7 @@
 from trefoilpitch.bundle._exceptions import Fault
 from trefoilpitch.bundle._known_names import KnownNames
 from trefoilpitch.bundle._nodes import (
+    ANY_VERSION,
     VERSION_SEPARATOR,
     Bundle,
     RolloutPlan,
@@ -68,19 +69,29 @@
 def _check_allowed_covers(
     known: KnownNames, place: str, workspace: Workspace
 ) -> Iterator[Fault]:
-    allowed_models = {
-        ref.partition(VERSION_SEPARATOR)[0] for ref in workspace.allowed
-    }
+    served = _served_models(known, workspace)
     for index, name in enumerate(workspace.tasks):
         task = known.tasks.get(name)
-        if task is None or not allowed_models.isdisjoint(task.cascade):
+        if task is None or not served.isdisjoint(task.cascade):
             continue
         yield fault(
             f"{place}.tasks[{index}]",
-            f"the workspace is allowed no model of task {name!r}",
+            f"the workspace is allowed no served version of task {name!r}",
         )
 
 
+def _served_models(known: KnownNames, workspace: Workspace) -> set[str]:
+    """Returns the models of which a pool serves an allowed version."""
+    allowed = set(workspace.allowed)
+    models: set[str] = set()
+    for ref in known.served:
+        model = ref.partition(VERSION_SEPARATOR)[0]
+        any_version = f"{model}{VERSION_SEPARATOR}{ANY_VERSION}"
+        if ref in allowed or any_version in allowed:
+            models.add(model)
+    return models
+
+
 def check_rollouts(bundle: Bundle, known: KnownNames) -> Iterator[Fault]:
     """Yields the faults of roll-out plans."""
     rollouts = bundle.rollouts
--- a/trefoilpitch/bundle/_codec.py
+++ b/trefoilpitch/bundle/_codec.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import tomllib
+from collections.abc import Iterator
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -94,16 +95,21 @@
     faults: tuple[Fault, ...], earlier: tuple[Fault, ...]
 ) -> tuple[Fault, ...]:
     """Leaves out faults of placeholders, which stand for earlier faults."""
-    places = tuple(fault.place for fault in earlier)
+    places = {fault.place for fault in earlier}
+
+    return tuple(
+        fault
+        for fault in faults
+        if places.isdisjoint(_enclosing_places(fault.place))
+    )
 
-    def is_echo(fault: Fault) -> bool:
-        return any(
-            fault.place == place
-            or fault.place.startswith((f"{place}.", f"{place}["))
-            for place in places
-        )
 
-    return tuple(fault for fault in faults if not is_echo(fault))
+def _enclosing_places(place: str) -> Iterator[str]:
+    """Yields ``a[0].b``, ``a[0]`` and ``a`` for the place ``a[0].b``."""
+    yield place
+    for index in range(len(place) - 1, 0, -1):
+        if place[index] in ".[":
+            yield place[:index]
 
 
 def _within_size(bundle: Bundle) -> Result[Bundle, BundleError]:
--- a/trefoilpitch/bundle/tests/test_codec.py
+++ b/trefoilpitch/bundle/tests/test_codec.py
@@ -110,6 +110,11 @@
             "allowed = []",
             "workspaces[8].tasks[0]",
         ),
+        (
+            'serves = ["sermon-large@2026.06"]',
+            'serves = ["sermon-small@2026.09"]',
+            "workspaces[8].tasks[0]",
+        ),
         ('pool = "desk-workers"', 'pool = "small-engines"', "services[0].pool"),
         (
             'serves = ["sermon-large@2026.06"]',
@@ -143,6 +148,17 @@
     ]
 
 
+def test_placeholders_cause_no_faults_of_their_own() -> None:
+    text = _ARCHIVE.replace('"127.0.0.1:19101"', "5")
+    text = text.replace('name = "large-suva"\n', "name = 5\n")
+    text = text.replace("steps_percent = [1, 5, 25, 100]", "steps_percent = 5")
+    assert _faults(text) == [
+        "pools[0].upstreams[0].address: expected a string, got 5",
+        "pools[1].upstreams[0].name: expected a string, got 5",
+        "rollouts[0].steps_percent: expected a list, got 5",
+    ]
+
+
 def test_digest_follows_content_and_not_layout() -> None:
     bundle = _archive()
     spaced = decode_bundle(_ARCHIVE.replace("\n\n", "\n\n\n")).unwrap()
