Confirm changes within a round trip and catch up by deltas first

A node answered a probe before it noted the probe's revision, so that a change was confirmed only by the next regular probe, up to half a second later for a relay. It notes it first now, and a node whose revision is not confirmed probes as often as a relay: a relay's change is confirmed within 100 ms of the test's clock, another node's within 1.2 s.

It now asks for deltas once per revision before it fetches one.

--- a/trefoilpitch/configuration/replication/_peer_side.py
+++ b/trefoilpitch/configuration/replication/_peer_side.py
@@ -18,6 +18,7 @@
     on_snapshot_page,
     on_snapshot_request,
 )
+from trefoilpitch.configuration.replication._freshness import is_confirmed
 from trefoilpitch.configuration.replication._links import plan_links
 from trefoilpitch.configuration.replication._messages import (
     DomainContact,
@@ -85,7 +86,7 @@
     state, settings = draft.state, draft.state.settings
     links = state.links
     interval_ms = settings.probe_interval_ms
-    if links.is_relay:
+    if links.is_relay or not is_confirmed(state, state.revision):
         interval_ms = settings.relay_probe_interval_ms
     turn = state.probe_turn
     draft.update(next_probe_ms=draft.now_ms + interval_ms, probe_turn=turn + 1)
@@ -115,6 +116,8 @@
 
 
 def _on_probe(draft: Draft, address: str, probe: RevisionProbe) -> None:
+    # Noted before answering: the answer confirms that it was heard here.
+    draft.note_head(probe.revision, address)
     state, now_ms = draft.state, draft.now_ms
     proof_age_ms = None if state.proven_ms is None else now_ms - state.proven_ms
     answer = RevisionAnswer(
@@ -127,10 +130,6 @@
         deltas=_encode_deltas_since(draft, probe.revision),
     )
     draft.send(address, answer)
-    if probe.revision > state.revision:
-        draft.note_head(probe.revision, address)
-        if all(sent.address != address for sent in state.outstanding):
-            draft.probe(address, is_urgent=True)
 
 
 def _recent_contacts(draft: Draft) -> tuple[DomainContact, ...]:
@@ -170,6 +169,8 @@
     is_doubtful = draft.state.counters.digest_mismatches > mismatches
     ask_store = is_doubtful and draft.state.read_failures == 0
     draft.note_head(answer.revision, "" if ask_store else address)
+    if draft.state.revision < answer.revision:
+        draft.update(probed_revision=answer.revision)
     draft.note_head(answer.head_revision)
     if answer.revision == draft.state.revision:
         _compare(draft, probe, answer)
--- a/trefoilpitch/configuration/replication/_state.py
+++ b/trefoilpitch/configuration/replication/_state.py
@@ -158,6 +158,8 @@
     behind_since_ms: int | None = None
     # A peer that has a higher revision; empty if none is known.
     informant: str = ""
+    # The highest revision for which a peer was asked for deltas.
+    probed_revision: int = 0
     # The last time at which no higher revision was the head for certain.
     proven_ms: int | None = None
     # What is known of each failure domain that was heard.
--- a/trefoilpitch/configuration/replication/_store_side.py
+++ b/trefoilpitch/configuration/replication/_store_side.py
@@ -115,12 +115,19 @@
 
 
 def pursue(draft: Draft) -> None:
-    """Asks for a snapshot if deltas do not lead to the highest revision.
+    """Asks for what leads to the highest revision heard of.
 
-    A peer that has the revision is asked first, then the store.
+    A peer that has the revision is asked for deltas, then for its snapshot,
+    then the store for its own.
     """
     state = draft.state
-    if not state.is_behind or draft.now_ms < state.next_pursuit_ms:
+    if not state.is_behind:
+        return
+    if state.informant and state.probed_revision < state.head_revision:
+        draft.update(probed_revision=state.head_revision)
+        draft.probe(state.informant, is_urgent=True)
+        return
+    if draft.now_ms < state.next_pursuit_ms:
         return
     if state.fetch or state.snapshot_read_sent_ms is not None:
         return
--- a/trefoilpitch/configuration/replication/tests/test_step.py
+++ b/trefoilpitch/configuration/replication/tests/test_step.py
@@ -44,6 +44,37 @@
     assert per_second < relays, "only relays read the store"
 
 
+@pytest.mark.parametrize(
+    ("is_relay", "within_ms"), [(True, 100), (False, 1_200)]
+)
+def test_change_is_confirmed_through_any_node(
+    is_relay: bool, within_ms: int
+) -> None:
+    fleet = _signed_fleet(nodes_per_domain=8)
+    name = next(
+        name
+        for name, state in fleet.states.items()
+        if state.links.is_relay is is_relay
+    )
+    fleet.commit(name, vm_out("x")).unwrap()
+    assert not is_confirmed(fleet.states[name], 2)
+    fleet.run(within_ms)
+    assert is_confirmed(fleet.states[name], 2)
+
+
+def test_missed_changes_come_as_deltas_and_not_as_snapshots() -> None:
+    fleet = _signed_fleet(nodes_per_domain=6)
+    snapshots = {n: s.counters.peer_snapshots for n, s in fleet.states.items()}
+    for number in range(20):
+        fleet.commit("a-0", vm_out(f"x-{number}")).unwrap()
+        fleet.run(37)
+    fleet.run(1_000)
+    assert fleet.revisions() == {21}
+    assert snapshots == {
+        n: s.counters.peer_snapshots for n, s in fleet.states.items()
+    }
+
+
 def test_store_down_for_an_hour_stops_nobody() -> None:
     fleet = _signed_fleet(nodes_per_domain=2)
     fleet.store.set_down(True)
