Tell a change to those who are likely to lack it only

A relay that learns a change from the watch told all its links, though their watches tell them as well; one that learns it from a peer told other failure domains, which that peer does itself. Only the node that committed probes faster until the change is confirmed.

--- a/trefoilpitch/configuration/replication/_adopt.py
+++ b/trefoilpitch/configuration/replication/_adopt.py
@@ -14,8 +14,8 @@
 from trefoilpitch.configuration._deltas import Delta, apply_deltas
 from trefoilpitch.configuration._nodes import Configuration
 from trefoilpitch.configuration._plan import trim_deltas
-from trefoilpitch.configuration.replication._draft import Draft
-from trefoilpitch.configuration.replication._events import PutInForce
+from trefoilpitch.configuration.replication._draft import Draft, Source
+from trefoilpitch.configuration.replication._events import PeerNode, PutInForce
 
 
 def adopt_deltas(
@@ -132,7 +132,22 @@
 
 def _spread(draft: Draft) -> None:
     """Probes those who are likely to lack the revision just put in force."""
-    links = draft.state.links
-    targets = links.relays if links.is_relay else links.relays[:1]
-    for node in dict.fromkeys((*targets, *links.clients)):
+    if draft.source is Source.READ:
+        until_ms = draft.now_ms + draft.state.settings.confirmation_ms
+        draft.update(confirming_until_ms=until_ms)
+    for node in (*_relays_to_tell(draft), *draft.state.links.clients):
         draft.probe(node.address, is_urgent=True)
+
+
+def _relays_to_tell(draft: Draft) -> tuple[PeerNode, ...]:
+    links = draft.state.links
+    if draft.source is Source.WATCH:
+        return ()
+    if not links.is_relay:
+        return links.relays[:1]
+    if draft.source is Source.READ:
+        return links.relays
+    own_domain = draft.state.settings.failure_domain
+    return tuple(
+        relay for relay in links.relays if relay.failure_domain == own_domain
+    )
--- a/trefoilpitch/configuration/replication/_draft.py
+++ b/trefoilpitch/configuration/replication/_draft.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import Any, TypeVar
 
 from trefoilpitch.configuration.replication._events import (
@@ -36,17 +37,32 @@
     return copy
 
 
+class Source(enum.Enum):
+    """Where the news of a step comes from; tells who may have it already."""
+
+    # This node's own read or write of the store: nobody else may have it.
+    READ = "read"
+    # The watch: every relay with a watch has it.
+    WATCH = "watch"
+    # A peer, which tells other failure domains itself.
+    PEER = "peer"
+
+
 class Draft:
     """Collects the changes of state and the actions of one step.
 
     Args:
         state: The state before the step.
         now_ms: Monotonic time.
+        source: Where the news of the step comes from.
     """
 
-    def __init__(self, state: ReplicaState, now_ms: int) -> None:
+    def __init__(
+        self, state: ReplicaState, now_ms: int, source: Source
+    ) -> None:
         self._state = state
         self._now_ms = now_ms
+        self._source = source
         self._actions: list[ReplicaAction] = []
 
     @property
@@ -59,6 +75,11 @@
         """Monotonic time."""
         return self._now_ms
 
+    @property
+    def source(self) -> Source:
+        """Where the news of the step comes from."""
+        return self._source
+
     @property
     def actions(self) -> tuple[ReplicaAction, ...]:
         """The actions so far."""
--- a/trefoilpitch/configuration/replication/_peer_side.py
+++ b/trefoilpitch/configuration/replication/_peer_side.py
@@ -86,7 +86,7 @@
     state, settings = draft.state, draft.state.settings
     links = state.links
     interval_ms = settings.probe_interval_ms
-    if links.is_relay or not is_confirmed(state, state.revision):
+    if links.is_relay or _awaits_confirmation(draft):
         interval_ms = settings.relay_probe_interval_ms
     turn = state.probe_turn
     draft.update(next_probe_ms=draft.now_ms + interval_ms, probe_turn=turn + 1)
@@ -98,6 +98,14 @@
         draft.probe(links.neighbour.address)
 
 
+def _awaits_confirmation(draft: Draft) -> bool:
+    """Tells whether this node may have committed the revision in force."""
+    state = draft.state
+    if draft.now_ms >= state.confirming_until_ms:
+        return False
+    return not is_confirmed(state, state.revision)
+
+
 def _expire_probes(draft: Draft) -> None:
     state = draft.state
     oldest_ms = draft.now_ms - state.settings.probe_timeout_ms
--- a/trefoilpitch/configuration/replication/_state.py
+++ b/trefoilpitch/configuration/replication/_state.py
@@ -56,6 +56,9 @@
     freshness_ms: int = 5_000
     # Time for which a higher revision may be known and not in force.
     max_behind_ms: int = 2_000
+    # Time for which a node that may have committed a change probes as often
+    # as a relay, until the change is confirmed.
+    confirmation_ms: int = 3_000
     # Deltas kept for peers.
     max_log_bytes: int = 32_768
     # Largest page of a snapshot.
@@ -183,6 +186,8 @@
     # When the next regular probe is due, and how many there were.
     next_probe_ms: int = 0
     probe_turn: int = 0
+    # Until when the node probes more often for a confirmation.
+    confirming_until_ms: int = 0
     # Which of its relays a node asks, counted up when one does not answer.
     relay_offset: int = 0
     # Probes without an answer.
--- a/trefoilpitch/configuration/replication/_step.py
+++ b/trefoilpitch/configuration/replication/_step.py
@@ -4,7 +4,7 @@
 
 from typing import assert_never
 
-from trefoilpitch.configuration.replication._draft import Draft
+from trefoilpitch.configuration.replication._draft import Draft, Source
 from trefoilpitch.configuration.replication._events import (
     HeadRead,
     HeadReadFailed,
@@ -48,7 +48,7 @@
         event: What happened.
         now_ms: Monotonic time, never less than in an earlier step.
     """
-    draft = Draft(state, now_ms)
+    draft = Draft(state, now_ms, _source_of(event))
     _handle(draft, event)
     prove_by_head(draft)
     pursue(draft)
@@ -57,6 +57,16 @@
     return draft.state, draft.actions
 
 
+def _source_of(event: ReplicaEvent) -> Source:
+    match event:
+        case MessageReceived():
+            return Source.PEER
+        case HeadWatched():
+            return Source.WATCH
+        case _:
+            return Source.READ
+
+
 def _handle(draft: Draft, event: ReplicaEvent) -> None:
     match event:
         case Tick():
