Show in the dump which failure domains a majority is taken of

A daemon that is not told where entry VMs run counts only what it has seen, which is too little if it starts while it is cut off; operators could not see that.

--- a/trefoilpitch/configuration/replication/_freshness.py
+++ b/trefoilpitch/configuration/replication/_freshness.py
@@ -67,7 +67,7 @@
     Only then is a change accepted for good: whoever has not heard of it either
     learns of it within seconds or refuses new work.
     """
-    expected = _expected_domains(state)
+    expected = expected_domains(state)
     confirmed = {
         domain
         for domain in expected
@@ -106,12 +106,13 @@
     The own failure domain counts if another node in it was heard, or if there
     never was another one.
     """
-    expected = _expected_domains(state)
+    expected = expected_domains(state)
     heard = {domain for domain in expected if _is_heard(state, domain, now_ms)}
     return _is_majority(heard, expected)
 
 
-def _expected_domains(state: ReplicaState) -> frozenset[str]:
+def expected_domains(state: ReplicaState) -> frozenset[str]:
+    """Returns the failure domains of which most must be heard."""
     return state.known_domains - state.configuration.failure_domains_out
 
 
--- a/trefoilpitch/configuration/replication/_status.py
+++ b/trefoilpitch/configuration/replication/_status.py
@@ -7,6 +7,7 @@
 
 from trefoilpitch.configuration.replication._freshness import (
     Standing,
+    expected_domains,
     may_accept_changes,
     standing,
 )
@@ -31,6 +32,9 @@
     accepts_changes: bool
     # Age of the proof that the revision was the head; None without one.
     proof_age_ms: int | None
+    # Failure domains of which most must be heard for new work without the
+    # store, and for changes.
+    expected_domains: tuple[str, ...]
     # Failure domains and how long ago they were heard.
     contact_ages_ms: tuple[tuple[str, int], ...]
     # Whether it watches the store.
@@ -51,6 +55,7 @@
         standing=standing(state, now_ms),
         accepts_changes=may_accept_changes(state, now_ms),
         proof_age_ms=proof_age_ms,
+        expected_domains=tuple(sorted(expected_domains(state))),
         contact_ages_ms=tuple(
             (domain, now_ms - state.contacts[domain].heard_ms)
             for domain in sorted(state.contacts)
