Learn from peers which failure domains there are

A node that started again in a failure domain that was alone took it for the only one, if it was not told where entry VMs run, and served on without the store by what its peers there had. Answers now name every failure domain that their sender knows of. Only those in the bundle count, so that a misspelt one can be got rid of. The new test fails without the change.

--- a/trefoilpitch/configuration/replication/_freshness.py
+++ b/trefoilpitch/configuration/replication/_freshness.py
@@ -112,8 +112,15 @@
 
 
 def expected_domains(state: ReplicaState) -> frozenset[str]:
-    """Returns the failure domains of which most must be heard."""
-    return state.known_domains - state.configuration.failure_domains_out
+    """Returns the failure domains of which most must be heard.
+
+    Those that hold daemons, are in service, and stand in the bundle, lest a
+    misspelt one counts for ever.
+    """
+    bundle = state.configuration.bundle
+    expected = state.known_domains - state.configuration.failure_domains_out
+    named = expected.intersection(bundle.failure_domains if bundle else ())
+    return named or expected
 
 
 def _is_majority(some: Set[str], expected: Set[str]) -> bool:
--- a/trefoilpitch/configuration/replication/_messages.py
+++ b/trefoilpitch/configuration/replication/_messages.py
@@ -28,8 +28,9 @@
 
     # The failure domain.
     failure_domain: str
-    # The age of the contact in milliseconds.
-    age_ms: int
+    # The age of the contact in milliseconds; None if there was none, and the
+    # failure domain is only known to exist.
+    age_ms: int | None
     # The highest revision that somebody there was known to have heard of.
     revision: int
 
@@ -50,7 +51,7 @@
     # Age of the sender's proof that its revision was the head; None if it
     # has none.
     proof_age_ms: int | None
-    # Failure domains that the sender has heard, its own among them.
+    # Every failure domain that the sender knows of, its own among them.
     contacts: tuple[DomainContact, ...]
     # Encoded deltas from the probe's revision to the sender's; empty if the
     # sender does not keep them all.
--- a/trefoilpitch/configuration/replication/_peer_side.py
+++ b/trefoilpitch/configuration/replication/_peer_side.py
@@ -134,25 +134,27 @@
         digest=state.digest,
         head_revision=state.known_revision,
         proof_age_ms=proof_age_ms,
-        contacts=_recent_contacts(draft),
+        contacts=_contacts(draft),
         deltas=_encode_deltas_since(draft, probe.revision),
     )
     draft.send(address, answer)
 
 
-def _recent_contacts(draft: Draft) -> tuple[DomainContact, ...]:
-    settings, now_ms = draft.state.settings, draft.now_ms
-    own = Contact(heard_ms=now_ms, revision=draft.state.known_revision)
-    contacts = {**draft.state.contacts, settings.failure_domain: own}
-    return tuple(
-        DomainContact(
-            failure_domain=domain,
-            age_ms=now_ms - contacts[domain].heard_ms,
-            revision=contacts[domain].revision,
+def _contacts(draft: Draft) -> tuple[DomainContact, ...]:
+    state, now_ms = draft.state, draft.now_ms
+    own = Contact(heard_ms=now_ms, revision=state.known_revision)
+    contacts = {**state.contacts, state.settings.failure_domain: own}
+    told: list[DomainContact] = []
+    for domain in sorted(state.known_domains):
+        contact = contacts.get(domain)
+        told.append(
+            DomainContact(
+                failure_domain=domain,
+                age_ms=now_ms - contact.heard_ms if contact else None,
+                revision=contact.revision if contact else 0,
+            )
         )
-        for domain in sorted(contacts)
-        if now_ms - contacts[domain].heard_ms <= settings.freshness_ms
-    )
+    return tuple(told)
 
 
 def _encode_deltas_since(draft: Draft, revision: int) -> tuple[bytes, ...]:
@@ -211,6 +213,8 @@
 ) -> None:
     contacts = dict(draft.state.contacts)
     for told in answer.contacts:
+        if told.age_ms is None:
+            continue
         heard_ms = probe.sent_ms - told.age_ms
         new = Contact(heard_ms=heard_ms, revision=told.revision)
         known = contacts.get(told.failure_domain, new)
@@ -218,7 +222,11 @@
             heard_ms=max(known.heard_ms, new.heard_ms),
             revision=max(known.revision, new.revision),
         )
-    draft.update(contacts=MappingProxyType(contacts))
+    domains = {told.failure_domain for told in answer.contacts}
+    draft.update(
+        contacts=MappingProxyType(contacts),
+        known_domains=draft.state.known_domains | domains,
+    )
 
 
 def _decode_deltas(draft: Draft, encoded: tuple[bytes, ...]) -> list[Delta]:
--- a/trefoilpitch/configuration/replication/_state.py
+++ b/trefoilpitch/configuration/replication/_state.py
@@ -175,7 +175,7 @@
     joined_ms: int | None = None
     # Every other daemon; None before the first membership view.
     peers: tuple[PeerNode, ...] | None = None
-    # Failure domains in which daemons were ever seen.
+    # Failure domains in which this node or its peers ever saw daemons.
     known_domains: frozenset[str] = frozenset()
     # Whether another daemon was ever seen in the own failure domain.
     has_company: bool = False
--- a/trefoilpitch/configuration/replication/tests/fleet.py
+++ b/trefoilpitch/configuration/replication/tests/fleet.py
@@ -67,6 +67,8 @@
         self.store: MemoryStore = memory_store(ManualClock())
         self.states: dict[str, ReplicaState] = {}
         self.in_force: dict[str, list[Configuration]] = {}
+        # Whether daemons are told in which failure domains entry VMs run.
+        self.tells_domains = True
         # Failure domains in the same group reach each other.
         self.groups: list[set[str]] = [set(self.domains)]
         # Nodes that reach nobody.
@@ -85,7 +87,7 @@
                 name=name,
                 failure_domain=node.failure_domain,
                 address=node.address,
-                failure_domains=self.domains,
+                failure_domains=self.domains if self.tells_domains else (),
             )
             self._watches.pop(name, None)
             self.in_force[name] = []
@@ -93,6 +95,14 @@
         for name in self.states:
             self.show_peers(name)
 
+    def start_seeing(self, name: str, *peers: str) -> None:
+        """Starts a node again whose membership view holds a few peers."""
+        self.start(name)
+        seen = tuple(self.nodes[peer] for peer in peers)
+        fresh = create_replica(self.states[name].settings)
+        self.states[name] = fresh
+        self.handle(name, PeersChanged(seen))
+
     def stop(self, name: str) -> None:
         del self.states[name]
         self._watches.pop(name, None)
--- a/trefoilpitch/configuration/replication/tests/test_rules.py
+++ b/trefoilpitch/configuration/replication/tests/test_rules.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from trefoilpitch.configuration import HEAD_KEY
+from trefoilpitch.configuration import HEAD_KEY, SetFailureDomain
 from trefoilpitch.configuration._codec import decode_head, encode_head
 from trefoilpitch.configuration.replication import (
     HeadRead,
@@ -23,6 +23,9 @@
     standing,
     step,
 )
+from trefoilpitch.configuration.replication._freshness import (
+    expected_domains,
+)
 from trefoilpitch.configuration.replication._state import ReplicaState
 from trefoilpitch.configuration.replication.tests.fleet import (
     Fleet,
@@ -105,6 +108,44 @@
     assert fleet.standings()["b-0"] is Standing.BEHIND
 
 
+def test_node_started_in_a_lone_domain_learns_that_there_are_others() -> None:
+    fleet = Fleet("abc", 2)
+    fleet.tells_domains = False
+    fleet.start()
+    fleet.run(2_000)
+    fleet.commit("a-0", sign_off()).unwrap()
+    fleet.run(1_000)
+    fleet.groups = [{"a"}, {"b", "c"}]
+    fleet.storeless = {"a"}
+    fleet.run(8_000)
+    fleet.start_seeing("a-1", "a-0")
+    fleet.run(3_000)
+    assert fleet.states["a-1"].revision == 1
+    assert expected_domains(fleet.states["a-1"]) == frozenset("abc")
+    assert not fleet.standings()["a-1"].admits_new_work
+
+
+def test_failure_domain_that_the_bundle_does_not_name_is_not_counted() -> None:
+    fleet = Fleet(("suva", "nadi", "lautoka"), 2)
+    fleet.start()
+    fleet.run(2_000)
+    fleet.commit("suva-0", sign_off()).unwrap()
+    fleet.run(1_000)
+    state = fleet.states["suva-0"]
+    state = dataclasses.replace(
+        state, known_domains=state.known_domains | {"nady"}
+    )
+    assert expected_domains(state) == {"suva", "nadi", "lautoka"}
+    fleet.states["suva-0"] = state
+    change = SetFailureDomain(
+        change_id="1", author="mere", failure_domain="nadi", in_service=False
+    )
+    fleet.commit("suva-0", change).unwrap()
+    fleet.run(1_000)
+    for state in fleet.states.values():
+        assert expected_domains(state) == {"suva", "lautoka"}
+
+
 def test_diverged_replica_is_repaired_from_the_store() -> None:
     fleet = _signed_fleet()
     state = fleet.states["b-0"]
