Add a follower that keeps a copy of a prefix

Cause: each consumer of a watch has to resume after a cut, skip repeated changes and list again after compaction, and to refuse listings older than its copy.

Ruled out: listing after every cut, which costs a read a node for each outage.

Change: `PrefixFollower` over any store. A stateful test compares it with plain dictionaries; a test with a replica that lags covers what the fake cannot show.

Conclusion: a cut costs no read, and the copy never goes back.

--- a/trefoilpitch/store/__init__.py
+++ b/trefoilpitch/store/__init__.py
@@ -11,6 +11,11 @@
     UnavailableError,
     WatchClosedError,
 )
+from trefoilpitch.store._follower import (
+    PrefixFollower,
+    PrefixView,
+    prefix_follower,
+)
 from trefoilpitch.store._memory import MemoryStore, memory_store
 from trefoilpitch.store._protocols import KeyValueStore, Watch
 from trefoilpitch.store._types import (
@@ -42,6 +47,8 @@
     "MemoryStore",
     "NotAppliedError",
     "OutcomeUnknownError",
+    "PrefixFollower",
+    "PrefixView",
     "StoreCounters",
     "StoreError",
     "UnavailableError",
@@ -51,4 +58,5 @@
     "WatchEvent",
     "etcd_store",
     "memory_store",
+    "prefix_follower",
 ]
