--- a/trefoilpitch/administration/_api.py
+++ b/trefoilpitch/administration/_api.py
@@ -7,15 +7,23 @@
 import hmac
 import threading
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeAlias
 
 import msgspec
 from returns.result import Failure, Result, Success
 
+from trefoilpitch.administration._bills import read_bills
 from trefoilpitch.administration._changes import (
     decode_change_body,
     to_change,
 )
+from trefoilpitch.administration._problems import (
+    busy_problem,
+    commit_problem,
+    conflict_problem,
+    refusal_problem,
+    unknown_vm_problem,
+)
 from trefoilpitch.administration._replies import (
     BundleReply,
     ChangeReply,
@@ -25,23 +33,18 @@
     LedgerReply,
 )
 from trefoilpitch.administration._status import fleet_status
+from trefoilpitch.administration._vm_names import find_unknown_vm
 from trefoilpitch.clock import Clock
 from trefoilpitch.configuration import (
-    ChangeRefusedError,
-    CommitError,
+    Change,
     Committed,
-    CommitUnknownError,
     Configuration,
     ConfigurationWriter,
     HeadReader,
-    RevisionConflictError,
     apply_change,
     describe_delta,
 )
 from trefoilpitch.ledger import (
-    LEDGER_PREFIX,
-    Bill,
-    decode_segment,
     total_by_workspace,
     unite_bills,
 )
@@ -51,7 +54,22 @@
 from trefoilpitch.web import Problem, Request, Response, problem_response
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_STORE_PATIENCE_MS = 1_000
+# Fewer than the server has threads, so that a store that hangs does not
+# keep operators from the status, the dump and the metrics.
+_STORE_REQUESTS = 2
+_MS_PER_S = 1_000
 _STORE_RETRY_MS = 2_000
+_NOT_ACCEPTED = Problem(
+    status=503,
+    code="not-current",
+    title="this VM cannot commit changes now",
+    detail=(
+        "It cannot reach the store, or hears from too few failure domains. "
+        "Nothing was changed. Retry, or ask another VM."
+    ),
+    retry_after_ms=_STORE_RETRY_MS,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,8 +84,10 @@
     writer: ConfigurationWriter
     # Reads the head for the history.
     reader: HeadReader
-    # Called with each commit, so that this node has it at once.
-    on_committed: Callable[[Committed], None]
+    # Returns whether this node may commit changes now.
+    accepts_changes: Callable[[], bool]
+    # Waits until a commit, sent at a time, is confirmed; returns whether so.
+    confirm: Callable[[Committed, int], bool]
     # Holds the bills.
     store: KeyValueStore
     # Returns the process's state.
@@ -78,25 +98,45 @@
     clock: Clock
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Asked:
+    # The change that an operator asks for.
+    change: Change
+    # The revision that it is based on; None for any.
+    expected_revision: int | None
+
+
+_Route: TypeAlias = Callable[[Request], Response]
+
+
 class AdminApi:
     """Authenticates operators and answers their requests.
 
     Args:
         token_sha256: SHA-256 of the administration token, in hexadecimal.
         services: What the API reads and changes.
+        store_patience_ms: How long a request waits for others that use the
+            store.
     """
 
-    def __init__(self, token_sha256: str, services: AdminServices) -> None:
+    def __init__(
+        self,
+        token_sha256: str,
+        services: AdminServices,
+        store_patience_ms: int = _STORE_PATIENCE_MS,
+    ) -> None:
         self._token_sha256 = token_sha256
         self._services = services
+        self._store_patience_ms = store_patience_ms
+        self._store_requests = threading.BoundedSemaphore(_STORE_REQUESTS)
         self._commits = threading.Lock()
-        self._routes: dict[tuple[str, str], Callable[[Request], Response]] = {
+        self._routes: dict[tuple[str, str], _Route] = {
             ("GET", "/v1/status"): self._status,
             ("GET", "/v1/dump"): self._dump,
             ("GET", "/v1/bundle"): self._bundle,
-            ("GET", "/v1/history"): self._history,
-            ("GET", "/v1/ledger"): self._ledger,
-            ("POST", "/v1/changes"): self._change,
+            ("GET", "/v1/history"): self._using_store(self._history),
+            ("GET", "/v1/ledger"): self._using_store(self._ledger),
+            ("POST", "/v1/changes"): self._using_store(self._change),
             ("POST", "/v1/dry-run"): self._dry_run,
             ("GET", "/metrics"): self._metrics,
         }
@@ -118,6 +158,18 @@
             return problem_response(problem)
         return route(request)
 
+    def _using_store(self, route: _Route) -> _Route:
+        def bounded(request: Request) -> Response:
+            patience_s = self._store_patience_ms / _MS_PER_S
+            if not self._store_requests.acquire(timeout=patience_s):
+                return problem_response(busy_problem())
+            try:
+                return route(request)
+            finally:
+                self._store_requests.release()
+
+        return bounded
+
     def _is_operator(self, request: Request) -> bool:
         token = request.bearer_token.encode("utf-8", "surrogatepass")
         digest = hashlib.sha256(token).hexdigest()
@@ -155,7 +207,7 @@
         del request
         read = self._services.reader.read()
         if not isinstance(read, Success):
-            return problem_response(_commit_problem(read.failure()))
+            return problem_response(commit_problem(read.failure()))
         changes = tuple(
             HistoryLine(
                 revision=delta.revision,
@@ -168,54 +220,53 @@
         return _json_response(HistoryReply(changes=changes))
 
     def _ledger(self, request: Request) -> Response:
-        del request
-        read = self._read_bills()
+        read = read_bills(self._services.store)
         if not isinstance(read, Success):
             return problem_response(read.failure())
         bills = unite_bills(read.unwrap())
         totals = total_by_workspace(bills)
+        if request.query.get("totals_only") == "true":
+            bills = ()
         return _json_response(LedgerReply(bills=bills, totals=totals))
 
-    def _read_bills(self) -> Result[list[Bill], Problem]:
-        listed = self._services.store.list_prefix(LEDGER_PREFIX)
-        if not isinstance(listed, Success):
-            return Failure(_store_problem(listed.failure().detail))
-        bills: list[Bill] = []
-        for entry in listed.unwrap().entries:
-            decoded = decode_segment(entry.value)
-            if not isinstance(decoded, Success):
-                title = f"segment {entry.key} is damaged"
-                detail = str(decoded.failure())
-                problem = Problem(
-                    status=500,
-                    code="damaged-segment",
-                    title=title,
-                    detail=detail,
-                )
-                return Failure(problem)
-            bills.extend(decoded.unwrap())
-        return Success(bills)
+    def _read_change(self, request: Request) -> Result[_Asked, Problem]:
+        decoded = decode_change_body(request.body)
+        if not isinstance(decoded, Success):
+            return Failure(decoded.failure())
+        body = decoded.unwrap()
+        unknown = find_unknown_vm(
+            body, self._services.view(), self._services.configuration()
+        )
+        if unknown:
+            return Failure(unknown_vm_problem(unknown))
+        return to_change(body).map(
+            lambda change: _Asked(
+                change=change, expected_revision=body.expected_revision
+            )
+        )
 
     def _change(self, request: Request) -> Response:
-        body = decode_change_body(request.body)
-        if not isinstance(body, Success):
-            return problem_response(body.failure())
-        change = to_change(body.unwrap())
-        if not isinstance(change, Success):
-            return problem_response(change.failure())
+        read = self._read_change(request)
+        if not isinstance(read, Success):
+            return problem_response(read.failure())
+        asked = read.unwrap()
+        if not self._services.accepts_changes():
+            return problem_response(_NOT_ACCEPTED)
+        sent_ms = self._services.clock.now_ms()
         with self._commits:
             committed = self._services.writer.commit(
-                change.unwrap(),
-                expected_revision=body.unwrap().expected_revision,
+                asked.change,
+                expected_revision=asked.expected_revision,
                 known_revision=self._services.configuration().revision,
             )
         if not isinstance(committed, Success):
-            return problem_response(_commit_problem(committed.failure()))
-        self._services.on_committed(committed.unwrap())
+            return problem_response(commit_problem(committed.failure()))
+        done = committed.unwrap()
         return _json_response(
             ChangeReply(
-                revision=committed.unwrap().revision,
-                is_repeated=committed.unwrap().is_repeated,
+                revision=done.revision,
+                is_repeated=done.is_repeated,
+                is_confirmed=self._services.confirm(done, sent_ms),
             )
         )
 
@@ -224,50 +275,21 @@
 
         Asks nothing of the store, so a later revision may decide otherwise.
         """
-        body = decode_change_body(request.body)
-        if not isinstance(body, Success):
-            return problem_response(body.failure())
-        change = to_change(body.unwrap())
-        if not isinstance(change, Success):
-            return problem_response(change.failure())
+        read = self._read_change(request)
+        if not isinstance(read, Success):
+            return problem_response(read.failure())
+        asked = read.unwrap()
         configuration = self._services.configuration()
-        applied = apply_change(configuration, change.unwrap())
+        revision = configuration.revision
+        if asked.expected_revision not in (None, revision):
+            message = f"revision {revision} is in force on this VM"
+            return problem_response(conflict_problem(message))
+        applied = apply_change(configuration, asked.change)
         if not isinstance(applied, Success):
-            return problem_response(_refusal(str(applied.failure())))
-        return _json_response(DryRunReply(revision=configuration.revision))
+            error = applied.failure()
+            return problem_response(refusal_problem(error.refusal, str(error)))
+        return _json_response(DryRunReply(revision=revision))
 
 
 def _json_response(reply: object) -> Response:
     return Response(body=msgspec.json.encode(reply))
-
-
-def _refusal(message: str) -> Problem:
-    return Problem(
-        status=422,
-        code="refused",
-        title=message,
-        detail="Nothing was changed.",
-    )
-
-
-def _commit_problem(error: CommitError) -> Problem:
-    if isinstance(error, RevisionConflictError):
-        status, code, detail = 409, "conflict", "Look at the changes, retry."
-    elif isinstance(error, ChangeRefusedError):
-        return _refusal(str(error))
-    elif isinstance(error, CommitUnknownError):
-        status, code = 504, "outcome-unknown"
-        detail = "Send the change again with the same change_id."
-    else:
-        return _store_problem(str(error))
-    return Problem(status=status, code=code, title=str(error), detail=detail)
-
-
-def _store_problem(detail: str) -> Problem:
-    return Problem(
-        status=503,
-        code="store-unavailable",
-        title="the store cannot be used now",
-        detail=detail,
-        retry_after_ms=_STORE_RETRY_MS,
-    )
--- a/trefoilpitch/coldstart/__init__.py
+++ b/trefoilpitch/coldstart/__init__.py
@@ -33,6 +33,7 @@
     step_holder,
     usable_credits,
 )
+from trefoilpitch.coldstart._host import ColdStartHost
 from trefoilpitch.coldstart._ledger import ramp_bound
 from trefoilpitch.coldstart._messages import (
     PAYLOAD_KINDS,
@@ -50,8 +51,16 @@
 )
 from trefoilpitch.coldstart._rendezvous import choose_gatekeeper, has_quorum
 from trefoilpitch.coldstart._settings import ColdStartSettings
+from trefoilpitch.coldstart._summary import (
+    GatekeeperPhase,
+    GatekeeperSummary,
+    HolderSummary,
+    summarize_gatekeeper,
+    summarize_holder,
+)
 
 __all__ = [
+    "ColdStartHost",
     "ColdStartSettings",
     "create_holder",
     "step_holder",
@@ -83,6 +92,11 @@
     "choose_gatekeeper",
     "has_quorum",
     "ramp_bound",
+    "summarize_gatekeeper",
+    "summarize_holder",
+    "GatekeeperPhase",
+    "GatekeeperSummary",
+    "HolderSummary",
     "PAYLOAD_KINDS",
     "HolderMessage",
     "GatekeeperMessage",
