Hand a gatekeeper's books over, and choose gatekeepers once a view

Cause: a planned change of the gatekeeper left a cold upstream without work for 10 s, as a crash does; and every view made a daemon hash each upstream with each member, 1.4 million pairs at 3,600 upstreams and 390 members. Change: a new gatekeeper asks its predecessor for the credits that are out; it gives them to one heir, within half a credit's validity, if it has stopped granting because of the new one. Choices are made anew only if the roster of members changes, with one hash a name. Ruled out: handing over a mere count; the heir could not release credits when their work ended, and work of 2 s left a gap of 4.95 s.

--- a/tools/measure_coldstart.py
+++ b/tools/measure_coldstart.py
@@ -22,6 +22,7 @@
     Admission,
     AdmissionKind,
     ColdStartHost,
+    ColdStartSettings,
     DemandChanged,
     FleetObserved,
     TimePassed,
@@ -76,7 +77,9 @@
     bound_used: float
     # Most work above the bound at any time; never above 0.
     overload: int
-    # Longest time without new work after a crash of the gatekeeper.
+    # Longest time without new work after the gatekeeper announced its end.
+    leave_gap_ms: int
+    # The same after a crash of the gatekeeper.
     crash_gap_ms: int
 
 
@@ -104,6 +107,7 @@
         self._registry = create_payload_registry(PAYLOAD_KINDS)
         self._running: list[tuple[int, str, Admission]] = []
         self._alive = [f"vm{index}" for index in range(size)]
+        self._leaving: set[str] = set()
         self.hosts: dict[str, ColdStartHost] = {}
         self.transports: dict[str, MemoryTransport] = {}
         self.incarnation = 1
@@ -145,17 +149,16 @@
         for _, name, admission in running:
             self._end(name, admission, WorkOutcome.UNREACHABLE)
 
+    def leave_gatekeeper(self) -> None:
+        """Lets the gatekeeper announce its end; it goes on until then."""
+        self._leaving.add(self._gatekeeper())
+
     def crash_gatekeeper(self) -> None:
         """Ends the gatekeeper; the others notice at once."""
-        chosen = choose_gatekeeper(
-            self._view(self._alive[0]),
-            self._upstream,
-            self.hosts[self._alive[0]].holder.settings,
-        )
-        assert chosen is not None
-        self._alive.remove(chosen.name)
-        self.transports.pop(chosen.name).close()
-        del self.hosts[chosen.name]
+        name = self._gatekeeper()
+        self._alive.remove(name)
+        self.transports.pop(name).close()
+        del self.hosts[name]
 
     def step(self) -> None:
         """Lets one step of time pass."""
@@ -228,6 +231,12 @@
             excess = len(self._running) - bound
             self.overload = max(self.overload, excess)
 
+    def _gatekeeper(self) -> str:
+        view = self._view(self._alive[0])
+        chosen = choose_gatekeeper(view, self._upstream, ColdStartSettings())
+        assert chosen is not None
+        return chosen.name
+
     def _report(self) -> UpstreamReported:
         return UpstreamReported(
             upstream=self._upstream.name,
@@ -239,7 +248,10 @@
     def _view(self, owner: str) -> MembershipView:
         return MembershipView(
             own_name=owner,
-            members=tuple(_create_member(name) for name in self._alive),
+            members=tuple(
+                _create_member(name, is_leaving=name in self._leaving)
+                for name in self._alive
+            ),
             as_of_ms=self.now_ms,
             last_contact_ms=self.now_ms,
             is_settled=True,
@@ -259,8 +271,10 @@
     work = bench.started - started
     messages_per_work = (bench.messages - messages) / work
     bound_used = bench.used_ms / bench.bound_ms
-    bench.restart_engine()
-    _run_until(bench, lambda: bench.successes >= 2)
+    _restart_and_begin_ramp(bench)
+    bench.leave_gatekeeper()
+    leave_gap_ms = _longest_gap(bench, 5_000)
+    _restart_and_begin_ramp(bench)
     bench.crash_gatekeeper()
     return Measurement(
         nodes=size,
@@ -271,6 +285,7 @@
         messages_per_work=round(messages_per_work, 2),
         bound_used=round(bound_used, 2),
         overload=bench.overload,
+        leave_gap_ms=leave_gap_ms,
         crash_gap_ms=_longest_gap(bench, 20_000),
     )
 
@@ -284,6 +299,11 @@
     return bench.now_ms - began_ms
 
 
+def _restart_and_begin_ramp(bench: Bench) -> None:
+    bench.restart_engine()
+    _run_until(bench, lambda: bench.successes >= 2)
+
+
 def _longest_gap(bench: Bench, for_ms: int) -> int:
     longest_ms = 0
     end_ms = bench.now_ms + for_ms
@@ -296,7 +316,7 @@
     return longest_ms
 
 
-def _create_member(name: str) -> Member:
+def _create_member(name: str, *, is_leaving: bool) -> Member:
     return Member(
         name=name,
         incarnation=f"{name}-1",
@@ -304,7 +324,7 @@
         endpoints=Endpoints(
             caller_address=name, admin_address=name, peer_address=name
         ),
-        state=MemberState.ALIVE,
+        state=MemberState.LEAVING if is_leaving else MemberState.ALIVE,
         report=Report(),
         report_ms=0,
     )
--- a/trefoilpitch/coldstart/__init__.py
+++ b/trefoilpitch/coldstart/__init__.py
@@ -8,22 +8,23 @@
     FleetObserved,
     GatekeeperEvent,
     GatekeeperSpoke,
+    HandoverArrived,
     HolderAction,
     HolderEvent,
     HolderSpoke,
+    SendFromGatekeeper,
     SendToGatekeeper,
-    SendToHolder,
     TimePassed,
     UpstreamReported,
     UpstreamsChanged,
     WorkEnded,
     WorkOutcome,
 )
-from trefoilpitch.coldstart._gatekeeper import (
+from trefoilpitch.coldstart._gatekeeper import step_gatekeeper
+from trefoilpitch.coldstart._gatekeeper_state import (
     GatekeeperState,
     create_gatekeeper,
     is_acting,
-    step_gatekeeper,
 )
 from trefoilpitch.coldstart._holder import (
     HolderState,
@@ -44,11 +45,18 @@
     CreditRequest,
     CreditReturn,
     GatekeeperMessage,
+    Handover,
+    HandoverMessage,
+    HandoverRequest,
     HolderMessage,
     Holding,
     WarmNotice,
 )
-from trefoilpitch.coldstart._rendezvous import choose_gatekeeper, has_quorum
+from trefoilpitch.coldstart._rendezvous import (
+    Roster,
+    choose_gatekeeper,
+    create_roster,
+)
 from trefoilpitch.coldstart._settings import ColdStartSettings
 from trefoilpitch.coldstart._summary import (
     GatekeeperPhase,
@@ -83,12 +91,14 @@
     "GatekeeperState",
     "GatekeeperEvent",
     "HolderSpoke",
-    "SendToHolder",
+    "HandoverArrived",
+    "SendFromGatekeeper",
     "FleetObserved",
     "UpstreamsChanged",
     "UpstreamReported",
     "choose_gatekeeper",
-    "has_quorum",
+    "create_roster",
+    "Roster",
     "ramp_bound",
     "summarize_gatekeeper",
     "summarize_holder",
@@ -98,6 +108,9 @@
     "PAYLOAD_KINDS",
     "HolderMessage",
     "GatekeeperMessage",
+    "HandoverMessage",
+    "HandoverRequest",
+    "Handover",
     "CreditRef",
     "CreditRequest",
     "CreditGrant",
--- a/trefoilpitch/coldstart/_events.py
+++ b/trefoilpitch/coldstart/_events.py
@@ -9,6 +9,7 @@
 from trefoilpitch.coldstart._messages import (
     CreditRef,
     GatekeeperMessage,
+    HandoverMessage,
     HolderMessage,
 )
 from trefoilpitch.membership import MembershipView
@@ -58,19 +59,36 @@
     message: HolderMessage
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HandoverArrived:
+    """Another gatekeeper asks for books or hands them over."""
+
+    # The sender's VM name and process incarnation.
+    sender: str
+    incarnation: str
+    # Where to send an answer.
+    address: str
+    # What it sent.
+    message: HandoverMessage
+
+
 GatekeeperEvent = (
-    FleetObserved | UpstreamsChanged | UpstreamReported | HolderSpoke
+    FleetObserved
+    | UpstreamsChanged
+    | UpstreamReported
+    | HolderSpoke
+    | HandoverArrived
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SendToHolder:
-    """Send a message to a holder, without waiting."""
+class SendFromGatekeeper:
+    """Send a message to a holder or another gatekeeper, without waiting."""
 
-    # The holder's peer address.
+    # The recipient's peer address.
     address: str
     # What to send.
-    message: GatekeeperMessage
+    message: GatekeeperMessage | HandoverMessage
 
 
 class AdmissionKind(enum.Enum):
--- a/trefoilpitch/coldstart/_holder.py
+++ b/trefoilpitch/coldstart/_holder.py
@@ -43,7 +43,7 @@
     Holding,
     WarmNotice,
 )
-from trefoilpitch.coldstart._rendezvous import choose_gatekeeper
+from trefoilpitch.coldstart._rendezvous import Roster, create_roster
 from trefoilpitch.coldstart._settings import ColdStartSettings
 from trefoilpitch.coldstart._warmth import (
     current_incarnation,
@@ -53,7 +53,7 @@
     note_latency,
     note_report,
 )
-from trefoilpitch.membership import Member, MembershipView
+from trefoilpitch.membership import Member
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,7 +65,7 @@
     # Every upstream of the bundle, by name.
     upstreams: Mapping[str, Upstream] = dataclasses.field(default_factory=dict)
     # The latest view; ``None`` before the first.
-    view: MembershipView | None = None
+    roster: Roster | None = None
     # Evidence, credits and demand by upstream name.
     accounts: Mapping[str, Account] = dataclasses.field(default_factory=dict)
     # The number of the next request.
@@ -96,7 +96,8 @@
     outcome: Outcome
     match event:
         case FleetObserved(view=view):
-            outcome = dataclasses.replace(state, view=view), ()
+            roster = create_roster(view, state.settings)
+            outcome = dataclasses.replace(state, roster=roster), ()
         case UpstreamsChanged(upstreams=upstreams):
             outcome = _change_upstreams(state, upstreams), ()
         case UpstreamReported():
@@ -331,9 +332,9 @@
 
 def _gatekeeper_of(state: HolderState, name: str) -> Member | None:
     upstream = state.upstreams.get(name)
-    if state.view is None or upstream is None:
+    if state.roster is None or upstream is None:
         return None
-    return choose_gatekeeper(state.view, upstream, state.settings)
+    return state.roster.gatekeeper_of(upstream)
 
 
 def _with_account(
--- a/trefoilpitch/coldstart/_host.py
+++ b/trefoilpitch/coldstart/_host.py
@@ -12,16 +12,17 @@
     FleetObserved,
     GatekeeperEvent,
     GatekeeperSpoke,
+    HandoverArrived,
     HolderEvent,
     HolderSpoke,
     SendToGatekeeper,
     UpstreamReported,
     UpstreamsChanged,
 )
-from trefoilpitch.coldstart._gatekeeper import (
+from trefoilpitch.coldstart._gatekeeper import step_gatekeeper
+from trefoilpitch.coldstart._gatekeeper_state import (
     GatekeeperState,
     create_gatekeeper,
-    step_gatekeeper,
 )
 from trefoilpitch.coldstart._holder import (
     HolderState,
@@ -29,12 +30,17 @@
     create_holder,
     step_holder,
 )
-from trefoilpitch.coldstart._messages import GatekeeperMessage, HolderMessage
+from trefoilpitch.coldstart._messages import (
+    GatekeeperMessage,
+    HandoverMessage,
+    HolderMessage,
+)
 from trefoilpitch.coldstart._settings import ColdStartSettings
 from trefoilpitch.peering import PeerTransport, ReceivedMessage
 
 _HOLDER_TYPES = get_args(HolderMessage)
 _GATEKEEPER_TYPES = get_args(GatekeeperMessage)
+_HANDOVER_TYPES = get_args(HandoverMessage)
 
 
 class ColdStartHost:
@@ -123,6 +129,16 @@
                 GatekeeperSpoke(gatekeeper=message.incarnation, message=payload)
             )
             return True
+        if isinstance(payload, _HANDOVER_TYPES):
+            self._tell_gatekeeper(
+                HandoverArrived(
+                    sender=message.sender,
+                    incarnation=message.incarnation,
+                    address=message.address,
+                    message=payload,
+                )
+            )
+            return True
         return False
 
     def _tell_gatekeeper(self, event: GatekeeperEvent) -> None:
@@ -133,7 +149,9 @@
             self._send(send.address, send.message)
 
     def _send(
-        self, address: str, message: HolderMessage | GatekeeperMessage
+        self,
+        address: str,
+        message: HolderMessage | GatekeeperMessage | HandoverMessage,
     ) -> None:
         identity = self._transport.identity
         if address == identity.address:
--- a/trefoilpitch/coldstart/_ledger.py
+++ b/trefoilpitch/coldstart/_ledger.py
@@ -6,7 +6,12 @@
 from collections.abc import Mapping
 
 from trefoilpitch.bundle import Upstream
-from trefoilpitch.coldstart._messages import UNKNOWN_INCARNATION, Holding
+from trefoilpitch.coldstart._messages import (
+    UNKNOWN_INCARNATION,
+    CreditRef,
+    HandedCredit,
+    Holding,
+)
 from trefoilpitch.coldstart._settings import ColdStartSettings
 
 
@@ -34,6 +39,23 @@
     release_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Parting:
+    """What a gatekeeper left when another member took its place."""
+
+    # When it stopped granting.
+    parted_ms: int
+    # Credits that may be in use or put to use.
+    credits: tuple[HandedCredit, ...]
+    # Pieces of work of still earlier gatekeepers that may be running.
+    inherited: int
+    # How far the ramp had come.
+    incarnation: str
+    successes: int
+    # The incarnation and tenure that it was handed to; only they get it again.
+    heir: tuple[str, int] | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ledger:
     """A gatekeeper's books on one upstream."""
@@ -49,14 +71,16 @@
     report_ms: int | None = None
     # Pieces of work that succeeded since the upstream was last cold.
     successes: int = 0
-    # Credits by number.
-    outstanding: Mapping[int, OutstandingCredit] = dataclasses.field(
+    # Credits of this tenure and those that were handed over.
+    outstanding: Mapping[CreditRef, OutstandingCredit] = dataclasses.field(
         default_factory=dict
     )
     # Work that the ledger doesn't list; ``None`` until it is known.
     inherited: InheritedWork | None = None
     # Peer addresses of holders that were told that the upstream is warm.
     warm_holders: frozenset[str] = frozenset()
+    # Left from the latest tenure, if it ended by a change of the fleet.
+    parting: Parting | None = None
 
 
 def ramp_bound(upstream: Upstream, successes: int) -> int:
@@ -98,6 +122,7 @@
     return dataclasses.replace(
         end_tenure(ledger),
         tenure_ms=now_ms,
+        parting=None,
         void_ms=now_ms + settings.takeover_ms,
     )
 
@@ -114,6 +139,47 @@
     )
 
 
+def part(ledger: Ledger, now_ms: int) -> Ledger:
+    """Ends a tenure because another member became the gatekeeper."""
+    parting = None
+    if ledger.inherited is not None:
+        parting = Parting(
+            parted_ms=now_ms,
+            credits=_hand_over(ledger),
+            inherited=ledger.inherited.count,
+            incarnation=ledger.incarnation,
+            successes=ledger.successes,
+        )
+    return dataclasses.replace(end_tenure(ledger), parting=parting)
+
+
+def take_over(
+    ledger: Ledger,
+    *,
+    handed: Parting,
+    now_ms: int,
+    settings: ColdStartSettings,
+) -> Ledger:
+    """Goes on where the previous gatekeeper stopped."""
+    is_same = handed.incarnation == ledger.incarnation != UNKNOWN_INCARNATION
+    successes = handed.successes
+    release_ms = now_ms + settings.release_ms
+    ledger = dataclasses.replace(
+        ledger,
+        outstanding={
+            credit.credit: OutstandingCredit(
+                holder=credit.holder,
+                sequence=credit.sequence,
+                upstream_incarnation=credit.upstream_incarnation,
+                release_ms=release_ms,
+            )
+            for credit in handed.credits
+        },
+        successes=successes if is_same else 0,
+    )
+    return _inherit(ledger, handed.inherited, release_ms)
+
+
 def take_report(
     ledger: Ledger,
     *,
@@ -130,13 +196,14 @@
     ledger = dataclasses.replace(ledger, report_ms=as_of_ms)
     if ledger.tenure_ms is None:
         return ledger
+    # Earlier, unused credits may still add to what the report shows.
+    if as_of_ms < ledger.void_ms + settings.report_lag_ms:
+        return ledger
     if ledger.inherited is not None:
         fewer = min(ledger.inherited.count, running)
         return _inherit(ledger, fewer, ledger.inherited.release_ms)
-    if as_of_ms >= ledger.void_ms + settings.report_lag_ms:
-        release_ms = ledger.void_ms + settings.max_work_ms
-        return _inherit(ledger, running, release_ms)
-    return ledger
+    release_ms = ledger.void_ms + settings.max_work_ms
+    return _inherit(ledger, running, release_ms)
 
 
 def pass_time(
@@ -159,8 +226,8 @@
     elif now_ms >= ledger.inherited.release_ms and ledger.inherited.count:
         ledger = _inherit(ledger, 0, now_ms)
     kept = {
-        number: credit
-        for number, credit in ledger.outstanding.items()
+        ref: credit
+        for ref, credit in ledger.outstanding.items()
         if now_ms < credit.release_ms
     }
     if len(kept) != len(ledger.outstanding):
@@ -168,30 +235,28 @@
     return ledger
 
 
-def settle(
-    ledger: Ledger, *, issuer: str, holder: str, holding: Holding
-) -> Ledger:
+def settle(ledger: Ledger, *, holder: str, holding: Holding) -> Ledger:
     """Releases credits that a holder says it neither uses nor will use."""
-    held = {ref.number for ref in holding.held if ref.issuer == issuer}
+    held = frozenset(holding.held)
     kept = {
-        number: credit
-        for number, credit in ledger.outstanding.items()
+        ref: credit
+        for ref, credit in ledger.outstanding.items()
         if credit.holder != holder
         or credit.sequence > holding.settled_sequence
-        or number in held
+        or ref in held
     }
     return dataclasses.replace(ledger, outstanding=kept)
 
 
 def give_back(
-    ledger: Ledger, *, number: int, holder: str, is_success: bool
+    ledger: Ledger, *, ref: CreditRef, holder: str, is_success: bool
 ) -> Ledger:
     """Takes a credit back; a success counts towards the ramp."""
-    credit = ledger.outstanding.get(number)
+    credit = ledger.outstanding.get(ref)
     if credit is None or credit.holder != holder:
         return ledger
     kept = dict(ledger.outstanding)
-    del kept[number]
+    del kept[ref]
     counts = (
         is_success
         and credit.upstream_incarnation == ledger.incarnation
@@ -221,10 +286,13 @@
     )
 
 
-def _is_over(inherited: InheritedWork | None, now_ms: int) -> bool:
-    if inherited is None or inherited.count == 0:
-        return False
-    return now_ms >= inherited.release_ms
+def _hand_over(ledger: Ledger) -> tuple[HandedCredit, ...]:
+    return tuple(
+        HandedCredit(
+            ref, credit.holder, credit.sequence, credit.upstream_incarnation
+        )
+        for ref, credit in ledger.outstanding.items()
+    )
 
 
 def _inherit(ledger: Ledger, count: int, release_ms: int) -> Ledger:
@@ -240,8 +308,8 @@
     outstanding = ledger.outstanding
     if incarnation != UNKNOWN_INCARNATION:
         outstanding = {
-            number: credit
-            for number, credit in outstanding.items()
+            ref: credit
+            for ref, credit in outstanding.items()
             if credit.upstream_incarnation in (UNKNOWN_INCARNATION, incarnation)
         }
     return dataclasses.replace(
--- a/trefoilpitch/coldstart/_messages.py
+++ b/trefoilpitch/coldstart/_messages.py
@@ -108,6 +108,50 @@
     upstream_incarnation: str
 
 
+class HandoverRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks the previous gatekeeper of an upstream for its books."""
+
+    # The upstream's name.
+    upstream: str
+    # When the asker's tenure began, on its own clock.
+    tenure_ms: int
+    # When it asked, on its own clock.
+    asked_ms: int
+
+
+class HandedCredit(msgspec.Struct, frozen=True, array_like=True):
+    """A credit that was not given back to the gatekeeper that granted it."""
+
+    # The credit.
+    credit: CreditRef
+    # The holder's process incarnation and its request.
+    holder: str
+    sequence: int
+    # The upstream's incarnation that it is for; empty if unknown.
+    upstream_incarnation: str
+
+
+class Handover(msgspec.Struct, frozen=True, array_like=True):
+    """Says how much work an earlier gatekeeper's credits permit.
+
+    The sender grants no more.
+    """
+
+    # The upstream's name.
+    upstream: str
+    # Copied from the request.
+    tenure_ms: int
+    asked_ms: int
+    # Credits that may be in use or put to use.
+    credits: tuple[HandedCredit, ...]
+    # Pieces of work of still earlier gatekeepers that may be running.
+    inherited: int
+    # How far the ramp has come, and for which incarnation of the upstream.
+    upstream_incarnation: str
+    successes: int
+
+
+HandoverMessage = HandoverRequest | Handover
 HolderMessage = CreditRequest | CreditReturn | Holding | ColdSign
 GatekeeperMessage = CreditGrant | CreditRefusal | WarmNotice | ColdNotice
 
@@ -120,4 +164,6 @@
     PayloadKind("coldstart.holding", Holding),
     PayloadKind("coldstart.cold_sign", ColdSign),
     PayloadKind("coldstart.cold", ColdNotice),
+    PayloadKind("coldstart.handover_request", HandoverRequest),
+    PayloadKind("coldstart.handover", Handover),
 )
--- a/trefoilpitch/coldstart/_rendezvous.py
+++ b/trefoilpitch/coldstart/_rendezvous.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import dataclasses
+import functools
+from collections.abc import Mapping, Sequence
 
 import xxhash
 
@@ -10,62 +12,130 @@
 from trefoilpitch.coldstart._settings import ColdStartSettings
 from trefoilpitch.membership import Member, MembershipView, MemberState
 
+_HASH_MASK = (1 << 64) - 1
+# An odd constant with well spread bits, from the golden ratio.
+_HASH_FACTOR = 0x9E3779B97F4A7C15
+_PRESENT_STATES = (MemberState.ALIVE, MemberState.LEAVING)
 
-def choose_gatekeeper(
-    view: MembershipView, upstream: Upstream, settings: ColdStartSettings
-) -> Member | None:
-    """Returns the eligible member that ranks first for an upstream.
 
-    Members of the upstream's failure domain are considered if there are
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Scope:
+    """The members among whom gatekeepers are chosen."""
+
+    # Members that may be gatekeepers.
+    eligible: tuple[Member, ...]
+    # Members that are alive or leaving.
+    present: tuple[Member, ...]
+    # Whether more than half of the expected members are present.
+    has_quorum: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Roster:
+    """A view, arranged for the choice of gatekeepers.
+
+    Members of the upstream's failure domain are chosen from if there are
     enough of them, so that a region cut off from the others still starts its
     own upstreams; else all members are.
     """
-    scope = _members_in_scope(view, upstream, settings)
-    eligible = [member for member in scope if member.is_eligible]
-    if not eligible:
-        return None
-    return max(eligible, key=lambda member: _score(member.name, upstream.name))
 
+    # The view that the roster was made from.
+    view: MembershipView
+    # Failure domains with enough members of their own.
+    domains: Mapping[str, Scope]
+    # All members.
+    fleet: Scope
+
+    def scope_of(self, upstream: Upstream) -> Scope:
+        """Returns the members to choose an upstream's gatekeeper from."""
+        return self.domains.get(upstream.failure_domain, self.fleet)
+
+    def gatekeeper_of(self, upstream: Upstream) -> Member | None:
+        """Returns the eligible member that ranks first for an upstream."""
+        return _first(self.scope_of(upstream).eligible, upstream)
+
+    def predecessor_of(self, upstream: Upstream) -> Member | None:
+        """Returns the gatekeeper as it would be without the view's owner."""
+        others = [
+            member
+            for member in self.scope_of(upstream).present
+            if member.name != self.view.own_name
+        ]
+        return _first(others, upstream)
+
+    def makes_owner_gatekeeper(self, upstream: Upstream) -> bool:
+        """Tells whether the view's owner is the gatekeeper, with a quorum.
+
+        Of the sides of a partition at most one has a quorum, as long as each
+        side remembers the members of the other.
+        """
+        scope = self.scope_of(upstream)
+        chosen = _first(scope.eligible, upstream)
+        if chosen is None or chosen.name != self.view.own_name:
+            return False
+        return scope.has_quorum
+
+    @functools.cached_property
+    def signature(self) -> tuple[object, ...]:
+        """Compares equal if and only if every choice is the same."""
+        members = tuple(
+            (m.name, m.incarnation, m.state, m.is_confirmed, m.has_departed)
+            for m in self.view.members
+        )
+        return (*members, self.view.is_settled, self.view.unmet_seeds)
+
+
+def create_roster(view: MembershipView, settings: ColdStartSettings) -> Roster:
+    """Arranges a view for the choice of gatekeepers."""
+    known = [member for member in view.members if not member.has_departed]
+    by_domain: dict[str, list[Member]] = {}
+    for member in known:
+        by_domain.setdefault(member.failure_domain, []).append(member)
+    return Roster(
+        view=view,
+        domains={
+            domain: _create_scope(members, len(members))
+            for domain, members in by_domain.items()
+            if len(members) >= settings.min_scope
+        },
+        # VMs that are listed but were never met count as missing.
+        fleet=_create_scope(known, len(known) + view.unmet_seeds),
+    )
 
-def has_quorum(
-    view: MembershipView, upstream: Upstream, settings: ColdStartSettings
-) -> bool:
-    """Tells whether the view shows more than half of the scope.
 
-    Of the sides of a partition at most one passes, as long as each side still
-    remembers the members of the other. Members that announced their end don't
-    count; VMs that are listed but were never met count as missing.
-    """
-    scope = _members_in_scope(view, upstream, settings)
-    present = sum(1 for member in scope if _is_present(member))
-    expected = len(scope)
-    if _is_whole_fleet(view, scope):
-        expected += view.unmet_seeds
-    return 2 * present > expected
+def choose_gatekeeper(
+    view: MembershipView, upstream: Upstream, settings: ColdStartSettings
+) -> Member | None:
+    """Returns an upstream's gatekeeper according to a view."""
+    return create_roster(view, settings).gatekeeper_of(upstream)
 
 
-def _members_in_scope(
-    view: MembershipView, upstream: Upstream, settings: ColdStartSettings
-) -> Sequence[Member]:
-    known = [member for member in view.members if not member.has_departed]
-    near = [
+def _create_scope(members: Sequence[Member], expected: int) -> Scope:
+    present = tuple(
         member
-        for member in known
-        if member.failure_domain == upstream.failure_domain
-    ]
-    return near if len(near) >= settings.min_scope else known
+        for member in members
+        if member.is_confirmed and member.state in _PRESENT_STATES
+    )
+    return Scope(
+        eligible=tuple(m for m in members if m.is_eligible),
+        present=present,
+        has_quorum=2 * len(present) > expected,
+    )
 
 
-def _is_whole_fleet(view: MembershipView, scope: Sequence[Member]) -> bool:
-    known = sum(1 for member in view.members if not member.has_departed)
-    return len(scope) == known
+def _first(members: Sequence[Member], upstream: Upstream) -> Member | None:
+    upstream_hash = _hash(upstream.name)
 
+    def score(member: Member) -> int:
+        mixed = (upstream_hash ^ _hash(member.name)) * _HASH_FACTOR
+        mixed &= _HASH_MASK
+        # The high bits depend on all of the product.
+        return (mixed ^ mixed >> 32) * _HASH_FACTOR & _HASH_MASK
 
-def _is_present(member: Member) -> bool:
-    states = (MemberState.ALIVE, MemberState.LEAVING)
-    return member.is_confirmed and member.state in states
+    return max(members, key=score, default=None)
 
 
-def _score(member: str, upstream: str) -> int:
-    score: int = xxhash.xxh64_intdigest(f"{upstream}/{member}".encode())
-    return score
+@functools.lru_cache(maxsize=16_384)
+def _hash(name: str) -> int:
+    digest: int = xxhash.xxh64_intdigest(name.encode())
+    return digest
--- a/trefoilpitch/coldstart/_settings.py
+++ b/trefoilpitch/coldstart/_settings.py
@@ -46,6 +46,15 @@
         """Time until credits of an earlier gatekeeper can't be used."""
         return self.view_lag_ms + self.validity_ms + self.margin_ms
 
+    @property
+    def handover_ms(self) -> int:
+        """How old each half of a handover may be.
+
+        Both together stay below the time in which nobody else can have become
+        the gatekeeper.
+        """
+        return self.validity_ms // 2
+
     @property
     def release_ms(self) -> int:
         """Time from a grant until its work can't be running any more."""
--- a/trefoilpitch/coldstart/_summary.py
+++ b/trefoilpitch/coldstart/_summary.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from trefoilpitch.coldstart._gatekeeper import GatekeeperState, is_acting
+from trefoilpitch.coldstart._gatekeeper_state import GatekeeperState, is_acting
 from trefoilpitch.coldstart._holder import HolderState, is_cold
 from trefoilpitch.coldstart._ledger import (
     Ledger,
--- a/trefoilpitch/coldstart/tests/test_defects.py
+++ b/trefoilpitch/coldstart/tests/test_defects.py
@@ -12,9 +12,12 @@
 from trefoilpitch.coldstart import (
     _account,
     _gatekeeper,
+    _gatekeeper_state,
+    _handover,
     _holder,
     _ledger,
     _rendezvous,
+    _tenure,
     _warmth,
     choose_gatekeeper,
 )
@@ -28,7 +31,17 @@
 from trefoilpitch.membership import MembershipView, MemberState
 from trefoilpitch.peering import Link, LinkFaults
 
-MODULES = (_account, _gatekeeper, _holder, _ledger, _rendezvous, _warmth)
+MODULES = (
+    _account,
+    _gatekeeper,
+    _gatekeeper_state,
+    _handover,
+    _holder,
+    _ledger,
+    _rendezvous,
+    _tenure,
+    _warmth,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,7 +163,8 @@
     world = create_world()
     first, second, third, _ = ranking()
     world.processes[third].lag_ms = 0
-    world.pause(first, 3_010, is_noticed=True)
+    # It wakes so that it hears a holder before it takes its next view.
+    world.pause(first, 3_030, is_noticed=True)
     world.run(2_000)
     world.want(second, 8)
     world.run(1_000)
@@ -247,6 +261,35 @@
     return world
 
 
+def leaves_under_load() -> World:
+    """A gatekeeper hands over while work of its credits is running."""
+    world = create_world()
+    first, second, third, _ = ranking()
+    world.want(third, 8)
+    world.run(200)
+    world.processes[third].waiting = 0
+    world.want(second, 8)
+    world.leave(first)
+    world.run(800)
+    return world
+
+
+def leaves_with_credits_held() -> World:
+    """A gatekeeper hands over while its credits are not used yet."""
+    world = create_world()
+    first, second, third, _ = ranking()
+    world.want(second, 8)
+    world.run(60)
+    world.processes[third].pause_work = True
+    world.want(third, 8)
+    world.run(60)
+    world.leave(first)
+    world.run(740)
+    world.processes[third].pause_work = False
+    world.run(100)
+    return world
+
+
 TAKEOVER = Defect(
     _ledger, "begin_tenure", "now_ms + settings.takeover_ms", "now_ms"
 )
@@ -257,7 +300,7 @@
     _account, "_is_usable", "now_ms >= credit.expires_ms", "False"
 )
 STALE_VIEW = Defect(
-    _gatekeeper,
+    _gatekeeper_state,
     "is_acting",
     "age_ms <= state.settings.view_age_limit_ms",
     "True",
@@ -268,8 +311,10 @@
     "state.settings.release_ms",
     "state.settings.validity_ms",
 )
-HELD_IGNORED = Defect(_ledger, "settle", "or number in held", "or False")
-NO_QUORUM = Defect(_rendezvous, "has_quorum", "2 * present > expected", "True")
+HELD_IGNORED = Defect(_ledger, "settle", "or ref in held", "or False")
+NO_QUORUM = Defect(
+    _rendezvous, "_create_scope", "2 * len(present) > expected", "True"
+)
 REPORT_AGE_IGNORED = Defect(
     _warmth,
     "current_incarnation",
@@ -292,6 +337,16 @@
     "return _inherit(ledger, 0, release_ms)",
 )
 
+HANDED_OVER_IGNORED = Defect(
+    _ledger,
+    "part",
+    "credits=_hand_over(ledger)",
+    "credits=()",
+)
+HANDED_OVER_RELEASED = Defect(
+    _ledger, "take_over", "now_ms + settings.release_ms", "now_ms"
+)
+
 CASES: list[tuple[Callable[[], World], Defect]] = [
     (crash_with_grant_under_way, TAKEOVER),
     (grant_that_arrives_late, EXPIRY_FROM_RECEIPT),
@@ -304,6 +359,8 @@
     (engine_restarts_with_credits_held, ANY_INCARNATION),
     (ramped_engine_restarts, RAMP_KEPT),
     (gatekeeper_crashes_under_load, INHERITED_IGNORED),
+    (leaves_under_load, HANDED_OVER_IGNORED),
+    (leaves_with_credits_held, HANDED_OVER_RELEASED),
 ]
 
 
--- a/trefoilpitch/coldstart/tests/test_overload.py
+++ b/trefoilpitch/coldstart/tests/test_overload.py
@@ -9,7 +9,12 @@
     rule,
 )
 
-from trefoilpitch.coldstart.tests.world import WARM_SUCCESSES, World
+from trefoilpitch.coldstart import is_acting
+from trefoilpitch.coldstart.tests.world import (
+    SETTINGS,
+    WARM_SUCCESSES,
+    World,
+)
 from trefoilpitch.peering import LinkFaults
 
 VM = st.integers(0, 3).map(lambda index: f"vm{index}")
@@ -44,6 +49,11 @@
     def crash(self, name: str) -> None:
         self.world.crash(name)
 
+    @rule(name=VM)
+    def leave(self, name: str) -> None:
+        if name in self.world.processes:
+            self.world.leave(name)
+
     @rule(name=VM, for_ms=TIME_MS, is_noticed=st.booleans())
     def pause(self, name: str, for_ms: int, is_noticed: bool) -> None:
         if name in self.world.processes:
@@ -99,6 +109,27 @@
     assert [p.waiting for p in world.processes.values()] == [0, 0, 0, 0]
 
 
+def test_planned_change_of_the_gatekeeper_leaves_no_long_gap() -> None:
+    world = World(seed=3)
+    world.durations_ms = (200,)
+    world.run(3_000)
+    for process in world.processes.values():
+        process.lag_ms = 200
+    gatekeeper = next(
+        process.name
+        for process in world.processes.values()
+        if is_acting(process.host.gatekeeper, "u", world.now_ms)
+    )
+    others = [name for name in world.names() if name != gatekeeper]
+    for name in others:
+        world.want(name, 2)
+    world.run(200)
+    before = world.engine.successes
+    world.leave(gatekeeper)
+    world.run(SETTINGS.takeover_ms // 2)
+    assert world.engine.successes > before + 2
+
+
 def test_upstream_is_served_again_after_its_gatekeeper_crashed() -> None:
     world = World(seed=3)
     world.durations_ms = (40,)
--- a/trefoilpitch/coldstart/tests/world.py
+++ b/trefoilpitch/coldstart/tests/world.py
@@ -208,6 +208,7 @@
         self.engine = Engine()
         self.processes: dict[str, Process] = {}
         self.noticed_paused: set[str] = set()
+        self.leaving: set[str] = set()
         self.sides: dict[str, int] = {}
         self.report_loss = 0.0
         self.durations_ms: tuple[int, ...] = (40, 200, SETTINGS.max_work_ms)
@@ -234,9 +235,15 @@
             process.is_alive = False
             process.transport.close()
         self.noticed_paused.discard(name)
+        self.leaving.discard(name)
         if is_noticed:
             self.fleet_changed()
 
+    def leave(self, name: str) -> None:
+        """Begins a graceful shutdown; the process runs on."""
+        self.leaving.add(name)
+        self.fleet_changed()
+
     def pause(self, name: str, for_ms: int, *, is_noticed: bool) -> None:
         self.processes[name].paused_until_ms = self.now_ms + for_ms
         if is_noticed:
@@ -296,7 +303,10 @@
         is_seen = name not in self.noticed_paused or name == observer.name
         if process is None or not near or not is_seen:
             return create_member(name, "", MemberState.GONE)
-        return create_member(name, process.incarnation, MemberState.ALIVE)
+        state = MemberState.ALIVE
+        if name in self.leaving:
+            state = MemberState.LEAVING
+        return create_member(name, process.incarnation, state)
 
     def _step(self) -> None:
         self._finish_work()
--- a/trefoilpitch/membership/_state.py
+++ b/trefoilpitch/membership/_state.py
@@ -50,7 +50,7 @@
     # Changed records in one message.
     max_records: int = 16
     # Reports of other members in one heartbeat.
-    max_reports: int = 16
+    max_reports: int = 32
     # Records in one page of a fetched table.
     page_records: int = 32
 
