Follow prefix caches from late events with gaps

Change: an index of prompt prefixes by upstream, fed by cache events and by this node's own prompts, bounded in memory; a gap or a restart drops what is believed of an upstream, because a missed eviction cannot be told from a stored prefix.

--- a/trefoilpitch/routing/__init__.py
+++ b/trefoilpitch/routing/__init__.py
@@ -24,6 +24,11 @@
     Target,
     UpstreamState,
 )
+from trefoilpitch.routing._prefix import (
+    CacheEvent,
+    PrefixIndex,
+    prefix_blocks,
+)
 from trefoilpitch.routing._subset import followed_upstreams
 from trefoilpitch.routing._table import (
     RoutingTable,
@@ -39,12 +44,14 @@
 
 __all__ = [
     "BalanceSettings",
+    "CacheEvent",
     "Confirmed",
     "Decision",
     "LoadReport",
     "NoEligibleUpstreamError",
     "NoEligibleVersionError",
     "PinnedVersionWithdrawnError",
+    "PrefixIndex",
     "RevisionReason",
     "Revised",
     "RoutingError",
@@ -61,6 +68,7 @@
     "eligible_versions",
     "followed_upstreams",
     "parse_version",
+    "prefix_blocks",
     "rollout_weight",
     "routing_table",
     "utilisation",
