Learn from what other nodes hear, and never run what is never accepted

Cause: a search option accepted no cheap answer at all and escalated each of them; it was taken when no option reached the raised target, at a cost above the dear version's. Drops in quality were noticed only in a node's own ratings, of which it sees few in a large fleet, and each merge of another node's counts threw all plans away. A node whose clock was far ahead could have made every other node's past fade.

--- a/trefoilpitch/cascade/__init__.py
+++ b/trefoilpitch/cascade/__init__.py
@@ -12,7 +12,8 @@
     Target,
     Verdict,
 )
-from trefoilpitch.cascade._policy import CascadePolicy, CascadeSettings
+from trefoilpitch.cascade._policy import CascadePolicy
+from trefoilpitch.cascade._settings import CascadeSettings
 
 __all__ = [
     "AnswerKey",
--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -65,6 +65,19 @@
     entries: tuple[KeyCounts, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Growth:
+    """Ratings in one bin that a snapshot brought."""
+
+    # The kind of answer.
+    key: AnswerKey
+    # Counts of the bin without them.
+    earlier: BinCounts
+    # Good and bad ratings that are new.
+    good: int
+    bad: int
+
+
 class CountsTable:
     """Sums the counts of all nodes, the newer epochs weighing more.
 
@@ -74,17 +87,23 @@
 
     Args:
         incarnation: Names this node's own counts.
+        epoch: The present epoch.
         decay: Weight of an epoch relative to the one that follows it.
         kept_epochs: Epochs whose counts are still told apart by node.
     """
 
     def __init__(
-        self, incarnation: str, decay: float = 0.97, kept_epochs: int = 3
+        self,
+        incarnation: str,
+        *,
+        epoch: int = 0,
+        decay: float = 0.97,
+        kept_epochs: int = 3,
     ) -> None:
         self._incarnation = incarnation
         self._decay = decay
         self._kept_epochs = kept_epochs
-        self._epoch = 0
+        self._epoch = epoch
         self._by_node: dict[str, dict[tuple[int, AnswerKey], list[int]]] = {
             incarnation: {}
         }
@@ -158,27 +177,49 @@
         )
         return CountsSnapshot(incarnation=self._incarnation, entries=entries)
 
-    def merge(self, snapshot: CountsSnapshot) -> None:
-        """Takes in another node's counts; idempotent."""
+    def merge(self, snapshot: CountsSnapshot) -> tuple[Growth, ...]:
+        """Takes in another node's counts; idempotent.
+
+        Entries of epochs that are past keeping, or more than one ahead of
+        this node's clock, are left out.
+
+        Returns:
+            The ratings that were new.
+        """
         if snapshot.incarnation == self._incarnation:
-            return
+            return ()
         table = self._by_node.setdefault(snapshot.incarnation, {})
+        growth: list[Growth] = []
         for entry in snapshot.entries:
             age = self._epoch - entry.epoch
-            if age >= self._kept_epochs or len(entry.counts) != _ROW_LENGTH:
+            if not -1 <= age < self._kept_epochs:
+                continue
+            if len(entry.counts) != _ROW_LENGTH:
                 continue
-            weight = self._decay ** max(age, 0)
             known = table.setdefault((entry.epoch, entry.key), _empty_row())
-            self._take_growth(entry, known, weight)
+            growth += self._take_growth(
+                entry, known, self._decay ** max(age, 0)
+            )
+        return tuple(growth)
 
     def _take_growth(
         self, entry: KeyCounts, known: list[int], weight: float
-    ) -> None:
+    ) -> Iterator[Growth]:
         sums = self._sums.setdefault(entry.key, [0.0] * _ROW_LENGTH)
-        for index, value in enumerate(entry.counts):
-            if value > known[index]:
-                sums[index] += weight * (value - known[index])
-                known[index] = value
+        for position in range(BIN_COUNT):
+            start = position * _COLUMNS
+            earlier = BinCounts(*sums[start : start + _COLUMNS])
+            grown = [0] * _COLUMNS
+            for column in range(_COLUMNS):
+                index = start + column
+                grown[column] = max(entry.counts[index] - known[index], 0)
+                known[index] += grown[column]
+                sums[index] += weight * grown[column]
+            if grown[_RATINGS]:
+                bad = max(grown[_RATINGS] - grown[_GOOD], 0)
+                yield Growth(
+                    key=entry.key, earlier=earlier, good=grown[_GOOD], bad=bad
+                )
 
     def _add_own(self, key: AnswerKey, position: int, column: int) -> None:
         own = self._by_node[self._incarnation]
--- a/trefoilpitch/cascade/_drift.py
+++ b/trefoilpitch/cascade/_drift.py
@@ -37,13 +37,16 @@
         self._settings = settings
         self._sums: dict[AnswerKey, float] = {}
 
-    def observe(self, key: AnswerKey, earlier: BinCounts, good: bool) -> bool:
-        """Takes in a rating; returns whether the drop is now certain.
+    def observe(
+        self, key: AnswerKey, earlier: BinCounts, good: int, bad: int
+    ) -> bool:
+        """Takes in ratings; returns whether the drop is now certain.
 
         Args:
             key: The kind of answer.
-            earlier: Counts of its bin without the rating.
-            good: The rating.
+            earlier: Counts of its bin without the ratings.
+            good: Good ratings.
+            bad: Bad ratings.
         """
         if earlier.ratings < _MIN_RATINGS:
             return False
@@ -51,8 +54,9 @@
         dropped = max(expected - self._settings.drop, _FLOOR)
         if dropped >= expected:
             return False
-        ratio = dropped / expected if good else (1 - dropped) / (1 - expected)
-        total = max(self._sums.get(key, 0.0) + math.log(ratio), 0.0)
+        ratio = good * math.log(dropped / expected)
+        ratio += bad * math.log((1.0 - dropped) / (1.0 - expected))
+        total = max(self._sums.get(key, 0.0) + ratio, 0.0)
         alarm = total >= self._settings.threshold
         self._sums[key] = 0.0 if alarm else total
         return alarm
--- a/trefoilpitch/cascade/_search.py
+++ b/trefoilpitch/cascade/_search.py
@@ -112,7 +112,7 @@
         factor: Standard deviations below the mean of the lower bound.
     """
     options = []
-    for accept_from in range(1, BIN_COUNT + 1):
+    for accept_from in range(1, BIN_COUNT):
         used = (*second[:accept_from], *first[accept_from:])
         shares = [one.share for one in first]
         terms = list(zip(shares, used, strict=True))
@@ -135,11 +135,12 @@
 def cheapest_safe(options: Sequence[Option], target: float) -> Blend:
     """Returns the cheapest blend whose lower bound meets the target.
 
-    When no option meets it, the one with the highest lower bound.
+    When no option meets it, the one version with the highest lower bound.
     """
     safe = [option for option in options if option.lower_bound >= target]
     if not safe:
-        return only(max(options, key=lambda option: option.lower_bound))
+        directs = [option for option in options if option.second is None]
+        return only(max(directs, key=lambda option: option.lower_bound))
     simple = only(min(safe, key=lambda option: option.cost_nano))
     best = simple
     unsafe = [option for option in options if option.lower_bound < target]
--- a/trefoilpitch/cascade/tests/test_policy.py
+++ b/trefoilpitch/cascade/tests/test_policy.py
@@ -140,3 +140,32 @@
     ]
     assert plans[1].steps == plans[2].steps
     assert len(plans[1].steps) == 2
+
+
+def test_a_node_that_only_hears_of_ratings_notices_a_bad_version() -> None:
+    source, hearer = _World(CascadePolicy("a")), CascadePolicy("b")
+
+    def hear(requests: int) -> int:
+        for _ in range(requests // 100):
+            for _ in range(100):
+                source.request()
+            hearer.merge(source.policy.snapshot())
+        plan = hearer.plan(
+            "parish", "tag", _candidates(), TARGET, random.Random(2)
+        )
+        return len(plan.steps)
+
+    assert hear(6_000) == 2
+    source.bad_version = True
+    assert hear(1_500) == 1
+
+
+def test_counts_of_a_clock_that_is_far_ahead_are_left_out() -> None:
+    ahead = _World(CascadePolicy("a", epoch=50))
+    for _ in range(2_000):
+        ahead.request()
+    policy = CascadePolicy("b", epoch=10)
+    policy.merge(ahead.policy.snapshot())
+    assert policy.epoch == 10
+    plan = policy.plan("parish", "tag", _candidates(), TARGET, random.Random(2))
+    assert [step.version for step in plan.steps] == [DEAR]
