Say why no daemon could be reached, and heed unconfirmed changes

Cause: a refused connection was told as one that timed out, since urllib3 derives the one from the other. A change that most failure domains have not heard of is not final, and was reported as done.

--- a/trefoilpitch/administration/_replies.py
+++ b/trefoilpitch/administration/_replies.py
@@ -58,6 +58,8 @@
     revision: int
     # Whether an earlier request with the same change id made it.
     is_repeated: bool
+    # Whether most failure domains have heard of it; only then is it final.
+    is_confirmed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/cli/_change.py
+++ b/trefoilpitch/cli/_change.py
@@ -92,9 +92,14 @@
     reply = _post(context, encoded)
     repeated = " (already accepted before)" if reply.is_repeated else ""
     console.show(f"{what}: revision {reply.revision}{repeated}")
-    console.record(revision=reply.revision, is_repeated=reply.is_repeated)
+    console.record(**msgspec.to_builtins(reply))
     if context.settings.wait:
         _wait(context, reply.revision)
+    elif not reply.is_confirmed:
+        raise outcome_unknown(
+            f"the store has revision {reply.revision}, but most failure "
+            "domains have not confirmed it in time"
+        )
     return ExitStatus.DONE
 
 
--- a/trefoilpitch/cli/_client.py
+++ b/trefoilpitch/cli/_client.py
@@ -161,15 +161,21 @@
 
 
 def _describe(error: urllib3.exceptions.HTTPError) -> str:
-    if isinstance(error, urllib3.exceptions.ConnectTimeoutError):
-        return "no connection in time"
-    if isinstance(error, urllib3.exceptions.NewConnectionError):
-        return "no connection"
-    if isinstance(error, urllib3.exceptions.ReadTimeoutError):
-        return "no reply in time"
+    for kind, words in _WORDS.items():
+        if isinstance(error, kind):
+            return words
     return f"broken connection ({type(error).__name__})"
 
 
+# The first that fits counts: a refused connection is a kind of timeout too.
+_WORDS: dict[type[urllib3.exceptions.HTTPError], str] = {
+    urllib3.exceptions.NameResolutionError: "the name is not known",
+    urllib3.exceptions.NewConnectionError: "nothing listens there",
+    urllib3.exceptions.ConnectTimeoutError: "no connection in time",
+    urllib3.exceptions.ReadTimeoutError: "no reply in time",
+}
+
+
 def _read_problem(status: int, body: bytes) -> ProblemReply:
     try:
         problem = msgspec.json.decode(body, type=ProblemReply)
--- a/trefoilpitch/cli/tests/test_change.py
+++ b/trefoilpitch/cli/tests/test_change.py
@@ -21,6 +21,7 @@
         "change_id": "c-1",
         "revision": 2,
         "is_repeated": True,
+        "is_confirmed": True,
     }
     other = operator.run("vm", "out", "entry-1", "--change_id=c-1")
     assert other.status is ExitStatus.REFUSED
--- a/trefoilpitch/cli/tests/test_client.py
+++ b/trefoilpitch/cli/tests/test_client.py
@@ -132,3 +132,16 @@
         assert error.problem is not None
         assert error.problem.code == "no-effect"
         assert two.bodies == []
+
+
+@pytest.mark.parametrize(
+    ("reply", "expected"),
+    [(HANGS, "no reply in time"), (CUT, "broken connection")],
+)
+def test_attempts_say_what_happened(reply: bytes | None, expected: str) -> None:
+    free = _free_url()
+    with _daemon(reply) as daemon:
+        client = HttpDaemonClient((free, daemon.url), "t", _TIMEOUT_MS)
+        error = client.post("/v1/changes", b"change").failure()
+    assert error.attempts[0] == f"{free}/v1/changes: nothing listens there"
+    assert expected in error.attempts[1]
