--- a/trefoilpitch/administration/tests/fleet.py
+++ b/trefoilpitch/administration/tests/fleet.py
@@ -47,7 +47,8 @@
             configuration=lambda: self.configuration,
             writer=configuration_writer(self.store),
             reader=HeadReader(self.store),
-            on_committed=self._on_committed,
+            accepts_changes=lambda: True,
+            confirm=self._confirm,
             store=self.store,
             dump=lambda: {"phase": "serving"},
             metrics=Metrics(),
@@ -77,10 +78,11 @@
         self.configuration = self._reader.materialize(head).unwrap()
         self.reported = dict.fromkeys(_NAMES, self.configuration.revision)
 
-    def _on_committed(self, committed: Committed) -> None:
-        del committed
+    def _confirm(self, committed: Committed, sent_ms: int) -> bool:
+        del committed, sent_ms
         if self.follows:
             self.catch_up()
+        return self.follows
 
     def _view(self) -> MembershipView:
         return MembershipView(
--- a/trefoilpitch/standins/_engine_handler.py
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -22,14 +22,15 @@
 
 import msgspec
 
-from trefoilpitch.standins._engine_nodes import Answer
+from trefoilpitch.bundle import Priority
+from trefoilpitch.standins._engine_nodes import Answer, Prompt
 from trefoilpitch.standins._engine_state import (
     EngineState,
-    Prompt,
     RefusalError,
 )
 from trefoilpitch.standins._faults import Fault, FaultPlan
 from trefoilpitch.standins._http_server import Handler
+from trefoilpitch.standins._settings import change_settings
 from trefoilpitch.standins._stream_writer import (
     STREAM_FAULTS,
     StreamWriter,
@@ -40,6 +41,7 @@
 _NOT_RUN = {"Not-Run": "true"}
 _DEFAULT_MAX_TOKENS = 4096
 _MS_PER_S = 1000
+FAULT_KINDS = ("slow_headers", "refuse", "refuse_resume", *STREAM_FAULTS)
 
 
 class _Message(msgspec.Struct, frozen=True):
@@ -98,7 +100,7 @@
             return
         try:
             route()
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError) as error:
             self.reply_json({"error": str(error)}, status=400)
 
     def _complete(self) -> None:
@@ -112,6 +114,7 @@
             text="\n".join(message.content for message in body.messages),
             prefix=prompt_prefix_hash(body.messages[0].content),
             max_tokens=body.max_tokens,
+            rank=self._rank(),
         )
         try:
             answer = self.state.admit(prompt)
@@ -123,6 +126,12 @@
             return
         self._stream(answer, 0)
 
+    def _rank(self) -> int:
+        try:
+            return Priority(self.headers.get("Priority")).rank
+        except ValueError:
+            return Priority.STANDARD.rank
+
     def _resume(self, request_id: str) -> None:
         self._delay()
         if self._refuse_on_command("refuse_resume"):
@@ -185,12 +194,7 @@
         self.reply_json({})
 
     def _change_settings(self) -> None:
-        changes = self.read_json(dict)
-        settings = self.state.settings
-        merged = {**msgspec.to_builtins(settings), **changes}
-        checked = msgspec.convert(merged, type=type(settings))
-        for name in changes:
-            setattr(settings, name, getattr(checked, name))
+        change_settings(self.state.settings, self.read_json(dict))
         self.reply_json({})
 
     def _restart(self) -> None:
