Claim nothing about an earlier try when its repeat reaches nobody

Cause: a repeat of a change whose outcome is unknown was answered with 'nothing was changed' while no daemon could commit, which is true of the repeat only.

--- a/trefoilpitch/administration/tests/fleet.py
+++ b/trefoilpitch/administration/tests/fleet.py
@@ -41,13 +41,15 @@
         self.states = dict.fromkeys(_NAMES, MemberState.ALIVE)
         # Whether the other nodes report each commit at once.
         self.follows = True
+        # Whether the answering node may commit changes.
+        self.accepts_changes = True
         self._reader = HeadReader(self.store)
         services = AdminServices(
             view=self._view,
             configuration=lambda: self.configuration,
             writer=configuration_writer(self.store),
             reader=HeadReader(self.store),
-            accepts_changes=lambda: True,
+            accepts_changes=lambda: self.accepts_changes,
             confirm=self._confirm,
             store=self.store,
             dump=lambda: {"phase": "serving"},
--- a/trefoilpitch/cli/_change.py
+++ b/trefoilpitch/cli/_change.py
@@ -118,7 +118,30 @@
         posted = context.admin.post("/v1/changes", encoded)
     except KeyboardInterrupt as interrupt:
         raise outcome_unknown("interrupted") from interrupt
-    return decode_change_reply(posted, ChangeReply)
+    try:
+        return decode_change_reply(posted, ChangeReply)
+    except CommandError as error:
+        if context.settings.change_id and _is_undecided(error):
+            raise _repeat_undecided(error) from error
+        raise
+
+
+def _is_undecided(error: CommandError) -> bool:
+    return error.status in (
+        ExitStatus.UNREACHABLE,
+        ExitStatus.UNAUTHENTICATED,
+        ExitStatus.FAILED,
+    )
+
+
+def _repeat_undecided(error: CommandError) -> CommandError:
+    """Returns an error that claims nothing about earlier commands."""
+    return CommandError(
+        error.status,
+        error.message,
+        "This command changed nothing. Whether an earlier one with the same "
+        "--change_id was accepted is still open: repeat it later.",
+    )
 
 
 def _wait(context: Context, revision: int) -> None:
--- a/trefoilpitch/cli/tests/test_change.py
+++ b/trefoilpitch/cli/tests/test_change.py
@@ -60,6 +60,27 @@
     assert operator.fleet.configuration.revision == 2
 
 
+def test_a_repeat_that_reaches_nobody_claims_nothing_about_the_first() -> None:
+    operator = signed_off()
+    operator.fleet.accepts_changes = False
+    ended = operator.run(*OUT)
+    assert ended.status is ExitStatus.UNREACHABLE
+    assert "is still open" in ended.err
+    first = operator.run("domain", "out", "suva")
+    assert first.status is ExitStatus.UNREACHABLE
+    assert "is still open" not in first.err
+
+
+def test_a_change_that_few_have_heard_of_is_not_done() -> None:
+    operator = signed_off()
+    operator.fleet.follows = False
+    ended = operator.run(*OUT, "--format=json")
+    assert ended.status is ExitStatus.OUTCOME_UNKNOWN
+    assert ended.json()["is_confirmed"] is False
+    operator.fleet.follows = True
+    assert operator.run(*OUT).status is ExitStatus.DONE
+
+
 def test_racing_operators_get_a_conflict_that_names_the_other() -> None:
     operator = signed_off()
     operator.run("vm", "out", "entry-1", "--author=josefa")
