Split the cold start modules by job

Change: the ramp, credits, requests and both states have modules of their own; so have the settings of the pynng transport. No behaviour changed.

--- a/trefoilpitch/coldstart/__init__.py
+++ b/trefoilpitch/coldstart/__init__.py
@@ -26,15 +26,9 @@
     create_gatekeeper,
     is_acting,
 )
-from trefoilpitch.coldstart._holder import (
-    HolderState,
-    admit_work,
-    create_holder,
-    is_cold,
-    step_holder,
-)
+from trefoilpitch.coldstart._holder import admit_work, is_cold, step_holder
+from trefoilpitch.coldstart._holder_state import HolderState, create_holder
 from trefoilpitch.coldstart._host import ColdStartHost
-from trefoilpitch.coldstart._ledger import ramp_bound
 from trefoilpitch.coldstart._messages import (
     PAYLOAD_KINDS,
     ColdNotice,
@@ -52,6 +46,7 @@
     Holding,
     WarmNotice,
 )
+from trefoilpitch.coldstart._ramp import ramp_bound
 from trefoilpitch.coldstart._rendezvous import (
     Roster,
     choose_gatekeeper,
--- a/trefoilpitch/coldstart/_gatekeeper.py
+++ b/trefoilpitch/coldstart/_gatekeeper.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from trefoilpitch.coldstart._credits import OutstandingCredit
 from trefoilpitch.coldstart._events import (
     FleetObserved,
     GatekeeperEvent,
@@ -21,7 +22,6 @@
 )
 from trefoilpitch.coldstart._handover import hear_handover
 from trefoilpitch.coldstart._ledger import (
-    OutstandingCredit,
     available_credits,
     give_back,
     is_warm,
--- a/trefoilpitch/coldstart/_handover.py
+++ b/trefoilpitch/coldstart/_handover.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from trefoilpitch.coldstart._credits import Parting
 from trefoilpitch.coldstart._events import (
     HandoverArrived,
     SendFromGatekeeper,
@@ -14,7 +15,7 @@
     is_acting,
     with_ledger,
 )
-from trefoilpitch.coldstart._ledger import Parting, take_over
+from trefoilpitch.coldstart._ledger import take_over
 from trefoilpitch.coldstart._messages import Handover, HandoverRequest
 
 
--- a/trefoilpitch/coldstart/_holder.py
+++ b/trefoilpitch/coldstart/_holder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
 
 from trefoilpitch.bundle import Upstream
 from trefoilpitch.coldstart._account import (
@@ -12,8 +11,6 @@
     PendingRequest,
     end_work,
     expire,
-    held_refs,
-    settled_sequence,
     take_usable,
 )
 from trefoilpitch.coldstart._events import (
@@ -25,26 +22,32 @@
     GatekeeperSpoke,
     HolderAction,
     HolderEvent,
-    SendToGatekeeper,
     TimePassed,
     UpstreamReported,
     UpstreamsChanged,
     WorkEnded,
     WorkOutcome,
 )
+from trefoilpitch.coldstart._holder_state import (
+    HolderOutcome,
+    HolderState,
+    with_account,
+)
 from trefoilpitch.coldstart._messages import (
     ColdNotice,
     ColdSign,
     CreditGrant,
     CreditRefusal,
-    CreditRequest,
     CreditReturn,
     HolderMessage,
-    Holding,
     WarmNotice,
 )
-from trefoilpitch.coldstart._rendezvous import Roster, create_roster
-from trefoilpitch.coldstart._settings import ColdStartSettings
+from trefoilpitch.coldstart._rendezvous import create_roster
+from trefoilpitch.coldstart._requests import (
+    ask_for_credits,
+    tell_holding,
+    to_gatekeeper,
+)
 from trefoilpitch.coldstart._warmth import (
     current_incarnation,
     declare_warm,
@@ -53,36 +56,13 @@
     note_latency,
     note_report,
 )
-from trefoilpitch.membership import Member
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class HolderState:
-    """What one daemon knows as a user of upstreams."""
-
-    # Intervals and limits.
-    settings: ColdStartSettings
-    # Every upstream of the bundle, by name.
-    upstreams: Mapping[str, Upstream] = dataclasses.field(default_factory=dict)
-    # The latest view; ``None`` before the first.
-    roster: Roster | None = None
-    # Evidence, credits and demand by upstream name.
-    accounts: Mapping[str, Account] = dataclasses.field(default_factory=dict)
-    # The number of the next request.
-    next_sequence: int = 1
-
 
 _COLD_OUTCOMES = (WorkOutcome.REFUSED, WorkOutcome.UNREACHABLE)
 
-Outcome = tuple[HolderState, tuple[HolderAction, ...]]
-
 
-def create_holder(settings: ColdStartSettings | None = None) -> HolderState:
-    """Builds the state of a daemon that just started."""
-    return HolderState(settings=settings or ColdStartSettings())
-
-
-def step_holder(state: HolderState, event: HolderEvent, now_ms: int) -> Outcome:
+def step_holder(
+    state: HolderState, event: HolderEvent, now_ms: int
+) -> HolderOutcome:
     """Applies one event.
 
     Args:
@@ -93,7 +73,7 @@
     Returns:
         The state after, and what the owner has to do.
     """
-    outcome: Outcome
+    outcome: HolderOutcome
     match event:
         case FleetObserved(view=view):
             roster = create_roster(view, state.settings)
@@ -137,7 +117,7 @@
     admission = Admission(
         upstream=upstream, kind=AdmissionKind.CREDIT, credit=credit
     )
-    return _with_account(state, upstream, account), admission
+    return with_account(state, upstream, account), admission
 
 
 def is_cold(state: HolderState, upstream: str, now_ms: int) -> bool:
@@ -160,7 +140,7 @@
 
 def _note_report(
     state: HolderState, event: UpstreamReported, now_ms: int
-) -> Outcome:
+) -> HolderOutcome:
     account = state.accounts.get(event.upstream, Account())
     warmth = note_report(
         account.warmth,
@@ -170,12 +150,12 @@
         settings=state.settings,
     )
     account = dataclasses.replace(account, warmth=warmth)
-    return _with_account(state, event.upstream, account), ()
+    return with_account(state, event.upstream, account), ()
 
 
 def _hear_gatekeeper(
     state: HolderState, event: GatekeeperSpoke, now_ms: int
-) -> Outcome:
+) -> HolderOutcome:
     message = event.message
     name = message.upstream
     account = state.accounts.get(name, Account())
@@ -207,7 +187,7 @@
             account = dataclasses.replace(
                 account, retry_ms=now_ms + state.settings.retry_ms
             )
-    return _with_account(state, name, account), (AdmissionChanged(name),)
+    return with_account(state, name, account), (AdmissionChanged(name),)
 
 
 def _accept_grant(
@@ -229,14 +209,16 @@
 
 def _change_demand(
     state: HolderState, event: DemandChanged, now_ms: int
-) -> Outcome:
+) -> HolderOutcome:
     account = state.accounts.get(event.upstream, Account())
     account = dataclasses.replace(account, waiting=event.waiting)
-    state = _with_account(state, event.upstream, account)
-    return _ask_for_credits(state, event.upstream, now_ms)
+    state = with_account(state, event.upstream, account)
+    return ask_for_credits(state, event.upstream, now_ms)
 
 
-def _end_work(state: HolderState, event: WorkEnded, now_ms: int) -> Outcome:
+def _end_work(
+    state: HolderState, event: WorkEnded, now_ms: int
+) -> HolderOutcome:
     name = event.admission.upstream
     settings = state.settings
     account = state.accounts.get(name, Account())
@@ -255,8 +237,8 @@
     if warmth.cold_ms != before.cold_ms:
         messages.append(ColdSign(name, before.incarnation))
     account = dataclasses.replace(account, warmth=warmth)
-    state = _with_account(state, name, account)
-    return state, _to_gatekeeper(state, name, messages)
+    state = with_account(state, name, account)
+    return state, to_gatekeeper(state, name, messages)
 
 
 def _find_cold(
@@ -264,82 +246,15 @@
 ) -> HolderState:
     warmth = find_cold(account.warmth, now_ms)
     account = dataclasses.replace(account, warmth=warmth)
-    return _with_account(state, name, account)
+    return with_account(state, name, account)
 
 
-def _pass_time(state: HolderState, now_ms: int) -> Outcome:
+def _pass_time(state: HolderState, now_ms: int) -> HolderOutcome:
     actions: list[HolderAction] = []
     for name in list(state.accounts):
         account = expire(state.accounts[name], now_ms, state.settings)
-        state = _with_account(state, name, account)
-        state, asked = _ask_for_credits(state, name, now_ms)
-        state, told = _tell_holding(state, name, now_ms)
+        state = with_account(state, name, account)
+        state, asked = ask_for_credits(state, name, now_ms)
+        state, told = tell_holding(state, name, now_ms)
         actions.extend(asked + told)
     return state, tuple(actions)
-
-
-def _ask_for_credits(state: HolderState, name: str, now_ms: int) -> Outcome:
-    account = state.accounts[name]
-    missing = account.waiting - len(account.unused)
-    if (
-        missing <= 0
-        or account.pending is not None
-        or now_ms < account.retry_ms
-        or is_warm_here(account.warmth, now_ms, state.settings)
-    ):
-        return state, ()
-    gatekeeper = _gatekeeper_of(state, name)
-    if gatekeeper is None:
-        return state, ()
-    sequence = state.next_sequence
-    account = dataclasses.replace(
-        account,
-        pending=PendingRequest(sequence=sequence, sent_ms=now_ms),
-        last_sequence=sequence,
-    )
-    state = dataclasses.replace(state, next_sequence=sequence + 1)
-    state = _with_account(state, name, account)
-    count = min(missing, state.settings.max_credits)
-    request = CreditRequest(name, sequence, count)
-    return state, _to_gatekeeper(state, name, [request])
-
-
-def _tell_holding(state: HolderState, name: str, now_ms: int) -> Outcome:
-    account = state.accounts[name]
-    held = held_refs(account)
-    settled = settled_sequence(account)
-    is_told = not held and account.told_sequence == settled
-    if is_told or now_ms < account.next_holding_ms:
-        return state, ()
-    account = dataclasses.replace(
-        account,
-        told_sequence=settled if not held else account.told_sequence,
-        next_holding_ms=now_ms + state.settings.holding_interval_ms,
-    )
-    state = _with_account(state, name, account)
-    return state, _to_gatekeeper(state, name, [Holding(name, settled, held)])
-
-
-def _to_gatekeeper(
-    state: HolderState, name: str, messages: list[HolderMessage]
-) -> tuple[HolderAction, ...]:
-    gatekeeper = _gatekeeper_of(state, name)
-    if gatekeeper is None:
-        return ()
-    address = gatekeeper.endpoints.peer_address
-    return tuple(SendToGatekeeper(address, message) for message in messages)
-
-
-def _gatekeeper_of(state: HolderState, name: str) -> Member | None:
-    upstream = state.upstreams.get(name)
-    if state.roster is None or upstream is None:
-        return None
-    return state.roster.gatekeeper_of(upstream)
-
-
-def _with_account(
-    state: HolderState, name: str, account: Account
-) -> HolderState:
-    return dataclasses.replace(
-        state, accounts={**state.accounts, name: account}
-    )
--- a/trefoilpitch/coldstart/_host.py
+++ b/trefoilpitch/coldstart/_host.py
@@ -24,12 +24,8 @@
     GatekeeperState,
     create_gatekeeper,
 )
-from trefoilpitch.coldstart._holder import (
-    HolderState,
-    admit_work,
-    create_holder,
-    step_holder,
-)
+from trefoilpitch.coldstart._holder import admit_work, step_holder
+from trefoilpitch.coldstart._holder_state import HolderState, create_holder
 from trefoilpitch.coldstart._messages import (
     GatekeeperMessage,
     HandoverMessage,
--- a/trefoilpitch/coldstart/_ledger.py
+++ b/trefoilpitch/coldstart/_ledger.py
@@ -6,56 +6,21 @@
 from collections.abc import Mapping
 
 from trefoilpitch.bundle import Upstream
+from trefoilpitch.coldstart._credits import (
+    InheritedWork,
+    OutstandingCredit,
+    Parting,
+)
 from trefoilpitch.coldstart._messages import (
     UNKNOWN_INCARNATION,
     CreditRef,
     HandedCredit,
     Holding,
 )
+from trefoilpitch.coldstart._ramp import ramp_bound, successes_when_warm
 from trefoilpitch.coldstart._settings import ColdStartSettings
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class OutstandingCredit:
-    """A credit that was granted and not given back."""
-
-    # The holder's process incarnation.
-    holder: str
-    # The holder's request.
-    sequence: int
-    # The upstream's incarnation that it is for; empty if unknown.
-    upstream_incarnation: str
-    # When its work can't be running any more, whatever became of the holder.
-    release_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class InheritedWork:
-    """Work that began on other terms than a credit of this tenure."""
-
-    # How many pieces may still be running.
-    count: int
-    # When none can be running any more.
-    release_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Parting:
-    """What a gatekeeper left when another member took its place."""
-
-    # When it stopped granting.
-    parted_ms: int
-    # Credits that may be in use or put to use.
-    credits: tuple[HandedCredit, ...]
-    # Pieces of work of still earlier gatekeepers that may be running.
-    inherited: int
-    # How far the ramp had come.
-    incarnation: str
-    successes: int
-    # The incarnation and tenure that it was handed to; only they get it again.
-    heir: tuple[str, int] | None = None
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ledger:
     """A gatekeeper's books on one upstream."""
@@ -83,25 +48,11 @@
     parting: Parting | None = None
 
 
-def ramp_bound(upstream: Upstream, successes: int) -> int:
-    """Returns how much work an upstream bears after so many successes.
-
-    The bound doubles each time that as many pieces of work succeeded as it
-    allows at once, until it reaches the capacity.
-    """
-    bound = max(upstream.cold_capacity, 1)
-    remaining = successes
-    while bound < upstream.capacity and remaining >= bound:
-        remaining -= bound
-        bound = min(2 * bound, upstream.capacity)
-    return bound
-
-
 def is_warm(ledger: Ledger, upstream: Upstream) -> bool:
     """Tells whether the upstream has come through its ramp."""
     if ledger.incarnation == UNKNOWN_INCARNATION:
         return False
-    return ledger.successes >= _successes_when_warm(upstream)
+    return ledger.successes >= successes_when_warm(upstream)
 
 
 def available_credits(ledger: Ledger, upstream: Upstream) -> int:
@@ -319,13 +270,3 @@
         warm_holders=frozenset(),
         outstanding=outstanding,
     )
-
-
-def _successes_when_warm(upstream: Upstream) -> int:
-    """Returns how many successes end the ramp, the last round included."""
-    bound = max(upstream.cold_capacity, 1)
-    total = bound
-    while bound < upstream.capacity:
-        bound = min(2 * bound, upstream.capacity)
-        total += bound
-    return total
--- a/trefoilpitch/coldstart/_summary.py
+++ b/trefoilpitch/coldstart/_summary.py
@@ -6,7 +6,8 @@
 import enum
 
 from trefoilpitch.coldstart._gatekeeper_state import GatekeeperState, is_acting
-from trefoilpitch.coldstart._holder import HolderState, is_cold
+from trefoilpitch.coldstart._holder import is_cold
+from trefoilpitch.coldstart._holder_state import HolderState
 from trefoilpitch.coldstart._ledger import (
     Ledger,
     available_credits,
--- a/trefoilpitch/peering/__init__.py
+++ b/trefoilpitch/peering/__init__.py
@@ -21,11 +21,8 @@
     MemoryNetwork,
     MemoryTransport,
 )
-from trefoilpitch.peering._nng import (
-    NngSettings,
-    NngTransport,
-    open_nng_transport,
-)
+from trefoilpitch.peering._nng import NngTransport, open_nng_transport
+from trefoilpitch.peering._nng_settings import NngSettings
 from trefoilpitch.peering._registry import (
     PayloadKind,
     PayloadRegistry,
--- a/trefoilpitch/peering/_nng.py
+++ b/trefoilpitch/peering/_nng.py
@@ -4,7 +4,6 @@
 
 import collections
 import contextlib
-import dataclasses
 import threading
 from types import TracebackType
 from typing import Self
@@ -15,7 +14,6 @@
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.peering._codec import (
-    DEFAULT_FRAME_LIMIT_BYTES,
     FrameCodec,
     create_frame_codec,
 )
@@ -31,6 +29,7 @@
     SendQueueFullError,
     TransportClosedError,
 )
+from trefoilpitch.peering._nng_settings import NngSettings
 from trefoilpitch.peering._registry import PayloadRegistry
 from trefoilpitch.peering._transport import (
     MessageHandler,
@@ -44,25 +43,6 @@
 _MS_PER_S = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class NngSettings:
-    """Limits and intervals of the transport."""
-
-    # Messages to one peer wait this long to share a frame.
-    flush_interval_ms: int = 50
-    # Largest frame, sent or received.
-    frame_limit_bytes: int = DEFAULT_FRAME_LIMIT_BYTES
-    # Bytes that may wait for one peer.
-    queue_limit_bytes: int = 256 * 1024
-    # A message that waited this long for a connection is dropped.
-    queue_age_limit_ms: int = 3_000
-    # Dialers open at once; the least recently used is closed for a new one.
-    max_dialers: int = 48
-    # First and longest pause before a dialer connects again.
-    reconnect_min_ms: int = 1_000
-    reconnect_max_ms: int = 8_000
-
-
 class NngTransport:
     """A ``PeerTransport`` over TCP; build it with ``open_nng_transport``.
 
