--- a/trefoilpitch/coldstart/__init__.py
+++ b/trefoilpitch/coldstart/__init__.py
@@ -27,15 +27,13 @@
     is_acting,
 )
 from trefoilpitch.coldstart._holder import (
-    HolderState,
     admit_work,
-    create_holder,
     is_cold,
     step_holder,
     usable_credits,
 )
+from trefoilpitch.coldstart._holder_state import HolderState, create_holder
 from trefoilpitch.coldstart._host import ColdStartHost
-from trefoilpitch.coldstart._ledger import ramp_bound
 from trefoilpitch.coldstart._messages import (
     PAYLOAD_KINDS,
     ColdNotice,
@@ -53,6 +51,7 @@
     Holding,
     WarmNotice,
 )
+from trefoilpitch.coldstart._ramp import ramp_bound
 from trefoilpitch.coldstart._rendezvous import (
     Roster,
     choose_gatekeeper,
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -21,7 +21,11 @@
 )
 from trefoilpitch.cascade import CascadePolicy
 from trefoilpitch.clock import Clock
-from trefoilpitch.coldstart import GatekeeperMessage, HolderMessage
+from trefoilpitch.coldstart import (
+    GatekeeperMessage,
+    HandoverMessage,
+    HolderMessage,
+)
 from trefoilpitch.configuration import (
     HeadReader,
     configuration_writer,
@@ -92,6 +96,7 @@
     CallFlow,
     CascadePlanner,
     ChatFlow,
+    ConditionParking,
     Delivered,
     Dispatcher,
     KeyedRequests,
@@ -151,7 +156,9 @@
         )
         self._watch = DeadlineWatch(clock)
         clients = HttpClients(clock, self._watch)
-        self._queue = PlaceQueue(clock)
+        self._queue = PlaceQueue(
+            clock, ConditionParking(), settings.max_requests // 2
+        )
         self._transport = self._open_transport()
         self._cold_starts = ColdStarts(
             clock, self._transport, self._queue.notify
@@ -159,7 +166,7 @@
         self._directory = UpstreamDirectory(
             clock, clients, self._cold_starts, AdaptiveConcurrency()
         )
-        self._directory.on_release(self._queue.notify)
+        self._directory.on_release(self._queue.observe)
         self._current = CurrentConfiguration(
             settings.vm_name, self._on_new_table
         )
@@ -490,7 +497,9 @@
             self._supervisor.tell("membership", message)
         elif isinstance(payload, ReplicaMessage):
             self._supervisor.tell("replica", message)
-        elif isinstance(payload, HolderMessage | GatekeeperMessage):
+        elif isinstance(
+            payload, HolderMessage | GatekeeperMessage | HandoverMessage
+        ):
             self._supervisor.tell("cold-starts", message)
 
     def _on_seeds(self, seeds: SeedsChanged) -> None:
--- a/trefoilpitch/serving/_calls.py
+++ b/trefoilpitch/serving/_calls.py
@@ -82,7 +82,7 @@
             target=ServiceRef(request.service, request.operation),
             task=None,
             idempotent=operation.idempotent,
-            rank=operation.priority.rank,
+            priority=operation.priority,
             weight=request.workspace.weight,
             deadline_ms=deadline_ms,
         )
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -283,7 +283,7 @@
             target=self._version(step),
             task=self._task.name,
             idempotent=True,
-            rank=self._task.priority.rank,
+            priority=self._task.priority,
             weight=self._request.workspace.weight,
             deadline_ms=self._deadline_ms,
         )
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -20,11 +20,14 @@
     Revised,
     RevisionReason,
     RoutingTable,
+    Target,
     UpstreamState,
     confirm_dispatch,
 )
 from trefoilpitch.upstreams import (
+    ConnectError,
     EngineClient,
+    IncompleteReplyError,
     OverloadedError,
     RefusedError,
     ServiceClient,
@@ -108,6 +111,20 @@
         self.is_dropped = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Ended:
+    # What the run was admitted with.
+    admission: Admission
+    # How it ended.
+    outcome: WorkOutcome
+    # Time to its first part; None if none came.
+    latency_ms: int | None
+    # What ran.
+    target: Target
+    # How long it ran.
+    run_ms: int
+
+
 class Slot:
     """One running request's place on an upstream.
 
@@ -120,9 +137,11 @@
         directory: UpstreamDirectory,
         followed: _Followed,
         admission: Admission,
+        target: Target,
         clock: Clock,
     ) -> None:
         self._directory = directory
+        self._target = target
         self._followed = followed
         self._admission = admission
         self._clock = clock
@@ -172,6 +191,8 @@
         """Records how the upstream failed."""
         if isinstance(error, RefusedError | OverloadedError):
             self._outcome = WorkOutcome.REFUSED
+        elif isinstance(error, ConnectError | IncompleteReplyError):
+            self._outcome = WorkOutcome.UNREACHABLE
         elif error.execution is Execution.NOT_RUN:
             self._outcome = WorkOutcome.NOT_RUN
         else:
@@ -193,9 +214,18 @@
         if not self._is_open:
             return
         self._is_open = False
-        self._directory._release(
-            self._followed, self._admission, self._outcome, self._latency_ms
+        ended = _Ended(
+            admission=self._admission,
+            outcome=self._outcome,
+            latency_ms=self._latency_ms,
+            target=self._target,
+            run_ms=self._clock.now_ms() - self._started_ms,
         )
+        self._directory._release(self._followed, ended)
+
+
+# Takes what ran and for how many milliseconds.
+ReleaseListener = Callable[[Target, int], None]
 
 
 class UpstreamDirectory:
@@ -221,10 +251,10 @@
         self._concurrency = concurrency
         self._lock = threading.Lock()
         self._followed: dict[str, _Followed] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners: list[ReleaseListener] = []
 
-    def on_release(self, listener: Callable[[], None]) -> None:
-        """Calls a listener whenever a request ends on any upstream."""
+    def on_release(self, listener: ReleaseListener) -> None:
+        """Calls a listener with what ran and how long, at each end."""
         self._listeners.append(listener)
 
     def apply(self, table: RoutingTable) -> None:
@@ -289,7 +319,7 @@
                     decision=decision, reason=RevisionReason.UPSTREAM_FULL
                 )
             followed.in_flight += 1
-        return Slot(self, followed, admission, self._clock)
+        return Slot(self, followed, admission, decision.target, self._clock)
 
     def record_report(self, upstream: str, report: ReceivedReport) -> None:
         """Takes in a load report."""
@@ -372,25 +402,21 @@
         if followed.in_flight == 0:
             _close(followed)
 
-    def _release(
-        self,
-        followed: _Followed,
-        admission: Admission,
-        outcome: WorkOutcome,
-        latency_ms: int | None,
-    ) -> None:
+    def _release(self, followed: _Followed, ended: _Ended) -> None:
         upstream = followed.node.upstream
         with self._lock:
             self._concurrency.finished(
-                upstream, outcome, latency_ms, followed.in_flight
+                upstream, ended.outcome, ended.latency_ms, followed.in_flight
             )
             followed.in_flight -= 1
             is_last = followed.is_dropped and followed.in_flight == 0
-        self._cold_starts.ended(admission, outcome, latency_ms)
+        self._cold_starts.ended(
+            ended.admission, ended.outcome, ended.latency_ms
+        )
         if is_last:
             _close(followed)
         for listener in self._listeners:
-            listener()
+            listener(ended.target, ended.run_ms)
 
 
 def _close(followed: _Followed) -> None:
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -10,6 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
+from trefoilpitch.bundle import Priority
 from trefoilpitch.clock import Clock
 from trefoilpitch.retries import (
     Execution,
@@ -63,8 +64,8 @@
     task: str | None
     # Whether running it twice is harmless.
     idempotent: bool
-    # Rank of its priority; lower goes first.
-    rank: int
+    # How urgently it is served.
+    priority: Priority
     # Its workspace's share when there are too few places.
     weight: int
     # Monotonic time by which it must have ended.
@@ -183,24 +184,31 @@
             self._directory.demand() as ask,
         ):
             while True:
-                attempt = self._try_place(errand, excluded)
-                if isinstance(attempt, Success):
-                    return Success(attempt.unwrap())
-                error = attempt.failure()
-                if not is_temporary(error):
-                    return Failure(routing_problem(error, errand.request_id))
-                ask(self._candidates(errand))
-                refusal = ticket.wait(error)
+                if ticket.may_look:
+                    attempt = self._try_place(errand, excluded)
+                    if isinstance(attempt, Success):
+                        return Success(attempt.unwrap())
+                    error = attempt.failure()
+                    if not is_temporary(error):
+                        problem = routing_problem(error, errand.request_id)
+                        return Failure(problem)
+                candidates = self._candidates(errand)
+                ask(tuple(candidates))
+                refusal = ticket.wait(sum(candidates.values()))
                 if refusal is not None:
                     return Failure(refusal)
 
-    def _candidates(self, errand: Errand) -> tuple[str, ...]:
+    def _candidates(self, errand: Errand) -> dict[str, int]:
+        """Returns the upstreams that would do, with the runs each serves."""
+        states = self._directory.states()
         eligible = eligible_upstreams(
-            self._configuration.table(),
-            errand.target,
-            self._directory.states(),
+            self._configuration.table(), errand.target, states
         )
-        return tuple(upstream.name for upstream in eligible)
+        return {
+            upstream.name: states[upstream.name].concurrency_limit
+            or upstream.capacity
+            for upstream in eligible
+        }
 
     def _try_place(
         self, errand: Errand, excluded: set[str]
--- a/trefoilpitch/serving/_queue.py
+++ b/trefoilpitch/serving/_queue.py
@@ -6,12 +6,38 @@
 from types import TracebackType
 from typing import Protocol, Self
 
+from trefoilpitch.bundle import Priority
 from trefoilpitch.clock import Clock
-from trefoilpitch.routing import RoutingError
-from trefoilpitch.serving._problems import routing_problem
-from trefoilpitch.web import Problem
+from trefoilpitch.limits import (
+    AdmissionQueue,
+    QueueSettings,
+    RefusalReason,
+    Refused,
+    Ticket,
+)
+from trefoilpitch.routing import Target
+from trefoilpitch.web import Outcome, Problem
 
 _MS_PER_S = 1_000
+# A place can also become free without a release on this node.
+_POLL_MS = 100
+_FIRST_EXPECTED_RUN_MS = 200.0
+_RUN_WEIGHT = 0.1
+
+
+class Parking(Protocol):
+    """Lets a thread wait for another one."""
+
+    def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
+        """Waits on a condition whose lock is held, for a time at most."""
+
+
+class ConditionParking:
+    """Waits in real time."""
+
+    def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
+        """Waits on a condition whose lock is held, for a time at most."""
+        changed.wait(timeout_ms / _MS_PER_S)
 
 
 class Waiting(Protocol):
@@ -21,27 +47,75 @@
     def request_id(self) -> str:
         """The request that it belongs to."""
 
+    @property
+    def workspace(self) -> str:
+        """The workspace that asked."""
+
+    @property
+    def weight(self) -> int:
+        """The workspace's share relative to others."""
+
+    @property
+    def priority(self) -> Priority:
+        """How urgently it is served."""
+
+    @property
+    def target(self) -> Target:
+        """What it runs on."""
+
     @property
     def deadline_ms(self) -> int:
         """Monotonic time by which it must have ended."""
 
 
+class _Line:
+    """The runs that wait for one target; the first may look for a place."""
+
+    def __init__(self, settings: QueueSettings) -> None:
+        self.queue = AdmissionQueue(1, settings)
+        self.waiting: dict[str, PlaceTicket] = {}
+        self.head: PlaceTicket | None = None
+        self.expected_run_ms = _FIRST_EXPECTED_RUN_MS
+
+    def promote(self, now_ms: int) -> None:
+        """Lets the next run look for a place if none does."""
+        self.refuse(self.queue.expire(now_ms))
+        if self.head is None:
+            ticket = self.queue.take(now_ms)
+            if ticket is not None:
+                self.head = self.waiting[ticket.request_id]
+
+    def refuse(self, refused: tuple[Refused, ...]) -> None:
+        """Tells runs that they will not get a place."""
+        for one in refused:
+            self.waiting[one.ticket.request_id].refused = one
+
+
 class PlaceQueue:
-    """Holds runs for a bounded time until a place may be free.
+    """Orders the runs that wait, by priority and fairly among workspaces.
+
+    A thread waits for each run, so their number is bounded by priority: what
+    can wait never takes the threads of what cannot.
 
     Args:
         clock: Measures the time.
+        parking: Lets threads wait.
         max_waiting: Most runs that wait at once.
-        max_wait_ms: Longest time that a run waits.
     """
 
     def __init__(
-        self, clock: Clock, max_waiting: int = 256, max_wait_ms: int = 2_000
+        self, clock: Clock, parking: Parking, max_waiting: int = 128
     ) -> None:
         self._clock = clock
-        self._max_waiting = max_waiting
-        self._max_wait_ms = max_wait_ms
-        self._released = threading.Condition()
+        self._parking = parking
+        self._settings = QueueSettings(max_waiting=max_waiting)
+        self._limits = {
+            Priority.INTERACTIVE: max_waiting,
+            Priority.STANDARD: max(1, max_waiting * 3 // 4),
+            Priority.BATCH: max(1, max_waiting // 2),
+        }
+        self._changed = threading.Condition()
+        self._lines: dict[Target, _Line] = {}
         self._waiting = 0
 
     @property
@@ -51,37 +125,81 @@
 
     def notify(self) -> None:
         """Wakes the runs that wait, because a place may be free."""
-        with self._released:
-            self._released.notify_all()
-
-    def ticket(self, waiting: Waiting) -> QueueTicket:
-        """Returns a run's place in the queue."""
-        return QueueTicket(self, waiting)
-
-    def _enter(self) -> bool:
-        with self._released:
-            if self._waiting >= self._max_waiting:
-                return False
-            self._waiting += 1
-            return True
-
-    def _leave(self) -> None:
-        with self._released:
+        with self._changed:
+            self._changed.notify_all()
+
+    def observe(self, target: Target, run_ms: int) -> None:
+        """Takes in how long a run took, and that its place is free."""
+        with self._changed:
+            line = self._line(target)
+            line.expected_run_ms += _RUN_WEIGHT * (
+                run_ms - line.expected_run_ms
+            )
+            self._changed.notify_all()
+
+    def ticket(self, waiting: Waiting) -> PlaceTicket:
+        """Returns a run's ticket; a context manager that gives it up."""
+        return PlaceTicket(self, waiting)
+
+    def _line(self, target: Target) -> _Line:
+        return self._lines.setdefault(target, _Line(self._settings))
+
+    def _must_wait(self, target: Target) -> bool:
+        with self._changed:
+            line = self._lines.get(target)
+            return line is not None and bool(line.waiting)
+
+    def _enter(self, ticket: PlaceTicket, concurrency: int) -> Problem | None:
+        run = ticket.run
+        now_ms = self._clock.now_ms()
+        line = self._line(run.target)
+        line.refuse(line.queue.set_concurrency(concurrency, now_ms))
+        if self._waiting >= self._limits[run.priority]:
+            return _busy(run.request_id, "queue_full", _RETRY_MS)
+        offered = Ticket(
+            request_id=ticket.name,
+            workspace=run.workspace,
+            weight=run.weight,
+            priority=run.priority,
+            deadline_ms=run.deadline_ms,
+            expected_run_ms=int(line.expected_run_ms),
+        )
+        admission = line.queue.offer(offered, now_ms)
+        if isinstance(admission, Refused):
+            return _refusal(run, admission)
+        line.waiting[ticket.name] = ticket
+        self._waiting += 1
+        if admission.displaced is not None:
+            line.refuse((admission.displaced,))
+        return None
+
+    def _leave(self, ticket: PlaceTicket) -> None:
+        with self._changed:
+            line = self._line(ticket.run.target)
+            del line.waiting[ticket.name]
+            line.queue.cancel(ticket.name)
             self._waiting -= 1
+            if line.head is ticket:
+                line.head = None
+            line.promote(self._clock.now_ms())
+            self._changed.notify_all()
 
-    def _wait(self, left_ms: int) -> None:
-        with self._released:
-            self._released.wait(left_ms / _MS_PER_S)
 
+class PlaceTicket:
+    """One run's place in the queue.
 
-class QueueTicket:
-    """One run's place in the queue; a context manager that gives it up."""
+    Args:
+        queue: The queue.
+        run: What the queue needs to know of the run.
+    """
 
-    def __init__(self, queue: PlaceQueue, waiting: Waiting) -> None:
+    def __init__(self, queue: PlaceQueue, run: Waiting) -> None:
         self._queue = queue
-        self._run = waiting
-        self._entered = False
-        self._give_up_ms = 0
+        self._is_queued = False
+        self.run = run
+        # Tells the steps of one request apart.
+        self.name = f"{run.request_id}/{id(self)}"
+        self.refused: Refused | None = None
 
     def __enter__(self) -> Self:
         return self
@@ -92,32 +210,65 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if self._entered:
-            self._queue._leave()
+        if self._is_queued:
+            self._queue._leave(self)
 
-    def wait(self, error: RoutingError) -> Problem | None:
-        """Waits until a place may be free.
+    @property
+    def may_look(self) -> bool:
+        """Whether the run may look for a place now, ahead of others."""
+        return self._is_queued or not self._queue._must_wait(self.run.target)
+
+    def wait(self, concurrency: int) -> Problem | None:
+        """Waits until it is worth looking for a place.
 
         Args:
-            error: Why there was none.
+            concurrency: Runs that the target's upstreams serve at once.
 
         Returns:
-            None when it is worth looking again, otherwise the refusal.
+            None when the run may look now, otherwise the refusal.
         """
-        now_ms = self._queue._clock.now_ms()
-        refusal = routing_problem(error, self._run.request_id)
-        if not self._entered:
-            if not self._queue._enter():
-                return refusal
-            self._entered = True
-            wait_ms = self._queue._max_wait_ms
-            self._give_up_ms = min(now_ms + wait_ms, self._run.deadline_ms)
-        left_ms = self._give_up_ms - now_ms
-        if left_ms <= 0:
-            return refusal
-        self._queue._wait(min(left_ms, _POLL_MS))
-        return None
+        queue = self._queue
+        with queue._changed:
+            if not self._is_queued:
+                refusal = queue._enter(self, concurrency)
+                if refusal is not None:
+                    return refusal
+                self._is_queued = True
+            return self._wait_for_turn()
 
+    def _wait_for_turn(self) -> Problem | None:
+        queue = self._queue
+        line = queue._line(self.run.target)
+        while True:
+            queue._parking.wait(queue._changed, _POLL_MS)
+            now_ms = queue._clock.now_ms()
+            line.promote(now_ms)
+            if self.refused is not None:
+                return _refusal(self.run, self.refused)
+            if line.head is self:
+                return self._late_refusal(line, now_ms)
 
-# A place can also become free without a release on this node.
-_POLL_MS = 100
+    def _late_refusal(self, line: _Line, now_ms: int) -> Problem | None:
+        if now_ms + line.expected_run_ms <= self.run.deadline_ms:
+            return None
+        return _busy(self.run.request_id, "deadline", _RETRY_MS)
+
+
+_RETRY_MS = 1_000
+
+
+def _refusal(run: Waiting, refused: Refused) -> Problem:
+    return _busy(run.request_id, refused.reason.value, refused.retry_after_ms)
+
+
+def _busy(request_id: str, reason: str, retry_after_ms: int) -> Problem:
+    is_outage = reason == RefusalReason.NO_CAPACITY.value
+    return Problem(
+        status=503,
+        code="no-upstream" if is_outage else "busy",
+        title=f"no upstream has room in time: {reason}",
+        detail="Retry after the time that Retry-After gives.",
+        outcome=Outcome.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+        request_id=request_id,
+    )
--- /dev/null
+++ b/trefoilpitch/serving/tests/test_calls.py
@@ -0,0 +1,79 @@
+import pytest
+from returns.result import Failure, Success
+
+from trefoilpitch.serving.tests.world import World
+from trefoilpitch.upstreams import (
+    ConnectError,
+    DeadlineExceededError,
+    ErrorReplyError,
+    IncompleteReplyError,
+    OverloadedError,
+    RefusedError,
+    ServiceReply,
+    UpstreamError,
+)
+from trefoilpitch.web import Outcome
+
+_DONE = Success(ServiceReply(status=200, body=b"done", headers=()))
+
+
+@pytest.mark.parametrize(
+    ("error", "outcome"),
+    [
+        (IncompleteReplyError("w", "short body"), Outcome.UNKNOWN),
+        (DeadlineExceededError("w", "no reply"), Outcome.UNKNOWN),
+        (OverloadedError("w", "503"), Outcome.UNKNOWN),
+        (ErrorReplyError("w", "500", status=500), Outcome.FAILED),
+    ],
+)
+def test_a_call_that_may_have_run_is_never_sent_again(
+    error: UpstreamError, outcome: Outcome
+) -> None:
+    world = World()
+    world.call_results = [Failure(error), _DONE]
+    assert world.call("create-loan", "POST").failure().outcome is outcome
+    assert len(world.calls) == 1
+    assert not world.bills
+
+
+@pytest.mark.parametrize(
+    "error", [ConnectError("worker-a", "refused"), RefusedError("worker-a", "")]
+)
+def test_a_call_proven_not_to_have_run_goes_to_another_worker(
+    error: UpstreamError,
+) -> None:
+    world = World()
+    world.call_results = [Failure(error), _DONE]
+    assert world.call("create-loan", "POST").unwrap().body == b"done"
+    assert len({call.split()[0] for call in world.calls}) == 2
+    assert [bill.cost_nano for bill in world.bills] == [7]
+
+
+def test_an_idempotent_call_is_repeated_after_a_lost_reply() -> None:
+    world = World()
+    lost = IncompleteReplyError("worker-a", "lost")
+    world.call_results = [Failure(lost), _DONE]
+    assert world.call("look-up", "GET").unwrap().body == b"done"
+    assert len(world.bills) == 1
+
+
+def test_an_answer_that_reports_a_fault_of_the_caller_is_delivered() -> None:
+    world = World()
+    world.call_results = [
+        Failure(ErrorReplyError("w", "409", status=409, body=b"lent out"))
+    ]
+    answer = world.call("create-loan", "POST").unwrap()
+    assert (answer.status, answer.body) == (409, b"lent out")
+
+
+@pytest.mark.parametrize(
+    ("operation", "method", "status"),
+    [("no-such", "POST", 404), ("create-loan", "GET", 405)],
+)
+def test_unknown_operations_and_methods_are_refused(
+    operation: str, method: str, status: int
+) -> None:
+    world = World()
+    problem = world.call(operation, method).failure()
+    assert (problem.status, problem.outcome) == (status, Outcome.NOT_RUN)
+    assert not world.calls
--- /dev/null
+++ b/trefoilpitch/serving/tests/test_chat.py
@@ -0,0 +1,139 @@
+import dataclasses
+
+import pytest
+
+from trefoilpitch.serving import Broken, ChatAnswer, Completed, Delta
+from trefoilpitch.serving.tests.world import CHEAP, DEAR, World, answer
+from trefoilpitch.upstreams import (
+    Chunk,
+    ConnectError,
+    IncompleteReplyError,
+    RefusedError,
+)
+from trefoilpitch.web import Outcome
+
+
+def _script(world: World, *items: object) -> None:
+    for engine in world.engines.values():
+        engine.script(*items)  # type: ignore[arg-type]
+
+
+def _text(given: ChatAnswer) -> str:
+    events = list(given)
+    given.close()
+    assert isinstance(events[-1], Completed)
+    return "".join(one.text for one in events if isinstance(one, Delta))
+
+
+def test_nothing_of_a_rejected_answer_leaks_and_both_runs_are_billed() -> None:
+    world = World()
+    _script(world, *answer("cheap ", "guess", confidence=0.1))
+    _script(world, *answer("dear ", "answer"))
+    given = world.ask().unwrap()
+    assert given.info.version == DEAR
+    text = _text(given)
+    assert "cheap" not in text
+    (bill,) = world.bills
+    assert [line.item for line in bill.lines] == ["cheap@1", "dear@1"]
+    assert bill.cost_nano == 2 * (10 * 1 + 2 * 2)
+
+
+def test_a_confident_cheap_answer_is_delivered() -> None:
+    world = World()
+    _script(world, *answer("cheap ", "answer"))
+    given = world.ask().unwrap()
+    assert given.info.version == CHEAP
+    assert _text(given) == "cheap answer"
+
+
+def test_a_version_withdrawn_between_choice_and_dispatch_gets_no_work() -> None:
+    world = World()
+    _script(world, *answer("text"))
+
+    def withdraw() -> None:
+        world.configuration = dataclasses.replace(
+            world.configuration, revision=2, withdrawn=frozenset({CHEAP})
+        )
+
+    world.on_table = withdraw
+    problem = world.ask().failure()
+    assert problem.outcome is Outcome.NOT_RUN
+    assert all(not engine.requests for engine in world.engines.values())
+
+
+def test_a_failure_domain_taken_out_gets_no_work() -> None:
+    world = World()
+    _script(world, *answer("text"))
+    world.configuration = dataclasses.replace(
+        world.configuration, revision=2, failure_domains_out=frozenset({"a"})
+    )
+    assert _text(world.ask().unwrap()) == "text"
+    assert not world.engines["engine-a"].requests
+
+
+def test_a_broken_stream_is_resumed_without_repeats() -> None:
+    world = World()
+    whole = answer("one ", "two ", "three")
+    _script(world, *answer("", confidence=0.0))
+    broken = IncompleteReplyError("engine", "cut")
+    _script(world, *whole[:2], broken)
+    for engine in world.engines.values():
+        engine.hold("r1:1", *whole)
+    assert _text(world.ask().unwrap()) == "one two three"
+
+
+def test_a_stream_that_is_held_nowhere_ends_with_a_clear_error() -> None:
+    world = World()
+    _script(world, *answer("", confidence=0.0))
+    cut = IncompleteReplyError("engine", "cut")
+    _script(world, Chunk(index=0, text="one", tokens=1), cut)
+    given = world.ask().unwrap()
+    events = list(given)
+    given.close()
+    assert isinstance(events[-1], Broken)
+    assert events[-1].problem.outcome is Outcome.FAILED
+    # The partial bill gives way to a whole one, should the caller resume.
+    assert [bill.is_whole for bill in world.bills] == [False]
+
+
+@pytest.mark.parametrize("error", [ConnectError, RefusedError])
+def test_a_request_that_no_engine_ran_is_refused_as_not_run(
+    error: type[ConnectError] | type[RefusedError],
+) -> None:
+    world = World()
+    for _ in range(4):
+        _script(world, error("engine", "no"))
+    problem = world.ask().failure()
+    assert problem.outcome is Outcome.NOT_RUN
+    assert problem.retry_after_ms is not None
+    assert world.directory.in_flight() == 0
+
+
+def test_a_caller_that_leaves_frees_the_place() -> None:
+    world = World()
+    _script(world, *answer("", confidence=0.0))
+    _script(world, *answer("one", "two"))
+    given = world.ask().unwrap()
+    next(iter(given))
+    given.close()
+    assert world.directory.in_flight() == 0
+
+
+def test_a_cold_engine_gets_no_work_without_credit() -> None:
+    world = World()
+    world.gates.cold = {"engine-a", "engine-b"}
+    _script(world, *answer("text"))
+    world.parking.meanwhile = [world.gates.cold.clear]
+    assert _text(world.ask().unwrap()) == "text"
+    assert set(world.gates.demanded) == {"engine-a", "engine-b"}
+
+
+def test_waiting_ends_as_soon_as_no_start_can_be_in_time() -> None:
+    world = World()
+    world.gates.cold = {"engine-a", "engine-b"}
+    started_ms = world.clock.now_ms()
+    problem = world.ask().failure()
+    assert problem.outcome is Outcome.NOT_RUN
+    # The task's deadline is 60 s.
+    assert world.clock.now_ms() - started_ms < 60_000
+    assert world.queue.waiting == 0
