Separate a node's core from the daemon's threads and sockets

Cause: the assembly of the parts could be driven only through real sockets and threads, so no stateful test could cover it. Ruled out: a second assembly for tests (it would drift from the daemon's). Change: NodeCore joins the parts with everything outside injected; the daemon adds actors and servers.

--- a/trefoilpitch/daemon/_load.py
+++ b/trefoilpitch/daemon/_load.py
@@ -8,9 +8,7 @@
 from returns.result import Success
 
 from trefoilpitch.clock import Clock
-from trefoilpitch.daemon._cold_starts import ColdStarts
-from trefoilpitch.metrics import Metrics
-from trefoilpitch.serving import UpstreamDirectory
+from trefoilpitch.daemon._core import NodeCore
 from trefoilpitch.supervision import Tick
 
 LOAD_TICK_MS = 500
@@ -23,24 +21,14 @@
     """Fetches every report on each tick.
 
     Args:
-        directory: Names the upstreams and takes their reports.
-        cold_starts: Takes the reports too.
+        core: The node; names the upstreams and takes their reports.
         clock: Measures deadlines.
-        metrics: Counts failures.
     """
 
-    def __init__(
-        self,
-        directory: UpstreamDirectory,
-        cold_starts: ColdStarts,
-        clock: Clock,
-        metrics: Metrics,
-    ) -> None:
+    def __init__(self, core: NodeCore, clock: Clock) -> None:
         super().__init__()
-        self._directory = directory
-        self._cold_starts = cold_starts
+        self._core = core
         self._clock = clock
-        self._metrics = metrics
         self._pool = concurrent.futures.ThreadPoolExecutor(
             _FETCHERS, thread_name_prefix="load"
         )
@@ -49,7 +37,7 @@
         """Fetches all reports."""
         if not isinstance(message, Tick):
             return
-        followed = self._directory.followed()
+        followed = self._core.directory.followed()
         names = [one.upstream.name for one in followed]
         list(self._pool.map(self._fetch, names))
 
@@ -62,17 +50,13 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _fetch(self, name: str) -> None:
-        reporter = self._directory.reporter(name)
+        reporter = self._core.directory.reporter(name)
         if reporter is None:
             return
         asked_ms = self._clock.now_ms()
         deadline_ms = asked_ms + _FETCH_TIMEOUT_MS
         fetched = reporter.load_report(deadline_ms=deadline_ms)
-        if not isinstance(fetched, Success):
-            self._metrics.count("load_report_failures")
-            return
-        report = fetched.unwrap()
-        self._directory.record_report(name, report)
-        self._cold_starts.note_report(
-            name, report.incarnation, report.running, asked_ms
-        )
+        if isinstance(fetched, Success):
+            self._core.note_report(fetched.unwrap(), asked_ms)
+        else:
+            self._core.metrics.count("load_report_failures")
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -1,4 +1,4 @@
-"""One daemon: everything that runs in the process, and its start and end."""
+"""One daemon: the threads and sockets around a node's core."""
 
 from __future__ import annotations
 
@@ -6,55 +6,28 @@
 import random
 from collections.abc import Callable
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 import logbook
 
 from trefoilpitch import coldstart, membership
-from trefoilpitch.administration import AdminApi, AdminServices
-from trefoilpitch.callers import (
-    CallerApi,
-    CallerServices,
-    CallResult,
-    EntriesEndpoint,
-    KeyedCalls,
-)
-from trefoilpitch.cascade import CascadePolicy
+from trefoilpitch.administration import AdminApi
 from trefoilpitch.clock import Clock
 from trefoilpitch.coldstart import (
     GatekeeperMessage,
     HandoverMessage,
     HolderMessage,
 )
-from trefoilpitch.configuration import (
-    HeadReader,
-    configuration_writer,
-    replication,
-)
-from trefoilpitch.configuration.replication import (
-    ReplicaMessage,
-    ReplicaSettings,
-)
+from trefoilpitch.configuration import replication
+from trefoilpitch.configuration.replication import ReplicaMessage
 from trefoilpitch.daemon._clients import HttpClients
 from trefoilpitch.daemon._cold_starts import (
     COLD_START_TICK_MS,
     ColdStartActor,
-    ColdStarts,
-)
-from trefoilpitch.daemon._configuration import CurrentConfiguration
-from trefoilpitch.daemon._draining import Draining, NodePhase
-from trefoilpitch.daemon._gates import AdaptiveConcurrency
-from trefoilpitch.daemon._homes import (
-    FleetHomes,
-    HttpForwarder,
-    StoreKeyRegister,
-)
-from trefoilpitch.daemon._ledger import (
-    LEDGER_TICK_MS,
-    Ledger,
-    LedgerActor,
-    write_due_segments,
 )
+from trefoilpitch.daemon._core import NodeCore, NodeIdentity, Surroundings
+from trefoilpitch.daemon._homes import HttpForwarder
+from trefoilpitch.daemon._ledger import LEDGER_TICK_MS, LedgerActor
 from trefoilpitch.daemon._load import LOAD_TICK_MS, LoadActor
 from trefoilpitch.daemon._members import (
     MEMBERSHIP_TICK_MS,
@@ -64,23 +37,17 @@
 )
 from trefoilpitch.daemon._replica import (
     REPLICA_TICK_MS,
+    HeadWatch,
     ReplicaActor,
-    ReplicaHost,
+    ThreadBackground,
 )
 from trefoilpitch.daemon._settings import Settings
-from trefoilpitch.identity import TokenSigner, create_incarnation
-from trefoilpitch.ledger import SegmentWriter
+from trefoilpitch.identity import create_incarnation
 from trefoilpitch.membership import (
     Endpoints,
-    LeaveRequested,
-    MembershipHost,
+    MembershipEvent,
     MembershipMessage,
-    MembershipView,
-    Report,
-    SeedsChanged,
-    create_membership,
 )
-from trefoilpitch.metrics import Metrics
 from trefoilpitch.peering import (
     PeerIdentity,
     PeerKeys,
@@ -89,27 +56,13 @@
     create_payload_registry,
     open_nng_transport,
 )
-from trefoilpitch.requests import RequestRegistry
-from trefoilpitch.retries import RetryBudget
-from trefoilpitch.routing import RoutingTable
-from trefoilpitch.serving import (
-    CallFlow,
-    CascadePlanner,
-    ChatFlow,
-    ConditionParking,
-    Delivered,
-    Dispatcher,
-    KeyedRequests,
-    PlaceQueue,
-    ResumeFlow,
-    UpstreamDirectory,
-    WorkGate,
-)
+from trefoilpitch.serving import ConditionParking
 from trefoilpitch.store import etcd_store
 from trefoilpitch.supervision import ChildSpec, Supervisor
 from trefoilpitch.upstreams import DeadlineWatch
 from trefoilpitch.vms import http_vm_list
 from trefoilpitch.web import (
+    HttpServer,
     InFlight,
     ServerLimits,
     count_in_flight,
@@ -117,6 +70,12 @@
     open_server,
 )
 
+PEER_PAYLOADS = (
+    membership.PAYLOAD_KINDS,
+    replication.PAYLOAD_KINDS,
+    coldstart.PAYLOAD_KINDS,
+)
+
 _ADMIN_THREADS = 4
 _ADMIN_CONNECTIONS = 64
 _IDLE_CONNECTIONS = 1_024
@@ -141,71 +100,36 @@
         on_superseded: Callable[[], None],
     ) -> None:
         self._settings = settings
-        self._tell_superseded = on_superseded
         self._clock = clock
-        self._rng = random.Random()
+        self._on_superseded = on_superseded
         self._stack = contextlib.ExitStack()
         self._requests = InFlight()
-        self.metrics = Metrics()
-        self.incarnation = create_incarnation(settings.vm_name, clock.wall_ms())
+        self._identity = _identity(settings, clock)
         self._store = etcd_store(
             settings.store_address.host, settings.store_address.port
         )
-        self._ledger = Ledger(
-            SegmentWriter(self.incarnation), clock, self.metrics
-        )
         self._watch = DeadlineWatch(clock)
-        clients = HttpClients(clock, self._watch)
-        self._queue = PlaceQueue(
-            clock, ConditionParking(), settings.max_requests // 2
-        )
+        self._forwarder = HttpForwarder(self._identity.incarnation, clock)
         self._transport = self._open_transport()
-        self._cold_starts = ColdStarts(
-            clock, self._transport, self._queue.notify
-        )
-        self._directory = UpstreamDirectory(
-            clock, clients, self._cold_starts, AdaptiveConcurrency()
-        )
-        self._directory.on_release(self._queue.observe)
-        self._current = CurrentConfiguration(
-            settings.vm_name, self._on_new_table
-        )
-        self._reader = HeadReader(self._store)
-        self._replica = ReplicaHost(
-            ReplicaSettings(
-                name=settings.vm_name,
-                failure_domain=settings.failure_domain,
-                address=str(settings.peer_address),
-            ),
-            clock,
-            self._store,
-            self._transport,
-            self._current.advance,
-        )
-        self._members = self._create_members()
-        self._draining = Draining(
-            clock, self._announce_leaving, self._in_flight
-        )
-        self._callers = CallerApi(
-            self.incarnation, self._create_caller_services(clients)
-        )
+        self._core = self._create_core()
         self._admin = AdminApi(
-            settings.admin_token_sha256, self._create_admin_services()
+            settings.admin_token_sha256, self._core.admin_services(self.dump)
         )
         self._supervisor = Supervisor(self._children(), clock)
 
     def __enter__(self) -> Self:
         with contextlib.ExitStack() as stack:
-            stack.callback(self._directory.close)
+            stack.callback(self._core.directory.close)
+            stack.enter_context(self._forwarder)
             stack.enter_context(self._watch)
             stack.callback(self._store.close)
             stack.callback(self._transport.close)
-            stack.enter_context(self._replica)
+            stack.enter_context(self._core.replica)
             stack.enter_context(self._supervisor)
             stack.enter_context(self._open_admin_server())
             stack.enter_context(self._open_caller_server())
             self._stack = stack.pop_all()
-        _LOG.info("incarnation {} serves", self.incarnation)
+        _LOG.info("incarnation {} serves", self._core.incarnation)
         return self
 
     def __exit__(
@@ -218,7 +142,7 @@
 
     def abandon(self) -> None:
         """Ends the graceful shutdown at once."""
-        self._draining.abandon()
+        self._core.draining.abandon()
 
     def finish_leaving(self) -> bool:
         """Announces the end, then waits for all requests and all bills.
@@ -226,48 +150,33 @@
         Returns:
             Whether nothing was cut.
         """
-        self._draining.begin()
-        is_clean = self._draining.wait()
-        flushed = write_due_segments(
-            self._ledger, self._store, self.metrics, flush=True
-        )
-        return is_clean and flushed
-
-    def is_ready(self) -> bool:
-        """Returns whether the node has a configuration to serve."""
-        return self._current.table().configuration.bundle is not None
-
-    def is_fresh(self) -> bool:
-        """Returns whether the configuration may still be the newest."""
-        return self._replica.standing().admits_new_work
-
-    def accepts_work(self) -> bool:
-        """Returns whether the node is not about to end."""
-        return self._draining.phase is not NodePhase.FINISHING
-
-    def table(self) -> RoutingTable:
-        """Returns the newest configuration."""
-        return self._current.table()
+        self._core.draining.begin()
+        is_clean = self._core.draining.wait()
+        return self._core.flush_bills() and is_clean
 
-    def view(self) -> MembershipView:
-        """Returns the newest view of the fleet."""
-        return self._members.view
-
-    def dump(self) -> dict[str, object]:
+    def dump(self) -> dict[str, Any]:
         """Returns the process's state."""
-        return {
-            "incarnation": self.incarnation,
-            "phase": self._draining.phase.value,
-            "configuration": self._replica.status(),
-            "in_flight": self._in_flight(),
-            "waiting": self._queue.waiting,
-            "ledger_unwritten_bytes": self._ledger.unwritten_bytes,
-            "actors": self._supervisor.statuses(),
-            "upstreams": list(self._directory.states().values()),
-            "peering": self._transport.counters(),
-            "counters": self.metrics.counters(),
-            "latencies": self.metrics.latencies(),
-        }
+        return {**self._core.dump(), "actors": self._supervisor.statuses()}
+
+    def _create_core(self) -> NodeCore:
+        surroundings = Surroundings(
+            clock=self._clock,
+            store=self._store,
+            transport=self._transport,
+            clients=HttpClients(self._clock, self._watch),
+            forwarder=self._forwarder,
+            parking=ConditionParking(),
+            background=ThreadBackground(),
+            head_follower=HeadWatch(self._store),
+            rng=random.Random(),
+        )
+        return NodeCore(
+            self._identity,
+            surroundings,
+            announce=self._announce,
+            in_flight=lambda: self._requests.count,
+            on_superseded=self._tell_superseded,
+        )
 
     def _open_transport(self) -> PeerTransport:
         settings = self._settings
@@ -276,171 +185,69 @@
             identity=PeerIdentity(
                 deployment=settings.deployment,
                 name=settings.vm_name,
-                incarnation=self.incarnation,
+                incarnation=self._identity.incarnation,
                 address=str(settings.peer_address),
             ),
             keys=PeerKeys(
                 current=settings.shared_key, other=settings.other_shared_key
             ),
-            registry=create_payload_registry(
-                membership.PAYLOAD_KINDS,
-                replication.PAYLOAD_KINDS,
-                coldstart.PAYLOAD_KINDS,
-            ),
+            registry=create_payload_registry(*PEER_PAYLOADS),
             handler=self._on_peer_message,
         )
 
-    def _create_members(self) -> MembershipHost:
-        settings = self._settings
-        endpoints = Endpoints(
-            caller_address=str(settings.caller_address),
-            admin_address=str(settings.admin_address),
-            peer_address=str(settings.peer_address),
-        )
-        state = create_membership(
-            name=settings.vm_name,
-            incarnation=self.incarnation,
-            failure_domain=settings.failure_domain,
-            endpoints=endpoints,
-            now_ms=self._clock.now_ms(),
-            seeds=tuple(str(seed) for seed in settings.seeds),
-        )
-        return MembershipHost(
-            self._clock, state, self._transport, self._on_superseded
-        )
-
-    def _create_caller_services(self, clients: HttpClients) -> CallerServices:
-        dispatcher = Dispatcher(
-            configuration=self._current,
-            directory=self._directory,
-            queue=self._queue,
-            budget=RetryBudget(),
-            clock=self._clock,
-            rng=self._rng,
-            local_domain=self._settings.failure_domain,
-        )
-        planner = CascadePlanner(CascadePolicy(self.incarnation), self._rng)
-        return CallerServices(
-            configuration=self._current,
-            gate=WorkGate(self, self._ledger),
-            chat=ChatFlow(
-                configuration=self._current,
-                dispatcher=dispatcher,
-                planner=planner,
-                bills=self._ledger,
-                clock=self._clock,
-                on_delivered=self._on_delivered,
-            ),
-            resumption=ResumeFlow(
-                configuration=self._current,
-                clients=clients,
-                bills=self._ledger,
-                clock=self._clock,
-            ),
-            calls=CallFlow(
-                configuration=self._current,
-                dispatcher=dispatcher,
-                bills=self._ledger,
-                clock=self._clock,
-            ),
-            keyed_calls=self._create_keyed_calls(),
-            entries=EntriesEndpoint(
-                views=self,
-                configuration=self._current,
-                incarnation=self.incarnation,
-                clock=self._clock,
-                rng=self._rng,
-            ),
-            signer=TokenSigner(self._token_keys()),
-            metrics=self.metrics,
-            clock=self._clock,
-        )
-
-    def _create_keyed_calls(self) -> KeyedCalls:
-        registry: RequestRegistry[CallResult] = RequestRegistry()
-        return KeyedCalls(
-            homes=FleetHomes(self.incarnation, self.view),
-            register=StoreKeyRegister(
-                self.incarnation, self._store, self._clock
-            ),
-            forwarder=self._stack.enter_context(
-                HttpForwarder(self.incarnation, self._clock)
-            ),
-            keyed=KeyedRequests(registry, self._clock),
-            clock=self._clock,
-        )
-
-    def _create_admin_services(self) -> AdminServices:
-        return AdminServices(
-            view=self.view,
-            configuration=lambda: self._current.table().configuration,
-            writer=configuration_writer(self._store),
-            reader=self._reader,
-            accepts_changes=self._replica.accepts_changes,
-            confirm=self._replica.confirm,
-            store=self._store,
-            dump=self.dump,
-            metrics=self.metrics,
-            clock=self._clock,
-        )
-
     def _children(self) -> tuple[ChildSpec, ...]:
+        core = self._core
         children = [
             ChildSpec(
                 name="replica",
-                start=lambda: ReplicaActor.start(self._replica, self.view),
+                start=lambda: ReplicaActor.start(core.replica, core.view),
                 tick_ms=REPLICA_TICK_MS,
             ),
             ChildSpec(
                 name="membership",
                 start=lambda: MembershipActor.start(
-                    self._members, self._report, self._clock
+                    core.members, core.report, self._clock
                 ),
                 tick_ms=MEMBERSHIP_TICK_MS,
             ),
             ChildSpec(
                 name="ledger",
                 start=lambda: LedgerActor.start(
-                    self._ledger, self._store, self.metrics
+                    core.ledger, self._store, core.metrics
                 ),
                 tick_ms=LEDGER_TICK_MS,
             ),
             ChildSpec(
                 name="cold-starts",
-                start=lambda: ColdStartActor.start(
-                    self._cold_starts, self.view
-                ),
+                start=lambda: ColdStartActor.start(core.cold_starts, core.view),
                 tick_ms=COLD_START_TICK_MS,
             ),
             ChildSpec(
                 name="load",
-                start=lambda: LoadActor.start(
-                    self._directory,
-                    self._cold_starts,
-                    self._clock,
-                    self.metrics,
-                ),
+                start=lambda: LoadActor.start(core, self._clock),
                 tick_ms=LOAD_TICK_MS,
             ),
         ]
+        return (*children, *self._vm_list_children())
+
+    def _vm_list_children(self) -> tuple[ChildSpec, ...]:
         address = self._settings.vm_list_address
-        if address is not None:
-            vm_list = http_vm_list(address.host, address.port)
-            children.append(
-                ChildSpec(
-                    name="vm-list",
-                    start=lambda: VmListActor.start(
-                        vm_list,
-                        self._on_seeds,
-                        self._directory.record_leaving,
-                        self.metrics,
-                    ),
-                    tick_ms=VM_LIST_TICK_MS,
-                )
-            )
-        return tuple(children)
+        if address is None:
+            return ()
+        vm_list = http_vm_list(address.host, address.port)
+        child = ChildSpec(
+            name="vm-list",
+            start=lambda: VmListActor.start(
+                vm_list,
+                self._announce,
+                self._core.directory.record_leaving,
+                self._core.metrics,
+            ),
+            tick_ms=VM_LIST_TICK_MS,
+        )
+        return (child,)
 
-    def _open_admin_server(self) -> contextlib.AbstractContextManager[object]:
+    def _open_admin_server(self) -> HttpServer:
         address = self._settings.admin_address
         limits = ServerLimits(
             threads=_ADMIN_THREADS, connections=_ADMIN_CONNECTIONS
@@ -453,7 +260,7 @@
             name="admin-http",
         )
 
-    def _open_caller_server(self) -> contextlib.AbstractContextManager[object]:
+    def _open_caller_server(self) -> HttpServer:
         address = self._settings.caller_address
         threads = self._settings.max_requests + _SPARE_THREADS
         limits = ServerLimits(
@@ -461,36 +268,15 @@
             connections=threads + _IDLE_CONNECTIONS,
             body_bytes=self._settings.max_body_bytes,
         )
+        handler = count_in_flight(self._core.callers.handle, self._requests)
         return open_server(
-            create_wsgi_app(
-                count_in_flight(self._callers.handle, self._requests)
-            ),
+            create_wsgi_app(handler),
             host=address.host,
             port=address.port,
             limits=limits,
             name="caller-http",
         )
 
-    def _token_keys(self) -> tuple[bytes, ...]:
-        other = self._settings.other_shared_key
-        keys = (self._settings.shared_key,)
-        return (*keys, other) if other else keys
-
-    def _report(self) -> Report:
-        share = self._in_flight() / self._settings.max_requests
-        return Report(
-            in_flight_share=min(1.0, share),
-            configuration_revision=self._current.table().revision,
-        )
-
-    def _in_flight(self) -> int:
-        return self._requests.count
-
-    def _on_new_table(self, table: RoutingTable) -> None:
-        self._directory.apply(table)
-        self._cold_starts.set_upstreams(tuple(table.upstreams.values()))
-        self._queue.notify()
-
     def _on_peer_message(self, message: ReceivedMessage) -> None:
         payload = message.payload
         if isinstance(payload, MembershipMessage):
@@ -502,18 +288,12 @@
         ):
             self._supervisor.tell("cold-starts", message)
 
-    def _on_seeds(self, seeds: SeedsChanged) -> None:
-        self._supervisor.tell("membership", seeds)
-
-    def _announce_leaving(self) -> None:
-        self._supervisor.tell("membership", LeaveRequested())
+    def _announce(self, event: MembershipEvent) -> None:
+        self._supervisor.tell("membership", event)
 
-    def _on_superseded(self, incarnation: str) -> None:
-        _LOG.error("VM name is in use by {}; leaving", incarnation)
-        self._tell_superseded()
-
-    def _on_delivered(self, delivered: Delivered) -> None:
-        del delivered
+    def _tell_superseded(self) -> None:
+        _LOG.error("another process runs under the VM's name; leaving")
+        self._on_superseded()
 
 
 def open_node(
@@ -521,3 +301,21 @@
 ) -> Node:
     """Returns a daemon that is ready to be entered."""
     return Node(settings, clock, on_superseded)
+
+
+def _identity(settings: Settings, clock: Clock) -> NodeIdentity:
+    other = settings.other_shared_key
+    keys = (settings.shared_key,)
+    return NodeIdentity(
+        vm_name=settings.vm_name,
+        failure_domain=settings.failure_domain,
+        incarnation=create_incarnation(settings.vm_name, clock.wall_ms()),
+        endpoints=Endpoints(
+            caller_address=str(settings.caller_address),
+            admin_address=str(settings.admin_address),
+            peer_address=str(settings.peer_address),
+        ),
+        seeds=tuple(str(seed) for seed in settings.seeds),
+        max_requests=settings.max_requests,
+        token_keys=(*keys, other) if other else keys,
+    )
--- a/trefoilpitch/daemon/_replica.py
+++ b/trefoilpitch/daemon/_replica.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
 import threading
 from collections.abc import Callable
 from types import TracebackType
-from typing import Self
+from typing import Protocol, Self
 
 import pykka
 from returns.result import Success
@@ -59,33 +60,73 @@
 _Report = Callable[[ReplicaEvent], None]
 
 
+class Background(Protocol):
+    """Runs tasks that wait for the store."""
+
+    def submit(self, task: Callable[[], None]) -> None:
+        """Runs a task soon; drops it once the process is ending."""
+
+    def close(self) -> None:
+        """Runs no further tasks."""
+
+
+class HeadFollower(Protocol):
+    """Follows the head key while that is wanted."""
+
+    def start(self, report: _Report) -> None:
+        """Begins to follow the key; ends an earlier watch."""
+
+    def stop(self) -> None:
+        """Ends the watch without a report."""
+
+
+class ThreadBackground:
+    """Runs tasks on a few threads."""
+
+    def __init__(self) -> None:
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            _STORE_THREADS, thread_name_prefix="store"
+        )
+
+    def submit(self, task: Callable[[], None]) -> None:
+        """Runs a task soon; drops it once the process is ending."""
+        # The pool refuses tasks once it is shut down.
+        with contextlib.suppress(RuntimeError):
+            self._pool.submit(task)
+
+    def close(self) -> None:
+        """Runs no further tasks."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+
 class HeadWatch:
     """Watches the head key on a thread of its own while it is wanted.
 
     Args:
         store: The platform's key-value service.
-        report: Takes events; called on the watching thread.
     """
 
-    def __init__(self, store: KeyValueStore, report: _Report) -> None:
+    def __init__(self, store: KeyValueStore) -> None:
         self._store = store
-        self._report = report
         self._lock = threading.Lock()
         self._generation = 0
         self._watch: Watch | None = None
 
-    def start(self) -> None:
-        """Begins to watch; ends an earlier watch."""
-        generation = self.stop()
+    def start(self, report: _Report) -> None:
+        """Begins to follow the key; ends an earlier watch."""
+        generation = self._end()
         threading.Thread(
             target=self._run,
-            args=(generation,),
+            args=(generation, report),
             name="head-watch",
             daemon=True,
         ).start()
 
-    def stop(self) -> int:
-        """Ends the watch without a report; returns the next generation."""
+    def stop(self) -> None:
+        """Ends the watch without a report."""
+        self._end()
+
+    def _end(self) -> int:
         with self._lock:
             self._generation += 1
             watch, self._watch = self._watch, None
@@ -94,14 +135,14 @@
             watch.cancel()
         return generation
 
-    def _run(self, generation: int) -> None:
+    def _run(self, generation: int, report: _Report) -> None:
         opened = self._store.watch(HEAD_KEY, 0)
         if isinstance(opened, Success):
             with opened.unwrap() as watch:
                 if self._adopt(generation, watch):
-                    self._follow(generation, watch)
+                    self._follow(generation, watch, report)
         if self._is_current(generation):
-            self._report(WatchEnded())
+            report(WatchEnded())
 
     def _adopt(self, generation: int, watch: Watch) -> bool:
         with self._lock:
@@ -114,14 +155,14 @@
         with self._lock:
             return generation == self._generation
 
-    def _follow(self, generation: int, watch: Watch) -> None:
+    def _follow(self, generation: int, watch: Watch, report: _Report) -> None:
         while self._is_current(generation):
             received = watch.receive(_WATCH_POLL_MS)
             if not isinstance(received, Success):
                 return
             for event in received.unwrap().events:
                 if event.key == HEAD_KEY:
-                    self._report(HeadWatched(event.value))
+                    report(HeadWatched(event.value))
 
 
 class ReplicaHost:
@@ -133,15 +174,20 @@
         store: The platform's key-value service.
         transport: Carries messages to peers.
         put_in_force: Takes configurations of higher and higher revisions.
+        background: Runs reads of the store.
+        head_follower: Follows the head key.
     """
 
     def __init__(
         self,
         settings: ReplicaSettings,
+        *,
         clock: Clock,
         store: KeyValueStore,
         transport: PeerTransport,
         put_in_force: Callable[[Configuration], bool],
+        background: Background,
+        head_follower: HeadFollower,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -150,10 +196,8 @@
         self._lock = threading.RLock()
         self._state = create_replica(settings)
         self._peers: tuple[PeerNode, ...] | None = None
-        self._watch = HeadWatch(store, self.handle)
-        self._pool = concurrent.futures.ThreadPoolExecutor(
-            _STORE_THREADS, thread_name_prefix="replica-store"
-        )
+        self._background = background
+        self._head_follower = head_follower
 
     def __enter__(self) -> Self:
         return self
@@ -164,8 +208,8 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._watch.stop()
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._head_follower.stop()
+        self._background.close()
 
     @property
     def state(self) -> ReplicaState:
@@ -222,20 +266,13 @@
             case SendMessage(address=address, message=message):
                 self._transport.send(address, message, urgent=action.is_urgent)
             case StartWatch():
-                self._watch.start()
+                self._head_follower.start(self.handle)
             case StopWatch():
-                self._watch.stop()
+                self._head_follower.stop()
             case ReadHead():
-                self._submit(self._read_head)
+                self._background.submit(self._read_head)
             case ReadSnapshot():
-                self._submit(lambda: self._read_snapshot(action))
-
-    def _submit(self, read: Callable[[], None]) -> None:
-        try:
-            self._pool.submit(read)
-        except RuntimeError:
-            # The host is closing.
-            return
+                self._background.submit(lambda: self._read_snapshot(action))
 
     def _read_head(self) -> None:
         sent_ms = self._clock.now_ms()
--- a/trefoilpitch/serving/_gate.py
+++ b/trefoilpitch/serving/_gate.py
@@ -21,6 +21,9 @@
     def accepts_work(self) -> bool:
         """Returns whether the node is not about to end."""
 
+    def is_in_service(self) -> bool:
+        """Returns whether operators left the VM in service."""
+
 
 class WorkGate:
     """Refuses new work that the node must not take.
@@ -40,6 +43,9 @@
             return _refusal("not-ready", "no configuration yet", request_id)
         if not self._node.accepts_work():
             return _refusal("leaving", "this VM is leaving", request_id)
+        if not self._node.is_in_service():
+            title = "operators took this VM or its failure domain out"
+            return _refusal("taken-out", title, request_id)
         if not self._node.is_fresh():
             title = "this VM is cut off and may miss changes"
             return _refusal("cut-off", title, request_id)
--- a/trefoilpitch/serving/_keyed.py
+++ b/trefoilpitch/serving/_keyed.py
@@ -12,8 +12,7 @@
     RequestSlot,
     Verdict,
 )
-
-_MS_PER_S = 1_000
+from trefoilpitch.serving._queue import Parking
 
 AnswerT = TypeVar("AnswerT")
 
@@ -24,12 +23,17 @@
     Args:
         registry: Decides on each request.
         clock: Measures how long a request waits for another one.
+        parking: Lets it wait.
     """
 
     def __init__(
-        self, registry: RequestRegistry[AnswerT], clock: Clock
+        self,
+        registry: RequestRegistry[AnswerT],
+        clock: Clock,
+        parking: Parking,
     ) -> None:
         self._registry = registry
+        self._parking = parking
         self._clock = clock
         self._changed = threading.Condition()
 
@@ -58,7 +62,7 @@
                 left_ms = deadline_ms - self._clock.now_ms()
                 if left_ms <= 0:
                     return admission
-                self._changed.wait(left_ms / _MS_PER_S)
+                self._parking.wait(self._changed, left_ms)
                 admission = self._admit(slot, fingerprint, issued_ms)
             return admission
 
