Run orders for every scope that a process is a candidate for

Cause: the daemon needs one object that holds the leases and reconciles their engines, and a way to keep the candidates for each lease few.

Ruled out: every member as a candidate, since each one that waits reads the lease's record.

Change: `OrderService` and `candidate_scopes`.

--- a/trefoilpitch/orders/__init__.py
+++ b/trefoilpitch/orders/__init__.py
@@ -1,5 +1,6 @@
 """Orders to engines to load and unload versions, one holder at a time."""
 
+from trefoilpitch.orders._candidates import candidate_scopes
 from trefoilpitch.orders._client_control import (
     EngineClientControl,
     engine_client_control,
@@ -29,6 +30,11 @@
 from trefoilpitch.orders._machine import step
 from trefoilpitch.orders._runner import Reconciler, reconciler
 from trefoilpitch.orders._scope import EngineScope, engine_scopes
+from trefoilpitch.orders._service import (
+    OrderService,
+    ScopeState,
+    order_service,
+)
 from trefoilpitch.orders._state import ReconcilerState, initial_state
 from trefoilpitch.orders._types import (
     EngineControl,
@@ -56,21 +62,25 @@
     "OrderNotSentError",
     "OrderOutcomeUnknownError",
     "OrderRejectedError",
+    "OrderService",
     "OrderTerms",
     "ReadStatus",
     "Reconciler",
     "ReconcilerState",
+    "ScopeState",
     "SendOrder",
     "StaleFencingError",
     "StatusRead",
     "TermBegan",
     "TermEnded",
     "Tick",
+    "candidate_scopes",
     "desired_targets",
     "engine_client_control",
     "engine_scopes",
     "initial_state",
     "memory_engines",
+    "order_service",
     "reconciler",
     "step",
 ]
--- a/trefoilpitch/orders/_runner.py
+++ b/trefoilpitch/orders/_runner.py
@@ -142,7 +142,8 @@
     )
 
 
-def _run_now(call: Callable[[], None]) -> None:
+def run_now(call: Callable[[], None]) -> None:
+    """Runs a call at once, on the polling thread."""
     call()
 
 
@@ -151,7 +152,7 @@
     control: EngineControl,
     clock: Clock,
     fencing_number: Callable[[], int | None],
-    submit: Submit = _run_now,
+    submit: Submit = run_now,
     terms: OrderTerms | None = None,
     scope: EngineScope | None = None,
 ) -> Reconciler:
