Move what a lease's record proves into a module of its own

Change: the conclusions from an observed record are in `_observations`; no change of behaviour.

Conclusion: the lease and order tests pass as before.

--- a/trefoilpitch/leases/_machine.py
+++ b/trefoilpitch/leases/_machine.py
@@ -27,6 +27,12 @@
     WriteSucceeded,
     WriteUnknown,
 )
+from trefoilpitch.leases._observations import (
+    is_own,
+    is_stale,
+    observe,
+    takeover_from_ms,
+)
 from trefoilpitch.leases._types import (
     Attempt,
     LeaseRecord,
@@ -87,11 +93,11 @@
     observed = state.observed
     if observed is None or state.recheck is not Recheck.NONE:
         return _read(state)
-    if _is_own(state, observed):
+    if is_own(state, observed):
         return _write(state, observed, now_ms)
     if state.is_releasing:
         return dataclasses.replace(state, is_released=True), ()
-    if now_ms >= _free_from_ms(state, observed):
+    if now_ms >= takeover_from_ms(state, observed):
         return _write(state, observed, now_ms)
     return _read(state)
 
@@ -127,36 +133,17 @@
     state: LeaseState, entry: Entry | None, now_ms: int
 ) -> LeaseState:
     state = dataclasses.replace(state, is_calling=False, due_ms=now_ms)
-    if _is_stale(state, entry):
+    if is_stale(state, entry):
         retry_ms = now_ms + state.terms.retry_interval_ms
         return dataclasses.replace(state, due_ms=retry_ms)
-    observed = _observe(state, entry, now_ms)
+    observed = observe(state, entry, now_ms)
     state = dataclasses.replace(state, observed=observed, recheck=Recheck.NONE)
-    if _is_own(state, observed):
+    if is_own(state, observed):
         return _settled(state, observed, now_ms)
     state = dataclasses.replace(state, term=None, attempt=None)
     return _wait(state, observed, now_ms)
 
 
-def _is_stale(state: LeaseState, entry: Entry | None) -> bool:
-    """Tells whether a read shows a revision that is known to be replaced."""
-    if state.observed is None or state.recheck is not Recheck.OUTDATED:
-        return False
-    revision = ABSENT if entry is None else entry.revision
-    return revision <= state.observed.revision
-
-
-def _observe(
-    state: LeaseState, entry: Entry | None, now_ms: int
-) -> Observation:
-    """Returns what is known now; an older revision tells nothing new."""
-    revision = ABSENT if entry is None else entry.revision
-    if state.observed is not None and revision <= state.observed.revision:
-        return state.observed
-    record = None if entry is None else _decode(entry.value)
-    return Observation(revision=revision, record=record, since_ms=now_ms)
-
-
 def _settled(
     state: LeaseState, observed: Observation, now_ms: int
 ) -> LeaseState:
@@ -173,7 +160,7 @@
 
 def _wait(state: LeaseState, observed: Observation, now_ms: int) -> LeaseState:
     """Sets when a candidate that does not hold the lease acts next."""
-    free_from_ms = _free_from_ms(state, observed)
+    free_from_ms = takeover_from_ms(state, observed)
     if state.is_releasing or now_ms >= free_from_ms:
         return state
     read_ms = now_ms + state.terms.read_interval_ms
@@ -274,31 +261,3 @@
         state.counters, lapses=state.counters.lapses + 1
     )
     return dataclasses.replace(state, term=None, counters=counters)
-
-
-def _is_own(state: LeaseState, observed: Observation) -> bool:
-    record = observed.record
-    return (
-        record is not None
-        and record.holder == state.terms.holder
-        and not record.released
-    )
-
-
-def _free_from_ms(state: LeaseState, observed: Observation) -> int:
-    """Returns from when on no other holder can be valid."""
-    if observed.revision == ABSENT and not observed.is_deleted:
-        return observed.since_ms
-    record = observed.record
-    if record is not None and record.released:
-        return observed.since_ms
-    stated_ms = 0 if record is None else record.validity_ms
-    validity_ms = max(stated_ms, state.terms.validity_ms)
-    return observed.since_ms + validity_ms + state.terms.margin_ms
-
-
-def _decode(value: bytes) -> LeaseRecord | None:
-    try:
-        return msgspec.json.decode(value, type=LeaseRecord)
-    except msgspec.MsgspecError:
-        return None
