--- a/trefoilpitch/coldstart/tests/test_overload.py
+++ b/trefoilpitch/coldstart/tests/test_overload.py
@@ -130,6 +130,25 @@
     assert world.engine.successes > before + 2
 
 
+def test_warm_upstream_is_served_without_a_gatekeeper() -> None:
+    world = World(seed=3)
+    world.durations_ms = (40,)
+    world.run(3_000)
+    while not world.engine.is_warm:
+        for name in world.names():
+            world.want(name, 2)
+        world.run(200)
+    for name in world.names():
+        world.want(name, 2)
+    world.run(600)
+    world.partition(set(world.names()[:2]))
+    world.run(2_000)
+    for name in world.names():
+        world.want(name, 5)
+    world.run(200)
+    assert [p.waiting for p in world.processes.values()] == [0, 0, 0, 0]
+
+
 def test_upstream_is_served_again_after_its_gatekeeper_crashed() -> None:
     world = World(seed=3)
     world.durations_ms = (40,)
--- a/trefoilpitch/membership/tests/fleet.py
+++ b/trefoilpitch/membership/tests/fleet.py
@@ -22,6 +22,7 @@
 from trefoilpitch.peering import (
     LinkFaults,
     MemoryNetwork,
+    MemoryTransport,
     PeerIdentity,
     PeerKeys,
     ReceivedMessage,
@@ -39,6 +40,7 @@
 @dataclasses.dataclass
 class Node:
     host: MembershipHost
+    transport: MemoryTransport
     next_tick_ms: int
     paused_until_ms: int = 0
     backlog: list[ReceivedMessage] = dataclasses.field(default_factory=list)
@@ -99,7 +101,7 @@
             functools.partial(self._note_superseded, name),
         )
         self.nodes[name] = Node(
-            host, self.clock.now_ms() + len(self.nodes) * 7 % 200
+            host, transport, self.clock.now_ms() + len(self.nodes) * 7 % 200
         )
 
     def list_vms(self, names: Iterable[str]) -> None:
--- a/trefoilpitch/membership/tests/test_step.py
+++ b/trefoilpitch/membership/tests/test_step.py
@@ -135,3 +135,27 @@
         for name in fleet.nodes:
             gone += MemberState.GONE in fleet.states(name)
     assert gone == 0
+
+
+def test_older_process_of_a_vm_is_superseded() -> None:
+    fleet = Fleet(3)
+    fleet.run(6_000)
+    older = fleet.nodes["vm0"]
+    fleet.start("vm0")
+    newer = fleet.view("vm0").own
+    fleet.run(3_000)
+    fleet.nodes["vm0"] = older
+    fleet.run(3_000)
+    assert ("vm0", newer.incarnation) in fleet.superseded
+
+
+def test_messages_stay_small_however_large_the_fleet() -> None:
+    fleet = Fleet(60)
+    fleet.run(8_000)
+    before = [node.transport.counters() for node in fleet.nodes.values()]
+    fleet.run(5_000)
+    after = [node.transport.counters() for node in fleet.nodes.values()]
+    for first, last in zip(before, after, strict=True):
+        messages = last.messages_sent - first.messages_sent
+        assert messages <= 6 * 5
+        assert last.bytes_sent - first.bytes_sent < 2_000 * messages
