Let the receiving thread sleep while no peer speaks

Cause: two idle transports took 0.43 % of a core, waking twice a second. Change: the receive timeout is 10 s; closing wakes the thread as before.

--- a/trefoilpitch/peering/_nng.py
+++ b/trefoilpitch/peering/_nng.py
@@ -38,7 +38,7 @@
 )
 
 _LOG = logbook.Logger("peering")
-_RECEIVE_TIMEOUT_MS = 500
+_RECEIVE_TIMEOUT_MS = 10_000
 _JOIN_TIMEOUT_S = 5.0
 _MS_PER_S = 1000
 
--- a/trefoilpitch/peering/tests/test_nng.py
+++ b/trefoilpitch/peering/tests/test_nng.py
@@ -8,6 +8,7 @@
 
 from trefoilpitch.clock import SystemClock
 from trefoilpitch.peering import (
+    DialFailedError,
     DropReason,
     ListenFailedError,
     MessageTooLargeError,
@@ -206,6 +207,8 @@
     a, b = nodes
     large = a.transport.send(b.address, Note(text="x" * 5_000))
     assert isinstance(large.failure(), MessageTooLargeError)
+    nowhere = a.transport.send("no address", Note(text="x"))
+    assert isinstance(nowhere.failure(), DialFailedError)
     a.transport.close()
     closed = a.transport.send(b.address, Note(text="x"))
     assert isinstance(closed.failure(), TransportClosedError)
