Guard the cascade by the quality that was delivered

Change: the target of a task is raised by what the last 400 ratings missed beyond half a standard error, for the workspace and over all.

--- a/trefoilpitch/cascade/_choice.py
+++ b/trefoilpitch/cascade/_choice.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from trefoilpitch.cascade._counts import CountsTable
+from trefoilpitch.cascade._delivered import DeliveredQuality
 from trefoilpitch.cascade._estimate import BinQuality, bin_qualities
 from trefoilpitch.cascade._nodes import AnswerKey, Candidate, Target
 from trefoilpitch.cascade._search import (
@@ -61,12 +62,19 @@
     """Searches the thresholds and blends of a question's candidates.
 
     Args:
-        counts: What is known.
+        counts: What is known of the versions.
+        delivered: What is known of the answers that were delivered.
         settings: How cautious and how curious the plans are.
     """
 
-    def __init__(self, counts: CountsTable, settings: CascadeSettings) -> None:
+    def __init__(
+        self,
+        counts: CountsTable,
+        delivered: DeliveredQuality,
+        settings: CascadeSettings,
+    ) -> None:
         self._counts = counts
+        self._delivered = delivered
         self._settings = settings
 
     def find(self, question: Question) -> Choice:
@@ -90,12 +98,15 @@
         self, question: Question, options: Sequence[Option], cheapest: Option
     ) -> Choice:
         """Returns the safe plan that makes up for what exploration loses."""
-        target = question.target.quality
+        directs = [option for option in options if option.second is None]
+        safest = max(directs, key=lambda option: option.lower_bound)
+        # More than the best version gives cannot be asked for.
+        most = max(safest.lower_bound, question.target.quality)
+        target = min(self._raised_target(question), most)
         hopeful = cheapest_expected(options, target)
         hopeful_share = self._hopeful_share(
             cheapest_safe(options, target), hopeful
         )
-        safest = max(options, key=lambda option: option.lower_bound)
         random_quality = (safest.lower_bound + cheapest.quality) / 2.0
         hopeful_loss = hopeful_share * max(
             target - hopeful.cautious_quality, 0.0
@@ -106,9 +117,17 @@
         random_share = self._random_share(question, cheapest, affordable)
         loss = hopeful_loss + random_share * max(target - random_quality, 0.0)
         rest = max(1.0 - hopeful_share - random_share, 0.1)
-        safe = cheapest_safe(options, target + loss / rest)
+        safe = cheapest_safe(options, min(target + loss / rest, most))
         return Choice(safe, hopeful, hopeful_share, random_share)
 
+    def _raised_target(self, question: Question) -> float:
+        """Returns the target, raised by what recent answers missed."""
+        target = question.target.quality
+        return target + max(
+            self._delivered.shortfall(workspace, question.task, target)
+            for workspace in (question.workspace, ALL_WORKSPACES)
+        )
+
     def _pair_options(
         self,
         question: Question,
--- a/trefoilpitch/cascade/_policy.py
+++ b/trefoilpitch/cascade/_policy.py
@@ -20,6 +20,7 @@
     bin_edge,
     signal_bin,
 )
+from trefoilpitch.cascade._delivered import DeliveredQuality
 from trefoilpitch.cascade._drift import DriftDetector
 from trefoilpitch.cascade._nodes import (
     AnswerKey,
@@ -63,7 +64,8 @@
     ) -> None:
         self._settings = settings
         self._counts = CountsTable(incarnation, epoch=epoch)
-        self._finder = ChoiceFinder(self._counts, settings)
+        self._delivered = DeliveredQuality()
+        self._finder = ChoiceFinder(self._counts, self._delivered, settings)
         self._cache: dict[Question, _CachedChoice] = {}
         self._changes: dict[tuple[str, str], int] = {}
         self._drift = DriftDetector()
@@ -152,6 +154,7 @@
             if self._drift.observe(one, earlier, good, 1 - good):
                 self._forget(one)
             self._counts.add_rating(one, position, rating.good)
+            self._delivered.observe(one.workspace, one.task, good, 1 - good)
         self._note_change(key)
 
     def advance_epoch(self, epoch: int) -> None:
@@ -166,11 +169,15 @@
     def merge(self, snapshot: CountsSnapshot) -> None:
         """Takes in another node's counts; idempotent, in any order."""
         for growth in self._counts.merge(snapshot):
-            self._note_change(growth.key)
+            key = growth.key
+            self._note_change(key)
+            self._delivered.observe(
+                key.workspace, key.task, growth.good, growth.bad
+            )
             if self._drift.observe(
-                growth.key, growth.earlier, growth.good, growth.bad
+                key, growth.earlier, growth.good, growth.bad
             ):
-                self._forget(growth.key)
+                self._forget(key)
 
     def _count_answer(self, key: AnswerKey, position: int) -> None:
         self._counts.add_answer(key, position)
