Time out by a manual clock where a second request must not

Cause: two tests gave a second request the same short timeout by the machine's clock that the first had to miss; on a busy machine the second could miss it as well.

Ruled out: longer timeouts, which only make it rarer. A first attempt moved the manual clock once and hung when that came before the headers had arrived.

--- a/trefoilpitch/standins/_engine.py
+++ b/trefoilpitch/standins/_engine.py
@@ -55,6 +55,11 @@
         """What it holds."""
         return self._state
 
+    @property
+    def pending_faults(self) -> int:
+        """How many planned faults wait for a request to befall."""
+        return self._faults.pending
+
     def commit(self, fault: Fault) -> None:
         """Plans a fault."""
         self._faults.add(fault)
--- a/trefoilpitch/standins/_faults.py
+++ b/trefoilpitch/standins/_faults.py
@@ -39,6 +39,12 @@
         self._faults: list[Fault] = []
         self._lock = threading.Lock()
 
+    @property
+    def pending(self) -> int:
+        """How many faults wait for a request to befall."""
+        with self._lock:
+            return sum(fault.times for fault in self._faults)
+
     def add(self, fault: Fault) -> None:
         """Plans a fault.
 
--- a/trefoilpitch/standins/_service.py
+++ b/trefoilpitch/standins/_service.py
@@ -218,6 +218,11 @@
         """Counts what it did."""
         return self._effects
 
+    @property
+    def pending_faults(self) -> int:
+        """How many planned faults wait for a request to befall."""
+        return self._faults.pending
+
     def commit(self, fault: Fault) -> None:
         """Plans a fault."""
         self._faults.add(fault)
--- a/trefoilpitch/upstreams/tests/harness.py
+++ b/trefoilpitch/upstreams/tests/harness.py
@@ -59,6 +59,27 @@
         wait_until(lambda: self._watch_reads >= target)
 
 
+@contextlib.contextmanager
+def advancing_from(
+    condition: Callable[[], bool], clock: ManualClock, by_ms: int
+) -> Iterator[None]:
+    """Moves a clock on from when a condition holds until the block ends."""
+    ended = threading.Event()
+
+    def advance() -> None:
+        wait_until(condition)
+        while not ended.wait(0.005):
+            clock.advance(by_ms)
+
+    thread = threading.Thread(target=advance)
+    thread.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        thread.join()
+
+
 @contextlib.contextmanager
 def engine_bench(
     *,
