--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -270,6 +270,7 @@
             put_in_force=self.current.advance,
             background=self._around.background,
             head_follower=self._around.head_follower,
+            parking=self._around.parking,
         )
 
     def _create_members(self) -> MembershipHost:
@@ -294,6 +295,7 @@
             configuration=self.current,
             directory=self.directory,
             queue=self.queue,
+            parking=self._around.parking,
             budget=RetryBudget(),
             clock=self._clock,
             rng=self._around.rng,
--- a/trefoilpitch/daemon/_draining.py
+++ b/trefoilpitch/daemon/_draining.py
@@ -76,12 +76,15 @@
         """Ends the wait for requests that are still being served."""
         self._abandoned.set()
 
+    def may_close(self) -> bool:
+        """Returns whether the daemon may end without cutting a request."""
+        if self._schedule is None:
+            return False
+        return self._schedule.may_close(self._clock.now_ms(), self._in_flight())
+
     def wait(self) -> bool:
         """Waits for the end; returns whether every request was finished."""
-        assert self._schedule is not None
-        while not self._schedule.may_close(
-            self._clock.now_ms(), self._in_flight()
-        ):
+        while not self.may_close():
             if self._abandoned.wait(_POLL_S):
                 return False
         return True
--- a/trefoilpitch/daemon/_replica.py
+++ b/trefoilpitch/daemon/_replica.py
@@ -47,6 +47,7 @@
 from trefoilpitch.configuration.replication import Tick as ReplicaTick
 from trefoilpitch.membership import MembershipView, MemberState
 from trefoilpitch.peering import PeerTransport, ReceivedMessage
+from trefoilpitch.serving import Parking
 from trefoilpitch.store import KeyValueStore, Watch
 from trefoilpitch.supervision import Tick
 
@@ -55,7 +56,7 @@
 _WATCH_POLL_MS = 1_000
 _STORE_THREADS = 2
 _CONFIRM_PATIENCE_MS = 3_000
-_CONFIRM_POLL_S = 0.02
+_CONFIRM_POLL_MS = 20
 
 _Report = Callable[[ReplicaEvent], None]
 
@@ -176,6 +177,7 @@
         put_in_force: Takes configurations of higher and higher revisions.
         background: Runs reads of the store.
         head_follower: Follows the head key.
+        parking: Lets commits wait for their confirmation.
     """
 
     def __init__(
@@ -188,6 +190,7 @@
         put_in_force: Callable[[Configuration], bool],
         background: Background,
         head_follower: HeadFollower,
+        parking: Parking,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -198,6 +201,7 @@
         self._peers: tuple[PeerNode, ...] | None = None
         self._background = background
         self._head_follower = head_follower
+        self._parking = parking
 
     def __enter__(self) -> Self:
         return self
@@ -243,12 +247,11 @@
         """
         value = committed.head_value
         self.handle(HeadRead(value=value, sent_ms=sent_ms))
-        waiter = threading.Event()
         until_ms = self._clock.now_ms() + _CONFIRM_PATIENCE_MS
         while self._clock.now_ms() < until_ms:
             if is_confirmed(self._state, committed.revision):
                 return True
-            waiter.wait(_CONFIRM_POLL_S)
+            self._parking.pause(_CONFIRM_POLL_MS)
         return False
 
     def handle(self, event: ReplicaEvent) -> None:
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -40,11 +40,10 @@
     is_temporary,
     routing_problem,
 )
-from trefoilpitch.serving._queue import PlaceQueue
+from trefoilpitch.serving._queue import Parking, PlaceQueue
 from trefoilpitch.upstreams import UpstreamError
 from trefoilpitch.web import Outcome, Problem
 
-_MS_PER_S = 1_000
 _MAX_REVISIONS = 16
 
 T = TypeVar("T")
@@ -91,6 +90,7 @@
         configuration: The newest configuration.
         directory: The upstreams that the node follows.
         queue: Where runs wait for a place.
+        parking: Lets runs wait before another try.
         budget: Pays for second tries.
         clock: Measures deadlines.
         rng: Source of random numbers.
@@ -103,6 +103,7 @@
         configuration: ConfigurationSource,
         directory: UpstreamDirectory,
         queue: PlaceQueue,
+        parking: Parking,
         budget: RetryBudget,
         clock: Clock,
         rng: random.Random,
@@ -111,6 +112,7 @@
         self._configuration = configuration
         self._directory = directory
         self._queue = queue
+        self._parking = parking
         self._budget = budget
         self._clock = clock
         self._rng = rng
@@ -174,7 +176,7 @@
     def _wait_until(self, decision: TryAgain) -> None:
         wait_ms = decision.at_ms - self._clock.now_ms()
         if wait_ms > 0:
-            threading.Event().wait(wait_ms / _MS_PER_S)
+            self._parking.pause(wait_ms)
 
     def _place(
         self, errand: Errand, excluded: set[str]
--- a/trefoilpitch/serving/_queue.py
+++ b/trefoilpitch/serving/_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -26,7 +27,10 @@
 
 
 class Parking(Protocol):
-    """Lets a thread wait for another one."""
+    """Lets a thread wait, for another one or for time to pass."""
+
+    def pause(self, duration_ms: int) -> None:
+        """Waits for a time."""
 
     def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
         """Waits on a condition whose lock is held, for a time at most."""
@@ -35,6 +39,10 @@
 class ConditionParking:
     """Waits in real time."""
 
+    def pause(self, duration_ms: int) -> None:
+        """Waits for a time."""
+        time.sleep(duration_ms / _MS_PER_S)
+
     def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
         """Waits on a condition whose lock is held, for a time at most."""
         changed.wait(timeout_ms / _MS_PER_S)
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -161,6 +161,9 @@
         self._clock = clock
         self.meanwhile: list[Callable[[], None]] = []
 
+    def pause(self, duration_ms: int) -> None:
+        self._clock.advance(duration_ms)
+
     def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
         self._clock.advance(timeout_ms)
         if self.meanwhile:
@@ -237,6 +240,7 @@
             configuration=self,
             directory=self.directory,
             queue=self.queue,
+            parking=self.parking,
             budget=RetryBudget(),
             clock=self.clock,
             rng=random.Random(7),
