--- a/trefoilpitch/cascade/tests/test_policy.py
+++ b/trefoilpitch/cascade/tests/test_policy.py
@@ -140,3 +140,34 @@
     ]
     assert plans[1].steps == plans[2].steps
     assert len(plans[1].steps) == 2
+
+
+def test_a_node_that_only_hears_of_ratings_notices_a_bad_version() -> None:
+    source, hearer = _World(CascadePolicy("a")), CascadePolicy("b")
+
+    def straight_to_dear_after(requests: int) -> float:
+        for _ in range(requests // 100):
+            for _ in range(100):
+                source.request()
+            hearer.merge(source.policy.snapshot())
+        rng = random.Random(2)
+        plans = [
+            hearer.plan("parish", "tag", _candidates(), TARGET, rng)
+            for _ in range(300)
+        ]
+        return sum(len(plan.steps) == 1 for plan in plans) / len(plans)
+
+    assert straight_to_dear_after(6_000) < 0.1
+    source.bad_version = True
+    assert straight_to_dear_after(1_500) > 0.7
+
+
+def test_counts_of_a_clock_that_is_far_ahead_are_left_out() -> None:
+    ahead = _World(CascadePolicy("a", epoch=50))
+    for _ in range(2_000):
+        ahead.request()
+    policy = CascadePolicy("b", epoch=10)
+    policy.merge(ahead.policy.snapshot())
+    assert policy.epoch == 10
+    plan = policy.plan("parish", "tag", _candidates(), TARGET, random.Random(2))
+    assert [step.version for step in plan.steps] == [DEAR]
--- a/trefoilpitch/coldstart/__init__.py
+++ b/trefoilpitch/coldstart/__init__.py
@@ -8,33 +8,32 @@
     FleetObserved,
     GatekeeperEvent,
     GatekeeperSpoke,
+    HandoverArrived,
     HolderAction,
     HolderEvent,
     HolderSpoke,
+    SendFromGatekeeper,
     SendToGatekeeper,
-    SendToHolder,
     TimePassed,
     UpstreamReported,
     UpstreamsChanged,
     WorkEnded,
     WorkOutcome,
 )
-from trefoilpitch.coldstart._gatekeeper import (
+from trefoilpitch.coldstart._gatekeeper import step_gatekeeper
+from trefoilpitch.coldstart._gatekeeper_state import (
     GatekeeperState,
     create_gatekeeper,
     is_acting,
-    step_gatekeeper,
 )
 from trefoilpitch.coldstart._holder import (
-    HolderState,
     admit_work,
-    create_holder,
     is_cold,
     step_holder,
     usable_credits,
 )
+from trefoilpitch.coldstart._holder_state import HolderState, create_holder
 from trefoilpitch.coldstart._host import ColdStartHost
-from trefoilpitch.coldstart._ledger import ramp_bound
 from trefoilpitch.coldstart._messages import (
     PAYLOAD_KINDS,
     ColdNotice,
@@ -45,11 +44,19 @@
     CreditRequest,
     CreditReturn,
     GatekeeperMessage,
+    Handover,
+    HandoverMessage,
+    HandoverRequest,
     HolderMessage,
     Holding,
     WarmNotice,
 )
-from trefoilpitch.coldstart._rendezvous import choose_gatekeeper, has_quorum
+from trefoilpitch.coldstart._ramp import ramp_bound
+from trefoilpitch.coldstart._rendezvous import (
+    Roster,
+    choose_gatekeeper,
+    create_roster,
+)
 from trefoilpitch.coldstart._settings import ColdStartSettings
 from trefoilpitch.coldstart._summary import (
     GatekeeperPhase,
@@ -85,12 +92,14 @@
     "GatekeeperState",
     "GatekeeperEvent",
     "HolderSpoke",
-    "SendToHolder",
+    "HandoverArrived",
+    "SendFromGatekeeper",
     "FleetObserved",
     "UpstreamsChanged",
     "UpstreamReported",
     "choose_gatekeeper",
-    "has_quorum",
+    "create_roster",
+    "Roster",
     "ramp_bound",
     "summarize_gatekeeper",
     "summarize_holder",
@@ -100,6 +109,9 @@
     "PAYLOAD_KINDS",
     "HolderMessage",
     "GatekeeperMessage",
+    "HandoverMessage",
+    "HandoverRequest",
+    "Handover",
     "CreditRef",
     "CreditRequest",
     "CreditGrant",
--- a/trefoilpitch/serving/__init__.py
+++ b/trefoilpitch/serving/__init__.py
@@ -31,7 +31,7 @@
     Delta,
 )
 from trefoilpitch.serving._planning import CascadePlanner
-from trefoilpitch.serving._queue import PlaceQueue
+from trefoilpitch.serving._queue import ConditionParking, Parking, PlaceQueue
 from trefoilpitch.serving._resumption import ResumeFlow
 
 __all__ = [
@@ -50,6 +50,7 @@
     "ColdStartGate",
     "Completed",
     "ConcurrencyGate",
+    "ConditionParking",
     "ConfigurationSource",
     "Delivered",
     "DeliveryListener",
@@ -59,6 +60,7 @@
     "FollowedUpstream",
     "KeyedRequests",
     "NodeStatus",
+    "Parking",
     "PlaceQueue",
     "Placed",
     "ResumeFlow",
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -10,6 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
+from trefoilpitch.bundle import Priority
 from trefoilpitch.clock import Clock
 from trefoilpitch.retries import (
     Execution,
@@ -39,11 +40,10 @@
     is_temporary,
     routing_problem,
 )
-from trefoilpitch.serving._queue import PlaceQueue
+from trefoilpitch.serving._queue import Parking, PlaceQueue
 from trefoilpitch.upstreams import UpstreamError
 from trefoilpitch.web import Outcome, Problem
 
-_MS_PER_S = 1_000
 _MAX_REVISIONS = 16
 
 T = TypeVar("T")
@@ -63,8 +63,8 @@
     task: str | None
     # Whether running it twice is harmless.
     idempotent: bool
-    # Rank of its priority; lower goes first.
-    rank: int
+    # How urgently it is served.
+    priority: Priority
     # Its workspace's share when there are too few places.
     weight: int
     # Monotonic time by which it must have ended.
@@ -90,6 +90,7 @@
         configuration: The newest configuration.
         directory: The upstreams that the node follows.
         queue: Where runs wait for a place.
+        parking: Lets runs wait before another try.
         budget: Pays for second tries.
         clock: Measures deadlines.
         rng: Source of random numbers.
@@ -102,6 +103,7 @@
         configuration: ConfigurationSource,
         directory: UpstreamDirectory,
         queue: PlaceQueue,
+        parking: Parking,
         budget: RetryBudget,
         clock: Clock,
         rng: random.Random,
@@ -110,6 +112,7 @@
         self._configuration = configuration
         self._directory = directory
         self._queue = queue
+        self._parking = parking
         self._budget = budget
         self._clock = clock
         self._rng = rng
@@ -173,7 +176,7 @@
     def _wait_until(self, decision: TryAgain) -> None:
         wait_ms = decision.at_ms - self._clock.now_ms()
         if wait_ms > 0:
-            threading.Event().wait(wait_ms / _MS_PER_S)
+            self._parking.pause(wait_ms)
 
     def _place(
         self, errand: Errand, excluded: set[str]
@@ -183,24 +186,31 @@
             self._directory.demand() as ask,
         ):
             while True:
-                attempt = self._try_place(errand, excluded)
-                if isinstance(attempt, Success):
-                    return Success(attempt.unwrap())
-                error = attempt.failure()
-                if not is_temporary(error):
-                    return Failure(routing_problem(error, errand.request_id))
-                ask(self._candidates(errand))
-                refusal = ticket.wait(error)
+                if ticket.may_look:
+                    attempt = self._try_place(errand, excluded)
+                    if isinstance(attempt, Success):
+                        return Success(attempt.unwrap())
+                    error = attempt.failure()
+                    if not is_temporary(error):
+                        problem = routing_problem(error, errand.request_id)
+                        return Failure(problem)
+                candidates = self._candidates(errand)
+                ask(tuple(candidates))
+                refusal = ticket.wait(sum(candidates.values()))
                 if refusal is not None:
                     return Failure(refusal)
 
-    def _candidates(self, errand: Errand) -> tuple[str, ...]:
+    def _candidates(self, errand: Errand) -> dict[str, int]:
+        """Returns the upstreams that would do, with the runs each serves."""
+        states = self._directory.states()
         eligible = eligible_upstreams(
-            self._configuration.table(),
-            errand.target,
-            self._directory.states(),
+            self._configuration.table(), errand.target, states
         )
-        return tuple(upstream.name for upstream in eligible)
+        return {
+            upstream.name: states[upstream.name].concurrency_limit
+            or upstream.capacity
+            for upstream in eligible
+        }
 
     def _try_place(
         self, errand: Errand, excluded: set[str]
--- /dev/null
+++ b/trefoilpitch/serving/tests/world.py
@@ -0,0 +1,315 @@
+"""The serving layer on fakes, with a clock that moves while runs wait."""
+
+import random
+import threading
+from collections.abc import Callable, Sequence
+
+from returns.result import Failure, Result, Success
+
+from trefoilpitch.bundle import (
+    Bundle,
+    Model,
+    ModelVersion,
+    Operation,
+    Pool,
+    Service,
+    Task,
+    Upstream,
+    UpstreamKind,
+    VersionRef,
+    Workspace,
+)
+from trefoilpitch.cascade import (
+    Candidate,
+    CascadePlan,
+    CascadePolicy,
+    CascadeStep,
+    Target,
+)
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.coldstart import Admission, AdmissionKind, WorkOutcome
+from trefoilpitch.configuration import Configuration
+from trefoilpitch.identity import Session
+from trefoilpitch.ledger import Bill
+from trefoilpitch.retries import RetryBudget
+from trefoilpitch.routing import RoutingTable, routing_table
+from trefoilpitch.serving import (
+    CallAnswer,
+    CallFlow,
+    CallRequest,
+    CascadePlanner,
+    ChatAnswer,
+    ChatFlow,
+    ChatRequest,
+    Dispatcher,
+    PlaceQueue,
+    UpstreamDirectory,
+)
+from trefoilpitch.upstreams import (
+    Chunk,
+    EngineClient,
+    FakeEngineClient,
+    FakeServiceClient,
+    Finish,
+    Message,
+    ServiceClient,
+    ServiceReply,
+    ServiceRequest,
+    UpstreamError,
+)
+from trefoilpitch.web import Problem
+
+CHEAP = VersionRef("cheap", "1")
+DEAR = VersionRef("dear", "1")
+WORKSPACE = Workspace(
+    name="suva-parish",
+    token_sha256="",
+    allowed=("cheap@*", "dear@*"),
+    tasks=("tag",),
+    services=("loans",),
+)
+
+
+def answer(*texts: str, confidence: float = 0.9) -> tuple[Chunk | Finish, ...]:
+    chunks = tuple(
+        Chunk(index=index, text=text, tokens=1)
+        for index, text in enumerate(texts)
+    )
+    finish = Finish(
+        finish_reason="stop",
+        prompt_tokens=10,
+        output_tokens=len(texts),
+        confidence=confidence,
+    )
+    return (*chunks, finish)
+
+
+def _bundle() -> Bundle:
+    versions = (ModelVersion(name="1", prompt_cost_nano=1, output_cost_nano=2),)
+    engines = tuple(
+        Upstream(
+            name=name, address="", failure_domain=name[-1], capacity=capacity
+        )
+        for name, capacity in (("engine-a", 2), ("engine-b", 2))
+    )
+    workers = tuple(
+        Upstream(name=name, address="", failure_domain=name[-1], capacity=2)
+        for name in ("worker-a", "worker-b")
+    )
+    return Bundle(
+        name="test",
+        version=1,
+        failure_domains=("a", "b"),
+        models=tuple(
+            Model(name=name, versions=versions, default_version="1")
+            for name in ("cheap", "dear")
+        ),
+        pools=(
+            Pool(
+                name="engines",
+                kind=UpstreamKind.ENGINE,
+                serves=("cheap@1", "dear@1"),
+                upstreams=engines,
+            ),
+            Pool(name="desk", kind=UpstreamKind.SERVICE, upstreams=workers),
+        ),
+        tasks=(
+            Task(name="tag", cascade=("cheap", "dear"), quality_target=0.9),
+        ),
+        services=(
+            Service(
+                name="loans",
+                pool="desk",
+                call_cost_nano=7,
+                operations=(
+                    Operation(
+                        name="create-loan", method="POST", idempotent=False
+                    ),
+                    Operation(name="look-up", method="GET", idempotent=True),
+                ),
+            ),
+        ),
+        workspaces=(WORKSPACE,),
+    )
+
+
+class _FixedPolicy(CascadePolicy):
+    """Tries the versions in order; accepts by a fixed threshold."""
+
+    def plan(
+        self,
+        workspace: str,
+        task: str,
+        candidates: Sequence[Candidate],
+        target: Target,
+        rng: random.Random,
+        *,
+        max_steps: int = 2,
+    ) -> CascadePlan:
+        del target, rng, max_steps
+        steps = tuple(
+            CascadeStep(version=one.version, accept_threshold=0.5)
+            for one in candidates
+        )
+        return CascadePlan(workspace=workspace, task=task, steps=steps)
+
+
+class _MovingParking:
+    """Moves the clock instead of waiting; runs planned actions meanwhile."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self.meanwhile: list[Callable[[], None]] = []
+
+    def pause(self, duration_ms: int) -> None:
+        self._clock.advance(duration_ms)
+
+    def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
+        self._clock.advance(timeout_ms)
+        if self.meanwhile:
+            changed.release()
+            try:
+                self.meanwhile.pop(0)()
+            finally:
+                changed.acquire()
+
+
+class _Gates:
+    """No bounds but those that a test sets."""
+
+    def __init__(self) -> None:
+        self.cold: set[str] = set()
+        self.demanded: list[str] = []
+
+    def allowance(self, upstream: str) -> int | None:
+        return 0 if upstream in self.cold else None
+
+    def admit(self, upstream: str) -> Admission:
+        kind = AdmissionKind.WARM
+        if upstream in self.cold:
+            kind = AdmissionKind.WAIT
+        return Admission(upstream=upstream, kind=kind)
+
+    def ended(
+        self,
+        admission: Admission,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+    ) -> None:
+        del admission, outcome, latency_ms
+
+    def demand(self, upstream: str, change: int) -> None:
+        if change > 0:
+            self.demanded.append(upstream)
+
+    def limit(self, upstream: Upstream) -> int:
+        return upstream.capacity
+
+    def finished(
+        self,
+        upstream: Upstream,
+        outcome: WorkOutcome,
+        latency_ms: int | None,
+        in_flight: int,
+    ) -> None:
+        del upstream, outcome, latency_ms, in_flight
+
+
+class World:
+    """Two engines, two workers of a plain service, one workspace."""
+
+    def __init__(self, max_waiting: int = 8) -> None:
+        self.clock = ManualClock(1_000)
+        self.parking = _MovingParking(self.clock)
+        self.gates = _Gates()
+        self.engines = {
+            name: FakeEngineClient(name) for name in ("engine-a", "engine-b")
+        }
+        self.call_results: list[Result[ServiceReply, UpstreamError]] = []
+        self.calls: list[str] = []
+        self.bills: list[Bill] = []
+        self.configuration = Configuration(revision=1, bundle=_bundle())
+        self.on_table: Callable[[], None] | None = None
+        self.queue = PlaceQueue(self.clock, self.parking, max_waiting)
+        self.directory = UpstreamDirectory(
+            self.clock, self, self.gates, self.gates
+        )
+        self.directory.on_release(self.queue.observe)
+        self.directory.apply(self.table())
+        dispatcher = Dispatcher(
+            configuration=self,
+            directory=self.directory,
+            queue=self.queue,
+            parking=self.parking,
+            budget=RetryBudget(),
+            clock=self.clock,
+            rng=random.Random(7),
+            local_domain="a",
+        )
+        self.chat = ChatFlow(
+            configuration=self,
+            dispatcher=dispatcher,
+            planner=CascadePlanner(_FixedPolicy("n"), random.Random(7)),
+            bills=self,
+            clock=self.clock,
+            on_delivered=lambda delivered: None,
+        )
+        self.flow = CallFlow(
+            configuration=self,
+            dispatcher=dispatcher,
+            bills=self,
+            clock=self.clock,
+        )
+
+    def table(self) -> RoutingTable:
+        hook, self.on_table = self.on_table, None
+        table = routing_table(self.configuration)
+        if hook is not None:
+            hook()
+        return table
+
+    def engine(self, upstream: Upstream) -> EngineClient:
+        return self.engines[upstream.name]
+
+    def service(self, upstream: Upstream) -> ServiceClient:
+        def respond(
+            request: ServiceRequest,
+        ) -> Result[ServiceReply, UpstreamError]:
+            self.calls.append(f"{upstream.name} {request.path}")
+            return self.call_results.pop(0)
+
+        return FakeServiceClient(respond)
+
+    def record(self, bill: Bill) -> None:
+        self.bills.append(bill)
+
+    def accepts_work(self) -> bool:
+        return True
+
+    def ask(self) -> Result[ChatAnswer, Problem]:
+        request = ChatRequest(
+            request_id="r1",
+            workspace=WORKSPACE,
+            task="tag",
+            messages=(Message(role="user", content="hymn"),),
+            session=Session(workspace=WORKSPACE.name, seed="s"),
+            max_output_tokens=None,
+            stream=True,
+        )
+        return self.chat.answer(request)
+
+    def call(self, operation: str, method: str) -> Result[CallAnswer, Problem]:
+        request = CallRequest(
+            request_id="c1",
+            workspace=WORKSPACE,
+            service="loans",
+            operation=operation,
+            method=method,
+            path=f"/{operation}",
+            body=b"{}",
+            content_type="application/json",
+        )
+        found = self.flow.operation(request)
+        if not isinstance(found, Success):
+            return Failure(found.failure())
+        return self.flow.call(request, found.unwrap())
