--- a/trefoilpitch/configuration/_apply_bundle.py
+++ b/trefoilpitch/configuration/_apply_bundle.py
@@ -6,7 +6,8 @@
 
 from returns.result import Success
 
-from trefoilpitch.bundle import Bundle, RolloutPlan, VersionRef
+from trefoilpitch.bundle import Bundle, VersionRef
+from trefoilpitch.configuration._apply_rollout import find_plan
 from trefoilpitch.configuration._changes import SignOffBundle
 from trefoilpitch.configuration._exceptions import Refusal
 from trefoilpitch.configuration._nodes import (
@@ -40,7 +41,7 @@
     kept = tuple(
         state
         for state in configuration.rollouts
-        if _find_plan(bundle, state) is not None
+        if find_plan(bundle, state.model, state.to_version) is not None
     )
     return Success(
         dataclasses.replace(configuration, bundle=bundle, rollouts=kept)
@@ -72,20 +73,13 @@
     return [str(ref) for ref in refs if ref in configuration.withdrawn]
 
 
-def _find_plan(bundle: Bundle, state: RolloutState) -> RolloutPlan | None:
-    for plan in bundle.rollouts:
-        if (plan.model, plan.to_version) == (state.model, state.to_version):
-            return plan
-    return None
-
-
 def _find_rollout_problem(
     configuration: Configuration, bundle: Bundle, state: RolloutState
 ) -> str | None:
     if state.phase is RolloutPhase.ROLLED_BACK:
         return None
     name = f"the roll-out of {state.model} to {state.to_version}"
-    new_plan = _find_plan(bundle, state)
+    new_plan = find_plan(bundle, state.model, state.to_version)
     if state.phase is RolloutPhase.COMPLETED:
         if new_plan or _is_default(bundle, state):
             return None
@@ -93,7 +87,7 @@
             f"{name} is completed: the bundle must make that version the "
             "default or keep the plan"
         )
-    old_plan = configuration.bundle and _find_plan(configuration.bundle, state)
+    old_plan = find_plan(configuration.bundle, state.model, state.to_version)
     if new_plan is None or new_plan != old_plan:
         return (
             f"{name} is under way and the bundle changes or drops its plan; "
--- a/trefoilpitch/configuration/_apply_rollout.py
+++ b/trefoilpitch/configuration/_apply_rollout.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from trefoilpitch.bundle import RolloutPlan, VersionRef
+from trefoilpitch.bundle import Bundle, RolloutPlan, VersionRef
 from trefoilpitch.configuration._changes import (
     AdvanceRollout,
     PauseRollout,
@@ -24,12 +24,10 @@
 
 
 def find_plan(
-    configuration: Configuration, model: str, to_version: str
+    bundle: Bundle | None, model: str, to_version: str
 ) -> RolloutPlan | None:
-    """Returns the bundle's plan for a roll-out, None if it has none."""
-    if configuration.bundle is None:
-        return None
-    for plan in configuration.bundle.rollouts:
+    """Returns a bundle's plan for a roll-out, None if it has none."""
+    for plan in bundle.rollouts if bundle else ():
         if (plan.model, plan.to_version) == (model, to_version):
             return plan
     return None
@@ -40,7 +38,7 @@
 ) -> Outcome:
     """Begins a planned roll-out; one that was rolled back may begin again."""
     ref = VersionRef(change.model, change.to_version)
-    if find_plan(configuration, ref.model, ref.version) is None:
+    if find_plan(configuration.bundle, ref.model, ref.version) is None:
         return refuse(
             Refusal.UNKNOWN_NAME, f"the bundle plans no roll-out to {ref}"
         )
@@ -75,7 +73,7 @@
             f"the roll-out of {change.model} stands at step {current.step}, "
             f"not {change.from_step}",
         )
-    plan = find_plan(configuration, current.model, current.to_version)
+    plan = find_plan(configuration.bundle, current.model, current.to_version)
     if plan is None or current.step + 1 >= len(plan.steps_percent):
         return _with_phase(configuration, current, RolloutPhase.COMPLETED)
     return _with_rollout(
