--- a/trefoilpitch/membership/_gossip.py
+++ b/trefoilpitch/membership/_gossip.py
@@ -13,6 +13,7 @@
     SyncRequest,
 )
 from trefoilpitch.membership._nodes import MemberState
+from trefoilpitch.membership._overlay import scatter
 from trefoilpitch.membership._records import state_of
 from trefoilpitch.membership._state import Peer
 
@@ -182,13 +183,16 @@
 def _next_reports(draft: Draft) -> tuple[MemberReport, ...]:
     names = draft.get("names")
     count = min(len(names), draft.settings.max_reports)
-    cursor = draft.get("report_cursor")
+    number = draft.get("digests_sent")
+    draft.set(digests_sent=number + 1)
+    # A start that moved on evenly could give each neighbour the same part of
+    # the table again and again.
+    start = scatter(draft.own.name, number)
     reports: list[MemberReport] = []
     for offset in range(count):
-        peer = draft.peers[names[(cursor + offset) % len(names)]]
+        peer = draft.peers[names[(start + offset) % len(names)]]
         if peer.is_confirmed:
             reports.append(peer.record.report)
-    draft.set(report_cursor=cursor + count)
     return tuple(reports)
 
 
--- a/trefoilpitch/membership/_overlay.py
+++ b/trefoilpitch/membership/_overlay.py
@@ -13,6 +13,8 @@
 
 import xxhash
 
+_SEEDS = 1 << 32
+
 
 def choose_neighbours(
     own_name: str, names: Iterable[str], rings: int
@@ -45,3 +47,9 @@
     return sorted(
         names, key=lambda name: xxhash.xxh32_intdigest((salt + name).encode())
     )
+
+
+def scatter(name: str, number: int) -> int:
+    """Returns the pseudo-random value of a member for a number."""
+    value: int = xxhash.xxh32_intdigest(name.encode(), seed=number % _SEEDS)
+    return value
--- a/trefoilpitch/membership/_state.py
+++ b/trefoilpitch/membership/_state.py
@@ -97,8 +97,8 @@
     seeds: tuple[str, ...] = ()
     # The address of the VM list tried last, while unanswered.
     tried_seed: str | None = None
-    # Position in ``names`` of the next report to pass on.
-    report_cursor: int = 0
+    # Messages with reports sent so far.
+    digests_sent: int = 0
     # Position in the addresses of the VM list to try next.
     seed_cursor: int = 0
     # When each periodic duty is due.
--- a/trefoilpitch/membership/tests/test_step.py
+++ b/trefoilpitch/membership/tests/test_step.py
@@ -73,6 +73,26 @@
                 assert fleet.states(name) == {MemberState.ALIVE}
 
 
+def test_woken_member_that_missed_everything_accuses_nobody() -> None:
+    fleet = Fleet(9)
+    fleet.run(6_000)
+    fleet.network.partition((address_of("vm4"),))
+    fleet.pause("vm4", 20_000)
+    fleet.run(500)
+    fleet.crash("vm5")
+    fleet.run(19_900)
+    # Nothing that it knew from before the pause counts yet.
+    view = fleet.view("vm4")
+    assert [m.name for m in view.members if m.is_eligible] == ["vm4"]
+    fleet.network.heal()
+    others = [name for name in fleet.nodes if name != "vm4"]
+    for _ in range(80):
+        fleet.run(100)
+        for name in others:
+            assert fleet.states(name) == {MemberState.ALIVE}
+    assert not fleet.view("vm4").by_name["vm5"].is_eligible
+
+
 def test_replaced_vm_is_a_new_incarnation() -> None:
     fleet = Fleet(9)
     fleet.run(6_000)
@@ -116,11 +136,11 @@
 
 
 def test_reports_reach_every_member() -> None:
-    fleet = Fleet(27)
+    fleet = Fleet(100)
     fleet.run(6_000)
     report = Report(in_flight_share=0.5, configuration_revision=7)
     fleet.nodes["vm4"].host.handle(ReportChanged(report))
-    fleet.run(15_000)
+    fleet.run(6_000)
     for name in fleet.nodes:
         assert fleet.view(name).by_name["vm4"].report == report
 
