--- a/trefoilpitch/coldstart/tests/world.py
+++ b/trefoilpitch/coldstart/tests/world.py
@@ -6,6 +6,7 @@
 import functools
 import random
 from collections.abc import Callable
+from typing import Any
 
 from trefoilpitch.bundle import Upstream
 from trefoilpitch.clock import ManualClock
@@ -74,7 +75,8 @@
 
 @dataclasses.dataclass
 class Work:
-    process: Process
+    # Who learns of its end.
+    sender: Any
     admission: Admission
     end_ms: int
 
@@ -386,8 +388,8 @@
 
     def _end(self, work: Work, outcome: WorkOutcome) -> None:
         event = WorkEnded(admission=work.admission, outcome=outcome)
-        work.process.when_awake(
-            functools.partial(work.process.host.handle, event)
+        work.sender.when_awake(
+            functools.partial(work.sender.host.handle, event)
         )
 
 
