Give the membership's working copy typed fields

Cause: a step read and wrote fields of the state by their names as strings, which no type checker sees. Change: the state groups its table, timers and VM list; a step works on those.

--- a/tools/measure_membership.py
+++ b/tools/measure_membership.py
@@ -168,7 +168,7 @@
             ),
         )
         self.hosts[name] = MembershipHost(
-            self._clock, state, transport, self._ignore
+            self._clock, state, transport, lambda incarnation: None
         )
         self.transports[name] = transport
         self._next_tick_ms[name] = self.now_ms + self._random.randrange(TICK_MS)
@@ -181,9 +181,6 @@
                 MessageReceived(message.sender, message.address, payload)
             )
 
-    def _ignore(self, incarnation: str) -> None:
-        pass
-
 
 def measure(size: int, events: int, seed: int) -> Measurement:
     """Measures a fleet of one size.
@@ -218,7 +215,7 @@
         messages_per_s_mean=round(sum(messages) / size / steady_s, 1),
         cpu_percent=round(100 * cpu_s / size / steady_s, 3),
         neighbours_max=max(
-            len(host.state.neighbours) for host in fleet.hosts.values()
+            len(host.state.table.neighbours) for host in fleet.hosts.values()
         ),
         report_age_p50_ms=_percentile(ages, 50),
         report_age_p99_ms=_percentile(ages, 99),
@@ -233,7 +230,9 @@
 def _wait_until_formed(fleet: Fleet) -> int:
     began_ms = fleet.now_ms
     expected = len(fleet.hosts) - 1
-    while any(len(h.state.names) < expected for h in fleet.hosts.values()):
+    while any(
+        len(h.state.table.names) < expected for h in fleet.hosts.values()
+    ):
         if fleet.now_ms - began_ms > SETTLE_LIMIT_MS:
             raise RuntimeError("the fleet did not form")
         fleet.step()
--- a/trefoilpitch/membership/_draft.py
+++ b/trefoilpitch/membership/_draft.py
@@ -34,6 +34,7 @@
     MembershipSettings,
     MembershipState,
     Peer,
+    Table,
 )
 
 
@@ -47,13 +48,16 @@
 
     def __init__(self, state: MembershipState, now_ms: int) -> None:
         self._state = state
-        self._changes: dict[str, Any] = {}
         self._is_table_changed = False
         self._actions: list[MembershipAction] = []
         self._now_ms = now_ms
         self.own = state.own
         self.peers = dict(state.peers)
         self.rumours = dict(state.rumours)
+        self.table = state.table
+        self.timers = state.timers
+        self.seeding = state.seeding
+        self.digests_sent = state.digests_sent
 
     @property
     def now_ms(self) -> int:
@@ -70,13 +74,9 @@
         """Intervals and limits."""
         return self._state.settings
 
-    def set(self, **changes: Any) -> None:
-        """Changes fields of the state that have no method of their own."""
-        self._changes.update(changes)
-
-    def get(self, field: str) -> Any:
-        """Returns a field of the state with the changes so far."""
-        return self._changes.get(field, getattr(self._state, field))
+    def set_timers(self, **changes: int | None) -> None:
+        """Changes some of the timers."""
+        self.timers = dataclasses.replace(self.timers, **changes)  # type: ignore[arg-type]
 
     def send(
         self, address: str, message: MembershipMessage, *, urgent: bool = False
@@ -133,7 +133,7 @@
 
     def heard(self, name: str) -> None:
         """Notes a sign of life."""
-        self.set(last_contact_ms=self._now_ms)
+        self.set_timers(last_contact_ms=self._now_ms)
         if name in self.peers:
             self._update(name, heard_ms=self._now_ms, probed_ms=None)
             self._confirm(name)
@@ -169,7 +169,10 @@
             own=self.own,
             peers=self.peers,
             rumours=self.rumours,
-            **self._changes,
+            table=self.table,
+            timers=self.timers,
+            seeding=self.seeding,
+            digests_sent=self.digests_sent,
         )
         return state, tuple(self._actions)
 
@@ -237,7 +240,7 @@
             self.own.name, names, self.settings.rings
         )
         for name in neighbours:
-            if name not in self._state.neighbours:
+            if name not in self._state.table.neighbours:
                 self._update(name, heard_ms=self._now_ms, probed_ms=None)
         records = [*present.values(), self.own]
         table_hash = 0
@@ -249,11 +252,11 @@
             for name, peer in self.peers.items()
             if state_of(peer.record) not in settled_states
         )
-        self.set(
+        self.table = Table(
             names=names,
             neighbours=neighbours,
             doubtful=doubtful,
-            table_hash=table_hash,
+            digest=table_hash,
         )
 
 
--- a/trefoilpitch/membership/_gossip.py
+++ b/trefoilpitch/membership/_gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Iterator
 
 from trefoilpitch.membership._draft import Draft
@@ -42,25 +43,28 @@
 
 def try_seed(draft: Draft) -> None:
     """Tries an address of the VM list at which no member is known."""
-    if draft.now_ms < draft.before.next_seed_ms:
+    if draft.now_ms < draft.timers.next_seed_ms:
         return
     settings = draft.settings
     known = {draft.own.peer_address}
-    for name in draft.get("names"):
+    for name in draft.table.names:
         known.add(draft.peers[name].record.peer_address)
-    tried = draft.before.tried_seed
+    tried = draft.seeding.tried
     if tried is not None and tried not in known:
         draft.disconnect(tried)
     interval_ms = settings.seed_interval_ms
     if len(known) == 1:
         interval_ms = settings.lonely_seed_interval_ms
-    draft.set(next_seed_ms=draft.now_ms + interval_ms, tried_seed=None)
-    unknown = [seed for seed in draft.get("seeds") if seed not in known]
+    draft.set_timers(next_seed_ms=draft.now_ms + interval_ms)
+    draft.seeding = dataclasses.replace(draft.seeding, tried=None)
+    unknown = [a for a in draft.seeding.addresses if a not in known]
     if not unknown:
         return
-    cursor = draft.before.seed_cursor
+    cursor = draft.seeding.cursor
     address = unknown[cursor % len(unknown)]
-    draft.set(seed_cursor=cursor + 1, tried_seed=address)
+    draft.seeding = dataclasses.replace(
+        draft.seeding, tried=address, cursor=cursor + 1
+    )
     draft.send(address, _create_digest(draft, (), (), wants_answer=True))
 
 
@@ -73,7 +77,7 @@
         draft.merge(record)
     for report in digest.reports:
         draft.merge_report(report)
-    if digest.wants_answer and sender not in draft.before.neighbours:
+    if digest.wants_answer and sender not in draft.before.table.neighbours:
         records = _known_of(draft, sender)
         answer = _create_digest(
             draft, records, _next_reports(draft), wants_answer=False
@@ -114,7 +118,7 @@
 
 
 def _present_neighbours(draft: Draft) -> Iterator[Peer]:
-    for name in draft.before.neighbours:
+    for name in draft.before.table.neighbours:
         peer = draft.peers.get(name)
         if peer is None or state_of(peer.record) is MemberState.GONE:
             continue
@@ -142,27 +146,29 @@
 
 
 def _compare_tables(draft: Draft, address: str, table_hash: int) -> None:
-    if table_hash == draft.before.table_hash:
-        draft.set(sync_due_ms=None)
+    if table_hash == draft.before.table.digest:
+        draft.set_timers(sync_due_ms=None)
         _settle(draft)
         return
     settings = draft.settings
-    is_settled = draft.get("unsettled_since_ms") is None
-    due_ms = draft.get("sync_due_ms")
+    is_settled = draft.timers.unsettled_since_ms is None
+    due_ms = draft.timers.sync_due_ms
     if due_ms is None:
         due_ms = draft.now_ms + (settings.sync_delay_ms if is_settled else 0)
-        draft.set(sync_due_ms=due_ms)
-    began_ms = draft.get("sync_began_ms")
+        draft.set_timers(sync_due_ms=due_ms)
+    began_ms = draft.timers.sync_began_ms
     if began_ms is not None:
-        gap_ms = settings.sync_interval_ms if is_settled else 1_000
+        gap_ms = settings.unsettled_sync_interval_ms
+        if is_settled:
+            gap_ms = settings.sync_interval_ms
         due_ms = max(due_ms, began_ms + gap_ms)
     if draft.now_ms >= due_ms:
-        draft.set(sync_began_ms=draft.now_ms, sync_due_ms=None)
+        draft.set_timers(sync_began_ms=draft.now_ms, sync_due_ms=None)
         draft.send(address, SyncRequest(after=""), urgent=True)
 
 
 def _settle(draft: Draft) -> None:
-    draft.set(unsettled_since_ms=None)
+    draft.set_timers(unsettled_since_ms=None)
 
 
 def _take_rumours(draft: Draft) -> tuple[MemberRecord, ...]:
@@ -181,10 +187,10 @@
 
 
 def _next_reports(draft: Draft) -> tuple[MemberReport, ...]:
-    names = draft.get("names")
+    names = draft.table.names
     count = min(len(names), draft.settings.max_reports)
-    number = draft.get("digests_sent")
-    draft.set(digests_sent=number + 1)
+    number = draft.digests_sent
+    draft.digests_sent = number + 1
     # A start that moved on evenly could give each neighbour the same part of
     # the table again and again.
     start = scatter(draft.own.name, number)
@@ -207,6 +213,6 @@
         own=draft.own,
         records=records,
         reports=reports,
-        table_hash=draft.get("table_hash"),
+        table_hash=draft.table.digest,
         wants_answer=wants_answer,
     )
--- a/trefoilpitch/membership/_monitor.py
+++ b/trefoilpitch/membership/_monitor.py
@@ -16,28 +16,28 @@
 
 def note_pause(draft: Draft) -> None:
     """Blames a long gap between ticks on this daemon, not on its peers."""
-    state = draft.before
+    timers = draft.timers
     settings = draft.settings
-    if draft.now_ms - state.last_tick_ms > settings.pause_threshold_ms:
+    if draft.now_ms - timers.last_tick_ms > settings.pause_threshold_ms:
         draft.restart_timers()
-        draft.set(
+        draft.set_timers(
             unsettled_since_ms=draft.now_ms,
             sync_due_ms=None,
             sync_began_ms=None,
             next_heartbeat_ms=draft.now_ms,
         )
         return
-    since_ms = state.unsettled_since_ms
+    since_ms = timers.unsettled_since_ms
     if since_ms is not None and (
         draft.now_ms - since_ms >= settings.settle_limit_ms
     ):
-        draft.set(unsettled_since_ms=None)
+        draft.set_timers(unsettled_since_ms=None)
 
 
 def advance_states(draft: Draft) -> None:
     """Ends suspicions that were not refuted and forgets gone members."""
     settings = draft.settings
-    for name in draft.before.doubtful:
+    for name in draft.before.table.doubtful:
         peer = draft.peers[name]
         age_ms = draft.now_ms - peer.changed_ms
         state = state_of(peer.record)
@@ -50,7 +50,7 @@
 def probe_silent_neighbours(draft: Draft) -> None:
     """Probes silent neighbours through others, then suspects them."""
     settings = draft.settings
-    for name in draft.before.neighbours:
+    for name in draft.before.table.neighbours:
         peer = draft.peers.get(name)
         if peer is None or not _is_doubtable(peer):
             continue
@@ -98,7 +98,10 @@
 
 def _retention_ms(draft: Draft, peer: Peer) -> int:
     record = peer.record
-    if record.state != DEPARTED and record.peer_address in draft.before.seeds:
+    if (
+        record.state != DEPARTED
+        and record.peer_address in draft.seeding.addresses
+    ):
         return draft.settings.listed_retention_ms
     return draft.settings.gone_retention_ms
 
@@ -117,7 +120,7 @@
 def _ask_helpers(draft: Draft, peer: Peer) -> None:
     candidates = [
         name
-        for name in draft.before.names
+        for name in draft.before.table.names
         if name != peer.record.name and _is_doubtable(draft.peers[name])
     ]
     salt = f"{peer.record.name}/{draft.now_ms}"
--- a/trefoilpitch/membership/_state.py
+++ b/trefoilpitch/membership/_state.py
@@ -41,6 +41,8 @@
     sync_delay_ms: int = 3_000
     # Shortest time between two such fetches.
     sync_interval_ms: int = 15_000
+    # The same while the view is unsettled.
+    unsettled_sync_interval_ms: int = 1_000
     # Rings of the overlay; neighbours number at most twice as many.
     rings: int = 3
     # Members asked to probe a silent neighbour.
@@ -74,46 +76,71 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class MembershipState:
-    """Everything that the protocol remembers."""
+class Table:
+    """What follows from the states of all members."""
 
-    # Intervals and limits.
-    settings: MembershipSettings
-    # This daemon's own record.
-    own: MemberRecord
-    # Other members by name, gone ones included until forgotten.
-    peers: Mapping[str, Peer]
     # Names of the members that heartbeats go to.
     neighbours: tuple[str, ...] = ()
     # Names of other members that are not gone, sorted.
     names: tuple[str, ...] = ()
     # Names of members that are suspect or gone.
     doubtful: tuple[str, ...] = ()
-    # Names of changed records and the rounds that still carry them.
-    rumours: Mapping[str, int]
     # Hash over the states of all members that are not gone.
-    table_hash: int = 0
-    # Peer addresses from the VM list.
-    seeds: tuple[str, ...] = ()
-    # The address of the VM list tried last, while unanswered.
-    tried_seed: str | None = None
-    # Messages with reports sent so far.
-    digests_sent: int = 0
-    # Position in the addresses of the VM list to try next.
-    seed_cursor: int = 0
-    # When each periodic duty is due.
+    digest: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Timers:
+    """When things happened last or are due, on the monotonic clock."""
+
+    # When the last tick came.
+    last_tick_ms: int
+    # When the next heartbeat is due.
     next_heartbeat_ms: int
+    # When an address of the VM list is tried next.
     next_seed_ms: int
+    # When a peer was last heard; ``None`` before the first.
+    last_contact_ms: int | None = None
     # When a table may be fetched; ``None`` while no difference is known.
     sync_due_ms: int | None = None
     # When the last fetch of a table began.
     sync_began_ms: int | None = None
-    # When the last tick came.
-    last_tick_ms: int
-    # When a peer was last heard.
-    last_contact_ms: int | None = None
     # Since when the view is unsettled; ``None`` once it has caught up.
-    unsettled_since_ms: int | None
+    unsettled_since_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Seeding:
+    """The VM list and how far it was tried."""
+
+    # Peer addresses from the VM list.
+    addresses: tuple[str, ...] = ()
+    # The address tried last, while unanswered.
+    tried: str | None = None
+    # Position of the address to try next.
+    cursor: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipState:
+    """Everything that the protocol remembers."""
+
+    # Intervals and limits.
+    settings: MembershipSettings
+    # This daemon's own record.
+    own: MemberRecord
+    # Other members by name, gone ones included until forgotten.
+    peers: Mapping[str, Peer]
+    # Names of changed records and the rounds that still carry them.
+    rumours: Mapping[str, int]
+    # What follows from the states of all members.
+    table: Table
+    # When things happened last or are due.
+    timers: Timers
+    # The VM list.
+    seeding: Seeding
+    # Messages with reports sent so far.
+    digests_sent: int = 0
 
 
 def create_membership(
@@ -147,9 +174,12 @@
         ),
         peers={},
         rumours={},
-        seeds=seeds,
-        next_heartbeat_ms=now_ms,
-        next_seed_ms=now_ms,
-        last_tick_ms=now_ms,
-        unsettled_since_ms=now_ms,
+        table=Table(),
+        timers=Timers(
+            last_tick_ms=now_ms,
+            next_heartbeat_ms=now_ms,
+            next_seed_ms=now_ms,
+            unsettled_since_ms=now_ms,
+        ),
+        seeding=Seeding(addresses=seeds),
     )
--- a/trefoilpitch/membership/_step.py
+++ b/trefoilpitch/membership/_step.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from trefoilpitch.membership._draft import Draft
 from trefoilpitch.membership._events import (
     Departed,
@@ -69,7 +71,9 @@
             draft.heard(sender)
             _receive(draft, sender, address, message)
         case SeedsChanged(addresses=addresses):
-            draft.set(seeds=addresses)
+            draft.seeding = dataclasses.replace(
+                draft.seeding, addresses=addresses
+            )
         case ReportChanged():
             _change_report(draft, event)
         case LeaveRequested():
@@ -83,13 +87,13 @@
 
 def _tick(draft: Draft) -> None:
     note_pause(draft)
-    draft.set(last_tick_ms=draft.now_ms)
+    draft.set_timers(last_tick_ms=draft.now_ms)
     if state_of(draft.own) is MemberState.GONE:
         return
     advance_states(draft)
     try_seed(draft)
-    if draft.now_ms >= draft.before.next_heartbeat_ms:
-        draft.set(
+    if draft.now_ms >= draft.timers.next_heartbeat_ms:
+        draft.set_timers(
             next_heartbeat_ms=draft.now_ms
             + draft.settings.heartbeat_interval_ms
         )
--- a/trefoilpitch/membership/_view.py
+++ b/trefoilpitch/membership/_view.py
@@ -32,9 +32,9 @@
         return MembershipView(
             own_name=state.own.name,
             members=tuple(members),
-            as_of_ms=state.last_tick_ms,
-            last_contact_ms=state.last_contact_ms,
-            is_settled=state.unsettled_since_ms is None,
+            as_of_ms=state.timers.last_tick_ms,
+            last_contact_ms=state.timers.last_contact_ms,
+            is_settled=state.timers.unsettled_since_ms is None,
             unmet_seeds=_count_unmet_seeds(state),
         )
 
@@ -66,4 +66,4 @@
 def _count_unmet_seeds(state: MembershipState) -> int:
     met = {peer.record.peer_address for peer in state.peers.values()}
     met.add(state.own.peer_address)
-    return len(set(state.seeds) - met)
+    return len(set(state.seeding.addresses) - met)
