--- a/tools/measure_membership.py
+++ b/tools/measure_membership.py
@@ -55,9 +55,9 @@
 class Measurement:
     """The figures of one fleet size."""
 
-    # Daemons in the fleet.
+    # Daemons in the fleet, and the time from their start until every view is
+    # complete.
     nodes: int
-    # Time from the start of all daemons until every view is complete.
     formed_ms: int
     # Sent by one daemon while nothing changes: mean and the busiest one.
     bytes_per_s_mean: int
@@ -71,10 +71,10 @@
     # Age of the reports in all views.
     report_age_p50_ms: int
     report_age_p99_ms: int
-    # From a crash until another view no longer offers the member.
+    # From a crash, or the announcement of an end, until another view no longer
+    # offers the member.
     crash_p50_ms: int
     crash_p99_ms: int
-    # From the announcement until another view no longer offers the member.
     leave_p50_ms: int
     leave_p99_ms: int
     # Members wrongly held not to be alive during the whole run.
@@ -249,10 +249,7 @@
 
 
 def _report_ages(fleet: Fleet) -> list[int]:
-    """Returns for every view and member how old the newest report is.
-
-    Each report carries its version; versions follow at a fixed interval.
-    """
+    """Returns the age of each report in each view, from its version."""
     ages: list[int] = []
     for host in fleet.hosts.values():
         for name, peer in host.state.peers.items():
