See clear harm of a new version before the old one is known

Cause: without outcomes of the old version its tolerated rate was 0.995, so neither the breaker nor the test could object to a new version that only failed, for as long as the node was young.

Change: every old version is given ten outcomes, one of them bad, before its own.

Figures: eight errors in a row did not open the breaker before, and do now (test_clear_harm_is_seen_though_nothing_is_known_of_the_old_version).

--- a/trefoilpitch/rollout/_evidence.py
+++ b/trefoilpitch/rollout/_evidence.py
@@ -7,6 +7,9 @@
 
 _GRID = 12
 _OLD_SIGMAS = 1.64
+# Outcomes, and bad ones among them, given to every old version.
+_PRIOR_COUNT = 10.0
+_PRIOR_BAD = 1.0
 _FLOOR = 0.002
 _CEILING = 0.995
 
@@ -51,10 +54,13 @@
 def tolerated_rate(old: Trials, tolerance: float) -> float:
     """Returns the highest rate at which a new version counts as no worse.
 
-    It is an upper bound of the old version's rate, plus the tolerance.
+    It is an upper bound of the old version's rate, plus the tolerance. An
+    old version of which little is known is given a few outcomes of its own,
+    so that clear harm is seen from the first requests on.
     """
-    rate = old.rate
-    error = math.sqrt(rate * (1.0 - rate) / (old.count + 1.0))
+    count = old.count + _PRIOR_COUNT
+    rate = (old.bad + _PRIOR_BAD) / count
+    error = math.sqrt(rate * (1.0 - rate) / count)
     upper = rate + _OLD_SIGMAS * error + tolerance
     return min(max(upper, _FLOOR), _CEILING)
 
--- a/trefoilpitch/rollout/tests/test_rollout.py
+++ b/trefoilpitch/rollout/tests/test_rollout.py
@@ -204,3 +204,12 @@
         breaker = breaker.answered(_OLD, 40_000, failed=index % 5 == 0)
     assert breaker.phase is not BreakerPhase.CLOSED
     assert breaker.openings >= 2
+
+
+def test_clear_harm_is_seen_though_nothing_is_known_of_the_old_version() -> (
+    None
+):
+    breaker = Breaker()
+    for _ in range(8):
+        breaker = breaker.answered(VersionEvidence(), 0, failed=True)
+    assert breaker.phase is BreakerPhase.OPEN
