Size the subsets so that every upstream is followed

Cause: with 390 nodes before a pool of 900 upstreams, subsets of 12 left some upstreams without any node that follows them; their capacity was lost.

Ruled out: a larger fixed size (too many reports for small pools); each upstream choosing its nodes (a table would cost 390 times 3,600 hashes).

Change: a table that is told the number of nodes aims at 16 followers an upstream, with 12 upstreams a node at least.

--- a/tools/decisions/speed.py
+++ b/tools/decisions/speed.py
@@ -143,8 +143,10 @@
 def _measure_fleet(seed: int, workers: int) -> SpeedFigures:
     rng = random.Random(seed)
     configuration = Configuration(revision=1, bundle=fleet_bundle(workers))
+    # As many nodes before each worker as at the size to design for.
+    nodes = max(workers * 390 // 3_600, 6)
     started_ns = time.process_time_ns()
-    table = routing_table(configuration, node="node-1")
+    table = routing_table(configuration, node="node-1", nodes=nodes)
     table_ms = (time.process_time_ns() - started_ns) / 1e6
     states = {
         upstream.name: UpstreamState(
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -23,6 +23,7 @@
     outage,
     recovery,
     speed,
+    subsets,
 )
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of every measurement.")
@@ -39,6 +40,7 @@
     "outage": outage.measure,
     "recovery": recovery.measure,
     "speed": speed.measure,
+    "subsets": subsets.measure,
 }
 
 
--- a/trefoilpitch/routing/__init__.py
+++ b/trefoilpitch/routing/__init__.py
@@ -29,7 +29,7 @@
     PrefixIndex,
     prefix_blocks,
 )
-from trefoilpitch.routing._subset import followed_upstreams
+from trefoilpitch.routing._subset import followed_upstreams, subset_size
 from trefoilpitch.routing._table import (
     RoutingTable,
     parse_version,
@@ -71,5 +71,6 @@
     "prefix_blocks",
     "rollout_weight",
     "routing_table",
+    "subset_size",
     "utilisation",
 ]
--- a/trefoilpitch/routing/_subset.py
+++ b/trefoilpitch/routing/_subset.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import xxhash
@@ -9,6 +10,22 @@
 from trefoilpitch.bundle import Upstream
 
 DEFAULT_SUBSET_SIZE = 12
+# Nodes that should follow an upstream on average, so that none has no one.
+_MEAN_FOLLOWERS = 16
+
+
+def subset_size(
+    upstreams: int, nodes: int, least: int = DEFAULT_SUBSET_SIZE
+) -> int:
+    """Returns how many upstreams of a pool a node follows.
+
+    Args:
+        upstreams: The pool's size.
+        nodes: Nodes in the fleet.
+        least: Upstreams to follow even if fewer would cover the pool.
+    """
+    covering = math.ceil(_MEAN_FOLLOWERS * upstreams / max(nodes, 1))
+    return max(covering, least)
 
 
 def followed_upstreams(
--- a/trefoilpitch/routing/_table.py
+++ b/trefoilpitch/routing/_table.py
@@ -22,6 +22,7 @@
 from trefoilpitch.routing._subset import (
     DEFAULT_SUBSET_SIZE,
     followed_upstreams,
+    subset_size,
 )
 
 
@@ -83,7 +84,7 @@
     configuration: Configuration,
     *,
     node: str | None = None,
-    subset_size: int = DEFAULT_SUBSET_SIZE,
+    nodes: int | None = None,
 ) -> RoutingTable:
     """Builds the table of a configuration; empty when there is no bundle.
 
@@ -91,7 +92,8 @@
         configuration: The revision to arrange.
         node: The name of the node that decides; bounds each pool's members
             to the subset that it follows. None keeps all members.
-        subset_size: The most upstreams to follow in a pool.
+        nodes: How many nodes there are. Where the pool is large, each of
+            few nodes follows more of it; None assumes many nodes.
     """
     bundle = configuration.bundle or Bundle(
         name="", version=0, failure_domains=()
@@ -118,9 +120,7 @@
             for operation in service.operations
         },
         pools_by_target=_pools_by_target(bundle),
-        pool_members=_members_in_service(
-            configuration, bundle, node, subset_size
-        ),
+        pool_members=_members_in_service(configuration, bundle, node, nodes),
         upstreams={
             upstream.name: upstream
             for pool in bundle.pools
@@ -172,7 +172,7 @@
     configuration: Configuration,
     bundle: Bundle,
     node: str | None,
-    subset_size: int,
+    nodes: int | None,
 ) -> dict[str, tuple[Upstream, ...]]:
     members = {}
     for pool in bundle.pools:
@@ -183,7 +183,10 @@
             and upstream.failure_domain not in configuration.failure_domains_out
         )
         if node is not None:
-            in_service = followed_upstreams(node, in_service, subset_size)
+            size = DEFAULT_SUBSET_SIZE
+            if nodes is not None:
+                size = subset_size(len(in_service), nodes)
+            in_service = followed_upstreams(node, in_service, size)
         members[pool.name] = in_service
     return members
 
--- a/trefoilpitch/routing/tests/test_balance.py
+++ b/trefoilpitch/routing/tests/test_balance.py
@@ -14,6 +14,7 @@
     choose_upstream,
     followed_upstreams,
     routing_table,
+    subset_size,
     utilisation,
 )
 from trefoilpitch.routing.tests import examples
@@ -124,3 +125,17 @@
     after = followed_upstreams("node-1", gone, 12)
     assert len(set(before) - set(after)) == 1
     assert before != followed_upstreams("node-2", engines, 12)
+
+
+@pytest.mark.parametrize(("nodes", "upstreams"), [(6, 120), (39, 400)])
+def test_every_upstream_is_followed_by_several_nodes(
+    nodes: int, upstreams: int
+) -> None:
+    engines = [examples.engine(index) for index in range(upstreams)]
+    size = subset_size(upstreams, nodes)
+    followers = Counter(
+        upstream.name
+        for number in range(nodes)
+        for upstream in followed_upstreams(f"node-{number}", engines, size)
+    )
+    assert min(followers[engine.name] for engine in engines) >= 2
