--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -69,21 +69,25 @@
     del arguments
     chosen = _ONLY.value or list(_SECTIONS)
     seed = _SEED.value
+    commit = _commit()
     for name in chosen:
         started = time.perf_counter()
         figures = [dataclasses.asdict(row) for row in _SECTIONS[name](seed)]
         elapsed = time.perf_counter() - started
         print(f"\n{name} (seed {seed}, {elapsed:.1f} s)\n{_table(figures)}")
         if _WRITE.value:
-            _write(name, seed, figures)
+            _write(name, seed, commit, figures)
 
 
 def _write(
-    name: str, seed: int, figures: Sequence[Mapping[str, object]]
+    name: str,
+    seed: int,
+    commit: str,
+    figures: Sequence[Mapping[str, object]],
 ) -> None:
     document = {
         "section": name,
-        "commit": _commit(),
+        "commit": commit,
         "seed": seed,
         "python": platform.python_version(),
         "figures": figures,
