Let the prior of a first answer rise with its signal

Ruled out: a stronger prior (wrong where engines are overconfident); it still counts for four ratings over all bins.

Change: the prior of a bin is the mean of the bundle's prior quality and the bin's signal; answers after a rejected one keep the flat prior.

--- a/trefoilpitch/cascade/_choice.py
+++ b/trefoilpitch/cascade/_choice.py
@@ -6,7 +6,11 @@
 import itertools
 from collections.abc import Sequence
 
-from trefoilpitch.cascade._counts import CountsTable
+from trefoilpitch.cascade._counts import (
+    BIN_COUNT,
+    BIN_MIDDLES,
+    CountsTable,
+)
 from trefoilpitch.cascade._delivered import DeliveredQuality
 from trefoilpitch.cascade._estimate import BinQuality, bin_qualities
 from trefoilpitch.cascade._nodes import AnswerKey, Candidate, Target
@@ -143,7 +147,7 @@
             after=first.version,
         )
         prior = sum(one.share * one.mean for one in firsts[pair[1]])
-        after = self._estimate(key, prior)
+        after = self._estimate(key, (prior,) * BIN_COUNT)
         costs = (first.cost_nano, second.cost_nano)
         return threshold_options(pair, costs, firsts[pair[0]], after, factor)
 
@@ -155,10 +159,10 @@
             task=question.task,
             version=candidate.version,
         )
-        return self._estimate(key, candidate.prior_quality)
+        return self._estimate(key, _signal_prior(candidate.prior_quality))
 
     def _estimate(
-        self, key: AnswerKey, prior_quality: float
+        self, key: AnswerKey, prior_quality: Sequence[float]
     ) -> tuple[BinQuality, ...]:
         own = self._counts.bins(key)
         everyone = self._counts.bins(pooled(key))
@@ -202,6 +206,11 @@
         return max(min(share, affordable), least)
 
 
+def _signal_prior(quality: float) -> tuple[float, ...]:
+    """Returns a prior by bin that rises with the signal."""
+    return tuple((quality + middle) / 2.0 for middle in BIN_MIDDLES)
+
+
 def _affordable_share(
     target: float, safest: float, hopeful_loss: float, random_quality: float
 ) -> float:
--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -14,6 +14,10 @@
     0.7, 0.75, 0.8, 0.85, 0.9, 0.94, 0.97, 0.99,
 )  # fmt: skip
 BIN_COUNT = len(_EDGES)
+BIN_MIDDLES = tuple(
+    (low + high) / 2.0
+    for low, high in zip(_EDGES, (*_EDGES[1:], 1.0), strict=True)
+)
 _COLUMNS = 3
 _ROW_LENGTH = BIN_COUNT * _COLUMNS
 _ANSWERS, _RATINGS, _GOOD = range(_COLUMNS)
--- a/trefoilpitch/cascade/_estimate.py
+++ b/trefoilpitch/cascade/_estimate.py
@@ -29,7 +29,7 @@
 def bin_qualities(
     own: Sequence[BinCounts],
     pooled: Sequence[BinCounts],
-    prior_quality: float,
+    prior_quality: Sequence[float],
 ) -> tuple[BinQuality, ...]:
     """Estimates the quality in each bin from sampled ratings.
 
@@ -40,14 +40,15 @@
     Args:
         own: The workspace's counts by bin.
         pooled: The counts of all workspaces by bin.
-        prior_quality: Mean quality before any rating has been seen.
+        prior_quality: Mean quality by bin before any rating has been seen.
     """
     shares = _shares(own, pooled)
     others = [_without(*pair) for pair in zip(pooled, own, strict=True)]
     trust = _likeness(own, others)
     means, weights = [], []
-    for share, mine, rest in zip(shares, own, others, strict=True):
-        mean, weight = _posterior(share, mine, rest, prior_quality, trust)
+    rows = zip(shares, own, others, prior_quality, strict=True)
+    for share, mine, rest, prior in rows:
+        mean, weight = _posterior(share, mine, rest, prior, trust)
         means.append(mean)
         weights.append(weight)
     monotone = isotonic(means, weights)
