--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import array
 import bisect
 import dataclasses
 from collections.abc import Iterator
@@ -108,10 +109,10 @@
         self._decay = decay
         self._kept_epochs = kept_epochs
         self._epoch = epoch
-        self._by_node: dict[str, dict[tuple[int, AnswerKey], list[int]]] = {
-            incarnation: {}
-        }
-        self._sums: dict[AnswerKey, list[float]] = {}
+        self._by_node: dict[
+            str, dict[tuple[int, AnswerKey], array.array[int]]
+        ] = {incarnation: {}}
+        self._sums: dict[AnswerKey, array.array[float]] = {}
 
     @property
     def epoch(self) -> int:
@@ -168,7 +169,7 @@
 
     def scale(self, key: AnswerKey, factor: float) -> None:
         """Lets what is known of one kind of answer fade at once."""
-        row = self._sums.get(key, [])
+        row = self._sums.get(key, _zero_sums())
         for index, value in enumerate(row):
             row[index] = value * factor
 
@@ -207,12 +208,15 @@
         return tuple(growth)
 
     def _take_growth(
-        self, entry: KeyCounts, known: list[int], weight: float
+        self, entry: KeyCounts, known: array.array[int], weight: float
     ) -> Iterator[Growth]:
-        sums = self._sums.setdefault(entry.key, [0.0] * _ROW_LENGTH)
+        sums = self._sums.setdefault(entry.key, _zero_sums())
         for position in range(BIN_COUNT):
             start = position * _COLUMNS
-            earlier = BinCounts(*sums[start : start + _COLUMNS])
+            stop = start + _COLUMNS
+            if entry.counts[start:stop] == tuple(known[start:stop]):
+                continue
+            earlier = BinCounts(*sums[start:stop])
             grown = [0] * _COLUMNS
             for column in range(_COLUMNS):
                 index = start + column
@@ -229,8 +233,12 @@
         own = self._by_node[self._incarnation]
         index = position * _COLUMNS + column
         own.setdefault((self._epoch, key), _empty_row())[index] += 1
-        self._sums.setdefault(key, [0.0] * _ROW_LENGTH)[index] += 1.0
+        self._sums.setdefault(key, _zero_sums())[index] += 1.0
+
+
+def _empty_row() -> array.array[int]:
+    return array.array("Q", bytes(8 * _ROW_LENGTH))
 
 
-def _empty_row() -> list[int]:
-    return [0] * _ROW_LENGTH
+def _zero_sums() -> array.array[float]:
+    return array.array("d", bytes(8 * _ROW_LENGTH))
