Correct estimated waits by the actual ones, and count waiting work once

Each fall of the capacity, also by one place, offered all that waited anew and counted it as arriving work again, which inflated the waits of lower priorities. Requests given up in an outage were reported as late.

Ruled out: a safety factor on the expected run time; it refuses at loads that are served in time.

--- a/trefoilpitch/limits/_queue.py
+++ b/trefoilpitch/limits/_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import heapq
 import math
 from typing import TypeAlias
@@ -15,14 +16,32 @@
     Refused,
     Ticket,
 )
+from trefoilpitch.limits._wait_correction import WaitCorrection
 from trefoilpitch.limits._work_rate import WorkRate
 
 DEFAULT_SETTINGS = QueueSettings()
 _RANKS = tuple(sorted(priority.rank for priority in Priority))
 
+# Share of the capacity below which all that wait are considered again.
+_CONSIDERED_FALL = 0.9
+# Stale entries to keep before the latest starts are sorted out.
+_SPARE_STARTS = 64
+
 Admission: TypeAlias = Queued | Refused
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A request in the queue."""
+
+    # The request.
+    ticket: Ticket
+    # When it was offered, on the monotonic clock.
+    since_ms: int
+    # The wait that was estimated, without outage or correction.
+    estimated_ms: float
+
+
 class AdmissionQueue:
     """Requests that wait for one set of interchangeable upstreams.
 
@@ -41,6 +60,7 @@
         self, concurrency: int, settings: QueueSettings = DEFAULT_SETTINGS
     ) -> None:
         self._concurrency = concurrency
+        self._considered = concurrency
         self._idle_since_ms: int | None = None
         self._settings = settings
         self._queues = {rank: FairQueue() for rank in _RANKS}
@@ -48,7 +68,8 @@
             rank: WorkRate(settings.rate_window_ms) for rank in _RANKS
         }
         self._passed_over = dict.fromkeys(_RANKS, 0)
-        self._waiting: dict[str, Ticket] = {}
+        self._corrections = {rank: WaitCorrection() for rank in _RANKS}
+        self._waiting: dict[str, _Waiting] = {}
         self._starts: list[tuple[int, str]] = []
 
     def __len__(self) -> int:
@@ -72,8 +93,7 @@
         if ticket.request_id in self._waiting:
             raise ValueError(f"request {ticket.request_id!r} waits already")
         rank = ticket.priority.rank
-        wait_ms = self._expected_wait_ms(ticket, now_ms)
-        if now_ms + wait_ms > ticket.latest_start_ms:
+        if self._is_late(ticket, now_ms):
             return self._refuse(ticket, self._lateness_reason(), now_ms)
         displaced = None
         if len(self._queues[rank]) >= self._settings.max_waiting:
@@ -82,7 +102,8 @@
                 return self._refuse(ticket, RefusalReason.QUEUE_FULL, now_ms)
             self.cancel(victim.request_id)
             displaced = self._refuse(victim, RefusalReason.DISPLACED, now_ms)
-        self._add(ticket)
+        wait_ms = self._expected_wait_ms(ticket, now_ms)
+        self._add(ticket, now_ms)
         self._rates[rank].add(ticket.expected_run_ms, now_ms)
         return Queued(
             ticket=ticket,
@@ -104,14 +125,18 @@
                 self._passed_over[lower] += 1
         self._passed_over[rank] = 0
         ticket = self._queues[rank].pop()
-        del self._waiting[ticket.request_id]
+        entry = self._waiting.pop(ticket.request_id)
+        self._corrections[rank].observe(
+            entry.estimated_ms, now_ms - entry.since_ms
+        )
         return ticket
 
     def cancel(self, request_id: str) -> bool:
         """Forgets a waiting request; returns whether it waited."""
-        ticket = self._waiting.pop(request_id, None)
-        if ticket is None:
+        entry = self._waiting.pop(request_id, None)
+        if entry is None:
             return False
+        ticket = entry.ticket
         return self._queues[ticket.priority.rank].remove(ticket)
 
     def expire(self, now_ms: int) -> tuple[Refused, ...]:
@@ -126,9 +151,10 @@
             if expiry_ms is None or expiry_ms >= now_ms:
                 return tuple(refused)
             _, request_id = heapq.heappop(self._starts)
-            ticket = self._waiting[request_id]
+            ticket = self._waiting[request_id].ticket
             self.cancel(request_id)
-            refused.append(self._refuse(ticket, RefusalReason.DEADLINE, now_ms))
+            reason = self._lateness_reason()
+            refused.append(self._refuse(ticket, reason, now_ms))
 
     def set_concurrency(
         self, concurrency: int, now_ms: int
@@ -138,29 +164,52 @@
         Returns:
             Waiting requests that are given up, to be answered now.
         """
-        shrunk = concurrency < self._concurrency
         self._concurrency = concurrency
         if concurrency > 0:
             self._idle_since_ms = None
         elif self._idle_since_ms is None:
             self._idle_since_ms = now_ms
-        if not shrunk:
+        if concurrency >= self._considered * _CONSIDERED_FALL:
+            self._considered = max(self._considered, concurrency)
             return ()
+        self._considered = concurrency
+        return self._reconsider(now_ms)
+
+    def _reconsider(self, now_ms: int) -> tuple[Refused, ...]:
         waiting = list(self._waiting.values())
-        for ticket in waiting:
-            self.cancel(ticket.request_id)
-        outcomes = [self.offer(ticket, now_ms) for ticket in waiting]
-        return tuple(one for one in outcomes if isinstance(one, Refused))
+        for entry in waiting:
+            self.cancel(entry.ticket.request_id)
+        refused = []
+        for entry in waiting:
+            ticket = entry.ticket
+            if self._is_late(ticket, now_ms):
+                reason = self._lateness_reason()
+                refused.append(self._refuse(ticket, reason, now_ms))
+            else:
+                self._add(ticket, entry.since_ms)
+        return tuple(refused)
+
+    def _is_late(self, ticket: Ticket, now_ms: int) -> bool:
+        wait_ms = self._expected_wait_ms(ticket, now_ms)
+        return now_ms + wait_ms > ticket.latest_start_ms
 
-    def _add(self, ticket: Ticket) -> None:
+    def _add(self, ticket: Ticket, since_ms: int) -> None:
+        estimated_ms = self._queueing_ms(ticket, since_ms)
         self._queues[ticket.priority.rank].push(ticket)
-        self._waiting[ticket.request_id] = ticket
+        self._waiting[ticket.request_id] = _Waiting(
+            ticket, since_ms, estimated_ms
+        )
         entry = (ticket.latest_start_ms, ticket.request_id)
         heapq.heappush(self._starts, entry)
+        if len(self._starts) > 2 * len(self._waiting) + _SPARE_STARTS:
+            self._starts = [
+                one for one in self._starts if self._is_current(*one)
+            ]
+            heapq.heapify(self._starts)
 
     def _is_current(self, start_ms: int, request_id: str) -> bool:
-        ticket = self._waiting.get(request_id)
-        return ticket is not None and ticket.latest_start_ms == start_ms
+        entry = self._waiting.get(request_id)
+        return entry is not None and entry.ticket.latest_start_ms == start_ms
 
     def _next_rank(self, now_ms: int) -> int | None:
         expired = self.next_expiry_ms
@@ -185,7 +234,13 @@
         return longest[1]
 
     def _expected_wait_ms(self, ticket: Ticket, now_ms: int) -> float:
-        """Estimates the wait, with what will arrive before it and pass it."""
+        """Estimates the wait, corrected by how earlier estimates did."""
+        factor = self._corrections[ticket.priority.rank].factor
+        queueing_ms = self._queueing_ms(ticket, now_ms)
+        return self._outage_ms(now_ms) + factor * queueing_ms
+
+    def _queueing_ms(self, ticket: Ticket, now_ms: int) -> float:
+        """Estimates the wait from what is ahead and what will overtake."""
         rank = ticket.priority.rank
         higher_ms = sum(self._queues[one].work_ms for one in _RANKS[:rank])
         ahead_ms = self._queues[rank].work_ahead_ms(ticket)
@@ -193,8 +248,7 @@
         passing = sum(self._rates[one].at(now_ms) for one in _RANKS[:rank])
         least = concurrency / (self._settings.max_passed_over + 1)
         available = max(concurrency - passing, least)
-        outage_ms = self._outage_ms(now_ms)
-        return outage_ms + higher_ms / concurrency + ahead_ms / available
+        return higher_ms / concurrency + ahead_ms / available
 
     def _refuse(
         self, ticket: Ticket, reason: RefusalReason, now_ms: int
--- a/trefoilpitch/limits/tests/test_queue.py
+++ b/trefoilpitch/limits/tests/test_queue.py
@@ -127,6 +127,7 @@
     assert queue.next_expiry_ms == 50_000
     (archive,) = queue.expire(50_001)
     assert archive.ticket.workspace == "archive"
+    assert archive.reason is RefusalReason.NO_CAPACITY
 
 
 def test_capacity_back_in_time_serves_what_waited() -> None:
@@ -146,3 +147,28 @@
     assert not queue.cancel(ticket.request_id)
     assert queue.next_expiry_ms is None
     assert queue.take(0) is None
+
+
+def test_a_capacity_that_swings_does_not_count_waiting_work_again() -> None:
+    queue = AdmissionQueue(10)
+    for _ in range(20):
+        queue.offer(_ticket("bench", Priority.INTERACTIVE), 0)
+    for _ in range(200):
+        assert queue.set_concurrency(5, 0) == ()
+        assert queue.set_concurrency(10, 0) == ()
+    offered = queue.offer(_ticket("archive", deadline_ms=2_000), 0)
+    assert isinstance(offered, Queued)
+    assert offered.expected_wait_ms < 1_000
+
+
+def test_waits_that_outlast_their_estimates_make_it_refuse_earlier() -> None:
+    queue = AdmissionQueue(10)
+    now_ms = 0
+    for _ in range(100):
+        queue.offer(_ticket(deadline_ms=now_ms + 60_000), now_ms)
+        now_ms += 1_000
+        queue.expire(now_ms)
+        queue.take(now_ms)
+    _fill(queue, 60, "large")
+    late = _ticket("large", deadline_ms=now_ms + 2_000)
+    assert isinstance(queue.offer(late, now_ms), Refused)
