--- a/tools/decisions/cascade.py
+++ b/tools/decisions/cascade.py
@@ -13,6 +13,7 @@
 from tools.decisions import workload
 from tools.decisions.bound import DEAR_ONLY, cells, cheapest_mixture
 from tools.decisions.workload import Prompt, TaskProfile
+from trefoilpitch.bundle import VersionRef
 from trefoilpitch.cascade import (
     Candidate,
     CascadePolicy,
@@ -87,6 +88,7 @@
     """The cascade policy, fed with sampled, late and lost ratings."""
 
     def __init__(self, policy: CascadePolicy, rng: random.Random) -> None:
+        self.cheap = workload.CHEAP
         self._policy = policy
         self._rng = rng
         self._now = 0
@@ -98,7 +100,11 @@
         task = prompt.task
         target = Target(quality=task.target, confidence=CONFIDENCE)
         plan = self._policy.plan(
-            prompt.workspace, task.name, _candidates(task), target, self._rng
+            prompt.workspace,
+            task.name,
+            _candidates(task, self.cheap),
+            target,
+            self._rng,
         )
         cost = 0.0
         first_signal = 0.0
@@ -234,10 +240,10 @@
     return Served(cheap + dear, prompt.chances[1])
 
 
-def _candidates(task: TaskProfile) -> tuple[Candidate, ...]:
+def _candidates(task: TaskProfile, cheap: VersionRef) -> tuple[Candidate, ...]:
     return (
         Candidate(
-            version=workload.CHEAP,
+            version=cheap,
             cost_nano=task.costs[0],
             prior_quality=0.6,
         ),
--- a/tools/measure_decisions.py
+++ b/tools/measure_decisions.py
@@ -24,6 +24,7 @@
     recovery,
     speed,
     subsets,
+    version_change,
 )
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of every measurement.")
@@ -35,6 +36,7 @@
 
 _SECTIONS: Mapping[str, Callable[[int], Sequence[Any]]] = {
     "cascade": cascade.measure,
+    "version-change": version_change.measure,
     "load": load.measure,
     "exposure": exposure.measure,
     "outage": outage.measure,
