Follow the recent spread of the signals and count its error

Cause: the shares of the bins came from all answers of many epochs, so a version that turned worse, which shows in its signals at once, was judged by its old spread; tasks where every cheap answer is delivered fell under their target.

--- a/trefoilpitch/cascade/_choice.py
+++ b/trefoilpitch/cascade/_choice.py
@@ -12,7 +12,7 @@
     CountsTable,
 )
 from trefoilpitch.cascade._delivered import DeliveredQuality
-from trefoilpitch.cascade._estimate import BinQuality, bin_qualities
+from trefoilpitch.cascade._estimate import QualityCurve, quality_curve
 from trefoilpitch.cascade._nodes import AnswerKey, Candidate, Target
 from trefoilpitch.cascade._search import (
     Blend,
@@ -135,7 +135,7 @@
     def _pair_options(
         self,
         question: Question,
-        firsts: Sequence[Sequence[BinQuality]],
+        firsts: Sequence[QualityCurve],
         pair: tuple[int, int],
         factor: float,
     ) -> list[Option]:
@@ -146,14 +146,14 @@
             version=second.version,
             after=first.version,
         )
-        prior = sum(one.share * one.mean for one in firsts[pair[1]])
+        prior = sum(one.share * one.mean for one in firsts[pair[1]].bins)
         after = self._estimate(key, (prior,) * BIN_COUNT)
         costs = (first.cost_nano, second.cost_nano)
         return threshold_options(pair, costs, firsts[pair[0]], after, factor)
 
     def _qualities(
         self, question: Question, candidate: Candidate
-    ) -> tuple[BinQuality, ...]:
+    ) -> QualityCurve:
         key = AnswerKey(
             workspace=question.workspace,
             task=question.task,
@@ -163,10 +163,10 @@
 
     def _estimate(
         self, key: AnswerKey, prior_quality: Sequence[float]
-    ) -> tuple[BinQuality, ...]:
+    ) -> QualityCurve:
         own = self._counts.bins(key)
         everyone = self._counts.bins(pooled(key))
-        return bin_qualities(own, everyone, prior_quality)
+        return quality_curve(own, everyone, prior_quality)
 
     def _has_evidence(self, question: Question) -> bool:
         key = AnswerKey(
--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from trefoilpitch.cascade._nodes import AnswerKey
+from trefoilpitch.cascade._recent import RecentAnswers
 
 # Lower edges of the bins; finer where most signals lie.
 _EDGES = (
@@ -112,6 +113,7 @@
         self._by_node: dict[
             str, dict[tuple[int, AnswerKey], array.array[int]]
         ] = {incarnation: {}}
+        self._recent = RecentAnswers(BIN_COUNT)
         self._sums: dict[AnswerKey, array.array[float]] = {}
 
     @property
@@ -126,6 +128,7 @@
     def add_answer(self, key: AnswerKey, position: int) -> None:
         """Counts an answer in a bin."""
         self._add_own(key, position, _ANSWERS)
+        self._recent.add(key, position)
 
     def add_rating(self, key: AnswerKey, position: int, good: bool) -> None:
         """Counts a rating of an answer in a bin."""
@@ -134,13 +137,18 @@
             self._add_own(key, position, _GOOD)
 
     def bins(self, key: AnswerKey) -> tuple[BinCounts, ...]:
-        """Returns the weighted sums over all nodes, bin by bin."""
+        """Returns the weighted sums over all nodes, bin by bin.
+
+        Answers are this node's recent ones, where it gave any: their spread
+        over the bins changes faster than their quality in each.
+        """
         row = self._sums.get(key)
         if row is None:
             return (BinCounts(0.0, 0.0, 0.0),) * BIN_COUNT
+        answers = self._recent.counts(key) or tuple(row[::_COLUMNS])
         return tuple(
-            BinCounts(*row[start : start + _COLUMNS])
-            for start in range(0, _ROW_LENGTH, _COLUMNS)
+            BinCounts(answers[position], *row[start + 1 : start + _COLUMNS])
+            for position, start in enumerate(range(0, _ROW_LENGTH, _COLUMNS))
         )
 
     def one_bin(self, key: AnswerKey, position: int) -> BinCounts:
--- a/trefoilpitch/cascade/_estimate.py
+++ b/trefoilpitch/cascade/_estimate.py
@@ -26,11 +26,21 @@
     variance: float
 
 
-def bin_qualities(
+@dataclasses.dataclass(frozen=True, slots=True)
+class QualityCurve:
+    """What is known of a kind of answer over all bins."""
+
+    # What is known of each bin.
+    bins: tuple[BinQuality, ...]
+    # Answers that the shares of the bins rest on.
+    answers: float
+
+
+def quality_curve(
     own: Sequence[BinCounts],
     pooled: Sequence[BinCounts],
     prior_quality: Sequence[float],
-) -> tuple[BinQuality, ...]:
+) -> QualityCurve:
     """Estimates the quality in each bin from sampled ratings.
 
     Beta posteriors: the ratings of all workspaces together, at a bounded
@@ -52,10 +62,12 @@
         means.append(mean)
         weights.append(weight)
     monotone = isotonic(means, weights)
-    return tuple(
+    bins = tuple(
         BinQuality(share, mean, mean * (1.0 - mean) / (weight + 1.0))
         for share, mean, weight in zip(shares, monotone, weights, strict=True)
     )
+    answers = sum(counts.answers for counts in own)
+    return QualityCurve(bins, answers + len(bins))
 
 
 def isotonic(
--- a/trefoilpitch/cascade/_search.py
+++ b/trefoilpitch/cascade/_search.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 from trefoilpitch.cascade._counts import BIN_COUNT
-from trefoilpitch.cascade._estimate import BinQuality
+from trefoilpitch.cascade._estimate import BinQuality, QualityCurve
 
 # Share of the cost below which a blend is not worth its lower quality.
 _MIN_BLEND_SAVING = 0.03
@@ -79,11 +79,11 @@
 
 
 def direct_option(
-    index: int, cost_nano: float, bins: Sequence[BinQuality], factor: float
+    index: int, cost_nano: float, curve: QualityCurve, factor: float
 ) -> Option:
     """Returns the option that delivers every answer of one version."""
-    quality = sum(one.share * one.mean for one in bins)
-    variance = sum(one.share**2 * one.variance for one in bins)
+    shares = [one.share for one in curve.bins]
+    quality, variance = _mixture(shares, curve.bins, curve.answers)
     return Option(
         first=index,
         second=None,
@@ -97,8 +97,8 @@
 def threshold_options(
     indices: tuple[int, int],
     costs_nano: tuple[float, float],
-    first: Sequence[BinQuality],
-    second: Sequence[BinQuality],
+    first: QualityCurve,
+    second: QualityCurve,
     factor: float,
 ) -> list[Option]:
     """Returns the two-step options of a pair of versions, by threshold.
@@ -112,12 +112,10 @@
         factor: Standard deviations below the mean of the lower bound.
     """
     options = []
+    shares = [one.share for one in first.bins]
     for accept_from in range(1, BIN_COUNT):
-        used = (*second[:accept_from], *first[accept_from:])
-        shares = [one.share for one in first]
-        terms = list(zip(shares, used, strict=True))
-        quality = sum(share * one.mean for share, one in terms)
-        variance = sum(share**2 * one.variance for share, one in terms)
+        used = (*second.bins[:accept_from], *first.bins[accept_from:])
+        quality, variance = _mixture(shares, used, first.answers)
         rejected = sum(shares[:accept_from])
         options.append(
             Option(
@@ -132,6 +130,22 @@
     return options
 
 
+def _mixture(
+    shares: Sequence[float], bins: Sequence[BinQuality], answers: float
+) -> tuple[float, float]:
+    """Returns the mean quality over the bins and its variance.
+
+    The variance counts that of each bin's quality, and that of the shares,
+    which rest on a number of answers themselves.
+    """
+    terms = list(zip(shares, bins, strict=True))
+    quality = sum(share * one.mean for share, one in terms)
+    square = sum(share * one.mean**2 for share, one in terms)
+    variance = sum(share**2 * one.variance for share, one in terms)
+    spread = max(square - quality**2, 0.0) / answers
+    return quality, variance + spread
+
+
 def cheapest_safe(options: Sequence[Option], target: float) -> Blend:
     """Returns the cheapest blend whose lower bound meets the target.
 
