--- a/tools/decisions/load.py
+++ b/tools/decisions/load.py
@@ -9,37 +9,22 @@
 from collections.abc import Callable
 
 from tools.decisions.engines import Engine, EventQueue
-from trefoilpitch.bundle import (
-    Bundle,
-    Model,
-    ModelVersion,
-    Pool,
-    Priority,
-    Upstream,
-    UpstreamKind,
-    VersionRef,
+from tools.decisions.load_node import Node
+from tools.decisions.load_world import (
+    CAPACITY,
+    DOMAINS,
+    ENGINES,
+    KINDS,
+    MEAN_RUN_MS,
+    Job,
+    Kind,
+    Outcomes,
+    example_bundle,
 )
 from trefoilpitch.configuration import Configuration
-from trefoilpitch.limits import (
-    AdmissionQueue,
-    ConcurrencyLimit,
-    Queued,
-    Refused,
-    Ticket,
-    concurrency_limit,
-)
-from trefoilpitch.routing import (
-    LoadReport,
-    UpstreamState,
-    choose_upstream,
-    routing_table,
-)
+from trefoilpitch.routing import LoadReport
 
-VERSION = VersionRef("bench", "1")
 LOADS = (0.5, 0.9, 1.1, 2.0)
-_DOMAINS = ("a", "b", "c")
-_ENGINES = 6
-_CAPACITY = 8
 _NODES = 3
 _WORKSPACES = 10
 _WARM_UP_MS = 20_000
@@ -50,230 +35,8 @@
 _ARRIVALS_END_MS = _WARM_UP_MS + _DURATION_MS + _RUN_OUT_MS
 _REPORT_EVERY_MS = 250
 _REPORT_LAG_MS = 500
-_BASE_LATENCY_MS = 20.0
 _RETRY_SAMPLES = 3
 
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Kind:
-    """A kind of request."""
-
-    # How urgently it is served.
-    priority: Priority
-    # Share of the requests, from 0 to 1.
-    share: float
-    # Mean run time, in milliseconds.
-    run_ms: float
-    # Time that it may take in all, in milliseconds.
-    deadline_ms: int
-
-
-KINDS = (
-    Kind(
-        priority=Priority.INTERACTIVE,
-        share=0.4,
-        run_ms=400.0,
-        deadline_ms=5_000,
-    ),
-    Kind(
-        priority=Priority.STANDARD, share=0.4, run_ms=600.0, deadline_ms=20_000
-    ),
-    Kind(
-        priority=Priority.BATCH, share=0.2, run_ms=1_500.0, deadline_ms=120_000
-    ),
-)
-_MEAN_RUN_MS = sum(kind.share * kind.run_ms for kind in KINDS)
-
-
-@dataclasses.dataclass(slots=True)
-class Job:
-    """One request on its way."""
-
-    # What it is.
-    kind: Kind
-    # The workspace that asks.
-    workspace: str
-    # When it arrived, in virtual milliseconds.
-    arrival_ms: float
-    # How long it runs.
-    run_ms: float
-    # Whether it was refused before and came again.
-    again: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class Outcomes:
-    """What became of the jobs of one run."""
-
-    # Latencies of whole answers by priority, in milliseconds.
-    latencies: dict[Priority, list[float]]
-    # Jobs offered by priority.
-    offered: collections.Counter[Priority]
-    # Jobs answered within their deadline by priority.
-    in_time: collections.Counter[Priority]
-    # Jobs refused by priority.
-    refused: collections.Counter[Priority]
-    # Jobs offered and answered in time by workspace.
-    by_workspace: dict[str, list[int]]
-    # Jobs that came again as asked, and those of them that were admitted.
-    again: list[int]
-
-
-def example_bundle(engines: int = _ENGINES, cold_capacity: int = 1) -> Bundle:
-    """Returns a bundle with one pool that spans the failure domains."""
-    return Bundle(
-        name="measured",
-        version=1,
-        failure_domains=_DOMAINS,
-        models=(
-            Model(
-                name=VERSION.model,
-                versions=(
-                    ModelVersion(
-                        name=VERSION.version,
-                        prompt_cost_nano=1,
-                        output_cost_nano=1,
-                    ),
-                ),
-                default_version=VERSION.version,
-            ),
-        ),
-        pools=(
-            Pool(
-                name="engines",
-                kind=UpstreamKind.ENGINE,
-                serves=(str(VERSION),),
-                upstreams=tuple(
-                    Upstream(
-                        name=f"engine-{index}",
-                        address=f"127.0.0.1:{9000 + index}",
-                        failure_domain=_DOMAINS[index % len(_DOMAINS)],
-                        capacity=_CAPACITY,
-                        cold_capacity=cold_capacity,
-                    )
-                    for index in range(engines)
-                ),
-            ),
-        ),
-    )
-
-
-class Node:
-    """An entry VM with its own queue and lagged view of the engines."""
-
-    def __init__(self, run: Run, name: str, domain: str) -> None:
-        self._run = run
-        self._domain = domain
-        self._table = routing_table(run.configuration, node=name)
-        capacity = _CAPACITY // _NODES
-        self._limits: dict[str, ConcurrencyLimit] = {
-            engine: concurrency_limit(capacity) for engine in run.engines
-        }
-        self._in_flight = dict.fromkeys(run.engines, 0)
-        self._at_report = dict.fromkeys(run.engines, 0)
-        self._reports: dict[str, tuple[LoadReport, float]] = {}
-        self._jobs: dict[str, Job] = {}
-        self._queue = AdmissionQueue(self._concurrency())
-
-    def report(self, name: str, report: LoadReport, taken_ms: float) -> None:
-        """Takes in a load report."""
-        self._reports[name] = (report, taken_ms)
-        self._at_report[name] = self._in_flight[name]
-
-    def offer(self, job: Job) -> None:
-        """Takes a job in or refuses it."""
-        now_ms = int(self._run.events.now_ms)
-        ticket = Ticket(
-            request_id=f"{self._run.next_number()}",
-            workspace=job.workspace,
-            weight=1,
-            priority=job.kind.priority,
-            deadline_ms=int(job.arrival_ms) + job.kind.deadline_ms,
-            expected_run_ms=int(job.kind.run_ms),
-        )
-        self._expire(now_ms)
-        outcome = self._queue.offer(ticket, now_ms)
-        if isinstance(outcome, Refused):
-            self._run.refuse(job, outcome.retry_after_ms, self)
-            return
-        self._run.admit(job)
-        self._jobs[ticket.request_id] = job
-        self._displace(outcome)
-        self._pump()
-
-    def _displace(self, outcome: Queued) -> None:
-        if outcome.displaced is not None:
-            victim = self._jobs.pop(outcome.displaced.ticket.request_id)
-            self._run.refuse(victim, outcome.displaced.retry_after_ms, self)
-
-    def _expire(self, now_ms: int) -> None:
-        for refused in self._queue.expire(now_ms):
-            job = self._jobs.pop(refused.ticket.request_id)
-            self._run.refuse(job, refused.retry_after_ms, self)
-
-    def _pump(self) -> None:
-        while len(self._queue):
-            now_ms = int(self._run.events.now_ms)
-            self._expire(now_ms)
-            chosen = choose_upstream(
-                self._table,
-                VERSION,
-                self._states(),
-                self._run.rng,
-                local_domain=self._domain,
-            )
-            upstream = chosen.value_or(None)
-            if upstream is None:
-                return
-            ticket = self._queue.take(now_ms)
-            if ticket is None:
-                return
-            self._start(upstream.name, self._jobs.pop(ticket.request_id))
-
-    def _start(self, name: str, job: Job) -> None:
-        self._in_flight[name] += 1
-        in_flight = self._in_flight[name]
-        started_ms = self._run.events.now_ms
-
-        def done(is_whole: bool) -> None:
-            self._in_flight[name] -= 1
-            waited_ms = self._run.events.now_ms - started_ms - job.run_ms
-            limit = self._limits[name]
-            self._limits[name] = limit.finished(
-                _BASE_LATENCY_MS + max(waited_ms, 0.0), in_flight
-            )
-            now_ms = int(self._run.events.now_ms)
-            for refused in self._queue.set_concurrency(
-                self._concurrency(), now_ms
-            ):
-                victim = self._jobs.pop(refused.ticket.request_id)
-                self._run.refuse(victim, refused.retry_after_ms, self)
-            self._run.finish(job, is_whole)
-            self._pump()
-
-        self._run.engines[name].submit(job.run_ms, done)
-
-    def _states(self) -> dict[str, UpstreamState]:
-        now_ms = self._run.events.now_ms
-        states = {}
-        for name, in_flight in self._in_flight.items():
-            report, taken_ms = self._reports.get(name, (None, 0.0))
-            if report is not None:
-                age_ms = int(now_ms - taken_ms)
-                report = dataclasses.replace(report, age_ms=age_ms)
-            states[name] = UpstreamState(
-                name=name,
-                in_flight=in_flight,
-                in_flight_change=in_flight - self._at_report[name],
-                report=report,
-                concurrency_limit=self._limits[name].requests,
-            )
-        return states
-
-    def _concurrency(self) -> int:
-        return sum(limit.requests for limit in self._limits.values())
-
-
 Dispatch = Callable[["Run", Job], None]
 
 
@@ -299,12 +62,12 @@
         )
         self._numbers = itertools.count()
         self._arrivals = random.Random(f"{seed}/{load}/arrivals")
-        rate = load * _ENGINES * _CAPACITY / _MEAN_RUN_MS
+        rate = load * ENGINES * CAPACITY / MEAN_RUN_MS
         self._gap_ms = 1.0 / rate
         self._nodes = [
-            Node(self, f"node-{index}", domain)
+            Node(self, f"node-{index}", domain, CAPACITY // _NODES)
             for index, domain in zip(
-                range(_NODES), itertools.cycle(_DOMAINS), strict=False
+                range(_NODES), itertools.cycle(DOMAINS), strict=False
             )
         ]
         self._dispatch = _POLICIES[policy]
--- a/tools/decisions/recovery.py
+++ b/tools/decisions/recovery.py
@@ -7,7 +7,7 @@
 import statistics
 
 from tools.decisions.engines import Engine, EventQueue
-from tools.decisions.load import VERSION, example_bundle
+from tools.decisions.load_world import VERSION, example_bundle
 from trefoilpitch.configuration import Configuration
 from trefoilpitch.routing import (
     RoutingTable,
--- a/tools/decisions/speed.py
+++ b/tools/decisions/speed.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from tools.decisions.load import example_bundle
+from tools.decisions.load_world import example_bundle
 from trefoilpitch.bundle import (
     Bundle,
     Model,
--- a/trefoilpitch/limits/tests/test_queue.py
+++ b/trefoilpitch/limits/tests/test_queue.py
@@ -76,7 +76,7 @@
     assert counts["busy"] >= 4
 
 
-def test_bench_goes_first_and_the_archive_is_never_starved() -> None:
+def test_interactive_goes_first_and_batch_is_not_starved() -> None:
     queue = AdmissionQueue(8, QueueSettings(max_passed_over=10))
     queue.offer(_ticket("archive", Priority.BATCH), 0)
     order = []
