--- a/trefoilpitch/cascade/_choice.py
+++ b/trefoilpitch/cascade/_choice.py
@@ -6,9 +6,13 @@
 import itertools
 from collections.abc import Sequence
 
-from trefoilpitch.cascade._counts import CountsTable
+from trefoilpitch.cascade._counts import (
+    BIN_COUNT,
+    BIN_MIDDLES,
+    CountsTable,
+)
 from trefoilpitch.cascade._delivered import DeliveredQuality
-from trefoilpitch.cascade._estimate import BinQuality, bin_qualities
+from trefoilpitch.cascade._estimate import QualityCurve, quality_curve
 from trefoilpitch.cascade._nodes import AnswerKey, Candidate, Target
 from trefoilpitch.cascade._search import (
     Blend,
@@ -131,7 +135,7 @@
     def _pair_options(
         self,
         question: Question,
-        firsts: Sequence[Sequence[BinQuality]],
+        firsts: Sequence[QualityCurve],
         pair: tuple[int, int],
         factor: float,
     ) -> list[Option]:
@@ -142,27 +146,27 @@
             version=second.version,
             after=first.version,
         )
-        prior = sum(one.share * one.mean for one in firsts[pair[1]])
-        after = self._estimate(key, prior)
+        prior = sum(one.share * one.mean for one in firsts[pair[1]].bins)
+        after = self._estimate(key, (prior,) * BIN_COUNT)
         costs = (first.cost_nano, second.cost_nano)
         return threshold_options(pair, costs, firsts[pair[0]], after, factor)
 
     def _qualities(
         self, question: Question, candidate: Candidate
-    ) -> tuple[BinQuality, ...]:
+    ) -> QualityCurve:
         key = AnswerKey(
             workspace=question.workspace,
             task=question.task,
             version=candidate.version,
         )
-        return self._estimate(key, candidate.prior_quality)
+        return self._estimate(key, _signal_prior(candidate.prior_quality))
 
     def _estimate(
-        self, key: AnswerKey, prior_quality: float
-    ) -> tuple[BinQuality, ...]:
+        self, key: AnswerKey, prior_quality: Sequence[float]
+    ) -> QualityCurve:
         own = self._counts.bins(key)
         everyone = self._counts.bins(pooled(key))
-        return bin_qualities(own, everyone, prior_quality)
+        return quality_curve(own, everyone, prior_quality)
 
     def _has_evidence(self, question: Question) -> bool:
         key = AnswerKey(
@@ -202,6 +206,11 @@
         return max(min(share, affordable), least)
 
 
+def _signal_prior(quality: float) -> tuple[float, ...]:
+    """Returns a prior by bin that rises with the signal."""
+    return tuple((quality + middle) / 2.0 for middle in BIN_MIDDLES)
+
+
 def _affordable_share(
     target: float, safest: float, hopeful_loss: float, random_quality: float
 ) -> float:
--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import array
 import bisect
 import dataclasses
 from collections.abc import Iterator
 
 from trefoilpitch.cascade._nodes import AnswerKey
+from trefoilpitch.cascade._recent import RecentAnswers
 
 # Lower edges of the bins; finer where most signals lie.
 _EDGES = (
@@ -14,6 +16,10 @@
     0.7, 0.75, 0.8, 0.85, 0.9, 0.94, 0.97, 0.99,
 )  # fmt: skip
 BIN_COUNT = len(_EDGES)
+BIN_MIDDLES = tuple(
+    (low + high) / 2.0
+    for low, high in zip(_EDGES, (*_EDGES[1:], 1.0), strict=True)
+)
 _COLUMNS = 3
 _ROW_LENGTH = BIN_COUNT * _COLUMNS
 _ANSWERS, _RATINGS, _GOOD = range(_COLUMNS)
@@ -104,10 +110,11 @@
         self._decay = decay
         self._kept_epochs = kept_epochs
         self._epoch = epoch
-        self._by_node: dict[str, dict[tuple[int, AnswerKey], list[int]]] = {
-            incarnation: {}
-        }
-        self._sums: dict[AnswerKey, list[float]] = {}
+        self._by_node: dict[
+            str, dict[tuple[int, AnswerKey], array.array[int]]
+        ] = {incarnation: {}}
+        self._recent = RecentAnswers(BIN_COUNT)
+        self._sums: dict[AnswerKey, array.array[float]] = {}
 
     @property
     def epoch(self) -> int:
@@ -121,6 +128,7 @@
     def add_answer(self, key: AnswerKey, position: int) -> None:
         """Counts an answer in a bin."""
         self._add_own(key, position, _ANSWERS)
+        self._recent.add(key, position)
 
     def add_rating(self, key: AnswerKey, position: int, good: bool) -> None:
         """Counts a rating of an answer in a bin."""
@@ -129,13 +137,18 @@
             self._add_own(key, position, _GOOD)
 
     def bins(self, key: AnswerKey) -> tuple[BinCounts, ...]:
-        """Returns the weighted sums over all nodes, bin by bin."""
+        """Returns the weighted sums over all nodes, bin by bin.
+
+        Answers are this node's recent ones, where it gave any: their spread
+        over the bins changes faster than their quality in each.
+        """
         row = self._sums.get(key)
         if row is None:
             return (BinCounts(0.0, 0.0, 0.0),) * BIN_COUNT
+        answers = self._recent.counts(key) or tuple(row[::_COLUMNS])
         return tuple(
-            BinCounts(*row[start : start + _COLUMNS])
-            for start in range(0, _ROW_LENGTH, _COLUMNS)
+            BinCounts(answers[position], *row[start + 1 : start + _COLUMNS])
+            for position, start in enumerate(range(0, _ROW_LENGTH, _COLUMNS))
         )
 
     def one_bin(self, key: AnswerKey, position: int) -> BinCounts:
@@ -164,7 +177,7 @@
 
     def scale(self, key: AnswerKey, factor: float) -> None:
         """Lets what is known of one kind of answer fade at once."""
-        row = self._sums.get(key, [])
+        row = self._sums.get(key, _zero_sums())
         for index, value in enumerate(row):
             row[index] = value * factor
 
@@ -203,12 +216,15 @@
         return tuple(growth)
 
     def _take_growth(
-        self, entry: KeyCounts, known: list[int], weight: float
+        self, entry: KeyCounts, known: array.array[int], weight: float
     ) -> Iterator[Growth]:
-        sums = self._sums.setdefault(entry.key, [0.0] * _ROW_LENGTH)
+        sums = self._sums.setdefault(entry.key, _zero_sums())
         for position in range(BIN_COUNT):
             start = position * _COLUMNS
-            earlier = BinCounts(*sums[start : start + _COLUMNS])
+            stop = start + _COLUMNS
+            if entry.counts[start:stop] == tuple(known[start:stop]):
+                continue
+            earlier = BinCounts(*sums[start:stop])
             grown = [0] * _COLUMNS
             for column in range(_COLUMNS):
                 index = start + column
@@ -225,8 +241,12 @@
         own = self._by_node[self._incarnation]
         index = position * _COLUMNS + column
         own.setdefault((self._epoch, key), _empty_row())[index] += 1
-        self._sums.setdefault(key, [0.0] * _ROW_LENGTH)[index] += 1.0
+        self._sums.setdefault(key, _zero_sums())[index] += 1.0
+
+
+def _empty_row() -> array.array[int]:
+    return array.array("Q", bytes(8 * _ROW_LENGTH))
 
 
-def _empty_row() -> list[int]:
-    return [0] * _ROW_LENGTH
+def _zero_sums() -> array.array[float]:
+    return array.array("d", bytes(8 * _ROW_LENGTH))
