--- a/trefoilpitch/cli/_context.py
+++ b/trefoilpitch/cli/_context.py
@@ -144,13 +144,15 @@
     422: (ExitStatus.REFUSED, "Correct what is named above."),
     503: (
         ExitStatus.UNREACHABLE,
-        "Nothing was changed; the fleet serves on. Try again later.",
+        "Nothing was changed. Try again later.",
     ),
 }
 _BY_CODE = {
     "no-effect": "It is so already; there is nothing to do.",
     "unknown-name": "See trefoilpitch bundle show for the names.",
     "unknown-vm": "See trefoilpitch status, or add --allow_unknown.",
+    "not-current": "Nothing was changed. A daemon needs some seconds after its "
+    "start; after that, see configuration.standing in trefoilpitch dump.",
     "no-bundle": "Sign off a bundle first: trefoilpitch bundle sign-off FILE.",
     "not-newer": "Raise the bundle's version in the file and sign off again.",
     "withdrawn": "A withdrawal is for good; name another version.",
