--- a/trefoilpitch/administration/tests/fleet.py
+++ b/trefoilpitch/administration/tests/fleet.py
@@ -33,9 +33,9 @@
 class Fleet:
     """What the answering node of a fleet knows, and its API."""
 
-    def __init__(self) -> None:
+    def __init__(self, store: MemoryStore | None = None) -> None:
         self.clock = ManualClock()
-        self.store: MemoryStore = memory_store(self.clock)
+        self.store: MemoryStore = store or memory_store(self.clock)
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.reported = dict.fromkeys(_NAMES, 0)
         self.states = dict.fromkeys(_NAMES, MemberState.ALIVE)
@@ -43,7 +43,8 @@
         self.follows = True
         # Whether the answering node may commit changes.
         self.accepts_changes = True
-        self._reader = HeadReader(self.store)
+        # Faults of the store are for the API alone.
+        self._reader = HeadReader(self.store.new_client())
         services = AdminServices(
             view=self._view,
             configuration=lambda: self.configuration,
--- a/trefoilpitch/cli/_client.py
+++ b/trefoilpitch/cli/_client.py
@@ -53,7 +53,16 @@
         """Sends a body that may be sent twice without harm."""
 
 
-class HttpDaemonClient:
+class Exchange(Protocol):
+    """Sends one request to one address."""
+
+    def __call__(
+        self, method: str, url: str, body: bytes | None
+    ) -> Result[bytes, RequestError]:
+        """Returns the body of a successful reply."""
+
+
+class FailoverClient:
     """Tries each address in turn until one gives a final reply.
 
     A change carries its change id, so that sending it to a second address
@@ -61,24 +70,12 @@
 
     Args:
         urls: The addresses, in the order in which to try them.
-        token: The bearer token; empty for none.
-        timeout_ms: Time for a request to one address.
+        exchange: Sends each request.
     """
 
-    def __init__(
-        self, urls: Sequence[str], token: str, timeout_ms: int
-    ) -> None:
+    def __init__(self, urls: Sequence[str], exchange: Exchange) -> None:
         self._urls = urls
-        self._headers = {"Content-Type": "application/json"}
-        if token:
-            self._headers["Authorization"] = f"Bearer {token}"
-        connect_ms = min(_CONNECT_TIMEOUT_MS, timeout_ms)
-        self._pool = urllib3.PoolManager(
-            retries=False,
-            timeout=urllib3.Timeout(
-                connect=connect_ms / _MS_PER_S, read=timeout_ms / _MS_PER_S
-            ),
-        )
+        self._exchange = exchange
 
     def get(self, path: str) -> Result[bytes, RequestError]:
         """Returns the body of a successful reply."""
@@ -93,7 +90,7 @@
     ) -> Result[bytes, RequestError]:
         error = RequestError(attempts=())
         for url in self._urls:
-            sent = self._send_once(method, url + path, body)
+            sent = self._exchange(method, url + path, body)
             if isinstance(sent, Success):
                 return sent
             error = _combine(error, sent.failure())
@@ -101,9 +98,31 @@
                 break
         return Failure(error)
 
-    def _send_once(
+
+class HttpExchange:
+    """Sends requests by HTTP.
+
+    Args:
+        token: The bearer token; empty for none.
+        timeout_ms: Time for one request.
+    """
+
+    def __init__(self, token: str, timeout_ms: int) -> None:
+        self._headers = {"Content-Type": "application/json"}
+        if token:
+            self._headers["Authorization"] = f"Bearer {token}"
+        connect_ms = min(_CONNECT_TIMEOUT_MS, timeout_ms)
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(
+                connect=connect_ms / _MS_PER_S, read=timeout_ms / _MS_PER_S
+            ),
+        )
+
+    def __call__(
         self, method: str, url: str, body: bytes | None
     ) -> Result[bytes, RequestError]:
+        """Returns the body of a successful reply."""
         try:
             reply = self._pool.request(
                 method, url, body=body, headers=self._headers, redirect=False
@@ -116,16 +135,37 @@
             )
         if reply.status == _OK:
             return Success(reply.data)
-        problem = _read_problem(reply.status, reply.data)
         return Failure(
-            RequestError(
-                attempts=(f"{url}: {problem.status} {problem.title}",),
-                problem=problem,
-                may_have_run=body is not None and _is_doubtful(problem),
-            )
+            read_refusal(url, reply.status, reply.data, body is not None)
         )
 
 
+def http_daemon_client(
+    urls: Sequence[str], token: str, timeout_ms: int
+) -> DaemonClient:
+    """Creates a client of the daemons at some addresses."""
+    return FailoverClient(urls, HttpExchange(token, timeout_ms))
+
+
+def read_refusal(
+    url: str, status: int, document: bytes, is_post: bool
+) -> RequestError:
+    """Returns what a reply other than a success says.
+
+    Args:
+        url: Where the request was sent.
+        status: The HTTP status of the reply.
+        document: The body of the reply.
+        is_post: Whether the request had a body.
+    """
+    problem = _read_problem(status, document)
+    return RequestError(
+        attempts=(f"{url}: {problem.status} {problem.title}",),
+        problem=problem,
+        may_have_run=is_post and _is_doubtful(problem),
+    )
+
+
 def _combine(earlier: RequestError, latest: RequestError) -> RequestError:
     return RequestError(
         attempts=(*earlier.attempts, *latest.attempts),
--- a/trefoilpitch/cli/_main.py
+++ b/trefoilpitch/cli/_main.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import TextIO, TypeAlias
 
-from trefoilpitch.cli._client import DaemonClient, HttpDaemonClient
+from trefoilpitch.cli._client import DaemonClient, http_daemon_client
 from trefoilpitch.cli._commands import Command, find_command
 from trefoilpitch.cli._context import Context
 from trefoilpitch.cli._exceptions import CommandError, ExitStatus, UsageError
@@ -34,7 +34,7 @@
     out: TextIO,
     err: TextIO,
     *,
-    connect: Connect = HttpDaemonClient,
+    connect: Connect = http_daemon_client,
     clock: Clock | None = None,
     sleep: Callable[[int], None] = _sleep,
 ) -> ExitStatus:
--- a/trefoilpitch/cli/_settings.py
+++ b/trefoilpitch/cli/_settings.py
@@ -139,17 +139,18 @@
 
 def _url(text: str) -> str:
     message = f"{text!r} is not host:port"
+    # Without a scheme, a name before a colon would be taken for one.
+    whole = text if "://" in text else f"http://{text}"
     try:
-        url = urllib3.util.parse_url(text)
+        url = urllib3.util.parse_url(whole)
     except urllib3.exceptions.LocationParseError as error:
         raise ValueError(message) from error
-    scheme = url.scheme or "http"
     is_plain = url.path in (None, "/") and url.query is None
-    if scheme not in ("http", "https") or not url.host or not is_plain:
+    if url.scheme not in ("http", "https") or not url.host or not is_plain:
         raise ValueError(message)
     if url.port is None:
         raise ValueError(f"{text!r} has no port")
-    return f"{scheme}://{url.host}:{url.port}"
+    return f"{url.scheme}://{url.host}:{url.port}"
 
 
 def _token(text: str) -> str:
--- a/trefoilpitch/cli/tests/operator.py
+++ b/trefoilpitch/cli/tests/operator.py
@@ -6,14 +6,20 @@
 import io
 import json
 import pathlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
 from trefoilpitch.administration.tests.fleet import TOKEN, Fleet
 from trefoilpitch.cli import ExitStatus, main
-from trefoilpitch.cli._client import ProblemReply, RequestError
+from trefoilpitch.cli._client import (
+    DaemonClient,
+    Exchange,
+    FailoverClient,
+    RequestError,
+    read_refusal,
+)
 from trefoilpitch.clock import ManualClock
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
@@ -21,37 +27,24 @@
 ENVIRONMENT = {"TREFOILPITCH_ADMIN_TOKEN": TOKEN, "USER": "mere"}
 
 
-class FleetClient:
-    """Sends requests to a fleet without a network."""
+def fleet_exchange(fleet: Fleet, token: str) -> Exchange:
+    """Returns an exchange with a fleet, without a network."""
 
-    def __init__(self, fleet: Fleet, token: str) -> None:
-        self._fleet = fleet
-        self._token = token
-
-    def get(self, path: str) -> Result[bytes, RequestError]:
-        return self._send("GET", path, b"")
-
-    def post(self, path: str, body: bytes) -> Result[bytes, RequestError]:
-        return self._send("POST", path, body)
-
-    def _send(
-        self, method: str, path: str, body: bytes
+    def exchange(
+        method: str, url: str, body: bytes | None
     ) -> Result[bytes, RequestError]:
-        response = self._fleet.send(method, path, body, token=self._token)
+        path = "/v1/" + url.partition("/v1/")[2]
+        response = fleet.send(method, path, body or b"", token=token)
         assert isinstance(response.body, bytes)
         if response.status == 200:
             return Success(response.body)
-        document = json.loads(response.body)
-        fields = {key: document[key] for key in ("code", "title", "detail")}
-        problem = ProblemReply(status=response.status, **fields)
+        is_post = body is not None
         return Failure(
-            RequestError(
-                attempts=(f"{path}: {response.status}",),
-                problem=problem,
-                may_have_run=response.status == 504,
-            )
+            read_refusal(url, response.status, response.body, is_post)
         )
 
+    return exchange
+
 
 @dataclasses.dataclass(frozen=True)
 class Ended:
@@ -83,12 +76,18 @@
             environment,
             out,
             err,
-            connect=lambda urls, token, timeout: FleetClient(self.fleet, token),
+            connect=self._connect,
             clock=self.clock,
             sleep=self._sleep,
         )
         return Ended(status, out.getvalue(), err.getvalue())
 
+    def _connect(
+        self, urls: Sequence[str], token: str, timeout_ms: int
+    ) -> DaemonClient:
+        del timeout_ms
+        return FailoverClient(urls, fleet_exchange(self.fleet, token))
+
     def _sleep(self, duration_ms: int) -> None:
         self.clock.advance(duration_ms)
         self.on_sleep()
--- a/trefoilpitch/cli/tests/test_client.py
+++ b/trefoilpitch/cli/tests/test_client.py
@@ -7,7 +7,7 @@
 import pytest
 from returns.result import Success
 
-from trefoilpitch.cli._client import HttpDaemonClient, RequestError
+from trefoilpitch.cli._client import RequestError, http_daemon_client
 from trefoilpitch.web import Problem, encode_problem
 
 _TIMEOUT_MS = 1_000
@@ -89,7 +89,7 @@
     first: bytes | None,
 ) -> None:
     with _daemon(first) as one, _daemon(DONE) as two:
-        client = HttpDaemonClient(
+        client = http_daemon_client(
             (_free_url(), one.url, two.url), "t", _TIMEOUT_MS
         )
         assert client.post("/v1/changes", b"change") == Success(b"{}")
@@ -119,7 +119,7 @@
     with contextlib.ExitStack() as stack:
         daemons = [stack.enter_context(_daemon(each)) for each in replies]
         urls = [daemon.url for daemon in daemons] or [_free_url()]
-        client = HttpDaemonClient(urls, "t", _TIMEOUT_MS)
+        client = http_daemon_client(urls, "t", _TIMEOUT_MS)
         error: RequestError = client.post("/v1/changes", b"change").failure()
         assert error.may_have_run is may_have_run
         assert len(error.attempts) == len(urls)
@@ -127,7 +127,7 @@
 
 def test_a_refusal_is_final() -> None:
     with _daemon(REFUSED) as one, _daemon(DONE) as two:
-        client = HttpDaemonClient((one.url, two.url), "t", _TIMEOUT_MS)
+        client = http_daemon_client((one.url, two.url), "t", _TIMEOUT_MS)
         error = client.post("/v1/changes", b"change").failure()
         assert error.problem is not None
         assert error.problem.code == "no-effect"
@@ -141,7 +141,7 @@
 def test_attempts_say_what_happened(reply: bytes | None, expected: str) -> None:
     free = _free_url()
     with _daemon(reply) as daemon:
-        client = HttpDaemonClient((free, daemon.url), "t", _TIMEOUT_MS)
+        client = http_daemon_client((free, daemon.url), "t", _TIMEOUT_MS)
         error = client.post("/v1/changes", b"change").failure()
     assert error.attempts[0] == f"{free}/v1/changes: nothing listens there"
     assert expected in error.attempts[1]
--- /dev/null
+++ b/trefoilpitch/cli/tests/test_settings.py
@@ -0,0 +1,23 @@
+import pytest
+
+from trefoilpitch.cli._flags import FLAGS
+from trefoilpitch.cli._settings import read_settings
+
+_ALL = tuple(flag.name for flag in FLAGS)
+
+
+@pytest.mark.parametrize(
+    ("text", "urls"),
+    [
+        ("127.0.0.1:8081", ("http://127.0.0.1:8081",)),
+        ("[::1]:8081", ("http://[::1]:8081",)),
+        ("entry-1:8081", ("http://entry-1:8081",)),
+        ("https://entry-1.example:443/", ("https://entry-1.example:443",)),
+        (" a:1 , b:2,", ("http://a:1", "http://b:2")),
+    ],
+)
+def test_addresses_are_read_as_people_write_them(
+    text: str, urls: tuple[str, ...]
+) -> None:
+    settings = read_settings({"admin_address": text}, {}, _ALL)
+    assert settings.admin_urls == urls
