--- a/trefoilpitch/configuration/replication/_peer_side.py
+++ b/trefoilpitch/configuration/replication/_peer_side.py
@@ -18,6 +18,7 @@
     on_snapshot_page,
     on_snapshot_request,
 )
+from trefoilpitch.configuration.replication._freshness import is_confirmed
 from trefoilpitch.configuration.replication._links import plan_links
 from trefoilpitch.configuration.replication._messages import (
     DomainContact,
@@ -85,7 +86,7 @@
     state, settings = draft.state, draft.state.settings
     links = state.links
     interval_ms = settings.probe_interval_ms
-    if links.is_relay:
+    if links.is_relay or _awaits_confirmation(draft):
         interval_ms = settings.relay_probe_interval_ms
     turn = state.probe_turn
     draft.update(next_probe_ms=draft.now_ms + interval_ms, probe_turn=turn + 1)
@@ -97,6 +98,14 @@
         draft.probe(links.neighbour.address)
 
 
+def _awaits_confirmation(draft: Draft) -> bool:
+    """Tells whether this node may have committed the revision in force."""
+    state = draft.state
+    if draft.now_ms >= state.confirming_until_ms:
+        return False
+    return not is_confirmed(state, state.revision)
+
+
 def _expire_probes(draft: Draft) -> None:
     state = draft.state
     oldest_ms = draft.now_ms - state.settings.probe_timeout_ms
@@ -115,6 +124,8 @@
 
 
 def _on_probe(draft: Draft, address: str, probe: RevisionProbe) -> None:
+    # Noted before answering: the answer confirms that it was heard here.
+    draft.note_head(probe.revision, address)
     state, now_ms = draft.state, draft.now_ms
     proof_age_ms = None if state.proven_ms is None else now_ms - state.proven_ms
     answer = RevisionAnswer(
@@ -123,29 +134,27 @@
         digest=state.digest,
         head_revision=state.known_revision,
         proof_age_ms=proof_age_ms,
-        contacts=_recent_contacts(draft),
+        contacts=_contacts(draft),
         deltas=_encode_deltas_since(draft, probe.revision),
     )
     draft.send(address, answer)
-    if probe.revision > state.revision:
-        draft.note_head(probe.revision, address)
-        if all(sent.address != address for sent in state.outstanding):
-            draft.probe(address, is_urgent=True)
 
 
-def _recent_contacts(draft: Draft) -> tuple[DomainContact, ...]:
-    settings, now_ms = draft.state.settings, draft.now_ms
-    own = Contact(heard_ms=now_ms, revision=draft.state.known_revision)
-    contacts = {**draft.state.contacts, settings.failure_domain: own}
-    return tuple(
-        DomainContact(
-            failure_domain=domain,
-            age_ms=now_ms - contacts[domain].heard_ms,
-            revision=contacts[domain].revision,
+def _contacts(draft: Draft) -> tuple[DomainContact, ...]:
+    state, now_ms = draft.state, draft.now_ms
+    own = Contact(heard_ms=now_ms, revision=state.known_revision)
+    contacts = {**state.contacts, state.settings.failure_domain: own}
+    told: list[DomainContact] = []
+    for domain in sorted(state.known_domains):
+        contact = contacts.get(domain)
+        told.append(
+            DomainContact(
+                failure_domain=domain,
+                age_ms=now_ms - contact.heard_ms if contact else None,
+                revision=contact.revision if contact else 0,
+            )
         )
-        for domain in sorted(contacts)
-        if now_ms - contacts[domain].heard_ms <= settings.freshness_ms
-    )
+    return tuple(told)
 
 
 def _encode_deltas_since(draft: Draft, revision: int) -> tuple[bytes, ...]:
@@ -170,6 +179,8 @@
     is_doubtful = draft.state.counters.digest_mismatches > mismatches
     ask_store = is_doubtful and draft.state.read_failures == 0
     draft.note_head(answer.revision, "" if ask_store else address)
+    if draft.state.revision < answer.revision:
+        draft.update(probed_revision=answer.revision)
     draft.note_head(answer.head_revision)
     if answer.revision == draft.state.revision:
         _compare(draft, probe, answer)
@@ -202,6 +213,8 @@
 ) -> None:
     contacts = dict(draft.state.contacts)
     for told in answer.contacts:
+        if told.age_ms is None:
+            continue
         heard_ms = probe.sent_ms - told.age_ms
         new = Contact(heard_ms=heard_ms, revision=told.revision)
         known = contacts.get(told.failure_domain, new)
@@ -209,7 +222,11 @@
             heard_ms=max(known.heard_ms, new.heard_ms),
             revision=max(known.revision, new.revision),
         )
-    draft.update(contacts=MappingProxyType(contacts))
+    domains = {told.failure_domain for told in answer.contacts}
+    draft.update(
+        contacts=MappingProxyType(contacts),
+        known_domains=draft.state.known_domains | domains,
+    )
 
 
 def _decode_deltas(draft: Draft, encoded: tuple[bytes, ...]) -> list[Delta]:
