--- a/trefoilpitch/coldstart/_gatekeeper.py
+++ b/trefoilpitch/coldstart/_gatekeeper.py
@@ -98,7 +98,12 @@
             )
             return with_ledger(state, name, ledger), ()
         case Holding() as holding:
-            ledger = settle(ledger, holder=event.holder, holding=holding)
+            ledger = settle(
+                ledger,
+                holder=event.holder,
+                holding=holding,
+                release_ms=now_ms + state.settings.release_ms,
+            )
             return with_ledger(state, name, ledger), ()
         case ColdSign(upstream_incarnation=incarnation):
             return _hear_cold_sign(state, name, incarnation, now_ms)
--- a/trefoilpitch/coldstart/_ledger.py
+++ b/trefoilpitch/coldstart/_ledger.py
@@ -152,7 +152,11 @@
         return ledger
     if ledger.inherited is not None:
         fewer = min(ledger.inherited.count, running)
-        return _inherit(ledger, fewer, ledger.inherited.release_ms)
+        release_ms = ledger.inherited.release_ms
+        if fewer:
+            # Long work goes on: what a report still shows is not released.
+            release_ms = max(release_ms, as_of_ms + settings.max_work_ms)
+        return _inherit(ledger, fewer, release_ms)
     release_ms = ledger.void_ms + settings.max_work_ms
     return _inherit(ledger, running, release_ms)
 
@@ -186,16 +190,27 @@
     return ledger
 
 
-def settle(ledger: Ledger, *, holder: str, holding: Holding) -> Ledger:
-    """Releases credits that a holder says it neither uses nor will use."""
+def settle(
+    ledger: Ledger, *, holder: str, holding: Holding, release_ms: int
+) -> Ledger:
+    """Releases credits that a holder says it neither uses nor will use.
+
+    Args:
+        ledger: The books.
+        holder: The holder's incarnation.
+        holding: What it says.
+        release_ms: Until when the credits that it does hold are kept, unless
+            it says again that it holds them.
+    """
     held = frozenset(holding.held)
-    kept = {
-        ref: credit
-        for ref, credit in ledger.outstanding.items()
-        if credit.holder != holder
-        or credit.sequence > holding.settled_sequence
-        or ref in held
-    }
+    kept: dict[CreditRef, OutstandingCredit] = {}
+    for ref, credit in ledger.outstanding.items():
+        if credit.holder != holder:
+            kept[ref] = credit
+        elif ref in held:
+            kept[ref] = dataclasses.replace(credit, release_ms=release_ms)
+        elif credit.sequence > holding.settled_sequence:
+            kept[ref] = credit
     return dataclasses.replace(ledger, outstanding=kept)
 
 
--- a/trefoilpitch/coldstart/_settings.py
+++ b/trefoilpitch/coldstart/_settings.py
@@ -17,7 +17,8 @@
     view_lag_ms: int = 5_000
     # Oldest view that a gatekeeper may act on.
     view_age_limit_ms: int = 2_000
-    # Longest time that one piece of work runs on an upstream.
+    # Longest time that work runs on an upstream after its holder, or a report
+    # of the upstream, was last heard to say that it runs.
     max_work_ms: int = 120_000
     # Without a report for this long, an upstream's incarnation is unknown.
     # Together with ``report_lag_ms`` less than the fastest restart takes.
--- a/trefoilpitch/daemon/tests/stateful/fleet.py
+++ b/trefoilpitch/daemon/tests/stateful/fleet.py
@@ -358,6 +358,8 @@
             backend = self.fleet.backends[followed.upstream.name]
             if backend.is_up:
                 self.core.note_report(backend.report(), now_ms)
+            else:
+                self.core.directory.record_no_report(backend.name)
 
 
 class Fleet:
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -35,6 +35,9 @@
 )
 from trefoilpitch.upstreams import LoadReport as ReceivedReport
 
+# Without having asked an upstream for so long, it gets no new work.
+_MAX_ASKED_AGE_MS = 3_000
+
 
 class ClientFactory(Protocol):
     """Makes the clients of upstreams."""
@@ -107,6 +110,7 @@
         self.in_flight_at_report = 0
         self.report: ReceivedReport | None = None
         self.report_ms = 0
+        self.asked_ms: int | None = None
         self.leaving = False
         self.is_dropped = False
 
@@ -329,9 +333,20 @@
                 return
             followed.report = report
             followed.report_ms = self._clock.now_ms()
+            followed.asked_ms = followed.report_ms
             followed.in_flight_at_report = followed.in_flight
             followed.leaving = report.leaving
 
+    def record_no_report(self, upstream: str) -> None:
+        """Records that an upstream was asked for its load and is silent.
+
+        What it said last still counts.
+        """
+        with self._lock:
+            followed = self._followed.get(upstream)
+            if followed is not None:
+                followed.asked_ms = self._clock.now_ms()
+
     def record_leaving(self, upstreams: frozenset[str]) -> None:
         """Takes in the names that the VM list says are leaving."""
         with self._lock:
@@ -387,7 +402,7 @@
             cold=allowance is not None,
             allowance=allowance or 0,
             concurrency_limit=self._concurrency.limit(followed.node.upstream),
-            leaving=followed.leaving,
+            leaving=followed.leaving or _is_unasked(followed, now_ms),
             incarnation=report.incarnation if report else "",
         )
 
@@ -419,6 +434,16 @@
             listener(ended.target, ended.run_ms)
 
 
+def _is_unasked(followed: _Followed, now_ms: int) -> bool:
+    """Returns whether an upstream may have said that it leaves, unheard.
+
+    That is so when it has just been followed again, and after a pause of this
+    process.
+    """
+    asked_ms = followed.asked_ms
+    return asked_ms is None or now_ms - asked_ms > _MAX_ASKED_AGE_MS
+
+
 def _close(followed: _Followed) -> None:
     client = followed.engine or followed.service
     if client is not None:
--- a/trefoilpitch/serving/tests/test_chat.py
+++ b/trefoilpitch/serving/tests/test_chat.py
@@ -137,3 +137,14 @@
     # The task's deadline is 60 s.
     assert world.clock.now_ms() - started_ms < 60_000
     assert world.queue.waiting == 0
+
+
+def test_an_upstream_that_was_not_heard_lately_gets_no_work() -> None:
+    world = World()
+    _script(world, *answer("text"))
+    world.clock.advance(5_000)
+    world.parking.on_advance = lambda: None
+    world.parking.meanwhile = [lambda: None, world.hear_upstreams]
+    started_ms = world.clock.now_ms()
+    assert _text(world.ask().unwrap()) == "text"
+    assert world.clock.now_ms() > started_ms
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -160,12 +160,14 @@
     def __init__(self, clock: ManualClock) -> None:
         self._clock = clock
         self.meanwhile: list[Callable[[], None]] = []
+        self.on_advance: Callable[[], None] = lambda: None
 
     def pause(self, duration_ms: int) -> None:
         self._clock.advance(duration_ms)
 
     def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
         self._clock.advance(timeout_ms)
+        self.on_advance()
         if self.meanwhile:
             changed.release()
             try:
@@ -236,6 +238,8 @@
         )
         self.directory.on_release(self.queue.observe)
         self.directory.apply(self.table())
+        self.hear_upstreams()
+        self.parking.on_advance = self.hear_upstreams
         dispatcher = Dispatcher(
             configuration=self,
             directory=self.directory,
@@ -261,6 +265,10 @@
             clock=self.clock,
         )
 
+    def hear_upstreams(self) -> None:
+        for followed in self.directory.followed():
+            self.directory.record_no_report(followed.upstream.name)
+
     def table(self) -> RoutingTable:
         hook, self.on_table = self.on_table, None
         table = routing_table(self.configuration)
