Start a new version from what is known of its predecessor

Ruled out: taking over the counts themselves; a worse version would be trusted until its ratings outweigh hundreds of its predecessor's.

Change: the best known version of the same model is the prior of the new one's bins, at the weight of 40 ratings over all bins.

--- a/trefoilpitch/cascade/_choice.py
+++ b/trefoilpitch/cascade/_choice.py
@@ -9,10 +9,15 @@
 from trefoilpitch.cascade._counts import (
     BIN_COUNT,
     BIN_MIDDLES,
+    BinCounts,
     CountsTable,
 )
 from trefoilpitch.cascade._delivered import DeliveredQuality
-from trefoilpitch.cascade._estimate import QualityCurve, quality_curve
+from trefoilpitch.cascade._estimate import (
+    BUNDLE_PRIOR_RATINGS,
+    QualityCurve,
+    quality_curve,
+)
 from trefoilpitch.cascade._nodes import AnswerKey, Candidate, Target
 from trefoilpitch.cascade._search import (
     Blend,
@@ -28,6 +33,8 @@
 
 # The workspace of the counts of all workspaces together.
 ALL_WORKSPACES = "*"
+# Ratings that those of a model's other version count for, over all bins.
+_RELATIVE_RATINGS = 40.0
 # Share of the margin over the target that exploration may spend.
 _SPENT_SLACK = 0.7
 
@@ -166,7 +173,25 @@
     ) -> QualityCurve:
         own = self._counts.bins(key)
         everyone = self._counts.bins(pooled(key))
-        return quality_curve(own, everyone, prior_quality)
+        relative = self._best_known_relative(pooled(key))
+        if relative is None:
+            return quality_curve(own, everyone, prior_quality)
+        prior_quality = tuple(
+            (counts.good + prior) / (counts.ratings + 1.0)
+            for counts, prior in zip(relative, prior_quality, strict=True)
+        )
+        known = sum(counts.ratings for counts in relative)
+        prior_ratings = BUNDLE_PRIOR_RATINGS + min(known, _RELATIVE_RATINGS)
+        return quality_curve(own, everyone, prior_quality, prior_ratings)
+
+    def _best_known_relative(
+        self, key: AnswerKey
+    ) -> tuple[BinCounts, ...] | None:
+        """Returns the counts of the model's version that is known best."""
+        rows = [self._counts.bins(one) for one in self._counts.relatives(key)]
+        return max(
+            rows, key=lambda row: sum(one.ratings for one in row), default=None
+        )
 
     def _has_evidence(self, question: Question) -> bool:
         key = AnswerKey(
--- a/trefoilpitch/cascade/_counts.py
+++ b/trefoilpitch/cascade/_counts.py
@@ -6,6 +6,7 @@
 import bisect
 import dataclasses
 from collections.abc import Iterator
+from typing import TypeAlias
 
 from trefoilpitch.cascade._nodes import AnswerKey
 from trefoilpitch.cascade._recent import RecentAnswers
@@ -25,6 +26,10 @@
 _ANSWERS, _RATINGS, _GOOD = range(_COLUMNS)
 
 
+# Workspace, task, model, and the model whose answer was rejected before.
+_Family: TypeAlias = tuple[str, str, str, str | None]
+
+
 def signal_bin(signal: float | None) -> int:
     """Returns the bin of a confidence signal; a missing one counts as 0."""
     if signal is None:
@@ -114,6 +119,7 @@
             str, dict[tuple[int, AnswerKey], array.array[int]]
         ] = {incarnation: {}}
         self._recent = RecentAnswers(BIN_COUNT)
+        self._families: dict[_Family, list[AnswerKey]] = {}
         self._sums: dict[AnswerKey, array.array[float]] = {}
 
     @property
@@ -151,6 +157,11 @@
             for position, start in enumerate(range(0, _ROW_LENGTH, _COLUMNS))
         )
 
+    def relatives(self, key: AnswerKey) -> tuple[AnswerKey, ...]:
+        """Returns the same kind of answer by other versions of its models."""
+        family = self._families.get(_family(key), ())
+        return tuple(one for one in family if one != key)
+
     def one_bin(self, key: AnswerKey, position: int) -> BinCounts:
         """Returns the weighted sums over all nodes in one bin."""
         row = self._sums.get(key)
@@ -218,7 +229,7 @@
     def _take_growth(
         self, entry: KeyCounts, known: array.array[int], weight: float
     ) -> Iterator[Growth]:
-        sums = self._sums.setdefault(entry.key, _zero_sums())
+        sums = self._row(entry.key)
         for position in range(BIN_COUNT):
             start = position * _COLUMNS
             stop = start + _COLUMNS
@@ -237,11 +248,24 @@
                     key=entry.key, earlier=earlier, good=grown[_GOOD], bad=bad
                 )
 
+    def _row(self, key: AnswerKey) -> array.array[float]:
+        row = self._sums.get(key)
+        if row is None:
+            row = _zero_sums()
+            self._sums[key] = row
+            self._families.setdefault(_family(key), []).append(key)
+        return row
+
     def _add_own(self, key: AnswerKey, position: int, column: int) -> None:
         own = self._by_node[self._incarnation]
         index = position * _COLUMNS + column
         own.setdefault((self._epoch, key), _empty_row())[index] += 1
-        self._sums.setdefault(key, _zero_sums())[index] += 1.0
+        self._row(key)[index] += 1.0
+
+
+def _family(key: AnswerKey) -> _Family:
+    after = key.after.model if key.after is not None else None
+    return key.workspace, key.task, key.version.model, after
 
 
 def _empty_row() -> array.array[int]:
--- a/trefoilpitch/cascade/_estimate.py
+++ b/trefoilpitch/cascade/_estimate.py
@@ -8,7 +8,7 @@
 from trefoilpitch.cascade._counts import BinCounts
 
 # Ratings that the bundle's prior quality counts for, over all bins.
-_PRIOR_RATINGS = 4.0
+BUNDLE_PRIOR_RATINGS = 4.0
 # Ratings that those of other workspaces count for at most, over all bins.
 _MAX_POOLED_RATINGS = 4_000.0
 _MIN_MEAN = 0.02
@@ -40,6 +40,7 @@
     own: Sequence[BinCounts],
     pooled: Sequence[BinCounts],
     prior_quality: Sequence[float],
+    prior_ratings: float = BUNDLE_PRIOR_RATINGS,
 ) -> QualityCurve:
     """Estimates the quality in each bin from sampled ratings.
 
@@ -51,6 +52,7 @@
         own: The workspace's counts by bin.
         pooled: The counts of all workspaces by bin.
         prior_quality: Mean quality by bin before any rating has been seen.
+        prior_ratings: Ratings that it counts for, over all bins.
     """
     shares = _shares(own, pooled)
     others = [_without(*pair) for pair in zip(pooled, own, strict=True)]
@@ -58,7 +60,14 @@
     means, weights = [], []
     rows = zip(shares, own, others, prior_quality, strict=True)
     for share, mine, rest, prior in rows:
-        mean, weight = _posterior(share, mine, rest, prior, trust)
+        prior_weight = max(prior_ratings * share, 0.01)
+        mean, weight = _posterior(
+            BinCounts(0.0, prior_weight, prior_weight * prior),
+            mine,
+            rest,
+            most=trust * _MAX_POOLED_RATINGS * share,
+            trust=trust,
+        )
         means.append(mean)
         weights.append(weight)
     monotone = isotonic(means, weights)
@@ -120,18 +129,17 @@
 
 
 def _posterior(
-    share: float,
+    prior: BinCounts,
     mine: BinCounts,
     others: BinCounts,
-    prior_quality: float,
+    *,
+    most: float,
     trust: float,
 ) -> tuple[float, float]:
-    most = _MAX_POOLED_RATINGS * share
-    pooled = trust * min(others.ratings, most)
+    pooled = min(trust * others.ratings, most)
     pooled_mean = others.good / others.ratings if others.ratings else 0.0
-    prior = max(_PRIOR_RATINGS * share, 0.01)
-    weight = prior + pooled + mine.ratings
-    good = prior * prior_quality + pooled * pooled_mean + mine.good
+    weight = prior.ratings + pooled + mine.ratings
+    good = prior.good + pooled * pooled_mean + mine.good
     return good / weight, weight
 
 
--- a/trefoilpitch/cascade/tests/test_policy.py
+++ b/trefoilpitch/cascade/tests/test_policy.py
@@ -19,9 +19,11 @@
 TARGET = Target(quality=0.9, confidence=0.9)
 
 
-def _candidates(cheap_cost: float = 1.0) -> tuple[Candidate, ...]:
+def _candidates(
+    cheap_cost: float = 1.0, cheap: VersionRef = CHEAP
+) -> tuple[Candidate, ...]:
     return (
-        Candidate(version=CHEAP, cost_nano=cheap_cost, prior_quality=0.6),
+        Candidate(version=cheap, cost_nano=cheap_cost, prior_quality=0.6),
         Candidate(version=DEAR, cost_nano=10.0, prior_quality=0.95),
     )
 
@@ -37,16 +39,21 @@
         self.rated = rated
         self.rng = random.Random(11)
         self.bad_version = False
+        self.cheap = CHEAP
         self.plans: list[CascadePlan] = []
 
     def request(self) -> tuple[VersionRef, float, bool]:
         plan = self.policy.plan(
-            "parish", "tag", _candidates(self.cheap_cost), TARGET, self.rng
+            "parish",
+            "tag",
+            _candidates(self.cheap_cost, self.cheap),
+            TARGET,
+            self.rng,
         )
         self.plans.append(plan)
         cost, first = 0.0, self.rng.random()
         for index, step in enumerate(plan.steps):
-            cheap = step.version == CHEAP
+            cheap = step.version == self.cheap
             cost += self.cheap_cost if cheap else 10.0
             signal = first if index == 0 else self.rng.random()
             finish = Finish(signal=signal, cost_nano=1)
@@ -101,6 +108,20 @@
     assert sum(good for _, _, good in late) / len(late) >= 0.9
 
 
+def test_new_version_starts_from_its_predecessor_but_not_on_its_word() -> None:
+    costs = []
+    for bad in (False, True):
+        world = _World(CascadePolicy("a"))
+        for _ in range(6_000):
+            world.request()
+        world.cheap = VersionRef("cheap", "2")
+        world.bad_version = bad
+        answers = [world.request() for _ in range(3_000)]
+        assert sum(good for _, _, good in answers) / len(answers) >= 0.9
+        costs.append(sum(cost for _, cost, _ in answers) / len(answers))
+    assert costs[0] < 6.0 < costs[1]
+
+
 def test_explores_a_bounded_share_and_nothing_without_ratings() -> None:
     settings = CascadeSettings(exploration_share=0.05)
     for rated, least in ((0.3, 1), (0.0, 0)):
