Hand the query on to a key's home; count only proof that a call ran

The target is now encoded whole. * a crossed reply made the outcome `failed`, which claims that the call ran; the reply to another request proves nothing, so it is `unknown`. * a second SIGTERM took 4.5 to over 5 s to end the daemon, for the HTTP server waited for answers that had been given up; now 0.24 s. * during an outage of the store the ledger logged 'takes bills again' at each pause between tries; it now says so when a segment was taken. Ruled out: a fault of the stand-ins, whose counts show one effect each.

--- a/tests/endtoend/fleet.py
+++ b/tests/endtoend/fleet.py
@@ -75,7 +75,7 @@
         port = f"--port={self._first_port}"
         self.processes.start("store", "trefoilpitch.standins.kv", port)
         for letter in DOMAINS:
-            self._start_engine(letter)
+            self.start_engine(letter)
         for letter in _WORKERS:
             self._start_worker(letter)
         for letter in DOMAINS:
@@ -98,6 +98,19 @@
         url = f"http://{self.caller(letter)}/healthz"
         wait_until(lambda: http("GET", url).status == 200, url)
 
+    def start_engine(self, letter: str) -> None:
+        """Starts an engine, cold."""
+        self.processes.start(
+            f"engine-{letter}",
+            "trefoilpitch.standins.engine",
+            f"--port={self.engine(letter).rpartition(':')[2]}",
+            f"--name=engine-{letter}",
+            "--versions=large@1,large@2",
+            f"--capacity={ENGINE_CAPACITY}",
+            "--cold_capacity=4",
+            "--hold_ms=10000",
+        )
+
     def sign_off(self) -> None:
         """Puts the bundle in force on every daemon."""
         template = string.Template(_BUNDLE.read_text())
@@ -167,14 +180,20 @@
         url = f"http://{self.caller(letter)}{CHAT_PATH}"
         return http("POST", url, chat_body(text), {**CALLER, **headers})
 
+    def answer(self, letter: str, text: str) -> str:
+        """Returns the text of a whole answer."""
+        reply = self.chat(letter, text)
+        assert reply.status == 200, reply.body
+        return str(reply.json()["choices"][0]["message"]["content"])
+
     def look_up(self, letter: str) -> HttpReply:
         """Calls an idempotent operation."""
         url = f"http://{self.caller(letter)}{LOOK_UP_PATH}"
         return http("GET", url, headers=CALLER)
 
-    def lend(self, letter: str, key: str) -> HttpReply:
+    def lend(self, letter: str, key: str, query: str = "") -> HttpReply:
         """Calls a non-idempotent operation."""
-        url = f"http://{self.caller(letter)}{LOAN_PATH}"
+        url = f"http://{self.caller(letter)}{LOAN_PATH}{query}"
         headers = {**CALLER, "Idempotency-Key": key}
         return http("POST", url, {"tape": 7}, headers)
 
@@ -191,6 +210,14 @@
             for run in self.engine_counts(letter)["runs"]
         ]
 
+    def wait_until_idle(self, letters: tuple[str, ...] = DOMAINS) -> None:
+        """Waits until daemons serve no request."""
+        for letter in letters:
+            wait_until(
+                lambda letter=letter: self.dump(letter)["in_flight"] == 0,
+                f"entry-{letter} without requests",
+            )
+
     def runs_of(self, request_id: str) -> int:
         """Returns how often a request began to run at the engines."""
         return sum(
@@ -203,15 +230,10 @@
             "GET", f"http://{self.engine(letter)}/standin/counts"
         ).json()
 
-    def loan_times(self, request_id: str) -> int:
-        """Returns how often a loan had its effect at the services."""
-        found = [
-            effect
-            for letter in _WORKERS
-            for effect in self.worker_counts(letter)["effects"]
-            if effect["request_id"] == request_id
-        ]
-        return sum(effect["times"] for effect in found)
+    def loans(self) -> int:
+        """Returns how many loans have had their effect."""
+        effects = self.worker_counts("b")["effects"]
+        return sum(effect["times"] for effect in effects)
 
     def worker_counts(self, letter: str) -> Any:
         """Returns what a plain service has counted."""
@@ -219,6 +241,10 @@
             "GET", f"http://{self.worker(letter)}/standin/counts"
         ).json()
 
+    def engine_load(self, letter: str) -> Any:
+        """Returns what an engine reports of its load."""
+        return http("GET", f"http://{self.engine(letter)}/v1/load").json()
+
     def set_engines(self, **settings: Any) -> None:
         """Changes the settings of every engine."""
         for letter in DOMAINS:
@@ -266,23 +292,7 @@
     def _engines_are_warm(self) -> bool:
         for letter in DOMAINS:
             self.chat(letter)
-        reports = [
-            http("GET", f"http://{self.engine(letter)}/v1/load").json()
-            for letter in DOMAINS
-        ]
-        return all(report["warm"] for report in reports)
-
-    def _start_engine(self, letter: str) -> None:
-        self.processes.start(
-            f"engine-{letter}",
-            "trefoilpitch.standins.engine",
-            f"--port={self.engine(letter).rpartition(':')[2]}",
-            f"--name=engine-{letter}",
-            "--versions=large@1,large@2",
-            f"--capacity={ENGINE_CAPACITY}",
-            "--cold_capacity=4",
-            "--hold_ms=10000",
-        )
+        return all(self.engine_load(letter)["warm"] for letter in DOMAINS)
 
     def _start_worker(self, letter: str) -> None:
         self.processes.start(
@@ -293,10 +303,12 @@
         )
 
 
-def chat_body(text: str, *, stream: bool = False) -> dict[str, Any]:
+def chat_body(
+    text: str, *, task: str = "transcript", stream: bool = False
+) -> dict[str, Any]:
     """Returns the body of a request for model work."""
     messages = [{"role": "user", "content": text}]
-    return {"model": "transcript", "stream": stream, "messages": messages}
+    return {"model": task, "stream": stream, "messages": messages}
 
 
 def post(address: str, path: str, body: Any) -> None:
--- a/tests/endtoend/streams.py
+++ b/tests/endtoend/streams.py
@@ -19,10 +19,18 @@
     Args:
         address: The daemon that is asked.
         text: The prompt.
-        headers: Further header fields.
+        task: What is asked for.
+        last_event_id: Where to take up an answer, if it was begun before.
     """
 
-    def __init__(self, address: str, text: str, **headers: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        text: str,
+        *,
+        task: str = "transcript",
+        last_event_id: str = "",
+    ) -> None:
         self.event_id = ""
         self.request_id = ""
         self.texts: list[str] = []
@@ -31,8 +39,9 @@
             address, timeout=_TIMEOUT_S
         )
         fields = {**CALLER, "Content-Type": "application/json"}
-        fields |= {name.replace("_", "-"): headers[name] for name in headers}
-        body = json.dumps(chat_body(text, stream=True))
+        if last_event_id:
+            fields["Last-Event-ID"] = last_event_id
+        body = json.dumps(chat_body(text, task=task, stream=True))
         self._connection.request("POST", CHAT_PATH, body, fields)
         self._reply = self._connection.getresponse()
         self.status = self._reply.status
@@ -47,14 +56,18 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._reply.close()
-        self._connection.close()
+        self.leave()
 
     @property
     def text(self) -> str:
         """What has been received."""
         return "".join(self.texts)
 
+    def leave(self) -> None:
+        """Closes the connection, whatever is still to come."""
+        self._reply.close()
+        self._connection.close()
+
     def read_parts(self, count: int) -> None:
         """Reads until a number of parts has been received in all.
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -72,9 +72,15 @@
         """Sends a signal to a process."""
         self._running[name].send_signal(number)
 
-    def wait(self, name: str) -> int:
-        """Waits for a process to end and returns its exit status."""
-        return self._running.pop(name).wait(_END_PATIENCE_S)
+    def wait(self, name: str, patience_s: float = _END_PATIENCE_S) -> int:
+        """Waits for a process to end and returns its exit status.
+
+        Raises:
+            subprocess.TimeoutExpired: If it does not end in time.
+        """
+        status = self._running[name].wait(patience_s)
+        del self._running[name]
+        return status
 
     def end(self, name: str) -> int:
         """Ends a process gracefully and returns its exit status."""
--- a/trefoilpitch/daemon/_homes.py
+++ b/trefoilpitch/daemon/_homes.py
@@ -5,6 +5,7 @@
 import hashlib
 import secrets
 import threading
+import urllib.parse
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
@@ -118,7 +119,7 @@
         try:
             reply = self._pools.request(
                 request.method,
-                f"http://{address}{request.path}",
+                f"http://{address}{_target(request)}",
                 body=request.body,
                 fields=None,
                 headers=headers,
@@ -132,6 +133,13 @@
         return Success(_to_response(reply))
 
 
+def _target(request: Request) -> str:
+    """Returns the path and query as the home must read them again."""
+    query = urllib.parse.urlencode(request.query)
+    path = urllib.parse.quote(request.path)
+    return f"{path}?{query}" if query else path
+
+
 def _to_response(reply: urllib3.BaseHTTPResponse) -> Response:
     returned = tuple(
         Header(name=name, value=reply.headers[name])
--- a/trefoilpitch/daemon/_ledger.py
+++ b/trefoilpitch/daemon/_ledger.py
@@ -34,8 +34,14 @@
         self._writer = writer
         self._clock = clock
         self._metrics = metrics
+        self._is_failing = False
         self._lock = threading.Lock()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the store did not take the last segment offered to it."""
+        return self._is_failing
+
     @property
     def unwritten_bytes(self) -> int:
         """Bytes of bills that the store is not known to have."""
@@ -67,11 +73,13 @@
         """Records that the store has a segment."""
         with self._lock:
             self._writer.written(key)
+            self._is_failing = False
 
     def write_failed(self) -> None:
         """Records that a write failed or that its outcome is unknown."""
         with self._lock:
             self._writer.write_failed(self._clock.now_ms())
+            self._is_failing = True
 
 
 def write_due_segments(
@@ -118,10 +126,10 @@
         """Writes what is due."""
         if not isinstance(message, Tick):
             return
-        took_all = write_due_segments(
+        write_due_segments(
             self._ledger, self._store, self._metrics, flush=False
         )
-        self._note_state(is_failing=not took_all)
+        self._note_state(is_failing=self._ledger.is_failing)
         unwritten = float(self._ledger.unwritten_bytes)
         self._metrics.set_gauge("ledger_unwritten_bytes", unwritten)
 
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -104,6 +104,7 @@
         self._on_superseded = on_superseded
         self._stack = contextlib.ExitStack()
         self._requests = InFlight()
+        self._caller_server: HttpServer | None = None
         self._identity = _identity(settings, clock)
         self._store = etcd_store(
             settings.store_address.host, settings.store_address.port
@@ -127,7 +128,8 @@
             stack.enter_context(self._core.replica)
             stack.enter_context(self._supervisor)
             stack.enter_context(self._open_admin_server())
-            stack.enter_context(self._open_caller_server())
+            self._caller_server = self._open_caller_server()
+            stack.enter_context(self._caller_server)
             self._stack = stack.pop_all()
         _LOG.info("incarnation {} serves", self._core.incarnation)
         return self
@@ -142,6 +144,8 @@
 
     def abandon(self) -> None:
         """Ends the graceful shutdown at once."""
+        if self._caller_server is not None:
+            self._caller_server.abandon()
         self._core.draining.abandon()
 
     def finish_leaving(self) -> bool:
--- a/trefoilpitch/serving/_problems.py
+++ b/trefoilpitch/serving/_problems.py
@@ -118,5 +118,6 @@
     OverloadedError: FailureKind.OVERLOADED,
     DeadlineExceededError: FailureKind.ANSWER_TIMEOUT,
     IncompleteReplyError: FailureKind.CONNECTION_LOST,
-    MismatchedReplyError: FailureKind.MALFORMED_ANSWER,
+    # The reply to another request tells nothing about this one.
+    MismatchedReplyError: FailureKind.CONNECTION_LOST,
 }
--- a/trefoilpitch/standins/_answers.py
+++ b/trefoilpitch/standins/_answers.py
@@ -46,11 +46,17 @@
 
 
 def answer_words(
-    prompt: str, version: str, *, good: bool, max_tokens: int
+    prompt: str,
+    version: str,
+    *,
+    good: bool,
+    max_tokens: int,
+    extra_words: int = 0,
 ) -> list[str]:
     """Returns an answer as words, one a token; a whole one ends with a dot."""
     words = list(_whole_answer(prompt, version, good=good))
-    return words[:max_tokens]
+    extra = [_WORDS[number % len(_WORDS)] for number in range(extra_words)]
+    return [*extra, *words][:max_tokens]
 
 
 def score(prompt: str, version: str, answer: str) -> float:
--- a/trefoilpitch/standins/_engine_nodes.py
+++ b/trefoilpitch/standins/_engine_nodes.py
@@ -29,6 +29,8 @@
     token_ms: float = 1.0
     # Tokens in one chunk.
     chunk_tokens: int = 1
+    # Words added to each answer, which the rating stand-in does not know.
+    extra_words: int = 0
     # Share of prompts that a version answers well.
     quality: dict[str, float] = {}
     # Age of the load reports and cache events, in milliseconds.
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -193,6 +193,7 @@
             prompt.version,
             good=good,
             max_tokens=prompt.max_tokens,
+            extra_words=settings.extra_words,
         )
         texts, tokens = _cut(words, settings.chunk_tokens)
         hit = self._cache.use(
--- a/trefoilpitch/web/_server.py
+++ b/trefoilpitch/web/_server.py
@@ -15,6 +15,7 @@
 _NEVER_TO_DISK_BYTES = 1 << 40
 _MS_PER_S = 1_000
 _CLOSE_POLL_MS = 20
+_CLOSE_PATIENCE_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,6 +73,7 @@
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
+        self._close_patience_ms = _CLOSE_PATIENCE_MS
         self._thread = threading.Thread(
             target=self._server.run, name=name, daemon=True
         )
@@ -93,12 +95,16 @@
     ) -> None:
         self.close()
 
-    def close(self, patience_ms: int = 2_000) -> None:
+    def abandon(self) -> None:
+        """Makes closing cut the responses that are under way."""
+        self._close_patience_ms = 0
+
+    def close(self) -> None:
         """Stops listening and closes every connection.
 
-        Args:
-            patience_ms: How long to let responses reach their callers.
+        Responses get a while to reach their callers first.
         """
+        patience_ms = self._close_patience_ms
         until = time.monotonic() + patience_ms / _MS_PER_S
         while self._has_unsent() and time.monotonic() < until:
             time.sleep(_CLOSE_POLL_MS / _MS_PER_S)
