Survive an empty message on the peer port

Cause: pynng raises RuntimeError when it unpacks a message of no bytes. Any process that reaches the peer port, without a key, ended the daemon's receiving thread with one such message: it heard no peer any more, and was cut off from then on (503 for all new work). Found with a real socket; the transport in memory has no pynng. Change: such a message is counted as malformed, and receiving goes on. Ruled out: RuntimeError from the handler, which is called outside the try.

--- a/trefoilpitch/peering/_nng.py
+++ b/trefoilpitch/peering/_nng.py
@@ -217,6 +217,10 @@
                 continue
             except pynng.Closed:
                 return
+            except RuntimeError:
+                # pynng cannot unpack an empty message; anyone may send one.
+                self._counters.add_dropped(DropReason.MALFORMED)
+                continue
             except pynng.NNGException as error:
                 _LOG.error("receiving from peers failed: {}", error)
                 continue
