--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -45,7 +45,7 @@
     Report,
     create_membership,
 )
-from trefoilpitch.metrics import Label, Metrics
+from trefoilpitch.metrics import Metrics
 from trefoilpitch.peering import PeerTransport, ReceivedMessage
 from trefoilpitch.requests import RequestRegistry
 from trefoilpitch.retries import RetryBudget
@@ -55,13 +55,13 @@
     CascadePlanner,
     ChatFlow,
     ClientFactory,
-    Delivered,
     Dispatcher,
     KeyedRequests,
     Parking,
     PlaceQueue,
     ResumeFlow,
     UpstreamDirectory,
+    VersionLearner,
     WorkGate,
 )
 from trefoilpitch.store import KeyValueStore
@@ -84,6 +84,8 @@
     seeds: tuple[str, ...]
     # Requests served at once.
     max_requests: int
+    # Share of the whole answers to have rated, from 0 to 1.
+    rating_share: float
     # Sign callers' tokens; the first one signs.
     token_keys: tuple[bytes, ...]
 
@@ -170,7 +172,15 @@
             self._clock, lambda: announce(LeaveRequested()), in_flight
         )
         self.planner = CascadePlanner(
-            CascadePolicy(identity.incarnation), surroundings.rng
+            CascadePolicy(identity.incarnation),
+            surroundings.rng,
+            self._clock,
+        )
+        self.learner = VersionLearner(
+            self.planner,
+            self._clock,
+            surroundings.rng,
+            identity.rating_share,
         )
         self.callers = CallerApi(
             identity.incarnation, self._create_caller_services()
@@ -267,6 +277,8 @@
             "ledger_unwritten_bytes": self.ledger.unwritten_bytes,
             "ledger_held_bytes": self.ledger.held_bytes,
             "upstreams": list(self.directory.states().values()),
+            "breakers": self.learner.breakers(),
+            "rollout_advice": self.learner.advice(self.current.table()),
             "peering": self._around.transport.counters(),
             "counters": self.metrics.counters(),
             "latencies": self.metrics.latencies(),
@@ -327,7 +339,7 @@
                 planner=self.planner,
                 bills=self.ledger,
                 clock=self._clock,
-                on_delivered=self._on_delivered,
+                outcomes=self.learner,
             ),
             resumption=ResumeFlow(
                 configuration=self.current,
@@ -383,7 +395,3 @@
             self._out_since_ms = None
         elif self._out_since_ms is None:
             self._out_since_ms = self._clock.now_ms()
-
-    def _on_delivered(self, delivered: Delivered) -> None:
-        version = delivered.plan.steps[delivered.step].version
-        self.metrics.count("delivered", Label("version", str(version)))
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+import time
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
@@ -35,6 +36,7 @@
     MembershipActor,
     VmListActor,
 )
+from trefoilpitch.daemon._ratings import RATING_TICK_MS, RatingActor
 from trefoilpitch.daemon._replica import (
     REPLICA_TICK_MS,
     HeadWatch,
@@ -57,6 +59,7 @@
     create_payload_registry,
     open_nng_transport,
 )
+from trefoilpitch.ratings import open_rating_client
 from trefoilpitch.serving import ConditionParking
 from trefoilpitch.store import etcd_store
 from trefoilpitch.supervision import ChildSpec, Supervisor
@@ -82,6 +85,8 @@
 _ADMIN_CONNECTIONS = 64
 _IDLE_CONNECTIONS = 1_024
 _SPARE_THREADS = 8
+_FLUSH_TRIES = 10
+_FLUSH_RETRY_S = 1.0
 
 _LOG = logbook.Logger("trefoilpitch.daemon")
 
@@ -158,12 +163,20 @@
         """
         self._core.draining.begin()
         is_clean = self._core.draining.wait()
-        return self._core.flush_bills() and is_clean
+        return self._flush_bills() and is_clean
 
     def dump(self) -> dict[str, Any]:
         """Returns the process's state."""
         return {**self._core.dump(), "actors": self._supervisor.statuses()}
 
+    def _flush_bills(self) -> bool:
+        """Writes all bills; waits a while for a store that is down."""
+        for _ in range(_FLUSH_TRIES):
+            if self._core.flush_bills():
+                return True
+            time.sleep(_FLUSH_RETRY_S)
+        return False
+
     def _create_core(self) -> NodeCore:
         surroundings = Surroundings(
             clock=self._clock,
@@ -234,7 +247,11 @@
                 tick_ms=LOAD_TICK_MS,
             ),
         ]
-        return (*children, *self._vm_list_children())
+        return (
+            *children,
+            *self._vm_list_children(),
+            *self._rating_children(),
+        )
 
     def _vm_list_children(self) -> tuple[ChildSpec, ...]:
         address = self._settings.vm_list_address
@@ -253,6 +270,25 @@
         )
         return (child,)
 
+    def _rating_children(self) -> tuple[ChildSpec, ...]:
+        address = self._settings.rating_address
+        if address is None:
+            return ()
+        client = open_rating_client(address=str(address))
+        core = self._core
+        child = ChildSpec(
+            name="ratings",
+            start=lambda: RatingActor.start(
+                client,
+                core.learner,
+                core.current.table,
+                self._clock,
+                core.metrics,
+            ),
+            tick_ms=RATING_TICK_MS,
+        )
+        return (child,)
+
     def _open_admin_server(self) -> HttpServer:
         address = self._settings.admin_address
         limits = ServerLimits(
@@ -325,5 +361,6 @@
         ),
         seeds=tuple(str(seed) for seed in settings.seeds),
         max_requests=settings.max_requests,
+        rating_share=settings.rating_share,
         token_keys=(*keys, other) if other else keys,
     )
--- a/trefoilpitch/routing/_versions.py
+++ b/trefoilpitch/routing/_versions.py
@@ -56,7 +56,7 @@
 ) -> Result[tuple[VersionRef, ...], RoutingError]:
     """Chooses one version of each model of the task's cascade.
 
-    A pinned session runs on its pinned versions alone. Without a pin, a
+    A model that the session is pinned to keeps its version. Of the others, a
     roll-out under way takes its share of the keys, and the model's default
     version the rest.
 
@@ -76,10 +76,15 @@
     node = table.workspaces.get(workspace)
     if node is None or task not in node.tasks or task not in table.tasks:
         return Failure(TargetNotAllowedError(workspace, task))
-    if pins:
-        return _pinned_versions(table, workspace, task, pins)
+    kept = {pin.model: pin for pin in pins}
     chosen = []
     for name in table.tasks[task].cascade:
+        pin = kept.get(name)
+        if pin is not None:
+            if pin not in table.usable_versions[workspace]:
+                return Failure(PinnedVersionWithdrawnError(pin))
+            chosen.append(pin)
+            continue
         model = table.models.get(name)
         if model is None:
             continue
@@ -111,24 +116,6 @@
     return plan.steps_percent[step] / 100
 
 
-def _pinned_versions(
-    table: RoutingTable,
-    workspace: str,
-    task: str,
-    pins: tuple[VersionRef, ...],
-) -> Result[tuple[VersionRef, ...], RoutingError]:
-    usable = table.usable_versions[workspace]
-    for pin in pins:
-        if pin not in usable:
-            return Failure(PinnedVersionWithdrawnError(pin))
-    cascade = table.tasks[task].cascade
-    relevant = [pin for pin in pins if pin.model in cascade]
-    if not relevant:
-        return Failure(NoEligibleVersionError(workspace, task))
-    relevant.sort(key=lambda pin: cascade.index(pin.model))
-    return Success(tuple(relevant))
-
-
 def _choose_version(
     table: RoutingTable,
     workspace: Workspace,
--- a/trefoilpitch/serving/__init__.py
+++ b/trefoilpitch/serving/__init__.py
@@ -6,7 +6,7 @@
     ChatAnswer,
     ChatFlow,
     Delivered,
-    DeliveryListener,
+    OutcomeListener,
 )
 from trefoilpitch.serving._directory import (
     ClientFactory,
@@ -19,6 +19,7 @@
 from trefoilpitch.serving._dispatcher import Dispatcher, Errand, Placed
 from trefoilpitch.serving._gate import NodeStatus, WorkGate
 from trefoilpitch.serving._keyed import KeyedRequests
+from trefoilpitch.serving._learning import RolloutAdvice, VersionLearner
 from trefoilpitch.serving._nodes import (
     AnswerInfo,
     Broken,
@@ -53,18 +54,20 @@
     "ConditionParking",
     "ConfigurationSource",
     "Delivered",
-    "DeliveryListener",
     "Delta",
     "Dispatcher",
     "Errand",
     "FollowedUpstream",
     "KeyedRequests",
     "NodeStatus",
+    "OutcomeListener",
     "Parking",
     "PlaceQueue",
     "Placed",
     "ResumeFlow",
+    "RolloutAdvice",
     "Slot",
     "UpstreamDirectory",
+    "VersionLearner",
     "WorkGate",
 ]
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
+from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -64,7 +65,19 @@
     text: str
 
 
-DeliveryListener = Callable[[Delivered], None]
+class OutcomeListener(Protocol):
+    """Learns from what becomes of requests."""
+
+    def weight_factors(self, table: RoutingTable) -> Mapping[VersionRef, float]:
+        """Returns the share of its weight that each new version gets."""
+
+    def answered(
+        self, table: RoutingTable, version: VersionRef, *, failed: bool
+    ) -> None:
+        """Takes in that a version gave an answer or failed to."""
+
+    def sample(self, delivered: Delivered) -> None:
+        """Takes in a whole answer."""
 
 
 class ChatAnswer:
@@ -119,7 +132,7 @@
         planner: Plans cascades.
         bills: Takes the bills.
         clock: Measures deadlines.
-        on_delivered: Told of every whole answer.
+        outcomes: Learns from what becomes of requests.
     """
 
     def __init__(
@@ -130,14 +143,14 @@
         planner: CascadePlanner,
         bills: BillSink,
         clock: Clock,
-        on_delivered: DeliveryListener,
+        outcomes: OutcomeListener,
     ) -> None:
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._planner = planner
         self._bills = bills
         self._clock = clock
-        self._on_delivered = on_delivered
+        self._outcomes = outcomes
 
     def answer(self, request: ChatRequest) -> Result[ChatAnswer, Problem]:
         """Runs a request until its first part is there.
@@ -155,6 +168,7 @@
             request.task,
             key=request.session.seed,
             pins=request.session.pins,
+            weight_factors=self._outcomes.weight_factors(table),
         )
         if not isinstance(chosen, Success):
             return Failure(
@@ -192,14 +206,15 @@
         for step in range(last):
             whole = self._run_whole(step)
             if not isinstance(whole, Success):
-                return Failure(self._spoiled(whole.failure()))
+                return Failure(self._spoiled(step, whole.failure()))
+            self._note_outcome(step, failed=False)
             placed = whole.unwrap()
             if self._is_accepted(step, placed):
                 return Success(self._deliver_whole(step, placed))
             self._spend(step, placed)
         live = self._run_live(last)
         if not isinstance(live, Success):
-            return Failure(self._spoiled(live.failure()))
+            return Failure(self._spoiled(last, live.failure()))
         return Success(self._deliver_live(last, live.unwrap().value))
 
     def _run_whole(self, step: int) -> Result[Placed[WholeRun], Problem]:
@@ -236,26 +251,25 @@
         upstream = placed.slot.upstream.name
         whole = placed.value
         items: Iterator[Chunk | Finish] = iter((*whole.chunks, whole.finish))
-        return self._chat_answer(step, upstream, items, lambda: None)
+        delivery = _Delivery(self, step, upstream, lambda: None, False)
+        return self._chat_answer(step, delivery, items)
 
     def _deliver_live(self, step: int, run: LiveRun) -> ChatAnswer:
-        items = run.items()
-        return self._chat_answer(step, run.upstream, items, run.close)
+        delivery = _Delivery(self, step, run.upstream, run.close, True)
+        return self._chat_answer(step, delivery, run.items())
 
     def _chat_answer(
         self,
         step: int,
-        upstream: str,
+        delivery: _Delivery,
         items: Iterator[Chunk | Finish],
-        release: Callable[[], None],
     ) -> ChatAnswer:
-        delivery = _Delivery(self, step, upstream, release)
         info = AnswerInfo(
             request_id=self._request.request_id,
             task=self._task.name,
             version=self._version(step),
             session=self._session,
-            resume_point=self._resume_point(step, upstream),
+            resume_point=self._resume_point(step, delivery.upstream),
         )
         return ChatAnswer(info, delivery.events(items), delivery.finish)
 
@@ -270,8 +284,15 @@
             spent=tuple(self._spent),
         )
 
-    def _spoiled(self, problem: Problem) -> Problem:
+    def _note_outcome(self, step: int, *, failed: bool) -> None:
+        self._flow._outcomes.answered(
+            self._table(), self._version(step), failed=failed
+        )
+
+    def _spoiled(self, step: int, problem: Problem) -> Problem:
         """Corrects a refusal when an earlier step of the plan ran."""
+        if problem.outcome is not Outcome.NOT_RUN:
+            self._note_outcome(step, failed=True)
         if not self._spent or problem.outcome is not Outcome.NOT_RUN:
             return problem
         return dataclasses.replace(problem, outcome=Outcome.FAILED)
@@ -326,7 +347,9 @@
         step: int,
         upstream: str,
         release: Callable[[], None],
+        is_live: bool,
     ) -> None:
+        self._is_live = is_live
         self._run = run
         self._step = step
         self._upstream = upstream
@@ -335,6 +358,11 @@
         self._tokens = 0
         self._finish: Finish | None = None
 
+    @property
+    def upstream(self) -> str:
+        """The engine that the answer comes from."""
+        return self._upstream
+
     def events(self, items: Iterator[Chunk | Finish]) -> Iterator[ChatEvent]:
         try:
             for item in items:
@@ -342,6 +370,7 @@
         except UpstreamError as error:
             request_id = self._run._request.request_id
             problem = failure_problem(error, Execution.RAN, request_id)
+            self._run._note_outcome(self._step, failed=True)
             yield Broken(problem=problem)
 
     def finish(self, is_whole: bool) -> None:
@@ -386,7 +415,9 @@
         signal = run._first_signal
         if self._step == 0 and self._finish is not None:
             signal = self._finish.confidence
-        run._flow._on_delivered(
+        if self._is_live:
+            run._note_outcome(self._step, failed=False)
+        run._flow._outcomes.sample(
             Delivered(
                 request=run._request,
                 plan=run._plan,
--- /dev/null
+++ b/trefoilpitch/serving/_learning.py
@@ -0,0 +1,170 @@
+"""What answers and ratings tell of versions: breakers, evidence, samples."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+import threading
+from collections.abc import Mapping
+
+from trefoilpitch.bundle import VersionRef
+from trefoilpitch.cascade import Rating
+from trefoilpitch.clock import Clock
+from trefoilpitch.configuration import RolloutPhase
+from trefoilpitch.rollout import (
+    Advice,
+    Breaker,
+    Trials,
+    VersionEvidence,
+    advise,
+)
+from trefoilpitch.routing import RoutingTable
+from trefoilpitch.serving._chat import Delivered
+from trefoilpitch.serving._planning import CascadePlanner
+
+MAX_SAMPLES = 256
+GOOD_SCORE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutAdvice:
+    """What this node would do with a roll-out."""
+
+    # The model whose version changes.
+    model: str
+    # The version that takes over.
+    to_version: str
+    # The recommendation.
+    advice: Advice
+
+
+class VersionLearner:
+    """Narrows versions that harm and samples answers; thread-safe.
+
+    Args:
+        planner: Learns from ratings.
+        clock: Times breakers.
+        rng: Draws samples.
+        rating_share: Share of the whole answers to have rated, from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        planner: CascadePlanner,
+        clock: Clock,
+        rng: random.Random,
+        rating_share: float,
+    ) -> None:
+        self._planner = planner
+        self._clock = clock
+        self._rng = rng
+        self._rating_share = rating_share
+        self._lock = threading.Lock()
+        self._evidence: dict[VersionRef, VersionEvidence] = {}
+        self._breakers: dict[VersionRef, Breaker] = {}
+        self._samples: collections.deque[Delivered] = collections.deque(
+            maxlen=MAX_SAMPLES
+        )
+
+    def weight_factors(self, table: RoutingTable) -> Mapping[VersionRef, float]:
+        """Returns the share of its weight that each new version gets."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return {
+                version: breaker.factor(now_ms)
+                for version, breaker in self._breakers.items()
+                if version.model in table.rollouts
+            }
+
+    def answered(
+        self, table: RoutingTable, version: VersionRef, *, failed: bool
+    ) -> None:
+        """Takes in that a version gave an answer or failed to."""
+        seen = VersionEvidence(answers=Trials(count=1, bad=int(failed)))
+        with self._lock:
+            old = self._note(table, version, seen)
+            if old is not None:
+                self._breakers[version] = self._breaker(version).answered(
+                    old, self._clock.now_ms(), failed=failed
+                )
+
+    def sample(self, delivered: Delivered) -> None:
+        """Keeps some of the whole answers to have them rated."""
+        with self._lock:
+            if self._rng.random() < self._rating_share:
+                self._samples.append(delivered)
+
+    def take_sample(self) -> Delivered | None:
+        """Returns the next answer to have rated, None if there is none."""
+        with self._lock:
+            return self._samples.popleft() if self._samples else None
+
+    def rated(
+        self, table: RoutingTable, delivered: Delivered, score: float
+    ) -> None:
+        """Takes in the rating of an answer, from 0 to 1."""
+        is_good = score >= GOOD_SCORE
+        label = self._planner.label(
+            delivered.plan, delivered.step, delivered.first_signal
+        )
+        self._planner.observe(Rating(label=label, good=is_good))
+        version = delivered.plan.steps[delivered.step].version
+        seen = VersionEvidence(ratings=Trials(count=1, bad=int(not is_good)))
+        with self._lock:
+            old = self._note(table, version, seen)
+            if old is not None:
+                self._breakers[version] = self._breaker(version).rated(
+                    old, self._clock.now_ms(), bad=not is_good
+                )
+
+    def advice(self, table: RoutingTable) -> tuple[RolloutAdvice, ...]:
+        """Returns what the outcomes on this node speak for."""
+        withdrawn = table.configuration.withdrawn
+        with self._lock:
+            return tuple(
+                RolloutAdvice(
+                    model=model,
+                    to_version=state.to_version,
+                    advice=advise(
+                        plan,
+                        state,
+                        self._of(_old_version(table, model)),
+                        self._of(VersionRef(model, state.to_version)),
+                        withdrawn=VersionRef(model, state.to_version)
+                        in withdrawn,
+                    ),
+                )
+                for model, (plan, state) in table.rollouts.items()
+            )
+
+    def breakers(self) -> Mapping[str, str]:
+        """Returns the phase of each breaker, for dumps."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return {
+                str(version): breaker.at(now_ms).phase.value
+                for version, breaker in self._breakers.items()
+            }
+
+    def _note(
+        self, table: RoutingTable, version: VersionRef, seen: VersionEvidence
+    ) -> VersionEvidence | None:
+        """Adds evidence; returns the old version's for one being rolled out."""
+        self._evidence[version] = self._of(version) + seen
+        entry = table.rollouts.get(version.model)
+        if entry is None or entry[1].to_version != version.version:
+            return None
+        if entry[1].phase is RolloutPhase.COMPLETED:
+            return None
+        return self._of(_old_version(table, version.model))
+
+    def _of(self, version: VersionRef) -> VersionEvidence:
+        return self._evidence.get(version, VersionEvidence())
+
+    def _breaker(self, version: VersionRef) -> Breaker:
+        return self._breakers.get(version, Breaker())
+
+
+def _old_version(table: RoutingTable, model: str) -> VersionRef:
+    return VersionRef(model, table.models[model].default_version)
--- a/trefoilpitch/serving/_planning.py
+++ b/trefoilpitch/serving/_planning.py
@@ -17,9 +17,13 @@
     Target,
     Verdict,
 )
+from trefoilpitch.clock import Clock
 from trefoilpitch.routing import RoutingTable
 from trefoilpitch.serving._bills import model_version
 
+# Nodes count the same epochs, so that their ratings fade alike.
+EPOCH_MS = 3_600_000
+
 # Length of a typical prompt and answer, to compare versions by price.
 _TYPICAL_PROMPT_TOKENS = 500
 _TYPICAL_OUTPUT_TOKENS = 500
@@ -31,11 +35,15 @@
     Args:
         policy: Learns from ratings and plans.
         rng: Source of random numbers.
+        clock: Tells when earlier ratings have faded.
     """
 
-    def __init__(self, policy: CascadePolicy, rng: random.Random) -> None:
+    def __init__(
+        self, policy: CascadePolicy, rng: random.Random, clock: Clock
+    ) -> None:
         self._policy = policy
         self._rng = rng
+        self._clock = clock
         self._lock = threading.Lock()
 
     def plan(
@@ -50,6 +58,9 @@
         candidates.sort(key=lambda candidate: candidate.cost_nano)
         target = Target(quality=task.quality_target, confidence=task.confidence)
         with self._lock:
+            epoch = self._clock.wall_ms() // EPOCH_MS
+            if epoch > self._policy.epoch:
+                self._policy.advance_epoch(epoch)
             return self._policy.plan(
                 workspace, task.name, candidates, target, self._rng
             )
@@ -71,11 +82,6 @@
         with self._lock:
             self._policy.observe(rating)
 
-    def advance_epoch(self, epoch: int) -> None:
-        """Lets earlier ratings fade."""
-        with self._lock:
-            self._policy.advance_epoch(epoch)
-
     def snapshot(self) -> CountsSnapshot:
         """Returns this node's counts for the other nodes."""
         with self._lock:
