--- a/tools/defects.py
+++ b/tools/defects.py
@@ -18,6 +18,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from trefoilpitch import routing
 from trefoilpitch.callers import _api, _keyed_calls
 from trefoilpitch.coldstart import Admission, AdmissionKind
 from trefoilpitch.daemon import _cold_starts, _configuration, _draining, _ledger
@@ -62,7 +63,7 @@
 
 
 def _forget_pins() -> None:
-    choose = _chat.choose_versions
+    choose = routing.choose_versions
     numbers = iter(range(1 << 30))
 
     def choose_freely(*args: Any, **kwargs: Any) -> Any:
@@ -116,6 +117,12 @@
     return Admission(upstream=upstream, kind=AdmissionKind.WARM)
 
 
+def _ignore_cold_starts() -> None:
+    gate = _cold_starts.ColdStarts
+    mock.patch.object(gate, "admit", _admit_all).start()
+    mock.patch.object(gate, "allowance", lambda self, name: None).start()
+
+
 def _claim_not_run(self: Any, request: Any, problem: Any) -> Any:
     del request
     return self._refuse(dataclasses.replace(problem, outcome=Outcome.NOT_RUN))
@@ -141,15 +148,7 @@
     "bills dropped": _replaced(
         _ledger.Ledger, "record", lambda self, bill: None
     ),
-    "cold starts ignored": lambda: (
-        [
-            _replaced(_cold_starts.ColdStarts, "admit", _admit_all)(),
-            _replaced(
-                _cold_starts.ColdStarts, "allowance", lambda self, name: None
-            )(),
-        ]
-        and None
-    ),
+    "cold starts ignored": _ignore_cold_starts,
     "failure domains out ignored": _stripped(failure_domains_out=frozenset()),
     "a part delivered twice": _repeat_parts,
     "not_run claimed of repeats": _replaced(
--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -31,7 +31,8 @@
 from trefoilpitch.daemon._configuration import CurrentConfiguration
 from trefoilpitch.daemon._draining import ENTRIES_TTL_MS, Draining, NodePhase
 from trefoilpitch.daemon._gates import AdaptiveConcurrency
-from trefoilpitch.daemon._homes import FleetHomes, StoreKeyRegister
+from trefoilpitch.daemon._homes import FleetHomes
+from trefoilpitch.daemon._key_register import StoreKeyRegister
 from trefoilpitch.daemon._ledger import Ledger, write_due_segments
 from trefoilpitch.daemon._replica import Background, HeadFollower, ReplicaHost
 from trefoilpitch.identity import TokenSigner
--- a/trefoilpitch/daemon/_homes.py
+++ b/trefoilpitch/daemon/_homes.py
@@ -1,32 +1,19 @@
-"""Finds the homes of keys, hands requests to them, registers other keys."""
+"""Finds the homes of keys and hands requests to them."""
 
 from __future__ import annotations
 
-import hashlib
-import secrets
-import threading
 import urllib.parse
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
-import msgspec
 import urllib3
 from returns.result import Failure, Result, Success
 
-from trefoilpitch.callers import FORWARDED_HEADER, Registration
+from trefoilpitch.callers import FORWARDED_HEADER
 from trefoilpitch.clock import Clock
 from trefoilpitch.identity import node_of
 from trefoilpitch.membership import MembershipView, MemberState
-from trefoilpitch.requests import RequestSlot
-from trefoilpitch.store import (
-    ABSENT,
-    NO_LEASE,
-    ConflictError,
-    KeyValueStore,
-    OutcomeUnknownError,
-    StoreError,
-)
 from trefoilpitch.web import (
     Header,
     Outcome,
@@ -35,13 +22,7 @@
     Response,
 )
 
-REGISTER_PREFIX = "requests/"
-REGISTER_TTL_MS = 24 * 3_600_000
-
-_RENEW_LEASE_MS = 3_600_000
 _MS_PER_S = 1_000
-_MAX_TRIES = 4
-_RETRY_MS = 2_000
 _CONNECT_TIMEOUT_S = 0.5
 _PASSED_HEADERS = (
     "authorization",
@@ -50,7 +31,6 @@
     "session",
 )
 _RETURNED_HEADERS = ("Request-Id", "Retry-After", "Session")
-_NONCE_BYTES = 8
 
 
 class FleetHomes:
@@ -162,106 +142,3 @@
         detail=detail,
         outcome=Outcome.UNKNOWN,
     )
-
-
-class _Record(msgspec.Struct):
-    home: str
-    nonce: str
-
-
-class StoreKeyRegister:
-    """Registers keys in the store by compare-and-swap.
-
-    A registration is kept for a day, longer than any home remembers a key, so
-    that a repeat finds it however late it comes.
-
-    Args:
-        own: This process's incarnation.
-        store: Keeps the registrations.
-        clock: Measures deadlines.
-    """
-
-    def __init__(self, own: str, store: KeyValueStore, clock: Clock) -> None:
-        self._own = own
-        self._store = store
-        self._clock = clock
-        self._lock = threading.Lock()
-        self._lease_id = NO_LEASE
-        self._renew_at_ms = 0
-
-    def register(
-        self, slot: RequestSlot, deadline_ms: int
-    ) -> Result[Registration, Problem]:
-        """Returns the registration of a key, made now if there is none."""
-        record = _Record(self._own, secrets.token_hex(_NONCE_BYTES))
-        value = msgspec.json.encode(record)
-        error: StoreError | None = None
-        for _ in range(_MAX_TRIES):
-            if self._clock.now_ms() >= deadline_ms:
-                break
-            outcome = self._try_register(_store_key(slot), value)
-            if isinstance(outcome, Success):
-                return Success(outcome.unwrap())
-            error = outcome.failure()
-            if not isinstance(error, OutcomeUnknownError | ConflictError):
-                break
-        return Failure(_store_refusal(error))
-
-    def _try_register(
-        self, key: str, value: bytes
-    ) -> Result[Registration, StoreError]:
-        lease_id = self._current_lease()
-        if not isinstance(lease_id, Success):
-            return Failure(lease_id.failure())
-        put = self._store.put_if(key, value, ABSENT, lease_id.unwrap())
-        if isinstance(put, Success):
-            return Success(Registration(home=self._own, is_new=True))
-        error = put.failure()
-        if not isinstance(error, OutcomeUnknownError | ConflictError):
-            return Failure(error)
-        found = self._store.get(key)
-        if not isinstance(found, Success):
-            return Failure(found.failure())
-        entry = found.unwrap()
-        if entry is None:
-            return Failure(error)
-        # The nonce tells this call's own write from any other.
-        is_new = entry.value == value
-        home = msgspec.json.decode(entry.value, type=_Record).home
-        return Success(Registration(home=home, is_new=is_new))
-
-    def _current_lease(self) -> Result[int, StoreError]:
-        with self._lock:
-            now_ms = self._clock.now_ms()
-            if self._lease_id != NO_LEASE and now_ms < self._renew_at_ms:
-                return Success(self._lease_id)
-            granted = self._store.grant_lease(REGISTER_TTL_MS)
-            if not isinstance(granted, Success):
-                return Failure(granted.failure())
-            self._lease_id = granted.unwrap().lease_id
-            self._renew_at_ms = now_ms + _RENEW_LEASE_MS
-            return Success(self._lease_id)
-
-
-def _store_key(slot: RequestSlot) -> str:
-    named = f"{slot.workspace}\0{slot.key}".encode()
-    return REGISTER_PREFIX + hashlib.sha256(named).hexdigest()
-
-
-def _store_refusal(error: StoreError | None) -> Problem:
-    """Returns the refusal while the store cannot tell a key's history.
-
-    This call was not dispatched, but an earlier one with the same key may
-    have been, so the refusal does not claim that the request did not run.
-    """
-    return Problem(
-        status=503,
-        code="store-unavailable",
-        title="the key cannot be registered now",
-        detail=(
-            "Ask GET /v1/entries for a key prefix: keys made from it need no "
-            f"registration. ({error.detail if error else 'timeout'})"
-        ),
-        outcome=Outcome.UNKNOWN,
-        retry_after_ms=_RETRY_MS,
-    )
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -28,6 +28,7 @@
 )
 from trefoilpitch.daemon._core import NodeCore, NodeIdentity, Surroundings
 from trefoilpitch.daemon._homes import HttpForwarder
+from trefoilpitch.daemon._key_register import SWEEP_TICK_MS, SweepActor
 from trefoilpitch.daemon._ledger import LEDGER_TICK_MS, LedgerActor
 from trefoilpitch.daemon._load import LOAD_TICK_MS, LoadActor
 from trefoilpitch.daemon._members import (
@@ -247,6 +248,15 @@
                 tick_ms=LOAD_TICK_MS,
             ),
         ]
+        children.append(
+            ChildSpec(
+                name="sweep",
+                start=lambda: SweepActor.start(
+                    self._store, core.view, self._clock, core.metrics
+                ),
+                tick_ms=SWEEP_TICK_MS,
+            )
+        )
         return (
             *children,
             *self._vm_list_children(),
