Estimate a request's wait once, and keep that estimate for the correction

Cause: each offer computed the wait three times (queue part of a decision 21 to 41 us), and a request that was considered again got a new, smaller estimate but kept its arrival, which made the correction too cautious.

Change: one estimate at the offer, kept until the request starts.

--- a/trefoilpitch/limits/_queue.py
+++ b/trefoilpitch/limits/_queue.py
@@ -93,7 +93,9 @@
         if ticket.request_id in self._waiting:
             raise ValueError(f"request {ticket.request_id!r} waits already")
         rank = ticket.priority.rank
-        if self._is_late(ticket, now_ms):
+        queueing_ms = self._queueing_ms(ticket, now_ms)
+        wait_ms = self._corrected_ms(ticket, queueing_ms, now_ms)
+        if now_ms + wait_ms > ticket.latest_start_ms:
             return self._refuse(ticket, self._lateness_reason(), now_ms)
         displaced = None
         if len(self._queues[rank]) >= self._settings.max_waiting:
@@ -102,8 +104,7 @@
                 return self._refuse(ticket, RefusalReason.QUEUE_FULL, now_ms)
             self.cancel(victim.request_id)
             displaced = self._refuse(victim, RefusalReason.DISPLACED, now_ms)
-        wait_ms = self._expected_wait_ms(ticket, now_ms)
-        self._add(ticket, now_ms)
+        self._add(_Waiting(ticket, now_ms, queueing_ms))
         self._rates[rank].add(ticket.expected_run_ms, now_ms)
         return Queued(
             ticket=ticket,
@@ -186,19 +187,17 @@
                 reason = self._lateness_reason()
                 refused.append(self._refuse(ticket, reason, now_ms))
             else:
-                self._add(ticket, entry.since_ms)
+                self._add(entry)
         return tuple(refused)
 
     def _is_late(self, ticket: Ticket, now_ms: int) -> bool:
         wait_ms = self._expected_wait_ms(ticket, now_ms)
         return now_ms + wait_ms > ticket.latest_start_ms
 
-    def _add(self, ticket: Ticket, since_ms: int) -> None:
-        estimated_ms = self._queueing_ms(ticket, since_ms)
+    def _add(self, waiting: _Waiting) -> None:
+        ticket = waiting.ticket
         self._queues[ticket.priority.rank].push(ticket)
-        self._waiting[ticket.request_id] = _Waiting(
-            ticket, since_ms, estimated_ms
-        )
+        self._waiting[ticket.request_id] = waiting
         entry = (ticket.latest_start_ms, ticket.request_id)
         heapq.heappush(self._starts, entry)
         if len(self._starts) > 2 * len(self._waiting) + _SPARE_STARTS:
@@ -234,9 +233,14 @@
         return longest[1]
 
     def _expected_wait_ms(self, ticket: Ticket, now_ms: int) -> float:
-        """Estimates the wait, corrected by how earlier estimates did."""
-        factor = self._corrections[ticket.priority.rank].factor
         queueing_ms = self._queueing_ms(ticket, now_ms)
+        return self._corrected_ms(ticket, queueing_ms, now_ms)
+
+    def _corrected_ms(
+        self, ticket: Ticket, queueing_ms: float, now_ms: int
+    ) -> float:
+        """Corrects an estimate by how earlier ones did, and by an outage."""
+        factor = self._corrections[ticket.priority.rank].factor
         return self._outage_ms(now_ms) + factor * queueing_ms
 
     def _queueing_ms(self, ticket: Ticket, now_ms: int) -> float:
