--- a/trefoilpitch/cascade/_estimate.py
+++ b/trefoilpitch/cascade/_estimate.py
@@ -26,11 +26,21 @@
     variance: float
 
 
-def bin_qualities(
+@dataclasses.dataclass(frozen=True, slots=True)
+class QualityCurve:
+    """What is known of a kind of answer over all bins."""
+
+    # What is known of each bin.
+    bins: tuple[BinQuality, ...]
+    # Answers that the shares of the bins rest on.
+    answers: float
+
+
+def quality_curve(
     own: Sequence[BinCounts],
     pooled: Sequence[BinCounts],
-    prior_quality: float,
-) -> tuple[BinQuality, ...]:
+    prior_quality: Sequence[float],
+) -> QualityCurve:
     """Estimates the quality in each bin from sampled ratings.
 
     Beta posteriors: the ratings of all workspaces together, at a bounded
@@ -40,21 +50,24 @@
     Args:
         own: The workspace's counts by bin.
         pooled: The counts of all workspaces by bin.
-        prior_quality: Mean quality before any rating has been seen.
+        prior_quality: Mean quality by bin before any rating has been seen.
     """
     shares = _shares(own, pooled)
     others = [_without(*pair) for pair in zip(pooled, own, strict=True)]
     trust = _likeness(own, others)
     means, weights = [], []
-    for share, mine, rest in zip(shares, own, others, strict=True):
-        mean, weight = _posterior(share, mine, rest, prior_quality, trust)
+    rows = zip(shares, own, others, prior_quality, strict=True)
+    for share, mine, rest, prior in rows:
+        mean, weight = _posterior(share, mine, rest, prior, trust)
         means.append(mean)
         weights.append(weight)
     monotone = isotonic(means, weights)
-    return tuple(
+    bins = tuple(
         BinQuality(share, mean, mean * (1.0 - mean) / (weight + 1.0))
         for share, mean, weight in zip(shares, monotone, weights, strict=True)
     )
+    answers = sum(counts.answers for counts in own)
+    return QualityCurve(bins, answers + len(bins))
 
 
 def isotonic(
