Keep bills safe when a daemon ends in an outage of the store

Cause: the end of a graceful shutdown tried the store once. In an outage the daemon ended with the status for cut work, and where no peer held copies its bills were lost. Change: it ends once each bill is stored or copied, and otherwise waits for the store until a second signal.

--- a/tests/endtoend/fleet.py
+++ b/tests/endtoend/fleet.py
@@ -173,6 +173,11 @@
         """Returns a daemon's state."""
         return self.ask_admin(letter, "/v1/dump")
 
+    def live_nodes(self, letter: str) -> set[str]:
+        """Returns the daemons that a daemon does not take for gone."""
+        nodes = self.ask_admin(letter, "/v1/status")["nodes"]
+        return {node["name"] for node in nodes if node["is_live"]}
+
     def chat(
         self, letter: str, text: str = "tape 7, side A", **headers: str
     ) -> HttpReply:
--- a/tests/endtoend/test_store_outage.py
+++ b/tests/endtoend/test_store_outage.py
@@ -88,16 +88,34 @@
     fleet.wait_for_bills(requests)
 
 
-def test_graceful_shutdown_in_an_outage_waits_for_the_bills(
+def test_graceful_shutdown_in_an_outage_leaves_the_bills_with_a_peer(
     own_fleet: Fleet,
 ) -> None:
     fleet = own_fleet
     fleet.set_store(down=True)
     requests = _serve(fleet, ("c",))
     fleet.processes.signal("entry-c")
+    assert fleet.processes.wait("entry-c") == 0
+    fleet.set_store(down=False)
+    fleet.wait_for_bills(requests)
+
+
+def test_graceful_shutdown_of_the_last_daemon_waits_for_the_store(
+    own_fleet: Fleet,
+) -> None:
+    fleet = own_fleet
+    fleet.set_store(down=True)
+    requests = _serve(fleet, ("c",))
+    fleet.processes.kill("entry-a")
+    fleet.processes.kill("entry-b")
+    wait_until(
+        lambda: fleet.live_nodes("c") == {"entry-c"}, "the last of all daemons"
+    )
+    fleet.processes.signal("entry-c")
     wait_until(
         lambda: fleet.dump("c")["phase"] == "finishing", "nothing left to serve"
     )
     fleet.set_store(down=False)
     assert fleet.processes.wait("entry-c") == 0
+    fleet.start_daemon("a")
     fleet.wait_for_bills(requests)
--- a/trefoilpitch/daemon/_draining.py
+++ b/trefoilpitch/daemon/_draining.py
@@ -73,7 +73,7 @@
         _LOG.info("leaving; finishing what runs")
 
     def abandon(self) -> None:
-        """Ends the wait for requests that are still being served."""
+        """Ends every wait."""
         self._abandoned.set()
 
     def may_close(self) -> bool:
@@ -84,7 +84,11 @@
 
     def wait(self) -> bool:
         """Waits for the end; returns whether every request was finished."""
-        while not self.may_close():
+        return self.wait_until(self.may_close)
+
+    def wait_until(self, condition: Callable[[], bool]) -> bool:
+        """Waits for a condition; returns False if that was abandoned."""
+        while not condition():
             if self._abandoned.wait(_POLL_S):
                 return False
         return True
--- a/trefoilpitch/daemon/_ledger.py
+++ b/trefoilpitch/daemon/_ledger.py
@@ -78,6 +78,12 @@
         with self._changed:
             return self._holder.held_bytes
 
+    @property
+    def is_safe(self) -> bool:
+        """Whether every bill survives the end of this process."""
+        with self._changed:
+            return self._sender.is_all_protected
+
     def record(self, bill: Bill) -> None:
         """Takes a bill and waits a moment until it would survive a crash."""
         with self._changed:
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -153,12 +153,18 @@
     def finish_leaving(self) -> bool:
         """Announces the end, then waits for all requests and all bills.
 
+        Bills that the store does not take may stay with the peer that holds
+        their copies. Where there is none, the daemon waits for the store.
+
         Returns:
-            Whether nothing was cut.
+            Whether nothing was cut or lost.
         """
-        self._core.draining.begin()
-        is_clean = self._core.draining.wait()
-        return self._core.flush_bills() and is_clean
+        core = self._core
+        core.draining.begin()
+        is_clean = core.draining.wait()
+        core.flush_bills()
+        is_safe = core.draining.wait_until(lambda: core.ledger.is_safe)
+        return is_safe and is_clean
 
     def dump(self) -> dict[str, Any]:
         """Returns the process's state."""
--- a/trefoilpitch/ledger/_copies.py
+++ b/trefoilpitch/ledger/_copies.py
@@ -132,6 +132,11 @@
         """Returns whether a bill survives the end of this process."""
         return number <= max(self._acked, self._stored)
 
+    @property
+    def is_all_protected(self) -> bool:
+        """Whether every bill survives the end of this process."""
+        return self.is_protected(self._last)
+
     def due(self, now_ms: int) -> BillCopies | None:
         """Returns the batch to send now, if any."""
         if self._holder is None:
