Measure one daemon against calling its upstreams directly

Latency of direct and routed requests that alternate, requests a second, processor time a request and an event, and resident memory, on loopback with small stand-ins.

--- /dev/null
+++ b/tools/measure_router.py
@@ -0,0 +1,247 @@
+"""Measures one daemon against calling its upstreams directly.
+
+Usage: ``python -m tools.measure_router [--write=false]``
+
+Everything runs as separate processes on loopback, with small stand-ins.
+Direct and routed requests alternate on one connection each, so that both see
+the machine in the same state.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+from collections.abc import Mapping, Sequence
+
+from absl import app, flags
+
+from tools.processes import Processes
+from tools.resources import cpu_s, load_per_core, resident_mb
+from tools.results import format_table, percentile, write_results
+from tools.router.bench import Bench
+from tools.router.client import Call, Connection, Load, Outcome, run_load
+
+_WRITE = flags.DEFINE_boolean("write", True, "Whether to write the JSON file.")
+_REPEATS = flags.DEFINE_integer("repeats", 300, "Requests a latency.")
+_DURATION_S = flags.DEFINE_float("duration_s", 6.0, "Length of each load.")
+
+_WARM_UP = 20
+_OK = 200
+_WHOLE_TOKENS = 8
+_SHORT_TOKENS = 1
+_LONG_TOKENS = 16
+_CLIENT_PROCESSES = 2
+_STREAMS = 300
+_SLOW_TOKEN_MS = 250.0
+_IDLE_S = 5.0
+_MS_PER_S = 1_000
+
+_Row = dict[str, object]
+
+
+def _latencies(bench: Bench) -> list[_Row]:
+    pairs = {
+        "look-up": (bench.direct_look_up(), bench.routed_look_up()),
+        f"stream of {_WHOLE_TOKENS} tokens": (
+            bench.direct_chat(_WHOLE_TOKENS),
+            bench.routed_chat(_WHOLE_TOKENS),
+        ),
+    }
+    return [row for name, pair in pairs.items() for row in _pair(name, *pair)]
+
+
+def _pair(name: str, direct: Call, routed: Call) -> list[_Row]:
+    connections = [Connection(direct.port), Connection(routed.port)]
+    samples: list[dict[str, list[float]]] = [
+        {"first": [], "whole": []},
+        {"first": [], "whole": []},
+    ]
+    for number in range(_WARM_UP + _REPEATS.value):
+        for index, call in enumerate((direct, routed)):
+            reply = connections[index].send(call)
+            if reply.status != _OK:
+                raise RuntimeError(f"{name} was answered {reply.status}")
+            if number >= _WARM_UP:
+                samples[index]["first"].append(reply.first_ms)
+                samples[index]["whole"].append(reply.whole_ms)
+    for connection in connections:
+        connection.close()
+    return [
+        _latency_row(name, part, percent, samples[0][part], samples[1][part])
+        for part in ("first", "whole")
+        for percent in (50, 99)
+    ]
+
+
+def _latency_row(
+    name: str,
+    part: str,
+    percent: int,
+    direct: Sequence[float],
+    routed: Sequence[float],
+) -> _Row:
+    direct_ms = percentile(direct, percent)
+    routed_ms = percentile(routed, percent)
+    return {
+        "request": name,
+        "until": part,
+        "percentile": percent,
+        "direct_ms": round(direct_ms, 2),
+        "routed_ms": round(routed_ms, 2),
+        "added_ms": round(routed_ms - direct_ms, 2),
+        "ratio": round(routed_ms / direct_ms, 2),
+    }
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Cost:
+    # What came of the load, and the daemon's processor time for it.
+    outcome: Outcome
+    cpu_s: float
+
+    @property
+    def cpu_ms_per_request(self) -> float:
+        """Processor time for each answer, in milliseconds."""
+        return self.cpu_s * _MS_PER_S / max(1, self.outcome.answered)
+
+    def row(self, name: str, connections: int) -> _Row:
+        """Returns the row of the table."""
+        outcome = self.outcome
+        return {
+            "load": name,
+            "connections": connections,
+            "answered": outcome.answered,
+            "refused": outcome.refused,
+            "requests_per_s": round(outcome.answered / outcome.elapsed_s, 1),
+            "events_per_s": round(outcome.events / outcome.elapsed_s, 1),
+            "cores": round(self.cpu_s / outcome.elapsed_s, 2),
+            "cpu_ms_per_request": round(self.cpu_ms_per_request, 2),
+        }
+
+
+def _run(bench: Bench, call: Call, connections: int) -> _Cost:
+    load = Load(
+        call=call, connections=connections, duration_s=_DURATION_S.value
+    )
+    before_s = cpu_s(bench.daemon_pid)
+    outcome = run_load(load, _CLIENT_PROCESSES)
+    return _Cost(outcome=outcome, cpu_s=cpu_s(bench.daemon_pid) - before_s)
+
+
+def _throughput(bench: Bench) -> tuple[list[_Row], _Row]:
+    rows: list[_Row] = []
+    for connections in (4, 16):
+        cost = _run(bench, bench.routed_look_up(), connections)
+        rows.append(cost.row("look-up", connections))
+        cost = _run(bench, bench.direct_look_up(), connections)
+        rows.append(
+            {
+                **cost.row("look-up, direct", connections),
+                "cores": "-",
+                "cpu_ms_per_request": "-",
+            }
+        )
+    short = _run(bench, bench.routed_chat(_SHORT_TOKENS), 16)
+    rows.append(short.row(f"stream of {_SHORT_TOKENS}", 16))
+    long = _run(bench, bench.routed_chat(_LONG_TOKENS), 16)
+    rows.append(long.row(f"stream of up to {_LONG_TOKENS}", 16))
+    return rows, _per_event(short, long)
+
+
+def _per_event(short: _Cost, long: _Cost) -> _Row:
+    """Solves processor time = requests * a + events * b from two loads."""
+    events = [
+        cost.outcome.events / max(1, cost.outcome.answered)
+        for cost in (short, long)
+    ]
+    added_ms = long.cpu_ms_per_request - short.cpu_ms_per_request
+    per_event_ms = added_ms / (events[1] - events[0])
+    return {
+        "events_short": round(events[0], 2),
+        "events_long": round(events[1], 2),
+        "cpu_ms_per_event": round(per_event_ms, 3),
+        "cpu_ms_per_request": round(
+            short.cpu_ms_per_request - per_event_ms * events[0], 2
+        ),
+    }
+
+
+def _memory(bench: Bench) -> tuple[list[_Row], _Row]:
+    idle = _idle(bench)
+    bench.set_token_ms(_SLOW_TOKEN_MS)
+    peak = _PeakMemory(bench.daemon_pid)
+    with peak:
+        cost = _run(bench, bench.routed_chat(_LONG_TOKENS), _STREAMS)
+    row = cost.row(f"stream, a token in {_SLOW_TOKEN_MS:.0f} ms", _STREAMS)
+    busy = {"state": f"{_STREAMS} streams, most", **peak.row()}
+    after = {
+        "state": "after them",
+        "resident_mb": round(resident_mb(bench.daemon_pid), 1),
+        "cores": "-",
+    }
+    busy["cores"] = row["cores"]
+    return [idle, busy, after], row
+
+
+def _idle(bench: Bench) -> _Row:
+    before_s = cpu_s(bench.daemon_pid)
+    time.sleep(_IDLE_S)
+    used_s = cpu_s(bench.daemon_pid) - before_s
+    return {
+        "state": "no requests",
+        "resident_mb": round(resident_mb(bench.daemon_pid), 1),
+        "cores": round(used_s / _IDLE_S, 3),
+    }
+
+
+class _PeakMemory:
+    """Samples a process's resident memory; a context manager."""
+
+    def __init__(self, pid: int) -> None:
+        self._pid = pid
+        self._most_mb = 0.0
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._sample)
+
+    def __enter__(self) -> None:
+        self._thread.start()
+
+    def __exit__(self, *error: object) -> None:
+        self._ended.set()
+        self._thread.join()
+
+    def row(self) -> _Row:
+        """Returns the most that was seen."""
+        return {"resident_mb": round(self._most_mb, 1)}
+
+    def _sample(self) -> None:
+        while not self._ended.wait(0.2):
+            self._most_mb = max(self._most_mb, resident_mb(self._pid))
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Measures, prints and writes."""
+    del arguments
+    with Processes() as processes:
+        bench = Bench(processes)
+        bench.start()
+        load = load_per_core()
+        latencies = _latencies(bench)
+        loads, per_event = _throughput(bench)
+        memory, streams = _memory(bench)
+    sections: Mapping[str, list[_Row]] = {
+        "latency": latencies,
+        "throughput": [*loads, streams],
+        "per_event": [per_event],
+        "memory": memory,
+    }
+    for name, rows in sections.items():
+        print(f"\n{name} (load a core at the start: {load})")
+        print(format_table(rows))
+    if _WRITE.value:
+        write_results("router", load, sections)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/tools/router/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the measurement of the router."""
--- /dev/null
+++ b/tools/router/bench.py
@@ -0,0 +1,193 @@
+"""One daemon, one engine and one worker on loopback."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+from tools.processes import (
+    ADMIN_TOKEN,
+    Processes,
+    http,
+    start_daemon,
+    wait_until,
+)
+from tools.router.client import Call, chat_call
+
+STORE_PORT = 21_090
+ENGINE_PORT = 21_101
+WORKER_PORT = 21_111
+DAEMON_PORT = 21_200
+PLACES = 400
+
+_ADMIN = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
+_TOKEN = "example-measure"
+_CALLER = {"Authorization": f"Bearer {_TOKEN}"}
+_VERSION = "small@1"
+_TASK = "short"
+_LOOK_UP = "look-up"
+_WARM_PATIENCE_S = 60
+_OK = 200
+
+_BUNDLE = """
+name = "measure"
+version = 1
+failure_domains = ["domain-a"]
+
+[[models]]
+name = "small"
+default_version = "1"
+
+[[models.versions]]
+name = "1"
+prompt_cost_nano = 60
+output_cost_nano = 240
+prior_quality = 0.9
+
+[[pools]]
+name = "engines"
+kind = "engine"
+serves = ["small@1"]
+
+[[pools.upstreams]]
+name = "engine-a"
+address = "127.0.0.1:{engine}"
+failure_domain = "domain-a"
+capacity = {places}
+cold_capacity = {places}
+
+[[pools]]
+name = "workers"
+kind = "service"
+
+[[pools.upstreams]]
+name = "worker-a"
+address = "127.0.0.1:{worker}"
+failure_domain = "domain-a"
+capacity = {places}
+cold_capacity = {places}
+
+[[tasks]]
+name = "short"
+cascade = ["small"]
+quality_target = 0.5
+deadline_ms = 60_000
+
+[[services]]
+name = "catalogue"
+pool = "workers"
+call_cost_nano = 2_000
+
+[[services.operations]]
+name = "look-up"
+method = "GET"
+idempotent = true
+
+[[workspaces]]
+name = "measure"
+token_sha256 = "{token}"
+allowed = ["small@*"]
+tasks = ["short"]
+services = ["catalogue"]
+"""
+
+
+class Bench:
+    """The running processes and the requests to compare.
+
+    Args:
+        processes: Owns the processes.
+    """
+
+    def __init__(self, processes: Processes) -> None:
+        self._processes = processes
+
+    @property
+    def daemon_pid(self) -> int:
+        """The daemon's process."""
+        return self._processes.pid("entry-a")
+
+    def start(self) -> None:
+        """Starts everything and waits until the daemon serves."""
+        places = f"--capacity={PLACES}"
+        self._processes.start(
+            "store", "trefoilpitch.standins.kv", f"--port={STORE_PORT}"
+        )
+        self._processes.start(
+            "engine",
+            "trefoilpitch.standins.engine",
+            f"--port={ENGINE_PORT}",
+            "--name=engine-a",
+            f"--versions={_VERSION}",
+            f"--cold_capacity={PLACES}",
+            places,
+        )
+        self._processes.start(
+            "worker",
+            "trefoilpitch.standins.service",
+            f"--port={WORKER_PORT}",
+            "--name=worker-a",
+            places,
+        )
+        start_daemon(
+            self._processes,
+            "entry-a",
+            failure_domain="domain-a",
+            base_port=DAEMON_PORT,
+            store_port=STORE_PORT,
+            max_requests=str(PLACES),
+        )
+        wait_until(self._sign_off, "the sign-off", _WARM_PATIENCE_S)
+        wait_until(self._is_warm, "an answer", _WARM_PATIENCE_S)
+
+    def set_token_ms(self, token_ms: float) -> None:
+        """Changes the engine's time between tokens."""
+        url = f"http://127.0.0.1:{ENGINE_PORT}/standin/settings"
+        http("POST", url, {"token_ms": token_ms})
+
+    def direct_chat(self, tokens: int) -> Call:
+        """Returns a streamed request that goes straight to the engine."""
+        return chat_call(ENGINE_PORT, _VERSION, {}, tokens=tokens)
+
+    def routed_chat(self, tokens: int) -> Call:
+        """Returns the same request, through the daemon."""
+        return chat_call(DAEMON_PORT, _TASK, _CALLER, tokens=tokens)
+
+    def direct_look_up(self) -> Call:
+        """Returns a look-up that goes straight to the worker."""
+        return _get(WORKER_PORT, f"/{_LOOK_UP}/7")
+
+    def routed_look_up(self) -> Call:
+        """Returns the same look-up, through the daemon."""
+        return _get(DAEMON_PORT, f"/v1/services/catalogue/{_LOOK_UP}/7")
+
+    def _sign_off(self) -> bool:
+        bundle = _BUNDLE.format(
+            engine=ENGINE_PORT,
+            worker=WORKER_PORT,
+            places=PLACES,
+            token=hashlib.sha256(_TOKEN.encode()).hexdigest(),
+        )
+        body = {
+            "kind": "sign-off",
+            "change_id": "measure-1",
+            "author": "measure",
+            "bundle": bundle,
+        }
+        url = f"http://127.0.0.1:{DAEMON_PORT + 1}/v1/changes"
+        return http("POST", url, body, _ADMIN).status == _OK
+
+    def _is_warm(self) -> bool:
+        base = f"http://127.0.0.1:{DAEMON_PORT}"
+        look_up = self.routed_look_up()
+        chat = self.routed_chat(1)
+        answers: list[Any] = [
+            http("GET", base + look_up.path, headers=look_up.headers),
+            http("POST", base + chat.path, json.loads(chat.body), chat.headers),
+        ]
+        return all(answer.status == _OK for answer in answers)
+
+
+def _get(port: int, path: str) -> Call:
+    return Call(port=port, method="GET", path=path, body=b"", headers=_CALLER)
