--- a/tools/measure_router.py
+++ b/tools/measure_router.py
@@ -26,7 +26,9 @@
 _REPEATS = flags.DEFINE_integer("repeats", 300, "Requests a latency.")
 _DURATION_S = flags.DEFINE_float("duration_s", 6.0, "Length of each load.")
 
-_WARM_UP = 20
+_FIRST_LEFT_OUT = 5
+_WARM_UP_ROUNDS = 10
+_COLD_REPEATS = 30
 _OK = 200
 _WHOLE_TOKENS = 8
 _SHORT_TOKENS = 1
@@ -40,29 +42,51 @@
 _Row = dict[str, object]
 
 
-def _latencies(bench: Bench) -> list[_Row]:
+def _latencies(bench: Bench, state: str, repeats: int) -> list[_Row]:
     pairs = {
-        "look-up": (bench.direct_look_up(), bench.routed_look_up()),
-        f"stream of {_WHOLE_TOKENS} tokens": (
+        f"{state} look-up": (bench.direct_look_up(), bench.routed_look_up()),
+        f"{state} stream of {_WHOLE_TOKENS} tokens": (
             bench.direct_chat(_WHOLE_TOKENS),
             bench.routed_chat(_WHOLE_TOKENS),
         ),
     }
-    return [row for name, pair in pairs.items() for row in _pair(name, *pair)]
+    return [
+        row
+        for name, pair in pairs.items()
+        for row in _pair(name, *pair, repeats)
+    ]
+
+
+def _warm_up(bench: Bench) -> None:
+    """Sends requests until the daemon holds no upstream for cold.
+
+    Raises:
+        RuntimeError: If one stays cold.
+    """
+    for _ in range(_WARM_UP_ROUNDS):
+        if not bench.cold_upstreams():
+            return
+        for call in (
+            bench.routed_look_up(),
+            bench.routed_chat(_SHORT_TOKENS),
+        ):
+            load = Load(call=call, connections=32, duration_s=2.0)
+            run_load(load, _CLIENT_PROCESSES)
+    raise RuntimeError(f"{bench.cold_upstreams()} stay cold")
 
 
-def _pair(name: str, direct: Call, routed: Call) -> list[_Row]:
+def _pair(name: str, direct: Call, routed: Call, repeats: int) -> list[_Row]:
     connections = [Connection(direct.port), Connection(routed.port)]
     samples: list[dict[str, list[float]]] = [
         {"first": [], "whole": []},
         {"first": [], "whole": []},
     ]
-    for number in range(_WARM_UP + _REPEATS.value):
+    for number in range(_FIRST_LEFT_OUT + repeats):
         for index, call in enumerate((direct, routed)):
             reply = connections[index].send(call)
             if reply.status != _OK:
                 raise RuntimeError(f"{name} was answered {reply.status}")
-            if number >= _WARM_UP:
+            if number >= _FIRST_LEFT_OUT:
                 samples[index]["first"].append(reply.first_ms)
                 samples[index]["whole"].append(reply.whole_ms)
     for connection in connections:
@@ -227,7 +251,9 @@
         bench = Bench(processes)
         bench.start()
         load = load_per_core()
-        latencies = _latencies(bench)
+        latencies = _latencies(bench, "cold", _COLD_REPEATS)
+        _warm_up(bench)
+        latencies += _latencies(bench, "warm", _REPEATS.value)
         loads, per_event = _throughput(bench)
         memory, streams = _memory(bench)
     sections: Mapping[str, list[_Row]] = {
--- a/tools/router/bench.py
+++ b/tools/router/bench.py
@@ -146,6 +146,12 @@
         url = f"http://127.0.0.1:{ENGINE_PORT}/standin/settings"
         http("POST", url, {"token_ms": token_ms})
 
+    def cold_upstreams(self) -> list[str]:
+        """Returns the upstreams that the daemon holds for cold."""
+        url = f"http://127.0.0.1:{DAEMON_PORT + 1}/v1/dump"
+        upstreams = http("GET", url, headers=_ADMIN).json()["upstreams"]
+        return [one["name"] for one in upstreams if one["cold"]]
+
     def direct_chat(self, tokens: int) -> Call:
         """Returns a streamed request that goes straight to the engine."""
         return chat_call(ENGINE_PORT, _VERSION, {}, tokens=tokens)
