--- a/tools/measure.py
+++ b/tools/measure.py
@@ -19,7 +19,9 @@
     "tools.measure_configuration": 300,
     "tools.measure_membership": 900,
     "tools.measure_coldstart": 300,
+    "tools.measure_ledger": 60,
     "tools.measure_router": 300,
+    "tools.measure_upstreams": 200,
     "tools.measure_fleet": 600,
 }
 
