Spread the measured streams over several engines

One upstream's adaptive limit holds 100 requests, so that 300 connections to one engine were 100 streams and a queue. Four engines carry 300, and the table tells how many ran.

--- a/tools/measure_router.py
+++ b/tools/measure_router.py
@@ -37,6 +37,7 @@
 _STREAMS = 300
 _SLOW_TOKEN_MS = 250.0
 _IDLE_S = 5.0
+_SAMPLE_S = 0.5
 _MS_PER_S = 1_000
 
 _Row = dict[str, object]
@@ -194,13 +195,14 @@
 def _memory(bench: Bench) -> tuple[list[_Row], _Row]:
     idle = _idle(bench)
     bench.set_token_ms(_SLOW_TOKEN_MS)
-    peak = _PeakMemory(bench.daemon_pid)
+    peak = _PeakMemory(bench)
     with peak:
         cost = _run(bench, bench.routed_chat(_LONG_TOKENS), _STREAMS)
     row = cost.row(f"stream, a token in {_SLOW_TOKEN_MS:.0f} ms", _STREAMS)
     busy = {"state": f"{_STREAMS} streams, most", **peak.row()}
     after = {
         "state": "after them",
+        "running": 0,
         "resident_mb": round(resident_mb(bench.daemon_pid), 1),
         "cores": "-",
     }
@@ -214,17 +216,19 @@
     used_s = cpu_s(bench.daemon_pid) - before_s
     return {
         "state": "no requests",
+        "running": 0,
         "resident_mb": round(resident_mb(bench.daemon_pid), 1),
         "cores": round(used_s / _IDLE_S, 3),
     }
 
 
 class _PeakMemory:
-    """Samples a process's resident memory; a context manager."""
+    """Samples the daemon's memory and load; a context manager."""
 
-    def __init__(self, pid: int) -> None:
-        self._pid = pid
+    def __init__(self, bench: Bench) -> None:
+        self._bench = bench
         self._most_mb = 0.0
+        self._most_running = 0
         self._ended = threading.Event()
         self._thread = threading.Thread(target=self._sample)
 
@@ -237,11 +241,17 @@
 
     def row(self) -> _Row:
         """Returns the most that was seen."""
-        return {"resident_mb": round(self._most_mb, 1)}
+        return {
+            "running": self._most_running,
+            "resident_mb": round(self._most_mb, 1),
+        }
 
     def _sample(self) -> None:
-        while not self._ended.wait(0.2):
-            self._most_mb = max(self._most_mb, resident_mb(self._pid))
+        while not self._ended.wait(_SAMPLE_S):
+            memory_mb = resident_mb(self._bench.daemon_pid)
+            self._most_mb = max(self._most_mb, memory_mb)
+            running = self._bench.running()
+            self._most_running = max(self._most_running, running)
 
 
 def main(arguments: Sequence[str]) -> None:
--- a/tools/router/bench.py
+++ b/tools/router/bench.py
@@ -1,4 +1,4 @@
-"""One daemon, one engine and one worker on loopback."""
+"""One daemon, some engines and one worker on loopback."""
 
 from __future__ import annotations
 
@@ -20,6 +20,8 @@
 WORKER_PORT = 21_111
 DAEMON_PORT = 21_200
 PLACES = 400
+_ENGINES = 4
+_PLACES_PER_ENGINE = PLACES // _ENGINES
 
 _ADMIN = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
 _TOKEN = "example-measure"
@@ -50,13 +52,7 @@
 kind = "engine"
 serves = ["small@1"]
 
-[[pools.upstreams]]
-name = "engine-a"
-address = "127.0.0.1:{engine}"
-failure_domain = "domain-a"
-capacity = {places}
-cold_capacity = {places}
-
+{engines}
 [[pools]]
 name = "workers"
 kind = "service"
@@ -92,6 +88,15 @@
 services = ["catalogue"]
 """
 
+_ENGINE = """
+[[pools.upstreams]]
+name = "engine-{index}"
+address = "127.0.0.1:{port}"
+failure_domain = "domain-a"
+capacity = {places}
+cold_capacity = {places}
+"""
+
 
 class Bench:
     """The running processes and the requests to compare.
@@ -110,25 +115,17 @@
 
     def start(self) -> None:
         """Starts everything and waits until the daemon serves."""
-        places = f"--capacity={PLACES}"
         self._processes.start(
             "store", "trefoilpitch.standins.kv", f"--port={STORE_PORT}"
         )
-        self._processes.start(
-            "engine",
-            "trefoilpitch.standins.engine",
-            f"--port={ENGINE_PORT}",
-            "--name=engine-a",
-            f"--versions={_VERSION}",
-            f"--cold_capacity={PLACES}",
-            places,
-        )
+        for index in range(_ENGINES):
+            self._start_engine(index)
         self._processes.start(
             "worker",
             "trefoilpitch.standins.service",
             f"--port={WORKER_PORT}",
             "--name=worker-a",
-            places,
+            f"--capacity={PLACES}",
         )
         start_daemon(
             self._processes,
@@ -142,15 +139,19 @@
         wait_until(self._is_warm, "an answer", _WARM_PATIENCE_S)
 
     def set_token_ms(self, token_ms: float) -> None:
-        """Changes the engine's time between tokens."""
-        url = f"http://127.0.0.1:{ENGINE_PORT}/standin/settings"
-        http("POST", url, {"token_ms": token_ms})
+        """Changes the engines' time between tokens."""
+        for index in range(_ENGINES):
+            port = ENGINE_PORT + index
+            url = f"http://127.0.0.1:{port}/standin/settings"
+            http("POST", url, {"token_ms": token_ms})
 
     def cold_upstreams(self) -> list[str]:
         """Returns the upstreams that the daemon holds for cold."""
-        url = f"http://127.0.0.1:{DAEMON_PORT + 1}/v1/dump"
-        upstreams = http("GET", url, headers=_ADMIN).json()["upstreams"]
-        return [one["name"] for one in upstreams if one["cold"]]
+        return [one["name"] for one in self._upstreams() if one["cold"]]
+
+    def running(self) -> int:
+        """Returns the requests that the daemon runs on its upstreams."""
+        return sum(one["in_flight"] for one in self._upstreams())
 
     def direct_chat(self, tokens: int) -> Call:
         """Returns a streamed request that goes straight to the engine."""
@@ -168,9 +169,33 @@
         """Returns the same look-up, through the daemon."""
         return _get(DAEMON_PORT, f"/v1/services/catalogue/{_LOOK_UP}/7")
 
+    def _upstreams(self) -> list[Any]:
+        url = f"http://127.0.0.1:{DAEMON_PORT + 1}/v1/dump"
+        upstreams = http("GET", url, headers=_ADMIN).json()["upstreams"]
+        return list(upstreams)
+
+    def _start_engine(self, index: int) -> None:
+        self._processes.start(
+            f"engine-{index}",
+            "trefoilpitch.standins.engine",
+            f"--port={ENGINE_PORT + index}",
+            f"--name=engine-{index}",
+            f"--versions={_VERSION}",
+            f"--capacity={_PLACES_PER_ENGINE}",
+            f"--cold_capacity={_PLACES_PER_ENGINE}",
+        )
+
     def _sign_off(self) -> bool:
+        engines = [
+            _ENGINE.format(
+                index=index,
+                port=ENGINE_PORT + index,
+                places=_PLACES_PER_ENGINE,
+            )
+            for index in range(_ENGINES)
+        ]
         bundle = _BUNDLE.format(
-            engine=ENGINE_PORT,
+            engines="".join(engines),
             worker=WORKER_PORT,
             places=PLACES,
             token=hashlib.sha256(_TOKEN.encode()).hexdigest(),
