Fit the cost of load reports to the upstreams followed

A daemon follows twelve upstreams of a pool of 40 or 80, so that a slope over the pool's size says nothing. Found by counting the reports in the dump.

--- a/tools/measure_upstreams.py
+++ b/tools/measure_upstreams.py
@@ -2,7 +2,8 @@
 
 Usage: ``python -m tools.measure_upstreams [--write=false]``
 
-A daemon fetches a load report from each upstream that it follows. Small
+A daemon follows a subset of a large pool and fetches a load report from each
+upstream that it follows. Slopes are for each upstream that was followed. Small
 service stand-ins in one process take the upstreams' place.
 """
 
@@ -25,7 +26,7 @@
 from tools.resources import cpu_s, load_per_core, resident_mb
 from tools.results import format_table, write_results
 
-_COUNTS = flags.DEFINE_list("counts", ["10", "40", "80"], "Upstreams.")
+_COUNTS = flags.DEFINE_list("counts", ["3", "6", "12", "80"], "Upstreams.")
 _WINDOW_S = flags.DEFINE_float("window_s", 8.0, "Length of each window.")
 _WRITE = flags.DEFINE_boolean("write", True, "Whether to write the JSON file.")
 
@@ -119,15 +120,21 @@
     before_s = cpu_s(pid)
     time.sleep(_WINDOW_S.value)
     used_s = cpu_s(pid) - before_s
+    url = f"http://127.0.0.1:{_DAEMON_PORT + 1}/v1/dump"
+    upstreams = http("GET", url, headers=_HEADERS).json()["upstreams"]
+    reports = [one["report"] for one in upstreams]
+    ages = [report["age_ms"] for report in reports if report]
     return {
         "upstreams": count,
+        "with_report": len(ages),
+        "oldest_report_ms": max(ages, default=0),
         "cpu_percent": round(100 * used_s / _WINDOW_S.value, 2),
         "resident_mb": round(resident_mb(pid), 1),
     }
 
 
 def _slope(rows: Sequence[dict[str, Any]], name: str) -> dict[str, Any]:
-    counts = [row["upstreams"] for row in rows]
+    counts = [row["with_report"] for row in rows]
     values = [row[name] for row in rows]
     fit = statistics.linear_regression(counts, values)
     residuals = [
@@ -137,7 +144,7 @@
     return {
         "figure": name,
         "at_0": round(fit.intercept, 3),
-        "per_upstream": round(fit.slope, 4),
+        "per_followed": round(fit.slope, 4),
         "largest_residual": round(max(residuals), 3),
     }
 
