--- a/tools/router/client.py
+++ b/tools/router/client.py
@@ -16,6 +16,7 @@
 _OK = 200
 _MS_PER_S = 1_000
 _EVENT = b"data: {"
+_PLACEHOLDER = b"PROMPT"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,8 +98,10 @@
         """Sends one request and reads its whole answer."""
         request_id = f"m-{threading.get_ident()}-{next(_numbers)}"
         headers = {**call.headers, "Request-Id": request_id}
+        # Prompts that differ do not all go to the engine that has one cached.
+        body = call.body.replace(_PLACEHOLDER, request_id.encode())
         began_s = time.perf_counter()
-        self._http.request(call.method, call.path, call.body or None, headers)
+        self._http.request(call.method, call.path, body or None, headers)
         response = self._http.getresponse()
         line = response.readline()
         first_s = time.perf_counter()
@@ -164,7 +167,7 @@
         "model": model,
         "max_tokens": tokens,
         "stream": True,
-        "messages": [{"role": "user", "content": "tape 7, side A"}],
+        "messages": [{"role": "user", "content": _PLACEHOLDER.decode()}],
     }
     return Call(
         port=port,
