--- a/tools/processes.py
+++ b/tools/processes.py
@@ -59,6 +59,11 @@
         self._running[name] = process
         return process
 
+    def is_running(self, name: str) -> bool:
+        """Returns whether a process was started and has not ended."""
+        process = self._running.get(name)
+        return process is not None and process.poll() is None
+
     def pid(self, name: str) -> int:
         """Returns the id of a process."""
         return self._running[name].pid
