--- a/tests/endtoend/conftest.py
+++ b/tests/endtoend/conftest.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
+import socket
 from collections.abc import Iterator
 
 import pytest
@@ -8,21 +10,36 @@
 from tests.endtoend.fleet import Fleet
 from tools.processes import Processes
 
-_FIRST_PORT = 20_000
-_FIRST_PORT_ALONE = 20_100
+_FIRST_PORTS = range(20_200, 21_000, 100)
+_LAST_PORT = 99
+
+
+def _reserve_ports(stack: contextlib.ExitStack) -> int:
+    """Returns the first of a hundred ports that no other run has taken."""
+    for first_port in _FIRST_PORTS:
+        reservation = socket.socket()
+        try:
+            reservation.bind(("127.0.0.1", first_port + _LAST_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        stack.enter_context(reservation)
+        return first_port
+    raise RuntimeError("other runs have taken every port")
 
 
 @pytest.fixture(scope="session")
 def _fleets() -> Iterator[tuple[Fleet, Fleet]]:
     """A fleet of three daemons and one of a single daemon, both started."""
     with (
+        contextlib.ExitStack() as stack,
         Processes() as processes,
         Processes() as processes_alone,
         concurrent.futures.ThreadPoolExecutor() as pool,
     ):
         fleets = (
-            Fleet(processes, _FIRST_PORT),
-            Fleet(processes_alone, _FIRST_PORT_ALONE, ("a",)),
+            Fleet(processes, _reserve_ports(stack)),
+            Fleet(processes_alone, _reserve_ports(stack), ("a",)),
         )
         for started in [pool.submit(fleet.start) for fleet in fleets]:
             started.result()
