--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -27,6 +27,7 @@
 )
 from trefoilpitch.daemon._core import NodeCore, NodeIdentity, Surroundings
 from trefoilpitch.daemon._homes import HttpForwarder
+from trefoilpitch.daemon._key_register import SWEEP_TICK_MS, SweepActor
 from trefoilpitch.daemon._ledger import LEDGER_TICK_MS, LedgerActor
 from trefoilpitch.daemon._load import LOAD_TICK_MS, LoadActor
 from trefoilpitch.daemon._members import (
@@ -35,6 +36,7 @@
     MembershipActor,
     VmListActor,
 )
+from trefoilpitch.daemon._ratings import RATING_TICK_MS, RatingActor
 from trefoilpitch.daemon._replica import (
     REPLICA_TICK_MS,
     HeadWatch,
@@ -57,6 +59,7 @@
     create_payload_registry,
     open_nng_transport,
 )
+from trefoilpitch.ratings import open_rating_client
 from trefoilpitch.serving import ConditionParking
 from trefoilpitch.store import etcd_store
 from trefoilpitch.supervision import ChildSpec, Supervisor
@@ -153,12 +156,18 @@
     def finish_leaving(self) -> bool:
         """Announces the end, then waits for all requests and all bills.
 
+        Bills that the store does not take may stay with the peer that holds
+        their copies. Where there is none, the daemon waits for the store.
+
         Returns:
-            Whether nothing was cut.
+            Whether nothing was cut or lost.
         """
-        self._core.draining.begin()
-        is_clean = self._core.draining.wait()
-        return self._core.flush_bills() and is_clean
+        core = self._core
+        core.draining.begin()
+        is_clean = core.draining.wait()
+        core.flush_bills()
+        is_safe = core.draining.wait_until(lambda: core.ledger.is_safe)
+        return is_safe and is_clean
 
     def dump(self) -> dict[str, Any]:
         """Returns the process's state."""
@@ -234,7 +243,20 @@
                 tick_ms=LOAD_TICK_MS,
             ),
         ]
-        return (*children, *self._vm_list_children())
+        children.append(
+            ChildSpec(
+                name="sweep",
+                start=lambda: SweepActor.start(
+                    self._store, core.view, self._clock, core.metrics
+                ),
+                tick_ms=SWEEP_TICK_MS,
+            )
+        )
+        return (
+            *children,
+            *self._vm_list_children(),
+            *self._rating_children(),
+        )
 
     def _vm_list_children(self) -> tuple[ChildSpec, ...]:
         address = self._settings.vm_list_address
@@ -253,6 +275,25 @@
         )
         return (child,)
 
+    def _rating_children(self) -> tuple[ChildSpec, ...]:
+        address = self._settings.rating_address
+        if address is None:
+            return ()
+        client = open_rating_client(address=str(address))
+        core = self._core
+        child = ChildSpec(
+            name="ratings",
+            start=lambda: RatingActor.start(
+                client,
+                core.learner,
+                core.current.table,
+                self._clock,
+                core.metrics,
+            ),
+            tick_ms=RATING_TICK_MS,
+        )
+        return (child,)
+
     def _open_admin_server(self) -> HttpServer:
         address = self._settings.admin_address
         limits = ServerLimits(
@@ -325,5 +366,6 @@
         ),
         seeds=tuple(str(seed) for seed in settings.seeds),
         max_requests=settings.max_requests,
+        rating_share=settings.rating_share,
         token_keys=(*keys, other) if other else keys,
     )
