Let a measurement that takes too long end what it started

A fleet run that was ended by its time limit left daemons behind, and the next run's sign-off failed on their ports.

--- a/tools/measure.py
+++ b/tools/measure.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 import time
@@ -30,11 +31,14 @@
     """Runs one measurement and returns what became of it."""
     print(f"\n== {module}", flush=True)
     command = [sys.executable, "-m", module]
-    try:
-        done = subprocess.run(command, cwd=ROOT, check=False, timeout=limit_s)
-    except subprocess.TimeoutExpired:
-        return f"took longer than {limit_s} s"
-    return "done" if done.returncode == 0 else f"exit {done.returncode}"
+    with subprocess.Popen(command, cwd=ROOT) as process:
+        try:
+            status = process.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            # An interrupt lets the measurement end the processes it started.
+            process.send_signal(signal.SIGINT)
+            return f"took longer than {limit_s} s"
+    return "done" if status == 0 else f"exit {status}"
 
 
 def main() -> int:
