Miss no place that gets free between the look and the wait

And a latency four times a baseline of 1 to 2 ms counted as a sign of a cold start on a busy machine. Ruled out: a shorter poll (it hides the race and costs processor time). Change: a run remembers the count of changes at its look and waits only if nothing changed since; latencies below 200 ms are alike to the cold start rules, as they are to the concurrency limits.

--- a/trefoilpitch/daemon/_cold_starts.py
+++ b/trefoilpitch/daemon/_cold_starts.py
@@ -23,6 +23,7 @@
     is_cold,
     usable_credits,
 )
+from trefoilpitch.daemon._gates import LATENCY_FLOOR_MS
 from trefoilpitch.membership import MembershipView
 from trefoilpitch.peering import PeerTransport, ReceivedMessage
 from trefoilpitch.supervision import Tick
@@ -71,6 +72,8 @@
         latency_ms: int | None,
     ) -> None:
         """Records how a request that was admitted ended."""
+        if latency_ms is not None:
+            latency_ms = max(latency_ms, LATENCY_FLOOR_MS)
         event = WorkEnded(
             admission=admission, outcome=outcome, latency_ms=latency_ms
         )
--- a/trefoilpitch/daemon/_gates.py
+++ b/trefoilpitch/daemon/_gates.py
@@ -11,7 +11,7 @@
 )
 
 # Latencies below this one are all alike: they tell nothing about the load.
-_LATENCY_FLOOR_MS = 200
+LATENCY_FLOOR_MS = 200
 
 
 class AdaptiveConcurrency:
@@ -40,7 +40,7 @@
         if outcome is WorkOutcome.REFUSED:
             self._limits[upstream.name] = current.failed(settings)
         elif latency_ms is not None:
-            latency_ms = max(latency_ms, _LATENCY_FLOOR_MS)
+            latency_ms = max(latency_ms, LATENCY_FLOOR_MS)
             self._limits[upstream.name] = current.finished(
                 latency_ms, in_flight, settings
             )
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -186,7 +186,7 @@
             self._directory.demand() as ask,
         ):
             while True:
-                if ticket.may_look:
+                if ticket.look():
                     attempt = self._try_place(errand, excluded)
                     if isinstance(attempt, Success):
                         return Success(attempt.unwrap())
--- a/trefoilpitch/serving/_queue.py
+++ b/trefoilpitch/serving/_queue.py
@@ -125,6 +125,8 @@
         self._changed = threading.Condition()
         self._lines: dict[Target, _Line] = {}
         self._waiting = 0
+        # Counts the changes after which a place may be free.
+        self._changes = 0
 
     @property
     def waiting(self) -> int:
@@ -134,7 +136,7 @@
     def notify(self) -> None:
         """Wakes the runs that wait, because a place may be free."""
         with self._changed:
-            self._changed.notify_all()
+            self._note_change()
 
     def observe(self, target: Target, run_ms: int) -> None:
         """Takes in how long a run took, and that its place is free."""
@@ -143,7 +145,7 @@
             line.expected_run_ms += _RUN_WEIGHT * (
                 run_ms - line.expected_run_ms
             )
-            self._changed.notify_all()
+            self._note_change()
 
     def ticket(self, waiting: Waiting) -> PlaceTicket:
         """Returns a run's ticket; a context manager that gives it up."""
@@ -190,7 +192,11 @@
             if line.head is ticket:
                 line.head = None
             line.promote(self._clock.now_ms())
-            self._changed.notify_all()
+            self._note_change()
+
+    def _note_change(self) -> None:
+        self._changes += 1
+        self._changed.notify_all()
 
 
 class PlaceTicket:
@@ -204,6 +210,7 @@
     def __init__(self, queue: PlaceQueue, run: Waiting) -> None:
         self._queue = queue
         self._is_queued = False
+        self._seen_changes = queue._changes
         self.run = run
         # Tells the steps of one request apart.
         self.name = f"{run.request_id}/{id(self)}"
@@ -221,9 +228,13 @@
         if self._is_queued:
             self._queue._leave(self)
 
-    @property
-    def may_look(self) -> bool:
-        """Whether the run may look for a place now, ahead of others."""
+    def look(self) -> bool:
+        """Returns whether the run may look for a place now.
+
+        A change from here on ends the next wait, so that none is missed
+        between the look and the wait.
+        """
+        self._seen_changes = self._queue._changes
         return self._is_queued or not self._queue._must_wait(self.run.target)
 
     def wait(self, concurrency: int) -> Problem | None:
@@ -248,7 +259,9 @@
         queue = self._queue
         line = queue._line(self.run.target)
         while True:
-            queue._parking.wait(queue._changed, _POLL_MS)
+            if self._seen_changes == queue._changes:
+                queue._parking.wait(queue._changed, _POLL_MS)
+            self._seen_changes = queue._changes
             now_ms = queue._clock.now_ms()
             line.promote(now_ms)
             if self.refused is not None:
