Believe an upstream that says it is cold; invite work to cold upstreams

Cause: the ramp doubled after as many successes as the cold bound, while the engine said that it was still cold: with a bound of 4 that ends after more than 4 answers it was sent 8. And an upstream that nobody needed stayed cold for good: a replaced engine got no work in 60 s beside two that had room. Ruled out: counting successes alone; warming with requests of our own. Change: the ramp begins when the load report says that the cold start is over; a refused connection of a load report is a sign of a restart; traffic of a target invites one credit's work to each of its cold upstreams.

--- a/trefoilpitch/coldstart/_ledger.py
+++ b/trefoilpitch/coldstart/_ledger.py
@@ -34,6 +34,8 @@
     incarnation: str = UNKNOWN_INCARNATION
     # When the latest report was asked for.
     report_ms: int | None = None
+    # Whether the latest report says that the cold start is over.
+    says_warm: bool = False
     # Pieces of work that succeeded since the upstream was last cold.
     successes: int = 0
     # Credits of this tenure and those that were handed over.
@@ -50,17 +52,21 @@
 
 def is_warm(ledger: Ledger, upstream: Upstream) -> bool:
     """Tells whether the upstream has come through its ramp."""
-    if ledger.incarnation == UNKNOWN_INCARNATION:
+    if ledger.incarnation == UNKNOWN_INCARNATION or not ledger.says_warm:
         return False
     return ledger.successes >= successes_when_warm(upstream)
 
 
 def available_credits(ledger: Ledger, upstream: Upstream) -> int:
-    """Returns how many credits may be granted now."""
+    """Returns how many credits may be granted now.
+
+    The ramp begins when the upstream says that its cold start is over; until
+    then it bears what the bundle says, whatever has succeeded.
+    """
     if ledger.inherited is None:
         return 0
     bound = upstream.cold_capacity
-    if ledger.incarnation != UNKNOWN_INCARNATION:
+    if ledger.incarnation != UNKNOWN_INCARNATION and ledger.says_warm:
         bound = ramp_bound(upstream, ledger.successes)
     used = len(ledger.outstanding) + ledger.inherited.count
     return max(bound - used, 0)
@@ -136,6 +142,7 @@
     *,
     incarnation: str,
     running: int,
+    says_warm: bool,
     as_of_ms: int,
     settings: ColdStartSettings,
 ) -> Ledger:
@@ -144,7 +151,9 @@
         return ledger
     if incarnation != ledger.incarnation:
         ledger = _change_incarnation(ledger, incarnation)
-    ledger = dataclasses.replace(ledger, report_ms=as_of_ms)
+    ledger = dataclasses.replace(
+        ledger, report_ms=as_of_ms, says_warm=says_warm
+    )
     if ledger.tenure_ms is None:
         return ledger
     # Earlier, unused credits may still add to what the report shows.
@@ -281,6 +290,7 @@
     return dataclasses.replace(
         ledger,
         incarnation=incarnation,
+        says_warm=False,
         successes=0,
         warm_holders=frozenset(),
         outstanding=outstanding,
--- a/trefoilpitch/daemon/_cold_starts.py
+++ b/trefoilpitch/daemon/_cold_starts.py
@@ -12,6 +12,7 @@
 from trefoilpitch.clock import Clock
 from trefoilpitch.coldstart import (
     Admission,
+    AdmissionKind,
     ColdStartHost,
     DemandChanged,
     FleetObserved,
@@ -27,9 +28,13 @@
 from trefoilpitch.membership import MembershipView
 from trefoilpitch.peering import PeerTransport, ReceivedMessage
 from trefoilpitch.supervision import Tick
+from trefoilpitch.upstreams import LoadReport
 
 COLD_START_TICK_MS = 250
 
+# How long one request lets a cold upstream be asked for work.
+_INVITATION_MS = 2_000
+
 
 class ColdStarts:
     """Shares the protocol between threads.
@@ -50,6 +55,7 @@
         self._lock = threading.RLock()
         self._host = ColdStartHost(clock, transport, lambda name: on_change())
         self._waiting: collections.Counter[str] = collections.Counter()
+        self._invited_ms: dict[str, int] = {}
 
     def allowance(self, upstream: str) -> int | None:
         """Returns the requests that may start now; None while warm."""
@@ -84,8 +90,16 @@
         """Changes the number of requests that wait for an upstream."""
         with self._lock:
             self._waiting[upstream] += change
-            waiting = self._waiting[upstream]
-            self._host.handle(DemandChanged(upstream, waiting))
+            self._tell_demand(upstream)
+
+    def invite(self, upstream: str) -> None:
+        """Asks for work on a cold upstream although others have room.
+
+        An upstream that is never needed would stay cold, and fail to bear
+        the load on the day when it is.
+        """
+        with self._lock:
+            self._invited_ms[upstream] = self._clock.now_ms()
 
     def set_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
         """Takes in the upstreams of a new configuration."""
@@ -96,21 +110,37 @@
         """Takes in a view, and lets time pass."""
         with self._lock:
             self._host.observe(FleetObserved(view))
+            for upstream in list(self._invited_ms):
+                self._tell_demand(upstream)
             self._host.handle(TimePassed())
 
-    def note_report(
-        self, upstream: str, incarnation: str, running: int, as_of_ms: int
-    ) -> None:
+    def note_report(self, report: LoadReport, as_of_ms: int) -> None:
         """Takes in a load report that was asked for at ``as_of_ms``."""
         event = UpstreamReported(
-            upstream=upstream,
-            incarnation=incarnation,
-            running=running,
+            upstream=report.upstream,
+            incarnation=report.incarnation,
+            running=report.running,
+            says_warm=report.warm,
             as_of_ms=as_of_ms,
         )
         with self._lock:
             self._host.observe(event)
 
+    def note_unreachable(self, upstream: str) -> None:
+        """Takes in that an upstream accepts no connection: it may restart."""
+        admission = Admission(upstream=upstream, kind=AdmissionKind.WARM)
+        self.ended(admission, WorkOutcome.UNREACHABLE, None)
+
+    def _tell_demand(self, upstream: str) -> None:
+        waiting = self._waiting[upstream]
+        invited_ms = self._invited_ms.get(upstream)
+        if invited_ms is not None:
+            if self._clock.now_ms() - invited_ms < _INVITATION_MS:
+                waiting += 1
+            else:
+                del self._invited_ms[upstream]
+        self._host.handle(DemandChanged(upstream, waiting))
+
     def receive(self, message: ReceivedMessage) -> None:
         """Takes in a message of the protocol from another node."""
         with self._lock:
--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -66,7 +66,7 @@
     WorkGate,
 )
 from trefoilpitch.store import KeyValueStore
-from trefoilpitch.upstreams import LoadReport
+from trefoilpitch.upstreams import ConnectError, LoadReport, UpstreamError
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -216,9 +216,14 @@
     def note_report(self, report: LoadReport, asked_ms: int) -> None:
         """Takes in an upstream's load report."""
         self.directory.record_report(report.upstream, report)
-        self.cold_starts.note_report(
-            report.upstream, report.incarnation, report.running, asked_ms
-        )
+        self.cold_starts.note_report(report, asked_ms)
+
+    def note_no_report(self, upstream: str, error: UpstreamError) -> None:
+        """Takes in that an upstream gave no load report."""
+        self.directory.record_no_report(upstream)
+        self.metrics.count("load_report_failures")
+        if isinstance(error, ConnectError):
+            self.cold_starts.note_unreachable(upstream)
 
     def flush_bills(self) -> bool:
         """Writes every bill; returns whether the store took them."""
--- a/trefoilpitch/daemon/_load.py
+++ b/trefoilpitch/daemon/_load.py
@@ -59,5 +59,4 @@
         if isinstance(fetched, Success):
             self._core.note_report(fetched.unwrap(), asked_ms)
         else:
-            self._core.directory.record_no_report(name)
-            self._core.metrics.count("load_report_failures")
+            self._core.note_no_report(name, fetched.failure())
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -5,7 +5,7 @@
 import contextlib
 import dataclasses
 import threading
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -69,6 +69,9 @@
     def demand(self, upstream: str, change: int) -> None:
         """Changes the number of requests that wait for an upstream."""
 
+    def invite(self, upstream: str) -> None:
+        """Asks for work on a cold upstream although others have room."""
+
 
 class ConcurrencyGate(Protocol):
     """Adapts the work that this node runs on an upstream at once."""
@@ -376,6 +379,11 @@
             for name in asked:
                 self._cold_starts.demand(name, -1)
 
+    def invite(self, upstreams: Iterable[str]) -> None:
+        """Asks for work on cold upstreams although others have room."""
+        for name in upstreams:
+            self._cold_starts.invite(name)
+
     def in_flight(self) -> int:
         """Returns the requests that are running on all upstreams."""
         with self._lock:
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -232,6 +232,10 @@
         self, table: RoutingTable, errand: Errand, excluded: set[str]
     ) -> Result[Decision, RoutingError]:
         states = self._directory.states()
+        if any(state.cold for state in states.values()):
+            eligible = eligible_upstreams(table, errand.target, states)
+            cold = [one.name for one in eligible if states[one.name].cold]
+            self._directory.invite(cold)
         with self._lock:
             chosen = choose_upstream(
                 table,
--- a/trefoilpitch/serving/tests/test_chat.py
+++ b/trefoilpitch/serving/tests/test_chat.py
@@ -165,3 +165,11 @@
     started_ms = world.clock.now_ms()
     assert _text(world.ask().unwrap()) == "text"
     assert world.clock.now_ms() == started_ms
+
+
+def test_a_cold_engine_is_asked_for_work_while_others_have_room() -> None:
+    world = World()
+    world.gates.cold = {"engine-b"}
+    _script(world, *answer("text"))
+    assert _text(world.ask().unwrap()) == "text"
+    assert world.gates.invited == {"engine-b"}
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -183,6 +183,7 @@
     def __init__(self) -> None:
         self.cold: set[str] = set()
         self.demanded: list[str] = []
+        self.invited: set[str] = set()
 
     def allowance(self, upstream: str) -> int | None:
         return 0 if upstream in self.cold else None
@@ -205,6 +206,9 @@
         if change > 0:
             self.demanded.append(upstream)
 
+    def invite(self, upstream: str) -> None:
+        self.invited.add(upstream)
+
     def limit(self, upstream: Upstream) -> int:
         return upstream.capacity
 
