--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -15,7 +15,6 @@
 import json
 import pathlib
 import platform
-import subprocess
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
@@ -23,6 +22,7 @@
 import msgspec
 from absl import app, flags
 
+from tools.results import commit
 from trefoilpitch.bundle import (
     Bundle,
     Upstream,
@@ -335,14 +335,6 @@
     return _processor_ms(steps)
 
 
-def _commit() -> str:
-    command = ["git", "describe", "--always", "--dirty", "--abbrev=12"]
-    result = subprocess.run(
-        command, cwd=_ROOT, capture_output=True, text=True, check=False
-    )
-    return result.stdout.strip() or "unknown"
-
-
 def main(arguments: Sequence[str]) -> None:
     """Measures, prints and writes."""
     del arguments
@@ -360,7 +352,7 @@
         )
     if _WRITE.value:
         document = {
-            "commit": _commit(),
+            "commit": commit(),
             "python": platform.python_version(),
             "figures": [dataclasses.asdict(figure) for figure in figures],
         }
--- a/trefoilpitch/membership/__init__.py
+++ b/trefoilpitch/membership/__init__.py
@@ -15,7 +15,6 @@
     ViewChanged,
 )
 from trefoilpitch.membership._host import MembershipHost
-from trefoilpitch.membership._incarnation import create_incarnation
 from trefoilpitch.membership._messages import (
     PAYLOAD_KINDS,
     Digest,
@@ -47,7 +46,6 @@
     "step",
     "create_membership",
     "create_view",
-    "create_incarnation",
     "MembershipHost",
     "MembershipSettings",
     "MembershipState",
--- a/trefoilpitch/membership/_state.py
+++ b/trefoilpitch/membership/_state.py
@@ -157,7 +157,7 @@
 
     Args:
         name: The VM's name.
-        incarnation: From ``create_incarnation``.
+        incarnation: From :func:`trefoilpitch.identity.create_incarnation`.
         failure_domain: The failure domain that the VM runs in.
         endpoints: Where the daemon is reached.
         now_ms: Monotonic time.
