Judge in force by the newest revision of the fleet; name failure domains

Cause: a node that was behind said that its own, older revision was in force everywhere; and a failure domain whose nodes all restart while it is cut off could take itself for the only one. Ruled out: asking the store for each status (it may be down).

--- a/trefoilpitch/administration/_status.py
+++ b/trefoilpitch/administration/_status.py
@@ -55,7 +55,7 @@
     revision: int
     # The bundle in force, ``name`` and ``version``; empty when there is none.
     bundle: str
-    # Whether every live node has reported this revision or a later one.
+    # Whether every live node has reported the newest revision that any has.
     in_force: bool
     # Live nodes that have not.
     missing: tuple[str, ...]
@@ -74,17 +74,20 @@
 def fleet_status(
     view: MembershipView, configuration: Configuration, now_ms: int
 ) -> FleetStatus:
-    """Returns the status of the revision that is in force here.
+    """Returns the status of the fleet, and of the newest revision in it.
 
     A node that is suspected still counts as live: it may be serving on an
     older revision.
     """
     revision = configuration.revision
     live = [member for member in view.members if _is_live(member)]
+    reported = [member.report.configuration_revision for member in live]
+    # The answering node may itself be behind.
+    newest = max((revision, *reported))
     missing = tuple(
         member.name
         for member in live
-        if member.report.configuration_revision < revision
+        if member.report.configuration_revision < newest
     )
     bundle = configuration.bundle
     return FleetStatus(
--- a/trefoilpitch/administration/tests/test_status.py
+++ b/trefoilpitch/administration/tests/test_status.py
@@ -42,3 +42,12 @@
         assert [line["share"] for line in rollouts] == (
             [] if share is None else [share]
         )
+
+
+def test_a_node_that_is_behind_does_not_report_its_revision_in_force() -> None:
+    fleet = Fleet()
+    fleet.send("POST", "/v1/changes", change("sign-off", bundle=ARCHIVE))
+    fleet.reported["entry-2"] = 5
+    status = decode(fleet.send("GET", "/v1/status"))
+    assert status["in_force"] is False
+    assert "entry-1" in status["missing"]
--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -83,6 +83,8 @@
     endpoints: Endpoints
     # Peer addresses to try.
     seeds: tuple[str, ...]
+    # Failure domains that hold entry VMs; others are learnt from peers.
+    failure_domains: tuple[str, ...]
     # Requests served at once.
     max_requests: int
     # Share of the whole answers to have rated, from 0 to 1.
@@ -296,6 +298,7 @@
             name=identity.vm_name,
             failure_domain=identity.failure_domain,
             address=identity.endpoints.peer_address,
+            failure_domains=identity.failure_domains,
         )
         return ReplicaHost(
             settings,
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -365,6 +365,7 @@
             peer_address=str(settings.peer_address),
         ),
         seeds=tuple(str(seed) for seed in settings.seeds),
+        failure_domains=settings.failure_domains,
         max_requests=settings.max_requests,
         rating_share=settings.rating_share,
         token_keys=(*keys, other) if other else keys,
--- a/trefoilpitch/daemon/_settings.py
+++ b/trefoilpitch/daemon/_settings.py
@@ -63,6 +63,8 @@
     rating_address: Address | None
     # Peer addresses to try besides those of the VM list.
     seeds: tuple[Address, ...]
+    # Failure domains that hold entry VMs; others are learnt from peers.
+    failure_domains: tuple[str, ...]
     # Authenticates messages between daemons and signs callers' tokens.
     shared_key: bytes
     # Accepted as well while the shared key is being replaced.
@@ -123,6 +125,7 @@
     ("vm_list_address", "", "The platform's list of VMs."),
     ("rating_address", "", "The service that rates answers."),
     ("seeds", "", "Peer addresses to try, separated by commas."),
+    ("failure_domains", "", "Those with entry VMs, separated by commas."),
     ("shared_key", "", "Key shared by all daemons, 16 characters or more."),
     ("other_shared_key", "", "Also accepted while the key is replaced."),
     ("admin_token_sha256", "", "SHA-256 of the administration token."),
@@ -194,6 +197,7 @@
             "rating_address", _optional_address, None
         ),
         seeds=reader.checked("seeds", _addresses, ()),
+        failure_domains=reader.checked("failure_domains", _names, ()),
         shared_key=reader.checked("shared_key", _key, b""),
         other_shared_key=reader.checked(
             "other_shared_key", _optional_key, None
@@ -247,6 +251,10 @@
     return text
 
 
+def _names(text: str) -> tuple[str, ...]:
+    return tuple(_name(part) for part in text.split(",") if part)
+
+
 def _key(text: str) -> bytes:
     if not text:
         raise ValueError("is required")
--- a/trefoilpitch/daemon/tests/stateful/fleet.py
+++ b/trefoilpitch/daemon/tests/stateful/fleet.py
@@ -228,6 +228,7 @@
                     peer_address=self.address,
                 ),
                 seeds=tuple(f"peer-{one}" for one in DOMAINS),
+                failure_domains=DOMAINS,
                 max_requests=32,
                 rating_share=0.0,
                 token_keys=(_KEY,),
