Draw names and seeds alike in equal runs of the stateful test

Ruled out: passing a source of randomness through every factory (tokens must stay unpredictable in the product).

--- a/trefoilpitch/daemon/tests/stateful/faults.py
+++ b/trefoilpitch/daemon/tests/stateful/faults.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections
+import random
 from typing import ClassVar
+from unittest import mock
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
@@ -24,6 +26,16 @@
 
     def __init__(self) -> None:
         super().__init__()
+        # Equal runs draw equal names and seeds.
+        names = random.Random(1)
+        self.patches = (
+            mock.patch("secrets.token_hex", lambda n: names.randbytes(n).hex()),
+            mock.patch(
+                "secrets.token_urlsafe", lambda n: names.randbytes(n).hex()
+            ),
+        )
+        for patch in self.patches:
+            patch.start()
         self.fleet = Fleet(seed=1)
         self.oracle = self.fleet.oracle
 
--- a/trefoilpitch/daemon/tests/stateful/machine.py
+++ b/trefoilpitch/daemon/tests/stateful/machine.py
@@ -77,6 +77,14 @@
         self.fleet.advance(12_000)
 
     def teardown(self) -> None:
+        try:
+            self.settle()
+        finally:
+            for patch in self.patches:
+                patch.stop()
+
+    def settle(self) -> None:
+        """Ends all faults and judges the ledger."""
         self.heal()
         for node in list(self.fleet.nodes.values()):
             node.is_paused = False
