Translate a run's parts in one place; drop what nothing calls

Cause: reading the whole change again showed that delivery and resumption each turned an engine's parts into a caller's events, and four members and an alias that nothing used (answer_of, running, size, a text list, _address). Ruled out: one delivery class for both (they bill and learn differently). Change: to_chat_event serves both; the unused pieces are gone. No behaviour and no test changed. Conclusion: the resumed stream is encoded by the code that began it.

--- a/trefoilpitch/daemon/_settings.py
+++ b/trefoilpitch/daemon/_settings.py
@@ -186,10 +186,10 @@
         vm_name=reader.checked("vm_name", _name, ""),
         failure_domain=reader.checked("failure_domain", _name, ""),
         deployment=reader.checked("deployment", _name, ""),
-        caller_address=reader.checked("caller_address", _address, nowhere),
-        admin_address=reader.checked("admin_address", _address, nowhere),
-        peer_address=reader.checked("peer_address", _address, nowhere),
-        store_address=reader.checked("store_address", _address, nowhere),
+        caller_address=reader.checked("caller_address", parse_address, nowhere),
+        admin_address=reader.checked("admin_address", parse_address, nowhere),
+        peer_address=reader.checked("peer_address", parse_address, nowhere),
+        store_address=reader.checked("store_address", parse_address, nowhere),
         vm_list_address=reader.checked(
             "vm_list_address", _optional_address, None
         ),
@@ -232,9 +232,6 @@
     return Address(host=host, port=int(port))
 
 
-_address = parse_address
-
-
 def _optional_address(text: str) -> Address | None:
     return parse_address(text) if text else None
 
--- a/trefoilpitch/requests/_registry.py
+++ b/trefoilpitch/requests/_registry.py
@@ -103,12 +103,6 @@
         """Bytes of finished answers that are held."""
         return self._answer_bytes
 
-    @property
-    def running(self) -> int:
-        """Keyed requests whose outcome is not known yet."""
-        entries = self._entries.values()
-        return sum(entry.phase is Phase.RUNNING for entry in entries)
-
     def admit(
         self,
         slot: RequestSlot,
@@ -165,13 +159,6 @@
         self._answer_bytes += answer_bytes
         self._drop_answers()
 
-    def answer_of(self, slot: RequestSlot) -> Admission[AnswerT]:
-        """Returns what a request that joined another one should send."""
-        entry = self._entries.get(slot)
-        if entry is None:
-            return Admission(Verdict.RUN)
-        return _repeat(entry, entry.fingerprint)
-
     def _forget_expired(self, now_ms: int) -> None:
         for slot, entry in list(self._oldest()):
             if entry.expires_ms > now_ms or entry.phase is Phase.RUNNING:
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -25,7 +25,7 @@
     ChatRequest,
     Completed,
     ConfigurationSource,
-    Delta,
+    to_chat_event,
 )
 from trefoilpitch.serving._planning import CascadePlanner
 from trefoilpitch.serving._problems import failure_problem, routing_problem
@@ -199,7 +199,6 @@
         self._deadline_ms = flow._clock.now_ms() + task.deadline_ms
         self._spent: list[BillLine] = []
         self._first_signal: float | None = None
-        self._text: list[str] = []
 
     def begin(self) -> Result[ChatAnswer, Problem]:
         last = len(self._plan.steps) - 1
@@ -402,13 +401,9 @@
         if isinstance(item, Chunk):
             self._text.append(item.text)
             self._tokens += item.tokens
-            return Delta(index=item.index, text=item.text)
-        self._finish = item
-        return Completed(
-            finish_reason=item.finish_reason,
-            prompt_tokens=item.prompt_tokens,
-            output_tokens=item.output_tokens,
-        )
+        else:
+            self._finish = item
+        return to_chat_event(item)
 
     def _report(self) -> None:
         run = self._run
--- a/trefoilpitch/serving/_keyed.py
+++ b/trefoilpitch/serving/_keyed.py
@@ -92,11 +92,6 @@
             now_ms = self._clock.now_ms()
             return self._registry.is_first(slot, issued_ms, now_ms)
 
-    def size(self) -> int:
-        """Returns the number of requests that are remembered."""
-        with self._changed:
-            return len(self._registry)
-
     def _admit(
         self, slot: RequestSlot, fingerprint: bytes, issued_ms: int
     ) -> Admission[AnswerT]:
--- a/trefoilpitch/serving/_nodes.py
+++ b/trefoilpitch/serving/_nodes.py
@@ -8,7 +8,7 @@
 from trefoilpitch.bundle import VersionRef, Workspace
 from trefoilpitch.identity import RequestKey, ResumePoint, Session
 from trefoilpitch.routing import RoutingTable
-from trefoilpitch.upstreams import Message
+from trefoilpitch.upstreams import Chunk, Finish, Message
 from trefoilpitch.web import Problem
 
 
@@ -91,6 +91,17 @@
 ChatEvent: TypeAlias = Delta | Completed | Broken
 
 
+def to_chat_event(item: Chunk | Finish) -> ChatEvent:
+    """Returns what the caller sees of a part, or of the end, of a run."""
+    if isinstance(item, Chunk):
+        return Delta(index=item.index, text=item.text)
+    return Completed(
+        finish_reason=item.finish_reason,
+        prompt_tokens=item.prompt_tokens,
+        output_tokens=item.output_tokens,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerInfo:
     """What is known of an answer before its first part."""
--- a/trefoilpitch/serving/_resumption.py
+++ b/trefoilpitch/serving/_resumption.py
@@ -18,9 +18,8 @@
     AnswerInfo,
     Broken,
     ChatEvent,
-    Completed,
     ConfigurationSource,
-    Delta,
+    to_chat_event,
 )
 from trefoilpitch.serving._problems import failure_problem
 from trefoilpitch.upstreams import (
@@ -138,14 +137,9 @@
             self._bill(self._finish)
 
     def _event(self, item: Chunk | Finish) -> ChatEvent:
-        if isinstance(item, Chunk):
-            return Delta(index=item.index, text=item.text)
-        self._finish = item
-        return Completed(
-            finish_reason=item.finish_reason,
-            prompt_tokens=item.prompt_tokens,
-            output_tokens=item.output_tokens,
-        )
+        if isinstance(item, Finish):
+            self._finish = item
+        return to_chat_event(item)
 
     def _bill(self, finish: Finish) -> None:
         point = self._point
