Hold the engines' answers while 300 streams are opened

The test slowed the engines to 60 ms a token, so an answer lasted 1.3 to 1.9 s, and then opened 300 streams one after the other. Where opening them takes longer than the first answers last, 300 are never in flight together. The verdict hung on the machine's speed.

Ruled out: a limit of the daemon (max_requests is 1,024, the engines' is 768) and lost streams: the test passes wherever the machine is fast enough.

Change: the engine stand-in takes `holds_answers`: answers under way stop after their first chunk until it is unset. The test holds, opens 300, waits until all are in flight, lets go and reads them. Answers need not be long any more, so the choice of prompts by length is gone. As strict as before: 300 at once, each whole, each with its own text, one run and one bill each.

--- a/tests/endtoend/fleet.py
+++ b/tests/endtoend/fleet.py
@@ -33,6 +33,7 @@
 _USUAL_ENGINE: dict[str, Any] = {
     "token_ms": 1.0,
     "chunk_tokens": 1,
+    "holds_answers": False,
     "extra_words": 0,
     "hold_ms": 10_000,
 }
--- a/tests/endtoend/test_callers.py
+++ b/tests/endtoend/test_callers.py
@@ -27,9 +27,7 @@
 _SETTLED_SAMPLES = 10
 _IDLE_CONNECTIONS = 400
 _STREAMS = 300
-_SLOW_TOKEN_MS = 60
 _PROMPTS = tuple(f"tape {number}" for number in range(20))
-_LONG_ANSWER_WORDS = 20
 _HOLD_MS = 10_000
 
 
@@ -135,21 +133,12 @@
                 connection.recv(1)
 
 
-def _prompts_with_long_answers(fleet: Fleet) -> dict[str, str]:
-    answers = {text: fleet.answer("b", text) for text in _PROMPTS}
-    return {
-        text: answer
-        for text, answer in answers.items()
-        if len(answer.split()) >= _LONG_ANSWER_WORDS
-    }
-
-
 def test_hundreds_of_streams_through_one_daemon_arrive_whole(
     fleet: Fleet,
 ) -> None:
-    expected = _prompts_with_long_answers(fleet)
+    expected = {text: fleet.answer("b", text) for text in _PROMPTS}
     prompts = list(itertools.islice(itertools.cycle(expected), _STREAMS))
-    fleet.set_engines(token_ms=_SLOW_TOKEN_MS)
+    fleet.set_engines(holds_answers=True)
     try:
         with contextlib.ExitStack() as stack:
             streams = [
@@ -160,10 +149,11 @@
                 lambda: fleet.dump("a")["in_flight"] == _STREAMS,
                 "all streams at once",
             )
+            fleet.set_engines(holds_answers=False)
             for stream in streams:
                 stream.read_rest()
     finally:
-        fleet.set_engines(token_ms=1.0)
+        fleet.set_engines(holds_answers=False)
     assert {stream.status for stream in streams} == {200}
     assert all(stream.is_whole for stream in streams)
     for stream, text in zip(streams, prompts, strict=True):
--- a/trefoilpitch/standins/_engine_nodes.py
+++ b/trefoilpitch/standins/_engine_nodes.py
@@ -29,6 +29,8 @@
     token_ms: float = 1.0
     # Tokens in one chunk.
     chunk_tokens: int = 1
+    # Whether answers under way stop after their first chunk, until unset.
+    holds_answers: bool = False
     # Words added to each answer, which the rating stand-in does not know.
     extra_words: int = 0
     # Share of prompts that a version answers well.
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -128,7 +128,7 @@
         """Returns how many chunks of an answer have been generated."""
         with self.lock:
             self._update()
-            return answer.available(self._clock.now_ms())
+            return self._generated(answer, self._clock.now_ms())
 
     def discard(self, answer: Answer) -> None:
         """Forgets an answer, so that it cannot be resumed."""
@@ -246,8 +246,14 @@
             )
         )
 
+    def _generated(self, answer: Answer, now_ms: int) -> int:
+        chunks = answer.available(now_ms)
+        if self.settings.holds_answers and answer.active:
+            return min(chunks, 1)
+        return chunks
+
     def _update_answer(self, answer: Answer, now_ms: int) -> None:
-        if answer.available(now_ms) >= len(answer.texts):
+        if self._generated(answer, now_ms) >= len(answer.texts):
             answer.state = AnswerState.FINISHED
             answer.idle_since_ms = now_ms
             self._active.remove(answer)
--- a/trefoilpitch/standins/tests/test_engine.py
+++ b/trefoilpitch/standins/tests/test_engine.py
@@ -97,6 +97,18 @@
     assert state.counts["cancelled"] == 1
 
 
+def test_answers_that_are_held_stop_after_their_first_chunk() -> None:
+    clock = ManualClock()
+    state = _state(clock, holds_answers=True)
+    answer = state.admit(_prompt("r0"))
+    assert answer is not None
+    clock.advance(60_000)
+    assert state.available(answer) == 1
+    state.settings.holds_answers = False
+    assert state.available(answer) == len(answer.texts)
+    assert state.counts["finished"] == 1
+
+
 def test_reports_lag_and_hide_a_restart() -> None:
     clock = ManualClock()
     state = _state(clock, load_lag_ms=100)
