List unknown flags beside other faults; show what upstream clients count

Cause: an unknown flag or a stray argument ended the check of the settings at once, so an operator with three faults saw one. And the counts of the clients of upstreams (connections, successes, failures by kind) could not be seen outside the process, although operations/upstreams.md explains them.

Ruled out: leaving the pools' size as a cause of missed load reports: the engine client fetches reports over connections of their own.

Change: arguments that are no known flag become faults like the others, with the nearest flag's name; a last flag without its value too. A collector renders the clients' stats on /metrics, and the dump has upstream_clients.

--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -27,6 +27,7 @@
     ReplicaMessage,
     ReplicaSettings,
 )
+from trefoilpitch.daemon._client_stats import ClientStatsCollector
 from trefoilpitch.daemon._cold_starts import ColdStarts
 from trefoilpitch.daemon._configuration import CurrentConfiguration
 from trefoilpitch.daemon._draining import ENTRIES_TTL_MS, Draining, NodePhase
@@ -166,6 +167,7 @@
             AdaptiveConcurrency(),
         )
         self.directory.on_release(self.queue.observe)
+        self.metrics.include(ClientStatsCollector(self.directory.client_stats))
         self.current = CurrentConfiguration(
             identity.vm_name, self._on_new_table
         )
@@ -285,6 +287,7 @@
             "ledger_unwritten_bytes": self.ledger.unwritten_bytes,
             "ledger_held_bytes": self.ledger.held_bytes,
             "upstreams": list(self.directory.states().values()),
+            "upstream_clients": self.directory.client_stats(),
             "breakers": self.learner.breakers(),
             "rollout_advice": self.learner.advice(self.current.table()),
             "peering": self._around.transport.counters(),
--- a/trefoilpitch/daemon/_settings.py
+++ b/trefoilpitch/daemon/_settings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import difflib
 import ipaddress
 import re
 from collections.abc import Callable, Mapping, Sequence
@@ -93,7 +94,8 @@
     Raises:
         SettingsError: If any setting cannot be used; lists every fault.
     """
-    reader = _Reader(_parse(argv), environment)
+    values, faults = _parse(argv)
+    reader = _Reader(values, environment, faults)
     settings = _read(reader)
     if reader.faults:
         raise SettingsError(tuple(reader.faults))
@@ -110,7 +112,6 @@
     for name, default, description in _FLAGS:
         shown = f"{description} (default: {default or 'none'})"
         flags.DEFINE_string(name, None, shown, flag_values=values)
-    flags.DEFINE_bool("help", False, "Print this text.", flag_values=values)
     return values
 
 
@@ -136,28 +137,40 @@
 )
 
 
-def _parse(argv: Sequence[str]) -> flags.FlagValues:
+def _parse(argv: Sequence[str]) -> tuple[flags.FlagValues, list[str]]:
     values = _define_flags()
     try:
-        rest = values(list(argv))
+        rest = values(list(argv), known_only=True)
     except flags.Error as error:
-        raise SettingsError((f"command line: {error}",)) from error
-    if len(rest) > 1:
-        fault = f"command line: unexpected arguments {rest[1:]}"
-        raise SettingsError((fault,))
-    return values
+        # Such an error is about the last argument, a flag without its value.
+        values, faults = _parse(argv[:-1])
+        return values, [*faults, f"command line: {error}"]
+    return values, [_explain_argument(argument) for argument in rest[1:]]
+
+
+def _explain_argument(argument: str) -> str:
+    if not argument.startswith("-"):
+        return f"command line: unexpected argument {argument!r}"
+    name = argument.lstrip("-").partition("=")[0]
+    known = [flag[0] for flag in _FLAGS]
+    close = difflib.get_close_matches(name, known, n=1)
+    hint = f"; did you mean --{close[0]}?" if close else ""
+    return f"command line: unknown flag --{name}{hint}"
 
 
 class _Reader:
     """Reads single settings and collects their faults."""
 
     def __init__(
-        self, values: flags.FlagValues, environment: Mapping[str, str]
+        self,
+        values: flags.FlagValues,
+        environment: Mapping[str, str],
+        faults: list[str],
     ) -> None:
         self._values = values
         self._environment = environment
         self._defaults = {name: default for name, default, _ in _FLAGS}
-        self.faults: list[str] = []
+        self.faults = faults
 
     def text(self, name: str) -> str:
         """Returns a setting as written, or its default."""
--- a/trefoilpitch/daemon/tests/test_settings.py
+++ b/trefoilpitch/daemon/tests/test_settings.py
@@ -37,6 +37,25 @@
         assert expected in text
 
 
+@pytest.mark.parametrize(
+    ("arguments", "fault"),
+    [
+        (["--vm_nam=entry-1"], "--vm_nam; did you mean --vm_name?"),
+        (["--no_such_flag"], "unknown flag --no_such_flag"),
+        (["suva"], "unexpected argument 'suva'"),
+        (["--seeds"], "Missing value for flag --seeds"),
+    ],
+)
+def test_a_wrong_command_line_hides_no_other_fault(
+    arguments: list[str], fault: str
+) -> None:
+    with pytest.raises(SettingsError) as caught:
+        _read("--caller_address=entry", "--max_requests=many", *arguments)
+    faults = caught.value.faults
+    assert len(faults) == 3
+    assert any(fault in one for one in faults)
+
+
 @pytest.mark.parametrize(
     "flag",
     [
--- a/trefoilpitch/metrics/_metrics.py
+++ b/trefoilpitch/metrics/_metrics.py
@@ -65,6 +65,10 @@
         self._registry = CollectorRegistry(auto_describe=False)
         self._registry.register(self)
 
+    def include(self, collector: Collector) -> None:
+        """Renders another collector's metrics as well."""
+        self._registry.register(collector)
+
     def count(self, name: str, *labels: Label, by: int = 1) -> None:
         """Adds to a counter.
 
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -25,6 +25,7 @@
     confirm_dispatch,
 )
 from trefoilpitch.upstreams import (
+    ClientStats,
     ConnectError,
     EngineClient,
     IncompleteReplyError,
@@ -384,6 +385,13 @@
         for name in upstreams:
             self._cold_starts.invite(name)
 
+    def client_stats(self) -> tuple[ClientStats, ...]:
+        """Returns what the client of each followed upstream counts."""
+        with self._lock:
+            followed = list(self._followed.values())
+        clients = (one.engine or one.service for one in followed)
+        return tuple(client.stats for client in clients if client is not None)
+
     def in_flight(self) -> int:
         """Returns the requests that are running on all upstreams."""
         with self._lock:
