Name the upstream's incarnation in each request, so that another one refuses

An engine that turns cold at once, with its port open, got the requests that were on their way to the warm one: no node can know of the restart before a report or a broken connection, and a cold engine bears two.

Ruled out: faster reports (a window stays, whatever the rate) and bounding the work on warm upstreams by what they bear cold (2 of 256).

Change: an admission tells which incarnation it rests on; each request carries it as `Upstream-Incarnation`, and an upstream that is another one refuses with 412 and `Not-Run: true`. That counts as a refusal: the request is tried elsewhere, and the node takes the upstream for cold at once. Upstreams that ignore the header are served as before and keep assumption 4 of docs/design/coldstart.md. Callers cannot set the header.

--- a/trefoilpitch/coldstart/_events.py
+++ b/trefoilpitch/coldstart/_events.py
@@ -114,6 +114,8 @@
     kind: AdmissionKind
     # The credit that the work uses up.
     credit: CreditRef | None = None
+    # The upstream's incarnation that it rests on; empty if unknown.
+    upstream_incarnation: str = ""
 
 
 class WorkOutcome(enum.Enum):
--- a/trefoilpitch/coldstart/_holder.py
+++ b/trefoilpitch/coldstart/_holder.py
@@ -108,14 +108,21 @@
     """
     settings = state.settings
     account = state.accounts.get(upstream, Account())
-    if is_warm_here(account.warmth, now_ms, settings):
-        return state, Admission(upstream=upstream, kind=AdmissionKind.WARM)
     incarnation = current_incarnation(account.warmth, now_ms, settings)
+    if is_warm_here(account.warmth, now_ms, settings):
+        return state, Admission(
+            upstream=upstream,
+            kind=AdmissionKind.WARM,
+            upstream_incarnation=incarnation,
+        )
     account, credit = take_usable(account, incarnation, now_ms)
     if credit is None:
         return state, Admission(upstream=upstream, kind=AdmissionKind.WAIT)
     admission = Admission(
-        upstream=upstream, kind=AdmissionKind.CREDIT, credit=credit
+        upstream=upstream,
+        kind=AdmissionKind.CREDIT,
+        credit=credit,
+        upstream_incarnation=incarnation,
     )
     return with_account(state, upstream, account), admission
 
--- a/trefoilpitch/serving/_calls.py
+++ b/trefoilpitch/serving/_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from returns.result import Failure, Result, Success
 
 from trefoilpitch.bundle import Operation
@@ -130,6 +132,9 @@
 def _call(
     slot: Slot, request: ServiceRequest
 ) -> Result[ServiceReply, UpstreamError]:
+    request = dataclasses.replace(
+        request, upstream_incarnation=slot.upstream_incarnation
+    )
     result = slot.service.call(request)
     if isinstance(result, Success):
         slot.succeed()
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -163,6 +163,11 @@
         """The upstream."""
         return self._followed.node.upstream
 
+    @property
+    def upstream_incarnation(self) -> str:
+        """The upstream's incarnation that was chosen; empty if unknown."""
+        return self._admission.upstream_incarnation
+
     @property
     def engine(self) -> EngineClient:
         """The client of the engine.
--- a/trefoilpitch/serving/_runs.py
+++ b/trefoilpitch/serving/_runs.py
@@ -126,6 +126,9 @@
         slot: The place on the engine.
         request: What runs.
     """
+    request = dataclasses.replace(
+        request, upstream_incarnation=slot.upstream_incarnation
+    )
     opened = slot.engine.start(request)
     if not isinstance(opened, Success):
         return Failure(opened.failure())
--- a/trefoilpitch/serving/tests/test_calls.py
+++ b/trefoilpitch/serving/tests/test_calls.py
@@ -45,7 +45,9 @@
     world = World()
     world.call_results = [Failure(error), _DONE]
     assert world.call("create-loan", "POST").unwrap().body == b"done"
-    assert len({call.split()[0] for call in world.calls}) == 2
+    called = [call.split()[0] for call in world.calls]
+    assert len(set(called)) == 2
+    assert world.called_incarnations == [f"{name}-1" for name in called]
     assert [bill.cost_nano for bill in world.bills] == [7]
 
 
--- a/trefoilpitch/serving/tests/test_chat.py
+++ b/trefoilpitch/serving/tests/test_chat.py
@@ -71,6 +71,19 @@
     assert not world.engines["engine-a"].requests
 
 
+def test_a_run_names_the_incarnation_that_it_was_admitted_to() -> None:
+    world = World()
+    _script(world, *answer("text"))
+    assert _text(world.ask().unwrap()) == "text"
+    named = {
+        name: [one.upstream_incarnation for one in engine.requests]
+        for name, engine in world.engines.items()
+    }
+    assert [f"{name}-1" for name in named if named[name]] == [
+        one for requests in named.values() for one in requests
+    ]
+
+
 def test_a_broken_stream_is_resumed_without_repeats() -> None:
     world = World()
     whole = answer("one ", "two ", "three")
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -192,7 +192,11 @@
         kind = AdmissionKind.WARM
         if upstream in self.cold:
             kind = AdmissionKind.WAIT
-        return Admission(upstream=upstream, kind=kind)
+        return Admission(
+            upstream=upstream,
+            kind=kind,
+            upstream_incarnation=f"{upstream}-1",
+        )
 
     def ended(
         self,
@@ -234,6 +238,7 @@
         }
         self.call_results: list[Result[ServiceReply, UpstreamError]] = []
         self.calls: list[str] = []
+        self.called_incarnations: list[str] = []
         self.bills: list[Bill] = []
         self.configuration = Configuration(revision=1, bundle=_bundle())
         self.on_table: Callable[[], None] | None = None
@@ -295,6 +300,7 @@
             request: ServiceRequest,
         ) -> Result[ServiceReply, UpstreamError]:
             self.calls.append(f"{upstream.name} {request.path}")
+            self.called_incarnations.append(request.upstream_incarnation)
             return self.call_results.pop(0)
 
         return FakeServiceClient(respond)
--- a/trefoilpitch/standins/_engine_handler.py
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -26,6 +26,7 @@
 from trefoilpitch.standins._engine_nodes import Answer, Prompt
 from trefoilpitch.standins._engine_state import (
     EngineState,
+    OtherIncarnationError,
     RefusalError,
 )
 from trefoilpitch.standins._faults import Fault, FaultPlan
@@ -39,6 +40,8 @@
 
 _COMPLETIONS_PATH = "/v1/chat/completions"
 _NOT_RUN = {"Not-Run": "true"}
+_PRECONDITION_FAILED = 412
+_UNAVAILABLE = 503
 _DEFAULT_MAX_TOKENS = 4096
 _MS_PER_S = 1000
 FAULT_KINDS = ("slow_headers", "refuse", "refuse_resume", *STREAM_FAULTS)
@@ -115,11 +118,15 @@
             prefix=prompt_prefix_hash(body.messages[0].content),
             max_tokens=body.max_tokens,
             rank=self._rank(),
+            incarnation=self.headers.get("Upstream-Incarnation", ""),
         )
         try:
             answer = self.state.admit(prompt)
+        except OtherIncarnationError as error:
+            self._refuse(str(error), _PRECONDITION_FAILED)
+            return
         except RefusalError as error:
-            self._refuse(str(error))
+            self._refuse(str(error), _UNAVAILABLE)
             return
         if answer is None:
             type(self).restarts()
@@ -166,10 +173,10 @@
         self.reply_json(error, status=fault.status, headers=headers)
         return True
 
-    def _refuse(self, reason: str) -> None:
+    def _refuse(self, reason: str, status: int) -> None:
         self.state.counts[f"refused_{reason}"] += 1
         headers = {**_NOT_RUN, "Retry-After": "1"}
-        self.reply_json({"error": reason}, status=503, headers=headers)
+        self.reply_json({"error": reason}, status=status, headers=headers)
 
     def _order(self) -> None:
         order = self.read_json(_OrderBody)
--- a/trefoilpitch/standins/_engine_nodes.py
+++ b/trefoilpitch/standins/_engine_nodes.py
@@ -145,3 +145,5 @@
     max_tokens: int
     # Place in the order of service; lower ranks start first.
     rank: int = 0
+    # The only incarnation that is to run it; empty for any.
+    incarnation: str = ""
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -30,6 +30,10 @@
     """The engine refuses a request without running it."""
 
 
+class OtherIncarnationError(RefusalError):
+    """The request is for an incarnation that is gone."""
+
+
 class EngineState:
     """The engine without its HTTP server; safe to use from many threads.
 
@@ -93,6 +97,7 @@
         """
         with self.lock:
             self._update()
+            self._check_incarnation(prompt.incarnation)
             self._check_version(prompt.version)
             load = len(self._active)
             if not self.warm and load >= self.settings.cold_capacity:
@@ -180,6 +185,10 @@
         name = "peak_warm" if self.warm else "peak_cold"
         self.counts[name] = max(self.counts[name], len(self._active))
 
+    def _check_incarnation(self, incarnation: str) -> None:
+        if incarnation not in ("", self._incarnation):
+            raise OtherIncarnationError("other_incarnation")
+
     def _check_version(self, version: str) -> None:
         if version not in self._versions.serving:
             raise RefusalError("version_not_loaded")
--- a/trefoilpitch/upstreams/_http_engine_client.py
+++ b/trefoilpitch/upstreams/_http_engine_client.py
@@ -37,6 +37,7 @@
     encode_order,
 )
 from trefoilpitch.upstreams._replies import (
+    INCARNATION_HEADER,
     REQUEST_ID_HEADER,
     classify_error,
     exchange_whole,
@@ -210,6 +211,8 @@
     }
     if request.affinity:
         headers[_AFFINITY_HEADER] = request.affinity
+    if request.upstream_incarnation:
+        headers[INCARNATION_HEADER] = request.upstream_incarnation
     return headers
 
 
--- a/trefoilpitch/upstreams/_nodes.py
+++ b/trefoilpitch/upstreams/_nodes.py
@@ -48,6 +48,8 @@
     priority: Priority = Priority.STANDARD
     # Requests with equal affinity share cached prompt prefixes.
     affinity: str = ""
+    # The only incarnation of the engine that is to run it; empty for any.
+    upstream_incarnation: str = ""
 
     @property
     def prompt(self) -> str:
@@ -181,6 +183,8 @@
     body: bytes = b""
     # Further headers, such as the content type.
     headers: tuple[tuple[str, str], ...] = ()
+    # The only incarnation of the service that is to run it; empty for any.
+    upstream_incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/upstreams/_replies.py
+++ b/trefoilpitch/upstreams/_replies.py
@@ -40,7 +40,9 @@
         "upgrade",
     }
 )
-_REFUSAL_STATUSES = frozenset({429, 503})
+INCARNATION_HEADER = "Upstream-Incarnation"
+_PRECONDITION_FAILED = 412
+_REFUSAL_STATUSES = frozenset({_PRECONDITION_FAILED, 429, 503})
 # A gateway on the way may send these without knowing what became of a request.
 _INCONCLUSIVE_STATUSES = frozenset({408, 429, 502, 503, 504})
 _FIRST_ERROR_STATUS = 400
--- a/trefoilpitch/upstreams/_service_client.py
+++ b/trefoilpitch/upstreams/_service_client.py
@@ -24,6 +24,7 @@
 )
 from trefoilpitch.upstreams._replies import (
     CONNECTION_HEADERS,
+    INCARNATION_HEADER,
     REQUEST_ID_HEADER,
     exchange_whole,
 )
@@ -32,7 +33,10 @@
 
 DEFAULT_MAX_BODY_BYTES = 4 << 20
 _CONTROL_CONNECTIONS = 1
-_RESERVED_HEADERS = CONNECTION_HEADERS | {REQUEST_ID_HEADER.lower()}
+_RESERVED_HEADERS = CONNECTION_HEADERS | {
+    REQUEST_ID_HEADER.lower(),
+    INCARNATION_HEADER.lower(),
+}
 
 
 class ServiceClient(Protocol):
@@ -178,4 +182,6 @@
         if name.lower() not in _RESERVED_HEADERS
     }
     headers[REQUEST_ID_HEADER] = request.request_id
+    if request.upstream_incarnation:
+        headers[INCARNATION_HEADER] = request.upstream_incarnation
     return headers
--- a/trefoilpitch/upstreams/tests/test_engine_client.py
+++ b/trefoilpitch/upstreams/tests/test_engine_client.py
@@ -1,3 +1,4 @@
+import dataclasses
 import threading
 
 import pytest
@@ -12,6 +13,7 @@
     Cancellation,
     CancelledError,
     Chunk,
+    CompletionRequest,
     ConnectError,
     DeadlineExceededError,
     ErrorReplyError,
@@ -401,6 +403,32 @@
     return reports[0]
 
 
+def test_a_request_for_an_earlier_incarnation_is_not_run() -> None:
+    settings = EngineSettings(cold_capacity=1, warm_after=1, token_ms=0)
+    with engine_bench(settings=settings) as bench:
+        before = bench.client.load_report(deadline_ms=_deadline_ms()).unwrap()
+        request = dataclasses.replace(
+            completion("r1"), upstream_incarnation=before.incarnation
+        )
+        with bench.client.start(request).unwrap() as stream:
+            collect(stream)
+        bench.engine.restart()
+        again = dataclasses.replace(request, request_id="r2")
+        wait_until(lambda: _refusal(bench, again) is not None)
+        assert _refusal(bench, again) is Execution.NOT_RUN
+        ids = [run.request_id for run in bench.engine.state.runs]
+        assert ids == ["r1"]
+
+
+def _refusal(
+    bench: EngineBench, request: CompletionRequest
+) -> Execution | None:
+    started = bench.client.start(request)
+    assert not isinstance(started, Success)
+    error = started.failure()
+    return error.execution if isinstance(error, RefusedError) else None
+
+
 def test_an_engine_overfed_while_cold_drops_everything() -> None:
     settings = EngineSettings(cold_capacity=2, warm_after=1, token_ms=5)
     with engine_bench(settings=settings) as bench:
