Name the account as a change's author where USER is not set

Cause: the README's first bundle, run word for word in a fresh clone on a machine without USER in its environment, ended at sign-off with 'no author was given' (status 2); everything after it failed (21 refusals to curl).

Before: test_the_author_is_who_runs_the_command_unless_named fails for the account's name. After: it passes, 5 cases; 147 tests of the package pass.

--- a/trefoilpitch/cli/_flags.py
+++ b/trefoilpitch/cli/_flags.py
@@ -56,7 +56,11 @@
     FlagSpec(
         "change_id", "", "Identifies the change; give it again to repeat one."
     ),
-    FlagSpec("author", "", "Who asks for the change (default: $USER)."),
+    FlagSpec(
+        "author",
+        "",
+        "Who asks for the change (default: $USER or the account's name).",
+    ),
     FlagSpec(
         "wait", "false", "Wait until the change is in force everywhere.", True
     ),
--- a/trefoilpitch/cli/_settings.py
+++ b/trefoilpitch/cli/_settings.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import dataclasses
+import os
+import pwd
 from collections.abc import Callable, Collection, Mapping
 from typing import TypeVar
 
@@ -84,7 +86,7 @@
         dry_run=reader.read("dry_run", _switch, False),
         expected_revision=reader.read("expected_revision", _whole, None),
         change_id=reader.text("change_id"),
-        author=reader.text("author") or environment.get("USER", ""),
+        author=_author(reader, given, environment),
         wait=reader.read("wait", _switch, False),
         wait_ms=reader.read("wait_ms", _milliseconds, 1),
         allow_unknown=reader.read("allow_unknown", _switch, False),
@@ -96,6 +98,22 @@
     return settings
 
 
+def _author(
+    reader: _Reader, given: Mapping[str, str], environment: Mapping[str, str]
+) -> str:
+    author = reader.text("author")
+    if author or "author" in given:
+        return author
+    return environment.get("USER") or _account_name()
+
+
+def _account_name() -> str:
+    try:
+        return pwd.getpwuid(os.getuid()).pw_name
+    except KeyError:
+        return ""
+
+
 class _Reader:
     """Reads single settings and collects their faults."""
 
--- a/trefoilpitch/cli/tests/test_settings.py
+++ b/trefoilpitch/cli/tests/test_settings.py
@@ -1,3 +1,6 @@
+import os
+import pwd
+
 import pytest
 
 from trefoilpitch.cli._flags import FLAGS
@@ -21,3 +24,22 @@
 ) -> None:
     settings = read_settings({"admin_address": text}, {}, _ALL)
     assert settings.admin_urls == urls
+
+
+_ACCOUNT = pwd.getpwuid(os.getuid()).pw_name
+
+
+@pytest.mark.parametrize(
+    ("given", "environment", "author"),
+    [
+        ({"author": "mere"}, {"USER": "josefa"}, "mere"),
+        ({"author": ""}, {"USER": "josefa"}, ""),
+        ({}, {"TREFOILPITCH_AUTHOR": "litia", "USER": "josefa"}, "litia"),
+        ({}, {"USER": "josefa"}, "josefa"),
+        ({}, {}, _ACCOUNT),
+    ],
+)
+def test_the_author_is_who_runs_the_command_unless_named(
+    given: dict[str, str], environment: dict[str, str], author: str
+) -> None:
+    assert read_settings(given, environment, _ALL).author == author
