Read the ledger in pages, and unite bills in the command

Cause: GET /v1/ledger read every segment that the store holds in one call and united the bills in the daemon, whose budget for control is 64 MB.

Ruled out: summing in the daemon page by page: a request's two bills lie in segments far apart, so whoever sums must hold the ids.

Change: the store reads a prefix in pages (etcd's `limit`), GET /v1/ledger gives the bills of 16 segments (at most 4 MiB as stored) and where to go on, and `trefoilpitch ledger` unites and sums. A daemon whose pages do not go on ends the command with an error.

Before: one read of all segments whatever their number. Segments are still never removed.

--- a/trefoilpitch/administration/__init__.py
+++ b/trefoilpitch/administration/__init__.py
@@ -19,7 +19,7 @@
     DryRunReply,
     HistoryLine,
     HistoryReply,
-    LedgerReply,
+    LedgerPage,
 )
 from trefoilpitch.administration._status import (
     FleetStatus,
@@ -39,7 +39,7 @@
     "FleetStatus",
     "HistoryLine",
     "HistoryReply",
-    "LedgerReply",
+    "LedgerPage",
     "NodeLine",
     "RolloutAdvanceBody",
     "RolloutBackBody",
--- a/trefoilpitch/administration/_api.py
+++ b/trefoilpitch/administration/_api.py
@@ -12,7 +12,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from trefoilpitch.administration._bills import read_bills
+from trefoilpitch.administration._bills import read_ledger_page
 from trefoilpitch.administration._changes import (
     decode_change_body,
     to_change,
@@ -30,7 +30,6 @@
     DryRunReply,
     HistoryLine,
     HistoryReply,
-    LedgerReply,
 )
 from trefoilpitch.administration._status import fleet_status
 from trefoilpitch.administration._vm_names import find_unknown_vm
@@ -44,10 +43,6 @@
     apply_change,
     describe_delta,
 )
-from trefoilpitch.ledger import (
-    total_by_workspace,
-    unite_bills,
-)
 from trefoilpitch.membership import MembershipView
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.store import KeyValueStore
@@ -220,14 +215,11 @@
         return _json_response(HistoryReply(changes=changes))
 
     def _ledger(self, request: Request) -> Response:
-        read = read_bills(self._services.store)
+        after = request.query.get("after", "")
+        read = read_ledger_page(self._services.store, after)
         if not isinstance(read, Success):
             return problem_response(read.failure())
-        bills = unite_bills(read.unwrap())
-        totals = total_by_workspace(bills)
-        if request.query.get("totals_only") == "true":
-            bills = ()
-        return _json_response(LedgerReply(bills=bills, totals=totals))
+        return _json_response(read.unwrap())
 
     def _read_change(self, request: Request) -> Result[_Asked, Problem]:
         decoded = decode_change_body(request.body)
--- a/trefoilpitch/administration/_bills.py
+++ b/trefoilpitch/administration/_bills.py
@@ -1,30 +1,49 @@
-"""Reads the bills that the store holds."""
+"""Reads the bills that the store holds, some segments at a time."""
 
 from __future__ import annotations
 
 from returns.result import Failure, Result, Success
 
 from trefoilpitch.administration._problems import store_problem
+from trefoilpitch.administration._replies import LedgerPage
 from trefoilpitch.ledger import LEDGER_PREFIX, Bill, decode_segment
-from trefoilpitch.store import KeyValueStore
+from trefoilpitch.store import Entry, KeyValueStore
 from trefoilpitch.web import Problem
 
+# A segment has at most 256 KiB, so a page takes some megabytes at most.
+_PAGE_SEGMENTS = 16
 
-def read_bills(store: KeyValueStore) -> Result[list[Bill], Problem]:
-    """Returns the bills of all segments; those of one request not united."""
-    listed = store.list_prefix(LEDGER_PREFIX)
+
+def read_ledger_page(
+    store: KeyValueStore, after: str
+) -> Result[LedgerPage, Problem]:
+    """Returns the bills of the segments after one; not united by request.
+
+    Args:
+        store: Holds the segments.
+        after: The segment after which to begin; empty for the first.
+    """
+    listed = store.list_page(LEDGER_PREFIX, after, _PAGE_SEGMENTS)
     if not isinstance(listed, Success):
         return Failure(store_problem(listed.failure().detail))
+    entries = listed.unwrap().entries
     bills: list[Bill] = []
-    for entry in listed.unwrap().entries:
-        decoded = decode_segment(entry.value)
+    for entry in entries:
+        decoded = _decode(entry)
         if not isinstance(decoded, Success):
-            problem = Problem(
-                status=500,
-                code="damaged-segment",
-                title=f"segment {entry.key} is damaged",
-                detail=str(decoded.failure()),
-            )
-            return Failure(problem)
+            return Failure(decoded.failure())
         bills.extend(decoded.unwrap())
-    return Success(bills)
+    is_last = len(entries) < _PAGE_SEGMENTS
+    following = "" if is_last else entries[-1].key
+    return Success(LedgerPage(bills=tuple(bills), next_after=following))
+
+
+def _decode(entry: Entry) -> Result[tuple[Bill, ...], Problem]:
+    return decode_segment(entry.value).alt(
+        lambda error: Problem(
+            status=500,
+            code="damaged-segment",
+            title=f"segment {entry.key} is damaged",
+            detail=str(error),
+        )
+    )
--- a/trefoilpitch/administration/_replies.py
+++ b/trefoilpitch/administration/_replies.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from trefoilpitch.bundle import Bundle
-from trefoilpitch.ledger import Bill, WorkspaceTotal
+from trefoilpitch.ledger import Bill
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,13 +41,17 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LedgerReply:
-    """The bills that the store holds, one a request."""
+class LedgerPage:
+    """Some of the bills that the store holds.
 
-    # The bills, by request id.
+    Bills of one request may come twice, on one page or on two; see
+    :func:`trefoilpitch.ledger.unite_bills`.
+    """
+
+    # The bills, as they were recorded.
     bills: tuple[Bill, ...]
-    # Sums of the bills, by workspace.
-    totals: tuple[WorkspaceTotal, ...]
+    # What to ask the next page with; empty after the last one.
+    next_after: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/cli/_reports.py
+++ b/trefoilpitch/cli/_reports.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import msgspec
 
-from trefoilpitch.administration import FleetStatus, LedgerReply
+from trefoilpitch.administration import FleetStatus, LedgerPage
 from trefoilpitch.cli._context import Context, decode_reply, fetch
-from trefoilpitch.cli._exceptions import ExitStatus
+from trefoilpitch.cli._exceptions import CommandError, ExitStatus
 from trefoilpitch.cli._output import Table
-from trefoilpitch.ledger import Bill
+from trefoilpitch.ledger import Bill, total_by_workspace, unite_bills
 
 _NANO = 1_000_000_000
 _PERCENT = 100
@@ -61,10 +61,10 @@
 def ledger(context: Context) -> ExitStatus:
     """Shows what each workspace owes, or each request of one workspace."""
     workspace = context.settings.workspace
-    query = "" if workspace else "?totals_only=true"
-    reply = fetch(context, f"/v1/ledger{query}", LedgerReply)
+    united = unite_bills(_recorded_bills(context))
+    totals = total_by_workspace(united)
     bills = sorted(
-        (bill for bill in reply.bills if bill.workspace == workspace),
+        (bill for bill in united if bill.workspace == workspace),
         key=lambda bill: (bill.ended_ms, bill.request_id),
     )
     table = Table(
@@ -75,12 +75,12 @@
                 str(total.requests),
                 format_cost(total.cost_nano),
             )
-            for total in reply.totals
+            for total in totals
         ),
         empty="the store holds no bills yet",
     )
     context.console.show(_bill_table(bills) if workspace else table)
-    context.console.record(bills=bills, totals=reply.totals)
+    context.console.record(bills=bills, totals=totals)
     return ExitStatus.DONE
 
 
@@ -109,6 +109,24 @@
     return f"{whole}.{nano:09d}"
 
 
+def _recorded_bills(context: Context) -> Iterator[Bill]:
+    after = ""
+    while True:
+        query = urllib.parse.urlencode({"after": after})
+        page = fetch(context, f"/v1/ledger?{query}", LedgerPage)
+        yield from page.bills
+        if not page.next_after:
+            return
+        if page.next_after <= after:
+            raise CommandError(
+                ExitStatus.FAILED,
+                f"the ledger's pages do not go on after {after!r}",
+                "Check that the address is a daemon's and its release this "
+                "one.",
+            )
+        after = page.next_after
+
+
 def _describe_force(reply: FleetStatus) -> str:
     if reply.in_force:
         return "in force on every live VM"
--- a/trefoilpitch/standins/_kv_gateway.py
+++ b/trefoilpitch/standins/_kv_gateway.py
@@ -88,6 +88,8 @@
     def _range(self, body: bytes) -> Reply | None:
         request = msgspec.json.decode(body, type=wire.RangeRequest)
         key = request.key.rstrip(b"\x00").decode()
+        if int(request.limit):
+            return _answer(self._page(request), _range_response)
         result = self._store.list_prefix(key)
         if request.range_end:
             return _answer(result, _range_response)
@@ -95,6 +97,14 @@
             result, lambda listing: _range_response(_only(key, listing))
         )
 
+    def _page(self, request: wire.RangeRequest) -> Result[Listing, StoreError]:
+        last = request.range_end[-1] - 1
+        prefix = request.range_end[:-1] + bytes([last])
+        # A zero byte marks the key after which to begin.
+        is_later = request.key.endswith(b"\x00")
+        after = request.key[:-1].decode() if is_later else ""
+        return self._store.list_page(prefix.decode(), after, int(request.limit))
+
     def _txn(self, body: bytes) -> Reply | None:
         request = msgspec.json.decode(body, type=wire.TxnRequest)
         compare = request.compare[0]
--- a/trefoilpitch/store/_etcd.py
+++ b/trefoilpitch/store/_etcd.py
@@ -63,6 +63,16 @@
         request = wire.RangeRequest(key=first, range_end=end)
         return self._range(request).map(replies.listing_of)
 
+    def list_page(
+        self, prefix: str, after: str, limit: int
+    ) -> Result[Listing, StoreError]:
+        """Reads some of the keys that start with a prefix."""
+        first, end = wire.range_of(prefix)
+        if after:
+            first = after.encode() + b"\x00"
+        request = wire.RangeRequest(key=first, range_end=end, limit=str(limit))
+        return self._range(request).map(replies.listing_of)
+
     def put_if(
         self,
         key: str,
--- a/trefoilpitch/store/_history.py
+++ b/trefoilpitch/store/_history.py
@@ -73,6 +73,18 @@
         entries = tuple(state[key] for key in keys)
         return Listing(entries=entries, revision=revision)
 
+    def list_page(
+        self,
+        prefix: str,
+        after: str,
+        limit: int,
+        revision: int | None = None,
+    ) -> Listing:
+        """Returns some of what a prefix held, in the order of the keys."""
+        listing = self.list_prefix(prefix, revision)
+        later = [entry for entry in listing.entries if entry.key > after]
+        return Listing(entries=tuple(later[:limit]), revision=listing.revision)
+
     def keys_of_lease(self, lease_id: int) -> list[str]:
         """Returns the keys that go with a lease."""
         return [
--- a/trefoilpitch/store/_memory.py
+++ b/trefoilpitch/store/_memory.py
@@ -142,6 +142,16 @@
             )
         )
 
+    def list_page(
+        self, prefix: str, after: str, limit: int
+    ) -> Result[Listing, StoreError]:
+        """Reads some of the keys that start with a prefix."""
+        return self._read(
+            lambda: self._state.history.list_page(
+                prefix, after, limit, self._read_revision()
+            )
+        )
+
     def put_if(
         self,
         key: str,
--- a/trefoilpitch/store/_protocols.py
+++ b/trefoilpitch/store/_protocols.py
@@ -63,6 +63,17 @@
     def list_prefix(self, prefix: str) -> Result[Listing, StoreError]:
         """Reads every key that starts with a prefix at one revision."""
 
+    def list_page(
+        self, prefix: str, after: str, limit: int
+    ) -> Result[Listing, StoreError]:
+        """Reads some of the keys that start with a prefix.
+
+        Args:
+            prefix: What the keys start with.
+            after: The key after which to begin; empty for the first.
+            limit: The most entries to read; fewer means that no more follow.
+        """
+
     def put_if(
         self,
         key: str,
--- a/trefoilpitch/store/_wire.py
+++ b/trefoilpitch/store/_wire.py
@@ -34,6 +34,8 @@
 
     key: bytes
     range_end: bytes = b""
+    # The most keys to read; 0 for all.
+    limit: str = "0"
 
 
 class RangeResponse(msgspec.Struct, kw_only=True, omit_defaults=True):
--- a/trefoilpitch/store/tests/test_contract.py
+++ b/trefoilpitch/store/tests/test_contract.py
@@ -75,6 +75,22 @@
     return events
 
 
+def test_a_prefix_is_read_in_pages(subject: _Subject) -> None:
+    store = subject.store
+    keys = [f"p/{number}" for number in range(5)]
+    for key in [*keys, "o", "q/1"]:
+        store.put_if(key, key.encode(), ABSENT).unwrap()
+    pages: list[list[str]] = []
+    after = ""
+    while True:
+        listing = store.list_page("p/", after, 2).unwrap()
+        pages.append([entry.key for entry in listing.entries])
+        if len(listing.entries) < 2:
+            break
+        after = listing.entries[-1].key
+    assert pages == [keys[:2], keys[2:4], keys[4:]]
+
+
 def test_only_one_of_two_racing_writers_wins(subject: _Subject) -> None:
     store = subject.store
     first = store.put_if("a", b"1", ABSENT).unwrap()
