Keep the credit of work that was left until a report shows its end

Cause: an engine goes on with an answer for a grace period when the connection ends, and to its end if another node takes the answer up (AnswerStream, and `hold_ms` of the stand-in). A slot gave its cold start credit back as soon as it was closed, whatever had become of the work, so the gatekeeper granted it again: a cold engine that bears 1 ran 2. This is one of two causes of the stateful test's open finding, traced as: an answer streams from a cold engine, its reader takes it up at another node, others ask; `engine-c` ran 2 and bore 1.

Ruled out: invitations, and reports that show inherited work (the second run began on a credit of the present tenure); retries; a second run begun by the resumption itself (`resume` never starts one).

Change: a slot says whether its work may run on, that is unless it succeeded or its failure proves that it ran to its end or never. The holder keeps such credits and goes on naming them, until a report asked for `report_lag_ms` later shows fewer pieces of work, or until none has shown it for the longest work. No message changes.

Seen red before: test_work_that_was_left_and_ended_makes_room (3 running, bears 2). Three scenarios with a defect each in test_defects.py, and the state machine in test_overload.py abandons work as well. After: `pytest trefoilpitch/coldstart trefoilpitch/serving` passes.

--- a/trefoilpitch/coldstart/_account.py
+++ b/trefoilpitch/coldstart/_account.py
@@ -21,6 +21,18 @@
     expires_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeftWork:
+    """Work that nobody here waits for any more, and that may run on."""
+
+    # The credit that it uses up.
+    ref: CreditRef
+    # When it was left.
+    left_ms: int
+    # When it can't be running any more.
+    release_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PendingRequest:
     """A request for credits that was not answered yet."""
@@ -43,6 +55,8 @@
     unused: tuple[HeldCredit, ...] = ()
     # Credits whose work is running.
     running: frozenset[CreditRef] = frozenset()
+    # Work that was left and that no report shows to have ended, oldest first.
+    left: tuple[LeftWork, ...] = ()
     # The request under way.
     pending: PendingRequest | None = None
     # The latest request sent.
@@ -81,10 +95,56 @@
     return dataclasses.replace(account, running=account.running - {credit})
 
 
+def leave_work(
+    account: Account,
+    credit: CreditRef,
+    now_ms: int,
+    settings: ColdStartSettings,
+) -> Account:
+    """Notes that a credit's work may run on although nobody waits for it."""
+    left = LeftWork(
+        ref=credit,
+        left_ms=now_ms,
+        release_ms=now_ms + settings.max_work_ms,
+    )
+    account = end_work(account, credit)
+    return dataclasses.replace(account, left=(*account.left, left))
+
+
+def release_left(
+    account: Account, running: int, as_of_ms: int, settings: ColdStartSettings
+) -> tuple[Account, tuple[CreditRef, ...]]:
+    """Releases work that was left and that a report shows to have ended.
+
+    A report doesn't tell whose work it shows: all of it may be what was left.
+
+    Args:
+        account: The account before.
+        running: Pieces of work that the upstream runs.
+        as_of_ms: When the report was asked for.
+        settings: Intervals and limits.
+
+    Returns:
+        The account after, and the credits that were released.
+    """
+    seen_ms = as_of_ms - settings.report_lag_ms
+    seen = tuple(work for work in account.left if work.left_ms <= seen_ms)
+    unseen = account.left[len(seen) :]
+    ended = seen[: max(len(seen) - running, 0)]
+    # Long work goes on: what a report still shows is not released.
+    release_ms = as_of_ms + settings.max_work_ms
+    kept = tuple(
+        dataclasses.replace(work, release_ms=max(work.release_ms, release_ms))
+        for work in seen[len(ended) :]
+    )
+    account = dataclasses.replace(account, left=kept + unseen)
+    return account, tuple(work.ref for work in ended)
+
+
 def expire(
     account: Account, now_ms: int, settings: ColdStartSettings
 ) -> Account:
-    """Drops credits and a request that are too old."""
+    """Drops credits, left work and a request that are too old."""
     pending = account.pending
     if pending is not None and (
         now_ms >= pending.sent_ms + settings.validity_ms
@@ -94,13 +154,15 @@
         account,
         pending=pending,
         unused=tuple(c for c in account.unused if now_ms < c.expires_ms),
+        left=tuple(w for w in account.left if now_ms < w.release_ms),
     )
 
 
 def held_refs(account: Account) -> tuple[CreditRef, ...]:
-    """Returns the credits that are running or may still be used."""
+    """Returns the credits that may be running or may still be used."""
     unused = tuple(credit.ref for credit in account.unused)
-    return unused + tuple(account.running)
+    left = tuple(work.ref for work in account.left)
+    return unused + tuple(account.running) + left
 
 
 def settled_sequence(account: Account) -> int:
--- a/trefoilpitch/coldstart/_events.py
+++ b/trefoilpitch/coldstart/_events.py
@@ -151,6 +151,9 @@
     outcome: WorkOutcome
     # Time to the first token or answer, comparable between pieces of work.
     latency_ms: int | None = None
+    # Whether it may run on: an upstream goes on for a while when the connection
+    # ends, and longer if somebody else takes the answer up.
+    may_run: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/coldstart/_holder.py
+++ b/trefoilpitch/coldstart/_holder.py
@@ -11,6 +11,8 @@
     PendingRequest,
     end_work,
     expire,
+    leave_work,
+    release_left,
     take_usable,
 )
 from trefoilpitch.coldstart._events import (
@@ -146,7 +148,7 @@
     accounts = {
         name: account
         for name, account in state.accounts.items()
-        if name in by_name or account.running
+        if name in by_name or account.running or account.left
     }
     return dataclasses.replace(state, upstreams=by_name, accounts=accounts)
 
@@ -163,7 +165,14 @@
         settings=state.settings,
     )
     account = dataclasses.replace(account, warmth=warmth)
-    return with_account(state, event.upstream, account), ()
+    account, ended = release_left(
+        account, event.running, event.as_of_ms, state.settings
+    )
+    state = with_account(state, event.upstream, account)
+    returns: list[HolderMessage] = [
+        CreditReturn(event.upstream, ref, is_success=False) for ref in ended
+    ]
+    return state, to_gatekeeper(state, event.upstream, returns)
 
 
 def _hear_gatekeeper(
@@ -238,7 +247,9 @@
     before = account.warmth
     messages: list[HolderMessage] = []
     credit = event.admission.credit
-    if credit is not None:
+    if credit is not None and event.may_run:
+        account = leave_work(account, credit, now_ms, settings)
+    elif credit is not None:
         account = end_work(account, credit)
         is_success = event.outcome is WorkOutcome.SUCCEEDED
         messages.append(CreditReturn(name, credit, is_success))
--- a/trefoilpitch/coldstart/_summary.py
+++ b/trefoilpitch/coldstart/_summary.py
@@ -56,7 +56,7 @@
     waiting: int
     # Credits not used yet.
     unused: int
-    # Credits whose work is running.
+    # Credits whose work is running, or may run on after it was left.
     running: int
 
 
@@ -86,7 +86,7 @@
             is_cold=is_cold(state, name, now_ms),
             waiting=account.waiting,
             unused=len(account.unused),
-            running=len(account.running),
+            running=len(account.running) + len(account.left),
         )
         for name, account in sorted(state.accounts.items())
     )
--- a/trefoilpitch/coldstart/tests/test_defects.py
+++ b/trefoilpitch/coldstart/tests/test_defects.py
@@ -320,6 +320,48 @@
     return world
 
 
+def callers_leave() -> World:
+    """Work runs on although nobody waits for it any more."""
+    world = create_world()
+    _, second, third, _ = ranking()
+    world.want(second, 8)
+    world.run(200)
+    world.processes[second].waiting = 0
+    world.abandon_work(second)
+    world.want(third, 8)
+    world.run(1_000)
+    return world
+
+
+def callers_leave_at_once() -> World:
+    """Callers leave so soon that reports don't show their work yet."""
+    world = create_world()
+    _, second, third, _ = ranking()
+    world.want(second, 8)
+    while not world.engine.running:
+        world.run(20)
+    world.processes[second].waiting = 0
+    world.abandon_work(second)
+    world.want(third, 8)
+    world.run(1_000)
+    return world
+
+
+def callers_leave_long_work() -> World:
+    """Work that was left runs for longer than work may run unheard."""
+    world = create_world()
+    world.durations_ms = (3 * SETTINGS.max_work_ms,)
+    _, second, third, _ = ranking()
+    world.want(second, 8)
+    world.run(200)
+    world.processes[second].waiting = 0
+    world.abandon_work(second)
+    world.run(SETTINGS.release_ms + 600)
+    world.want(third, 8)
+    world.run(400)
+    return world
+
+
 TAKEOVER = Defect(
     _ledger, "begin_tenure", "now_ms + settings.takeover_ms", "now_ms"
 )
@@ -382,6 +424,16 @@
 HANDED_OVER_RELEASED = Defect(
     _ledger, "take_over", "now_ms + settings.release_ms", "now_ms"
 )
+LEFT_RELEASED = Defect(_holder, "_end_work", "event.may_run", "False")
+LEFT_SEEN_TOO_SOON = Defect(
+    _account, "release_left", "work.left_ms <= seen_ms", "True"
+)
+LEFT_NOT_RENEWED = Defect(
+    _account,
+    "release_left",
+    "max(work.release_ms, release_ms)",
+    "work.release_ms",
+)
 
 CASES: list[tuple[Callable[[], World], Defect]] = [
     (crash_with_grant_under_way, TAKEOVER),
@@ -398,6 +450,9 @@
     (gatekeeper_crashes_under_load, INHERITED_IGNORED),
     (leaves_under_load, HANDED_OVER_IGNORED),
     (leaves_with_credits_held, HANDED_OVER_RELEASED),
+    (callers_leave, LEFT_RELEASED),
+    (callers_leave_at_once, LEFT_SEEN_TOO_SOON),
+    (callers_leave_long_work, LEFT_NOT_RENEWED),
 ]
 
 
--- a/trefoilpitch/coldstart/tests/test_overload.py
+++ b/trefoilpitch/coldstart/tests/test_overload.py
@@ -12,6 +12,7 @@
 from trefoilpitch.coldstart import is_acting
 from trefoilpitch.coldstart.tests.world import (
     SETTINGS,
+    UPSTREAM,
     WARM_SUCCESSES,
     World,
 )
@@ -54,6 +55,11 @@
         if name in self.world.processes:
             self.world.leave(name)
 
+    @rule(name=VM)
+    def abandon_work(self, name: str) -> None:
+        if name in self.world.processes:
+            self.world.abandon_work(name)
+
     @rule(name=VM, for_ms=TIME_MS, is_noticed=st.booleans())
     def pause(self, name: str, for_ms: int, is_noticed: bool) -> None:
         if name in self.world.processes:
@@ -109,6 +115,20 @@
     assert [p.waiting for p in world.processes.values()] == [0, 0, 0, 0]
 
 
+def test_work_that_was_left_and_ended_makes_room() -> None:
+    world = World(seed=3)
+    world.durations_ms = (200,)
+    world.run(3_000)
+    first, second, *_ = world.names()
+    world.want(first, 2)
+    world.run(200)
+    world.abandon_work(first)
+    world.want(second, 2)
+    world.run(200 + SETTINGS.report_lag_ms + 1_000)
+    assert world.engine.successes >= UPSTREAM.cold_capacity + 2
+    assert not world.processes[second].waiting
+
+
 def test_planned_change_of_the_gatekeeper_leaves_no_long_gap() -> None:
     world = World(seed=3)
     world.durations_ms = (200,)
--- a/trefoilpitch/coldstart/tests/world.py
+++ b/trefoilpitch/coldstart/tests/world.py
@@ -79,6 +79,8 @@
     sender: Any
     admission: Admission
     end_ms: int
+    # Whether its sender has stopped to wait for it.
+    is_abandoned: bool = False
 
 
 class Engine:
@@ -269,6 +271,14 @@
         for work in self.engine.restart(self.now_ms, down_ms):
             self._end(work, WorkOutcome.FAILED)
 
+    def abandon_work(self, name: str) -> None:
+        """A process stops to wait for its work, which runs on."""
+        process = self.processes[name]
+        for work in self.engine.running:
+            if work.sender is process and not work.is_abandoned:
+                self._end(work, WorkOutcome.FAILED, may_run=True)
+                work.is_abandoned = True
+
     def want(self, name: str, count: int) -> None:
         self.processes[name].waiting += count
 
@@ -386,8 +396,14 @@
             self.engine.successes += 1
             self._end(work, WorkOutcome.SUCCEEDED)
 
-    def _end(self, work: Work, outcome: WorkOutcome) -> None:
-        event = WorkEnded(admission=work.admission, outcome=outcome)
+    def _end(
+        self, work: Work, outcome: WorkOutcome, *, may_run: bool = False
+    ) -> None:
+        if work.is_abandoned:
+            return
+        event = WorkEnded(
+            admission=work.admission, outcome=outcome, may_run=may_run
+        )
         work.sender.when_awake(
             functools.partial(work.sender.host.handle, event)
         )
--- a/trefoilpitch/daemon/_cold_starts.py
+++ b/trefoilpitch/daemon/_cold_starts.py
@@ -76,12 +76,16 @@
         admission: Admission,
         outcome: WorkOutcome,
         latency_ms: int | None,
+        may_run: bool,
     ) -> None:
         """Records how a request that was admitted ended."""
         if latency_ms is not None:
             latency_ms = max(latency_ms, LATENCY_FLOOR_MS)
         event = WorkEnded(
-            admission=admission, outcome=outcome, latency_ms=latency_ms
+            admission=admission,
+            outcome=outcome,
+            latency_ms=latency_ms,
+            may_run=may_run,
         )
         with self._lock:
             self._host.handle(event)
@@ -129,7 +133,7 @@
     def note_unreachable(self, upstream: str) -> None:
         """Takes in that an upstream accepts no connection: it may restart."""
         admission = Admission(upstream=upstream, kind=AdmissionKind.WARM)
-        self.ended(admission, WorkOutcome.UNREACHABLE, None)
+        self.ended(admission, WorkOutcome.UNREACHABLE, None, False)
 
     def _tell_demand(self, upstream: str) -> None:
         waiting = self._waiting[upstream]
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -64,8 +64,16 @@
         admission: Admission,
         outcome: WorkOutcome,
         latency_ms: int | None,
+        may_run: bool,
     ) -> None:
-        """Records how a request that was admitted ended."""
+        """Records how a request that was admitted ended.
+
+        Args:
+            admission: What it was admitted with.
+            outcome: How it ended here.
+            latency_ms: Time to its first part; None if none came.
+            may_run: Whether the upstream may go on with it.
+        """
 
     def demand(self, upstream: str, change: int) -> None:
         """Changes the number of requests that wait for an upstream."""
@@ -127,6 +135,8 @@
     outcome: WorkOutcome
     # Time to its first part; None if none came.
     latency_ms: int | None
+    # Whether the upstream may go on with it.
+    may_run: bool
     # What ran.
     target: Target
     # How long it ran.
@@ -156,6 +166,8 @@
         self._started_ms = clock.now_ms()
         self._outcome = WorkOutcome.FAILED
         self._latency_ms: int | None = None
+        # An upstream goes on for a while with what is left before its end.
+        self._may_run = True
         self._is_open = True
 
     @property
@@ -194,9 +206,11 @@
         """Records that the upstream gave a whole answer."""
         self.note_first_part()
         self._outcome = WorkOutcome.SUCCEEDED
+        self._may_run = False
 
     def fail(self, error: UpstreamError) -> None:
         """Records how the upstream failed."""
+        self._may_run = error.execution is Execution.UNKNOWN
         if isinstance(error, RefusedError | OverloadedError):
             self._outcome = WorkOutcome.REFUSED
         elif isinstance(error, ConnectError | IncompleteReplyError):
@@ -226,6 +240,7 @@
             admission=self._admission,
             outcome=self._outcome,
             latency_ms=self._latency_ms,
+            may_run=self._may_run,
             target=self._target,
             run_ms=self._clock.now_ms() - self._started_ms,
         )
@@ -442,7 +457,7 @@
             followed.in_flight -= 1
             is_last = followed.is_dropped and followed.in_flight == 0
         self._cold_starts.ended(
-            ended.admission, ended.outcome, ended.latency_ms
+            ended.admission, ended.outcome, ended.latency_ms, ended.may_run
         )
         if is_last:
             _close(followed)
--- a/trefoilpitch/serving/tests/test_chat.py
+++ b/trefoilpitch/serving/tests/test_chat.py
@@ -8,7 +8,9 @@
     Chunk,
     ConnectError,
     IncompleteReplyError,
+    OverloadedError,
     RefusedError,
+    UpstreamError,
 )
 from trefoilpitch.web import Outcome
 
@@ -119,6 +121,35 @@
     assert world.directory.in_flight() == 0
 
 
+def test_an_answer_that_its_caller_left_may_run_on() -> None:
+    world = World()
+    _script(world, *answer("", confidence=0.0))
+    _script(world, *answer("one", "two"))
+    given = world.ask().unwrap()
+    next(iter(given))
+    given.close()
+    assert world.gates.may_run == [False, True]
+
+
+@pytest.mark.parametrize(
+    ("error", "may_run"),
+    [
+        (ConnectError, False),
+        (RefusedError, False),
+        (IncompleteReplyError, True),
+        (OverloadedError, True),
+    ],
+)
+def test_only_work_that_is_known_to_have_ended_makes_room(
+    error: type[UpstreamError], may_run: bool
+) -> None:
+    world = World()
+    for _ in range(4):
+        _script(world, error("engine", "no"))
+    world.ask().failure()
+    assert set(world.gates.may_run) == {may_run}
+
+
 def test_a_cold_engine_gets_no_work_without_credit() -> None:
     world = World()
     world.gates.cold = {"engine-a", "engine-b"}
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -183,6 +183,7 @@
     def __init__(self) -> None:
         self.cold: set[str] = set()
         self.demanded: list[str] = []
+        self.may_run: list[bool] = []
         self.invited: set[str] = set()
 
     def allowance(self, upstream: str) -> int | None:
@@ -199,8 +200,10 @@
         admission: Admission,
         outcome: WorkOutcome,
         latency_ms: int | None,
+        may_run: bool,
     ) -> None:
         del admission, outcome, latency_ms
+        self.may_run.append(may_run)
 
     def demand(self, upstream: str, change: int) -> None:
         if change > 0:
