Claim nothing of a resumption that is refused

Cause: a node that is not ready refuses before it looks at the request and says `not_run`. Only requests with an idempotency key were exempt, but a request with `Last-Event-ID` resumes an answer that did run.

Change: such refusals say `unknown`.

--- a/trefoilpitch/callers/_api.py
+++ b/trefoilpitch/callers/_api.py
@@ -330,13 +330,14 @@
     def _refuse_repeatable(
         self, request: Request, problem: Problem
     ) -> Response:
-        """Refuses a request whose key may have been used before.
+        """Refuses a request that may have been sent before.
 
-        What is refused now may have run when it was first sent, so nothing
-        is claimed about it.
+        What is refused now may have run when it was first sent, and what is
+        to be resumed did, so nothing is claimed about it.
         """
         is_claim = problem.outcome is Outcome.NOT_RUN
-        if is_claim and request.header("idempotency-key"):
+        repeats = ("idempotency-key", "last-event-id")
+        if is_claim and any(map(request.header, repeats)):
             problem = dataclasses.replace(problem, outcome=Outcome.UNKNOWN)
         return self._refuse(problem)
 
