--- a/tools/defects.py
+++ b/tools/defects.py
@@ -27,8 +27,6 @@
     STATEMENTS,
     ViolationError,
 )
-from trefoilpitch.requests import Admission as KeyAdmission
-from trefoilpitch.requests import Verdict
 from trefoilpitch.routing import _table
 from trefoilpitch.serving import _chat, _directory, _runs
 from trefoilpitch.web import Outcome
@@ -107,11 +105,6 @@
     mock.patch.object(_runs.LiveRun, "_checked", repeated).start()
 
 
-def _run_every_key(*args: Any) -> Any:
-    del args
-    return KeyAdmission(Verdict.RUN)
-
-
 def _admit_all(self: Any, upstream: str) -> Admission:
     del self
     return Admission(upstream=upstream, kind=AdmissionKind.WARM)
@@ -133,9 +126,28 @@
     return available
 
 
-def _no_history(self: Any, call: Any, issued_ms: int, execute: Any) -> Any:
-    del self, call, issued_ms
-    return execute()
+def _run_repeats() -> None:
+    run_here = _keyed_calls.KeyedCalls._run_here
+
+    def run_again(
+        self: Any, call: Any, issued_ms: int, execute: Callable[[], Any]
+    ) -> Any:
+        runs = []
+
+        def first() -> Any:
+            runs.append(call)
+            return execute()
+
+        result = run_here(self, call, issued_ms, first)
+        # A refused repeat would break another statement, claiming not to have
+        # run what ran before.
+        return result if runs else execute().alt(_claim_nothing)
+
+    mock.patch.object(_keyed_calls.KeyedCalls, "_run_here", run_again).start()
+
+
+def _claim_nothing(problem: Any) -> Any:
+    return dataclasses.replace(problem, outcome=Outcome.UNKNOWN)
 
 
 # A defect for each statement, in the oracle's order.
@@ -154,9 +166,7 @@
     "not_run claimed of repeats": _replaced(
         _api.CallerApi, "_refuse_repeatable", _claim_not_run
     ),
-    "key history ignored": _replaced(
-        _keyed_calls.KeyedCalls, "_run_here", _no_history
-    ),
+    "key history ignored": _run_repeats,
     "leaving upstreams ignored": _hide_leaving,
     "shutdown does not wait": _replaced(
         _draining.Draining, "may_close", lambda self: True
