Keep a line end whole when no bytes come between its two

Cause: SseDecoder.feed(b"") between the CR and the LF of a line end forgot that the LF was still to be skipped, and took it for an empty line, which dispatched the event early. test_where_the_bytes_are_cut_makes_no_difference drew such a cut (b'data\r\n' cut at 173, 173) and failed on an unchanged tree.

Ruled out: a fault that callers could meet; Exchange.read yields no empty bytes, so the decoder is never fed any.

Change: feeding no bytes changes nothing.

--- a/trefoilpitch/upstreams/_sse.py
+++ b/trefoilpitch/upstreams/_sse.py
@@ -59,7 +59,10 @@
         Raises:
             SseFormatError: If a line is not UTF-8 or an event is too large.
         """
-        if self._skip_line_feed and data:
+        if not data:
+            # What the last byte was still counts.
+            return []
+        if self._skip_line_feed:
             data = data.removeprefix(b"\n")
             self._skip_line_feed = False
         self._buffer += data
