Tell requests at once when their caller's connection has closed

Cause: nothing above the HTTP server could know that a caller had gone before a part of an answer was sent to it. The server itself knows: with channel_request_lookahead=1 it reads on while a request runs, and closes the channel when the connection ends or breaks.

Ruled out: asking waitress.client_disconnected from time to time, which needs a thread that is not waiting, and a period; watching the sockets in a thread of our own, beside the server's poll.

Change: a channel class that tells a Departure when it closes, and a task class that puts it into the WSGI environment; Request.departure.watch calls a listener while a request is handled, from the server's thread. Requests on one connection follow each other, so each watches for its own time.

Bound: none of time; the closing is seen by the server's next poll. It is not seen while a further request is already buffered on the connection, or while a part of a response is unsent.

Before: python -m pytest trefoilpitch/web: 2 failed (the listener was never called). After: 2 passed, three times over; red again with the call of happen() taken out. Nothing uses it yet.

--- a/trefoilpitch/web/_server.py
+++ b/trefoilpitch/web/_server.py
@@ -10,6 +10,7 @@
 
 import waitress.server
 
+from trefoilpitch.web._channel import Channel
 from trefoilpitch.web._wsgi import WsgiApp
 
 _NEVER_TO_DISK_BYTES = 1 << 40
@@ -73,6 +74,8 @@
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
+        # Connections are accepted only once the server runs.
+        self._server.channel_class = Channel
         self._close_patience_ms = _CLOSE_PATIENCE_MS
         self._thread = threading.Thread(
             target=self._server.run, name=name, daemon=True
--- a/trefoilpitch/web/_wsgi.py
+++ b/trefoilpitch/web/_wsgi.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
+from trefoilpitch.web._departure import Departure
 from trefoilpitch.web._problems import (
     PROBLEM_TYPE,
     Problem,
@@ -15,6 +16,8 @@
 )
 
 JSON_TYPE = "application/json"
+# Where the HTTP server puts what tells of the caller's leaving.
+DEPARTURE_KEY = "trefoilpitch.departure"
 _BEARER = "bearer "
 
 
@@ -42,6 +45,10 @@
     headers: Mapping[str, str]
     # The whole body.
     body: bytes
+    # Tells when the caller has gone.
+    departure: Departure = dataclasses.field(
+        default_factory=Departure, compare=False, repr=False
+    )
 
     def header(self, name: str) -> str:
         """Returns a header's value, or the empty string."""
@@ -116,7 +123,7 @@
         body = response.body
         if isinstance(body, bytes):
             fields.append(("Content-Length", str(len(body))))
-        start_response(_status_line(response.status), fields)
+        start_response(status_line(response.status), fields)
         return [body] if isinstance(body, bytes) else body
 
     return application
@@ -132,6 +139,7 @@
         query=dict(query),
         headers=_read_headers(environ),
         body=environ["wsgi.input"].read(),
+        departure=environ.get(DEPARTURE_KEY) or Departure(),
     )
 
 
@@ -145,7 +153,8 @@
     return headers
 
 
-def _status_line(status: int) -> str:
+def status_line(status: int) -> str:
+    """Returns a status with its usual phrase."""
     try:
         phrase = http.HTTPStatus(status).phrase
     except ValueError:
