End a request whose caller leaves before its answer

Cause: serving passed no Cancellation to the clients of upstreams, so that a request whose caller had left before the first part, or while it waited for a whole answer, waited, ran to its end and was billed as whole.

Ruled out: cancelling what may have its effect only once. A call that is not idempotent is never given up once it may have been sent, so that its home learns its outcome; one whose key is registered in the store not before either, since a repeat would be refused (key-expired, unknown) when the first use came to nothing. A repeat that has joined a dropped call runs in its stead. Streams that have begun end as before, when the next part cannot be sent, and can be resumed.

Change: CallerApi makes a Cancellation for each request and cancels it when the caller departs. A wait for a place attaches itself, so that it ends at once; engines and idempotent calls get the Cancellation, also for a resumption; the dispatcher starts no further try and pays for none. The end is the refusal caller-gone, counted by outcome. What ran is billed once as not whole with the tokens that came and the earlier steps of the cascade; neither the upstream nor the version counts as failed. FakeServiceClient ends calls that are cancelled.

Not noticed: by a VM that handed a keyed call to its home, by a repeat that waits for the first run, and while another request is buffered on the connection.

--- a/tests/endtoend/requests.py
+++ b/tests/endtoend/requests.py
@@ -39,6 +39,10 @@
         self._connection.close()
         return received
 
+    def leave(self) -> None:
+        """Closes the connection without waiting for the reply."""
+        self._connection.close()
+
 
 def connect(address: str) -> socket.socket:
     """Returns a connection on which nothing has been sent."""
--- a/tests/endtoend/test_callers.py
+++ b/tests/endtoend/test_callers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.endtoend.fleet import DOMAINS, Fleet
-from tests.endtoend.requests import connect
+from tests.endtoend.requests import PendingRequest, connect
 from tests.endtoend.streams import Stream
 from tools.processes import wait_until
 
@@ -109,6 +109,27 @@
     assert not bill["is_whole"]
 
 
+def test_caller_that_leaves_before_its_whole_answer_ends_the_run(
+    fleet: Fleet,
+) -> None:
+    known = {run["request_id"] for run in fleet.runs()}
+    fleet.set_engines(token_ms=500, hold_ms=200)
+    try:
+        before = _cancelled(fleet)
+        pending = PendingRequest(fleet.caller("b"), "tape 31")
+        wait_until(lambda: len(fleet.runs()) > len(known), "a run")
+        assert _cancelled(fleet) == before
+        pending.leave()
+        wait_until(lambda: _cancelled(fleet) == before + 1, "a cancelled run")
+        fleet.wait_until_idle()
+    finally:
+        fleet.set_engines(token_ms=1.0, hold_ms=_HOLD_MS)
+    (begun,) = {run["request_id"] for run in fleet.runs()} - known
+    (bill,) = fleet.wait_for_bills({begun.rpartition(":")[0]})
+    assert not bill["is_whole"]
+    assert fleet.dump("b")["in_flight"] == 0
+
+
 def _cancelled(fleet: Fleet) -> int:
     # Asking for the load makes an engine look after its answers.
     for letter in DOMAINS:
--- a/trefoilpitch/callers/_api.py
+++ b/trefoilpitch/callers/_api.py
@@ -29,6 +29,7 @@
 from trefoilpitch.callers._streams import StreamBody
 from trefoilpitch.clock import Clock
 from trefoilpitch.identity import (
+    ForeignKey,
     RequestKey,
     Session,
     TokenSigner,
@@ -51,6 +52,7 @@
     ResumeFlow,
     WorkGate,
 )
+from trefoilpitch.upstreams import Cancellation
 from trefoilpitch.web import (
     Header,
     Outcome,
@@ -121,11 +123,15 @@
         authenticated = self._authenticate(request)
         if not isinstance(authenticated, Success):
             return self._refuse_repeatable(request, authenticated.failure())
-        return handler(request, authenticated.unwrap())
+        cancellation = Cancellation()
+        # A stream is watched until its first part is there: from then on
+        # sending fails once its caller has gone.
+        with request.departure.watch(cancellation.cancel):
+            return handler(request, authenticated.unwrap(), cancellation)
 
     def _handler(
         self, request: Request
-    ) -> Callable[[Request, Workspace], Response] | None:
+    ) -> Callable[[Request, Workspace, Cancellation], Response] | None:
         if request.path == CHAT_PATH and request.method == "POST":
             return self._chat
         if request.path.startswith(SERVICES_PREFIX):
@@ -152,10 +158,15 @@
             )
         )
 
-    def _chat(self, request: Request, workspace: Workspace) -> Response:
+    def _chat(
+        self,
+        request: Request,
+        workspace: Workspace,
+        cancellation: Cancellation,
+    ) -> Response:
         started_ms = self._services.clock.now_ms()
         if request.header("last-event-id"):
-            answer = self._resume(request, workspace)
+            answer = self._resume(request, workspace, cancellation)
             is_stream = True
         else:
             decoded = self._chat_request(request, workspace)
@@ -163,21 +174,26 @@
                 return self._refuse_repeatable(request, decoded.failure())
             chat = decoded.unwrap()
             is_stream = chat.stream
-            answer = self._begin(chat)
+            answer = self._begin(chat, cancellation)
         if not isinstance(answer, Success):
             return self._refuse_repeatable(request, answer.failure())
         if is_stream:
             return self._stream(answer.unwrap(), started_ms)
         return self._whole(answer.unwrap(), started_ms)
 
-    def _begin(self, chat: ChatRequest) -> Result[ChatAnswer, Problem]:
+    def _begin(
+        self, chat: ChatRequest, cancellation: Cancellation
+    ) -> Result[ChatAnswer, Problem]:
         refusal = self._services.gate.refusal(chat.request_id)
         if refusal is not None:
             return Failure(refusal)
-        return self._services.chat.answer(chat)
+        return self._services.chat.answer(chat, cancellation)
 
     def _resume(
-        self, request: Request, workspace: Workspace
+        self,
+        request: Request,
+        workspace: Workspace,
+        cancellation: Cancellation,
     ) -> Result[ChatAnswer, Problem]:
         event_id = request.header("last-event-id")
         token, _, index = event_id.rpartition(EVENT_ID_SEPARATOR)
@@ -188,7 +204,9 @@
         if point.unwrap().workspace != workspace.name:
             title = "Last-Event-ID belongs to another workspace"
             return Failure(bad_request("bad-event-id", title))
-        return self._services.resumption.resume(point.unwrap(), int(index))
+        return self._services.resumption.resume(
+            point.unwrap(), int(index), cancellation
+        )
 
     def _chat_request(
         self, request: Request, workspace: Workspace
@@ -294,7 +312,12 @@
             Header(name="Model-Version", value=str(info.version)),
         )
 
-    def _call(self, request: Request, workspace: Workspace) -> Response:
+    def _call(
+        self,
+        request: Request,
+        workspace: Workspace,
+        cancellation: Cancellation,
+    ) -> Response:
         started_ms = self._services.clock.now_ms()
         key = _request_key(request)
         if not isinstance(key, Success):
@@ -303,7 +326,7 @@
         operation = self._services.calls.operation(call)
         if not isinstance(operation, Success):
             return self._refuse_call(request, call, operation.failure())
-        result = self._run_call(request, call, operation.unwrap())
+        result = self._run_call(request, call, operation.unwrap(), cancellation)
         if not isinstance(result, Success):
             return self._refuse(result.failure())
         answer = result.unwrap()
@@ -341,13 +364,22 @@
         return self._refuse(problem)
 
     def _run_call(
-        self, request: Request, call: CallRequest, operation: Operation
+        self,
+        request: Request,
+        call: CallRequest,
+        operation: Operation,
+        cancellation: Cancellation,
     ) -> Result[CallAnswer | Response, Problem]:
+        if isinstance(call.key, ForeignKey) and not operation.idempotent:
+            # Were it dropped, a repeat would be refused: only the first use
+            # of a registered key is known to be the first.
+            cancellation = Cancellation()
+
         def execute() -> Result[CallAnswer, Problem]:
             refusal = self._services.gate.refusal(call.request_id)
             if refusal is not None:
                 return Failure(refusal)
-            return self._services.calls.call(call, operation)
+            return self._services.calls.call(call, operation, cancellation)
 
         if operation.idempotent or call.key is None:
             return execute().map(lambda answer: answer)
--- /dev/null
+++ b/trefoilpitch/callers/tests/test_departures.py
@@ -0,0 +1,210 @@
+"""Callers that leave while their requests wait or run."""
+
+import dataclasses
+import random
+import threading
+from collections.abc import Callable
+
+import pytest
+from returns.result import Result, Success
+
+from trefoilpitch.bundle import token_digest
+from trefoilpitch.callers import (
+    CallerApi,
+    CallerServices,
+    CallResult,
+    EntriesEndpoint,
+    KeyedCalls,
+    Registration,
+)
+from trefoilpitch.identity import TokenSigner, issue_key_prefix
+from trefoilpitch.membership import MembershipView
+from trefoilpitch.metrics import Metrics
+from trefoilpitch.requests import RequestRegistry, RequestSlot
+from trefoilpitch.serving import KeyedRequests, ResumeFlow, WorkGate
+from trefoilpitch.serving.tests.world import WORKSPACE, World, answer
+from trefoilpitch.upstreams import ServiceReply
+from trefoilpitch.web import Problem, Request, Response
+
+_PATIENCE_S = 30.0
+_HOME = "node_1"
+_TOKEN = "example-token"
+_FOREIGN_KEY = "loan-7"
+_DONE = Success(ServiceReply(status=200, body=b"done", headers=()))
+_GONE = "refusals{code=caller-gone,outcome=not_run}"
+
+
+class _Home:
+    """A node that is ready, alone, and the home of every key."""
+
+    own = _HOME
+
+    def caller_address(self, incarnation: str) -> str | None:
+        return None
+
+    def register(
+        self, slot: RequestSlot, deadline_ms: int
+    ) -> Result[Registration, Problem]:
+        return Success(Registration(home=_HOME, is_new=True))
+
+    def forward(
+        self, address: str, request: Request, deadline_ms: int
+    ) -> Result[Response, Problem]:
+        raise NotImplementedError
+
+    def view(self) -> MembershipView:
+        raise NotImplementedError
+
+    def is_ready(self) -> bool:
+        return True
+
+    is_fresh = accepts_work = is_in_service = is_ready
+
+
+class _JoinParking:
+    """Tells that a repeat has begun to wait for the first request."""
+
+    def __init__(self) -> None:
+        self.joined = threading.Event()
+
+    def pause(self, duration_ms: int) -> None:
+        raise NotImplementedError
+
+    def wait(self, changed: threading.Condition, timeout_ms: int) -> None:
+        self.joined.set()
+        changed.wait(_PATIENCE_S)
+
+
+class _Node:
+    def __init__(self) -> None:
+        self.world = World()
+        self.metrics = Metrics()
+        self.parking = _JoinParking()
+        bundle = self.world.configuration.bundle
+        assert bundle is not None
+        workspace = dataclasses.replace(
+            WORKSPACE, token_sha256=token_digest(_TOKEN)
+        )
+        self.world.configuration = dataclasses.replace(
+            self.world.configuration,
+            bundle=dataclasses.replace(bundle, workspaces=(workspace,)),
+        )
+        self.api = CallerApi(_HOME, self._services())
+
+    def post(
+        self, path: str, body: bytes = b"{}", key: str = ""
+    ) -> tuple[Request, Callable[[], Response]]:
+        """Returns a request and what sends it."""
+        headers = {"authorization": f"Bearer {_TOKEN}"}
+        if key:
+            headers["idempotency-key"] = key
+        request = Request(
+            method="POST", path=path, query={}, headers=headers, body=body
+        )
+        return request, lambda: self.api.handle(request)
+
+    def lend(self, key: str = "") -> tuple[Request, Callable[[], Response]]:
+        return self.post("/v1/services/loans/create-loan", key=key)
+
+    def key(self) -> str:
+        return issue_key_prefix(_HOME, self.world.clock.now_ms()) + "7"
+
+    def wait_for_workers(self, meanwhile: Callable[[], None]) -> None:
+        """Makes calls wait, does something, and lets them go on."""
+        self.world.gates.cold = {"worker-a", "worker-b"}
+        self.world.parking.meanwhile = [meanwhile, self.world.gates.cold.clear]
+
+    def _services(self) -> CallerServices:
+        world, home = self.world, _Home()
+        registry: RequestRegistry[CallResult] = RequestRegistry()
+        return CallerServices(
+            configuration=world,
+            gate=WorkGate(home, world),
+            chat=world.chat,
+            resumption=ResumeFlow(
+                configuration=world,
+                clients=world,
+                bills=world,
+                clock=world.clock,
+            ),
+            calls=world.flow,
+            keyed_calls=KeyedCalls(
+                homes=home,
+                register=home,
+                forwarder=home,
+                keyed=KeyedRequests(registry, world.clock, self.parking),
+                clock=world.clock,
+            ),
+            entries=EntriesEndpoint(
+                views=home,
+                configuration=world,
+                incarnation=_HOME,
+                clock=world.clock,
+                rng=random.Random(7),
+            ),
+            signer=TokenSigner((b"k" * 32,)),
+            metrics=self.metrics,
+            clock=world.clock,
+        )
+
+
+def test_a_whole_answer_whose_caller_leaves_the_queue_is_dropped() -> None:
+    node = _Node()
+    node.world.gates.cold = {"engine-a", "engine-b"}
+    for engine in node.world.engines.values():
+        engine.script(*answer("text"))
+    messages = b'[{"role": "user", "content": "hymn"}]'
+    body = b'{"model": "tag", "messages": ' + messages + b"}"
+    request, send = node.post("/v1/chat/completions", body)
+    node.world.parking.meanwhile = [request.departure.happen]
+    send()
+    assert node.metrics.counters()[_GONE] == 1
+    assert not any(one.requests for one in node.world.engines.values())
+
+
+def test_a_repeat_that_joined_runs_when_the_first_caller_leaves() -> None:
+    node = _Node()
+    node.world.call_results = [_DONE]
+    key = node.key()
+    request, send = node.lend(key)
+    _, send_again = node.lend(key)
+    replies: list[Response] = []
+    repeat = threading.Thread(target=lambda: replies.append(send_again()))
+
+    def leave_once_joined() -> None:
+        repeat.start()
+        assert node.parking.joined.wait(_PATIENCE_S)
+        node.world.gates.cold.clear()
+        request.departure.happen()
+
+    node.wait_for_workers(leave_once_joined)
+    send()
+    repeat.join(_PATIENCE_S)
+    assert [reply.body for reply in replies] == [b"done"]
+    assert len(node.world.calls) == len(node.world.bills) == 1
+    assert node.metrics.counters()[_GONE] == 1
+
+
+def test_a_call_with_a_registered_key_is_not_dropped() -> None:
+    node = _Node()
+    node.world.call_results = [_DONE]
+    request, send = node.lend(_FOREIGN_KEY)
+    node.wait_for_workers(request.departure.happen)
+    assert send().body == b"done"
+    _, send_again = node.lend(_FOREIGN_KEY)
+    assert send_again().body == b"done"
+    assert len(node.world.calls) == 1
+
+
+@pytest.mark.parametrize("is_homed", [False, True])
+def test_the_outcome_of_a_call_that_was_sent_is_kept(is_homed: bool) -> None:
+    node = _Node()
+    node.world.call_results = [_DONE]
+    key = node.key() if is_homed else _FOREIGN_KEY
+    request, send = node.lend(key)
+    node.world.on_call = request.departure.happen
+    assert send().body == b"done"
+    _, send_again = node.lend(key)
+    assert send_again().body == b"done"
+    assert len(node.world.calls) == 1
+    assert [bill.is_whole for bill in node.world.bills] == [True]
--- a/trefoilpitch/daemon/tests/stateful/upstreams.py
+++ b/trefoilpitch/daemon/tests/stateful/upstreams.py
@@ -189,6 +189,7 @@
         *,
         after_index: int,
         deadline_ms: int,
+        cancellation: Cancellation | None = None,
     ) -> Result[AnswerStream, UpstreamError]:
         backend = self._backend
         held = backend.held.get(request_id)
--- a/trefoilpitch/serving/_calls.py
+++ b/trefoilpitch/serving/_calls.py
@@ -16,7 +16,9 @@
     CallRequest,
     ConfigurationSource,
 )
+from trefoilpitch.serving._problems import CALLER_GONE
 from trefoilpitch.upstreams import (
+    Cancellation,
     ErrorReplyError,
     ServiceReply,
     ServiceRequest,
@@ -68,12 +70,21 @@
         return Success(operation)
 
     def call(
-        self, request: CallRequest, operation: Operation
+        self,
+        request: CallRequest,
+        operation: Operation,
+        cancellation: Cancellation,
     ) -> Result[CallAnswer, Problem]:
         """Runs a call to its end.
 
         A non-idempotent call is tried again only where the try before it is
         proven not to have run.
+
+        Args:
+            request: The call.
+            operation: What the bundle says of its operation.
+            cancellation: Drops the call while it is not sent; once it is,
+                only an idempotent one ends early.
         """
         deadline_ms = self._clock.now_ms() + operation.deadline_ms
         errand = Errand(
@@ -85,6 +96,7 @@
             priority=operation.priority,
             weight=request.workspace.weight,
             deadline_ms=deadline_ms,
+            cancellation=cancellation,
         )
         sent = ServiceRequest(
             request_id=request.request_id,
@@ -94,15 +106,28 @@
             body=request.body,
             headers=(("Content-Type", request.content_type),),
         )
-        result = self._dispatcher.run(errand, lambda slot: _call(slot, sent))
-        return result.map(lambda placed: self._finish(request, placed))
+        # What a call that is not idempotent came to must become known.
+        after_sending = cancellation if operation.idempotent else None
+        tried: list[str] = []
+
+        def start(slot: Slot) -> Result[ServiceReply, UpstreamError]:
+            tried.append(slot.upstream.name)
+            return _call(slot, sent, after_sending)
+
+        result = self._dispatcher.run(errand, start)
+        if isinstance(result, Success):
+            return Success(self._finish(request, result.unwrap()))
+        problem = result.failure()
+        if _may_have_run(problem):
+            self._bill(request, tried[-1], is_whole=False)
+        return Failure(problem)
 
     def _finish(
         self, request: CallRequest, placed: Placed[ServiceReply]
     ) -> CallAnswer:
         placed.slot.close()
         reply = placed.value
-        self._bill(request, placed.slot.upstream.name)
+        self._bill(request, placed.slot.upstream.name, is_whole=True)
         return CallAnswer(
             request_id=request.request_id,
             status=reply.status,
@@ -110,11 +135,14 @@
             body=reply.body,
         )
 
-    def _bill(self, request: CallRequest, upstream: str) -> None:
+    def _bill(
+        self, request: CallRequest, upstream: str, *, is_whole: bool
+    ) -> None:
         bundle = self._configuration.table().configuration.bundle
         services = bundle.services if bundle else ()
         costs = {node.name: node.call_cost_nano for node in services}
-        cost_nano = costs.get(request.service, 0)
+        # As with answers, what was not received costs nothing.
+        cost_nano = costs.get(request.service, 0) if is_whole else 0
         line = service_line(request.service, upstream, cost_nano)
         self._bills.record(
             Bill(
@@ -123,14 +151,15 @@
                 subject=f"{request.service}/{request.operation}",
                 ended_ms=self._clock.wall_ms(),
                 lines=(line,),
+                is_whole=is_whole,
             )
         )
 
 
 def _call(
-    slot: Slot, request: ServiceRequest
+    slot: Slot, request: ServiceRequest, cancellation: Cancellation | None
 ) -> Result[ServiceReply, UpstreamError]:
-    result = slot.service.call(request)
+    result = slot.service.call(request, cancellation)
     if isinstance(result, Success):
         slot.succeed()
         return result
@@ -144,6 +173,12 @@
     return Failure(error)
 
 
+def _may_have_run(problem: Problem) -> bool:
+    """Returns whether the caller left a call that had been sent."""
+    is_gone = problem.code == CALLER_GONE
+    return is_gone and problem.outcome is not Outcome.NOT_RUN
+
+
 def _content_type(reply: ServiceReply) -> str:
     for name, value in reply.headers:
         if name.lower() == "content-type":
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Protocol
 
 from returns.result import Failure, Result, Success
@@ -17,6 +17,7 @@
 from trefoilpitch.retries import Execution
 from trefoilpitch.routing import RoutingTable, choose_versions
 from trefoilpitch.serving._bills import BillSink, model_line
+from trefoilpitch.serving._directory import Slot
 from trefoilpitch.serving._dispatcher import Dispatcher, Errand, Placed
 from trefoilpitch.serving._nodes import (
     AnswerInfo,
@@ -28,7 +29,12 @@
     to_chat_event,
 )
 from trefoilpitch.serving._planning import CascadePlanner
-from trefoilpitch.serving._problems import failure_problem, routing_problem
+from trefoilpitch.serving._problems import (
+    CALLER_GONE,
+    caller_gone,
+    failure_problem,
+    routing_problem,
+)
 from trefoilpitch.serving._runs import (
     LiveRun,
     WholeRun,
@@ -36,6 +42,8 @@
     run_whole,
 )
 from trefoilpitch.upstreams import (
+    Cancellation,
+    CancelledError,
     Chunk,
     CompletionRequest,
     Finish,
@@ -152,9 +160,16 @@
         self._clock = clock
         self._outcomes = outcomes
 
-    def answer(self, request: ChatRequest) -> Result[ChatAnswer, Problem]:
+    def answer(
+        self, request: ChatRequest, cancellation: Cancellation
+    ) -> Result[ChatAnswer, Problem]:
         """Runs a request until its first part is there.
 
+        Args:
+            request: What is asked.
+            cancellation: Ends the request, also while it waits for a place
+                and after its answer has begun.
+
         Returns:
             The answer, which the caller closes, or the final refusal.
         """
@@ -177,7 +192,10 @@
         versions = chosen.unwrap()
         plan = self._planner.plan(table, request.workspace.name, task, versions)
         session = _with_pins(request.session, versions)
-        return _ChatRun(self, request, task, plan, session).begin()
+        run = _ChatRun(
+            self, request, task, plan, session, cancellation=cancellation
+        )
+        return run.begin()
 
 
 class _ChatRun:
@@ -190,15 +208,21 @@
         task: Task,
         plan: CascadePlan,
         session: Session,
+        *,
+        cancellation: Cancellation,
     ) -> None:
         self._flow = flow
         self._request = request
         self._task = task
         self._plan = plan
         self._session = session
+        self._cancellation = cancellation
         self._deadline_ms = flow._clock.now_ms() + task.deadline_ms
         self._spent: list[BillLine] = []
         self._first_signal: float | None = None
+        # The try that was started last, and what came of it so far.
+        self._tried = ""
+        self._received: list[Chunk] = []
 
     def begin(self) -> Result[ChatAnswer, Problem]:
         last = len(self._plan.steps) - 1
@@ -219,7 +243,10 @@
     def _run_whole(self, step: int) -> Result[Placed[WholeRun], Problem]:
         completion = self._completion(step)
         result = self._flow._dispatcher.run(
-            self._errand(step), lambda slot: run_whole(slot, completion)
+            self._errand(step),
+            lambda slot: run_whole(
+                slot, completion, self._cancellation, self._begin_try(slot)
+            ),
         )
         if isinstance(result, Success):
             result.unwrap().slot.close()
@@ -227,10 +254,17 @@
 
     def _run_live(self, step: int) -> Result[Placed[LiveRun], Problem]:
         completion = self._completion(step)
-        return self._flow._dispatcher.run(
-            self._errand(step),
-            lambda slot: begin_live(slot, completion),
-        )
+
+        def start(slot: Slot) -> Result[LiveRun, UpstreamError]:
+            self._begin_try(slot)
+            return begin_live(slot, completion, self._cancellation)
+
+        return self._flow._dispatcher.run(self._errand(step), start)
+
+    def _begin_try(self, slot: Slot) -> list[Chunk]:
+        self._tried = slot.upstream.name
+        self._received = []
+        return self._received
 
     def _is_accepted(self, step: int, placed: Placed[WholeRun]) -> bool:
         finish = placed.value.finish
@@ -290,12 +324,37 @@
 
     def _spoiled(self, step: int, problem: Problem) -> Problem:
         """Corrects a refusal when an earlier step of the plan ran."""
-        if problem.outcome is not Outcome.NOT_RUN:
+        if problem.code == CALLER_GONE:
+            self._bill_left(step, problem)
+        elif problem.outcome is not Outcome.NOT_RUN:
             self._note_outcome(step, failed=True)
         if not self._spent or problem.outcome is not Outcome.NOT_RUN:
             return problem
         return dataclasses.replace(problem, outcome=Outcome.FAILED)
 
+    def _bill_left(self, step: int, problem: Problem) -> None:
+        """Bills what ran of a request whose caller has left."""
+        lines = list(self._spent)
+        if problem.outcome is not Outcome.NOT_RUN:
+            tokens = sum(chunk.tokens for chunk in self._received)
+            cut = _cut_finish(tokens)
+            lines.append(self._line(step, self._tried, cut))
+        if lines:
+            self.bill(lines, is_whole=False)
+
+    def bill(self, lines: Iterable[BillLine], *, is_whole: bool) -> None:
+        """Hands in the request's bill."""
+        self._flow._bills.record(
+            Bill(
+                request_id=self._request.request_id,
+                workspace=self._request.workspace.name,
+                subject=self._task.name,
+                ended_ms=self._flow._clock.wall_ms(),
+                lines=tuple(lines),
+                is_whole=is_whole,
+            )
+        )
+
     def _errand(self, step: int) -> Errand:
         return Errand(
             request_id=self._request.request_id,
@@ -306,6 +365,7 @@
             priority=self._task.priority,
             weight=self._request.workspace.weight,
             deadline_ms=self._deadline_ms,
+            cancellation=self._cancellation,
         )
 
     def _completion(self, step: int) -> CompletionRequest:
@@ -366,6 +426,9 @@
         try:
             for item in items:
                 yield self._event(item)
+        except CancelledError:
+            request_id = self._run._request.request_id
+            yield Broken(problem=caller_gone(request_id, Outcome.FAILED))
         except UpstreamError as error:
             request_id = self._run._request.request_id
             problem = failure_problem(error, Execution.RAN, request_id)
@@ -377,23 +440,9 @@
         run = self._run
         if not is_whole and not self._text:
             return
-        finish = self._finish or Finish(
-            finish_reason="cut",
-            prompt_tokens=0,
-            output_tokens=self._tokens,
-            confidence=None,
-        )
+        finish = self._finish or _cut_finish(self._tokens)
         line = run._line(self._step, self._upstream, finish)
-        run._flow._bills.record(
-            Bill(
-                request_id=run._request.request_id,
-                workspace=run._request.workspace.name,
-                subject=run._task.name,
-                ended_ms=run._flow._clock.wall_ms(),
-                lines=(*run._spent, line),
-                is_whole=is_whole,
-            )
-        )
+        run.bill((*run._spent, line), is_whole=is_whole)
         if is_whole:
             self._report()
 
@@ -423,6 +472,15 @@
         )
 
 
+def _cut_finish(output_tokens: int) -> Finish:
+    return Finish(
+        finish_reason="cut",
+        prompt_tokens=0,
+        output_tokens=output_tokens,
+        confidence=None,
+    )
+
+
 def _with_pins(session: Session, versions: tuple[VersionRef, ...]) -> Session:
     pinned = {pin.model for pin in session.pins}
     added = tuple(one for one in versions if one.model not in pinned)
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -35,13 +35,18 @@
 from trefoilpitch.serving._directory import Slot, UpstreamDirectory
 from trefoilpitch.serving._nodes import ConfigurationSource
 from trefoilpitch.serving._problems import (
+    caller_gone,
     failure_kind,
     failure_problem,
     is_temporary,
     routing_problem,
 )
 from trefoilpitch.serving._queue import Parking, PlaceQueue
-from trefoilpitch.upstreams import UpstreamError
+from trefoilpitch.upstreams import (
+    Cancellation,
+    CancelledError,
+    UpstreamError,
+)
 from trefoilpitch.web import Outcome, Problem
 
 _MAX_REVISIONS = 16
@@ -71,6 +76,8 @@
     deadline_ms: int
     # Upstreams believed to hold a useful prefix in their cache.
     cache_holders: frozenset[str] = frozenset()
+    # Tells when nobody waits for it any more; no try starts after that.
+    cancellation: Cancellation = dataclasses.field(default_factory=Cancellation)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +144,7 @@
         excluded: set[str] = set()
         with self._lock:
             self._budget.record_first_try()
-        while True:
+        while not errand.cancellation.cancelled:
             placed = self._place(errand, excluded)
             if not isinstance(placed, Success):
                 return Failure(_with_history(placed.failure(), failures))
@@ -150,9 +157,13 @@
             slot.close()
             excluded.add(error.upstream)
             failures.append(failure_kind(error))
+            if isinstance(error, CancelledError):
+                break
             problem = self._consider_retry(errand, failures, error)
             if problem is not None:
                 return Failure(problem)
+        gone = caller_gone(errand.request_id, Outcome.NOT_RUN)
+        return Failure(_with_history(gone, failures))
 
     def _consider_retry(
         self, errand: Errand, failures: list[FailureKind], error: UpstreamError
--- a/trefoilpitch/serving/_problems.py
+++ b/trefoilpitch/serving/_problems.py
@@ -11,6 +11,7 @@
     UpstreamsFullError,
 )
 from trefoilpitch.upstreams import (
+    CancelledError,
     ConnectError,
     DeadlineExceededError,
     ErrorReplyError,
@@ -25,6 +26,7 @@
 
 RETRY_SOON_MS = 1_000
 RETRY_LATER_MS = 5_000
+CALLER_GONE = "caller-gone"
 _SERVER_ERROR = 500
 
 _OUTCOMES = {
@@ -98,6 +100,17 @@
     )
 
 
+def caller_gone(request_id: str, outcome: Outcome) -> Problem:
+    """Returns the end of a request whose caller left; counted, never read."""
+    return Problem(
+        status=503,
+        code=CALLER_GONE,
+        title="the caller has gone",
+        outcome=outcome,
+        request_id=request_id,
+    )
+
+
 def failure_kind(error: UpstreamError) -> FailureKind:
     """Returns how a try failed, as the retry rules name it."""
     if isinstance(error, ErrorReplyError):
@@ -105,12 +118,17 @@
         if is_server_error:
             return FailureKind.SERVER_ERROR
         return FailureKind.INVALID_REQUEST
+    if isinstance(error, CancelledError):
+        is_unsent = error.execution is Execution.NOT_RUN
+        return FailureKind.NOT_SENT if is_unsent else _CANCELLED
     for error_type, kind in _KINDS.items():
         if isinstance(error, error_type):
             return kind
     return FailureKind.CONNECTION_LOST
 
 
+# The connection was given up.
+_CANCELLED = FailureKind.CONNECTION_LOST
 _KINDS: dict[type[UpstreamError], FailureKind] = {
     ConnectError: FailureKind.CONNECT_REFUSED,
     PoolExhaustedError: FailureKind.NOT_SENT,
--- a/trefoilpitch/serving/_queue.py
+++ b/trefoilpitch/serving/_queue.py
@@ -17,6 +17,8 @@
     Ticket,
 )
 from trefoilpitch.routing import Target
+from trefoilpitch.serving._problems import caller_gone
+from trefoilpitch.upstreams import Cancellation
 from trefoilpitch.web import Outcome, Problem
 
 _MS_PER_S = 1_000
@@ -75,6 +77,10 @@
     def deadline_ms(self) -> int:
         """Monotonic time by which it must have ended."""
 
+    @property
+    def cancellation(self) -> Cancellation:
+        """Tells when nobody waits for it any more."""
+
 
 class _Line:
     """The runs that wait for one target; the first may look for a place."""
@@ -247,6 +253,7 @@
             None when the run may look now, otherwise the refusal.
         """
         queue = self._queue
+        self.run.cancellation.attach(self)
         with queue._changed:
             if not self._is_queued:
                 refusal = queue._enter(self, concurrency)
@@ -255,6 +262,10 @@
                 self._is_queued = True
             return self._wait_for_turn()
 
+    def cancel(self) -> None:
+        """Ends the wait of a run whose cancellation this is attached to."""
+        self._queue.notify()
+
     def _wait_for_turn(self) -> Problem | None:
         queue = self._queue
         line = queue._line(self.run.target)
@@ -262,6 +273,8 @@
             if self._seen_changes == queue._changes:
                 queue._parking.wait(queue._changed, _POLL_MS)
             self._seen_changes = queue._changes
+            if self.run.cancellation.cancelled:
+                return caller_gone(self.run.request_id, Outcome.NOT_RUN)
             now_ms = queue._clock.now_ms()
             line.promote(now_ms)
             if self.refused is not None:
--- a/trefoilpitch/serving/_resumption.py
+++ b/trefoilpitch/serving/_resumption.py
@@ -24,6 +24,7 @@
 from trefoilpitch.serving._problems import failure_problem
 from trefoilpitch.upstreams import (
     AnswerStream,
+    Cancellation,
     Chunk,
     EngineClient,
     Finish,
@@ -60,20 +61,21 @@
         self._clock = clock
 
     def resume(
-        self, point: ResumePoint, after_index: int
+        self, point: ResumePoint, after_index: int, cancellation: Cancellation
     ) -> Result[ChatAnswer, Problem]:
         """Returns the parts that follow the last one that was received.
 
         Args:
             point: Where the answer is.
             after_index: The last part that the caller has; -1 if none.
+            cancellation: Gives the rest up.
         """
         table = self._configuration.table()
         upstream = table.upstreams.get(point.upstream)
         task = table.tasks.get(point.task)
         if upstream is None or task is None:
             return Failure(_gone(point, "its engine or task was removed"))
-        return self._open(point, after_index, upstream, task)
+        return self._open(point, after_index, upstream, task, cancellation)
 
     def _open(
         self,
@@ -81,6 +83,7 @@
         after_index: int,
         upstream: Upstream,
         task: Task,
+        cancellation: Cancellation,
     ) -> Result[ChatAnswer, Problem]:
         client = self._clients.engine(upstream)
         resumed = client.resume(
@@ -88,6 +91,7 @@
             point.version,
             after_index=after_index,
             deadline_ms=self._clock.now_ms() + task.deadline_ms,
+            cancellation=cancellation,
         )
         if not isinstance(resumed, Success):
             client.__exit__(None, None, None)
--- a/trefoilpitch/serving/_runs.py
+++ b/trefoilpitch/serving/_runs.py
@@ -10,6 +10,8 @@
 from trefoilpitch.serving._directory import Slot
 from trefoilpitch.upstreams import (
     AnswerStream,
+    Cancellation,
+    CancelledError,
     Chunk,
     CompletionRequest,
     Finish,
@@ -39,6 +41,7 @@
     Args:
         slot: The place on the engine; closed with the run.
         request: What runs.
+        cancellation: Cancels the run, also when it is taken up again.
         stream: The stream of parts; owned from here on.
         parts: Iterates over the stream's parts from its second one.
         first: The first part, which was read to see that the run began.
@@ -48,12 +51,15 @@
         self,
         slot: Slot,
         request: CompletionRequest,
+        cancellation: Cancellation,
+        *,
         stream: AnswerStream,
         parts: Iterator[Chunk | Finish],
         first: Chunk | Finish,
     ) -> None:
         self._slot = slot
         self._request = request
+        self._cancellation = cancellation
         self._stream = stream
         self._parts = parts
         self._first = first
@@ -101,7 +107,8 @@
             yield item
 
     def _resume(self, error: UpstreamError) -> AnswerStream:
-        if self._resumptions >= MAX_RESUMPTIONS:
+        is_over = isinstance(error, CancelledError)
+        if is_over or self._resumptions >= MAX_RESUMPTIONS:
             raise error
         self._resumptions += 1
         self._stream.__exit__(None, None, None)
@@ -110,6 +117,7 @@
             self._request.version,
             after_index=self._next_index - 1,
             deadline_ms=self._request.deadline_ms,
+            cancellation=self._cancellation,
         )
         if not isinstance(resumed, Success):
             raise error
@@ -118,15 +126,16 @@
 
 
 def begin_live(
-    slot: Slot, request: CompletionRequest
+    slot: Slot, request: CompletionRequest, cancellation: Cancellation
 ) -> Result[LiveRun, UpstreamError]:
     """Starts a run and waits for its first part.
 
     Args:
         slot: The place on the engine.
         request: What runs.
+        cancellation: Cancels the run.
     """
-    opened = slot.engine.start(request)
+    opened = slot.engine.start(request, cancellation)
     if not isinstance(opened, Success):
         return Failure(opened.failure())
     stream = opened.unwrap()
@@ -141,18 +150,36 @@
         name = slot.upstream.name
         return Failure(IncompleteReplyError(name, "the answer is empty"))
     slot.note_first_part()
-    return Success(LiveRun(slot, request, stream, parts, first))
+    return Success(
+        LiveRun(
+            slot,
+            request,
+            cancellation,
+            stream=stream,
+            parts=parts,
+            first=first,
+        )
+    )
 
 
 def run_whole(
-    slot: Slot, request: CompletionRequest
+    slot: Slot,
+    request: CompletionRequest,
+    cancellation: Cancellation,
+    chunks: list[Chunk],
 ) -> Result[WholeRun, UpstreamError]:
-    """Runs a request to its end before anything of it is delivered."""
-    begun = begin_live(slot, request)
+    """Runs a request to its end before anything of it is delivered.
+
+    Args:
+        slot: The place on the engine.
+        request: What runs.
+        cancellation: Cancels the run.
+        chunks: Takes the parts as they come, also those of a run that fails.
+    """
+    begun = begin_live(slot, request, cancellation)
     if not isinstance(begun, Success):
         return Failure(begun.failure())
     run = begun.unwrap()
-    chunks: list[Chunk] = []
     try:
         for item in run.items():
             if isinstance(item, Chunk):
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -47,6 +47,7 @@
     VersionLearner,
 )
 from trefoilpitch.upstreams import (
+    Cancellation,
     Chunk,
     EngineClient,
     FakeEngineClient,
@@ -234,6 +235,7 @@
         }
         self.call_results: list[Result[ServiceReply, UpstreamError]] = []
         self.calls: list[str] = []
+        self.on_call: Callable[[], None] = lambda: None
         self.bills: list[Bill] = []
         self.configuration = Configuration(revision=1, bundle=_bundle())
         self.on_table: Callable[[], None] | None = None
@@ -295,6 +297,7 @@
             request: ServiceRequest,
         ) -> Result[ServiceReply, UpstreamError]:
             self.calls.append(f"{upstream.name} {request.path}")
+            self.on_call()
             return self.call_results.pop(0)
 
         return FakeServiceClient(respond)
@@ -305,7 +308,9 @@
     def accepts_work(self) -> bool:
         return True
 
-    def ask(self) -> Result[ChatAnswer, Problem]:
+    def ask(
+        self, cancellation: Cancellation | None = None
+    ) -> Result[ChatAnswer, Problem]:
         request = ChatRequest(
             request_id="r1",
             workspace=WORKSPACE,
@@ -315,9 +320,14 @@
             max_output_tokens=None,
             stream=True,
         )
-        return self.chat.answer(request)
+        return self.chat.answer(request, cancellation or Cancellation())
 
-    def call(self, operation: str, method: str) -> Result[CallAnswer, Problem]:
+    def call(
+        self,
+        operation: str,
+        method: str,
+        cancellation: Cancellation | None = None,
+    ) -> Result[CallAnswer, Problem]:
         request = CallRequest(
             request_id="c1",
             workspace=WORKSPACE,
@@ -331,4 +341,6 @@
         found = self.flow.operation(request)
         if not isinstance(found, Success):
             return Failure(found.failure())
-        return self.flow.call(request, found.unwrap())
+        return self.flow.call(
+            request, found.unwrap(), cancellation or Cancellation()
+        )
--- a/trefoilpitch/upstreams/_cancellation.py
+++ b/trefoilpitch/upstreams/_cancellation.py
@@ -13,7 +13,8 @@
 class Cancellation:
     """Handed to a request when it starts; cancels it at most once.
 
-    One object serves one request at a time.
+    One object serves one request, whose exchanges and waits for a place
+    follow each other.
     """
 
     def __init__(self) -> None:
@@ -35,7 +36,7 @@
             target.cancel()
 
     def attach(self, target: _Cancellable) -> None:
-        """Makes an exchange the one to cancel."""
+        """Makes an exchange, or a wait, the one to cancel."""
         with self._lock:
             self._target = target
             cancelled = self._cancelled
--- a/trefoilpitch/upstreams/_engine_client.py
+++ b/trefoilpitch/upstreams/_engine_client.py
@@ -66,6 +66,7 @@
         *,
         after_index: int,
         deadline_ms: int,
+        cancellation: Cancellation | None = None,
     ) -> Result[AnswerStream, UpstreamError]:
         """Attaches again to an answer that the engine holds.
 
@@ -74,6 +75,7 @@
             version: The version that answers.
             after_index: The last chunk received; -1 if none was.
             deadline_ms: Monotonic time by which the answer must be whole.
+            cancellation: Cancels the answer, also before it has begun.
 
         Returns:
             The stream of the remaining chunks, or ``ResumeError``, which is
--- a/trefoilpitch/upstreams/_fakes.py
+++ b/trefoilpitch/upstreams/_fakes.py
@@ -162,6 +162,7 @@
         *,
         after_index: int,
         deadline_ms: int,
+        cancellation: Cancellation | None = None,
     ) -> Result[AnswerStream, UpstreamError]:
         """Gives the rest of an answer that is held."""
         del version, deadline_ms
@@ -175,7 +176,10 @@
             for item in items
             if not isinstance(item, Chunk) or item.index > after_index
         ]
-        return Success(_FakeAnswerStream(self._upstream, rest))
+        stream = _FakeAnswerStream(self._upstream, rest)
+        if cancellation is not None:
+            cancellation.attach(stream)
+        return Success(stream)
 
     def load_report(
         self, *, deadline_ms: int
@@ -261,11 +265,13 @@
         request: ServiceRequest,
         cancellation: Cancellation | None = None,
     ) -> Result[ServiceReply, UpstreamError]:
-        """Lets the function answer."""
-        del cancellation
+        """Lets the function answer, unless the call is cancelled meanwhile."""
         with self._lock:
             self._requests.append(request)
-        return self._answer(request)
+        result = self._answer(request)
+        if cancellation is not None and cancellation.cancelled:
+            return Failure(CancelledError("fake", "cancelled"))
+        return result
 
     def load_report(
         self, *, deadline_ms: int
--- a/trefoilpitch/upstreams/_http_engine_client.py
+++ b/trefoilpitch/upstreams/_http_engine_client.py
@@ -115,6 +115,7 @@
         *,
         after_index: int,
         deadline_ms: int,
+        cancellation: Cancellation | None = None,
     ) -> Result[AnswerStream, UpstreamError]:
         """Attaches again to an answer that the engine holds."""
         quoted = urllib.parse.quote(request_id, safe="")
@@ -132,7 +133,11 @@
             deadline_ms=deadline_ms,
         )
         opened = self._open(
-            wire, request_id, str(version), next_index=after_index + 1
+            wire,
+            request_id,
+            str(version),
+            next_index=after_index + 1,
+            cancellation=cancellation,
         )
         return opened.alt(_as_resume_error)
 
