Refuse what is not HTTP with the problem document of all other refusals

Cause: what waitress refuses by itself (400, 413, 431, 501) and what fails in the application (500) got its own plain text, without an outcome, and was not counted.

Ruled out: claiming not_run for each of them. A request that failed in the application may have run.

Those on the callers' port count as refusals by code and outcome, those on the operators' port do not.

Tests made stricter: test_malformed.py demands the document with not_run beside the status, on both ports.

--- a/tests/endtoend/test_malformed.py
+++ b/tests/endtoend/test_malformed.py
@@ -59,6 +59,14 @@
     return int(found[1])
 
 
+def _assert_is_problem(received: bytes) -> None:
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert b"Content-Type: application/problem+json" in head
+    document = json.loads(body)
+    assert document["status"] == _status(received)
+    assert document["outcome"] == "not_run"
+
+
 def _assert_goes_on(fleet: Fleet) -> None:
     assert fleet.look_up("a").status == 200
     assert fleet.dump("a")["phase"] == "serving"
@@ -72,6 +80,7 @@
     address = fleet.caller("a") if port == "caller" else fleet.admin("a")
     received = exchange_bytes(address, _MALFORMED[kind])
     assert 400 <= _status(received) < 600
+    _assert_is_problem(received)
     _assert_goes_on(fleet)
 
 
@@ -98,7 +107,9 @@
         + _TOKEN
         + b"Content-Length: %d\r\n\r\n" % (_MAX_BODY_BYTES + 1)
     )
-    assert _status(exchange_bytes(address, head)) == 413
+    received = exchange_bytes(address, head)
+    assert _status(received) == 413
+    _assert_is_problem(received)
     _assert_goes_on(fleet)
 
 
@@ -129,10 +140,19 @@
         + b"s" * _MAX_HEADER_BYTES
         + b"\r\n\r\n"
     )
-    assert _status(exchange_bytes(address, head)) == 431
+    received = exchange_bytes(address, head)
+    assert _status(received) == 431
+    _assert_is_problem(received)
     _assert_goes_on(fleet)
 
 
+def test_what_the_http_server_refuses_is_counted(fleet: Fleet) -> None:
+    name = "refusals{code=malformed-request,outcome=not_run}"
+    before = fleet.dump("a")["counters"].get(name, 0)
+    exchange_bytes(fleet.caller("a"), _MALFORMED["no-colon"])
+    assert fleet.dump("a")["counters"][name] == before + 1
+
+
 _WRONG_TOKENS = {
     "none": {},
     "empty": {"Authorization": "Bearer "},
--- a/trefoilpitch/callers/_api.py
+++ b/trefoilpitch/callers/_api.py
@@ -428,13 +428,17 @@
         digest = hashlib.sha256(named + fingerprint(request))
         return "key-" + digest.hexdigest()[:_KEYED_ID_DIGITS]
 
-    def _refuse(self, problem: Problem) -> Response:
+    def note_refusal(self, problem: Problem) -> None:
+        """Counts a refusal."""
         outcome = problem.outcome.value if problem.outcome else "none"
         self._services.metrics.count(
             "refusals",
             Label("code", problem.code),
             Label("outcome", outcome),
         )
+
+    def _refuse(self, problem: Problem) -> Response:
+        self.note_refusal(problem)
         return problem_response(problem)
 
     def _count_answer(self, outcome: str, started_ms: int) -> None:
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -322,6 +322,7 @@
             port=address.port,
             limits=limits,
             name="caller-http",
+            on_refusal=self._core.callers.note_refusal,
         )
 
     def _on_peer_message(self, message: ReceivedMessage) -> None:
--- a/trefoilpitch/web/_server.py
+++ b/trefoilpitch/web/_server.py
@@ -4,13 +4,16 @@
 
 import contextlib
 import dataclasses
+import functools
 import threading
 import time
+from collections.abc import Callable
 from types import TracebackType
 
 import waitress.server
 
 from trefoilpitch.web._channel import Channel
+from trefoilpitch.web._problems import Problem
 from trefoilpitch.web._wsgi import WsgiApp
 
 _NEVER_TO_DISK_BYTES = 1 << 40
@@ -46,6 +49,7 @@
         port: Port to listen on; 0 lets the system choose.
         limits: What the server accepts.
         name: Names the server's thread.
+        on_refusal: Takes what is refused before the application sees it.
     """
 
     def __init__(
@@ -55,6 +59,8 @@
         port: int,
         limits: ServerLimits,
         name: str,
+        *,
+        on_refusal: Callable[[Problem], None],
     ) -> None:
         # The VMs have no disk: the overflow thresholds are never reached.
         self._server = waitress.server.create_server(
@@ -75,7 +81,9 @@
             ident=None,
         )
         # Connections are accepted only once the server runs.
-        self._server.channel_class = Channel
+        self._server.channel_class = functools.partial(
+            Channel, on_refusal=on_refusal
+        )
         self._close_patience_ms = _CLOSE_PATIENCE_MS
         self._thread = threading.Thread(
             target=self._server.run, name=name, daemon=True
@@ -131,6 +139,7 @@
     port: int,
     limits: ServerLimits,
     name: str,
+    on_refusal: Callable[[Problem], None] = lambda problem: None,
 ) -> HttpServer:
     """Returns a server that is ready to be entered."""
-    return HttpServer(app, host, port, limits, name)
+    return HttpServer(app, host, port, limits, name, on_refusal=on_refusal)
