--- a/trefoilpitch/serving/_runs.py
+++ b/trefoilpitch/serving/_runs.py
@@ -135,6 +135,9 @@
         request: What runs.
         cancellation: Cancels the run.
     """
+    request = dataclasses.replace(
+        request, upstream_incarnation=slot.upstream_incarnation
+    )
     opened = slot.engine.start(request, cancellation)
     if not isinstance(opened, Success):
         return Failure(opened.failure())
