End the wait of a repeat whose caller leaves

Cause: a repeat that waits for an equal call which is running held its thread until that call or its deadline ended, whoever had left.

Change: the wait attaches itself to the request's Cancellation and ends as still-running; the call itself is not touched.

Left: a VM that handed a keyed call to its home does not tell the home that the caller has left.

--- a/trefoilpitch/callers/_api.py
+++ b/trefoilpitch/callers/_api.py
@@ -370,16 +370,16 @@
         operation: Operation,
         cancellation: Cancellation,
     ) -> Result[CallAnswer | Response, Problem]:
-        if isinstance(call.key, ForeignKey) and not operation.idempotent:
-            # Were it dropped, a repeat would be refused: only the first use
-            # of a registered key is known to be the first.
-            cancellation = Cancellation()
+        # Were a call with a registered key dropped, a repeat would be refused:
+        # only the first use of such a key is known to be the first.
+        is_bound = isinstance(call.key, ForeignKey) and not operation.idempotent
+        of_run = Cancellation() if is_bound else cancellation
 
         def execute() -> Result[CallAnswer, Problem]:
             refusal = self._services.gate.refusal(call.request_id)
             if refusal is not None:
                 return Failure(refusal)
-            return self._services.calls.call(call, operation, cancellation)
+            return self._services.calls.call(call, operation, of_run)
 
         if operation.idempotent or call.key is None:
             return execute().map(lambda answer: answer)
@@ -392,6 +392,7 @@
             request_id=call.request_id,
             deadline_ms=deadline_ms,
             is_forwarded=bool(request.header(FORWARDED_HEADER)),
+            cancellation=cancellation,
         )
         return self._services.keyed_calls.run(keyed, execute)
 
--- a/trefoilpitch/callers/_keyed_calls.py
+++ b/trefoilpitch/callers/_keyed_calls.py
@@ -12,6 +12,7 @@
 from trefoilpitch.identity import ForeignKey, HomedKey, RequestKey
 from trefoilpitch.requests import Admission, RequestSlot, Verdict
 from trefoilpitch.serving import CallAnswer, KeyedRequests
+from trefoilpitch.upstreams import Cancellation
 from trefoilpitch.web import Outcome, Problem, Request, Response
 
 CallResult: TypeAlias = Result[CallAnswer, Problem]
@@ -77,6 +78,8 @@
     deadline_ms: int
     # Whether another node handed the request over.
     is_forwarded: bool
+    # Ends the wait for an equal call that is running.
+    cancellation: Cancellation
 
 
 class KeyedCalls:
@@ -164,7 +167,11 @@
         execute: Callable[[], CallResult],
     ) -> CallResult:
         admission = self._keyed.admit(
-            call.slot, call.fingerprint, issued_ms, call.deadline_ms
+            call.slot,
+            call.fingerprint,
+            issued_ms,
+            call.deadline_ms,
+            cancellation=call.cancellation,
         )
         if admission.verdict is not Verdict.RUN:
             return _replay(call, admission)
--- a/trefoilpitch/callers/tests/test_departures.py
+++ b/trefoilpitch/callers/tests/test_departures.py
@@ -185,6 +185,27 @@
     assert node.metrics.counters()[_GONE] == 1
 
 
+def test_a_repeat_whose_caller_leaves_waits_no_longer() -> None:
+    node = _Node()
+    node.world.call_results = [_DONE]
+    key = node.key()
+    _, send = node.lend(key)
+    request, send_again = node.lend(key)
+    replies: list[Response] = []
+    repeat = threading.Thread(target=lambda: replies.append(send_again()))
+
+    def leave_once_joined() -> None:
+        repeat.start()
+        assert node.parking.joined.wait(_PATIENCE_S)
+        request.departure.happen()
+        repeat.join(_PATIENCE_S)
+        # The first one is still running.
+        assert [reply.status for reply in replies] == [409]
+
+    node.world.on_call = leave_once_joined
+    assert send().body == b"done"
+
+
 def test_a_call_with_a_registered_key_is_not_dropped() -> None:
     node = _Node()
     node.world.call_results = [_DONE]
--- a/trefoilpitch/serving/_keyed.py
+++ b/trefoilpitch/serving/_keyed.py
@@ -13,6 +13,7 @@
     Verdict,
 )
 from trefoilpitch.serving._queue import Parking
+from trefoilpitch.upstreams import Cancellation
 
 AnswerT = TypeVar("AnswerT")
 
@@ -43,6 +44,8 @@
         fingerprint: bytes,
         issued_ms: int,
         deadline_ms: int,
+        *,
+        cancellation: Cancellation,
     ) -> Admission[AnswerT]:
         """Decides on a request; waits while the same one is running.
 
@@ -51,21 +54,28 @@
             fingerprint: Digest of the request's operation and content.
             issued_ms: When the key was issued.
             deadline_ms: Monotonic time until which to wait.
+            cancellation: Ends the wait.
 
         Returns:
             ``RUN`` obliges the caller to call one of the ``finish`` methods.
             ``JOIN`` means that the other request is still running.
         """
+        cancellation.attach(self)
         with self._changed:
             admission = self._admit(slot, fingerprint, issued_ms)
             while admission.verdict is Verdict.JOIN:
                 left_ms = deadline_ms - self._clock.now_ms()
-                if left_ms <= 0:
+                if left_ms <= 0 or cancellation.cancelled:
                     return admission
                 self._parking.wait(self._changed, left_ms)
                 admission = self._admit(slot, fingerprint, issued_ms)
             return admission
 
+    def cancel(self) -> None:
+        """Wakes the waits, because one of them has been cancelled."""
+        with self._changed:
+            self._changed.notify_all()
+
     def finish_not_run(self, slot: RequestSlot) -> None:
         """Records that the request did not run."""
         with self._changed:
