--- a/trefoilpitch/daemon/tests/stateful/upstreams.py
+++ b/trefoilpitch/daemon/tests/stateful/upstreams.py
@@ -240,6 +240,7 @@
         *,
         after_index: int,
         deadline_ms: int,
+        cancellation: Cancellation | None = None,
     ) -> Result[AnswerStream, UpstreamError]:
         backend = self._backend
         run = backend.attach(request_id) if backend.is_up else None
