End a wait for changes in time although others call the store

Cause: with 27 daemons the stand-in store told of 20 to 24 waiting watches where 12 relays wait. `MemoryWatch.receive` counted down its timeout only by waits that nobody interrupted, and every call of any client interrupts. With a read each 130 ms a wait of 1 s never ended, so that the stand-in never came to look whether a watch's caller had gone. The watches of nodes that had been relays by an incomplete view, and had ended them, stayed until the next change was told. For the same reason it sent no progress notifications.

Ruled out: the choice of relays (12 watches are left once the stand-in drops the ended ones); a second kind of watch (only the head is watched); the VM list (none in this measurement); watches that daemons don't end (the store holds 12 after one change, and 12 without any once mended).

Change: the wait ends at a point in the machine's time.

`pytest trefoilpitch/store`: both new tests red before (etcd client and stand-in; memory), green after.

--- a/trefoilpitch/store/_memory_watch.py
+++ b/trefoilpitch/store/_memory_watch.py
@@ -9,6 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
+from trefoilpitch.clock import SystemClock
 from trefoilpitch.store._exceptions import (
     CompactedError,
     OutcomeUnknownError,
@@ -19,6 +20,9 @@
 from trefoilpitch.store._types import WatchBatch
 
 _MS_PER_S = 1_000
+# Threads wait in the machine's time, also where leases expire by a clock that
+# is set by hand.
+_WAIT_CLOCK = SystemClock()
 
 
 class MemoryWatch:
@@ -50,18 +54,19 @@
 
     def receive(self, timeout_ms: int) -> Result[WatchBatch, StoreError]:
         """Waits for changes; see `Watch.receive`."""
-        remaining_ms = timeout_ms
+        until_ms = _WAIT_CLOCK.now_ms() + timeout_ms
         with self._changed:
             while True:
                 result = self._take()
                 if result is not None:
                     return result
+                # Every call of any client notifies, so that a count of the
+                # waits that ran out would never end.
+                remaining_ms = until_ms - _WAIT_CLOCK.now_ms()
                 if remaining_ms <= 0:
                     revision = self._next_revision - 1
                     return Success(WatchBatch(revision=revision))
-                wait_ms = self._wait_ms(remaining_ms)
-                notified = self._changed.wait(wait_ms / _MS_PER_S)
-                remaining_ms -= 0 if notified else wait_ms
+                self._changed.wait(self._wait_ms(remaining_ms) / _MS_PER_S)
 
     def cancel(self) -> None:
         """Ends the watch from any thread; a waiting `receive` returns."""
--- a/trefoilpitch/store/tests/test_contract.py
+++ b/trefoilpitch/store/tests/test_contract.py
@@ -32,6 +32,7 @@
 )
 
 _WAIT_MS = 5_000
+_MANY_CALLS = 30_000
 
 
 class _Subject:
@@ -200,6 +201,29 @@
         canceller.join()
 
 
+def test_cancelled_watch_is_dropped_although_others_call(
+    subject: _Subject,
+) -> None:
+    with subject.store.watch("a", 1).unwrap():
+        assert subject.faults.counters.watches_waiting == 1
+    for _ in range(_MANY_CALLS):
+        if not subject.faults.counters.watches_waiting:
+            return
+        subject.store.get("b")
+    pytest.fail("the store still holds the watch")
+
+
+def test_receive_ends_although_others_call(subject: _Subject) -> None:
+    with subject.store.watch("a", 1).unwrap() as watch:
+        receiver = threading.Thread(target=watch.receive, args=(1,))
+        receiver.start()
+        for _ in range(_MANY_CALLS):
+            if not receiver.is_alive():
+                return
+            subject.store.get("b")
+    pytest.fail("the calls of others kept the receiver waiting")
+
+
 def test_counters_tell_calls_by_kind_and_outcome(subject: _Subject) -> None:
     store = subject.store
     with store.watch("a", 1).unwrap():
