Let a fleet watch and fetch without relays and deltas, to compare

The bench reads each daemon's revision from its status in place of its whole bundle.

The new replication test is red if head deltas are adopted at 0 bytes, and if a relay goes to its peers.

--- a/tools/fleet/bench.py
+++ b/tools/fleet/bench.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import itertools
 import time
+from collections.abc import Mapping
 from typing import Any
 
 from tools.processes import (
@@ -36,10 +37,20 @@
     Args:
         processes: Owns the processes.
         size: Daemons to run.
+        bundle: The bundle to sign off, as text.
+        flags: Further flags of every daemon.
     """
 
-    def __init__(self, processes: Processes, size: int) -> None:
+    def __init__(
+        self,
+        processes: Processes,
+        size: int,
+        bundle: str | None = None,
+        flags: Mapping[str, str] | None = None,
+    ) -> None:
         self._processes = processes
+        self._bundle = bundle or _BUNDLE.read_text()
+        self._flags = dict(flags or {})
         self._ports = [
             _FIRST_PORT + index * _PORTS_PER_DAEMON for index in range(size)
         ]
@@ -69,6 +80,7 @@
                 base_port=port,
                 store_port=STORE_PORT,
                 seeds=seeds,
+                **self._flags,
             )
         wait_until(self._sign_off, "the sign-off", _PATIENCE_S)
         wait_until(self._is_complete, "a complete fleet", _PATIENCE_S)
@@ -87,6 +99,10 @@
         """Makes every call of the store take a time."""
         http("POST", _faults_url(), {"delay_ms": delay_ms})
 
+    def set_store_down(self, down: bool) -> None:
+        """Makes the store refuse every call, or answer again."""
+        http("POST", _faults_url(), {"down": down})
+
     def time_change(self, number: int) -> tuple[float, float]:
         """Commits a change.
 
@@ -143,7 +159,7 @@
             "kind": "sign-off",
             "change_id": "measure-0",
             "author": "measure",
-            "bundle": _BUNDLE.read_text(),
+            "bundle": self._bundle,
         }
         url = f"http://127.0.0.1:{self._ports[0] + 1}/v1/changes"
         return http("POST", url, body, _HEADERS).status == _OK
@@ -167,4 +183,4 @@
 
 
 def _revision(port: int) -> int:
-    return int(_ask(port, "/v1/bundle")["revision"])
+    return int(_ask(port, "/v1/status")["revision"])
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -24,6 +24,7 @@
     "tools.measure_router": 300,
     "tools.measure_upstreams": 200,
     "tools.measure_fleet": 600,
+    "tools.measure_propagation": 900,
 }
 
 
--- a/trefoilpitch/configuration/_plan.py
+++ b/trefoilpitch/configuration/_plan.py
@@ -27,8 +27,6 @@
 # Every watcher gets the head on every change, and relays read it to prove
 # that they are current, so it stays small.
 MAX_HEAD_DELTA_BYTES = 4_096
-# What is left of the deltas when a new snapshot has been taken.
-_KEPT_DELTA_BYTES = MAX_HEAD_DELTA_BYTES // 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,7 +44,10 @@
 
 
 def plan_commit(
-    head: HeadRecord, before: Configuration, change: Change
+    head: HeadRecord,
+    before: Configuration,
+    change: Change,
+    max_delta_bytes: int = MAX_HEAD_DELTA_BYTES,
 ) -> Result[CommitPlan, ChangeError]:
     """Returns what to write, or why the change is refused.
 
@@ -54,6 +55,8 @@
         head: The head that the commit follows.
         before: The configuration that the head stands for.
         change: The change.
+        max_delta_bytes: Deltas kept in the head; at 0 every change takes a
+            snapshot.
     """
     applied = apply_change(before, change)
     if isinstance(applied, Failure):
@@ -67,7 +70,7 @@
         )
         return Failure(ChangeError(refusal=Refusal.TOO_LARGE, message=message))
     delta = Delta(revision=after.revision, change=record_change(before, change))
-    return Success(_plan(head, after, encoded, delta))
+    return Success(_plan(head, after, encoded, delta, max_delta_bytes))
 
 
 def trim_deltas(deltas: tuple[Delta, ...], max_bytes: int) -> tuple[Delta, ...]:
@@ -83,11 +86,15 @@
 
 
 def _plan(
-    head: HeadRecord, after: Configuration, encoded: bytes, delta: Delta
+    head: HeadRecord,
+    after: Configuration,
+    encoded: bytes,
+    delta: Delta,
+    max_delta_bytes: int,
 ) -> CommitPlan:
     deltas = (*head.deltas, delta)
     digest = digest_of(encoded)
-    fits = len(trim_deltas(deltas, MAX_HEAD_DELTA_BYTES)) == len(deltas)
+    fits = len(trim_deltas(deltas, max_delta_bytes)) == len(deltas)
     if fits and not isinstance(delta.change, ReplaceBundle) and head.snapshot:
         new_head = dataclasses.replace(
             head, revision=after.revision, digest=digest, deltas=deltas
@@ -100,7 +107,8 @@
         digest=digest,
         snapshot=SnapshotRef(revision=after.revision, digest=digest),
         previous=head.snapshot,
-        deltas=trim_deltas(deltas, _KEPT_DELTA_BYTES),
+        # Half, so that the next changes find room.
+        deltas=trim_deltas(deltas, max_delta_bytes // 2),
     )
     return CommitPlan(
         head=new_head, snapshot=encoded, after=after, obsolete=head.previous
--- a/trefoilpitch/configuration/_writer.py
+++ b/trefoilpitch/configuration/_writer.py
@@ -34,7 +34,11 @@
     unavailable,
 )
 from trefoilpitch.configuration._nodes import Configuration
-from trefoilpitch.configuration._plan import CommitPlan, plan_commit
+from trefoilpitch.configuration._plan import (
+    MAX_HEAD_DELTA_BYTES,
+    CommitPlan,
+    plan_commit,
+)
 from trefoilpitch.store import (
     ABSENT,
     ConflictError,
@@ -68,10 +72,13 @@
 
     Args:
         store: The platform's key-value service.
+        max_delta_bytes: Deltas kept in the head; at 0 every change writes a
+            snapshot.
     """
 
-    def __init__(self, store: HeadStore) -> None:
+    def __init__(self, store: HeadStore, max_delta_bytes: int) -> None:
         self._store = store
+        self._max_delta_bytes = max_delta_bytes
         self._reader = HeadReader(store)
 
     def commit(
@@ -112,7 +119,7 @@
     def _commit_on(
         self, base: StoredHead, before: Configuration, change: Change
     ) -> _Outcome:
-        planned = plan_commit(base.head, before, change)
+        planned = plan_commit(base.head, before, change, self._max_delta_bytes)
         if isinstance(planned, Failure):
             return refused(planned.failure())
         plan = planned.unwrap()
@@ -200,13 +207,19 @@
             self._store.delete_if(ref.key, entry.revision)
 
 
-def configuration_writer(store: HeadStore) -> ConfigurationWriter:
+def configuration_writer(
+    store: HeadStore, *, max_delta_bytes: int = MAX_HEAD_DELTA_BYTES
+) -> ConfigurationWriter:
     """Creates a writer.
 
     Args:
         store: The platform's key-value service.
+        max_delta_bytes: Deltas kept in the head, at most the default; at 0
+            every change writes a snapshot.
     """
-    return ConfigurationWriter(store)
+    return ConfigurationWriter(
+        store, min(max_delta_bytes, MAX_HEAD_DELTA_BYTES)
+    )
 
 
 def _find_bundle_faults(change: Change) -> _Outcome | None:
--- a/trefoilpitch/configuration/replication/_adopt.py
+++ b/trefoilpitch/configuration/replication/_adopt.py
@@ -95,6 +95,8 @@
     head = draft.state.head
     if head is None or head.revision <= draft.state.revision:
         return
+    if not draft.state.settings.max_log_bytes:
+        return
     if head.covers(draft.state.revision):
         adopt_deltas(draft, head.deltas, head.revision, head.digest)
 
--- a/trefoilpitch/configuration/replication/_state.py
+++ b/trefoilpitch/configuration/replication/_state.py
@@ -59,7 +59,7 @@
     # Time for which a node that may have committed a change probes as often
     # as a relay, until the change is confirmed.
     confirmation_ms: int = 3_000
-    # Deltas kept for peers.
+    # Deltas kept for peers; at 0 only whole snapshots are taken and given.
     max_log_bytes: int = 32_768
     # Largest page of a snapshot.
     page_bytes: int = 32_768
--- a/trefoilpitch/configuration/replication/_store_side.py
+++ b/trefoilpitch/configuration/replication/_store_side.py
@@ -21,6 +21,7 @@
     StopWatch,
 )
 from trefoilpitch.configuration.replication._fetch import start_fetch
+from trefoilpitch.configuration.replication._state import ReplicaState
 
 # Time before a snapshot that could not be had is asked for again.
 _PURSUIT_INTERVAL_MS = 500
@@ -118,11 +119,15 @@
     """Asks for what leads to the highest revision heard of.
 
     A peer that has the revision is asked for deltas, then for its snapshot,
-    then the store for its own.
+    then the store for its own. Without deltas a relay goes to the store alone
+    as long as that answers.
     """
     state = draft.state
     if not state.is_behind:
         return
+    if _uses_store_alone(state):
+        _pursue_at_store(draft)
+        return
     if state.informant and state.probed_revision < state.head_revision:
         draft.update(probed_revision=state.head_revision)
         draft.probe(state.informant, is_urgent=True)
@@ -142,6 +147,20 @@
         draft.update(next_read_ms=min(state.next_read_ms, draft.now_ms))
 
 
+def _uses_store_alone(state: ReplicaState) -> bool:
+    keeps_deltas = state.settings.max_log_bytes > 0
+    return state.links.is_relay and not keeps_deltas and not state.read_failures
+
+
+def _pursue_at_store(draft: Draft) -> None:
+    state = draft.state
+    if state.head is None or state.head.revision <= state.revision:
+        draft.update(next_read_ms=min(state.next_read_ms, draft.now_ms))
+    elif draft.now_ms >= state.next_pursuit_ms:
+        draft.update(next_pursuit_ms=draft.now_ms + _PURSUIT_INTERVAL_MS)
+        _read_snapshot(draft)
+
+
 def prove_by_head(draft: Draft) -> None:
     """Takes the last read of the head as proof if it is what is in force."""
     state = draft.state
--- a/trefoilpitch/configuration/replication/tests/fleet.py
+++ b/trefoilpitch/configuration/replication/tests/fleet.py
@@ -69,6 +69,8 @@
         self.in_force: dict[str, list[Configuration]] = {}
         # Whether daemons are told in which failure domains entry VMs run.
         self.tells_domains = True
+        # Deltas that nodes keep for others and in the head.
+        self.max_delta_bytes = 32_768
         # Failure domains in the same group reach each other.
         self.groups: list[set[str]] = [set(self.domains)]
         # Nodes that reach nobody.
@@ -88,6 +90,7 @@
                 failure_domain=node.failure_domain,
                 address=node.address,
                 failure_domains=self.domains if self.tells_domains else (),
+                max_log_bytes=self.max_delta_bytes,
             )
             self._watches.pop(name, None)
             self.in_force[name] = []
@@ -143,7 +146,10 @@
         """Commits through a node's own writer and tells its replica."""
         client = self.store.new_client()
         client.set_down(not self._reaches_store(name))
-        outcome = configuration_writer(client).commit(
+        writer = configuration_writer(
+            client, max_delta_bytes=self.max_delta_bytes
+        )
+        outcome = writer.commit(
             change, known_revision=self.states[name].revision
         )
         if isinstance(outcome, Success):
--- a/trefoilpitch/configuration/replication/tests/test_step.py
+++ b/trefoilpitch/configuration/replication/tests/test_step.py
@@ -251,3 +251,19 @@
     fleet.store.set_down(True)
     fleet.run(60_000)
     assert fleet.standings() == {"a-0": Standing.STORE_LOST}
+
+
+def test_without_deltas_every_change_travels_as_a_snapshot() -> None:
+    fleet = Fleet("abc", 5)
+    fleet.max_delta_bytes = 0
+    fleet.start()
+    fleet.run(3_000)
+    for revision, change in enumerate(itertools.islice(many_changes(), 4), 1):
+        fleet.commit("a-0", change).unwrap()
+        fleet.run(2_000)
+        assert fleet.revisions() == {revision}
+    for state in fleet.states.values():
+        counters, is_relay = state.counters, state.links.is_relay
+        assert counters.deltas_applied == 0
+        assert (counters.store_snapshots == 4) is is_relay
+        assert (counters.peer_snapshots == 4) is not is_relay
--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -91,6 +91,10 @@
     rating_share: float
     # Sign callers' tokens; the first one signs.
     token_keys: tuple[bytes, ...]
+    # Nodes of each failure domain that watch the store.
+    relays_per_domain: int = 4
+    # Deltas of the configuration kept for other nodes; 0 keeps none.
+    max_delta_bytes: int = 32_768
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -263,7 +267,9 @@
         return AdminServices(
             view=self.view,
             configuration=lambda: self.current.table().configuration,
-            writer=configuration_writer(store),
+            writer=configuration_writer(
+                store, max_delta_bytes=self._identity.max_delta_bytes
+            ),
             reader=HeadReader(store),
             accepts_changes=self.replica.accepts_changes,
             confirm=self.replica.confirm,
@@ -299,6 +305,8 @@
             failure_domain=identity.failure_domain,
             address=identity.endpoints.peer_address,
             failure_domains=identity.failure_domains,
+            relays_per_domain=identity.relays_per_domain,
+            max_log_bytes=identity.max_delta_bytes,
         )
         return ReplicaHost(
             settings,
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -369,4 +369,6 @@
         max_requests=settings.max_requests,
         rating_share=settings.rating_share,
         token_keys=(*keys, other) if other else keys,
+        relays_per_domain=settings.relays_per_domain,
+        max_delta_bytes=settings.max_delta_bytes,
     )
--- a/trefoilpitch/daemon/_settings.py
+++ b/trefoilpitch/daemon/_settings.py
@@ -71,6 +71,10 @@
     other_shared_key: bytes | None
     # SHA-256 of the administration token, in hexadecimal.
     admin_token_sha256: str
+    # Daemons of each failure domain that watch the store.
+    relays_per_domain: int
+    # Deltas of the configuration kept for other daemons; 0 keeps none.
+    max_delta_bytes: int
     # Requests served at once.
     max_requests: int
     # Largest request body, in bytes.
@@ -129,6 +133,8 @@
     ("shared_key", "", "Key shared by all daemons, 16 characters or more."),
     ("other_shared_key", "", "Also accepted while the key is replaced."),
     ("admin_token_sha256", "", "SHA-256 of the administration token."),
+    ("relays_per_domain", "4", "Daemons a failure domain watching the store."),
+    ("max_delta_bytes", "32768", "Deltas kept for others; 0: whole bundles."),
     ("max_requests", "256", "Requests served at once."),
     ("max_body_bytes", "8388608", "Largest request body, in bytes."),
     ("rating_share", "0.05", "Share of answers to have rated, 0 to 1."),
@@ -203,6 +209,12 @@
             "other_shared_key", _optional_key, None
         ),
         admin_token_sha256=reader.checked("admin_token_sha256", _sha256, ""),
+        relays_per_domain=reader.checked(
+            "relays_per_domain", _whole(1, 4_096), 1
+        ),
+        max_delta_bytes=reader.checked(
+            "max_delta_bytes", _whole(0, 1 << 20), 0
+        ),
         max_requests=reader.checked("max_requests", _whole(1, 4_096), 1),
         max_body_bytes=reader.checked(
             "max_body_bytes", _whole(1_024, 1 << 30), 1_024
--- a/trefoilpitch/daemon/tests/test_settings.py
+++ b/trefoilpitch/daemon/tests/test_settings.py
@@ -44,6 +44,8 @@
         "--caller_address=127.0.0.1:99999",
         "--max_requests=many",
         "--rating_share=2",
+        "--relays_per_domain=0",
+        "--max_delta_bytes=-1",
         "--log_format=xml",
         "--shared_key=short",
         "--no_such_flag=1",
--- a/trefoilpitch/standins/_kv.py
+++ b/trefoilpitch/standins/_kv.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import select
+import threading
 import time
 from types import TracebackType
 
@@ -54,6 +56,18 @@
         super().__init__(address, _Handler)
         self.store = store
         self.gateway = Gateway(store)
+        self._lock = threading.Lock()
+        self._bytes = 0
+
+    @property
+    def counted_bytes(self) -> int:
+        """Bytes of all bodies received and sent, without headers."""
+        return self._bytes
+
+    def count_bytes(self, count: int) -> None:
+        """Adds the length of a body; safe to call from any thread."""
+        with self._lock:
+            self._bytes += count
 
 
 class KvServer(JsonServer):
@@ -92,14 +106,18 @@
         if self.path != _CONTROL_PATH:
             self.reply(404, b"{}")
             return
-        self.reply(200, msgspec.json.encode(self.server.store.counters))
+        counters = dataclasses.asdict(self.server.store.counters)
+        counters["bytes"] = self.server.counted_bytes
+        self.reply(200, msgspec.json.encode(counters))
 
     def do_POST(self) -> None:  # noqa: N802
         """Answers one call."""
         body = self.read_body()
         if self.path == _CONTROL_PATH:
             self._set_faults(body)
-        elif self.path == "/v3/watch":
+            return
+        self.server.count_bytes(len(body))
+        if self.path == "/v3/watch":
             self._watch(body)
         else:
             self._call(body)
@@ -109,6 +127,7 @@
         if reply is None:
             self.drop_connection()
             return
+        self.server.count_bytes(len(reply.body))
         self.reply(reply.status, reply.body)
 
     def _watch(self, body: bytes) -> None:
@@ -129,6 +148,7 @@
         self.end_headers()
 
     def _chunk(self, message: bytes) -> None:
+        self.server.count_bytes(len(message))
         self.wfile.write(b"%x\r\n%s\r\n" % (len(message), message))
         self.wfile.flush()
 
--- a/trefoilpitch/standins/tests/test_kv.py
+++ b/trefoilpitch/standins/tests/test_kv.py
@@ -72,3 +72,14 @@
         assert server.store.get("a").unwrap() is None
         counters = http.request("GET", url).json()
         assert (counters["outcome_unknown"], counters["writes"]) == (1, 1)
+
+
+def test_control_endpoint_counts_the_bytes_of_calls_alone() -> None:
+    with kv_server() as server:
+        base = f"http://{server.host}:{server.port}"
+        http = urllib3.PoolManager(retries=False)
+        body = b'{"key":"Zm9v"}'
+        reply = http.request("POST", f"{base}/v3/kv/range", body=body)
+        for _ in range(2):
+            counters = http.request("GET", f"{base}/standin/faults").json()
+            assert counters["bytes"] == len(body) + len(reply.data)
