--- a/tools/measure_propagation.py
+++ b/tools/measure_propagation.py
@@ -137,7 +137,7 @@
 def _percentiles(name: str, values: Sequence[float]) -> _Row:
     if not values:
         return dict.fromkeys(
-            (f"{name}_{end}" for end in ("p50_s", "p99_s", "worst_s"))
+            f"{name}_{end}" for end in ("p50_s", "p99_s", "worst_s")
         )
     return {
         f"{name}_p50_s": round(percentile(values, 50), 2),
