Take no bytes for no change within a line end

Cause: feeding an empty part between CR and LF made the decoder forget the CR, so that the LF ended a second line and dispatched an event early.

Ruled out: harm in the daemon so far, as reads never yield empty parts.

Change: an empty part returns at once; a test cuts a stream twice at each place.

Figures: `pytest trefoilpitch/upstreams/tests/test_sse.py`: the new test red before, green after.

Conclusion: where the bytes are cut makes no difference again.

--- a/trefoilpitch/upstreams/_sse.py
+++ b/trefoilpitch/upstreams/_sse.py
@@ -59,9 +59,11 @@
         Raises:
             SseFormatError: If a line is not UTF-8 or an event is too large.
         """
-        if self._skip_line_feed and data:
+        if not data:
+            # Else a line feed after it would end a second line.
+            return []
+        if self._skip_line_feed:
             data = data.removeprefix(b"\n")
-            self._skip_line_feed = False
         self._buffer += data
         if self._event_bytes + len(self._buffer) > self._max_event_bytes:
             return self._split(check_size=True)
--- a/trefoilpitch/upstreams/tests/test_sse.py
+++ b/trefoilpitch/upstreams/tests/test_sse.py
@@ -41,6 +41,12 @@
     assert _decode(data, cuts) == _decode(data, [])
 
 
+def test_no_bytes_between_the_two_of_a_line_end_change_nothing() -> None:
+    data = b"data: a\r\ndata: b\r\n\r\n"
+    for cut in range(len(data)):
+        assert _decode(data, [cut, cut]) == _decode(data, [])
+
+
 @pytest.mark.parametrize(
     ("data", "events"),
     [
