Pause a roll-out whose version proved harmful on a node

Cause: the sequential test's verdict on a new version stood in the dump and nothing acted on it, so a roll-out went on until an operator looked. Its evidence was also of the whole process, not of the present step, as the advice's bound assumes. Ruled out: going back by itself (rolling is the operators', and it costs a good version all its steps on a false alarm); an agreement between nodes; a fixed bound on each node (390 nodes that err with 0.5% each pause most good versions), so they share alpha; change ids without the revision (a verdict after operators resumed would count as a repeat of the one that they overruled). Evidence starts afresh when the roll-out moves, and where revisions were missed. In serving/tests/test_learning.py: evidence kept over missed revisions 1 fails, undivided alpha 1. The stateful test's nodes act on each second as well. A version that turns bad late in a step is found late; the breaker alone acts until then.

--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -35,6 +35,7 @@
 from trefoilpitch.daemon._key_register import StoreKeyRegister
 from trefoilpitch.daemon._ledger import Ledger, write_due_segments
 from trefoilpitch.daemon._replica import Background, HeadFollower, ReplicaHost
+from trefoilpitch.daemon._rollouts import RolloutGuard
 from trefoilpitch.identity import TokenSigner
 from trefoilpitch.ledger import BillCopies, CopyAck, SegmentWriter
 from trefoilpitch.membership import (
@@ -43,6 +44,7 @@
     MembershipEvent,
     MembershipHost,
     MembershipView,
+    MemberState,
     Report,
     create_membership,
 )
@@ -185,6 +187,15 @@
             surroundings.rng,
             identity.rating_share,
         )
+        self.rollouts = RolloutGuard(
+            self.learner,
+            writer=configuration_writer(surroundings.store),
+            accepts_changes=self.replica.accepts_changes,
+            take_in=self.replica.take_in,
+            count_nodes=self._count_nodes,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
         self.callers = CallerApi(
             identity.incarnation, self._create_caller_services()
         )
@@ -286,7 +297,7 @@
             "ledger_held_bytes": self.ledger.held_bytes,
             "upstreams": list(self.directory.states().values()),
             "breakers": self.learner.breakers(),
-            "rollout_advice": self.learner.advice(self.current.table()),
+            "rollout_advice": self.learner.advice(self._count_nodes()),
             "peering": self._around.transport.counters(),
             "counters": self.metrics.counters(),
             "latencies": self.metrics.latencies(),
@@ -387,7 +398,12 @@
             clock=self._clock,
         )
 
+    def _count_nodes(self) -> int:
+        members = self.members.view.members
+        return sum(one.state is not MemberState.GONE for one in members)
+
     def _on_new_table(self, table: RoutingTable) -> None:
+        self.learner.follow(table)
         self.directory.apply(table)
         self.cold_starts.set_upstreams(tuple(table.upstreams.values()))
         self._note_own_service(table)
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -43,6 +43,7 @@
     ReplicaActor,
     ThreadBackground,
 )
+from trefoilpitch.daemon._rollouts import ROLLOUT_TICK_MS, RolloutActor
 from trefoilpitch.daemon._settings import Settings
 from trefoilpitch.identity import create_incarnation
 from trefoilpitch.ledger import COPY_PAYLOAD_KINDS, BillCopies, CopyAck
@@ -242,6 +243,11 @@
                 start=lambda: LoadActor.start(core, self._clock),
                 tick_ms=LOAD_TICK_MS,
             ),
+            ChildSpec(
+                name="rollouts",
+                start=lambda: RolloutActor.start(core.rollouts),
+                tick_ms=ROLLOUT_TICK_MS,
+            ),
         ]
         children.append(
             ChildSpec(
--- a/trefoilpitch/daemon/_replica.py
+++ b/trefoilpitch/daemon/_replica.py
@@ -246,14 +246,18 @@
         event = MessageReceived(address=message.address, message=payload)
         self.handle(event)
 
+    def take_in(self, committed: Committed, sent_ms: int) -> None:
+        """Takes in a commit of this node that was sent at a time."""
+        value = committed.head_value
+        self.handle(HeadRead(value=value, sent_ms=sent_ms))
+
     def confirm(self, committed: Committed, sent_ms: int) -> bool:
         """Takes in a commit of this node and waits for its confirmation.
 
         Returns:
             Whether most failure domains have heard of it in time.
         """
-        value = committed.head_value
-        self.handle(HeadRead(value=value, sent_ms=sent_ms))
+        self.take_in(committed, sent_ms)
         until_ms = self._clock.now_ms() + _CONFIRM_PATIENCE_MS
         while self._clock.now_ms() < until_ms:
             if is_confirmed(self._state, committed.revision):
--- a/trefoilpitch/daemon/tests/stateful/fleet.py
+++ b/trefoilpitch/daemon/tests/stateful/fleet.py
@@ -75,6 +75,7 @@
 _KEY = b"a key that all nodes share"
 _MEMBERSHIP_MS, _REPLICA_MS, _VIEW_MS = 200, 250, 500
 _LEDGER_MS, _LOAD_MS = 200, 500
+_ROLLOUT_MS = 1_000
 
 
 def token_sha256(workspace: str) -> str:
@@ -339,6 +340,8 @@
             )
         if now_ms % _LOAD_MS == 0:
             self._fetch_reports(now_ms)
+        if now_ms % _ROLLOUT_MS == 0:
+            core.rollouts.act()
 
     def depart(self) -> bool:
         is_flushed = self.core.flush_bills()
--- a/trefoilpitch/rollout/__init__.py
+++ b/trefoilpitch/rollout/__init__.py
@@ -8,6 +8,7 @@
     Move,
     advise,
     next_state,
+    settings_for_nodes,
 )
 from trefoilpitch.rollout._breaker import (
     Breaker,
@@ -37,5 +38,6 @@
     "evidence_of_harm",
     "evidence_of_safety",
     "next_state",
+    "settings_for_nodes",
     "tolerated_rate",
 ]
--- a/trefoilpitch/rollout/_advice.py
+++ b/trefoilpitch/rollout/_advice.py
@@ -59,6 +59,19 @@
 DEFAULT_SETTINGS = AdviceSettings()
 
 
+def settings_for_nodes(nodes: int) -> AdviceSettings:
+    """Returns how sure each of several nodes must be by itself.
+
+    They share the chance that a version that is no worse is held up by any
+    of them.
+
+    Args:
+        nodes: Nodes that judge by outcomes of their own.
+    """
+    alpha = DEFAULT_SETTINGS.harm_alpha / max(1, nodes)
+    return dataclasses.replace(DEFAULT_SETTINGS, harm_alpha=alpha)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Advice:
     """A recommendation; operators or an automaton carry it out."""
--- a/trefoilpitch/serving/__init__.py
+++ b/trefoilpitch/serving/__init__.py
@@ -19,7 +19,11 @@
 from trefoilpitch.serving._dispatcher import Dispatcher, Errand, Placed
 from trefoilpitch.serving._gate import NodeStatus, WorkGate
 from trefoilpitch.serving._keyed import KeyedRequests
-from trefoilpitch.serving._learning import RolloutAdvice, VersionLearner
+from trefoilpitch.serving._learning import (
+    RolloutAdvice,
+    RolloutHarm,
+    VersionLearner,
+)
 from trefoilpitch.serving._nodes import (
     AnswerInfo,
     Broken,
@@ -66,6 +70,7 @@
     "Placed",
     "ResumeFlow",
     "RolloutAdvice",
+    "RolloutHarm",
     "Slot",
     "UpstreamDirectory",
     "VersionLearner",
--- a/trefoilpitch/serving/_learning.py
+++ b/trefoilpitch/serving/_learning.py
@@ -11,13 +11,15 @@
 from trefoilpitch.bundle import VersionRef
 from trefoilpitch.cascade import Rating
 from trefoilpitch.clock import Clock
-from trefoilpitch.configuration import RolloutPhase
+from trefoilpitch.configuration import RolloutPhase, RolloutState
 from trefoilpitch.rollout import (
     Advice,
+    AdviceReason,
     Breaker,
     Trials,
     VersionEvidence,
     advise,
+    settings_for_nodes,
 )
 from trefoilpitch.routing import RoutingTable
 from trefoilpitch.serving._chat import Delivered
@@ -26,6 +28,8 @@
 MAX_SAMPLES = 256
 GOOD_SCORE = 0.5
 
+_HARMS = (AdviceReason.MORE_ERRORS, AdviceReason.WORSE_RATINGS)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RolloutAdvice:
@@ -39,6 +43,26 @@
     advice: Advice
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutHarm:
+    """Harm by the version of a running roll-out, proved on this node."""
+
+    # Where the roll-out stands.
+    state: RolloutState
+    # The revision of the configuration that this was judged at.
+    revision: int
+    # What is worse than before.
+    reason: AdviceReason
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _StepEvidence:
+    # The state of the roll-out that the outcomes belong to.
+    state: RolloutState
+    # Outcomes of the new version while it stood there.
+    seen: VersionEvidence = dataclasses.field(default_factory=VersionEvidence)
+
+
 class VersionLearner:
     """Narrows versions that harm and samples answers; thread-safe.
 
@@ -63,10 +87,30 @@
         self._lock = threading.Lock()
         self._evidence: dict[VersionRef, VersionEvidence] = {}
         self._breakers: dict[VersionRef, Breaker] = {}
+        self._table: RoutingTable | None = None
+        self._steps: dict[str, _StepEvidence] = {}
         self._samples: collections.deque[Delivered] = collections.deque(
             maxlen=MAX_SAMPLES
         )
 
+    def follow(self, table: RoutingTable) -> None:
+        """Takes in a new configuration, before any outcome under it.
+
+        What is held against a version counts for one step only, and not
+        past a decision of operators. Where revisions were skipped, such a
+        decision may be among them, so that all steps start afresh.
+        """
+        with self._lock:
+            before = self._table.revision if self._table else 0
+            is_skipped = table.revision > before + 1
+            self._steps = {
+                model: _StepEvidence(state=state)
+                if is_skipped or not self._stands_at(state)
+                else self._steps[model]
+                for model, (_, state) in table.rollouts.items()
+            }
+            self._table = table
+
     def weight_factors(self, table: RoutingTable) -> Mapping[VersionRef, float]:
         """Returns the share of its weight that each new version gets."""
         now_ms = self._clock.now_ms()
@@ -118,26 +162,47 @@
                     old, self._clock.now_ms(), bad=not is_good
                 )
 
-    def advice(self, table: RoutingTable) -> tuple[RolloutAdvice, ...]:
-        """Returns what the outcomes on this node speak for."""
-        withdrawn = table.configuration.withdrawn
+    def advice(self, nodes: int) -> tuple[RolloutAdvice, ...]:
+        """Returns what the outcomes on this node speak for.
+
+        Args:
+            nodes: Nodes that judge by outcomes of their own.
+        """
         with self._lock:
+            if self._table is None:
+                return ()
             return tuple(
                 RolloutAdvice(
                     model=model,
-                    to_version=state.to_version,
-                    advice=advise(
-                        plan,
-                        state,
-                        self._of(_old_version(table, model)),
-                        self._of(VersionRef(model, state.to_version)),
-                        withdrawn=VersionRef(model, state.to_version)
-                        in withdrawn,
-                    ),
+                    to_version=step.state.to_version,
+                    advice=self._advise(self._table, step, nodes),
                 )
-                for model, (plan, state) in table.rollouts.items()
+                for model, step in self._steps.items()
             )
 
+    def harms(self, nodes: int) -> tuple[RolloutHarm, ...]:
+        """Returns the running roll-outs whose harm is proved on this node.
+
+        Args:
+            nodes: Nodes that judge by outcomes of their own.
+        """
+        with self._lock:
+            if self._table is None:
+                return ()
+            found = []
+            for step in self._steps.values():
+                if step.state.phase is not RolloutPhase.RUNNING:
+                    continue
+                reason = self._advise(self._table, step, nodes).reason
+                if reason in _HARMS:
+                    harm = RolloutHarm(
+                        state=step.state,
+                        revision=self._table.revision,
+                        reason=reason,
+                    )
+                    found.append(harm)
+            return tuple(found)
+
     def breakers(self) -> Mapping[str, str]:
         """Returns the phase of each breaker, for dumps."""
         now_ms = self._clock.now_ms()
@@ -155,10 +220,37 @@
         entry = table.rollouts.get(version.model)
         if entry is None or entry[1].to_version != version.version:
             return None
+        self._note_step(entry[1], seen)
         if entry[1].phase is RolloutPhase.COMPLETED:
             return None
         return self._of(_old_version(table, version.model))
 
+    def _note_step(self, state: RolloutState, seen: VersionEvidence) -> None:
+        """Adds evidence to a step, unless the roll-out has left it since."""
+        if self._stands_at(state):
+            step = self._steps[state.model]
+            self._steps[state.model] = dataclasses.replace(
+                step, seen=step.seen + seen
+            )
+
+    def _stands_at(self, state: RolloutState) -> bool:
+        step = self._steps.get(state.model)
+        return step is not None and step.state == state
+
+    def _advise(
+        self, table: RoutingTable, step: _StepEvidence, nodes: int
+    ) -> Advice:
+        plan, state = table.rollouts[step.state.model]
+        new_version = VersionRef(state.model, state.to_version)
+        return advise(
+            plan,
+            state,
+            self._of(_old_version(table, state.model)),
+            step.seen,
+            withdrawn=new_version in table.configuration.withdrawn,
+            settings=settings_for_nodes(nodes),
+        )
+
     def _of(self, version: VersionRef) -> VersionEvidence:
         return self._evidence.get(version, VersionEvidence())
 
--- a/trefoilpitch/serving/tests/test_learning.py
+++ b/trefoilpitch/serving/tests/test_learning.py
@@ -54,3 +54,31 @@
     assert delivered.text == "text"
     world.learner.rated(world.table(), delivered, 0.9)
     assert world.learner.take_sample() is None
+
+
+def _at(table: RoutingTable, revision: int) -> RoutingTable:
+    configuration = dataclasses.replace(table.configuration, revision=revision)
+    return routing_table(configuration)
+
+
+def test_harm_outlives_a_revision_but_not_revisions_that_were_missed() -> None:
+    world = World()
+    table = _table(world)
+    learner = world.learner
+    learner.follow(_at(table, 1))
+    for _ in range(20):
+        learner.answered(table, _NEW, failed=True)
+    learner.follow(_at(table, 2))
+    assert [harm.revision for harm in learner.harms(1)] == [2]
+    # Operators may have paused and resumed at the revision between.
+    learner.follow(_at(table, 4))
+    assert not learner.harms(1)
+
+
+def test_many_nodes_need_more_evidence_each() -> None:
+    world = World()
+    table = _table(world)
+    world.learner.follow(_at(table, 1))
+    while not world.learner.harms(1):
+        world.learner.answered(table, _NEW, failed=True)
+    assert not world.learner.harms(10_000)
