Judge recent outcomes by a bound that holds over all restarts

Cause: a version that turns bad late in a step was found late, since its good past counts. The watch of recent outcomes notices it, but the daemon did not use it, and with reason: each forgetting starts another test with the whole chance of a false alarm. Change: the k-th test of a watch gets a share of alpha that falls as 1/(k ln(k)^2) and sums to one; step and recent outcomes, errors and ratings, are four tests that share alpha. advise() takes the watch in place of its evidence. Each node's learner keeps a watch for each step. Tests: a new one fails with the constant bound, and one on a fleet of node cores fails without the watch. test_version_that_turns_bad_after_a_good_start passes the watch in place of its evidence, because the bound depends on what it forgot; its limit of 60 answers is the same.

--- a/tools/decisions/exposure.py
+++ b/tools/decisions/exposure.py
@@ -187,7 +187,7 @@
             self._state,
             self._old,
             self._new,
-            recent=self._watch.evidence,
+            watch=self._watch,
         )
         if advice.move is not Move.HOLD:
             self._move(advice.move, now_ms)
--- a/trefoilpitch/daemon/tests/test_rollouts.py
+++ b/trefoilpitch/daemon/tests/test_rollouts.py
@@ -207,3 +207,13 @@
         fleet.clock.advance(1_000)
     assert _count(node, "rollout_pause_failures") == MAX_TRIES
     assert _count(node, "rollout_pauses_given_up") == 1
+
+
+def test_a_version_that_turns_bad_late_in_a_step_is_paused(
+    fleet: Fleet,
+) -> None:
+    node = _node(fleet, "b")
+    _answers(node, failed=False, count=2_000)
+    _answers(node, failed=True, count=20)
+    fleet.advance(5_000)
+    assert _phases(fleet) == {RolloutPhase.PAUSED}
--- a/trefoilpitch/rollout/_advice.py
+++ b/trefoilpitch/rollout/_advice.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 from trefoilpitch.bundle import RolloutPlan
 from trefoilpitch.configuration import RolloutPhase, RolloutState
@@ -16,6 +17,12 @@
     tolerated_rate,
 )
 
+# Tests that share the chance of a false alarm: errors and ratings, each of the
+# present step as a whole and of the recent outcomes.
+_TESTS = 4
+# The sum of 1 / (k * ln(k)**2) over all k from 2 on.
+_SHARES_SUM = 2.10975
+
 
 class Move(enum.Enum):
     """What to do with a roll-out."""
@@ -42,7 +49,7 @@
 class AdviceSettings:
     """How sure a recommendation must be."""
 
-    # Chance that a version that is no worse is ever sent back.
+    # Chance that a version that is no worse is sent back in one step.
     harm_alpha: float = 0.005
     # Evidence for safety that an advance needs.
     safety_evidence: float = 3.0
@@ -87,12 +94,18 @@
     """The recent outcomes of a version, as far as they may matter.
 
     Outcomes that clearly speak for the version are forgotten, so that a
-    good start does not speak for it later. Feed it what came since the last
-    time, of all nodes together; if its state is lost, it starts afresh.
+    good start does not speak for it later. Each time is a new test, which
+    gets a smaller share of the chance of a false alarm, so that all of them
+    keep to it together. Feed it what came since the last time; if its state
+    is lost, it starts afresh.
     """
 
     # Outcomes since there last was nothing to suspect.
     evidence: VersionEvidence = NO_EVIDENCE
+    # Times that answers were forgotten.
+    answers_forgotten: int = 0
+    # Times that ratings were forgotten.
+    ratings_forgotten: int = 0
 
     def observed(
         self,
@@ -113,22 +126,28 @@
         error_tolerance = settings.error_tolerance
         errors = _harm_of(kept.answers, old.answers, error_tolerance)
         ratings = _harm_of(kept.ratings, old.ratings, plan.tolerance)
-        least = settings.forgetting_evidence
+        forgets_answers = errors < settings.forgetting_evidence
+        forgets_ratings = ratings < settings.forgetting_evidence
         return HarmWatch(
             evidence=VersionEvidence(
-                answers=Trials() if errors < least else kept.answers,
-                ratings=Trials() if ratings < least else kept.ratings,
-            )
+                answers=Trials() if forgets_answers else kept.answers,
+                ratings=Trials() if forgets_ratings else kept.ratings,
+            ),
+            answers_forgotten=self.answers_forgotten + forgets_answers,
+            ratings_forgotten=self.ratings_forgotten + forgets_ratings,
         )
 
 
+NOTHING_WATCHED = HarmWatch()
+
+
 def advise(
     plan: RolloutPlan,
     state: RolloutState,
     old: VersionEvidence,
     new: VersionEvidence,
     *,
-    recent: VersionEvidence = NO_EVIDENCE,
+    watch: HarmWatch = NOTHING_WATCHED,
     withdrawn: bool = False,
     settings: AdviceSettings = DEFAULT_SETTINGS,
 ) -> Advice:
@@ -145,8 +164,8 @@
         new: Outcomes of the new version since its present step began, of
             all nodes. Earlier ones do not count: what served 1% well may
             have changed since.
-        recent: Its outcomes at any step that a ``HarmWatch`` holds; they
-            tell of a version that turned bad after a good start.
+        watch: Its recent outcomes; they tell of a version that turned bad
+            after a good start.
         withdrawn: Whether operators withdrew the new version.
         settings: How sure the recommendation must be.
     """
@@ -154,14 +173,14 @@
         return Advice(move=Move.GO_BACK, reason=AdviceReason.WITHDRAWN)
     if state.phase in (RolloutPhase.ROLLED_BACK, RolloutPhase.COMPLETED):
         return Advice(move=Move.HOLD, reason=AdviceReason.NOT_RUNNING)
-    harm = _harm(plan, old, new, settings)
-    harm = harm or _harm(plan, old, recent, settings)
+    harm = _harm(plan, old, HarmWatch(evidence=new), settings)
+    harm = harm or _harm(plan, old, watch, settings)
     if harm is not None:
         return Advice(move=Move.GO_BACK, reason=harm)
     if state.phase is RolloutPhase.PAUSED:
         return Advice(move=Move.HOLD, reason=AdviceReason.NOT_RUNNING)
     doubt = _doubt(plan, old, new, settings)
-    doubt = doubt or _suspicion(plan, old, recent, settings)
+    doubt = doubt or _suspicion(plan, old, watch.evidence, settings)
     if doubt is not None:
         return Advice(move=Move.HOLD, reason=doubt)
     return Advice(move=Move.ADVANCE, reason=AdviceReason.NO_WORSE)
@@ -184,19 +203,29 @@
 def _harm(
     plan: RolloutPlan,
     old: VersionEvidence,
-    new: VersionEvidence,
+    watch: HarmWatch,
     settings: AdviceSettings,
 ) -> AdviceReason | None:
-    # Errors and ratings are two tests; each gets half of the chance.
-    threshold = 2.0 / settings.harm_alpha
+    new = watch.evidence
     errors = _harm_of(new.answers, old.answers, settings.error_tolerance)
-    if errors >= threshold:
+    if errors >= _threshold(watch.answers_forgotten, settings):
         return AdviceReason.MORE_ERRORS
-    if _harm_of(new.ratings, old.ratings, plan.tolerance) >= threshold:
+    ratings = _harm_of(new.ratings, old.ratings, plan.tolerance)
+    if ratings >= _threshold(watch.ratings_forgotten, settings):
         return AdviceReason.WORSE_RATINGS
     return None
 
 
+def _threshold(forgotten: int, settings: AdviceSettings) -> float:
+    """Returns the evidence that proves harm.
+
+    The shares of all tests that follow each other sum up to one.
+    """
+    number = forgotten + 2
+    share = 1.0 / (_SHARES_SUM * number * math.log(number) ** 2)
+    return _TESTS / (settings.harm_alpha * share)
+
+
 def _suspicion(
     plan: RolloutPlan,
     old: VersionEvidence,
--- a/trefoilpitch/rollout/tests/test_rollout.py
+++ b/trefoilpitch/rollout/tests/test_rollout.py
@@ -191,7 +191,7 @@
             _state(step=2),
             _OLD,
             _new(9_000, 45, 900, 90),
-            recent=watch.evidence,
+            watch=watch,
         )
         if advice.move is Move.GO_BACK:
             break
@@ -213,3 +213,20 @@
     for _ in range(8):
         breaker = breaker.answered(VersionEvidence(), 0, failed=True)
     assert breaker.phase is BreakerPhase.OPEN
+
+
+def test_recent_outcomes_of_a_good_version_do_not_add_up_to_an_alarm() -> None:
+    rng = random.Random(12)
+    alarms = 0
+    for _ in range(10):
+        watch = HarmWatch()
+        for _ in range(4_000):
+            failed = rng.random() < 0.0155
+            watch = watch.observed(_PLAN, _OLD, _new(1, failed, 0, 0))
+            advice = advise(
+                _PLAN, _state(), _OLD, _new(0, 0, 0, 0), watch=watch
+            )
+            if failed and advice.move is Move.GO_BACK:
+                alarms += 1
+                break
+    assert not alarms
--- a/trefoilpitch/serving/_learning.py
+++ b/trefoilpitch/serving/_learning.py
@@ -16,6 +16,7 @@
     Advice,
     AdviceReason,
     Breaker,
+    HarmWatch,
     Trials,
     VersionEvidence,
     advise,
@@ -61,6 +62,8 @@
     state: RolloutState
     # Outcomes of the new version while it stood there.
     seen: VersionEvidence = dataclasses.field(default_factory=VersionEvidence)
+    # The recent ones of them.
+    watch: HarmWatch = dataclasses.field(default_factory=HarmWatch)
 
 
 class VersionLearner:
@@ -220,18 +223,25 @@
         entry = table.rollouts.get(version.model)
         if entry is None or entry[1].to_version != version.version:
             return None
-        self._note_step(entry[1], seen)
+        self._note_step(table, entry[1], seen)
         if entry[1].phase is RolloutPhase.COMPLETED:
             return None
         return self._of(_old_version(table, version.model))
 
-    def _note_step(self, state: RolloutState, seen: VersionEvidence) -> None:
+    def _note_step(
+        self, table: RoutingTable, state: RolloutState, seen: VersionEvidence
+    ) -> None:
         """Adds evidence to a step, unless the roll-out has left it since."""
-        if self._stands_at(state):
-            step = self._steps[state.model]
-            self._steps[state.model] = dataclasses.replace(
-                step, seen=step.seen + seen
-            )
+        if not self._stands_at(state):
+            return
+        step = self._steps[state.model]
+        plan, _ = table.rollouts[state.model]
+        old = self._of(_old_version(table, state.model))
+        self._steps[state.model] = dataclasses.replace(
+            step,
+            seen=step.seen + seen,
+            watch=step.watch.observed(plan, old, seen),
+        )
 
     def _stands_at(self, state: RolloutState) -> bool:
         step = self._steps.get(state.model)
@@ -247,6 +257,7 @@
             state,
             self._of(_old_version(table, state.model)),
             step.seen,
+            watch=step.watch,
             withdrawn=new_version in table.configuration.withdrawn,
             settings=settings_for_nodes(nodes),
         )
