Send prompts to engines that hold their prefix

Cause: engines publish cache events and the balancer takes the holders of a prefix, but nothing fetched the events, and every request named no holder. Ruled out: the list of cached prefixes in load reports alone (an engine may leave it out, and the events are what the platform publishes); hashes of blocks of the prompt (engines report the hash of the first message). What this node sends is believed at once. The dump shows prefix_gaps. tools/measure_prefixes.py is new; its bench can run several daemons and engines.

--- a/tools/measure.py
+++ b/tools/measure.py
@@ -22,6 +22,7 @@
     "tools.measure_coldstart": 300,
     "tools.measure_ledger": 60,
     "tools.measure_router": 300,
+    "tools.measure_prefixes": 200,
     "tools.measure_upstreams": 200,
     "tools.measure_fleet": 600,
 }
--- a/tools/router/bench.py
+++ b/tools/router/bench.py
@@ -1,9 +1,11 @@
-"""One daemon, some engines and one worker on loopback."""
+"""Some daemons, some engines and one worker on loopback."""
 
 from __future__ import annotations
 
 import hashlib
 import json
+import string
+from collections.abc import Mapping
 from typing import Any
 
 from tools.processes import (
@@ -20,8 +22,7 @@
 WORKER_PORT = 21_111
 DAEMON_PORT = 21_200
 PLACES = 400
-_ENGINES = 1
-_PLACES_PER_ENGINE = PLACES // _ENGINES
+_DAEMON_PORT_STEP = 3
 
 _ADMIN = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
 _TOKEN = "example-measure"
@@ -103,10 +104,19 @@
 
     Args:
         processes: Owns the processes.
+        engines: How many engines to run.
+        daemons: How many daemons to run, at most 26.
     """
 
-    def __init__(self, processes: Processes) -> None:
+    def __init__(
+        self, processes: Processes, *, engines: int = 1, daemons: int = 1
+    ) -> None:
         self._processes = processes
+        self._engines = range(engines)
+        self._places = PLACES // engines
+        self._daemon_ports = [
+            DAEMON_PORT + _DAEMON_PORT_STEP * index for index in range(daemons)
+        ]
 
     @property
     def daemon_pid(self) -> int:
@@ -118,7 +128,7 @@
         self._processes.start(
             "store", "trefoilpitch.standins.kv", f"--port={STORE_PORT}"
         )
-        for index in range(_ENGINES):
+        for index in self._engines:
             self._start_engine(index)
         self._processes.start(
             "worker",
@@ -127,23 +137,42 @@
             "--name=worker-a",
             f"--capacity={PLACES}",
         )
-        start_daemon(
-            self._processes,
-            "entry-a",
-            failure_domain="domain-a",
-            base_port=DAEMON_PORT,
-            store_port=STORE_PORT,
-            max_requests=str(PLACES),
-        )
+        for letter, port in zip(
+            string.ascii_lowercase, self._daemon_ports, strict=False
+        ):
+            start_daemon(
+                self._processes,
+                f"entry-{letter}",
+                failure_domain="domain-a",
+                base_port=port,
+                store_port=STORE_PORT,
+                seeds=tuple(
+                    f"127.0.0.1:{one + 2}" for one in self._daemon_ports
+                ),
+                max_requests=str(PLACES),
+            )
         wait_until(self._sign_off, "the sign-off", _WARM_PATIENCE_S)
         wait_until(self._is_warm, "an answer", _WARM_PATIENCE_S)
 
     def set_token_ms(self, token_ms: float) -> None:
         """Changes the engines' time between tokens."""
-        for index in range(_ENGINES):
+        self.set_engines({"token_ms": token_ms})
+
+    def set_engines(self, settings: Mapping[str, float]) -> None:
+        """Changes settings of the engines."""
+        for index in self._engines:
             port = ENGINE_PORT + index
             url = f"http://127.0.0.1:{port}/standin/settings"
-            http("POST", url, {"token_ms": token_ms})
+            http("POST", url, dict(settings))
+
+    def prefix_hits(self) -> int:
+        """Returns the prompts whose prefix an engine had cached."""
+        hits = 0
+        for index in self._engines:
+            url = f"http://127.0.0.1:{ENGINE_PORT + index}/standin/counts"
+            counts = http("GET", url).json()["counts"]
+            hits += counts.get("prefix_hits", 0)
+        return hits
 
     def cold_upstreams(self) -> list[str]:
         """Returns the upstreams that the daemon holds for cold."""
@@ -157,9 +186,10 @@
         """Returns a streamed request that goes straight to the engine."""
         return chat_call(ENGINE_PORT, _VERSION, {}, tokens=tokens)
 
-    def routed_chat(self, tokens: int) -> Call:
-        """Returns the same request, through the daemon."""
-        return chat_call(DAEMON_PORT, _TASK, _CALLER, tokens=tokens)
+    def routed_chat(self, tokens: int, daemon: int = 0) -> Call:
+        """Returns the same request, through a daemon."""
+        port = self._daemon_ports[daemon]
+        return chat_call(port, _TASK, _CALLER, tokens=tokens)
 
     def direct_look_up(self) -> Call:
         """Returns a look-up that goes straight to the worker."""
@@ -181,8 +211,8 @@
             f"--port={ENGINE_PORT + index}",
             f"--name=engine-{index}",
             f"--versions={_VERSION}",
-            f"--capacity={_PLACES_PER_ENGINE}",
-            f"--cold_capacity={_PLACES_PER_ENGINE}",
+            f"--capacity={self._places}",
+            f"--cold_capacity={self._places}",
         )
 
     def _sign_off(self) -> bool:
@@ -190,9 +220,9 @@
             _ENGINE.format(
                 index=index,
                 port=ENGINE_PORT + index,
-                places=_PLACES_PER_ENGINE,
+                places=self._places,
             )
-            for index in range(_ENGINES)
+            for index in self._engines
         ]
         bundle = _BUNDLE.format(
             engines="".join(engines),
@@ -212,11 +242,14 @@
     def _is_warm(self) -> bool:
         base = f"http://127.0.0.1:{DAEMON_PORT}"
         look_up = self.routed_look_up()
-        chat = self.routed_chat(1)
         answers: list[Any] = [
-            http("GET", base + look_up.path, headers=look_up.headers),
-            http("POST", base + chat.path, json.loads(chat.body), chat.headers),
+            http("GET", base + look_up.path, headers=look_up.headers)
         ]
+        for daemon, port in enumerate(self._daemon_ports):
+            chat = self.routed_chat(1, daemon)
+            url = f"http://127.0.0.1:{port}{chat.path}"
+            reply = http("POST", url, json.loads(chat.body), chat.headers)
+            answers.append(reply)
         return all(answer.status == _OK for answer in answers)
 
 
--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -62,6 +62,7 @@
     KeyedRequests,
     Parking,
     PlaceQueue,
+    PrefixCaches,
     ResumeFlow,
     UpstreamDirectory,
     VersionLearner,
@@ -168,6 +169,7 @@
             AdaptiveConcurrency(),
         )
         self.directory.on_release(self.queue.observe)
+        self.prefixes = PrefixCaches()
         self.current = CurrentConfiguration(
             identity.vm_name, self._on_new_table
         )
@@ -295,6 +297,7 @@
             "waiting": self.queue.waiting,
             "ledger_unwritten_bytes": self.ledger.unwritten_bytes,
             "ledger_held_bytes": self.ledger.held_bytes,
+            "prefix_gaps": self.prefixes.gaps,
             "upstreams": list(self.directory.states().values()),
             "breakers": self.learner.breakers(),
             "rollout_advice": self.learner.advice(self._count_nodes()),
@@ -360,6 +363,7 @@
                 bills=self.ledger,
                 clock=self._clock,
                 outcomes=self.learner,
+                prefixes=self.prefixes,
             ),
             resumption=ResumeFlow(
                 configuration=self.current,
@@ -405,6 +409,8 @@
     def _on_new_table(self, table: RoutingTable) -> None:
         self.learner.follow(table)
         self.directory.apply(table)
+        followed = self.directory.followed()
+        self.prefixes.keep(frozenset(one.upstream.name for one in followed))
         self.cold_starts.set_upstreams(tuple(table.upstreams.values()))
         self._note_own_service(table)
         self.queue.notify()
--- a/trefoilpitch/daemon/_load.py
+++ b/trefoilpitch/daemon/_load.py
@@ -1,4 +1,4 @@
-"""Fetches the load reports of the upstreams that the node follows."""
+"""Fetches load reports and cache events of the upstreams followed."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class LoadActor(pykka.ThreadingActor):
-    """Fetches every report on each tick.
+    """Fetches every report, and engines' cache events, on each tick.
 
     Args:
         core: The node; names the upstreams and takes their reports.
@@ -34,7 +34,7 @@
         )
 
     def on_receive(self, message: object) -> None:
-        """Fetches all reports."""
+        """Fetches all reports and cache events."""
         if not isinstance(message, Tick):
             return
         followed = self._core.directory.followed()
@@ -58,5 +58,18 @@
         fetched = reporter.load_report(deadline_ms=deadline_ms)
         if isinstance(fetched, Success):
             self._core.note_report(fetched.unwrap(), asked_ms)
+            self._fetch_cache_events(name)
         else:
             self._core.note_no_report(name, fetched.failure())
+
+    def _fetch_cache_events(self, name: str) -> None:
+        engine = self._core.directory.engine(name)
+        if engine is None:
+            return
+        prefixes = self._core.prefixes
+        fetched = engine.cache_events(
+            after=prefixes.last_event(name),
+            deadline_ms=self._clock.now_ms() + _FETCH_TIMEOUT_MS,
+        )
+        if isinstance(fetched, Success):
+            prefixes.observe(name, fetched.unwrap())
--- a/trefoilpitch/serving/__init__.py
+++ b/trefoilpitch/serving/__init__.py
@@ -36,6 +36,7 @@
     Delta,
 )
 from trefoilpitch.serving._planning import CascadePlanner
+from trefoilpitch.serving._prefixes import PrefixCaches
 from trefoilpitch.serving._queue import ConditionParking, Parking, PlaceQueue
 from trefoilpitch.serving._resumption import ResumeFlow
 
@@ -67,6 +68,7 @@
     "OutcomeListener",
     "Parking",
     "PlaceQueue",
+    "PrefixCaches",
     "Placed",
     "ResumeFlow",
     "RolloutAdvice",
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from collections.abc import Callable, Iterator, Mapping
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -28,6 +28,7 @@
     to_chat_event,
 )
 from trefoilpitch.serving._planning import CascadePlanner
+from trefoilpitch.serving._prefixes import PrefixCaches
 from trefoilpitch.serving._problems import failure_problem, routing_problem
 from trefoilpitch.serving._runs import (
     LiveRun,
@@ -43,6 +44,8 @@
 )
 from trefoilpitch.web import Outcome, Problem
 
+T = TypeVar("T")
+
 
 def attempt_id(request_id: str, step: int) -> str:
     """Returns the identifier that an upstream gets for one attempt."""
@@ -133,6 +136,7 @@
         bills: Takes the bills.
         clock: Measures deadlines.
         outcomes: Learns from what becomes of requests.
+        prefixes: Tells which engines hold a conversation's prefix.
     """
 
     def __init__(
@@ -144,6 +148,7 @@
         bills: BillSink,
         clock: Clock,
         outcomes: OutcomeListener,
+        prefixes: PrefixCaches,
     ) -> None:
         self._configuration = configuration
         self._dispatcher = dispatcher
@@ -151,6 +156,7 @@
         self._bills = bills
         self._clock = clock
         self._outcomes = outcomes
+        self._prefixes = prefixes
 
     def answer(self, request: ChatRequest) -> Result[ChatAnswer, Problem]:
         """Runs a request until its first part is there.
@@ -221,16 +227,24 @@
         result = self._flow._dispatcher.run(
             self._errand(step), lambda slot: run_whole(slot, completion)
         )
+        self._note_prefix(result)
         if isinstance(result, Success):
             result.unwrap().slot.close()
         return result
 
     def _run_live(self, step: int) -> Result[Placed[LiveRun], Problem]:
         completion = self._completion(step)
-        return self._flow._dispatcher.run(
+        result = self._flow._dispatcher.run(
             self._errand(step),
             lambda slot: begin_live(slot, completion),
         )
+        self._note_prefix(result)
+        return result
+
+    def _note_prefix(self, result: Result[Placed[T], Problem]) -> None:
+        if isinstance(result, Success):
+            engine = result.unwrap().slot.upstream.name
+            self._flow._prefixes.sent(engine, self._request.messages)
 
     def _is_accepted(self, step: int, placed: Placed[WholeRun]) -> bool:
         finish = placed.value.finish
@@ -306,6 +320,7 @@
             priority=self._task.priority,
             weight=self._request.workspace.weight,
             deadline_ms=self._deadline_ms,
+            cache_holders=self._flow._prefixes.holders(self._request.messages),
         )
 
     def _completion(self, step: int) -> CompletionRequest:
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -43,6 +43,7 @@
     ChatRequest,
     Dispatcher,
     PlaceQueue,
+    PrefixCaches,
     UpstreamDirectory,
     VersionLearner,
 )
@@ -261,6 +262,7 @@
         self.learner = VersionLearner(
             planner, self.clock, random.Random(7), 1.0
         )
+        self.prefixes = PrefixCaches()
         self.chat = ChatFlow(
             configuration=self,
             dispatcher=dispatcher,
@@ -268,6 +270,7 @@
             bills=self,
             clock=self.clock,
             outcomes=self.learner,
+            prefixes=self.prefixes,
         )
         self.flow = CallFlow(
             configuration=self,
