--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -27,6 +27,7 @@
     ReplicaMessage,
     ReplicaSettings,
 )
+from trefoilpitch.daemon._client_stats import ClientStatsCollector
 from trefoilpitch.daemon._cold_starts import ColdStarts
 from trefoilpitch.daemon._configuration import CurrentConfiguration
 from trefoilpitch.daemon._draining import ENTRIES_TTL_MS, Draining, NodePhase
@@ -170,6 +171,7 @@
         )
         self.directory.on_release(self.queue.observe)
         self.prefixes = PrefixCaches()
+        self.metrics.include(ClientStatsCollector(self.directory.client_stats))
         self.current = CurrentConfiguration(
             identity.vm_name, self._on_new_table
         )
@@ -299,6 +301,7 @@
             "ledger_held_bytes": self.ledger.held_bytes,
             "prefix_gaps": self.prefixes.gaps,
             "upstreams": list(self.directory.states().values()),
+            "upstream_clients": self.directory.client_stats(),
             "breakers": self.learner.breakers(),
             "rollout_advice": self.learner.advice(self._count_nodes()),
             "peering": self._around.transport.counters(),
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -30,6 +30,10 @@
     """The engine refuses a request without running it."""
 
 
+class OtherIncarnationError(RefusalError):
+    """The request is for an incarnation that is gone."""
+
+
 class EngineState:
     """The engine without its HTTP server; safe to use from many threads.
 
@@ -93,6 +97,7 @@
         """
         with self.lock:
             self._update()
+            self._check_incarnation(prompt.incarnation)
             self._check_version(prompt.version)
             load = len(self._active)
             if not self.warm and load >= self.settings.cold_capacity:
@@ -128,7 +133,7 @@
         """Returns how many chunks of an answer have been generated."""
         with self.lock:
             self._update()
-            return answer.available(self._clock.now_ms())
+            return self._generated(answer, self._clock.now_ms())
 
     def discard(self, answer: Answer) -> None:
         """Forgets an answer, so that it cannot be resumed."""
@@ -180,6 +185,10 @@
         name = "peak_warm" if self.warm else "peak_cold"
         self.counts[name] = max(self.counts[name], len(self._active))
 
+    def _check_incarnation(self, incarnation: str) -> None:
+        if incarnation not in ("", self._incarnation):
+            raise OtherIncarnationError("other_incarnation")
+
     def _check_version(self, version: str) -> None:
         if version not in self._versions.serving:
             raise RefusalError("version_not_loaded")
@@ -246,8 +255,14 @@
             )
         )
 
+    def _generated(self, answer: Answer, now_ms: int) -> int:
+        chunks = answer.available(now_ms)
+        if self.settings.holds_answers and answer.active:
+            return min(chunks, 1)
+        return chunks
+
     def _update_answer(self, answer: Answer, now_ms: int) -> None:
-        if answer.available(now_ms) >= len(answer.texts):
+        if self._generated(answer, now_ms) >= len(answer.texts):
             answer.state = AnswerState.FINISHED
             answer.idle_since_ms = now_ms
             self._active.remove(answer)
