Believe an engine's load report after a gap in its cache events

Change: after a gap the prefixes of the load report that was fetched just before are believed. Its test fails without it.

--- a/trefoilpitch/daemon/_load.py
+++ b/trefoilpitch/daemon/_load.py
@@ -57,12 +57,13 @@
         deadline_ms = asked_ms + _FETCH_TIMEOUT_MS
         fetched = reporter.load_report(deadline_ms=deadline_ms)
         if isinstance(fetched, Success):
-            self._core.note_report(fetched.unwrap(), asked_ms)
-            self._fetch_cache_events(name)
+            report = fetched.unwrap()
+            self._core.note_report(report, asked_ms)
+            self._fetch_cache_events(name, report.cached_prefixes)
         else:
             self._core.note_no_report(name, fetched.failure())
 
-    def _fetch_cache_events(self, name: str) -> None:
+    def _fetch_cache_events(self, name: str, reported: frozenset[str]) -> None:
         engine = self._core.directory.engine(name)
         if engine is None:
             return
@@ -72,4 +73,4 @@
             deadline_ms=self._clock.now_ms() + _FETCH_TIMEOUT_MS,
         )
         if isinstance(fetched, Success):
-            prefixes.observe(name, fetched.unwrap())
+            prefixes.observe(name, fetched.unwrap(), reported)
--- a/trefoilpitch/serving/_prefixes.py
+++ b/trefoilpitch/serving/_prefixes.py
@@ -49,11 +49,22 @@
         with self._lock:
             return self._position(engine)[1]
 
-    def observe(self, engine: str, received: CacheEvents) -> None:
+    def observe(
+        self,
+        engine: str,
+        received: CacheEvents,
+        reported: frozenset[str] = frozenset(),
+    ) -> None:
         """Takes in events that were fetched after the last one.
 
         Those of a new incarnation count from its beginning, so that they are
         fetched again.
+
+        Args:
+            engine: The engine.
+            received: The events.
+            reported: Hashes of the prefixes that its last load report lists;
+                what is believed after a gap.
         """
         with self._lock:
             incarnation, last = self._position(engine)
@@ -62,8 +73,12 @@
                 if last:
                     self._index.forget(engine)
                     return
+            gaps = self._index.gaps
             for event in received.events:
                 self._observe(engine, received.incarnation, event)
+            if self._index.gaps > gaps:
+                blocks = tuple(_block(prefix) for prefix in reported)
+                self._index.sent(engine, received.incarnation, blocks)
 
     def keep(self, engines: frozenset[str]) -> None:
         """Drops what is known of all engines but some."""
--- a/trefoilpitch/serving/tests/test_prefixes.py
+++ b/trefoilpitch/serving/tests/test_prefixes.py
@@ -74,3 +74,13 @@
             list(given)
             given.close()
         assert len(world.engines[holder].requests) == 4
+
+
+def test_after_a_gap_the_last_load_report_is_believed() -> None:
+    caches = PrefixCaches()
+    caches.observe("engine-a", _events(_event(1, _HYMN)))
+    reported = frozenset({prompt_prefix_hash(_SERMON[0].content)})
+    caches.observe("engine-a", _events(_event(2, _HYMN)), reported)
+    assert not caches.holders(_SERMON)
+    caches.observe("engine-a", _events(_event(4, _HYMN)), reported)
+    assert caches.holders(_SERMON) == {"engine-a"}
