--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -36,6 +36,7 @@
 from trefoilpitch.daemon._key_register import StoreKeyRegister
 from trefoilpitch.daemon._ledger import Ledger, write_due_segments
 from trefoilpitch.daemon._replica import Background, HeadFollower, ReplicaHost
+from trefoilpitch.daemon._rollouts import RolloutGuard
 from trefoilpitch.identity import TokenSigner
 from trefoilpitch.ledger import BillCopies, CopyAck, SegmentWriter
 from trefoilpitch.membership import (
@@ -44,6 +45,7 @@
     MembershipEvent,
     MembershipHost,
     MembershipView,
+    MemberState,
     Report,
     create_membership,
 )
@@ -61,6 +63,7 @@
     KeyedRequests,
     Parking,
     PlaceQueue,
+    PrefixCaches,
     ResumeFlow,
     UpstreamDirectory,
     VersionLearner,
@@ -171,6 +174,7 @@
             AdaptiveConcurrency(),
         )
         self.directory.on_release(self.queue.observe)
+        self.prefixes = PrefixCaches()
         self.metrics.include(ClientStatsCollector(self.directory.client_stats))
         self.current = CurrentConfiguration(
             identity.vm_name, self._on_new_table
@@ -191,6 +195,15 @@
             surroundings.rng,
             identity.rating_share,
         )
+        self.rollouts = RolloutGuard(
+            self.learner,
+            writer=configuration_writer(surroundings.store),
+            accepts_changes=self.replica.accepts_changes,
+            take_in=self.replica.take_in,
+            count_nodes=self._count_nodes,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
         self.callers = CallerApi(
             identity.incarnation, self._create_caller_services()
         )
@@ -292,10 +305,11 @@
             "waiting": self.queue.waiting,
             "ledger_unwritten_bytes": self.ledger.unwritten_bytes,
             "ledger_held_bytes": self.ledger.held_bytes,
+            "prefix_gaps": self.prefixes.gaps,
             "upstreams": list(self.directory.states().values()),
             "upstream_clients": self.directory.client_stats(),
             "breakers": self.learner.breakers(),
-            "rollout_advice": self.learner.advice(self.current.table()),
+            "rollout_advice": self.learner.advice(self._count_nodes()),
             "peering": self._around.transport.counters(),
             "counters": self.metrics.counters(),
             "latencies": self.metrics.latencies(),
@@ -360,6 +374,7 @@
                 bills=self.ledger,
                 clock=self._clock,
                 outcomes=self.learner,
+                prefixes=self.prefixes,
             ),
             resumption=ResumeFlow(
                 configuration=self.current,
@@ -398,8 +413,15 @@
             clock=self._clock,
         )
 
+    def _count_nodes(self) -> int:
+        members = self.members.view.members
+        return sum(one.state is not MemberState.GONE for one in members)
+
     def _on_new_table(self, table: RoutingTable) -> None:
+        self.learner.follow(table)
         self.directory.apply(table)
+        followed = self.directory.followed()
+        self.prefixes.keep(frozenset(one.upstream.name for one in followed))
         self.cold_starts.set_upstreams(tuple(table.upstreams.values()))
         self._note_own_service(table)
         self.queue.notify()
--- a/trefoilpitch/serving/__init__.py
+++ b/trefoilpitch/serving/__init__.py
@@ -19,7 +19,11 @@
 from trefoilpitch.serving._dispatcher import Dispatcher, Errand, Placed
 from trefoilpitch.serving._gate import NodeStatus, WorkGate
 from trefoilpitch.serving._keyed import KeyedRequests
-from trefoilpitch.serving._learning import RolloutAdvice, VersionLearner
+from trefoilpitch.serving._learning import (
+    RolloutAdvice,
+    RolloutHarm,
+    VersionLearner,
+)
 from trefoilpitch.serving._nodes import (
     AnswerInfo,
     Broken,
@@ -32,6 +36,7 @@
     Delta,
 )
 from trefoilpitch.serving._planning import CascadePlanner
+from trefoilpitch.serving._prefixes import PrefixCaches
 from trefoilpitch.serving._queue import ConditionParking, Parking, PlaceQueue
 from trefoilpitch.serving._resumption import ResumeFlow
 
@@ -63,9 +68,11 @@
     "OutcomeListener",
     "Parking",
     "PlaceQueue",
+    "PrefixCaches",
     "Placed",
     "ResumeFlow",
     "RolloutAdvice",
+    "RolloutHarm",
     "Slot",
     "UpstreamDirectory",
     "VersionLearner",
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -29,6 +29,7 @@
     to_chat_event,
 )
 from trefoilpitch.serving._planning import CascadePlanner
+from trefoilpitch.serving._prefixes import PrefixCaches
 from trefoilpitch.serving._problems import (
     CALLER_GONE,
     caller_gone,
@@ -51,6 +52,8 @@
 )
 from trefoilpitch.web import Outcome, Problem
 
+T = TypeVar("T")
+
 
 def attempt_id(request_id: str, step: int) -> str:
     """Returns the identifier that an upstream gets for one attempt."""
@@ -141,6 +144,7 @@
         bills: Takes the bills.
         clock: Measures deadlines.
         outcomes: Learns from what becomes of requests.
+        prefixes: Tells which engines hold a conversation's prefix.
     """
 
     def __init__(
@@ -152,6 +156,7 @@
         bills: BillSink,
         clock: Clock,
         outcomes: OutcomeListener,
+        prefixes: PrefixCaches,
     ) -> None:
         self._configuration = configuration
         self._dispatcher = dispatcher
@@ -159,6 +164,7 @@
         self._bills = bills
         self._clock = clock
         self._outcomes = outcomes
+        self._prefixes = prefixes
 
     def answer(
         self, request: ChatRequest, cancellation: Cancellation
@@ -248,6 +254,7 @@
                 slot, completion, self._cancellation, self._begin_try(slot)
             ),
         )
+        self._note_prefix(result)
         if isinstance(result, Success):
             result.unwrap().slot.close()
         return result
@@ -259,13 +266,20 @@
             self._begin_try(slot)
             return begin_live(slot, completion, self._cancellation)
 
-        return self._flow._dispatcher.run(self._errand(step), start)
+        result = self._flow._dispatcher.run(self._errand(step), start)
+        self._note_prefix(result)
+        return result
 
     def _begin_try(self, slot: Slot) -> list[Chunk]:
         self._tried = slot.upstream.name
         self._received = []
         return self._received
 
+    def _note_prefix(self, result: Result[Placed[T], Problem]) -> None:
+        if isinstance(result, Success):
+            engine = result.unwrap().slot.upstream.name
+            self._flow._prefixes.sent(engine, self._request.messages)
+
     def _is_accepted(self, step: int, placed: Placed[WholeRun]) -> bool:
         finish = placed.value.finish
         if step == 0:
@@ -366,6 +380,7 @@
             weight=self._request.workspace.weight,
             deadline_ms=self._deadline_ms,
             cancellation=self._cancellation,
+            cache_holders=self._flow._prefixes.holders(self._request.messages),
         )
 
     def _completion(self, step: int) -> CompletionRequest:
