Send work only to engines that have loaded the version

Cause: routing did not look at the versions in a load report. A step of a roll-out sent new sessions to engines that refuse them, and with no engine ready every such session failed after its tries.

Change: eligibility and the check at dispatch skip an engine that names its versions and lacks the one asked for; a roll-out's share of new sessions is at most the share of followed engines that have its version. A report without `versions` now reads as "does not tell" and differs from an empty list; such an engine takes any work as before, and gets no orders.

Ruled out: leaving it to the engine's refusal, which is safe to try again but counts against a cold engine and fails where no engine is ready.

Seen red before the change: test_an_engine_that_lacks_the_version_gets_no_work and the new row of test_dispatch. The oracle of test_oracle.py got the rule as well.

--- a/trefoilpitch/orders/__init__.py
+++ b/trefoilpitch/orders/__init__.py
@@ -25,6 +25,7 @@
     OrderOutcomeUnknownError,
     OrderRejectedError,
     StaleFencingError,
+    VersionsUnknownError,
 )
 from trefoilpitch.orders._fake import MemoryEngines, memory_engines
 from trefoilpitch.orders._machine import step
@@ -74,6 +75,7 @@
     "TermBegan",
     "TermEnded",
     "Tick",
+    "VersionsUnknownError",
     "candidate_scopes",
     "desired_targets",
     "engine_client_control",
--- a/trefoilpitch/orders/_client_control.py
+++ b/trefoilpitch/orders/_client_control.py
@@ -55,7 +55,7 @@
         report = self._client_of(upstream).load_report(
             deadline_ms=self._deadline_ms()
         )
-        return report.map(_status_of).alt(_order_error)
+        return report.alt(_order_error).bind(_status_of)
 
     def send_order(
         self, upstream: Upstream, order: EngineOrder
@@ -103,12 +103,18 @@
     return [(kind, version) for version in sorted(versions)]
 
 
-def _status_of(report: LoadReport) -> EngineStatus:
-    return EngineStatus(
+def _status_of(
+    report: LoadReport,
+) -> Result[EngineStatus, errors.OrderError]:
+    if report.versions is None:
+        detail = "the load report does not tell the versions"
+        return Failure(errors.VersionsUnknownError(detail=detail))
+    status = EngineStatus(
         incarnation=report.incarnation,
         loaded=report.versions,
         reports_loading=False,
     )
+    return Success(status)
 
 
 def _order_error(error: UpstreamError) -> errors.OrderError:
--- a/trefoilpitch/orders/_exceptions.py
+++ b/trefoilpitch/orders/_exceptions.py
@@ -26,6 +26,11 @@
     """The engine cannot carry the order out, for want of memory perhaps."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VersionsUnknownError(OrderError):
+    """The engine does not tell which versions it has: it gets no orders."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OrderNotSentError(OrderError):
     """The engine was not reached: the call had no effect."""
--- a/trefoilpitch/orders/tests/test_client_control.py
+++ b/trefoilpitch/orders/tests/test_client_control.py
@@ -15,6 +15,7 @@
     OrderNotSentError,
     OrderTerms,
     StaleFencingError,
+    VersionsUnknownError,
     engine_client_control,
     reconciler,
 )
@@ -24,7 +25,12 @@
     EngineStandIn,
     open_engine_stand_in,
 )
-from trefoilpitch.upstreams import DeadlineWatch, open_engine_client
+from trefoilpitch.upstreams import (
+    DeadlineWatch,
+    FakeEngineClient,
+    LoadReport,
+    open_engine_client,
+)
 
 _LOAD_MS = 10_000
 
@@ -122,6 +128,31 @@
     assert engine.state.counters.loads == 1
 
 
+def test_engine_that_does_not_tell_its_versions_gets_no_orders() -> None:
+    client = FakeEngineClient()
+    control = engine_client_control(lambda _: client, ManualClock())
+    report = LoadReport(
+        upstream="engine-0",
+        incarnation="a",
+        running=0,
+        waiting=0,
+        capacity=4,
+        warm=True,
+        leaving=False,
+        cached_prefixes=frozenset(),
+        versions=None,
+        reported_ms=0,
+    )
+    client.set_load_report(report)
+    order = EngineOrder(versions=frozenset({OLD}), fencing_number=10)
+    configuration = fleet_configuration()
+    assert configuration.bundle is not None
+    upstream = configuration.bundle.pools[0].upstreams[0]
+    result = control.send_order(upstream, order)
+    assert isinstance(result.failure(), VersionsUnknownError)
+    assert not client.orders
+
+
 def test_engine_that_is_gone_was_not_sent_anything() -> None:
     clock = ManualClock()
     with (
--- a/trefoilpitch/routing/__init__.py
+++ b/trefoilpitch/routing/__init__.py
@@ -39,6 +39,7 @@
 from trefoilpitch.routing._versions import (
     choose_versions,
     eligible_versions,
+    loaded_factors,
     rollout_weight,
 )
 
@@ -67,6 +68,7 @@
     "eligible_upstreams",
     "eligible_versions",
     "followed_upstreams",
+    "loaded_factors",
     "parse_version",
     "prefix_blocks",
     "rollout_weight",
--- a/trefoilpitch/routing/_dispatch.py
+++ b/trefoilpitch/routing/_dispatch.py
@@ -98,6 +98,8 @@
         return RevisionReason.UPSTREAM_LEAVING
     if state.incarnation != decision.incarnation:
         return RevisionReason.UPSTREAM_RESTARTED
+    if not state.serves(decision.target):
+        return RevisionReason.VERSION_NOT_LOADED
     if not state.has_room:
         return RevisionReason.UPSTREAM_FULL
     return None
--- a/trefoilpitch/routing/_nodes.py
+++ b/trefoilpitch/routing/_nodes.py
@@ -62,6 +62,14 @@
     leaving: bool = False
     # Changes with every restart of the upstream.
     incarnation: str = ""
+    # Versions that it has loaded; None when it has not told.
+    versions: frozenset[VersionRef] | None = None
+
+    def serves(self, target: Target) -> bool:
+        """Returns whether the target runs there, as far as is known."""
+        if self.versions is None or not isinstance(target, VersionRef):
+            return True
+        return target in self.versions
 
     @property
     def has_room(self) -> bool:
@@ -101,6 +109,7 @@
     UPSTREAM_LEAVING = "upstream_leaving"
     UPSTREAM_UNKNOWN = "upstream_unknown"
     UPSTREAM_RESTARTED = "upstream_restarted"
+    VERSION_NOT_LOADED = "version_not_loaded"
     UPSTREAM_FULL = "upstream_full"
 
 
--- a/trefoilpitch/routing/_upstreams.py
+++ b/trefoilpitch/routing/_upstreams.py
@@ -16,13 +16,15 @@
 ) -> tuple[Upstream, ...]:
     """Returns the upstreams that may take new work for the target.
 
-    An upstream qualifies when it is in service, not leaving, and followed by
-    this node, that is, has a state. Room is not considered.
+    An upstream qualifies when it is in service, not leaving, followed by this
+    node, that is, has a state, and has not told that it lacks the version.
+    Room is not considered.
     """
     found = []
     for pool in table.pools_by_target.get(target, ()):
         for upstream in table.pool_members.get(pool, ()):
             state = states.get(upstream.name)
-            if state is not None and not state.leaving:
-                found.append(upstream)
+            if state is None or state.leaving or not state.serves(target):
+                continue
+            found.append(upstream)
     return tuple(found)
--- a/trefoilpitch/routing/_versions.py
+++ b/trefoilpitch/routing/_versions.py
@@ -15,6 +15,7 @@
     RoutingError,
     TargetNotAllowedError,
 )
+from trefoilpitch.routing._nodes import UpstreamState
 from trefoilpitch.routing._table import RoutingTable
 
 _HASH_RANGE = 2**64
@@ -116,6 +117,50 @@
     return plan.steps_percent[step] / 100
 
 
+def loaded_factors(
+    table: RoutingTable, states: Mapping[str, UpstreamState]
+) -> Mapping[VersionRef, float]:
+    """Bounds what roll-outs under way get by the engines that are ready.
+
+    The new version's share of new sessions is at most its share of the
+    engines that have loaded it, so that the first of them is not given the
+    work of all.
+
+    Args:
+        table: The newest configuration.
+        states: The upstreams that this node follows, by name.
+
+    Returns:
+        Factors for `choose_versions`; versions without a bound are absent.
+    """
+    factors = {}
+    for model, (_, rollout) in table.rollouts.items():
+        version = VersionRef(model, rollout.to_version)
+        weight = rollout_weight(table, model)
+        loaded = _loaded_share(table, version, states)
+        if rollout.phase is RolloutPhase.COMPLETED and loaded > 0:
+            continue
+        if loaded < weight:
+            factors[version] = loaded / weight
+    return factors
+
+
+def _loaded_share(
+    table: RoutingTable,
+    version: VersionRef,
+    states: Mapping[str, UpstreamState],
+) -> float:
+    members = [
+        states[upstream.name]
+        for pool in table.pools_by_target.get(version, ())
+        for upstream in table.pool_members.get(pool, ())
+        if upstream.name in states
+    ]
+    if not members:
+        return 1.0
+    return sum(state.serves(version) for state in members) / len(members)
+
+
 def _choose_version(
     table: RoutingTable,
     workspace: Workspace,
--- a/trefoilpitch/routing/tests/test_dispatch.py
+++ b/trefoilpitch/routing/tests/test_dispatch.py
@@ -72,6 +72,7 @@
         (None, RevisionReason.UPSTREAM_UNKNOWN),
         ({"leaving": True}, RevisionReason.UPSTREAM_LEAVING),
         ({"incarnation": "b"}, RevisionReason.UPSTREAM_RESTARTED),
+        ({"versions": frozenset()}, RevisionReason.VERSION_NOT_LOADED),
         ({"cold": True}, RevisionReason.UPSTREAM_FULL),
         (
             {"in_flight": 4, "concurrency_limit": 4},
--- a/trefoilpitch/routing/tests/test_oracle.py
+++ b/trefoilpitch/routing/tests/test_oracle.py
@@ -67,6 +67,9 @@
             concurrency_limit=draw(st.sampled_from([None, 2])),
             leaving=draw(st.booleans()),
             incarnation=draw(st.sampled_from(["a", "b"])),
+            versions=draw(
+                st.none() | st.frozensets(st.sampled_from(_VERSIONS))
+            ),
         )
         for name in names
     }
@@ -94,6 +97,7 @@
         and decision.upstream not in configuration.vms_out
         and state is not None
         and not state.leaving
+        and (state.versions is None or decision.target in state.versions)
         and state.incarnation == decision.incarnation
         and (not state.cold or state.allowance > 0)
         and (
--- a/trefoilpitch/routing/tests/test_versions.py
+++ b/trefoilpitch/routing/tests/test_versions.py
@@ -15,6 +15,7 @@
     TargetNotAllowedError,
     choose_versions,
     eligible_versions,
+    loaded_factors,
     routing_table,
 )
 from trefoilpitch.routing.tests import examples
@@ -109,6 +110,28 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("phase", "step", "loaded", "factor"),
+    [
+        (RolloutPhase.RUNNING, 2, 0, 0.0),
+        (RolloutPhase.RUNNING, 3, 3, 0.5),
+        (RolloutPhase.RUNNING, 2, 3, None),
+        (RolloutPhase.COMPLETED, 3, 0, 0.0),
+        (RolloutPhase.COMPLETED, 3, 1, None),
+        (RolloutPhase.ROLLED_BACK, 2, 0, None),
+    ],
+)
+def test_roll_out_gets_no_more_than_its_share_of_ready_engines(
+    phase: RolloutPhase, step: int, loaded: int, factor: float | None
+) -> None:
+    table = routing_table(examples.changed(rollouts=_rollout(phase, step)))
+    both = frozenset({examples.CHEAP_1, examples.CHEAP_2})
+    states = examples.states(versions=frozenset({examples.CHEAP_1}))
+    states.update(examples.states(loaded, versions=both))
+    factors = loaded_factors(table, states)
+    assert factors.get(examples.CHEAP_2) == factor
+
+
 def test_roll_out_stops_at_a_workspace_that_forbids_the_version() -> None:
     configuration = examples.changed(rollouts=_rollout(RolloutPhase.COMPLETED))
     assert _share_of_new(configuration, workspace="visitor") == 0.0
--- a/trefoilpitch/serving/_chat.py
+++ b/trefoilpitch/serving/_chat.py
@@ -168,7 +168,7 @@
             request.task,
             key=request.session.seed,
             pins=request.session.pins,
-            weight_factors=self._outcomes.weight_factors(table),
+            weight_factors=self._weight_factors(table),
         )
         if not isinstance(chosen, Success):
             return Failure(
@@ -179,6 +179,15 @@
         session = _with_pins(request.session, versions)
         return _ChatRun(self, request, task, plan, session).begin()
 
+    def _weight_factors(
+        self, table: RoutingTable
+    ) -> Mapping[VersionRef, float]:
+        """Takes the narrower of what breakers and engines allow."""
+        factors = dict(self._outcomes.weight_factors(table))
+        for version, loaded in self._dispatcher.loaded_factors(table).items():
+            factors[version] = min(factors.get(version, 1.0), loaded)
+        return factors
+
 
 class _ChatRun:
     """One request on its way through the steps of its plan."""
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -412,6 +412,7 @@
             concurrency_limit=self._concurrency.limit(followed.node.upstream),
             leaving=followed.leaving or _is_unasked(followed, now_ms),
             incarnation=report.incarnation if report else "",
+            versions=report.versions if report else None,
         )
 
     def _follow(self, node: FollowedUpstream) -> _Followed:
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -5,12 +5,12 @@
 import dataclasses
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
 
 from returns.result import Failure, Result, Success
 
-from trefoilpitch.bundle import Priority
+from trefoilpitch.bundle import Priority, VersionRef
 from trefoilpitch.clock import Clock
 from trefoilpitch.retries import (
     Execution,
@@ -31,6 +31,7 @@
     Target,
     choose_upstream,
     eligible_upstreams,
+    loaded_factors,
 )
 from trefoilpitch.serving._directory import Slot, UpstreamDirectory
 from trefoilpitch.serving._nodes import ConfigurationSource
@@ -154,6 +155,12 @@
             if problem is not None:
                 return Failure(problem)
 
+    def loaded_factors(self, table: RoutingTable) -> Mapping[VersionRef, float]:
+        """Bounds what roll-outs get by the engines that are ready for them."""
+        if not table.rollouts:
+            return {}
+        return loaded_factors(table, self._directory.states())
+
     def _consider_retry(
         self, errand: Errand, failures: list[FailureKind], error: UpstreamError
     ) -> Problem | None:
--- a/trefoilpitch/serving/tests/test_chat.py
+++ b/trefoilpitch/serving/tests/test_chat.py
@@ -128,6 +128,15 @@
     assert set(world.gates.demanded) == {"engine-a", "engine-b"}
 
 
+def test_an_engine_that_lacks_the_version_gets_no_work() -> None:
+    world = World()
+    _script(world, *answer("text"))
+    world.hear_versions("engine-a")
+    world.hear_versions("engine-b", CHEAP, DEAR)
+    assert _text(world.ask().unwrap()) == "text"
+    assert not world.engines["engine-a"].requests
+
+
 def test_waiting_ends_as_soon_as_no_start_can_be_in_time() -> None:
     world = World()
     world.gates.cold = {"engine-a", "engine-b"}
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -52,6 +52,7 @@
     FakeEngineClient,
     FakeServiceClient,
     Finish,
+    LoadReport,
     Message,
     ServiceClient,
     ServiceReply,
@@ -280,6 +281,21 @@
         for followed in self.directory.followed():
             self.directory.record_no_report(followed.upstream.name)
 
+    def hear_versions(self, engine: str, *versions: VersionRef) -> None:
+        report = LoadReport(
+            upstream=engine,
+            incarnation="a",
+            running=0,
+            waiting=0,
+            capacity=2,
+            warm=True,
+            leaving=False,
+            cached_prefixes=frozenset(),
+            versions=frozenset(versions),
+            reported_ms=0,
+        )
+        self.directory.record_report(engine, report)
+
     def table(self) -> RoutingTable:
         hook, self.on_table = self.on_table, None
         table = routing_table(self.configuration)
--- a/trefoilpitch/upstreams/_nodes.py
+++ b/trefoilpitch/upstreams/_nodes.py
@@ -101,8 +101,8 @@
     leaving: bool
     # Hashes of the prompt prefixes in its cache.
     cached_prefixes: frozenset[str]
-    # Versions that it has loaded.
-    versions: frozenset[VersionRef]
+    # Versions that it has loaded; None if it does not tell.
+    versions: frozenset[VersionRef] | None
     # The upstream's wall time when the report was made, in milliseconds.
     reported_ms: int
 
--- a/trefoilpitch/upstreams/_reports.py
+++ b/trefoilpitch/upstreams/_reports.py
@@ -35,7 +35,7 @@
     reported_ms: int
     leaving: bool = False
     cached_prefixes: list[str] = []
-    versions: list[str] = []
+    versions: list[str] | None = None
 
 
 class _WireEvent(msgspec.Struct, frozen=True):
@@ -73,7 +73,7 @@
     """Decodes the reply to ``GET /v1/load``."""
     try:
         wire = msgspec.json.decode(data, type=_WireReport)
-        versions = frozenset(map(parse_version, wire.versions))
+        versions = _versions(wire.versions)
     except (msgspec.MsgspecError, ValueError) as error:
         detail = f"the load report is malformed: {error}"
         return Failure(IncompleteReplyError(upstream, detail))
@@ -119,6 +119,10 @@
     )
 
 
+def _versions(names: list[str] | None) -> frozenset[VersionRef] | None:
+    return None if names is None else frozenset(map(parse_version, names))
+
+
 def parse_version(name: str) -> VersionRef:
     """Parses ``model@version``.
 
