Unload only what was seen unwanted, and begin each candidacy anew

* A version of a roll-out that had not begun was unloaded from engines that had it, although the bundle says that they serve it.
It is still not loaded, but stays.
* The client control took the difference to what the engine had at the sending.
A version that became ready between the decision and the sending, loaded by an earlier holder, was unloaded at once, and a load under way was ordered again.
An order now carries what its decision saw.
* An order could wait for a thread without a bound, and was then sent on an old status.
It is dropped after max_status_age_ms, a read after call_timeout_ms.
* A service that gave a scope up while the store was down and took it up again held the lease at once: the new keeper took the record of the old one for its own.
Rule 3 of the leases forbids a holder's name to be used again; each candidacy now has its own.

The view of an engine keeps its last failure for dumps.

Changed tests: test_old_holders_late_order_is_refused_or_put_right withdraws the late order's version, since an unwithdrawn one may now stay; it still demands the load and the unload. The order-not-sent test runs for a lapsed lease and for a late call. _Subject.send says what it saw.

--- a/trefoilpitch/orders/_client_control.py
+++ b/trefoilpitch/orders/_client_control.py
@@ -60,14 +60,18 @@
     def send_order(
         self, upstream: Upstream, order: EngineOrder
     ) -> Result[None, errors.OrderError]:
-        """Loads what an engine lacks and unloads what it should not have."""
+        """Loads what an engine lacks and unloads what it should not have.
+
+        A version that came after the decision stays, and a load that was
+        under way then is not ordered again.
+        """
         status = self.read_status(upstream)
         if isinstance(status, Failure):
             return Failure(status.failure())
         loaded = status.unwrap().loaded
         steps = [
-            *_steps(OrderKind.LOAD, order.versions - loaded),
-            *_steps(OrderKind.UNLOAD, loaded - order.versions),
+            *_steps(OrderKind.LOAD, order.versions - order.seen - loaded),
+            *_steps(OrderKind.UNLOAD, (loaded & order.seen) - order.versions),
         ]
         for kind, version in steps:
             result = self._send(upstream, kind, version, order.fencing_number)
--- a/trefoilpitch/orders/_desired.py
+++ b/trefoilpitch/orders/_desired.py
@@ -25,6 +25,8 @@
     upstream: Upstream
     # The versions, the most urgent to load first.
     versions: tuple[VersionRef, ...]
+    # Versions that it may have besides, of roll-outs that have not begun.
+    tolerated: frozenset[VersionRef] = frozenset()
 
 
 def desired_targets(
@@ -32,9 +34,10 @@
 ) -> Mapping[str, EngineTarget]:
     """Returns the targets by engine; engines taken out get no orders.
 
-    An engine serves its pool's versions except withdrawn ones and those of
-    roll-outs that have not begun. A version that was rolled back stays: its
-    sessions keep it until it is withdrawn.
+    An engine serves its pool's versions except withdrawn ones. Those of
+    roll-outs that have not begun are not loaded, but stay where they are. A
+    version that was rolled back stays: its sessions keep it until it is
+    withdrawn.
 
     Args:
         configuration: The configuration in force.
@@ -43,38 +46,47 @@
     bundle = configuration.bundle
     if bundle is None:
         return {}
-    excluded = configuration.withdrawn | _not_begun(bundle, configuration)
+    not_begun = _not_begun(bundle, configuration)
     urgent = _rolling_out(configuration)
     targets: dict[str, EngineTarget] = {}
     for pool in bundle.pools:
         if pool.kind is not UpstreamKind.ENGINE:
             continue
-        versions = _pool_versions(pool, excluded, urgent)
+        served = _served(pool, configuration)
         for upstream in pool.upstreams:
             is_covered = scope is None or scope.covers(upstream)
             if is_covered and _is_in_service(upstream, configuration):
                 earlier = targets.get(upstream.name)
-                targets[upstream.name] = _merged(upstream, earlier, versions)
+                targets[upstream.name] = _merged(
+                    upstream, earlier, served, not_begun, urgent
+                )
     return targets
 
 
-def _pool_versions(
-    pool: Pool, excluded: frozenset[VersionRef], urgent: frozenset[VersionRef]
-) -> tuple[VersionRef, ...]:
+def _served(pool: Pool, configuration: Configuration) -> list[VersionRef]:
     served = [_parse(text) for text in pool.serves]
-    wanted = [version for version in served if version not in excluded]
-    return tuple(sorted(wanted, key=lambda version: version not in urgent))
+    return [one for one in served if one not in configuration.withdrawn]
 
 
 def _merged(
     upstream: Upstream,
     earlier: EngineTarget | None,
-    versions: tuple[VersionRef, ...],
+    served: list[VersionRef],
+    not_begun: frozenset[VersionRef],
+    urgent: frozenset[VersionRef],
 ) -> EngineTarget:
     """Unites the versions of all pools that the engine is a member of."""
-    before = () if earlier is None else earlier.versions
-    united = dict.fromkeys(before + versions)
-    return EngineTarget(upstream=upstream, versions=tuple(united))
+    tolerated = not_begun.intersection(served)
+    wanted = [one for one in served if one not in not_begun]
+    wanted.sort(key=lambda version: version not in urgent)
+    if earlier is not None:
+        tolerated |= earlier.tolerated
+        wanted = [*earlier.versions, *wanted]
+    return EngineTarget(
+        upstream=upstream,
+        versions=tuple(dict.fromkeys(wanted)),
+        tolerated=tolerated,
+    )
 
 
 def _parse(text: str) -> VersionRef:
--- a/trefoilpitch/orders/_machine.py
+++ b/trefoilpitch/orders/_machine.py
@@ -36,6 +36,7 @@
 from trefoilpitch.orders._state import (
     Call,
     EngineView,
+    Failed,
     ReconcilerState,
 )
 from trefoilpitch.orders._types import EngineOrder, EngineStatus
@@ -133,7 +134,7 @@
     still_unwanted = {
         version: since_ms
         for version, since_ms in view.unwanted_since_ms.items()
-        if version not in target.versions
+        if version not in target.versions and version not in target.tolerated
     }
     return dataclasses.replace(
         view, unwanted_since_ms=still_unwanted, failures=0, due_ms=now_ms
@@ -188,14 +189,14 @@
         failure = CallFailed(engine=name, call_id=call.call_id, error=stale)
         return _after_failure(state, failure, now_ms), ()
     age_ms = 0 if call is None else now_ms - call.sent_ms
-    wanted = state.targets[name].versions
+    target = state.targets[name]
     view = view.with_status(status, now_ms)
     present = status.present if view.status is None else view.status.present
     view = dataclasses.replace(
         view,
         unwanted_since_ms=unwanted_since(
             present=present,
-            wanted=wanted,
+            wanted=target.tolerated.union(target.versions),
             before=view.unwanted_since_ms,
             now_ms=now_ms,
         ),
@@ -205,7 +206,8 @@
         return state.with_due(name, now_ms + state.terms.retry_interval_ms), ()
     plan = next_plan(
         status=view.status or status,
-        wanted=wanted,
+        wanted=target.versions,
+        tolerated=target.tolerated,
         unwanted_since_ms=view.unwanted_since_ms,
         may_load=state.may_load,
         unload_before_ms=now_ms - state.terms.unload_after_ms,
@@ -239,7 +241,9 @@
     )
     budget = state.budget if plan.load is None else state.budget.taken()
     state = dataclasses.replace(state, budget=budget, last_call_id=call.call_id)
-    order = EngineOrder(versions=plan.versions, fencing_number=number)
+    order = EngineOrder(
+        versions=plan.versions, seen=status.present, fencing_number=number
+    )
     action = SendOrder(
         upstream=state.targets[name].upstream,
         call_id=call.call_id,
@@ -269,6 +273,7 @@
         view,
         call=None,
         failures=min(view.failures + 1, _MAX_DOUBLINGS),
+        last_failure=Failed(error=event.error, at_ms=now_ms),
         due_ms=now_ms + retry_ms,
     )
     state = state.with_engine(event.engine, view)
--- a/trefoilpitch/orders/_plan.py
+++ b/trefoilpitch/orders/_plan.py
@@ -25,6 +25,7 @@
     *,
     status: EngineStatus,
     wanted: tuple[VersionRef, ...],
+    tolerated: frozenset[VersionRef] = frozenset(),
     unwanted_since_ms: Mapping[VersionRef, int],
     may_load: bool,
     unload_before_ms: int,
@@ -34,6 +35,7 @@
     Args:
         status: What the engine serves now.
         wanted: What it should serve, the most urgent to load first.
+        tolerated: What it may have besides.
         unwanted_since_ms: When versions it has were first seen unwanted.
         may_load: Whether the weight store's share allows one more load.
         unload_before_ms: Versions unwanted since then or earlier go, unless
@@ -45,10 +47,15 @@
         version
         for version in status.loaded
         if version in wanted
+        or version in tolerated
         or version in status.busy
         or unwanted_since_ms[version] > unload_before_ms
     }
-    loading = {version for version in status.loading if version in wanted}
+    loading = {
+        version
+        for version in status.loading
+        if version in wanted or version in tolerated
+    }
     added = set() if load is None else {load}
     return Plan(
         versions=frozenset(kept | loading | added),
@@ -60,7 +67,7 @@
 def unwanted_since(
     *,
     present: frozenset[VersionRef],
-    wanted: tuple[VersionRef, ...],
+    wanted: frozenset[VersionRef],
     before: Mapping[VersionRef, int],
     now_ms: int,
 ) -> Mapping[VersionRef, int]:
--- a/trefoilpitch/orders/_runner.py
+++ b/trefoilpitch/orders/_runner.py
@@ -101,11 +101,21 @@
             self._start(action)
 
     def _start(self, action: Action) -> None:
-        self._submit(lambda: self._inbox.append(self._perform(action)))
-
-    def _perform(self, action: Action) -> Event:
+        started_ms = self._clock.now_ms()
+        self._submit(
+            lambda: self._inbox.append(self._perform(action, started_ms))
+        )
+
+    def _perform(self, action: Action, started_ms: int) -> Event:
+        """Makes a call, unless it has waited too long to be made."""
+        waited_ms = self._clock.now_ms() - started_ms
+        terms = self._state.terms
         if isinstance(action, ReadStatus):
+            if waited_ms >= terms.call_timeout_ms:
+                return _not_sent(action, "the call waited too long")
             return self._read(action)
+        if waited_ms > terms.max_status_age_ms:
+            return _not_sent(action, "the order waited too long")
         return self._order(action)
 
     def _read(self, action: ReadStatus) -> Event:
@@ -121,11 +131,7 @@
     def _order(self, action: SendOrder) -> Event:
         """Sends an order unless the lease has ended since it was decided."""
         if self._fencing_number() != action.order.fencing_number:
-            return CallFailed(
-                engine=action.upstream.name,
-                call_id=action.call_id,
-                error=OrderNotSentError(detail="the lease is not valid"),
-            )
+            return _not_sent(action, "the lease is not valid")
         result = self._control.send_order(action.upstream, action.order)
         if isinstance(result, Success):
             return OrderAccepted(
@@ -134,6 +140,14 @@
         return _failed(action, result)
 
 
+def _not_sent(action: Action, detail: str) -> CallFailed:
+    return CallFailed(
+        engine=action.upstream.name,
+        call_id=action.call_id,
+        error=OrderNotSentError(detail=detail),
+    )
+
+
 def _failed(action: Action, result: Result[object, OrderError]) -> CallFailed:
     return CallFailed(
         engine=action.upstream.name,
--- a/trefoilpitch/orders/_service.py
+++ b/trefoilpitch/orders/_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from collections.abc import Iterable, Mapping
 from types import TracebackType
 from typing import Self
@@ -76,6 +77,7 @@
         self._submit = submit
         self._configuration = EMPTY_CONFIGURATION
         self._candidacies: dict[EngineScope, _Candidacy] = {}
+        self._numbers = itertools.count(1)
 
     @property
     def states(self) -> Mapping[EngineScope, ScopeState]:
@@ -121,11 +123,14 @@
         self.set_scopes(())
 
     def _candidacy(self, scope: EngineScope) -> _Candidacy:
+        # A keeper that begins anew must not take an earlier one's record for
+        # its own: that one's release may have been lost.
+        holder = f"{self._lease_terms.holder}/{next(self._numbers)}"
         keeper = lease_keeper(
             store=self._store,
             clock=self._clock,
             key=scope.lease_key,
-            terms=self._lease_terms,
+            terms=dataclasses.replace(self._lease_terms, holder=holder),
         )
         subject = reconciler(
             control=self._control,
--- a/trefoilpitch/orders/_state.py
+++ b/trefoilpitch/orders/_state.py
@@ -7,6 +7,7 @@
 
 from trefoilpitch.bundle import VersionRef
 from trefoilpitch.orders._desired import EngineTarget
+from trefoilpitch.orders._exceptions import OrderError
 from trefoilpitch.orders._load_budget import LoadBudget
 from trefoilpitch.orders._scope import EngineScope
 from trefoilpitch.orders._types import (
@@ -28,6 +29,16 @@
     loads: frozenset[VersionRef] = frozenset()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Failed:
+    """A call that failed."""
+
+    # Why.
+    error: OrderError
+    # When, on the monotonic clock.
+    at_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineView:
     """What is known of one engine."""
@@ -44,6 +55,8 @@
     )
     # Failures in a row.
     failures: int = 0
+    # The last call of the term that failed, if any.
+    last_failure: Failed | None = None
     # When the next read is due.
     due_ms: int
 
--- a/trefoilpitch/orders/_types.py
+++ b/trefoilpitch/orders/_types.py
@@ -43,6 +43,9 @@
 
     # The versions; the engine loads and unloads what differs.
     versions: frozenset[VersionRef]
+    # What it had, or was loading, when the order was decided. An engine that
+    # takes single steps unloads nothing else.
+    seen: frozenset[VersionRef] = frozenset()
     # The fencing number of the sender's lease.
     fencing_number: int
 
--- a/trefoilpitch/orders/tests/test_client_control.py
+++ b/trefoilpitch/orders/tests/test_client_control.py
@@ -61,7 +61,11 @@
     def send(
         self, number: int, *versions: VersionRef
     ) -> Result[None, OrderError]:
-        order = EngineOrder(versions=frozenset(versions), fencing_number=number)
+        order = EngineOrder(
+            versions=frozenset(versions),
+            seen=frozenset(self.loaded()),
+            fencing_number=number,
+        )
         return self.control.send_order(self.upstream, order)
 
     def loaded(self) -> set[VersionRef]:
@@ -96,6 +100,17 @@
     assert subject.loaded() == {NEW}
 
 
+def test_version_that_came_after_the_decision_stays(
+    subject: _Subject,
+) -> None:
+    seen = frozenset(subject.loaded())
+    subject.send(10, OLD, NEW)
+    subject.clock.advance(_LOAD_MS)
+    order = EngineOrder(versions=frozenset({OLD}), seen=seen, fencing_number=10)
+    assert is_successful(subject.control.send_order(subject.upstream, order))
+    assert subject.loaded() == {OLD, NEW}
+
+
 def test_only_a_checking_engine_refuses_an_old_number(
     subject: _Subject, checks_fencing: bool
 ) -> None:
@@ -160,5 +175,6 @@
         DeadlineWatch(clock) as watch,
     ):
         subject = _Subject(engine, clock, watch)
-    error = subject.send(10, OLD).failure()
+    order = EngineOrder(versions=frozenset({OLD}), fencing_number=10)
+    error = subject.control.send_order(subject.upstream, order).failure()
     assert isinstance(error, OrderNotSentError)
--- a/trefoilpitch/orders/tests/test_reconciler.py
+++ b/trefoilpitch/orders/tests/test_reconciler.py
@@ -70,7 +70,9 @@
             .upstreams[0]
         )
         fleet.reconciler.set_configuration(
-            fleet_configuration(checks_fencing=checks_fencing)
+            fleet_configuration(
+                checks_fencing=checks_fencing, withdrawn=frozenset({NEW})
+            )
         )
         fleet.run(_MINUTE_MS)
         late = EngineOrder(versions=frozenset({NEW}), fencing_number=9)
@@ -104,7 +106,8 @@
     assert fleet.loaded("engine-0") == {OLD}
 
 
-def test_order_is_not_sent_when_the_lease_lapsed_after_its_decision() -> None:
+@pytest.mark.parametrize("lapses", [True, False])
+def test_order_is_not_sent_late_or_without_a_lease(lapses: bool) -> None:
     fleet = Fleet()
     waiting: list[Callable[[], None]] = []
     subject = reconciler(
@@ -119,7 +122,11 @@
         subject.poll()
         if subject.state.counters.orders == 0 and waiting:
             waiting.pop(0)()
-    fleet.number = None
+    if lapses:
+        fleet.number = None
+    else:
+        # All threads were taken up by engines that do not answer.
+        fleet.clock.advance(OrderTerms().max_status_age_ms + 1)
     for send in waiting:
         send()
     subject.poll()
@@ -178,6 +185,20 @@
     assert fleet.loaded() == set()
 
 
+def test_engine_that_serves_what_the_bundle_says_gets_no_order() -> None:
+    """Also before the roll-out of a version that it has already."""
+    fleet = Fleet()
+    fleet.reconciler.set_configuration(fleet_configuration(rollouts=_ROLLING))
+    fleet.run(_MINUTE_MS)
+    successor = fleet.successor(lambda: 11)
+    successor.set_configuration(fleet_configuration())
+    for _ in range(2 * _MINUTE_MS // STEP_MS):
+        fleet.clock.advance(STEP_MS)
+        successor.poll()
+    assert successor.state.counters.orders == 0
+    assert fleet.loaded() == {OLD, NEW}
+
+
 def test_restarted_engine_gets_its_versions_back() -> None:
     fleet = Fleet()
     fleet.reconciler.set_configuration(fleet_configuration())
--- a/trefoilpitch/orders/tests/test_service.py
+++ b/trefoilpitch/orders/tests/test_service.py
@@ -28,10 +28,12 @@
         self.clock = ManualClock()
         self.engines: MemoryEngines = memory_engines(self.clock)
         self.store: MemoryStore = memory_store(self.clock)
+        self.clients: dict[str, MemoryStore] = {}
 
     def service(self, name: str) -> OrderService:
+        self.clients[name] = self.store.new_client()
         service = order_service(
-            store=self.store.new_client(),
+            store=self.clients[name],
             control=self.engines,
             clock=self.clock,
             lease_terms=lease_terms(name, validity_ms=3_000),
@@ -89,6 +91,26 @@
     assert _held(second) == set(_SCOPES)
 
 
+def test_candidacy_begun_anew_does_not_take_the_old_record_for_its_own() -> (
+    None
+):
+    world = _World()
+    service = world.service("a")
+    world.run(1_000, service)
+    (before, _) = service.states.values()
+    assert before.lease.term is not None
+    world.clients["a"].set_down(True)
+    service.set_scopes(())
+    world.clients["a"].set_down(False)
+    service.set_scopes(_SCOPES)
+    world.run(1_000, service)
+    assert not _held(service)
+    world.run(_MINUTE_MS, service)
+    for scope, state in service.states.items():
+        assert state.lease.term is not None, scope
+        assert state.lease.terms.holder != before.lease.terms.holder
+
+
 def test_candidates_are_few_and_spread_over_the_members() -> None:
     scopes = engine_scopes(("suva", "nadi", "lautoka"), 8)
     members = [f"vm-{index}" for index in range(12)]
