Have the daemon give orders to engines

Cause: leases and orders were built and tested, but no daemon ran them: somebody else had to load a version before its roll-out.

Change: each node core runs an order service over one scope a failure domain. Three members stand by for each lease, chosen by rendezvous, so that store calls grow with failure domains and not with daemons. A node whose configuration may be old, or that leaves, gives its leases up. Flags order_candidates (0 turns orders off), max_loads and load_interval_ms; state in the dump, sums in the metrics; an actor that releases the leases when it stops.

Ruled out: one lease for the fleet (one node would poll every engine), every daemon a candidate (each lease read by all), and a number of shards as a flag (unlike numbers overlap; one shard a failure domain is enough for 400 engines by the figures in docs/design/orders.md).

Tests on node cores: roll-out, a holder paused with an order in hand, a lost reply, a late order at engines that check fencing numbers and that ignore them, a node cut off, a store outage, a leaving node, a withdrawn version, the number of candidates. Seen red with the mechanism taken out: the paused holder (neither lease nor age asked before sending) and the node cut off (freshness not asked). The leaving node stayed green without the check of its phase, as the membership takes it out as well.

The stateful test runs orders too; its engines now tell their versions and refuse one that they lack.

--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -34,6 +34,7 @@
 from trefoilpitch.daemon._homes import FleetHomes
 from trefoilpitch.daemon._key_register import StoreKeyRegister
 from trefoilpitch.daemon._ledger import Ledger, write_due_segments
+from trefoilpitch.daemon._orders import OrderCalls, Orders, OrderSettings
 from trefoilpitch.daemon._replica import Background, HeadFollower, ReplicaHost
 from trefoilpitch.identity import TokenSigner
 from trefoilpitch.ledger import BillCopies, CopyAck, SegmentWriter
@@ -91,6 +92,8 @@
     rating_share: float
     # Sign callers' tokens; the first one signs.
     token_keys: tuple[bytes, ...]
+    # How orders are given to engines.
+    orders: OrderSettings
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,6 +114,8 @@
     parking: Parking
     # Runs reads of the store.
     background: Background
+    # Runs calls that order engines.
+    order_calls: OrderCalls
     # Follows the head key while that is wanted.
     head_follower: HeadFollower
     # Source of random numbers.
@@ -185,6 +190,7 @@
             surroundings.rng,
             identity.rating_share,
         )
+        self.orders = self._create_orders()
         self.callers = CallerApi(
             identity.incarnation, self._create_caller_services()
         )
@@ -233,6 +239,19 @@
             self.ledger, self._around.store, self.metrics, flush=True
         )
 
+    def give_orders(self) -> None:
+        """Gives the orders to engines that fall to this node.
+
+        It needs a configuration that may still be the newest; a node that
+        is leaving hands its leases on while others are there to take them.
+        """
+        is_staying = self.draining.phase is NodePhase.SERVING
+        self.orders.tick(
+            self.current.table().configuration,
+            self.view(),
+            is_allowed=self.is_ready() and self.is_fresh() and is_staying,
+        )
+
     def is_ready(self) -> bool:
         """Returns whether the node has a configuration to serve."""
         return self.current.table().configuration.bundle is not None
@@ -286,6 +305,7 @@
             "ledger_held_bytes": self.ledger.held_bytes,
             "upstreams": list(self.directory.states().values()),
             "breakers": self.learner.breakers(),
+            "orders": self.orders.dump(),
             "rollout_advice": self.learner.advice(self.current.table()),
             "peering": self._around.transport.counters(),
             "counters": self.metrics.counters(),
@@ -311,6 +331,18 @@
             parking=self._around.parking,
         )
 
+    def _create_orders(self) -> Orders:
+        return Orders(
+            vm_name=self._identity.vm_name,
+            incarnation=self._identity.incarnation,
+            settings=self._identity.orders,
+            store=self._around.store,
+            clients=self._around.clients,
+            calls=self._around.order_calls,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+
     def _create_members(self) -> MembershipHost:
         identity = self._identity
         state = create_membership(
--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -36,6 +36,11 @@
     MembershipActor,
     VmListActor,
 )
+from trefoilpitch.daemon._orders import (
+    ORDER_TICK_MS,
+    OrderActor,
+    OrderSettings,
+)
 from trefoilpitch.daemon._ratings import RATING_TICK_MS, RatingActor
 from trefoilpitch.daemon._replica import (
     REPLICA_TICK_MS,
@@ -85,6 +90,7 @@
 _ADMIN_CONNECTIONS = 64
 _IDLE_CONNECTIONS = 1_024
 _SPARE_THREADS = 8
+_ORDER_THREADS = 4
 
 _LOG = logbook.Logger("trefoilpitch.daemon")
 
@@ -182,6 +188,7 @@
             forwarder=self._forwarder,
             parking=ConditionParking(),
             background=ThreadBackground(),
+            order_calls=ThreadBackground("orders", _ORDER_THREADS),
             head_follower=HeadWatch(self._store),
             rng=random.Random(),
         )
@@ -252,6 +259,15 @@
                 tick_ms=SWEEP_TICK_MS,
             )
         )
+        children.append(
+            ChildSpec(
+                name="orders",
+                start=lambda: OrderActor.start(
+                    core.give_orders, core.orders.close
+                ),
+                tick_ms=ORDER_TICK_MS,
+            )
+        )
         return (
             *children,
             *self._vm_list_children(),
@@ -369,4 +385,9 @@
         max_requests=settings.max_requests,
         rating_share=settings.rating_share,
         token_keys=(*keys, other) if other else keys,
+        orders=OrderSettings(
+            candidates=settings.order_candidates,
+            max_loads=settings.max_loads,
+            load_interval_ms=settings.load_interval_ms,
+        ),
     )
--- a/trefoilpitch/daemon/_replica.py
+++ b/trefoilpitch/daemon/_replica.py
@@ -54,7 +54,6 @@
 REPLICA_TICK_MS = 250
 
 _WATCH_POLL_MS = 1_000
-_STORE_THREADS = 2
 _CONFIRM_PATIENCE_MS = 3_000
 _CONFIRM_POLL_MS = 20
 
@@ -82,11 +81,16 @@
 
 
 class ThreadBackground:
-    """Runs tasks on a few threads."""
+    """Runs tasks on a few threads.
 
-    def __init__(self) -> None:
+    Args:
+        name: Names the threads.
+        threads: How many there are.
+    """
+
+    def __init__(self, name: str = "store", threads: int = 2) -> None:
         self._pool = concurrent.futures.ThreadPoolExecutor(
-            _STORE_THREADS, thread_name_prefix="store"
+            threads, thread_name_prefix=name
         )
 
     def submit(self, task: Callable[[], None]) -> None:
--- a/trefoilpitch/daemon/_settings.py
+++ b/trefoilpitch/daemon/_settings.py
@@ -77,6 +77,12 @@
     max_body_bytes: int
     # Share of the whole answers that are sent to be rated, from 0 to 1.
     rating_share: float
+    # Daemons that stand by to order a failure domain's engines; 0 is none.
+    order_candidates: int
+    # Loads from the weight store at once, for each failure domain.
+    max_loads: int
+    # Time in which one more load may begin, for each failure domain.
+    load_interval_ms: int
     # Whether log lines are JSON.
     json_logs: bool
 
@@ -132,6 +138,9 @@
     ("max_requests", "256", "Requests served at once."),
     ("max_body_bytes", "8388608", "Largest request body, in bytes."),
     ("rating_share", "0.05", "Share of answers to have rated, 0 to 1."),
+    ("order_candidates", "3", "Daemons that stand by to order engines."),
+    ("max_loads", "4", "Loads of versions at once, a failure domain."),
+    ("load_interval_ms", "5000", "Time between loads, a failure domain."),
     ("log_format", "text", "Either text or json."),
 )
 
@@ -208,6 +217,11 @@
             "max_body_bytes", _whole(1_024, 1 << 30), 1_024
         ),
         rating_share=reader.checked("rating_share", _share, 0.0),
+        order_candidates=reader.checked("order_candidates", _whole(0, 16), 0),
+        max_loads=reader.checked("max_loads", _whole(1, 1_000), 1),
+        load_interval_ms=reader.checked(
+            "load_interval_ms", _whole(100, 3_600_000), 100
+        ),
         json_logs=reader.checked("log_format", _is_json, False),
     )
 
--- a/trefoilpitch/daemon/tests/stateful/fleet.py
+++ b/trefoilpitch/daemon/tests/stateful/fleet.py
@@ -21,6 +21,7 @@
     Task,
     Upstream,
     UpstreamKind,
+    VersionRef,
     Workspace,
 )
 from trefoilpitch.clock import ManualClock
@@ -34,6 +35,7 @@
 from trefoilpitch.daemon._core import NodeCore, NodeIdentity, Surroundings
 from trefoilpitch.daemon._ledger import write_due_segments
 from trefoilpitch.daemon._node import PEER_PAYLOADS
+from trefoilpitch.daemon._orders import OrderSettings
 from trefoilpitch.daemon.tests.stateful.oracle import Oracle
 from trefoilpitch.daemon.tests.stateful.upstreams import (
     Backend,
@@ -81,7 +83,7 @@
     return hashlib.sha256(workspace.encode()).hexdigest()
 
 
-def make_bundle(version: int) -> Bundle:
+def make_bundle(version: int, *, checks_fencing: bool = False) -> Bundle:
     def upstreams(kind: str, port: int) -> tuple[Upstream, ...]:
         return tuple(
             Upstream(
@@ -90,6 +92,7 @@
                 failure_domain=domain,
                 capacity=4,
                 cold_capacity=1,
+                checks_fencing=checks_fencing,
             )
             for index, domain in enumerate(DOMAINS)
         )
@@ -232,6 +235,7 @@
                 max_requests=32,
                 rating_share=0.0,
                 token_keys=(_KEY,),
+                orders=OrderSettings(load_interval_ms=1_000),
             ),
             Surroundings(
                 clock=clock,
@@ -241,6 +245,7 @@
                 forwarder=self,
                 parking=fleet,
                 background=self,
+                order_calls=self,
                 head_follower=self._follower,
                 rng=fleet.rng,
             ),
@@ -332,6 +337,7 @@
                 core.replica.observe_fleet(core.view())
             core.replica.handle(Tick())
             core.cold_starts.observe_fleet(core.view())
+            core.give_orders()
         if now_ms % _LEDGER_MS == 0:
             core.ledger.observe_fleet(core.view())
             write_due_segments(
@@ -384,6 +390,13 @@
             for pool in make_bundle(1).pools
             for upstream in pool.upstreams
         }
+        for backend in self.backends.values():
+            if backend.name.startswith("engine"):
+                backend.versions = {
+                    VersionRef(model, one)
+                    for model in MODELS
+                    for one in VERSIONS
+                }
         self.meanwhile: list[Callable[[], None]] = []
         self.nodes: dict[str, SimNode] = {}
         for domain in DOMAINS:
--- a/trefoilpitch/daemon/tests/stateful/upstreams.py
+++ b/trefoilpitch/daemon/tests/stateful/upstreams.py
@@ -25,9 +25,13 @@
     IncompleteReplyError,
     LoadReport,
     MismatchedReplyError,
+    Order,
+    OrderKind,
+    OrderReply,
     RefusedError,
     ServiceReply,
     ServiceRequest,
+    StaleFencingError,
     UpstreamError,
 )
 
@@ -52,11 +56,15 @@
         self.running: set[int] = set()
         self.held: dict[str, CompletionRequest] = {}
         self.next_run = 0
+        # What it has loaded; None if it does not tell and takes any work.
+        self.versions: set[VersionRef] | None = None
+        self.orders: list[Order] = []
         # Faults, each used up once.
         self.cut_after: int | None = None
         self.lose_reply = False
         self.refuse_next = False
         self.cross_next = False
+        self.order_replies_to_lose = 0
 
     @property
     def name(self) -> str:
@@ -72,6 +80,27 @@
         self.running.clear()
         self.held.clear()
 
+    def has_loaded(self, version: VersionRef) -> bool:
+        return self.versions is None or version in self.versions
+
+    def order(self, order: Order) -> Result[OrderReply, UpstreamError]:
+        """Carries an order out; a load takes no time."""
+        assert self.versions is not None and order.version is not None
+        numbers = [earlier.fencing_number for earlier in self.orders]
+        is_old = order.fencing_number < max(numbers, default=0)
+        if is_old and self.node.checks_fencing:
+            return Failure(StaleFencingError(self.name, "old number"))
+        self.orders.append(order)
+        if order.kind is OrderKind.LOAD:
+            self.versions.add(order.version)
+        else:
+            self.versions.discard(order.version)
+        if self.order_replies_to_lose:
+            self.order_replies_to_lose -= 1
+            return Failure(IncompleteReplyError(self.name, "reply lost"))
+        reply = OrderReply(versions=frozenset(self.versions), role="")
+        return Success(reply)
+
     def begin(self) -> int:
         self.next_run += 1
         self.running.add(self.next_run)
@@ -93,7 +122,9 @@
             warm=self.bears >= self.node.capacity,
             leaving=self.is_leaving,
             cached_prefixes=frozenset(),
-            versions=None,
+            versions=None
+            if self.versions is None
+            else frozenset(self.versions),
             reported_ms=self.clock.wall_ms(),
         )
 
@@ -166,7 +197,7 @@
         backend = self._backend
         if not backend.is_up:
             return Failure(ConnectError(backend.name, "refused"))
-        if backend.refuse_next:
+        if backend.refuse_next or not backend.has_loaded(request.version):
             backend.refuse_next = False
             return Failure(RefusedError(backend.name, "refused"))
         backend.oracle.model_run(
@@ -203,6 +234,13 @@
             return Failure(ConnectError(self._backend.name, "refused"))
         return Success(self._backend.report())
 
+    def send_order(
+        self, order: Order, *, deadline_ms: int
+    ) -> Result[OrderReply, UpstreamError]:
+        if not self._backend.is_up:
+            return Failure(ConnectError(self._backend.name, "refused"))
+        return self._backend.order(order)
+
 
 class ServiceLink:
     """One node's client of a plain service."""
--- a/trefoilpitch/orders/__init__.py
+++ b/trefoilpitch/orders/__init__.py
@@ -36,7 +36,11 @@
     ScopeState,
     order_service,
 )
-from trefoilpitch.orders._state import ReconcilerState, initial_state
+from trefoilpitch.orders._state import (
+    EngineView,
+    ReconcilerState,
+    initial_state,
+)
 from trefoilpitch.orders._types import (
     EngineControl,
     EngineOrder,
@@ -55,6 +59,7 @@
     "EngineScope",
     "EngineStatus",
     "EngineTarget",
+    "EngineView",
     "Event",
     "MemoryEngines",
     "OrderAccepted",
--- a/trefoilpitch/orders/_machine.py
+++ b/trefoilpitch/orders/_machine.py
@@ -231,7 +231,10 @@
             state = state.with_engine(name, view)
         return state.with_due(name, now_ms + interval_ms), ()
     call = Call(
-        call_id=state.last_call_id + 1, sent_ms=now_ms, loads=_loads(plan)
+        call_id=state.last_call_id + 1,
+        sent_ms=now_ms,
+        is_order=True,
+        loads=_loads(plan),
     )
     view = dataclasses.replace(view, call=call)
     state = state.with_engine(name, view).counting(
--- a/trefoilpitch/orders/_service.py
+++ b/trefoilpitch/orders/_service.py
@@ -48,7 +48,7 @@
 class OrderService:
     """Gives orders in each scope whose lease it holds; a context manager.
 
-    Use it from one thread. Leaving it releases its leases.
+    Use all but `states` from one thread. Leaving it releases its leases.
 
     Args:
         store: Holds the leases.
@@ -81,13 +81,13 @@
 
     @property
     def states(self) -> Mapping[EngineScope, ScopeState]:
-        """Immutable snapshots by scope, for dumps."""
+        """Immutable snapshots by scope, for dumps on any thread."""
         return {
             scope: ScopeState(
                 lease=candidacy.keeper.state,
                 reconciler=candidacy.reconciler.state,
             )
-            for scope, candidacy in self._candidacies.items()
+            for scope, candidacy in tuple(self._candidacies.items())
         }
 
     def set_configuration(self, configuration: Configuration) -> None:
--- a/trefoilpitch/orders/_state.py
+++ b/trefoilpitch/orders/_state.py
@@ -25,6 +25,8 @@
     call_id: int
     # When it was sent.
     sent_ms: int
+    # Whether it is an order, and not a read.
+    is_order: bool = False
     # The loads that it orders.
     loads: frozenset[VersionRef] = frozenset()
 
