Kill the holder of a lease in mid roll-out, end to end

Three engines in one failure domain lack the new version. The daemon that has them load it is killed once the first has it; another finishes. Each engine's own counts show one load, no unload, no work that it refused and no fall, and every new session meanwhile was answered. A holder that is told to end hands its lease on while it still serves a request.

The engine stand-in counts loads and unloads. The fleet of the end-to-end tests takes the engines' first versions from an attribute, as this test needs a fleet of its own.

--- a/tests/endtoend/conftest.py
+++ b/tests/endtoend/conftest.py
@@ -14,7 +14,7 @@
 _LAST_PORT = 99
 
 
-def _reserve_ports(stack: contextlib.ExitStack) -> int:
+def reserve_ports(stack: contextlib.ExitStack) -> int:
     """Returns the first of a hundred ports that no other run has taken."""
     for first_port in _FIRST_PORTS:
         reservation = socket.socket()
@@ -38,8 +38,8 @@
         concurrent.futures.ThreadPoolExecutor() as pool,
     ):
         fleets = (
-            Fleet(processes, _reserve_ports(stack)),
-            Fleet(processes_alone, _reserve_ports(stack), ("a",)),
+            Fleet(processes, reserve_ports(stack)),
+            Fleet(processes_alone, reserve_ports(stack), ("a",)),
         )
         for started in [pool.submit(fleet.start) for fleet in fleets]:
             started.result()
--- a/tests/endtoend/fleet.py
+++ b/tests/endtoend/fleet.py
@@ -47,6 +47,9 @@
         letters: The failure domains that have a daemon.
     """
 
+    # Versions that the engines have from the start.
+    versions = "large@1,large@2"
+
     def __init__(
         self,
         processes: Processes,
@@ -150,7 +153,7 @@
             "trefoilpitch.standins.engine",
             f"--port={self.engine(letter).rpartition(':')[2]}",
             f"--name=engine-{letter}",
-            "--versions=large@1,large@2",
+            f"--versions={self.versions}",
             f"--capacity={ENGINE_CAPACITY}",
             "--cold_capacity=4",
             "--hold_ms=10000",
@@ -158,14 +161,17 @@
 
     def sign_off(self) -> None:
         """Puts the bundle in force on every daemon."""
+        reply = self.change("a", kind="sign-off", bundle=self.bundle())
+        assert reply.status == 200, reply.body
+        self.wait_for_revision(reply.json()["revision"], self._letters)
+
+    def bundle(self) -> str:
+        """Returns the text of the bundle."""
         template = string.Template(_BUNDLE.read_text())
         token_sha256 = hashlib.sha256(WORKSPACE_TOKEN.encode()).hexdigest()
-        bundle = template.substitute(
+        return template.substitute(
             base=self._first_port // 10, token_sha256=token_sha256
         )
-        reply = self.change("a", kind="sign-off", bundle=bundle)
-        assert reply.status == 200, reply.body
-        self.wait_for_revision(reply.json()["revision"], self._letters)
 
     def warm_up(self) -> None:
         """Waits until each daemon is answered by an engine and a service."""
--- a/trefoilpitch/standins/_engine_state.py
+++ b/trefoilpitch/standins/_engine_state.py
@@ -164,11 +164,13 @@
     def load(self, version: str) -> None:
         """Loads a version; it serves once the time to load has passed."""
         with self.lock:
+            self.counts["loads"] += 1
             self._versions.load(version, self.settings.load_ms)
 
     def unload(self, version: str) -> None:
         """Unloads a version; answers under way go on."""
         with self.lock:
+            self.counts["unloads"] += 1
             self._versions.unload(version)
 
     def versions(self) -> list[str]:
