Copy the orders' counters only when they change

Cause: a tick of the orders copied the counters of every candidacy to find what had been added: 0.09 ms a tick with nothing due, four fifths of it in dataclasses.asdict (cProfile). Counters are frozen and replaced when they change, so identity tells.

The tick is 500 ms instead of 250 ms, which a validity of 9 s bears.

--- a/trefoilpitch/daemon/_orders.py
+++ b/trefoilpitch/daemon/_orders.py
@@ -30,7 +30,7 @@
 from trefoilpitch.supervision import Tick
 from trefoilpitch.upstreams import EngineClient
 
-ORDER_TICK_MS = 250
+ORDER_TICK_MS = 500
 
 # How long a successor waits for a holder that is gone.
 _VALIDITY_MS = 9_000
@@ -97,7 +97,7 @@
         self._clients = _Clients(clients)
         self._revision = 0
         self._decided_on: tuple[int, tuple[str, ...]] | None = None
-        self._counted: dict[str, dict[str, int]] = {}
+        self._counted: dict[str, ScopeState] = {}
         self._is_closed = False
         self._service = order_service(
             store=store,
@@ -189,15 +189,20 @@
         for state in self._service.states.values():
             held += state.lease.fencing_number(now_ms) is not None
             holder = state.lease.terms.holder
-            counted[holder] = _counts(state)
-            before = self._counted.get(holder, {})
-            for name, count in counted[holder].items():
-                added = count - before.get(name, 0)
-                if added:
-                    self._metrics.count(name, by=added)
+            before = self._counted.get(holder)
+            counted[holder] = state
+            if before is None or _has_counted(before, state):
+                self._add(before, state)
         self._counted = counted
         self._metrics.set_gauge("order_leases_held", held)
 
+    def _add(self, before: ScopeState | None, state: ScopeState) -> None:
+        earlier = _counts(before) if before is not None else {}
+        for name, count in _counts(state).items():
+            added = count - earlier.get(name, 0)
+            if added:
+                self._metrics.count(name, by=added)
+
 
 class _Clients:
     """The clients of engines, made when first asked for; thread safe."""
@@ -271,6 +276,14 @@
     }
 
 
+def _has_counted(before: ScopeState, state: ScopeState) -> bool:
+    # Counters are replaced when they change, and only then.
+    return (
+        state.lease.counters is not before.lease.counters
+        or state.reconciler.counters is not before.reconciler.counters
+    )
+
+
 def _counts(state: ScopeState) -> dict[str, int]:
     counters = dataclasses.asdict(state.reconciler.counters)
     # The number of orders itself is called that already.
--- a/trefoilpitch/daemon/tests/stateful/fleet.py
+++ b/trefoilpitch/daemon/tests/stateful/fleet.py
@@ -35,7 +35,7 @@
 from trefoilpitch.daemon._core import NodeCore, NodeIdentity, Surroundings
 from trefoilpitch.daemon._ledger import write_due_segments
 from trefoilpitch.daemon._node import PEER_PAYLOADS
-from trefoilpitch.daemon._orders import OrderSettings
+from trefoilpitch.daemon._orders import ORDER_TICK_MS, OrderSettings
 from trefoilpitch.daemon.tests.stateful.oracle import Oracle
 from trefoilpitch.daemon.tests.stateful.upstreams import (
     Backend,
@@ -337,6 +337,7 @@
                 core.replica.observe_fleet(core.view())
             core.replica.handle(Tick())
             core.cold_starts.observe_fleet(core.view())
+        if now_ms % ORDER_TICK_MS == 0:
             core.give_orders()
         if now_ms % _LEDGER_MS == 0:
             core.ledger.observe_fleet(core.view())
