--- a/trefoilpitch/daemon/tests/stateful/fleet.py
+++ b/trefoilpitch/daemon/tests/stateful/fleet.py
@@ -21,6 +21,7 @@
     Task,
     Upstream,
     UpstreamKind,
+    VersionRef,
     Workspace,
 )
 from trefoilpitch.clock import ManualClock
@@ -34,6 +35,7 @@
 from trefoilpitch.daemon._core import NodeCore, NodeIdentity, Surroundings
 from trefoilpitch.daemon._ledger import write_due_segments
 from trefoilpitch.daemon._node import PEER_PAYLOADS
+from trefoilpitch.daemon._orders import ORDER_TICK_MS, OrderSettings
 from trefoilpitch.daemon.tests.stateful.oracle import Oracle
 from trefoilpitch.daemon.tests.stateful.upstreams import (
     Backend,
@@ -85,7 +87,7 @@
     return hashlib.sha256(workspace.encode()).hexdigest()
 
 
-def make_bundle(version: int) -> Bundle:
+def make_bundle(version: int, *, checks_fencing: bool = False) -> Bundle:
     def upstreams(kind: str, port: int) -> tuple[Upstream, ...]:
         return tuple(
             Upstream(
@@ -94,6 +96,7 @@
                 failure_domain=domain,
                 capacity=4,
                 cold_capacity=1,
+                checks_fencing=checks_fencing,
             )
             for index, domain in enumerate(DOMAINS)
         )
@@ -238,6 +241,7 @@
                 max_requests=32,
                 rating_share=0.0,
                 token_keys=(_KEY,),
+                orders=OrderSettings(load_interval_ms=1_000),
             ),
             Surroundings(
                 clock=clock,
@@ -247,6 +251,7 @@
                 forwarder=self,
                 parking=fleet,
                 background=self,
+                order_calls=self,
                 head_follower=self._follower,
                 rng=fleet.rng,
             ),
@@ -322,7 +327,6 @@
         return revision
 
     def tick(self, now_ms: int) -> None:
-        core = self.core
         inbox, self._inbox[:] = list(self._inbox), []
         for message in inbox:
             self._receive(message)
@@ -330,25 +334,39 @@
         for task in tasks:
             task()
         self._follower.poll()
-        if now_ms % _MEMBERSHIP_MS == 0:
-            core.members.handle(ReportChanged(core.report()))
-            core.members.handle(MembershipTick())
-        if now_ms % _VIEW_MS == 0:
-            core.members.refresh_view()
-        if now_ms % _REPLICA_MS == 0:
-            if core.view().is_settled:
-                core.replica.observe_fleet(core.view())
-            core.replica.handle(Tick())
-            core.cold_starts.observe_fleet(core.view())
-        if now_ms % _LEDGER_MS == 0:
-            core.ledger.observe_fleet(core.view())
-            write_due_segments(
-                core.ledger, self.store, core.metrics, flush=False
-            )
-        if now_ms % _LOAD_MS == 0:
-            self._fetch_reports(now_ms)
-        if now_ms % _ROLLOUT_MS == 0:
-            core.rollouts.act()
+        for period_ms, act in self._periodic:
+            if now_ms % period_ms == 0:
+                act()
+
+    @property
+    def _periodic(self) -> tuple[tuple[int, Callable[[], None]], ...]:
+        core = self.core
+        return (
+            (_MEMBERSHIP_MS, self._keep_membership),
+            (_VIEW_MS, core.members.refresh_view),
+            (_REPLICA_MS, self._follow_configuration),
+            (ORDER_TICK_MS, core.give_orders),
+            (_LEDGER_MS, self._write_bills),
+            (_LOAD_MS, self._fetch_reports),
+            (_ROLLOUT_MS, core.rollouts.act),
+        )
+
+    def _keep_membership(self) -> None:
+        core = self.core
+        core.members.handle(ReportChanged(core.report()))
+        core.members.handle(MembershipTick())
+
+    def _follow_configuration(self) -> None:
+        core = self.core
+        if core.view().is_settled:
+            core.replica.observe_fleet(core.view())
+        core.replica.handle(Tick())
+        core.cold_starts.observe_fleet(core.view())
+
+    def _write_bills(self) -> None:
+        core = self.core
+        core.ledger.observe_fleet(core.view())
+        write_due_segments(core.ledger, self.store, core.metrics, flush=False)
 
     def depart(self) -> bool:
         is_flushed = self.core.flush_bills()
@@ -372,7 +390,8 @@
     def _announce(self, event: MembershipEvent) -> None:
         self.core.members.handle(event)
 
-    def _fetch_reports(self, now_ms: int) -> None:
+    def _fetch_reports(self) -> None:
+        now_ms = self.fleet.clock.now_ms()
         for followed in self.core.directory.followed():
             backend = self.fleet.backends[followed.upstream.name]
             if backend.is_up:
@@ -396,6 +415,13 @@
             for pool in make_bundle(1).pools
             for upstream in pool.upstreams
         }
+        for backend in self.backends.values():
+            if backend.name.startswith("engine"):
+                backend.versions = {
+                    VersionRef(model, one)
+                    for model in MODELS
+                    for one in VERSIONS
+                }
         self.meanwhile: list[Callable[[], None]] = []
         self.nodes: dict[str, SimNode] = {}
         for domain in DOMAINS:
--- a/trefoilpitch/orders/__init__.py
+++ b/trefoilpitch/orders/__init__.py
@@ -25,6 +25,7 @@
     OrderOutcomeUnknownError,
     OrderRejectedError,
     StaleFencingError,
+    VersionsUnknownError,
 )
 from trefoilpitch.orders._fake import MemoryEngines, memory_engines
 from trefoilpitch.orders._machine import step
@@ -35,7 +36,11 @@
     ScopeState,
     order_service,
 )
-from trefoilpitch.orders._state import ReconcilerState, initial_state
+from trefoilpitch.orders._state import (
+    EngineView,
+    ReconcilerState,
+    initial_state,
+)
 from trefoilpitch.orders._types import (
     EngineControl,
     EngineOrder,
@@ -54,6 +59,7 @@
     "EngineScope",
     "EngineStatus",
     "EngineTarget",
+    "EngineView",
     "Event",
     "MemoryEngines",
     "OrderAccepted",
@@ -74,6 +80,7 @@
     "TermBegan",
     "TermEnded",
     "Tick",
+    "VersionsUnknownError",
     "candidate_scopes",
     "desired_targets",
     "engine_client_control",
--- a/trefoilpitch/orders/_service.py
+++ b/trefoilpitch/orders/_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from collections.abc import Iterable, Mapping
 from types import TracebackType
 from typing import Self
@@ -47,7 +48,7 @@
 class OrderService:
     """Gives orders in each scope whose lease it holds; a context manager.
 
-    Use it from one thread. Leaving it releases its leases.
+    Use all but `states` from one thread. Leaving it releases its leases.
 
     Args:
         store: Holds the leases.
@@ -76,16 +77,17 @@
         self._submit = submit
         self._configuration = EMPTY_CONFIGURATION
         self._candidacies: dict[EngineScope, _Candidacy] = {}
+        self._numbers = itertools.count(1)
 
     @property
     def states(self) -> Mapping[EngineScope, ScopeState]:
-        """Immutable snapshots by scope, for dumps."""
+        """Immutable snapshots by scope, for dumps on any thread."""
         return {
             scope: ScopeState(
                 lease=candidacy.keeper.state,
                 reconciler=candidacy.reconciler.state,
             )
-            for scope, candidacy in self._candidacies.items()
+            for scope, candidacy in tuple(self._candidacies.items())
         }
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -121,11 +123,14 @@
         self.set_scopes(())
 
     def _candidacy(self, scope: EngineScope) -> _Candidacy:
+        # A keeper that begins anew must not take an earlier one's record for
+        # its own: that one's release may have been lost.
+        holder = f"{self._lease_terms.holder}/{next(self._numbers)}"
         keeper = lease_keeper(
             store=self._store,
             clock=self._clock,
             key=scope.lease_key,
-            terms=self._lease_terms,
+            terms=dataclasses.replace(self._lease_terms, holder=holder),
         )
         subject = reconciler(
             control=self._control,
