--- a/trefoilpitch/daemon/tests/stateful/fleet.py
+++ b/trefoilpitch/daemon/tests/stateful/fleet.py
@@ -339,7 +339,7 @@
                 act()
 
     @property
-    def _periodic(self) -> tuple[tuple[int, Callable[[], None]], ...]:
+    def _periodic(self) -> tuple[tuple[int, Callable[[], object]], ...]:
         core = self.core
         return (
             (_MEMBERSHIP_MS, self._keep_membership),
