--- a/tests/endtoend/fleet.py
+++ b/tests/endtoend/fleet.py
@@ -8,6 +8,8 @@
 import string
 from typing import Any
 
+import msgspec
+
 from tools.processes import (
     ADMIN_TOKEN,
     HttpReply,
@@ -16,6 +18,7 @@
     start_daemon,
     wait_until,
 )
+from trefoilpitch.ledger import Bill, unite_bills
 
 DOMAINS = ("a", "b", "c")
 ENGINE_CAPACITY = 256
@@ -48,6 +51,9 @@
         letters: The failure domains that have a daemon.
     """
 
+    # Versions that the engines have from the start.
+    versions = "large@1,large@2"
+
     def __init__(
         self,
         processes: Processes,
@@ -151,7 +157,7 @@
             "trefoilpitch.standins.engine",
             f"--port={self.engine(letter).rpartition(':')[2]}",
             f"--name=engine-{letter}",
-            "--versions=large@1,large@2",
+            f"--versions={self.versions}",
             f"--capacity={ENGINE_CAPACITY}",
             "--cold_capacity=4",
             "--hold_ms=10000",
@@ -159,14 +165,17 @@
 
     def sign_off(self) -> None:
         """Puts the bundle in force on every daemon."""
+        reply = self.change("a", kind="sign-off", bundle=self.bundle())
+        assert reply.status == 200, reply.body
+        self.wait_for_revision(reply.json()["revision"], self._letters)
+
+    def bundle(self) -> str:
+        """Returns the text of the bundle."""
         template = string.Template(_BUNDLE.read_text())
         token_sha256 = hashlib.sha256(WORKSPACE_TOKEN.encode()).hexdigest()
-        bundle = template.substitute(
+        return template.substitute(
             base=self._first_port // 10, token_sha256=token_sha256
         )
-        reply = self.change("a", kind="sign-off", bundle=bundle)
-        assert reply.status == 200, reply.body
-        self.wait_for_revision(reply.json()["revision"], self._letters)
 
     def warm_up(self) -> None:
         """Waits until each daemon is answered by an engine and a service."""
@@ -312,10 +321,18 @@
 
     def bills(self, letter: str = "a") -> dict[str, Any]:
         """Returns the bills that the store holds, by request."""
-        found = self.ask_admin(letter, "/v1/ledger")["bills"]
-        by_request = {bill["request_id"]: bill for bill in found}
-        assert len(by_request) == len(found), "a request has two bills"
-        return by_request
+        recorded: list[Bill] = []
+        after = ""
+        while True:
+            page = self.ask_admin(letter, f"/v1/ledger?after={after}")
+            recorded += msgspec.convert(page["bills"], list[Bill])
+            after = page["next_after"]
+            if not after:
+                break
+        return {
+            bill.request_id: msgspec.to_builtins(bill)
+            for bill in unite_bills(recorded)
+        }
 
     def wait_for_bills(
         self, request_ids: set[str], letter: str = "a"
--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -35,6 +35,7 @@
 from trefoilpitch.daemon._homes import FleetHomes
 from trefoilpitch.daemon._key_register import StoreKeyRegister
 from trefoilpitch.daemon._ledger import Ledger, write_due_segments
+from trefoilpitch.daemon._orders import OrderCalls, Orders, OrderSettings
 from trefoilpitch.daemon._replica import Background, HeadFollower, ReplicaHost
 from trefoilpitch.daemon._rollouts import RolloutGuard
 from trefoilpitch.identity import TokenSigner
@@ -95,6 +96,12 @@
     rating_share: float
     # Sign callers' tokens; the first one signs.
     token_keys: tuple[bytes, ...]
+    # How orders are given to engines.
+    orders: OrderSettings
+    # Nodes of each failure domain that watch the store.
+    relays_per_domain: int = 4
+    # Deltas of the configuration kept for other nodes; 0 keeps none.
+    max_delta_bytes: int = 32_768
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -115,6 +122,8 @@
     parking: Parking
     # Runs reads of the store.
     background: Background
+    # Runs calls that order engines.
+    order_calls: OrderCalls
     # Follows the head key while that is wanted.
     head_follower: HeadFollower
     # Source of random numbers.
@@ -200,6 +209,7 @@
             clock=self._clock,
             metrics=self.metrics,
         )
+        self.orders = self._create_orders()
         self.callers = CallerApi(
             identity.incarnation, self._create_caller_services()
         )
@@ -248,6 +258,19 @@
             self.ledger, self._around.store, self.metrics, flush=True
         )
 
+    def give_orders(self) -> None:
+        """Gives the orders to engines that fall to this node.
+
+        It needs a configuration that may still be the newest; a node that
+        is leaving hands its leases on while others are there to take them.
+        """
+        is_staying = self.draining.phase is NodePhase.SERVING
+        self.orders.tick(
+            self.current.table().configuration,
+            self.view(),
+            is_allowed=self.is_ready() and self.is_fresh() and is_staying,
+        )
+
     def is_ready(self) -> bool:
         """Returns whether the node has a configuration to serve."""
         return self.current.table().configuration.bundle is not None
@@ -278,7 +301,9 @@
         return AdminServices(
             view=self.view,
             configuration=lambda: self.current.table().configuration,
-            writer=configuration_writer(store),
+            writer=configuration_writer(
+                store, max_delta_bytes=self._identity.max_delta_bytes
+            ),
             reader=HeadReader(store),
             accepts_changes=self.replica.accepts_changes,
             confirm=self.replica.confirm,
@@ -303,6 +328,7 @@
             "upstreams": list(self.directory.states().values()),
             "upstream_clients": self.directory.client_stats(),
             "breakers": self.learner.breakers(),
+            "orders": self.orders.dump(),
             "rollout_advice": self.learner.advice(self._count_nodes()),
             "peering": self._around.transport.counters(),
             "counters": self.metrics.counters(),
@@ -316,6 +342,8 @@
             failure_domain=identity.failure_domain,
             address=identity.endpoints.peer_address,
             failure_domains=identity.failure_domains,
+            relays_per_domain=identity.relays_per_domain,
+            max_log_bytes=identity.max_delta_bytes,
         )
         return ReplicaHost(
             settings,
@@ -328,6 +356,18 @@
             parking=self._around.parking,
         )
 
+    def _create_orders(self) -> Orders:
+        return Orders(
+            vm_name=self._identity.vm_name,
+            incarnation=self._identity.incarnation,
+            settings=self._identity.orders,
+            store=self._around.store,
+            clients=self._around.clients,
+            calls=self._around.order_calls,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+
     def _create_members(self) -> MembershipHost:
         identity = self._identity
         state = create_membership(
--- a/trefoilpitch/daemon/_settings.py
+++ b/trefoilpitch/daemon/_settings.py
@@ -72,12 +72,22 @@
     other_shared_key: bytes | None
     # SHA-256 of the administration token, in hexadecimal.
     admin_token_sha256: str
+    # Daemons of each failure domain that watch the store.
+    relays_per_domain: int
+    # Deltas of the configuration kept for other daemons; 0 keeps none.
+    max_delta_bytes: int
     # Requests served at once.
     max_requests: int
     # Largest request body, in bytes.
     max_body_bytes: int
     # Share of the whole answers that are sent to be rated, from 0 to 1.
     rating_share: float
+    # Daemons that stand by to order a failure domain's engines; 0 is none.
+    order_candidates: int
+    # Loads from the weight store at once, for each failure domain.
+    max_loads: int
+    # Time in which one more load may begin, for each failure domain.
+    load_interval_ms: int
     # Whether log lines are JSON.
     json_logs: bool
 
@@ -130,9 +140,14 @@
     ("shared_key", "", "Key shared by all daemons, 16 characters or more."),
     ("other_shared_key", "", "Also accepted while the key is replaced."),
     ("admin_token_sha256", "", "SHA-256 of the administration token."),
+    ("relays_per_domain", "4", "Daemons a failure domain watching the store."),
+    ("max_delta_bytes", "32768", "Deltas kept for others; 0: whole bundles."),
     ("max_requests", "256", "Requests served at once."),
     ("max_body_bytes", "8388608", "Largest request body, in bytes."),
     ("rating_share", "0.05", "Share of answers to have rated, 0 to 1."),
+    ("order_candidates", "3", "Daemons that stand by to order engines."),
+    ("max_loads", "4", "Loads of versions at once, a failure domain."),
+    ("load_interval_ms", "5000", "Time between loads, a failure domain."),
     ("log_format", "text", "Either text or json."),
 )
 
@@ -216,11 +231,22 @@
             "other_shared_key", _optional_key, None
         ),
         admin_token_sha256=reader.checked("admin_token_sha256", _sha256, ""),
+        relays_per_domain=reader.checked(
+            "relays_per_domain", _whole(1, 4_096), 1
+        ),
+        max_delta_bytes=reader.checked(
+            "max_delta_bytes", _whole(0, 1 << 20), 0
+        ),
         max_requests=reader.checked("max_requests", _whole(1, 4_096), 1),
         max_body_bytes=reader.checked(
             "max_body_bytes", _whole(1_024, 1 << 30), 1_024
         ),
         rating_share=reader.checked("rating_share", _share, 0.0),
+        order_candidates=reader.checked("order_candidates", _whole(0, 16), 0),
+        max_loads=reader.checked("max_loads", _whole(1, 1_000), 1),
+        load_interval_ms=reader.checked(
+            "load_interval_ms", _whole(100, 3_600_000), 100
+        ),
         json_logs=reader.checked("log_format", _is_json, False),
     )
 
--- a/trefoilpitch/orders/_client_control.py
+++ b/trefoilpitch/orders/_client_control.py
@@ -55,19 +55,23 @@
         report = self._client_of(upstream).load_report(
             deadline_ms=self._deadline_ms()
         )
-        return report.map(_status_of).alt(_order_error)
+        return report.alt(_order_error).bind(_status_of)
 
     def send_order(
         self, upstream: Upstream, order: EngineOrder
     ) -> Result[None, errors.OrderError]:
-        """Loads what an engine lacks and unloads what it should not have."""
+        """Loads what an engine lacks and unloads what it should not have.
+
+        A version that came after the decision stays, and a load that was
+        under way then is not ordered again.
+        """
         status = self.read_status(upstream)
         if isinstance(status, Failure):
             return Failure(status.failure())
         loaded = status.unwrap().loaded
         steps = [
-            *_steps(OrderKind.LOAD, order.versions - loaded),
-            *_steps(OrderKind.UNLOAD, loaded - order.versions),
+            *_steps(OrderKind.LOAD, order.versions - order.seen - loaded),
+            *_steps(OrderKind.UNLOAD, (loaded & order.seen) - order.versions),
         ]
         for kind, version in steps:
             result = self._send(upstream, kind, version, order.fencing_number)
@@ -103,12 +107,18 @@
     return [(kind, version) for version in sorted(versions)]
 
 
-def _status_of(report: LoadReport) -> EngineStatus:
-    return EngineStatus(
+def _status_of(
+    report: LoadReport,
+) -> Result[EngineStatus, errors.OrderError]:
+    if report.versions is None:
+        detail = "the load report does not tell the versions"
+        return Failure(errors.VersionsUnknownError(detail=detail))
+    status = EngineStatus(
         incarnation=report.incarnation,
         loaded=report.versions,
         reports_loading=False,
     )
+    return Success(status)
 
 
 def _order_error(error: UpstreamError) -> errors.OrderError:
--- a/trefoilpitch/orders/tests/test_client_control.py
+++ b/trefoilpitch/orders/tests/test_client_control.py
@@ -15,6 +15,7 @@
     OrderNotSentError,
     OrderTerms,
     StaleFencingError,
+    VersionsUnknownError,
     engine_client_control,
     reconciler,
 )
@@ -24,7 +25,12 @@
     EngineStandIn,
     open_engine_stand_in,
 )
-from trefoilpitch.upstreams import DeadlineWatch, open_engine_client
+from trefoilpitch.upstreams import (
+    DeadlineWatch,
+    FakeEngineClient,
+    LoadReport,
+    open_engine_client,
+)
 
 _LOAD_MS = 10_000
 
@@ -55,7 +61,11 @@
     def send(
         self, number: int, *versions: VersionRef
     ) -> Result[None, OrderError]:
-        order = EngineOrder(versions=frozenset(versions), fencing_number=number)
+        order = EngineOrder(
+            versions=frozenset(versions),
+            seen=frozenset(self.loaded()),
+            fencing_number=number,
+        )
         return self.control.send_order(self.upstream, order)
 
     def loaded(self) -> set[VersionRef]:
@@ -90,6 +100,17 @@
     assert subject.loaded() == {NEW}
 
 
+def test_version_that_came_after_the_decision_stays(
+    subject: _Subject,
+) -> None:
+    seen = frozenset(subject.loaded())
+    subject.send(10, OLD, NEW)
+    subject.clock.advance(_LOAD_MS)
+    order = EngineOrder(versions=frozenset({OLD}), seen=seen, fencing_number=10)
+    assert is_successful(subject.control.send_order(subject.upstream, order))
+    assert subject.loaded() == {OLD, NEW}
+
+
 def test_only_a_checking_engine_refuses_an_old_number(
     subject: _Subject, checks_fencing: bool
 ) -> None:
@@ -122,6 +143,31 @@
     assert engine.state.counters.loads == 1
 
 
+def test_engine_that_does_not_tell_its_versions_gets_no_orders() -> None:
+    client = FakeEngineClient()
+    control = engine_client_control(lambda _: client, ManualClock())
+    report = LoadReport(
+        upstream="engine-0",
+        incarnation="a",
+        running=0,
+        waiting=0,
+        capacity=4,
+        warm=True,
+        leaving=False,
+        cached_prefixes=frozenset(),
+        versions=None,
+        reported_ms=0,
+    )
+    client.set_load_report(report)
+    order = EngineOrder(versions=frozenset({OLD}), fencing_number=10)
+    configuration = fleet_configuration()
+    assert configuration.bundle is not None
+    upstream = configuration.bundle.pools[0].upstreams[0]
+    result = control.send_order(upstream, order)
+    assert isinstance(result.failure(), VersionsUnknownError)
+    assert not client.orders
+
+
 def test_engine_that_is_gone_was_not_sent_anything() -> None:
     clock = ManualClock()
     with (
@@ -129,5 +175,6 @@
         DeadlineWatch(clock) as watch,
     ):
         subject = _Subject(engine, clock, watch)
-    error = subject.send(10, OLD).failure()
+    order = EngineOrder(versions=frozenset({OLD}), fencing_number=10)
+    error = subject.control.send_order(subject.upstream, order).failure()
     assert isinstance(error, OrderNotSentError)
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -5,12 +5,12 @@
 import dataclasses
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
 
 from returns.result import Failure, Result, Success
 
-from trefoilpitch.bundle import Priority
+from trefoilpitch.bundle import Priority, VersionRef
 from trefoilpitch.clock import Clock
 from trefoilpitch.retries import (
     Execution,
@@ -31,17 +31,23 @@
     Target,
     choose_upstream,
     eligible_upstreams,
+    loaded_factors,
 )
 from trefoilpitch.serving._directory import Slot, UpstreamDirectory
 from trefoilpitch.serving._nodes import ConfigurationSource
 from trefoilpitch.serving._problems import (
+    caller_gone,
     failure_kind,
     failure_problem,
     is_temporary,
     routing_problem,
 )
 from trefoilpitch.serving._queue import Parking, PlaceQueue
-from trefoilpitch.upstreams import UpstreamError
+from trefoilpitch.upstreams import (
+    Cancellation,
+    CancelledError,
+    UpstreamError,
+)
 from trefoilpitch.web import Outcome, Problem
 
 _MAX_REVISIONS = 16
@@ -71,6 +77,8 @@
     deadline_ms: int
     # Upstreams believed to hold a useful prefix in their cache.
     cache_holders: frozenset[str] = frozenset()
+    # Tells when nobody waits for it any more; no try starts after that.
+    cancellation: Cancellation = dataclasses.field(default_factory=Cancellation)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +145,7 @@
         excluded: set[str] = set()
         with self._lock:
             self._budget.record_first_try()
-        while True:
+        while not errand.cancellation.cancelled:
             placed = self._place(errand, excluded)
             if not isinstance(placed, Success):
                 return Failure(_with_history(placed.failure(), failures))
@@ -150,9 +158,19 @@
             slot.close()
             excluded.add(error.upstream)
             failures.append(failure_kind(error))
+            if isinstance(error, CancelledError):
+                break
             problem = self._consider_retry(errand, failures, error)
             if problem is not None:
                 return Failure(problem)
+        gone = caller_gone(errand.request_id, Outcome.NOT_RUN)
+        return Failure(_with_history(gone, failures))
+
+    def loaded_factors(self, table: RoutingTable) -> Mapping[VersionRef, float]:
+        """Bounds what roll-outs get by the engines that are ready for them."""
+        if not table.rollouts:
+            return {}
+        return loaded_factors(table, self._directory.states())
 
     def _consider_retry(
         self, errand: Errand, failures: list[FailureKind], error: UpstreamError
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -48,11 +48,13 @@
     VersionLearner,
 )
 from trefoilpitch.upstreams import (
+    Cancellation,
     Chunk,
     EngineClient,
     FakeEngineClient,
     FakeServiceClient,
     Finish,
+    LoadReport,
     Message,
     ServiceClient,
     ServiceReply,
@@ -184,6 +186,7 @@
     def __init__(self) -> None:
         self.cold: set[str] = set()
         self.demanded: list[str] = []
+        self.may_run: list[bool] = []
         self.invited: set[str] = set()
 
     def allowance(self, upstream: str) -> int | None:
@@ -204,8 +207,10 @@
         admission: Admission,
         outcome: WorkOutcome,
         latency_ms: int | None,
+        may_run: bool,
     ) -> None:
         del admission, outcome, latency_ms
+        self.may_run.append(may_run)
 
     def demand(self, upstream: str, change: int) -> None:
         if change > 0:
@@ -239,6 +244,7 @@
         }
         self.call_results: list[Result[ServiceReply, UpstreamError]] = []
         self.calls: list[str] = []
+        self.on_call: Callable[[], None] = lambda: None
         self.called_incarnations: list[str] = []
         self.bills: list[Bill] = []
         self.configuration = Configuration(revision=1, bundle=_bundle())
@@ -288,6 +294,21 @@
         for followed in self.directory.followed():
             self.directory.record_no_report(followed.upstream.name)
 
+    def hear_versions(self, engine: str, *versions: VersionRef) -> None:
+        report = LoadReport(
+            upstream=engine,
+            incarnation="a",
+            running=0,
+            waiting=0,
+            capacity=2,
+            warm=True,
+            leaving=False,
+            cached_prefixes=frozenset(),
+            versions=frozenset(versions),
+            reported_ms=0,
+        )
+        self.directory.record_report(engine, report)
+
     def table(self) -> RoutingTable:
         hook, self.on_table = self.on_table, None
         table = routing_table(self.configuration)
@@ -303,6 +324,7 @@
             request: ServiceRequest,
         ) -> Result[ServiceReply, UpstreamError]:
             self.calls.append(f"{upstream.name} {request.path}")
+            self.on_call()
             self.called_incarnations.append(request.upstream_incarnation)
             return self.call_results.pop(0)
 
@@ -314,7 +336,9 @@
     def accepts_work(self) -> bool:
         return True
 
-    def ask(self) -> Result[ChatAnswer, Problem]:
+    def ask(
+        self, cancellation: Cancellation | None = None
+    ) -> Result[ChatAnswer, Problem]:
         request = ChatRequest(
             request_id="r1",
             workspace=WORKSPACE,
@@ -324,9 +348,14 @@
             max_output_tokens=None,
             stream=True,
         )
-        return self.chat.answer(request)
+        return self.chat.answer(request, cancellation or Cancellation())
 
-    def call(self, operation: str, method: str) -> Result[CallAnswer, Problem]:
+    def call(
+        self,
+        operation: str,
+        method: str,
+        cancellation: Cancellation | None = None,
+    ) -> Result[CallAnswer, Problem]:
         request = CallRequest(
             request_id="c1",
             workspace=WORKSPACE,
@@ -340,4 +369,6 @@
         found = self.flow.operation(request)
         if not isinstance(found, Success):
             return Failure(found.failure())
-        return self.flow.call(request, found.unwrap())
+        return self.flow.call(
+            request, found.unwrap(), cancellation or Cancellation()
+        )
--- a/trefoilpitch/store/tests/test_contract.py
+++ b/trefoilpitch/store/tests/test_contract.py
@@ -32,6 +32,7 @@
 )
 
 _WAIT_MS = 5_000
+_MANY_CALLS = 30_000
 
 
 class _Subject:
@@ -75,6 +76,22 @@
     return events
 
 
+def test_a_prefix_is_read_in_pages(subject: _Subject) -> None:
+    store = subject.store
+    keys = [f"p/{number}" for number in range(5)]
+    for key in [*keys, "o", "q/1"]:
+        store.put_if(key, key.encode(), ABSENT).unwrap()
+    pages: list[list[str]] = []
+    after = ""
+    while True:
+        listing = store.list_page("p/", after, 2).unwrap()
+        pages.append([entry.key for entry in listing.entries])
+        if len(listing.entries) < 2:
+            break
+        after = listing.entries[-1].key
+    assert pages == [keys[:2], keys[2:4], keys[4:]]
+
+
 def test_only_one_of_two_racing_writers_wins(subject: _Subject) -> None:
     store = subject.store
     first = store.put_if("a", b"1", ABSENT).unwrap()
@@ -200,6 +217,29 @@
         canceller.join()
 
 
+def test_cancelled_watch_is_dropped_although_others_call(
+    subject: _Subject,
+) -> None:
+    with subject.store.watch("a", 1).unwrap():
+        assert subject.faults.counters.watches_waiting == 1
+    for _ in range(_MANY_CALLS):
+        if not subject.faults.counters.watches_waiting:
+            return
+        subject.store.get("b")
+    pytest.fail("the store still holds the watch")
+
+
+def test_receive_ends_although_others_call(subject: _Subject) -> None:
+    with subject.store.watch("a", 1).unwrap() as watch:
+        receiver = threading.Thread(target=watch.receive, args=(1,))
+        receiver.start()
+        for _ in range(_MANY_CALLS):
+            if not receiver.is_alive():
+                return
+            subject.store.get("b")
+    pytest.fail("the calls of others kept the receiver waiting")
+
+
 def test_counters_tell_calls_by_kind_and_outcome(subject: _Subject) -> None:
     store = subject.store
     with store.watch("a", 1).unwrap():
--- a/trefoilpitch/upstreams/_engine_client.py
+++ b/trefoilpitch/upstreams/_engine_client.py
@@ -23,6 +23,7 @@
     OrderReply,
     Timeouts,
 )
+from trefoilpitch.upstreams._reports import load_reports
 from trefoilpitch.upstreams._stats import ClientStats
 
 _CONTROL_CONNECTIONS = 2
@@ -66,6 +67,7 @@
         *,
         after_index: int,
         deadline_ms: int,
+        cancellation: Cancellation | None = None,
     ) -> Result[AnswerStream, UpstreamError]:
         """Attaches again to an answer that the engine holds.
 
@@ -74,6 +76,7 @@
             version: The version that answers.
             after_index: The last chunk received; -1 if none was.
             deadline_ms: Monotonic time by which the answer must be whole.
+            cancellation: Cancels the answer, also before it has begun.
 
         Returns:
             The stream of the remaining chunks, or ``ResumeError``, which is
@@ -125,16 +128,20 @@
     Returns:
         The client, a context manager that closes idle connections.
     """
+    timeouts = timeouts or Timeouts()
 
     def pool(connections: int) -> ConnectionPool:
         return ConnectionPool(
             upstream=upstream,
             address=address,
             max_connections=connections,
-            timeouts=timeouts or Timeouts(),
+            timeouts=timeouts,
             clock=clock,
             watch=watch,
         )
 
     control = pool(_CONTROL_CONNECTIONS)
-    return HttpEngineClient(pool(max_connections), control)
+    reports = load_reports(
+        control, address=address, clock=clock, timeouts=timeouts
+    )
+    return HttpEngineClient(pool(max_connections), control, reports)
--- a/trefoilpitch/upstreams/_http_engine_client.py
+++ b/trefoilpitch/upstreams/_http_engine_client.py
@@ -43,8 +43,8 @@
     exchange_whole,
 )
 from trefoilpitch.upstreams._reports import (
+    LoadReports,
     fetch_cache_events,
-    fetch_load_report,
 )
 from trefoilpitch.upstreams._stats import ClientStats
 
@@ -63,13 +63,20 @@
 
     Args:
         pool: Connections for answers.
-        control: Connections for reports and orders, so that answers never
-            hold these up.
+        control: Connections for cache events and orders, so that answers
+            never hold these up.
+        reports: Fetches load reports.
     """
 
-    def __init__(self, pool: ConnectionPool, control: ConnectionPool) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        control: ConnectionPool,
+        reports: LoadReports,
+    ) -> None:
         self._pool = pool
         self._control = control
+        self._reports = reports
 
     def __enter__(self) -> Self:
         return self
@@ -82,6 +89,7 @@
     ) -> None:
         self._pool.close()
         self._control.close()
+        self._reports.close()
 
     @property
     def stats(self) -> ClientStats:
@@ -116,6 +124,7 @@
         *,
         after_index: int,
         deadline_ms: int,
+        cancellation: Cancellation | None = None,
     ) -> Result[AnswerStream, UpstreamError]:
         """Attaches again to an answer that the engine holds."""
         quoted = urllib.parse.quote(request_id, safe="")
@@ -133,7 +142,11 @@
             deadline_ms=deadline_ms,
         )
         opened = self._open(
-            wire, request_id, str(version), next_index=after_index + 1
+            wire,
+            request_id,
+            str(version),
+            next_index=after_index + 1,
+            cancellation=cancellation,
         )
         return opened.alt(_as_resume_error)
 
@@ -165,7 +178,7 @@
         self, *, deadline_ms: int
     ) -> Result[LoadReport, UpstreamError]:
         """Fetches the engine's last load report."""
-        return fetch_load_report(self._control, deadline_ms)
+        return self._reports.fetch(deadline_ms)
 
     def cache_events(
         self, *, after: int, deadline_ms: int
