Tell the cold start how an answer broke off

Cause: a run that breaks off closes its place before its failure is noted, so the place counted as failed in general. A connection that breaks in the middle of an answer is the first sign that an engine restarted, and it was lost; so was whether the work may run on.

Ruled out: noting the failure in the dispatcher, which sees it after the place was closed, and not at all for an answer that is being delivered.

Change: a run that is not taken up again notes how it ended before it raises.

Before: both cases of test_an_engine_that_breaks_off_in_an_answer_is_suspected fail. After: they pass, with the other tests of trefoilpitch/serving.

--- a/trefoilpitch/serving/_runs.py
+++ b/trefoilpitch/serving/_runs.py
@@ -109,6 +109,7 @@
     def _resume(self, error: UpstreamError) -> AnswerStream:
         is_over = isinstance(error, CancelledError)
         if is_over or self._resumptions >= MAX_RESUMPTIONS:
+            self._slot.fail(error)
             raise error
         self._resumptions += 1
         self._stream.__exit__(None, None, None)
@@ -120,6 +121,7 @@
             cancellation=self._cancellation,
         )
         if not isinstance(resumed, Success):
+            self._slot.fail(error)
             raise error
         self._stream = resumed.unwrap()
         return self._stream
--- a/trefoilpitch/serving/tests/test_chat.py
+++ b/trefoilpitch/serving/tests/test_chat.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from trefoilpitch.coldstart import WorkOutcome
 from trefoilpitch.serving import Broken, ChatAnswer, Completed, Delta
 from trefoilpitch.serving.tests.world import CHEAP, DEAR, World, answer
 from trefoilpitch.upstreams import (
@@ -163,6 +164,22 @@
     assert set(world.gates.may_run) == {may_run}
 
 
+@pytest.mark.parametrize("is_last", [False, True])
+def test_an_engine_that_breaks_off_in_an_answer_is_suspected(
+    is_last: bool,
+) -> None:
+    world = World()
+    if is_last:
+        _script(world, *answer("", confidence=0.0))
+    cut = IncompleteReplyError("engine", "cut")
+    _script(world, *answer("one ", "two")[:1], cut)
+    given = world.ask()
+    if is_last:
+        list(given.unwrap())
+        given.unwrap().close()
+    assert world.gates.outcomes[int(is_last)] is WorkOutcome.UNREACHABLE
+
+
 def test_a_cold_engine_gets_no_work_without_credit() -> None:
     world = World()
     world.gates.cold = {"engine-a", "engine-b"}
--- a/trefoilpitch/serving/tests/world.py
+++ b/trefoilpitch/serving/tests/world.py
@@ -187,6 +187,7 @@
         self.cold: set[str] = set()
         self.demanded: list[str] = []
         self.may_run: list[bool] = []
+        self.outcomes: list[WorkOutcome] = []
         self.invited: set[str] = set()
 
     def allowance(self, upstream: str) -> int | None:
@@ -209,7 +210,8 @@
         latency_ms: int | None,
         may_run: bool,
     ) -> None:
-        del admission, outcome, latency_ms
+        del admission, latency_ms
+        self.outcomes.append(outcome)
         self.may_run.append(may_run)
 
     def demand(self, upstream: str, change: int) -> None:
