Drop what peers send before a daemon's receivers exist

Cause: the peer port opens before the supervisor is made, and a message in between ended in AttributeError ('Node' object has no attribute '_supervisor'), logged with its traceback. Seen in a measurement with 27 daemons.

Ruled out: harm beyond the lost message: the transport goes on after a failed handler. Opening the port later: the node's core is built on the transport.

Change: the message is dropped, as one is that meets a child which restarts.

--- a/trefoilpitch/daemon/_node.py
+++ b/trefoilpitch/daemon/_node.py
@@ -117,6 +117,8 @@
         self._stack = contextlib.ExitStack()
         self._requests = InFlight()
         self._caller_server: HttpServer | None = None
+        # Peers may send before there is anybody to receive.
+        self._has_receivers = False
         self._identity = _identity(settings, clock)
         self._store = etcd_store(
             settings.store_address.host, settings.store_address.port
@@ -129,6 +131,7 @@
             settings.admin_token_sha256, self._core.admin_services(self.dump)
         )
         self._supervisor = Supervisor(self._children(), clock)
+        self._has_receivers = True
 
     def __enter__(self) -> Self:
         with contextlib.ExitStack() as stack:
@@ -349,6 +352,8 @@
 
     def _on_peer_message(self, message: ReceivedMessage) -> None:
         payload = message.payload
+        if not self._has_receivers:
+            return
         if isinstance(payload, MembershipMessage):
             self._supervisor.tell("membership", message)
         elif isinstance(payload, ReplicaMessage):
