Replace a peer that confirms no copies of bills as their holder

Traced: a link to or from the holder is cut one way, copies are not confirmed, the peer stays the holder because it is not gone, and the node then crashes before the store has the bill.

Ruled out: a longer wait at the end of an answer (the cut lasts longer than any caller waits); copies to two peers always (twice the traffic, which is over its budget already).

Change: a holder that owes a confirmation for 150 ms is passed over for 30 s, and the next peer gets all copies that the store lacks, within the 250 ms that an answer's end waits. Counted as silent_copy_holders. Where there is no other peer the silent one is kept.

Before: with the check for silence taken out both cases of test_a_holder_that_confirms_nothing_is_replaced_in_time fail, the outward one with the bill lost. After: daemon/tests and ledger/tests pass.

--- a/trefoilpitch/daemon/_ledger.py
+++ b/trefoilpitch/daemon/_ledger.py
@@ -33,6 +33,8 @@
 # How long the end of an answer may wait for the copy of its bill.
 _PROTECT_PATIENCE_MS = 250
 _PROTECT_POLL_MS = 50
+# How long a holder that did not confirm copies is passed over.
+_AVOID_HOLDER_MS = 30_000
 
 _LOG = logbook.Logger("trefoilpitch.ledger")
 
@@ -64,6 +66,9 @@
         self._parking = parking
         self._sender = CopySender()
         self._holder = CopyHolder()
+        self._view: MembershipView | None = None
+        # Until when holders that were silent are passed over.
+        self._avoided_until_ms: dict[Holder, int] = {}
         self._changed = threading.Condition()
 
     @property
@@ -78,6 +83,12 @@
         with self._changed:
             return self._holder.held_bytes
 
+    @property
+    def copy_holder(self) -> Holder | None:
+        """The process that holds copies of own bills."""
+        with self._changed:
+            return self._sender.holder
+
     @property
     def is_safe(self) -> bool:
         """Whether every bill survives the end of this process."""
@@ -94,6 +105,7 @@
                 if self._clock.now_ms() >= until_ms:
                     self._metrics.count("bills_unprotected")
                     break
+                self._replace_silent_holder()
                 self._parking.wait(self._changed, _PROTECT_POLL_MS)
         self._metrics.count("bills")
 
@@ -122,7 +134,9 @@
     def observe_fleet(self, view: MembershipView) -> None:
         """Chooses the holder, and adopts the bills of homes that are gone."""
         with self._changed:
-            self._sender.set_holder(choose_holder(view))
+            self._view = view
+            self._replace_silent_holder()
+            self._choose_holder(view)
             orphans = self._holder.claim_orphans(view)
             for bill in orphans:
                 self._add(bill)
@@ -154,6 +168,26 @@
             return False
         return not self._sender.is_protected(number)
 
+    def _replace_silent_holder(self) -> None:
+        now_ms = self._clock.now_ms()
+        silent = self._sender.holder
+        if silent is None or not self._sender.is_silent(now_ms):
+            return
+        self._metrics.count("silent_copy_holders")
+        self._avoided_until_ms[silent] = now_ms + _AVOID_HOLDER_MS
+        if self._view is not None:
+            self._choose_holder(self._view)
+            self._send_copies()
+
+    def _choose_holder(self, view: MembershipView) -> None:
+        now_ms = self._clock.now_ms()
+        self._avoided_until_ms = {
+            holder: until_ms
+            for holder, until_ms in self._avoided_until_ms.items()
+            if now_ms < until_ms
+        }
+        self._sender.set_holder(choose_holder(view, self._avoided_until_ms))
+
     def _send_copies(self) -> None:
         batch = self._sender.due(self._clock.now_ms())
         holder = self._sender.holder
--- a/trefoilpitch/ledger/_copies.py
+++ b/trefoilpitch/ledger/_copies.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 from collections import OrderedDict
+from collections.abc import Collection
 
 import msgspec
 import xxhash
@@ -22,6 +23,8 @@
 from trefoilpitch.peering import PayloadKind
 
 RESEND_AFTER_MS = 500
+# How long a holder may take to confirm copies before another one is chosen.
+SILENT_AFTER_MS = 150
 
 _BATCH_BYTES = 32 * 1024
 
@@ -60,11 +63,17 @@
     incarnation: str
 
 
-def choose_holder(view: MembershipView) -> Holder | None:
+def choose_holder(
+    view: MembershipView, avoided: Collection[Holder] = ()
+) -> Holder | None:
     """Returns the peer to hold copies, None where there is no other node.
 
     Peers in other failure domains come first, so that the loss of a failure
     domain never takes both a bill and its copy.
+
+    Args:
+        view: The fleet.
+        avoided: Peers to be chosen only where there is no other.
     """
     own = view.own
     others = [
@@ -75,13 +84,17 @@
     if not others:
         return None
 
-    def rank(member: Member) -> tuple[bool, int]:
+    def rank(member: Member) -> tuple[bool, bool, int]:
+        is_welcome = _holder_of(member) not in avoided
         is_far = member.failure_domain != own.failure_domain
         pair = f"{own.name}\0{member.name}".encode()
-        return is_far, xxhash.xxh64_intdigest(pair)
+        return is_welcome, is_far, xxhash.xxh64_intdigest(pair)
+
+    return _holder_of(max(others, key=rank))
 
-    chosen = max(others, key=rank)
-    return Holder(chosen.endpoints.peer_address, chosen.incarnation)
+
+def _holder_of(member: Member) -> Holder:
+    return Holder(member.endpoints.peer_address, member.incarnation)
 
 
 class CopySender:
@@ -94,6 +107,8 @@
         self._told_stored = 0
         self._acked = 0
         self._sent_ms: int | None = None
+        # Since when the holder owes a confirmation.
+        self._owed_ms: int | None = None
         self._holder: Holder | None = None
 
     @property
@@ -114,6 +129,13 @@
         self._holder = holder
         self._acked = self._stored
         self._sent_ms = None
+        self._owed_ms = None
+
+    def is_silent(self, now_ms: int) -> bool:
+        """Returns whether the holder should have confirmed copies by now."""
+        if self._owed_ms is None or self.is_all_protected:
+            return False
+        return now_ms - self._owed_ms >= SILENT_AFTER_MS
 
     def stored(self, upto: int) -> None:
         """Records that the store has every bill up to a number."""
@@ -127,6 +149,7 @@
             return
         self._acked = max(self._acked, min(ack.upto, self._last))
         self._sent_ms = None
+        self._owed_ms = None
 
     def is_protected(self, number: int) -> bool:
         """Returns whether a bill survives the end of this process."""
@@ -150,6 +173,8 @@
             return None
         if batch.bills:
             self._sent_ms = now_ms
+            if self._owed_ms is None:
+                self._owed_ms = now_ms
         self._told_stored = batch.stored_upto
         return batch
 
