Let a cold upstream with credit come before the holder of a prefix

Since prompts go to engines that hold their prefix, a cold engine gets nothing while others with room hold the prefixes that are asked for: its credits ran out unused, and it stayed cold for good.

Ruled out: the credits that are kept for work that was left (their release follows reports), orders, and the machine: the test fails as well on its own (1 of 1), and passed before prefixes were used.

Change: while this node has a credit for a cold upstream among the candidates, the holder of a prefix is not preferred.

Before: test_cache_holder_leaves_work_to_a_cold_upstream_with_credit fails, and pytest tests/endtoend/test_cold_engine.py fails. After: both pass, with test_kill.py (4 passed) and trefoilpitch/routing. Hits were not measured again.

--- a/trefoilpitch/routing/_balance.py
+++ b/trefoilpitch/routing/_balance.py
@@ -94,8 +94,11 @@
     loads = {
         up.name: utilisation(up, states[up.name], settings) for up in candidates
     }
+    # A cold upstream holds no prefix and would never get work: it would stay
+    # cold, though this node has a credit for it.
+    is_warming = any(states[up.name].cold for up in candidates)
     holder = _cache_holder(candidates, loads, cache_holders, settings)
-    if holder is not None:
+    if holder is not None and not is_warming:
         return Success(holder)
     nearby = _local_candidates(candidates, loads, local_domain, settings)
     return Success(_less_loaded_of_two(nearby, loads, rng))
--- a/trefoilpitch/routing/tests/test_balance.py
+++ b/trefoilpitch/routing/tests/test_balance.py
@@ -97,6 +97,17 @@
     assert _choices(states, cache_holders={"engine-3"})["engine-3"] == 0
 
 
+def test_cache_holder_leaves_work_to_a_cold_upstream_with_credit() -> None:
+    states = examples.states(report=_report(6))
+    cold = UpstreamState(name="engine-1", cold=True, allowance=1)
+    states["engine-1"] = cold
+    chosen = _choices(states, cache_holders={"engine-3"})
+    assert chosen["engine-1"] > 600 / len(states)
+    states["engine-1"] = dataclasses.replace(cold, allowance=0)
+    chosen = _choices(states, cache_holders={"engine-3"})
+    assert chosen["engine-3"] == 600
+
+
 def test_local_domain_is_left_when_it_is_overloaded() -> None:
     states = examples.states(report=_report(5))
     assert set(_choices(states, local_domain="west")) == {
