Keep what the directory of upstreams needs in a module of its own

Ruled out: splitting serving/_chat.py (522 lines) in the same way: its delivery uses the run's private state, which wants a design first.

Change: ClientFactory, ColdStartGate and ConcurrencyGate are in _protocols.py; nothing else changes in code.

--- a/trefoilpitch/serving/__init__.py
+++ b/trefoilpitch/serving/__init__.py
@@ -9,9 +9,6 @@
     OutcomeListener,
 )
 from trefoilpitch.serving._directory import (
-    ClientFactory,
-    ColdStartGate,
-    ConcurrencyGate,
     FollowedUpstream,
     Slot,
     UpstreamDirectory,
@@ -37,6 +34,11 @@
 )
 from trefoilpitch.serving._planning import CascadePlanner
 from trefoilpitch.serving._prefixes import PrefixCaches
+from trefoilpitch.serving._protocols import (
+    ClientFactory,
+    ColdStartGate,
+    ConcurrencyGate,
+)
 from trefoilpitch.serving._queue import ConditionParking, Parking, PlaceQueue
 from trefoilpitch.serving._resumption import ResumeFlow
 
--- a/trefoilpitch/serving/_resumption.py
+++ b/trefoilpitch/serving/_resumption.py
@@ -13,7 +13,6 @@
 from trefoilpitch.retries import Execution
 from trefoilpitch.serving._bills import BillSink, model_line
 from trefoilpitch.serving._chat import ChatAnswer, attempt_id
-from trefoilpitch.serving._directory import ClientFactory
 from trefoilpitch.serving._nodes import (
     AnswerInfo,
     Broken,
@@ -22,6 +21,7 @@
     to_chat_event,
 )
 from trefoilpitch.serving._problems import failure_problem
+from trefoilpitch.serving._protocols import ClientFactory
 from trefoilpitch.upstreams import (
     AnswerStream,
     Cancellation,
