Make one writer of changes, one task protocol and one idle limit serve twins

Ruled out: narrowing the states that a request builds during a roll-out (built once for the share of loaded engines and once for the choice): it is on the hot path and wants a measurement first.

Change: NodeCore._create_writer, Background and MAX_IDLE_MS serve both places.

--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -22,7 +22,11 @@
 )
 from trefoilpitch.cascade import CascadePolicy
 from trefoilpitch.clock import Clock
-from trefoilpitch.configuration import HeadReader, configuration_writer
+from trefoilpitch.configuration import (
+    ConfigurationWriter,
+    HeadReader,
+    configuration_writer,
+)
 from trefoilpitch.configuration.replication import (
     ReplicaMessage,
     ReplicaSettings,
@@ -35,7 +39,7 @@
 from trefoilpitch.daemon._homes import FleetHomes
 from trefoilpitch.daemon._key_register import StoreKeyRegister
 from trefoilpitch.daemon._ledger import Ledger, write_due_segments
-from trefoilpitch.daemon._orders import OrderCalls, Orders, OrderSettings
+from trefoilpitch.daemon._orders import Orders, OrderSettings
 from trefoilpitch.daemon._replica import Background, HeadFollower, ReplicaHost
 from trefoilpitch.daemon._rollouts import RolloutGuard
 from trefoilpitch.identity import TokenSigner
@@ -123,7 +127,7 @@
     # Runs reads of the store.
     background: Background
     # Runs calls that order engines.
-    order_calls: OrderCalls
+    order_calls: Background
     # Follows the head key while that is wanted.
     head_follower: HeadFollower
     # Source of random numbers.
@@ -202,7 +206,7 @@
         )
         self.rollouts = RolloutGuard(
             self.learner,
-            writer=configuration_writer(surroundings.store),
+            writer=self._create_writer(),
             accepts_changes=self.replica.accepts_changes,
             take_in=self.replica.take_in,
             count_nodes=self._count_nodes,
@@ -301,9 +305,7 @@
         return AdminServices(
             view=self.view,
             configuration=lambda: self.current.table().configuration,
-            writer=configuration_writer(
-                store, max_delta_bytes=self._identity.max_delta_bytes
-            ),
+            writer=self._create_writer(),
             reader=HeadReader(store),
             accepts_changes=self.replica.accepts_changes,
             confirm=self.replica.confirm,
@@ -335,6 +337,12 @@
             "latencies": self.metrics.latencies(),
         }
 
+    def _create_writer(self) -> ConfigurationWriter:
+        return configuration_writer(
+            self._around.store,
+            max_delta_bytes=self._identity.max_delta_bytes,
+        )
+
     def _create_replica(self) -> ReplicaHost:
         identity = self._identity
         settings = ReplicaSettings(
--- a/trefoilpitch/daemon/_orders.py
+++ b/trefoilpitch/daemon/_orders.py
@@ -5,13 +5,14 @@
 import dataclasses
 import threading
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import pykka
 
 from trefoilpitch.bundle import Upstream, UpstreamKind
 from trefoilpitch.clock import Clock
 from trefoilpitch.configuration import Configuration
+from trefoilpitch.daemon._replica import Background
 from trefoilpitch.leases import lease_terms
 from trefoilpitch.membership import MembershipView
 from trefoilpitch.metrics import Metrics
@@ -51,16 +52,6 @@
     load_interval_ms: int = 5_000
 
 
-class OrderCalls(Protocol):
-    """Runs calls to engines, which may take a while."""
-
-    def submit(self, task: Callable[[], None]) -> None:
-        """Runs a task soon; drops it once the process is ending."""
-
-    def close(self) -> None:
-        """Runs no further tasks."""
-
-
 class Orders:
     """Keeps this node's candidacies and gives orders where it holds a lease.
 
@@ -85,7 +76,7 @@
         settings: OrderSettings,
         store: KeyValueStore,
         clients: ClientFactory,
-        calls: OrderCalls,
+        calls: Background,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
--- a/trefoilpitch/daemon/_replica.py
+++ b/trefoilpitch/daemon/_replica.py
@@ -61,7 +61,7 @@
 
 
 class Background(Protocol):
-    """Runs tasks that wait for the store."""
+    """Runs tasks that wait for the store or for upstreams."""
 
     def submit(self, task: Callable[[], None]) -> None:
         """Runs a task soon; drops it once the process is ending."""
--- a/trefoilpitch/upstreams/_plain_get.py
+++ b/trefoilpitch/upstreams/_plain_get.py
@@ -18,6 +18,7 @@
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.retries import Execution
+from trefoilpitch.upstreams._connection_pool import MAX_IDLE_MS
 from trefoilpitch.upstreams._exceptions import (
     ConnectError,
     DeadlineExceededError,
@@ -26,8 +27,6 @@
     UpstreamError,
 )
 
-# As for other connections: servers commonly close after 5 s.
-_MAX_IDLE_MS = 4_000
 _MAX_HEAD_BYTES = 16 << 10
 _READ_BYTES = 1 << 16
 _MS_PER_S = 1_000
@@ -234,7 +233,7 @@
             return None
         connection, since_ms = idle
         idle_ms = self._clock.now_ms() - since_ms
-        if idle_ms <= _MAX_IDLE_MS and _is_quiet(connection):
+        if idle_ms <= MAX_IDLE_MS and _is_quiet(connection):
             return connection
         connection.close()
         return None
