--- /dev/null
+++ b/tools/fleet/bench.py
@@ -0,0 +1,169 @@
+"""A fleet of real daemons and their store on loopback."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+import time
+from typing import Any
+
+from tools.processes import (
+    ADMIN_TOKEN,
+    ROOT,
+    Processes,
+    http,
+    start_daemon,
+    wait_until,
+)
+
+STORE_PORT = 22_000
+_FIRST_PORT = 22_010
+_PORTS_PER_DAEMON = 10
+_SEEDS = 3
+_PATIENCE_S = 90
+_OK = 200
+_BUNDLE = ROOT / "examples" / "demo.toml"
+_HEADERS = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
+_DOMAINS = ("domain-a", "domain-b", "domain-c")
+_CHANGE_LIMIT_S = 60.0
+_POLL_S = 0.02
+_POLL_THREADS = 9
+
+
+class FleetBench:
+    """Daemons that serve no requests.
+
+    Args:
+        processes: Owns the processes.
+        size: Daemons to run.
+    """
+
+    def __init__(self, processes: Processes, size: int) -> None:
+        self._processes = processes
+        self._ports = [
+            _FIRST_PORT + index * _PORTS_PER_DAEMON for index in range(size)
+        ]
+        self._numbers = itertools.count(1)
+        self._pool = concurrent.futures.ThreadPoolExecutor(_POLL_THREADS)
+
+    @property
+    def pids(self) -> list[int]:
+        """The daemons' processes."""
+        return [self._processes.pid(f"entry-{port}") for port in self._ports]
+
+    @property
+    def store_pid(self) -> int:
+        """The store's process."""
+        return self._processes.pid("store")
+
+    def start(self) -> None:
+        """Starts all and waits until every view is complete."""
+        store = f"--port={STORE_PORT}"
+        self._processes.start("store", "trefoilpitch.standins.kv", store)
+        seeds = tuple(f"127.0.0.1:{port + 2}" for port in self._ports[:_SEEDS])
+        for index, port in enumerate(self._ports):
+            start_daemon(
+                self._processes,
+                f"entry-{port}",
+                failure_domain=_DOMAINS[index % len(_DOMAINS)],
+                base_port=port,
+                store_port=STORE_PORT,
+                seeds=seeds,
+            )
+        wait_until(self._sign_off, "the sign-off", _PATIENCE_S)
+        wait_until(self._is_complete, "a complete fleet", _PATIENCE_S)
+
+    def dumps(self) -> list[Any]:
+        """Returns the state of every daemon."""
+        return list(
+            self._pool.map(lambda port: _ask(port, "/v1/dump"), self._ports)
+        )
+
+    def store_counters(self) -> Any:
+        """Returns the calls that the store has been asked for."""
+        return http("GET", _faults_url()).json()
+
+    def set_store_delay_ms(self, delay_ms: int) -> None:
+        """Makes every call of the store take a time."""
+        http("POST", _faults_url(), {"delay_ms": delay_ms})
+
+    def time_change(self, number: int) -> tuple[float, float]:
+        """Commits a change.
+
+        Returns:
+            Seconds that the commit took, and from its acceptance until its
+            revision was in force on every daemon. Both are as seen by this
+            program, which asks each daemon for its own revision.
+        """
+        change = {
+            "kind": "failure-domain",
+            "name": _DOMAINS[0],
+            "in_service": bool(number % 2),
+        }
+        port = self._ports[number % len(self._ports)]
+        began_s = time.monotonic()
+        revision = self._commit(port, change)
+        accepted_s = time.monotonic()
+        self._wait_for(revision, accepted_s + _CHANGE_LIMIT_S)
+        return accepted_s - began_s, time.monotonic() - accepted_s
+
+    def _commit(self, port: int, change: dict[str, object]) -> int:
+        body = {
+            **change,
+            "change_id": f"measure-{next(self._numbers)}",
+            "author": "measure",
+        }
+        url = f"http://127.0.0.1:{port + 1}/v1/changes"
+        until_s = time.monotonic() + _CHANGE_LIMIT_S
+        while time.monotonic() < until_s:
+            # The same change id makes a repeat harmless.
+            reply = http("POST", url, body, _HEADERS)
+            if reply.status == _OK:
+                return int(reply.json()["revision"])
+            time.sleep(_POLL_S)
+        raise TimeoutError(f"the change was refused: {reply.body!r}")
+
+    def _wait_for(self, revision: int, until_s: float) -> None:
+        missing = list(self._ports)
+        while missing:
+            if time.monotonic() > until_s:
+                raise TimeoutError(f"{len(missing)} daemons lack {revision}")
+            revisions = list(self._pool.map(_revision, missing))
+            missing = [
+                port
+                for port, found in zip(missing, revisions, strict=True)
+                if found < revision
+            ]
+            if missing:
+                time.sleep(_POLL_S)
+
+    def _sign_off(self) -> bool:
+        body = {
+            "kind": "sign-off",
+            "change_id": "measure-0",
+            "author": "measure",
+            "bundle": _BUNDLE.read_text(),
+        }
+        url = f"http://127.0.0.1:{self._ports[0] + 1}/v1/changes"
+        return http("POST", url, body, _HEADERS).status == _OK
+
+    def _is_complete(self) -> bool:
+        for port in self._ports:
+            status = _ask(port, "/v1/status")
+            alive = [node for node in status["nodes"] if node["is_live"]]
+            if len(alive) < len(self._ports) or status["revision"] < 1:
+                return False
+        return True
+
+
+def _faults_url() -> str:
+    return f"http://127.0.0.1:{STORE_PORT}/standin/faults"
+
+
+def _ask(port: int, path: str) -> Any:
+    url = f"http://127.0.0.1:{port + 1}{path}"
+    return http("GET", url, headers=_HEADERS).json()
+
+
+def _revision(port: int) -> int:
+    return int(_ask(port, "/v1/bundle")["revision"])
--- a/tools/router/client.py
+++ b/tools/router/client.py
@@ -102,7 +102,7 @@
         response = self._http.getresponse()
         line = response.readline()
         first_s = time.perf_counter()
-        events = line.startswith(_EVENT)
+        events = int(line.startswith(_EVENT))
         events += sum(line.startswith(_EVENT) for line in response)
         # Lets the connection take the next request.
         response.read()
