--- a/tools/lock.py
+++ b/tools/lock.py
@@ -1,4 +1,7 @@
-"""Writes requirements.lock: every package pinned, with the hashes of its files.
+"""Writes the lock files: every package pinned, with the hashes of its files.
+
+requirements.lock holds all that the project, its tests and its build need;
+deploy/requirements.txt what the daemon needs on the users' platform.
 
 Run it with a plain interpreter of the version that the project supports:
 ``python3 tools/lock.py``. It asks pip to resolve the declared dependencies
@@ -16,6 +19,22 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
+_HEADER = "# Written by tools/lock.py; do not edit."
+# What the daemon imports on the platform, and what these packages need.
+_PLATFORM = frozenset(
+    {
+        "h11",
+        "hdrhistogram",
+        "logbook",
+        "msgspec",
+        "pbr",
+        "prometheus_client",
+        "setuptools",
+        "typing_extensions",
+        "xxhash",
+    }
+)
+
 
 def _declared() -> list[str]:
     with (_ROOT / "pyproject.toml").open("rb") as file:
@@ -39,13 +58,19 @@
 
 
 def main() -> None:
-    """Resolves the dependencies and writes the lock file."""
+    """Resolves the dependencies and writes the lock files."""
     with tempfile.TemporaryDirectory() as folder:
         pinned = _resolve(pathlib.Path(folder) / "report.json")
-    lines = ["# Written by tools/lock.py; do not edit."]
+    _write(_ROOT / "requirements.lock", pinned)
+    on_platform = [package for package in pinned if package[0] in _PLATFORM]
+    _write(_ROOT / "deploy" / "requirements.txt", on_platform)
+
+
+def _write(path: pathlib.Path, pinned: list[tuple[str, str, str]]) -> None:
+    lines = [_HEADER]
     for name, version, digest in pinned:
         lines.append(f"{name}=={version} \\\n    --hash=sha256:{digest}")
-    (_ROOT / "requirements.lock").write_text("\n".join(lines) + "\n")
+    path.write_text("\n".join(lines) + "\n")
 
 
 if __name__ == "__main__":
--- a/trefoilpitch/coldstart/_rendezvous.py
+++ b/trefoilpitch/coldstart/_rendezvous.py
@@ -6,15 +6,11 @@
 import functools
 from collections.abc import Mapping, Sequence
 
-import xxhash
-
 from trefoilpitch.bundle import Upstream
 from trefoilpitch.coldstart._settings import ColdStartSettings
 from trefoilpitch.membership import Member, MembershipView, MemberState
+from trefoilpitch.rendezvous import score
 
-_HASH_MASK = (1 << 64) - 1
-# An odd constant with well spread bits, from the golden ratio.
-_HASH_FACTOR = 0x9E3779B97F4A7C15
 _PRESENT_STATES = (MemberState.ALIVE, MemberState.LEAVING)
 
 
@@ -124,18 +120,8 @@
 
 
 def _first(members: Sequence[Member], upstream: Upstream) -> Member | None:
-    upstream_hash = _hash(upstream.name)
-
-    def score(member: Member) -> int:
-        mixed = (upstream_hash ^ _hash(member.name)) * _HASH_FACTOR
-        mixed &= _HASH_MASK
-        # The high bits depend on all of the product.
-        return (mixed ^ mixed >> 32) * _HASH_FACTOR & _HASH_MASK
-
-    return max(members, key=score, default=None)
-
-
-@functools.lru_cache(maxsize=16_384)
-def _hash(name: str) -> int:
-    digest: int = xxhash.xxh64_intdigest(name.encode())
-    return digest
+    return max(
+        members,
+        key=lambda member: score(upstream.name, member.name),
+        default=None,
+    )
--- /dev/null
+++ b/trefoilpitch/gateway/__init__.py
@@ -0,0 +1,56 @@
+"""The request path on one event loop, and the daemon that owns it."""
+
+from trefoilpitch.gateway._exceptions import (
+    BadRequestError,
+    CallerGoneError,
+    ExchangeError,
+    GatewayError,
+)
+from trefoilpitch.gateway._health import LoadReport
+from trefoilpitch.gateway._http_client import (
+    AnswerHead,
+    Headers,
+    HttpConnection,
+    connect,
+)
+from trefoilpitch.gateway._http_server import Handler, HttpRequest, Responder
+from trefoilpitch.gateway._log import JsonLineHandler, log_event
+from trefoilpitch.gateway._messages import (
+    CallerRequest,
+    PrefixPart,
+    RequestCodec,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+from trefoilpitch.gateway._node import (
+    AuxiliaryHandlers,
+    ListenAddress,
+    Node,
+    NodeSettings,
+)
+
+__all__ = [
+    "Node",
+    "NodeSettings",
+    "ListenAddress",
+    "AuxiliaryHandlers",
+    "RequestCodec",
+    "CallerRequest",
+    "PrefixPart",
+    "UpstreamCall",
+    "UpstreamAnswer",
+    "LoadReport",
+    "Handler",
+    "HttpRequest",
+    "Responder",
+    "HttpConnection",
+    "AnswerHead",
+    "Headers",
+    "connect",
+    "JsonLineHandler",
+    "log_event",
+    "GatewayError",
+    "ExchangeError",
+    "BadRequestError",
+    "CallerGoneError",
+]
--- /dev/null
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -0,0 +1,272 @@
+"""Chooses where a request goes from what this daemon believes right now."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable, Collection
+
+from trefoilpitch.clock import Clock
+from trefoilpitch.fleet import (
+    FleetView,
+    KnownUpstream,
+    RolloutPhase,
+    Route,
+    UpstreamEntry,
+    UpstreamState,
+)
+from trefoilpitch.gateway._cold_share import ColdShare, share_per_window
+from trefoilpitch.gateway._health import UpstreamHealth
+from trefoilpitch.gateway._messages import CallerRequest
+from trefoilpitch.gateway._placement import Candidate, choose
+from trefoilpitch.gateway._rollouts import (
+    VersionEvidence,
+    current_phase,
+    is_bad,
+    runs_on_target,
+)
+from trefoilpitch.rendezvous import rank
+
+# Load in relation to the slots from which an upstream gets nothing more.
+_FULL_LOAD = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NoUpstream:
+    """Why there is no upstream for a request now."""
+
+    # What is in the way, for the log.
+    reason: str
+
+
+class Dispatcher:
+    """Matches requests with upstreams.
+
+    Args:
+        view: What the fleet shares.
+        clock: Monotonic time.
+        rng: Source of random numbers.
+        own_name: This VM.
+        failure_domain: Where it runs.
+        members: Names of the daemons that may be running.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        own_name: str,
+        failure_domain: str,
+        members: Callable[[], Collection[str]],
+    ) -> None:
+        self._view = view
+        self._clock = clock
+        self._rng = rng
+        self._own_name = own_name
+        self._failure_domain = failure_domain
+        self._members = members
+        self._cold = ColdShare()
+        self._health: dict[str, UpstreamHealth] = {}
+        self._evidence: dict[str, dict[str, VersionEvidence]] = {}
+        self._evidence_orders: dict[str, int] = {}
+
+    @property
+    def own_evidence(self) -> dict[str, dict[str, VersionEvidence]]:
+        """Answers seen by this daemon during roll-outs: service, version."""
+        return self._evidence
+
+    def health(self, upstream_id: str) -> UpstreamHealth:
+        """Returns what is known of an upstream."""
+        return self._health.setdefault(upstream_id, UpstreamHealth())
+
+    def forget_gone(self) -> None:
+        """Drops what is known of upstreams that are gone and idle."""
+        for upstream_id, health in list(self._health.items()):
+            if upstream_id not in self._view.upstreams and not health.in_flight:
+                del self._health[upstream_id]
+        self._cold.forget_all_but(self._view.upstreams)
+
+    def in_flight_off_target(self, service: str, target: str) -> int:
+        """Counts this daemon's requests on versions other than a target."""
+        return sum(
+            self.health(upstream_id).in_flight
+            for upstream_id, known in self._view.upstreams.items()
+            if known.entry.service == service and known.entry.version != target
+        )
+
+    def record_evidence(self, entry: UpstreamEntry, *, bad: bool) -> None:
+        """Counts an answer of a service that is being rolled out."""
+        rollout = self._view.rollouts.get(entry.service)
+        if rollout is None:
+            return
+        if self._evidence_orders.get(entry.service) != rollout.revision:
+            self._evidence_orders[entry.service] = rollout.revision
+            self._evidence[entry.service] = {}
+        versions = self._evidence[entry.service]
+        seen = versions.get(entry.version, VersionEvidence())
+        versions[entry.version] = VersionEvidence(
+            good=seen.good + (not bad), bad=seen.bad + bad
+        )
+
+    def pick_service(self, route: Route) -> str:
+        """Draws one of the services that share a route's requests."""
+        weights = [share.weight for share in route.services]
+        names = [share.service for share in route.services]
+        if len(names) == 1 or not any(weights):
+            return names[0]
+        return self._rng.choices(names, weights)[0]
+
+    def choose(
+        self,
+        request: CallerRequest,
+        service: str,
+        *,
+        model: str | None,
+        excluded: Collection[str],
+    ) -> UpstreamEntry | NoUpstream:
+        """Chooses an upstream and takes a place there, if it is cold.
+
+        Args:
+            request: The request.
+            service: The service that runs it.
+            model: The model that the upstream must hold, if any.
+            excluded: Upstreams that have been tried; used if there is no
+                other.
+        """
+        ready = [
+            known
+            for known in self._view.upstreams.values()
+            if known.entry.service == service and self._usable(known, model)
+        ]
+        if not ready:
+            return NoUpstream(reason="no upstream in service")
+        allowed = self._of_version(request, service, ready)
+        if not allowed:
+            return NoUpstream(reason="no upstream of the version")
+        fresh = [k for k in allowed if k.entry.upstream_id not in excluded]
+        for group in (fresh, allowed):
+            entry = self._choose_from(request, group, model)
+            if entry is not None:
+                return entry
+        return NoUpstream(reason="every upstream is full, cold or failing")
+
+    def _usable(self, known: KnownUpstream, model: str | None) -> bool:
+        entry = known.entry
+        return (
+            entry.state is UpstreamState.READY
+            and entry.failure_domain not in self._view.evacuated
+            and (model is None or not entry.models or model in entry.models)
+        )
+
+    def _of_version(
+        self,
+        request: CallerRequest,
+        service: str,
+        ready: list[KnownUpstream],
+    ) -> list[KnownUpstream]:
+        rollout = self._view.rollouts.get(service)
+        record = self._view.records.get(service)
+        phase: RolloutPhase | None
+        if rollout is None:
+            if record is None:
+                return ready
+            phase, target, percent = (
+                record.record.phase,
+                record.record.target,
+                0,
+            )
+        else:
+            phase, percent = current_phase(rollout, record)
+            target = rollout.order.target
+            if self._own_breaker(service, target):
+                phase = RolloutPhase.ROLLED_BACK
+        on_target = [k for k in ready if k.entry.version == target]
+        others = [k for k in ready if k.entry.version != target]
+        if phase is RolloutPhase.ROLLED_BACK:
+            return others
+        if runs_on_target(phase, percent, request.session, request.request_id):
+            return on_target or others
+        if others or phase is None or phase is RolloutPhase.CANARY:
+            return others
+        return on_target
+
+    def _own_breaker(self, service: str, target: str) -> bool:
+        versions = self._evidence.get(service, {})
+        others = VersionEvidence()
+        for version, seen in versions.items():
+            if version != target:
+                others = others.plus(seen)
+        return is_bad(versions.get(target, VersionEvidence()), others)
+
+    def _choose_from(
+        self,
+        request: CallerRequest,
+        group: list[KnownUpstream],
+        model: str | None,
+    ) -> UpstreamEntry | None:
+        now_ms = self._clock.now_ms()
+        places = self._prefix_places(request, group, model)
+        entries: dict[str, KnownUpstream] = {}
+        candidates: list[Candidate] = []
+        for known in group:
+            entry = known.entry
+            health = self.health(entry.upstream_id)
+            load = health.load(now_ms)
+            if health.is_ejected(now_ms) or load >= _FULL_LOAD * entry.slots:
+                continue
+            if self._is_cold(known, now_ms) and not self._cold_room(
+                entry, now_ms
+            ):
+                continue
+            entries[entry.upstream_id] = known
+            candidates.append(
+                Candidate(
+                    upstream_id=entry.upstream_id,
+                    load=load,
+                    slots=entry.slots,
+                    failure_share=health.failure_share(now_ms),
+                    pace=health.pace,
+                    local=entry.failure_domain == self._failure_domain,
+                    prefix_rank=places.get(entry.upstream_id),
+                )
+            )
+        chosen = choose(candidates, self._rng)
+        if chosen is None:
+            return None
+        known = entries[chosen.upstream_id]
+        if self._is_cold(known, now_ms):
+            self._cold.record(chosen.upstream_id, now_ms)
+        return known.entry
+
+    def _prefix_places(
+        self,
+        request: CallerRequest,
+        group: list[KnownUpstream],
+        model: str | None,
+    ) -> dict[str, int]:
+        shared = request.prefix[:-1]
+        if not shared:
+            return {}
+        key = f"{model or request.model}/{shared[-1].part_id}"
+        ordered = rank(key, [known.entry.upstream_id for known in group])
+        return {upstream_id: place for place, upstream_id in enumerate(ordered)}
+
+    def _is_cold(self, known: KnownUpstream, now_ms: int) -> bool:
+        return now_ms < known.cold_until_ms
+
+    def _cold_room(self, entry: UpstreamEntry, now_ms: int) -> bool:
+        configuration = self._view.configuration
+        if configuration is None:
+            return False
+        service = configuration.services.get(entry.service)
+        if service is None or service.cold_rate_per_s <= 0:
+            return True
+        share = share_per_window(
+            entry.upstream_id,
+            service.cold_rate_per_s,
+            self._own_name,
+            self._members(),
+        )
+        return self._cold.used(entry.upstream_id, now_ms) < share
--- /dev/null
+++ b/trefoilpitch/gateway/_events.py
@@ -0,0 +1,69 @@
+"""Whole events of a stream, as the bytes that were received."""
+
+from __future__ import annotations
+
+import dataclasses
+
+_MAX_EVENT_BYTES = 1 << 20
+_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RawEvent:
+    """An event with its bytes unchanged."""
+
+    # All bytes, the empty line included.
+    data: bytes
+    # Its number; None if it has none.
+    event_id: int | None
+
+
+class EventTooLargeError(Exception):
+    """An event is larger than is kept in memory."""
+
+
+class EventSplitter:
+    """Cuts a stream into whole events; a torn one never comes out."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    @property
+    def pending(self) -> bool:
+        """Whether a part of an event is waiting for its rest."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> list[RawEvent]:
+        """Takes bytes, cut anywhere, and returns the events they complete.
+
+        Raises:
+            EventTooLargeError: If an event exceeds its bound.
+        """
+        self._buffer += data
+        events: list[RawEvent] = []
+        while True:
+            end = self._find_end()
+            if end < 0:
+                break
+            raw, self._buffer = self._buffer[:end], self._buffer[end:]
+            events.append(RawEvent(data=raw, event_id=_event_id(raw)))
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            raise EventTooLargeError
+        return events
+
+    def _find_end(self) -> int:
+        ends = [
+            position + len(end)
+            for end in _ENDS
+            if (position := self._buffer.find(end)) >= 0
+        ]
+        return min(ends, default=-1)
+
+
+def _event_id(raw: bytes) -> int | None:
+    for line in raw.splitlines():
+        name, _, value = line.partition(b":")
+        if name == b"id":
+            text = value.strip()
+            return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/trefoilpitch/gateway/_node.py
@@ -0,0 +1,411 @@
+"""One daemon of the fleet: its servers, its view, its tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+import msgspec
+
+from trefoilpitch.clock import Clock
+from trefoilpitch.fleet import (
+    Change,
+    DocumentCodec,
+    FleetStore,
+    FleetView,
+    Member,
+    RequestLimits,
+)
+from trefoilpitch.gateway._decider import RolloutDecider
+from trefoilpitch.gateway._dispatcher import Dispatcher
+from trefoilpitch.gateway._exceptions import ExchangeError
+from trefoilpitch.gateway._flow import FlowServices, RequestFlow
+from trefoilpitch.gateway._follower import StoreFollower, every
+from trefoilpitch.gateway._health import PaceBook
+from trefoilpitch.gateway._http_client import connect
+from trefoilpitch.gateway._http_server import (
+    Handler,
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerState,
+)
+from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._messages import RequestCodec
+from trefoilpitch.gateway._peers import (
+    Heartbeat,
+    PeerSocket,
+    PeerTable,
+    decode_batch,
+    encode_batch,
+)
+from trefoilpitch.gateway._registration import Registration
+from trefoilpitch.metrics import Metrics
+from trefoilpitch.retries import RetryBudget
+
+_HEARTBEAT_MS = 400
+_LEASE_RENEWAL_MS = 2_000
+_DECIDE_MS = 200
+# A peer whose revision is ahead for this long has news that this daemon's own
+# watch did not bring.
+_BEHIND_MS = 250
+_PEER_TIMEOUT_MS = 800
+_MAX_PEER_BYTES = 16 * 1024 * 1024
+# Shares of the fleet's budget of repeats that are used; the rest is left for
+# arrivals that are counted twice and for daemons that come and go.
+_BUDGET_SHARE = 0.85
+_MS_PER_S = 1_000
+# How long a leaving daemon takes new requests: callers keep addresses for a
+# few seconds.
+_LEAVE_OPEN_MS = 3_000
+# Time before the platform ends the process in which it has to be gone.
+_LEAVE_MARGIN_MS = 300
+_ITEMS_PATH = "/v1/items?after="
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ListenAddress:
+    """An address to listen on."""
+
+    # IP number.
+    host: str
+    # Port.
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeSettings:
+    """What a daemon is told at its start."""
+
+    # Name of the VM.
+    name: str
+    # Name of this start.
+    incarnation: str
+    # Where it runs.
+    failure_domain: str
+    # Where callers connect.
+    callers: ListenAddress
+    # Where readiness is asked for.
+    readiness: ListenAddress
+    # Where callers ask for addresses.
+    directory: ListenAddress
+    # Where peers connect, and send heartbeats to.
+    peers: ListenAddress
+    # Time from the request to leave until the process is ended.
+    grace_ms: int
+    # Repeats of the whole fleet: share of the requests, and what may be added.
+    repeat_share: float
+    repeat_slack: float
+
+
+class AuxiliaryHandlers(Protocol):
+    """Interfaces beside the callers' requests."""
+
+    def readiness(self, node: Node) -> Handler:
+        """Answers whether callers may connect."""
+
+    def directory(self, node: Node) -> Handler:
+        """Answers which addresses callers may use."""
+
+
+class Node:
+    """A running daemon.
+
+    Args:
+        settings: What it is told.
+        store: The platform's store.
+        documents: Reads and writes the store's documents.
+        requests: Reads and writes requests and answers.
+        auxiliary: Interfaces beside the callers' requests.
+        clock: Monotonic time and time of day.
+        rng: Source of random numbers.
+        metrics: Counters and latencies.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        store: FleetStore,
+        documents: DocumentCodec,
+        requests: RequestCodec,
+        auxiliary: AuxiliaryHandlers,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._leaving_since_ms: int | None = None
+        self._left = asyncio.Event()
+        self._sequence = 0
+        self._ahead_since_ms: int | None = None
+        self._budgets: dict[str, RetryBudget] = {}
+        self._view = FleetView(documents, self._log_change)
+        self._peers = PeerTable(settings.name)
+        self._follower = StoreFollower(
+            store, self._view, clock, rng, self._after_change
+        )
+        member = Member(
+            name=settings.name,
+            incarnation=settings.incarnation,
+            caller_address=f"{settings.callers.host}:{settings.callers.port}",
+            peer_host=settings.peers.host,
+            peer_port=settings.peers.port,
+            failure_domain=settings.failure_domain,
+        )
+        self._registration = Registration(
+            store, documents, member, self._follower.confirm
+        )
+        dispatcher = Dispatcher(
+            self._view,
+            clock,
+            rng,
+            own_name=settings.name,
+            failure_domain=settings.failure_domain,
+            members=self._member_names,
+        )
+        self._dispatcher = dispatcher
+        self._decider = RolloutDecider(
+            store=store,
+            codec=documents,
+            view=self._view,
+            dispatcher=dispatcher,
+            peers=self._peers,
+            clock=clock,
+            own_name=settings.name,
+        )
+        flow = RequestFlow(
+            FlowServices(
+                view=self._view,
+                dispatcher=dispatcher,
+                codec=requests,
+                clock=clock,
+                budget=self._budget,
+                pace=PaceBook(),
+                metrics=metrics,
+                is_current=self._follower.is_current,
+            )
+        )
+        self._callers = self._server(flow.handle)
+        self._others = (
+            (settings.readiness, self._server(auxiliary.readiness(self))),
+            (settings.directory, self._server(auxiliary.directory(self))),
+            (settings.peers, self._server(self._answer_peer)),
+        )
+        self._heartbeats = PeerSocket(self._take_heartbeat)
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may connect."""
+        return (
+            self._view.configuration is not None
+            and self._leaving_since_ms is None
+        )
+
+    @property
+    def view(self) -> FleetView:
+        """What the fleet shares."""
+        return self._view
+
+    def caller_addresses(self) -> list[str]:
+        """Returns where callers may connect, this daemon first."""
+        addresses: list[str] = []
+        if self.ready:
+            own = self._settings.callers
+            addresses.append(f"{own.host}:{own.port}")
+        for name, peer in sorted(self._peers.alive().items()):
+            member = self._view.members.get(name)
+            if member is None or not peer.heartbeat.ready:
+                continue
+            if member.incarnation == peer.heartbeat.incarnation:
+                addresses.append(member.caller_address)
+        return addresses
+
+    async def run(self) -> None:
+        """Serves until the daemon has left.
+
+        Raises:
+            OSError: If an address is taken.
+        """
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        async with contextlib.AsyncExitStack() as stack:
+            for address, server in (
+                *self._others,
+                (settings.callers, self._callers),
+            ):
+                stack.enter_context(server)
+                await server.listen(address.host, address.port)
+            await loop.create_datagram_endpoint(
+                lambda: self._heartbeats,
+                local_addr=(settings.peers.host, settings.peers.port),
+            )
+            stack.callback(self._heartbeats.close)
+            log_event("listening", callers=str(settings.callers))
+            await self._run_tasks()
+        log_event("stopped", incarnation=settings.incarnation)
+
+    def leave(self) -> None:
+        """Begins to leave: finishes what runs, takes nothing new for long."""
+        if self._leaving_since_ms is not None:
+            return
+        self._leaving_since_ms = self._clock.now_ms()
+        self._callers.state.closing = True
+        log_event("leaving", active=self._callers.state.active)
+        self._send_heartbeat()
+
+    async def _run_tasks(self) -> None:
+        jobs: list[Coroutine[Any, Any, None]] = [
+            self._follower.run(),
+            every(_LEASE_RENEWAL_MS, self._registration.renew),
+            every(_HEARTBEAT_MS, self._beat),
+            every(_DECIDE_MS, self._decider.decide),
+            every(_DECIDE_MS, self._catch_up),
+            self._finish_leaving(),
+        ]
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(job) for job in jobs]
+            await self._left.wait()
+            for task in tasks:
+                task.cancel()
+
+    async def _finish_leaving(self) -> None:
+        while self._leaving_since_ms is None:
+            await asyncio.sleep(0.05)
+        await self._registration.withdraw()
+        end_ms = self._settings.grace_ms - _LEAVE_MARGIN_MS
+        open_ms = min(_LEAVE_OPEN_MS, end_ms // 2)
+        while True:
+            elapsed_ms = self._clock.now_ms() - self._leaving_since_ms
+            if elapsed_ms >= open_ms:
+                self._callers.stop_listening()
+                self._callers.close_idle()
+                if not self._callers.state.active:
+                    break
+            if elapsed_ms >= end_ms:
+                break
+            await asyncio.sleep(0.05)
+        log_event("left", unanswered=self._callers.state.active)
+        self._left.set()
+
+    def _server(self, handler: Handler) -> HttpServer:
+        return HttpServer(
+            ServerState(
+                handler=handler, limits=self._limits, now_ms=self._clock.now_ms
+            )
+        )
+
+    def _limits(self) -> RequestLimits:
+        configuration = self._view.configuration
+        return configuration.limits if configuration else RequestLimits()
+
+    def _member_names(self) -> set[str]:
+        return set(self._view.members) | set(self._peers.alive())
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            members = max(1, len(self._member_names()))
+            budget = RetryBudget(
+                share=min(1.0, self._settings.repeat_share * _BUDGET_SHARE),
+                burst=max(
+                    1.0, self._settings.repeat_slack * _BUDGET_SHARE / members
+                ),
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _after_change(self) -> None:
+        self._view.expire(self._clock.now_ms())
+        self._dispatcher.forget_gone()
+
+    def _log_change(self, change: Change) -> None:
+        log_event(
+            "view",
+            key=change.key,
+            revision=change.revision,
+            summary=change.summary,
+        )
+
+    async def _beat(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._peers.expire(now_ms)
+        self._view.expire(now_ms)
+        self._send_heartbeat()
+
+    def _send_heartbeat(self) -> None:
+        self._sequence += 1
+        heartbeat = Heartbeat(
+            node=self._settings.name,
+            incarnation=self._settings.incarnation,
+            sequence=self._sequence,
+            revision=self._view.revision,
+            ready=self.ready,
+            versions=self._decider.own_counts(),
+        )
+        others = [
+            member
+            for member in self._view.members.values()
+            if member.name != self._settings.name
+        ]
+        self._heartbeats.send(heartbeat, others)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._peers.record(heartbeat, self._clock.now_ms())
+
+    async def _catch_up(self) -> None:
+        """Asks a peer for changes that this daemon's watch did not bring."""
+        ahead = [
+            name
+            for name, peer in self._peers.alive().items()
+            if peer.heartbeat.revision > self._view.revision
+        ]
+        now_ms = self._clock.now_ms()
+        if not ahead:
+            self._ahead_since_ms = None
+            return
+        if self._ahead_since_ms is None:
+            self._ahead_since_ms = now_ms
+        if now_ms - self._ahead_since_ms < _BEHIND_MS:
+            return
+        name = max(
+            ahead, key=lambda n: self._peers.alive()[n].heartbeat.revision
+        )
+        member = self._view.members.get(name)
+        if member is not None:
+            await self._fetch_from(member)
+
+    async def _fetch_from(self, member: Member) -> None:
+        target = f"{_ITEMS_PATH}{self._view.revision}".encode()
+        host = f"{member.peer_host}:{member.peer_port}".encode()
+        try:
+            with await connect(
+                member.peer_host, member.peer_port, _PEER_TIMEOUT_MS
+            ) as connection:
+                connection.send(b"GET", target, [(b"Host", host)], b"")
+                await connection.receive_head(_PEER_TIMEOUT_MS)
+                body = await connection.receive_body(
+                    _PEER_TIMEOUT_MS, _MAX_PEER_BYTES
+                )
+            batch = decode_batch(body)
+        except (ExchangeError, msgspec.DecodeError) as error:
+            log_event("peer_fetch_failed", peer=member.name, reason=str(error))
+            return
+        self._follower.take_from_peer(batch, member.name)
+
+    async def _answer_peer(
+        self, request: HttpRequest, responder: Responder
+    ) -> None:
+        target = request.target.decode("latin-1")
+        after = target.removeprefix(_ITEMS_PATH)
+        if after == target or not after.isdigit():
+            await responder.answer(404, [], b"")
+            return
+        batch = self._view.items_after(int(after))
+        await responder.answer(200, [], encode_batch(batch))
--- /dev/null
+++ b/trefoilpitch/gateway/_registration.py
@@ -0,0 +1,74 @@
+"""A daemon's entry in the store, held by a lease."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from trefoilpitch.fleet import (
+    NO_LEASE,
+    DocumentCodec,
+    FleetStore,
+    LeaseLostError,
+    Member,
+    StoreUnavailableError,
+)
+from trefoilpitch.gateway._log import log_event
+
+# Long against an outage's first seconds: heartbeats, not the lease, tell who
+# is alive.
+_LEASE_MS = 10_000
+
+
+class Registration:
+    """Writes the entry and renews its lease.
+
+    Args:
+        store: The store.
+        codec: Encodes the entry.
+        member: The entry.
+        on_contact: Called when the store has answered.
+    """
+
+    def __init__(
+        self,
+        store: FleetStore,
+        codec: DocumentCodec,
+        member: Member,
+        on_contact: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._codec = codec
+        self._member = member
+        self._on_contact = on_contact
+        self._lease_id = NO_LEASE
+
+    async def renew(self) -> None:
+        """Renews the lease, or writes the entry under a new one."""
+        try:
+            if self._lease_id != NO_LEASE:
+                await self._store.keep_lease(self._lease_id)
+            else:
+                await self._register()
+            self._on_contact()
+        except LeaseLostError:
+            log_event("lease_lost", lease=self._lease_id)
+            self._lease_id = NO_LEASE
+        except StoreUnavailableError as error:
+            log_event("lease_not_renewed", reason=str(error))
+
+    async def withdraw(self) -> None:
+        """Removes the entry, as the daemon is leaving."""
+        if self._lease_id == NO_LEASE:
+            return
+        key = self._codec.encode_member(self._member, NO_LEASE).key
+        try:
+            await self._store.commit(removals=(key,))
+        except StoreUnavailableError as error:
+            log_event("not_withdrawn", reason=str(error))
+
+    async def _register(self) -> None:
+        lease_id = await self._store.grant_lease(_LEASE_MS)
+        entry = self._codec.encode_member(self._member, lease_id)
+        await self._store.commit(writes=(entry,))
+        self._lease_id = lease_id
+        log_event("registered", lease=lease_id, member=self._member.name)
--- /dev/null
+++ b/trefoilpitch/platform/_documents.py
@@ -0,0 +1,324 @@
+"""The documents in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from trefoilpitch.fleet import (
+    Configuration,
+    Document,
+    Evacuation,
+    MalformedDocumentError,
+    Member,
+    OperationKind,
+    RequestLimits,
+    RolloutOrder,
+    RolloutPhase,
+    RolloutRecord,
+    Route,
+    Service,
+    UpstreamEntry,
+    UpstreamState,
+    WeightedService,
+    Workspace,
+    Write,
+)
+
+_CONFIGURATION_KEY = "op/config"
+_ROLLOUT_PREFIX = "op/rollout/"
+_EVACUATION_PREFIX = "op/evacuate/"
+_UPSTREAM_PREFIX = "servers/"
+_STATUS_PREFIX = "status/rollout/"
+# Keys of the product's own.
+_RECORD_PREFIX = "trefoilpitch/rollout/"
+_MEMBER_PREFIX = "trefoilpitch/member/"
+_MS_PER_S = 1_000
+
+_KINDS = {
+    "stream": OperationKind.STREAM,
+    "idempotent": OperationKind.IDEMPOTENT,
+    "non_idempotent": OperationKind.NON_IDEMPOTENT,
+}
+_STATUS_WORDS = {
+    RolloutPhase.CANARY: "running",
+    RolloutPhase.SHIFT: "running",
+    RolloutPhase.COMPLETED: "completed",
+    RolloutPhase.ROLLED_BACK: "rolled_back",
+}
+
+
+class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
+    """Base of the platform's documents; unknown fields are ignored."""
+
+
+class _Split(_Wire, frozen=True, rename="kebab"):
+    service: str
+    weight: float
+
+
+class _Route(_Wire, frozen=True, rename="kebab"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 0
+    max_attempts: int = 1
+    service: str = ""
+    traffic_split: tuple[_Split, ...] = ()
+    model_tiers: tuple[str, ...] = ()
+    public: bool = False
+    resumable: bool = False
+    target_gap_ms: float = 0
+
+
+class _Model(_Wire, frozen=True, rename="kebab"):
+    name: str
+    cost: float = 0.0
+
+
+class _Engine(_Wire, frozen=True, rename="kebab"):
+    models: tuple[_Model, ...] = ()
+
+
+class _Service(_Wire, frozen=True, rename="kebab"):
+    name: str
+    cold_start_s: float = 0.0
+    # Requests a second from all daemons together, not from each.
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Limits(_Wire, frozen=True, rename="kebab"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
+class _Tenant(_Wire, frozen=True, rename="kebab"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    # Goes before the route's.
+    priority: int | None = None
+
+
+class _Config(_Wire, frozen=True, rename="kebab"):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits | None = None
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+class _ServerModel(_Wire, frozen=True, rename="kebab"):
+    name: str
+
+
+class _Server(_Wire, frozen=True, rename="kebab"):
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: str
+    # For how long the worker is still cold, counted from the entry's writing.
+    cold_left_ms: float = 0
+    # Unix milliseconds of the worker's start.
+    born: int = 0
+    models: tuple[_ServerModel, ...] = ()
+
+
+class _RolloutOrder(_Wire, frozen=True, rename="kebab"):
+    service: str
+    target: str
+    duration_s: float
+
+
+class _Record(msgspec.Struct, frozen=True):
+    target: str
+    order_revision: int
+    phase: str
+    percent: int
+
+
+class _Member(msgspec.Struct, frozen=True):
+    incarnation: str
+    caller_address: str
+    peer_host: str
+    peer_port: int
+    failure_domain: str
+
+
+class PlatformDocuments:
+    """Implements `trefoilpitch.fleet.DocumentCodec`."""
+
+    def decode(self, key: str, value: bytes) -> Document | None:
+        """Decodes an item of the store."""
+        try:
+            return _decode(key, value)
+        except (msgspec.DecodeError, ValueError, KeyError) as error:
+            raise MalformedDocumentError(str(error)) from error
+
+    def rollout_key(self, service: str) -> str:
+        """Returns the key of a service's roll-out record."""
+        return f"{_RECORD_PREFIX}{service}"
+
+    def encode_rollout(self, record: RolloutRecord) -> tuple[Write, ...]:
+        """Encodes a record and the operators' status."""
+        status = {
+            "service": record.service,
+            "target": record.target,
+            "state": _STATUS_WORDS[record.phase],
+        }
+        own = _Record(
+            target=record.target,
+            order_revision=record.order_revision,
+            phase=record.phase.value,
+            percent=record.percent,
+        )
+        return (
+            Write(
+                key=self.rollout_key(record.service),
+                value=msgspec.json.encode(own),
+            ),
+            Write(
+                key=f"{_STATUS_PREFIX}{record.service}",
+                value=msgspec.json.encode(status),
+            ),
+        )
+
+    def encode_member(self, member: Member, lease_id: int) -> Write:
+        """Encodes a daemon's registration."""
+        value = _Member(
+            incarnation=member.incarnation,
+            caller_address=member.caller_address,
+            peer_host=member.peer_host,
+            peer_port=member.peer_port,
+            failure_domain=member.failure_domain,
+        )
+        return Write(
+            key=f"{_MEMBER_PREFIX}{member.name}",
+            value=msgspec.json.encode(value),
+            lease_id=lease_id,
+        )
+
+
+def _decode(key: str, value: bytes) -> Document | None:
+    if key == _CONFIGURATION_KEY:
+        return _configuration(msgspec.json.decode(value, type=_Config))
+    if key.startswith(_UPSTREAM_PREFIX):
+        server = msgspec.json.decode(value, type=_Server)
+        return _upstream(key.removeprefix(_UPSTREAM_PREFIX), server)
+    if key.startswith(_ROLLOUT_PREFIX):
+        order = msgspec.json.decode(value, type=_RolloutOrder)
+        return RolloutOrder(
+            service=order.service,
+            target=order.target,
+            duration_ms=int(order.duration_s * _MS_PER_S),
+        )
+    if key.startswith(_EVACUATION_PREFIX):
+        return Evacuation(failure_domain=key.removeprefix(_EVACUATION_PREFIX))
+    return _decode_own(key, value)
+
+
+def _decode_own(key: str, value: bytes) -> Document | None:
+    if key.startswith(_RECORD_PREFIX):
+        record = msgspec.json.decode(value, type=_Record)
+        return RolloutRecord(
+            service=key.removeprefix(_RECORD_PREFIX),
+            target=record.target,
+            order_revision=record.order_revision,
+            phase=RolloutPhase(record.phase),
+            percent=record.percent,
+        )
+    if key.startswith(_MEMBER_PREFIX):
+        member = msgspec.json.decode(value, type=_Member)
+        return Member(
+            name=key.removeprefix(_MEMBER_PREFIX),
+            incarnation=member.incarnation,
+            caller_address=member.caller_address,
+            peer_host=member.peer_host,
+            peer_port=member.peer_port,
+            failure_domain=member.failure_domain,
+        )
+    return None
+
+
+def _configuration(config: _Config) -> Configuration:
+    keys: dict[str, Workspace] | None = None
+    if config.tenants is not None:
+        keys = {
+            key: Workspace(name=tenant.name, priority=tenant.priority)
+            for tenant in config.tenants
+            for key in tenant.api_keys
+        }
+    limits = RequestLimits()
+    if config.limits is not None:
+        limits = RequestLimits(
+            max_header_bytes=config.limits.max_header_bytes,
+            max_body_bytes=config.limits.max_body_bytes,
+            header_timeout_ms=config.limits.header_timeout_ms,
+            idle_timeout_ms=config.limits.idle_timeout_ms,
+        )
+    return Configuration(
+        version=config.version,
+        routes=tuple(_route(route) for route in config.routes),
+        services={s.name: _service(s) for s in config.services},
+        limits=limits,
+        workspaces_by_key=keys,
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(
+        WeightedService(service=split.service, weight=split.weight)
+        for split in route.traffic_split
+    )
+    if not shares:
+        shares = (WeightedService(service=route.service, weight=1.0),)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=_KINDS[route.kind],
+        timeout_ms=int(route.timeout_ms),
+        objective_ms=int(route.target_latency_ms),
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        services=shares,
+        model_tiers=route.model_tiers,
+        public=route.public,
+        resumable=route.resumable,
+        max_gap_ms=int(route.target_gap_ms),
+    )
+
+
+def _service(service: _Service) -> Service:
+    models: tuple[_Model, ...] = ()
+    if service.engine is not None:
+        models = service.engine.models
+    return Service(
+        name=service.name,
+        cold_start_ms=int(service.cold_start_s * _MS_PER_S),
+        cold_rate_per_s=service.cold_per_s,
+        model_costs=tuple((model.name, model.cost) for model in models),
+    )
+
+
+def _upstream(upstream_id: str, server: _Server) -> UpstreamEntry:
+    host, _, port = server.address.rpartition(":")
+    return UpstreamEntry(
+        upstream_id=upstream_id,
+        service=server.service,
+        host=host,
+        port=int(port),
+        failure_domain=server.zone,
+        version=server.version,
+        slots=server.slots,
+        state=UpstreamState(server.state),
+        cold_left_ms=int(server.cold_left_ms),
+        started_wall_ms=server.born,
+        models=tuple(model.name for model in server.models),
+    )
--- /dev/null
+++ b/trefoilpitch/platform/_requests.py
@@ -0,0 +1,226 @@
+"""The platform's request and answer headers."""
+
+from __future__ import annotations
+
+from trefoilpitch.gateway import (
+    AnswerHead,
+    BadRequestError,
+    CallerRequest,
+    Headers,
+    HttpRequest,
+    LoadReport,
+    PrefixPart,
+    UpstreamAnswer,
+    UpstreamCall,
+)
+
+# Names this attempt of the caller; workers echo it.
+_ID = b"x-trefoilpitch-request-attempt-id"
+# The worker's signature of its answer.
+_SEAL = b"x-trefoilpitch-response-seal"
+_DEADLINE = b"x-trefoilpitch-deadline-ms"
+_EXPECT_INSTANCE = b"x-trefoilpitch-expect-instance"
+_NOT_EXECUTED = b"x-trefoilpitch-not-executed"
+_TENANT = b"x-trefoilpitch-tenant"
+_MODEL = b"x-trefoilpitch-model"
+# Tokens of the prompt, and the most tokens of the answer.
+_TOKENS = b"x-trefoilpitch-token-counts"
+_PREFIX = b"x-trefoilpitch-prompt-prefix-hash"
+_PRIORITY = b"x-trefoilpitch-request-priority"
+_CONFIDENCE = b"x-trefoilpitch-confidence"
+_LOAD = b"x-trefoilpitch-instance-load"
+_KEY = b"api-key"
+_SESSION = b"session"
+_LAST_EVENT = b"last-event-id"
+_ANY_MODEL = "*"
+_BAD_REQUEST = 400
+_MISDIRECTED = 421
+_LOWEST_PRIORITY = 9
+_MS_PER_S = 1_000
+
+# Concern one connection, or are written anew for the next one.
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# The system's to set; what a caller sends under these names is dropped.
+_OWN = frozenset(
+    {
+        _KEY,
+        _DEADLINE,
+        _EXPECT_INSTANCE,
+        _TENANT,
+        _PRIORITY,
+        b"x-trefoilpitch-expect-version",
+        b"x-trefoilpitch-hold",
+        b"x-trefoilpitch-pin-ms",
+        b"x-trefoilpitch-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+# Every upstream must see these, whatever a caller's Connection header lists.
+_END_TO_END = frozenset({_ID, _MODEL, _TOKENS, _PREFIX, _LAST_EVENT, _SESSION})
+
+
+class PlatformRequests:
+    """Implements `trefoilpitch.gateway.RequestCodec`."""
+
+    def decode_request(self, request: HttpRequest) -> CallerRequest:
+        """Reads a caller's request."""
+        request_id = request.header(_ID)
+        if not request_id:
+            raise BadRequestError(_BAD_REQUEST, "no request id")
+        host = (request.header(b"host") or "").lower()
+        path = request.target.decode("latin-1").partition("?")[0]
+        model = request.header(_MODEL)
+        prompt_tokens, output_tokens = _token_counts(request.header(_TOKENS))
+        return CallerRequest(
+            http=request,
+            request_id=request_id,
+            host=host.rpartition(":")[0] if ":" in host else host,
+            path=path,
+            api_key=request.header(_KEY),
+            wait_ms=_number(request.header(_DEADLINE)),
+            model=model,
+            any_model=model == _ANY_MODEL,
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=output_tokens,
+            prefix=_prefix(request.header(_PREFIX)),
+            session=request.header(_SESSION),
+        )
+
+    def encode_call(
+        self, request: CallerRequest, call: UpstreamCall
+    ) -> Headers:
+        """Returns the headers that a worker receives."""
+        dropped = _OWN | _HOP_BY_HOP | _listed_in_connection(request.http)
+        if call.model is not None:
+            dropped |= {_MODEL}
+        if call.last_event_id is not None:
+            dropped |= {_LAST_EVENT}
+        headers = [
+            (name, value)
+            for name, value in request.http.headers
+            if name.lower() not in dropped
+        ]
+        headers.append(
+            (b"X-Trefoilpitch-Deadline-Ms", _text(call.remaining_ms))
+        )
+        headers.append(
+            (
+                b"X-Trefoilpitch-Expect-Instance",
+                call.upstream.upstream_id.encode(),
+            )
+        )
+        if call.workspace is not None:
+            headers.append((b"X-Trefoilpitch-Tenant", call.workspace.encode()))
+        if call.model is not None:
+            headers.append((b"X-Trefoilpitch-Model", call.model.encode()))
+        if call.priority is not None and request.model is not None:
+            priority = min(_LOWEST_PRIORITY, max(0, call.priority))
+            headers.append(
+                (b"X-Trefoilpitch-Request-Priority", _text(priority))
+            )
+        if call.last_event_id is not None:
+            headers.append((b"Last-Event-Id", _text(call.last_event_id)))
+        if request.http.body or _has_body(request.http):
+            headers.append((b"Content-Length", _text(len(request.http.body))))
+        return headers
+
+    def decode_answer(
+        self, request: CallerRequest, head: AnswerHead
+    ) -> UpstreamAnswer:
+        """Reads a worker's answer."""
+        return UpstreamAnswer(
+            head=head,
+            matches=head.header(_ID) in (None, request.request_id)
+            and (head.header(_ID) is not None or head.header(_SEAL) is None),
+            not_run=head.header(_NOT_EXECUTED) is not None,
+            wrong_instance=head.status == _MISDIRECTED,
+            sealed=head.header(_SEAL) is not None,
+            plain=head.header(b"content-encoding") is None,
+            confidence=_number(head.header(_CONFIDENCE)),
+            load=_load(head.header(_LOAD)),
+        )
+
+    def encode_answer(self, answer: UpstreamAnswer) -> Headers:
+        """Returns a worker's headers for the caller."""
+        return [
+            (name, value)
+            for name, value in answer.head.headers
+            if name not in _HOP_BY_HOP
+        ]
+
+    def encode_refusal(
+        self, request_id: str | None, retry_after_ms: int | None
+    ) -> Headers:
+        """Returns the headers of an answer of the router's own."""
+        headers: list[tuple[bytes, bytes]] = []
+        if request_id is not None:
+            headers.append(
+                (b"X-Trefoilpitch-Request-Attempt-Id", request_id.encode())
+            )
+        if retry_after_ms is not None:
+            seconds = f"{retry_after_ms / _MS_PER_S:g}".encode()
+            headers.append((b"Retry-After", seconds))
+        return headers
+
+
+def _text(number: int) -> bytes:
+    return str(number).encode()
+
+
+def _number(text: str | None) -> int | None:
+    if text is None:
+        return None
+    try:
+        return int(float(text))
+    except (ValueError, OverflowError):
+        return None
+
+
+def _token_counts(text: str | None) -> tuple[int, int]:
+    if text is None:
+        return 0, 0
+    prompt, _, output = text.partition(",")
+    return _number(prompt) or 0, _number(output) or 0
+
+
+def _prefix(text: str | None) -> tuple[PrefixPart, ...]:
+    parts: list[PrefixPart] = []
+    for entry in (text or "").split(","):
+        part_id, colon, tokens = entry.strip().partition(":")
+        if colon:
+            parts.append(
+                PrefixPart(part_id=part_id, tokens=_number(tokens) or 0)
+            )
+    return tuple(parts)
+
+
+def _load(text: str | None) -> LoadReport | None:
+    numbers = [_number(part) for part in (text or "").split(",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    running, waiting, slots = (number or 0 for number in numbers)
+    return LoadReport(running=running, waiting=waiting, slots=slots)
+
+
+def _listed_in_connection(request: HttpRequest) -> frozenset[bytes]:
+    listed = (request.header(b"connection") or "").lower().split(",")
+    names = {name.strip().encode() for name in listed if name.strip()}
+    return frozenset(names - _END_TO_END)
+
+
+def _has_body(request: HttpRequest) -> bool:
+    names = {name.lower() for name, _ in request.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
--- /dev/null
+++ b/trefoilpitch/platform/_store.py
@@ -0,0 +1,236 @@
+"""The platform's store over its HTTP calls."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from trefoilpitch.fleet import (
+    Condition,
+    ConditionFailedError,
+    HistoryLostError,
+    Item,
+    ItemBatch,
+    LeaseLostError,
+    StoreUnavailableError,
+    Write,
+)
+from trefoilpitch.gateway import (
+    ExchangeError,
+    HttpConnection,
+    ListenAddress,
+    connect,
+)
+
+# The store answers in some milliseconds, and sixty times as slowly on bad
+# days; a call that takes longer is lost.
+_CALL_TIMEOUT_MS = 1_500
+_CONNECT_TIMEOUT_MS = 500
+# How much later than asked a watch may answer.
+_WATCH_MARGIN_MS = 2_000
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONDITION_FAILED = 412
+_TYPE = (b"Content-Type", b"application/json")
+
+
+class PlatformStore:
+    """Implements `trefoilpitch.fleet.FleetStore`.
+
+    Watches have a connection of their own, as a waiting one blocks it.
+
+    Args:
+        address: Where the store listens.
+        on_call: Told the name of each call.
+    """
+
+    def __init__(
+        self, address: ListenAddress, on_call: Callable[[str], None]
+    ) -> None:
+        self._address = address
+        self._on_call = on_call
+        self._host = f"{address.host}:{address.port}".encode()
+        self._idle: list[HttpConnection] = []
+        self._watching: HttpConnection | None = None
+
+    async def read_all(self) -> ItemBatch:
+        """Reads all keys, page by page."""
+        items: list[Item] = []
+        revision = 0
+        after = ""
+        while True:
+            query = {"path-prefix": ""} | ({"after": after} if after else {})
+            status, answer = await self._call("kv-range", b"GET", query)
+            if status != _OK:
+                raise StoreUnavailableError(f"kv-range: {status}")
+            revision = revision or int(answer["at"])
+            page = [_item(row) for row in answer["items"]]
+            items.extend(page)
+            if not answer.get("has-more") or not page:
+                return ItemBatch(items=tuple(items), revision=revision)
+            after = page[-1].key
+
+    async def watch(self, after: int, wait_ms: int) -> ItemBatch:
+        """Waits for changes of any key."""
+        query = {
+            "path-prefix": "",
+            "after": str(after),
+            "wait-timeout-ms": str(wait_ms),
+        }
+        connection = self._watching
+        self._watching = None
+        if connection is None or not connection.reusable:
+            connection = await self._connect()
+        status, answer = await self._exchange(
+            connection, "kv-watch", b"GET", query, wait_ms=wait_ms
+        )
+        self._watching = connection
+        if status == _GONE:
+            raise HistoryLostError(f"no history after {after}")
+        if status != _OK:
+            raise StoreUnavailableError(f"kv-watch: {status}")
+        items = tuple(_item(row) for row in answer["events"])
+        return ItemBatch(items=items, revision=int(answer["at"]))
+
+    async def commit(
+        self,
+        *,
+        conditions: tuple[Condition, ...] = (),
+        writes: tuple[Write, ...] = (),
+        removals: tuple[str, ...] = (),
+    ) -> int:
+        """Changes keys, all or none."""
+        body = {
+            "if-rev": [
+                {"key": c.key, "revision": c.revision} for c in conditions
+            ],
+            "writes": [
+                {
+                    "key": write.key,
+                    "value": base64.b64encode(write.value).decode(),
+                    "lease": write.lease_id,
+                }
+                for write in writes
+            ],
+            "remove": list(removals),
+        }
+        status, answer = await self._call("kv-txn", b"POST", {}, body)
+        if status == _CONDITION_FAILED:
+            raise ConditionFailedError
+        if status == _NOT_FOUND:
+            raise LeaseLostError
+        if status != _OK:
+            raise StoreUnavailableError(f"kv-txn: {status}")
+        return int(answer["revision"])
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Grants a lease."""
+        status, answer = await self._call(
+            "kv-lease", b"POST", {}, {"ttl-ms": ttl_ms}
+        )
+        if status != _OK:
+            raise StoreUnavailableError(f"kv-lease: {status}")
+        return int(answer["lease"])
+
+    async def keep_lease(self, lease_id: int) -> None:
+        """Renews a lease."""
+        status, _ = await self._call(f"kv-keep/{lease_id}", b"POST", {})
+        if status == _NOT_FOUND:
+            raise LeaseLostError
+        if status != _OK:
+            raise StoreUnavailableError(f"kv-keep: {status}")
+
+    async def _call(
+        self,
+        name: str,
+        method: bytes,
+        query: dict[str, str],
+        body: object = None,
+    ) -> tuple[int, dict[str, Any]]:
+        connection = None
+        while self._idle and connection is None:
+            candidate = self._idle.pop()
+            if candidate.reusable:
+                connection = candidate
+            else:
+                candidate.close()
+        if connection is None:
+            connection = await self._connect()
+        result = await self._exchange(connection, name, method, query, body)
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return result
+
+    async def _connect(self) -> HttpConnection:
+        try:
+            return await connect(
+                self._address.host, self._address.port, _CONNECT_TIMEOUT_MS
+            )
+        except ExchangeError as error:
+            raise StoreUnavailableError(str(error)) from error
+
+    async def _exchange(
+        self,
+        connection: HttpConnection,
+        name: str,
+        method: bytes,
+        query: dict[str, str],
+        body: object = None,
+        *,
+        wait_ms: int = 0,
+    ) -> tuple[int, dict[str, Any]]:
+        self._on_call(name.partition("/")[0])
+        target = f"/trefoilpitch/{name}"
+        if query:
+            target += f"?{urlencode(query, safe='/')}"
+        data = msgspec.json.encode(body) if body is not None else b""
+        headers = [(b"Host", self._host)]
+        if method == b"POST":
+            headers.append((b"Content-Length", str(len(data)).encode()))
+        if data:
+            headers.append(_TYPE)
+        timeout_ms = _CALL_TIMEOUT_MS
+        if wait_ms:
+            timeout_ms = wait_ms + _WATCH_MARGIN_MS
+        try:
+            connection.send(method, target.encode(), headers, data)
+            head = await connection.receive_head(timeout_ms)
+            received = await connection.receive_body(
+                _CALL_TIMEOUT_MS, _MAX_ANSWER_BYTES
+            )
+        except BaseException as error:
+            # A late answer would be taken for the next call's.
+            connection.close()
+            if isinstance(error, ExchangeError):
+                raise StoreUnavailableError(f"{name}: {error}") from error
+            raise
+        if head.status != _OK:
+            return head.status, {}
+        try:
+            answer: dict[str, Any] = msgspec.json.decode(
+                received or b"{}", type=dict[str, Any]
+            )
+        except msgspec.DecodeError as error:
+            raise StoreUnavailableError(f"{name}: {error}") from error
+        return head.status, answer
+
+
+def _item(row: dict[str, Any]) -> Item:
+    try:
+        value = None
+        if not row.get("deleted"):
+            value = base64.b64decode(row["value"], validate=True)
+        return Item(
+            key=str(row["key"]), value=value, revision=int(row["revision"])
+        )
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise StoreUnavailableError(f"unreadable item: {error}") from error
