Bound repeats over the whole window, and answer when the budget is spent

Heartbeats never started either: the loop's datagram transport does not inherit from the public class, and an assertion ended the callback. So the directory named only the daemon itself.

Ruled out: a peer's close or a reset by the platform: the stack trace in the log names the budget.

Change: a budget over a sliding window, as the rule counts, whose spend says whether it paid; an unpaid try ends in a final answer; an unexpected error is logged and answered 502. The assertion is a cast.

--- a/trefoilpitch/gateway/_flow.py
+++ b/trefoilpitch/gateway/_flow.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import traceback
 from collections.abc import Callable
 
 from trefoilpitch.clock import Clock
@@ -11,7 +12,11 @@
 from trefoilpitch.gateway._admission import Admitted, Rejection, admit
 from trefoilpitch.gateway._dispatcher import Dispatcher, NoUpstream
 from trefoilpitch.gateway._events import EventSplitter, EventTooLargeError
-from trefoilpitch.gateway._exceptions import BadRequestError, ExchangeError
+from trefoilpitch.gateway._exceptions import (
+    BadRequestError,
+    CallerGoneError,
+    ExchangeError,
+)
 from trefoilpitch.gateway._health import PaceBook
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._http_server import HttpRequest, Responder
@@ -31,7 +36,7 @@
     may_try_again,
 )
 from trefoilpitch.metrics import Label, Metrics
-from trefoilpitch.retries import Execution, FailureKind, RetryBudget
+from trefoilpitch.retries import Execution, FailureKind, WindowedRetryBudget
 
 # Largest plain answer that is kept to be checked as a whole.
 _MAX_PLAIN_BYTES = 8 * 1024 * 1024
@@ -46,6 +51,8 @@
 _RETRY_AFTER_MS = 300
 # A try needs this much time to make sense.
 _MIN_TRY_MS = 10
+# Frames of a stack trace that fit a log line.
+_TRACE_FRAMES = 6
 _OK = 200
 _SERVER_ERROR = 500
 _BAD_GATEWAY = 502
@@ -66,7 +73,7 @@
     # Monotonic time.
     clock: Clock
     # The retry budget of a service.
-    budget: Callable[[str], RetryBudget]
+    budget: Callable[[str], WindowedRetryBudget]
     # Usual latencies.
     pace: PaceBook
     # Counters and latencies.
@@ -105,7 +112,19 @@
         if isinstance(admitted, Rejection):
             await self._reject(request, admitted, responder)
             return
-        await _Run(services, request, admitted, responder).serve()
+        run = _Run(services, request, admitted, responder)
+        try:
+            await run.serve()
+        except CallerGoneError:
+            raise
+        except Exception as error:
+            log_event(
+                "internal_error",
+                id=request.request_id,
+                error=type(error).__name__,
+                trace=traceback.format_exc(limit=-_TRACE_FRAMES),
+            )
+            await run.fail()
 
     async def _reject(
         self, request: CallerRequest, rejection: Rejection, responder: Responder
@@ -187,7 +206,9 @@
         finally:
             self._log_end(service, outcome)
 
-    async def _try_upstreams(self, service: str, budget: RetryBudget) -> str:
+    async def _try_upstreams(
+        self, service: str, budget: WindowedRetryBudget
+    ) -> str:
         while True:
             entry = await self._find_upstream(service)
             if isinstance(entry, NoUpstream):
@@ -227,7 +248,7 @@
         return self._answer_by_ms - now_ms
 
     async def _try_at(
-        self, entry: UpstreamEntry, budget: RetryBudget
+        self, entry: UpstreamEntry, budget: WindowedRetryBudget
     ) -> FailureKind | None:
         """Runs one try; returns how it failed, None if all is delivered."""
         health = self._services.dispatcher.health(entry.upstream_id)
@@ -259,16 +280,17 @@
             connect_timeout_ms(self._remaining_ms(now_ms)),
         )
 
-    def _pay(self, budget: RetryBudget) -> None:
-        if self._sends > 0:
-            budget.spend()
+    def _pay(self, budget: WindowedRetryBudget) -> None:
+        # Other requests may have used the budget while this one connected.
+        if self._sends > 0 and not budget.spend():
+            raise ExchangeError(FailureKind.NOT_SENT, "retry budget spent")
         self._sends += 1
 
     async def _exchange(
         self,
         connection: HttpConnection,
         entry: UpstreamEntry,
-        budget: RetryBudget,
+        budget: WindowedRetryBudget,
     ) -> None:
         started_ms = self._services.clock.now_ms()
         self._send(connection, entry, started_ms)
@@ -329,7 +351,7 @@
             )
 
     def _consider_tier(
-        self, answer: UpstreamAnswer, budget: RetryBudget
+        self, answer: UpstreamAnswer, budget: WindowedRetryBudget
     ) -> None:
         if self._tier is None or self._responder.started:
             return
@@ -374,7 +396,7 @@
         entry: UpstreamEntry,
         answer: UpstreamAnswer,
         started_ms: int,
-        budget: RetryBudget,
+        budget: WindowedRetryBudget,
     ) -> None:
         splitter = EventSplitter()
         first = True
@@ -413,7 +435,7 @@
         if event_id is not None:
             self._last_event_id = event_id
 
-    def _gap_ms(self, budget: RetryBudget) -> float:
+    def _gap_ms(self, budget: WindowedRetryBudget) -> float:
         can_resume = (
             self._route.repeatable
             and self._tries.runs + 1 < self._route.max_attempts
@@ -439,7 +461,10 @@
         self._tries = self._tries.failed(error.kind)
         self._trail.append(f"{entry.upstream_id} {error.kind.value}")
         health = services.dispatcher.health(entry.upstream_id)
-        if error.kind is not FailureKind.REFUSED_NOT_RUN:
+        if error.kind not in (
+            FailureKind.REFUSED_NOT_RUN,
+            FailureKind.NOT_SENT,
+        ):
             health.record_failure(
                 now_ms,
                 unreachable=error.kind
@@ -459,6 +484,16 @@
             failures_in_row=health.failures_in_row,
         )
 
+    async def fail(self) -> None:
+        """Ends a request whose handling broke off; promises nothing."""
+        if self._responder.started:
+            self._responder.abort()
+            return
+        headers = self._services.codec.encode_refusal(
+            self._request.request_id, None
+        )
+        await self._responder.answer(_BAD_GATEWAY, headers, b"")
+
     async def _give_up(self) -> str:
         """Sends the final answer of a request that no try has answered."""
         if self._responder.started:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -45,7 +45,7 @@
 )
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.metrics import Metrics
-from trefoilpitch.retries import RetryBudget
+from trefoilpitch.retries import WindowedRetryBudget
 
 _HEARTBEAT_MS = 400
 _LEASE_RENEWAL_MS = 2_000
@@ -100,6 +100,8 @@
     # Repeats of the whole fleet: share of the requests, and what may be added.
     repeat_share: float
     repeat_slack: float
+    # The time that both are counted over.
+    repeat_window_ms: int
 
 
 class AuxiliaryHandlers(Protocol):
@@ -145,7 +147,7 @@
         self._left = asyncio.Event()
         self._sequence = 0
         self._ahead_since_ms: int | None = None
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets: dict[str, WindowedRetryBudget] = {}
         self._view = FleetView(documents, self._log_change)
         self._peers = PeerTable(settings.name)
         self._follower = StoreFollower(
@@ -308,15 +310,16 @@
     def _member_names(self) -> set[str]:
         return set(self._view.members) | set(self._peers.alive())
 
-    def _budget(self, service: str) -> RetryBudget:
+    def _budget(self, service: str) -> WindowedRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
             members = max(1, len(self._member_names()))
-            budget = RetryBudget(
-                share=min(1.0, self._settings.repeat_share * _BUDGET_SHARE),
-                burst=max(
-                    1.0, self._settings.repeat_slack * _BUDGET_SHARE / members
-                ),
+            slack = self._settings.repeat_slack / members
+            budget = WindowedRetryBudget(
+                self._clock,
+                share=self._settings.repeat_share * _BUDGET_SHARE,
+                slack=max(1.0, slack * _BUDGET_SHARE),
+                window_ms=self._settings.repeat_window_ms,
             )
             self._budgets[service] = budget
         return budget
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable, Mapping
+from typing import cast
 
 import msgspec
 
@@ -180,8 +181,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # The loop's own class does not inherit from the public one.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decodes a heartbeat."""
--- a/trefoilpitch/platform/_settings.py
+++ b/trefoilpitch/platform/_settings.py
@@ -84,6 +84,7 @@
         grace_ms=int(float(bounds["grace-s"]) * _MS_PER_S),
         repeat_share=float(bounds["retry-ratio"]),
         repeat_slack=float(bounds["retry-slack"]),
+        repeat_window_ms=int(float(bounds["retry-window-s"]) * _MS_PER_S),
     )
     return PlatformSettings(
         node=node,
--- a/trefoilpitch/retries/__init__.py
+++ b/trefoilpitch/retries/__init__.py
@@ -18,6 +18,7 @@
     decide_hedge,
     decide_retry,
 )
+from trefoilpitch.retries._window import WindowedRetryBudget
 
 __all__ = [
     "Execution",
@@ -29,6 +30,7 @@
     "RetrySettings",
     "StopReason",
     "TryAgain",
+    "WindowedRetryBudget",
     "classify_failure",
     "combined_execution",
     "decide_hedge",
--- /dev/null
+++ b/trefoilpitch/retries/tests/test_window.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import pytest
+
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.retries import WindowedRetryBudget
+
+
+def _budget(clock: ManualClock) -> WindowedRetryBudget:
+    return WindowedRetryBudget(clock, share=0.5, slack=2.0, window_ms=10_000)
+
+
+def test_slack_is_there_from_the_start_and_no_more() -> None:
+    budget = _budget(ManualClock())
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+
+
+def test_first_tries_of_the_window_may_be_used_at_once() -> None:
+    clock = ManualClock()
+    budget = _budget(clock)
+    for _ in range(100):
+        budget.record_first_try()
+        clock.advance(50)
+    # Load pattern: upstreams fail after five calm seconds.
+    assert sum(budget.spend() for _ in range(100)) == 52
+
+
+def test_extra_tries_never_exceed_the_bound_in_any_window() -> None:
+    clock = ManualClock()
+    budget = _budget(clock)
+    firsts: list[int] = []
+    extras: list[int] = []
+    for step in range(600):
+        clock.advance(100)
+        if step % 3 == 0:
+            budget.record_first_try()
+            firsts.append(clock.now_ms())
+        if budget.spend():
+            extras.append(clock.now_ms())
+    for end in extras:
+        extra = sum(end - 10_000 < at <= end for at in extras)
+        first = sum(end - 10_000 < at <= end for at in firsts)
+        assert extra <= 0.5 * first + 2.0
+
+
+@pytest.mark.parametrize(
+    ("share", "slack", "window_ms"), [(-1.0, 1.0, 1), (1.0, -1.0, 1), (1, 1, 0)]
+)
+def test_bounds_are_checked(share: float, slack: float, window_ms: int) -> None:
+    with pytest.raises(ValueError, match="out of range"):
+        WindowedRetryBudget(
+            ManualClock(), share=share, slack=slack, window_ms=window_ms
+        )
