Wait longer for slow answers when all answers are slow

A 54,000-token prompt takes over three seconds on the largest model in any case.

Ruled out: dead upstreams: they refused connections and were ejected.

Change: the wait for a first answer is at least four times the usual latency of the model and size of prompt, which each daemon learns; requests log latency, load and confidence of each try.

--- a/trefoilpitch/gateway/_flow.py
+++ b/trefoilpitch/gateway/_flow.py
@@ -195,6 +195,15 @@
             return None
         return self._route.model_tiers[self._tier]
 
+    @property
+    def _work(self) -> str:
+        """Names what takes equally long: model and size, or the route."""
+        model = self._model or self._request.model
+        if model is None:
+            return self._route.name
+        # Classes of size double from one to the next.
+        return f"{model}/{self._request.prompt_tokens.bit_length()}"
+
     async def serve(self) -> None:
         """Tries until the request is answered."""
         service = self._services.dispatcher.pick_service(self._route)
@@ -261,7 +270,6 @@
                 await self._exchange(connection, entry, budget)
         except _Replaced as replaced:
             self._tries = self._tries.replace_answer()
-            self._trail.append(f"{entry.upstream_id} unsure")
             self._tier = replaced.tier
             self._tried.clear()
             return FailureKind.ANSWER_CUT
@@ -270,7 +278,6 @@
             return error.kind
         finally:
             health.in_flight -= 1
-        self._trail.append(f"{entry.upstream_id} ok")
         return None
 
     async def _open(self, entry: UpstreamEntry, now_ms: int) -> HttpConnection:
@@ -298,6 +305,7 @@
             self._route,
             self._tries,
             self._remaining_ms(started_ms),
+            self._services.pace.usual_ms(self._work, default_ms=0.0),
             affordable=budget.affords(),
         )
         head = await connection.receive_head(timeout_ms)
@@ -306,7 +314,7 @@
         if head.status != _OK or self._route.kind is not OperationKind.STREAM:
             await self._take_plain(connection, entry, answer, started_ms)
         else:
-            self._consider_tier(answer, budget)
+            self._consider_tier(entry, answer, started_ms, budget)
             await self._take_stream(
                 connection, entry, answer, started_ms, budget
             )
@@ -351,7 +359,11 @@
             )
 
     def _consider_tier(
-        self, answer: UpstreamAnswer, budget: WindowedRetryBudget
+        self,
+        entry: UpstreamEntry,
+        answer: UpstreamAnswer,
+        started_ms: int,
+        budget: WindowedRetryBudget,
     ) -> None:
         if self._tier is None or self._responder.started:
             return
@@ -362,6 +374,12 @@
             and budget.affords(),
         )
         if tier is not None:
+            elapsed_ms = self._services.clock.now_ms() - started_ms
+            self._trail.append(
+                f"{entry.upstream_id} {self._model} {elapsed_ms} ms"
+                f" load {answer.load and answer.load.running}"
+                f" unsure {answer.confidence}"
+            )
             raise _Replaced(tier)
 
     async def _take_plain(
@@ -383,7 +401,7 @@
             raise ExchangeError(
                 FailureKind.SERVER_ERROR, f"status {answer.head.status}"
             )
-        self._note_success(entry, started_ms)
+        self._note_success(entry, answer, started_ms)
         await self._deliver(answer, body)
 
     async def _deliver(self, answer: UpstreamAnswer, body: bytes) -> None:
@@ -412,7 +430,7 @@
                 ) from error
             if events and first:
                 first = False
-                self._note_success(entry, started_ms)
+                self._note_success(entry, answer, started_ms)
             for event in events:
                 await self._forward(answer, event.data, event.event_id)
         if splitter.pending or first:
@@ -443,14 +461,19 @@
         )
         return gap_timeout_ms(self._route, can_resume=can_resume)
 
-    def _note_success(self, entry: UpstreamEntry, started_ms: int) -> None:
+    def _note_success(
+        self, entry: UpstreamEntry, answer: UpstreamAnswer, started_ms: int
+    ) -> None:
         services = self._services
         now_ms = services.clock.now_ms()
         latency_ms = now_ms - started_ms
-        work = f"{self._route.name}/{self._model or self._request.model}"
-        pace = services.pace.ratio(work, latency_ms)
+        pace = services.pace.ratio(self._work, latency_ms)
         health = services.dispatcher.health(entry.upstream_id)
         health.record_success(pace, now_ms)
+        self._trail.append(
+            f"{entry.upstream_id} {self._model or '-'} {latency_ms} ms"
+            f" load {health.load(now_ms)} confidence {answer.confidence}"
+        )
         bad = pace is not None and pace >= _SLOW_PACE
         services.dispatcher.record_evidence(entry, bad=bad)
         services.metrics.observe_ms("upstream_first_answer", latency_ms)
--- a/trefoilpitch/gateway/_tries.py
+++ b/trefoilpitch/gateway/_tries.py
@@ -24,6 +24,8 @@
 _FIRST_EVENT_SHARE = 0.6
 # A plain answer is given up later, as its objective is close to its latency.
 _PLAIN_SHARE = 1.6
+# An answer that takes this many times the usual is not expected any more.
+_SLOW_FACTOR = 4.0
 # Share of the largest pause of an event stream after which it is resumed.
 _GAP_SHARE = 0.8
 # Pauses, in relation to the largest one that is on time, that callers bear.
@@ -87,14 +89,24 @@
 
 
 def answer_timeout_ms(
-    route: Route, tries: Tries, remaining_ms: float, *, affordable: bool
+    route: Route,
+    tries: Tries,
+    remaining_ms: float,
+    usual_ms: float,
+    *,
+    affordable: bool,
 ) -> float:
     """Returns how long to wait for the first part of an answer.
 
+    Load pattern: too few upstreams for the traffic. A slow answer that is
+    given up is work lost, and its repeat makes the others slower still, so
+    the wait grows with what such answers take at the time.
+
     Args:
         route: Says what may be repeated, and what is in time.
         tries: The tries before this one.
         remaining_ms: What is left until the request has to be answered.
+        usual_ms: How long such answers take at the time.
         affordable: Whether the retry budget allows another try after it.
     """
     runs_left = max(1, route.max_attempts) - tries.runs - 1
@@ -103,7 +115,8 @@
     share = _PLAIN_SHARE
     if route.kind is OperationKind.STREAM:
         share = _FIRST_EVENT_SHARE
-    return min(remaining_ms, max(share * route.objective_ms, 1.0))
+    wait_ms = max(share * route.objective_ms, _SLOW_FACTOR * usual_ms, 1.0)
+    return min(remaining_ms, wait_ms)
 
 
 def gap_timeout_ms(route: Route, *, can_resume: bool) -> float:
