Let a completed roll-out stand whatever the target answers later

Ruled out: the order's removal; the store's view shows it unchanged.

Change: a daemon's own breaker holds only until the fleet has agreed on the end.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -180,7 +180,8 @@
         else:
             phase, percent = current_phase(rollout, record)
             target = rollout.order.target
-            if self._own_breaker(service, target):
+            ended = phase is not None and phase.final
+            if not ended and self._own_breaker(service, target):
                 phase = RolloutPhase.ROLLED_BACK
         on_target = [k for k in ready if k.entry.version == target]
         others = [k for k in ready if k.entry.version != target]
