Weigh a second model's cost against what its answer gains

Cause: one confidence threshold for all kinds asks the largest model for short tags of long prompts, where it costs two fifths of the answer's worth, and keeps unsure answers of the kinds where it costs a twentieth.

Change: the expected gain in the answer's worth has to exceed the largest model's cost for its tokens; what the largest model adds is learnt, a late answer counts less.

--- a/trefoilpitch/gateway/_flow.py
+++ b/trefoilpitch/gateway/_flow.py
@@ -27,7 +27,11 @@
     UpstreamAnswer,
     UpstreamCall,
 )
-from trefoilpitch.gateway._model_tiers import TierTry, first_tier, next_tier
+from trefoilpitch.gateway._model_tiers import (
+    AnswerSize,
+    BegunAnswer,
+    ModelChoice,
+)
 from trefoilpitch.gateway._tries import (
     Tries,
     answer_timeout_ms,
@@ -76,6 +80,8 @@
     budget: Callable[[str], WindowedRetryBudget]
     # Usual latencies.
     pace: PaceBook
+    # Chooses among the models of a route.
+    models: ModelChoice
     # Counters and latencies.
     metrics: Metrics
     # Whether the configuration is known to be the newest.
@@ -183,7 +189,7 @@
             self._caller_deadline_ms, arrived_ms + timeout_ms
         )
         if admitted.route.model_tiers:
-            self._tier = first_tier(len(admitted.route.model_tiers))
+            self._tier = services.models.first_tier()
 
     @property
     def _route(self) -> Route:
@@ -201,8 +207,7 @@
         model = self._model or self._request.model
         if model is None:
             return self._route.name
-        # Classes of size double from one to the next.
-        return f"{model}/{self._request.prompt_tokens.bit_length()}"
+        return _work(model, self._request)
 
     async def serve(self) -> None:
         """Tries until the request is answered."""
@@ -367,11 +372,24 @@
     ) -> None:
         if self._tier is None or self._responder.started:
             return
-        tier = next_tier(
-            TierTry(tier=self._tier, confidence=answer.confidence),
-            len(self._route.model_tiers),
-            time_left=self._tries.runs + 1 < self._route.max_attempts
-            and budget.affords(),
+        models = self._services.models
+        largest = len(self._route.model_tiers) - 1
+        if self._tier == largest and self._tries.replaced:
+            if answer.confidence is not None:
+                models.record_largest(answer.confidence)
+            return
+        if self._tries.runs + 1 >= self._route.max_attempts:
+            return
+        if not budget.affords():
+            return
+        tier = models.next_tier(
+            BegunAnswer(
+                tier=self._tier,
+                confidence=answer.confidence,
+                time_left=self._in_time_at(largest),
+            ),
+            self._size,
+            self._tier_costs(entry.service),
         )
         if tier is not None:
             elapsed_ms = self._services.clock.now_ms() - started_ms
@@ -382,6 +400,28 @@
             )
             raise _Replaced(tier)
 
+    def _in_time_at(self, tier: int) -> bool:
+        request = self._request
+        usual_ms = self._services.pace.usual_ms(
+            _work(self._route.model_tiers[tier], request), default_ms=0.0
+        )
+        due_ms = request.http.arrived_ms + self._route.objective_ms
+        return self._services.clock.now_ms() + usual_ms <= due_ms
+
+    def _tier_costs(self, service: str) -> list[float]:
+        configuration = self._services.view.configuration
+        known = configuration.services.get(service) if configuration else None
+        costs = dict(known.model_costs) if known else {}
+        return [costs.get(model, 0.0) for model in self._route.model_tiers]
+
+    @property
+    def _size(self) -> AnswerSize:
+        request = self._request
+        expected = request.expected_output_tokens or request.max_output_tokens
+        return AnswerSize(
+            prompt_tokens=request.prompt_tokens, output_tokens=expected
+        )
+
     async def _take_plain(
         self,
         connection: HttpConnection,
@@ -561,3 +601,8 @@
             - self._request.http.arrived_ms,
             outcome=outcome,
         )
+
+
+def _work(model: str, request: CallerRequest) -> str:
+    # Classes of size double from one to the next.
+    return f"{model}/{request.prompt_tokens.bit_length()}"
--- a/trefoilpitch/gateway/_messages.py
+++ b/trefoilpitch/gateway/_messages.py
@@ -45,6 +45,8 @@
     prompt_tokens: int = 0
     # Largest length of the answer.
     max_output_tokens: int = 0
+    # The caller's own estimate of that length; 0 if it gave none.
+    expected_output_tokens: int = 0
     # Parts of the prompt, in order; the last one is the request's own.
     prefix: tuple[PrefixPart, ...] = ()
     # Requests that belong together bear the same name.
--- a/trefoilpitch/gateway/_model_tiers.py
+++ b/trefoilpitch/gateway/_model_tiers.py
@@ -1,47 +1,102 @@
 """Which model of a route's tiers answers a request.
 
 A small model costs a fraction of a large one and often suffices; it says with
-its answer how sure it is. The first answer is dropped while the caller has
-none of it, and asked again of the largest model, if it is not sure enough.
+its answer how sure it is. While the caller has nothing of the answer yet, it
+is dropped and asked of the largest model if what that gains is worth more than
+what it costs: long answers are worth a second opinion sooner than short ones
+to long prompts.
 """
 
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Sequence
 
-# Confidence, from 0 to 100, under which an answer is asked for again.
-ENOUGH_CONFIDENCE = 65
+# Worth of a good answer in the unit of the models' cost: a part that each
+# answer has, and a part for each token that it may have. The operators' goals
+# pay about a hundredth of a unit a generated token over all kinds of request.
+_WORTH_PER_ANSWER = 0.8
+_WORTH_PER_TOKEN = 0.01
+# Cost of a token that is read, in relation to one that is generated.
+_READ_SHARE = 0.25
+_TOKENS_PER_UNIT = 1_000
+# What is left of an answer's worth if it comes after the objective.
+_LATE_SHARE = 0.3
+# Confidence of the largest model in the answers that a smaller one was unsure
+# of, before any was seen, and the weight of each that is.
+_EXPECTED_CONFIDENCE = 0.85
+_LEARNING_WEIGHT = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TierTry:
+class AnswerSize:
+    """How large a request and its answer are."""
+
+    # Tokens of the prompt.
+    prompt_tokens: int
+    # Tokens that the answer is expected to have.
+    output_tokens: int
+
+    @property
+    def worth(self) -> float:
+        """What a good answer in time is worth, in the models' unit of cost."""
+        return _WORTH_PER_ANSWER + _WORTH_PER_TOKEN * self.output_tokens
+
+    def cost(self, cost_per_unit: float) -> float:
+        """What a model takes for it.
+
+        Args:
+            cost_per_unit: Its cost of 1,000 generated tokens.
+        """
+        tokens = self.output_tokens + _READ_SHARE * self.prompt_tokens
+        return cost_per_unit * tokens / _TOKENS_PER_UNIT
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BegunAnswer:
     """An answer that a model has begun."""
 
     # The model's place in the tiers, the smallest first.
     tier: int
-    # Its own opinion of its answer; None if it gave none.
+    # Its own opinion of its answer, from 0 to 100; None if it gave none.
     confidence: int | None
+    # Whether the largest model's answer would still be in time.
+    time_left: bool
+
+
+class ModelChoice:
+    """Chooses among the tiers and learns what the largest one adds."""
+
+    def __init__(self) -> None:
+        self._largest_confidence = _EXPECTED_CONFIDENCE
+
+    def first_tier(self) -> int:
+        """Returns the tier that is asked first."""
+        return 0
+
+    def record_largest(self, confidence: int) -> None:
+        """Learns from an answer of the largest model that replaced another."""
+        step = confidence / 100 - self._largest_confidence
+        self._largest_confidence += _LEARNING_WEIGHT * step
 
+    def next_tier(
+        self, answer: BegunAnswer, size: AnswerSize, costs: Sequence[float]
+    ) -> int | None:
+        """Returns the tier to ask instead; None to keep the answer.
 
-def first_tier(tier_count: int) -> int:
-    """Returns the tier that is asked first."""
-    del tier_count
-    return 0
-
-
-def next_tier(
-    attempt: TierTry, tier_count: int, *, time_left: bool
-) -> int | None:
-    """Returns the tier to ask instead; None to keep the answer.
-
-    Args:
-        attempt: The answer that has begun.
-        tier_count: How many tiers there are.
-        time_left: Whether another answer could still be in time.
-    """
-    largest = tier_count - 1
-    if attempt.tier >= largest or attempt.confidence is None:
-        return None
-    if attempt.confidence >= ENOUGH_CONFIDENCE or not time_left:
-        return None
-    return largest
+        Args:
+            answer: What has begun.
+            size: The request's size.
+            costs: Cost of 1,000 generated tokens for each tier.
+        """
+        largest = len(costs) - 1
+        if answer.tier >= largest or answer.confidence is None:
+            return None
+        worth = size.worth
+        gained = self._largest_confidence * worth
+        if not answer.time_left:
+            gained *= _LATE_SHARE
+        kept = answer.confidence / 100 * worth
+        if gained - kept <= size.cost(costs[largest]):
+            return None
+        return largest
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -36,6 +36,7 @@
 )
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import RequestCodec
+from trefoilpitch.gateway._model_tiers import ModelChoice
 from trefoilpitch.gateway._peers import (
     Heartbeat,
     PeerSocket,
@@ -190,6 +191,7 @@
                 clock=clock,
                 budget=self._budget,
                 pace=PaceBook(),
+                models=ModelChoice(),
                 metrics=metrics,
                 is_current=self._follower.is_current,
             )
--- a/trefoilpitch/platform/_requests.py
+++ b/trefoilpitch/platform/_requests.py
@@ -25,6 +25,8 @@
 _MODEL = b"x-trefoilpitch-model"
 # Tokens of the prompt, and the most tokens of the answer.
 _TOKENS = b"x-trefoilpitch-token-counts"
+# The client's estimate of the answer's tokens; good at the median only.
+_LENGTH_HINT = b"x-trefoilpitch-length-hint"
 _PREFIX = b"x-trefoilpitch-prompt-prefix-hash"
 _PRIORITY = b"x-trefoilpitch-request-priority"
 _CONFIDENCE = b"x-trefoilpitch-confidence"
@@ -95,6 +97,7 @@
             any_model=model == _ANY_MODEL,
             prompt_tokens=prompt_tokens,
             max_output_tokens=output_tokens,
+            expected_output_tokens=_number(request.header(_LENGTH_HINT)) or 0,
             prefix=_prefix(request.header(_PREFIX)),
             session=request.header(_SESSION),
         )
