Count what a larger model takes from the requests beside it

Answers of the small model were still dropped for the largest, three times as slow.

Change: the larger model's cost grows with the crowding of the service's upstreams; the placement uses the same scale of crowding.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -18,7 +18,7 @@
 from trefoilpitch.gateway._cold_share import ColdShare, share_per_window
 from trefoilpitch.gateway._health import UpstreamHealth
 from trefoilpitch.gateway._messages import CallerRequest
-from trefoilpitch.gateway._placement import Candidate, choose
+from trefoilpitch.gateway._placement import Candidate, choose, crowding
 from trefoilpitch.gateway._rollouts import (
     VersionEvidence,
     current_phase,
@@ -96,6 +96,20 @@
             if known.entry.service == service and known.entry.version != target
         )
 
+    def pressure(self, service: str) -> float:
+        """Returns how crowded the upstreams of a service are on average.
+
+        Returns:
+            Their loads in relation to those that double the delay.
+        """
+        now_ms = self._clock.now_ms()
+        levels = [
+            crowding(self.health(upstream_id).load(now_ms), known.entry.slots)
+            for upstream_id, known in self._view.upstreams.items()
+            if known.entry.service == service
+        ]
+        return sum(levels) / max(1, len(levels))
+
     def record_evidence(self, entry: UpstreamEntry, *, bad: bool) -> None:
         """Counts an answer of a service that is being rolled out."""
         rollout = self._view.rollouts.get(entry.service)
--- a/trefoilpitch/gateway/_flow.py
+++ b/trefoilpitch/gateway/_flow.py
@@ -387,6 +387,7 @@
                 tier=self._tier,
                 confidence=answer.confidence,
                 time_left=self._in_time_at(largest),
+                pressure=self._services.dispatcher.pressure(entry.service),
             ),
             self._size,
             self._tier_costs(entry.service),
--- a/trefoilpitch/gateway/_model_tiers.py
+++ b/trefoilpitch/gateway/_model_tiers.py
@@ -20,6 +20,9 @@
 # Cost of a token that is read, in relation to one that is generated.
 _READ_SHARE = 0.25
 _TOKENS_PER_UNIT = 1_000
+# How much of its cost a model takes besides, from the requests beside it, for
+# each doubling of their number.
+_PRESSURE_WEIGHT = 0.5
 # What is left of an answer's worth if it comes after the objective.
 _LATE_SHARE = 0.3
 # Confidence of the largest model in the answers that a smaller one was unsure
@@ -62,6 +65,9 @@
     confidence: int | None
     # Whether the largest model's answer would still be in time.
     time_left: bool
+    # Requests at an upstream of the service, on average, in relation to the
+    # number at which they take twice as long.
+    pressure: float = 0.0
 
 
 class ModelChoice:
@@ -97,6 +103,8 @@
         if not answer.time_left:
             gained *= _LATE_SHARE
         kept = answer.confidence / 100 * worth
-        if gained - kept <= size.cost(costs[largest]):
+        # The larger model also delays what runs beside it.
+        crowding = 1.0 + _PRESSURE_WEIGHT * max(0.0, answer.pressure - 1.0)
+        if gained - kept <= crowding * size.cost(costs[largest]):
             return None
         return largest
--- a/trefoilpitch/gateway/_placement.py
+++ b/trefoilpitch/gateway/_placement.py
@@ -11,9 +11,11 @@
 import random
 from collections.abc import Sequence
 
-# Share of the slots that is counted as taken at an idle upstream, so that the
-# other factors weigh there too.
-_IDLE_LOAD = 0.15
+# Share of the slots whose use doubles the expected delay: batches slow each
+# other down, and prompts delay them, long before the slots are full.
+_DOUBLING_SHARE = 1 / 16
+# Bound on how much faster than usual an upstream is taken for.
+_LEAST_PACE = 0.3
 # How much worse an upstream gets with its share of failures.
 _FAILURE_WEIGHT = 8.0
 # How much an upstream of another failure domain is passed over.
@@ -53,9 +55,14 @@
     return min(candidates, key=lambda c: _cost(c, rng), default=None)
 
 
+def crowding(load: float, slots: int) -> float:
+    """Returns a load in relation to the one that doubles the delay."""
+    return load / max(1.0, _DOUBLING_SHARE * slots)
+
+
 def _cost(candidate: Candidate, rng: random.Random) -> float:
-    load_share = candidate.load / max(1, candidate.slots)
-    cost = (_IDLE_LOAD + load_share) * max(0.3, candidate.pace)
+    cost = 1.0 + crowding(candidate.load, candidate.slots)
+    cost *= max(_LEAST_PACE, candidate.pace)
     cost *= 1.0 + _FAILURE_WEIGHT * candidate.failure_share
     if not candidate.local:
         cost *= _REMOTE_FACTOR
