Test the platform's path with a store and workers of our own

Found on the way: a request head over its limit that arrives in one piece was accepted, as the parser bounds only heads that come in parts; a handler's error is now a log line instead of a stack trace on standard error.

--- a/trefoilpitch/gateway/__init__.py
+++ b/trefoilpitch/gateway/__init__.py
@@ -13,7 +13,13 @@
     HttpConnection,
     connect,
 )
-from trefoilpitch.gateway._http_server import Handler, HttpRequest, Responder
+from trefoilpitch.gateway._http_server import (
+    Handler,
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerState,
+)
 from trefoilpitch.gateway._log import JsonLineHandler, log_event
 from trefoilpitch.gateway._messages import (
     CallerRequest,
@@ -43,6 +49,8 @@
     "Handler",
     "HttpRequest",
     "Responder",
+    "HttpServer",
+    "ServerState",
     "HttpConnection",
     "AnswerHead",
     "Headers",
--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import traceback
 from collections.abc import Awaitable, Callable
 from types import TracebackType
 from typing import Self
@@ -13,15 +14,21 @@
 from trefoilpitch.fleet import RequestLimits
 from trefoilpitch.gateway._exceptions import CallerGoneError
 from trefoilpitch.gateway._http_client import Headers
+from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._sockets import watch_for_silence
 
 _MS_PER_S = 1_000
 # Written and not yet taken by the caller; beyond it the sender waits.
 _WRITE_BUFFER_BYTES = 64 * 1024
 _BACKLOG = 512
+# Frames of a stack trace that fit a log line.
+_TRACE_FRAMES = 6
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
+_HEAD_TOO_LARGE = 431
+# Bytes of a header line besides its name and value.
+_LINE_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -260,6 +267,10 @@
             # Two framings are how one request hides inside another.
             self._reject(_BAD_REQUEST, "two framings of the body")
             return
+        # The parser bounds only heads that come in several parts.
+        if _head_bytes(head) > self._state.limits().max_header_bytes:
+            self._reject(_HEAD_TOO_LARGE, "the head is too large")
+            return
         self._head = head
         self._arm(self._state.limits().idle_timeout_ms, self._too_slow)
 
@@ -290,7 +301,15 @@
             await self._state.handler(request, Responder(self))
         except CallerGoneError:
             return
-        except BaseException:
+        except Exception as error:
+            log_event(
+                "handler_failed",
+                target=request.target.decode("latin-1"),
+                error=type(error).__name__,
+                trace=traceback.format_exc(limit=-_TRACE_FRAMES),
+            )
+            self.abort()
+        except asyncio.CancelledError:
             self.abort()
             raise
         finally:
@@ -357,6 +376,13 @@
             self._transport.write(data)
 
 
+def _head_bytes(head: h11.Request) -> int:
+    lines = sum(
+        len(name) + len(value) + _LINE_BYTES for name, value in head.headers
+    )
+    return len(head.method) + len(head.target) + lines
+
+
 class HttpServer:
     """A listening socket; a context manager that closes it."""
 
--- /dev/null
+++ b/trefoilpitch/platform/tests/fleet.py
@@ -0,0 +1,258 @@
+"""A daemon, a store and workers in one event loop, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from trefoilpitch.clock import SystemClock
+from trefoilpitch.gateway import (
+    AnswerHead,
+    HttpConnection,
+    ListenAddress,
+    Node,
+    NodeSettings,
+    connect,
+)
+from trefoilpitch.metrics import Metrics
+from trefoilpitch.platform._documents import PlatformDocuments
+from trefoilpitch.platform._interfaces import PlatformInterfaces
+from trefoilpitch.platform._requests import PlatformRequests
+from trefoilpitch.platform._store import PlatformStore
+from trefoilpitch.standins import PlatformStoreStandin, PlatformWorkerStandin
+
+HOST = "127.0.0.1"
+# Only bounds how long a broken test runs.
+PATIENCE_MS = 10_000
+
+
+async def eventually(condition: Callable[[], object]) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(PATIENCE_MS / 1_000):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+def config_document(version: int = 1, **fields: Any) -> dict[str, Any]:
+    routes = [
+        _route("plain", "/plain/", "plain-service", kind="idempotent"),
+        _route("once", "/once/", "plain-service", kind="non_idempotent"),
+        _route(
+            "stream",
+            "/stream/",
+            "model-service",
+            kind="stream",
+            **{
+                "resumable": True,
+                "target-gap-ms": 2_000,
+                "model-tiers": ["small", "large"],
+                "max-attempts": 3,
+            },
+        ),
+    ]
+    services = [
+        _service("plain-service"),
+        _service("model-service")
+        | {
+            "engine": {
+                "models": [
+                    {"name": "small", "cost": 0.02},
+                    {"name": "large", "cost": 0.2},
+                ]
+            }
+        },
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "max-header-bytes": 4_096,
+            "max-body-bytes": 10_000,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+        "tenants": [{"name": "workspace-a", "api-keys": ["key-a"]}],
+        **fields,
+    }
+
+
+def _route(
+    name: str, prefix: str, service: str, **fields: Any
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": "api.example",
+        "path-prefix": prefix,
+        "timeout-ms": 8_000,
+        "target-latency-ms": 4_000,
+        "service": service,
+        "max-attempts": 2,
+        **fields,
+    }
+
+
+def _service(name: str) -> dict[str, Any]:
+    return {"name": name, "cold-start-s": 0.0, "cold-per-s": 0.0}
+
+
+class Fleet:
+    """A store, workers and one daemon."""
+
+    def __init__(self, store: PlatformStoreStandin) -> None:
+        self.store = store
+        self.workers: dict[str, PlatformWorkerStandin] = {}
+        self.settings: NodeSettings | None = None
+        self.node: Node | None = None
+
+    @property
+    def running(self) -> Node:
+        assert self.node is not None
+        return self.node
+
+    @property
+    def callers(self) -> ListenAddress:
+        assert self.settings is not None
+        return self.settings.callers
+
+    def register(
+        self, worker: PlatformWorkerStandin, service: str, **fields: object
+    ) -> None:
+        self.workers[worker.worker_id] = worker
+        self.store.put(
+            f"servers/{worker.worker_id}", worker.entry(service, **fields)
+        )
+
+    async def known(self, count: int) -> None:
+        await eventually(lambda: len(self.running.view.upstreams) == count)
+
+    async def open(self) -> HttpConnection:
+        return await connect(self.callers.host, self.callers.port, PATIENCE_MS)
+
+    async def ask(
+        self,
+        target: str,
+        *,
+        request_id: str = "id-1",
+        body: bytes = b"",
+        method: str = "POST",
+        **headers: str,
+    ) -> tuple[AnswerHead, bytes]:
+        with await self.open() as connection:
+            send(
+                connection,
+                target,
+                request_id=request_id,
+                body=body,
+                method=method,
+                **headers,
+            )
+            head = await connection.receive_head(PATIENCE_MS)
+            return head, await connection.receive_body(PATIENCE_MS, 1 << 20)
+
+
+def send(
+    connection: HttpConnection,
+    target: str,
+    *,
+    request_id: str = "id-1",
+    body: bytes = b"",
+    method: str = "POST",
+    **headers: str,
+) -> None:
+    """Sends a request as a client of the platform does."""
+    values = {
+        "Host": "api.example",
+        "X-Trefoilpitch-Request-Attempt-Id": request_id,
+        "X-Trefoilpitch-Deadline-Ms": "8000",
+        "Api-Key": "key-a",
+        "Content-Length": str(len(body)),
+    }
+    values |= {name.replace("_", "-"): text for name, text in headers.items()}
+    wire = [(n.encode(), text.encode()) for n, text in values.items() if text]
+    connection.send(method.encode(), target.encode(), wire, body)
+
+
+def node_settings(name: str = "vm-1") -> NodeSettings:
+    def address() -> ListenAddress:
+        return ListenAddress(host=HOST, port=free_port())
+
+    return NodeSettings(
+        name=name,
+        incarnation=f"{name}-start",
+        failure_domain="zone-a",
+        callers=address(),
+        readiness=address(),
+        directory=address(),
+        peers=address(),
+        grace_ms=2_000,
+        repeat_share=0.9,
+        repeat_slack=60.0,
+        repeat_window_ms=10_000,
+    )
+
+
+def create_node(settings: NodeSettings, store: PlatformStoreStandin) -> Node:
+    return Node(
+        settings,
+        store=PlatformStore(store.address, lambda name: None),
+        documents=PlatformDocuments(),
+        requests=PlatformRequests(),
+        auxiliary=PlatformInterfaces(2.0),
+        clock=SystemClock(),
+        rng=random.Random(7),
+        metrics=Metrics(),
+    )
+
+
+@contextlib.asynccontextmanager
+async def running_node(
+    settings: NodeSettings, store: PlatformStoreStandin
+) -> AsyncIterator[Node]:
+    """Runs a daemon until the block ends."""
+    node = create_node(settings, store)
+    task = asyncio.create_task(node.run())
+    try:
+        yield node
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    plain: int = 1, models: int = 0, **fields: Any
+) -> AsyncIterator[Fleet]:
+    """Runs a store, workers of both services and a daemon that knows them."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(PlatformStoreStandin())
+        world = Fleet(store)
+        store.put("op/config", config_document(**fields))
+        for number in range(plain):
+            worker = PlatformWorkerStandin(f"plain-{number}")
+            await stack.enter_async_context(worker)
+            world.register(worker, "plain-service")
+        for number in range(models):
+            worker = PlatformWorkerStandin(f"model-{number}")
+            await stack.enter_async_context(worker)
+            world.register(worker, "model-service")
+        world.settings = node_settings()
+        world.node = await stack.enter_async_context(
+            running_node(world.settings, store)
+        )
+        await eventually(lambda: world.running.ready)
+        await world.known(plain + models)
+        yield world
--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -4,6 +4,12 @@
 from trefoilpitch.standins._engine_nodes import EngineSettings
 from trefoilpitch.standins._faults import Fault
 from trefoilpitch.standins._kv import KvServer, kv_server
+from trefoilpitch.standins._platform_store import PlatformStoreStandin
+from trefoilpitch.standins._platform_worker import (
+    PlatformWorkerStandin,
+    WorkerFault,
+    WorkerRun,
+)
 from trefoilpitch.standins._rating import (
     RatingSettings,
     RatingStandIn,
@@ -21,11 +27,15 @@
     "EngineStandIn",
     "Fault",
     "KvServer",
+    "PlatformStoreStandin",
+    "PlatformWorkerStandin",
     "RatingSettings",
     "RatingStandIn",
     "ServiceSettings",
     "ServiceStandIn",
     "VmListServer",
+    "WorkerFault",
+    "WorkerRun",
     "kv_server",
     "open_engine_stand_in",
     "open_rating_stand_in",
--- /dev/null
+++ b/trefoilpitch/standins/_platform_store.py
@@ -0,0 +1,250 @@
+"""The platform's store in memory, for tests without the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import time
+import urllib.parse
+from types import TracebackType
+from typing import Any, Self
+
+import msgspec
+
+from trefoilpitch.fleet import RequestLimits
+from trefoilpitch.gateway import (
+    HttpRequest,
+    HttpServer,
+    ListenAddress,
+    Responder,
+    ServerState,
+)
+
+_LOOPBACK = "127.0.0.1"
+_MS_PER_S = 1_000
+_PAGE_ITEMS = 500
+_JSON = (b"Content-Type", b"application/json")
+_PREFIX = "/trefoilpitch/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Stored:
+    key: str
+    value: bytes | None
+    revision: int
+    created: int
+    lease: int
+
+    def row(self) -> dict[str, Any]:
+        if self.value is None:
+            return {
+                "key": self.key,
+                "revision": self.revision,
+                "deleted": True,
+            }
+        return {
+            "key": self.key,
+            "value": base64.b64encode(self.value).decode(),
+            "revision": self.revision,
+            "created": self.created,
+            "lease": self.lease,
+        }
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+class PlatformStoreStandin:
+    """Keys, watches, conditional writes and leases behind the HTTP calls.
+
+    Leases do not run out by themselves; `end_lease` ends one.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[str, _Stored] = {}
+        self._history: list[_Stored] = []
+        self._forgotten = 0
+        self._revision = 1
+        self._leases: set[int] = set()
+        self._changed = asyncio.Event()
+        self._server = HttpServer(
+            ServerState(
+                handler=self._answer, limits=RequestLimits, now_ms=_now_ms
+            )
+        )
+        self._port = 0
+        # Status with which every call is refused; None serves them.
+        self.refuse_with: int | None = None
+        # Whether writes are done and not answered.
+        self.lose_answers = False
+        # Calls by name.
+        self.calls: dict[str, int] = {}
+
+    @property
+    def address(self) -> ListenAddress:
+        """Where the stand-in listens."""
+        return ListenAddress(host=_LOOPBACK, port=self._port)
+
+    async def __aenter__(self) -> Self:
+        self._server.__enter__()
+        self._port = await self._server.listen(_LOOPBACK, 0)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._server.__exit__(exc_type, exc, traceback)
+
+    def value(self, key: str) -> Any:
+        """Returns a key's JSON value; None if it is absent."""
+        stored = self._items.get(key)
+        if stored is None or stored.value is None:
+            return None
+        return msgspec.json.decode(stored.value)
+
+    def keys(self, prefix: str) -> list[str]:
+        """Returns the keys that start with a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def put(self, key: str, value: object) -> int:
+        """Writes a JSON value as the operator or an upstream does."""
+        return self._write(key, msgspec.json.encode(value), lease=0)
+
+    def put_bytes(self, key: str, value: bytes) -> int:
+        """Writes bytes that need not be JSON."""
+        return self._write(key, value, lease=0)
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        self._record(
+            _Stored(
+                key=key,
+                value=None,
+                revision=self._revision,
+                created=0,
+                lease=0,
+            )
+        )
+
+    def forget_history(self) -> None:
+        """Drops the history, as the store may at any time."""
+        self._history.clear()
+        self._forgotten = self._revision
+        self._wake()
+
+    def end_lease(self, lease_id: int) -> None:
+        """Ends a lease and removes its keys."""
+        self._leases.discard(lease_id)
+        for key, stored in list(self._items.items()):
+            if stored.lease == lease_id:
+                self.remove(key)
+
+    def _write(self, key: str, value: bytes, lease: int) -> int:
+        self._revision += 1
+        known = self._items.get(key)
+        stored = _Stored(
+            key=key,
+            value=value,
+            revision=self._revision,
+            created=known.created if known else self._revision,
+            lease=lease,
+        )
+        self._items[key] = stored
+        self._record(stored)
+        return self._revision
+
+    def _record(self, stored: _Stored) -> None:
+        self._history.append(stored)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(self, request: HttpRequest, responder: Responder) -> None:
+        url = urllib.parse.urlsplit(request.target.decode())
+        name, _, argument = url.path.removeprefix(_PREFIX).partition("/")
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.refuse_with is not None:
+            await responder.answer(self.refuse_with, [], b"")
+            return
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        body = msgspec.json.decode(request.body or b"{}")
+        status, answer = await self._serve(name, argument, query, body)
+        if self.lose_answers and request.method == b"POST":
+            responder.abort()
+            return
+        await responder.answer(status, [_JSON], msgspec.json.encode(answer))
+
+    async def _serve(
+        self, name: str, argument: str, query: dict[str, str], body: Any
+    ) -> tuple[int, dict[str, Any]]:
+        match name:
+            case "kv-range":
+                return self._range(query)
+            case "kv-watch":
+                return await self._watch(query)
+            case "kv-txn":
+                return self._commit(body)
+            case "kv-lease":
+                lease = len(self._leases) + 100
+                self._leases.add(lease)
+                return 200, {"lease": lease, "ttl-ms": body["ttl-ms"]}
+            case "kv-keep":
+                known = int(argument) in self._leases
+                return (200, {"ttl-ms": 1}) if known else (404, {})
+        return 404, {}
+
+    def _range(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        keys = [
+            key
+            for key in self.keys(query["path-prefix"])
+            if key > query.get("after", "")
+        ]
+        rows = [self._items[key].row() for key in keys[:_PAGE_ITEMS]]
+        more = len(keys) > _PAGE_ITEMS
+        return 200, {"items": rows, "has-more": more, "at": self._revision}
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after"])
+        end_s = time.monotonic() + int(query["wait-timeout-ms"]) / _MS_PER_S
+        while True:
+            if after < self._forgotten:
+                return 410, {}
+            events = [
+                stored.row()
+                for stored in self._history
+                if stored.revision > after
+                and stored.key.startswith(query["path-prefix"])
+            ]
+            left_s = end_s - time.monotonic()
+            if events or left_s <= 0:
+                return 200, {"events": events, "at": self._revision}
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def _commit(self, body: Any) -> tuple[int, dict[str, Any]]:
+        for condition in body.get("if-rev", []):
+            known = self._items.get(condition["key"])
+            if (known.revision if known else 0) != condition["revision"]:
+                return 412, {"items": []}
+        for write in body.get("writes", []):
+            if write.get("lease") and write["lease"] not in self._leases:
+                return 404, {}
+        for write in body.get("writes", []):
+            value = base64.b64decode(write["value"], validate=True)
+            self._write(write["key"], value, write.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        return 200, {"revision": self._revision}
