Serve counters and the state, and test every decoder

Cause: on-call engineers had logs only; the decoders of bytes from outside had no test with arbitrary bytes.

Change: counters, latencies and a state dump on a port that the deploy file names; property tests of the documents, heartbeats, peer answers and the event splitter; table tests of headers and settings.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -45,6 +45,7 @@
     encode_batch,
 )
 from trefoilpitch.gateway._registration import Registration
+from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
 
@@ -65,6 +66,10 @@
 _LEAVE_OPEN_MS = 3_000
 # Time before the platform ends the process in which it has to be gone.
 _LEAVE_MARGIN_MS = 300
+_METRICS_PATH = b"/metrics"
+_STATE_PATH = b"/state"
+_TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
+_JSON = (b"Content-Type", b"application/json")
 _ITEMS_PATH = "/v1/items?after="
 
 
@@ -103,6 +108,8 @@
     repeat_slack: float
     # The time that both are counted over.
     repeat_window_ms: int
+    # Where counters and the state are served; None serves none.
+    metrics: ListenAddress | None = None
 
 
 class AuxiliaryHandlers(Protocol):
@@ -197,11 +204,14 @@
             )
         )
         self._callers = self._server(flow.handle)
-        self._others = (
+        self._others = [
             (settings.readiness, self._server(auxiliary.readiness(self))),
             (settings.directory, self._server(auxiliary.directory(self))),
             (settings.peers, self._server(self._answer_peer)),
-        )
+        ]
+        if settings.metrics is not None:
+            inspector = self._server(self._answer_inspection)
+            self._others.append((settings.metrics, inspector))
         self._heartbeats = PeerSocket(self._take_heartbeat)
 
     @property
@@ -404,6 +414,37 @@
             return
         self._follower.take_from_peer(batch, member.name)
 
+    async def _answer_inspection(
+        self, request: HttpRequest, responder: Responder
+    ) -> None:
+        if request.target == _METRICS_PATH:
+            self._update_gauges()
+            await responder.answer(200, [_TEXT], self._metrics.render())
+        elif request.target == _STATE_PATH:
+            state = describe_state(
+                self._view, self._dispatcher, self._peers, self._clock.now_ms()
+            )
+            await responder.answer(200, [_JSON], state)
+        else:
+            await responder.answer(404, [], b"")
+
+    def _update_gauges(self) -> None:
+        configuration = self._view.configuration
+        gauges = {
+            "ready": int(self.ready),
+            "store_connected": int(self._follower.connected),
+            "configuration_version": configuration.version
+            if configuration
+            else 0,
+            "view_revision": self._view.revision,
+            "upstreams": len(self._view.upstreams),
+            "peers": len(self._peers.alive()),
+            "active_requests": self._callers.state.active,
+            "caller_connections": len(self._callers.state.connections),
+        }
+        for name, value in gauges.items():
+            self._metrics.set_gauge(name, value)
+
     async def _answer_peer(
         self, request: HttpRequest, responder: Responder
     ) -> None:
--- /dev/null
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -0,0 +1,79 @@
+"""What a daemon believes, as JSON for operators."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from trefoilpitch.fleet import FleetView, KnownUpstream
+from trefoilpitch.gateway._dispatcher import Dispatcher
+from trefoilpitch.gateway._peers import PeerTable
+
+
+def describe_state(
+    view: FleetView, dispatcher: Dispatcher, peers: PeerTable, now_ms: int
+) -> bytes:
+    """Encodes the view, upstreams' health and peers; holds no keys.
+
+    Args:
+        view: What the fleet shares.
+        dispatcher: Knows the upstreams' health.
+        peers: The other daemons.
+        now_ms: The monotonic time; ages are relative to it.
+    """
+    configuration = view.configuration
+    state = {
+        "revision": view.revision,
+        "configuration": configuration.version if configuration else None,
+        "evacuated": sorted(view.evacuated),
+        "rollouts": {
+            service: {
+                "target": known.order.target,
+                "age_ms": now_ms - known.seen_ms,
+            }
+            for service, known in view.rollouts.items()
+        },
+        "records": {
+            service: {
+                "target": known.record.target,
+                "phase": known.record.phase.value,
+                "percent": known.record.percent,
+            }
+            for service, known in view.records.items()
+        },
+        "upstreams": {
+            upstream_id: _describe_upstream(known, dispatcher, now_ms)
+            for upstream_id, known in view.upstreams.items()
+        },
+        "peers": {
+            name: {
+                "incarnation": peer.heartbeat.incarnation,
+                "revision": peer.heartbeat.revision,
+                "ready": peer.heartbeat.ready,
+                "age_ms": now_ms - peer.heard_ms,
+            }
+            for name, peer in peers.alive().items()
+        },
+    }
+    return msgspec.json.encode(state)
+
+
+def _describe_upstream(
+    known: KnownUpstream, dispatcher: Dispatcher, now_ms: int
+) -> dict[str, Any]:
+    entry = known.entry
+    health = dispatcher.health(entry.upstream_id)
+    return {
+        "service": entry.service,
+        "version": entry.version,
+        "failure_domain": entry.failure_domain,
+        "state": entry.state.value,
+        "cold_ms": max(0, known.cold_until_ms - now_ms),
+        "missing": known.missing_until_ms is not None,
+        "in_flight": health.in_flight,
+        "load": health.load(now_ms),
+        "failure_share": round(health.failure_share(now_ms), 3),
+        "pace": round(health.pace, 2),
+        "ejected": health.is_ejected(now_ms),
+    }
--- a/trefoilpitch/platform/_settings.py
+++ b/trefoilpitch/platform/_settings.py
@@ -12,6 +12,8 @@
 
 # Names the settings file.
 SETTINGS_VARIABLE = "TREFOILPITCH_BOOT"
+# The port on which counters and the state are served; none if it is unset.
+METRICS_VARIABLE = "TREFOILPITCH_METRICS_PORT"
 _MS_PER_S = 1_000
 
 
@@ -49,18 +51,27 @@
         text = pathlib.Path(path).read_text()
     except (OSError, UnicodeDecodeError) as error:
         raise PlatformSettingsError(f"{path}: {error}") from error
-    return parse_settings(text, incarnation)
+    return parse_settings(
+        text, incarnation, os.environ.get(METRICS_VARIABLE, "")
+    )
 
 
-def parse_settings(text: str, incarnation: str) -> PlatformSettings:
+def parse_settings(
+    text: str, incarnation: str, metrics_port: str = ""
+) -> PlatformSettings:
     """Reads settings in the platform's format.
 
+    Args:
+        text: The settings file.
+        incarnation: Name of this start.
+        metrics_port: Where counters are served; empty serves none.
+
     Raises:
         PlatformSettingsError: If they are not TOML, or lack something.
     """
     try:
         table = tomllib.loads(text)
-        return _decode(table, incarnation)
+        return _decode(table, incarnation, metrics_port)
     except tomllib.TOMLDecodeError as error:
         raise PlatformSettingsError(f"not TOML: {error}") from error
     except KeyError as error:
@@ -69,10 +80,15 @@
         raise PlatformSettingsError(f"a value does not fit: {error}") from error
 
 
-def _decode(table: dict[str, Any], incarnation: str) -> PlatformSettings:
+def _decode(
+    table: dict[str, Any], incarnation: str, metrics_port: str
+) -> PlatformSettings:
     listen = table["listen"]
     bounds = table["bounds"]
     first_port = int(table["port-range"][0])
+    metrics = None
+    if metrics_port:
+        metrics = ListenAddress(host=str(table["ip"]), port=int(metrics_port))
     node = NodeSettings(
         name=str(table["node"]),
         incarnation=incarnation,
@@ -85,6 +101,7 @@
         repeat_share=float(bounds["retry-ratio"]),
         repeat_slack=float(bounds["retry-slack"]),
         repeat_window_ms=int(float(bounds["retry-window-s"]) * _MS_PER_S),
+        metrics=metrics,
     )
     return PlatformSettings(
         node=node,
--- a/trefoilpitch/platform/tests/fleet.py
+++ b/trefoilpitch/platform/tests/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -37,8 +38,6 @@
 
 
 def free_port() -> int:
-    import socket
-
     with socket.socket() as sock:
         sock.bind((HOST, 0))
         port: int = sock.getsockname()[1]
@@ -201,6 +200,7 @@
         repeat_share=0.9,
         repeat_slack=60.0,
         repeat_window_ms=10_000,
+        metrics=address(),
     )
 
 
--- /dev/null
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -0,0 +1,379 @@
+"""Decoding of what the platform sends, and encoding of what it gets."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpitch.fleet import (
+    Configuration,
+    Evacuation,
+    MalformedDocumentError,
+    Member,
+    OperationKind,
+    RolloutOrder,
+    RolloutPhase,
+    RolloutRecord,
+    UpstreamEntry,
+)
+from trefoilpitch.gateway import (
+    AnswerHead,
+    BadRequestError,
+    HttpRequest,
+    UpstreamCall,
+)
+from trefoilpitch.gateway._events import EventSplitter
+from trefoilpitch.gateway._peers import PeerSocket, decode_batch
+from trefoilpitch.platform._documents import PlatformDocuments
+from trefoilpitch.platform._requests import PlatformRequests
+from trefoilpitch.platform._settings import (
+    PlatformSettingsError,
+    parse_settings,
+)
+from trefoilpitch.platform.tests.fleet import config_document
+
+_SETTINGS = """
+node = "front-a-1"
+zone = "a"
+region = "r"
+ip = "10.1.0.40"
+port-range = [7340, 7355]
+unknown = "ignored"
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+directory = "10.1.0.40:8224"
+[bounds]
+grace-s = 8
+retry-ratio = 0.9
+retry-window-s = 10
+retry-slack = 52
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def test_settings_are_read() -> None:
+    found = parse_settings(_SETTINGS, "start", "9464")
+    assert found.node.failure_domain == "a"
+    assert found.node.grace_ms == 8_000
+    assert found.node.peers.port == 7_340
+    assert found.node.metrics is not None
+    assert found.node.metrics.port == 9_464
+    assert found.store.host == "10.200.1.7"
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("x = ", "not TOML"),
+        (_SETTINGS.replace('node = "front-a-1"', ""), "node is missing"),
+        (_SETTINGS.replace("10.1.0.40:8220", "nowhere"), "does not fit"),
+        (_SETTINGS.replace("grace-s = 8", 'grace-s = "x"'), "does not fit"),
+    ],
+)
+def test_wrong_settings_are_named(text: str, message: str) -> None:
+    with pytest.raises(PlatformSettingsError, match=message):
+        parse_settings(text, "start")
+
+
+def _decode(key: str, value: object) -> object:
+    return PlatformDocuments().decode(key, json.dumps(value).encode())
+
+
+def test_configuration_is_decoded() -> None:
+    found = _decode("op/config", config_document(7))
+    assert isinstance(found, Configuration)
+    assert found.version == 7
+    stream = found.match("api.example", "/stream/x")
+    assert stream is not None
+    assert stream.kind is OperationKind.STREAM
+    assert stream.repeatable
+    assert stream.model_tiers == ("small", "large")
+    costs = found.services["model-service"].model_costs
+    assert costs == (("small", 0.02), ("large", 0.2))
+    assert found.limits.max_body_bytes == 10_000
+
+
+def test_traffic_split_names_several_services() -> None:
+    document = config_document()
+    document["routes"][0]["traffic-split"] = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    found = _decode("op/config", document)
+    assert isinstance(found, Configuration)
+    shares = [(s.service, s.weight) for s in found.routes[0].services]
+    assert shares == [("a", 90), ("b", 10)]
+
+
+_SERVER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-left-ms": 1500.0,
+    "born": 1_700_000_000_000,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+}
+
+
+def test_upstream_entry_is_decoded() -> None:
+    found = _decode("servers/i-1", _SERVER)
+    assert isinstance(found, UpstreamEntry)
+    assert found.upstream_id == "i-1"
+    assert (found.host, found.port) == ("10.0.0.1", 80)
+    assert found.cold_left_ms == 1_500
+    assert found.models == ("m",)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        {**_SERVER, "state": "asleep"},
+        {**_SERVER, "address": "nowhere"},
+        {**_SERVER, "slots": "many"},
+        {**_SERVER, "service": None},
+        [],
+        7,
+    ],
+)
+def test_unreadable_entry_is_named(value: object) -> None:
+    with pytest.raises(MalformedDocumentError):
+        _decode("servers/i-1", value)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.sampled_from(
+        ["op/config", "servers/i-1", "op/rollout/s", "trefoilpitch/member/x"]
+    ),
+    st.binary(max_size=60),
+)
+def test_any_bytes_are_decoded_or_named(key: str, value: bytes) -> None:
+    with contextlib.suppress(MalformedDocumentError):
+        PlatformDocuments().decode(key, value)
+
+
+def test_orders_are_decoded_and_other_keys_are_not_followed() -> None:
+    order = _decode(
+        "op/rollout/s", {"service": "s", "target": "v2", "duration-s": 1.5}
+    )
+    assert order == RolloutOrder(service="s", target="v2", duration_ms=1_500)
+    assert _decode("op/evacuate/a", {}) == Evacuation(failure_domain="a")
+    assert _decode("status/rollout/s", {}) is None
+
+
+@pytest.mark.parametrize(
+    ("phase", "state"),
+    [
+        (RolloutPhase.CANARY, "running"),
+        (RolloutPhase.SHIFT, "running"),
+        (RolloutPhase.COMPLETED, "completed"),
+        (RolloutPhase.ROLLED_BACK, "rolled_back"),
+    ],
+)
+def test_record_is_read_back_and_its_status_is_the_operators(
+    phase: RolloutPhase, state: str
+) -> None:
+    record = RolloutRecord(
+        service="s", target="v2", order_revision=9, phase=phase, percent=20
+    )
+    codec = PlatformDocuments()
+    own, status = codec.encode_rollout(record)
+    assert codec.decode(own.key, own.value) == record
+    assert status.key == "status/rollout/s"
+    assert json.loads(status.value)["state"] == state
+    assert json.loads(status.value)["target"] == "v2"
+
+
+def test_member_is_read_back() -> None:
+    member = Member(
+        name="vm",
+        incarnation="start",
+        caller_address="10.0.0.1:80",
+        peer_host="10.0.0.1",
+        peer_port=7_340,
+        failure_domain="a",
+    )
+    codec = PlatformDocuments()
+    write = codec.encode_member(member, 7)
+    assert write.lease_id == 7
+    assert codec.decode(write.key, write.value) == member
+
+
+def _http(**headers: str) -> HttpRequest:
+    values = {
+        "Host": "API.example:8080",
+        "X-Trefoilpitch-Request-Attempt-Id": "id",
+    }
+    values |= {name.replace("_", "-"): text for name, text in headers.items()}
+    return HttpRequest(
+        method=b"POST",
+        target=b"/a/x?q",
+        headers=tuple((n.encode(), v.encode()) for n, v in values.items()),
+        body=b"body",
+        arrived_ms=0,
+    )
+
+
+def test_request_is_decoded() -> None:
+    found = PlatformRequests().decode_request(
+        _http(
+            X_Trefoilpitch_Token_Counts="1460,80",
+            X_Trefoilpitch_Prompt_Prefix_Hash="5c:800,91:410",
+            X_Trefoilpitch_Length_Hint="33.7",
+            X_Trefoilpitch_Model="*",
+            Session="s",
+        )
+    )
+    assert (found.host, found.path) == ("api.example", "/a/x")
+    assert (found.prompt_tokens, found.max_output_tokens) == (1_460, 80)
+    assert found.expected_output_tokens == 33
+    assert [part.tokens for part in found.prefix] == [800, 410]
+    assert found.any_model
+    assert found.session == "s"
+
+
+@pytest.mark.parametrize("text", ["", "x", "1,y", ",", "1e400,2"])
+def test_unreadable_numbers_count_as_unknown(text: str) -> None:
+    found = PlatformRequests().decode_request(
+        _http(
+            X_Trefoilpitch_Token_Counts=text,
+            X_Trefoilpitch_Deadline_Ms=text,
+        )
+    )
+    assert found.prompt_tokens in (0, 1)
+
+
+def test_request_without_an_id_is_refused() -> None:
+    request = HttpRequest(
+        method=b"GET", target=b"/", headers=(), body=b"", arrived_ms=0
+    )
+    with pytest.raises(BadRequestError):
+        PlatformRequests().decode_request(request)
+
+
+def _upstream_headers(**headers: str) -> dict[str, str]:
+    codec = PlatformRequests()
+    request = codec.decode_request(_http(**headers))
+    entry = _decode("servers/i-1", _SERVER)
+    assert isinstance(entry, UpstreamEntry)
+    call = UpstreamCall(
+        upstream=entry,
+        remaining_ms=700,
+        workspace="w",
+        model="m2",
+        priority=12,
+        last_event_id=4,
+    )
+    return {
+        name.decode().lower(): value.decode()
+        for name, value in codec.encode_call(request, call)
+    }
+
+
+def test_upstream_sees_the_routers_headers_only_once() -> None:
+    found = _upstream_headers(
+        Api_Key="secret",
+        X_Trefoilpitch_Tenant="forged",
+        X_Trefoilpitch_Deadline_Ms="99999",
+        X_Trefoilpitch_Model="*",
+        Last_Event_Id="1",
+        Kv_From="10.0.0.1:1/x",
+        Kv_Fetch="10.0.0.1:1",
+        X_Trefoilpitch_Pin_Ms="9",
+        X_Trefoilpitch_Kv_Backup="10.0.0.1:1",
+        X_Trefoilpitch_Expect_Version="v9",
+    )
+    assert found["x-trefoilpitch-tenant"] == "w"
+    assert found["x-trefoilpitch-deadline-ms"] == "700"
+    assert found["x-trefoilpitch-model"] == "m2"
+    assert found["x-trefoilpitch-request-priority"] == "9"
+    assert found["last-event-id"] == "4"
+    assert found["content-length"] == "4"
+    assert not {
+        "api-key",
+        "kv-from",
+        "kv-fetch",
+        "x-trefoilpitch-pin-ms",
+        "x-trefoilpitch-kv-backup",
+        "x-trefoilpitch-expect-version",
+    } & set(found)
+
+
+def test_connection_header_can_not_hide_the_request_id() -> None:
+    found = _upstream_headers(
+        Connection="close, X-Trefoilpitch-Request-Attempt-Id, X-Mine",
+        X_Mine="1",
+    )
+    assert found["x-trefoilpitch-request-attempt-id"] == "id"
+    assert "x-mine" not in found
+    assert "connection" not in found
+
+
+@pytest.mark.parametrize(
+    ("headers", "matches"),
+    [
+        ({"x-trefoilpitch-request-attempt-id": "id"}, True),
+        ({"x-trefoilpitch-request-attempt-id": "other"}, False),
+        ({"x-trefoilpitch-response-seal": "seal"}, False),
+        ({"x-trefoilpitch-not-executed": "1"}, True),
+    ],
+)
+def test_answers_of_other_requests_are_told_apart(
+    headers: dict[str, str], matches: bool
+) -> None:
+    codec = PlatformRequests()
+    head = AnswerHead(
+        status=200,
+        headers=tuple((n.encode(), v.encode()) for n, v in headers.items()),
+    )
+    answer = codec.decode_answer(codec.decode_request(_http()), head)
+    assert answer.matches is matches
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.lists(st.sampled_from(["a", "\n", "\r\n", "id: 7", "data: x", ":"])),
+    st.integers(min_value=1, max_value=5),
+)
+def test_events_do_not_depend_on_where_the_bytes_are_cut(
+    pieces: list[str], step: int
+) -> None:
+    data = "".join(pieces).encode() + b"\n\n"
+    whole = EventSplitter()
+    expected = b"".join(event.data for event in whole.feed(data))
+    cut = EventSplitter()
+    found = [
+        event.data
+        for start in range(0, len(data), step)
+        for event in cut.feed(data[start : start + step])
+    ]
+    assert b"".join(found) + cut._buffer == data
+    assert expected + whole._buffer == data
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=80))
+def test_any_datagram_is_survived(data: bytes) -> None:
+    seen: list[object] = []
+    PeerSocket(seen.append).datagram_received(data, ("10.0.0.1", 1))
+    assert not seen
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.binary(max_size=80))
+def test_any_peer_answer_is_survived(data: bytes) -> None:
+    import msgspec
+
+    with contextlib.suppress(msgspec.DecodeError):
+        decode_batch(data)
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -462,6 +462,25 @@
     run(scenario)
 
 
+def test_counters_and_state_are_served_without_keys() -> None:
+    async def scenario() -> None:
+        async with fleet() as world:
+            assert world.settings is not None
+            assert world.settings.metrics is not None
+            port = world.settings.metrics.port
+            await world.ask("/plain/x")
+            _, metrics = await _get(port, "/metrics")
+            assert b'requests_total{outcome="delivered"} 1' in metrics
+            assert b"trefoilpitch_request_seconds" in metrics
+            _, state = await _get(port, "/state")
+            assert b'"plain-0"' in state
+            assert b"key-a" not in state
+            status, _ = await _get(port, "/other")
+            assert status == 404
+
+    run(scenario)
+
+
 def test_daemon_that_knows_no_configuration_says_so() -> None:
     async def scenario() -> None:
         async with fleet() as world:
