Let twelve daemons watch the store, and date lapses from its return

Ruled out: slower watches for all (the time in which changes have to be in force); a lapse of the upstream's entry (the store acknowledged its leaving).

Change: the first twelve in rendezvous order watch; their heartbeats, sent at once after a change, tell the others, which fetch the items from any peer that is ahead. Heartbeats are rarer in larger fleets. After an outage the first watch is short, and the grace ends 2.3 s after the return.

--- a/trefoilpitch/fleet/_view.py
+++ b/trefoilpitch/fleet/_view.py
@@ -21,10 +21,6 @@
     UpstreamEntry,
 )
 
-# How long an upstream whose entry is missing after an outage of the store is
-# still believed in; the platform has live ones back in about two seconds.
-_RETURN_GRACE_MS = 2_300
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class KnownUpstream:
@@ -116,21 +112,19 @@
         return ItemBatch(items=tuple(ordered), revision=self.revision)
 
     def load(
-        self, batch: ItemBatch, now_ms: int, *, after_outage: bool = False
+        self, batch: ItemBatch, now_ms: int, *, lapse_until_ms: int = 0
     ) -> None:
         """Takes a listing of all keys; one that it lacks has been removed.
 
         Args:
             batch: The listing.
             now_ms: The monotonic time.
-            after_outage: Whether the store was away just before. Entries of
-                upstreams may have lapsed meanwhile, so that those that are
-                missing stay believed in for a while.
+            lapse_until_ms: As for `apply`.
         """
         present = {item.key for item in batch.items}
         for key, item in list(self._items.items()):
             if key not in present and item.revision <= batch.revision:
-                self._remove(key, batch.revision, now_ms, lapsed=after_outage)
+                self._remove(key, batch.revision, now_ms, lapse_until_ms)
         self.apply(batch, now_ms, replay=True)
 
     def apply(
@@ -139,7 +133,7 @@
         now_ms: int,
         *,
         replay: bool = False,
-        after_outage: bool = False,
+        lapse_until_ms: int = 0,
     ) -> None:
         """Takes changes.
 
@@ -148,11 +142,12 @@
             now_ms: The monotonic time.
             replay: Whether the items may be older than they look, as in a
                 listing.
-            after_outage: Whether the store was away just before, so that
-                removed entries of upstreams may have lapsed meanwhile.
+            lapse_until_ms: Until when upstreams whose entries are removed
+                are still believed in, as these may have lapsed while the store
+                was away; a time in the past drops them at once.
         """
         for item in batch.items:
-            self._take(item, now_ms, replay=replay, lapsed=after_outage)
+            self._take(item, now_ms, lapse_until_ms, replay=replay)
         self.revision = max(self.revision, batch.revision)
 
     def expire(self, now_ms: int) -> None:
@@ -170,7 +165,7 @@
                 )
 
     def _take(
-        self, item: Item, now_ms: int, *, replay: bool, lapsed: bool
+        self, item: Item, now_ms: int, lapse_until_ms: int, *, replay: bool
     ) -> None:
         known = self._items.get(item.key)
         newest = max(
@@ -179,14 +174,14 @@
         if item.revision <= newest:
             return
         if item.value is None:
-            self._remove(item.key, item.revision, now_ms, lapsed=lapsed)
+            self._remove(item.key, item.revision, now_ms, lapse_until_ms)
             return
         self._items[item.key] = item
         self._removed.pop(item.key, None)
         try:
             document = self._codec.decode(item.key, item.value)
         except MalformedDocumentError as error:
-            self._forget(item.key, now_ms, lapsed=False)
+            self._forget(item.key, now_ms, lapse_until_ms=0)
             self._note(item, f"unreadable: {error}")
             return
         if document is None:
@@ -251,18 +246,18 @@
         )
 
     def _remove(
-        self, key: str, revision: int, now_ms: int, *, lapsed: bool
+        self, key: str, revision: int, now_ms: int, lapse_until_ms: int
     ) -> None:
         if self._items.pop(key, None) is None:
             return
         self._removed[key] = revision
-        self._forget(key, now_ms, lapsed=lapsed)
+        self._forget(key, now_ms, lapse_until_ms)
         self._on_change(Change(key=key, revision=revision, summary="removed"))
 
-    def _forget(self, key: str, now_ms: int, *, lapsed: bool) -> None:
+    def _forget(self, key: str, now_ms: int, lapse_until_ms: int) -> None:
         match self._documents.pop(key, None):
             case UpstreamEntry() as entry:
-                self._forget_upstream(entry, now_ms, lapsed=lapsed)
+                self._forget_upstream(entry, now_ms, lapse_until_ms)
             case Evacuation() as evacuation:
                 self.evacuated.discard(evacuation.failure_domain)
             case RolloutOrder() as order:
@@ -274,14 +269,14 @@
                 pass
 
     def _forget_upstream(
-        self, entry: UpstreamEntry, now_ms: int, *, lapsed: bool
+        self, entry: UpstreamEntry, now_ms: int, lapse_until_ms: int
     ) -> None:
         known = self.upstreams.get(entry.upstream_id)
         if known is None:
             return
-        if lapsed:
+        if now_ms < lapse_until_ms:
             self.upstreams[entry.upstream_id] = dataclasses.replace(
-                known, missing_until_ms=now_ms + _RETURN_GRACE_MS
+                known, missing_until_ms=lapse_until_ms
             )
             return
         del self.upstreams[entry.upstream_id]
--- a/trefoilpitch/gateway/_exceptions.py
+++ b/trefoilpitch/gateway/_exceptions.py
@@ -27,6 +27,10 @@
     """The caller has closed its connection."""
 
 
+class PeerAnswerError(GatewayError):
+    """Another daemon's answer can't be read."""
+
+
 class BadRequestError(GatewayError):
     """A caller's request can't be read.
 
--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -16,9 +16,11 @@
 )
 from trefoilpitch.gateway._log import log_event
 
-# A watch waits this long for changes: each call has a price, and a connection
-# that has fallen silent is noticed by its keep-alive probes and by peers.
-_WATCH_MS = 15_000
+# A watch waits this long for changes. Its answer, also an empty one, shows that
+# the view is the newest; a silent connection is noticed soon after.
+_WATCH_MS = 4_000
+# How often a daemon that does not watch asks whether it should.
+_IDLE_MS = 200
 # Changes come in bursts; a short pause takes a burst with one call, and is
 # small against the seconds in which a change has to be in force.
 _GATHER_MS = 100
@@ -26,14 +28,17 @@
 # arrive in time once the store answers again, and doubled while it does not.
 _MIN_BACKOFF_MS = 150
 _MAX_BACKOFF_MS = 1_000
-# Entries that lapsed in an outage are back within two seconds of its end;
-# removals that arrive in this time may be such lapses.
-_AFTER_OUTAGE_MS = 2_000
+# Entries that lapsed in an outage are back within two seconds of its end; until
+# then a removal may be such a lapse.
+_RETURN_GRACE_MS = 2_300
 # An outage has to last this long for entries to lapse in it: upstreams are
 # given up after three heartbeats of silence.
 _LAPSE_MS = 2_000
-# A view is believed to be the newest for this long after a sign from the store.
-_CURRENT_FOR_MS = 2_500
+# A view is believed to be the newest for this long after a sign of it: longer
+# than a watch without changes.
+_CURRENT_FOR_MS = 4_800
+# The first call after an outage answers soon, to show that it has ended.
+_FIRST_WATCH_MS = 50
 _MS_PER_S = 1_000
 
 
@@ -45,6 +50,7 @@
         view: What is kept up to date.
         clock: Monotonic time.
         rng: Spreads the repeats of several daemons.
+        should_watch: Whether this daemon watches; else peers bring changes.
         on_change: Called after each batch.
     """
 
@@ -54,30 +60,33 @@
         view: FleetView,
         clock: Clock,
         rng: random.Random,
+        *,
+        should_watch: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._store = store
         self._view = view
         self._clock = clock
         self._rng = rng
+        self._should_watch = should_watch
         self._on_change = on_change
         self._loaded = False
         self._away_since_ms: int | None = None
-        self._returned_ms = -_AFTER_OUTAGE_MS
+        self._lapse_until_ms = 0
         self._confirmed_ms = -_CURRENT_FOR_MS
 
     @property
-    def connected(self) -> bool:
-        """Whether the store answered the last call."""
+    def store_answers(self) -> bool:
+        """Whether the store answered the last call of this follower."""
         return self._loaded and self._away_since_ms is None
 
     def is_current(self) -> bool:
         """Whether no newer configuration can have been missed."""
         age_ms = self._clock.now_ms() - self._confirmed_ms
-        return self.connected and age_ms < _CURRENT_FOR_MS
+        return self._loaded and age_ms < _CURRENT_FOR_MS
 
     def confirm(self) -> None:
-        """Notes that the store has just answered."""
+        """Notes that the view has just been seen to be the newest."""
         self._confirmed_ms = self._clock.now_ms()
 
     def take_from_peer(self, batch: ItemBatch, peer: str) -> None:
@@ -92,12 +101,16 @@
             revision=self._view.revision,
             items=len(batch.items),
         )
-        self._on_change()
+        if batch.items:
+            self._on_change()
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
         backoff_ms = _MIN_BACKOFF_MS
         while True:
+            if self._loaded and not self._should_watch():
+                await asyncio.sleep(_IDLE_MS / _MS_PER_S)
+                continue
             try:
                 await self._step()
                 backoff_ms = _MIN_BACKOFF_MS
@@ -112,26 +125,27 @@
 
     async def _step(self) -> None:
         if self._loaded:
-            batch = await self._store.watch(self._view.revision, _WATCH_MS)
+            wait_ms = _WATCH_MS if self.store_answers else _FIRST_WATCH_MS
+            batch = await self._store.watch(self._view.revision, wait_ms)
             self._note_back()
-            now_ms = self._clock.now_ms()
             self._view.apply(
-                batch, now_ms, after_outage=self._may_have_lapsed(now_ms)
+                batch,
+                self._clock.now_ms(),
+                lapse_until_ms=self._lapse_until_ms,
             )
         else:
             batch = await self._store.read_all()
             self._note_back()
-            now_ms = self._clock.now_ms()
             self._view.load(
-                batch, now_ms, after_outage=self._may_have_lapsed(now_ms)
+                batch,
+                self._clock.now_ms(),
+                lapse_until_ms=self._lapse_until_ms,
             )
             self._loaded = True
         self.confirm()
-        self._on_change()
-        await asyncio.sleep(_GATHER_MS / _MS_PER_S)
-
-    def _may_have_lapsed(self, now_ms: int) -> bool:
-        return now_ms - self._returned_ms < _AFTER_OUTAGE_MS
+        if batch.items:
+            self._on_change()
+            await asyncio.sleep(_GATHER_MS / _MS_PER_S)
 
     def _note_away(self, reason: str) -> None:
         if self._away_since_ms is None:
@@ -145,7 +159,7 @@
         away_ms = now_ms - self._away_since_ms
         self._away_since_ms = None
         if away_ms >= _LAPSE_MS:
-            self._returned_ms = now_ms
+            self._lapse_until_ms = now_ms + _RETURN_GRACE_MS
         log_event(
             "store_regained", revision=self._view.revision, away_ms=away_ms
         )
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -9,8 +9,6 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
-import msgspec
-
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import (
     Change,
@@ -22,7 +20,10 @@
 )
 from trefoilpitch.gateway._decider import RolloutDecider
 from trefoilpitch.gateway._dispatcher import Dispatcher
-from trefoilpitch.gateway._exceptions import ExchangeError
+from trefoilpitch.gateway._exceptions import (
+    ExchangeError,
+    PeerAnswerError,
+)
 from trefoilpitch.gateway._flow import FlowServices, RequestFlow
 from trefoilpitch.gateway._follower import StoreFollower, every
 from trefoilpitch.gateway._health import PaceBook
@@ -43,18 +44,21 @@
     PeerTable,
     decode_batch,
     encode_batch,
+    heartbeat_interval_ms,
+    watches_store,
 )
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
 
-_HEARTBEAT_MS = 400
-_LEASE_RENEWAL_MS = 2_000
+_LEASE_RENEWAL_MS = 8_000
 _DECIDE_MS = 200
 # A peer whose revision is ahead for this long has news that this daemon's own
 # watch did not bring.
 _BEHIND_MS = 250
+# Over which the daemons that do not watch spread their calls to peers.
+_SPREAD_MS = 150
 _PEER_TIMEOUT_MS = 800
 _MAX_PEER_BYTES = 16 * 1024 * 1024
 # Shares of the fleet's budget of repeats that are used; the rest is left for
@@ -154,12 +158,18 @@
         self._leaving_since_ms: int | None = None
         self._left = asyncio.Event()
         self._sequence = 0
-        self._ahead_since_ms: int | None = None
+        self._behind = asyncio.Event()
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self._view = FleetView(documents, self._log_change)
         self._peers = PeerTable(settings.name)
+        self._rng = rng
         self._follower = StoreFollower(
-            store, self._view, clock, rng, self._after_change
+            store,
+            self._view,
+            clock,
+            rng,
+            should_watch=self._should_watch,
+            on_change=self._after_change,
         )
         member = Member(
             name=settings.name,
@@ -169,9 +179,7 @@
             peer_port=settings.peers.port,
             failure_domain=settings.failure_domain,
         )
-        self._registration = Registration(
-            store, documents, member, self._follower.confirm
-        )
+        self._registration = Registration(store, documents, member)
         dispatcher = Dispatcher(
             self._view,
             clock,
@@ -278,9 +286,9 @@
         jobs: list[Coroutine[Any, Any, None]] = [
             self._follower.run(),
             every(_LEASE_RENEWAL_MS, self._registration.renew),
-            every(_HEARTBEAT_MS, self._beat),
+            self._beat_forever(),
             every(_DECIDE_MS, self._decider.decide),
-            every(_DECIDE_MS, self._catch_up),
+            every(0, self._catch_up),
             self._finish_leaving(),
         ]
         async with asyncio.TaskGroup() as group:
@@ -339,6 +347,9 @@
     def _after_change(self) -> None:
         self._view.expire(self._clock.now_ms())
         self._dispatcher.forget_gone()
+        if self._should_watch():
+            # The others learn of the change by the revision.
+            self._send_heartbeat()
 
     def _log_change(self, change: Change) -> None:
         log_event(
@@ -348,11 +359,22 @@
             summary=change.summary,
         )
 
-    async def _beat(self) -> None:
-        now_ms = self._clock.now_ms()
-        self._peers.expire(now_ms)
-        self._view.expire(now_ms)
-        self._send_heartbeat()
+    async def _beat_forever(self) -> None:
+        while True:
+            now_ms = self._clock.now_ms()
+            self._peers.expire(now_ms)
+            self._view.expire(now_ms)
+            self._send_heartbeat()
+            interval_ms = heartbeat_interval_ms(len(self._view.members))
+            await asyncio.sleep(interval_ms / _MS_PER_S)
+
+    def _should_watch(self) -> bool:
+        reachable = [
+            name
+            for name, peer in self._peers.alive().items()
+            if peer.heartbeat.store_answers and peer.heartbeat.ready
+        ]
+        return watches_store(self._settings.name, reachable)
 
     def _send_heartbeat(self) -> None:
         self._sequence += 1
@@ -361,6 +383,8 @@
             incarnation=self._settings.incarnation,
             sequence=self._sequence,
             revision=self._view.revision,
+            current=self._follower.is_current(),
+            store_answers=self._follower.store_answers,
             ready=self.ready,
             versions=self._decider.own_counts(),
         )
@@ -373,28 +397,29 @@
 
     def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
+        if heartbeat.current and heartbeat.revision <= self._view.revision:
+            self._follower.confirm()
+        if heartbeat.revision > self._view.revision:
+            self._behind.set()
 
     async def _catch_up(self) -> None:
-        """Asks a peer for changes that this daemon's watch did not bring."""
+        """Asks a peer for changes that no watch of this daemon's brings."""
+        await self._behind.wait()
+        self._behind.clear()
+        # A watching daemon's own watch mostly brings them first; the others
+        # spread their calls over the peers and over time.
+        pause_ms: float = _BEHIND_MS
+        if not self._should_watch():
+            pause_ms = _SPREAD_MS * self._rng.random()
+        await asyncio.sleep(pause_ms / _MS_PER_S)
         ahead = [
             name
             for name, peer in self._peers.alive().items()
             if peer.heartbeat.revision > self._view.revision
+            and name in self._view.members
         ]
-        now_ms = self._clock.now_ms()
-        if not ahead:
-            self._ahead_since_ms = None
-            return
-        if self._ahead_since_ms is None:
-            self._ahead_since_ms = now_ms
-        if now_ms - self._ahead_since_ms < _BEHIND_MS:
-            return
-        name = max(
-            ahead, key=lambda n: self._peers.alive()[n].heartbeat.revision
-        )
-        member = self._view.members.get(name)
-        if member is not None:
-            await self._fetch_from(member)
+        if ahead:
+            await self._fetch_from(self._view.members[self._rng.choice(ahead)])
 
     async def _fetch_from(self, member: Member) -> None:
         target = f"{_ITEMS_PATH}{self._view.revision}".encode()
@@ -409,7 +434,7 @@
                     _PEER_TIMEOUT_MS, _MAX_PEER_BYTES
                 )
             batch = decode_batch(body)
-        except (ExchangeError, msgspec.DecodeError) as error:
+        except (ExchangeError, PeerAnswerError) as error:
             log_event("peer_fetch_failed", peer=member.name, reason=str(error))
             return
         self._follower.take_from_peer(batch, member.name)
@@ -432,7 +457,7 @@
         configuration = self._view.configuration
         gauges = {
             "ready": int(self.ready),
-            "store_connected": int(self._follower.connected),
+            "store_answers": int(self._follower.store_answers),
             "configuration_version": configuration.version
             if configuration
             else 0,
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -9,17 +9,32 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Mapping
+import zlib
+from collections.abc import Callable, Collection, Mapping
 from typing import cast
 
 import msgspec
 
 from trefoilpitch.fleet import Item, ItemBatch, Member
+from trefoilpitch.gateway._exceptions import PeerAnswerError
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._rollouts import VersionEvidence
-
-# A daemon that was not heard for this long is taken for dead.
-SILENCE_MS = 2_500
+from trefoilpitch.rendezvous import rank
+
+# Heartbeats go from all to all; a larger fleet sends them more rarely, so that
+# each daemon's work stays the same, and is given more time before it is taken
+# for dead.
+_INTERVAL_MS_PER_MEMBER = 20
+_MIN_INTERVAL_MS = 400
+_MAX_INTERVAL_MS = 1_600
+_MISSED_HEARTBEATS = 3
+_MIN_SILENCE_MS = 2_500
+# Daemons that watch the store; the others learn from them. Enough that some
+# are left when half of the fleet ends at once.
+_WATCHERS = 12
+# Configurations shrink to a tenth at the fastest level.
+_COMPRESSION_LEVEL = 1
+_MAX_BATCH_BYTES = 64 * 1024 * 1024
 # Larger datagrams may be cut up on the way.
 _MAX_DATAGRAM_BYTES = 1_200
 
@@ -46,6 +61,10 @@
     sequence: int
     # Revision of its copy of the shared state.
     revision: int
+    # Whether that was the store's newest a moment ago.
+    current: bool
+    # Whether the store answers it.
+    store_answers: bool
     # Whether callers may connect to it.
     ready: bool
     versions: tuple[VersionCount, ...]
@@ -67,23 +86,31 @@
 
 
 def encode_batch(batch: ItemBatch) -> bytes:
-    """Encodes items for a peer."""
+    """Encodes items for a peer, compressed: links may be narrow."""
     items = tuple(
         WireItem(key=item.key, value=item.value, revision=item.revision)
         for item in batch.items
     )
-    return msgspec.msgpack.encode(
+    encoded = msgspec.msgpack.encode(
         WireBatch(items=items, revision=batch.revision)
     )
+    return zlib.compress(encoded, _COMPRESSION_LEVEL)
 
 
 def decode_batch(data: bytes) -> ItemBatch:
     """Decodes a peer's items.
 
     Raises:
-        msgspec.DecodeError: If the bytes are something else.
+        PeerAnswerError: If the bytes are something else, or too many.
     """
-    batch = msgspec.msgpack.decode(data, type=WireBatch)
+    decompressor = zlib.decompressobj()
+    try:
+        encoded = decompressor.decompress(data, _MAX_BATCH_BYTES)
+        if not decompressor.eof:
+            raise PeerAnswerError("the batch is cut off or too large")
+        batch = msgspec.msgpack.decode(encoded, type=WireBatch)
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise PeerAnswerError(str(error)) from error
     items = tuple(
         Item(key=item.key, value=item.value, revision=item.revision)
         for item in batch.items
@@ -101,6 +128,32 @@
     heard_ms: int
 
 
+def heartbeat_interval_ms(members: int) -> int:
+    """Returns the pause between two heartbeats of a daemon."""
+    interval_ms = _INTERVAL_MS_PER_MEMBER * members
+    return min(_MAX_INTERVAL_MS, max(_MIN_INTERVAL_MS, interval_ms))
+
+
+def silence_ms(members: int) -> int:
+    """Returns after which silence a daemon is taken for dead."""
+    missed_ms = _MISSED_HEARTBEATS * heartbeat_interval_ms(members)
+    return max(_MIN_SILENCE_MS, missed_ms)
+
+
+def watches_store(own_name: str, reachable: Collection[str]) -> bool:
+    """Decides whether a daemon watches the store itself.
+
+    Load pattern: each change wakes every watch, and each watch is a call of
+    the store whose rate grows more slowly than the fleet.
+
+    Args:
+        own_name: The daemon.
+        reachable: The others that are alive and that the store answers.
+    """
+    names = {own_name, *reachable}
+    return own_name in rank("watchers", names)[:_WATCHERS]
+
+
 class PeerTable:
     """The daemons that were heard of late.
 
@@ -129,8 +182,9 @@
 
     def expire(self, now_ms: int) -> None:
         """Drops the daemons that have fallen silent."""
+        limit_ms = silence_ms(len(self._peers) + 1)
         for name, peer in list(self._peers.items()):
-            if now_ms - peer.heard_ms > SILENCE_MS:
+            if now_ms - peer.heard_ms > limit_ms:
                 del self._peers[name]
                 self._log(name, "silent", peer.heartbeat.incarnation)
 
--- a/trefoilpitch/gateway/_registration.py
+++ b/trefoilpitch/gateway/_registration.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from trefoilpitch.fleet import (
     NO_LEASE,
     DocumentCodec,
@@ -14,9 +12,9 @@
 )
 from trefoilpitch.gateway._log import log_event
 
-# Long against an outage's first seconds: heartbeats, not the lease, tell who
-# is alive.
-_LEASE_MS = 10_000
+# Heartbeats, not the lease, tell who is alive; the lease only clears away the
+# entries of VMs that are gone.
+_LEASE_MS = 30_000
 
 
 class Registration:
@@ -26,7 +24,6 @@
         store: The store.
         codec: Encodes the entry.
         member: The entry.
-        on_contact: Called when the store has answered.
     """
 
     def __init__(
@@ -34,12 +31,10 @@
         store: FleetStore,
         codec: DocumentCodec,
         member: Member,
-        on_contact: Callable[[], None],
     ) -> None:
         self._store = store
         self._codec = codec
         self._member = member
-        self._on_contact = on_contact
         self._lease_id = NO_LEASE
 
     async def renew(self) -> None:
@@ -49,7 +44,6 @@
                 await self._store.keep_lease(self._lease_id)
             else:
                 await self._register()
-            self._on_contact()
         except LeaseLostError:
             log_event("lease_lost", lease=self._lease_id)
             self._lease_id = NO_LEASE
--- /dev/null
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -0,0 +1,160 @@
+"""Following the store through its outages."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.fleet import (
+    FleetView,
+    HistoryLostError,
+    Item,
+    ItemBatch,
+    StoreUnavailableError,
+)
+from trefoilpitch.fleet.tests.fakes import TableCodec, upstream
+from trefoilpitch.gateway._follower import StoreFollower
+from trefoilpitch.gateway._peers import (
+    heartbeat_interval_ms,
+    silence_ms,
+    watches_store,
+)
+
+
+class _Store:
+    """Answers one scripted step a call; ends the follower after the last."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self.listing = ItemBatch(items=(), revision=0)
+        self.steps: list[tuple[int, ItemBatch | Exception]] = []
+        self.calls: list[tuple[str, int]] = []
+
+    async def read_all(self) -> ItemBatch:
+        self.calls.append(("list", 0))
+        return self.listing
+
+    async def watch(self, after: int, wait_ms: int) -> ItemBatch:
+        self.calls.append(("watch", wait_ms))
+        if not self.steps:
+            raise asyncio.CancelledError
+        elapsed_ms, result = self.steps.pop(0)
+        self._clock.advance(elapsed_ms)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+class _World:
+    def __init__(self) -> None:
+        self.clock = ManualClock(100_000)
+        self.codec = TableCodec()
+        self.view = FleetView(self.codec, lambda change: None)
+        self.store = _Store(self.clock)
+        self.watching = True
+        self.follower = StoreFollower(
+            self.store,  # type: ignore[arg-type]
+            self.view,
+            self.clock,
+            random.Random(1),
+            should_watch=lambda: self.watching,
+            on_change=lambda: None,
+        )
+        item = self.codec.item("u", upstream(), 1)
+        self.store.listing = ItemBatch(items=(item,), revision=1)
+
+    def follow(self) -> None:
+        with pytest.raises(asyncio.CancelledError):
+            asyncio.run(self.follower.run())
+
+
+_REMOVAL = ItemBatch(items=(Item(key="u", value=None, revision=9),), revision=9)
+_NOTHING = ItemBatch(items=(), revision=1)
+_AWAY = StoreUnavailableError("down")
+
+
+def test_entries_are_listed_once_and_then_watched() -> None:
+    world = _World()
+    world.store.steps = [(10, _NOTHING), (10, _NOTHING)]
+    world.follow()
+    names = [name for name, _ in world.store.calls]
+    assert names == ["list", "watch", "watch", "watch"]
+    assert set(world.view.upstreams) == {"u"}
+
+
+def test_lost_history_is_listed_anew() -> None:
+    world = _World()
+    world.store.steps = [(10, HistoryLostError()), (10, _NOTHING)]
+    world.follow()
+    names = [name for name, _ in world.store.calls]
+    assert names == ["list", "watch", "list", "watch", "watch"]
+
+
+def test_removal_right_after_a_long_outage_may_be_a_lapse() -> None:
+    world = _World()
+    world.store.steps = [(10, _AWAY), (5_000, _NOTHING), (100, _REMOVAL)]
+    world.follow()
+    assert "u" in world.view.upstreams
+    world.view.expire(world.clock.now_ms() + 2_300)
+    assert world.view.upstreams == {}
+
+
+def test_removal_after_a_short_outage_is_none() -> None:
+    """Entries lapse after three missed heartbeats, not in a blink."""
+    world = _World()
+    world.store.steps = [(10, _AWAY), (500, _REMOVAL)]
+    world.follow()
+    assert world.view.upstreams == {}
+
+
+def test_removal_some_seconds_after_an_outage_is_none() -> None:
+    """A daemon alone was turned away; a scale-in follows its return."""
+    world = _World()
+    world.store.steps = [(10, _AWAY), (9_000, _NOTHING), (3_400, _REMOVAL)]
+    world.follow()
+    assert world.view.upstreams == {}
+
+
+def test_first_watch_after_an_outage_answers_soon() -> None:
+    world = _World()
+    world.store.steps = [(10, _AWAY), (10, _NOTHING)]
+    world.follow()
+    waits = [wait_ms for name, wait_ms in world.store.calls if name == "watch"]
+    assert waits[1] < 100 < waits[0]
+    assert waits[2] == waits[0]
+
+
+def test_view_counts_as_current_only_for_a_while() -> None:
+    world = _World()
+    assert not world.follower.is_current()
+    world.follow()
+    assert world.follower.is_current()
+    world.clock.advance(10_000)
+    assert not world.follower.is_current()
+    world.follower.confirm()
+    assert world.follower.is_current()
+
+
+@pytest.mark.parametrize("members", [1, 6, 9, 12, 79, 387])
+def test_some_daemons_watch_and_all_of_a_small_fleet(members: int) -> None:
+    names = {f"vm-{number}" for number in range(members)}
+    watchers = {name for name in names if watches_store(name, names - {name})}
+    assert len(watchers) == min(members, 12)
+
+
+def test_others_watch_when_the_watchers_are_gone() -> None:
+    names = {f"vm-{number}" for number in range(79)}
+    first = {name for name in names if watches_store(name, names - {name})}
+    left = names - first
+    second = {name for name in left if watches_store(name, left - {name})}
+    assert len(second) == 12
+
+
+@pytest.mark.parametrize("members", [1, 6, 9, 79, 387])
+def test_silence_is_longer_than_three_heartbeats(members: int) -> None:
+    assert silence_ms(members) >= 3 * heartbeat_interval_ms(members)
+    # The directory has to forget a dead daemon within this time at least.
+    assert silence_ms(members) < 6_000
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -27,6 +27,7 @@
     UpstreamCall,
 )
 from trefoilpitch.gateway._events import EventSplitter
+from trefoilpitch.gateway._exceptions import PeerAnswerError
 from trefoilpitch.gateway._peers import PeerSocket, decode_batch
 from trefoilpitch.platform._documents import PlatformDocuments
 from trefoilpitch.platform._requests import PlatformRequests
@@ -373,7 +374,5 @@
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(st.binary(max_size=80))
 def test_any_peer_answer_is_survived(data: bytes) -> None:
-    import msgspec
-
-    with contextlib.suppress(msgspec.DecodeError):
+    with contextlib.suppress(PeerAnswerError):
         decode_batch(data)
