Count the other daemons' requests at each upstream

Ruled out: decoding that slows with the model (the quickest events take 21 ms on both); only prompts take longer on the large one.

Change: heartbeats carry each daemon's requests in progress by upstream; the load is the larger of that sum and a report under 0.4 s old.

A test that took a port which a connection then got was mended: ports come from below the kernel's range.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import (
@@ -49,6 +49,7 @@
         own_name: This VM.
         failure_domain: Where it runs.
         members: Names of the daemons that may be running.
+        peers_in_flight: The other daemons' requests by upstream.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         own_name: str,
         failure_domain: str,
         members: Callable[[], Collection[str]],
+        peers_in_flight: Callable[[], Mapping[str, int]],
     ) -> None:
         self._view = view
         self._clock = clock
@@ -67,6 +69,7 @@
         self._own_name = own_name
         self._failure_domain = failure_domain
         self._members = members
+        self._peers_in_flight = peers_in_flight
         self._cold = ColdShare()
         self._health: dict[str, UpstreamHealth] = {}
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
@@ -81,6 +84,19 @@
         """Returns what is known of an upstream."""
         return self._health.setdefault(upstream_id, UpstreamHealth())
 
+    def load(self, upstream_id: str) -> int:
+        """Estimates the requests of all daemons at an upstream."""
+        others = max(0, self._peers_in_flight().get(upstream_id, 0))
+        return self.health(upstream_id).load(self._clock.now_ms(), others)
+
+    def own_in_flight(self) -> tuple[tuple[str, int], ...]:
+        """Returns this daemon's requests in progress by upstream."""
+        return tuple(
+            (upstream_id, health.in_flight)
+            for upstream_id, health in self._health.items()
+            if health.in_flight
+        )
+
     def forget_gone(self) -> None:
         """Drops what is known of upstreams that are gone and idle."""
         for upstream_id, health in list(self._health.items()):
@@ -102,9 +118,8 @@
         Returns:
             Their loads in relation to those that double the delay.
         """
-        now_ms = self._clock.now_ms()
         levels = [
-            crowding(self.health(upstream_id).load(now_ms), known.entry.slots)
+            crowding(self.load(upstream_id), known.entry.slots)
             for upstream_id, known in self._view.upstreams.items()
             if known.entry.service == service
         ]
@@ -228,7 +243,7 @@
         for known in group:
             entry = known.entry
             health = self.health(entry.upstream_id)
-            load = health.load(now_ms)
+            load = self.load(entry.upstream_id)
             if health.is_ejected(now_ms) or load >= _FULL_LOAD * entry.slots:
                 continue
             if self._is_cold(known, now_ms) and not self._cold_room(
--- a/trefoilpitch/gateway/_flow.py
+++ b/trefoilpitch/gateway/_flow.py
@@ -511,9 +511,10 @@
         pace = services.pace.ratio(self._work, latency_ms)
         health = services.dispatcher.health(entry.upstream_id)
         health.record_success(pace, now_ms)
+        load = services.dispatcher.load(entry.upstream_id)
         self._trail.append(
             f"{entry.upstream_id} {self._model or '-'} {latency_ms} ms"
-            f" load {health.load(now_ms)} confidence {answer.confidence}"
+            f" load {load} confidence {answer.confidence}"
         )
         bad = pace is not None and pace >= _SLOW_PACE
         services.dispatcher.record_evidence(entry, bad=bad)
--- a/trefoilpitch/gateway/_health.py
+++ b/trefoilpitch/gateway/_health.py
@@ -16,7 +16,7 @@
 _EJECT_MIN_MS = 1_000
 _EJECT_MAX_MS = 6_000
 # Age from which a reported load says nothing any more.
-_REPORT_EXPIRY_MS = 1_000
+_REPORT_EXPIRY_MS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,17 +55,23 @@
     # For how long it was last left alone.
     ejection_ms: int = 0
 
-    def load(self, now_ms: int) -> int:
+    def load(self, now_ms: int, peers_in_flight: int = 0) -> int:
         """Estimates the requests at the upstream.
 
         A report counts the requests of every daemon but is old when it
-        arrives; the change of this daemon's own requests since is added.
+        arrives; the change of this daemon's own requests since is added. The
+        peers' last heartbeats are the other estimate; the larger one counts.
+
+        Args:
+            now_ms: The monotonic time.
+            peers_in_flight: Requests of the other daemons that it works on.
         """
+        known = self.in_flight + peers_in_flight
         report = self.report
         if report is None or now_ms - self.report_ms > _REPORT_EXPIRY_MS:
-            return self.in_flight
+            return known
         change = self.in_flight - self.in_flight_at_report
-        return max(self.in_flight, report.running + report.waiting + change)
+        return max(known, report.running + report.waiting + change)
 
     def failure_share(self, now_ms: int) -> float:
         """Returns the share of recent requests that failed."""
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -196,6 +196,7 @@
             own_name=settings.name,
             failure_domain=settings.failure_domain,
             members=self._member_names,
+            peers_in_flight=self._peers.in_flight,
         )
         self._dispatcher = dispatcher
         self._decider = RolloutDecider(
@@ -399,6 +400,7 @@
             store_answers=self._follower.store_answers,
             ready=self.ready,
             versions=self._decider.own_counts(),
+            in_flight=self._dispatcher.own_in_flight(),
         )
         others = [
             member
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import zlib
+from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 from typing import cast
 
@@ -68,6 +69,8 @@
     # Whether callers may connect to it.
     ready: bool
     versions: tuple[VersionCount, ...]
+    # Upstreams with requests of this daemon in progress, and how many.
+    in_flight: tuple[tuple[str, int], ...] = ()
 
 
 class WireItem(msgspec.Struct, frozen=True, array_like=True):
@@ -164,6 +167,7 @@
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
         self._peers: dict[str, Peer] = {}
+        self._in_flight: Counter[str] = Counter()
 
     def record(self, heartbeat: Heartbeat, now_ms: int) -> None:
         """Takes a heartbeat; an older one of the same start is dropped."""
@@ -179,6 +183,9 @@
         else:
             self._log(heartbeat.node, "heard", heartbeat.incarnation)
         self._peers[heartbeat.node] = Peer(heartbeat=heartbeat, heard_ms=now_ms)
+        if known is not None:
+            self._in_flight.subtract(dict(known.heartbeat.in_flight))
+        self._in_flight.update(dict(heartbeat.in_flight))
 
     def expire(self, now_ms: int) -> None:
         """Drops the daemons that have fallen silent."""
@@ -186,12 +193,17 @@
         for name, peer in list(self._peers.items()):
             if now_ms - peer.heard_ms > limit_ms:
                 del self._peers[name]
+                self._in_flight.subtract(dict(peer.heartbeat.in_flight))
                 self._log(name, "silent", peer.heartbeat.incarnation)
 
     def alive(self) -> Mapping[str, Peer]:
         """Returns the daemons that were heard of late, by VM."""
         return self._peers
 
+    def in_flight(self) -> Mapping[str, int]:
+        """Sums the peers' requests in progress by upstream."""
+        return self._in_flight
+
     def evidence(
         self, service: str, order_revision: int
     ) -> tuple[dict[str, VersionEvidence], int]:
@@ -253,7 +265,7 @@
             return
         data = msgspec.msgpack.encode(heartbeat)
         if len(data) > _MAX_DATAGRAM_BYTES:
-            slim = msgspec.structs.replace(heartbeat, versions=())
+            slim = msgspec.structs.replace(heartbeat, in_flight=())
             data = msgspec.msgpack.encode(slim)
         for member in members:
             address = (member.peer_host, member.heartbeat_port)
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -72,7 +72,7 @@
         "cold_ms": max(0, known.cold_until_ms - now_ms),
         "missing": known.missing_until_ms is not None,
         "in_flight": health.in_flight,
-        "load": health.load(now_ms),
+        "load": dispatcher.load(entry.upstream_id),
         "failure_share": round(health.failure_share(now_ms), 3),
         "pace": round(health.pace, 2),
         "ejected": health.is_ejected(now_ms),
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -71,6 +71,7 @@
         self.clock = ManualClock(10_000)
         self.view = FleetView(self.codec, lambda change: None)
         self.revision = 0
+        self.peers_in_flight: dict[str, int] = {}
         names = {f"node-{number}" for number in range(members)}
         self.dispatchers = [
             Dispatcher(
@@ -80,6 +81,7 @@
                 own_name=name,
                 failure_domain="domain-a",
                 members=lambda: names,
+                peers_in_flight=lambda: self.peers_in_flight,
             )
             for number, name in enumerate(sorted(names))
         ]
@@ -276,8 +278,20 @@
     report = LoadReport(running=10, waiting=1, slots=64)
     health.record_report(report, 1_000)
     health.in_flight = 5
-    assert health.load(1_500) == 14
+    assert health.load(1_300) == 14
     assert health.load(9_000) == 5
+    assert health.load(1_300, peers_in_flight=4) == 14
+    assert health.load(1_300, peers_in_flight=20) == 25
+    assert health.load(9_000, peers_in_flight=4) == 9
+
+
+def test_requests_of_the_other_daemons_count() -> None:
+    """Too few upstreams: each daemon alone sees only its own requests."""
+    fleet = _Fleet()
+    fleet.put("busy", upstream("busy"))
+    fleet.put("idle", upstream("idle"))
+    fleet.peers_in_flight = {"busy": 12}
+    assert {fleet.chosen() for _ in range(50)} == {"idle"}
 
 
 def test_pace_book_follows_the_median() -> None:
--- a/trefoilpitch/platform/tests/fleet.py
+++ b/trefoilpitch/platform/tests/fleet.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import random
 import socket
 from collections.abc import AsyncIterator, Callable
@@ -37,11 +39,27 @@
             await asyncio.sleep(0.005)
 
 
+# Below the range from which the kernel takes ports for connections, so that
+# none of these can take a port between its choice and its use.
+_FIRST_PORT = 10_000
+_PORTS = 9_000
+_next_ports = itertools.count(os.getpid() * 37)
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Returns a port that is free for TCP and UDP."""
+    while True:
+        port = _FIRST_PORT + next(_next_ports) % _PORTS
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            try:
+                stream.bind((HOST, port))
+                datagrams.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 def config_document(version: int = 1, **fields: Any) -> dict[str, Any]:
