--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -220,18 +220,20 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                kind = FailureKind.MALFORMED_ANSWER
-                if self._h11.their_state is h11.ERROR and self._cut_off(error):
-                    kind = FailureKind.ANSWER_CUT
-                raise ExchangeError(kind, str(error)) from error
+                raise ExchangeError(self._kind(error), str(error)) from error
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return None
             if isinstance(event, h11.InformationalResponse):
                 continue
             return event
 
-    def _cut_off(self, error: h11.RemoteProtocolError) -> bool:
-        return "closed" in str(error)
+    def _kind(self, error: h11.RemoteProtocolError) -> FailureKind:
+        if not self._answered:
+            return FailureKind.CONNECTION_LOST
+        # The parser tells a body that ends early by its text only.
+        if "closed" in str(error):
+            return FailureKind.ANSWER_CUT
+        return FailureKind.MALFORMED_ANSWER
 
     def _fail(self, kind: FailureKind, detail: str) -> None:
         if self._fault is None:
--- /dev/null
+++ b/trefoilpitch/platform/tests/test_log_lines.py
@@ -0,0 +1,148 @@
+"""The log lines that docs/OPERATIONS.md relies on are written."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from trefoilpitch.clock import ManualClock
+from trefoilpitch.gateway import ExchangeError, JsonLineHandler, log_event
+from trefoilpitch.platform.tests.fleet import Fleet, eventually, fleet, send
+from trefoilpitch.standins import WorkerFault
+
+
+def _lines(
+    play: Callable[[Fleet], Any], plain: int = 1, models: int = 0
+) -> list[dict[str, Any]]:
+    """Plays against a daemon and returns what it logs."""
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    handler = JsonLineHandler(clock.now_ms, clock.wall_ms, "vm-1", writer)
+
+    async def scenario() -> None:
+        async with asyncio.timeout(60), fleet(plain, models) as world:
+            await play(world)
+
+    try:
+        with handler.applicationbound():
+            asyncio.run(scenario())
+        os.set_blocking(reader, False)
+        return [
+            json.loads(line)
+            for line in os.read(reader, 1 << 20).split(b"\n")
+            if line
+        ]
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+def _of_request(
+    lines: list[dict[str, Any]], event: str, request_id: str = "id-1"
+) -> list[dict[str, Any]]:
+    return [
+        line
+        for line in lines
+        if line["event"] == event and line.get("id") == request_id
+    ]
+
+
+def test_refused_request_names_its_reason() -> None:
+    async def play(world: Fleet) -> None:
+        await world.ask("/once/x")
+        await world.ask("/plain/x", request_id="id-2", Api_Key="unknown")
+
+    lines = _lines(play, plain=0)
+    (end,) = _of_request(lines, "request")
+    assert end["outcome"] == "gave_up_503"
+    assert end["execution"] == "not_run"
+    assert end["trail"] == ["no upstream in service"]
+    (rejected,) = _of_request(lines, "rejected", "id-2")
+    assert rejected["reason"] == "unknown_key"
+    assert rejected["configuration"] == 1
+    assert rejected["current"] is True
+    assert any(
+        line["event"] == "view" and line["key"] == "op/config" for line in lines
+    )
+
+
+def test_failed_request_names_each_try() -> None:
+    async def play(world: Fleet) -> None:
+        for worker in world.workers.values():
+            worker.faults.append(WorkerFault.LOST)
+        await world.ask("/plain/x")
+
+    lines = _lines(play, plain=2)
+    (end,) = _of_request(lines, "request")
+    assert end["outcome"] == "gave_up_502"
+    assert end["execution"] == "unknown"
+    tries = _of_request(lines, "try_failed")
+    assert len(tries) == 2
+    assert {line["upstream"] for line in tries} == {"plain-0", "plain-1"}
+    assert {line["kind"] for line in tries} == {"connection_lost"}
+
+
+def test_broken_stream_names_its_last_event() -> None:
+    async def play(world: Fleet) -> None:
+        world.workers["model-0"].faults.extend([WorkerFault.CUT] * 3)
+        with pytest.raises(ExchangeError):
+            await world.ask("/stream/x", X_Trefoilpitch_Model="*")
+
+    lines = _lines(play, plain=0, models=1)
+    (end,) = _of_request(lines, "request")
+    assert end["outcome"] == "broken_off"
+    assert end["last_event_id"] == 3
+    assert [line["event_id"] for line in _of_request(lines, "try_failed")] == [
+        1,
+        2,
+        3,
+    ]
+
+
+def test_caller_that_left_is_told_from_a_failure() -> None:
+    async def play(world: Fleet) -> None:
+        worker = world.workers["plain-0"]
+        worker.faults.append(WorkerFault.HANG)
+        with await world.open() as connection:
+            send(connection, "/once/x")
+            await eventually(lambda: worker.runs)
+        await eventually(lambda: worker.abandoned)
+
+    (end,) = _of_request(_lines(play), "request")
+    assert end["outcome"] == "cancelled"
+
+
+def test_lines_over_the_rate_are_counted_and_never_block() -> None:
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    handler = JsonLineHandler(clock.now_ms, clock.wall_ms, "vm", writer)
+    with handler.applicationbound():
+        for number in range(3_000):
+            log_event("flood", number=number)
+        assert handler.left_out == 2_600
+        clock.advance(1_000)
+        log_event("after")
+    os.close(writer)
+    with os.fdopen(reader, "rb") as stream:
+        lines = [json.loads(line) for line in stream]
+    assert lines[-1]["event"] == "after"
+    assert lines[-1]["left_out"] == 2_600
+    assert len(lines) == 401
+
+
+def test_reader_that_stops_reading_holds_nothing_up() -> None:
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    handler = JsonLineHandler(clock.now_ms, clock.wall_ms, "vm", writer)
+    with handler.applicationbound():
+        for _ in range(3_000):
+            clock.advance(20)
+            log_event("flood", text="x" * 200)
+    assert handler.left_out > 1_000
+    os.close(reader)
+    os.close(writer)
