--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -30,9 +30,10 @@
 _MAX_INTERVAL_MS = 1_600
 _MISSED_HEARTBEATS = 3
 _MIN_SILENCE_MS = 2_500
-# Daemons that watch the store; the others learn from them. Enough that some
-# are left when half of the fleet ends at once.
-_WATCHERS = 12
+# Daemons that watch the store; the others learn from them. A fleet of this size
+# or less watches as a whole; in a larger one some are left when half of it ends
+# at once.
+_WATCHERS = 9
 # Configurations shrink to a tenth at the fastest level.
 _COMPRESSION_LEVEL = 1
 _MAX_BATCH_BYTES = 64 * 1024 * 1024
