Read no further from a caller that sends far ahead of its answers

Cause: found while reading: bytes of further requests on a connection were kept without bound while one was in progress, against a limit of 150 MB a process.

Change: over 64 KiB unread, the daemon stops reading that connection until the request in progress has been answered.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -21,6 +21,8 @@
 # Written and not yet taken by the caller; beyond it the sender waits.
 _WRITE_BUFFER_BYTES = 64 * 1024
 _BACKLOG = 512
+# Bytes of further requests that are kept while one is in progress.
+_MAX_UNREAD_BYTES = 64 * 1024
 # Frames of a stack trace that fit a log line.
 _TRACE_FRAMES = 6
 _BAD_REQUEST = 400
@@ -134,6 +136,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._gone = False
+        self._paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts waiting for a request."""
@@ -156,6 +159,7 @@
             self.abort()
             return
         self._advance()
+        self._bound_unread()
 
     def eof_received(self) -> bool:
         """Ends the request in progress: the caller has left."""
@@ -244,6 +248,14 @@
                 return
             self._take(event)
 
+    def _bound_unread(self) -> None:
+        """Stops reading from a caller that sends far ahead of its answers."""
+        if self._task is None or self._transport is None:
+            return
+        if len(self._h11.trailing_data[0]) > _MAX_UNREAD_BYTES:
+            self._transport.pause_reading()
+            self._paused = True
+
     def _invite_body(self) -> None:
         if self._h11.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -326,6 +338,9 @@
         except h11.LocalProtocolError:
             self._transport.close()
             return
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
         self._arm_idle()
         # Bytes of the next request may be in the parser already.
         self._arrived_ms = self._state.now_ms()
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -349,6 +349,35 @@
     run(scenario)
 
 
+def test_caller_that_sends_far_ahead_is_read_no_further() -> None:
+    async def scenario() -> None:
+        async with fleet() as world:
+            worker = world.workers["plain-0"]
+            worker.faults.append(WorkerFault.HANG)
+            reader, writer = await asyncio.open_connection(
+                world.callers.host, world.callers.port
+            )
+            lines = (
+                "POST /plain/x HTTP/1.1\r\nHost: api.example\r\n"
+                "X-Trefoilpitch-Request-Attempt-Id: id\r\n"
+                "Api-Key: key-a\r\nContent-Length: 9000\r\n\r\n"
+            )
+            request = lines.encode() + b"x" * 9_000
+            writer.write(request * 500)
+            await eventually(lambda: worker.runs)
+            (connection,) = world.running._callers.state.connections
+            await eventually(lambda: connection._paused)
+            kept = len(connection._h11.trailing_data[0])
+            assert kept < 1_000_000
+            worker.release.set()
+            for _ in range(20):
+                assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(9_000 + len("plain-0 POST /plain/x "))
+            writer.close()
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     ("raw", "status"),
     [
