Split the request's run and the daemon's settings from their modules

Cause: a module of 608 lines held admission, tries, streams and logs; a newcomer looks for one of them. No behaviour changes.

Change: _flow admits, _request_run leads a request through its tries, _flow_services holds what requests share, _node_settings what a daemon is told.

--- a/trefoilpitch/gateway/__init__.py
+++ b/trefoilpitch/gateway/__init__.py
@@ -28,12 +28,8 @@
     UpstreamAnswer,
     UpstreamCall,
 )
-from trefoilpitch.gateway._node import (
-    AuxiliaryHandlers,
-    ListenAddress,
-    Node,
-    NodeSettings,
-)
+from trefoilpitch.gateway._node import AuxiliaryHandlers, Node
+from trefoilpitch.gateway._node_settings import ListenAddress, NodeSettings
 
 __all__ = [
     "Node",
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import random
 from collections.abc import Coroutine
 from typing import Any, Protocol
@@ -25,7 +24,8 @@
     ExchangeError,
     PeerAnswerError,
 )
-from trefoilpitch.gateway._flow import FlowServices, RequestFlow
+from trefoilpitch.gateway._flow import RequestFlow
+from trefoilpitch.gateway._flow_services import FlowServices
 from trefoilpitch.gateway._follower import StoreFollower, every
 from trefoilpitch.gateway._health import PaceBook
 from trefoilpitch.gateway._http_client import connect
@@ -39,6 +39,7 @@
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelChoice
+from trefoilpitch.gateway._node_settings import ListenAddress, NodeSettings
 from trefoilpitch.gateway._peers import (
     Heartbeat,
     PeerSocket,
@@ -80,49 +81,6 @@
 _ITEMS_PATH = "/v1/items?after="
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ListenAddress:
-    """An address to listen on."""
-
-    # IP number.
-    host: str
-    # Port.
-    port: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class NodeSettings:
-    """What a daemon is told at its start."""
-
-    # Name of the VM.
-    name: str
-    # Name of this start.
-    incarnation: str
-    # Where it runs.
-    failure_domain: str
-    # Where callers connect.
-    callers: ListenAddress
-    # Where readiness is asked for.
-    readiness: ListenAddress
-    # Where callers ask for addresses.
-    directory: ListenAddress
-    # Where peers connect.
-    peers: ListenAddress
-    # Where they send heartbeats (UDP).
-    heartbeats: ListenAddress
-    # Time from the request to leave until the process is ended.
-    grace_ms: int
-    # Repeats of the whole fleet: share of the requests, and what may be added.
-    repeat_share: float
-    repeat_slack: float
-    # The time that both are counted over.
-    repeat_window_ms: int
-    # Where counters and the state are served; None serves none.
-    metrics: ListenAddress | None = None
-    # Peers' addresses that may be stale; asked while the store is away.
-    seeds: tuple[ListenAddress, ...] = ()
-
-
 class AuxiliaryHandlers(Protocol):
     """Interfaces beside the callers' requests."""
 
