Keep a daemon's tasks running through unexpected errors

Cause, found while reading: the daemon's tasks ran in one group; an answer of the store without its fields raised in the follower, which ended the group and the process. An answer to HEAD was sent with a body, which the parser refuses, so that its caller's connection was closed.

Tests for both fail without the change.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -202,7 +202,9 @@
         self._send(h11.Response(status_code=status, headers=[*headers, *extra]))
 
     def send_data(self, data: bytes) -> None:
-        """Sends a part of an answer's body."""
+        """Sends a part of an answer's body; answers to HEAD have none."""
+        if self._head is not None and self._head.method == b"HEAD":
+            return
         self._send(h11.Data(data=data))
 
     def send_end(self) -> None:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from trefoilpitch.clock import Clock
@@ -51,6 +51,7 @@
 )
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.gateway._state_dump import describe_state
+from trefoilpitch.gateway._supervision import supervise
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
 
@@ -254,16 +255,21 @@
         self._send_heartbeat()
 
     async def _run_tasks(self) -> None:
-        jobs: list[Coroutine[Any, Any, None]] = [
-            self._follower.run(),
-            every(_LEASE_RENEWAL_MS, self._registration.renew),
-            self._beat_forever(),
-            every(_DECIDE_MS, self._decider.decide),
-            every(0, self._catch_up),
-            self._finish_leaving(),
-        ]
+        jobs: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            "follower": self._follower.run,
+            "registration": lambda: every(
+                _LEASE_RENEWAL_MS, self._registration.renew
+            ),
+            "heartbeats": self._beat_forever,
+            "decider": lambda: every(_DECIDE_MS, self._decider.decide),
+            "catching_up": lambda: every(0, self._catch_up),
+            "leaving": self._finish_leaving,
+        }
         async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(job) for job in jobs]
+            tasks = [
+                group.create_task(supervise(name, job))
+                for name, job in jobs.items()
+            ]
             await self._left.wait()
             for task in tasks:
                 task.cancel()
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -442,6 +442,47 @@
     run(scenario)
 
 
+def test_store_that_answers_nonsense_ends_nothing() -> None:
+    async def scenario() -> None:
+        async with fleet() as world:
+            world.store.answer_with = {"events": [{}], "unexpected": True}
+            world.store.put("op/config", config_document(5))
+            await asyncio.sleep(0.3)
+            world.store.answer_with = None
+            view = world.running.view
+            await eventually(
+                lambda: view.configuration and view.configuration.version == 5
+            )
+            head, _ = await world.ask("/plain/x")
+            assert head.status == 200
+
+    run(scenario)
+
+
+def test_answer_to_head_has_no_body() -> None:
+    async def scenario() -> None:
+        async with fleet() as world:
+            reader, writer = await asyncio.open_connection(
+                world.callers.host, world.callers.port
+            )
+            writer.write(
+                b"HEAD /plain/x HTTP/1.1\r\nHost: api.example\r\n"
+                b"X-Trefoilpitch-Request-Attempt-Id: id-1\r\n"
+                b"Api-Key: key-a\r\n\r\n"
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head
+            writer.write(
+                b"GET /plain/y HTTP/1.1\r\nHost: api.example\r\n"
+                b"X-Trefoilpitch-Request-Attempt-Id: id-2\r\n"
+                b"Api-Key: key-a\r\n\r\n"
+            )
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    run(scenario)
+
+
 def test_draining_worker_gets_nothing_new() -> None:
     async def scenario() -> None:
         async with fleet(plain=2) as world:
--- a/trefoilpitch/standins/_platform_store.py
+++ b/trefoilpitch/standins/_platform_store.py
@@ -77,6 +77,8 @@
         self._port = 0
         # Status with which every call is refused; None serves them.
         self.refuse_with: int | None = None
+        # Answer to every call instead of its own; None answers truly.
+        self.answer_with: dict[str, Any] | None = None
         # Whether writes are done and not answered.
         self.lose_answers = False
         # Calls by name.
@@ -179,6 +181,8 @@
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         body = msgspec.json.decode(request.body or b"{}")
         status, answer = await self._serve(name, argument, query, body)
+        if self.answer_with is not None:
+            answer = self.answer_with
         if self.lose_answers and request.method == b"POST":
             responder.abort()
             return
