Learn what the largest model adds for each class of doubt

Cause: one learnt figure for all answers that a smaller model was unsure of: requests that it failed clearly (confidence near 0) are hard for the largest model as well, those in the middle hardly ever are.

Change: the largest model's confidence is learnt in five classes of the first answer's confidence.

--- a/trefoilpitch/gateway/_model_tiers.py
+++ b/trefoilpitch/gateway/_model_tiers.py
@@ -28,7 +28,10 @@
 # Confidence of the largest model in the answers that a smaller one was unsure
 # of, before any was seen, and the weight of each that is.
 _EXPECTED_CONFIDENCE = 0.85
-_LEARNING_WEIGHT = 0.02
+_LEARNING_WEIGHT = 0.05
+# Classes of the smaller model's confidence for which that is learnt apart: of
+# requests that it failed clearly, the largest model fails more as well.
+_CONFIDENCE_CLASSES = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,16 +77,22 @@
     """Chooses among the tiers and learns what the largest one adds."""
 
     def __init__(self) -> None:
-        self._largest_confidence = _EXPECTED_CONFIDENCE
+        self._largest_confidence = [_EXPECTED_CONFIDENCE] * _CONFIDENCE_CLASSES
 
     def first_tier(self) -> int:
         """Returns the tier that is asked first."""
         return 0
 
-    def record_largest(self, confidence: int) -> None:
-        """Learns from an answer of the largest model that replaced another."""
-        step = confidence / 100 - self._largest_confidence
-        self._largest_confidence += _LEARNING_WEIGHT * step
+    def record_largest(self, first: int, confidence: int) -> None:
+        """Learns from an answer of the largest model that replaced another.
+
+        Args:
+            first: Confidence of the answer that was replaced, 0 to 100.
+            confidence: Confidence of the largest model's answer.
+        """
+        index = _confidence_class(first)
+        step = confidence / 100 - self._largest_confidence[index]
+        self._largest_confidence[index] += _LEARNING_WEIGHT * step
 
     def next_tier(
         self, answer: BegunAnswer, size: AnswerSize, costs: Sequence[float]
@@ -99,7 +108,10 @@
         if answer.tier >= largest or answer.confidence is None:
             return None
         worth = size.worth
-        gained = self._largest_confidence * worth
+        expected = self._largest_confidence[
+            _confidence_class(answer.confidence)
+        ]
+        gained = expected * worth
         if not answer.time_left:
             gained *= _LATE_SHARE
         kept = answer.confidence / 100 * worth
@@ -108,3 +120,8 @@
         if gained - kept <= crowding * size.cost(costs[largest]):
             return None
         return largest
+
+
+def _confidence_class(confidence: int) -> int:
+    share = min(100, max(0, confidence)) / 100
+    return min(_CONFIDENCE_CLASSES - 1, int(share * _CONFIDENCE_CLASSES))
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -81,6 +81,7 @@
         self._trail: list[str] = []
         self._tried: list[str] = []
         self._tier: int | None = None
+        self._first_confidence: int | None = None
         self._last_event_id: int | None = None
         self._last_answer: tuple[UpstreamAnswer, bytes] | None = None
         arrived_ms = request.http.arrived_ms
@@ -278,8 +279,9 @@
         models = self._services.models
         largest = len(self._route.model_tiers) - 1
         if self._tier == largest and self._tries.replaced:
-            if answer.confidence is not None:
-                models.record_largest(answer.confidence)
+            first = self._first_confidence
+            if first is not None and answer.confidence is not None:
+                models.record_largest(first, answer.confidence)
             return
         if self._tries.runs + 1 >= self._route.max_attempts:
             return
@@ -302,6 +304,7 @@
                 f" load {answer.load and answer.load.running}"
                 f" unsure {answer.confidence}"
             )
+            self._first_confidence = answer.confidence
             raise _Replaced(tier)
 
     def _in_time_at(self, tier: int) -> bool:
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -418,8 +418,11 @@
     size = AnswerSize(prompt_tokens=800, output_tokens=300)
     assert choice.next_tier(answer, size, _COSTS) == 2
     for _ in range(300):
-        choice.record_largest(40)
+        choice.record_largest(50, 40)
     assert choice.next_tier(answer, size, _COSTS) is None
+    # Other confidences of the first answer are learnt apart.
+    other = BegunAnswer(tier=0, confidence=10, time_left=True)
+    assert choice.next_tier(other, size, _COSTS) == 2
 
 
 def _rollout(fleet: _Fleet, duration_ms: int = 10_000) -> int:
