Vouch for every success, never answer twice, refuse at once what none can serve

Cause, found while reading the request's run: only status 200 had to bear the upstream's signature, another success without it would have reached the caller; a failure that came in place of a stream's rest was sent as a second answer; and a request for a service without any upstream waited an eighth of its objective for one.

Change: every 2xx is checked; a resumed stream takes nothing but its rest; only full, cold or failing upstreams are waited for.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -37,6 +37,8 @@
 
     # What is in the way, for the log.
     reason: str
+    # Whether a place may come free within a moment.
+    may_pass: bool
 
 
 class Dispatcher:
@@ -170,16 +172,20 @@
             if known.entry.service == service and self._usable(known, model)
         ]
         if not ready:
-            return NoUpstream(reason="no upstream in service")
+            return NoUpstream(reason="no upstream in service", may_pass=False)
         allowed = self._of_version(request, service, ready)
         if not allowed:
-            return NoUpstream(reason="no upstream of the version")
+            return NoUpstream(
+                reason="no upstream of the version", may_pass=False
+            )
         fresh = [k for k in allowed if k.entry.upstream_id not in excluded]
         for group in (fresh, allowed):
             entry = self._choose_from(request, group, model)
             if entry is not None:
                 return entry
-        return NoUpstream(reason="every upstream is full, cold or failing")
+        return NoUpstream(
+            reason="every upstream is full, cold or failing", may_pass=True
+        )
 
     def _usable(self, known: KnownUpstream, model: str | None) -> bool:
         entry = known.entry
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -41,6 +41,7 @@
 # A try needs this much time to make sense.
 _MIN_TRY_MS = 10
 _OK = 200
+_REDIRECTION = 300
 _SERVER_ERROR = 500
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -149,14 +150,16 @@
         while True:
             now_ms = services.clock.now_ms()
             if self._remaining_ms(now_ms) < _MIN_TRY_MS:
-                return NoUpstream(reason="no time left")
+                return NoUpstream(reason="no time left", may_pass=False)
             found = services.dispatcher.choose(
                 self._request,
                 service,
                 model=self._model,
                 excluded=self._tried,
             )
-            if not isinstance(found, NoUpstream) or now_ms >= wait_until_ms:
+            if not isinstance(found, NoUpstream):
+                return found
+            if not found.may_pass or now_ms >= wait_until_ms:
                 return found
             await asyncio.sleep(_WAIT_STEP_MS / _MS_PER_S)
 
@@ -262,10 +265,16 @@
             raise ExchangeError(
                 FailureKind.REFUSED_NOT_RUN, f"status {answer.head.status}"
             )
-        if answer.head.status == _OK and not (answer.sealed and answer.plain):
+        succeeded = _OK <= answer.head.status < _REDIRECTION
+        if succeeded and not (answer.sealed and answer.plain):
             raise ExchangeError(
                 FailureKind.MALFORMED_ANSWER, "not the upstream's own answer"
             )
+        if self._responder.started and answer.head.status != _OK:
+            raise ExchangeError(
+                FailureKind.SERVER_ERROR,
+                f"status {answer.head.status} for the rest of a stream",
+            )
 
     def _consider_tier(
         self,
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -194,6 +194,19 @@
     assert fleet.chosen() is None
 
 
+def test_request_that_nobody_can_serve_is_not_held() -> None:
+    """Every upstream of the service is gone, or all are only busy."""
+    fleet = _Fleet()
+    gone = fleet.choose()
+    assert isinstance(gone, NoUpstream)
+    assert not gone.may_pass
+    fleet.put("u", upstream("u", slots=1))
+    fleet.peers_in_flight = {"u": 50}
+    busy = fleet.choose()
+    assert isinstance(busy, NoUpstream)
+    assert busy.may_pass
+
+
 def test_upstream_that_refuses_connections_is_left_alone_then_tried() -> None:
     fleet = _Fleet()
     fleet.put("u", upstream("u"))
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -147,6 +147,7 @@
         (WorkerFault.CROSSED, 502),
         (WorkerFault.CUT, 502),
         (WorkerFault.UNSEALED, 502),
+        (WorkerFault.UNSEALED_CREATED, 502),
         (WorkerFault.ERROR, 500),
     ],
 )
@@ -263,6 +264,16 @@
     run(scenario)
 
 
+def test_failure_in_place_of_a_streams_rest_is_never_sent_on() -> None:
+    async def scenario() -> None:
+        async with fleet(plain=0, models=1) as world:
+            _fault(world, WorkerFault.CUT, WorkerFault.MISSING)
+            _, body = await world.ask("/stream/x", X_Trefoilpitch_Model="*")
+            assert body == _events(1, 5)
+
+    run(scenario)
+
+
 def test_callers_resume_position_is_passed_on() -> None:
     async def scenario() -> None:
         async with fleet(plain=0, models=1) as world:
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -38,6 +38,10 @@
     HANG = "hang"
     # A success without the worker's signature.
     UNSEALED = "unsealed"
+    # The same with status 201.
+    UNSEALED_CREATED = "unsealed_created"
+    # Answered with status 404, which the worker does sign.
+    MISSING = "missing"
     # A body without a length that the connection's end completes.
     UNFRAMED = "unframed"
 
@@ -150,8 +154,13 @@
         if fault is WorkerFault.HANG:
             await self.release.wait()
         headers = self._headers(run, fault)
-        if fault is WorkerFault.ERROR:
-            await responder.answer(500, headers, b"failed")
+        statuses = {
+            WorkerFault.ERROR: 500,
+            WorkerFault.UNSEALED_CREATED: 201,
+            WorkerFault.MISSING: 404,
+        }
+        if fault in statuses:
+            await responder.answer(statuses[fault], headers, b"other")
         elif "/stream/" in run.line:
             await self._stream(run, fault, headers, responder)
         else:
@@ -167,7 +176,7 @@
             (_ID.encode(), request_id.encode()),
             (b"X-Trefoilpitch-Instance-Load", b"1,0,8"),
         ]
-        if fault is not WorkerFault.UNSEALED:
+        if fault not in (WorkerFault.UNSEALED, WorkerFault.UNSEALED_CREATED):
             seal = f"seal-{self.worker_id}".encode()
             headers.append((b"X-Trefoilpitch-Response-Seal", seal))
         model = run.headers.get("x-trefoilpitch-model", "")
