End an upstream's connection also while something holds its reply

Closing a connection of http.client leaves the socket open until the reader of its reply is closed or collected, and nothing ran any more that would collect.

Change: the pool disposes of connections: shut down, closed, reader closed. The test's server waits 20 s and then fails with a message instead of hanging.

Figures: the new test fails with a plain close, passes with the disposal.

Conclusion: whatever holds a reply, its connection ends; the holder stays an open finding.

--- a/trefoilpitch/upstreams/_checked_connection.py
+++ b/trefoilpitch/upstreams/_checked_connection.py
@@ -101,6 +101,20 @@
             raise urllib3.exceptions.HeaderParsingError(raw.msg.defects, None)
         return response
 
+    def dispose(self) -> None:
+        """Ends the connection, also while something still holds its reply.
+
+        Closing alone leaves the socket open until the reply's reader is
+        closed or collected.
+        """
+        sock: socket.socket | None = self.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self.close()
+        if self._reader is not None:
+            self._reader.close()
+
     def has_excess(self) -> bool:
         """Whether bytes followed the end of the last reply so far."""
         if self._reader is not None and self._reader.excess:
--- a/trefoilpitch/upstreams/_connection_pool.py
+++ b/trefoilpitch/upstreams/_connection_pool.py
@@ -135,7 +135,7 @@
             self._closed = True
             idle, self._idle = self._idle, []
         for connection, _ in idle:
-            connection.close()
+            connection.dispose()
 
     def _exchange(self, request: HttpRequest) -> Exchange:
         return Exchange(
@@ -164,7 +164,7 @@
             idle_ms = self._clock.now_ms() - since_ms
             if idle_ms <= MAX_IDLE_MS and connection.is_connected:
                 return connection
-            connection.close()
+            connection.dispose()
 
     def _release(self, connection: CheckedConnection, reusable: bool) -> None:
         with self._lock:
@@ -173,4 +173,4 @@
             if keep:
                 self._idle.append((connection, self._clock.now_ms()))
         if not keep:
-            connection.close()
+            connection.dispose()
--- a/trefoilpitch/upstreams/tests/raw_server.py
+++ b/trefoilpitch/upstreams/tests/raw_server.py
@@ -8,6 +8,10 @@
 import threading
 from collections.abc import Iterator, Sequence
 
+# A client that has closed is noticed at once; the bound only keeps a test that
+# found one which did not from hanging.
+_JOIN_S = 20
+
 
 class RawServer:
     """Serves each connection with scripted bytes."""
@@ -38,7 +42,9 @@
         self._listener.close()
         self._thread.join()
         for worker in self._workers:
-            worker.join()
+            worker.join(_JOIN_S)
+        if any(worker.is_alive() for worker in self._workers):
+            raise AssertionError("a client left its connection open")
 
     def _serve(self) -> None:
         with contextlib.suppress(OSError):
@@ -46,7 +52,9 @@
                 connection, _ = self._listener.accept()
                 self.accepted += 1
                 worker = threading.Thread(
-                    target=self._serve_connection, args=(connection, replies)
+                    target=self._serve_connection,
+                    args=(connection, replies),
+                    daemon=True,
                 )
                 self._workers.append(worker)
                 worker.start()
--- /dev/null
+++ b/trefoilpitch/upstreams/tests/test_disposal.py
@@ -0,0 +1,30 @@
+from __future__ import annotations
+
+import pytest
+
+from trefoilpitch.upstreams._checked_connection import CheckedConnection
+from trefoilpitch.upstreams.tests.harness import wait_until
+from trefoilpitch.upstreams.tests.raw_server import raw_server
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab",
+    ],
+)
+def test_disposed_connection_ends_while_its_reply_is_held(
+    reply: bytes,
+) -> None:
+    with raw_server([reply], hold=True) as server:
+        host, _, port = server.address.rpartition(":")
+        connection = CheckedConnection(host, int(port))
+        connection.request("GET", "/", preload_content=False)
+        held = connection.getresponse()
+        connection.dispose()
+        server.release.set()
+        wait_until(
+            lambda: not any(worker.is_alive() for worker in server._workers)
+        )
+        assert held.status == 200
