Count a roll-out's evidence for its own order only

Cause, found while reading: a daemon's evidence was kept by service until the first answer under a new order; a version that had been rolled back, was mended and is ordered again was rolled back at once on what it had answered before.

Ruled out: the peers' evidence, which bears its order's revision; it was the sender that put the new revision on old counts.

Change: evidence is handed out only under the order that it was seen under; at most six places wait for their turn to write, so that a daemon of a large fleet does not wait twenty seconds.

--- a/trefoilpitch/gateway/_decider.py
+++ b/trefoilpitch/gateway/_decider.py
@@ -29,6 +29,8 @@
 # A daemon waits this long for each one that ranks before it, so that mostly
 # one writes; a frozen or dead one delays a step by no more.
 _TURN_MS = 250
+# The daemons after this place try together: one of many is enough.
+_LAST_TURN = 6
 _MS_PER_S = 1_000
 
 
@@ -71,7 +73,7 @@
             off_target = self._dispatcher.in_flight_off_target(
                 service, rollout.order.target
             )
-            seen = dict(self._dispatcher.own_evidence.get(service, {}))
+            seen = dict(self._dispatcher.own_evidence(service))
             seen.setdefault(rollout.order.target, VersionEvidence())
             counts.extend(
                 VersionCount(
@@ -94,7 +96,7 @@
                 continue
             names = {self._own_name, *self._peers.alive()}
             key = f"{rollout.order.service}/{rollout.revision}"
-            turn = rank(key, names).index(self._own_name)
+            turn = min(_LAST_TURN, rank(key, names).index(self._own_name))
             if turn:
                 await asyncio.sleep(turn * _TURN_MS / _MS_PER_S)
                 step = self._next_step(rollout)
@@ -106,7 +108,7 @@
         if self._view.rollouts.get(service) != rollout:
             return None
         evidence, off_target = self._peers.evidence(service, rollout.revision)
-        own = self._dispatcher.own_evidence.get(service, {})
+        own = self._dispatcher.own_evidence(service)
         for version, seen in own.items():
             known = evidence.get(version, VersionEvidence())
             evidence[version] = known.plus(seen)
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -77,10 +77,19 @@
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
 
-    @property
-    def own_evidence(self) -> dict[str, dict[str, VersionEvidence]]:
-        """Answers seen by this daemon during roll-outs: service, version."""
-        return self._evidence
+    def own_evidence(self, service: str) -> Mapping[str, VersionEvidence]:
+        """Returns what this daemon has seen since the service's last order.
+
+        Returns:
+            Evidence by version; none where there is no order.
+        """
+        rollout = self._view.rollouts.get(service)
+        if rollout is None:
+            return {}
+        if self._evidence_orders.get(service) != rollout.revision:
+            # What was seen under another order says nothing of this one.
+            return {}
+        return self._evidence[service]
 
     def health(self, upstream_id: str) -> UpstreamHealth:
         """Returns what is known of an upstream."""
@@ -229,7 +238,7 @@
         return on_target
 
     def _own_breaker(self, service: str, target: str) -> bool:
-        versions = self._evidence.get(service, {})
+        versions = self.own_evidence(service)
         others = VersionEvidence()
         for version, seen in versions.items():
             if version != target:
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -511,6 +511,21 @@
     assert set(_versions(fleet)) == {"v1"}
 
 
+def test_evidence_of_an_earlier_order_does_not_count() -> None:
+    """The same version is brought in again after it was mended."""
+    fleet = _Fleet()
+    fleet.put("old", upstream("old", version="v1"))
+    fleet.put("new", upstream("new", version="v2"))
+    _record(fleet, _rollout(fleet), RolloutPhase.SHIFT, 100)
+    for _ in range(4):
+        entry = upstream("new", version="v2")
+        fleet.dispatchers[0].record_evidence(entry, bad=True)
+    assert fleet.dispatchers[0].own_evidence("s")["v2"].bad == 4
+    _record(fleet, _rollout(fleet), RolloutPhase.SHIFT, 100)
+    assert fleet.dispatchers[0].own_evidence("s") == {}
+    assert set(_versions(fleet)) == {"v2"}
+
+
 def test_completed_version_is_kept_whatever_it_answers() -> None:
     """The old upstreams are gone: there is nothing to go back to."""
     fleet = _Fleet()
