Notice the end of an outage within 1.5 s again

A daemon that the store had turned away until 24.5 s waited up to 4.5 s between its calls while peers brought the changes; it noticed its return so late that it took a planned removal at 27.9 s for a lapse of the outage, until 2.3 s after its return.

Ruled out: the peers' path: the removal reached it 16 ms after the store's acknowledgement.

Tried in thought and left: to trust a peer's word that the store was there; that word lasts 4.8 s, longer than an outage in which entries lapse.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -27,9 +27,9 @@
 # Waits between calls that fail: short enough for a change of configuration to
 # arrive in time once the store answers again, and doubled while it does not.
 _MIN_BACKOFF_MS = 150
+# The longest also bounds how late the end of an outage is noticed: until then
+# and for the grace below, a planned removal may be taken for a lapse.
 _MAX_BACKOFF_MS = 1_000
-# The same while a peer brings the changes: refused calls have their price too.
-_MAX_BACKOFF_WITH_PEERS_MS = 3_000
 # Entries that lapsed in an outage are back within two seconds of its end; until
 # then a removal may be such a lapse.
 _RETURN_GRACE_MS = 2_300
@@ -129,10 +129,7 @@
                 self._note_away(str(error))
                 spread = 0.5 + self._rng.random()
                 await asyncio.sleep(backoff_ms * spread / _MS_PER_S)
-                longest_ms = _MAX_BACKOFF_MS
-                if self.is_current():
-                    longest_ms = _MAX_BACKOFF_WITH_PEERS_MS
-                backoff_ms = min(longest_ms, 2 * backoff_ms)
+                backoff_ms = min(_MAX_BACKOFF_MS, 2 * backoff_ms)
 
     async def _step(self) -> None:
         if self._loaded:
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -135,6 +135,27 @@
     assert world.view.upstreams == {}
 
 
+def test_end_of_an_outage_is_noticed_before_removals_count(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A daemon alone is turned away for long while peers bring changes."""
+    delays_ms: list[float] = []
+
+    async def sleep(delay_s: float) -> None:
+        delays_ms.append(delay_s * 1_000)
+        world.follower.confirm()
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    world = _World()
+    world.store.steps = [(10, _AWAY)] * 200
+    world.follow()
+    # A removal binds two seconds after it, and counts from three seconds
+    # after the store's return on; half a second goes to a connection that
+    # hangs, and the grace follows.
+    connect_ms, grace_ms, contact_ms, drain_ms = 500, 2_300, 3_000, 2_000
+    assert max(delays_ms) + connect_ms + grace_ms < contact_ms + drain_ms
+
+
 def test_first_watch_after_an_outage_answers_soon() -> None:
     world = _World()
     world.store.steps = [(10, _AWAY), (10, _NOTHING)]
