Log unforeseen errors and split evidence in one place each

Ruled out: joining the stand-ins' __aenter__ and __aexit__ (six lines of two servers) and the import lists that the codec and the package share.

Change: log_failure, split_evidence, the dead property removed. Behaviour and the lines' fields stay.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -24,6 +24,7 @@
     current_phase,
     is_bad,
     runs_on_target,
+    split_evidence,
 )
 from trefoilpitch.rendezvous import rank
 
@@ -238,12 +239,7 @@
         return on_target
 
     def _own_breaker(self, service: str, target: str) -> bool:
-        versions = self.own_evidence(service)
-        others = VersionEvidence()
-        for version, seen in versions.items():
-            if version != target:
-                others = others.plus(seen)
-        return is_bad(versions.get(target, VersionEvidence()), others)
+        return is_bad(*split_evidence(self.own_evidence(service), target))
 
     def _choose_from(
         self,
--- a/trefoilpitch/gateway/_flow.py
+++ b/trefoilpitch/gateway/_flow.py
@@ -2,20 +2,15 @@
 
 from __future__ import annotations
 
-import traceback
-
 from trefoilpitch.gateway._admission import Rejection, admit
 from trefoilpitch.gateway._exceptions import BadRequestError, CallerGoneError
 from trefoilpitch.gateway._flow_services import FlowServices
 from trefoilpitch.gateway._http_server import HttpRequest, Responder
-from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._log import log_event, log_failure
 from trefoilpitch.gateway._messages import CallerRequest
 from trefoilpitch.gateway._request_run import RETRY_AFTER_MS, RequestRun
 from trefoilpitch.metrics import Label
 
-# Frames of a stack trace that fit a log line.
-_TRACE_FRAMES = 6
-
 
 class RequestFlow:
     """Serves requests; one instance for all of a daemon's callers."""
@@ -45,11 +40,10 @@
         except CallerGoneError:
             raise
         except Exception as error:
-            log_event(
+            log_failure(
                 "internal_error",
+                error,
                 id=request.request_id,
-                error=type(error).__name__,
-                trace=traceback.format_exc(limit=-_TRACE_FRAMES),
             )
             await run.fail()
 
--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -65,11 +65,6 @@
             and not self._h11.trailing_data[0]
         )
 
-    @property
-    def arrived(self) -> asyncio.Event:
-        """Set when bytes or the connection's end have arrived."""
-        return self._arrived
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
         assert isinstance(transport, asyncio.Transport)
--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import traceback
 from collections.abc import Awaitable, Callable
 from types import TracebackType
 from typing import Self
@@ -14,7 +13,7 @@
 from trefoilpitch.fleet import RequestLimits
 from trefoilpitch.gateway._exceptions import CallerGoneError
 from trefoilpitch.gateway._http_client import Headers
-from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._log import log_failure
 from trefoilpitch.gateway._sockets import watch_for_silence
 
 _MS_PER_S = 1_000
@@ -23,8 +22,6 @@
 _BACKLOG = 512
 # Bytes of further requests that are kept while one is in progress.
 _MAX_UNREAD_BYTES = 64 * 1024
-# Frames of a stack trace that fit a log line.
-_TRACE_FRAMES = 6
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
@@ -316,11 +313,10 @@
         except CallerGoneError:
             return
         except Exception as error:
-            log_event(
+            log_failure(
                 "handler_failed",
+                error,
                 target=request.target.decode("latin-1"),
-                error=type(error).__name__,
-                trace=traceback.format_exc(limit=-_TRACE_FRAMES),
             )
             self.abort()
         except asyncio.CancelledError:
--- a/trefoilpitch/gateway/_log.py
+++ b/trefoilpitch/gateway/_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import traceback
 from collections import deque
 from collections.abc import Callable
 
@@ -16,6 +17,8 @@
 _QUEUED_LINES = 500
 _MS_PER_S = 1_000
 _STDOUT = 1
+# Frames of a stack trace that fit a log line.
+_TRACE_FRAMES = 6
 _logger = logbook.Logger("trefoilpitch")
 
 
@@ -112,3 +115,19 @@
         **fields: Its inputs and outcome; anything that JSON can hold.
     """
     _logger.info(event, **fields)
+
+
+def log_failure(event: str, error: Exception, **fields: object) -> None:
+    """Logs an error that nobody foresaw, with the last frames of its stack.
+
+    Args:
+        event: Names the kind of line.
+        error: The error; called while it is being handled.
+        **fields: What was under way.
+    """
+    log_event(
+        event,
+        **fields,
+        error=type(error).__name__,
+        trace=traceback.format_exc(limit=-_TRACE_FRAMES),
+    )
--- a/trefoilpitch/gateway/_rollouts.py
+++ b/trefoilpitch/gateway/_rollouts.py
@@ -75,6 +75,17 @@
     )
 
 
+def split_evidence(
+    evidence: Mapping[str, VersionEvidence], target: str
+) -> tuple[VersionEvidence, VersionEvidence]:
+    """Returns the evidence on a target, and on all other versions together."""
+    others = VersionEvidence()
+    for version, seen in evidence.items():
+        if version != target:
+            others = others.plus(seen)
+    return evidence.get(target, VersionEvidence()), others
+
+
 def current_phase(
     rollout: KnownRollout, record: KnownRecord | None
 ) -> tuple[RolloutPhase | None, int]:
@@ -110,11 +121,7 @@
     phase, percent = current_phase(rollout, record)
     if phase is not None and phase.final:
         return None
-    target = evidence.get(rollout.order.target, VersionEvidence())
-    others = VersionEvidence()
-    for version, seen in evidence.items():
-        if version != rollout.order.target:
-            others = others.plus(seen)
+    target, others = split_evidence(evidence, rollout.order.target)
     if is_bad(target, others):
         return RolloutStep(
             phase=RolloutPhase.ROLLED_BACK,
