Refuse at once while no upstream of a request can be reached

Cause: an engine that refuses connections is taken for cold, with no credit to use, so that a request for it found "every place is taken", which waiting may mend; the wait ended at the deadline less the expected run. Seen again on the README's bundle, engine killed: two requests still held after 20 s of their 120 s. Ruled out: the retry policy (no try was made), the queue's rule for outages (it is told the places of engines that can't be reached as well).

Change: the directory remembers since when an upstream accepts no connection; a request whose upstreams all are such, or that has none in service, waits up to a second (two rounds of load reports) counted from the loss of the last one, and is refused with the outage's age as Retry-After. The answer's title no longer carries an upstream's name and address; the log line does.

--- a/trefoilpitch/daemon/_core.py
+++ b/trefoilpitch/daemon/_core.py
@@ -251,9 +251,10 @@
 
     def note_no_report(self, upstream: str, error: UpstreamError) -> None:
         """Takes in that an upstream gave no load report."""
-        self.directory.record_no_report(upstream)
+        unreachable = isinstance(error, ConnectError)
+        self.directory.record_no_report(upstream, unreachable=unreachable)
         self.metrics.count("load_report_failures")
-        if isinstance(error, ConnectError):
+        if unreachable:
             self.cold_starts.note_unreachable(upstream)
 
     def flush_bills(self) -> bool:
--- a/trefoilpitch/limits/__init__.py
+++ b/trefoilpitch/limits/__init__.py
@@ -12,17 +12,25 @@
     Refused,
     Ticket,
 )
+from trefoilpitch.limits._outage import (
+    OUTAGE_WAIT_MS,
+    Outages,
+    outage_retry_after_ms,
+)
 from trefoilpitch.limits._queue import Admission, AdmissionQueue
 
 __all__ = [
+    "OUTAGE_WAIT_MS",
     "Admission",
     "AdmissionQueue",
     "ConcurrencyLimit",
     "LimitSettings",
+    "Outages",
     "QueueSettings",
     "Queued",
     "RefusalReason",
     "Refused",
     "Ticket",
     "concurrency_limit",
+    "outage_retry_after_ms",
 ]
--- /dev/null
+++ b/trefoilpitch/limits/tests/test_outage.py
@@ -0,0 +1,47 @@
+"""Tests of the bound on waiting while nothing can be reached."""
+
+import pytest
+
+from trefoilpitch.limits import (
+    OUTAGE_WAIT_MS,
+    Outages,
+    outage_retry_after_ms,
+)
+
+
+@pytest.mark.parametrize(
+    ("outage_ms", "retry_after_ms"),
+    [
+        (0, None),
+        (OUTAGE_WAIT_MS - 1, None),
+        (OUTAGE_WAIT_MS, 1_000),
+        (5_000, 5_000),
+        (600_000, 30_000),
+    ],
+)
+def test_an_outage_is_waited_for_briefly(
+    outage_ms: int, retry_after_ms: int | None
+) -> None:
+    assert outage_retry_after_ms(outage_ms) == retry_after_ms
+
+
+def test_an_outage_without_upstreams_lasts_from_the_first_request() -> None:
+    outages = Outages()
+    assert outages.met("tag", None, 1_000) == 0
+    assert outages.met("tag", None, 2_500) == 1_500
+    assert outages.met("other", None, 2_500) == 0
+
+
+def test_the_loss_of_the_last_upstream_dates_an_outage() -> None:
+    assert Outages().met("tag", 400, 1_000) == 600
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_an_outage_that_ended_or_may_have_ended_is_forgotten(
+    ended: bool,
+) -> None:
+    outages = Outages()
+    outages.met("tag", None, 1_000)
+    if ended:
+        outages.ended("tag")
+    assert outages.met("tag", None, 3_000 if ended else 9_000) == 0
--- a/trefoilpitch/routing/_nodes.py
+++ b/trefoilpitch/routing/_nodes.py
@@ -60,6 +60,9 @@
     concurrency_limit: int | None = None
     # Whether it said that it is leaving.
     leaving: bool = False
+    # Monotonic time since which it accepts no connection; None if it does, or
+    # if that is not known.
+    unreachable_since_ms: int | None = None
     # Changes with every restart of the upstream.
     incarnation: str = ""
     # Versions that it has loaded; None when it has not told.
--- a/trefoilpitch/serving/_directory.py
+++ b/trefoilpitch/serving/_directory.py
@@ -70,6 +70,7 @@
         self.report: ReceivedReport | None = None
         self.report_ms = 0
         self.asked_ms: int | None = None
+        self.unreachable_since_ms: int | None = None
         self.leaving = False
         self.is_dropped = False
 
@@ -305,18 +306,31 @@
             followed.report = report
             followed.report_ms = self._clock.now_ms()
             followed.asked_ms = followed.report_ms
+            followed.unreachable_since_ms = None
             followed.in_flight_at_report = followed.in_flight
             followed.leaving = report.leaving
 
-    def record_no_report(self, upstream: str) -> None:
+    def record_no_report(
+        self, upstream: str, *, unreachable: bool = False
+    ) -> None:
         """Records that an upstream was asked for its load and is silent.
 
         What it said last still counts.
+
+        Args:
+            upstream: The upstream.
+            unreachable: Whether it did not even accept a connection.
         """
+        now_ms = self._clock.now_ms()
         with self._lock:
             followed = self._followed.get(upstream)
-            if followed is not None:
-                followed.asked_ms = self._clock.now_ms()
+            if followed is None:
+                return
+            followed.asked_ms = now_ms
+            if not unreachable:
+                followed.unreachable_since_ms = None
+            elif followed.unreachable_since_ms is None:
+                followed.unreachable_since_ms = now_ms
 
     def record_leaving(self, upstreams: frozenset[str]) -> None:
         """Takes in the names that the VM list says are leaving."""
@@ -386,6 +400,7 @@
             allowance=allowance or 0,
             concurrency_limit=self._concurrency.limit(followed.node.upstream),
             leaving=followed.leaving or _is_unasked(followed, now_ms),
+            unreachable_since_ms=followed.unreachable_since_ms,
             incarnation=report.incarnation if report else "",
             versions=report.versions if report else None,
         )
--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
 
+import logbook
 from returns.result import Failure, Result, Success
 
-from trefoilpitch.bundle import Priority, VersionRef
+from trefoilpitch.bundle import Priority, Upstream, VersionRef
 from trefoilpitch.clock import Clock
+from trefoilpitch.limits import Outages, outage_retry_after_ms
 from trefoilpitch.retries import (
     Execution,
     FailureKind,
@@ -29,6 +31,7 @@
     RoutingError,
     RoutingTable,
     Target,
+    UpstreamState,
     choose_upstream,
     eligible_upstreams,
     loaded_factors,
@@ -40,6 +43,7 @@
     failure_kind,
     failure_problem,
     is_temporary,
+    outage_problem,
     routing_problem,
 )
 from trefoilpitch.serving._queue import Parking, PlaceQueue
@@ -51,6 +55,7 @@
 from trefoilpitch.web import Outcome, Problem
 
 _MAX_REVISIONS = 16
+_LOG = logbook.Logger("trefoilpitch.serving")
 
 T = TypeVar("T")
 
@@ -125,6 +130,7 @@
         self._clock = clock
         self._rng = rng
         self._local_domain = local_domain
+        self._outages = Outages()
         self._lock = threading.Lock()
 
     def run(
@@ -156,6 +162,7 @@
             error = started.failure()
             slot.fail(error)
             slot.close()
+            self._log_failure(errand, error)
             excluded.add(error.upstream)
             failures.append(failure_kind(error))
             if isinstance(error, CancelledError):
@@ -172,6 +179,16 @@
             return {}
         return loaded_factors(table, self._directory.states())
 
+    def _log_failure(self, errand: Errand, error: UpstreamError) -> None:
+        # The caller is not told which upstream it was, nor its address.
+        _LOG.info(
+            "request {}: a try at {} failed, {}: {}",
+            errand.request_id,
+            error.upstream,
+            error.execution.value,
+            error.detail,
+        )
+
     def _consider_retry(
         self, errand: Errand, failures: list[FailureKind], error: UpstreamError
     ) -> Problem | None:
@@ -214,22 +231,53 @@
                         return Failure(problem)
                 candidates = self._candidates(errand)
                 ask(tuple(candidates))
-                refusal = ticket.wait(sum(candidates.values()))
+                refusal = self._outage_refusal(errand, candidates)
+                if refusal is None:
+                    places = sum(candidates.values())
+                    refusal = ticket.wait(places)
                 if refusal is not None:
                     return Failure(refusal)
 
     def _candidates(self, errand: Errand) -> dict[str, int]:
-        """Returns the upstreams that would do, with the runs each serves."""
+        """Returns the reachable upstreams, with the runs each serves."""
         states = self._directory.states()
-        eligible = eligible_upstreams(
-            self._configuration.table(), errand.target, states
-        )
         return {
             upstream.name: states[upstream.name].concurrency_limit
             or upstream.capacity
-            for upstream in eligible
+            for upstream in self._eligible(errand, states)
+            if states[upstream.name].unreachable_since_ms is None
         }
 
+    def _eligible(
+        self, errand: Errand, states: Mapping[str, UpstreamState]
+    ) -> tuple[Upstream, ...]:
+        return eligible_upstreams(
+            self._configuration.table(), errand.target, states
+        )
+
+    def _outage_refusal(
+        self, errand: Errand, candidates: Mapping[str, int]
+    ) -> Problem | None:
+        """Refuses a run that no upstream is likely to take in time."""
+        now_ms = self._clock.now_ms()
+        if candidates:
+            with self._lock:
+                self._outages.ended(errand.target)
+            return None
+        states = self._directory.states()
+        lost_ms = [
+            states[upstream.name].unreachable_since_ms or now_ms
+            for upstream in self._eligible(errand, states)
+        ]
+        with self._lock:
+            outage_ms = self._outages.met(
+                errand.target, max(lost_ms, default=None), now_ms
+            )
+        retry_after_ms = outage_retry_after_ms(outage_ms)
+        if retry_after_ms is None:
+            return None
+        return outage_problem(errand.request_id, retry_after_ms)
+
     def _try_place(
         self, errand: Errand, excluded: set[str]
     ) -> Result[Slot, RoutingError]:
--- a/trefoilpitch/serving/_problems.py
+++ b/trefoilpitch/serving/_problems.py
@@ -77,6 +77,19 @@
     return isinstance(error, NoEligibleUpstreamError | UpstreamsFullError)
 
 
+def outage_problem(request_id: str, retry_after_ms: int) -> Problem:
+    """Returns the refusal of a request while no upstream can be reached."""
+    return Problem(
+        status=503,
+        code="no-upstream",
+        title="no upstream can be reached",
+        detail="Retry after the time that Retry-After gives.",
+        outcome=Outcome.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+        request_id=request_id,
+    )
+
+
 def failure_problem(
     error: UpstreamError, execution: Execution, request_id: str
 ) -> Problem:
@@ -92,7 +105,7 @@
     return Problem(
         status=_STATUSES[execution],
         code="upstream-failed",
-        title=str(error),
+        title=_TITLES[failure_kind(error)],
         detail="" if is_safe else "The request may have had its effect.",
         outcome=_OUTCOMES[execution],
         retry_after_ms=retry_ms if is_safe else None,
@@ -139,3 +152,15 @@
     # The reply to another request tells nothing about this one.
     MismatchedReplyError: FailureKind.CONNECTION_LOST,
 }
+
+# What a caller is told; the log names the upstream and what was observed.
+_TITLES = {
+    FailureKind.CONNECT_REFUSED: "the upstream accepted no connection",
+    FailureKind.NOT_SENT: "the request could not be sent to an upstream",
+    FailureKind.REFUSED_NOT_RUN: "the upstream refused the request",
+    FailureKind.OVERLOADED: "the upstream is overloaded",
+    FailureKind.ANSWER_TIMEOUT: "the upstream did not answer in time",
+    FailureKind.CONNECTION_LOST: "the connection to the upstream was lost",
+    FailureKind.SERVER_ERROR: "the upstream failed",
+    FailureKind.INVALID_REQUEST: "the upstream rejected the request",
+}
