--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -95,7 +95,6 @@
         )
         if admitted.route.model_tiers:
             self._tier = services.models.first_tier()
-            services.models.sizes.record(admitted.route.name, self._size)
 
     @property
     def _route(self) -> Route:
@@ -304,7 +303,6 @@
                 time_left=self._in_time_at(largest),
                 pressure=self._services.dispatcher.pressure(entry.service),
             ),
-            models.sizes.worth(self._route.name, self._size),
             self._size,
             self._tier_costs(entry.service),
         )
