Send callers away for a share of their time while no configuration is known

Change: while the store is known to be away and the daemon has no configuration, Retry-After is 0.3 of the time that the caller has left, 5 s at most (callers wait up to a third of it). A listing that takes over 400 ms counts as the store being away, and is logged so. A daemon that knows some configuration still answers 0.3 s: another one may know more.

The new tests were red with the old answer.

--- a/trefoilpitch/gateway/_flow.py
+++ b/trefoilpitch/gateway/_flow.py
@@ -8,7 +8,8 @@
 from trefoilpitch.gateway._http_server import HttpRequest, Responder
 from trefoilpitch.gateway._log import log_event, log_failure
 from trefoilpitch.gateway._messages import CallerRequest
-from trefoilpitch.gateway._request_run import RETRY_AFTER_MS, RequestRun
+from trefoilpitch.gateway._refusals import retry_after_ms
+from trefoilpitch.gateway._request_run import RequestRun
 from trefoilpitch.metrics import Label
 
 
@@ -50,17 +51,21 @@
     async def _reject(
         self, request: CallerRequest, rejection: Rejection, responder: Responder
     ) -> None:
-        retry_after_ms = None
-        if rejection is Rejection.UNKNOWN_CONFIGURATION:
-            retry_after_ms = RETRY_AFTER_MS
         services = self._services
+        configuration = services.view.configuration
+        come_back_ms = None
+        if rejection is Rejection.UNKNOWN_CONFIGURATION:
+            # Another daemon may know more than one that has a configuration.
+            none_knows = configuration is None and services.store_away()
+            come_back_ms = retry_after_ms(
+                request.wait_ms or 0, store_away=none_knows
+            )
         headers = services.codec.encode_refusal(
-            request.request_id, retry_after_ms
+            request.request_id, come_back_ms
         )
         services.metrics.count(
             "rejections", Label(name="reason", value=rejection.name.lower())
         )
-        configuration = services.view.configuration
         log_event(
             "rejected",
             id=request.request_id,
@@ -70,5 +75,6 @@
             reason=rejection.name.lower(),
             configuration=configuration.version if configuration else None,
             current=services.is_current(),
+            retry_after_ms=come_back_ms,
         )
         await responder.answer(rejection.value, headers, b"")
--- a/trefoilpitch/gateway/_flow_services.py
+++ b/trefoilpitch/gateway/_flow_services.py
@@ -37,3 +37,5 @@
     metrics: Metrics
     # Whether the configuration is known to be the newest.
     is_current: Callable[[], bool]
+    # Whether the store is known to be away.
+    store_away: Callable[[], bool]
--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -88,6 +88,11 @@
         """Whether the store answered the last call of this follower."""
         return self._loaded and self._away_since_ms is None
 
+    @property
+    def store_away(self) -> bool:
+        """Whether the last call failed, or a listing takes far too long."""
+        return self._away_since_ms is not None
+
     def is_current(self) -> bool:
         """Whether no newer configuration can have been missed."""
         age_ms = self._clock.now_ms() - self._confirmed_ms
@@ -154,6 +159,7 @@
             async with asyncio.timeout(_LIST_MS / _MS_PER_S):
                 batch = await self._store.read_all()
         except (TimeoutError, StoreUnavailableError) as error:
+            self._note_away(str(error) or f"no listing in {_LIST_MS} ms")
             known = await self._ask_peers()
             if known is not None:
                 self._take(known)
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -178,6 +178,7 @@
                 models=ModelChoice(),
                 metrics=metrics,
                 is_current=self._follower.is_current,
+                store_away=lambda: self._follower.store_away,
             )
         )
         self._callers = self._server(flow.handle)
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -19,6 +19,7 @@
     UpstreamCall,
 )
 from trefoilpitch.gateway._model_tiers import AnswerSize, BegunAnswer
+from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._tries import (
     Tries,
     answer_timeout_ms,
@@ -35,9 +36,6 @@
 _WAIT_SHARE = 0.125
 _WAIT_STEP_MS = 20
 _MS_PER_S = 1_000
-# When a caller that was refused may come back: about the time in which an
-# upstream that failed is tried again, or a cold one takes more.
-RETRY_AFTER_MS = 300
 # A try needs this much time to make sense.
 _MIN_TRY_MS = 10
 _OK = 200
@@ -491,7 +489,7 @@
 
     def _final_status(self) -> tuple[int, int | None]:
         if self._tries.execution is Execution.NOT_RUN:
-            return _UNAVAILABLE, RETRY_AFTER_MS
+            return _UNAVAILABLE, RETRY_SOON_MS
         if self._remaining_ms(self._services.clock.now_ms()) < _MIN_TRY_MS:
             return _GATEWAY_TIMEOUT, None
         return _BAD_GATEWAY, None
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -36,6 +36,7 @@
     BegunAnswer,
     ModelChoice,
 )
+from trefoilpitch.gateway._refusals import RETRY_SOON_MS, retry_after_ms
 from trefoilpitch.gateway._rollouts import (
     CANARY_PERCENT,
     VersionEvidence,
@@ -642,3 +643,19 @@
         )
         assert step is not None
         assert step.phase is RolloutPhase.ROLLED_BACK
+
+
+@pytest.mark.parametrize(
+    ("remaining_ms", "store_away", "expected"),
+    [
+        (15_000, False, RETRY_SOON_MS),
+        (0, True, RETRY_SOON_MS),
+        (1_500, True, 450),
+        (5_000, True, 1_500),
+        (60_000, True, 5_000),
+    ],
+)
+def test_outage_of_the_store_sends_callers_away_for_a_share_of_their_time(
+    remaining_ms: int, store_away: bool, expected: int
+) -> None:
+    assert retry_after_ms(remaining_ms, store_away=store_away) == expected
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -20,7 +20,11 @@
     running_node,
     send,
 )
-from trefoilpitch.standins import PlatformWorkerStandin, WorkerFault
+from trefoilpitch.standins import (
+    PlatformStoreStandin,
+    PlatformWorkerStandin,
+    WorkerFault,
+)
 
 _ID = b"x-trefoilpitch-request-attempt-id"
 _SEAL = b"x-trefoilpitch-response-seal"
@@ -643,6 +647,33 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("store_away", "deadline_ms", "retry_after"),
+    [(True, "10000", "3"), (True, "900", "0.3"), (False, "10000", "0.3")],
+)
+def test_caller_comes_back_when_a_configuration_may_be_known(
+    store_away: bool, deadline_ms: str, retry_after: str
+) -> None:
+    # All daemons have been killed while the store is away: callers that come
+    # back once must not do so before it returns.
+    async def scenario() -> None:
+        async with PlatformStoreStandin() as store:
+            store.refuse_with = 503 if store_away else None
+            settings = node_settings()
+            async with running_node(settings, store):
+                world = Fleet(store)
+                world.settings = settings
+                await eventually(lambda: store.calls)
+                await asyncio.sleep(0.05)
+                head, _ = await world.ask(
+                    "/plain/x", X_Trefoilpitch_Deadline_Ms=deadline_ms
+                )
+            assert head.status == 503
+            assert head.header(b"retry-after") == retry_after
+
+    run(scenario)
+
+
 def test_lost_history_is_made_good_by_a_listing() -> None:
     async def scenario() -> None:
         async with fleet() as world:
