Add a fault soak of the real daemons

Moved, not copied: the configuration document, the callers' request and the free ports of the whole-path tests are stand-ins now; `Processes` can keep the output of what it starts.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: defects demo format lint measure test
+.PHONY: defects demo format lint measure soak test
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -33,3 +33,6 @@
 
 defects: $(STAMP)
 	$(BIN)/python -m tools.defects
+
+soak: $(STAMP)
+	$(BIN)/python -m tools.soak
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak and of what it has found."""
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import json
 import os
@@ -14,7 +15,7 @@
 import urllib.request
 from collections.abc import Mapping
 from types import TracebackType
-from typing import Any, Self
+from typing import IO, Any, Self, TextIO
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ADMIN_TOKEN = "example-admin-token"
@@ -25,9 +26,15 @@
 
 
 class Processes:
-    """Owns processes and ends them; a context manager."""
+    """Owns processes and ends them; a context manager.
 
-    def __init__(self) -> None:
+    Args:
+        folder: Where each process's output is kept; without one, what it
+            prints to standard output is dropped.
+    """
+
+    def __init__(self, folder: pathlib.Path | None = None) -> None:
+        self._folder = folder
         self._running: dict[str, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> Self:
@@ -49,13 +56,19 @@
         self, name: str, module: str, *arguments: str, **environment: str
     ) -> subprocess.Popen[bytes]:
         """Starts a module of the project."""
-        process = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments],
-            cwd=ROOT,
-            env={**os.environ, **environment},
-            stdout=subprocess.DEVNULL,
-            stderr=sys.stderr,
-        )
+        with contextlib.ExitStack() as stack:
+            output: IO[bytes] | int = subprocess.DEVNULL
+            errors: IO[bytes] | TextIO = sys.stderr
+            if self._folder is not None:
+                path = self._folder / f"{name}.log"
+                output = errors = stack.enter_context(path.open("ab"))
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env={**os.environ, **environment},
+                stdout=output,
+                stderr=errors,
+            )
         self._running[name] = process
         return process
 
@@ -73,6 +86,10 @@
         self._running[name].kill()
         self._running.pop(name).wait()
 
+    def status(self, name: str) -> int | None:
+        """Returns a process's exit status; None while it runs."""
+        return self._running[name].poll()
+
     def signal(self, name: str, number: int = signal.SIGTERM) -> None:
         """Sends a signal to a process."""
         self._running[name].send_signal(number)
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak: real daemons under faults, checked from outside."""
--- /dev/null
+++ b/tools/soak/_run.py
@@ -0,0 +1,155 @@
+"""One run of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from tools.soak._checks import Attempt, History, Kind, find_violations
+from tools.soak._clients import Callers
+from tools.soak._plan import draw_plan
+from tools.soak._world import World
+
+# Events of a whole stream of the workers' stand-in.
+_EVENTS = 5
+# The least memory of a VM on the users' platform, which a daemon must not
+# exceed.
+_MEMORY_MB = 128
+# After the last fault every daemon has to serve every kind of request again.
+_RECOVERY_PATIENCE_MS = 30_000
+_RECOVERY_PAUSE_S = 0.2
+_EXIT_CHECK_S = 0.1
+_PROGRESS_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """How a run is made."""
+
+    # Gives the plan and the callers' choices.
+    seed: int
+    # How long faults and callers go on.
+    duration_ms: int
+    # Daemons, workers of each service, callers.
+    daemons: int
+    workers: int
+    callers: int
+    # Whether promises with a time bound are judged.
+    timed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """What a run found."""
+
+    # Broken promises, a line each.
+    violations: tuple[str, ...]
+    # Steps by action, and requests by outcome.
+    steps: dict[str, int]
+    outcomes: dict[str, int]
+    # Runs at workers, and the largest memory of a daemon.
+    runs: int
+    memory_mb: float
+
+
+async def run_once(
+    settings: Settings,
+    folder: pathlib.Path,
+    say: Callable[[str], None] = lambda line: None,
+) -> Report:
+    """Plays a seed.
+
+    Args:
+        settings: How.
+        folder: Where settings and logs of the daemons are kept.
+        say: Takes lines on the progress.
+    """
+    history = History()
+    rng = random.Random(settings.seed)
+    plan = draw_plan(settings.seed, settings.duration_ms)
+    async with World(
+        history,
+        folder,
+        daemons=settings.daemons,
+        workers=settings.workers,
+        rng=rng,
+    ) as world:
+        callers = Callers(history, world.now_ms, rng)
+        background = [
+            asyncio.create_task(callers.run(world.callers))
+            for _ in range(settings.callers)
+        ]
+        background.append(asyncio.create_task(_watch(world, say)))
+        try:
+            await _all_serve(world, callers)
+            begun_ms = world.now_ms()
+            for step in plan:
+                wait_ms = begun_ms + step.at_ms - world.now_ms()
+                await asyncio.sleep(max(0, wait_ms) / 1_000)
+                await world.apply(step)
+            end_ms = begun_ms + settings.duration_ms
+            await asyncio.sleep(max(0, end_ms - world.now_ms()) / 1_000)
+            world.heal()
+            unserved = await _all_serve(world, callers)
+        finally:
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+        memory_mb = world.memory_mb()
+        world.check_exits()
+    violations = find_violations(history, timed=settings.timed, events=_EVENTS)
+    violations += world.exits + unserved
+    if memory_mb > _MEMORY_MB:
+        violations.append(f"MEMORY {memory_mb:.0f} MB")
+    return Report(
+        violations=tuple(violations),
+        steps=dict(Counter(step.action.value for step in plan)),
+        outcomes=dict(Counter(_outcome(a) for a in history.attempts.values())),
+        runs=len(history.runs),
+        memory_mb=memory_mb,
+    )
+
+
+def _outcome(attempt: Attempt) -> str:
+    if attempt.left:
+        return "left"
+    if attempt.status is None:
+        return "no answer"
+    return f"{attempt.status}" if attempt.complete else "cut"
+
+
+async def _watch(world: World, say: Callable[[str], None]) -> None:
+    said_ms = 0
+    while True:
+        await asyncio.sleep(_EXIT_CHECK_S)
+        world.check_exits()
+        if world.now_ms() - said_ms >= _PROGRESS_S * 1_000:
+            said_ms = world.now_ms()
+            say(
+                f"  {said_ms // 1_000} s, {len(world.history.attempts)}"
+                f" requests, {len(world.history.runs)} runs"
+            )
+
+
+async def _all_serve(world: World, callers: Callers) -> list[str]:
+    """Waits until each daemon serves each kind; names those that do not."""
+    missing = {(daemon, kind): "" for daemon in world.callers for kind in Kind}
+    end_ms = world.now_ms() + _RECOVERY_PATIENCE_MS
+    while missing and world.now_ms() < end_ms:
+        for daemon, kind in list(missing):
+            attempt = await callers.ask(daemon, world.callers[daemon], kind)
+            if attempt.status == 200 and attempt.complete:
+                del missing[daemon, kind]
+            else:
+                missing[daemon, kind] = _outcome(attempt)
+        with contextlib.suppress(ProcessLookupError):
+            await asyncio.sleep(_RECOVERY_PAUSE_S)
+    return [
+        f"RECOVER {daemon}: {kind.name.lower()} is not served, {outcome}"
+        for (daemon, kind), outcome in missing.items()
+    ]
--- a/trefoilpitch/platform/tests/fleet.py
+++ b/trefoilpitch/platform/tests/fleet.py
@@ -4,10 +4,7 @@
 
 import asyncio
 import contextlib
-import itertools
-import os
 import random
-import socket
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -25,7 +22,13 @@
 from trefoilpitch.platform._interfaces import PlatformInterfaces
 from trefoilpitch.platform._requests import PlatformRequests
 from trefoilpitch.platform._store import PlatformStore
-from trefoilpitch.standins import PlatformStoreStandin, PlatformWorkerStandin
+from trefoilpitch.standins import (
+    PlatformStoreStandin,
+    PlatformWorkerStandin,
+    config_document,
+    free_port,
+    send,
+)
 
 HOST = "127.0.0.1"
 # Only bounds how long a broken test runs.
@@ -39,92 +42,6 @@
             await asyncio.sleep(0.005)
 
 
-# Below the range from which the kernel takes ports for connections, so that
-# none of these can take a port between its choice and its use.
-_FIRST_PORT = 10_000
-_PORTS = 9_000
-_next_ports = itertools.count(os.getpid() * 37)
-
-
-def free_port() -> int:
-    """Returns a port that is free for TCP and UDP."""
-    while True:
-        port = _FIRST_PORT + next(_next_ports) % _PORTS
-        with (
-            socket.socket() as stream,
-            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
-        ):
-            try:
-                stream.bind((HOST, port))
-                datagrams.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-
-
-def config_document(version: int = 1, **fields: Any) -> dict[str, Any]:
-    routes = [
-        _route("plain", "/plain/", "plain-service", kind="idempotent"),
-        _route("once", "/once/", "plain-service", kind="non_idempotent"),
-        _route(
-            "stream",
-            "/stream/",
-            "model-service",
-            kind="stream",
-            **{
-                "resumable": True,
-                "target-gap-ms": 2_000,
-                "model-tiers": ["small", "large"],
-                "max-attempts": 3,
-            },
-        ),
-    ]
-    services = [
-        _service("plain-service"),
-        _service("model-service")
-        | {
-            "engine": {
-                "models": [
-                    {"name": "small", "cost": 0.02},
-                    {"name": "large", "cost": 0.2},
-                ]
-            }
-        },
-    ]
-    return {
-        "version": version,
-        "routes": routes,
-        "services": services,
-        "limits": {
-            "max-header-bytes": 4_096,
-            "max-body-bytes": 10_000,
-            "header-timeout-ms": 3_000,
-            "idle-timeout-ms": 15_000,
-        },
-        "tenants": [{"name": "workspace-a", "api-keys": ["key-a"]}],
-        **fields,
-    }
-
-
-def _route(
-    name: str, prefix: str, service: str, **fields: Any
-) -> dict[str, Any]:
-    return {
-        "name": name,
-        "host": "api.example",
-        "path-prefix": prefix,
-        "timeout-ms": 8_000,
-        "target-latency-ms": 4_000,
-        "service": service,
-        "max-attempts": 2,
-        **fields,
-    }
-
-
-def _service(name: str) -> dict[str, Any]:
-    return {"name": name, "cold-start-s": 0.0, "cold-per-s": 0.0}
-
-
 class Fleet:
     """A store, workers and one daemon."""
 
@@ -180,28 +97,6 @@
             return head, await connection.receive_body(PATIENCE_MS, 1 << 20)
 
 
-def send(
-    connection: HttpConnection,
-    target: str,
-    *,
-    request_id: str = "id-1",
-    body: bytes = b"",
-    method: str = "POST",
-    **headers: str,
-) -> None:
-    """Sends a request as a client of the platform does."""
-    values = {
-        "Host": "api.example",
-        "X-Trefoilpitch-Request-Attempt-Id": request_id,
-        "X-Trefoilpitch-Deadline-Ms": "8000",
-        "Api-Key": "key-a",
-        "Content-Length": str(len(body)),
-    }
-    values |= {name.replace("_", "-"): text for name, text in headers.items()}
-    wire = [(n.encode(), text.encode()) for n, text in values.items() if text]
-    connection.send(method.encode(), target.encode(), wire, body)
-
-
 def node_settings(name: str = "vm-1") -> NodeSettings:
     def address() -> ListenAddress:
         return ListenAddress(host=HOST, port=free_port())
--- a/trefoilpitch/platform/tests/test_log_lines.py
+++ b/trefoilpitch/platform/tests/test_log_lines.py
@@ -12,8 +12,8 @@
 
 from trefoilpitch.clock import ManualClock
 from trefoilpitch.gateway import ExchangeError, JsonLineHandler, log_event
-from trefoilpitch.platform.tests.fleet import Fleet, eventually, fleet, send
-from trefoilpitch.standins import WorkerFault
+from trefoilpitch.platform.tests.fleet import Fleet, eventually, fleet
+from trefoilpitch.standins import WorkerFault, send
 
 
 def _lines(
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -35,7 +35,7 @@
     PlatformSettingsError,
     parse_settings,
 )
-from trefoilpitch.platform.tests.fleet import config_document
+from trefoilpitch.standins import config_document
 
 _SETTINGS = """
 node = "front-a-1"
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -13,17 +13,17 @@
     HOST,
     PATIENCE_MS,
     Fleet,
-    config_document,
     eventually,
     fleet,
     node_settings,
     running_node,
-    send,
 )
 from trefoilpitch.standins import (
     PlatformStoreStandin,
     PlatformWorkerStandin,
     WorkerFault,
+    config_document,
+    send,
 )
 
 _ID = b"x-trefoilpitch-request-attempt-id"
--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -4,12 +4,15 @@
 from trefoilpitch.standins._engine_nodes import EngineSettings
 from trefoilpitch.standins._faults import Fault
 from trefoilpitch.standins._kv import KvServer, kv_server
+from trefoilpitch.standins._platform_caller import send
+from trefoilpitch.standins._platform_operator import config_document
 from trefoilpitch.standins._platform_store import PlatformStoreStandin
 from trefoilpitch.standins._platform_worker import (
     PlatformWorkerStandin,
     WorkerFault,
     WorkerRun,
 )
+from trefoilpitch.standins._ports import free_port
 from trefoilpitch.standins._rating import (
     RatingSettings,
     RatingStandIn,
@@ -36,9 +39,12 @@
     "VmListServer",
     "WorkerFault",
     "WorkerRun",
+    "config_document",
+    "free_port",
     "kv_server",
     "open_engine_stand_in",
     "open_rating_stand_in",
     "open_service_stand_in",
+    "send",
     "vm_list_server",
 ]
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 from collections import deque
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
 
@@ -18,6 +19,7 @@
 )
 
 _LOOPBACK = "127.0.0.1"
+_MS_PER_S = 1_000
 _ID = "X-Trefoilpitch-Request-Attempt-Id"
 
 
@@ -58,6 +60,8 @@
     line: str
     # The body.
     body: bytes
+    # How it goes wrong; None if it does not.
+    fault: WorkerFault | None = None
 
 
 class PlatformWorkerStandin:
@@ -78,8 +82,12 @@
         self.runs: list[WorkerRun] = []
         # Requests whose caller left before the answer was done.
         self.abandoned = 0
+        # Called for each run.
+        self.on_run: Callable[[WorkerRun], None] = lambda run: None
         # Events of a stream.
         self.events = 5
+        # Time before an answer, and before each event of a stream.
+        self.pace_ms = 0
         # Confidence by model.
         self.confidence: dict[str, int] = {}
         # Set to let requests that hang go on.
@@ -137,8 +145,10 @@
             headers=headers,
             line=f"{request.method.decode()} {request.target.decode()}",
             body=request.body,
+            fault=fault,
         )
         self.runs.append(run)
+        self.on_run(run)
         try:
             await self._work(run, fault, responder)
         except BaseException:
@@ -153,6 +163,8 @@
             return
         if fault is WorkerFault.HANG:
             await self.release.wait()
+        if self.pace_ms:
+            await asyncio.sleep(self.pace_ms / _MS_PER_S)
         headers = self._headers(run, fault)
         statuses = {
             WorkerFault.ERROR: 500,
@@ -228,4 +240,6 @@
                 responder.abort()
                 return
             await responder.write(event)
+            if self.pace_ms:
+                await asyncio.sleep(self.pace_ms / _MS_PER_S)
         responder.finish()
