--- a/tools/soak/_clients.py
+++ b/tools/soak/_clients.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from tools.soak._checks import Attempt, ExtraRoute, History, Kind
+from tools.soak._checks import Attempt, History, Kind
 from trefoilpitch.gateway import ExchangeError, HttpConnection, connect
 from trefoilpitch.standins import send
 
