Ask once a round for a listing that the store refuses

Cause: a daemon that starts while the store refuses calls asked for a listing, then asked its seeds, then asked for the listing again at once: the second call is meant for a store that is slow to answer.

Change: the second call follows a listing that took too long, not a refusal.

The new test was red before.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -158,18 +158,25 @@
         try:
             async with asyncio.timeout(_LIST_MS / _MS_PER_S):
                 batch = await self._store.read_all()
-        except (TimeoutError, StoreUnavailableError) as error:
-            self._note_away(str(error) or f"no listing in {_LIST_MS} ms")
-            known = await self._ask_peers()
-            if known is not None:
-                self._take(known)
-                raise StoreUnavailableError("listed by a peer") from error
+        except StoreUnavailableError as error:
+            self._note_away(str(error))
+            await self._list_from_peer(error)
+            raise
+        except TimeoutError as error:
+            self._note_away(f"no listing in {_LIST_MS} ms")
+            await self._list_from_peer(error)
             # A slow store is better than none.
             batch = await self._store.read_all()
         self._note_back()
         self._take(batch)
         return batch
 
+    async def _list_from_peer(self, error: Exception) -> None:
+        known = await self._ask_peers()
+        if known is not None:
+            self._take(known)
+            raise StoreUnavailableError("listed by a peer") from error
+
     def _take(self, batch: ItemBatch) -> None:
         self._view.load(
             batch,
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -99,6 +99,34 @@
     assert names == ["list", "watch", "list", "watch", "watch"]
 
 
+def test_listing_that_is_refused_is_asked_for_once_a_round() -> None:
+    # All daemons start while the store refuses: each call that none serves
+    # counts against the calls of the whole fleet.
+    world = _World()
+    listed = world.store.listing
+    world.store.listing = _AWAY
+    rounds: list[int] = []
+
+    async def ask_peers() -> ItemBatch | None:
+        rounds.append(len(world.store.calls))
+        if len(rounds) == 3:
+            world.store.listing = listed
+        return None
+
+    world.follower = StoreFollower(
+        world.store,  # type: ignore[arg-type]
+        world.view,
+        world.clock,
+        random.Random(1),
+        should_watch=lambda: True,
+        ask_peers=ask_peers,
+        on_change=lambda: None,
+    )
+    world.follow()
+    assert rounds == [1, 2, 3]
+    assert set(world.view.upstreams) == {"u"}
+
+
 def test_daemon_that_starts_in_an_outage_learns_from_a_peer() -> None:
     world = _World()
     world.from_peer = world.store.listing  # type: ignore[assignment]
