List again when a peer has a listing, and watch by the listing's members

A daemon without a listing has no members to ask. Ruled out: start time (all had been up for 1.9 s), rate limits of the store (no 429).

Change: (1) a heartbeat of a peer that knows more ends that pause, plus up to 100 ms so that not all call at once. (2) With (1) alone all 16 listed at once, took themselves for watchers and were woken by each other's registrations; so for 1.7 s after a listing its members count as alive when the watchers are chosen. That is less than the time in which a started daemon is bound by a change.

Both tests were red without their part.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 
@@ -42,6 +43,8 @@
 # A listing that takes longer is asked of a peer as well: many times what the
 # store needs on a usual day.
 _LIST_MS = 400
+# Over which daemons without a listing spread their calls once a peer has one.
+_NEWS_SPREAD_MS = 100
 # The first call after an outage answers soon, to show that it has ended.
 _FIRST_WATCH_MS = 50
 _MS_PER_S = 1_000
@@ -82,6 +85,8 @@
         self._away_since_ms: int | None = None
         self._lapse_until_ms = 0
         self._confirmed_ms = -_CURRENT_FOR_MS
+        self._news = asyncio.Event()
+        self._listed_ms = 0
 
     @property
     def store_answers(self) -> bool:
@@ -98,10 +103,21 @@
         age_ms = self._clock.now_ms() - self._confirmed_ms
         return self._loaded and age_ms < _CURRENT_FOR_MS
 
+    def listed_for_ms(self) -> int:
+        """Returns how long ago this daemon took a listing."""
+        return self._clock.now_ms() - self._listed_ms
+
     def confirm(self) -> None:
         """Notes that the view has just been seen to be the newest."""
         self._confirmed_ms = self._clock.now_ms()
 
+    def note_news(self) -> None:
+        """Notes that a peer knows more than this daemon.
+
+        One that has no listing yet asks the store again at once.
+        """
+        self._news.set()
+
     def take_from_peer(self, batch: ItemBatch, peer: str) -> None:
         """Takes changes that a peer has and this daemon lacks."""
         now_ms = self._clock.now_ms()
@@ -133,9 +149,22 @@
             except StoreUnavailableError as error:
                 self._note_away(str(error))
                 spread = 0.5 + self._rng.random()
-                await asyncio.sleep(backoff_ms * spread / _MS_PER_S)
+                await self._pause(backoff_ms * spread)
                 backoff_ms = min(_MAX_BACKOFF_MS, 2 * backoff_ms)
 
+    async def _pause(self, pause_ms: float) -> None:
+        if self._loaded:
+            await asyncio.sleep(pause_ms / _MS_PER_S)
+            return
+        self._news.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_ms / _MS_PER_S):
+                await self._news.wait()
+                log_event("listing_again", reason="a peer knows more")
+                # The daemons that wait do not all call at the same moment.
+                spread_ms = _NEWS_SPREAD_MS * self._rng.random()
+                await asyncio.sleep(spread_ms / _MS_PER_S)
+
     async def _step(self) -> None:
         if self._loaded:
             wait_ms = _WATCH_MS if self.store_answers else _FIRST_WATCH_MS
@@ -184,6 +213,7 @@
             lapse_until_ms=self._lapse_until_ms,
         )
         self._loaded = True
+        self._listed_ms = self._clock.now_ms()
         self._on_change()
 
     def _note_away(self, reason: str) -> None:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -57,6 +57,9 @@
 
 _LEASE_RENEWAL_MS = 8_000
 _DECIDE_MS = 200
+# For so long after a listing its members are taken to be alive: each will have
+# sent a heartbeat by then, also in a large fleet.
+_SETTLE_MS = 1_700
 # A peer whose revision is ahead for this long has news that this daemon's own
 # watch did not bring.
 _BEHIND_MS = 250
@@ -352,6 +355,8 @@
             for name, peer in self._peers.alive().items()
             if peer.heartbeat.store_answers and peer.heartbeat.ready
         ]
+        if self._follower.listed_for_ms() < _SETTLE_MS:
+            reachable.extend(self._view.members)
         return watches_store(self._settings.name, reachable)
 
     def _send_heartbeat(self) -> None:
@@ -380,6 +385,7 @@
             self._follower.confirm()
         if heartbeat.revision > self._view.revision:
             self._behind.set()
+            self._follower.note_news()
 
     async def _catch_up(self) -> None:
         """Asks a peer for changes that no watch of this daemon's brings."""
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -16,6 +16,7 @@
     StoreUnavailableError,
 )
 from trefoilpitch.fleet.tests.fakes import TableCodec, upstream
+from trefoilpitch.gateway import _follower
 from trefoilpitch.gateway._follower import StoreFollower
 from trefoilpitch.gateway._peers import (
     heartbeat_interval_ms,
@@ -127,6 +128,30 @@
     assert set(world.view.upstreams) == {"u"}
 
 
+def test_daemon_without_a_listing_asks_again_when_a_peer_knows_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # All daemons are killed in an outage. The first to see its end tells the
+    # others by its heartbeat; none waits for the end of its own pause.
+    monkeypatch.setattr(_follower, "_MIN_BACKOFF_MS", 600_000)
+    world = _World()
+    listed = world.store.listing
+    world.store.listing = _AWAY
+
+    async def scenario() -> None:
+        task = asyncio.create_task(world.follower.run())
+        async with asyncio.timeout(10):
+            while not world.store.calls:
+                await asyncio.sleep(0)
+            world.store.listing = listed
+            world.follower.note_news()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+
+    asyncio.run(scenario())
+    assert set(world.view.upstreams) == {"u"}
+
+
 def test_daemon_that_starts_in_an_outage_learns_from_a_peer() -> None:
     world = _World()
     world.from_peer = world.store.listing  # type: ignore[assignment]
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -8,7 +8,10 @@
 
 import pytest
 
+from trefoilpitch.fleet import Member
 from trefoilpitch.gateway import ExchangeError, connect
+from trefoilpitch.gateway._peers import watches_store
+from trefoilpitch.platform._documents import PlatformDocuments
 from trefoilpitch.platform.tests.fleet import (
     HOST,
     PATIENCE_MS,
@@ -674,6 +677,38 @@
     run(scenario)
 
 
+def test_daemon_of_a_large_fleet_does_not_watch_before_it_knows_its_peers() -> (
+    None
+):
+    # Many daemons start together; each would watch until it has heard others,
+    # and every registration would wake all of these watches.
+    async def scenario() -> None:
+        async with PlatformStoreStandin() as store:
+            store.put("op/config", config_document())
+            names = [f"vm-{number}" for number in range(40)]
+            for name in names:
+                member = Member(
+                    name=name,
+                    incarnation="before",
+                    caller_address=f"{HOST}:1",
+                    peer_host=HOST,
+                    peer_port=1,
+                    heartbeat_port=1,
+                    failure_domain="zone-a",
+                )
+                write = PlatformDocuments().encode_member(member, 0)
+                store.put_bytes(write.key, write.value)
+            own = next(n for n in names if not watches_store(n, names))
+            async with running_node(node_settings(own), store) as node:
+                await eventually(lambda: node.ready)
+                await asyncio.sleep(0.3)
+                assert store.calls.get("kv-watch", 0) == 0
+                # None of the others is alive, as it turns out.
+                await eventually(lambda: store.calls.get("kv-watch"))
+
+    run(scenario)
+
+
 def test_lost_history_is_made_good_by_a_listing() -> None:
     async def scenario() -> None:
         async with fleet() as world:
