Make the soak able to fail, and judge bounds in longer calms

Three reasons, each seen in the recorded history: two faulty runs of a call that may not be repeated in a whole run; time bounds were excused by anything that had disturbed a daemon since the change, and changes happen in storms only; a store that was away excused a planned stop's cuts.

Change: more steps and worker faults; a bound is judged where the daemon was undisturbed for the time of the bound and the contact time before the request; only the daemon's own and its workers' trouble excuse a cut; calms of 12 s, and evacuations that last into them.

The check now holds from the moment it listens.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -185,18 +185,35 @@
 
 
 @pytest.mark.parametrize(
-    "make", [_banned(worker="w0"), _added_route_denied, _cut_by_stop]
+    ("make", "disturbed"),
+    [
+        (_banned(worker="w0"), None),
+        (_banned(worker="w0"), "vm-0"),
+        (_added_route_denied, None),
+        (_cut_by_stop, "vm-0"),
+        (_cut_by_stop, "w0"),
+    ],
 )
 def test_time_bounds_hold_only_for_what_nothing_disturbs(
-    make: Callable[[], History],
+    make: Callable[[], History], disturbed: str | None
 ) -> None:
     history = make()
-    cut = Disturbance(subject=None, from_ms=19_000, to_ms=19_500)
+    cut = Disturbance(subject=disturbed, from_ms=19_000, to_ms=19_500)
     history.disturbances.append(cut)
     assert _found(history) == []
     assert _found(make(), timed=False) == []
 
 
+@pytest.mark.parametrize("make", [_banned(worker="w0"), _added_route_denied])
+def test_disturbance_long_before_is_no_excuse(
+    make: Callable[[], History],
+) -> None:
+    history = make()
+    cut = Disturbance(subject="vm-0", from_ms=9_000, to_ms=14_900)
+    history.disturbances.append(cut)
+    assert len(_found(history)) == 1
+
+
 def test_cut_by_a_faulty_worker_is_not_the_stops() -> None:
     history = _cut_by_stop()
     attempt = history.attempts["r1"]
@@ -218,7 +235,7 @@
 ) -> None:
     settings = Settings(
         seed=seed,
-        duration_ms=12_000,
+        duration_ms=19_000,
         daemons=3,
         workers=2,
         callers=6,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -17,7 +18,7 @@
     "seeds", [], "Seeds to play; without any, fresh ones are drawn."
 )
 _COUNT = flags.DEFINE_integer("count", 3, "Fresh seeds to draw.", 1)
-_SECONDS = flags.DEFINE_integer("seconds", 30, "Length of a run.", 5)
+_SECONDS = flags.DEFINE_integer("seconds", 36, "Length of a run.", 19)
 _DAEMONS = flags.DEFINE_integer("daemons", 4, "Daemons.", 1, 300)
 _WORKERS = flags.DEFINE_integer("workers", 3, "Workers of each service.", 1)
 _CALLERS = flags.DEFINE_integer("callers", 16, "Callers at a time.", 1)
@@ -29,6 +30,8 @@
 def main(arguments: Sequence[str]) -> int:
     """Plays the seeds; the status is 1 if a promise was broken."""
     del arguments
+    # So that the processes of a soak that is ended from outside end with it.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(number))
     first = int(time.time())
     seeds = [int(seed) for seed in _SEEDS.value] or [
         first + number for number in range(_COUNT.value)
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -239,7 +239,9 @@
         timed
         and in_force_ms < attempt.sent_ms
         and ended_ms < added[0].to_ms
-        and history.in_touch(attempt.daemon, added[0].from_ms, ended_ms)
+        and history.in_touch(
+            attempt.daemon, attempt.sent_ms - CONFIG_APPLY_MS, ended_ms
+        )
     ):
         yield f"CONFIG {name}: {attempt.status} for {target}"
 
@@ -247,7 +249,10 @@
 def _check_loss(
     history: History, attempt: Attempt, runs: Sequence[Run]
 ) -> Iterator[str]:
-    """A planned stop by itself cuts nothing that a sound worker serves."""
+    """A planned stop cuts nothing that a sound worker serves.
+
+    A store that is away is no excuse.
+    """
     if attempt.complete or attempt.left or attempt.ended_ms is None:
         return
     workers = [run.worker for run in runs]
@@ -259,7 +264,7 @@
     )
     unplanned = any(
         not d.planned
-        and d.subject in (None, attempt.daemon, *workers)
+        and d.subject in (attempt.daemon, *workers)
         and d.from_ms <= attempt.ended_ms
         and d.to_ms >= attempt.sent_ms - CONTACT_MS
         for d in history.disturbances
@@ -277,7 +282,8 @@
         if attempt is None:
             continue
         for ban in _broken_bans(history.bans, run, attempt):
-            if history.in_touch(attempt.daemon, ban.from_ms, run.at_ms):
+            known_ms = max(ban.from_ms, attempt.sent_ms - ban.bound_ms)
+            if history.in_touch(attempt.daemon, known_ms, run.at_ms):
                 yield (
                     f"BANNED {run.request_id} at {attempt.daemon}: ran at"
                     f" {run.worker} at {run.at_ms} against {ban}"
--- a/tools/soak/_plan.py
+++ b/tools/soak/_plan.py
@@ -9,12 +9,14 @@
 from tools.soak._proxy import LinkFault
 from trefoilpitch.standins import WorkerFault
 
-# Storms and calm alternate; the calm is long enough for bounds to be judged.
+# Storms and calm alternate. In a calm the last fault ends, then the time passes
+# after which a daemon counts as undisturbed, then that of the longest bound;
+# what is left is judged.
 STORM_MS = 6_000
-CALM_MS = 6_000
-_MEAN_PAUSE_MS = 350
+CALM_MS = 12_000
+_MEAN_PAUSE_MS = 250
 _MIN_FOR_MS = 200
-_MAX_FOR_MS = 4_000
+_MAX_FOR_MS = 2_500
 
 
 class Action(enum.Enum):
@@ -51,7 +53,7 @@
     Action.STORE_LOSES_ANSWERS: 2,
     Action.STORE_FORGETS: 1,
     Action.WORKER_LINK: 4,
-    Action.WORKER_FAULTS: 6,
+    Action.WORKER_FAULTS: 10,
     Action.REPLACE_WORKER: 3,
     Action.CONFIGURE: 4,
     Action.EVACUATE: 1,
--- a/tools/soak/_world.py
+++ b/tools/soak/_world.py
@@ -24,7 +24,7 @@
     History,
     Run,
 )
-from tools.soak._plan import Action, Step
+from tools.soak._plan import CALM_MS, STORM_MS, Action, Step
 from tools.soak._proxy import FaultProxy
 from trefoilpitch.standins import (
     PlatformStoreStandin,
@@ -40,7 +40,10 @@
 GRACE_MS = 8_000
 _PACE_MS = 15
 _POLL_MS = 50
-_WORKER_FAULTS = 5
+_WORKER_FAULTS = 12
+# From a storm to the end of the calm after it.
+_EVACUATION_HOLD_MS = STORM_MS + CALM_MS
+_LISTENING = b'"event":"listening"'
 _FOREVER_MS = 1 << 40
 _SETTINGS = """
 node = "{name}"
@@ -111,6 +114,8 @@
         self._worker_count = 0
         self._version = 1
         self._away: set[str] = set()
+        # Bytes of each daemon's log that earlier starts wrote.
+        self._log_starts: dict[str, int] = {}
         self._paused: Counter[str] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -258,7 +263,21 @@
         )
         (self._folder / f"{name}.toml").write_text(text)
 
+    def _log_path(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.log"
+
+    def _has_listened(self, name: str) -> bool:
+        """Whether a daemon served when it ended.
+
+        One that is told to stop while it still starts ends at once, as any
+        process without a handler does; it has nothing to finish.
+        """
+        written = self._log_path(name).read_bytes()
+        return _LISTENING in written[self._log_starts[name] :]
+
     def _start(self, name: str) -> None:
+        log = self._log_path(name)
+        self._log_starts[name] = log.stat().st_size if log.exists() else 0
         self._processes.start(
             name,
             "trefoilpitch.platform",
@@ -291,7 +310,7 @@
         if status is None:
             self.exits.append(f"GRACE {name}: still runs after {GRACE_MS} ms")
             self._processes.kill(name)
-        elif status != 0:
+        elif status != 0 and self._has_listened(name):
             self.exits.append(f"EXITED {name}: status {status} when told to")
         self._start(name)
 
@@ -406,7 +425,7 @@
         domain = _DOMAINS[step.target % len(_DOMAINS)]
         self._store.put(f"op/evacuate/{domain}", {"zone": domain})
         from_ms = self.now_ms()
-        await asyncio.sleep((EVACUATION_MS + step.for_ms) / 1_000)
+        await asyncio.sleep((_EVACUATION_HOLD_MS + step.for_ms) / 1_000)
         self.history.bans.append(
             Ban(
                 domain=domain,
