Split the soak's world into daemons, surroundings and recorder

Cause: one module of 445 lines held processes, store, workers, the operator and the history's clock. The tests of the soak pass unchanged.

--- /dev/null
+++ b/tools/soak/_daemons.py
@@ -0,0 +1,219 @@
+"""The daemons of a run: real processes, each with its own link to the store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+from collections import Counter
+from types import TracebackType
+from typing import Self
+
+from tools.processes import Processes
+from tools.soak._proxy import FaultProxy
+from tools.soak._recorder import Recorder
+from trefoilpitch.standins import free_port
+
+_HOST = "127.0.0.1"
+DOMAINS = ("zone-a", "zone-b", "zone-c")
+GRACE_MS = 8_000
+_POLL_MS = 50
+_LISTENING = b'"event":"listening"'
+_SETTINGS = """
+node = "{name}"
+zone = "{domain}"
+region = "region"
+ip = "127.0.0.1"
+port-range = [{heartbeats}, {heartbeats}]
+seeds = [{seeds}]
+[listen]
+front = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+directory = "127.0.0.1:{directory}"
+control = "127.0.0.1:{peers}"
+[bounds]
+grace-s = 8
+retry-ratio = 0.9
+retry-window-s = 10
+retry-slack = 60
+ttl_max_s = 5
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+class Daemons:
+    """Starts, stops, pauses and kills daemons; ends them all on exit.
+
+    Args:
+        recorder: Where their disturbances are recorded.
+        folder: Settings and the daemons' output.
+        count: How many there are.
+    """
+
+    def __init__(
+        self, recorder: Recorder, folder: pathlib.Path, count: int
+    ) -> None:
+        # Where callers reach each daemon.
+        self.ports = {f"vm-{n}": free_port() for n in range(count)}
+        # Ends that should not have been, a line each.
+        self.exits: list[str] = []
+        # The link from each daemon to the store.
+        self.store_links: dict[str, FaultProxy] = {}
+        self._recorder = recorder
+        self._folder = folder
+        self._stack = contextlib.AsyncExitStack()
+        self._processes = Processes(folder)
+        self._store_port = 0
+        self._away: set[str] = set()
+        # Bytes of each daemon's log that earlier starts wrote.
+        self._log_starts: dict[str, int] = {}
+        self._paused: Counter[str] = Counter()
+
+    async def __aenter__(self) -> Self:
+        self._stack.enter_context(self._processes)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    async def start_all(self, store_port: int) -> None:
+        """Starts the daemons.
+
+        Args:
+            store_port: Where the store listens.
+        """
+        self._store_port = store_port
+        peer_ports = {name: free_port() for name in self.ports}
+        for place, name in enumerate(self.ports):
+            await self._prepare(name, place, peer_ports)
+            self._start(name)
+
+    def reload(self, name: str) -> None:
+        """Tells a daemon that its settings may have changed."""
+        if name not in self._away:
+            self._processes.signal(name, signal.SIGHUP)
+
+    def check_exits(self) -> None:
+        """Records and starts again the daemons that ended by themselves."""
+        for name in self.ports:
+            if name in self._away:
+                continue
+            status = self._processes.status(name)
+            if status is not None:
+                self.exits.append(f"EXITED {name}: status {status}")
+                self._start(name)
+
+    def memory_mb(self) -> float:
+        """Returns the largest resident memory of a daemon."""
+        sizes = [0.0]
+        for name in self.ports:
+            if name not in self._away:
+                pid = self._processes.pid(name)
+                sizes.append(_resident_mb(pid))
+        return max(sizes)
+
+    async def _prepare(
+        self, name: str, place: int, peer_ports: dict[str, int]
+    ) -> None:
+        proxy = FaultProxy(self._store_port)
+        await self._stack.enter_async_context(proxy)
+        self.store_links[name] = proxy
+        seeds = [f'"{_HOST}:{port}"' for port in peer_ports.values()]
+        text = _SETTINGS.format(
+            name=name,
+            domain=DOMAINS[place % len(DOMAINS)],
+            heartbeats=free_port(),
+            seeds=", ".join(seeds[:3]),
+            callers=self.ports[name],
+            ready=free_port(),
+            directory=free_port(),
+            peers=peer_ports[name],
+            store=proxy.port,
+        )
+        (self._folder / f"{name}.toml").write_text(text)
+
+    def _log_path(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.log"
+
+    def _has_listened(self, name: str) -> bool:
+        """Whether a daemon served when it ended.
+
+        One that is told to stop while it still starts ends at once, as any
+        process without a handler does; it has nothing to finish.
+        """
+        written = self._log_path(name).read_bytes()
+        return _LISTENING in written[self._log_starts[name] :]
+
+    def _start(self, name: str) -> None:
+        log = self._log_path(name)
+        self._log_starts[name] = log.stat().st_size if log.exists() else 0
+        self._processes.start(
+            name,
+            "trefoilpitch.platform",
+            TREFOILPITCH_BOOT=str(self._folder / f"{name}.toml"),
+        )
+        self._away.discard(name)
+
+    async def kill(self, name: str, for_ms: int) -> None:
+        """Kills a daemon, and starts it again after a time."""
+        if name in self._away:
+            return
+        self._away.add(name)
+        self._recorder.disturb(name, for_ms)
+        self._processes.kill(name)
+        await asyncio.sleep(for_ms / 1_000)
+        self._recorder.disturb(name, 0)
+        self._start(name)
+
+    async def terminate(self, name: str) -> None:
+        """Tells a daemon to stop, and starts it again once it has."""
+        if name in self._away:
+            return
+        self._away.add(name)
+        self._recorder.disturb(name, GRACE_MS, planned=True)
+        self._processes.signal(name)
+        end_ms = self._recorder.now_ms() + GRACE_MS
+        while (
+            self._processes.status(name) is None
+            and self._recorder.now_ms() < end_ms
+        ):
+            await asyncio.sleep(_POLL_MS / 1_000)
+            if self._paused[name]:
+                end_ms += _POLL_MS
+        status = self._processes.status(name)
+        if status is None:
+            self.exits.append(f"GRACE {name}: still runs after {GRACE_MS} ms")
+            self._processes.kill(name)
+        elif status != 0 and self._has_listened(name):
+            self.exits.append(f"EXITED {name}: status {status} when told to")
+        self._start(name)
+
+    async def pause(self, name: str, for_ms: int) -> None:
+        """Stops a daemon's threads for a time."""
+        if name in self._away:
+            return
+        self._recorder.disturb(name, for_ms)
+        pid = self._processes.pid(name)
+        self._processes.signal(name, signal.SIGSTOP)
+        self._paused[name] += 1
+        await asyncio.sleep(for_ms / 1_000)
+        self._paused[name] -= 1
+        # It may have been told to stop meanwhile, or have been killed.
+        is_same = self._processes.is_running(name)
+        if is_same and self._processes.pid(name) == pid:
+            self._processes.signal(name, signal.SIGCONT)
+
+
+def _resident_mb(pid: int) -> float:
+    with contextlib.suppress(OSError):
+        for line in pathlib.Path(f"/proc/{pid}/status").read_text().split("\n"):
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) / 1_024
+    return 0.0
--- a/tools/soak/_run.py
+++ b/tools/soak/_run.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from tools.soak._checks import Attempt, History, Kind, find_violations
+from tools.soak._checks import Attempt, Kind, find_violations
 from tools.soak._clients import Callers
 from tools.soak._plan import draw_plan
 from tools.soak._world import World
@@ -69,41 +69,42 @@
         folder: Where settings and logs of the daemons are kept.
         say: Takes lines on the progress.
     """
-    history = History()
     rng = random.Random(settings.seed)
     plan = draw_plan(settings.seed, settings.duration_ms)
     async with World(
-        history,
         folder,
         daemons=settings.daemons,
         workers=settings.workers,
         rng=rng,
     ) as world:
-        callers = Callers(history, world.now_ms, rng)
+        history = world.recorder.history
+        callers = Callers(history, world.recorder.now_ms, rng)
         background = [
-            asyncio.create_task(callers.run(world.callers))
+            asyncio.create_task(callers.run(world.daemons.ports))
             for _ in range(settings.callers)
         ]
         background.append(asyncio.create_task(_watch(world, say)))
         try:
             await _all_serve(world, callers)
-            begun_ms = world.now_ms()
+            begun_ms = world.recorder.now_ms()
             for step in plan:
-                wait_ms = begun_ms + step.at_ms - world.now_ms()
+                wait_ms = begun_ms + step.at_ms - world.recorder.now_ms()
                 await asyncio.sleep(max(0, wait_ms) / 1_000)
                 await world.apply(step)
             end_ms = begun_ms + settings.duration_ms
-            await asyncio.sleep(max(0, end_ms - world.now_ms()) / 1_000)
-            world.heal()
+            await asyncio.sleep(
+                max(0, end_ms - world.recorder.now_ms()) / 1_000
+            )
+            world.around.heal()
             unserved = await _all_serve(world, callers)
         finally:
             for task in background:
                 task.cancel()
             await asyncio.gather(*background, return_exceptions=True)
-        memory_mb = world.memory_mb()
-        world.check_exits()
+        memory_mb = world.daemons.memory_mb()
+        world.daemons.check_exits()
     violations = find_violations(history, timed=settings.timed, events=_EVENTS)
-    violations += world.exits + unserved
+    violations += world.daemons.exits + unserved
     if memory_mb > _MEMORY_MB:
         violations.append(f"MEMORY {memory_mb:.0f} MB")
     return Report(
@@ -125,24 +126,29 @@
 
 async def _watch(world: World, say: Callable[[str], None]) -> None:
     said_ms = 0
+    history = world.recorder.history
     while True:
         await asyncio.sleep(_EXIT_CHECK_S)
-        world.check_exits()
-        if world.now_ms() - said_ms >= _PROGRESS_S * 1_000:
-            said_ms = world.now_ms()
+        world.daemons.check_exits()
+        if world.recorder.now_ms() - said_ms >= _PROGRESS_S * 1_000:
+            said_ms = world.recorder.now_ms()
             say(
-                f"  {said_ms // 1_000} s, {len(world.history.attempts)}"
-                f" requests, {len(world.history.runs)} runs"
+                f"  {said_ms // 1_000} s, {len(history.attempts)} requests,"
+                f" {len(history.runs)} runs"
             )
 
 
 async def _all_serve(world: World, callers: Callers) -> list[str]:
     """Waits until each daemon serves each kind; names those that do not."""
-    missing = {(daemon, kind): "" for daemon in world.callers for kind in Kind}
-    end_ms = world.now_ms() + _RECOVERY_PATIENCE_MS
-    while missing and world.now_ms() < end_ms:
+    missing = {
+        (daemon, kind): "" for daemon in world.daemons.ports for kind in Kind
+    }
+    end_ms = world.recorder.now_ms() + _RECOVERY_PATIENCE_MS
+    while missing and world.recorder.now_ms() < end_ms:
         for daemon, kind in list(missing):
-            attempt = await callers.ask(daemon, world.callers[daemon], kind)
+            attempt = await callers.ask(
+                daemon, world.daemons.ports[daemon], kind
+            )
             if attempt.status == 200 and attempt.complete:
                 del missing[daemon, kind]
             else:
--- /dev/null
+++ b/tools/soak/_surroundings.py
@@ -0,0 +1,208 @@
+"""What surrounds the daemons: the store, the workers, the operator."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from types import TracebackType
+from typing import Self
+
+from tools.soak._checks import (
+    CONFIG_APPLY_MS,
+    DRAIN_MS,
+    EVACUATION_MS,
+    Ban,
+    ExtraRoute,
+    Run,
+)
+from tools.soak._daemons import DOMAINS
+from tools.soak._proxy import FaultProxy
+from tools.soak._recorder import FOREVER_MS, Recorder
+from trefoilpitch.standins import (
+    PlatformStoreStandin,
+    PlatformWorkerStandin,
+    WorkerRun,
+    config_document,
+)
+
+_HOST = "127.0.0.1"
+_SERVICES = ("plain-service", "model-service")
+_PACE_MS = 15
+
+
+class Worker:
+    """A worker and the link to it.
+
+    Args:
+        name: Its id.
+        service: What it runs.
+        domain: Where it runs.
+    """
+
+    def __init__(self, name: str, service: str, domain: str) -> None:
+        self.standin = PlatformWorkerStandin(name)
+        self.standin.pace_ms = _PACE_MS
+        self.service = service
+        self.domain = domain
+        self.link = FaultProxy(0)
+
+
+class Surroundings:
+    """Store, workers and operator; a context manager.
+
+    Args:
+        recorder: Where runs, disturbances and bans are recorded.
+        workers: How many workers each service has.
+        rng: Draws how far versions of the configuration are apart.
+    """
+
+    def __init__(
+        self, recorder: Recorder, workers: int, rng: random.Random
+    ) -> None:
+        self.store = PlatformStoreStandin()
+        # The workers that are not draining, by their ids.
+        self.workers: dict[str, Worker] = {}
+        self._recorder = recorder
+        self._workers_each = workers
+        self._rng = rng
+        self._stack = contextlib.AsyncExitStack()
+        self._worker_count = 0
+        self._version = 1
+
+    async def __aenter__(self) -> Self:
+        await self._stack.enter_async_context(self.store)
+        self.configure()
+        for service in _SERVICES:
+            for _ in range(self._workers_each):
+                await self._add_worker(service)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    def heal(self) -> None:
+        """Ends what still goes wrong at workers."""
+        for worker in self.workers.values():
+            worker.standin.faults.clear()
+            worker.standin.release.set()
+
+    def forget_history(self) -> None:
+        """Lets the store forget its history."""
+        self._recorder.disturb(None, 0)
+        self.store.forget_history()
+
+    async def refuse(self, for_ms: int) -> None:
+        """Lets the store refuse every call for a time."""
+        self._recorder.disturb(None, for_ms)
+        self.store.refuse_with = 503
+        await asyncio.sleep(for_ms / 1_000)
+        self.store.refuse_with = None
+
+    async def lose_answers(self, for_ms: int) -> None:
+        """Lets the store do writes without an answer for a time."""
+        self._recorder.disturb(None, for_ms)
+        self.store.lose_answers = True
+        await asyncio.sleep(for_ms / 1_000)
+        self.store.lose_answers = False
+
+    async def _add_worker(self, service: str) -> None:
+        name = f"w{self._worker_count}"
+        domain = DOMAINS[self._worker_count % len(DOMAINS)]
+        self._worker_count += 1
+        worker = Worker(name, service, domain)
+        await self._stack.enter_async_context(worker.link)
+        worker.standin.on_run = lambda run: self._record(worker, run)
+        await self._stack.enter_async_context(worker.standin)
+        worker.link.target_port = worker.standin.port
+        self.workers[name] = worker
+        self._register(worker, "ready")
+
+    def _register(self, worker: Worker, state: str) -> None:
+        entry = worker.standin.entry(worker.service, zone=worker.domain)
+        entry |= {"address": f"{_HOST}:{worker.link.port}", "state": state}
+        self.store.put(f"servers/{worker.standin.worker_id}", entry)
+
+    def _record(self, worker: Worker, run: WorkerRun) -> None:
+        self._recorder.history.runs.append(
+            Run(
+                request_id=run.request_id,
+                worker=worker.standin.worker_id,
+                domain=worker.domain,
+                line=run.line,
+                body=run.body,
+                headers=run.headers,
+                fault=run.fault,
+                at_ms=self._recorder.now_ms(),
+            )
+        )
+
+    async def replace(self, name: str) -> None:
+        """Starts another worker in the place of one, which drains."""
+        old = self.workers[name]
+        await self._add_worker(old.service)
+        del self.workers[name]
+        old.standin.faults.clear()
+        old.standin.release.set()
+        self._register(old, "draining")
+        self._recorder.ban(worker=name, bound_ms=DRAIN_MS)
+
+    def _ban(self, *, bound_ms: int, **what: str) -> None:
+        self._recorder.history.bans.append(
+            Ban(
+                from_ms=self._recorder.now_ms(),
+                bound_ms=bound_ms,
+                to_ms=FOREVER_MS,
+                **what,
+            )
+        )
+
+    def configure(self) -> None:
+        """Writes a version that adds a route and takes an older one away."""
+        self._version += self._rng.randint(1, 3)
+        extra = self._recorder.history.extra_routes
+        now_ms = self._recorder.now_ms()
+        if extra:
+            extra[-1] = dataclasses.replace(extra[-1], to_ms=now_ms)
+            self._recorder.ban(
+                prefix=extra[-1].prefix, bound_ms=CONFIG_APPLY_MS
+            )
+        added = ExtraRoute(
+            prefix=f"/extra-{self._version}/",
+            from_ms=now_ms,
+            to_ms=FOREVER_MS,
+        )
+        extra.append(added)
+        document = config_document(self._version)
+        document["routes"].append(
+            document["routes"][0]
+            | {
+                "name": f"extra-{self._version}",
+                "path-prefix": added.prefix,
+            }
+        )
+        self.store.put("op/config", document)
+
+    async def evacuate(self, domain: str, for_ms: int) -> None:
+        """Takes a failure domain out of service for a time."""
+        key = f"op/evacuate/{domain}"
+        if self.store.value(key) is not None:
+            return
+        self.store.put(key, {"zone": domain})
+        from_ms = self._recorder.now_ms()
+        await asyncio.sleep(for_ms / 1_000)
+        self._recorder.history.bans.append(
+            Ban(
+                domain=domain,
+                from_ms=from_ms,
+                bound_ms=EVACUATION_MS,
+                to_ms=self._recorder.now_ms(),
+            )
+        )
+        self.store.remove(key)
