--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import pathlib
 from collections.abc import Callable
 
@@ -214,6 +215,14 @@
     assert len(_found(history)) == 1
 
 
+def test_run_after_a_ban_was_lifted_is_allowed() -> None:
+    # Seed 247: sent in the last milliseconds of an evacuation, dispatched when
+    # the daemon had seen its end.
+    history = _banned(domain="zone-a")()
+    history.bans = [dataclasses.replace(history.bans[0], to_ms=20_005)]
+    assert _found(history) == []
+
+
 def test_cut_by_a_faulty_worker_is_not_the_stops() -> None:
     history = _cut_by_stop()
     attempt = history.attempts["r1"]
--- a/tools/soak/_checks.py
+++ b/tools/soak/_checks.py
@@ -295,5 +295,6 @@
 ) -> Iterator[Ban]:
     for ban in bans:
         in_force_ms = ban.from_ms + ban.bound_ms
-        if ban.covers(run) and in_force_ms < attempt.sent_ms < ban.to_ms:
+        in_force = in_force_ms < attempt.sent_ms and run.at_ms < ban.to_ms
+        if in_force and ban.covers(run):
             yield ban
