--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,8 @@
 import asyncio
 import dataclasses
 import pathlib
-from collections.abc import Callable
+import random
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -21,6 +22,7 @@
 )
 from tools.soak._plan import CALM_MS, draw_plan
 from tools.soak._run import Settings, run_once
+from tools.soak._world import World
 from trefoilpitch.standins import WorkerFault
 
 _EVENTS = 2
@@ -253,3 +255,39 @@
     report = asyncio.run(run_once(settings, tmp_path))
     assert report.violations == ()
     assert report.outcomes["200"] > 100
+
+
+def _exits_after(
+    folder: pathlib.Path, act: Callable[[World], Awaitable[None]]
+) -> list[str]:
+    async def scenario() -> list[str]:
+        rng = random.Random(1)
+        async with World(folder, daemons=1, workers=1, rng=rng) as world:
+            await act(world)
+            return world.daemons.exits
+
+    return asyncio.run(scenario())
+
+
+def test_daemon_that_is_paused_when_told_to_stop_leaves_in_its_grace(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Seeds 110, 120, 121 and 130.
+    async def act(world: World) -> None:
+        await world.daemons.listening("vm-0")
+        pause = asyncio.create_task(world.daemons.pause("vm-0", 600))
+        await asyncio.sleep(0)
+        await world.daemons.terminate("vm-0")
+        await pause
+
+    assert _exits_after(tmp_path, act) == []
+
+
+def test_daemon_that_is_told_to_stop_as_it_starts_has_nothing_to_finish(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Seed 101.
+    async def act(world: World) -> None:
+        await world.daemons.terminate("vm-0")
+
+    assert _exits_after(tmp_path, act) == []
--- a/tools/soak/_daemons.py
+++ b/tools/soak/_daemons.py
@@ -95,6 +95,11 @@
             await self._prepare(name, place, peer_ports)
             self._start(name)
 
+    async def listening(self, name: str) -> None:
+        """Waits until a daemon listens."""
+        while not self._has_listened(name):
+            await asyncio.sleep(_POLL_MS / 1_000)
+
     def reload(self, name: str) -> None:
         """Tells a daemon that its settings may have changed."""
         if name not in self._away:
@@ -143,7 +148,7 @@
         return self._folder / f"{name}.log"
 
     def _has_listened(self, name: str) -> bool:
-        """Whether a daemon served when it ended.
+        """Whether a daemon has begun to listen since its last start.
 
         One that is told to stop while it still starts ends at once, as any
         process without a handler does; it has nothing to finish.
