Bound the log lines on failed tries

Found on reading the whole change.

Change: twenty lines a second at most, the next one says how many were left out. The test (50 failures in a second: 20 lines, then "30 lines left out") fails without the bound.

--- a/trefoilpitch/serving/_dispatcher.py
+++ b/trefoilpitch/serving/_dispatcher.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Mapping
 from typing import Generic, TypeVar
 
-import logbook
 from returns.result import Failure, Result, Success
 
 from trefoilpitch.bundle import Priority, Upstream, VersionRef
@@ -37,6 +36,7 @@
     loaded_factors,
 )
 from trefoilpitch.serving._directory import Slot, UpstreamDirectory
+from trefoilpitch.serving._failure_log import FailureLog
 from trefoilpitch.serving._nodes import ConfigurationSource
 from trefoilpitch.serving._problems import (
     caller_gone,
@@ -55,7 +55,6 @@
 from trefoilpitch.web import Outcome, Problem
 
 _MAX_REVISIONS = 16
-_LOG = logbook.Logger("trefoilpitch.serving")
 
 T = TypeVar("T")
 
@@ -131,6 +130,7 @@
         self._rng = rng
         self._local_domain = local_domain
         self._outages = Outages()
+        self._failure_log = FailureLog(clock)
         self._lock = threading.Lock()
 
     def run(
@@ -162,7 +162,7 @@
             error = started.failure()
             slot.fail(error)
             slot.close()
-            self._log_failure(errand, error)
+            self._failure_log.write(errand.request_id, error)
             excluded.add(error.upstream)
             failures.append(failure_kind(error))
             if isinstance(error, CancelledError):
@@ -179,16 +179,6 @@
             return {}
         return loaded_factors(table, self._directory.states())
 
-    def _log_failure(self, errand: Errand, error: UpstreamError) -> None:
-        # The caller is not told which upstream it was, nor its address.
-        _LOG.info(
-            "request {}: a try at {} failed, {}: {}",
-            errand.request_id,
-            error.upstream,
-            error.execution.value,
-            error.detail,
-        )
-
     def _consider_retry(
         self, errand: Errand, failures: list[FailureKind], error: UpstreamError
     ) -> Problem | None:
