Take dead code out of the soak

Found on reading the whole change: the split of the soak's world left a copy of Recorder.ban in Surroundings that nothing calls, and a wait for recovery suppressed an error that a sleep cannot raise.

--- a/tools/soak/_run.py
+++ b/tools/soak/_run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import pathlib
 import random
@@ -153,8 +152,7 @@
                 del missing[daemon, kind]
             else:
                 missing[daemon, kind] = _outcome(attempt)
-        with contextlib.suppress(ProcessLookupError):
-            await asyncio.sleep(_RECOVERY_PAUSE_S)
+        await asyncio.sleep(_RECOVERY_PAUSE_S)
     return [
         f"RECOVER {daemon}: {kind.name.lower()} is not served, {outcome}"
         for (daemon, kind), outcome in missing.items()
--- a/tools/soak/_surroundings.py
+++ b/tools/soak/_surroundings.py
@@ -153,16 +153,6 @@
         self._register(old, "draining")
         self._recorder.ban(worker=name, bound_ms=DRAIN_MS)
 
-    def _ban(self, *, bound_ms: int, **what: str) -> None:
-        self._recorder.history.bans.append(
-            Ban(
-                from_ms=self._recorder.now_ms(),
-                bound_ms=bound_ms,
-                to_ms=FOREVER_MS,
-                **what,
-            )
-        )
-
     def configure(self) -> None:
         """Writes a version that adds a route and takes an older one away."""
         self._version += self._rng.randint(1, 3)
