Keep slow streams, heed leaving and pausing upstreams

Ruled out: the new configuration (its time-outs do not reach streams that have begun), upstreams that broke off, caller idle timers.

Change: a stalled stream is kept until another upstream is reserved and the retry budget spent for it. Only complete events with content count as progress, so that bytes or comments now and then do not keep a stalled stream open.

If all upstreams are paused or ejected for longer than a request may wait, it is refused at once with that time as Retry-After. Requests without a session fall back to the previous version if a canary is not available.

test_bad_version_is_rolled_back sent 400 requests without a pause and relied on waiting for an ejected canary; it now sends until the target has had its four requests, within the same time limit, and checks the same.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -20,6 +20,7 @@
     share_per_window,
 )
 from trefoilpitch.gateway._health import UpstreamHealth
+from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
 from trefoilpitch.gateway._placement import Candidate, choose, saturation
 from trefoilpitch.gateway._rollouts import (
@@ -29,6 +30,7 @@
     runs_on_target,
     split_evidence,
 )
+from trefoilpitch.gateway._upstream_notices import UpstreamNotices
 from trefoilpitch.rendezvous import rank
 
 # Requests per slot at which an upstream gets no further requests.
@@ -41,8 +43,9 @@
 
     # For the log.
     reason: str
-    # Whether a short wait may help, for example until a slot is free.
-    transient: bool
+    # Time until one may be available, 0 if that may be at any moment; None if
+    # it is known that waiting does not help.
+    available_in_ms: int | None
 
 
 class Dispatcher:
@@ -79,6 +82,7 @@
         self._peers_in_flight = peers_in_flight
         self._cold_requests = ColdRequestCounter()
         self._health: dict[str, UpstreamHealth] = {}
+        self._notices = UpstreamNotices()
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
 
@@ -156,6 +160,40 @@
             good=previous.good + (not bad), bad=previous.bad + bad
         )
 
+    def record_notices(
+        self, entry: UpstreamEntry, *, leaving: bool, pause_ms: int
+    ) -> None:
+        """Records what an upstream announced in a response.
+
+        Args:
+            entry: The upstream.
+            leaving: Whether it is leaving.
+            pause_ms: How long it wants no requests; 0 for no pause.
+        """
+        if leaving and self._notices.record_leaving(entry):
+            log_event("upstream_leaving", upstream=entry.upstream_id)
+        if pause_ms > 0:
+            until_ms = self._clock.now_ms() + pause_ms
+            self._notices.record_pause(entry, until_ms)
+            log_event(
+                "upstream_paused",
+                upstream=entry.upstream_id,
+                pause_ms=pause_ms,
+            )
+
+    def may_send(self, entry: UpstreamEntry) -> bool:
+        """Returns whether a chosen upstream may still get its request.
+
+        Connecting takes time, in which the upstream or an operator may have
+        taken it out of service.
+        """
+        cached = self._view.upstreams.get(entry.upstream_id)
+        return (
+            cached is not None
+            and self._is_eligible(cached, None)
+            and self._notices.paused_until_ms(entry) <= self._clock.now_ms()
+        )
+
     def pick_service(self, route: Route) -> str:
         """Picks one of a route's services at random, by weight."""
         weights = [share.weight for share in route.services]
@@ -188,29 +226,39 @@
             and self._is_eligible(cached, model)
         ]
         if not ready:
-            return NoUpstream(reason="no upstream in service", transient=False)
+            return NoUpstream(
+                reason="no upstream in service", available_in_ms=None
+            )
         allowed = self._allowed_by_rollout(request, service, ready)
         if not allowed:
             return NoUpstream(
                 reason="no upstream runs the version that the roll-out selects",
-                transient=False,
+                available_in_ms=None,
             )
         unattempted = [
             k for k in allowed if k.entry.upstream_id not in excluded
         ]
-        for group in (unattempted, allowed):
+        groups = [unattempted, allowed]
+        if request.session is None:
+            # Without a session a request may run on the previous version if
+            # the target's upstreams are not available.
+            groups.append(self._on_previous_version(service, ready))
+        for group in groups:
             entry = self._choose_from(request, group, model)
             if entry is not None:
                 return entry
+        now_ms = self._clock.now_ms()
+        available_ms = min(self._available_ms(k, now_ms) for k in allowed)
         return NoUpstream(
-            reason="all upstreams are saturated, cold or ejected",
-            transient=True,
+            reason="all upstreams are saturated, cold, paused or ejected",
+            available_in_ms=max(0, available_ms - now_ms),
         )
 
     def _is_eligible(self, cached: CachedUpstream, model: str | None) -> bool:
         entry = cached.entry
         return (
             entry.state is UpstreamState.READY
+            and not self._notices.is_leaving(entry)
             and entry.failure_domain not in self._view.evacuated
             and (model is None or not entry.models or model in entry.models)
         )
@@ -249,6 +297,19 @@
             return others
         return on_target
 
+    def _on_previous_version(
+        self, service: str, ready: list[CachedUpstream]
+    ) -> list[CachedUpstream]:
+        """Returns the upstreams that a running roll-out moves away from."""
+        rollout = self._view.rollouts.get(service)
+        if rollout is None:
+            return []
+        phase, _ = current_phase(rollout, self._view.records.get(service))
+        if phase is not None and phase.final:
+            return []
+        target = rollout.order.target
+        return [k for k in ready if k.entry.version != target]
+
     def _own_evidence_is_bad(self, service: str, target: str) -> bool:
         return is_regression(
             *split_evidence(self.own_evidence(service), target)
@@ -268,7 +329,11 @@
             entry = cached.entry
             health = self.health(entry.upstream_id)
             load = self.load(entry.upstream_id)
-            if health.is_ejected(now_ms) or load >= _FULL_LOAD * entry.slots:
+            if (
+                self._available_ms(cached, now_ms) > now_ms
+                or health.is_ejected(now_ms)
+                or load >= _FULL_LOAD * entry.slots
+            ):
                 continue
             if self._is_cold(cached, now_ms) and not self._has_cold_quota(
                 entry, now_ms
@@ -294,6 +359,15 @@
             self._cold_requests.record(chosen.upstream_id, now_ms)
         return cached.entry
 
+    def _available_ms(self, cached: CachedUpstream, now_ms: int) -> int:
+        """Returns when an upstream may be available; `now_ms` if unknown."""
+        entry = cached.entry
+        return max(
+            now_ms,
+            self.health(entry.upstream_id).ejected_until_ms,
+            self._notices.paused_until_ms(entry),
+        )
+
     def _prefix_ranks(
         self,
         request: CallerRequest,
--- a/trefoilpitch/gateway/_events.py
+++ b/trefoilpitch/gateway/_events.py
@@ -17,6 +17,13 @@
     # Value of its id field; None if absent or not a number.
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no field, only comments that keep a stream open."""
+        return all(
+            not line or line.startswith(b":") for line in self.data.splitlines()
+        )
+
 
 class EventTooLargeError(Exception):
     """An event exceeds the buffer limit."""
--- a/trefoilpitch/gateway/_messages.py
+++ b/trefoilpitch/gateway/_messages.py
@@ -89,6 +89,11 @@
     confidence: int | None
     # None if the response carries no load report.
     load: LoadReport | None
+    # Whether the upstream announces that it is leaving.
+    leaving: bool = False
+    # How long the upstream wants no requests from this daemon; 0 if it did not
+    # ask for a pause.
+    pause_ms: int = 0
 
 
 class RequestCodec(Protocol):
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -14,7 +14,8 @@
     response_timeout_ms,
 )
 from trefoilpitch.gateway._dispatcher import NoUpstream
-from trefoilpitch.gateway._events import EventSplitter, EventTooLargeError
+from trefoilpitch.gateway._event_reader import EventReader
+from trefoilpitch.gateway._events import RawEvent
 from trefoilpitch.gateway._exceptions import ExchangeError
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._http_server import Responder
@@ -85,6 +86,10 @@
         self._tier: int | None = None
         self._first_confidence: int | None = None
         self._last_event_id: int | None = None
+        # The upstream that continues a stalled stream, chosen before the
+        # stalled attempt is given up, and whether the budget was spent for it.
+        self._reserved: UpstreamEntry | None = None
+        self._prepaid = False
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
         arrived_ms = request.http.arrived_ms
         timeout_ms = admitted.route.timeout_ms
@@ -133,11 +138,13 @@
             entry = await self._find_upstream(service)
             if isinstance(entry, NoUpstream):
                 self._attempt_log.append(entry.reason)
-                return await self._send_failure()
+                return await self._send_failure(entry.available_in_ms)
             failure = await self._run_attempt(entry, budget)
             if failure is None:
                 return "delivered"
-            affordable = self._attempts_sent == 0 or budget.affords()
+            affordable = (
+                self._attempts_sent == 0 or self._prepaid or budget.affords()
+            )
             if not may_retry(
                 self._route, self._attempts, affordable=affordable
             ):
@@ -152,19 +159,28 @@
         while True:
             now_ms = deps.clock.now_ms()
             if self._remaining_ms(now_ms) < _MIN_ATTEMPT_MS:
-                return NoUpstream(reason="deadline reached", transient=False)
-            found = deps.dispatcher.choose(
-                self._request,
-                service,
-                model=self._model,
-                excluded=self._attempted_ids,
-            )
+                return NoUpstream(
+                    reason="deadline reached", available_in_ms=None
+                )
+            found = self._choose(service)
             if not isinstance(found, NoUpstream):
                 return found
-            if not found.transient or now_ms >= wait_until_ms:
+            wait_ms = found.available_in_ms
+            if wait_ms is None or now_ms + wait_ms >= wait_until_ms:
                 return found
             await asyncio.sleep(_SLOT_POLL_MS / _MS_PER_S)
 
+    def _choose(self, service: str) -> UpstreamEntry | NoUpstream:
+        reserved, self._reserved = self._reserved, None
+        if reserved is not None and self._deps.dispatcher.may_send(reserved):
+            return reserved
+        return self._deps.dispatcher.choose(
+            self._request,
+            service,
+            model=self._model,
+            excluded=self._attempted_ids,
+        )
+
     def _remaining_ms(self, now_ms: int) -> int:
         if self._responder.started:
             return self._caller_deadline_ms - now_ms
@@ -186,6 +202,11 @@
         health.in_flight += 1
         try:
             with await self._open(entry, now_ms) as connection:
+                if not self._deps.dispatcher.may_send(entry):
+                    raise ExchangeError(
+                        FailureKind.NOT_SENT,
+                        "upstream taken out of service while connecting",
+                    )
                 self._spend_budget(budget)
                 await self._exchange(connection, entry, budget)
         except _EscalationRequested as escalation:
@@ -209,8 +230,10 @@
 
     def _spend_budget(self, budget: WindowedRetryBudget) -> None:
         # Other requests may have spent the budget while this one connected.
-        if self._attempts_sent > 0 and not budget.spend():
+        free = self._attempts_sent == 0 or self._prepaid
+        if not free and not budget.spend():
             raise ExchangeError(FailureKind.NOT_SENT, "retry budget exhausted")
+        self._prepaid = False
         self._attempts_sent += 1
 
     async def _exchange(
@@ -272,6 +295,9 @@
                 FailureKind.MALFORMED_RESPONSE,
                 "response belongs to another request",
             )
+        self._deps.dispatcher.record_notices(
+            entry, leaving=response.leaving, pause_ms=response.pause_ms
+        )
         if response.load is not None:
             health.record_report(response.load, now_ms)
         if response.not_run or response.wrong_instance:
@@ -388,25 +414,18 @@
         started_ms: int,
         budget: WindowedRetryBudget,
     ) -> None:
-        splitter = EventSplitter()
+        reader = EventReader(connection, self._deps.clock)
         first = True
         while True:
-            data = await connection.receive_data(self._gap_ms(budget))
-            if data is None:
+            events = await self._next_events(reader, entry, budget)
+            if events is None:
                 break
-            try:
-                events = splitter.feed(data)
-            except EventTooLargeError as error:
-                raise ExchangeError(
-                    FailureKind.MALFORMED_RESPONSE,
-                    "event exceeds the size limit",
-                ) from error
-            if events and first:
+            if first:
                 first = False
                 self._record_success(entry, response, started_ms)
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
-        if splitter.pending or first:
+        if reader.pending or first:
             raise ExchangeError(
                 FailureKind.RESPONSE_TRUNCATED,
                 "stream ended inside an event or without one",
@@ -429,13 +448,48 @@
         if event_id is not None:
             self._last_event_id = event_id
 
-    def _gap_ms(self, budget: WindowedRetryBudget) -> float:
-        can_resume = (
-            self._route.repeatable
-            and self._attempts.runs + 1 < self._route.max_attempts
-            and budget.affords()
-        )
-        return gap_timeout_ms(self._route, can_resume=can_resume)
+    async def _next_events(
+        self,
+        reader: EventReader,
+        entry: UpstreamEntry,
+        budget: WindowedRetryBudget,
+    ) -> list[RawEvent] | None:
+        """Waits for events; a slow stream is kept until another can resume it.
+
+        Raises:
+            ExchangeError: If the stream has stalled and another upstream is
+                reserved to resume it, or if it has stalled for too long.
+        """
+        limit_ms = gap_timeout_ms(self._route, can_resume=False)
+        step_ms = gap_timeout_ms(self._route, can_resume=True)
+        gap_ms = step_ms if self._route.repeatable else limit_ms
+        while True:
+            try:
+                return await reader.read(gap_ms)
+            except ExchangeError as error:
+                if (
+                    error.kind is not FailureKind.RESPONSE_TIMEOUT
+                    or gap_ms >= limit_ms
+                    or self._reserve_replacement(entry.service, budget)
+                ):
+                    raise
+            gap_ms = min(limit_ms, gap_ms + step_ms)
+
+    def _reserve_replacement(
+        self, service: str, budget: WindowedRetryBudget
+    ) -> bool:
+        if self._attempts.runs + 1 >= self._route.max_attempts:
+            return False
+        if not budget.affords():
+            return False
+        found = self._choose(service)
+        if isinstance(found, NoUpstream):
+            return False
+        if found.upstream_id in self._attempted_ids:
+            return False
+        self._reserved = found
+        self._prepaid = budget.spend()
+        return True
 
     def _record_success(
         self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
@@ -501,24 +555,29 @@
         )
         await self._responder.respond(_BAD_GATEWAY, headers, b"")
 
-    async def _send_failure(self) -> str:
-        """Ends a request whose attempts are exhausted; returns the outcome."""
+    async def _send_failure(self, available_in_ms: int | None = None) -> str:
+        """Ends a request whose attempts are exhausted; returns the outcome.
+
+        Args:
+            available_in_ms: Time until an upstream may be available; None if
+                unknown.
+        """
         if self._responder.started:
             self._responder.abort()
             return "broken_off"
         if self._last_error_response is not None:
             await self._deliver(*self._last_error_response)
             return "failure_delivered"
-        status, retry_after_ms = self._final_status()
+        status, retry_after_ms = self._final_status(available_in_ms or 0)
         headers = self._deps.codec.encode_refusal(
             self._request.request_id, retry_after_ms
         )
         await self._responder.respond(status, headers, b"")
         return f"gave_up_{status}"
 
-    def _final_status(self) -> tuple[int, int | None]:
+    def _final_status(self, available_in_ms: int) -> tuple[int, int | None]:
         if self._attempts.execution is Execution.NOT_RUN:
-            return _UNAVAILABLE, RETRY_SOON_MS
+            return _UNAVAILABLE, max(RETRY_SOON_MS, available_in_ms)
         if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_ATTEMPT_MS:
             return _GATEWAY_TIMEOUT, None
         return _BAD_GATEWAY, None
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -207,12 +207,12 @@
     fleet = _Fleet()
     missing = fleet.choose()
     assert isinstance(missing, NoUpstream)
-    assert not missing.transient
+    assert missing.available_in_ms is None
     fleet.put("u", upstream("u", slots=1))
     fleet.peers_in_flight = {"u": 50}
     busy = fleet.choose()
     assert isinstance(busy, NoUpstream)
-    assert busy.transient
+    assert busy.available_in_ms == 0
 
 
 def test_unreachable_upstream_is_ejected_and_then_probed() -> None:
@@ -491,6 +491,16 @@
     assert set(_versions(fleet)) == {"v2"}
 
 
+def test_requests_without_a_session_do_not_wait_for_an_ejected_canary() -> None:
+    fleet = _Fleet()
+    fleet.put("old", upstream("old", version="v1"))
+    fleet.put("new", upstream("new", version="v2"))
+    _record(fleet, _rollout(fleet), RolloutPhase.CANARY)
+    health = fleet.dispatchers[0].health("new")
+    health.record_failure(fleet.clock.now_ms(), unreachable=True)
+    assert _versions(fleet) == {"v1": 1_000}
+
+
 def test_rolled_back_version_gets_none_even_without_the_order() -> None:
     fleet = _Fleet()
     fleet.put("new", upstream("new", version="v2"))
--- a/trefoilpitch/platform/_requests.py
+++ b/trefoilpitch/platform/_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from trefoilpitch.gateway import (
     BadRequestError,
     CallerRequest,
@@ -12,6 +14,7 @@
     ResponseHead,
     UpstreamAttempt,
     UpstreamResponse,
+    log_event,
 )
 
 # Identifies one attempt of the caller; workers return it.
@@ -31,12 +34,17 @@
 _PRIORITY = b"x-trefoilpitch-request-priority"
 _CONFIDENCE = b"x-trefoilpitch-confidence"
 _LOAD = b"x-trefoilpitch-instance-load"
+# 1 in all responses of a worker that is leaving.
+_LEAVING = b"server-leaving"
+# With status 503: seconds for which a worker wants no further requests.
+_RETRY_AFTER = b"retry-after"
 _API_KEY = b"api-key"
 _SESSION = b"session"
 _LAST_EVENT_ID = b"last-event-id"
 _ANY_MODEL = "*"
 _BAD_REQUEST = 400
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _LOWEST_PRIORITY = 9
 _MS_PER_S = 1_000
 
@@ -165,6 +173,12 @@
             unencoded=head.header(b"content-encoding") is None,
             confidence=_number(head.header(_CONFIDENCE)),
             load=_load(head.header(_LOAD)),
+            # Another worker may have taken over the address.
+            leaving=head.status != _MISDIRECTED
+            and _flag(head.header(_LEAVING)),
+            pause_ms=_pause_ms(head.header(_RETRY_AFTER))
+            if head.status == _UNAVAILABLE
+            else 0,
         )
 
     def encode_response(self, response: UpstreamResponse) -> Headers:
@@ -203,6 +217,26 @@
         return None
 
 
+def _flag(text: str | None) -> bool:
+    if text is not None and text.strip() not in ("0", "1"):
+        log_event("malformed_header", name=_LEAVING.decode(), value=text)
+        return False
+    return text is not None and text.strip() == "1"
+
+
+def _pause_ms(text: str | None) -> int:
+    if text is None:
+        return 0
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds) or seconds < 0:
+        log_event("malformed_header", name=_RETRY_AFTER.decode(), value=text)
+        return 0
+    return math.ceil(seconds * _MS_PER_S)
+
+
 def _token_counts(text: str | None) -> tuple[int, int]:
     if text is None:
         return 0, 0
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -782,10 +782,15 @@
             await wait_until(
                 lambda: "plain-service" in fleet.daemon.view.records
             )
-            for number in range(400):
-                await fleet.send_request("/plain/x", request_id=f"id-{number}")
-                if len(worker.runs) >= 4:
-                    break
+            number = 0
+            async with asyncio.timeout(TIMEOUT_MS / 1_000):
+                # The target gets no requests while it is ejected.
+                while len(worker.runs) < 4:
+                    number += 1
+                    await fleet.send_request(
+                        "/plain/x", request_id=f"id-{number}"
+                    )
+                    await asyncio.sleep(0.002)
             await wait_until(
                 lambda: (
                     (fleet.store.value(key) or {}).get("state") == "rolled_back"
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -91,6 +91,12 @@
         self.response_delay_ms = 0
         # Value of the confidence header, by model.
         self.confidence: dict[str, int] = {}
+        # Whether all responses announce that the worker is leaving.
+        self.leaving = False
+        # Value of the Retry-After header of shed requests; None for none.
+        self.retry_after: str | None = None
+        # Number of requests that it has shed.
+        self.shed = 0
         # Set to let requests with a HANG fault continue.
         self.release = asyncio.Event()
         self.port = 0
@@ -138,8 +144,8 @@
             return
         fault = self.faults.popleft() if self.faults else None
         if fault is WorkerFault.SHED:
-            not_run = [(b"X-Trefoilpitch-Not-Executed", b"1")]
-            await responder.respond(503, not_run, b"")
+            self.shed += 1
+            await responder.respond(503, self._shed_headers(), b"")
             return
         run = WorkerRun(
             request_id=headers[_ATTEMPT_ID_HEADER.lower()],
@@ -179,6 +185,14 @@
         else:
             await self._respond_plain(run, fault, headers, responder)
 
+    def _shed_headers(self) -> list[tuple[bytes, bytes]]:
+        headers = [(b"X-Trefoilpitch-Not-Executed", b"1")]
+        if self.leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        if self.retry_after is not None:
+            headers.append((b"Retry-After", self.retry_after.encode()))
+        return headers
+
     def _headers(
         self, run: WorkerRun, fault: WorkerFault | None
     ) -> list[tuple[bytes, bytes]]:
@@ -196,6 +210,8 @@
         if model in self.confidence:
             confidence = str(self.confidence[model]).encode()
             headers.append((b"X-Trefoilpitch-Confidence", confidence))
+        if self.leaving:
+            headers.append((b"Server-Leaving", b"1"))
         return headers
 
     async def _respond_plain(
