Order shared state by the store's era and revision

Cause: state was compared by revision alone. After a restore from an older copy a watch at a revision that was given out again went on over another history, a daemon renewed a lease id that belonged to another, an earlier roll-out step replaced a later one, and a daemon with only the copy answered 401 for a key that the fleet knew.

--- a/trefoilpitch/fleet/__init__.py
+++ b/trefoilpitch/fleet/__init__.py
@@ -18,6 +18,7 @@
     FleetStore,
     Item,
     ItemBatch,
+    StoreVersion,
     Write,
 )
 from trefoilpitch.fleet._types import (
@@ -63,6 +64,7 @@
     "FleetStore",
     "Item",
     "ItemBatch",
+    "StoreVersion",
     "Write",
     "Condition",
     "ABSENT",
--- a/trefoilpitch/fleet/_store.py
+++ b/trefoilpitch/fleet/_store.py
@@ -30,6 +30,16 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class StoreVersion:
+    """A point in the store's history; versions are ordered by era first."""
+
+    # Rises when the store is restored from an older copy, after which it gives
+    # out revisions again.
+    era: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ItemBatch:
     """Items, and the revision after which to continue watching."""
@@ -38,6 +48,15 @@
     items: tuple[Item, ...]
     # The store's revision when the batch was read.
     revision: int
+    # The store's era when the batch was read.
+    era: int = 0
+    # Whether the items are all that the sender has, not only changes.
+    complete: bool = False
+
+    @property
+    def version(self) -> StoreVersion:
+        """Era and revision."""
+        return StoreVersion(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,6 +85,14 @@
     not respond in time or responds that it did nothing.
     """
 
+    @property
+    def era(self) -> int:
+        """Highest era in a response so far; 0 before the first response.
+
+        After a restore the store lacks what it acknowledged since the copy was
+        made, including leases.
+        """
+
     async def read_all(self) -> ItemBatch:
         """Reads every key of the store, page by page.
 
@@ -152,5 +179,8 @@
     def rollout_key(self, service: str) -> str:
         """Returns the key of a service's roll-out record."""
 
+    def rollout_order_key(self, service: str) -> str:
+        """Returns the key of an operator's roll-out order for a service."""
+
     def encode_member(self, member: Member, lease_id: int) -> Write:
         """Encodes a daemon's registration."""
--- a/trefoilpitch/fleet/_types.py
+++ b/trefoilpitch/fleet/_types.py
@@ -207,6 +207,19 @@
     # Share of the sessions that the target serves, in percent.
     percent: int = 0
 
+    def supersedes(self, other: RolloutRecord) -> bool:
+        """Returns whether this is a later step of the same roll-out."""
+        if (self.order_revision, self.target) != (
+            other.order_revision,
+            other.target,
+        ):
+            return False
+        return self._progress > other._progress
+
+    @property
+    def _progress(self) -> tuple[bool, int]:
+        return self.phase.final, self.percent
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
--- a/trefoilpitch/fleet/_view.py
+++ b/trefoilpitch/fleet/_view.py
@@ -7,11 +7,13 @@
 
 from trefoilpitch.fleet._exceptions import MalformedDocumentError
 from trefoilpitch.fleet._store import (
+    ABSENT,
     Document,
     DocumentCodec,
     Evacuation,
     Item,
     ItemBatch,
+    StoreVersion,
 )
 from trefoilpitch.fleet._types import (
     Configuration,
@@ -19,8 +21,18 @@
     RolloutOrder,
     RolloutRecord,
     UpstreamEntry,
+    UpstreamState,
 )
 
+# After a restore of the store, how long this view keeps what the store lacks:
+# operators and upstreams write their entries again within two seconds.
+_REWRITE_GRACE_MS = 3_000
+# The same for daemons, which renew their leases every eight seconds.
+_MEMBER_REWRITE_GRACE_MS = 12_000
+# How long an upstream that had been removed, but is in the restored copy, is
+# left out: the store removes the entry of one that is gone sooner.
+_REMOVED_UPSTREAM_GRACE_MS = 5_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CachedUpstream:
@@ -43,6 +55,11 @@
     revision: int
     # Monotonic time of the first read.
     seen_ms: int
+    # Whether the first read was a listing, so that the roll-out may have been
+    # in progress before.
+    listed: bool = False
+    # Whether the store has this order; see `CachedRolloutRecord.stored`.
+    stored: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,10 +67,13 @@
     """A roll-out record and when this daemon first read it."""
 
     record: RolloutRecord
-    # Store revision of the record.
+    # Store revision of the record; `ABSENT` if the store does not have the key.
     revision: int
     # Monotonic time of the first read.
     seen_ms: int
+    # Whether the store has this record. It has an older one or none if it was
+    # restored from a copy that was made before the record was written.
+    stored: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,12 +88,23 @@
     summary: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _DeferredItem:
+    """A key's state in a restored store, adopted unless it is written first."""
+
+    # None if the store lacks the key.
+    item: Item | None
+    # Monotonic time of the adoption.
+    due_ms: int
+
+
 class FleetView:
     """Builds the configuration, upstreams, roll-outs and members from items.
 
     Items may arrive more than once and from several sources; for each key the
     highest revision wins. The configuration is never replaced by an older
-    version.
+    version. When the store has been restored from an older copy, `restore`
+    adopts its listing without going back; see docs/design/store-restore.md.
 
     Args:
         codec: Decodes items.
@@ -88,6 +119,10 @@
         self._items: dict[str, Item] = {}
         self._documents: dict[str, Document] = {}
         self._removed: dict[str, int] = {}
+        # After a restore: the listing's items, None for a missing key, that
+        # replace what this view has unless their keys are written before.
+        self._deferred: dict[str, _DeferredItem] = {}
+        self.era = 0
         self.revision = 0
         self.configuration: Configuration | None = None
         self.upstreams: dict[str, CachedUpstream] = {}
@@ -96,8 +131,30 @@
         self.records: dict[str, CachedRolloutRecord] = {}
         self.members: dict[str, Member] = {}
 
-    def items_after(self, revision: int) -> ItemBatch:
-        """Returns the changes after a revision, for a peer."""
+    @property
+    def version(self) -> StoreVersion:
+        """The point in the store's history that the view corresponds to."""
+        return StoreVersion(self.era, self.revision)
+
+    def changes_after(self, version: StoreVersion) -> ItemBatch:
+        """Returns what a peer at some version lacks.
+
+        Returns:
+            The changes; all items if the peer is in an older era, none if it is
+            in a newer one.
+        """
+        if version.era > self.era:
+            return ItemBatch(items=(), revision=self.revision, era=self.era)
+        if version.era < self.era or version.revision == 0:
+            return ItemBatch(
+                items=tuple(self._items.values()),
+                revision=self.revision,
+                era=self.era,
+                complete=True,
+            )
+        return self._items_after(version.revision)
+
+    def _items_after(self, revision: int) -> ItemBatch:
         changed = [
             item for item in self._items.values() if item.revision > revision
         ]
@@ -107,7 +164,161 @@
             if at > revision
         ]
         ordered = sorted(changed + removed, key=lambda item: item.revision)
-        return ItemBatch(items=tuple(ordered), revision=self.revision)
+        return ItemBatch(
+            items=tuple(ordered), revision=self.revision, era=self.era
+        )
+
+    def restore(self, batch: ItemBatch, now_ms: int) -> None:
+        """Adopts a listing of a store that was restored from an older copy.
+
+        What the view has and the listing lacks, or has in another state, was
+        probably written after the copy was made. Its writers write it again
+        within seconds; until then the view keeps it. A failure domain or an
+        upstream that the listing takes out of service is taken out at once.
+
+        Args:
+            batch: A complete listing of a newer era than the view's.
+            now_ms: The monotonic time.
+        """
+        known = self._items
+        listed = {item.key: item for item in batch.items}
+        self._items = {}
+        self._removed = {}
+        self._deferred = {}
+        self.era = batch.era
+        self.revision = batch.revision
+        for key in {**known, **listed}:
+            self._restore_key(key, known.get(key), listed.get(key), now_ms)
+
+    def _restore_key(
+        self, key: str, known: Item | None, listed: Item | None, now_ms: int
+    ) -> None:
+        if listed is not None:
+            self._items[key] = listed
+        document = self._documents.get(key)
+        if isinstance(document, Configuration):
+            self._restore_configuration(key, known, listed, now_ms)
+            return
+        if isinstance(document, RolloutRecord):
+            self._restore_record(document.service, listed)
+            return
+        if listed is not None:
+            if known is not None and listed.value == known.value:
+                self._rebind(document, listed.revision)
+                return
+            if self._takes_out_of_service(listed):
+                self._apply_listed(listed, now_ms)
+                return
+        if isinstance(document, RolloutOrder):
+            self.rollouts[document.service] = dataclasses.replace(
+                self.rollouts[document.service], stored=False
+            )
+        delay_ms = self._adoption_delay_ms(document, listed)
+        if delay_ms:
+            self._deferred[key] = _DeferredItem(
+                item=listed, due_ms=now_ms + delay_ms
+            )
+        elif listed is not None:
+            self._apply_listed(listed, now_ms)
+
+    def _adoption_delay_ms(
+        self, document: Document | None, listed: Item | None
+    ) -> int:
+        """Returns how long a key keeps its state in this view.
+
+        Args:
+            document: Its present document; None if it has none.
+            listed: Its item in the restored store; None if it lacks the key.
+        """
+        if isinstance(document, Member):
+            return _MEMBER_REWRITE_GRACE_MS
+        if document is not None:
+            return _REWRITE_GRACE_MS
+        if listed is not None and isinstance(
+            self._decode(listed), UpstreamEntry
+        ):
+            # It may have left since the copy was made.
+            return _REMOVED_UPSTREAM_GRACE_MS
+        return 0
+
+    def _restore_configuration(
+        self, key: str, known: Item | None, listed: Item | None, now_ms: int
+    ) -> None:
+        document = self._decode(listed) if listed is not None else None
+        current = self.configuration
+        if (
+            listed is not None
+            and isinstance(document, Configuration)
+            and (current is None or document.version > current.version)
+        ):
+            self._apply_listed(listed, now_ms)
+        elif known is not None:
+            # Peers that start now get the newest configuration from here.
+            self._items[key] = dataclasses.replace(
+                known, revision=self.revision
+            )
+
+    def _takes_out_of_service(self, item: Item) -> bool:
+        match self._decode(item):
+            case UpstreamEntry() as entry:
+                return entry.state is UpstreamState.DRAINING
+            case Evacuation():
+                return True
+            case _:
+                return False
+
+    def _restore_record(self, service: str, listed: Item | None) -> None:
+        """Keeps a record; a controller writes it again if the store lost it."""
+        cached = self.records[service]
+        stored = listed is not None and self._decode(listed) == cached.record
+        self.records[service] = dataclasses.replace(
+            cached,
+            revision=listed.revision if listed else ABSENT,
+            stored=stored,
+        )
+
+    def _rebind(self, document: Document | None, revision: int) -> None:
+        """Identifies an unchanged roll-out order by its new revision."""
+        if not isinstance(document, RolloutOrder):
+            return
+        service = document.service
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return
+        self.rollouts[service] = dataclasses.replace(
+            rollout, revision=revision, stored=True
+        )
+        if rollout.revision == revision:
+            return
+        cached = self.records.get(service)
+        if cached is None or cached.record.order_revision != rollout.revision:
+            return
+        self.records[service] = dataclasses.replace(
+            cached,
+            record=dataclasses.replace(cached.record, order_revision=revision),
+            stored=False,
+        )
+
+    def _apply_deferred(self, now_ms: int) -> None:
+        for key, deferred in list(self._deferred.items()):
+            if now_ms < deferred.due_ms:
+                continue
+            del self._deferred[key]
+            if deferred.item is not None:
+                self._apply_listed(deferred.item, now_ms)
+            elif key in self._documents:
+                self._discard_document(key, now_ms, retain_until_ms=0)
+                self._on_change(
+                    Change(
+                        key=key,
+                        revision=self.revision,
+                        summary="removed: not written again after a restore",
+                    )
+                )
+
+    def _apply_listed(self, item: Item, now_ms: int) -> None:
+        self._items.pop(item.key, None)
+        self._apply_item(item, now_ms, retain_until_ms=0, replay=True)
 
     def load(
         self, batch: ItemBatch, now_ms: int, *, retain_until_ms: int = 0
@@ -150,10 +361,24 @@
         """
         for item in batch.items:
             self._apply_item(item, now_ms, retain_until_ms, replay=replay)
+        self.era = max(self.era, batch.era)
         self.revision = max(self.revision, batch.revision)
 
+    def record_step(self, record: RolloutRecord, now_ms: int) -> None:
+        """Records a roll-out step that this daemon has just written.
+
+        Its revision becomes known when the watch delivers it.
+        """
+        cached = self.records.get(record.service)
+        self.records[record.service] = CachedRolloutRecord(
+            record=record,
+            revision=cached.revision if cached else ABSENT,
+            seen_ms=now_ms,
+        )
+
     def expire(self, now_ms: int) -> None:
-        """Removes upstreams that did not register again after an outage."""
+        """Removes what was not written again after an outage or a restore."""
+        self._apply_deferred(now_ms)
         for upstream_id, cached in list(self.upstreams.items()):
             until = cached.retain_until_ms
             if until is not None and now_ms >= until:
@@ -173,8 +398,9 @@
         newest = max(
             cached.revision if cached else 0, self._removed.get(item.key, 0)
         )
-        if item.revision <= newest:
+        if item.revision <= newest and not self._is_newer_configuration(item):
             return
+        deferred = self._deferred.pop(item.key, None)
         if item.value is None:
             self._remove(item.key, item.revision, now_ms, retain_until_ms)
             return
@@ -188,9 +414,61 @@
             return
         if document is None:
             return
+        known = self._documents.get(item.key)
         self._documents[item.key] = document
+        if isinstance(document, RolloutRecord) and self._keeps_record(
+            document, item
+        ):
+            return
+        if deferred is not None and document == known:
+            # The operator has written the same order again after a restore.
+            self._rebind(document, item.revision)
+            return
         self._apply_document(item, document, now_ms, replay=replay)
 
+    def _is_newer_configuration(self, item: Item) -> bool:
+        """Returns whether an item has a newer configuration than this view.
+
+        A peer may have kept a configuration that a restored store has lost.
+        """
+        current = self.configuration
+        if current is None or item.value is None:
+            return False
+        if not isinstance(self._documents.get(item.key), Configuration):
+            return False
+        known = self._items.get(item.key)
+        if known is not None and known.value == item.value:
+            return False
+        document = self._decode(item)
+        return (
+            isinstance(document, Configuration)
+            and document.version > current.version
+        )
+
+    def _keeps_record(self, record: RolloutRecord, item: Item) -> bool:
+        """Returns whether the view has a later record of the same order.
+
+        After a restore, a daemon that knows only the older copy may have
+        written an earlier step.
+        """
+        cached = self.records.get(record.service)
+        if cached is None or not cached.record.supersedes(record):
+            return False
+        self.records[record.service] = dataclasses.replace(
+            cached, revision=item.revision, stored=False
+        )
+        self._log_change(item, "earlier roll-out step ignored")
+        return True
+
+    def _decode(self, item: Item) -> Document | None:
+        if item.value is None:
+            return None
+        try:
+            return self._codec.decode(item.key, item.value)
+        except MalformedDocumentError as error:
+            self._log_change(item, f"unreadable document discarded: {error}")
+            return None
+
     def _apply_document(
         self, item: Item, document: Document, now_ms: int, *, replay: bool
     ) -> None:
@@ -204,7 +482,10 @@
                 self._log_change(item, "failure domain out of service")
             case RolloutOrder():
                 self.rollouts[document.service] = CachedRolloutOrder(
-                    order=document, revision=item.revision, seen_ms=now_ms
+                    order=document,
+                    revision=item.revision,
+                    seen_ms=now_ms,
+                    listed=replay,
                 )
                 self._log_change(item, f"roll-out to {document.target} ordered")
             case RolloutRecord():
--- a/trefoilpitch/fleet/tests/fakes.py
+++ b/trefoilpitch/fleet/tests/fakes.py
@@ -40,6 +40,9 @@
     def rollout_key(self, service: str) -> str:
         return f"record/{service}"
 
+    def rollout_order_key(self, service: str) -> str:
+        return f"order/{service}"
+
     def encode_rollout(self, record: RolloutRecord) -> tuple[Write, ...]:
         return (Write(key=self.rollout_key(record.service), value=b""),)
 
--- a/trefoilpitch/fleet/tests/test_view.py
+++ b/trefoilpitch/fleet/tests/test_view.py
@@ -10,6 +10,7 @@
     Item,
     ItemBatch,
     RolloutOrder,
+    StoreVersion,
 )
 from trefoilpitch.fleet.tests.fakes import (
     InMemoryCodec,
@@ -66,7 +67,7 @@
 def test_removed_item_is_not_restored_by_a_stale_peer() -> None:
     harness = _ViewHarness()
     harness.put("u", upstream())
-    stale = harness.view.items_after(0).items[0]
+    stale = harness.view.changes_after(StoreVersion(0, 0)).items[0]
     harness.remove("u")
     harness.apply(stale)
     assert harness.view.upstreams == {}
@@ -138,10 +139,12 @@
     harness.put("x", upstream("x"))
     harness.remove("u")
     peer = FleetView(harness.codec, lambda change: None)
-    peer.apply(harness.view.items_after(0), 0)
+    peer.apply(harness.view.changes_after(StoreVersion(0, 0)), 0)
     assert set(peer.upstreams) == {"x"}
     assert peer.revision == harness.view.revision
-    assert [i.key for i in harness.view.items_after(2).items] == ["u"]
+    assert [
+        i.key for i in harness.view.changes_after(StoreVersion(0, 2)).items
+    ] == ["u"]
 
 
 def test_evacuation_and_rollout_follow_their_keys() -> None:
--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -93,6 +93,7 @@
         self._confirmed_ms = -_CURRENT_FOR_MS
         self._peer_ahead = asyncio.Event()
         self._listed_ms = 0
+        self._watch_scope: asyncio.Timeout | None = None
 
     @property
     def store_reachable(self) -> bool:
@@ -124,15 +125,27 @@
         """
         self._peer_ahead.set()
 
+    def notify_newer_era(self) -> None:
+        """Reports that a peer is in a newer era; ends a pending watch."""
+        if self._watch_scope is not None and not self._watch_scope.expired():
+            self._watch_scope.reschedule(asyncio.get_running_loop().time())
+
     def apply_from_peer(self, batch: ItemBatch, peer: str) -> None:
         """Applies changes that were fetched from a peer."""
         now_ms = self._clock.now_ms()
         before = self._view.revision
-        self._view.apply(batch, now_ms)
+        if batch.era < self._view.era:
+            log_event("peer_in_older_era", peer=peer, era=batch.era)
+            return
+        if batch.era > self._view.era and batch.complete:
+            self._restore_view(batch)
+        elif batch.era == self._view.era:
+            self._view.apply(batch, now_ms)
         log_event(
             "view_updated_from_peer",
             peer=peer,
             before=before,
+            era=self._view.era,
             revision=self._view.revision,
             items=len(batch.items),
         )
@@ -143,6 +156,9 @@
         """Follows the store until cancelled."""
         backoff_ms = _MIN_BACKOFF_MS
         while True:
+            if self._loaded and self._store.era > self._view.era:
+                # Another call of this daemon has shown it.
+                self._loaded = False
             if self._loaded and not self._should_watch():
                 await asyncio.sleep(_ROLE_CHECK_INTERVAL_MS / _MS_PER_S)
                 continue
@@ -179,8 +195,15 @@
                 if self.store_reachable
                 else _RECOVERY_WATCH_TIMEOUT_MS
             )
-            batch = await self._store.watch(self._view.revision, wait_ms)
+            batch = await self._watch(wait_ms)
+            if batch is None:
+                self._loaded = False
+                return
             self._mark_available()
+            if batch.era > self._view.era:
+                # These are changes of another history.
+                self._loaded = False
+                return
             self._view.apply(
                 batch,
                 self._clock.now_ms(),
@@ -193,6 +216,20 @@
             self._on_change()
             await asyncio.sleep(_BATCH_DELAY_MS / _MS_PER_S)
 
+    async def _watch(self, wait_ms: int) -> ItemBatch | None:
+        """Watches the store; returns None once a peer is in a newer era.
+
+        The store does not end a watch by itself whose revision it has given
+        out again.
+        """
+        try:
+            async with asyncio.timeout(None) as self._watch_scope:
+                return await self._store.watch(self._view.revision, wait_ms)
+        except TimeoutError:
+            return None
+        finally:
+            self._watch_scope = None
+
     async def _list(self) -> ItemBatch:
         """Lists the store; loads a peer's items if it is unavailable."""
         try:
@@ -219,15 +256,32 @@
             raise StoreUnavailableError("view loaded from a peer") from error
 
     def _load_view(self, batch: ItemBatch) -> None:
-        self._view.load(
-            batch,
-            self._clock.now_ms(),
-            retain_until_ms=self._expiry_until_ms,
-        )
+        if batch.era > self._view.era and self._view.revision > 0:
+            self._restore_view(batch)
+        else:
+            self._view.load(
+                batch,
+                self._clock.now_ms(),
+                retain_until_ms=self._expiry_until_ms,
+            )
         self._loaded = True
         self._listed_ms = self._clock.now_ms()
         self._on_change()
 
+    def _restore_view(self, batch: ItemBatch) -> None:
+        now_ms = self._clock.now_ms()
+        before = self._view.version
+        self._view.restore(batch, now_ms)
+        # Entries that lapsed meanwhile are registered again as well.
+        self._expiry_until_ms = now_ms + _REREGISTRATION_GRACE_MS
+        log_event(
+            "store_restored",
+            era=batch.era,
+            revision=batch.revision,
+            before_era=before.era,
+            before_revision=before.revision,
+        )
+
     def _mark_unavailable(self, reason: str) -> None:
         if self._unavailable_since_ms is None:
             self._unavailable_since_ms = self._clock.now_ms()
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import re
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
@@ -17,6 +18,7 @@
     ItemBatch,
     Member,
     RequestLimits,
+    StoreVersion,
 )
 from trefoilpitch.gateway._dispatcher import Dispatcher
 from trefoilpitch.gateway._exceptions import (
@@ -83,6 +85,12 @@
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
 _JSON = (b"Content-Type", b"application/json")
 _ITEMS_PATH = "/v1/items?after="
+_ITEMS_TARGET = re.compile(
+    re.escape(_ITEMS_PATH) + r"(?P<era>\d{1,18})\.(?P<revision>\d{1,18})"
+)
+# How long a daemon that has just started waits for a peer's heartbeat before it
+# relies on the store alone.
+_PEER_GRACE_MS = 2_000
 
 
 class AuxiliaryHandlers(Protocol):
@@ -127,6 +135,7 @@
         self._leaving_since_ms: int | None = None
         self._left = asyncio.Event()
         self._sequence = 0
+        self._started_ms = clock.now_ms()
         self._peer_ahead = asyncio.Event()
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self._view = FleetView(documents, self._log_change)
@@ -180,7 +189,7 @@
                 expected_latencies=ExpectedLatencies(),
                 models=ModelSelector(),
                 metrics=metrics,
-                is_current=self._follower.is_current,
+                is_current=self._is_current,
                 store_unavailable=lambda: self._follower.store_unavailable,
             )
         )
@@ -365,18 +374,36 @@
             reachable.extend(self._view.members)
         return watches_store(self._settings.name, reachable)
 
+    def _is_current(self) -> bool:
+        """Whether no newer configuration can have been missed."""
+        configuration = self._view.configuration
+        version = configuration.version if configuration else 0
+        if self._peers.newest_configuration > version:
+            return False
+        # A store that was restored from an older copy may lack the newest
+        # configuration; peers know it.
+        has_others = bool(set(self._view.members) - {self._settings.name})
+        if has_others and not self._peers.alive():
+            age_ms = self._clock.now_ms() - self._started_ms
+            if age_ms < _PEER_GRACE_MS:
+                return False
+        return self._follower.is_current()
+
     def _send_heartbeat(self) -> None:
         self._sequence += 1
+        configuration = self._view.configuration
         heartbeat = Heartbeat(
             node=self._settings.name,
             incarnation=self._settings.incarnation,
             sequence=self._sequence,
             revision=self._view.revision,
-            current=self._follower.is_current(),
+            current=self._is_current(),
             store_reachable=self._follower.store_reachable,
             ready=self.ready,
             versions=self._rollout_controller.own_counts(),
             in_flight=self._dispatcher.own_in_flight(),
+            era=self._view.era,
+            configuration=configuration.version if configuration else 0,
         )
         others = [
             member
@@ -387,12 +414,26 @@
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
-        if heartbeat.current and heartbeat.revision <= self._view.revision:
+        if heartbeat.current and heartbeat.version <= self._view.version:
             self._follower.confirm_current()
-        if heartbeat.revision > self._view.revision:
+        if heartbeat.era > self._view.era:
+            self._follower.notify_newer_era()
+        if self._is_ahead(heartbeat):
             self._peer_ahead.set()
             self._follower.notify_peer_ahead()
 
+    def _is_ahead(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether a peer has a newer state or configuration.
+
+        A store that was restored may lack the newest configuration.
+        """
+        configuration = self._view.configuration
+        version = configuration.version if configuration else 0
+        return (
+            heartbeat.version > self._view.version
+            or heartbeat.configuration > version
+        )
+
     async def _catch_up(self) -> None:
         """Fetches changes from a peer that has a newer revision."""
         await self._peer_ahead.wait()
@@ -406,15 +447,19 @@
         ahead = [
             name
             for name, peer in self._peers.alive().items()
-            if peer.heartbeat.revision > self._view.revision
-            and name in self._view.members
+            if self._is_ahead(peer.heartbeat) and name in self._view.members
         ]
         if ahead:
             await self._fetch_from(self._view.members[self._rng.choice(ahead)])
 
     async def _fetch_from(self, member: Member) -> None:
         address = ListenAddress(host=member.peer_host, port=member.peer_port)
-        batch = await self._fetch_items(address, self._view.revision)
+        peer = self._peers.alive().get(member.name)
+        after = self._view.version
+        if peer is not None and peer.heartbeat.version <= after:
+            # Only its configuration is newer.
+            after = StoreVersion(after.era, 0)
+        batch = await self._fetch_items(address, after)
         if batch is not None:
             self._follower.apply_from_peer(batch, member.name)
 
@@ -423,7 +468,7 @@
         seeds = [s for s in self._settings.seeds if s != self._settings.peers]
         self._rng.shuffle(seeds)
         for seed in seeds:
-            batch = await self._fetch_items(seed, 0)
+            batch = await self._fetch_items(seed, StoreVersion(0, 0))
             if batch is not None and batch.items:
                 log_event(
                     "view_loaded_from_peer",
@@ -435,9 +480,9 @@
         return None
 
     async def _fetch_items(
-        self, address: ListenAddress, after: int
+        self, address: ListenAddress, after: StoreVersion
     ) -> ItemBatch | None:
-        target = f"{_ITEMS_PATH}{after}".encode()
+        target = f"{_ITEMS_PATH}{after.era}.{after.revision}".encode()
         host = f"{address.host}:{address.port}".encode()
         try:
             with await connect(
@@ -488,9 +533,10 @@
         self, request: HttpRequest, responder: Responder
     ) -> None:
         target = request.target.decode("latin-1")
-        after = target.removeprefix(_ITEMS_PATH)
-        if after == target or not after.isdigit():
+        match = _ITEMS_TARGET.fullmatch(target)
+        if match is None:
             await responder.respond(404, [], b"")
             return
-        batch = self._view.items_after(int(after))
+        after = StoreVersion(int(match["era"]), int(match["revision"]))
+        batch = self._view.changes_after(after)
         await responder.respond(200, [], encode_batch(batch))
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from trefoilpitch.fleet import Item, ItemBatch, Member
+from trefoilpitch.fleet import Item, ItemBatch, Member, StoreVersion
 from trefoilpitch.gateway._exceptions import PeerReplyError
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._rollouts import VersionEvidence
@@ -74,6 +74,15 @@
     versions: tuple[VersionCount, ...]
     # Number of this daemon's in-flight requests by upstream.
     in_flight: tuple[tuple[str, int], ...] = ()
+    # Era of the store that the revision belongs to.
+    era: int = 0
+    # Version of its configuration; 0 if it has none.
+    configuration: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Era and revision of its local copy of the fleet state."""
+        return StoreVersion(self.era, self.revision)
 
 
 class WireItem(msgspec.Struct, frozen=True, array_like=True):
@@ -90,6 +99,8 @@
 
     items: tuple[WireItem, ...]
     revision: int
+    era: int = 0
+    complete: bool = False
 
 
 def encode_batch(batch: ItemBatch) -> bytes:
@@ -99,7 +110,12 @@
         for item in batch.items
     )
     encoded = msgspec.msgpack.encode(
-        WireBatch(items=items, revision=batch.revision)
+        WireBatch(
+            items=items,
+            revision=batch.revision,
+            era=batch.era,
+            complete=batch.complete,
+        )
     )
     return zlib.compress(encoded, _COMPRESSION_LEVEL)
 
@@ -122,7 +138,12 @@
         Item(key=item.key, value=item.value, revision=item.revision)
         for item in batch.items
     )
-    return ItemBatch(items=items, revision=batch.revision)
+    return ItemBatch(
+        items=items,
+        revision=batch.revision,
+        era=batch.era,
+        complete=batch.complete,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -171,6 +192,12 @@
         self._own_name = own_name
         self._peers: dict[str, Peer] = {}
         self._in_flight: Counter[str] = Counter()
+        self._newest_configuration = 0
+
+    @property
+    def newest_configuration(self) -> int:
+        """Highest configuration version of any peer so far; 0 if none."""
+        return self._newest_configuration
 
     def record(self, heartbeat: Heartbeat, now_ms: int) -> None:
         """Records a heartbeat; ignores reordered ones of an incarnation."""
@@ -185,6 +212,9 @@
                 self._log(heartbeat.node, "restarted", heartbeat.incarnation)
         else:
             self._log(heartbeat.node, "heard", heartbeat.incarnation)
+        self._newest_configuration = max(
+            self._newest_configuration, heartbeat.configuration
+        )
         self._peers[heartbeat.node] = Peer(
             heartbeat=heartbeat, received_ms=now_ms
         )
--- a/trefoilpitch/gateway/_registration.py
+++ b/trefoilpitch/gateway/_registration.py
@@ -36,13 +36,16 @@
         self._codec = codec
         self._member = member
         self._lease_id = NO_LEASE
+        # Era of the store in which the lease was granted. In a later one the
+        # store may have given the lease's id to another daemon.
+        self._lease_era = 0
 
     async def renew(self) -> None:
         """Renews the lease, or writes the entry under a new lease."""
         try:
-            if self._lease_id != NO_LEASE:
+            if self._holds_lease():
                 await self._store.renew_lease(self._lease_id)
-            else:
+            if not self._holds_lease():
                 await self._register()
         except LeaseLostError:
             log_event("lease_lost", lease=self._lease_id)
@@ -60,9 +63,15 @@
         except StoreUnavailableError as error:
             log_event("deregistration_failed", reason=str(error))
 
+    def _holds_lease(self) -> bool:
+        return self._lease_id != NO_LEASE and self._store.era == self._lease_era
+
     async def _register(self) -> None:
+        self._lease_id = NO_LEASE
         lease_id = await self._store.grant_lease(_LEASE_MS)
+        era = self._store.era
         entry = self._codec.encode_member(self._member, lease_id)
         await self._store.commit(writes=(entry,))
         self._lease_id = lease_id
+        self._lease_era = era
         log_event("registered", lease=lease_id, member=self._member.name)
--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -22,6 +22,7 @@
 from trefoilpitch.gateway._rollouts import (
     RolloutStep,
     VersionEvidence,
+    lost_step,
     next_step,
 )
 from trefoilpitch.rendezvous import rank
@@ -32,6 +33,9 @@
 # Daemons beyond this rank write at the same time, which bounds the delay: it is
 # enough that one of many succeeds.
 _MAX_DELAY_RANK = 6
+# A daemon that has just started leaves the first step to others for this long:
+# if the store was restored, they know steps that it has lost.
+_LISTED_ORDER_DELAY_MS = 2_000
 _MS_PER_S = 1_000
 
 
@@ -108,7 +112,7 @@
 
     def _next_step(self, rollout: CachedRolloutOrder) -> RolloutStep | None:
         service = rollout.order.service
-        if self._view.rollouts.get(service) != rollout:
+        if self._view.rollouts.get(service) != rollout or not rollout.stored:
             return None
         evidence, off_target = self._peers.evidence(service, rollout.revision)
         own = self._dispatcher.own_evidence(service)
@@ -118,13 +122,18 @@
         off_target += self._dispatcher.in_flight_off_target(
             service, rollout.order.target
         )
-        return next_step(
-            rollout,
-            self._view.records.get(service),
-            evidence,
-            off_target,
-            self._clock.now_ms(),
-        )
+        record = self._view.records.get(service)
+        lost = lost_step(rollout, record)
+        if lost is not None:
+            return lost
+        now_ms = self._clock.now_ms()
+        if (
+            record is None
+            and rollout.listed
+            and now_ms - rollout.seen_ms < _LISTED_ORDER_DELAY_MS
+        ):
+            return None
+        return next_step(rollout, record, evidence, off_target, now_ms)
 
     async def _write(
         self, rollout: CachedRolloutOrder, step: RolloutStep
@@ -138,16 +147,27 @@
             phase=step.phase,
             percent=step.percent,
         )
-        condition = Condition(
-            key=self._codec.rollout_key(service),
-            revision=known.revision if known else ABSENT,
+        # A revision may occur again after a restore of the store; the order's
+        # one makes it unlikely that both match by chance.
+        conditions = (
+            Condition(
+                key=self._codec.rollout_key(service),
+                revision=known.revision if known else ABSENT,
+            ),
+            Condition(
+                key=self._codec.rollout_order_key(service),
+                revision=rollout.revision,
+            ),
         )
         outcome = "written"
         try:
             await self._store.commit(
-                conditions=(condition,),
+                conditions=conditions,
                 writes=self._codec.encode_rollout(record),
             )
+            # Operators may have read the step already, and a restore may
+            # lose it before the watch delivers it.
+            self._view.record_step(record, self._clock.now_ms())
         except ConditionFailedError:
             outcome = "conflict: another daemon wrote first"
         except StoreUnavailableError as error:
--- a/trefoilpitch/gateway/_rollouts.py
+++ b/trefoilpitch/gateway/_rollouts.py
@@ -104,6 +104,18 @@
     return record.record.phase, record.record.percent
 
 
+def lost_step(
+    rollout: CachedRolloutOrder, record: CachedRolloutRecord | None
+) -> RolloutStep | None:
+    """Returns the last step if a restored store has lost it."""
+    phase, percent = current_phase(rollout, record)
+    if record is None or record.stored or phase is None:
+        return None
+    return RolloutStep(
+        phase=phase, percent=percent, reason="lost by the restored store"
+    )
+
+
 def next_step(
     rollout: CachedRolloutOrder,
     record: CachedRolloutRecord | None,
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -26,6 +26,7 @@
     """
     configuration = view.configuration
     state = {
+        "era": view.era,
         "revision": view.revision,
         "configuration": configuration.version if configuration else None,
         "evacuated": sorted(view.evacuated),
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -34,6 +34,7 @@
 
     def __init__(self, clock: ManualClock) -> None:
         self._clock = clock
+        self.era = 0
         self.listing: ItemBatch | Exception = _NOTHING
         self.steps: list[tuple[int, ItemBatch | Exception]] = []
         self.calls: list[tuple[str, int]] = []
--- a/trefoilpitch/platform/_documents.py
+++ b/trefoilpitch/platform/_documents.py
@@ -166,6 +166,10 @@
         """Returns the key of a service's roll-out record."""
         return f"{_RECORD_PREFIX}{service}"
 
+    def rollout_order_key(self, service: str) -> str:
+        """Returns the key of an operator's roll-out order for a service."""
+        return f"{_ROLLOUT_PREFIX}{service}"
+
     def encode_rollout(self, record: RolloutRecord) -> tuple[Write, ...]:
         """Encodes a roll-out record and its status for operators."""
         status = {
--- a/trefoilpitch/platform/_store.py
+++ b/trefoilpitch/platform/_store.py
@@ -25,6 +25,7 @@
     HttpConnection,
     ListenAddress,
     connect,
+    log_event,
 )
 
 # The store usually responds within a few milliseconds, and up to 60 times more
@@ -38,6 +39,8 @@
 _NOT_FOUND = 404
 _GONE = 410
 _CONDITION_FAILED = 412
+# Rises by one each time the store is restored from an older copy.
+_ERA = b"store-era"
 _JSON = (b"Content-Type", b"application/json")
 
 
@@ -59,22 +62,37 @@
         self._host = f"{address.host}:{address.port}".encode()
         self._idle_connections: list[HttpConnection] = []
         self._watch_connection: HttpConnection | None = None
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Highest era in a response so far; 0 before the first response."""
+        return self._era
 
     async def read_all(self) -> ItemBatch:
         """Reads all keys, page by page."""
         items: list[Item] = []
         revision = 0
         after = ""
+        era: int | None = None
         while True:
             query = {"path-prefix": ""} | ({"after": after} if after else {})
             status, response = await self._call("kv-range", b"GET", query)
             if status != _OK:
                 raise StoreUnavailableError(f"kv-range: status {status}")
+            if era is not None and era != self._era:
+                raise StoreUnavailableError("restored during the listing")
+            era = self._era
             revision = revision or int(response["at"])
             page = [_item(row) for row in response["items"]]
             items.extend(page)
             if not response.get("has-more") or not page:
-                return ItemBatch(items=tuple(items), revision=revision)
+                return ItemBatch(
+                    items=tuple(items),
+                    revision=revision,
+                    era=era,
+                    complete=True,
+                )
             after = page[-1].key
 
     async def watch(self, after: int, wait_ms: int) -> ItemBatch:
@@ -99,7 +117,9 @@
         if status != _OK:
             raise StoreUnavailableError(f"kv-watch: status {status}")
         items = tuple(_item(row) for row in response["events"])
-        return ItemBatch(items=items, revision=int(response["at"]))
+        return ItemBatch(
+            items=items, revision=int(response["at"]), era=self._era
+        )
 
     async def commit(
         self,
@@ -215,6 +235,7 @@
             if isinstance(error, ExchangeError):
                 raise StoreUnavailableError(f"{name}: {error}") from error
             raise
+        self._record_era(head.header(_ERA))
         if head.status != _OK:
             return head.status, {}
         try:
@@ -225,6 +246,17 @@
             raise StoreUnavailableError(f"{name}: {error}") from error
         return head.status, response
 
+    def _record_era(self, text: str | None) -> None:
+        if text is None:
+            return
+        if not text.strip().isdecimal():
+            log_event("malformed_header", name=_ERA.decode(), value=text)
+            return
+        era = int(text)
+        if era > self._era:
+            log_event("store_era", era=era, before=self._era)
+            self._era = era
+
 
 def _item(row: dict[str, Any]) -> Item:
     try:
--- a/trefoilpitch/standins/__init__.py
+++ b/trefoilpitch/standins/__init__.py
@@ -6,7 +6,10 @@
 from trefoilpitch.standins._kv import KvServer, kv_server
 from trefoilpitch.standins._platform_client import send
 from trefoilpitch.standins._platform_config import config_document
-from trefoilpitch.standins._platform_store import PlatformStoreStandIn
+from trefoilpitch.standins._platform_store import (
+    PlatformStoreCopy,
+    PlatformStoreStandIn,
+)
 from trefoilpitch.standins._platform_worker import (
     PlatformWorkerStandIn,
     WorkerFault,
@@ -31,6 +34,7 @@
     "Fault",
     "KvServer",
     "PlatformStoreStandIn",
+    "PlatformStoreCopy",
     "PlatformWorkerStandIn",
     "RatingSettings",
     "RatingStandIn",
--- a/trefoilpitch/standins/_platform_store.py
+++ b/trefoilpitch/standins/_platform_store.py
@@ -52,6 +52,16 @@
         }
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformStoreCopy:
+    """A copy of the store's state."""
+
+    items: dict[str, _StoredItem]
+    revision: int
+    leases: frozenset[int]
+    next_lease: int
+
+
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
 
@@ -68,6 +78,8 @@
         self._compacted_revision = 0
         self._revision = 1
         self._leases: set[int] = set()
+        self._next_lease = 100
+        self._era = 1
         self._changed = asyncio.Event()
         self._server = HttpServer(
             ServerState(
@@ -145,6 +157,29 @@
         self._compacted_revision = self._revision
         self._notify_watches()
 
+    def copy(self) -> PlatformStoreCopy:
+        """Copies the present state, for `restore`."""
+        return PlatformStoreCopy(
+            items=dict(self._items),
+            revision=self._revision,
+            leases=frozenset(self._leases),
+            next_lease=self._next_lease,
+        )
+
+    def restore(self, copy: PlatformStoreCopy) -> None:
+        """Goes back to an older copy, as the store may do after an outage.
+
+        The era rises; revisions and lease ids are given out again.
+        """
+        self._items = dict(copy.items)
+        self._revision = copy.revision
+        self._leases = set(copy.leases)
+        self._next_lease = copy.next_lease
+        self._history.clear()
+        self._compacted_revision = copy.revision
+        self._era += 1
+        self._notify_watches()
+
     def end_lease(self, lease_id: int) -> None:
         """Ends a lease and removes the keys bound to it."""
         self._leases.discard(lease_id)
@@ -178,8 +213,9 @@
         url = urllib.parse.urlsplit(request.target.decode())
         name, _, argument = url.path.removeprefix(_PREFIX).partition("/")
         self.calls[name] = self.calls.get(name, 0) + 1
+        era = self._era_header()
         if self.refusal_status is not None:
-            await responder.respond(self.refusal_status, [], b"")
+            await responder.respond(self.refusal_status, [era], b"")
             return
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         body = msgspec.json.decode(request.body or b"{}")
@@ -189,7 +225,14 @@
         if self.drop_write_responses and request.method == b"POST":
             responder.abort()
             return
-        await responder.respond(status, [_JSON], msgspec.json.encode(result))
+        await responder.respond(
+            status,
+            [_JSON, self._era_header()],
+            msgspec.json.encode(result),
+        )
+
+    def _era_header(self) -> tuple[bytes, bytes]:
+        return (b"Store-Era", str(self._era).encode())
 
     async def _serve(
         self, name: str, argument: str, query: dict[str, str], body: Any
@@ -202,7 +245,8 @@
             case "kv-txn":
                 return self._commit(body)
             case "kv-lease":
-                lease = len(self._leases) + 100
+                lease = self._next_lease
+                self._next_lease += 1
                 self._leases.add(lease)
                 return 200, {"lease": lease, "ttl-ms": body["ttl-ms"]}
             case "kv-keep":
@@ -224,7 +268,7 @@
         after = int(query["after"])
         end_s = time.monotonic() + int(query["wait-timeout-ms"]) / _MS_PER_S
         while True:
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self._revision:
                 return 410, {}
             events = [
                 stored.to_wire()
