Judge failures and slowness apart, and stop bad versions on both sides of a cut

Change: failures and slow responses are counted and compared apart; slowness alone needs more of it. A daemon that finds the target bad on the evidence of all daemons it hears stops it for the rest of the order, with or without the store, says so in its heartbeats, and others adopt it, so that evidence that is lost with its daemons still counts.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -24,6 +24,7 @@
 from trefoilpitch.gateway._messages import CallerRequest
 from trefoilpitch.gateway._placement import Candidate, choose, saturation
 from trefoilpitch.gateway._rollouts import (
+    ResponseQuality,
     VersionEvidence,
     current_phase,
     is_regression,
@@ -85,6 +86,8 @@
         self._notices = UpstreamNotices()
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
+        # Store revision of the order that was stopped, by service.
+        self._stopped_orders: dict[str, int] = {}
 
     def own_evidence(self, service: str) -> Mapping[str, VersionEvidence]:
         """Returns this daemon's evidence since the service's last order.
@@ -146,7 +149,26 @@
         ]
         return sum(levels) / max(1, len(levels))
 
-    def record_evidence(self, entry: UpstreamEntry, *, bad: bool) -> None:
+    def stop_rollout(self, service: str, order_revision: int) -> bool:
+        """Stops sending requests to the target of a roll-out order.
+
+        Holds for as long as the order, whatever happens to the evidence and
+        whether or not the store can be reached.
+
+        Returns:
+            Whether it was not stopped before.
+        """
+        is_new = self._stopped_orders.get(service) != order_revision
+        self._stopped_orders[service] = order_revision
+        return is_new
+
+    def is_stopped(self, service: str, order_revision: int) -> bool:
+        """Returns whether `stop_rollout` was called for an order."""
+        return self._stopped_orders.get(service) == order_revision
+
+    def record_evidence(
+        self, entry: UpstreamEntry, quality: ResponseQuality
+    ) -> None:
         """Records a response of a service that has a roll-out order."""
         rollout = self._view.rollouts.get(entry.service)
         if rollout is None:
@@ -156,9 +178,7 @@
             self._evidence[entry.service] = {}
         versions = self._evidence[entry.service]
         previous = versions.get(entry.version, VersionEvidence())
-        versions[entry.version] = VersionEvidence(
-            good=previous.good + (not bad), bad=previous.bad + bad
-        )
+        versions[entry.version] = previous.merge(quality.evidence)
 
     def record_notices(
         self, entry: UpstreamEntry, *, leaving: bool, pause_ms: int
@@ -285,7 +305,10 @@
             phase, percent = current_phase(rollout, record)
             target = rollout.order.target
             ended = phase is not None and phase.final
-            if not ended and self._own_evidence_is_bad(service, target):
+            if not ended and (
+                self.is_stopped(service, rollout.revision)
+                or self._own_evidence_is_bad(service, target)
+            ):
                 phase = RolloutPhase.ROLLED_BACK
         on_target = [k for k in ready if k.entry.version == target]
         others = [k for k in ready if k.entry.version != target]
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -404,6 +404,7 @@
             in_flight=self._dispatcher.own_in_flight(),
             era=self._view.era,
             configuration=configuration.version if configuration else 0,
+            stopped=self._rollout_controller.stopped_orders(),
         )
         others = [
             member
@@ -416,6 +417,8 @@
         self._peers.record(heartbeat, self._clock.now_ms())
         if heartbeat.current and heartbeat.version <= self._view.version:
             self._follower.confirm_current()
+        if heartbeat.era == self._view.era:
+            self._rollout_controller.adopt_stopped(heartbeat.stopped)
         if heartbeat.era > self._view.era:
             self._follower.notify_newer_era()
         if self._is_ahead(heartbeat):
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -50,7 +50,8 @@
     # Store revision of the roll-out's order.
     order_revision: int
     good: int
-    bad: int
+    failed: int
+    slow: int
     # In-flight requests on versions other than the target; the same in all
     # counts of a service.
     off_target: int
@@ -78,6 +79,8 @@
     era: int = 0
     # Version of its configuration; 0 if it has none.
     configuration: int = 0
+    # Service and order revision of the roll-outs that it has stopped.
+    stopped: tuple[tuple[str, int], ...] = ()
 
     @property
     def version(self) -> StoreVersion:
@@ -260,7 +263,9 @@
                     counted = True
                 if count.order_revision != order_revision:
                     continue
-                reported = VersionEvidence(good=count.good, bad=count.bad)
+                reported = VersionEvidence(
+                    good=count.good, failed=count.failed, slow=count.slow
+                )
                 known = total.get(count.version, VersionEvidence())
                 total[count.version] = known.merge(reported)
         return total, off_target
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -28,6 +28,7 @@
 from trefoilpitch.gateway._model_tiers import PartialResponse, ResponseSize
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
+from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.metrics import Label
 from trefoilpitch.retries import Execution, FailureKind, WindowedRetryBudget
 
@@ -393,7 +394,7 @@
         )
         failed = response.head.status >= _SERVER_ERROR
         if failed:
-            self._deps.dispatcher.record_evidence(entry, bad=True)
+            self._deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
             if response.sealed and response.unencoded:
                 self._last_error_response = (response, body)
             raise ExchangeError(
@@ -508,7 +509,9 @@
             f"{entry.upstream_id} {self._model or '-'} {latency_ms} ms"
             f" load {load} confidence {response.confidence}"
         )
-        deps.dispatcher.record_evidence(entry, bad=slow)
+        deps.dispatcher.record_evidence(
+            entry, ResponseQuality.SLOW if slow else ResponseQuality.GOOD
+        )
         deps.metrics.observe_ms("upstream_first_answer", latency_ms)
 
     def _record_failure(
--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import (
@@ -22,8 +23,11 @@
 from trefoilpitch.gateway._rollouts import (
     RolloutStep,
     VersionEvidence,
+    current_phase,
+    is_regression,
     lost_step,
     next_step,
+    split_evidence,
 )
 from trefoilpitch.rendezvous import rank
 
@@ -86,7 +90,8 @@
                     version=version,
                     order_revision=rollout.revision,
                     good=evidence.good,
-                    bad=evidence.bad,
+                    failed=evidence.failed,
+                    slow=evidence.slow,
                     off_target=off_target,
                 )
                 for version, evidence in own.items()
@@ -96,6 +101,7 @@
     async def advance_rollouts(self) -> None:
         """Writes the next step of each roll-out for which one is due."""
         for rollout in list(self._view.rollouts.values()):
+            self._stop_if_bad(rollout)
             step = self._next_step(rollout)
             if step is None:
                 continue
@@ -110,18 +116,66 @@
             if step is not None:
                 await self._write(rollout, step)
 
-    def _next_step(self, rollout: CachedRolloutOrder) -> RolloutStep | None:
+    def stopped_orders(self) -> tuple[tuple[str, int], ...]:
+        """Returns the stopped roll-outs for publication in heartbeats."""
+        return tuple(
+            (service, rollout.revision)
+            for service, rollout in self._view.rollouts.items()
+            if self._dispatcher.is_stopped(service, rollout.revision)
+        )
+
+    def adopt_stopped(self, stopped: Iterable[tuple[str, int]]) -> None:
+        """Stops the roll-outs that a peer has stopped."""
+        for service, order_revision in stopped:
+            rollout = self._view.rollouts.get(service)
+            if rollout is not None and rollout.revision == order_revision:
+                self._stop(rollout, "a peer has stopped it")
+
+    def _stop_if_bad(self, rollout: CachedRolloutOrder) -> None:
+        """Stops a roll-out on the evidence of all daemons that are heard.
+
+        Load pattern: a failure domain is cut off while a bad version is rolled
+        out, or the daemons with the evidence are killed. Each side of the cut
+        stops by itself, and the others as soon as they hear of it.
+        """
+        evidence, _ = self._evidence(rollout)
+        target = rollout.order.target
+        if is_regression(*split_evidence(evidence, target)):
+            self._stop(rollout, "evidence of all daemons")
+
+    def _stop(self, rollout: CachedRolloutOrder, reason: str) -> None:
+        service = rollout.order.service
+        phase, _ = current_phase(rollout, self._view.records.get(service))
+        if phase is not None and phase.final:
+            return
+        if self._dispatcher.stop_rollout(service, rollout.revision):
+            log_event(
+                "rollout_stopped",
+                service=service,
+                target=rollout.order.target,
+                order_revision=rollout.revision,
+                reason=reason,
+            )
+
+    def _evidence(
+        self, rollout: CachedRolloutOrder
+    ) -> tuple[dict[str, VersionEvidence], int]:
+        """Sums own and peers' evidence, and in-flight requests off target."""
         service = rollout.order.service
-        if self._view.rollouts.get(service) != rollout or not rollout.stored:
-            return None
         evidence, off_target = self._peers.evidence(service, rollout.revision)
-        own = self._dispatcher.own_evidence(service)
-        for version, counts in own.items():
+        for version, counts in self._dispatcher.own_evidence(service).items():
             known = evidence.get(version, VersionEvidence())
             evidence[version] = known.merge(counts)
         off_target += self._dispatcher.in_flight_off_target(
             service, rollout.order.target
         )
+        return evidence, off_target
+
+    def _next_step(self, rollout: CachedRolloutOrder) -> RolloutStep | None:
+        service = rollout.order.service
+        if self._view.rollouts.get(service) != rollout or not rollout.stored:
+            return None
+        evidence, off_target = self._evidence(rollout)
         record = self._view.records.get(service)
         lost = lost_step(rollout, record)
         if lost is not None:
@@ -133,7 +187,14 @@
             and now_ms - rollout.seen_ms < _LISTED_ORDER_DELAY_MS
         ):
             return None
-        return next_step(rollout, record, evidence, off_target, now_ms)
+        return next_step(
+            rollout,
+            record,
+            evidence,
+            off_target,
+            now_ms,
+            stopped=self._dispatcher.is_stopped(service, rollout.revision),
+        )
 
     async def _write(
         self, rollout: CachedRolloutOrder, step: RolloutStep
--- a/trefoilpitch/gateway/_rollouts.py
+++ b/trefoilpitch/gateway/_rollouts.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from collections.abc import Mapping
 
 from trefoilpitch.fleet import (
@@ -30,36 +31,71 @@
 # is idle, and in any case.
 _COMPLETE_IDLE_AFTER = 0.72
 _COMPLETE_AFTER = 0.92
-# Minimum number and fraction of bad responses for a rollback.
-_MIN_BAD_RESPONSES = 4
-_MIN_BAD_SHARE = 0.15
-# The target's fraction of bad responses must also be at least this multiple of
-# the other versions', so that a fault of the whole service is not blamed on it.
+# Minimum number and fraction of failures for a rollback.
+_MIN_FAILURES = 4
+_MIN_FAILED_SHARE = 0.15
+# The same for slow responses. They are weaker evidence, as an upstream that is
+# crowded for a moment is slow too.
+_MIN_SLOW = 6
+_MIN_SLOW_SHARE = 0.25
+# The target's fraction must also be at least this multiple of the other
+# versions', so that a fault of the whole service is not blamed on it.
 _WORSE_FACTOR = 2.5
 _HASH_RANGE = 1 << 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class VersionEvidence:
-    """Counts of good and bad responses of one version."""
+    """Counts of the responses of one version.
+
+    Failures and slow responses are kept apart: in a burst many responses of all
+    versions are slow, which must not hide that only one version fails.
+    """
 
     # Successful responses of normal latency.
     good: int = 0
-    # Failures, and responses several times slower than expected.
-    bad: int = 0
+    failed: int = 0
+    # Successful responses that were several times slower than expected.
+    slow: int = 0
 
     @property
-    def bad_share(self) -> float:
-        """Fraction of the responses that were bad."""
-        return self.bad / max(1, self.good + self.bad)
+    def failed_share(self) -> float:
+        """Fraction of the responses that were failures."""
+        return self.failed / max(1, self.good + self.failed + self.slow)
+
+    @property
+    def slow_share(self) -> float:
+        """Fraction of the successful responses that were slow."""
+        return self.slow / max(1, self.good + self.slow)
 
     def merge(self, other: VersionEvidence) -> VersionEvidence:
         """Returns the sum of both counts."""
         return VersionEvidence(
-            good=self.good + other.good, bad=self.bad + other.bad
+            good=self.good + other.good,
+            failed=self.failed + other.failed,
+            slow=self.slow + other.slow,
         )
 
 
+class ResponseQuality(enum.Enum):
+    """What a response says about the version that gave it."""
+
+    GOOD = "good"
+    SLOW = "slow"
+    FAILED = "failed"
+
+    @property
+    def evidence(self) -> VersionEvidence:
+        """The evidence of one such response."""
+        match self:
+            case ResponseQuality.GOOD:
+                return VersionEvidence(good=1)
+            case ResponseQuality.SLOW:
+                return VersionEvidence(slow=1)
+            case ResponseQuality.FAILED:
+                return VersionEvidence(failed=1)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RolloutStep:
     """The next step of a roll-out, to be written to the store."""
@@ -73,11 +109,17 @@
 
 def is_regression(target: VersionEvidence, others: VersionEvidence) -> bool:
     """Returns whether a target does significantly worse than the others."""
-    return (
-        target.bad >= _MIN_BAD_RESPONSES
-        and target.bad_share >= _MIN_BAD_SHARE
-        and target.bad_share >= _WORSE_FACTOR * others.bad_share
+    fails_more = (
+        target.failed >= _MIN_FAILURES
+        and target.failed_share >= _MIN_FAILED_SHARE
+        and target.failed_share >= _WORSE_FACTOR * others.failed_share
+    )
+    is_slower = (
+        target.slow >= _MIN_SLOW
+        and target.slow_share >= _MIN_SLOW_SHARE
+        and target.slow_share >= _WORSE_FACTOR * others.slow_share
     )
+    return fails_more or is_slower
 
 
 def split_evidence(
@@ -122,6 +164,8 @@
     evidence: Mapping[str, VersionEvidence],
     old_in_flight: int,
     now_ms: int,
+    *,
+    stopped: bool = False,
 ) -> RolloutStep | None:
     """Decides the next step of a roll-out.
 
@@ -131,6 +175,8 @@
         evidence: Evidence by version, summed over all daemons.
         old_in_flight: In-flight requests on versions other than the target.
         now_ms: The monotonic time.
+        stopped: Whether a daemon has found the target bad before, on evidence
+            that may be lost since.
 
     Returns:
         The step, or None if none is due.
@@ -139,11 +185,13 @@
     if phase is not None and phase.final:
         return None
     target, others = split_evidence(evidence, rollout.order.target)
-    if is_regression(target, others):
+    if stopped or is_regression(target, others):
         return RolloutStep(
             phase=RolloutPhase.ROLLED_BACK,
             percent=0,
-            reason=f"{target.bad} of {target.bad + target.good} responses bad",
+            reason=f"target: {target.failed} failed, {target.slow} slow,"
+            f" {target.good} good; others: {others.failed} failed,"
+            f" {others.slow} slow, {others.good} good",
         )
     if phase is None:
         return RolloutStep(
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -51,6 +51,7 @@
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS, retry_after_ms
 from trefoilpitch.gateway._rollouts import (
     CANARY_PERCENT,
+    ResponseQuality,
     VersionEvidence,
     is_regression,
     next_step,
@@ -529,10 +530,34 @@
     _record(fleet, _rollout(fleet), RolloutPhase.SHIFT, 100)
     for _ in range(4):
         entry = upstream("new", version="v2")
-        fleet.dispatchers[0].record_evidence(entry, bad=True)
+        fleet.dispatchers[0].record_evidence(entry, ResponseQuality.FAILED)
     assert set(_versions(fleet)) == {"v1"}
 
 
+def test_stopped_rollout_stays_stopped_without_evidence() -> None:
+    """The daemons with the evidence were killed, and the store is away."""
+    fleet = _Fleet()
+    fleet.put("old", upstream("old", version="v1"))
+    fleet.put("new", upstream("new", version="v2"))
+    order = _rollout(fleet)
+    _record(fleet, order, RolloutPhase.SHIFT, 100)
+    assert fleet.dispatchers[0].stop_rollout("s", order)
+    assert not fleet.dispatchers[0].stop_rollout("s", order)
+    assert set(_versions(fleet)) == {"v1"}
+    step = next_step(
+        fleet.view.rollouts["s"],
+        fleet.view.records["s"],
+        {},
+        0,
+        fleet.clock.now_ms(),
+        stopped=fleet.dispatchers[0].is_stopped("s", order),
+    )
+    assert step is not None
+    assert step.phase is RolloutPhase.ROLLED_BACK
+    again = _rollout(fleet)
+    assert not fleet.dispatchers[0].is_stopped("s", again)
+
+
 def test_evidence_of_an_earlier_order_does_not_count() -> None:
     """The same version is rolled out again after its fault was fixed."""
     fleet = _Fleet()
@@ -541,8 +566,8 @@
     _record(fleet, _rollout(fleet), RolloutPhase.SHIFT, 100)
     for _ in range(4):
         entry = upstream("new", version="v2")
-        fleet.dispatchers[0].record_evidence(entry, bad=True)
-    assert fleet.dispatchers[0].own_evidence("s")["v2"].bad == 4
+        fleet.dispatchers[0].record_evidence(entry, ResponseQuality.FAILED)
+    assert fleet.dispatchers[0].own_evidence("s")["v2"].failed == 4
     _record(fleet, _rollout(fleet), RolloutPhase.SHIFT, 100)
     assert fleet.dispatchers[0].own_evidence("s") == {}
     assert set(_versions(fleet)) == {"v2"}
@@ -555,21 +580,37 @@
     _record(fleet, _rollout(fleet), RolloutPhase.COMPLETED, 100)
     for _ in range(20):
         entry = upstream("new", version="v2")
-        fleet.dispatchers[0].record_evidence(entry, bad=True)
+        fleet.dispatchers[0].record_evidence(entry, ResponseQuality.FAILED)
     assert set(_versions(fleet)) == {"v2"}
 
 
 @pytest.mark.parametrize(
     ("target", "others", "expected"),
     [
-        (VersionEvidence(good=3, bad=3), VersionEvidence(good=90), False),
-        (VersionEvidence(good=10, bad=4), VersionEvidence(good=90), True),
-        (VersionEvidence(good=60, bad=4), VersionEvidence(good=90), False),
+        (VersionEvidence(good=3, failed=3), VersionEvidence(good=90), False),
+        (VersionEvidence(good=10, failed=4), VersionEvidence(good=90), True),
+        (VersionEvidence(good=60, failed=4), VersionEvidence(good=90), False),
+        (
+            VersionEvidence(good=80, failed=20),
+            VersionEvidence(good=80, failed=20),
+            False,
+        ),
+        # Half of the target's responses fail while a burst slows all versions.
+        (
+            VersionEvidence(good=14, failed=18, slow=10),
+            VersionEvidence(good=250, failed=20, slow=130),
+            True,
+        ),
+        # Both versions are slow in a burst.
         (
-            VersionEvidence(good=80, bad=20),
-            VersionEvidence(good=80, bad=20),
+            VersionEvidence(good=20, slow=15),
+            VersionEvidence(good=250, slow=130),
             False,
         ),
+        # Only the target is slow.
+        (VersionEvidence(good=10, slow=9), VersionEvidence(good=90), True),
+        # One crowded upstream of a good version is slow for a moment.
+        (VersionEvidence(good=37, slow=10), VersionEvidence(good=90), False),
     ],
 )
 def test_target_is_compared_with_the_other_versions(
@@ -651,7 +692,7 @@
     order = _rollout(fleet)
     evidence = {
         "v1": VersionEvidence(good=100),
-        "v2": VersionEvidence(good=4, bad=4),
+        "v2": VersionEvidence(good=4, failed=4),
     }
     for phase in (RolloutPhase.CANARY, RolloutPhase.SHIFT):
         _record(fleet, order, phase)
--- a/trefoilpitch/platform/tests/test_store_restore.py
+++ b/trefoilpitch/platform/tests/test_store_restore.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.platform._store import PlatformStore
 from trefoilpitch.platform.tests.harness import (
     node_settings,
@@ -84,7 +85,9 @@
             copy = store.copy()
             entry = daemon.view.upstreams["plain-new"].entry
             for _ in range(10):
-                daemon._dispatcher.record_evidence(entry, bad=True)
+                daemon._dispatcher.record_evidence(
+                    entry, ResponseQuality.FAILED
+                )
             await wait_until(
                 lambda: store.value(_STATUS)["state"] == "rolled_back"
             )
@@ -111,7 +114,9 @@
             )
             entry = daemon.view.upstreams["plain-new"].entry
             for _ in range(10):
-                daemon._dispatcher.record_evidence(entry, bad=True)
+                daemon._dispatcher.record_evidence(
+                    entry, ResponseQuality.FAILED
+                )
             await wait_until(
                 lambda: store.value(_STATUS)["state"] == "rolled_back"
             )
