Avoid crashed upstreams together and retry past them

A crashed upstream has no requests in flight, so that it looks idle and attracts them; each daemon found that out by itself. 161 requests were refused, most after five refused connections or after 421 from the new process at the old address, which did not count against the upstream; 42 streams broke off, many the same way.

Change: heartbeats name the upstreams that a daemon cannot reach, and one that two others cannot reach is the last choice; a 421 ejects like a refused connection; an entry that started later at the same address replaces the earlier one; up to 16 attempts at upstreams that are gone, which run nothing and take milliseconds. The share of the retry slack follows the fleet's size (it was fixed at the first request, when few daemons were known).

--- a/trefoilpitch/fleet/_view.py
+++ b/trefoilpitch/fleet/_view.py
@@ -518,9 +518,13 @@
         *,
         replay: bool,
     ) -> None:
+        if self._is_superseded(entry):
+            self._log_change(item, "upstream replaced at its address")
+            return
         cold_until_ms = 0
         if entry.cold_left_ms > 0:
             cold_until_ms = now_ms + entry.cold_left_ms
+        self._remove_superseded(item, entry)
         cached = self.upstreams.get(entry.upstream_id)
         if cached is not None and replay and cached.entry == entry:
             cold_until_ms = cached.cold_until_ms
@@ -533,6 +537,21 @@
             f" cold for {entry.cold_left_ms} ms",
         )
 
+    def _is_superseded(self, entry: UpstreamEntry) -> bool:
+        return any(
+            _replaces(cached.entry, entry) for cached in self.upstreams.values()
+        )
+
+    def _remove_superseded(self, item: Item, entry: UpstreamEntry) -> None:
+        """Removes upstreams that crashed and whose address is in use again.
+
+        Their entries stay in the store until they expire.
+        """
+        for upstream_id, cached in list(self.upstreams.items()):
+            if _replaces(entry, cached.entry):
+                del self.upstreams[upstream_id]
+                self._log_change(item, f"replaces upstream {upstream_id}")
+
     def _remove(
         self, key: str, revision: int, now_ms: int, retain_until_ms: int
     ) -> None:
@@ -576,3 +595,12 @@
         self._on_change(
             Change(key=item.key, revision=item.revision, summary=summary)
         )
+
+
+def _replaces(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
+    """Returns whether an upstream started later at the other's address."""
+    return (
+        (entry.host, entry.port) == (other.host, other.port)
+        and entry.upstream_id != other.upstream_id
+        and 0 < other.started_wall_ms < entry.started_wall_ms
+    )
--- a/trefoilpitch/fleet/tests/test_view.py
+++ b/trefoilpitch/fleet/tests/test_view.py
@@ -166,6 +166,21 @@
     assert harness.view.upstreams["u"].cold_until_ms == 1_600
 
 
+@pytest.mark.parametrize("order", [("old", "new"), ("new", "old")])
+def test_restarted_upstream_replaces_the_one_at_its_address(
+    order: tuple[str, str],
+) -> None:
+    harness = _ViewHarness()
+    started_ms = {"old": 1_000, "new": 2_000}
+    for name in order:
+        entry = upstream(name, port=5, started_wall_ms=started_ms[name])
+        harness.put(name, entry)
+    harness.put("other", upstream("other", port=6, started_wall_ms=3_000))
+    assert set(harness.view.upstreams) == {"new", "other"}
+    harness.remove("old")
+    assert set(harness.view.upstreams) == {"new", "other"}
+
+
 @pytest.mark.parametrize(
     ("path", "expected"),
     [("/a/x", "short"), ("/a/b/x", "long"), ("/c/", None), ("/a", None)],
--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -32,8 +32,11 @@
 _RESUME_GAP_FACTOR = 0.8
 # The same if the stream cannot be resumed: callers tolerate longer gaps.
 _MAX_GAP_FACTOR = 8
-# A request is refused after this many attempts that did not run.
+# A request is refused after this many attempts that did not run, or this many
+# at upstreams that are gone; these take a few milliseconds each.
 _MAX_NOT_RUN = 5
+_MAX_GONE = 16
+_GONE = frozenset({FailureKind.CONNECT_REFUSED, FailureKind.MISDIRECTED})
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,7 +81,14 @@
         attempts: The attempts so far, at least one.
         affordable: Whether the retry budget allows another attempt.
     """
-    if not affordable or len(attempts.failures) - attempts.runs >= _MAX_NOT_RUN:
+    if not affordable:
+        return False
+    gone = sum(kind in _GONE for kind in attempts.failures)
+    not_run = sum(
+        classify_failure(kind) is Execution.NOT_RUN
+        for kind in attempts.failures
+    )
+    if gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN:
         return False
     if attempts.execution is Execution.NOT_RUN:
         return True
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -35,6 +35,9 @@
 from trefoilpitch.gateway._upstream_notices import UpstreamNotices
 from trefoilpitch.rendezvous import rank
 
+# Number of other daemons that must have failed to reach an upstream before this
+# one avoids it too; a single one may itself be cut off.
+_MIN_UNREACHABLE_REPORTS = 2
 # Requests per slot at which an upstream gets no further requests.
 _FULL_LOAD = 3.0
 
@@ -62,6 +65,8 @@
         members: Returns the names of all daemons that may be running.
         peers_in_flight: Returns the other daemons' in-flight requests by
             upstream.
+        peers_unreachable: Returns how many other daemons cannot reach an
+            upstream, by upstream.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         failure_domain: str,
         members: Callable[[], Collection[str]],
         peers_in_flight: Callable[[], Mapping[str, int]],
+        peers_unreachable: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._view = view
         self._clock = clock
@@ -82,6 +88,7 @@
         self._failure_domain = failure_domain
         self._members = members
         self._peers_in_flight = peers_in_flight
+        self._peers_unreachable = peers_unreachable
         self._cold_requests = ColdRequestCounter()
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
@@ -122,6 +129,15 @@
             if health.in_flight
         )
 
+    def own_unreachable(self) -> tuple[str, ...]:
+        """Returns the upstreams that this daemon cannot reach at the moment."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            upstream_id
+            for upstream_id, health in self._health.items()
+            if health.unreachable and now_ms < health.ejected_until_ms
+        )
+
     def evict_removed(self) -> None:
         """Evicts the records of removed upstreams with nothing in flight."""
         for upstream_id, health in list(self._health.items()):
@@ -349,6 +365,7 @@
         now_ms = self._clock.now_ms()
         prefix_key = _prefix_key(request, model)
         prefix_ranks = _prefix_ranks(prefix_key, group)
+        unreachable = self._peers_unreachable()
         entries: dict[str, CachedUpstream] = {}
         candidates: list[Candidate] = []
         for cached in group:
@@ -375,6 +392,8 @@
                     latency_ratio=health.latency_ratio,
                     local=entry.failure_domain == self._failure_domain,
                     prefix_rank=prefix_ranks.get(entry.upstream_id),
+                    suspected=unreachable.get(entry.upstream_id, 0)
+                    >= _MIN_UNREACHABLE_REPORTS,
                 )
             )
         prefix_share = 0.0
--- a/trefoilpitch/gateway/_health.py
+++ b/trefoilpitch/gateway/_health.py
@@ -57,6 +57,8 @@
     ejected_until_ms: int = 0
     # Duration of the last ejection; 0 after a success.
     ejection_ms: int = 0
+    # Whether the last failure showed that it cannot be reached.
+    unreachable: bool = False
 
     def load(self, now_ms: int, peers_in_flight: int = 0) -> int:
         """Estimates the number of requests at the upstream.
@@ -113,6 +115,7 @@
         self.consecutive_failures = 0
         self.ejection_ms = 0
         self.ejected_until_ms = 0
+        self.unreachable = False
         if latency_ratio is not None:
             self.latency_ratio += _LATENCY_RATIO_WEIGHT * (
                 latency_ratio - self.latency_ratio
@@ -129,6 +132,7 @@
         self._decay(now_ms)
         self.failures += 1.0
         self.consecutive_failures += 1
+        self.unreachable = unreachable
         if unreachable:
             self.consecutive_failures = max(
                 self.consecutive_failures, _EJECT_AFTER
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -168,6 +168,7 @@
             failure_domain=settings.failure_domain,
             members=self._member_names,
             peers_in_flight=self._peers.in_flight,
+            peers_unreachable=self._peers.unreachable,
         )
         self._dispatcher = dispatcher
         self._rollout_controller = RolloutController(
@@ -327,17 +328,19 @@
         return set(self._view.members) | set(self._peers.alive())
 
     def _budget(self, service: str) -> WindowedRetryBudget:
+        # The fleet grows while it starts, and all shares must sum to the slack.
+        members = max(1, len(self._member_names()))
+        slack = max(1.0, self._settings.retry_slack * _BUDGET_SHARE / members)
         budget = self._budgets.get(service)
         if budget is None:
-            members = max(1, len(self._member_names()))
-            slack = self._settings.retry_slack / members
             budget = WindowedRetryBudget(
                 self._clock,
                 share=self._settings.retry_ratio * _BUDGET_SHARE,
-                slack=max(1.0, slack * _BUDGET_SHARE),
+                slack=slack,
                 window_ms=self._settings.retry_window_ms,
             )
             self._budgets[service] = budget
+        budget.slack = slack
         return budget
 
     def _on_view_change(self) -> None:
@@ -405,6 +408,7 @@
             era=self._view.era,
             configuration=configuration.version if configuration else 0,
             stopped=self._rollout_controller.stopped_orders(),
+            unreachable=self._dispatcher.own_unreachable(),
         )
         others = [
             member
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -81,6 +81,8 @@
     configuration: int = 0
     # Service and order revision of the roll-outs that it has stopped.
     stopped: tuple[tuple[str, int], ...] = ()
+    # Upstreams that it cannot reach.
+    unreachable: tuple[str, ...] = ()
 
     @property
     def version(self) -> StoreVersion:
@@ -195,6 +197,7 @@
         self._own_name = own_name
         self._peers: dict[str, Peer] = {}
         self._in_flight: Counter[str] = Counter()
+        self._unreachable: Counter[str] = Counter()
         self._newest_configuration = 0
 
     @property
@@ -222,8 +225,9 @@
             heartbeat=heartbeat, received_ms=now_ms
         )
         if known is not None:
-            self._in_flight.subtract(dict(known.heartbeat.in_flight))
+            self._subtract(known.heartbeat)
         self._in_flight.update(dict(heartbeat.in_flight))
+        self._unreachable.update(heartbeat.unreachable)
 
     def expire(self, now_ms: int) -> None:
         """Removes the daemons whose heartbeats have stopped."""
@@ -231,7 +235,7 @@
         for name, peer in list(self._peers.items()):
             if now_ms - peer.received_ms > limit_ms:
                 del self._peers[name]
-                self._in_flight.subtract(dict(peer.heartbeat.in_flight))
+                self._subtract(peer.heartbeat)
                 self._log(name, "silent", peer.heartbeat.incarnation)
 
     def alive(self) -> Mapping[str, Peer]:
@@ -242,6 +246,10 @@
         """Returns the peers' in-flight requests, summed by upstream."""
         return self._in_flight
 
+    def unreachable(self) -> Mapping[str, int]:
+        """Returns how many peers cannot reach an upstream, by upstream."""
+        return self._unreachable
+
     def evidence(
         self, service: str, order_revision: int
     ) -> tuple[dict[str, VersionEvidence], int]:
@@ -270,6 +278,17 @@
                 total[count.version] = known.merge(reported)
         return total, off_target
 
+    def _subtract(self, heartbeat: Heartbeat) -> None:
+        self._in_flight.subtract(dict(heartbeat.in_flight))
+        self._unreachable.subtract(heartbeat.unreachable)
+        # Zero counts would keep every upstream that ever existed.
+        for upstream_id in heartbeat.unreachable:
+            if self._unreachable[upstream_id] <= 0:
+                del self._unreachable[upstream_id]
+        for upstream_id, _ in heartbeat.in_flight:
+            if self._in_flight[upstream_id] <= 0:
+                del self._in_flight[upstream_id]
+
     def _log(self, name: str, outcome: str, incarnation: str) -> None:
         log_event("peer", peer=name, outcome=outcome, incarnation=incarnation)
 
--- a/trefoilpitch/gateway/_placement.py
+++ b/trefoilpitch/gateway/_placement.py
@@ -54,6 +54,8 @@
     local: bool
     # Its rank for the prompt's shared prefix, from 0; None if there is none.
     prefix_rank: int | None = None
+    # Whether other daemons cannot reach it.
+    suspected: bool = False
 
 
 def choose(
@@ -69,6 +71,9 @@
         rng: Source of random numbers.
         prefix_share: Fraction of the traffic that has the prompt's prefix.
     """
+    # Upstreams that have just crashed look idle and would attract all requests.
+    trusted = [candidate for candidate in candidates if not candidate.suspected]
+    candidates = trusted or candidates
     home = _home(candidates, rng, prefix_share)
     sample = _sample(candidates, rng)
     if home is not None:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -48,6 +48,16 @@
 _GATEWAY_TIMEOUT = 504
 
 
+# Failures that show that the upstream is gone or cannot be reached.
+_UNREACHABLE = frozenset(
+    {
+        FailureKind.CONNECT_REFUSED,
+        FailureKind.CONNECT_TIMEOUT,
+        FailureKind.MISDIRECTED,
+    }
+)
+
+
 class _EscalationRequested(Exception):  # noqa: N818 - not an error
     """The response is to be replaced by one of another model tier.
 
@@ -301,7 +311,11 @@
         )
         if response.load is not None:
             health.record_report(response.load, now_ms)
-        if response.not_run or response.wrong_instance:
+        if response.wrong_instance:
+            raise ExchangeError(
+                FailureKind.MISDIRECTED, f"status {response.head.status}"
+            )
+        if response.not_run:
             raise ExchangeError(
                 FailureKind.REFUSED_NOT_RUN, f"status {response.head.status}"
             )
@@ -528,8 +542,7 @@
         ):
             health.record_failure(
                 now_ms,
-                unreachable=error.kind
-                in (FailureKind.CONNECT_REFUSED, FailureKind.CONNECT_TIMEOUT),
+                unreachable=error.kind in _UNREACHABLE,
             )
         deps.metrics.count(
             "failed_tries", Label(name="kind", value=error.kind.value)
--- a/trefoilpitch/retries/_outcome.py
+++ b/trefoilpitch/retries/_outcome.py
@@ -27,6 +27,8 @@
     CONNECT_TIMEOUT = "connect_timeout"
     # The upstream responded that it did not run the request.
     REFUSED_NOT_RUN = "refused_not_run"
+    # Another process responded at the upstream's address.
+    MISDIRECTED = "misdirected"
     # The connection was lost while the request was being sent.
     SEND_FAILED = "send_failed"
     # The connection was lost before the first byte of the response.
@@ -50,6 +52,7 @@
     FailureKind.CONNECT_REFUSED: Execution.NOT_RUN,
     FailureKind.CONNECT_TIMEOUT: Execution.NOT_RUN,
     FailureKind.REFUSED_NOT_RUN: Execution.NOT_RUN,
+    FailureKind.MISDIRECTED: Execution.NOT_RUN,
     FailureKind.SEND_FAILED: Execution.UNKNOWN,
     FailureKind.CONNECTION_LOST: Execution.UNKNOWN,
     FailureKind.RESPONSE_TIMEOUT: Execution.UNKNOWN,
--- a/trefoilpitch/retries/_window.py
+++ b/trefoilpitch/retries/_window.py
@@ -38,6 +38,15 @@
         self._first_attempts: deque[int] = deque()
         self._extra_attempts: deque[int] = deque()
 
+    @property
+    def slack(self) -> float:
+        """Extra attempts allowed in every window in addition."""
+        return self._slack
+
+    @slack.setter
+    def slack(self, slack: float) -> None:
+        self._slack = slack
+
     @property
     def available(self) -> float:
         """Extra attempts that the budget allows now."""
--- a/trefoilpitch/retries/tests/test_window.py
+++ b/trefoilpitch/retries/tests/test_window.py
@@ -53,3 +53,15 @@
         WindowedRetryBudget(
             ManualClock(), share=share, slack=slack, window_ms=window_ms
         )
+
+
+def test_smaller_slack_applies_to_the_window_in_progress() -> None:
+    """The fleet has grown since, so that this daemon's share is smaller."""
+    clock = ManualClock()
+    budget = _budget(clock)
+    assert budget.spend()
+    budget.slack = 1.0
+    assert not budget.affords()
+    clock.advance(10_000)
+    assert budget.spend()
+    assert not budget.spend()
