--- a/trefoilpitch/gateway/_cold_share.py
+++ b/trefoilpitch/gateway/_cold_share.py
@@ -25,8 +25,8 @@
 ) -> int:
     """Returns how many requests per second this daemon may send.
 
-    If the rate is lower than the number of daemons, only some daemons have a
-    share; which ones depends on the upstream.
+    The shares differ by one if the rate is not a multiple of the number of
+    daemons; which daemons have the larger ones depends on the upstream.
 
     Args:
         upstream_id: The cold upstream.
@@ -35,10 +35,8 @@
         members: All daemons that may be running, this one included.
     """
     names = set(members) | {own_name}
-    quota = int(rate_per_s)
-    if quota >= len(names):
-        return quota // len(names)
-    return 1 if own_name in rank(upstream_id, names)[:quota] else 0
+    share, remainder = divmod(int(rate_per_s), len(names))
+    return share + (own_name in rank(upstream_id, names)[:remainder])
 
 
 class ColdRequestCounter:
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -389,7 +389,7 @@
                     load=load,
                     slots=entry.slots,
                     failure_rate=health.failure_rate(now_ms),
-                    latency_ratio=health.latency_ratio,
+                    latency_ratio=health.recent_latency_ratio(now_ms),
                     local=entry.failure_domain == self._failure_domain,
                     prefix_rank=prefix_ranks.get(entry.upstream_id),
                     suspected=unreachable.get(entry.upstream_id, 0)
--- a/trefoilpitch/gateway/_health.py
+++ b/trefoilpitch/gateway/_health.py
@@ -8,8 +8,11 @@
 # Half-life of the failure and success counts: long compared to one request,
 # short compared to an upstream's fault of some seconds.
 _HALF_LIFE_MS = 3_000.0
-# Weight of one response in the moving average of the latency ratio.
+# Weight of one response in the moving average of the latency ratio, and the
+# half-life of its distance from 1: an upstream that has just started is slow
+# for some seconds, and would be avoided while it gets no requests.
 _LATENCY_RATIO_WEIGHT = 0.2
+_LATENCY_RATIO_HALF_LIFE_MS = 4_000.0
 # Consecutive failures after which an upstream is ejected.
 _EJECT_AFTER = 3
 # Duration of the first ejection, and the limit up to which it doubles.
@@ -52,6 +55,8 @@
     decayed_ms: int = 0
     # Moving average of measured to expected latency.
     latency_ratio: float = 1.0
+    # Monotonic time of its last update.
+    latency_ratio_ms: int = 0
     consecutive_failures: int = 0
     # Monotonic time until which it is ejected; 0 after a success.
     ejected_until_ms: int = 0
@@ -87,6 +92,12 @@
         self._decay(now_ms)
         return self.failures / (self.successes + self.failures + 1.0)
 
+    def recent_latency_ratio(self, now_ms: int) -> float:
+        """Returns the latency ratio; without responses it approaches 1."""
+        elapsed_ms = max(0, now_ms - self.latency_ratio_ms)
+        factor = math.exp2(-elapsed_ms / _LATENCY_RATIO_HALF_LIFE_MS)
+        return 1.0 + factor * (self.latency_ratio - 1.0)
+
     def is_ejected(self, now_ms: int) -> bool:
         """Whether it gets no request now.
 
@@ -117,9 +128,11 @@
         self.ejected_until_ms = 0
         self.unreachable = False
         if latency_ratio is not None:
-            self.latency_ratio += _LATENCY_RATIO_WEIGHT * (
-                latency_ratio - self.latency_ratio
+            recent = self.recent_latency_ratio(now_ms)
+            self.latency_ratio = recent + _LATENCY_RATIO_WEIGHT * (
+                latency_ratio - recent
             )
+            self.latency_ratio_ms = now_ms
 
     def record_failure(self, now_ms: int, *, unreachable: bool) -> None:
         """Records a failed attempt.
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -77,6 +77,6 @@
         "in_flight": health.in_flight,
         "load": dispatcher.load(entry.upstream_id),
         "failure_share": round(health.failure_rate(now_ms), 3),
-        "pace": round(health.latency_ratio, 2),
+        "pace": round(health.recent_latency_ratio(now_ms), 2),
         "ejected": health.is_ejected(now_ms),
     }
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -158,13 +158,14 @@
 
 
 @pytest.mark.parametrize("members", [1, 2, 6, 9, 40, 79])
-@pytest.mark.parametrize("rate", [1.0, 5.0, 12.0, 120.0])
-def test_shares_of_a_cold_upstream_sum_to_at_most_its_rate(
+@pytest.mark.parametrize("rate", [1.0, 5.0, 11.0, 12.0, 120.0])
+def test_shares_of_a_cold_upstream_sum_to_its_rate(
     members: int, rate: float
 ) -> None:
     names = [f"node-{number}" for number in range(members)]
     shares = [share_per_window("u", rate, name, names) for name in names]
-    assert 0 < sum(shares) <= rate
+    assert sum(shares) == rate
+    assert max(shares) - min(shares) <= 1
 
 
 def test_cold_upstreams_stay_within_their_rate_over_all_nodes() -> None:
@@ -284,6 +285,20 @@
     assert {fleet.chosen() for _ in range(50)} == {"usual"}
 
 
+def test_upstream_that_was_slow_at_its_start_is_used_again() -> None:
+    """Others are crowded; without requests its measured latency is outdated."""
+    fleet = _Fleet()
+    for name in ("started", "a", "b"):
+        fleet.put(name, upstream(name))
+    health = fleet.dispatchers[0].health("started")
+    for _ in range(10):
+        health.record_success(10.0, fleet.clock.now_ms())
+    fleet.peers_in_flight = {"a": 20, "b": 20}
+    assert "started" not in {fleet.chosen() for _ in range(50)}
+    fleet.clock.advance(10_000)
+    assert "started" in {fleet.chosen() for _ in range(50)}
+
+
 def test_hot_prefix_does_not_overload_its_home() -> None:
     """All requests share one prompt prefix."""
     fleet = _Fleet()
