Let the soak restore the store from an older copy

Once a fault phase, drawn apart so that the other steps of a seed stay as they were; the operator and the workers write again within a second. Replaced workers also announce that they leave.

--- a/tools/soak/_environment.py
+++ b/tools/soak/_environment.py
@@ -30,6 +30,10 @@
 _HOST = "127.0.0.1"
 _SERVICES = ("plain-service", "model-service")
 _RESPONSE_DELAY_MS = 15
+# How long the store is away before it comes back from a copy, and within which
+# time the operator and the workers write again what it lacks.
+_STORE_AWAY_MS = 150
+_REWRITE_MS = 1_000
 
 
 class Worker:
@@ -69,6 +73,8 @@
         self._rng = rng
         self._stack = contextlib.AsyncExitStack()
         self._worker_count = 0
+        # What the operator and the workers have written, by key.
+        self._written: dict[str, object] = {}
         self._version = 1
 
     async def __aenter__(self) -> Self:
@@ -112,6 +118,35 @@
         await asyncio.sleep(for_ms / 1_000)
         self.store.drop_write_responses = False
 
+    async def restore_store(self, for_ms: int) -> None:
+        """Brings the store back from a copy that is as old as given.
+
+        It is away for a moment before; operator and workers write again what
+        it lacks within a second after.
+        """
+        self._recorder.disturb(None, for_ms + _STORE_AWAY_MS + _REWRITE_MS)
+        copy = self.store.copy()
+        await asyncio.sleep(for_ms / 1_000)
+        self.store.refusal_status = 503
+        await asyncio.sleep(_STORE_AWAY_MS / 1_000)
+        self.store.restore(copy)
+        self.store.refusal_status = None
+        await asyncio.sleep(self._rng.random() * _REWRITE_MS / 1_000)
+        self._write_again()
+
+    def _write_again(self) -> None:
+        for prefix in ("op/config", "op/evacuate/", "servers/"):
+            for key in self.store.keys(prefix):
+                if key not in self._written:
+                    self.store.remove(key)
+        for key, document in self._written.items():
+            if self.store.value(key) != document:
+                self.store.put(key, document)
+
+    def _put(self, key: str, document: object) -> None:
+        self._written[key] = document
+        self.store.put(key, document)
+
     async def _add_worker(self, service: str) -> None:
         name = f"w{self._worker_count}"
         domain = DOMAINS[self._worker_count % len(DOMAINS)]
@@ -127,7 +162,7 @@
     def _register(self, worker: Worker, state: str) -> None:
         entry = worker.standin.entry(worker.service, zone=worker.domain)
         entry |= {"address": f"{_HOST}:{worker.link.port}", "state": state}
-        self.store.put(f"servers/{worker.standin.worker_id}", entry)
+        self._put(f"servers/{worker.standin.worker_id}", entry)
 
     def _record_run(self, worker: Worker, run: WorkerRun) -> None:
         self._recorder.history.runs.append(
@@ -150,6 +185,7 @@
         del self.workers[name]
         old.standin.faults.clear()
         old.standin.release.set()
+        old.standin.leaving = True
         self._register(old, "draining")
         self._recorder.ban(worker=name, bound_ms=DRAIN_MS)
 
@@ -177,14 +213,14 @@
                 "path-prefix": added.prefix,
             }
         )
-        self.store.put("op/config", document)
+        self._put("op/config", document)
 
     async def evacuate(self, domain: str, for_ms: int) -> None:
         """Takes a failure domain out of service for a time."""
         key = f"op/evacuate/{domain}"
-        if self.store.value(key) is not None:
+        if key in self._written:
             return
-        self.store.put(key, {"zone": domain})
+        self._put(key, {"zone": domain})
         from_ms = self._recorder.now_ms()
         await asyncio.sleep(for_ms / 1_000)
         self._recorder.history.bans.append(
@@ -195,4 +231,5 @@
                 to_ms=self._recorder.now_ms(),
             )
         )
+        del self._written[key]
         self.store.remove(key)
--- a/tools/soak/_harness.py
+++ b/tools/soak/_harness.py
@@ -105,6 +105,8 @@
                 self._spawn(environment.drop_store_responses(step.for_ms))
             case Action.STORE_LOSES_HISTORY:
                 environment.drop_store_history()
+            case Action.STORE_RESTORED:
+                self._spawn(environment.restore_store(step.for_ms))
             case Action.CONFIGURE:
                 environment.configure()
             case Action.EVACUATE:
--- a/tools/soak/_plan.py
+++ b/tools/soak/_plan.py
@@ -34,6 +34,7 @@
     STORE_UNAVAILABLE = "store_refuses"
     STORE_DROPS_RESPONSES = "store_loses_answers"
     STORE_LOSES_HISTORY = "store_forgets"
+    STORE_RESTORED = "store_restored"
     # On workers.
     WORKER_LINK = "worker_link"
     WORKER_FAULTS = "worker_faults"
@@ -43,6 +44,9 @@
     EVACUATE = "evacuate"
 
 
+# Steps that are drawn apart, once a fault phase, so that a seed's other steps
+# stay as they were.
+_ONCE_A_PHASE = Action.STORE_RESTORED
 _WEIGHTS = {
     Action.KILL: 3,
     Action.KILL_ALL: 1,
@@ -103,4 +107,21 @@
                 )
             )
         at_ms += rng.expovariate(1 / _MEAN_STEP_INTERVAL_MS)
-    return tuple(steps)
+    steps.extend(_draw_once_a_phase(seed, duration_ms))
+    return tuple(sorted(steps, key=lambda step: step.at_ms))
+
+
+def _draw_once_a_phase(seed: int, duration_ms: int) -> list[Step]:
+    rng = random.Random(f"{seed}/{_ONCE_A_PHASE.value}")
+    cycle_ms = FAULT_PHASE_MS + RECOVERY_PHASE_MS
+    return [
+        Step(
+            at_ms=start_ms + rng.randint(500, FAULT_PHASE_MS // 2),
+            action=_ONCE_A_PHASE,
+            target=0,
+            for_ms=rng.randint(_MIN_DURATION_MS, _MAX_DURATION_MS),
+            link_fault=next(iter(LinkFault)),
+            worker_fault=next(iter(WorkerFault)),
+        )
+        for start_ms in range(0, duration_ms - RECOVERY_PHASE_MS, cycle_ms)
+    ]
