--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -32,6 +32,7 @@
     runs_on_target,
     split_evidence,
 )
+from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.gateway._upstream_notices import UpstreamNotices
 from trefoilpitch.rendezvous import rank
 
@@ -64,9 +65,9 @@
         failure_domain: Failure domain of this VM.
         members: Returns the names of all daemons that may be running.
         peers_in_flight: Returns the other daemons' in-flight requests by
-            upstream.
+            upstream digest.
         peers_unreachable: Returns how many other daemons cannot reach an
-            upstream, by upstream.
+            upstream, by its digest.
     """
 
     def __init__(
@@ -78,8 +79,8 @@
         own_name: str,
         failure_domain: str,
         members: Callable[[], Collection[str]],
-        peers_in_flight: Callable[[], Mapping[str, int]],
-        peers_unreachable: Callable[[], Mapping[str, int]] = dict,
+        peers_in_flight: Callable[[], Mapping[int, int]],
+        peers_unreachable: Callable[[], Mapping[int, int]] = dict,
     ) -> None:
         self._view = view
         self._clock = clock
@@ -118,22 +119,23 @@
 
     def load(self, upstream_id: str) -> int:
         """Estimates the load that all daemons together put on an upstream."""
-        others = max(0, self._peers_in_flight().get(upstream_id, 0))
+        digest = upstream_digest(upstream_id)
+        others = max(0, self._peers_in_flight().get(digest, 0))
         return self.health(upstream_id).load(self._clock.now_ms(), others)
 
-    def own_in_flight(self) -> tuple[tuple[str, int], ...]:
-        """Returns this daemon's in-flight requests by upstream."""
-        return tuple(
-            (upstream_id, health.in_flight)
+    def own_in_flight(self) -> dict[int, int]:
+        """Returns this daemon's in-flight requests by upstream digest."""
+        return {
+            upstream_digest(upstream_id): health.in_flight
             for upstream_id, health in self._health.items()
             if health.in_flight
-        )
+        }
 
-    def own_unreachable(self) -> tuple[str, ...]:
-        """Returns the upstreams that this daemon cannot reach at the moment."""
+    def own_unreachable(self) -> tuple[int, ...]:
+        """Returns the digests of the upstreams that it cannot reach now."""
         now_ms = self._clock.now_ms()
         return tuple(
-            upstream_id
+            upstream_digest(upstream_id)
             for upstream_id, health in self._health.items()
             if health.unreachable and now_ms < health.ejected_until_ms
         )
@@ -392,7 +394,9 @@
                     latency_ratio=health.recent_latency_ratio(now_ms),
                     local=entry.failure_domain == self._failure_domain,
                     prefix_rank=prefix_ranks.get(entry.upstream_id),
-                    suspected=unreachable.get(entry.upstream_id, 0)
+                    suspected=unreachable.get(
+                        upstream_digest(entry.upstream_id), 0
+                    )
                     >= _MIN_UNREACHABLE_REPORTS,
                 )
             )
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -73,16 +73,16 @@
     # Whether it accepts callers.
     ready: bool
     versions: tuple[VersionCount, ...]
-    # Number of this daemon's in-flight requests by upstream.
-    in_flight: tuple[tuple[str, int], ...] = ()
+    # Number of this daemon's in-flight requests by upstream digest.
+    in_flight: dict[int, int] = {}
     # Era of the store that the revision belongs to.
     era: int = 0
     # Version of its configuration; 0 if it has none.
     configuration: int = 0
     # Service and order revision of the roll-outs that it has stopped.
     stopped: tuple[tuple[str, int], ...] = ()
-    # Upstreams that it cannot reach.
-    unreachable: tuple[str, ...] = ()
+    # Digests of the upstreams that it cannot reach.
+    unreachable: tuple[int, ...] = ()
 
     @property
     def version(self) -> StoreVersion:
@@ -196,8 +196,8 @@
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
         self._peers: dict[str, Peer] = {}
-        self._in_flight: Counter[str] = Counter()
-        self._unreachable: Counter[str] = Counter()
+        self._in_flight: Counter[int] = Counter()
+        self._unreachable: Counter[int] = Counter()
         self._newest_configuration = 0
 
     @property
@@ -226,7 +226,7 @@
         )
         if known is not None:
             self._subtract(known.heartbeat)
-        self._in_flight.update(dict(heartbeat.in_flight))
+        self._in_flight.update(heartbeat.in_flight)
         self._unreachable.update(heartbeat.unreachable)
 
     def expire(self, now_ms: int) -> None:
@@ -242,12 +242,12 @@
         """Returns the live daemons by VM name."""
         return self._peers
 
-    def in_flight(self) -> Mapping[str, int]:
-        """Returns the peers' in-flight requests, summed by upstream."""
+    def in_flight(self) -> Mapping[int, int]:
+        """Returns the peers' in-flight requests, summed by upstream digest."""
         return self._in_flight
 
-    def unreachable(self) -> Mapping[str, int]:
-        """Returns how many peers cannot reach an upstream, by upstream."""
+    def unreachable(self) -> Mapping[int, int]:
+        """Returns how many peers cannot reach an upstream, by its digest."""
         return self._unreachable
 
     def evidence(
@@ -279,15 +279,15 @@
         return total, off_target
 
     def _subtract(self, heartbeat: Heartbeat) -> None:
-        self._in_flight.subtract(dict(heartbeat.in_flight))
+        self._in_flight.subtract(heartbeat.in_flight)
         self._unreachable.subtract(heartbeat.unreachable)
         # Zero counts would keep every upstream that ever existed.
-        for upstream_id in heartbeat.unreachable:
-            if self._unreachable[upstream_id] <= 0:
-                del self._unreachable[upstream_id]
-        for upstream_id, _ in heartbeat.in_flight:
-            if self._in_flight[upstream_id] <= 0:
-                del self._in_flight[upstream_id]
+        for digest in heartbeat.unreachable:
+            if self._unreachable[digest] <= 0:
+                del self._unreachable[digest]
+        for digest in heartbeat.in_flight:
+            if self._in_flight[digest] <= 0:
+                del self._in_flight[digest]
 
     def _log(self, name: str, outcome: str, incarnation: str) -> None:
         log_event("peer", peer=name, outcome=outcome, incarnation=incarnation)
@@ -325,7 +325,7 @@
             return
         data = msgspec.msgpack.encode(heartbeat)
         if len(data) > _MAX_DATAGRAM_BYTES:
-            reduced = msgspec.structs.replace(heartbeat, in_flight=())
+            reduced = msgspec.structs.replace(heartbeat, in_flight={})
             data = msgspec.msgpack.encode(reduced)
         for member in members:
             address = (member.peer_host, member.heartbeat_port)
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -57,6 +57,7 @@
     next_step,
     runs_on_target,
 )
+from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.retries import Execution, FailureKind
 
 
@@ -74,6 +75,10 @@
     return CallerRequest(**{**values, **fields})  # type: ignore[arg-type]
 
 
+def _by_digest(counts: dict[str, int]) -> dict[int, int]:
+    return {upstream_digest(name): count for name, count in counts.items()}
+
+
 class _Fleet:
     def __init__(self, members: int = 1) -> None:
         self.codec = InMemoryCodec()
@@ -91,8 +96,8 @@
                 own_name=name,
                 failure_domain="domain-a",
                 members=lambda: names,
-                peers_in_flight=lambda: self.peers_in_flight,
-                peers_unreachable=lambda: self.peers_unreachable,
+                peers_in_flight=lambda: _by_digest(self.peers_in_flight),
+                peers_unreachable=lambda: _by_digest(self.peers_unreachable),
             )
             for number, name in enumerate(sorted(names))
         ]
@@ -249,7 +254,7 @@
     fleet.put("u", upstream("u"))
     health = fleet.dispatchers[0].health("u")
     health.record_failure(fleet.clock.now_ms(), unreachable=True)
-    assert fleet.dispatchers[0].own_unreachable() == ("u",)
+    assert fleet.dispatchers[0].own_unreachable() == (upstream_digest("u"),)
     fleet.clock.advance(1_000)
     assert fleet.dispatchers[0].own_unreachable() == ()
 
--- /dev/null
+++ b/trefoilpitch/gateway/tests/test_peers.py
@@ -0,0 +1,82 @@
+"""Tests of what daemons learn from each other's heartbeats."""
+
+from __future__ import annotations
+
+import msgspec
+
+from trefoilpitch.gateway._peers import Heartbeat, PeerTable, VersionCount
+from trefoilpitch.gateway._upstream_digest import upstream_digest
+
+_UPSTREAMS = [f"i-{number:010x}" for number in range(90)]
+
+
+def _heartbeat(node: str, sequence: int, **fields: object) -> Heartbeat:
+    values: dict[str, object] = {
+        "node": node,
+        "incarnation": "0123456789ab",
+        "sequence": sequence,
+        "revision": 321,
+        "current": True,
+        "store_reachable": True,
+        "ready": True,
+        "versions": (),
+    }
+    return Heartbeat(**{**values, **fields})  # type: ignore[arg-type]
+
+
+def test_peers_figures_are_replaced_and_end_with_their_heartbeats() -> None:
+    table = PeerTable("own")
+    first, second = (upstream_digest(name) for name in _UPSTREAMS[:2])
+    table.record(
+        _heartbeat("a", 1, in_flight={first: 3}, unreachable=(second,)), 0
+    )
+    table.record(
+        _heartbeat("b", 1, in_flight={first: 2}, unreachable=(second,)), 0
+    )
+    assert (table.in_flight()[first], table.unreachable()[second]) == (5, 2)
+    table.record(_heartbeat("a", 2, in_flight={first: 1}), 1_000)
+    assert (table.in_flight()[first], table.unreachable()[second]) == (3, 1)
+    table.expire(3_000)
+    assert table.in_flight() == {first: 1}
+    assert table.unreachable() == {}
+
+
+def test_reordered_heartbeat_is_ignored() -> None:
+    table = PeerTable("own")
+    digest = upstream_digest(_UPSTREAMS[0])
+    table.record(_heartbeat("a", 2, in_flight={digest: 3}), 0)
+    table.record(_heartbeat("a", 1, in_flight={digest: 9}), 1)
+    assert table.in_flight() == {digest: 3}
+
+
+def test_heartbeat_round_trips() -> None:
+    in_flight = {upstream_digest(name): 1 for name in _UPSTREAMS[:9]}
+    versions = tuple(
+        VersionCount(
+            service="dego62a",
+            version=version,
+            order_revision=300,
+            good=120,
+            failed=3,
+            slow=2,
+            off_target=9,
+        )
+        for version in ("v1", "v2")
+    )
+    heartbeat = _heartbeat(
+        "front-suva-central-12",
+        900,
+        in_flight=in_flight,
+        versions=versions,
+        era=2,
+        configuration=58,
+    )
+    encoded = msgspec.msgpack.encode(heartbeat)
+    assert msgspec.msgpack.decode(encoded, type=Heartbeat) == heartbeat
+
+
+def test_digests_of_a_large_fleets_upstreams_differ() -> None:
+    names = [
+        f"i-{number * 2_654_435_761 % 2**40:010x}" for number in range(999)
+    ]
+    assert len({upstream_digest(name) for name in names}) == len(names)
