Let requests wait in one ordered queue a service

A request that found no place polled every 20 ms by itself; a newcomer overtook those that waited, and neither priority nor workspace counted. The order is a pure decision (_waiting.py) with replays in test_waiting.py: an urgent request among fifty others, a workspace that floods a service, a place that the first cannot use. None of them can pass on the code before, which has no queue.

A 421 counts as a proof that a request has not run in the shared retry policy's test too.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -54,6 +54,7 @@
 from trefoilpitch.gateway._rollout_controller import RolloutController
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.gateway._supervision import supervise
+from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
 
@@ -171,6 +172,7 @@
             peers_unreachable=self._peers.unreachable,
         )
         self._dispatcher = dispatcher
+        self._waiter = UpstreamWaiter(clock)
         self._rollout_controller = RolloutController(
             store=store,
             codec=documents,
@@ -184,6 +186,7 @@
             RequestDependencies(
                 view=self._view,
                 dispatcher=dispatcher,
+                waiter=self._waiter,
                 codec=requests,
                 clock=clock,
                 budget=self._budget,
@@ -530,6 +533,7 @@
             "view_revision": self._view.revision,
             "upstreams": len(self._view.upstreams),
             "peers": len(self._peers.alive()),
+            "waiting_requests": sum(self._waiter.waiting().values()),
             "active_requests": self._caller_server.state.active,
             "caller_connections": len(self._caller_server.state.connections),
         }
--- a/trefoilpitch/gateway/_request_dependencies.py
+++ b/trefoilpitch/gateway/_request_dependencies.py
@@ -11,6 +11,7 @@
 from trefoilpitch.gateway._health import ExpectedLatencies
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelSelector
+from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
 
@@ -22,6 +23,8 @@
     # Local copy of the shared fleet state.
     view: FleetView
     dispatcher: Dispatcher
+    # The requests that wait for an upstream.
+    waiter: UpstreamWaiter
     codec: RequestCodec
     clock: Clock
     # Returns the retry budget of a service.
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from trefoilpitch.fleet import OperationKind, Route, UpstreamEntry
 from trefoilpitch.gateway._admission import Admitted
 from trefoilpitch.gateway._attempts import (
@@ -29,6 +27,7 @@
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._rollouts import ResponseQuality
+from trefoilpitch.gateway._waiting import WaitTerms
 from trefoilpitch.metrics import Label
 from trefoilpitch.retries import Execution, FailureKind, WindowedRetryBudget
 
@@ -36,8 +35,6 @@
 _MAX_PLAIN_BYTES = 8 * 1024 * 1024
 # Fraction of the latency objective that a request may wait for a free upstream.
 _SLOT_WAIT_SHARE = 0.125
-_SLOT_POLL_MS = 20
-_MS_PER_S = 1_000
 # Minimum remaining time for which an attempt is worthwhile.
 _MIN_ATTEMPT_MS = 10
 _OK = 200
@@ -163,23 +160,20 @@
 
     async def _find_upstream(self, service: str) -> UpstreamEntry | NoUpstream:
         """Chooses an upstream; waits a while if none is free at the moment."""
-        deps = self._deps
-        wait_until_ms = deps.clock.now_ms() + int(
-            _SLOT_WAIT_SHARE * self._route.target_latency_ms
+        now_ms = self._deps.clock.now_ms()
+        remaining_ms = self._remaining_ms(now_ms)
+        if remaining_ms < _MIN_ATTEMPT_MS:
+            return NoUpstream(reason="deadline reached", available_in_ms=None)
+        wait_ms = int(_SLOT_WAIT_SHARE * self._route.target_latency_ms)
+        return await self._deps.waiter.wait(
+            service,
+            lambda: self._choose(service),
+            WaitTerms(
+                priority=self._admitted.priority,
+                workspace=self._admitted.workspace,
+                until_ms=now_ms + min(wait_ms, remaining_ms - _MIN_ATTEMPT_MS),
+            ),
         )
-        while True:
-            now_ms = deps.clock.now_ms()
-            if self._remaining_ms(now_ms) < _MIN_ATTEMPT_MS:
-                return NoUpstream(
-                    reason="deadline reached", available_in_ms=None
-                )
-            found = self._choose(service)
-            if not isinstance(found, NoUpstream):
-                return found
-            wait_ms = found.available_in_ms
-            if wait_ms is None or now_ms + wait_ms >= wait_until_ms:
-                return found
-            await asyncio.sleep(_SLOT_POLL_MS / _MS_PER_S)
 
     def _choose(self, service: str) -> UpstreamEntry | NoUpstream:
         reserved, self._reserved = self._reserved, None
@@ -230,6 +224,7 @@
             return error.kind
         finally:
             health.in_flight -= 1
+            self._deps.waiter.offer_places(entry.service)
         return None
 
     async def _open(self, entry: UpstreamEntry, now_ms: int) -> HttpConnection:
--- /dev/null
+++ b/trefoilpitch/gateway/tests/test_waiting.py
@@ -0,0 +1,190 @@
+"""Tests of the order in which requests wait, under its load patterns."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from trefoilpitch.clock import SystemClock
+from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.fleet.tests.fakes import upstream
+from trefoilpitch.gateway._dispatcher import NoUpstream
+from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
+from trefoilpitch.gateway._waiting import (
+    WaitingQueue,
+    WaitingRequest,
+    WaitTerms,
+)
+
+_BUSY = NoUpstream(reason="busy", available_in_ms=0)
+
+
+class _Places:
+    """Free places, by the version of the upstream that has them."""
+
+    def __init__(self) -> None:
+        self.free = {"v1": 0, "v2": 0}
+        self.granted: list[str] = []
+        self.queue: WaitingQueue[str] = WaitingQueue()
+
+    def add(
+        self,
+        name: str,
+        *,
+        priority: int = 5,
+        workspace: str = "w",
+        until_ms: int = 100,
+        version: str = "v1",
+    ) -> int:
+        def choose() -> str | None:
+            if not self.free[version]:
+                return None
+            self.free[version] -= 1
+            return version
+
+        return self.queue.add(
+            WaitingRequest(
+                terms=WaitTerms(
+                    priority=priority, workspace=workspace, until_ms=until_ms
+                ),
+                choose=choose,
+                grant=lambda place: self.granted.append(name),
+            )
+        )
+
+
+def test_urgent_request_gets_the_next_place_whenever_it_came() -> None:
+    places = _Places()
+    for number in range(50):
+        places.add(f"bulk-{number}", priority=7)
+    places.add("urgent", priority=0)
+    places.free["v1"] = 1
+    assert places.queue.offer_places() == 1
+    assert places.granted == ["urgent"]
+    assert len(places.queue) == 50
+
+
+def test_request_that_has_to_start_first_goes_first() -> None:
+    places = _Places()
+    places.add("later", until_ms=300)
+    places.add("sooner", until_ms=200)
+    places.free["v1"] = 2
+    places.queue.offer_places()
+    assert places.granted == ["sooner", "later"]
+
+
+def test_workspace_that_floods_a_service_does_not_starve_the_others() -> None:
+    places = _Places()
+    for number in range(200):
+        places.add(f"flood-{number}", workspace="large", until_ms=100)
+    for number in range(10):
+        places.add(f"small-{number}", workspace="small", until_ms=500)
+    for _ in range(24):
+        places.free["v1"] = 1
+        places.queue.offer_places()
+    small = [name for name in places.granted if name.startswith("small")]
+    assert len(small) == 10
+
+
+def test_place_that_the_first_cannot_use_goes_to_the_next() -> None:
+    places = _Places()
+    places.add("needs-v2", priority=0, version="v2")
+    places.add("needs-v1", priority=5, version="v1")
+    places.free["v1"] = 1
+    places.queue.offer_places()
+    assert places.granted == ["needs-v1"]
+
+
+def test_request_that_left_gets_no_place() -> None:
+    places = _Places()
+    ticket = places.add("left")
+    places.add("stays")
+    places.queue.remove(ticket)
+    places.free["v1"] = 2
+    assert places.queue.offer_places() == 1
+    assert places.granted == ["stays"]
+
+
+def test_newcomer_does_not_overtake_those_that_wait() -> None:
+    async def scenario() -> None:
+        clock = SystemClock()
+        waiter = UpstreamWaiter(clock)
+        free = 0
+
+        def choose() -> UpstreamEntry | NoUpstream:
+            nonlocal free
+            if not free:
+                return _BUSY
+            free -= 1
+            return upstream()
+
+        async def wait(for_ms: int) -> bool:
+            found = await waiter.wait(
+                "s",
+                choose,
+                WaitTerms(
+                    priority=1,
+                    workspace="w",
+                    until_ms=clock.now_ms() + for_ms,
+                ),
+            )
+            return not isinstance(found, NoUpstream)
+
+        first = asyncio.create_task(wait(5_000))
+        await asyncio.sleep(0)
+        assert waiter.waiting() == {"s": 1}
+        free = 1
+        assert not await wait(1)
+        assert await first
+
+    asyncio.run(scenario())
+
+
+def test_wait_ends_at_once_if_none_can_be_available_in_time() -> None:
+    async def scenario() -> None:
+        clock = SystemClock()
+        waiter = UpstreamWaiter(clock)
+        started_ms = clock.now_ms()
+        for available_in_ms in (None, 5_000):
+            refusal = NoUpstream(
+                reason="ejected", available_in_ms=available_in_ms
+            )
+            found = await waiter.wait(
+                "s",
+                lambda refusal=refusal: refusal,  # type: ignore[misc]
+                WaitTerms(
+                    priority=1,
+                    workspace=None,
+                    until_ms=clock.now_ms() + 2_000,
+                ),
+            )
+            assert found is refusal
+        assert clock.now_ms() - started_ms < 1_000
+        assert waiter.waiting() == {}
+
+    asyncio.run(scenario())
+
+
+def test_place_is_not_given_to_a_request_whose_caller_has_just_left() -> None:
+    async def scenario() -> None:
+        clock = SystemClock()
+        waiter = UpstreamWaiter(clock)
+        free = False
+
+        def choose() -> UpstreamEntry | NoUpstream:
+            return upstream() if free else _BUSY
+
+        terms = WaitTerms(
+            priority=1, workspace="w", until_ms=clock.now_ms() + 5_000
+        )
+        task = asyncio.create_task(waiter.wait("s", choose, terms))
+        await asyncio.sleep(0)
+        free = True
+        task.cancel()
+        waiter.offer_places("s")
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        assert task.cancelled()
+        assert waiter.waiting() == {"s": 0}
+
+    asyncio.run(scenario())
--- a/trefoilpitch/retries/tests/test_policy.py
+++ b/trefoilpitch/retries/tests/test_policy.py
@@ -41,6 +41,7 @@
         FailureKind.CONNECT_REFUSED,
         FailureKind.CONNECT_TIMEOUT,
         FailureKind.REFUSED_NOT_RUN,
+        FailureKind.MISDIRECTED,
     }
     decision = _decide(kind, idempotent=False)
     assert isinstance(decision, Retry) is (kind in safe)
--- a/trefoilpitch/serving/_problems.py
+++ b/trefoilpitch/serving/_problems.py
@@ -161,6 +161,7 @@
     FailureKind.CONNECT_REFUSED: "the upstream accepted no connection",
     FailureKind.NOT_SENT: "the request could not be sent to an upstream",
     FailureKind.REFUSED_NOT_RUN: "the upstream refused the request",
+    FailureKind.MISDIRECTED: "another process responded for the upstream",
     FailureKind.OVERLOADED: "the upstream is overloaded",
     FailureKind.RESPONSE_TIMEOUT: "the upstream did not answer in time",
     FailureKind.CONNECTION_LOST: "the connection to the upstream was lost",
