--- a/trefoilpitch/fleet/_view.py
+++ b/trefoilpitch/fleet/_view.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from trefoilpitch.fleet._exceptions import MalformedDocumentError
+from trefoilpitch.fleet._restore import DeferredItem, adoption_delay_ms
 from trefoilpitch.fleet._store import (
     ABSENT,
     Document,
@@ -21,18 +22,8 @@
     RolloutOrder,
     RolloutRecord,
     UpstreamEntry,
-    UpstreamState,
 )
 
-# After a restore of the store, how long this view keeps what the store lacks:
-# operators and upstreams write their entries again within two seconds.
-_REWRITE_GRACE_MS = 3_000
-# The same for daemons, which renew their leases every eight seconds.
-_MEMBER_REWRITE_GRACE_MS = 12_000
-# How long an upstream that had been removed, but is in the restored copy, is
-# left out: the store removes the entry of one that is gone sooner.
-_REMOVED_UPSTREAM_GRACE_MS = 5_000
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CachedUpstream:
@@ -88,16 +79,6 @@
     summary: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _DeferredItem:
-    """A key's state in a restored store, adopted unless it is written first."""
-
-    # None if the store lacks the key.
-    item: Item | None
-    # Monotonic time of the adoption.
-    due_ms: int
-
-
 class FleetView:
     """Builds the configuration, upstreams, roll-outs and members from items.
 
@@ -121,7 +102,7 @@
         self._removed: dict[str, int] = {}
         # After a restore: the listing's items, None for a missing key, that
         # replace what this view has unless their keys are written before.
-        self._deferred: dict[str, _DeferredItem] = {}
+        self._deferred: dict[str, DeferredItem] = {}
         self.era = 0
         self.revision = 0
         self.configuration: Configuration | None = None
@@ -202,45 +183,22 @@
         if isinstance(document, RolloutRecord):
             self._restore_record(document.service, listed)
             return
-        if listed is not None:
-            if known is not None and listed.value == known.value:
-                self._rebind(document, listed.revision)
-                return
-            if self._takes_out_of_service(listed):
-                self._apply_listed(listed, now_ms)
-                return
+        if known and listed and listed.value == known.value:
+            self._rebind(document, listed.revision)
+            return
         if isinstance(document, RolloutOrder):
             self.rollouts[document.service] = dataclasses.replace(
                 self.rollouts[document.service], stored=False
             )
-        delay_ms = self._adoption_delay_ms(document, listed)
+        listed_document = self._decode(listed) if listed is not None else None
+        delay_ms = adoption_delay_ms(document, listed_document)
         if delay_ms:
-            self._deferred[key] = _DeferredItem(
+            self._deferred[key] = DeferredItem(
                 item=listed, due_ms=now_ms + delay_ms
             )
         elif listed is not None:
             self._apply_listed(listed, now_ms)
 
-    def _adoption_delay_ms(
-        self, document: Document | None, listed: Item | None
-    ) -> int:
-        """Returns how long a key keeps its state in this view.
-
-        Args:
-            document: Its present document; None if it has none.
-            listed: Its item in the restored store; None if it lacks the key.
-        """
-        if isinstance(document, Member):
-            return _MEMBER_REWRITE_GRACE_MS
-        if document is not None:
-            return _REWRITE_GRACE_MS
-        if listed is not None and isinstance(
-            self._decode(listed), UpstreamEntry
-        ):
-            # It may have left since the copy was made.
-            return _REMOVED_UPSTREAM_GRACE_MS
-        return 0
-
     def _restore_configuration(
         self, key: str, known: Item | None, listed: Item | None, now_ms: int
     ) -> None:
@@ -258,15 +216,6 @@
                 known, revision=self.revision
             )
 
-    def _takes_out_of_service(self, item: Item) -> bool:
-        match self._decode(item):
-            case UpstreamEntry() as entry:
-                return entry.state is UpstreamState.DRAINING
-            case Evacuation():
-                return True
-            case _:
-                return False
-
     def _restore_record(self, service: str, listed: Item | None) -> None:
         """Keeps a record; a controller writes it again if the store lost it."""
         cached = self.records[service]
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -23,10 +23,10 @@
     UpstreamAttempt,
     UpstreamResponse,
 )
-from trefoilpitch.gateway._model_tiers import PartialResponse, ResponseSize
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._rollouts import ResponseQuality
+from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
 from trefoilpitch.metrics import Label
 from trefoilpitch.retries import Execution, FailureKind, WindowedRetryBudget
@@ -61,9 +61,11 @@
     Only raised before any part of the response has been sent to the caller.
     """
 
-    def __init__(self, tier: int) -> None:
+    def __init__(self, tier: int, confidence: int | None) -> None:
         super().__init__()
         self.tier = tier
+        # Confidence of the response that is replaced.
+        self.confidence = confidence
 
 
 class RequestRun:
@@ -91,8 +93,7 @@
         self._attempts_sent = 0
         self._attempt_log: list[str] = []
         self._attempted_ids: list[str] = []
-        self._tier: int | None = None
-        self._first_confidence: int | None = None
+        self._tiers = TierChoice(deps, request, admitted.route)
         self._last_event_id: int | None = None
         # The upstream that continues a stalled stream, chosen before the
         # stalled attempt is given up, and whether the budget was spent for it.
@@ -107,27 +108,11 @@
         self._response_deadline_ms = min(
             self._caller_deadline_ms, arrived_ms + timeout_ms
         )
-        if admitted.route.model_tiers:
-            self._tier = deps.models.first_tier()
 
     @property
     def _route(self) -> Route:
         return self._admitted.route
 
-    @property
-    def _model(self) -> str | None:
-        if self._tier is None:
-            return None
-        return self._route.model_tiers[self._tier]
-
-    @property
-    def _latency_key(self) -> str:
-        """Groups requests of similar latency: by model and size, or route."""
-        model = self._model or self._request.model
-        if model is None:
-            return self._route.name
-        return _latency_key(model, self._request)
-
     async def serve(self) -> None:
         """Runs attempts until a response is sent, and logs the outcome."""
         service = self._deps.dispatcher.pick_service(self._route)
@@ -182,7 +167,7 @@
         return self._deps.dispatcher.choose(
             self._request,
             service,
-            model=self._model,
+            model=self._tiers.model,
             excluded=self._attempted_ids,
         )
 
@@ -216,7 +201,7 @@
                 await self._exchange(connection, entry, budget)
         except _EscalationRequested as escalation:
             self._attempts = self._attempts.with_replaced_response()
-            self._tier = escalation.tier
+            self._tiers.escalate(escalation.tier, escalation.confidence)
             self._attempted_ids.clear()
             return FailureKind.RESPONSE_TRUNCATED
         except ExchangeError as error:
@@ -255,7 +240,7 @@
             self._attempts,
             self._remaining_ms(started_ms),
             self._deps.expected_latencies.expected_ms(
-                self._latency_key, default_ms=0.0
+                self._tiers.latency_key, default_ms=0.0
             ),
             affordable=budget.affords(),
         )
@@ -280,7 +265,7 @@
             upstream=entry,
             remaining_ms=max(1, remaining_ms),
             workspace=self._admitted.workspace,
-            model=self._model,
+            model=self._tiers.model,
             priority=self._admitted.priority,
             last_event_id=self._last_event_id,
         )
@@ -333,62 +318,24 @@
         started_ms: int,
         budget: WindowedRetryBudget,
     ) -> None:
-        if self._tier is None or self._responder.started:
+        if self._responder.started:
             return
-        models = self._deps.models
-        largest = len(self._route.model_tiers) - 1
-        if self._tier == largest and self._attempts.replaced:
-            first = self._first_confidence
-            if first is not None and response.confidence is not None:
-                models.record_escalation(first, response.confidence)
+        if self._attempts.replaced:
+            self._tiers.record_escalated(response.confidence)
             return
         if self._attempts.runs + 1 >= self._route.max_attempts:
             return
         if not budget.affords():
             return
-        tier = models.next_tier(
-            PartialResponse(
-                tier=self._tier,
-                confidence=response.confidence,
-                can_meet_objective=self._can_finish_in_time(largest),
-                mean_saturation=self._deps.dispatcher.mean_saturation(
-                    entry.service
-                ),
-            ),
-            self._size,
-            self._tier_costs(entry.service),
-        )
+        tier = self._tiers.escalation(entry.service, response.confidence)
         if tier is not None:
             elapsed_ms = self._deps.clock.now_ms() - started_ms
             self._attempt_log.append(
-                f"{entry.upstream_id} {self._model} {elapsed_ms} ms"
+                f"{entry.upstream_id} {self._tiers.model} {elapsed_ms} ms"
                 f" load {response.load and response.load.running}"
                 f" replaced, confidence {response.confidence}"
             )
-            self._first_confidence = response.confidence
-            raise _EscalationRequested(tier)
-
-    def _can_finish_in_time(self, tier: int) -> bool:
-        request = self._request
-        expected_ms = self._deps.expected_latencies.expected_ms(
-            _latency_key(self._route.model_tiers[tier], request), default_ms=0.0
-        )
-        due_ms = request.http.arrived_ms + self._route.target_latency_ms
-        return self._deps.clock.now_ms() + expected_ms <= due_ms
-
-    def _tier_costs(self, service: str) -> list[float]:
-        configuration = self._deps.view.configuration
-        known = configuration.services.get(service) if configuration else None
-        costs = dict(known.model_costs) if known else {}
-        return [costs.get(model, 0.0) for model in self._route.model_tiers]
-
-    @property
-    def _size(self) -> ResponseSize:
-        request = self._request
-        expected = request.expected_output_tokens or request.max_output_tokens
-        return ResponseSize(
-            prompt_tokens=request.prompt_tokens, output_tokens=expected
-        )
+            raise _EscalationRequested(tier, response.confidence)
 
     async def _receive_plain(
         self,
@@ -507,15 +454,17 @@
         deps = self._deps
         now_ms = deps.clock.now_ms()
         latency_ms = now_ms - started_ms
-        slow = deps.expected_latencies.is_slow(self._latency_key, latency_ms)
+        slow = deps.expected_latencies.is_slow(
+            self._tiers.latency_key, latency_ms
+        )
         latency_ratio = deps.expected_latencies.record(
-            self._latency_key, latency_ms
+            self._tiers.latency_key, latency_ms
         )
         health = deps.dispatcher.health(entry.upstream_id)
         health.record_success(latency_ratio, now_ms)
         load = deps.dispatcher.load(entry.upstream_id)
         self._attempt_log.append(
-            f"{entry.upstream_id} {self._model or '-'} {latency_ms} ms"
+            f"{entry.upstream_id} {self._tiers.model or '-'} {latency_ms} ms"
             f" load {load} confidence {response.confidence}"
         )
         deps.dispatcher.record_evidence(
@@ -606,7 +555,7 @@
             workspace=self._admitted.workspace,
             configuration=self._admitted.configuration_version,
             session=self._request.session,
-            model=self._model,
+            model=self._tiers.model,
             execution=self._attempts.execution.value,
             trail=self._attempt_log,
             last_event_id=self._last_event_id,
@@ -615,8 +564,3 @@
             - self._request.http.arrived_ms,
             outcome=outcome,
         )
-
-
-def _latency_key(model: str, request: CallerRequest) -> str:
-    # Size classes are powers of two of the prompt's tokens.
-    return f"{model}/{request.prompt_tokens.bit_length()}"
