Ignore answers of an era that a peer has already left

A watch or a listing that was under way when a peer reported the restore could apply the old history to the restored view.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -200,9 +200,9 @@
                 self._loaded = False
                 return
             self._mark_available()
-            if batch.era > self._view.era:
+            if batch.era != self._view.era:
                 # These are changes of another history.
-                self._loaded = False
+                self._loaded = batch.era < self._view.era
                 return
             self._view.apply(
                 batch,
@@ -256,6 +256,9 @@
             raise StoreUnavailableError("view loaded from a peer") from error
 
     def _load_view(self, batch: ItemBatch) -> None:
+        if batch.era < self._view.era:
+            # It was under way when a peer reported the restore.
+            raise StoreUnavailableError("the listing is of an older era")
         if batch.era > self._view.era and self._view.revision > 0:
             self._restore_view(batch)
         else:
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -14,6 +15,7 @@
     Item,
     ItemBatch,
     StoreUnavailableError,
+    StoreVersion,
 )
 from trefoilpitch.fleet.tests.fakes import InMemoryCodec, upstream
 from trefoilpitch.gateway import _follower
@@ -38,6 +40,8 @@
         self.listing: ItemBatch | Exception = _NOTHING
         self.steps: list[tuple[int, ItemBatch | Exception]] = []
         self.calls: list[tuple[str, int]] = []
+        # Called before a watch returns a scripted result.
+        self.on_watch: Callable[[int], None] = lambda elapsed_ms: None
 
     async def read_all(self) -> ItemBatch:
         self.calls.append(("list", 0))
@@ -51,6 +55,7 @@
             raise asyncio.CancelledError
         elapsed_ms, result = self.steps.pop(0)
         self._clock.advance(elapsed_ms)
+        self.on_watch(elapsed_ms)
         if isinstance(result, Exception):
             raise result
         return result
@@ -101,6 +106,54 @@
     assert names == ["list", "watch", "list", "watch", "watch"]
 
 
+def _listing(harness: _FollowerHarness, era: int, revision: int) -> ItemBatch:
+    item = harness.codec.item("u", upstream(), revision)
+    return ItemBatch(items=(item,), revision=revision, era=era, complete=True)
+
+
+def test_store_is_listed_again_in_a_newer_era() -> None:
+    harness = _FollowerHarness()
+    harness.store.listing = _listing(harness, 1, 9)
+    changes = ItemBatch(items=(), revision=4, era=2)
+    harness.store.steps = [(10, changes)]
+
+    def restore(elapsed_ms: int) -> None:
+        harness.store.listing = _listing(harness, 2, 4)
+
+    harness.store.on_watch = restore
+    harness.follow()
+    names = [name for name, _ in harness.store.calls]
+    assert names == ["list", "watch", "list", "watch"]
+    assert harness.view.version == StoreVersion(2, 4)
+
+
+def test_response_of_an_older_era_than_a_peers_is_ignored() -> None:
+    harness = _FollowerHarness()
+    harness.store.listing = _listing(harness, 1, 9)
+    gone = Item(key="u", value=None, revision=12)
+    late = ItemBatch(items=(gone,), revision=12, era=1)
+    harness.store.steps = [(10, late)]
+
+    def restore(elapsed_ms: int) -> None:
+        harness.follower.apply_from_peer(_listing(harness, 2, 4), "peer")
+
+    harness.store.on_watch = restore
+    harness.follow()
+    assert harness.view.version == StoreVersion(2, 4)
+    assert set(harness.view.upstreams) == {"u"}
+
+
+def test_peer_in_an_older_era_changes_nothing() -> None:
+    harness = _FollowerHarness()
+    harness.store.listing = _listing(harness, 2, 4)
+    harness.follow()
+    gone = Item(key="u", value=None, revision=99)
+    batch = ItemBatch(items=(gone,), revision=99, era=1)
+    harness.follower.apply_from_peer(batch, "peer")
+    assert harness.view.version == StoreVersion(2, 4)
+    assert set(harness.view.upstreams) == {"u"}
+
+
 def test_refused_listing_is_requested_once_per_retry() -> None:
     # All daemons start while the store refuses requests. Refused calls count
     # against the fleet's rate limit as well.
