Remove repetition that the last changes brought in

Found on reading the change again. Four test modules ran scenarios with copies of one function, which is now in their harness; two tests shared the steps to a rollback; the configuration's version was worked out in four places of the daemon; ItemBatch.version was never used. A daemon built a set of all members for each request to see whether it knows peers; it now does so only in its first two seconds, and only while it has heard none.

No behaviour, bound or assertion changes.

--- a/trefoilpitch/fleet/_store.py
+++ b/trefoilpitch/fleet/_store.py
@@ -53,11 +53,6 @@
     # Whether the items are all that the sender has, not only changes.
     complete: bool = False
 
-    @property
-    def version(self) -> StoreVersion:
-        """Era and revision."""
-        return StoreVersion(self.era, self.revision)
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Write:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -221,6 +221,12 @@
         """Local copy of the shared fleet state."""
         return self._view
 
+    @property
+    def _configuration_version(self) -> int:
+        """Version of the configuration; 0 if there is none."""
+        configuration = self._view.configuration
+        return configuration.version if configuration else 0
+
     def caller_addresses(self) -> list[str]:
         """Returns the addresses of ready daemons, this one first."""
         addresses: list[str] = []
@@ -382,22 +388,19 @@
 
     def _is_current(self) -> bool:
         """Whether no newer configuration can have been missed."""
-        configuration = self._view.configuration
-        version = configuration.version if configuration else 0
-        if self._peers.newest_configuration > version:
+        if self._peers.newest_configuration > self._configuration_version:
             return False
         # A store that was restored from an older copy may lack the newest
         # configuration; peers know it.
-        has_others = bool(set(self._view.members) - {self._settings.name})
-        if has_others and not self._peers.alive():
-            age_ms = self._clock.now_ms() - self._started_ms
-            if age_ms < _PEER_GRACE_MS:
+        age_ms = self._clock.now_ms() - self._started_ms
+        if age_ms < _PEER_GRACE_MS and not self._peers.alive():
+            others = self._view.members.keys() - {self._settings.name}
+            if others:
                 return False
         return self._follower.is_current()
 
     def _send_heartbeat(self) -> None:
         self._sequence += 1
-        configuration = self._view.configuration
         heartbeat = Heartbeat(
             node=self._settings.name,
             incarnation=self._settings.incarnation,
@@ -409,7 +412,7 @@
             versions=self._rollout_controller.own_counts(),
             in_flight=self._dispatcher.own_in_flight(),
             era=self._view.era,
-            configuration=configuration.version if configuration else 0,
+            configuration=self._configuration_version,
             stopped=self._rollout_controller.stopped_orders(),
             unreachable=self._dispatcher.own_unreachable(),
         )
@@ -437,11 +440,9 @@
 
         A store that was restored may lack the newest configuration.
         """
-        configuration = self._view.configuration
-        version = configuration.version if configuration else 0
         return (
             heartbeat.version > self._view.version
-            or heartbeat.configuration > version
+            or heartbeat.configuration > self._configuration_version
         )
 
     async def _catch_up(self) -> None:
@@ -523,13 +524,10 @@
             await responder.respond(404, [], b"")
 
     def _update_gauges(self) -> None:
-        configuration = self._view.configuration
         gauges = {
             "ready": int(self.ready),
             "store_answers": int(self._follower.store_reachable),
-            "configuration_version": configuration.version
-            if configuration
-            else 0,
+            "configuration_version": self._configuration_version,
             "view_revision": self._view.revision,
             "upstreams": len(self._view.upstreams),
             "peers": len(self._peers.alive()),
--- a/trefoilpitch/platform/tests/harness.py
+++ b/trefoilpitch/platform/tests/harness.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 from trefoilpitch.clock import SystemClock
@@ -33,6 +33,17 @@
 HOST = "127.0.0.1"
 # Limits how long a failing test runs.
 TIMEOUT_MS = 10_000
+_SCENARIO_TIMEOUT_S = 60
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Runs a scenario on an event loop, for a minute at most."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(_SCENARIO_TIMEOUT_S):
+            await scenario()
+
+    asyncio.run(bounded())
 
 
 async def wait_until(condition: Callable[[], object]) -> None:
--- a/trefoilpitch/platform/tests/test_reported_failures.py
+++ b/trefoilpitch/platform/tests/test_reported_failures.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -17,6 +16,7 @@
     HOST,
     Fleet,
     node_settings,
+    run,
     running_fleet,
     running_node,
     wait_until,
@@ -26,14 +26,6 @@
 _RECORD = "trefoilpitch/rollout/plain-service"
 
 
-def _run(scenario: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(60):
-            await scenario()
-
-    asyncio.run(bounded())
-
-
 def _response(lease: int) -> bytes:
     body = b'{"lease":%d,"ttl-ms":1000}' % lease
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
@@ -68,7 +60,7 @@
             assert leases == [100, 200, 300, 400]
             server.close()
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_response_of_a_connection_that_timed_out_is_discarded() -> None:
@@ -89,7 +81,7 @@
                 await store.grant_lease(1_000)
             assert not store._idle_connections
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_requests_that_arrive_during_a_planned_stop_are_answered() -> None:
@@ -113,7 +105,7 @@
                     await asyncio.sleep(0.01)
             assert statuses == [200] * 60
 
-    _run(scenario)
+    run(scenario)
 
 
 @pytest.mark.parametrize(
@@ -153,7 +145,7 @@
                     )
             assert not dispatcher.may_send(entry)
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_running_work_of_a_silent_upstream_is_neither_repeated_nor_cut() -> (
@@ -174,7 +166,7 @@
             assert (head.status, body.count(b"data:")) == (200, 5)
             assert _runs(fleet) == 1
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_two_daemons_write_each_rollout_step_once() -> None:
@@ -203,7 +195,7 @@
                 steps = [stored.value for stored in written]
                 assert len(steps) == len(set(steps))
 
-    _run(scenario)
+    run(scenario)
 
 
 def _runs(fleet: Fleet) -> int:
--- a/trefoilpitch/platform/tests/test_store_restore.py
+++ b/trefoilpitch/platform/tests/test_store_restore.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.platform._store import PlatformStore
 from trefoilpitch.platform.tests.harness import (
+    Fleet,
     node_settings,
+    run,
     running_fleet,
     running_node,
     wait_until,
@@ -26,12 +27,14 @@
 _ORDER = {"service": "plain-service", "target": "v2", "duration-s": 600}
 
 
-def _run(scenario: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(60):
-            await scenario()
-
-    asyncio.run(bounded())
+async def _roll_back(fleet: Fleet) -> None:
+    """Gives the daemon evidence of a bad version until it is rolled back."""
+    entry = fleet.daemon.view.upstreams["plain-new"].entry
+    for _ in range(10):
+        fleet.daemon._dispatcher.record_evidence(entry, ResponseQuality.FAILED)
+    await wait_until(
+        lambda: fleet.store.value(_STATUS)["state"] == "rolled_back"
+    )
 
 
 def test_daemon_registers_again_under_a_lease_of_its_own() -> None:
@@ -49,7 +52,7 @@
             assert store.keys(_MEMBERS)
             assert store.calls.get("kv-keep", 0) == renewals
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_requests_are_served_while_the_store_lacks_what_it_had() -> None:
@@ -69,28 +72,21 @@
             refused, _ = await fleet.send_request("/plain/x", Api_Key="key-a")
             assert (served.status, refused.status) == (200, 401)
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_rolled_back_version_stays_rolled_back() -> None:
     async def scenario() -> None:
         new = PlatformWorkerStandIn("plain-new")
         async with running_fleet(plain=1) as fleet, new as worker:
-            daemon, store = fleet.daemon, fleet.store
+            store = fleet.store
             fleet.register(worker, "plain-service", version="v2")
             order = store.put("op/rollout/plain-service", _ORDER)
             await wait_until(
                 lambda: (store.value(_STATUS) or {}).get("state") == "running"
             )
             copy = store.copy()
-            entry = daemon.view.upstreams["plain-new"].entry
-            for _ in range(10):
-                daemon._dispatcher.record_evidence(
-                    entry, ResponseQuality.FAILED
-                )
-            await wait_until(
-                lambda: store.value(_STATUS)["state"] == "rolled_back"
-            )
+            await _roll_back(fleet)
             store.restore(copy)
             assert store.value(_STATUS)["state"] == "running"
             assert order
@@ -98,7 +94,7 @@
                 lambda: store.value(_STATUS)["state"] == "rolled_back"
             )
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_rollout_whose_order_is_written_again_does_not_start_over() -> None:
@@ -112,14 +108,7 @@
             await wait_until(
                 lambda: (store.value(_STATUS) or {}).get("state") == "running"
             )
-            entry = daemon.view.upstreams["plain-new"].entry
-            for _ in range(10):
-                daemon._dispatcher.record_evidence(
-                    entry, ResponseQuality.FAILED
-                )
-            await wait_until(
-                lambda: store.value(_STATUS)["state"] == "rolled_back"
-            )
+            await _roll_back(fleet)
             store.restore(copy)
             await wait_until(lambda: daemon.view.era == 2)
             assert store.value(_STATUS) is None
@@ -128,7 +117,7 @@
             await wait_until(lambda: store.value(_STATUS) is not None)
             assert store.value(_STATUS)["state"] == "rolled_back"
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_daemon_that_only_has_the_copy_learns_the_rest_from_its_peer() -> None:
@@ -160,7 +149,7 @@
                 assert statuses <= {200, 503}
                 assert head.status == 200
 
-    _run(scenario)
+    run(scenario)
 
 
 @pytest.mark.parametrize("text", ["", "x", "-1", "1.5", "1e3"])
--- a/trefoilpitch/platform/tests/test_upstream_notices.py
+++ b/trefoilpitch/platform/tests/test_upstream_notices.py
@@ -3,24 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from trefoilpitch.gateway import HttpRequest, ResponseHead
 from trefoilpitch.platform._requests import PlatformRequests
-from trefoilpitch.platform.tests.harness import Fleet, running_fleet, wait_until
+from trefoilpitch.platform.tests.harness import (
+    Fleet,
+    run,
+    running_fleet,
+    wait_until,
+)
 from trefoilpitch.standins import WorkerFault, config_document
 
 
-def _run(scenario: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(60):
-            await scenario()
-
-    asyncio.run(bounded())
-
-
 def _stream_config(gap_ms: int) -> list[dict[str, object]]:
     routes: list[dict[str, object]] = config_document()["routes"]
     for route in routes:
@@ -52,7 +48,7 @@
             used = "model" if target == "/stream/x" else "plain"
             assert [runs[f"{used}-{n}"] for n in (0, 1)] == [1, 1]
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_restarted_upstream_is_not_leaving_any_more() -> None:
@@ -69,7 +65,7 @@
             await _send(fleet, 2)
             assert len(worker.runs) == 3
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_upstream_gets_no_requests_during_the_pause_that_it_asked_for() -> None:
@@ -85,7 +81,7 @@
             await _send(fleet, 10)
             assert [worker.shed for worker in workers] == [2, 2]
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_request_is_refused_at_once_if_all_upstreams_asked_for_a_pause() -> (
@@ -103,7 +99,7 @@
             assert asyncio.get_running_loop().time() - started_s < 0.5
             assert (worker.shed, len(worker.runs)) == (1, 0)
 
-    _run(scenario)
+    run(scenario)
 
 
 @pytest.mark.parametrize(
@@ -147,7 +143,7 @@
             assert body.count(b"data:") == worker.events
             assert len(worker.runs) == 1
 
-    _run(scenario)
+    run(scenario)
 
 
 def test_stalled_stream_is_resumed_by_another_upstream() -> None:
@@ -162,7 +158,7 @@
             runs = [len(worker.runs) for worker in fleet.workers.values()]
             assert runs == [1, 1]
 
-    _run(scenario)
+    run(scenario)
 
 
 def _stall_first(fleet: Fleet) -> None:
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -17,6 +16,7 @@
     TIMEOUT_MS,
     Fleet,
     node_settings,
+    run,
     running_fleet,
     running_node,
     wait_until,
@@ -33,14 +33,6 @@
 _SEAL = b"x-trefoilpitch-response-seal"
 
 
-def run(scenario: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(60):
-            await scenario()
-
-    asyncio.run(bounded())
-
-
 def _fault(fleet: Fleet, *faults: WorkerFault) -> None:
     """Makes the next requests fail at every worker."""
     for worker in fleet.workers.values():
