Log why a stream is kept, moved or broken off

Callers: a stream ended without the rest of its answer. The logs named neither the pause that a stream was given up for, nor whether another upstream had been found, nor why no further attempt was made, so that the hypotheses in docs/incidents/broken-off-streams.md could not be told apart.

Adds the line stream_stalled with its counter, the reason at the end of a trail, the ejection in attempt_failed, and a line for each connection that the server closes on an incomplete request. No decision changes.

--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -12,6 +12,7 @@
 from trefoilpitch.retries import (
     Execution,
     FailureKind,
+    StopReason,
     classify_failure,
     combined_execution,
 )
@@ -74,7 +75,14 @@
 
 
 def may_retry(route: Route, attempts: Attempts, *, affordable: bool) -> bool:
-    """Decides whether a failed request is retried.
+    """Decides whether a failed request is retried; see `stop_reason`."""
+    return stop_reason(route, attempts, affordable=affordable) is None
+
+
+def stop_reason(
+    route: Route, attempts: Attempts, *, affordable: bool
+) -> StopReason | None:
+    """Returns why a failed request is not retried; None if it is.
 
     Args:
         route: Determines whether and how often a request may run.
@@ -82,17 +90,21 @@
         affordable: Whether the retry budget allows another attempt.
     """
     if not affordable:
-        return False
+        return StopReason.BUDGET
     gone = sum(kind in _GONE for kind in attempts.failures)
     not_run = sum(
         classify_failure(kind) is Execution.NOT_RUN
         for kind in attempts.failures
     )
     if gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN:
-        return False
+        return StopReason.REFUSALS
     if attempts.execution is Execution.NOT_RUN:
-        return True
-    return route.repeatable and attempts.runs < max(1, route.max_attempts)
+        return None
+    if not route.repeatable:
+        return StopReason.UNSAFE
+    if attempts.runs >= max(1, route.max_attempts):
+        return StopReason.ATTEMPTS
+    return None
 
 
 def connect_timeout_ms(remaining_ms: float) -> float:
--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -13,7 +13,7 @@
 from trefoilpitch.fleet import RequestLimits
 from trefoilpitch.gateway._exceptions import CallerDisconnectedError
 from trefoilpitch.gateway._http_client import Headers
-from trefoilpitch.gateway._log import log_failure
+from trefoilpitch.gateway._log import log_event, log_failure
 from trefoilpitch.gateway._sockets import set_tcp_options
 
 _MS_PER_S = 1_000
@@ -349,6 +349,13 @@
         self._process_events()
 
     def _reject(self, status: int, detail: str) -> None:
+        log_event(
+            "connection_rejected",
+            status=status,
+            reason=detail,
+            target=self._head.target.decode("latin-1") if self._head else None,
+            age_ms=self._state.now_ms() - self._arrived_ms,
+        )
         self._cancel_timer()
         self._head = None
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -8,8 +8,8 @@
     Attempts,
     connect_timeout_ms,
     gap_timeout_ms,
-    may_retry,
     response_timeout_ms,
+    stop_reason,
 )
 from trefoilpitch.gateway._dispatcher import NoUpstream
 from trefoilpitch.gateway._event_reader import EventReader
@@ -138,9 +138,11 @@
             affordable = (
                 self._attempts_sent == 0 or self._prepaid or budget.affords()
             )
-            if not may_retry(
+            reason = stop_reason(
                 self._route, self._attempts, affordable=affordable
-            ):
+            )
+            if reason is not None:
+                self._attempt_log.append(f"not retried: {reason.value}")
                 return await self._send_failure()
 
     async def _find_upstream(self, service: str) -> UpstreamEntry | NoUpstream:
@@ -424,29 +426,51 @@
             try:
                 return await reader.read(gap_ms)
             except ExchangeError as error:
-                if (
-                    error.kind is not FailureKind.RESPONSE_TIMEOUT
-                    or gap_ms >= limit_ms
-                    or self._reserve_replacement(entry.service, budget)
-                ):
+                if error.kind is not FailureKind.RESPONSE_TIMEOUT:
+                    raise
+                decision = "given up"
+                if gap_ms < limit_ms:
+                    decision = self._reserve_replacement(entry.service, budget)
+                self._log_stall(entry, gap_ms, decision)
+                if gap_ms >= limit_ms or self._reserved is not None:
                     raise
             gap_ms = min(limit_ms, gap_ms + step_ms)
 
     def _reserve_replacement(
         self, service: str, budget: WindowedRetryBudget
-    ) -> bool:
+    ) -> str:
+        """Reserves an upstream that can resume a stalled stream.
+
+        Returns:
+            The decision, for the log: which upstream is reserved, or why none.
+        """
         if self._attempts.runs + 1 >= self._route.max_attempts:
-            return False
+            return "kept: attempts used up"
         if not budget.affords():
-            return False
+            return "kept: retry budget exhausted"
         found = self._choose(service)
         if isinstance(found, NoUpstream):
-            return False
+            return f"kept: {found.reason}"
         if found.upstream_id in self._attempted_ids:
-            return False
+            return "kept: all upstreams already attempted"
         self._reserved = found
         self._prepaid = budget.spend()
-        return True
+        return f"moved to {found.upstream_id}"
+
+    def _log_stall(
+        self, entry: UpstreamEntry, pause_ms: float, decision: str
+    ) -> None:
+        self._deps.metrics.count(
+            "stalls", Label(name="decision", value=decision.partition(" ")[0])
+        )
+        log_event(
+            "stream_stalled",
+            id=self._request.request_id,
+            upstream=entry.upstream_id,
+            pause_ms=round(pause_ms),
+            event_id=self._last_event_id,
+            decision=decision,
+        )
 
     def _record_success(
         self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
@@ -500,6 +524,7 @@
             detail=error.detail,
             event_id=self._last_event_id,
             failures_in_row=health.consecutive_failures,
+            ejected_ms=max(0, health.ejected_until_ms - now_ms),
         )
 
     async def fail(self) -> None:
--- a/trefoilpitch/retries/_policy.py
+++ b/trefoilpitch/retries/_policy.py
@@ -59,6 +59,8 @@
 
     UNSAFE = "unsafe"
     ATTEMPTS = "tries"
+    # Too many upstreams refused it or were gone.
+    REFUSALS = "refusals"
     DEADLINE = "deadline"
     BUDGET = "budget"
 
