Reproduce streams that are cut after a silence of their upstream

A sound upstream pauses for 1.5 times the permitted pause while it serves six streams:

* the only other upstream refuses: of six streams, four are broken off 4 ms after they were moved, with 7.7 s left, since the first upstream has been ejected;
* the retry budget is spent: six of six are broken off (not retried: budget);
* a stream that may not be resumed is given up after eight permitted pauses.

--- a/trefoilpitch/platform/tests/harness.py
+++ b/trefoilpitch/platform/tests/harness.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -34,6 +35,7 @@
 # Limits how long a failing test runs.
 TIMEOUT_MS = 10_000
 _SCENARIO_TIMEOUT_S = 60
+_RETRY_SLACK = 60.0
 
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
@@ -56,8 +58,11 @@
 class Fleet:
     """A store, workers and the daemon under test."""
 
-    def __init__(self, store: PlatformStoreStandIn) -> None:
+    def __init__(
+        self, store: PlatformStoreStandIn, stack: contextlib.AsyncExitStack
+    ) -> None:
         self.store = store
+        self._stack = stack
         self.workers: dict[str, PlatformWorkerStandIn] = {}
         self.settings: NodeSettings | None = None
         self.node: Node | None = None
@@ -80,6 +85,15 @@
             f"servers/{worker.worker_id}", worker.entry(service, **fields)
         )
 
+    async def add_worker(
+        self, worker_id: str, service: str
+    ) -> PlatformWorkerStandIn:
+        """Starts and registers a worker, which stops with the fleet."""
+        worker = PlatformWorkerStandIn(worker_id)
+        await self._stack.enter_async_context(worker)
+        self.register(worker, service)
+        return worker
+
     async def wait_for_upstreams(self, count: int) -> None:
         await wait_until(lambda: len(self.daemon.view.upstreams) == count)
 
@@ -108,6 +122,24 @@
             return head, await connection.receive_body(TIMEOUT_MS, 1 << 20)
 
 
+def stream_routes(
+    gap_ms: int, *, resumable: bool = True
+) -> list[dict[str, Any]]:
+    """Returns the routes with one model on the stream route.
+
+    Args:
+        gap_ms: Longest acceptable pause between the events of a stream.
+        resumable: Whether another upstream may continue a stream.
+    """
+    routes: list[dict[str, Any]] = config_document()["routes"]
+    for route in routes:
+        if route["name"] == "stream":
+            route["target-gap-ms"] = gap_ms
+            route["model-tiers"] = []
+            route["resumable"] = resumable
+    return routes
+
+
 def node_settings(name: str = "vm-1") -> NodeSettings:
     def address() -> ListenAddress:
         return ListenAddress(host=HOST, port=free_port())
@@ -123,7 +155,7 @@
         heartbeats=address(),
         grace_ms=2_000,
         retry_ratio=0.9,
-        retry_slack=60.0,
+        retry_slack=_RETRY_SLACK,
         retry_window_ms=10_000,
         metrics=address(),
     )
@@ -159,22 +191,24 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(
-    plain: int = 1, models: int = 0, **fields: Any
+    plain: int = 1,
+    models: int = 0,
+    *,
+    retry_slack: float = _RETRY_SLACK,
+    **fields: Any,
 ) -> AsyncIterator[Fleet]:
     """Runs a store, workers and a daemon that has read their registrations."""
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(PlatformStoreStandIn())
-        fleet = Fleet(store)
+        fleet = Fleet(store, stack)
         store.put("op/config", config_document(**fields))
         for number in range(plain):
-            worker = PlatformWorkerStandIn(f"plain-{number}")
-            await stack.enter_async_context(worker)
-            fleet.register(worker, "plain-service")
+            await fleet.add_worker(f"plain-{number}", "plain-service")
         for number in range(models):
-            worker = PlatformWorkerStandIn(f"model-{number}")
-            await stack.enter_async_context(worker)
-            fleet.register(worker, "model-service")
-        fleet.settings = node_settings()
+            await fleet.add_worker(f"model-{number}", "model-service")
+        fleet.settings = dataclasses.replace(
+            node_settings(), retry_slack=retry_slack
+        )
         fleet.node = await stack.enter_async_context(
             running_node(fleet.settings, store)
         )
--- /dev/null
+++ b/trefoilpitch/platform/tests/test_silent_upstreams.py
@@ -0,0 +1,108 @@
+"""Streams of sound upstreams that fall silent for about a second."""
+
+from __future__ import annotations
+
+import asyncio
+
+from trefoilpitch.gateway import ResponseHead
+from trefoilpitch.platform.tests.harness import (
+    Fleet,
+    run,
+    running_fleet,
+    stream_routes,
+    wait_until,
+)
+from trefoilpitch.standins import WorkerFault
+
+_STREAMS = 6
+_GAP_MS = 200
+_EVENTS = 5
+
+
+async def _silence(fleet: Fleet, name: str, duration_s: float) -> None:
+    speaking = fleet.workers[name].speaking
+    speaking.clear()
+    await asyncio.sleep(duration_s)
+    speaking.set()
+
+
+async def _streams(fleet: Fleet) -> list[tuple[ResponseHead, bytes]]:
+    """Sends streams and waits until the first model has started all."""
+    worker = fleet.workers["model-0"]
+    worker.response_delay_ms = _GAP_MS // 4
+    worker.events = _EVENTS
+    tasks = [
+        asyncio.create_task(
+            fleet.send_request("/stream/x", request_id=f"id-{number}")
+        )
+        for number in range(_STREAMS)
+    ]
+    await wait_until(lambda: len(worker.runs) == _STREAMS)
+    await asyncio.sleep(_GAP_MS / 2 / 1_000)
+    await _silence(fleet, "model-0", 1.5 * _GAP_MS / 1_000)
+    return await asyncio.gather(*tasks)
+
+
+def _assert_complete(responses: list[tuple[ResponseHead, bytes]]) -> None:
+    for number, (head, body) in enumerate(responses):
+        assert head.status == 200
+        events = [
+            f"id: {event}\ndata: id-{number}-{event}\n\n".encode()
+            for event in range(1, _EVENTS + 1)
+        ]
+        assert body == b"".join(events)
+
+
+def test_streams_survive_a_silence_while_all_others_refuse() -> None:
+    """One upstream pauses; the only other one turns every request away."""
+
+    async def scenario() -> None:
+        routes = stream_routes(gap_ms=_GAP_MS)
+        async with running_fleet(plain=0, models=1, routes=routes) as fleet:
+            streams = asyncio.create_task(_streams(fleet))
+            first = fleet.workers["model-0"]
+            await wait_until(lambda: len(first.runs) == _STREAMS)
+            second = await fleet.add_worker("model-1", "model-service")
+            second.faults.extend([WorkerFault.SHED] * 1_000)
+            second.retry_after = "5"
+            _assert_complete(await streams)
+
+    run(scenario)
+
+
+def test_streams_survive_a_silence_when_the_retry_budget_is_spent() -> None:
+    """Streams are moved, their next attempt is cut and nothing is left."""
+
+    async def scenario() -> None:
+        routes = stream_routes(gap_ms=_GAP_MS)
+        async with running_fleet(
+            plain=0, models=1, retry_slack=2.0, routes=routes
+        ) as fleet:
+            streams = asyncio.create_task(_streams(fleet))
+            first = fleet.workers["model-0"]
+            await wait_until(lambda: len(first.runs) == _STREAMS)
+            second = await fleet.add_worker("model-1", "model-service")
+            second.faults.extend([WorkerFault.SHED] * 1_000)
+            _assert_complete(await streams)
+
+    run(scenario)
+
+
+def test_stream_without_resumption_outlasts_a_long_silence() -> None:
+    """The caller decides how long it waits for the next event."""
+
+    async def scenario() -> None:
+        routes = stream_routes(gap_ms=20, resumable=False)
+        async with running_fleet(plain=0, models=1, routes=routes) as fleet:
+            worker = fleet.workers["model-0"]
+            worker.response_delay_ms = 10
+            task = asyncio.create_task(
+                fleet.send_request("/stream/x", request_id="id-0")
+            )
+            await wait_until(lambda: worker.runs)
+            await asyncio.sleep(0.01)
+            await _silence(fleet, "model-0", 0.5)
+            _assert_complete([await task])
+            assert len(worker.runs) == 1
+
+    run(scenario)
--- a/trefoilpitch/platform/tests/test_upstream_notices.py
+++ b/trefoilpitch/platform/tests/test_upstream_notices.py
@@ -12,18 +12,10 @@
     Fleet,
     run,
     running_fleet,
+    stream_routes,
     wait_until,
 )
-from trefoilpitch.standins import WorkerFault, config_document
-
-
-def _stream_config(gap_ms: int) -> list[dict[str, object]]:
-    routes: list[dict[str, object]] = config_document()["routes"]
-    for route in routes:
-        if route["name"] == "stream":
-            route["target-gap-ms"] = gap_ms
-            route["model-tiers"] = []
-    return routes
+from trefoilpitch.standins import WorkerFault
 
 
 async def _send(fleet: Fleet, count: int, target: str = "/plain/x") -> None:
@@ -134,7 +126,7 @@
 
 def test_slow_stream_that_no_other_upstream_can_resume_is_not_cut() -> None:
     async def scenario() -> None:
-        routes = _stream_config(gap_ms=100)
+        routes = stream_routes(gap_ms=100)
         async with running_fleet(plain=0, models=1, routes=routes) as fleet:
             worker = fleet.workers["model-0"]
             worker.response_delay_ms = 250
@@ -148,7 +140,7 @@
 
 def test_stalled_stream_is_resumed_by_another_upstream() -> None:
     async def scenario() -> None:
-        routes = _stream_config(gap_ms=100)
+        routes = stream_routes(gap_ms=100)
         async with running_fleet(plain=0, models=2, routes=routes) as fleet:
             for worker in fleet.workers.values():
                 worker.on_run = lambda run: _stall_first(fleet)
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 
 import pytest
@@ -669,7 +670,7 @@
             store.refusal_status = 503 if store_unavailable else None
             settings = node_settings()
             async with running_node(settings, store):
-                fleet = Fleet(store)
+                fleet = Fleet(store, contextlib.AsyncExitStack())
                 fleet.settings = settings
                 await wait_until(lambda: store.calls)
                 await asyncio.sleep(0.05)
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -97,6 +97,10 @@
         self.retry_after: str | None = None
         # Number of requests that it has shed.
         self.shed = 0
+        # Cleared while the worker is silent: it accepts requests and goes on
+        # with them, but sends nothing.
+        self.speaking = asyncio.Event()
+        self.speaking.set()
         # Set to let requests with a HANG fault continue.
         self.release = asyncio.Event()
         self.port = 0
@@ -139,6 +143,7 @@
             for name, value in request.headers
         }
         expected = headers.get("x-trefoilpitch-expect-instance")
+        await self.speaking.wait()
         if expected != self.worker_id:
             await responder.respond(421, [], b"")
             return
@@ -256,6 +261,7 @@
                 await asyncio.sleep(0.01)
                 responder.abort()
                 return
+            await self.speaking.wait()
             await responder.write(event)
             if self.response_delay_ms:
                 await asyncio.sleep(self.response_delay_ms / _MS_PER_S)
