Keep a stalled upstream until another one has accepted the request

Callers: a stream ended without the rest of its answer, with 5 to 15 s left, when its upstream had only paused for about a second.

Cause: a pause of 0.8 of the permitted one closed the attempt first and looked for the next upstream afterwards. When that refused, no upstream was free for an eighth of the objective, or the retry budget was spent, the response was aborted. One silent upstream stalls all of its streams at the same time, so that the others are full and the budget is empty just then. Streams that may not be resumed were given up after eight permitted pauses, whatever their caller's deadline.

Change: the request of a stalled attempt is sent to another upstream while the stalled one is kept. A refusal or a failed connection leaves everything as it was; if the stalled upstream goes on first, the other one is left again. After 300 ms without a refusal the stalled one is closed, as both may work for 400 ms at most. A response in progress waits for upstreams and budget until its caller's deadline, before newcomers of its priority; refusals slow down its further attempts. A pause alone never ends a response. The same holds before the head has arrived.

--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -29,14 +29,16 @@
 # Multiple of the expected latency after which a response is considered lost.
 _EXPECTED_LATENCY_FACTOR = 4.0
 # Multiple of the route's maximum event gap after which a stream is resumed at
-# another upstream.
-_RESUME_GAP_FACTOR = 0.8
-# The same if the stream cannot be resumed: callers tolerate longer gaps.
-_MAX_GAP_FACTOR = 8
+# another upstream, if there is one.
+_STALL_GAP_FACTOR = 0.8
 # A request is refused after this many attempts that did not run, or this many
 # at upstreams that are gone; these take a few milliseconds each.
 _MAX_NOT_RUN = 5
 _MAX_GONE = 16
+# Delay before the next attempt of a response in progress that an upstream has
+# refused, and the limit up to which it doubles.
+_REFUSAL_DELAY_MS = 50
+_MAX_REFUSAL_DELAY_MS = 1_000
 _GONE = frozenset({FailureKind.CONNECT_REFUSED, FailureKind.MISDIRECTED})
 
 
@@ -76,28 +78,34 @@
 
 def may_retry(route: Route, attempts: Attempts, *, affordable: bool) -> bool:
     """Decides whether a failed request is retried; see `stop_reason`."""
-    return stop_reason(route, attempts, affordable=affordable) is None
+    reason = stop_reason(route, attempts, affordable=affordable, started=False)
+    return reason is None
 
 
 def stop_reason(
-    route: Route, attempts: Attempts, *, affordable: bool
+    route: Route, attempts: Attempts, *, affordable: bool, started: bool
 ) -> StopReason | None:
     """Returns why a failed request is not retried; None if it is.
 
+    A response in progress cannot be refused any more. A lack of budget or of
+    upstreams may pass before its caller's deadline, so neither ends it.
+
     Args:
         route: Determines whether and how often a request may run.
         attempts: The attempts so far, at least one.
         affordable: Whether the retry budget allows another attempt.
+        started: Whether the caller has received a part of the response.
     """
-    if not affordable:
-        return StopReason.BUDGET
-    gone = sum(kind in _GONE for kind in attempts.failures)
-    not_run = sum(
-        classify_failure(kind) is Execution.NOT_RUN
-        for kind in attempts.failures
-    )
-    if gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN:
-        return StopReason.REFUSALS
+    if not started:
+        if not affordable:
+            return StopReason.BUDGET
+        gone = sum(kind in _GONE for kind in attempts.failures)
+        not_run = sum(
+            classify_failure(kind) is Execution.NOT_RUN
+            for kind in attempts.failures
+        )
+        if gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN:
+            return StopReason.REFUSALS
     if attempts.execution is Execution.NOT_RUN:
         return None
     if not route.repeatable:
@@ -107,6 +115,18 @@
     return None
 
 
+def refusal_delay_ms(attempts: Attempts) -> int:
+    """Returns the delay before the next attempt of a response in progress.
+
+    Each refused attempt draws on the retry budget that other requests need.
+    """
+    refusals = attempts.failures.count(FailureKind.REFUSED_NOT_RUN)
+    if not refusals:
+        return 0
+    delay_ms = _REFUSAL_DELAY_MS << min(refusals - 1, 8)
+    return min(_MAX_REFUSAL_DELAY_MS, delay_ms)
+
+
 def connect_timeout_ms(remaining_ms: float) -> float:
     """Returns the timeout for establishing a connection."""
     return min(_CONNECT_TIMEOUT_MS, max(1.0, remaining_ms / 2))
@@ -147,7 +167,11 @@
     return min(remaining_ms, wait_ms)
 
 
-def gap_timeout_ms(route: Route, *, can_resume: bool) -> float:
-    """Returns the timeout for the next event of a stream."""
-    gap_ms = max(route.target_gap_ms, 1)
-    return gap_ms * (_RESUME_GAP_FACTOR if can_resume else _MAX_GAP_FACTOR)
+def stall_timeout_ms(route: Route) -> float:
+    """Returns the pause after which another upstream may resume a stream.
+
+    Load pattern: sound upstreams fall silent for about a second. The pause
+    itself never ends a response: without another upstream the stream is kept
+    until its caller's deadline.
+    """
+    return _STALL_GAP_FACTOR * max(route.target_gap_ms, 1)
--- a/trefoilpitch/gateway/_event_reader.py
+++ b/trefoilpitch/gateway/_event_reader.py
@@ -38,6 +38,13 @@
         """Whether the body has ended inside an event."""
         return self._splitter.pending
 
+    @property
+    def paused_ms(self) -> int:
+        """Time since the last event with content."""
+        if self._progressed:
+            return 0
+        return self._clock.now_ms() - self._waiting_since_ms
+
     async def read(self, gap_ms: float) -> list[RawEvent] | None:
         """Waits for the next events; may be called again after a timeout.
 
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Coroutine, Iterator
+from typing import Any, TypeVar
+
 from trefoilpitch.fleet import OperationKind, Route, UpstreamEntry
 from trefoilpitch.gateway._admission import Admitted
 from trefoilpitch.gateway._attempts import (
     Attempts,
     connect_timeout_ms,
-    gap_timeout_ms,
+    refusal_delay_ms,
     response_timeout_ms,
+    stall_timeout_ms,
     stop_reason,
 )
 from trefoilpitch.gateway._dispatcher import NoUpstream
@@ -37,6 +44,10 @@
 _SLOT_WAIT_SHARE = 0.125
 # Minimum remaining time for which an attempt is worthwhile.
 _MIN_ATTEMPT_MS = 10
+# How long a stalled attempt is kept while another upstream has the request too.
+# Both may work on it for 400 ms at most.
+_HANDOVER_MS = 300
+_MS_PER_S = 1_000
 _OK = 200
 _REDIRECTION = 300
 _SERVER_ERROR = 500
@@ -45,6 +56,8 @@
 _GATEWAY_TIMEOUT = 504
 
 
+_T = TypeVar("_T")
+
 # Failures that show that the upstream is gone or cannot be reached.
 _UNREACHABLE = frozenset(
     {
@@ -68,6 +81,18 @@
         self.confidence = confidence
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _SentAttempt:
+    """An attempt whose request has been sent."""
+
+    entry: UpstreamEntry
+    connection: HttpConnection
+    # Monotonic time when the request was sent.
+    started_ms: int
+    # None until the head has arrived and proved valid.
+    response: UpstreamResponse | None = None
+
+
 class RequestRun:
     """Runs one admitted request to completion.
 
@@ -95,10 +120,8 @@
         self._attempted_ids: list[str] = []
         self._tiers = TierChoice(deps, request, admitted.route)
         self._last_event_id: int | None = None
-        # The upstream that continues a stalled stream, chosen before the
-        # stalled attempt is given up, and whether the budget was spent for it.
-        self._reserved: UpstreamEntry | None = None
-        self._prepaid = False
+        # The attempt that takes over from a stalled one.
+        self._successor: _SentAttempt | None = None
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
         arrived_ms = request.http.arrived_ms
         timeout_ms = admitted.route.timeout_ms
@@ -122,50 +145,76 @@
         try:
             outcome = await self._run_attempts(service, budget)
         finally:
+            if self._successor is not None:
+                self._successor.connection.close()
             self._log_completion(service, outcome)
 
     async def _run_attempts(
         self, service: str, budget: WindowedRetryBudget
     ) -> str:
         while True:
-            entry = await self._find_upstream(service)
-            if isinstance(entry, NoUpstream):
-                self._attempt_log.append(entry.reason)
-                return await self._send_failure(entry.available_in_ms)
+            if self._successor is not None:
+                entry = self._successor.entry
+            else:
+                found = await self._find_upstream(service, budget)
+                if isinstance(found, NoUpstream):
+                    self._attempt_log.append(found.reason)
+                    return await self._send_failure(found.available_in_ms)
+                entry = found
             failure = await self._run_attempt(entry, budget)
             if failure is None:
                 return "delivered"
-            affordable = (
-                self._attempts_sent == 0 or self._prepaid or budget.affords()
-            )
+            if self._successor is not None:
+                continue
             reason = stop_reason(
-                self._route, self._attempts, affordable=affordable
+                self._route,
+                self._attempts,
+                affordable=self._affords_attempt(budget),
+                started=self._responder.started,
             )
             if reason is not None:
                 self._attempt_log.append(f"not retried: {reason.value}")
                 return await self._send_failure()
 
-    async def _find_upstream(self, service: str) -> UpstreamEntry | NoUpstream:
-        """Chooses an upstream; waits a while if none is free at the moment."""
+    def _affords_attempt(self, budget: WindowedRetryBudget) -> bool:
+        return self._attempts_sent == 0 or budget.affords()
+
+    async def _find_upstream(
+        self, service: str, budget: WindowedRetryBudget
+    ) -> UpstreamEntry | NoUpstream:
+        """Chooses an upstream; waits a while if none is free at the moment.
+
+        A response in progress waits until its caller's deadline.
+        """
+        started = self._responder.started
+        if started:
+            await asyncio.sleep(refusal_delay_ms(self._attempts) / _MS_PER_S)
         now_ms = self._deps.clock.now_ms()
         remaining_ms = self._remaining_ms(now_ms)
         if remaining_ms < _MIN_ATTEMPT_MS:
             return NoUpstream(reason="deadline reached", available_in_ms=None)
-        wait_ms = int(_SLOT_WAIT_SHARE * self._route.target_latency_ms)
+        wait_ms = remaining_ms - _MIN_ATTEMPT_MS
+        if not started:
+            slot_wait_ms = _SLOT_WAIT_SHARE * self._route.target_latency_ms
+            wait_ms = min(wait_ms, int(slot_wait_ms))
         return await self._deps.waiter.wait(
             service,
-            lambda: self._choose(service),
+            lambda: self._choose(service, budget),
             WaitTerms(
                 priority=self._admitted.priority,
                 workspace=self._admitted.workspace,
-                until_ms=now_ms + min(wait_ms, remaining_ms - _MIN_ATTEMPT_MS),
+                until_ms=now_ms + wait_ms,
+                started=started,
             ),
         )
 
-    def _choose(self, service: str) -> UpstreamEntry | NoUpstream:
-        reserved, self._reserved = self._reserved, None
-        if reserved is not None and self._deps.dispatcher.may_send(reserved):
-            return reserved
+    def _choose(
+        self, service: str, budget: WindowedRetryBudget
+    ) -> UpstreamEntry | NoUpstream:
+        if not self._affords_attempt(budget):
+            return NoUpstream(
+                reason="retry budget exhausted", available_in_ms=None
+            )
         return self._deps.dispatcher.choose(
             self._request,
             service,
@@ -188,19 +237,9 @@
             escalation returns `RESPONSE_TRUNCATED` but is not recorded as a
             failure.
         """
-        health = self._deps.dispatcher.health(entry.upstream_id)
-        now_ms = self._deps.clock.now_ms()
-        self._attempted_ids.append(entry.upstream_id)
-        health.in_flight += 1
         try:
-            with await self._open(entry, now_ms) as connection:
-                if not self._deps.dispatcher.may_send(entry):
-                    raise ExchangeError(
-                        FailureKind.NOT_SENT,
-                        "upstream taken out of service while connecting",
-                    )
-                self._spend_budget(budget)
-                await self._exchange(connection, entry, budget)
+            with self._counted(entry):
+                await self._exchange(entry, budget)
         except _EscalationRequested as escalation:
             self._attempts = self._attempts.with_replaced_response()
             self._tiers.escalate(escalation.tier, escalation.confidence)
@@ -209,53 +248,110 @@
         except ExchangeError as error:
             self._record_failure(entry, error)
             return error.kind
+        return None
+
+    @contextlib.contextmanager
+    def _counted(self, entry: UpstreamEntry) -> Iterator[None]:
+        """Counts an attempt as in flight at its upstream."""
+        health = self._deps.dispatcher.health(entry.upstream_id)
+        self._attempted_ids.append(entry.upstream_id)
+        health.in_flight += 1
+        try:
+            yield
         finally:
             health.in_flight -= 1
             self._deps.waiter.offer_places(entry.service)
-        return None
 
-    async def _open(self, entry: UpstreamEntry, now_ms: int) -> HttpConnection:
-        return await connect(
+    async def _begin(
+        self, entry: UpstreamEntry, budget: WindowedRetryBudget
+    ) -> _SentAttempt:
+        """Connects to an upstream and sends it the request."""
+        now_ms = self._deps.clock.now_ms()
+        connection = await connect(
             entry.host,
             entry.port,
             connect_timeout_ms(self._remaining_ms(now_ms)),
         )
+        try:
+            if not self._deps.dispatcher.may_send(entry):
+                raise ExchangeError(
+                    FailureKind.NOT_SENT,
+                    "upstream taken out of service while connecting",
+                )
+            self._spend_budget(budget)
+            started_ms = self._deps.clock.now_ms()
+            self._send(connection, entry, started_ms)
+        except ExchangeError:
+            connection.close()
+            raise
+        return _SentAttempt(
+            entry=entry, connection=connection, started_ms=started_ms
+        )
 
     def _spend_budget(self, budget: WindowedRetryBudget) -> None:
         # Other requests may have spent the budget while this one connected.
-        free = self._attempts_sent == 0 or self._prepaid
-        if not free and not budget.spend():
+        if self._attempts_sent > 0 and not budget.spend():
             raise ExchangeError(FailureKind.NOT_SENT, "retry budget exhausted")
-        self._prepaid = False
         self._attempts_sent += 1
 
     async def _exchange(
-        self,
-        connection: HttpConnection,
-        entry: UpstreamEntry,
-        budget: WindowedRetryBudget,
+        self, entry: UpstreamEntry, budget: WindowedRetryBudget
     ) -> None:
-        started_ms = self._deps.clock.now_ms()
-        self._send(connection, entry, started_ms)
+        attempt, self._successor = self._successor, None
+        if attempt is None:
+            attempt = await self._begin(entry, budget)
+        with attempt.connection as connection:
+            response = attempt.response
+            if response is None:
+                response = await self._await_response(attempt, budget)
+            streamed = self._route.kind is OperationKind.STREAM
+            if response.head.status != _OK or not streamed:
+                await self._receive_plain(
+                    connection, entry, response, attempt.started_ms
+                )
+                return
+            self._maybe_escalate(entry, response, attempt.started_ms, budget)
+            await self._forward_stream(attempt, response, budget)
+
+    async def _await_response(
+        self, attempt: _SentAttempt, budget: WindowedRetryBudget
+    ) -> UpstreamResponse:
+        """Waits for the head of a response; a slow one may be superseded.
+
+        Raises:
+            ExchangeError: If another upstream has taken over, the deadline is
+                reached, or the upstream did not respond properly.
+        """
+        remaining_ms = self._remaining_ms(attempt.started_ms)
         timeout_ms = response_timeout_ms(
             self._route,
             self._attempts,
-            self._remaining_ms(started_ms),
+            remaining_ms,
             self._deps.expected_latencies.expected_ms(
                 self._tiers.latency_key, default_ms=0.0
             ),
             affordable=budget.affords(),
         )
-        head = await connection.receive_head(timeout_ms)
+        try:
+            return await self._receive_response(attempt, timeout_ms)
+        except ExchangeError as error:
+            stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
+            if not stalled or timeout_ms >= remaining_ms:
+                raise
+        return await self._keep_or_hand_over(
+            attempt,
+            self._receive_response(attempt, remaining_ms - timeout_ms),
+            timeout_ms,
+            budget,
+        )
+
+    async def _receive_response(
+        self, attempt: _SentAttempt, timeout_ms: float
+    ) -> UpstreamResponse:
+        head = await attempt.connection.receive_head(timeout_ms)
         response = self._deps.codec.decode_response(self._request, head)
-        self._check_response(entry, response)
-        if head.status != _OK or self._route.kind is not OperationKind.STREAM:
-            await self._receive_plain(connection, entry, response, started_ms)
-        else:
-            self._maybe_escalate(entry, response, started_ms, budget)
-            await self._forward_stream(
-                connection, entry, response, started_ms, budget
-            )
+        self._check_response(attempt.entry, response)
+        return response
 
     def _send(
         self, connection: HttpConnection, entry: UpstreamEntry, now_ms: int
@@ -367,21 +463,21 @@
 
     async def _forward_stream(
         self,
-        connection: HttpConnection,
-        entry: UpstreamEntry,
+        attempt: _SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
         budget: WindowedRetryBudget,
     ) -> None:
-        reader = EventReader(connection, self._deps.clock)
+        reader = EventReader(attempt.connection, self._deps.clock)
         first = True
         while True:
-            events = await self._next_events(reader, entry, budget)
+            events = await self._next_events(reader, attempt, budget)
             if events is None:
                 break
             if first:
                 first = False
-                self._record_success(entry, response, started_ms)
+                self._record_success(
+                    attempt.entry, response, attempt.started_ms
+                )
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
         if reader.pending or first:
@@ -410,68 +506,162 @@
     async def _next_events(
         self,
         reader: EventReader,
-        entry: UpstreamEntry,
+        attempt: _SentAttempt,
         budget: WindowedRetryBudget,
     ) -> list[RawEvent] | None:
-        """Waits for events; a slow stream is kept until another can resume it.
+        """Waits for events; a stalled stream is kept until another resumes it.
 
         Raises:
-            ExchangeError: If the stream has stalled and another upstream is
-                reserved to resume it, or if it has stalled for too long.
+            ExchangeError: If another upstream has taken over the stream, the
+                deadline is reached, or the stream is truncated or malformed.
         """
-        limit_ms = gap_timeout_ms(self._route, can_resume=False)
-        step_ms = gap_timeout_ms(self._route, can_resume=True)
-        gap_ms = step_ms if self._route.repeatable else limit_ms
-        while True:
-            try:
-                return await reader.read(gap_ms)
-            except ExchangeError as error:
-                if error.kind is not FailureKind.RESPONSE_TIMEOUT:
-                    raise
-                decision = "given up"
-                if gap_ms < limit_ms:
-                    decision = self._reserve_replacement(entry.service, budget)
-                self._log_stall(entry, gap_ms, decision)
-                if gap_ms >= limit_ms or self._reserved is not None:
-                    raise
-            gap_ms = min(limit_ms, gap_ms + step_ms)
-
-    def _reserve_replacement(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> str:
-        """Reserves an upstream that can resume a stalled stream.
+        remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
+        limit_ms = float(reader.paused_ms + max(0, remaining_ms))
+        gap_ms = limit_ms
+        if self._route.repeatable:
+            gap_ms = min(limit_ms, stall_timeout_ms(self._route))
+        try:
+            return await reader.read(gap_ms)
+        except ExchangeError as error:
+            stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
+            if not stalled or gap_ms >= limit_ms:
+                raise
+        return await self._keep_or_hand_over(
+            attempt, reader.read(limit_ms), gap_ms, budget
+        )
+
+    async def _keep_or_hand_over(
+        self,
+        attempt: _SentAttempt,
+        progress: Coroutine[Any, Any, _T],
+        pause_ms: float,
+        budget: WindowedRetryBudget,
+    ) -> _T:
+        """Waits on for a stalled attempt, and offers its request to others.
+
+        Args:
+            attempt: The stalled attempt; it is kept until another upstream has
+                accepted the request, or has not refused it for a while.
+            progress: Waits for the next part of its response.
+            pause_ms: How long it has been silent, and after how long the
+                request is offered again.
+            budget: The service's retry budget.
 
         Returns:
-            The decision, for the log: which upstream is reserved, or why none.
+            The next part of its response.
+
+        Raises:
+            ExchangeError: If another upstream has taken over, or `progress`
+                failed.
         """
-        if self._attempts.runs + 1 >= self._route.max_attempts:
-            return "kept: attempts used up"
-        if not budget.affords():
-            return "kept: retry budget exhausted"
-        found = self._choose(service)
-        if isinstance(found, NoUpstream):
-            return f"kept: {found.reason}"
-        if found.upstream_id in self._attempted_ids:
-            return "kept: all upstreams already attempted"
-        self._reserved = found
-        self._prepaid = budget.spend()
-        return f"moved to {found.upstream_id}"
+        waiting = asyncio.create_task(progress)
+        silent_ms = pause_ms
+        try:
+            while not waiting.done():
+                await self._hand_over(attempt, waiting, silent_ms, budget)
+                if self._successor is not None:
+                    raise ExchangeError(
+                        FailureKind.RESPONSE_TIMEOUT,
+                        f"superseded after {silent_ms:.0f} ms",
+                    )
+                await asyncio.wait({waiting}, timeout=pause_ms / _MS_PER_S)
+                silent_ms += pause_ms
+            return await waiting
+        finally:
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
 
-    def _log_stall(
-        self, entry: UpstreamEntry, pause_ms: float, decision: str
+    async def _hand_over(
+        self,
+        stalled: _SentAttempt,
+        waiting: asyncio.Task[Any],
+        pause_ms: float,
+        budget: WindowedRetryBudget,
     ) -> None:
+        """Sets `_successor` if another upstream takes a stalled request."""
+        found = self._find_successor(stalled.entry.service, budget)
+        if isinstance(found, UpstreamEntry):
+            decision = await self._offer(found, waiting, budget)
+        else:
+            decision = f"kept: {found}"
         self._deps.metrics.count(
-            "stalls", Label(name="decision", value=decision.partition(" ")[0])
+            "stalls", Label(name="decision", value=decision.partition(":")[0])
         )
         log_event(
-            "stream_stalled",
+            "attempt_stalled",
             id=self._request.request_id,
-            upstream=entry.upstream_id,
+            upstream=stalled.entry.upstream_id,
             pause_ms=round(pause_ms),
             event_id=self._last_event_id,
             decision=decision,
         )
 
+    def _find_successor(
+        self, service: str, budget: WindowedRetryBudget
+    ) -> UpstreamEntry | str:
+        """Returns another upstream, or why there is none."""
+        if self._attempts.runs + 1 >= self._route.max_attempts:
+            return "attempts used up"
+        found = self._choose(service, budget)
+        if isinstance(found, NoUpstream):
+            return found.reason
+        if found.upstream_id in self._attempted_ids:
+            return "all upstreams already attempted"
+        return found
+
+    async def _offer(
+        self,
+        entry: UpstreamEntry,
+        stalled: asyncio.Task[Any],
+        budget: WindowedRetryBudget,
+    ) -> str:
+        """Sends the request to another upstream and waits for its response.
+
+        Returns:
+            The decision, for the log.
+        """
+        with self._counted(entry), contextlib.ExitStack() as stack:
+            try:
+                attempt = await self._begin(entry, budget)
+                stack.enter_context(attempt.connection)
+                accepted = await self._accepts(attempt, stalled)
+            except ExchangeError as error:
+                self._record_failure(entry, error)
+                return f"kept: {entry.upstream_id} {error.kind.value}"
+            if not accepted:
+                # The other upstream may have run it.
+                self._attempts = self._attempts.with_replaced_response()
+                return f"kept: resumed before {entry.upstream_id} responded"
+            stack.pop_all()
+        self._successor = attempt
+        return f"moved: {entry.upstream_id}"
+
+    async def _accepts(
+        self, attempt: _SentAttempt, stalled: asyncio.Task[Any]
+    ) -> bool:
+        """Returns whether an attempt takes over from a stalled one.
+
+        Raises:
+            ExchangeError: If its upstream refused the request or failed.
+        """
+        response = asyncio.create_task(
+            self._receive_response(attempt, _HANDOVER_MS)
+        )
+        try:
+            await asyncio.wait(
+                {stalled, response}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if stalled.done() and stalled.exception() is None:
+                return False
+            attempt.response = await response
+        except ExchangeError as error:
+            if error.kind is not FailureKind.RESPONSE_TIMEOUT:
+                raise
+        finally:
+            response.cancel()
+            await asyncio.gather(response, return_exceptions=True)
+        return True
+
     def _record_success(
         self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
     ) -> None:
--- a/trefoilpitch/gateway/_upstream_waiter.py
+++ b/trefoilpitch/gateway/_upstream_waiter.py
@@ -44,7 +44,9 @@
     ) -> UpstreamEntry | NoUpstream:
         """Returns an upstream at once, or after waiting for one.
 
-        If it is known that none will be available in time, it does not wait.
+        If it is known that none will be available in time, it does not wait,
+        unless the response is in progress: it cannot be refused any more, and
+        upstreams may start before its deadline.
 
         Args:
             service: The service.
@@ -56,10 +58,11 @@
         if not isinstance(found, NoUpstream):
             return found
         available_in_ms = found.available_in_ms
-        if (
+        hopeless = (
             available_in_ms is None
             or self._clock.now_ms() + available_in_ms >= terms.until_ms
-        ):
+        )
+        if hopeless and not terms.started:
             return found
         place = await self._wait_for_place(service, choose, terms)
         return found if place is None else place
--- a/trefoilpitch/gateway/_waiting.py
+++ b/trefoilpitch/gateway/_waiting.py
@@ -2,10 +2,10 @@
 
 Load pattern: the upstreams of a service are saturated, cold, paused or ejected
 for a moment, while requests of many workspaces and priorities arrive. A place
-that becomes free goes to the most urgent request, then to the workspace that
-got the fewest places lately, then to the request that has to start first.
-Newcomers get only what those that wait cannot use. The size of a request plays
-no part, so that large ones are not starved.
+that becomes free goes to the most urgent request, then to responses in
+progress, then to the workspace that got the fewest places lately, then to the
+request that has to start first. Newcomers get only what those that wait cannot
+use. The size of a request plays no part, so that large ones are not starved.
 """
 
 from __future__ import annotations
@@ -31,6 +31,8 @@
     workspace: str | None
     # Monotonic time at which it gives up waiting.
     until_ms: int
+    # Whether the caller has received a part of the response.
+    started: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,10 +92,11 @@
         return False
 
     def _in_order(self) -> Iterator[int]:
-        def order(ticket: int) -> tuple[int, int, int, int]:
+        def order(ticket: int) -> tuple[int, bool, int, int, int]:
             terms = self._waiting[ticket].terms
             return (
                 terms.priority,
+                not terms.started,
                 self._grants[terms.workspace],
                 terms.until_ms,
                 ticket,
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -31,7 +31,9 @@
 from trefoilpitch.gateway._attempts import (
     Attempts,
     may_retry,
+    refusal_delay_ms,
     response_timeout_ms,
+    stop_reason,
 )
 from trefoilpitch.gateway._cold_share import (
     ColdRequestCounter,
@@ -58,7 +60,7 @@
     runs_on_target,
 )
 from trefoilpitch.gateway._upstream_digest import upstream_digest
-from trefoilpitch.retries import Execution, FailureKind
+from trefoilpitch.retries import Execution, FailureKind, StopReason
 
 
 def _request(request_id: str = "id", **fields: object) -> CallerRequest:
@@ -249,6 +251,44 @@
     assert "crashed" in {fleet.chosen() for _ in range(50)}
 
 
+@pytest.mark.parametrize(
+    ("failures", "affordable", "refused", "in_progress"),
+    [
+        (["answer_cut"], True, None, None),
+        (["answer_cut"], False, StopReason.BUDGET, None),
+        (["refused_not_run"] * 5, True, StopReason.REFUSALS, None),
+        (["connect_refused"] * 16, True, StopReason.REFUSALS, None),
+        (["answer_cut"] * 2, True, StopReason.ATTEMPTS, StopReason.ATTEMPTS),
+    ],
+)
+def test_response_in_progress_is_not_ended_for_want_of_budget_or_upstreams(
+    failures: list[str],
+    affordable: bool,
+    refused: StopReason | None,
+    in_progress: StopReason | None,
+) -> None:
+    attempts = Attempts(failures=tuple(FailureKind(kind) for kind in failures))
+    for started, expected in ((False, refused), (True, in_progress)):
+        reason = stop_reason(
+            route(max_attempts=2),
+            attempts,
+            affordable=affordable,
+            started=started,
+        )
+        assert reason is expected
+
+
+def test_refused_response_in_progress_is_offered_less_and_less_often() -> None:
+    delays = [
+        refusal_delay_ms(
+            Attempts(failures=(FailureKind.REFUSED_NOT_RUN,) * count)
+        )
+        for count in range(8)
+    ]
+    assert delays == [0, 50, 100, 200, 400, 800, 1_000, 1_000]
+    assert refusal_delay_ms(Attempts(failures=(FailureKind.NOT_SENT,))) == 0
+
+
 def test_own_unreachable_upstreams_are_published_while_ejected() -> None:
     fleet = _Fleet()
     fleet.put("u", upstream("u"))
--- a/trefoilpitch/gateway/tests/test_waiting.py
+++ b/trefoilpitch/gateway/tests/test_waiting.py
@@ -35,6 +35,7 @@
         workspace: str = "w",
         until_ms: int = 100,
         version: str = "v1",
+        started: bool = False,
     ) -> int:
         def choose() -> str | None:
             if not self.free[version]:
@@ -45,7 +46,10 @@
         return self.queue.add(
             WaitingRequest(
                 terms=WaitTerms(
-                    priority=priority, workspace=workspace, until_ms=until_ms
+                    priority=priority,
+                    workspace=workspace,
+                    until_ms=until_ms,
+                    started=started,
                 ),
                 choose=choose,
                 grant=lambda place: self.granted.append(name),
@@ -73,6 +77,16 @@
     assert places.granted == ["sooner", "later"]
 
 
+def test_response_in_progress_goes_before_newcomers_of_its_priority() -> None:
+    places = _Places()
+    places.add("urgent", priority=0)
+    places.add("newcomer", until_ms=100)
+    places.add("in progress", until_ms=9_000, started=True)
+    places.free["v1"] = 3
+    places.queue.offer_places()
+    assert places.granted == ["urgent", "in progress", "newcomer"]
+
+
 def test_workspace_that_floods_a_service_does_not_starve_the_others() -> None:
     places = _Places()
     for number in range(200):
