Eject an upstream once for one silence

Callers: after a silence of one upstream for a second, requests found 'all upstreams are saturated, cold, paused or ejected' for up to six seconds more.

Cause: each of its requests that failed doubled the ejection, from the third on. All of them were sent before the first ejection, so that the later ones say nothing that is new.

Failures during an ejection no longer lengthen it; a request that was sent after it and fails still doubles it.

--- a/trefoilpitch/gateway/_health.py
+++ b/trefoilpitch/gateway/_health.py
@@ -137,6 +137,10 @@
     def record_failure(self, now_ms: int, *, unreachable: bool) -> None:
         """Records a failed attempt.
 
+        Load pattern: an upstream falls silent for a second, and all of its
+        requests fail one after the other. Those that fail while it is ejected
+        were sent before, and do not show that it stays silent for longer.
+
         Args:
             now_ms: The monotonic time.
             unreachable: Whether no connection could be established; this
@@ -150,7 +154,8 @@
             self.consecutive_failures = max(
                 self.consecutive_failures, _EJECT_AFTER
             )
-        if self.consecutive_failures >= _EJECT_AFTER:
+        ejected = now_ms < self.ejected_until_ms
+        if self.consecutive_failures >= _EJECT_AFTER and not ejected:
             longer = min(_EJECT_MAX_MS, 2 * self.ejection_ms)
             self.ejection_ms = max(_EJECT_MIN_MS, longer)
             self.ejected_until_ms = now_ms + self.ejection_ms
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -238,6 +238,17 @@
     assert fleet.chosen() is None
 
 
+def test_one_silence_ejects_an_upstream_once() -> None:
+    """All streams of an upstream stall at the same time, within a second."""
+    health = UpstreamHealth()
+    for number in range(20):
+        health.record_failure(10_000 + 10 * number, unreachable=False)
+    assert health.ejected_until_ms == 11_020
+    # A request that was sent after the ejection shows that it lasts.
+    health.record_failure(12_500, unreachable=False)
+    assert health.ejected_until_ms == 14_500
+
+
 def test_upstream_that_peers_cannot_reach_is_the_last_resort() -> None:
     """A crashed upstream looks idle until this daemon has tried it."""
     fleet = _Fleet()
