End the ejection of an upstream that goes on after a silence

Callers: new requests were refused or crowded onto the other upstreams while the streams of one that had been silent went on.

Cause: an ejection ends with a success, and only the first event of an attempt counted as one. An ejected upstream with requests in flight gets no probe, so that its kept streams, which were delivered, kept it out until they had ended.

Evidence: the new test fails without the change: the ejection does not end while the kept stream lasts.

The next part of a response after a pause now counts as a success.

--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -566,11 +566,18 @@
                     )
                 await asyncio.wait({waiting}, timeout=pause_ms / _MS_PER_S)
                 silent_ms += pause_ms
-            return await waiting
+            part = await waiting
+            self._record_resumed(attempt.entry)
+            return part
         finally:
             waiting.cancel()
             await asyncio.gather(waiting, return_exceptions=True)
 
+    def _record_resumed(self, entry: UpstreamEntry) -> None:
+        """Records that a silent upstream goes on, which ends an ejection."""
+        health = self._deps.dispatcher.health(entry.upstream_id)
+        health.record_success(None, self._deps.clock.now_ms())
+
     async def _hand_over(
         self,
         stalled: _SentAttempt,
--- a/trefoilpitch/platform/tests/test_silent_upstreams.py
+++ b/trefoilpitch/platform/tests/test_silent_upstreams.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from trefoilpitch.clock import SystemClock
 from trefoilpitch.gateway import ResponseHead
 from trefoilpitch.platform.tests.harness import (
     Fleet,
@@ -179,3 +180,35 @@
             _assert_complete([await task])
 
     run(scenario)
+
+
+def test_upstream_that_goes_on_gets_new_requests() -> None:
+    """Its kept stream is in progress, which would count as a probe."""
+
+    async def scenario() -> None:
+        routes = stream_routes(gap_ms=_GAP_MS)
+        async with running_fleet(plain=0, models=1, routes=routes) as fleet:
+            worker = fleet.workers["model-0"]
+            worker.response_delay_ms = 100
+            worker.events = 20
+            kept = asyncio.create_task(
+                fleet.send_request("/stream/x", request_id="kept")
+            )
+            health = fleet.daemon._dispatcher.health("model-0")
+            await wait_until(lambda: health.successes)
+            now_ms = SystemClock().now_ms()
+            health.record_failure(now_ms, unreachable=True)
+            assert health.ejected_until_ms > now_ms
+            await _silence(fleet, "model-0", 1.5 * _GAP_MS / 1_000)
+            await wait_until(lambda: not health.ejected_until_ms)
+            new = asyncio.create_task(
+                fleet.send_request("/stream/x", request_id="new")
+            )
+            await wait_until(lambda: len(worker.runs) == 2)
+            assert not kept.done()
+            assert [head.status for head, _ in (await kept, await new)] == [
+                200,
+                200,
+            ]
+
+    run(scenario)
