Log under which parts of prompts upstreams end

Callers saw requests fail while upstreams of one service ended one after the other; nothing in the logs connected these ends with the prompts. Each attempt whose response was cut off now has its upstream examined by a connection: one that has ended refuses it, which tells an end from a cut connection. The line upstream_ended names the shared parts of the prompt and what this daemon knows of each; cut_attempts_total counts the verdicts. No request is decided upon it.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -20,6 +20,7 @@
     RequestLimits,
     StoreVersion,
 )
+from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._dispatcher import Dispatcher
 from trefoilpitch.gateway._exceptions import (
     ExchangeError,
@@ -48,6 +49,7 @@
     heartbeat_interval_ms,
     watches_store,
 )
+from trefoilpitch.gateway._prompt_parts import PromptEvidence
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
@@ -193,6 +195,7 @@
                 expected_latencies=ExpectedLatencies(),
                 models=ModelSelector(),
                 metrics=metrics,
+                cut_attempts=CutAttempts(PromptEvidence(), clock, metrics),
                 is_current=self._is_current,
                 store_unavailable=lambda: self._follower.store_unavailable,
             )
--- a/trefoilpitch/gateway/_request_dependencies.py
+++ b/trefoilpitch/gateway/_request_dependencies.py
@@ -7,6 +7,7 @@
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import FleetView
+from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._dispatcher import Dispatcher
 from trefoilpitch.gateway._health import ExpectedLatencies
 from trefoilpitch.gateway._messages import RequestCodec
@@ -33,6 +34,8 @@
     # Selects a model on routes with model tiers.
     models: ModelSelector
     metrics: Metrics
+    # Learns which parts of prompts end upstreams.
+    cut_attempts: CutAttempts
     # Whether no newer configuration can have been missed.
     is_current: Callable[[], bool]
     # Whether the store is known to be unavailable.
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -23,6 +23,7 @@
     UpstreamAttempt,
     UpstreamResponse,
 )
+from trefoilpitch.gateway._prompt_parts import AttemptProgress
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._rollouts import ResponseQuality
@@ -91,6 +92,7 @@
         self._responder = responder
         self._attempts = Attempts()
         self._attempts_sent = 0
+        self._progress = AttemptProgress()
         self._attempt_log: list[str] = []
         self._attempted_ids: list[str] = []
         self._tiers = TierChoice(deps, request, admitted.route)
@@ -191,6 +193,7 @@
         health = self._deps.dispatcher.health(entry.upstream_id)
         now_ms = self._deps.clock.now_ms()
         self._attempted_ids.append(entry.upstream_id)
+        self._progress = AttemptProgress()
         health.in_flight += 1
         try:
             with await self._open(entry, now_ms) as connection:
@@ -201,6 +204,7 @@
                     )
                 self._spend_budget(budget)
                 await self._exchange(connection, entry, budget)
+            self._deps.cut_attempts.record_complete(self._request)
         except _EscalationRequested as escalation:
             self._attempts = self._attempts.with_replaced_response()
             self._tiers.escalate(escalation.tier, escalation.confidence)
@@ -237,6 +241,7 @@
     ) -> None:
         started_ms = self._deps.clock.now_ms()
         self._send(connection, entry, started_ms)
+        self._progress.sent = True
         timeout_ms = response_timeout_ms(
             self._route,
             self._attempts,
@@ -247,6 +252,7 @@
             affordable=budget.affords(),
         )
         head = await connection.receive_head(timeout_ms)
+        self._progress.responding = True
         response = self._deps.codec.decode_response(self._request, head)
         self._check_response(entry, response)
         if head.status != _OK or self._route.kind is not OperationKind.STREAM:
@@ -381,6 +387,7 @@
                 break
             if first:
                 first = False
+                self._progress.first_event_ms = self._deps.clock.now_ms()
                 self._record_success(entry, response, started_ms)
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
@@ -512,6 +519,9 @@
                 now_ms,
                 unreachable=error.kind in _UNREACHABLE,
             )
+        deps.cut_attempts.record_failure(
+            entry, self._request, error.kind, self._progress
+        )
         deps.metrics.count(
             "failed_tries", Label(name="kind", value=error.kind.value)
         )
