Reproduce prompts with a part that ends every upstream

The stand-in of a worker crashes on a part of a prompt: it begins to write an answer, ends all connections, refuses new ones and comes back under another id.

--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -21,6 +21,9 @@
 _LOOPBACK = "127.0.0.1"
 _MS_PER_S = 1_000
 _ATTEMPT_ID_HEADER = "X-Trefoilpitch-Request-Attempt-Id"
+_PREFIX_HEADER = "x-trefoilpitch-prompt-prefix-hash"
+# Lets written bytes go out before a connection is reset.
+_FLUSH_S = 0.01
 
 
 class WorkerFault(enum.Enum):
@@ -63,6 +66,12 @@
     # The injected fault; None if there is none.
     fault: WorkerFault | None = None
 
+    @property
+    def parts(self) -> list[str]:
+        """IDs of the parts of the prompt, in order."""
+        entries = self.headers.get(_PREFIX_HEADER, "").split(",")
+        return [entry.partition(":")[0] for entry in entries if entry]
+
 
 class PlatformWorkerStandIn:
     """Serves plain responses and, for targets with ``/stream/``, streams.
@@ -101,6 +110,19 @@
         # with them, but sends nothing.
         self.speaking = asyncio.Event()
         self.speaking.set()
+        # Parts of prompts on which the worker crashes when it begins to write
+        # an answer: it ends all connections, refuses new ones, and comes back
+        # under another ID and port.
+        self.crashing_parts: frozenset[str] = frozenset()
+        # Number of events that it writes before that.
+        self.events_before_crash = 0
+        # Time for which it is gone, in milliseconds.
+        self.restart_delay_ms = 500
+        # Called after each restart.
+        self.on_restart: Callable[[], None] = lambda: None
+        # Monotonic times of its crashes, in seconds.
+        self.crashed_s: list[float] = []
+        self._restart: asyncio.Task[None] | None = None
         # Set to let requests with a HANG fault continue.
         self.release = asyncio.Event()
         self.port = 0
@@ -121,6 +143,8 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        if self._restart is not None:
+            self._restart.cancel()
         self._server.__exit__(exc_type, exc, traceback)
 
     def entry(self, service: str, **fields: object) -> dict[str, Any]:
@@ -178,6 +202,9 @@
         if self.response_delay_ms:
             await asyncio.sleep(self.response_delay_ms / _MS_PER_S)
         headers = self._headers(run, fault)
+        if not self.crashing_parts.isdisjoint(run.parts):
+            await self._crash(run, headers, responder)
+            return
         statuses = {
             WorkerFault.ERROR: 500,
             WorkerFault.UNSEALED_CREATED: 201,
@@ -190,6 +217,29 @@
         else:
             await self._respond_plain(run, fault, headers, responder)
 
+    async def _crash(
+        self,
+        run: WorkerRun,
+        headers: list[tuple[bytes, bytes]],
+        responder: Responder,
+    ) -> None:
+        """Begins to write an answer and ends all connections."""
+        await responder.start(200, headers)
+        for number in range(1, self.events_before_crash + 1):
+            await responder.write(_event(run, number))
+        await asyncio.sleep(_FLUSH_S)
+        if self._restart is None or self._restart.done():
+            self.crashed_s.append(asyncio.get_running_loop().time())
+            self._restart = asyncio.create_task(self._end_and_restart())
+
+    async def _end_and_restart(self) -> None:
+        self._server.__exit__(None, None, None)
+        await asyncio.sleep(self.restart_delay_ms / _MS_PER_S)
+        name = self.worker_id.partition("+")[0]
+        self.worker_id = f"{name}+{len(self.crashed_s)}"
+        self.port = await self._server.listen(_LOOPBACK, 0)
+        self.on_restart()
+
     def _shed_headers(self) -> list[tuple[bytes, bytes]]:
         headers = [(b"X-Trefoilpitch-Not-Executed", b"1")]
         if self.leaving:
@@ -252,13 +302,10 @@
         await responder.start(200, [*headers, kind])
         first = int(run.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            event = (
-                f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
-            )
+            event = _event(run, number)
             if fault is WorkerFault.CUT and number == first + 1:
                 await responder.write(event[:-4])
-                # Lets the bytes go out before the connection is reset.
-                await asyncio.sleep(0.01)
+                await asyncio.sleep(_FLUSH_S)
                 responder.abort()
                 return
             await self.speaking.wait()
@@ -266,3 +313,7 @@
             if self.response_delay_ms:
                 await asyncio.sleep(self.response_delay_ms / _MS_PER_S)
         responder.finish()
+
+
+def _event(run: WorkerRun, number: int) -> bytes:
+    return f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
