Refuse prompts with a part that ends every upstream

Cause: a cut response counted against its upstream only. Nothing connected it with the prompt, each repeat ended another upstream, and each daemon saw a ninth.

Evidence: in the logs all connections of an upstream end within 2 ms at all daemons, and connections are refused from then on.

Change: each ending counts against the shared parts of the prompts in progress there, and each complete response clears its parts. Heartbeats carry this evidence, at once after an ending and including that of others, so that a restarted daemon learns it from any peer. A part is blamed for four endings that no better suspect explains, and refused at admission and right before each send. The other requests that were cut are told from it by the responses that go well, by the endings that the blamed part explains already, and by being left alone if they hold only some of several parts that cannot be told apart.

--- /dev/null
+++ b/trefoilpitch/gateway/_culprits.py
@@ -0,0 +1,143 @@
+"""Decides which parts of prompts upstreams ended under.
+
+All streams of an upstream that ends are cut, so that each ending speaks against
+sound parts as well. A part is blamed only for endings that no other part
+explains better: one that no response has gone well with comes before one that
+was sound, and one that is present at more endings before one at fewer. While
+no response to any prompt goes well, the endings have another cause.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import statistics
+from collections.abc import Iterable
+
+from trefoilpitch.gateway._prompt_parts import PromptEvidence, Suspicion
+
+# More than a request without other ones can end: routes allow three attempts.
+MIN_ENDINGS = 4
+# The same for a part that responses went well with before.
+_MIN_ENDINGS_IF_SOUND_BEFORE = 5
+# Upstreams that end within this time of each other end for a common cause: a
+# request cannot be sent to the next one so soon.
+_SAME_MOMENT_MS = 25
+# Time until all daemons have told what they know about an ending; heartbeats
+# with new evidence are sent at once.
+_SETTLING_MS = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Culprit:
+    """Parts that upstreams end under when a prompt holds all of them.
+
+    Usually this is one part; several are named while the endings cannot tell
+    them apart.
+    """
+
+    parts: frozenset[int]
+    # The upstreams that ended.
+    upstreams: frozenset[int]
+    # Those of them that had begun to respond to the parts.
+    responding: int
+    # Monotonic time of the last ending.
+    last_ms: int
+    # Whether responses with the parts went well before.
+    was_sound: bool
+
+
+def find_culprits(evidence: PromptEvidence, now_ms: int) -> list[Culprit]:
+    """Returns the parts that are to blame for endings, the surest ones first.
+
+    Args:
+        evidence: The fleet's evidence as far as this daemon knows it.
+        now_ms: The monotonic time.
+    """
+    suspicions = [
+        _settled(suspicion, now_ms)
+        for suspicion in evidence.suspicions(MIN_ENDINGS)
+        if _others_go_well(suspicion, evidence.newest_sound_ms)
+    ]
+    culprits: list[Culprit] = []
+    explained: set[int] = set()
+    for was_sound, min_endings in (
+        (False, MIN_ENDINGS),
+        (True, _MIN_ENDINGS_IF_SOUND_BEFORE),
+    ):
+        group = [s for s in suspicions if s.was_sound is was_sound]
+        while True:
+            culprit = _strongest(group, explained, min_endings)
+            if culprit is None:
+                break
+            culprits.append(culprit)
+            explained |= culprit.upstreams
+    return culprits
+
+
+def settles_at_ms(evidence: PromptEvidence, now_ms: int) -> int | None:
+    """Returns when the next ending settles; None if all have settled."""
+    times_ms = [
+        ended_ms + _SETTLING_MS
+        for suspicion in evidence.suspicions(MIN_ENDINGS)
+        for ended_ms in suspicion.ended_ms.values()
+    ]
+    return min((t for t in times_ms if t > now_ms), default=None)
+
+
+def _settled(suspicion: Suspicion, now_ms: int) -> Suspicion:
+    return dataclasses.replace(
+        suspicion,
+        ended_ms={
+            upstream: ended_ms
+            for upstream, ended_ms in suspicion.ended_ms.items()
+            if now_ms - ended_ms >= _SETTLING_MS
+        },
+    )
+
+
+def _others_go_well(suspicion: Suspicion, newest_sound_ms: int | None) -> bool:
+    """Whether a response went well after most of a part's endings.
+
+    It was a response to a prompt without the part, as these endings are later
+    than any response with it.
+    """
+    median_ms = statistics.median_high(suspicion.ended_ms.values())
+    return newest_sound_ms is not None and newest_sound_ms > median_ms
+
+
+def _strongest(
+    suspicions: Iterable[Suspicion], explained: set[int], min_endings: int
+) -> Culprit | None:
+    ranked: dict[tuple[int, int], list[tuple[Suspicion, frozenset[int]]]] = {}
+    for suspicion in suspicions:
+        upstreams = frozenset(suspicion.ended_ms.keys() - explained)
+        moments = _moments(suspicion.ended_ms[k] for k in upstreams)
+        if moments >= min_endings:
+            strength = (moments, len(suspicion.responding & upstreams))
+            ranked.setdefault(strength, []).append((suspicion, upstreams))
+    if not ranked:
+        return None
+    strength = max(ranked)
+    first, upstreams = ranked[strength][0]
+    return Culprit(
+        parts=frozenset(
+            suspicion.part
+            for suspicion, others in ranked[strength]
+            if others == upstreams
+        ),
+        upstreams=upstreams,
+        responding=strength[1],
+        last_ms=max(first.ended_ms[k] for k in upstreams),
+        was_sound=first.was_sound,
+    )
+
+
+def _moments(times_ms: Iterable[int]) -> int:
+    """Counts times, those of the same moment once."""
+    count = 0
+    moment_ms: int | None = None
+    for time_ms in sorted(times_ms):
+        if moment_ms is None or time_ms - moment_ms > _SAME_MOMENT_MS:
+            count += 1
+            moment_ms = time_ms
+    return count
--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import UpstreamEntry
 from trefoilpitch.gateway._exceptions import ExchangeError
-from trefoilpitch.gateway._http_client import connect
+from trefoilpitch.gateway._http_client import ResponseHead, connect
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
 from trefoilpitch.gateway._prompt_parts import (
@@ -20,6 +21,7 @@
     PromptEvidence,
     part_digest,
     run_digest,
+    shared_digests,
     shared_parts,
 )
 from trefoilpitch.metrics import Label, Metrics
@@ -27,17 +29,23 @@
 
 # Connections within a region open in a few milliseconds.
 _CONNECT_TIMEOUT_MS = 300.0
+# A part ends upstreams as they begin to respond to it: one that they have
+# responded to for this long is sound.
+_SOUND_AFTER_MS = 3_000
 _CUT = frozenset({FailureKind.RESPONSE_TRUNCATED, FailureKind.CONNECTION_LOST})
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _CutAttempt:
-    """An attempt whose response was cut off."""
+    """An attempt whose response was cut off, as far as can be told."""
 
     entry: UpstreamEntry
     request: CallerRequest
     responding: bool
+    # Monotonic time of the end of its connection.
     cut_ms: int
+    # Whether the response would be complete if its upstream is running.
+    complete: bool = False
 
 
 class CutAttempts:
@@ -47,14 +55,20 @@
         evidence: Receives the evidence.
         clock: Provides monotonic time.
         metrics: Counts the attempts by what became of their upstreams.
+        on_evidence: Called after a change that other daemons should know soon.
     """
 
     def __init__(
-        self, evidence: PromptEvidence, clock: Clock, metrics: Metrics
+        self,
+        evidence: PromptEvidence,
+        clock: Clock,
+        metrics: Metrics,
+        on_evidence: Callable[[], None],
     ) -> None:
         self._evidence = evidence
         self._clock = clock
         self._metrics = metrics
+        self._on_evidence = on_evidence
         # Attempts by the run of the upstream that is being examined.
         self._examined: dict[int, list[_CutAttempt]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -69,25 +83,58 @@
         """Examines the upstream of a failed attempt if that was cut off."""
         if kind not in _CUT or not progress.sent or not shared_parts(request):
             return
-        attempt = _CutAttempt(
-            entry=entry,
-            request=request,
-            responding=progress.responding,
-            cut_ms=self._clock.now_ms(),
+        now_ms = self._clock.now_ms()
+        first_ms = progress.first_event_ms
+        if first_ms is not None and now_ms - first_ms >= _SOUND_AFTER_MS:
+            self._record_sound(request)
+            return
+        self._examine_later(
+            _CutAttempt(
+                entry=entry,
+                request=request,
+                responding=progress.responding,
+                cut_ms=now_ms,
+            )
+        )
+
+    def record_complete(
+        self, entry: UpstreamEntry, request: CallerRequest, head: ResponseHead
+    ) -> None:
+        """Records that a response was forwarded completely.
+
+        A response that its connection delimits also looks complete if its
+        upstream has ended.
+        """
+        digests = shared_digests(request)
+        cleared = all(self._evidence.is_cleared(part) for part in digests)
+        if cleared or _is_delimited(head):
+            self._record_sound(request)
+            return
+        self._examine_later(
+            _CutAttempt(
+                entry=entry,
+                request=request,
+                responding=True,
+                cut_ms=self._clock.now_ms(),
+                complete=True,
+            )
         )
-        run = run_digest(entry)
+
+    def _record_sound(self, request: CallerRequest) -> None:
+        digests = shared_digests(request)
+        if self._evidence.record_sound(digests, self._clock.now_ms()):
+            self._on_evidence()
+
+    def _examine_later(self, attempt: _CutAttempt) -> None:
+        run = run_digest(attempt.entry)
         if run in self._examined:
             self._examined[run].append(attempt)
             return
         self._examined[run] = [attempt]
-        task = asyncio.create_task(self._examine(entry))
+        task = asyncio.create_task(self._examine(attempt.entry))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def record_complete(self, request: CallerRequest) -> None:
-        """Records that a response was forwarded completely."""
-        self._evidence.record_sound(_digests(request), self._clock.now_ms())
-
     async def _examine(self, entry: UpstreamEntry) -> None:
         verdict = "running"
         try:
@@ -97,24 +144,36 @@
             refused = error.kind is FailureKind.CONNECT_REFUSED
             verdict = "ended" if refused else "unknown"
         for attempt in self._examined.pop(run_digest(entry)):
-            self._metrics.count(
-                "cut_attempts", Label(name="upstream", value=verdict)
-            )
             if verdict == "ended":
                 self._record_ending(attempt)
+            elif verdict == "running" and attempt.complete:
+                self._record_sound(attempt.request)
+            if verdict == "ended" or not attempt.complete:
+                self._metrics.count(
+                    "cut_attempts", Label(name="upstream", value=verdict)
+                )
+        if verdict == "ended":
+            self._on_evidence()
 
     def _record_ending(self, attempt: _CutAttempt) -> None:
         self._evidence.record_ending(
             run_digest(attempt.entry),
-            _digests(attempt.request),
+            shared_digests(attempt.request),
             attempt.cut_ms,
             responding=attempt.responding,
         )
         now_ms = self._clock.now_ms()
         parts = []
         for part in shared_parts(attempt.request):
-            known = self._evidence.knowledge(part_digest(part.part_id), now_ms)
-            parts.append({"part": part.part_id, **dataclasses.asdict(known)})
+            digest = part_digest(part.part_id)
+            known = self._evidence.knowledge(digest, now_ms)
+            parts.append(
+                {
+                    "part": part.part_id,
+                    "digest": f"{digest:08x}",
+                    **dataclasses.asdict(known),
+                }
+            )
         log_event(
             "upstream_ended",
             id=attempt.request.request_id,
@@ -124,5 +183,9 @@
         )
 
 
-def _digests(request: CallerRequest) -> list[int]:
-    return [part_digest(part.part_id) for part in shared_parts(request)]
+def _is_delimited(head: ResponseHead) -> bool:
+    """Whether the end of the body shows without the end of the connection."""
+    return (
+        head.header(b"content-length") is not None
+        or head.header(b"transfer-encoding") is not None
+    )
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -47,9 +47,11 @@
     decode_batch,
     encode_batch,
     heartbeat_interval_ms,
+    min_heartbeat_gap_ms,
     watches_store,
 )
 from trefoilpitch.gateway._prompt_parts import PromptEvidence
+from trefoilpitch.gateway._quarantine import PromptQuarantine
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
@@ -184,6 +186,15 @@
             clock=clock,
             own_name=settings.name,
         )
+        evidence = PromptEvidence()
+        self._quarantine = PromptQuarantine(
+            evidence,
+            clock,
+            own_name=settings.name,
+            live_peers=self._peers.alive,
+        )
+        self._heartbeat_sent_ms = clock.now_ms()
+        self._urgent_heartbeat: asyncio.TimerHandle | None = None
         request_handler = RequestHandler(
             RequestDependencies(
                 view=self._view,
@@ -195,7 +206,10 @@
                 expected_latencies=ExpectedLatencies(),
                 models=ModelSelector(),
                 metrics=metrics,
-                cut_attempts=CutAttempts(PromptEvidence(), clock, metrics),
+                cut_attempts=CutAttempts(
+                    evidence, clock, metrics, self._send_urgent_heartbeat
+                ),
+                quarantine=self._quarantine,
                 is_current=self._is_current,
                 store_unavailable=lambda: self._follower.store_unavailable,
             )
@@ -402,7 +416,21 @@
                 return False
         return self._follower.is_current()
 
+    def _send_urgent_heartbeat(self) -> None:
+        """Sends a heartbeat as soon as the least gap between them allows."""
+        if self._urgent_heartbeat is not None:
+            return
+        gap_ms = min_heartbeat_gap_ms(len(self._view.members))
+        due_ms = self._heartbeat_sent_ms + gap_ms - self._clock.now_ms()
+        self._urgent_heartbeat = asyncio.get_running_loop().call_later(
+            max(0, due_ms) / _MS_PER_S, self._send_heartbeat
+        )
+
     def _send_heartbeat(self) -> None:
+        if self._urgent_heartbeat is not None:
+            self._urgent_heartbeat.cancel()
+            self._urgent_heartbeat = None
+        self._heartbeat_sent_ms = self._clock.now_ms()
         self._sequence += 1
         heartbeat = Heartbeat(
             node=self._settings.name,
@@ -418,6 +446,7 @@
             configuration=self._configuration_version,
             stopped=self._rollout_controller.stopped_orders(),
             unreachable=self._dispatcher.own_unreachable(),
+            prompts=self._quarantine.report(),
         )
         others = [
             member
@@ -428,6 +457,7 @@
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
+        self._quarantine.merge(heartbeat.prompts)
         if heartbeat.current and heartbeat.version <= self._view.version:
             self._follower.confirm_current()
         if heartbeat.era == self._view.era:
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -3,7 +3,8 @@
 Heartbeats are small UDP datagrams, sent every 0.4 to 1.6 seconds. They carry
 totals, never deltas, so that the next one makes up for a lost one. They show
 which daemons are alive or leaving, which revision of the fleet state each of
-them has, and its evidence on the versions of a roll-out.
+them has, and its evidence on the versions of a roll-out and on parts of prompts
+under which upstreams end.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from trefoilpitch.fleet import Item, ItemBatch, Member, StoreVersion
 from trefoilpitch.gateway._exceptions import PeerReplyError
 from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._prompt_parts import EvidenceReport
 from trefoilpitch.gateway._rollouts import VersionEvidence
 from trefoilpitch.rendezvous import rank
 
@@ -30,6 +32,7 @@
 _MIN_INTERVAL_MS = 400
 _MAX_INTERVAL_MS = 1_600
 _MISSED_HEARTBEATS = 3
+_URGENT_PER_INTERVAL = 4
 _MIN_PEER_TIMEOUT_MS = 2_500
 # Number of daemons that watch the store; the others get changes from them. In a
 # fleet of up to this size all daemons watch; in a larger one there are enough
@@ -83,6 +86,8 @@
     stopped: tuple[tuple[str, int], ...] = ()
     # Digests of the upstreams that it cannot reach.
     unreachable: tuple[int, ...] = ()
+    # The fleet's evidence on parts of prompts, as far as it knows it.
+    prompts: EvidenceReport = EvidenceReport()
 
     @property
     def version(self) -> StoreVersion:
@@ -166,6 +171,11 @@
     return min(_MAX_INTERVAL_MS, max(_MIN_INTERVAL_MS, interval_ms))
 
 
+def min_heartbeat_gap_ms(members: int) -> int:
+    """Returns the least time between heartbeats with urgent evidence."""
+    return heartbeat_interval_ms(members) // _URGENT_PER_INTERVAL
+
+
 def peer_timeout_ms(members: int) -> int:
     """Returns the time without a heartbeat after which a peer is dead."""
     missed_ms = _MISSED_HEARTBEATS * heartbeat_interval_ms(members)
@@ -320,13 +330,14 @@
         self._on_heartbeat(heartbeat)
 
     def send(self, heartbeat: Heartbeat, members: list[Member]) -> None:
-        """Sends a heartbeat, without `in_flight` if it would be too large."""
+        """Sends a heartbeat, without details if it would be too large."""
         if self._transport is None:
             return
         data = msgspec.msgpack.encode(heartbeat)
-        if len(data) > _MAX_DATAGRAM_BYTES:
-            reduced = msgspec.structs.replace(heartbeat, in_flight={})
-            data = msgspec.msgpack.encode(reduced)
+        for field, empty in (("in_flight", {}), ("prompts", EvidenceReport())):
+            if len(data) > _MAX_DATAGRAM_BYTES:
+                heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
+                data = msgspec.msgpack.encode(heartbeat)
         for member in members:
             address = (member.peer_host, member.heartbeat_port)
             self._transport.sendto(data, address)
--- a/trefoilpitch/gateway/_request_dependencies.py
+++ b/trefoilpitch/gateway/_request_dependencies.py
@@ -12,6 +12,7 @@
 from trefoilpitch.gateway._health import ExpectedLatencies
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelSelector
+from trefoilpitch.gateway._quarantine import PromptQuarantine
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
@@ -36,6 +37,8 @@
     metrics: Metrics
     # Learns which parts of prompts end upstreams.
     cut_attempts: CutAttempts
+    # Refuses requests whose prompt ends upstreams.
+    quarantine: PromptQuarantine
     # Whether no newer configuration can have been missed.
     is_current: Callable[[], bool]
     # Whether the store is known to be unavailable.
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -155,8 +155,12 @@
         self, service: str, budget: WindowedRetryBudget
     ) -> str:
         while True:
+            refused_ms = self._deps.quarantine.refused_for_ms(self._request)
             if self._successor is not None:
                 entry = self._successor.entry
+            elif refused_ms is not None:
+                self._attempt_log.append("prompt part in quarantine")
+                return await self._send_failure(refused_ms)
             else:
                 found = await self._find_upstream(service, budget)
                 if isinstance(found, NoUpstream):
@@ -246,7 +250,6 @@
         try:
             with self._counted(entry):
                 await self._exchange(entry, budget, progress)
-            self._deps.cut_attempts.record_complete(self._request)
         except _EscalationRequested as escalation:
             self._attempts = self._attempts.with_replaced_response()
             self._tiers.escalate(escalation.tier, escalation.confidence)
@@ -288,6 +291,10 @@
                     FailureKind.NOT_SENT,
                     "upstream taken out of service while connecting",
                 )
+            if not self._deps.quarantine.start_attempt(self._request):
+                raise ExchangeError(
+                    FailureKind.NOT_SENT, "prompt part in quarantine"
+                )
             self._spend_budget(budget)
             started_ms = self._deps.clock.now_ms()
             self._send(connection, entry, started_ms)
@@ -326,9 +333,14 @@
                 await self._receive_plain(
                     connection, entry, response, attempt.started_ms
                 )
-                return
-            self._maybe_escalate(entry, response, attempt.started_ms, budget)
-            await self._forward_stream(attempt, response, budget)
+            else:
+                self._maybe_escalate(
+                    entry, response, attempt.started_ms, budget
+                )
+                await self._forward_stream(attempt, response, budget)
+        self._deps.cut_attempts.record_complete(
+            entry, self._request, response.head
+        )
 
     async def _await_response(
         self, attempt: _SentAttempt, budget: WindowedRetryBudget
--- a/trefoilpitch/platform/tests/test_crashing_prompt_part.py
+++ b/trefoilpitch/platform/tests/test_crashing_prompt_part.py
@@ -282,9 +282,15 @@
             async with contextlib.AsyncExitStack() as stack:
                 await _add_daemon(fleet, stack)
                 crashes = len(fleet.crashes)
+                fleet.outcomes.clear()
                 await _send_both(fleet, 1.0)
                 await fleet.complete()
                 assert len(fleet.crashes) == crashes
+                statuses = {
+                    _CRASHING in outcome.parts: outcome.status
+                    for outcome in fleet.outcomes
+                }
+                assert statuses == {True: 503, False: 200}
 
     run(scenario)
 
