--- /dev/null
+++ b/trefoilpitch/gateway/_handover.py
@@ -0,0 +1,226 @@
+"""Hands the request of a stalled attempt over to another upstream.
+
+Load pattern: a sound upstream falls silent for about a second, and all of its
+requests stall at the same time, at all daemons. The other upstreams then refuse
+some of them, and the retry budgets are empty. So the stalled attempt is kept
+until another upstream has accepted the request; its silence alone never ends a
+response before the caller's deadline.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Coroutine
+from typing import Any, Protocol, TypeVar
+
+from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.gateway._exceptions import ExchangeError
+from trefoilpitch.gateway._http_client import HttpConnection
+from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._messages import UpstreamResponse
+from trefoilpitch.gateway._request_dependencies import RequestDependencies
+from trefoilpitch.metrics import Label
+from trefoilpitch.retries import FailureKind
+
+# How long a stalled attempt is kept while another upstream has the request too.
+# Both may work on it for 400 ms at most.
+_HANDOVER_MS = 300
+_MS_PER_S = 1_000
+
+_T = TypeVar("_T")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SentAttempt:
+    """An attempt whose request has been sent."""
+
+    entry: UpstreamEntry
+    connection: HttpConnection
+    # Monotonic time when the request was sent.
+    started_ms: int
+    # None until the head has arrived and proved valid.
+    response: UpstreamResponse | None = None
+
+
+class AttemptSender(Protocol):
+    """Sends the attempts of one request and keeps their record."""
+
+    def find_successor(self) -> UpstreamEntry | str:
+        """Returns an upstream not yet attempted, or why there is none."""
+
+    def counted(
+        self, entry: UpstreamEntry
+    ) -> contextlib.AbstractContextManager[None]:
+        """Counts an attempt as in flight at its upstream."""
+
+    async def begin(self, entry: UpstreamEntry) -> SentAttempt:
+        """Connects to an upstream and sends it the request.
+
+        Raises:
+            ExchangeError: If the request was not sent.
+        """
+
+    async def receive_response(
+        self, attempt: SentAttempt, timeout_ms: float
+    ) -> UpstreamResponse:
+        """Waits for the head of a response and checks it.
+
+        Raises:
+            ExchangeError: If it does not arrive in time, or is a refusal or
+                malformed.
+        """
+
+    def record_failure(
+        self, entry: UpstreamEntry, error: ExchangeError
+    ) -> None:
+        """Records a failed attempt."""
+
+    def record_withdrawn(self) -> None:
+        """Records an attempt that was abandoned and may have run."""
+
+
+class HandOver:
+    """Keeps the stalled attempts of one request until another takes over.
+
+    Args:
+        deps: Collaborators that all requests of the daemon share.
+        request_id: The request, for the log.
+        sender: Sends its attempts.
+    """
+
+    def __init__(
+        self, deps: RequestDependencies, request_id: str, sender: AttemptSender
+    ) -> None:
+        self._deps = deps
+        self._request_id = request_id
+        self._sender = sender
+        self._successor: SentAttempt | None = None
+
+    @property
+    def successor(self) -> SentAttempt | None:
+        """The attempt that takes over from the stalled one, if any."""
+        return self._successor
+
+    def take_successor(self) -> SentAttempt | None:
+        """Returns the attempt that takes over; the caller then owns it."""
+        successor, self._successor = self._successor, None
+        return successor
+
+    def close(self) -> None:
+        """Closes the connection of an attempt that nobody has taken."""
+        if self._successor is not None:
+            self._successor.connection.close()
+
+    async def keep(
+        self,
+        stalled: SentAttempt,
+        progress: Coroutine[Any, Any, _T],
+        pause_ms: float,
+    ) -> _T:
+        """Waits on for a stalled attempt, and offers its request to others.
+
+        Args:
+            stalled: The attempt; it is kept until another upstream has
+                accepted the request, or has not refused it for a while.
+            progress: Waits for the next part of its response.
+            pause_ms: How long it has been silent, and after how long the
+                request is offered again.
+
+        Returns:
+            The next part of its response.
+
+        Raises:
+            ExchangeError: If another upstream has taken over, or `progress`
+                failed.
+        """
+        waiting = asyncio.create_task(progress)
+        silent_ms = pause_ms
+        try:
+            while not waiting.done():
+                decision = await self._find_successor(waiting)
+                self._log(stalled.entry, silent_ms, decision)
+                if self._successor is not None:
+                    raise ExchangeError(
+                        FailureKind.RESPONSE_TIMEOUT,
+                        f"superseded after {silent_ms:.0f} ms",
+                    )
+                await asyncio.wait({waiting}, timeout=pause_ms / _MS_PER_S)
+                silent_ms += pause_ms
+            part = await waiting
+            self._record_resumed(stalled.entry)
+            return part
+        finally:
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+
+    def _record_resumed(self, entry: UpstreamEntry) -> None:
+        """Records that a silent upstream goes on, which ends an ejection."""
+        health = self._deps.dispatcher.health(entry.upstream_id)
+        health.record_success(None, self._deps.clock.now_ms())
+
+    def _log(
+        self, entry: UpstreamEntry, silent_ms: float, decision: str
+    ) -> None:
+        self._deps.metrics.count(
+            "stalls", Label(name="decision", value=decision.partition(":")[0])
+        )
+        log_event(
+            "attempt_stalled",
+            id=self._request_id,
+            upstream=entry.upstream_id,
+            pause_ms=round(silent_ms),
+            decision=decision,
+        )
+
+    async def _find_successor(self, stalled: asyncio.Task[Any]) -> str:
+        """Sets `_successor` if another upstream takes the request.
+
+        Returns:
+            The decision, for the log.
+        """
+        entry = self._sender.find_successor()
+        if not isinstance(entry, UpstreamEntry):
+            return f"kept: {entry}"
+        sender = self._sender
+        with sender.counted(entry), contextlib.ExitStack() as stack:
+            try:
+                attempt = await sender.begin(entry)
+                stack.enter_context(attempt.connection)
+                accepted = await self._accepts(attempt, stalled)
+            except ExchangeError as error:
+                sender.record_failure(entry, error)
+                return f"kept: {entry.upstream_id} {error.kind.value}"
+            if not accepted:
+                sender.record_withdrawn()
+                return f"kept: resumed before {entry.upstream_id} responded"
+            stack.pop_all()
+        self._successor = attempt
+        return f"moved: {entry.upstream_id}"
+
+    async def _accepts(
+        self, attempt: SentAttempt, stalled: asyncio.Task[Any]
+    ) -> bool:
+        """Returns whether an attempt takes over from a stalled one.
+
+        Raises:
+            ExchangeError: If its upstream refused the request or failed.
+        """
+        response = asyncio.create_task(
+            self._sender.receive_response(attempt, _HANDOVER_MS)
+        )
+        try:
+            await asyncio.wait(
+                {stalled, response}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if stalled.done() and stalled.exception() is None:
+                return False
+            attempt.response = await response
+        except ExchangeError as error:
+            if error.kind is not FailureKind.RESPONSE_TIMEOUT:
+                raise
+        finally:
+            response.cancel()
+            await asyncio.gather(response, return_exceptions=True)
+        return True
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import contextlib
-import dataclasses
-from collections.abc import Coroutine, Iterator
-from typing import Any, TypeVar
+from collections.abc import Iterator
+from typing import TypeVar
 
 from trefoilpitch.fleet import OperationKind, Route, UpstreamEntry
 from trefoilpitch.gateway._admission import Admitted
@@ -22,6 +21,7 @@
 from trefoilpitch.gateway._event_reader import EventReader
 from trefoilpitch.gateway._events import RawEvent
 from trefoilpitch.gateway._exceptions import ExchangeError
+from trefoilpitch.gateway._handover import HandOver, SentAttempt
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._http_server import Responder
 from trefoilpitch.gateway._log import log_event
@@ -36,7 +36,7 @@
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
 from trefoilpitch.metrics import Label
-from trefoilpitch.retries import Execution, FailureKind, WindowedRetryBudget
+from trefoilpitch.retries import Execution, FailureKind
 
 # Maximum size of a plain response; it is buffered until it is complete.
 _MAX_PLAIN_BYTES = 8 * 1024 * 1024
@@ -81,18 +81,6 @@
         self.confidence = confidence
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _SentAttempt:
-    """An attempt whose request has been sent."""
-
-    entry: UpstreamEntry
-    connection: HttpConnection
-    # Monotonic time when the request was sent.
-    started_ms: int
-    # None until the head has arrived and proved valid.
-    response: UpstreamResponse | None = None
-
-
 class RequestRun:
     """Runs one admitted request to completion.
 
@@ -118,10 +106,11 @@
         self._attempts_sent = 0
         self._attempt_log: list[str] = []
         self._attempted_ids: list[str] = []
+        self._service = deps.dispatcher.pick_service(admitted.route)
+        self._budget = deps.budget(self._service)
         self._tiers = TierChoice(deps, request, admitted.route)
         self._last_event_id: int | None = None
-        # The attempt that takes over from a stalled one.
-        self._successor: _SentAttempt | None = None
+        self._hand_over = HandOver(deps, request.request_id, self)
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
         arrived_ms = request.http.arrived_ms
         timeout_ms = admitted.route.timeout_ms
@@ -138,50 +127,44 @@
 
     async def serve(self) -> None:
         """Runs attempts until a response is sent, and logs the outcome."""
-        service = self._deps.dispatcher.pick_service(self._route)
-        budget = self._deps.budget(service)
-        budget.record_first_attempt()
+        self._budget.record_first_attempt()
         outcome = "cancelled"
         try:
-            outcome = await self._run_attempts(service, budget)
+            outcome = await self._run_attempts()
         finally:
-            if self._successor is not None:
-                self._successor.connection.close()
-            self._log_completion(service, outcome)
+            self._hand_over.close()
+            self._log_completion(outcome)
 
-    async def _run_attempts(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> str:
+    async def _run_attempts(self) -> str:
         while True:
-            if self._successor is not None:
-                entry = self._successor.entry
+            successor = self._hand_over.successor
+            if successor is not None:
+                entry = successor.entry
             else:
-                found = await self._find_upstream(service, budget)
+                found = await self._find_upstream()
                 if isinstance(found, NoUpstream):
                     self._attempt_log.append(found.reason)
                     return await self._send_failure(found.available_in_ms)
                 entry = found
-            failure = await self._run_attempt(entry, budget)
+            failure = await self._run_attempt(entry)
             if failure is None:
                 return "delivered"
-            if self._successor is not None:
+            if self._hand_over.successor is not None:
                 continue
             reason = stop_reason(
                 self._route,
                 self._attempts,
-                affordable=self._affords_attempt(budget),
+                affordable=self._affords_attempt(),
                 started=self._responder.started,
             )
             if reason is not None:
                 self._attempt_log.append(f"not retried: {reason.value}")
                 return await self._send_failure()
 
-    def _affords_attempt(self, budget: WindowedRetryBudget) -> bool:
-        return self._attempts_sent == 0 or budget.affords()
+    def _affords_attempt(self) -> bool:
+        return self._attempts_sent == 0 or self._budget.affords()
 
-    async def _find_upstream(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> UpstreamEntry | NoUpstream:
+    async def _find_upstream(self) -> UpstreamEntry | NoUpstream:
         """Chooses an upstream; waits a while if none is free at the moment.
 
         A response in progress waits until its caller's deadline.
@@ -198,8 +181,8 @@
             slot_wait_ms = _SLOT_WAIT_SHARE * self._route.target_latency_ms
             wait_ms = min(wait_ms, int(slot_wait_ms))
         return await self._deps.waiter.wait(
-            service,
-            lambda: self._choose(service, budget),
+            self._service,
+            self._choose,
             WaitTerms(
                 priority=self._admitted.priority,
                 workspace=self._admitted.workspace,
@@ -208,16 +191,14 @@
             ),
         )
 
-    def _choose(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> UpstreamEntry | NoUpstream:
-        if not self._affords_attempt(budget):
+    def _choose(self) -> UpstreamEntry | NoUpstream:
+        if not self._affords_attempt():
             return NoUpstream(
                 reason="retry budget exhausted", available_in_ms=None
             )
         return self._deps.dispatcher.choose(
             self._request,
-            service,
+            self._service,
             model=self._tiers.model,
             excluded=self._attempted_ids,
         )
@@ -227,9 +208,7 @@
             return self._caller_deadline_ms - now_ms
         return self._response_deadline_ms - now_ms
 
-    async def _run_attempt(
-        self, entry: UpstreamEntry, budget: WindowedRetryBudget
-    ) -> FailureKind | None:
+    async def _run_attempt(self, entry: UpstreamEntry) -> FailureKind | None:
         """Runs one attempt.
 
         Returns:
@@ -238,20 +217,20 @@
             failure.
         """
         try:
-            with self._counted(entry):
-                await self._exchange(entry, budget)
+            with self.counted(entry):
+                await self._exchange(entry)
         except _EscalationRequested as escalation:
             self._attempts = self._attempts.with_replaced_response()
             self._tiers.escalate(escalation.tier, escalation.confidence)
             self._attempted_ids.clear()
             return FailureKind.RESPONSE_TRUNCATED
         except ExchangeError as error:
-            self._record_failure(entry, error)
+            self.record_failure(entry, error)
             return error.kind
         return None
 
     @contextlib.contextmanager
-    def _counted(self, entry: UpstreamEntry) -> Iterator[None]:
+    def counted(self, entry: UpstreamEntry) -> Iterator[None]:
         """Counts an attempt as in flight at its upstream."""
         health = self._deps.dispatcher.health(entry.upstream_id)
         self._attempted_ids.append(entry.upstream_id)
@@ -262,9 +241,7 @@
             health.in_flight -= 1
             self._deps.waiter.offer_places(entry.service)
 
-    async def _begin(
-        self, entry: UpstreamEntry, budget: WindowedRetryBudget
-    ) -> _SentAttempt:
+    async def begin(self, entry: UpstreamEntry) -> SentAttempt:
         """Connects to an upstream and sends it the request."""
         now_ms = self._deps.clock.now_ms()
         connection = await connect(
@@ -278,44 +255,40 @@
                     FailureKind.NOT_SENT,
                     "upstream taken out of service while connecting",
                 )
-            self._spend_budget(budget)
+            self._spend_budget()
             started_ms = self._deps.clock.now_ms()
             self._send(connection, entry, started_ms)
         except ExchangeError:
             connection.close()
             raise
-        return _SentAttempt(
+        return SentAttempt(
             entry=entry, connection=connection, started_ms=started_ms
         )
 
-    def _spend_budget(self, budget: WindowedRetryBudget) -> None:
+    def _spend_budget(self) -> None:
         # Other requests may have spent the budget while this one connected.
-        if self._attempts_sent > 0 and not budget.spend():
+        if self._attempts_sent > 0 and not self._budget.spend():
             raise ExchangeError(FailureKind.NOT_SENT, "retry budget exhausted")
         self._attempts_sent += 1
 
-    async def _exchange(
-        self, entry: UpstreamEntry, budget: WindowedRetryBudget
-    ) -> None:
-        attempt, self._successor = self._successor, None
+    async def _exchange(self, entry: UpstreamEntry) -> None:
+        attempt = self._hand_over.take_successor()
         if attempt is None:
-            attempt = await self._begin(entry, budget)
+            attempt = await self.begin(entry)
         with attempt.connection as connection:
             response = attempt.response
             if response is None:
-                response = await self._await_response(attempt, budget)
+                response = await self._await_response(attempt)
             streamed = self._route.kind is OperationKind.STREAM
             if response.head.status != _OK or not streamed:
                 await self._receive_plain(
                     connection, entry, response, attempt.started_ms
                 )
                 return
-            self._maybe_escalate(entry, response, attempt.started_ms, budget)
-            await self._forward_stream(attempt, response, budget)
+            self._maybe_escalate(entry, response, attempt.started_ms)
+            await self._forward_stream(attempt, response)
 
-    async def _await_response(
-        self, attempt: _SentAttempt, budget: WindowedRetryBudget
-    ) -> UpstreamResponse:
+    async def _await_response(self, attempt: SentAttempt) -> UpstreamResponse:
         """Waits for the head of a response; a slow one may be superseded.
 
         Raises:
@@ -330,23 +303,22 @@
             self._deps.expected_latencies.expected_ms(
                 self._tiers.latency_key, default_ms=0.0
             ),
-            affordable=budget.affords(),
+            affordable=self._budget.affords(),
         )
         try:
-            return await self._receive_response(attempt, timeout_ms)
+            return await self.receive_response(attempt, timeout_ms)
         except ExchangeError as error:
             stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
             if not stalled or timeout_ms >= remaining_ms:
                 raise
-        return await self._keep_or_hand_over(
+        return await self._hand_over.keep(
             attempt,
-            self._receive_response(attempt, remaining_ms - timeout_ms),
+            self.receive_response(attempt, remaining_ms - timeout_ms),
             timeout_ms,
-            budget,
         )
 
-    async def _receive_response(
-        self, attempt: _SentAttempt, timeout_ms: float
+    async def receive_response(
+        self, attempt: SentAttempt, timeout_ms: float
     ) -> UpstreamResponse:
         head = await attempt.connection.receive_head(timeout_ms)
         response = self._deps.codec.decode_response(self._request, head)
@@ -414,7 +386,6 @@
         entry: UpstreamEntry,
         response: UpstreamResponse,
         started_ms: int,
-        budget: WindowedRetryBudget,
     ) -> None:
         if self._responder.started:
             return
@@ -423,7 +394,7 @@
             return
         if self._attempts.runs + 1 >= self._route.max_attempts:
             return
-        if not budget.affords():
+        if not self._budget.affords():
             return
         tier = self._tiers.escalation(entry.service, response.confidence)
         if tier is not None:
@@ -463,14 +434,13 @@
 
     async def _forward_stream(
         self,
-        attempt: _SentAttempt,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        budget: WindowedRetryBudget,
     ) -> None:
         reader = EventReader(attempt.connection, self._deps.clock)
         first = True
         while True:
-            events = await self._next_events(reader, attempt, budget)
+            events = await self._next_events(reader, attempt)
             if events is None:
                 break
             if first:
@@ -506,8 +476,7 @@
     async def _next_events(
         self,
         reader: EventReader,
-        attempt: _SentAttempt,
-        budget: WindowedRetryBudget,
+        attempt: SentAttempt,
     ) -> list[RawEvent] | None:
         """Waits for events; a stalled stream is kept until another resumes it.
 
@@ -526,149 +495,21 @@
             stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
             if not stalled or gap_ms >= limit_ms:
                 raise
-        return await self._keep_or_hand_over(
-            attempt, reader.read(limit_ms), gap_ms, budget
-        )
-
-    async def _keep_or_hand_over(
-        self,
-        attempt: _SentAttempt,
-        progress: Coroutine[Any, Any, _T],
-        pause_ms: float,
-        budget: WindowedRetryBudget,
-    ) -> _T:
-        """Waits on for a stalled attempt, and offers its request to others.
-
-        Args:
-            attempt: The stalled attempt; it is kept until another upstream has
-                accepted the request, or has not refused it for a while.
-            progress: Waits for the next part of its response.
-            pause_ms: How long it has been silent, and after how long the
-                request is offered again.
-            budget: The service's retry budget.
-
-        Returns:
-            The next part of its response.
-
-        Raises:
-            ExchangeError: If another upstream has taken over, or `progress`
-                failed.
-        """
-        waiting = asyncio.create_task(progress)
-        silent_ms = pause_ms
-        try:
-            while not waiting.done():
-                await self._hand_over(attempt, waiting, silent_ms, budget)
-                if self._successor is not None:
-                    raise ExchangeError(
-                        FailureKind.RESPONSE_TIMEOUT,
-                        f"superseded after {silent_ms:.0f} ms",
-                    )
-                await asyncio.wait({waiting}, timeout=pause_ms / _MS_PER_S)
-                silent_ms += pause_ms
-            part = await waiting
-            self._record_resumed(attempt.entry)
-            return part
-        finally:
-            waiting.cancel()
-            await asyncio.gather(waiting, return_exceptions=True)
-
-    def _record_resumed(self, entry: UpstreamEntry) -> None:
-        """Records that a silent upstream goes on, which ends an ejection."""
-        health = self._deps.dispatcher.health(entry.upstream_id)
-        health.record_success(None, self._deps.clock.now_ms())
-
-    async def _hand_over(
-        self,
-        stalled: _SentAttempt,
-        waiting: asyncio.Task[Any],
-        pause_ms: float,
-        budget: WindowedRetryBudget,
-    ) -> None:
-        """Sets `_successor` if another upstream takes a stalled request."""
-        found = self._find_successor(stalled.entry.service, budget)
-        if isinstance(found, UpstreamEntry):
-            decision = await self._offer(found, waiting, budget)
-        else:
-            decision = f"kept: {found}"
-        self._deps.metrics.count(
-            "stalls", Label(name="decision", value=decision.partition(":")[0])
-        )
-        log_event(
-            "attempt_stalled",
-            id=self._request.request_id,
-            upstream=stalled.entry.upstream_id,
-            pause_ms=round(pause_ms),
-            event_id=self._last_event_id,
-            decision=decision,
+        return await self._hand_over.keep(
+            attempt, reader.read(limit_ms), gap_ms
         )
 
-    def _find_successor(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> UpstreamEntry | str:
+    def find_successor(self) -> UpstreamEntry | str:
         """Returns another upstream, or why there is none."""
         if self._attempts.runs + 1 >= self._route.max_attempts:
             return "attempts used up"
-        found = self._choose(service, budget)
+        found = self._choose()
         if isinstance(found, NoUpstream):
             return found.reason
         if found.upstream_id in self._attempted_ids:
             return "all upstreams already attempted"
         return found
 
-    async def _offer(
-        self,
-        entry: UpstreamEntry,
-        stalled: asyncio.Task[Any],
-        budget: WindowedRetryBudget,
-    ) -> str:
-        """Sends the request to another upstream and waits for its response.
-
-        Returns:
-            The decision, for the log.
-        """
-        with self._counted(entry), contextlib.ExitStack() as stack:
-            try:
-                attempt = await self._begin(entry, budget)
-                stack.enter_context(attempt.connection)
-                accepted = await self._accepts(attempt, stalled)
-            except ExchangeError as error:
-                self._record_failure(entry, error)
-                return f"kept: {entry.upstream_id} {error.kind.value}"
-            if not accepted:
-                # The other upstream may have run it.
-                self._attempts = self._attempts.with_replaced_response()
-                return f"kept: resumed before {entry.upstream_id} responded"
-            stack.pop_all()
-        self._successor = attempt
-        return f"moved: {entry.upstream_id}"
-
-    async def _accepts(
-        self, attempt: _SentAttempt, stalled: asyncio.Task[Any]
-    ) -> bool:
-        """Returns whether an attempt takes over from a stalled one.
-
-        Raises:
-            ExchangeError: If its upstream refused the request or failed.
-        """
-        response = asyncio.create_task(
-            self._receive_response(attempt, _HANDOVER_MS)
-        )
-        try:
-            await asyncio.wait(
-                {stalled, response}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if stalled.done() and stalled.exception() is None:
-                return False
-            attempt.response = await response
-        except ExchangeError as error:
-            if error.kind is not FailureKind.RESPONSE_TIMEOUT:
-                raise
-        finally:
-            response.cancel()
-            await asyncio.gather(response, return_exceptions=True)
-        return True
-
     def _record_success(
         self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
     ) -> None:
@@ -693,7 +534,7 @@
         )
         deps.metrics.observe_ms("upstream_first_answer", latency_ms)
 
-    def _record_failure(
+    def record_failure(
         self, entry: UpstreamEntry, error: ExchangeError
     ) -> None:
         deps = self._deps
@@ -724,6 +565,10 @@
             ejected_ms=max(0, health.ejected_until_ms - now_ms),
         )
 
+    def record_withdrawn(self) -> None:
+        """Records an attempt that was abandoned and may have run."""
+        self._attempts = self._attempts.with_replaced_response()
+
     async def fail(self) -> None:
         """Ends a request after an internal error.
 
@@ -764,7 +609,7 @@
             return _GATEWAY_TIMEOUT, None
         return _BAD_GATEWAY, None
 
-    def _log_completion(self, service: str, outcome: str) -> None:
+    def _log_completion(self, outcome: str) -> None:
         deps = self._deps
         elapsed_ms = deps.clock.now_ms() - self._request.http.arrived_ms
         deps.metrics.count("requests", Label(name="outcome", value=outcome))
@@ -773,7 +618,7 @@
             "request",
             id=self._request.request_id,
             route=self._route.name,
-            service=service,
+            service=self._service,
             workspace=self._admitted.workspace,
             configuration=self._admitted.configuration_version,
             session=self._request.session,
