Answer a request whose handler fails

Callers: a connection was closed without an answer if anything raised an unexpected exception before the request's own error handling began, such as admission or the choice of a service.

Cause: the server aborted the connection whether or not a part of a response had been sent.

Evidence: test_request_whose_handler_fails_gets_a_response fails without the change (connection closed without a response). A response in progress still ends incomplete.

The caller gets 500, which promises nothing about whether the request has run.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
 from types import TracebackType
@@ -26,6 +27,7 @@
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
+_INTERNAL_ERROR = 500
 # Bytes of a header line besides name and value: colon, space and CRLF.
 _LINE_BYTES = 4
 
@@ -312,8 +314,9 @@
         )
 
     async def _serve(self, request: HttpRequest) -> None:
+        responder = Responder(self)
         try:
-            await self._state.handler(request, Responder(self))
+            await self._state.handler(request, responder)
         except CallerDisconnectedError:
             return
         except Exception as error:
@@ -322,7 +325,7 @@
                 error,
                 target=request.target.decode("latin-1"),
             )
-            self.abort()
+            await self._end_failed(responder)
         except asyncio.CancelledError:
             self.abort()
             raise
@@ -332,6 +335,13 @@
             self._head = None
         self._next_cycle()
 
+    async def _end_failed(self, responder: Responder) -> None:
+        if responder.started:
+            self.abort()
+            return
+        with contextlib.suppress(CallerDisconnectedError):
+            await responder.respond(_INTERNAL_ERROR, [], b"")
+
     def _next_cycle(self) -> None:
         if self._closed or self._transport is None:
             return
