Bound the work for a long queue of waiting requests

Since responses in progress wait until their callers' deadlines, many can wait while no upstream is left.

The interval now grows with the queue; places that are freed by this daemon's own requests are still offered at once. 600 choices a second at most in the test.

--- a/trefoilpitch/gateway/_upstream_waiter.py
+++ b/trefoilpitch/gateway/_upstream_waiter.py
@@ -17,6 +17,8 @@
 # How often places are offered besides when a request ends here: upstreams also
 # become free by other daemons' requests, or as their ejection ends.
 _OFFER_INTERVAL_MS = 20
+# The same for each waiting request, so that a long queue costs no more.
+_OFFER_INTERVAL_PER_REQUEST_MS = 2
 _MS_PER_S = 1_000
 
 
@@ -110,9 +112,13 @@
     def _start_timer(self, service: str) -> None:
         if service in self._timers:
             return
+        interval_ms = max(
+            _OFFER_INTERVAL_MS,
+            _OFFER_INTERVAL_PER_REQUEST_MS * len(self._queues[service]),
+        )
         loop = asyncio.get_running_loop()
         self._timers[service] = loop.call_later(
-            _OFFER_INTERVAL_MS / _MS_PER_S, self._on_timer, service
+            interval_ms / _MS_PER_S, self._on_timer, service
         )
 
     def _on_timer(self, service: str) -> None:
--- a/trefoilpitch/gateway/tests/test_waiting.py
+++ b/trefoilpitch/gateway/tests/test_waiting.py
@@ -202,3 +202,32 @@
         assert waiter.waiting() == {"s": 0}
 
     asyncio.run(scenario())
+
+
+def test_cost_of_a_long_queue_is_bounded_while_no_upstream_is_left() -> None:
+    """Many responses in progress wait for the upstreams to start again."""
+
+    async def scenario() -> None:
+        clock = SystemClock()
+        waiter = UpstreamWaiter(clock)
+        choices = 0
+
+        def choose() -> UpstreamEntry | NoUpstream:
+            nonlocal choices
+            choices += 1
+            return NoUpstream(reason="none", available_in_ms=None)
+
+        terms = WaitTerms(
+            priority=1,
+            workspace="w",
+            until_ms=clock.now_ms() + 1_000,
+            started=True,
+        )
+        waits = [waiter.wait("s", choose, terms) for _ in range(100)]
+        tasks = [asyncio.create_task(wait) for wait in waits]
+        await asyncio.sleep(0)
+        choices = 0
+        await asyncio.gather(*tasks)
+        assert choices <= 600
+
+    asyncio.run(scenario())
