--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -81,7 +81,7 @@
         progress: AttemptProgress,
     ) -> None:
         """Examines the upstream of a failed attempt if that was cut off."""
-        if kind not in _CUT or not progress.sent or not shared_parts(request):
+        if kind not in _CUT or not shared_parts(request):
             return
         now_ms = self._clock.now_ms()
         first_ms = progress.first_event_ms
--- a/trefoilpitch/gateway/_prompt_parts.py
+++ b/trefoilpitch/gateway/_prompt_parts.py
@@ -36,10 +36,8 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class AttemptProgress:
-    """How far an attempt at an upstream has come."""
+    """How far an upstream has come with a request."""
 
-    # Whether the request has been sent.
-    sent: bool = False
     # Whether the head of a response has arrived.
     responding: bool = False
     # Monotonic time of the first event of a stream; None if there is none.
--- a/trefoilpitch/gateway/tests/test_cut_attempts.py
+++ b/trefoilpitch/gateway/tests/test_cut_attempts.py
@@ -99,7 +99,7 @@
                 cut_attempts.record_complete(entry, _request(), head)
             else:
                 progress = AttemptProgress(
-                    sent=True, responding=True, first_event_ms=clock.now_ms()
+                    responding=True, first_event_ms=clock.now_ms()
                 )
                 clock.advance(responded_ms)
                 cut_attempts.record_failure(entry, _request(), kind, progress)
