Reproduce responses without end

Bytes that are no answer may come without end until the caller closes. On this code such responses hold a request until its deadline, the event loop, or memory. Seen in one run of these tests:

- 10,000 chunks or events were handled without a turn for other tasks.
- 240,035 bytes of a malformed head were copied into the detail of a log line.

--- a/trefoilpitch/gateway/tests/test_event_reader.py
+++ b/trefoilpitch/gateway/tests/test_event_reader.py
@@ -79,3 +79,46 @@
         assert [e.event_id for e in events or []] == [1]
 
     asyncio.run(scenario())
+
+
+def test_endless_comments_are_malformed() -> None:
+    """Data that is always at hand never lets a wait expire."""
+
+    async def scenario() -> None:
+        reader = _reader(*[(0, b": ping\n\n" * 512)] * 1_000)
+        with pytest.raises(ExchangeError) as raised:
+            for _ in range(1_000):
+                await reader.read(_GAP_MS)
+        assert raised.value.kind is FailureKind.MALFORMED_RESPONSE
+
+    asyncio.run(scenario())
+
+
+def test_comments_before_the_first_event_arrive_with_it() -> None:
+    """A stream without any event has not begun and may be sent elsewhere."""
+
+    async def scenario() -> None:
+        reader = _reader(
+            (100, b": ping\n\n"), (100, b": ping\n\nid: 1\n\n"), (0, None)
+        )
+        events = await reader.read(_GAP_MS)
+        data = b"".join(event.data for event in events or [])
+        assert data == b": ping\n\n: ping\n\nid: 1\n\n"
+        assert await reader.read(_GAP_MS) is None
+
+    asyncio.run(scenario())
+
+
+def test_many_events_are_handed_over_in_small_batches() -> None:
+    """Forwarding them must not hold the event loop."""
+
+    async def scenario() -> None:
+        count = 10_000
+        reader = _reader((0, b"id: 1\n\n" * count), (0, None))
+        total = 0
+        while (events := await reader.read(_GAP_MS)) is not None:
+            assert len(events) <= 100
+            total += len(events)
+        assert total == count
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/trefoilpitch/gateway/tests/test_http_client.py
@@ -0,0 +1,143 @@
+"""Tests of the client's buffering and of its share of the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from trefoilpitch.gateway import ExchangeError, HttpConnection
+from trefoilpitch.retries import FailureKind
+
+_TIMEOUT_MS = 1_000
+_SEGMENT = b"x" * 65_536
+# Bytes that a connection may hold while nobody reads them.
+_MAX_HELD_BYTES = 1 << 20
+
+
+class _Transport(asyncio.Transport):
+    """Delivers segments while reading is not paused."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        super().__init__()
+        self._connection = connection
+        self.reading = True
+        self.closed = False
+
+    def deliver(self, segment: bytes, times: int) -> int:
+        """Delivers a segment repeatedly; returns how often it was accepted."""
+        for number in range(times):
+            if self.closed or not self.reading:
+                return number
+            self._connection.data_received(segment)
+        return times
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def abort(self) -> None:
+        self.closed = True
+
+    def write(self, data: Any) -> None:
+        pass
+
+
+def _connected() -> tuple[HttpConnection, _Transport]:
+    connection = HttpConnection()
+    transport = _Transport(connection)
+    connection.connection_made(transport)
+    return connection, transport
+
+
+def _sent() -> tuple[HttpConnection, _Transport]:
+    connection, transport = _connected()
+    connection.send(b"GET", b"/x", [(b"Host", b"a")], b"")
+    return connection, transport
+
+
+def test_reading_pauses_while_nobody_takes_the_data() -> None:
+    async def scenario() -> None:
+        connection, transport = _sent()
+        transport.deliver(b"HTTP/1.1 200 OK\r\n\r\n", 1)
+        accepted = transport.deliver(_SEGMENT, 100)
+        assert accepted * len(_SEGMENT) <= _MAX_HELD_BYTES
+        assert not transport.closed
+        await connection.receive_head(_TIMEOUT_MS)
+        received = 0
+        while received < accepted * len(_SEGMENT):
+            data = await connection.receive_data(_TIMEOUT_MS)
+            received += len(data or b"")
+        with pytest.raises(ExchangeError) as raised:
+            await connection.receive_data(1)
+        assert raised.value.kind is FailureKind.RESPONSE_TIMEOUT
+        assert transport.reading
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("connect", [_connected, _sent])
+def test_idle_connection_that_receives_data_is_closed(
+    connect: Callable[[], tuple[HttpConnection, _Transport]],
+) -> None:
+    async def scenario() -> None:
+        connection, transport = connect()
+        if connect is _sent:
+            transport.deliver(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1
+            )
+            await connection.receive_head(_TIMEOUT_MS)
+            assert await connection.receive_data(_TIMEOUT_MS) is None
+            assert connection.reusable
+        accepted = transport.deliver(_SEGMENT, 100)
+        assert accepted * len(_SEGMENT) <= _MAX_HELD_BYTES
+        assert transport.closed
+        assert not connection.reusable
+
+    asyncio.run(scenario())
+
+
+def test_reading_many_parts_leaves_the_event_loop_to_others() -> None:
+    async def scenario() -> None:
+        connection, transport = _sent()
+        transport.deliver(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 1
+        )
+        transport.deliver(b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n", 1)
+        turns = 0
+
+        async def take_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        other = asyncio.create_task(take_turns())
+        await connection.receive_head(_TIMEOUT_MS)
+        body = await connection.receive_body(_TIMEOUT_MS * 10, 1 << 20)
+        other.cancel()
+        assert len(body) == 10_000
+        assert turns > 100
+
+    asyncio.run(scenario())
+
+
+def test_malformed_data_is_quoted_in_part_only() -> None:
+    """The detail of a failure is logged, whatever an upstream sends."""
+
+    async def scenario() -> None:
+        connection, transport = _sent()
+        transport.deliver(b"\0" * 60_000 + b"\r\n\r\n", 1)
+        with pytest.raises(ExchangeError) as raised:
+            await connection.receive_head(_TIMEOUT_MS)
+        assert raised.value.kind is FailureKind.MALFORMED_RESPONSE
+        assert len(raised.value.detail) < 1_000
+
+    asyncio.run(scenario())
