Send the endless part of a response that has no start

A correction of the test stand-in: a response with an empty start closed its connection at once instead of repeating its part, so that three cases failed with connection_lost. Nothing that the tests demand has changed.

--- a/trefoilpitch/platform/tests/endless.py
+++ b/trefoilpitch/platform/tests/endless.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import re
 from types import TracebackType
 from typing import Self
@@ -169,13 +170,13 @@
         self.requests += 1
         found = _ID.search(head)
         block = self._response.first_bytes(found[1] if found else b"id-1")
-        number = 0
-        while block and not writer.is_closing():
+        for number in itertools.count(1):
             writer.write(block)
             await writer.drain()
             self.sent += len(block)
-            number += 1
             block = self.block(number)
+            if not block or writer.is_closing():
+                return
             # `drain` does not yield while the buffer has room.
             await asyncio.sleep(0)
 
