Limit the bytes of a response besides its body

Callers: a request whose upstream sent informational responses or chunk extensions without end got no answer before its deadline, and no other upstream was asked; meanwhile the daemon parsed at full speed.

Cause: the parser limits one incomplete element only. Informational responses were skipped in any number, and bytes of chunk headers counted nowhere.

Evidence: in test_endless_responses.py a request took 8 s, its whole time, and a call to the store read 78 MB before its timeout.

A response now fails as malformed after 100 informational responses, or once its bytes besides the body exceed 128 KiB and 16 times the body, which chunks of a single byte do not reach.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -17,6 +17,11 @@
 Headers: TypeAlias = Sequence[tuple[bytes, bytes]]
 
 _MAX_HEAD_BYTES = 64 * 1024
+_MAX_INFORMATIONAL_RESPONSES = 100
+# Bytes of a response besides its body: heads, chunk headers and trailers. Small
+# chunks add several bytes to each of theirs.
+_MAX_FRAMING_BYTES = 2 * _MAX_HEAD_BYTES
+_MAX_FRAMING_RATIO = 16
 _MS_PER_S = 1_000
 
 
@@ -51,6 +56,11 @@
         self._received = asyncio.Event()
         self._failure: ExchangeError | None = None
         self._response_started = False
+        # Of the response in progress: bytes received, bytes of its body, and
+        # informational responses before its head.
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._informational_responses = 0
 
     @property
     def reusable(self) -> bool:
@@ -73,6 +83,7 @@
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser."""
         self._response_started = True
+        self._received_bytes += len(data)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -108,6 +119,9 @@
         if self._h11.our_state is h11.DONE:
             self._h11.start_next_cycle()
         self._response_started = False
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._informational_responses = 0
         request = h11.Request(
             method=method, target=target, headers=list(headers)
         )
@@ -221,11 +235,32 @@
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(self._kind(error), str(error)) from error
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._check_framing()
                 return None
             if isinstance(event, h11.InformationalResponse):
+                self._count_informational()
                 continue
+            if isinstance(event, h11.Data):
+                self._body_bytes += len(event.data)
             return event
 
+    def _count_informational(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > _MAX_INFORMATIONAL_RESPONSES:
+            raise ExchangeError(
+                FailureKind.MALFORMED_RESPONSE,
+                "too many informational responses",
+            )
+
+    def _check_framing(self) -> None:
+        framing = self._received_bytes - self._body_bytes
+        limit = _MAX_FRAMING_BYTES + _MAX_FRAMING_RATIO * self._body_bytes
+        if framing > limit:
+            raise ExchangeError(
+                FailureKind.MALFORMED_RESPONSE,
+                f"{framing} bytes besides a body of {self._body_bytes}",
+            )
+
     def _kind(self, error: h11.RemoteProtocolError) -> FailureKind:
         if not self._response_started:
             return FailureKind.CONNECTION_LOST
