Leave the socket unread while a response waits for its reader

Callers: a daemon could end for lack of memory, with all of its requests, when upstreams sent faster than callers read.

Cause: a client connection always accepted what arrived. The caller's side waited for a slow caller, but the upstream's bytes piled up in the parser.

Reading now pauses above 64 KiB that the parser has not got to, and resumes when it needs more. TCP passes the pause on to the upstream, and the stream completes at its caller's pace.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -22,6 +22,8 @@
 # chunks add several bytes to each of theirs.
 _MAX_FRAMING_BYTES = 2 * _MAX_HEAD_BYTES
 _MAX_FRAMING_RATIO = 16
+# Bytes received ahead of the reader above which the socket is left unread.
+_READ_AHEAD_BYTES = 64 * 1024
 _MS_PER_S = 1_000
 
 
@@ -44,6 +46,9 @@
 class HttpConnection(asyncio.Protocol):
     """One connection, which carries one exchange at a time.
 
+    While its reader is slower than the other side, the socket is left unread,
+    so that a response occupies a bounded amount of memory.
+
     Framing is checked strictly: a response that is shorter than its declared
     length, or truncated by a reset, raises `ExchangeError`.
     """
@@ -61,6 +66,9 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._informational_responses = 0
+        # Bytes received since the parser last asked for more.
+        self._read_ahead_bytes = 0
+        self._paused = False
 
     @property
     def reusable(self) -> bool:
@@ -88,6 +96,7 @@
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             self._fail(FailureKind.MALFORMED_RESPONSE, str(error))
+        self._limit_read_ahead(len(data))
         self._received.set()
 
     def eof_received(self) -> bool:
@@ -228,6 +237,20 @@
                     f"no data received within {timeout_ms:.0f} ms",
                 ) from None
 
+    def _limit_read_ahead(self, size: int) -> None:
+        self._read_ahead_bytes += size
+        if self._transport is None or self._paused:
+            return
+        if self._read_ahead_bytes > _READ_AHEAD_BYTES:
+            self._transport.pause_reading()
+            self._paused = True
+
+    def _read_on(self) -> None:
+        self._read_ahead_bytes = 0
+        if self._transport is not None and self._paused:
+            self._transport.resume_reading()
+            self._paused = False
+
     def _parse(self) -> object | None:
         while True:
             try:
@@ -236,12 +259,16 @@
                 raise ExchangeError(self._kind(error), str(error)) from error
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 self._check_framing()
+                self._read_on()
                 return None
             if isinstance(event, h11.InformationalResponse):
                 self._count_informational()
                 continue
             if isinstance(event, h11.Data):
                 self._body_bytes += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                # Notices when an idle connection is closed.
+                self._read_on()
             return event
 
     def _count_informational(self) -> None:
--- a/trefoilpitch/gateway/tests/test_http_client.py
+++ b/trefoilpitch/gateway/tests/test_http_client.py
@@ -83,6 +83,23 @@
     asyncio.run(scenario())
 
 
+def test_reading_goes_on_after_the_end_of_a_long_response() -> None:
+    """An idle connection that is left unread would hide its end."""
+
+    async def scenario() -> None:
+        connection, transport = _sent()
+        length = str(2 * len(_SEGMENT)).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: " + length + b"\r\n\r\n"
+        transport.deliver(head + _SEGMENT + _SEGMENT, 1)
+        assert not transport.reading
+        await connection.receive_head(_TIMEOUT_MS)
+        body = await connection.receive_body(_TIMEOUT_MS, 1 << 20)
+        assert body == _SEGMENT + _SEGMENT
+        assert transport.reading
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("connect", [_connected, _sent])
 def test_idle_connection_that_receives_data_is_closed(
     connect: Callable[[], tuple[HttpConnection, _Transport]],
