Close a connection that receives data without a request

Callers: none saw it; a store that sends bytes without end on an idle connection would have filled the memory of the daemon.

Cause: an idle connection was judged only when the next call took it, and until then all that arrived was kept.

Evidence: in test_idle_connection_that_receives_data_is_closed, 6.5 MB were accepted by a connection without a request, before the first one and after a response.

Such bytes belong to no response, so the connection is now closed at once, and the next call opens another.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -61,6 +61,8 @@
         self._received = asyncio.Event()
         self._failure: ExchangeError | None = None
         self._response_started = False
+        # Whether a request has been sent and its response has not ended.
+        self._in_exchange = False
         # Of the response in progress: bytes received, bytes of its body, and
         # informational responses before its head.
         self._received_bytes = 0
@@ -89,7 +91,11 @@
         set_tcp_options(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Feeds received bytes to the parser."""
+        """Feeds received bytes to the parser; closes an idle connection."""
+        if not self._in_exchange:
+            self._fail(FailureKind.MALFORMED_RESPONSE, "data without a request")
+            self.close()
+            return
         self._response_started = True
         self._received_bytes += len(data)
         try:
@@ -143,6 +149,7 @@
                 FailureKind.CONNECTION_LOST,
                 "connection closed before the request was sent",
             )
+        self._in_exchange = True
         self._transport.write(out)
 
     async def receive_head(self, timeout_ms: float) -> ResponseHead:
@@ -267,6 +274,7 @@
             if isinstance(event, h11.Data):
                 self._body_bytes += len(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                self._in_exchange = False
                 # Notices when an idle connection is closed.
                 self._read_on()
             return event
