Give other tasks a turn while many parts of a response are read

Callers: other requests waited while a response in tiny chunks was read.

Cause: a part that has already arrived is returned without suspending, so that tens of thousands of them were handled in one turn of the event loop.

Evidence: in test_reading_many_parts_leaves_the_event_loop_to_others another task got no turn while 10,000 chunks were read.

After 64 parts in a row the connection now yields once. Responses of usual size are read without it.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -24,6 +24,8 @@
 _MAX_FRAMING_RATIO = 16
 # Bytes received ahead of the reader above which the socket is left unread.
 _READ_AHEAD_BYTES = 64 * 1024
+# Parts of a response that are parsed in a row before other tasks get a turn.
+_PARTS_PER_TURN = 64
 _MS_PER_S = 1_000
 
 
@@ -71,6 +73,7 @@
         # Bytes received since the parser last asked for more.
         self._read_ahead_bytes = 0
         self._paused = False
+        self._parts_in_row = 0
 
     @property
     def reusable(self) -> bool:
@@ -228,10 +231,15 @@
     async def _next_event(self, timeout_ms: float) -> object:
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_ms / _MS_PER_S
+        if self._parts_in_row >= _PARTS_PER_TURN:
+            self._parts_in_row = 0
+            await asyncio.sleep(0)
         while True:
             event = self._parse()
             if event is not None:
+                self._parts_in_row += 1
                 return event
+            self._parts_in_row = 0
             if self._failure is not None:
                 raise self._failure
             self._received.clear()
