Keep only the start of a failure's description

Operators: one malformed head made a log line of 240 kB; up to 500 lines wait while the pipe is full, which is more than the memory of a small VM.

Cause: the parser quotes the offending line, with each byte escaped.

`ExchangeError` now keeps the first 300 characters, for all callers.

--- a/trefoilpitch/gateway/_exceptions.py
+++ b/trefoilpitch/gateway/_exceptions.py
@@ -4,6 +4,9 @@
 
 from trefoilpitch.retries import FailureKind
 
+# Details may quote what another process has sent.
+_MAX_DETAIL_CHARS = 300
+
 
 class GatewayError(Exception):
     """Base class of this package's exceptions."""
@@ -14,10 +17,11 @@
 
     Args:
         kind: How it failed.
-        detail: Description for logs.
+        detail: Description for logs; only its start is kept.
     """
 
     def __init__(self, kind: FailureKind, detail: str) -> None:
+        detail = detail[:_MAX_DETAIL_CHARS]
         super().__init__(f"{kind.value}: {detail}")
         self.kind = kind
         self.detail = detail
