Hand over the events of a stream in small batches

Callers: other requests waited while thousands of events that had arrived in one segment were split and forwarded.

Cause: all events of a segment were returned at once and forwarded without a suspension, as the caller's send buffer had room.

Evidence: test_many_events_are_handed_over_in_small_batches got 10,000 events in one batch.

The reader now splits 4 KiB and returns 64 events per turn, and yields between turns. A segment with the usual one event is returned as before.

--- a/trefoilpitch/gateway/_event_reader.py
+++ b/trefoilpitch/gateway/_event_reader.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import deque
+
 from trefoilpitch.clock import Clock
 from trefoilpitch.gateway._events import (
     EventSplitter,
@@ -17,6 +20,10 @@
 from trefoilpitch.gateway._http_client import HttpConnection
 from trefoilpitch.retries import FailureKind
 
+# Bytes that are split, and events that are returned, in one turn.
+_SLICE_BYTES = 4_096
+_EVENTS_PER_TURN = 64
+
 
 class EventReader:
     """Reads complete events from a response body.
@@ -32,6 +39,8 @@
         self._splitter = EventSplitter()
         self._waiting_since_ms = clock.now_ms()
         self._progressed = False
+        self._unsplit = b""
+        self._ready: deque[RawEvent] = deque()
 
     @property
     def pending(self) -> bool:
@@ -56,20 +65,48 @@
             self._progressed = False
             self._waiting_since_ms = self._clock.now_ms()
         while True:
-            elapsed_ms = self._clock.now_ms() - self._waiting_since_ms
-            data = await self._connection.receive_data(
-                max(0.0, gap_ms - elapsed_ms)
-            )
-            if data is None:
+            if self._ready or self._unsplit:
+                # Many events in one part must not hold the event loop.
+                await asyncio.sleep(0)
+            elif not await self._receive(gap_ms):
                 return None
-            try:
-                events = self._splitter.feed(data)
-            except EventTooLargeError as error:
-                raise ExchangeError(
-                    FailureKind.MALFORMED_RESPONSE,
-                    "event exceeds the size limit",
-                ) from error
-            if any(not event.is_comment for event in events):
-                self._progressed = True
+            self._split()
+            events = self._take()
             if events:
                 return events
+
+    async def _receive(self, gap_ms: float) -> bool:
+        """Waits for a part; returns whether the body goes on."""
+        elapsed_ms = self._clock.now_ms() - self._waiting_since_ms
+        data = await self._connection.receive_data(
+            max(0.0, gap_ms - elapsed_ms)
+        )
+        if data is None:
+            return False
+        self._unsplit = data
+        return True
+
+    def _split(self) -> None:
+        if self._ready or not self._unsplit:
+            return
+        data = self._unsplit[:_SLICE_BYTES]
+        self._unsplit = self._unsplit[_SLICE_BYTES:]
+        try:
+            events = self._splitter.feed(data)
+        except EventTooLargeError as error:
+            raise _malformed("event exceeds the size limit") from error
+        self._ready.extend(events)
+
+    def _take(self) -> list[RawEvent]:
+        """Returns events that are ready."""
+        events: list[RawEvent] = []
+        while self._ready and len(events) < _EVENTS_PER_TURN:
+            event = self._ready.popleft()
+            events.append(event)
+            if not event.is_comment:
+                self._progressed = True
+        return events
+
+
+def _malformed(detail: str) -> ExchangeError:
+    return ExchangeError(FailureKind.MALFORMED_RESPONSE, detail)
