Limit the parts in which an event arrives

Callers: a stream that brought an event in tiny chunks without an end failed only after seconds at full processor load, and other requests waited.

Cause: the size of an event was limited, but not the work to receive it, about 19 us for each chunk.

An event now fails as malformed after 4,096 parts without its end. The largest event that is accepted takes 750 segments of a usual size.

--- a/trefoilpitch/gateway/_event_reader.py
+++ b/trefoilpitch/gateway/_event_reader.py
@@ -20,6 +20,8 @@
 from trefoilpitch.gateway._http_client import HttpConnection
 from trefoilpitch.retries import FailureKind
 
+# Parts of the body without the end of an event.
+_MAX_PARTS_PER_EVENT = 4_096
 # Bytes that are split, and events that are returned, in one turn.
 _SLICE_BYTES = 4_096
 _EVENTS_PER_TURN = 64
@@ -41,6 +43,7 @@
         self._progressed = False
         self._unsplit = b""
         self._ready: deque[RawEvent] = deque()
+        self._parts = 0
 
     @property
     def pending(self) -> bool:
@@ -84,6 +87,7 @@
         if data is None:
             return False
         self._unsplit = data
+        self._parts += 1
         return True
 
     def _split(self) -> None:
@@ -95,6 +99,10 @@
             events = self._splitter.feed(data)
         except EventTooLargeError as error:
             raise _malformed("event exceeds the size limit") from error
+        if events:
+            self._parts = 0
+        elif self._parts > _MAX_PARTS_PER_EVENT:
+            raise _malformed("event arrives in too many parts")
         self._ready.extend(events)
 
     def _take(self) -> list[RawEvent]:
