Limit comments and hold back those before the first event

Callers: a stream of comments without end lasted until the deadline. Its comments were forwarded, so that the response had begun under this upstream's headers, and the attempt counted as a success for its health.

Cause: comments were returned like events. They did not extend the wait for an event, but the wait expires only if no data is at hand.

Evidence: the cases "comments" and "line ends" of test_endless_stream_ends_as_a_failure and of test_another_upstream_answers_for_an_endless_one, where a stream of another upstream bore the seal of this one.

Above 64 KiB of comments without an event the attempt now fails as malformed. Comments before the first event are returned with it, so that a stream with nothing else can be sent to another upstream. Later ones pass at once, as before.

--- a/trefoilpitch/gateway/_event_reader.py
+++ b/trefoilpitch/gateway/_event_reader.py
@@ -20,6 +20,8 @@
 from trefoilpitch.gateway._http_client import HttpConnection
 from trefoilpitch.retries import FailureKind
 
+# Bytes of comments without an event between them.
+_MAX_COMMENT_BYTES = 64 * 1024
 # Parts of the body without the end of an event.
 _MAX_PARTS_PER_EVENT = 4_096
 # Bytes that are split, and events that are returned, in one turn.
@@ -41,8 +43,13 @@
         self._splitter = EventSplitter()
         self._waiting_since_ms = clock.now_ms()
         self._progressed = False
+        # Whether an event with content has arrived.
+        self._started = False
         self._unsplit = b""
         self._ready: deque[RawEvent] = deque()
+        # Comments that arrived before the first event with content.
+        self._held: list[RawEvent] = []
+        self._comment_bytes = 0
         self._parts = 0
 
     @property
@@ -53,6 +60,9 @@
     async def read(self, gap_ms: float) -> list[RawEvent] | None:
         """Waits for the next events; may be called again after a timeout.
 
+        Comments before the first event with content are returned with it, so
+        that a stream that brings nothing else has not begun.
+
         Args:
             gap_ms: Maximum time since the last event with content. Time in
                 which the caller forwarded events does not count.
@@ -75,7 +85,7 @@
                 return None
             self._split()
             events = self._take()
-            if events:
+            if events and self._started:
                 return events
 
     async def _receive(self, gap_ms: float) -> bool:
@@ -106,14 +116,24 @@
         self._ready.extend(events)
 
     def _take(self) -> list[RawEvent]:
-        """Returns events that are ready."""
+        """Returns events that are ready, preceded by those held back."""
         events: list[RawEvent] = []
         while self._ready and len(events) < _EVENTS_PER_TURN:
             event = self._ready.popleft()
             events.append(event)
-            if not event.is_comment:
+            if event.is_comment:
+                self._comment_bytes += len(event.data)
+                if self._comment_bytes > _MAX_COMMENT_BYTES:
+                    raise _malformed("too many comments without an event")
+            else:
+                self._comment_bytes = 0
                 self._progressed = True
-        return events
+                self._started = True
+        if not self._started:
+            self._held.extend(events)
+            return []
+        held, self._held = self._held, []
+        return held + events
 
 
 def _malformed(detail: str) -> ExchangeError:
