--- a/trefoilpitch/gateway/_event_reader.py
+++ b/trefoilpitch/gateway/_event_reader.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import deque
+
 from trefoilpitch.clock import Clock
 from trefoilpitch.gateway._events import (
     EventSplitter,
@@ -17,6 +20,14 @@
 from trefoilpitch.gateway._http_client import HttpConnection
 from trefoilpitch.retries import FailureKind
 
+# Bytes of comments without an event between them.
+_MAX_COMMENT_BYTES = 64 * 1024
+# Parts of the body without the end of an event.
+_MAX_PARTS_PER_EVENT = 4_096
+# Bytes that are split, and events that are returned, in one turn.
+_SLICE_BYTES = 4_096
+_EVENTS_PER_TURN = 64
+
 
 class EventReader:
     """Reads complete events from a response body.
@@ -32,6 +43,14 @@
         self._splitter = EventSplitter()
         self._waiting_since_ms = clock.now_ms()
         self._progressed = False
+        # Whether an event with content has arrived.
+        self._started = False
+        self._unsplit = b""
+        self._ready: deque[RawEvent] = deque()
+        # Comments that arrived before the first event with content.
+        self._held: list[RawEvent] = []
+        self._comment_bytes = 0
+        self._parts = 0
 
     @property
     def pending(self) -> bool:
@@ -48,6 +67,9 @@
     async def read(self, gap_ms: float) -> list[RawEvent] | None:
         """Waits for the next events; may be called again after a timeout.
 
+        Comments before the first event with content are returned with it, so
+        that a stream that brings nothing else has not begun.
+
         Args:
             gap_ms: Maximum time since the last event with content. Time in
                 which the caller forwarded events does not count.
@@ -63,20 +85,63 @@
             self._progressed = False
             self._waiting_since_ms = self._clock.now_ms()
         while True:
-            elapsed_ms = self._clock.now_ms() - self._waiting_since_ms
-            data = await self._connection.receive_data(
-                max(0.0, gap_ms - elapsed_ms)
-            )
-            if data is None:
+            if self._ready or self._unsplit:
+                # Many events in one part must not hold the event loop.
+                await asyncio.sleep(0)
+            elif not await self._receive(gap_ms):
                 return None
-            try:
-                events = self._splitter.feed(data)
-            except EventTooLargeError as error:
-                raise ExchangeError(
-                    FailureKind.MALFORMED_RESPONSE,
-                    "event exceeds the size limit",
-                ) from error
-            if any(not event.is_comment for event in events):
-                self._progressed = True
-            if events:
+            self._split()
+            events = self._take()
+            if events and self._started:
                 return events
+
+    async def _receive(self, gap_ms: float) -> bool:
+        """Waits for a part; returns whether the body goes on."""
+        elapsed_ms = self._clock.now_ms() - self._waiting_since_ms
+        data = await self._connection.receive_data(
+            max(0.0, gap_ms - elapsed_ms)
+        )
+        if data is None:
+            return False
+        self._unsplit = data
+        self._parts += 1
+        return True
+
+    def _split(self) -> None:
+        if self._ready or not self._unsplit:
+            return
+        data = self._unsplit[:_SLICE_BYTES]
+        self._unsplit = self._unsplit[_SLICE_BYTES:]
+        try:
+            events = self._splitter.feed(data)
+        except EventTooLargeError as error:
+            raise _malformed("event exceeds the size limit") from error
+        if events:
+            self._parts = 0
+        elif self._parts > _MAX_PARTS_PER_EVENT:
+            raise _malformed("event arrives in too many parts")
+        self._ready.extend(events)
+
+    def _take(self) -> list[RawEvent]:
+        """Returns events that are ready, preceded by those held back."""
+        events: list[RawEvent] = []
+        while self._ready and len(events) < _EVENTS_PER_TURN:
+            event = self._ready.popleft()
+            events.append(event)
+            if event.is_comment:
+                self._comment_bytes += len(event.data)
+                if self._comment_bytes > _MAX_COMMENT_BYTES:
+                    raise _malformed("too many comments without an event")
+            else:
+                self._comment_bytes = 0
+                self._progressed = True
+                self._started = True
+        if not self._started:
+            self._held.extend(events)
+            return []
+        held, self._held = self._held, []
+        return held + events
+
+
+def _malformed(detail: str) -> ExchangeError:
+    return ExchangeError(FailureKind.MALFORMED_RESPONSE, detail)
