Take what arrives in the same turn as a timeout

Cause: data and timer are handled in one turn of the loop, and the timeout won.

The parser is asked once more after a timeout, and a granted place is taken.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -247,6 +247,10 @@
                 async with asyncio.timeout_at(end):
                     await self._received.wait()
             except TimeoutError:
+                # Data may have arrived in the same turn of the event loop.
+                event = self._parse()
+                if event is not None:
+                    return event
                 raise ExchangeError(
                     FailureKind.RESPONSE_TIMEOUT,
                     f"no data received within {timeout_ms:.0f} ms",
--- a/trefoilpitch/gateway/_upstream_waiter.py
+++ b/trefoilpitch/gateway/_upstream_waiter.py
@@ -105,7 +105,9 @@
             async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
                 return await granted
         except TimeoutError:
-            return None
+            # The place may have been granted in the same turn.
+            missed = not granted.done() or granted.cancelled()
+            return None if missed else granted.result()
         finally:
             queue.remove(ticket)
 
