Correct the hand-over of stalled attempts after its review

* an upstream that had refused once was not asked again while the stall lasted;
* both upstreams had the request for up to 412 ms on a loop that was 120 ms late: the overlap is 150 ms now;
* an upstream that failed (status 500) took over from a slow one;
* an offer could outlast the deadline by 300 ms;
* stalls did not count against the upstream until another had taken over, and late failures counted as successes;
* offers that were dropped used up quotas of cold upstreams (no test);
* a crash of the stalled upstream during an offer was recorded as a timeout (no test).

A response that is in progress now ends explicitly at its caller's deadline; until here a read without any time left did that by chance.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -249,6 +249,7 @@
         *,
         model: str | None,
         excluded: Collection[str],
+        unusable: Collection[str] = (),
     ) -> UpstreamEntry | NoUpstream:
         """Chooses an upstream and, if it is cold, uses one unit of its quota.
 
@@ -258,11 +259,13 @@
             model: The model that the upstream must serve; None for any.
             excluded: Upstreams that were already attempted; chosen again only
                 if there is no other.
+            unusable: Upstreams that are not chosen.
         """
         ready = [
             cached
             for cached in self._view.upstreams.values()
             if cached.entry.service == service
+            and cached.entry.upstream_id not in unusable
             and self._is_eligible(cached, model)
         ]
         if not ready:
--- a/trefoilpitch/gateway/_event_reader.py
+++ b/trefoilpitch/gateway/_event_reader.py
@@ -47,10 +47,12 @@
         self._started = False
         self._unsplit = b""
         self._ready: deque[RawEvent] = deque()
-        # Comments that arrived before the first event with content.
+        # Events that were read and not returned yet.
         self._held: list[RawEvent] = []
         self._comment_bytes = 0
         self._parts = 0
+        # Whether the end of the body has been read.
+        self._ended = False
 
     @property
     def pending(self) -> bool:
@@ -64,7 +66,9 @@
             return 0
         return self._clock.now_ms() - self._waiting_since_ms
 
-    async def read(self, gap_ms: float) -> list[RawEvent] | None:
+    async def read(
+        self, gap_ms: float, *, with_content: bool = False
+    ) -> list[RawEvent] | None:
         """Waits for the next events; may be called again after a timeout.
 
         Comments before the first event with content are returned with it, so
@@ -73,6 +77,8 @@
         Args:
             gap_ms: Maximum time since the last event with content. Time in
                 which the caller forwarded events does not count.
+            with_content: Whether to wait until an event with content is among
+                the events.
 
         Returns:
             One or more events, or None at the end of the body.
@@ -81,6 +87,8 @@
             ExchangeError: If no event with content is complete in time, or the
                 body is truncated or malformed.
         """
+        if self._ended:
+            return None
         if self._progressed:
             self._progressed = False
             self._waiting_since_ms = self._clock.now_ms()
@@ -89,11 +97,19 @@
                 # Many events in one part must not hold the event loop.
                 await asyncio.sleep(0)
             elif not await self._receive(gap_ms):
-                return None
+                self._ended = True
+                return self._release() if self._started else None
             self._split()
-            events = self._take()
-            if events and self._started:
-                return events
+            self._held.extend(self._take())
+            if self._started and (self._progressed or not with_content):
+                events = self._release()
+                if events is not None:
+                    return events
+
+    def _release(self) -> list[RawEvent] | None:
+        """Returns the events that were held back; None if there are none."""
+        events, self._held = self._held, []
+        return events or None
 
     async def _receive(self, gap_ms: float) -> bool:
         """Waits for a part; returns whether the body goes on."""
@@ -123,7 +139,7 @@
         self._ready.extend(events)
 
     def _take(self) -> list[RawEvent]:
-        """Returns events that are ready, preceded by those held back."""
+        """Returns events that are ready, some at a time."""
         events: list[RawEvent] = []
         while self._ready and len(events) < _EVENTS_PER_TURN:
             event = self._ready.popleft()
@@ -136,11 +152,7 @@
                 self._comment_bytes = 0
                 self._progressed = True
                 self._started = True
-        if not self._started:
-            self._held.extend(events)
-            return []
-        held, self._held = self._held, []
-        return held + events
+        return events
 
 
 def _malformed(detail: str) -> ExchangeError:
--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -13,7 +13,7 @@
 import contextlib
 import dataclasses
 from collections.abc import Coroutine
-from typing import Any, Protocol, TypeVar
+from typing import Any, NoReturn, Protocol, TypeVar
 
 from trefoilpitch.fleet import UpstreamEntry
 from trefoilpitch.gateway._exceptions import ExchangeError
@@ -26,8 +26,9 @@
 from trefoilpitch.retries import FailureKind
 
 # How long a stalled attempt is kept while another upstream has the request too.
-# Both may work on it for 400 ms at most.
-_HANDOVER_MS = 300
+# Both may work on it for 400 ms at most, and this process may be late.
+HANDOVER_MS = 150
+_SERVER_ERROR = 500
 _MS_PER_S = 1_000
 
 _T = TypeVar("_T")
@@ -52,7 +53,7 @@
     """Sends the attempts of one request and keeps their record."""
 
     def find_successor(self) -> UpstreamEntry | str:
-        """Returns an upstream not yet attempted, or why there is none."""
+        """Returns an upstream that has not run it, or why there is none."""
 
     def counted(
         self, entry: UpstreamEntry
@@ -86,6 +87,9 @@
     ) -> None:
         """Records a failed attempt."""
 
+    def record_stall(self, entry: UpstreamEntry) -> None:
+        """Records that an upstream is silent for too long."""
+
     def record_withdrawn(self) -> None:
         """Records an attempt that was abandoned and may have run."""
 
@@ -146,28 +150,35 @@
         """
         waiting = asyncio.create_task(progress)
         silent_ms = pause_ms
+        recorded = False
         try:
+            # Parts that have already arrived need no offer.
+            await asyncio.wait({waiting}, timeout=0)
             while not waiting.done():
                 decision = await self._find_successor(waiting)
                 self._log(stalled.entry, silent_ms, decision)
                 if self._successor is not None:
-                    raise ExchangeError(
-                        FailureKind.RESPONSE_TIMEOUT,
-                        f"superseded after {silent_ms:.0f} ms",
-                    )
+                    self._raise_superseded(waiting, silent_ms)
+                if not recorded:
+                    recorded = True
+                    self._sender.record_stall(stalled.entry)
                 await asyncio.wait({waiting}, timeout=pause_ms / _MS_PER_S)
                 silent_ms += pause_ms
-            part = await waiting
-            self._record_resumed(stalled.entry)
-            return part
+            return await waiting
         finally:
             waiting.cancel()
             await asyncio.gather(waiting, return_exceptions=True)
 
-    def _record_resumed(self, entry: UpstreamEntry) -> None:
-        """Records that a silent upstream goes on, which ends an ejection."""
-        health = self._deps.dispatcher.health(entry.upstream_id)
-        health.record_success(None, self._deps.clock.now_ms())
+    def _raise_superseded(
+        self, waiting: asyncio.Task[Any], silent_ms: float
+    ) -> NoReturn:
+        failure = waiting.exception() if waiting.done() else None
+        if failure is not None:
+            raise failure
+        raise ExchangeError(
+            FailureKind.RESPONSE_TIMEOUT,
+            f"superseded after {silent_ms:.0f} ms",
+        )
 
     def _log(
         self, entry: UpstreamEntry, silent_ms: float, decision: str
@@ -218,7 +229,7 @@
             ExchangeError: If its upstream refused the request or failed.
         """
         response = asyncio.create_task(
-            self._sender.receive_response(attempt, _HANDOVER_MS)
+            self._sender.receive_response(attempt, HANDOVER_MS)
         )
         try:
             await asyncio.wait(
@@ -227,6 +238,11 @@
             if stalled.done() and stalled.exception() is None:
                 return False
             attempt.response = await response
+            status = attempt.response.head.status
+            if status >= _SERVER_ERROR:
+                raise ExchangeError(
+                    FailureKind.SERVER_ERROR, f"status {status}"
+                )
         except ExchangeError as error:
             if error.kind is not FailureKind.RESPONSE_TIMEOUT:
                 raise
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import TypeVar
 
 from trefoilpitch.fleet import OperationKind, Route, UpstreamEntry
@@ -21,7 +21,11 @@
 from trefoilpitch.gateway._event_reader import EventReader
 from trefoilpitch.gateway._events import RawEvent
 from trefoilpitch.gateway._exceptions import ExchangeError
-from trefoilpitch.gateway._handover import HandOver, SentAttempt
+from trefoilpitch.gateway._handover import (
+    HANDOVER_MS,
+    HandOver,
+    SentAttempt,
+)
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._http_server import Responder
 from trefoilpitch.gateway._log import log_event
@@ -36,7 +40,7 @@
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
 from trefoilpitch.metrics import Label
-from trefoilpitch.retries import Execution, FailureKind
+from trefoilpitch.retries import Execution, FailureKind, classify_failure
 
 # Maximum size of a plain response; it is buffered until it is complete.
 _MAX_PLAIN_BYTES = 8 * 1024 * 1024
@@ -44,9 +48,8 @@
 _SLOT_WAIT_SHARE = 0.125
 # Minimum remaining time for which an attempt is worthwhile.
 _MIN_ATTEMPT_MS = 10
-# How long a stalled attempt is kept while another upstream has the request too.
-# Both may work on it for 400 ms at most.
-_HANDOVER_MS = 300
+# The same for an attempt beside a stalled one, which is kept for a while.
+_MIN_OFFER_MS = 2 * HANDOVER_MS
 _MS_PER_S = 1_000
 _OK = 200
 _REDIRECTION = 300
@@ -106,6 +109,10 @@
         self._attempts_sent = 0
         self._attempt_log: list[str] = []
         self._attempted_ids: list[str] = []
+        # Upstreams that may have run the request.
+        self._run_ids: set[str] = set()
+        # Whether the retry budget was spent for the next attempt.
+        self._credit_reserved = False
         self._service = deps.dispatcher.pick_service(admitted.route)
         self._budget = deps.budget(self._service)
         self._tiers = TierChoice(deps, request, admitted.route)
@@ -133,6 +140,8 @@
             outcome = await self._run_attempts()
         finally:
             self._hand_over.close()
+            if self._credit_reserved:
+                self._budget.release()
             self._log_completion(outcome)
 
     async def _run_attempts(self) -> str:
@@ -166,7 +175,13 @@
                 return await self._send_failure()
 
     def _affords_attempt(self) -> bool:
-        return self._attempts_sent == 0 or self._budget.affords()
+        free = self._attempts_sent == 0 or self._credit_reserved
+        return free or self._budget.affords()
+
+    def _reserve_credit(self) -> None:
+        # Reserved with the choice, as many requests may wait for one credit.
+        if self._attempts_sent > 0 and not self._credit_reserved:
+            self._credit_reserved = self._budget.spend()
 
     async def _find_upstream(self) -> UpstreamEntry | NoUpstream:
         """Chooses an upstream; waits a while if none is free at the moment.
@@ -195,17 +210,23 @@
             ),
         )
 
-    def _choose(self) -> UpstreamEntry | NoUpstream:
+    def _choose(
+        self, unusable: Collection[str] = ()
+    ) -> UpstreamEntry | NoUpstream:
         if not self._affords_attempt():
             return NoUpstream(
                 reason="retry budget exhausted", available_in_ms=None
             )
-        return self._deps.dispatcher.choose(
+        found = self._deps.dispatcher.choose(
             self._request,
             self._service,
             model=self._tiers.model,
             excluded=self._attempted_ids,
+            unusable=unusable,
         )
+        if isinstance(found, UpstreamEntry):
+            self._reserve_credit()
+        return found
 
     def _remaining_ms(self, now_ms: int) -> int:
         if self._responder.started:
@@ -263,12 +284,14 @@
                 raise ExchangeError(
                     FailureKind.NOT_SENT, "prompt part in quarantine"
                 )
-            self._spend_budget()
             started_ms = self._deps.clock.now_ms()
             self._send(connection, entry, started_ms)
-        except ExchangeError:
+        except BaseException:
             connection.close()
             raise
+        self._attempts_sent += 1
+        self._credit_reserved = False
+        self._run_ids.add(entry.upstream_id)
         return SentAttempt(
             entry=entry, connection=connection, started_ms=started_ms
         )
@@ -284,12 +307,6 @@
             )
             raise
 
-    def _spend_budget(self) -> None:
-        # Other requests may have spent the budget while this one connected.
-        if self._attempts_sent > 0 and not self._budget.spend():
-            raise ExchangeError(FailureKind.NOT_SENT, "retry budget exhausted")
-        self._attempts_sent += 1
-
     async def _exchange(self, entry: UpstreamEntry) -> None:
         attempt = self._hand_over.take_successor()
         if attempt is None:
@@ -317,7 +334,7 @@
             ExchangeError: If another upstream has taken over, the deadline is
                 reached, or the upstream did not respond properly.
         """
-        remaining_ms = self._remaining_ms(attempt.started_ms)
+        remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
         timeout_ms = response_timeout_ms(
             self._route,
             self._attempts,
@@ -442,7 +459,6 @@
         )
         failed = response.head.status >= _SERVER_ERROR
         if failed:
-            self._deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
             if response.sealed and response.unencoded:
                 self._last_error_response = (response, body)
             raise ExchangeError(
@@ -509,7 +525,11 @@
                 deadline is reached, or the stream is truncated or malformed.
         """
         remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
-        limit_ms = float(reader.paused_ms + max(0, remaining_ms))
+        if remaining_ms <= 0:
+            raise ExchangeError(
+                FailureKind.RESPONSE_TIMEOUT, "deadline reached"
+            )
+        limit_ms = float(reader.paused_ms + remaining_ms)
         gap_ms = limit_ms
         if self._route.repeatable:
             gap_ms = min(limit_ms, stall_timeout_ms(self._route))
@@ -519,20 +539,23 @@
             stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
             if not stalled or gap_ms >= limit_ms:
                 raise
-        return await self._hand_over.keep(
-            attempt, reader.read(limit_ms), gap_ms
+        events = await self._hand_over.keep(
+            attempt, reader.read(limit_ms, with_content=True), gap_ms
         )
+        if events is not None:
+            # An upstream that goes on is not ejected any more.
+            health = self._deps.dispatcher.health(attempt.entry.upstream_id)
+            health.record_success(None, self._deps.clock.now_ms())
+        return events
 
     def find_successor(self) -> UpstreamEntry | str:
         """Returns another upstream, or why there is none."""
         if self._attempts.runs + 1 >= self._route.max_attempts:
             return "attempts used up"
-        found = self._choose()
-        if isinstance(found, NoUpstream):
-            return found.reason
-        if found.upstream_id in self._attempted_ids:
-            return "all upstreams already attempted"
-        return found
+        if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_OFFER_MS:
+            return "deadline is near"
+        found = self._choose(unusable=self._run_ids)
+        return found.reason if isinstance(found, NoUpstream) else found
 
     def _record_success(
         self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
@@ -566,6 +589,10 @@
         self._attempts = self._attempts.with_failure(error.kind)
         self._attempt_log.append(f"{entry.upstream_id} {error.kind.value}")
         health = deps.dispatcher.health(entry.upstream_id)
+        if classify_failure(error.kind) is Execution.NOT_RUN:
+            self._run_ids.discard(entry.upstream_id)
+        if error.kind is FailureKind.SERVER_ERROR:
+            deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
         if error.kind not in (
             FailureKind.REFUSED_NOT_RUN,
             FailureKind.NOT_SENT,
@@ -589,6 +616,11 @@
             ejected_ms=max(0, health.ejected_until_ms - now_ms),
         )
 
+    def record_stall(self, entry: UpstreamEntry) -> None:
+        """Records that an upstream is silent for too long."""
+        health = self._deps.dispatcher.health(entry.upstream_id)
+        health.record_failure(self._deps.clock.now_ms(), unreachable=False)
+
     def record_withdrawn(self) -> None:
         """Records an attempt that was abandoned and may have run."""
         self._attempts = self._attempts.with_replaced_response()
--- a/trefoilpitch/platform/tests/test_silent_upstreams.py
+++ b/trefoilpitch/platform/tests/test_silent_upstreams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 import pytest
 
@@ -15,7 +17,7 @@
     stream_routes,
     wait_until,
 )
-from trefoilpitch.standins import WorkerFault
+from trefoilpitch.standins import WorkerFault, config_document
 
 _STREAMS = 6
 _GAP_MS = 200
@@ -127,10 +129,12 @@
             )
             await wait_until(lambda: first.runs)
             await asyncio.sleep(0.01)
-            for name in ("model-1", "model-2"):
-                await fleet.add_worker(name, "model-service")
-            for name in silent:
-                fleet.workers[name].speaking.clear()
+            first.speaking.clear()
+            second = await fleet.add_worker("model-1", "model-service")
+            if "model-1" in silent:
+                second.speaking.clear()
+                await wait_until(lambda: first.abandoned)
+                await fleet.add_worker("model-2", "model-service")
             _assert_complete([await task])
             await wait_until(lambda: first.abandoned == 1)
 
@@ -212,3 +216,176 @@
             ]
 
     run(scenario)
+
+
+@contextlib.asynccontextmanager
+async def _stalled_stream(
+    **worker_fields: object,
+) -> AsyncIterator[tuple[Fleet, asyncio.Task[tuple[ResponseHead, bytes]]]]:
+    """Yields a fleet whose only upstream has fallen silent in a stream."""
+    routes = stream_routes(gap_ms=_GAP_MS)
+    async with running_fleet(plain=0, models=1, routes=routes) as fleet:
+        first = fleet.workers["model-0"]
+        first.response_delay_ms = 20
+        for name, value in worker_fields.items():
+            setattr(first, name, value)
+        task = asyncio.create_task(
+            fleet.send_request("/stream/x", request_id="id-0")
+        )
+        health = fleet.daemon._dispatcher.health("model-0")
+        await wait_until(lambda: health.successes)
+        first.speaking.clear()
+        yield fleet, task
+
+
+def test_comments_do_not_keep_a_stalled_stream() -> None:
+    async def scenario() -> None:
+        async with _stalled_stream(comment_interval_ms=30) as (fleet, task):
+            second = await fleet.add_worker("model-1", "model-service")
+            head, body = await task
+            assert head.status == 200
+            events = [e for e in body.split(b"\n\n") if e.startswith(b"id:")]
+            assert len(events) == _EVENTS
+            assert len(second.runs) == 1
+
+    run(scenario)
+
+
+def test_upstream_that_refused_once_is_asked_again() -> None:
+    async def scenario() -> None:
+        async with _stalled_stream() as (fleet, task):
+            second = await fleet.add_worker("model-1", "model-service")
+            second.faults.append(WorkerFault.SHED)
+            _assert_complete([await task])
+            assert (second.shed, len(second.runs)) == (1, 1)
+
+    run(scenario)
+
+
+def test_stalled_upstream_is_left_within_the_permitted_overlap() -> None:
+    """The other upstream works on the request and does not respond yet."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        async with _stalled_stream() as (fleet, task):
+            first = fleet.workers["model-0"]
+            second = await fleet.add_worker("model-1", "model-service")
+            second.response_delay_ms = 1_000
+            second.events = 2
+            await wait_until(lambda: second.runs)
+            started_s = loop.time()
+            await wait_until(lambda: first.abandoned)
+            assert loop.time() - started_s < 0.3
+            head, _ = await task
+            assert head.status == 200
+
+    run(scenario)
+
+
+def test_failing_upstream_does_not_take_over_from_a_slow_one() -> None:
+    async def scenario() -> None:
+        routes = config_document()["routes"]
+        for route in routes:
+            route["target-latency-ms"] = 100
+        async with running_fleet(plain=1, routes=routes) as fleet:
+            first = fleet.workers["plain-0"]
+            first.response_delay_ms = 600
+            task = asyncio.create_task(fleet.send_request("/plain/x"))
+            await wait_until(lambda: first.runs)
+            second = await fleet.add_worker("plain-1", "plain-service")
+            second.faults.extend([WorkerFault.ERROR] * 5)
+            head, _ = await task
+            assert head.status == 200
+            assert second.runs
+
+    run(scenario)
+
+
+def test_request_of_a_slow_upstream_is_taken_over_before_its_head() -> None:
+    async def scenario() -> None:
+        routes = config_document()["routes"]
+        for route in routes:
+            route["target-latency-ms"] = 100
+        async with running_fleet(plain=1, routes=routes) as fleet:
+            first = fleet.workers["plain-0"]
+            first.speaking.clear()
+            task = asyncio.create_task(fleet.send_request("/plain/x"))
+            await wait_until(lambda: fleet.daemon._caller_server.state.active)
+            await fleet.add_worker("plain-1", "plain-service")
+            head, body = await task
+            assert head.status == 200
+            assert body.startswith(b"plain-1")
+
+    run(scenario)
+
+
+def test_request_ends_at_its_deadline_while_it_is_offered() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        routes = config_document()["routes"]
+        for route in routes:
+            route["target-latency-ms"] = 250
+            route["timeout-ms"] = 700
+        async with running_fleet(plain=2, routes=routes) as fleet:
+            for worker in fleet.workers.values():
+                worker.speaking.clear()
+            started_s = loop.time()
+            head, _ = await fleet.send_request("/plain/x")
+            assert head.status == 504
+            assert 0.6 < loop.time() - started_s < 0.85
+
+    run(scenario)
+
+
+def test_stalls_count_against_an_upstream_that_nobody_can_replace() -> None:
+    async def scenario() -> None:
+        async with _stalled_stream() as (fleet, task):
+            health = fleet.daemon._dispatcher.health("model-0")
+            await wait_until(lambda: health.consecutive_failures == 1)
+            fleet.workers["model-0"].speaking.set()
+            _assert_complete([await task])
+            assert health.consecutive_failures == 0
+
+    run(scenario)
+
+
+def test_caller_that_leaves_during_an_offer_frees_both_upstreams() -> None:
+    async def scenario() -> None:
+        async with _stalled_stream() as (fleet, task):
+            first = fleet.workers["model-0"]
+            second = await fleet.add_worker("model-1", "model-service")
+            second.response_delay_ms = 5_000
+            await wait_until(lambda: second.runs)
+            task.cancel()
+            await wait_until(lambda: first.abandoned and second.abandoned)
+            for name in ("model-0", "model-1"):
+                health = fleet.daemon._dispatcher.health(name)
+                assert health.in_flight == 0
+
+    run(scenario)
+
+
+def test_waiting_streams_do_not_connect_for_a_budget_that_is_spent() -> None:
+    """One credit becomes free while several streams wait for it."""
+
+    async def scenario() -> None:
+        routes = stream_routes(gap_ms=_GAP_MS)
+        async with running_fleet(
+            plain=0, models=1, retry_slack=0.0, routes=routes
+        ) as fleet:
+            worker = fleet.workers["model-0"]
+            worker.faults.extend([WorkerFault.CUT] * _STREAMS)
+            tasks = [
+                asyncio.create_task(
+                    fleet.send_request("/stream/x", request_id=f"id-{number}")
+                )
+                for number in range(_STREAMS)
+            ]
+            await asyncio.sleep(1.0)
+            failed = fleet.daemon._metrics.render()
+            assert b"not_sent" not in failed
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    run(scenario)
--- a/trefoilpitch/retries/_window.py
+++ b/trefoilpitch/retries/_window.py
@@ -73,6 +73,11 @@
         self._extra_attempts.append(self._clock.now_ms())
         return True
 
+    def release(self) -> None:
+        """Takes back an extra attempt that was counted and not made."""
+        if self._extra_attempts:
+            self._extra_attempts.pop()
+
     def _expire(self) -> None:
         oldest_ms = self._clock.now_ms() - self._window_ms
         for times in (self._first_attempts, self._extra_attempts):
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -110,6 +110,8 @@
         # with them, but sends nothing.
         self.speaking = asyncio.Event()
         self.speaking.set()
+        # Interval of comments on silent streams, in milliseconds; 0 for none.
+        self.comment_interval_ms = 0
         # Parts of prompts on which the worker crashes when it begins to write
         # an answer: it ends all connections, refuses new ones, and comes back
         # under another ID and port.
@@ -240,6 +242,12 @@
         self.port = await self._server.listen(_LOOPBACK, 0)
         self.on_restart()
 
+    async def _wait_silently(self, responder: Responder) -> None:
+        while self.comment_interval_ms and not self.speaking.is_set():
+            await responder.write(b": silent\n\n")
+            await asyncio.sleep(self.comment_interval_ms / _MS_PER_S)
+        await self.speaking.wait()
+
     def _shed_headers(self) -> list[tuple[bytes, bytes]]:
         headers = [(b"X-Trefoilpitch-Not-Executed", b"1")]
         if self.leaving:
@@ -308,7 +316,7 @@
                 await asyncio.sleep(_FLUSH_S)
                 responder.abort()
                 return
-            await self.speaking.wait()
+            await self._wait_silently(responder)
             await responder.write(event)
             if self.response_delay_ms:
                 await asyncio.sleep(self.response_delay_ms / _MS_PER_S)
