Blame no part while upstreams end without it

All upstreams were gone before a response went well after most of the endings, which the decision asked for.

A part that no response ever went well with is now blamed without waiting for others, but only if six in ten of the upstreams that ended meanwhile had it. A part that was sound before needs seven endings instead of five, and is probed after two minutes.

The case 'nothing goes well with any part' of test_culprits.py asked for what caused the first fault. Four cases replace it: nothing goes well any more with parts that were sound, no response has gone well at all, other upstreams end without the part (too many, or few).

--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -3,22 +3,25 @@
 All streams of an upstream that ends are cut, so that each ending speaks against
 sound parts as well. A part is blamed only for endings that no other part
 explains better: one that no response has gone well with comes before one that
-was sound, and one that is present at more endings before one at fewer. While
-no response to any prompt goes well, the endings have another cause.
+was sound, and one that is present at more endings before one at fewer. In an
+outage for another reason most endings come without it.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import statistics
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from trefoilpitch.gateway._prompt_parts import PromptEvidence, Suspicion
 
 # More than a request without other ones can end: routes allow three attempts.
 MIN_ENDINGS = 4
-# The same for a part that responses went well with before.
-_MIN_ENDINGS_IF_SOUND_BEFORE = 5
+# The same for a part that responses went well with before: in an outage for
+# another reason, streams with the same part are cut time after time.
+_MIN_ENDINGS_IF_SOUND_BEFORE = 7
+# Share of all upstreams that ended meanwhile.
+_MIN_SHARE = 0.6
 # Upstreams that end within this time of each other end for a common cause: a
 # request cannot be sent to the next one so soon.
 _SAME_MOMENT_MS = 25
@@ -53,37 +56,37 @@
         evidence: The fleet's evidence as far as this daemon knows it.
         now_ms: The monotonic time.
     """
+    newest_ms = evidence.newest_sound_ms
     suspicions = [
         _settled(suspicion, now_ms)
         for suspicion in evidence.suspicions(MIN_ENDINGS)
-        if _others_go_well(suspicion, evidence.newest_sound_ms)
+        if _others_go_well(suspicion, newest_ms)
     ]
+    settled_ms = {
+        upstream: ended_ms
+        for upstream, ended_ms in evidence.ended_ms.items()
+        if now_ms - ended_ms >= _SETTLING_MS
+    }
     culprits: list[Culprit] = []
-    explained: set[int] = set()
+    unexplained_ms = settled_ms
     for was_sound, min_endings in (
         (False, MIN_ENDINGS),
         (True, _MIN_ENDINGS_IF_SOUND_BEFORE),
     ):
         group = [s for s in suspicions if s.was_sound is was_sound]
         while True:
-            culprit = _strongest(group, explained, min_endings)
+            culprit = _strongest(group, unexplained_ms, min_endings)
             if culprit is None:
                 break
             culprits.append(culprit)
-            explained |= culprit.upstreams
+            unexplained_ms = {
+                upstream: ended_ms
+                for upstream, ended_ms in unexplained_ms.items()
+                if upstream not in culprit.upstreams
+            }
     return culprits
 
 
-def settles_at_ms(evidence: PromptEvidence, now_ms: int) -> int | None:
-    """Returns when the next ending settles; None if all have settled."""
-    times_ms = [
-        ended_ms + _SETTLING_MS
-        for suspicion in evidence.suspicions(MIN_ENDINGS)
-        for ended_ms in suspicion.ended_ms.values()
-    ]
-    return min((t for t in times_ms if t > now_ms), default=None)
-
-
 def _settled(suspicion: Suspicion, now_ms: int) -> Suspicion:
     return dataclasses.replace(
         suspicion,
@@ -96,23 +99,29 @@
 
 
 def _others_go_well(suspicion: Suspicion, newest_sound_ms: int | None) -> bool:
-    """Whether a response went well after most of a part's endings.
+    """Whether responses to prompts without a part go well.
 
-    It was a response to a prompt without the part, as these endings are later
-    than any response with it.
+    If responses with it went well before, one without it must have gone well
+    after most of its endings: an outage also ends a part's luck.
     """
+    if newest_sound_ms is None:
+        return False
+    if not suspicion.was_sound:
+        return True
     median_ms = statistics.median_high(suspicion.ended_ms.values())
-    return newest_sound_ms is not None and newest_sound_ms > median_ms
+    return newest_sound_ms > median_ms
 
 
 def _strongest(
-    suspicions: Iterable[Suspicion], explained: set[int], min_endings: int
+    suspicions: Iterable[Suspicion],
+    unexplained_ms: Mapping[int, int],
+    min_endings: int,
 ) -> Culprit | None:
     ranked: dict[tuple[int, int], list[tuple[Suspicion, frozenset[int]]]] = {}
     for suspicion in suspicions:
-        upstreams = frozenset(suspicion.ended_ms.keys() - explained)
+        upstreams = frozenset(suspicion.ended_ms.keys() & unexplained_ms.keys())
         moments = _moments(suspicion.ended_ms[k] for k in upstreams)
-        if moments >= min_endings:
+        if moments >= min_endings and _is_usual(upstreams, unexplained_ms):
             strength = (moments, len(suspicion.responding & upstreams))
             ranked.setdefault(strength, []).append((suspicion, upstreams))
     if not ranked:
@@ -132,6 +141,16 @@
     )
 
 
+def _is_usual(
+    upstreams: Collection[int], unexplained_ms: Mapping[int, int]
+) -> bool:
+    """Whether most upstreams that ended in a time are among some of them."""
+    times_ms = [unexplained_ms[upstream] for upstream in upstreams]
+    first_ms, last_ms = min(times_ms), max(times_ms)
+    ended = sum(first_ms <= t <= last_ms for t in unexplained_ms.values())
+    return len(upstreams) >= _MIN_SHARE * ended
+
+
 def _moments(times_ms: Iterable[int]) -> int:
     """Counts times, those of the same moment once."""
     count = 0
--- a/trefoilpitch/gateway/_prompt_parts.py
+++ b/trefoilpitch/gateway/_prompt_parts.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 import zlib
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 import msgspec
 
@@ -133,6 +133,11 @@
         self._newest_sound_ms: int | None = None
         self._peers_newest_sound_ms: int | None = None
 
+    @property
+    def ended_ms(self) -> Mapping[int, int]:
+        """Monotonic time of each upstream's ending."""
+        return self._ended_ms
+
     @property
     def newest_sound_ms(self) -> int | None:
         """Monotonic time of the fleet's last response that went well."""
@@ -169,7 +174,7 @@
             cleared = cleared or self.suspicion(part) is not None
             _set_sound(self._sound_ms, part, now_ms)
             self._newest_sound_ms = now_ms
-        if self._endings:
+        if cleared:
             self.revision += 1
         return cleared
 
@@ -293,8 +298,6 @@
                 self._peers_newest_sound_ms,
                 now_ms - report.newest_sound_age_ms,
             )
-            if self._endings:
-                self.revision += 1
 
     def expire(self, now_ms: int, quarantined: Collection[int]) -> None:
         """Removes old endings.
--- a/trefoilpitch/gateway/_quarantine.py
+++ b/trefoilpitch/gateway/_quarantine.py
@@ -6,9 +6,9 @@
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.gateway._culprits import (
+    MIN_ENDINGS,
     Culprit,
     find_culprits,
-    settles_at_ms,
 )
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
@@ -19,10 +19,14 @@
 )
 from trefoilpitch.rendezvous import rank
 
-# Time after the last ending until a request is sent as a probe.
+# Time after the last ending until a request is sent as a probe, and the same
+# for parts that responses went well with before: they may be sound after all.
 _QUARANTINE_MS = 600_000
+_QUARANTINE_IF_SOUND_BEFORE_MS = 120_000
 # Pause between probes: a failed one renews the quarantine long before.
 _PROBE_INTERVAL_MS = 60_000
+# Pause between decisions while parts are suspected and the evidence stays.
+_DECISION_INTERVAL_MS = 100
 
 _Parts = frozenset[int]
 
@@ -102,7 +106,10 @@
 
     def _wait_ms(self, culprit: Culprit, now_ms: int) -> int:
         """Returns the time until a request may probe; 0 if it may now."""
-        end_ms = culprit.last_ms + _QUARANTINE_MS
+        duration_ms = _QUARANTINE_MS
+        if culprit.was_sound:
+            duration_ms = _QUARANTINE_IF_SOUND_BEFORE_MS
+        end_ms = culprit.last_ms + duration_ms
         probed_ms = self._probed_ms.get(culprit.parts)
         if probed_ms is not None:
             end_ms = max(end_ms, probed_ms + _PROBE_INTERVAL_MS)
@@ -129,8 +136,16 @@
             self._probed_ms.pop(parts, None)
             self._log_release(parts, now_ms)
         self._culprits = found
+        quarantined = frozenset().union(*found)
         self._decided_revision = self._evidence.revision
-        self._decide_at_ms = settles_at_ms(self._evidence, now_ms)
+        # Endings settle, and others' responses may go well meanwhile.
+        suspected = any(
+            s.part not in quarantined
+            for s in self._evidence.suspicions(MIN_ENDINGS)
+        )
+        self._decide_at_ms = (
+            now_ms + _DECISION_INTERVAL_MS if suspected else None
+        )
 
     def _log_quarantine(self, culprit: Culprit, now_ms: int) -> None:
         log_event(
--- a/trefoilpitch/gateway/tests/test_culprits.py
+++ b/trefoilpitch/gateway/tests/test_culprits.py
@@ -43,6 +43,7 @@
 
 _OTHERS = ((100, None, "x"), (5_000, None, "x"))
 _FOUR = (1_000, 1_200, 1_400, 1_600)
+_SIX = (*_FOUR, 1_800, 2_000)
 
 _CASES = [
     _Case(
@@ -127,13 +128,44 @@
         blamed=("p", "r"),
     ),
     _Case(
-        name="a part that was sound needs five endings",
-        events=((500, None, "p"), *_OTHERS, *_endings("p", *_FOUR)),
+        name="a part that was sound needs seven endings",
+        events=((500, None, "p"), *_OTHERS, *_endings("p", *_SIX)),
         blamed=(),
     ),
     _Case(
         name="a part that was sound and ends upstreams now",
-        events=((500, None, "p"), *_OTHERS, *_endings("p", *_FOUR, 1_800)),
+        events=((500, None, "p"), *_OTHERS, *_endings("p", *_SIX, 2_200)),
+        blamed=("p",),
+    ),
+    _Case(
+        name="nothing goes well any more, whatever the part",
+        events=((500, None, "p"), *_endings("p", *_SIX, 2_200, 2_400)),
+        blamed=(),
+    ),
+    _Case(
+        name="no response has gone well yet",
+        events=_endings("p", *_SIX),
+        blamed=(),
+    ),
+    _Case(
+        name="other upstreams end without the part",
+        events=(
+            *_OTHERS,
+            *_endings("p", *_FOUR),
+            *_endings("v", 1_100, first=21),
+            *_endings("w", 1_300, first=22),
+            *_endings("y", 1_500, first=23),
+        ),
+        blamed=(),
+    ),
+    _Case(
+        name="few other upstreams end without the part",
+        events=(
+            *_OTHERS,
+            *_endings("p", *_FOUR),
+            *_endings("v", 1_100, first=21),
+            *_endings("w", 1_300, first=22),
+        ),
         blamed=("p",),
     ),
     _Case(
@@ -150,11 +182,6 @@
         events=(*_OTHERS, *_endings("p", 1_000, 1_002, 1_004, 1_006, 1_008)),
         blamed=(),
     ),
-    _Case(
-        name="nothing goes well with any part",
-        events=((100, None, "x"), *_endings("p", *_FOUR, 1_800, 2_000)),
-        blamed=(),
-    ),
 ]
 
 
