Blame a part for upstreams that end almost at once

That rule guards sound parts when upstreams lose power together, all at one moment. For a part that no response went well with two moments suffice now, beside four upstreams and six in ten of all that ended; a part that was sound still needs seven.

--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -17,13 +17,14 @@
 
 # More than a request without other ones can end: routes allow three attempts.
 MIN_ENDINGS = 4
+# Upstreams that lose power or are stopped together end at one moment.
+_MIN_MOMENTS = 2
 # The same for a part that responses went well with before: in an outage for
 # another reason, streams with the same part are cut time after time.
-_MIN_ENDINGS_IF_SOUND_BEFORE = 7
+_MIN_MOMENTS_IF_SOUND_BEFORE = 7
 # Share of all upstreams that ended meanwhile.
 _MIN_SHARE = 0.6
-# Upstreams that end within this time of each other end for a common cause: a
-# request cannot be sent to the next one so soon.
+# Time within which upstreams that end together are seen to have ended.
 _SAME_MOMENT_MS = 25
 # Time until all daemons have told what they know about an ending; heartbeats
 # with new evidence are sent at once.
@@ -69,13 +70,13 @@
     }
     culprits: list[Culprit] = []
     unexplained_ms = settled_ms
-    for was_sound, min_endings in (
-        (False, MIN_ENDINGS),
-        (True, _MIN_ENDINGS_IF_SOUND_BEFORE),
+    for was_sound, min_moments in (
+        (False, _MIN_MOMENTS),
+        (True, _MIN_MOMENTS_IF_SOUND_BEFORE),
     ):
         group = [s for s in suspicions if s.was_sound is was_sound]
         while True:
-            culprit = _strongest(group, unexplained_ms, min_endings)
+            culprit = _strongest(group, unexplained_ms, min_moments)
             if culprit is None:
                 break
             culprits.append(culprit)
@@ -115,14 +116,19 @@
 def _strongest(
     suspicions: Iterable[Suspicion],
     unexplained_ms: Mapping[int, int],
-    min_endings: int,
+    min_moments: int,
 ) -> Culprit | None:
     ranked: dict[tuple[int, int], list[tuple[Suspicion, frozenset[int]]]] = {}
     for suspicion in suspicions:
         upstreams = frozenset(suspicion.ended_ms.keys() & unexplained_ms.keys())
         moments = _moments(suspicion.ended_ms[k] for k in upstreams)
-        if moments >= min_endings and _is_usual(upstreams, unexplained_ms):
-            strength = (moments, len(suspicion.responding & upstreams))
+        if (
+            len(upstreams) >= MIN_ENDINGS
+            and moments >= min_moments
+            and _is_usual(upstreams, unexplained_ms)
+        ):
+            responding = len(suspicion.responding & upstreams)
+            strength = (len(upstreams), responding)
             ranked.setdefault(strength, []).append((suspicion, upstreams))
     if not ranked:
         return None
--- a/trefoilpitch/gateway/tests/test_culprits.py
+++ b/trefoilpitch/gateway/tests/test_culprits.py
@@ -177,6 +177,11 @@
         ),
         blamed=(),
     ),
+    _Case(
+        name="several requests end upstreams at almost the same moment",
+        events=(*_OTHERS, *_endings("p", 1_000, 1_010, 1_050, 1_060)),
+        blamed=("p",),
+    ),
     _Case(
         name="upstreams that end at the same moment have a common cause",
         events=(*_OTHERS, *_endings("p", 1_000, 1_002, 1_004, 1_006, 1_008)),
