End a response that goes on past its caller's deadline

Callers: a stream of events without end lasted until the caller closed, and held a place at its upstream.

Cause: the deadline decides about attempts and waits. A stream that always has another event is never asked how late it is, nor is one whose caller does not read.

Evidence: in test_endless_events_end_with_the_time_of_their_caller a stream went on for the 4 s of the test after a deadline of 0.5 s.

A request is now given up two seconds after the deadline that its caller stated: a response that has begun is broken off, so that it does not look complete. Up to the deadline a slow caller is waited for. Without a stated deadline nothing has changed.

--- a/trefoilpitch/gateway/_request_handler.py
+++ b/trefoilpitch/gateway/_request_handler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from trefoilpitch.gateway._admission import Rejection, admit
 from trefoilpitch.gateway._exceptions import (
     BadRequestError,
@@ -15,6 +17,10 @@
 from trefoilpitch.gateway._request_run import RequestRun
 from trefoilpitch.metrics import Label
 
+# How long a response may go on past its caller's deadline.
+_OVERDUE_MS = 2_000
+_MS_PER_S = 1_000
+
 
 class RequestHandler:
     """Handles the requests of all of a daemon's callers."""
@@ -39,18 +45,30 @@
             await self._reject(request, admitted, responder)
             return
         run = RequestRun(deps, request, admitted, responder)
+        limit = asyncio.timeout(self._limit_s(request))
         try:
-            await run.serve()
+            async with limit:
+                await run.serve()
         except CallerDisconnectedError:
             raise
         except Exception as error:
-            log_failure(
-                "internal_error",
-                error,
-                id=request.request_id,
-            )
+            if limit.expired():
+                log_event("request_overdue", id=request.request_id)
+            else:
+                log_failure(
+                    "internal_error",
+                    error,
+                    id=request.request_id,
+                )
             await run.fail()
 
+    def _limit_s(self, request: CallerRequest) -> float | None:
+        """Returns the time after which a request is given up; None if never."""
+        if request.wait_ms is None:
+            return None
+        elapsed_ms = self._deps.clock.now_ms() - request.http.arrived_ms
+        return (request.wait_ms + _OVERDUE_MS - elapsed_ms) / _MS_PER_S
+
     async def _reject(
         self, request: CallerRequest, rejection: Rejection, responder: Responder
     ) -> None:
