Collect a response body in one buffer

Operators: a body that arrives in tiny chunks took many times its size in memory, up to the limit of 8 MiB for each of several attempts at once.

Cause: each part was kept as an object of its own until the body was complete.

Evidence: test_body_in_small_chunks_takes_little_more_memory_than_its_bytes saw a peak of 3.76 MB for a body of 60 kB in chunks of two bytes, and failed.

The parts are now appended to one buffer.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -197,16 +197,14 @@
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_ms / _MS_PER_S
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             left_ms = (end - loop.time()) * _MS_PER_S
             part = await self.receive_data(left_ms)
             if part is None:
-                return b"".join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
+                return bytes(body)
+            body += part
+            if len(body) > max_bytes:
                 raise ExchangeError(
                     FailureKind.MALFORMED_RESPONSE,
                     f"response body exceeds {max_bytes} bytes",
--- a/trefoilpitch/gateway/tests/test_http_client.py
+++ b/trefoilpitch/gateway/tests/test_http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -146,6 +147,33 @@
     asyncio.run(scenario())
 
 
+def test_body_in_small_chunks_takes_little_more_memory_than_its_bytes() -> None:
+    async def scenario() -> None:
+        connection, transport = _sent()
+        transport.deliver(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 1
+        )
+
+        async def send_body() -> None:
+            for part in [b"2\r\nxy\r\n" * 1_000] * 30 + [b"0\r\n\r\n"]:
+                while not transport.deliver(part, 1):
+                    await asyncio.sleep(0)
+
+        await connection.receive_head(_TIMEOUT_MS)
+        sending = asyncio.create_task(send_body())
+        tracemalloc.start()
+        try:
+            body = await connection.receive_body(10 * _TIMEOUT_MS, 1 << 20)
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        await sending
+        assert body == b"xy" * 30_000
+        assert peak < 10 * len(body)
+
+    asyncio.run(scenario())
+
+
 def test_malformed_data_is_quoted_in_part_only() -> None:
     """The detail of a failure is logged, whatever an upstream sends."""
 
