Fail a listing of the store whose pages do not advance

Operators: a store that repeats a page and always announces more kept a daemon in one listing, with a growing list of items and no end.

Cause: the last key of a page was taken as the start of the next one, whatever came before it.

The call now fails, is retried with the usual delay, and a peer is asked.

--- a/trefoilpitch/platform/_store.py
+++ b/trefoilpitch/platform/_store.py
@@ -93,6 +93,8 @@
                     era=era,
                     complete=True,
                 )
+            if page[-1].key <= after:
+                raise StoreUnavailableError("kv-range: pages do not advance")
             after = page[-1].key
 
     async def watch(self, after: int, wait_ms: int) -> ItemBatch:
--- a/trefoilpitch/platform/tests/test_endless_responses.py
+++ b/trefoilpitch/platform/tests/test_endless_responses.py
@@ -35,7 +35,7 @@
     wait_until,
 )
 from trefoilpitch.retries import FailureKind
-from trefoilpitch.standins import send
+from trefoilpitch.standins import PlatformStoreStandIn, send
 
 _MAX_BODY_BYTES = 8 << 20
 # What a response may bring before its attempt has failed: the largest body,
@@ -259,3 +259,17 @@
             assert endless.sent < 2 * _MAX_SENT_BYTES
 
     run(scenario)
+
+
+def test_listing_of_the_store_that_does_not_advance_fails() -> None:
+    async def scenario() -> None:
+        async with PlatformStoreStandIn() as stand_in:
+            item = {"key": "a", "value": "", "revision": 1}
+            page = {"at": 7, "items": [item], "has-more": True}
+            stand_in.response_override = page
+            store = PlatformStore(stand_in.address, lambda name: None)
+            with pytest.raises(StoreUnavailableError):
+                async with asyncio.timeout(_SOON_S):
+                    await store.read_all()
+
+    run(scenario)
