Treat a response nested too deeply as an unavailable store

Operators: one such response ended the task that follows the store with an internal error, and its connection stayed open.

Cause: the decoder raises RecursionError, which is no DecodeError. After either, the connection was neither kept nor closed.

Evidence: test_deeply_nested_response_of_the_store_fails_the_call ended with RecursionError.

Both are now a failed call, and the connection is closed.

--- a/trefoilpitch/platform/_store.py
+++ b/trefoilpitch/platform/_store.py
@@ -244,7 +244,8 @@
             response: dict[str, Any] = msgspec.json.decode(
                 received or b"{}", type=dict[str, Any]
             )
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
+            connection.close()
             raise StoreUnavailableError(f"{name}: {error}") from error
         return head.status, response
 
--- a/trefoilpitch/platform/tests/test_endless_responses.py
+++ b/trefoilpitch/platform/tests/test_endless_responses.py
@@ -273,3 +273,21 @@
                     await store.read_all()
 
     run(scenario)
+
+
+def test_deeply_nested_response_of_the_store_fails_the_call() -> None:
+    nested = EndlessResponse(
+        name="nested",
+        start=b"HTTP/1.1 200 OK\r\nContent-Length: 131077\r\n\r\n",
+        repeated=b'{"a":',
+    )
+
+    async def scenario() -> None:
+        async with EndlessWorker("store", nested) as endless:
+            address = ListenAddress(host=HOST, port=endless.port)
+            store = PlatformStore(address, lambda name: None)
+            with pytest.raises(StoreUnavailableError):
+                await store.read_all()
+            await wait_until(lambda: not endless.open)
+
+    run(scenario)
