Treat an entry of the store that is nested too deeply as malformed

Operators: one entry of another writer, a few kilobytes of nested JSON, ended the task that follows the store each time it was read, so that the daemon learned of no further change.

Cause: the decoder raises RecursionError, also for fields that it skips, and only DecodeError, ValueError and KeyError counted as malformed.

Evidence: test_deeply_nested_document_is_malformed raised RecursionError for all four kinds of keys.

Such an entry is now malformed like any other that cannot be read: it is left out, and the others hold.

--- a/trefoilpitch/platform/_documents.py
+++ b/trefoilpitch/platform/_documents.py
@@ -159,7 +159,12 @@
         """Decodes an item of the store."""
         try:
             return _decode(key, value)
-        except (msgspec.DecodeError, ValueError, KeyError) as error:
+        except (
+            msgspec.DecodeError,
+            RecursionError,
+            ValueError,
+            KeyError,
+        ) as error:
             raise MalformedDocumentError(str(error)) from error
 
     def rollout_key(self, service: str) -> str:
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -384,3 +384,13 @@
 def test_any_peer_reply_is_decoded_or_rejected(data: bytes) -> None:
     with contextlib.suppress(PeerReplyError):
         decode_batch(data)
+
+
+@pytest.mark.parametrize(
+    "key",
+    ["servers/a", "op/config", "op/rollout/a", "trefoilpitch/member/a"],
+)
+def test_deeply_nested_document_is_malformed(key: str) -> None:
+    """One entry of another writer must not stop a daemon from following."""
+    with pytest.raises(MalformedDocumentError):
+        PlatformDocuments().decode(key, b'{"a":' * 20_000)
