--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -241,9 +241,7 @@
             self._route,
             self._attempts,
             self._remaining_ms(started_ms),
-            self._deps.expected_latencies.expected_ms(
-                self._tiers.latency_key, default_ms=0.0
-            ),
+            self._expected_latency_ms(),
             affordable=budget.affords(),
         )
         head = await connection.receive_head(timeout_ms)
@@ -257,6 +255,11 @@
                 connection, entry, response, started_ms, budget
             )
 
+    def _expected_latency_ms(self) -> float:
+        return self._deps.expected_latencies.expected_ms(
+            self._tiers.latency_key, default_ms=0.0
+        )
+
     def _send(
         self, connection: HttpConnection, entry: UpstreamEntry, now_ms: int
     ) -> None:
@@ -334,6 +337,7 @@
             elapsed_ms = self._deps.clock.now_ms() - started_ms
             self._attempt_log.append(
                 f"{entry.upstream_id} {self._tiers.model} {elapsed_ms} ms"
+                f" of {self._expected_latency_ms():.0f}"
                 f" load {response.load and response.load.running}"
                 f" replaced, confidence {response.confidence}"
             )
@@ -478,6 +482,7 @@
         deps = self._deps
         now_ms = deps.clock.now_ms()
         latency_ms = now_ms - started_ms
+        expected_ms = self._expected_latency_ms()
         slow = deps.expected_latencies.is_slow(
             self._tiers.latency_key, latency_ms
         )
@@ -489,7 +494,8 @@
         load = deps.dispatcher.load(entry.upstream_id)
         self._attempt_log.append(
             f"{entry.upstream_id} {self._tiers.model or '-'} {latency_ms} ms"
-            f" load {load} confidence {response.confidence}"
+            f" of {expected_ms:.0f} load {load}"
+            f" confidence {response.confidence}"
         )
         deps.dispatcher.record_evidence(
             entry, ResponseQuality.SLOW if slow else ResponseQuality.GOOD
