Reproduce slow versions whose roll-out is not rolled back

A version is several times slower, and stays in its canary phase for ten seconds after six requests:

* all of its responses are given up before they arrive;
* its callers leave before it responds;
* the slow responses of its small model are replaced by its large model's;
* its first events come in time and the others at a third of the usual pace.

In each case the evidence of the daemons has no slow response.

--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -89,6 +89,8 @@
         self.events = 5
         # Delay before each response and after each event, in milliseconds.
         self.response_delay_ms = 0
+        # Delay after each event if it differs from that, in milliseconds.
+        self.event_delay_ms: int | None = None
         # Value of the confidence header, by model.
         self.confidence: dict[str, int] = {}
         # Whether all responses announce that the worker is leaving.
@@ -251,6 +253,9 @@
         kind = (b"Content-Type", b"text/event-stream")
         await responder.start(200, [*headers, kind])
         first = int(run.headers.get("last-event-id", "0")) + 1
+        delay_ms = self.response_delay_ms
+        if self.event_delay_ms is not None:
+            delay_ms = self.event_delay_ms
         for number in range(first, self.events + 1):
             event = (
                 f"id: {number}\ndata: {run.request_id}-{number}\n\n".encode()
@@ -263,6 +268,6 @@
                 return
             await self.speaking.wait()
             await responder.write(event)
-            if self.response_delay_ms:
-                await asyncio.sleep(self.response_delay_ms / _MS_PER_S)
+            if delay_ms:
+                await asyncio.sleep(delay_ms / _MS_PER_S)
         responder.finish()
