--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from typing import TypeVar
+
 from trefoilpitch.fleet import OperationKind, Route, UpstreamEntry
 from trefoilpitch.gateway._admission import Admitted
 from trefoilpitch.gateway._attempts import (
     Attempts,
     connect_timeout_ms,
-    gap_timeout_ms,
+    refusal_delay_ms,
     response_timeout_ms,
+    stall_timeout_ms,
     stop_reason,
 )
 from trefoilpitch.gateway._dispatcher import NoUpstream
 from trefoilpitch.gateway._event_reader import EventReader
 from trefoilpitch.gateway._events import RawEvent
 from trefoilpitch.gateway._exceptions import ExchangeError
+from trefoilpitch.gateway._handover import HandOver, SentAttempt
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._http_server import Responder
 from trefoilpitch.gateway._log import log_event
@@ -29,7 +36,7 @@
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
 from trefoilpitch.metrics import Label
-from trefoilpitch.retries import Execution, FailureKind, WindowedRetryBudget
+from trefoilpitch.retries import Execution, FailureKind
 
 # Maximum size of a plain response; it is buffered until it is complete.
 _MAX_PLAIN_BYTES = 8 * 1024 * 1024
@@ -37,6 +44,10 @@
 _SLOT_WAIT_SHARE = 0.125
 # Minimum remaining time for which an attempt is worthwhile.
 _MIN_ATTEMPT_MS = 10
+# How long a stalled attempt is kept while another upstream has the request too.
+# Both may work on it for 400 ms at most.
+_HANDOVER_MS = 300
+_MS_PER_S = 1_000
 _OK = 200
 _REDIRECTION = 300
 _SERVER_ERROR = 500
@@ -45,6 +56,8 @@
 _GATEWAY_TIMEOUT = 504
 
 
+_T = TypeVar("_T")
+
 # Failures that show that the upstream is gone or cannot be reached.
 _UNREACHABLE = frozenset(
     {
@@ -93,12 +106,11 @@
         self._attempts_sent = 0
         self._attempt_log: list[str] = []
         self._attempted_ids: list[str] = []
+        self._service = deps.dispatcher.pick_service(admitted.route)
+        self._budget = deps.budget(self._service)
         self._tiers = TierChoice(deps, request, admitted.route)
         self._last_event_id: int | None = None
-        # The upstream that continues a stalled stream, chosen before the
-        # stalled attempt is given up, and whether the budget was spent for it.
-        self._reserved: UpstreamEntry | None = None
-        self._prepaid = False
+        self._hand_over = HandOver(deps, request.request_id, self)
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
         arrived_ms = request.http.arrived_ms
         timeout_ms = admitted.route.timeout_ms
@@ -115,60 +127,78 @@
 
     async def serve(self) -> None:
         """Runs attempts until a response is sent, and logs the outcome."""
-        service = self._deps.dispatcher.pick_service(self._route)
-        budget = self._deps.budget(service)
-        budget.record_first_attempt()
+        self._budget.record_first_attempt()
         outcome = "cancelled"
         try:
-            outcome = await self._run_attempts(service, budget)
+            outcome = await self._run_attempts()
         finally:
-            self._log_completion(service, outcome)
+            self._hand_over.close()
+            self._log_completion(outcome)
 
-    async def _run_attempts(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> str:
+    async def _run_attempts(self) -> str:
         while True:
-            entry = await self._find_upstream(service)
-            if isinstance(entry, NoUpstream):
-                self._attempt_log.append(entry.reason)
-                return await self._send_failure(entry.available_in_ms)
-            failure = await self._run_attempt(entry, budget)
+            successor = self._hand_over.successor
+            if successor is not None:
+                entry = successor.entry
+            else:
+                found = await self._find_upstream()
+                if isinstance(found, NoUpstream):
+                    self._attempt_log.append(found.reason)
+                    return await self._send_failure(found.available_in_ms)
+                entry = found
+            failure = await self._run_attempt(entry)
             if failure is None:
                 return "delivered"
-            affordable = (
-                self._attempts_sent == 0 or self._prepaid or budget.affords()
-            )
+            if self._hand_over.successor is not None:
+                continue
             reason = stop_reason(
-                self._route, self._attempts, affordable=affordable
+                self._route,
+                self._attempts,
+                affordable=self._affords_attempt(),
+                started=self._responder.started,
             )
             if reason is not None:
                 self._attempt_log.append(f"not retried: {reason.value}")
                 return await self._send_failure()
 
-    async def _find_upstream(self, service: str) -> UpstreamEntry | NoUpstream:
-        """Chooses an upstream; waits a while if none is free at the moment."""
+    def _affords_attempt(self) -> bool:
+        return self._attempts_sent == 0 or self._budget.affords()
+
+    async def _find_upstream(self) -> UpstreamEntry | NoUpstream:
+        """Chooses an upstream; waits a while if none is free at the moment.
+
+        A response in progress waits until its caller's deadline.
+        """
+        started = self._responder.started
+        if started:
+            await asyncio.sleep(refusal_delay_ms(self._attempts) / _MS_PER_S)
         now_ms = self._deps.clock.now_ms()
         remaining_ms = self._remaining_ms(now_ms)
         if remaining_ms < _MIN_ATTEMPT_MS:
             return NoUpstream(reason="deadline reached", available_in_ms=None)
-        wait_ms = int(_SLOT_WAIT_SHARE * self._route.target_latency_ms)
+        wait_ms = remaining_ms - _MIN_ATTEMPT_MS
+        if not started:
+            slot_wait_ms = _SLOT_WAIT_SHARE * self._route.target_latency_ms
+            wait_ms = min(wait_ms, int(slot_wait_ms))
         return await self._deps.waiter.wait(
-            service,
-            lambda: self._choose(service),
+            self._service,
+            self._choose,
             WaitTerms(
                 priority=self._admitted.priority,
                 workspace=self._admitted.workspace,
-                until_ms=now_ms + min(wait_ms, remaining_ms - _MIN_ATTEMPT_MS),
+                until_ms=now_ms + wait_ms,
+                started=started,
             ),
         )
 
-    def _choose(self, service: str) -> UpstreamEntry | NoUpstream:
-        reserved, self._reserved = self._reserved, None
-        if reserved is not None and self._deps.dispatcher.may_send(reserved):
-            return reserved
+    def _choose(self) -> UpstreamEntry | NoUpstream:
+        if not self._affords_attempt():
+            return NoUpstream(
+                reason="retry budget exhausted", available_in_ms=None
+            )
         return self._deps.dispatcher.choose(
             self._request,
-            service,
+            self._service,
             model=self._tiers.model,
             excluded=self._attempted_ids,
         )
@@ -178,9 +208,7 @@
             return self._caller_deadline_ms - now_ms
         return self._response_deadline_ms - now_ms
 
-    async def _run_attempt(
-        self, entry: UpstreamEntry, budget: WindowedRetryBudget
-    ) -> FailureKind | None:
+    async def _run_attempt(self, entry: UpstreamEntry) -> FailureKind | None:
         """Runs one attempt.
 
         Returns:
@@ -188,72 +216,112 @@
             escalation returns `RESPONSE_TRUNCATED` but is not recorded as a
             failure.
         """
-        health = self._deps.dispatcher.health(entry.upstream_id)
-        now_ms = self._deps.clock.now_ms()
-        self._attempted_ids.append(entry.upstream_id)
-        health.in_flight += 1
         try:
-            with await self._open(entry, now_ms) as connection:
-                if not self._deps.dispatcher.may_send(entry):
-                    raise ExchangeError(
-                        FailureKind.NOT_SENT,
-                        "upstream taken out of service while connecting",
-                    )
-                self._spend_budget(budget)
-                await self._exchange(connection, entry, budget)
+            with self.counted(entry):
+                await self._exchange(entry)
         except _EscalationRequested as escalation:
             self._attempts = self._attempts.with_replaced_response()
             self._tiers.escalate(escalation.tier, escalation.confidence)
             self._attempted_ids.clear()
             return FailureKind.RESPONSE_TRUNCATED
         except ExchangeError as error:
-            self._record_failure(entry, error)
+            self.record_failure(entry, error)
             return error.kind
+        return None
+
+    @contextlib.contextmanager
+    def counted(self, entry: UpstreamEntry) -> Iterator[None]:
+        """Counts an attempt as in flight at its upstream."""
+        health = self._deps.dispatcher.health(entry.upstream_id)
+        self._attempted_ids.append(entry.upstream_id)
+        health.in_flight += 1
+        try:
+            yield
         finally:
             health.in_flight -= 1
             self._deps.waiter.offer_places(entry.service)
-        return None
 
-    async def _open(self, entry: UpstreamEntry, now_ms: int) -> HttpConnection:
-        return await connect(
+    async def begin(self, entry: UpstreamEntry) -> SentAttempt:
+        """Connects to an upstream and sends it the request."""
+        now_ms = self._deps.clock.now_ms()
+        connection = await connect(
             entry.host,
             entry.port,
             connect_timeout_ms(self._remaining_ms(now_ms)),
         )
+        try:
+            if not self._deps.dispatcher.may_send(entry):
+                raise ExchangeError(
+                    FailureKind.NOT_SENT,
+                    "upstream taken out of service while connecting",
+                )
+            self._spend_budget()
+            started_ms = self._deps.clock.now_ms()
+            self._send(connection, entry, started_ms)
+        except ExchangeError:
+            connection.close()
+            raise
+        return SentAttempt(
+            entry=entry, connection=connection, started_ms=started_ms
+        )
 
-    def _spend_budget(self, budget: WindowedRetryBudget) -> None:
+    def _spend_budget(self) -> None:
         # Other requests may have spent the budget while this one connected.
-        free = self._attempts_sent == 0 or self._prepaid
-        if not free and not budget.spend():
+        if self._attempts_sent > 0 and not self._budget.spend():
             raise ExchangeError(FailureKind.NOT_SENT, "retry budget exhausted")
-        self._prepaid = False
         self._attempts_sent += 1
 
-    async def _exchange(
-        self,
-        connection: HttpConnection,
-        entry: UpstreamEntry,
-        budget: WindowedRetryBudget,
-    ) -> None:
-        started_ms = self._deps.clock.now_ms()
-        self._send(connection, entry, started_ms)
+    async def _exchange(self, entry: UpstreamEntry) -> None:
+        attempt = self._hand_over.take_successor()
+        if attempt is None:
+            attempt = await self.begin(entry)
+        with attempt.connection as connection:
+            response = attempt.response
+            if response is None:
+                response = await self._await_response(attempt)
+            streamed = self._route.kind is OperationKind.STREAM
+            if response.head.status != _OK or not streamed:
+                await self._receive_plain(
+                    connection, entry, response, attempt.started_ms
+                )
+                return
+            self._maybe_escalate(entry, response, attempt.started_ms)
+            await self._forward_stream(attempt, response)
+
+    async def _await_response(self, attempt: SentAttempt) -> UpstreamResponse:
+        """Waits for the head of a response; a slow one may be superseded.
+
+        Raises:
+            ExchangeError: If another upstream has taken over, the deadline is
+                reached, or the upstream did not respond properly.
+        """
+        remaining_ms = self._remaining_ms(attempt.started_ms)
         timeout_ms = response_timeout_ms(
             self._route,
             self._attempts,
-            self._remaining_ms(started_ms),
+            remaining_ms,
             self._expected_latency_ms(),
-            affordable=budget.affords(),
+            affordable=self._budget.affords(),
         )
-        head = await connection.receive_head(timeout_ms)
+        try:
+            return await self.receive_response(attempt, timeout_ms)
+        except ExchangeError as error:
+            stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
+            if not stalled or timeout_ms >= remaining_ms:
+                raise
+        return await self._hand_over.keep(
+            attempt,
+            self.receive_response(attempt, remaining_ms - timeout_ms),
+            timeout_ms,
+        )
+
+    async def receive_response(
+        self, attempt: SentAttempt, timeout_ms: float
+    ) -> UpstreamResponse:
+        head = await attempt.connection.receive_head(timeout_ms)
         response = self._deps.codec.decode_response(self._request, head)
-        self._check_response(entry, response)
-        if head.status != _OK or self._route.kind is not OperationKind.STREAM:
-            await self._receive_plain(connection, entry, response, started_ms)
-        else:
-            self._maybe_escalate(entry, response, started_ms, budget)
-            await self._forward_stream(
-                connection, entry, response, started_ms, budget
-            )
+        self._check_response(attempt.entry, response)
+        return response
 
     def _expected_latency_ms(self) -> float:
         return self._deps.expected_latencies.expected_ms(
@@ -321,7 +389,6 @@
         entry: UpstreamEntry,
         response: UpstreamResponse,
         started_ms: int,
-        budget: WindowedRetryBudget,
     ) -> None:
         if self._responder.started:
             return
@@ -330,7 +397,7 @@
             return
         if self._attempts.runs + 1 >= self._route.max_attempts:
             return
-        if not budget.affords():
+        if not self._budget.affords():
             return
         tier = self._tiers.escalation(entry.service, response.confidence)
         if tier is not None:
@@ -371,21 +438,20 @@
 
     async def _forward_stream(
         self,
-        connection: HttpConnection,
-        entry: UpstreamEntry,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
-        budget: WindowedRetryBudget,
     ) -> None:
-        reader = EventReader(connection, self._deps.clock)
+        reader = EventReader(attempt.connection, self._deps.clock)
         first = True
         while True:
-            events = await self._next_events(reader, entry, budget)
+            events = await self._next_events(reader, attempt)
             if events is None:
                 break
             if first:
                 first = False
-                self._record_success(entry, response, started_ms)
+                self._record_success(
+                    attempt.entry, response, attempt.started_ms
+                )
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
         if reader.pending or first:
@@ -414,67 +480,39 @@
     async def _next_events(
         self,
         reader: EventReader,
-        entry: UpstreamEntry,
-        budget: WindowedRetryBudget,
+        attempt: SentAttempt,
     ) -> list[RawEvent] | None:
-        """Waits for events; a slow stream is kept until another can resume it.
+        """Waits for events; a stalled stream is kept until another resumes it.
 
         Raises:
-            ExchangeError: If the stream has stalled and another upstream is
-                reserved to resume it, or if it has stalled for too long.
+            ExchangeError: If another upstream has taken over the stream, the
+                deadline is reached, or the stream is truncated or malformed.
         """
-        limit_ms = gap_timeout_ms(self._route, can_resume=False)
-        step_ms = gap_timeout_ms(self._route, can_resume=True)
-        gap_ms = step_ms if self._route.repeatable else limit_ms
-        while True:
-            try:
-                return await reader.read(gap_ms)
-            except ExchangeError as error:
-                if error.kind is not FailureKind.RESPONSE_TIMEOUT:
-                    raise
-                decision = "given up"
-                if gap_ms < limit_ms:
-                    decision = self._reserve_replacement(entry.service, budget)
-                self._log_stall(entry, gap_ms, decision)
-                if gap_ms >= limit_ms or self._reserved is not None:
-                    raise
-            gap_ms = min(limit_ms, gap_ms + step_ms)
-
-    def _reserve_replacement(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> str:
-        """Reserves an upstream that can resume a stalled stream.
+        remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
+        limit_ms = float(reader.paused_ms + max(0, remaining_ms))
+        gap_ms = limit_ms
+        if self._route.repeatable:
+            gap_ms = min(limit_ms, stall_timeout_ms(self._route))
+        try:
+            return await reader.read(gap_ms)
+        except ExchangeError as error:
+            stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
+            if not stalled or gap_ms >= limit_ms:
+                raise
+        return await self._hand_over.keep(
+            attempt, reader.read(limit_ms), gap_ms
+        )
 
-        Returns:
-            The decision, for the log: which upstream is reserved, or why none.
-        """
+    def find_successor(self) -> UpstreamEntry | str:
+        """Returns another upstream, or why there is none."""
         if self._attempts.runs + 1 >= self._route.max_attempts:
-            return "kept: attempts used up"
-        if not budget.affords():
-            return "kept: retry budget exhausted"
-        found = self._choose(service)
+            return "attempts used up"
+        found = self._choose()
         if isinstance(found, NoUpstream):
-            return f"kept: {found.reason}"
+            return found.reason
         if found.upstream_id in self._attempted_ids:
-            return "kept: all upstreams already attempted"
-        self._reserved = found
-        self._prepaid = budget.spend()
-        return f"moved to {found.upstream_id}"
-
-    def _log_stall(
-        self, entry: UpstreamEntry, pause_ms: float, decision: str
-    ) -> None:
-        self._deps.metrics.count(
-            "stalls", Label(name="decision", value=decision.partition(" ")[0])
-        )
-        log_event(
-            "stream_stalled",
-            id=self._request.request_id,
-            upstream=entry.upstream_id,
-            pause_ms=round(pause_ms),
-            event_id=self._last_event_id,
-            decision=decision,
-        )
+            return "all upstreams already attempted"
+        return found
 
     def _record_success(
         self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
@@ -502,7 +540,7 @@
         )
         deps.metrics.observe_ms("upstream_first_answer", latency_ms)
 
-    def _record_failure(
+    def record_failure(
         self, entry: UpstreamEntry, error: ExchangeError
     ) -> None:
         deps = self._deps
@@ -533,6 +571,10 @@
             ejected_ms=max(0, health.ejected_until_ms - now_ms),
         )
 
+    def record_withdrawn(self) -> None:
+        """Records an attempt that was abandoned and may have run."""
+        self._attempts = self._attempts.with_replaced_response()
+
     async def fail(self) -> None:
         """Ends a request after an internal error.
 
@@ -573,7 +615,7 @@
             return _GATEWAY_TIMEOUT, None
         return _BAD_GATEWAY, None
 
-    def _log_completion(self, service: str, outcome: str) -> None:
+    def _log_completion(self, outcome: str) -> None:
         deps = self._deps
         elapsed_ms = deps.clock.now_ms() - self._request.http.arrived_ms
         deps.metrics.count("requests", Label(name="outcome", value=outcome))
@@ -582,7 +624,7 @@
             "request",
             id=self._request.request_id,
             route=self._route.name,
-            service=service,
+            service=self._service,
             workspace=self._admitted.workspace,
             configuration=self._admitted.configuration_version,
             session=self._request.session,
