Count overdue, replaced and slowly paced responses as slow

Cause: only a delivered first event was evidence. How slowly further events followed was never measured.

ResponseSpeed judges each response once. It is slow as soon as its first part is overdue, whether it arrives, is replaced, superseded or given up afterwards, or if its first eight events after that take several times as long as expected.

--- a/trefoilpitch/gateway/_health.py
+++ b/trefoilpitch/gateway/_health.py
@@ -22,6 +22,8 @@
 # and at least this much longer.
 _SLOW_RATIO = 3.0
 _SLOW_EXTRA_MS = 30.0
+# The same difference for the time per event of a stream, a mean of several.
+_SLOW_PACE_EXTRA_MS = 10.0
 # Age after which a load report is ignored.
 _REPORT_EXPIRY_MS = 400
 
@@ -201,10 +203,27 @@
 
         A difference of a few milliseconds is noise, however short the request.
         """
-        expected_ms = self._expected_ms.get(key, latency_ms)
+        slow_after_ms = self.slow_after_ms(key)
+        return slow_after_ms is not None and latency_ms >= slow_after_ms
+
+    def slow_after_ms(self, key: str) -> float | None:
+        """Returns the least latency that is slow; None if nothing is known."""
+        expected_ms = self._expected_ms.get(key)
+        if expected_ms is None:
+            return None
+        return max(_SLOW_RATIO * expected_ms, expected_ms + _SLOW_EXTRA_MS)
+
+    def is_slow_pace(self, key: str, pace_ms: float) -> bool:
+        """Returns whether a time per event is several times the expected one.
+
+        Args:
+            key: The kind of stream.
+            pace_ms: The mean time per event.
+        """
+        expected_ms = self._expected_ms.get(key, pace_ms)
         return (
-            latency_ms >= _SLOW_RATIO * expected_ms
-            and latency_ms - expected_ms >= _SLOW_EXTRA_MS
+            pace_ms >= _SLOW_RATIO * expected_ms
+            and pace_ms - expected_ms >= _SLOW_PACE_EXTRA_MS
         )
 
     def expected_ms(self, key: str, default_ms: float) -> float:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Iterator
 from typing import TypeVar
 
@@ -32,6 +33,7 @@
 )
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
+from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
@@ -275,18 +277,44 @@
         attempt = self._hand_over.take_successor()
         if attempt is None:
             attempt = await self.begin(entry)
-        with attempt.connection as connection:
+        with attempt.connection as connection, self._judged(attempt) as speed:
             response = attempt.response
             if response is None:
                 response = await self._await_response(attempt)
             streamed = self._route.kind is OperationKind.STREAM
             if response.head.status != _OK or not streamed:
-                await self._receive_plain(
-                    connection, entry, response, attempt.started_ms
-                )
+                await self._receive_plain(connection, attempt, response, speed)
                 return
-            self._maybe_escalate(entry, response, attempt.started_ms)
-            await self._forward_stream(attempt, response)
+            self._maybe_escalate(attempt, response, speed)
+            await self._forward_stream(attempt, response, speed)
+
+    @contextlib.contextmanager
+    def _judged(self, attempt: SentAttempt) -> Iterator[ResponseSpeed]:
+        """Records the speed of a response as evidence on its version."""
+        speed = ResponseSpeed(
+            self._deps.expected_latencies,
+            latency_key=self._tiers.latency_key,
+            pace_key=self._tiers.pace_key,
+            started_ms=attempt.started_ms,
+            record=functools.partial(
+                self._deps.dispatcher.record_evidence, attempt.entry
+            ),
+        )
+        timer: asyncio.TimerHandle | None = None
+        if speed.due_ms is not None:
+            wait_ms = speed.due_ms - self._deps.clock.now_ms()
+            timer = asyncio.get_running_loop().call_later(
+                max(0.0, wait_ms) / _MS_PER_S, speed.check_wait
+            )
+        try:
+            yield speed
+        except _EscalationRequested:
+            speed.completed()
+            raise
+        finally:
+            if timer is not None:
+                timer.cancel()
+        speed.completed()
 
     async def _await_response(self, attempt: SentAttempt) -> UpstreamResponse:
         """Waits for the head of a response; a slow one may be superseded.
@@ -386,9 +414,9 @@
 
     def _maybe_escalate(
         self,
-        entry: UpstreamEntry,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
+        speed: ResponseSpeed,
     ) -> None:
         if self._responder.started:
             return
@@ -399,9 +427,12 @@
             return
         if not self._budget.affords():
             return
+        entry = attempt.entry
         tier = self._tiers.escalation(entry.service, response.confidence)
         if tier is not None:
-            elapsed_ms = self._deps.clock.now_ms() - started_ms
+            now_ms = self._deps.clock.now_ms()
+            elapsed_ms = now_ms - attempt.started_ms
+            speed.first_part_arrived(now_ms)
             self._attempt_log.append(
                 f"{entry.upstream_id} {self._tiers.model} {elapsed_ms} ms"
                 f" of {self._expected_latency_ms():.0f}"
@@ -413,9 +444,9 @@
     async def _receive_plain(
         self,
         connection: HttpConnection,
-        entry: UpstreamEntry,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
+        speed: ResponseSpeed,
     ) -> None:
         now_ms = self._deps.clock.now_ms()
         body = await connection.receive_body(
@@ -423,13 +454,15 @@
         )
         failed = response.head.status >= _SERVER_ERROR
         if failed:
-            self._deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
+            self._deps.dispatcher.record_evidence(
+                attempt.entry, ResponseQuality.FAILED
+            )
             if response.sealed and response.unencoded:
                 self._last_error_response = (response, body)
             raise ExchangeError(
                 FailureKind.SERVER_ERROR, f"status {response.head.status}"
             )
-        self._record_success(entry, response, started_ms)
+        self._record_success(attempt, response, speed)
         await self._deliver(response, body)
 
     async def _deliver(self, response: UpstreamResponse, body: bytes) -> None:
@@ -440,6 +473,7 @@
         self,
         attempt: SentAttempt,
         response: UpstreamResponse,
+        speed: ResponseSpeed,
     ) -> None:
         reader = EventReader(attempt.connection, self._deps.clock)
         first = True
@@ -449,9 +483,9 @@
                 break
             if first:
                 first = False
-                self._record_success(
-                    attempt.entry, response, attempt.started_ms
-                )
+                self._record_success(attempt, response, speed)
+            else:
+                speed.events_arrived(len(events), self._deps.clock.now_ms())
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
         if reader.pending or first:
@@ -515,15 +549,18 @@
         return found
 
     def _record_success(
-        self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
+        self,
+        attempt: SentAttempt,
+        response: UpstreamResponse,
+        speed: ResponseSpeed,
     ) -> None:
         deps = self._deps
+        entry = attempt.entry
         now_ms = deps.clock.now_ms()
-        latency_ms = now_ms - started_ms
+        latency_ms = now_ms - attempt.started_ms
         expected_ms = self._expected_latency_ms()
-        slow = deps.expected_latencies.is_slow(
-            self._tiers.latency_key, latency_ms
-        )
+        # The comparison comes before the expected latency is updated.
+        speed.first_part_arrived(now_ms)
         latency_ratio = deps.expected_latencies.record(
             self._tiers.latency_key, latency_ms
         )
@@ -535,9 +572,6 @@
             f" of {expected_ms:.0f} load {load}"
             f" confidence {response.confidence}"
         )
-        deps.dispatcher.record_evidence(
-            entry, ResponseQuality.SLOW if slow else ResponseQuality.GOOD
-        )
         deps.metrics.observe_ms("upstream_first_answer", latency_ms)
 
     def record_failure(
--- a/trefoilpitch/gateway/_tier_choice.py
+++ b/trefoilpitch/gateway/_tier_choice.py
@@ -44,6 +44,12 @@
             return self._route.name
         return _latency_key(model, self._request)
 
+    @property
+    def pace_key(self) -> str:
+        """Groups streams of similar time per event: by model, or route."""
+        model = self.model or self._request.model
+        return f"{model or self._route.name}/pace"
+
     def record_escalated(self, confidence: int | None) -> None:
         """Learns from the response of the largest model.
 
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -51,6 +51,7 @@
     ResponseSize,
 )
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS, retry_after_ms
+from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import (
     CANARY_PERCENT,
     ResponseQuality,
@@ -435,6 +436,74 @@
     assert not latencies.is_slow("unknown", latency_ms)
 
 
+@pytest.mark.parametrize(
+    ("expected_ms", "pace_ms", "expected"),
+    [(4, 12, False), (32, 90, False), (32, 96, True), (12, 36, True)],
+)
+def test_pace_is_slow_from_three_times_the_expected_one(
+    expected_ms: float, pace_ms: float, expected: bool
+) -> None:
+    latencies = ExpectedLatencies()
+    latencies.record("w", expected_ms)
+    assert latencies.is_slow_pace("w", pace_ms) is expected
+    assert not latencies.is_slow_pace("unknown", pace_ms)
+
+
+@pytest.mark.parametrize(
+    ("events_ms", "completed", "expected"),
+    [
+        # No first part.
+        ([], False, None),
+        ([], True, None),
+        # A first part in time, and the end before the pace is known.
+        ([100], True, ResponseQuality.GOOD),
+        ([100], False, None),
+        # A late first part, whatever follows.
+        ([400, *range(410, 490, 10)], True, ResponseQuality.SLOW),
+        # The pace from the first part on.
+        (list(range(100, 350, 30)), False, ResponseQuality.GOOD),
+        (list(range(100, 910, 100)), False, ResponseQuality.SLOW),
+    ],
+)
+def test_quality_of_a_response_is_recorded_once(
+    events_ms: list[int], completed: bool, expected: ResponseQuality | None
+) -> None:
+    recorded: list[ResponseQuality] = []
+    speed = _speed(recorded)
+    for number, now_ms in enumerate(events_ms):
+        if number == 0:
+            speed.first_part_arrived(now_ms)
+        else:
+            speed.events_arrived(1, now_ms)
+    if completed:
+        speed.completed()
+    assert recorded == ([] if expected is None else [expected])
+
+
+def test_response_is_slow_as_soon_as_its_first_part_is_overdue() -> None:
+    recorded: list[ResponseQuality] = []
+    speed = _speed(recorded)
+    assert speed.due_ms == 300
+    speed.check_wait()
+    assert recorded == [ResponseQuality.SLOW]
+    speed.first_part_arrived(900)
+    speed.completed()
+    assert recorded == [ResponseQuality.SLOW]
+
+
+def _speed(recorded: list[ResponseQuality]) -> ResponseSpeed:
+    latencies = ExpectedLatencies()
+    latencies.record("first", 100.0)
+    latencies.record("pace", 30.0)
+    return ResponseSpeed(
+        latencies,
+        latency_key="first",
+        pace_key="pace",
+        started_ms=0,
+        record=recorded.append,
+    )
+
+
 _ONCE = route(kind=OperationKind.NON_IDEMPOTENT, max_attempts=3)
 _REPEATABLE = route(max_attempts=2)
 _STREAM = route(kind=OperationKind.STREAM, max_attempts=3)
