Compare the odds of slow responses, which a burst does not saturate

Cause: a target was slower only if its fraction of slow responses was 2.5 times the others'.

The odds have to be 2.5 times as high and the fraction 2.5 standard errors above the others', which works at any base rate and needs more evidence where it is thin. Each step names the evidence that it was taken on. The first added case of test_target_is_compared_with_the_other_versions failed before; the second one guards against a decision on a handful of responses.

--- a/trefoilpitch/gateway/_rollouts.py
+++ b/trefoilpitch/gateway/_rollouts.py
@@ -12,6 +12,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Mapping
 
 from trefoilpitch.fleet import (
@@ -38,9 +39,15 @@
 # crowded for a moment is slow too.
 _MIN_SLOW = 6
 _MIN_SLOW_SHARE = 0.25
-# The target's fraction must also be at least this multiple of the other
-# versions', so that a fault of the whole service is not blamed on it.
+# The target's fraction of failures must also be at least this multiple of the
+# other versions', so that a fault of the whole service is not blamed on it.
 _WORSE_FACTOR = 2.5
+# The same for slow responses, by their odds: in a burst so many responses of
+# all versions are slow that no fraction is a multiple of the others'.
+_SLOWER_ODDS_FACTOR = 2.5
+# Number of standard errors by which the target's fraction of slow responses
+# must exceed the other versions'.
+_MIN_SLOWER_ERRORS = 2.5
 _HASH_RANGE = 1 << 64
 
 
@@ -68,6 +75,9 @@
         """Fraction of the successful responses that were slow."""
         return self.slow / max(1, self.good + self.slow)
 
+    def __str__(self) -> str:
+        return f"{self.failed} failed, {self.slow} slow, {self.good} good"
+
     def merge(self, other: VersionEvidence) -> VersionEvidence:
         """Returns the sum of both counts."""
         return VersionEvidence(
@@ -77,6 +87,10 @@
         )
 
 
+# Added to the evidence on the other versions, of which there may be none.
+_PRIOR = VersionEvidence(good=9, slow=1)
+
+
 class ResponseQuality(enum.Enum):
     """What a response says about the version that gave it."""
 
@@ -114,12 +128,20 @@
         and target.failed_share >= _MIN_FAILED_SHARE
         and target.failed_share >= _WORSE_FACTOR * others.failed_share
     )
-    is_slower = (
-        target.slow >= _MIN_SLOW
-        and target.slow_share >= _MIN_SLOW_SHARE
-        and target.slow_share >= _WORSE_FACTOR * others.slow_share
+    return fails_more or _is_slower(target, others)
+
+
+def _is_slower(target: VersionEvidence, others: VersionEvidence) -> bool:
+    if target.slow < _MIN_SLOW or target.slow_share < _MIN_SLOW_SHARE:
+        return False
+    usual_odds = (others.slow + _PRIOR.slow) / (others.good + _PRIOR.good)
+    usual_share = usual_odds / (1 + usual_odds)
+    answered = target.good + target.slow
+    error = math.sqrt(usual_share * (1 - usual_share) / answered)
+    return (
+        target.slow >= _SLOWER_ODDS_FACTOR * usual_odds * target.good
+        and target.slow_share >= usual_share + _MIN_SLOWER_ERRORS * error
     )
-    return fails_more or is_slower
 
 
 def split_evidence(
@@ -181,22 +203,35 @@
     Returns:
         The step, or None if none is due.
     """
-    phase, percent = current_phase(rollout, record)
+    phase, _ = current_phase(rollout, record)
     if phase is not None and phase.final:
         return None
     target, others = split_evidence(evidence, rollout.order.target)
+    compared = f"target: {target}; others: {others}"
     if stopped or is_regression(target, others):
         return RolloutStep(
             phase=RolloutPhase.ROLLED_BACK,
             percent=0,
-            reason=f"target: {target.failed} failed, {target.slow} slow,"
-            f" {target.good} good; others: {others.failed} failed,"
-            f" {others.slow} slow, {others.good} good",
+            reason=compared,
         )
     if phase is None:
         return RolloutStep(
             phase=RolloutPhase.CANARY, percent=0, reason="ordered"
         )
+    due = _scheduled_step(rollout, record, old_in_flight, now_ms)
+    if due is None:
+        return None
+    return dataclasses.replace(due, reason=f"{due.reason}; {compared}")
+
+
+def _scheduled_step(
+    rollout: CachedRolloutOrder,
+    record: CachedRolloutRecord | None,
+    old_in_flight: int,
+    now_ms: int,
+) -> RolloutStep | None:
+    """Returns the step that the schedule of a sound target prescribes."""
+    _, percent = current_phase(rollout, record)
     elapsed = (now_ms - rollout.seen_ms) / max(1, rollout.order.duration_ms)
     if percent >= 100 and (
         elapsed >= _COMPLETE_AFTER
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -789,6 +789,18 @@
             VersionEvidence(good=250, slow=130),
             False,
         ),
+        # A slow version in a burst.
+        (
+            VersionEvidence(good=10, slow=25),
+            VersionEvidence(good=250, slow=130),
+            True,
+        ),
+        # Too few responses to tell.
+        (
+            VersionEvidence(good=15, slow=7),
+            VersionEvidence(good=250, slow=40),
+            False,
+        ),
         # Only the target is slow.
         (VersionEvidence(good=10, slow=9), VersionEvidence(good=90), True),
         # One crowded upstream of a good version is slow for a moment.
