Keep a distance between the steps of a roll-out after an outage

Callers: with the store silent from 9 to 14 s, the steps to 50 and to 100% followed each other within 0.1 s, and the slow version was completed 1.5 s later. Steps were due by the time since the order alone, so that an outage took from the observation what it lasted.

Steps of the shift phase and its end keep 0.07 of the duration between them. A roll-out that the store held up may complete late, but not unobserved. test_steps_keep_their_distance_after_a_store_outage failed before.

--- a/trefoilpitch/gateway/_rollouts.py
+++ b/trefoilpitch/gateway/_rollouts.py
@@ -32,6 +32,9 @@
 # is idle, and in any case.
 _COMPLETE_IDLE_AFTER = 0.72
 _COMPLETE_AFTER = 0.92
+# Minimum fraction of the duration between two steps of the shift phase and its
+# end, also after an outage of the store: slow responses take a while to show.
+_MIN_STEP = 0.07
 # Minimum number and fraction of failures for a rollback.
 _MIN_FAILURES = 4
 _MIN_FAILED_SHARE = 0.15
@@ -231,8 +234,15 @@
     now_ms: int,
 ) -> RolloutStep | None:
     """Returns the step that the schedule of a sound target prescribes."""
-    _, percent = current_phase(rollout, record)
-    elapsed = (now_ms - rollout.seen_ms) / max(1, rollout.order.duration_ms)
+    phase, percent = current_phase(rollout, record)
+    duration_ms = max(1, rollout.order.duration_ms)
+    elapsed = (now_ms - rollout.seen_ms) / duration_ms
+    if (
+        record is not None
+        and phase is RolloutPhase.SHIFT
+        and now_ms - record.seen_ms < _MIN_STEP * duration_ms
+    ):
+        return None
     if percent >= 100 and (
         elapsed >= _COMPLETE_AFTER
         or (elapsed >= _COMPLETE_IDLE_AFTER and old_in_flight == 0)
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import Counter
 
@@ -881,6 +882,26 @@
     assert idle.phase is RolloutPhase.COMPLETED
 
 
+def test_steps_keep_their_distance_after_a_store_outage() -> None:
+    """The store was away until three of the steps were due."""
+    fleet = _Fleet()
+    order = _rollout(fleet, duration_ms=10_000)
+    _record(fleet, order, RolloutPhase.CANARY)
+    fleet.clock.advance(7_000)
+    seen: list[tuple[int, int]] = []
+    for _ in range(30):
+        now_ms = fleet.clock.now_ms()
+        known = fleet.view.records["s"]
+        step = next_step(fleet.view.rollouts["s"], known, {}, 0, now_ms)
+        if step is not None:
+            seen.append((now_ms, step.percent))
+            _record(fleet, order, step.phase, step.percent)
+        fleet.clock.advance(100)
+    assert [percent for _, percent in seen] == [20, 50, 100, 100]
+    times = [at_ms for at_ms, _ in seen]
+    assert all(b - a >= 700 for a, b in itertools.pairwise(times))
+
+
 def test_bad_version_is_rolled_back_in_any_phase() -> None:
     fleet = _Fleet()
     order = _rollout(fleet)
