--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Collection, Iterator
 from typing import TypeVar
 
@@ -36,6 +37,7 @@
 )
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
+from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
@@ -311,22 +313,52 @@
         attempt = self._hand_over.take_successor()
         if attempt is None:
             attempt = await self.begin(entry)
-        with attempt.connection as connection, self.watched(attempt):
+        with (
+            attempt.connection as connection,
+            self.watched(attempt),
+            self._judged(attempt) as speed,
+        ):
             response = attempt.response
             if response is None:
                 response = await self._await_response(attempt)
             streamed = self._route.kind is OperationKind.STREAM
             if response.head.status != _OK or not streamed:
-                await self._receive_plain(
-                    connection, entry, response, attempt.started_ms
-                )
+                await self._receive_plain(connection, attempt, response, speed)
             else:
-                self._maybe_escalate(entry, response, attempt.started_ms)
-                await self._forward_stream(attempt, response)
+                self._maybe_escalate(attempt, response, speed)
+                await self._forward_stream(attempt, response, speed)
         self._deps.cut_attempts.record_complete(
             entry, self._request, response.head
         )
 
+    @contextlib.contextmanager
+    def _judged(self, attempt: SentAttempt) -> Iterator[ResponseSpeed]:
+        """Records the speed of a response as evidence on its version."""
+        speed = ResponseSpeed(
+            self._deps.expected_latencies,
+            latency_key=self._tiers.latency_key,
+            pace_key=self._tiers.pace_key,
+            started_ms=attempt.started_ms,
+            record=functools.partial(
+                self._deps.dispatcher.record_evidence, attempt.entry
+            ),
+        )
+        timer: asyncio.TimerHandle | None = None
+        if speed.due_ms is not None:
+            wait_ms = speed.due_ms - self._deps.clock.now_ms()
+            timer = asyncio.get_running_loop().call_later(
+                max(0.0, wait_ms) / _MS_PER_S, speed.check_wait
+            )
+        try:
+            yield speed
+        except _EscalationRequested:
+            speed.completed()
+            raise
+        finally:
+            if timer is not None:
+                timer.cancel()
+        speed.completed()
+
     async def _await_response(self, attempt: SentAttempt) -> UpstreamResponse:
         """Waits for the head of a response; a slow one may be superseded.
 
@@ -339,9 +371,7 @@
             self._route,
             self._attempts,
             remaining_ms,
-            self._deps.expected_latencies.expected_ms(
-                self._tiers.latency_key, default_ms=0.0
-            ),
+            self._expected_latency_ms(),
             affordable=self._budget.affords(),
         )
         try:
@@ -365,6 +395,11 @@
         self._check_response(attempt.entry, response)
         return response
 
+    def _expected_latency_ms(self) -> float:
+        return self._deps.expected_latencies.expected_ms(
+            self._tiers.latency_key, default_ms=0.0
+        )
+
     def _send(
         self, connection: HttpConnection, entry: UpstreamEntry, now_ms: int
     ) -> None:
@@ -423,9 +458,9 @@
 
     def _maybe_escalate(
         self,
-        entry: UpstreamEntry,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
+        speed: ResponseSpeed,
     ) -> None:
         if self._responder.started:
             return
@@ -436,11 +471,15 @@
             return
         if not self._budget.affords():
             return
+        entry = attempt.entry
         tier = self._tiers.escalation(entry.service, response.confidence)
         if tier is not None:
-            elapsed_ms = self._deps.clock.now_ms() - started_ms
+            now_ms = self._deps.clock.now_ms()
+            elapsed_ms = now_ms - attempt.started_ms
+            speed.first_part_arrived(now_ms)
             self._attempt_log.append(
                 f"{entry.upstream_id} {self._tiers.model} {elapsed_ms} ms"
+                f" of {self._expected_latency_ms():.0f}"
                 f" load {response.load and response.load.running}"
                 f" replaced, confidence {response.confidence}"
             )
@@ -449,9 +488,9 @@
     async def _receive_plain(
         self,
         connection: HttpConnection,
-        entry: UpstreamEntry,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
+        speed: ResponseSpeed,
     ) -> None:
         now_ms = self._deps.clock.now_ms()
         body = await connection.receive_body(
@@ -464,7 +503,7 @@
             raise ExchangeError(
                 FailureKind.SERVER_ERROR, f"status {response.head.status}"
             )
-        self._record_success(entry, response, started_ms)
+        self._record_success(attempt, response, speed)
         await self._deliver(response, body)
 
     async def _deliver(self, response: UpstreamResponse, body: bytes) -> None:
@@ -475,6 +514,7 @@
         self,
         attempt: SentAttempt,
         response: UpstreamResponse,
+        speed: ResponseSpeed,
     ) -> None:
         reader = EventReader(attempt.connection, self._deps.clock)
         first = True
@@ -485,9 +525,9 @@
             if first:
                 first = False
                 attempt.progress.first_event_ms = self._deps.clock.now_ms()
-                self._record_success(
-                    attempt.entry, response, attempt.started_ms
-                )
+                self._record_success(attempt, response, speed)
+            else:
+                speed.events_arrived(len(events), self._deps.clock.now_ms())
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
         if reader.pending or first:
@@ -558,14 +598,18 @@
         return found.reason if isinstance(found, NoUpstream) else found
 
     def _record_success(
-        self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
+        self,
+        attempt: SentAttempt,
+        response: UpstreamResponse,
+        speed: ResponseSpeed,
     ) -> None:
         deps = self._deps
+        entry = attempt.entry
         now_ms = deps.clock.now_ms()
-        latency_ms = now_ms - started_ms
-        slow = deps.expected_latencies.is_slow(
-            self._tiers.latency_key, latency_ms
-        )
+        latency_ms = now_ms - attempt.started_ms
+        expected_ms = self._expected_latency_ms()
+        # The comparison comes before the expected latency is updated.
+        speed.first_part_arrived(now_ms)
         latency_ratio = deps.expected_latencies.record(
             self._tiers.latency_key, latency_ms
         )
@@ -574,10 +618,8 @@
         load = deps.dispatcher.load(entry.upstream_id)
         self._attempt_log.append(
             f"{entry.upstream_id} {self._tiers.model or '-'} {latency_ms} ms"
-            f" load {load} confidence {response.confidence}"
-        )
-        deps.dispatcher.record_evidence(
-            entry, ResponseQuality.SLOW if slow else ResponseQuality.GOOD
+            f" of {expected_ms:.0f} load {load}"
+            f" confidence {response.confidence}"
         )
         deps.metrics.observe_ms("upstream_first_answer", latency_ms)
 
