Leave an attempt for the end of an upstream that has paused

Callers: a stream ended without the rest of its answer although its upstream had only paused twice before it crashed.

Cause: an offer to another upstream that is dropped, as the stalled one goes on, counts as a run, rightly, since the other one may have run it. Two of them used up the three attempts of a route, and the crash found none left.

After one dropped offer the next one needs an attempt to spare.

--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -113,6 +113,8 @@
         self._attempted_ids: list[str] = []
         # Upstreams that may have run the request.
         self._run_ids: set[str] = set()
+        # Whether a stalled upstream went on after another was asked.
+        self._withdrawn = False
         # Whether the retry budget was spent for the next attempt.
         self._credit_reserved = False
         self._service = deps.dispatcher.pick_service(admitted.route)
@@ -590,7 +592,9 @@
 
     def find_successor(self) -> UpstreamEntry | str:
         """Returns another upstream, or why there is none."""
-        if self._attempts.runs + 1 >= self._route.max_attempts:
+        # Once an offer was in vain, an attempt is left for a real failure.
+        spare = 1 if self._withdrawn else 0
+        if self._attempts.runs + 1 + spare >= self._route.max_attempts:
             return "attempts used up"
         if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_OFFER_MS:
             return "deadline is near"
@@ -666,6 +670,7 @@
     def record_withdrawn(self) -> None:
         """Records an attempt that was abandoned and may have run."""
         self._attempts = self._attempts.with_replaced_response()
+        self._withdrawn = True
 
     async def fail(self) -> None:
         """Ends a request after an internal error.
--- a/trefoilpitch/platform/tests/test_silent_upstreams.py
+++ b/trefoilpitch/platform/tests/test_silent_upstreams.py
@@ -389,3 +389,32 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     run(scenario)
+
+
+def test_pauses_leave_an_attempt_for_the_end_of_the_upstream() -> None:
+    async def scenario() -> None:
+        async with _stalled_stream(events=40, response_delay_ms=50) as (
+            fleet,
+            task,
+        ):
+            first = fleet.workers["model-0"]
+            second = await fleet.add_worker("model-1", "model-service")
+            second.events = 40
+            second.response_delay_ms = 5_000
+            second.on_run = lambda run: first.speaking.set()
+            await wait_until(lambda: second.abandoned)
+            await asyncio.sleep(0.2)
+            third = await fleet.add_worker("model-2", "model-service")
+            third.events = 40
+            first.speaking.clear()
+            await asyncio.sleep(2 * _GAP_MS / 1_000)
+            assert not third.runs
+            first.speaking.set()
+            await asyncio.sleep(0.1)
+            second.response_delay_ms = 0
+            first.stop()
+            head, body = await task
+            assert head.status == 200
+            assert body.count(b"id: ") == 40
+
+    run(scenario)
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -151,6 +151,10 @@
             self._restart.cancel()
         self._server.__exit__(exc_type, exc, traceback)
 
+    def stop(self) -> None:
+        """Stops the worker at once and resets its connections."""
+        self._server.__exit__(None, None, None)
+
     def entry(self, service: str, **fields: object) -> dict[str, Any]:
         """Returns the entry with which the worker registers in the store."""
         return {
@@ -237,7 +241,7 @@
             self._restart = asyncio.create_task(self._end_and_restart())
 
     async def _end_and_restart(self) -> None:
-        self._server.__exit__(None, None, None)
+        self.stop()
         await asyncio.sleep(self.restart_delay_ms / _MS_PER_S)
         name = self.worker_id.partition("+")[0]
         self.worker_id = f"{name}+{len(self.crashed_s)}"
