Apply a raised idle timeout to connections that are open

Callers: after a change of the configuration that raised idle-timeout-ms, a kept connection was still closed by the timer of the old value, at a time at which callers may send the next request on it.

Cause: the timer was started with the limit of that moment and not compared with the current one. Found by looking for ends beside a change of the configuration; it was not seen in a record, and leaves only a window in which a request crosses the close.

Evidence: the new test fails without the change (connection lost before the second request).

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -129,6 +129,8 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._arrived_ms = 0
+        # Monotonic time since when it has had no request.
+        self._idle_since_ms = 0
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -386,13 +388,20 @@
         self._reject(_REQUEST_TIMEOUT, "the request did not arrive in time")
 
     def _on_idle_timeout(self) -> None:
-        if self._transport is not None:
+        # The limit may have been raised since the timer was started.
+        left_ms = self._idle_left_ms()
+        if left_ms > 0:
+            self._start_timer(left_ms, self._on_idle_timeout)
+        elif self._transport is not None:
             self._transport.close()
 
     def _start_idle_timer(self) -> None:
-        self._start_timer(
-            self._state.limits().idle_timeout_ms, self._on_idle_timeout
-        )
+        self._idle_since_ms = self._state.now_ms()
+        self._start_timer(self._idle_left_ms(), self._on_idle_timeout)
+
+    def _idle_left_ms(self) -> int:
+        idle_ms = self._state.now_ms() - self._idle_since_ms
+        return self._state.limits().idle_timeout_ms - idle_ms
 
     def _start_timer(self, delay_ms: int, action: Callable[[], None]) -> None:
         self._cancel_timer()
