Reproduce streams that are reset while their caller pauses

After 2.5 s the stream completes.

Cause: TCP_USER_TIMEOUT of 3 s, which Linux also applies to a peer that acknowledges with a closed window.

--- a/trefoilpitch/platform/tests/test_endless_responses.py
+++ b/trefoilpitch/platform/tests/test_endless_responses.py
@@ -219,6 +219,31 @@
     run(scenario)
 
 
+def test_sound_stream_waits_for_a_caller_that_pauses() -> None:
+    """The kernel must not drop a caller that acknowledges but does not read."""
+    pause_s = 5.0
+
+    async def scenario() -> None:
+        async with (
+            NumberedEvents("long", 1_000) as long,
+            running_fleet(plain=1, routes=stream_routes(gap_ms=200)) as fleet,
+        ):
+            fleet.store.put("servers/long", long.entry("model-service"))
+            await fleet.wait_for_upstreams(2)
+            with await fleet.open_connection() as connection:
+                send(
+                    connection, "/stream/x", X_Trefoilpitch_Deadline_Ms="30000"
+                )
+                await connection.receive_head(TIMEOUT_MS)
+                await asyncio.sleep(pause_s)
+                received = 0
+                while data := await connection.receive_data(TIMEOUT_MS):
+                    received += len(data)
+            assert received > 1_000 * (32 << 10)
+
+    run(scenario)
+
+
 def test_endless_events_end_with_the_time_of_their_caller() -> None:
     """A response that goes on past its caller's deadline is broken off."""
 
