--- a/trefoilpitch/platform/tests/test_endless_responses.py
+++ b/trefoilpitch/platform/tests/test_endless_responses.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from trefoilpitch.fleet import StoreUnavailableError
+from trefoilpitch.fleet import StoreUnavailableError, StoreVersion
 from trefoilpitch.gateway import (
     ExchangeError,
     ListenAddress,
@@ -316,3 +316,21 @@
             await wait_until(lambda: not endless.open)
 
     run(scenario)
+
+
+@_cases
+def test_endless_response_of_a_peer_is_left(response: EndlessResponse) -> None:
+    async def scenario() -> None:
+        async with (
+            EndlessWorker("peer", response) as endless,
+            running_fleet() as fleet,
+        ):
+            address = ListenAddress(host=HOST, port=endless.port)
+            started = time.monotonic()
+            batch = await fleet.daemon._fetch_items(address, StoreVersion(0, 0))
+            assert batch is None
+            assert time.monotonic() - started < _SOON_S
+            await wait_until(lambda: not endless.open)
+            assert endless.sent < 2 * _MAX_SENT_BYTES
+
+    run(scenario)
