--- a/trefoilpitch/platform/tests/test_endless_responses.py
+++ b/trefoilpitch/platform/tests/test_endless_responses.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from trefoilpitch.fleet import StoreUnavailableError
+from trefoilpitch.fleet import StoreUnavailableError, StoreVersion
 from trefoilpitch.gateway import (
     ExchangeError,
     ListenAddress,
@@ -219,6 +219,31 @@
     run(scenario)
 
 
+def test_sound_stream_waits_for_a_caller_that_pauses() -> None:
+    """The kernel must not drop a caller that acknowledges but does not read."""
+    pause_s = 5.0
+
+    async def scenario() -> None:
+        async with (
+            NumberedEvents("long", 1_000) as long,
+            running_fleet(plain=1, routes=stream_routes(gap_ms=200)) as fleet,
+        ):
+            fleet.store.put("servers/long", long.entry("model-service"))
+            await fleet.wait_for_upstreams(2)
+            with await fleet.open_connection() as connection:
+                send(
+                    connection, "/stream/x", X_Trefoilpitch_Deadline_Ms="30000"
+                )
+                await connection.receive_head(TIMEOUT_MS)
+                await asyncio.sleep(pause_s)
+                received = 0
+                while data := await connection.receive_data(TIMEOUT_MS):
+                    received += len(data)
+            assert received > 1_000 * (32 << 10)
+
+    run(scenario)
+
+
 def test_endless_events_end_with_the_time_of_their_caller() -> None:
     """A response that goes on past its caller's deadline is broken off."""
 
@@ -291,3 +316,21 @@
             await wait_until(lambda: not endless.open)
 
     run(scenario)
+
+
+@_cases
+def test_endless_response_of_a_peer_is_left(response: EndlessResponse) -> None:
+    async def scenario() -> None:
+        async with (
+            EndlessWorker("peer", response) as endless,
+            running_fleet() as fleet,
+        ):
+            address = ListenAddress(host=HOST, port=endless.port)
+            started = time.monotonic()
+            batch = await fleet.daemon._fetch_items(address, StoreVersion(0, 0))
+            assert batch is None
+            assert time.monotonic() - started < _SOON_S
+            await wait_until(lambda: not endless.open)
+            assert endless.sent < 2 * _MAX_SENT_BYTES
+
+    run(scenario)
