--- /dev/null
+++ b/trefoilpitch/gateway/_culprits.py
@@ -0,0 +1,168 @@
+"""Decides which parts of prompts upstreams ended under.
+
+All streams of an upstream that ends are cut, so that each ending speaks against
+sound parts as well. A part is blamed only for endings that no other part
+explains better: one that no response has gone well with comes before one that
+was sound, and one that is present at more endings before one at fewer. In an
+outage for another reason most endings come without it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import statistics
+from collections.abc import Collection, Iterable, Mapping
+
+from trefoilpitch.gateway._prompt_parts import PromptEvidence, Suspicion
+
+# More than a request without other ones can end: routes allow three attempts.
+MIN_ENDINGS = 4
+# Upstreams that lose power or are stopped together end at one moment.
+_MIN_MOMENTS = 2
+# The same for a part that responses went well with before: in an outage for
+# another reason, streams with the same part are cut time after time.
+_MIN_MOMENTS_IF_SOUND_BEFORE = 7
+# Share of all upstreams that ended meanwhile.
+_MIN_SHARE = 0.6
+# Time within which upstreams that end together are seen to have ended.
+_SAME_MOMENT_MS = 25
+# Time until all daemons have told what they know about an ending; heartbeats
+# with new evidence are sent at once.
+_SETTLING_MS = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Culprit:
+    """Parts that upstreams end under when a prompt holds all of them.
+
+    Usually this is one part; several are named while the endings cannot tell
+    them apart.
+    """
+
+    parts: frozenset[int]
+    # The upstreams that ended.
+    upstreams: frozenset[int]
+    # Those of them that had begun to respond to the parts.
+    responding: int
+    # Monotonic time of the last ending.
+    last_ms: int
+    # Whether responses with the parts went well before.
+    was_sound: bool
+
+
+def find_culprits(evidence: PromptEvidence, now_ms: int) -> list[Culprit]:
+    """Returns the parts that are to blame for endings, the surest ones first.
+
+    Args:
+        evidence: The fleet's evidence as far as this daemon knows it.
+        now_ms: The monotonic time.
+    """
+    newest_ms = evidence.newest_sound_ms
+    suspicions = [
+        _settled(suspicion, now_ms)
+        for suspicion in evidence.suspicions(MIN_ENDINGS)
+        if _others_go_well(suspicion, newest_ms)
+    ]
+    settled_ms = {
+        upstream: ended_ms
+        for upstream, ended_ms in evidence.ended_ms.items()
+        if now_ms - ended_ms >= _SETTLING_MS
+    }
+    culprits: list[Culprit] = []
+    unexplained_ms = settled_ms
+    for was_sound, min_moments in (
+        (False, _MIN_MOMENTS),
+        (True, _MIN_MOMENTS_IF_SOUND_BEFORE),
+    ):
+        group = [s for s in suspicions if s.was_sound is was_sound]
+        while True:
+            culprit = _strongest(group, unexplained_ms, min_moments)
+            if culprit is None:
+                break
+            culprits.append(culprit)
+            unexplained_ms = {
+                upstream: ended_ms
+                for upstream, ended_ms in unexplained_ms.items()
+                if upstream not in culprit.upstreams
+            }
+    return culprits
+
+
+def _settled(suspicion: Suspicion, now_ms: int) -> Suspicion:
+    return dataclasses.replace(
+        suspicion,
+        ended_ms={
+            upstream: ended_ms
+            for upstream, ended_ms in suspicion.ended_ms.items()
+            if now_ms - ended_ms >= _SETTLING_MS
+        },
+    )
+
+
+def _others_go_well(suspicion: Suspicion, newest_sound_ms: int | None) -> bool:
+    """Whether responses to prompts without a part go well.
+
+    If responses with it went well before, one without it must have gone well
+    after most of its endings: an outage also ends a part's luck.
+    """
+    if newest_sound_ms is None:
+        return False
+    if not suspicion.was_sound:
+        return True
+    median_ms = statistics.median_high(suspicion.ended_ms.values())
+    return newest_sound_ms > median_ms
+
+
+def _strongest(
+    suspicions: Iterable[Suspicion],
+    unexplained_ms: Mapping[int, int],
+    min_moments: int,
+) -> Culprit | None:
+    ranked: dict[tuple[int, int], list[tuple[Suspicion, frozenset[int]]]] = {}
+    for suspicion in suspicions:
+        upstreams = frozenset(suspicion.ended_ms.keys() & unexplained_ms.keys())
+        moments = _moments(suspicion.ended_ms[k] for k in upstreams)
+        if (
+            len(upstreams) >= MIN_ENDINGS
+            and moments >= min_moments
+            and _is_usual(upstreams, unexplained_ms)
+        ):
+            responding = len(suspicion.responding & upstreams)
+            strength = (len(upstreams), responding)
+            ranked.setdefault(strength, []).append((suspicion, upstreams))
+    if not ranked:
+        return None
+    strength = max(ranked)
+    first, upstreams = ranked[strength][0]
+    return Culprit(
+        parts=frozenset(
+            suspicion.part
+            for suspicion, others in ranked[strength]
+            if others == upstreams
+        ),
+        upstreams=upstreams,
+        responding=strength[1],
+        last_ms=max(first.ended_ms[k] for k in upstreams),
+        was_sound=first.was_sound,
+    )
+
+
+def _is_usual(
+    upstreams: Collection[int], unexplained_ms: Mapping[int, int]
+) -> bool:
+    """Whether most upstreams that ended in a time are among some of them."""
+    times_ms = [unexplained_ms[upstream] for upstream in upstreams]
+    first_ms, last_ms = min(times_ms), max(times_ms)
+    ended = sum(first_ms <= t <= last_ms for t in unexplained_ms.values())
+    return len(upstreams) >= _MIN_SHARE * ended
+
+
+def _moments(times_ms: Iterable[int]) -> int:
+    """Counts times, those of the same moment once."""
+    count = 0
+    moment_ms: int | None = None
+    for time_ms in sorted(times_ms):
+        if moment_ms is None or time_ms - moment_ms > _SAME_MOMENT_MS:
+            count += 1
+            moment_ms = time_ms
+    return count
--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -17,6 +17,15 @@
 Headers: TypeAlias = Sequence[tuple[bytes, bytes]]
 
 _MAX_HEAD_BYTES = 64 * 1024
+_MAX_INFORMATIONAL_RESPONSES = 100
+# Bytes of a response besides its body: heads, chunk headers and trailers. Small
+# chunks add several bytes to each of theirs.
+_MAX_FRAMING_BYTES = 2 * _MAX_HEAD_BYTES
+_MAX_FRAMING_RATIO = 16
+# Bytes received ahead of the reader above which the socket is left unread.
+_READ_AHEAD_BYTES = 64 * 1024
+# Parts of a response that are parsed in a row before other tasks get a turn.
+_PARTS_PER_TURN = 64
 _MS_PER_S = 1_000
 
 
@@ -39,6 +48,9 @@
 class HttpConnection(asyncio.Protocol):
     """One connection, which carries one exchange at a time.
 
+    While its reader is slower than the other side, the socket is left unread,
+    so that a response occupies a bounded amount of memory.
+
     Framing is checked strictly: a response that is shorter than its declared
     length, or truncated by a reset, raises `ExchangeError`.
     """
@@ -51,6 +63,17 @@
         self._received = asyncio.Event()
         self._failure: ExchangeError | None = None
         self._response_started = False
+        # Whether a request has been sent and its response has not ended.
+        self._in_exchange = False
+        # Of the response in progress: bytes received, bytes of its body, and
+        # informational responses before its head.
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._informational_responses = 0
+        # Bytes received since the parser last asked for more.
+        self._read_ahead_bytes = 0
+        self._paused = False
+        self._parts_in_row = 0
 
     @property
     def reusable(self) -> bool:
@@ -71,12 +94,18 @@
         set_tcp_options(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Feeds received bytes to the parser."""
+        """Feeds received bytes to the parser; closes an idle connection."""
+        if not self._in_exchange:
+            self._fail(FailureKind.MALFORMED_RESPONSE, "data without a request")
+            self.close()
+            return
         self._response_started = True
+        self._received_bytes += len(data)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             self._fail(FailureKind.MALFORMED_RESPONSE, str(error))
+        self._limit_read_ahead(len(data))
         self._received.set()
 
     def eof_received(self) -> bool:
@@ -108,6 +137,9 @@
         if self._h11.our_state is h11.DONE:
             self._h11.start_next_cycle()
         self._response_started = False
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._informational_responses = 0
         request = h11.Request(
             method=method, target=target, headers=list(headers)
         )
@@ -120,6 +152,7 @@
                 FailureKind.CONNECTION_LOST,
                 "connection closed before the request was sent",
             )
+        self._in_exchange = True
         self._transport.write(out)
 
     async def receive_head(self, timeout_ms: float) -> ResponseHead:
@@ -164,16 +197,14 @@
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_ms / _MS_PER_S
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             left_ms = (end - loop.time()) * _MS_PER_S
             part = await self.receive_data(left_ms)
             if part is None:
-                return b"".join(parts)
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
+                return bytes(body)
+            body += part
+            if len(body) > max_bytes:
                 raise ExchangeError(
                     FailureKind.MALFORMED_RESPONSE,
                     f"response body exceeds {max_bytes} bytes",
@@ -198,10 +229,15 @@
     async def _next_event(self, timeout_ms: float) -> object:
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_ms / _MS_PER_S
+        if self._parts_in_row >= _PARTS_PER_TURN:
+            self._parts_in_row = 0
+            await asyncio.sleep(0)
         while True:
             event = self._parse()
             if event is not None:
+                self._parts_in_row += 1
                 return event
+            self._parts_in_row = 0
             if self._failure is not None:
                 raise self._failure
             self._received.clear()
@@ -209,11 +245,29 @@
                 async with asyncio.timeout_at(end):
                     await self._received.wait()
             except TimeoutError:
+                # Data may have arrived in the same turn of the event loop.
+                event = self._parse()
+                if event is not None:
+                    return event
                 raise ExchangeError(
                     FailureKind.RESPONSE_TIMEOUT,
                     f"no data received within {timeout_ms:.0f} ms",
                 ) from None
 
+    def _limit_read_ahead(self, size: int) -> None:
+        self._read_ahead_bytes += size
+        if self._transport is None or self._paused:
+            return
+        if self._read_ahead_bytes > _READ_AHEAD_BYTES:
+            self._transport.pause_reading()
+            self._paused = True
+
+    def _read_on(self) -> None:
+        self._read_ahead_bytes = 0
+        if self._transport is not None and self._paused:
+            self._transport.resume_reading()
+            self._paused = False
+
     def _parse(self) -> object | None:
         while True:
             try:
@@ -221,11 +275,37 @@
             except h11.RemoteProtocolError as error:
                 raise ExchangeError(self._kind(error), str(error)) from error
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._check_framing()
+                self._read_on()
                 return None
             if isinstance(event, h11.InformationalResponse):
+                self._count_informational()
                 continue
+            if isinstance(event, h11.Data):
+                self._body_bytes += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._in_exchange = False
+                # Notices when an idle connection is closed.
+                self._read_on()
             return event
 
+    def _count_informational(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > _MAX_INFORMATIONAL_RESPONSES:
+            raise ExchangeError(
+                FailureKind.MALFORMED_RESPONSE,
+                "too many informational responses",
+            )
+
+    def _check_framing(self) -> None:
+        framing = self._received_bytes - self._body_bytes
+        limit = _MAX_FRAMING_BYTES + _MAX_FRAMING_RATIO * self._body_bytes
+        if framing > limit:
+            raise ExchangeError(
+                FailureKind.MALFORMED_RESPONSE,
+                f"{framing} bytes besides a body of {self._body_bytes}",
+            )
+
     def _kind(self, error: h11.RemoteProtocolError) -> FailureKind:
         if not self._response_started:
             return FailureKind.CONNECTION_LOST
--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
 from types import TracebackType
@@ -26,6 +27,7 @@
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
+_INTERNAL_ERROR = 500
 # Bytes of a header line besides name and value: colon, space and CRLF.
 _LINE_BYTES = 4
 
@@ -127,6 +129,8 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._arrived_ms = 0
+        # Monotonic time since when it has had no request.
+        self._idle_since_ms = 0
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -312,8 +316,9 @@
         )
 
     async def _serve(self, request: HttpRequest) -> None:
+        responder = Responder(self)
         try:
-            await self._state.handler(request, Responder(self))
+            await self._state.handler(request, responder)
         except CallerDisconnectedError:
             return
         except Exception as error:
@@ -322,7 +327,7 @@
                 error,
                 target=request.target.decode("latin-1"),
             )
-            self.abort()
+            await self._end_failed(responder)
         except asyncio.CancelledError:
             self.abort()
             raise
@@ -332,6 +337,13 @@
             self._head = None
         self._next_cycle()
 
+    async def _end_failed(self, responder: Responder) -> None:
+        if responder.started:
+            self.abort()
+            return
+        with contextlib.suppress(CallerDisconnectedError):
+            await responder.respond(_INTERNAL_ERROR, [], b"")
+
     def _next_cycle(self) -> None:
         if self._closed or self._transport is None:
             return
@@ -376,13 +388,20 @@
         self._reject(_REQUEST_TIMEOUT, "the request did not arrive in time")
 
     def _on_idle_timeout(self) -> None:
-        if self._transport is not None:
+        # The limit may have been raised since the timer was started.
+        left_ms = self._idle_left_ms()
+        if left_ms > 0:
+            self._start_timer(left_ms, self._on_idle_timeout)
+        elif self._transport is not None:
             self._transport.close()
 
     def _start_idle_timer(self) -> None:
-        self._start_timer(
-            self._state.limits().idle_timeout_ms, self._on_idle_timeout
-        )
+        self._idle_since_ms = self._state.now_ms()
+        self._start_timer(self._idle_left_ms(), self._on_idle_timeout)
+
+    def _idle_left_ms(self) -> int:
+        idle_ms = self._state.now_ms() - self._idle_since_ms
+        return self._state.limits().idle_timeout_ms - idle_ms
 
     def _start_timer(self, delay_ms: int, action: Callable[[], None]) -> None:
         self._cancel_timer()
--- a/trefoilpitch/gateway/_request_dependencies.py
+++ b/trefoilpitch/gateway/_request_dependencies.py
@@ -7,10 +7,12 @@
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import FleetView
+from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._dispatcher import Dispatcher
 from trefoilpitch.gateway._health import ExpectedLatencies
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelSelector
+from trefoilpitch.gateway._quarantine import PromptQuarantine
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
@@ -33,6 +35,10 @@
     # Selects a model on routes with model tiers.
     models: ModelSelector
     metrics: Metrics
+    # Learns which parts of prompts end upstreams.
+    cut_attempts: CutAttempts
+    # Refuses requests whose prompt ends upstreams.
+    quarantine: PromptQuarantine
     # Whether no newer configuration can have been missed.
     is_current: Callable[[], bool]
     # Whether the store is known to be unavailable.
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import contextlib
-import dataclasses
-from collections.abc import Coroutine, Iterator
-from typing import Any, TypeVar
+import functools
+from collections.abc import Collection, Iterator
+from typing import TypeVar
 
 from trefoilpitch.fleet import OperationKind, Route, UpstreamEntry
 from trefoilpitch.gateway._admission import Admitted
@@ -22,6 +22,11 @@
 from trefoilpitch.gateway._event_reader import EventReader
 from trefoilpitch.gateway._events import RawEvent
 from trefoilpitch.gateway._exceptions import ExchangeError
+from trefoilpitch.gateway._handover import (
+    HANDOVER_MS,
+    HandOver,
+    SentAttempt,
+)
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._http_server import Responder
 from trefoilpitch.gateway._log import log_event
@@ -32,11 +37,12 @@
 )
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
+from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
 from trefoilpitch.metrics import Label
-from trefoilpitch.retries import Execution, FailureKind, WindowedRetryBudget
+from trefoilpitch.retries import Execution, FailureKind, classify_failure
 
 # Maximum size of a plain response; it is buffered until it is complete.
 _MAX_PLAIN_BYTES = 8 * 1024 * 1024
@@ -44,9 +50,8 @@
 _SLOT_WAIT_SHARE = 0.125
 # Minimum remaining time for which an attempt is worthwhile.
 _MIN_ATTEMPT_MS = 10
-# How long a stalled attempt is kept while another upstream has the request too.
-# Both may work on it for 400 ms at most.
-_HANDOVER_MS = 300
+# The same for an attempt beside a stalled one, which is kept for a while.
+_MIN_OFFER_MS = 2 * HANDOVER_MS
 _MS_PER_S = 1_000
 _OK = 200
 _REDIRECTION = 300
@@ -81,18 +86,6 @@
         self.confidence = confidence
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _SentAttempt:
-    """An attempt whose request has been sent."""
-
-    entry: UpstreamEntry
-    connection: HttpConnection
-    # Monotonic time when the request was sent.
-    started_ms: int
-    # None until the head has arrived and proved valid.
-    response: UpstreamResponse | None = None
-
-
 class RequestRun:
     """Runs one admitted request to completion.
 
@@ -118,10 +111,17 @@
         self._attempts_sent = 0
         self._attempt_log: list[str] = []
         self._attempted_ids: list[str] = []
+        # Upstreams that may have run the request.
+        self._run_ids: set[str] = set()
+        # Whether a stalled upstream went on after another was asked.
+        self._withdrawn = False
+        # Whether the retry budget was spent for the next attempt.
+        self._credit_reserved = False
+        self._service = deps.dispatcher.pick_service(admitted.route)
+        self._budget = deps.budget(self._service)
         self._tiers = TierChoice(deps, request, admitted.route)
         self._last_event_id: int | None = None
-        # The attempt that takes over from a stalled one.
-        self._successor: _SentAttempt | None = None
+        self._hand_over = HandOver(deps, request.request_id, self)
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
         arrived_ms = request.http.arrived_ms
         timeout_ms = admitted.route.timeout_ms
@@ -138,50 +138,56 @@
 
     async def serve(self) -> None:
         """Runs attempts until a response is sent, and logs the outcome."""
-        service = self._deps.dispatcher.pick_service(self._route)
-        budget = self._deps.budget(service)
-        budget.record_first_attempt()
+        self._budget.record_first_attempt()
         outcome = "cancelled"
         try:
-            outcome = await self._run_attempts(service, budget)
+            outcome = await self._run_attempts()
         finally:
-            if self._successor is not None:
-                self._successor.connection.close()
-            self._log_completion(service, outcome)
+            self._hand_over.close()
+            if self._credit_reserved:
+                self._budget.release()
+            self._log_completion(outcome)
 
-    async def _run_attempts(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> str:
+    async def _run_attempts(self) -> str:
         while True:
-            if self._successor is not None:
-                entry = self._successor.entry
+            successor = self._hand_over.successor
+            refused_ms = self._deps.quarantine.refused_for_ms(self._request)
+            if successor is not None:
+                entry = successor.entry
+            elif refused_ms is not None:
+                self._attempt_log.append("prompt part in quarantine")
+                return await self._send_failure(refused_ms)
             else:
-                found = await self._find_upstream(service, budget)
+                found = await self._find_upstream()
                 if isinstance(found, NoUpstream):
                     self._attempt_log.append(found.reason)
                     return await self._send_failure(found.available_in_ms)
                 entry = found
-            failure = await self._run_attempt(entry, budget)
+            failure = await self._run_attempt(entry)
             if failure is None:
                 return "delivered"
-            if self._successor is not None:
+            if self._hand_over.successor is not None:
                 continue
             reason = stop_reason(
                 self._route,
                 self._attempts,
-                affordable=self._affords_attempt(budget),
+                affordable=self._affords_attempt(),
                 started=self._responder.started,
             )
             if reason is not None:
                 self._attempt_log.append(f"not retried: {reason.value}")
                 return await self._send_failure()
 
-    def _affords_attempt(self, budget: WindowedRetryBudget) -> bool:
-        return self._attempts_sent == 0 or budget.affords()
+    def _affords_attempt(self) -> bool:
+        free = self._attempts_sent == 0 or self._credit_reserved
+        return free or self._budget.affords()
 
-    async def _find_upstream(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> UpstreamEntry | NoUpstream:
+    def _reserve_credit(self) -> None:
+        # Reserved with the choice, as many requests may wait for one credit.
+        if self._attempts_sent > 0 and not self._credit_reserved:
+            self._credit_reserved = self._budget.spend()
+
+    async def _find_upstream(self) -> UpstreamEntry | NoUpstream:
         """Chooses an upstream; waits a while if none is free at the moment.
 
         A response in progress waits until its caller's deadline.
@@ -198,8 +204,8 @@
             slot_wait_ms = _SLOT_WAIT_SHARE * self._route.target_latency_ms
             wait_ms = min(wait_ms, int(slot_wait_ms))
         return await self._deps.waiter.wait(
-            service,
-            lambda: self._choose(service, budget),
+            self._service,
+            self._choose,
             WaitTerms(
                 priority=self._admitted.priority,
                 workspace=self._admitted.workspace,
@@ -209,27 +215,29 @@
         )
 
     def _choose(
-        self, service: str, budget: WindowedRetryBudget
+        self, unusable: Collection[str] = ()
     ) -> UpstreamEntry | NoUpstream:
-        if not self._affords_attempt(budget):
+        if not self._affords_attempt():
             return NoUpstream(
                 reason="retry budget exhausted", available_in_ms=None
             )
-        return self._deps.dispatcher.choose(
+        found = self._deps.dispatcher.choose(
             self._request,
-            service,
+            self._service,
             model=self._tiers.model,
             excluded=self._attempted_ids,
+            unusable=unusable,
         )
+        if isinstance(found, UpstreamEntry):
+            self._reserve_credit()
+        return found
 
     def _remaining_ms(self, now_ms: int) -> int:
         if self._responder.started:
             return self._caller_deadline_ms - now_ms
         return self._response_deadline_ms - now_ms
 
-    async def _run_attempt(
-        self, entry: UpstreamEntry, budget: WindowedRetryBudget
-    ) -> FailureKind | None:
+    async def _run_attempt(self, entry: UpstreamEntry) -> FailureKind | None:
         """Runs one attempt.
 
         Returns:
@@ -238,20 +246,20 @@
             failure.
         """
         try:
-            with self._counted(entry):
-                await self._exchange(entry, budget)
+            with self.counted(entry):
+                await self._exchange(entry)
         except _EscalationRequested as escalation:
             self._attempts = self._attempts.with_replaced_response()
             self._tiers.escalate(escalation.tier, escalation.confidence)
             self._attempted_ids.clear()
             return FailureKind.RESPONSE_TRUNCATED
         except ExchangeError as error:
-            self._record_failure(entry, error)
+            self.record_failure(entry, error)
             return error.kind
         return None
 
     @contextlib.contextmanager
-    def _counted(self, entry: UpstreamEntry) -> Iterator[None]:
+    def counted(self, entry: UpstreamEntry) -> Iterator[None]:
         """Counts an attempt as in flight at its upstream."""
         health = self._deps.dispatcher.health(entry.upstream_id)
         self._attempted_ids.append(entry.upstream_id)
@@ -262,9 +270,7 @@
             health.in_flight -= 1
             self._deps.waiter.offer_places(entry.service)
 
-    async def _begin(
-        self, entry: UpstreamEntry, budget: WindowedRetryBudget
-    ) -> _SentAttempt:
+    async def begin(self, entry: UpstreamEntry) -> SentAttempt:
         """Connects to an upstream and sends it the request."""
         now_ms = self._deps.clock.now_ms()
         connection = await connect(
@@ -278,81 +284,124 @@
                     FailureKind.NOT_SENT,
                     "upstream taken out of service while connecting",
                 )
-            self._spend_budget(budget)
+            if not self._deps.quarantine.start_attempt(self._request):
+                raise ExchangeError(
+                    FailureKind.NOT_SENT, "prompt part in quarantine"
+                )
             started_ms = self._deps.clock.now_ms()
             self._send(connection, entry, started_ms)
-        except ExchangeError:
+        except BaseException:
             connection.close()
             raise
-        return _SentAttempt(
+        self._attempts_sent += 1
+        self._credit_reserved = False
+        self._run_ids.add(entry.upstream_id)
+        return SentAttempt(
             entry=entry, connection=connection, started_ms=started_ms
         )
 
-    def _spend_budget(self, budget: WindowedRetryBudget) -> None:
-        # Other requests may have spent the budget while this one connected.
-        if self._attempts_sent > 0 and not budget.spend():
-            raise ExchangeError(FailureKind.NOT_SENT, "retry budget exhausted")
-        self._attempts_sent += 1
+    @contextlib.contextmanager
+    def watched(self, attempt: SentAttempt) -> Iterator[None]:
+        """Examines the upstream of an attempt whose response is cut off."""
+        try:
+            yield
+        except ExchangeError as error:
+            self._deps.cut_attempts.record_failure(
+                attempt.entry, self._request, error.kind, attempt.progress
+            )
+            raise
 
-    async def _exchange(
-        self, entry: UpstreamEntry, budget: WindowedRetryBudget
-    ) -> None:
-        attempt, self._successor = self._successor, None
+    async def _exchange(self, entry: UpstreamEntry) -> None:
+        attempt = self._hand_over.take_successor()
         if attempt is None:
-            attempt = await self._begin(entry, budget)
-        with attempt.connection as connection:
+            attempt = await self.begin(entry)
+        with (
+            attempt.connection as connection,
+            self.watched(attempt),
+            self._judged(attempt) as speed,
+        ):
             response = attempt.response
             if response is None:
-                response = await self._await_response(attempt, budget)
+                response = await self._await_response(attempt)
             streamed = self._route.kind is OperationKind.STREAM
             if response.head.status != _OK or not streamed:
-                await self._receive_plain(
-                    connection, entry, response, attempt.started_ms
-                )
-                return
-            self._maybe_escalate(entry, response, attempt.started_ms, budget)
-            await self._forward_stream(attempt, response, budget)
+                await self._receive_plain(connection, attempt, response, speed)
+            else:
+                self._maybe_escalate(attempt, response, speed)
+                await self._forward_stream(attempt, response, speed)
+        self._deps.cut_attempts.record_complete(
+            entry, self._request, response.head
+        )
 
-    async def _await_response(
-        self, attempt: _SentAttempt, budget: WindowedRetryBudget
-    ) -> UpstreamResponse:
+    @contextlib.contextmanager
+    def _judged(self, attempt: SentAttempt) -> Iterator[ResponseSpeed]:
+        """Records the speed of a response as evidence on its version."""
+        speed = ResponseSpeed(
+            self._deps.expected_latencies,
+            latency_key=self._tiers.latency_key,
+            pace_key=self._tiers.pace_key,
+            started_ms=attempt.started_ms,
+            record=functools.partial(
+                self._deps.dispatcher.record_evidence, attempt.entry
+            ),
+        )
+        timer: asyncio.TimerHandle | None = None
+        if speed.due_ms is not None:
+            wait_ms = speed.due_ms - self._deps.clock.now_ms()
+            timer = asyncio.get_running_loop().call_later(
+                max(0.0, wait_ms) / _MS_PER_S, speed.check_wait
+            )
+        try:
+            yield speed
+        except _EscalationRequested:
+            speed.completed()
+            raise
+        finally:
+            if timer is not None:
+                timer.cancel()
+        speed.completed()
+
+    async def _await_response(self, attempt: SentAttempt) -> UpstreamResponse:
         """Waits for the head of a response; a slow one may be superseded.
 
         Raises:
             ExchangeError: If another upstream has taken over, the deadline is
                 reached, or the upstream did not respond properly.
         """
-        remaining_ms = self._remaining_ms(attempt.started_ms)
+        remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
         timeout_ms = response_timeout_ms(
             self._route,
             self._attempts,
             remaining_ms,
-            self._deps.expected_latencies.expected_ms(
-                self._tiers.latency_key, default_ms=0.0
-            ),
-            affordable=budget.affords(),
+            self._expected_latency_ms(),
+            affordable=self._budget.affords(),
         )
         try:
-            return await self._receive_response(attempt, timeout_ms)
+            return await self.receive_response(attempt, timeout_ms)
         except ExchangeError as error:
             stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
             if not stalled or timeout_ms >= remaining_ms:
                 raise
-        return await self._keep_or_hand_over(
+        return await self._hand_over.keep(
             attempt,
-            self._receive_response(attempt, remaining_ms - timeout_ms),
+            self.receive_response(attempt, remaining_ms - timeout_ms),
             timeout_ms,
-            budget,
         )
 
-    async def _receive_response(
-        self, attempt: _SentAttempt, timeout_ms: float
+    async def receive_response(
+        self, attempt: SentAttempt, timeout_ms: float
     ) -> UpstreamResponse:
         head = await attempt.connection.receive_head(timeout_ms)
+        attempt.progress.responding = True
         response = self._deps.codec.decode_response(self._request, head)
         self._check_response(attempt.entry, response)
         return response
 
+    def _expected_latency_ms(self) -> float:
+        return self._deps.expected_latencies.expected_ms(
+            self._tiers.latency_key, default_ms=0.0
+        )
+
     def _send(
         self, connection: HttpConnection, entry: UpstreamEntry, now_ms: int
     ) -> None:
@@ -411,10 +460,9 @@
 
     def _maybe_escalate(
         self,
-        entry: UpstreamEntry,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
-        budget: WindowedRetryBudget,
+        speed: ResponseSpeed,
     ) -> None:
         if self._responder.started:
             return
@@ -423,13 +471,17 @@
             return
         if self._attempts.runs + 1 >= self._route.max_attempts:
             return
-        if not budget.affords():
+        if not self._budget.affords():
             return
+        entry = attempt.entry
         tier = self._tiers.escalation(entry.service, response.confidence)
         if tier is not None:
-            elapsed_ms = self._deps.clock.now_ms() - started_ms
+            now_ms = self._deps.clock.now_ms()
+            elapsed_ms = now_ms - attempt.started_ms
+            speed.first_part_arrived(now_ms)
             self._attempt_log.append(
                 f"{entry.upstream_id} {self._tiers.model} {elapsed_ms} ms"
+                f" of {self._expected_latency_ms():.0f}"
                 f" load {response.load and response.load.running}"
                 f" replaced, confidence {response.confidence}"
             )
@@ -438,9 +490,9 @@
     async def _receive_plain(
         self,
         connection: HttpConnection,
-        entry: UpstreamEntry,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        started_ms: int,
+        speed: ResponseSpeed,
     ) -> None:
         now_ms = self._deps.clock.now_ms()
         body = await connection.receive_body(
@@ -448,13 +500,12 @@
         )
         failed = response.head.status >= _SERVER_ERROR
         if failed:
-            self._deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
             if response.sealed and response.unencoded:
                 self._last_error_response = (response, body)
             raise ExchangeError(
                 FailureKind.SERVER_ERROR, f"status {response.head.status}"
             )
-        self._record_success(entry, response, started_ms)
+        self._record_success(attempt, response, speed)
         await self._deliver(response, body)
 
     async def _deliver(self, response: UpstreamResponse, body: bytes) -> None:
@@ -463,21 +514,22 @@
 
     async def _forward_stream(
         self,
-        attempt: _SentAttempt,
+        attempt: SentAttempt,
         response: UpstreamResponse,
-        budget: WindowedRetryBudget,
+        speed: ResponseSpeed,
     ) -> None:
         reader = EventReader(attempt.connection, self._deps.clock)
         first = True
         while True:
-            events = await self._next_events(reader, attempt, budget)
+            events = await self._next_events(reader, attempt)
             if events is None:
                 break
             if first:
                 first = False
-                self._record_success(
-                    attempt.entry, response, attempt.started_ms
-                )
+                attempt.progress.first_event_ms = self._deps.clock.now_ms()
+                self._record_success(attempt, response, speed)
+            else:
+                speed.events_arrived(len(events), self._deps.clock.now_ms())
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
         if reader.pending or first:
@@ -506,8 +558,7 @@
     async def _next_events(
         self,
         reader: EventReader,
-        attempt: _SentAttempt,
-        budget: WindowedRetryBudget,
+        attempt: SentAttempt,
     ) -> list[RawEvent] | None:
         """Waits for events; a stalled stream is kept until another resumes it.
 
@@ -516,7 +567,11 @@
                 deadline is reached, or the stream is truncated or malformed.
         """
         remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
-        limit_ms = float(reader.paused_ms + max(0, remaining_ms))
+        if remaining_ms <= 0:
+            raise ExchangeError(
+                FailureKind.RESPONSE_TIMEOUT, "deadline reached"
+            )
+        limit_ms = float(reader.paused_ms + remaining_ms)
         gap_ms = limit_ms
         if self._route.repeatable:
             gap_ms = min(limit_ms, stall_timeout_ms(self._route))
@@ -526,158 +581,39 @@
             stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
             if not stalled or gap_ms >= limit_ms:
                 raise
-        return await self._keep_or_hand_over(
-            attempt, reader.read(limit_ms), gap_ms, budget
-        )
-
-    async def _keep_or_hand_over(
-        self,
-        attempt: _SentAttempt,
-        progress: Coroutine[Any, Any, _T],
-        pause_ms: float,
-        budget: WindowedRetryBudget,
-    ) -> _T:
-        """Waits on for a stalled attempt, and offers its request to others.
-
-        Args:
-            attempt: The stalled attempt; it is kept until another upstream has
-                accepted the request, or has not refused it for a while.
-            progress: Waits for the next part of its response.
-            pause_ms: How long it has been silent, and after how long the
-                request is offered again.
-            budget: The service's retry budget.
-
-        Returns:
-            The next part of its response.
-
-        Raises:
-            ExchangeError: If another upstream has taken over, or `progress`
-                failed.
-        """
-        waiting = asyncio.create_task(progress)
-        silent_ms = pause_ms
-        try:
-            while not waiting.done():
-                await self._hand_over(attempt, waiting, silent_ms, budget)
-                if self._successor is not None:
-                    raise ExchangeError(
-                        FailureKind.RESPONSE_TIMEOUT,
-                        f"superseded after {silent_ms:.0f} ms",
-                    )
-                await asyncio.wait({waiting}, timeout=pause_ms / _MS_PER_S)
-                silent_ms += pause_ms
-            part = await waiting
-            self._record_resumed(attempt.entry)
-            return part
-        finally:
-            waiting.cancel()
-            await asyncio.gather(waiting, return_exceptions=True)
-
-    def _record_resumed(self, entry: UpstreamEntry) -> None:
-        """Records that a silent upstream goes on, which ends an ejection."""
-        health = self._deps.dispatcher.health(entry.upstream_id)
-        health.record_success(None, self._deps.clock.now_ms())
-
-    async def _hand_over(
-        self,
-        stalled: _SentAttempt,
-        waiting: asyncio.Task[Any],
-        pause_ms: float,
-        budget: WindowedRetryBudget,
-    ) -> None:
-        """Sets `_successor` if another upstream takes a stalled request."""
-        found = self._find_successor(stalled.entry.service, budget)
-        if isinstance(found, UpstreamEntry):
-            decision = await self._offer(found, waiting, budget)
-        else:
-            decision = f"kept: {found}"
-        self._deps.metrics.count(
-            "stalls", Label(name="decision", value=decision.partition(":")[0])
-        )
-        log_event(
-            "attempt_stalled",
-            id=self._request.request_id,
-            upstream=stalled.entry.upstream_id,
-            pause_ms=round(pause_ms),
-            event_id=self._last_event_id,
-            decision=decision,
+        events = await self._hand_over.keep(
+            attempt, reader.read(limit_ms, with_content=True), gap_ms
         )
+        if events is not None:
+            # An upstream that goes on is not ejected any more.
+            health = self._deps.dispatcher.health(attempt.entry.upstream_id)
+            health.record_success(None, self._deps.clock.now_ms())
+        return events
 
-    def _find_successor(
-        self, service: str, budget: WindowedRetryBudget
-    ) -> UpstreamEntry | str:
+    def find_successor(self) -> UpstreamEntry | str:
         """Returns another upstream, or why there is none."""
-        if self._attempts.runs + 1 >= self._route.max_attempts:
+        # Once an offer was in vain, an attempt is left for a real failure.
+        spare = 1 if self._withdrawn else 0
+        if self._attempts.runs + 1 + spare >= self._route.max_attempts:
             return "attempts used up"
-        found = self._choose(service, budget)
-        if isinstance(found, NoUpstream):
-            return found.reason
-        if found.upstream_id in self._attempted_ids:
-            return "all upstreams already attempted"
-        return found
-
-    async def _offer(
-        self,
-        entry: UpstreamEntry,
-        stalled: asyncio.Task[Any],
-        budget: WindowedRetryBudget,
-    ) -> str:
-        """Sends the request to another upstream and waits for its response.
-
-        Returns:
-            The decision, for the log.
-        """
-        with self._counted(entry), contextlib.ExitStack() as stack:
-            try:
-                attempt = await self._begin(entry, budget)
-                stack.enter_context(attempt.connection)
-                accepted = await self._accepts(attempt, stalled)
-            except ExchangeError as error:
-                self._record_failure(entry, error)
-                return f"kept: {entry.upstream_id} {error.kind.value}"
-            if not accepted:
-                # The other upstream may have run it.
-                self._attempts = self._attempts.with_replaced_response()
-                return f"kept: resumed before {entry.upstream_id} responded"
-            stack.pop_all()
-        self._successor = attempt
-        return f"moved: {entry.upstream_id}"
-
-    async def _accepts(
-        self, attempt: _SentAttempt, stalled: asyncio.Task[Any]
-    ) -> bool:
-        """Returns whether an attempt takes over from a stalled one.
-
-        Raises:
-            ExchangeError: If its upstream refused the request or failed.
-        """
-        response = asyncio.create_task(
-            self._receive_response(attempt, _HANDOVER_MS)
-        )
-        try:
-            await asyncio.wait(
-                {stalled, response}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if stalled.done() and stalled.exception() is None:
-                return False
-            attempt.response = await response
-        except ExchangeError as error:
-            if error.kind is not FailureKind.RESPONSE_TIMEOUT:
-                raise
-        finally:
-            response.cancel()
-            await asyncio.gather(response, return_exceptions=True)
-        return True
+        if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_OFFER_MS:
+            return "deadline is near"
+        found = self._choose(unusable=self._run_ids)
+        return found.reason if isinstance(found, NoUpstream) else found
 
     def _record_success(
-        self, entry: UpstreamEntry, response: UpstreamResponse, started_ms: int
+        self,
+        attempt: SentAttempt,
+        response: UpstreamResponse,
+        speed: ResponseSpeed,
     ) -> None:
         deps = self._deps
+        entry = attempt.entry
         now_ms = deps.clock.now_ms()
-        latency_ms = now_ms - started_ms
-        slow = deps.expected_latencies.is_slow(
-            self._tiers.latency_key, latency_ms
-        )
+        latency_ms = now_ms - attempt.started_ms
+        expected_ms = self._expected_latency_ms()
+        # The comparison comes before the expected latency is updated.
+        speed.first_part_arrived(now_ms)
         latency_ratio = deps.expected_latencies.record(
             self._tiers.latency_key, latency_ms
         )
@@ -686,14 +622,12 @@
         load = deps.dispatcher.load(entry.upstream_id)
         self._attempt_log.append(
             f"{entry.upstream_id} {self._tiers.model or '-'} {latency_ms} ms"
-            f" load {load} confidence {response.confidence}"
-        )
-        deps.dispatcher.record_evidence(
-            entry, ResponseQuality.SLOW if slow else ResponseQuality.GOOD
+            f" of {expected_ms:.0f} load {load}"
+            f" confidence {response.confidence}"
         )
         deps.metrics.observe_ms("upstream_first_answer", latency_ms)
 
-    def _record_failure(
+    def record_failure(
         self, entry: UpstreamEntry, error: ExchangeError
     ) -> None:
         deps = self._deps
@@ -701,6 +635,10 @@
         self._attempts = self._attempts.with_failure(error.kind)
         self._attempt_log.append(f"{entry.upstream_id} {error.kind.value}")
         health = deps.dispatcher.health(entry.upstream_id)
+        if classify_failure(error.kind) is Execution.NOT_RUN:
+            self._run_ids.discard(entry.upstream_id)
+        if error.kind is FailureKind.SERVER_ERROR:
+            deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
         if error.kind not in (
             FailureKind.REFUSED_NOT_RUN,
             FailureKind.NOT_SENT,
@@ -724,6 +662,16 @@
             ejected_ms=max(0, health.ejected_until_ms - now_ms),
         )
 
+    def record_stall(self, entry: UpstreamEntry) -> None:
+        """Records that an upstream is silent for too long."""
+        health = self._deps.dispatcher.health(entry.upstream_id)
+        health.record_failure(self._deps.clock.now_ms(), unreachable=False)
+
+    def record_withdrawn(self) -> None:
+        """Records an attempt that was abandoned and may have run."""
+        self._attempts = self._attempts.with_replaced_response()
+        self._withdrawn = True
+
     async def fail(self) -> None:
         """Ends a request after an internal error.
 
@@ -764,7 +712,7 @@
             return _GATEWAY_TIMEOUT, None
         return _BAD_GATEWAY, None
 
-    def _log_completion(self, service: str, outcome: str) -> None:
+    def _log_completion(self, outcome: str) -> None:
         deps = self._deps
         elapsed_ms = deps.clock.now_ms() - self._request.http.arrived_ms
         deps.metrics.count("requests", Label(name="outcome", value=outcome))
@@ -773,7 +721,7 @@
             "request",
             id=self._request.request_id,
             route=self._route.name,
-            service=service,
+            service=self._service,
             workspace=self._admitted.workspace,
             configuration=self._admitted.configuration_version,
             session=self._request.session,
--- a/trefoilpitch/gateway/_upstream_waiter.py
+++ b/trefoilpitch/gateway/_upstream_waiter.py
@@ -17,6 +17,8 @@
 # How often places are offered besides when a request ends here: upstreams also
 # become free by other daemons' requests, or as their ejection ends.
 _OFFER_INTERVAL_MS = 20
+# The same for each waiting request, so that a long queue costs no more.
+_OFFER_INTERVAL_PER_REQUEST_MS = 2
 _MS_PER_S = 1_000
 
 
@@ -103,16 +105,22 @@
             async with asyncio.timeout(max(0, left_ms) / _MS_PER_S):
                 return await granted
         except TimeoutError:
-            return None
+            # The place may have been granted in the same turn.
+            missed = not granted.done() or granted.cancelled()
+            return None if missed else granted.result()
         finally:
             queue.remove(ticket)
 
     def _start_timer(self, service: str) -> None:
         if service in self._timers:
             return
+        interval_ms = max(
+            _OFFER_INTERVAL_MS,
+            _OFFER_INTERVAL_PER_REQUEST_MS * len(self._queues[service]),
+        )
         loop = asyncio.get_running_loop()
         self._timers[service] = loop.call_later(
-            _OFFER_INTERVAL_MS / _MS_PER_S, self._on_timer, service
+            interval_ms / _MS_PER_S, self._on_timer, service
         )
 
     def _on_timer(self, service: str) -> None:
--- a/trefoilpitch/platform/_store.py
+++ b/trefoilpitch/platform/_store.py
@@ -93,6 +93,8 @@
                     era=era,
                     complete=True,
                 )
+            if page[-1].key <= after:
+                raise StoreUnavailableError("kv-range: pages do not advance")
             after = page[-1].key
 
     async def watch(self, after: int, wait_ms: int) -> ItemBatch:
@@ -242,7 +244,8 @@
             response: dict[str, Any] = msgspec.json.decode(
                 received or b"{}", type=dict[str, Any]
             )
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
+            connection.close()
             raise StoreUnavailableError(f"{name}: {error}") from error
         return head.status, response
 
