End a request that changed upstreams at its deadline

Cause: the wait for the second upstream was counted from when it got the request, after up to 300 ms in which it had been waited for already, and that first wait had no regard to the deadline.

--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -346,7 +346,10 @@
     async def receive_response(
         self, attempt: SentAttempt, timeout_ms: float
     ) -> UpstreamResponse:
-        head = await attempt.connection.receive_head(timeout_ms)
+        remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
+        head = await attempt.connection.receive_head(
+            max(1, min(timeout_ms, remaining_ms))
+        )
         response = self._deps.codec.decode_response(self._request, head)
         self._check_response(attempt.entry, response)
         return response
--- a/trefoilpitch/platform/tests/test_silent_upstreams.py
+++ b/trefoilpitch/platform/tests/test_silent_upstreams.py
@@ -15,7 +15,7 @@
     stream_routes,
     wait_until,
 )
-from trefoilpitch.standins import WorkerFault
+from trefoilpitch.standins import WorkerFault, config_document
 
 _STREAMS = 6
 _GAP_MS = 200
@@ -212,3 +212,23 @@
             ]
 
     run(scenario)
+
+
+def test_request_that_changes_upstreams_ends_at_its_deadline() -> None:
+    """The second upstream has the request when its caller's time is over."""
+
+    async def scenario() -> None:
+        routes = config_document()["routes"]
+        for route in routes:
+            route["target-latency-ms"] = 100
+        async with running_fleet(plain=2, routes=routes) as fleet:
+            for worker in fleet.workers.values():
+                worker.response_delay_ms = 400
+            head, _ = await fleet.send_request(
+                "/plain/x", X_Trefoilpitch_Deadline_Ms="300"
+            )
+            assert head.status == 504
+            runs = [len(worker.runs) for worker in fleet.workers.values()]
+            assert runs == [1, 1]
+
+    run(scenario)
