Give the evidence of a roll-out more time before the full share

Cause: the steps were 1.2 s apart, less than a slow response and the heartbeats of a large fleet take, so that 24 responses of the target were known when it got 100%.

The steps to 50 and to 100% come at 0.64 and 0.78 of the duration instead of 0.60 and 0.68; completion is unchanged.

--- a/trefoilpitch/gateway/_rollouts.py
+++ b/trefoilpitch/gateway/_rollouts.py
@@ -27,7 +27,7 @@
 CANARY_PERCENT = 7
 # Steps of the shift phase: fraction of the roll-out's duration at which the
 # step begins, and percentage of the sessions on the target.
-_SHIFT_STEPS = ((0.52, 20), (0.60, 50), (0.68, 100))
+_SHIFT_STEPS = ((0.52, 20), (0.64, 50), (0.78, 100))
 # Fractions of the duration after which a roll-out completes: if the old version
 # is idle, and in any case.
 _COMPLETE_IDLE_AFTER = 0.72
