--- a/trefoilpitch/platform/tests/test_silent_upstreams.py
+++ b/trefoilpitch/platform/tests/test_silent_upstreams.py
@@ -418,3 +418,23 @@
             assert body.count(b"id: ") == 40
 
     run(scenario)
+
+
+def test_request_that_changes_upstreams_ends_at_its_deadline() -> None:
+    """The second upstream has the request when its caller's time is over."""
+
+    async def scenario() -> None:
+        routes = config_document()["routes"]
+        for route in routes:
+            route["target-latency-ms"] = 100
+        async with running_fleet(plain=2, routes=routes) as fleet:
+            for worker in fleet.workers.values():
+                worker.response_delay_ms = 700
+            head, _ = await fleet.send_request(
+                "/plain/x", X_Trefoilpitch_Deadline_Ms="600"
+            )
+            assert head.status == 504
+            runs = [len(worker.runs) for worker in fleet.workers.values()]
+            assert runs == [1, 1]
+
+    run(scenario)
