--- a/trefoilpitch/platform/tests/test_silent_upstreams.py
+++ b/trefoilpitch/platform/tests/test_silent_upstreams.py
@@ -113,58 +113,6 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("silent", [("model-0",), ("model-0", "model-1")])
-def test_stream_moves_from_an_upstream_that_stays_silent(
-    silent: tuple[str, ...],
-) -> None:
-    """The last permitted attempt is kept, whatever its upstream does."""
-
-    async def scenario() -> None:
-        routes = stream_routes(gap_ms=_GAP_MS)
-        async with running_fleet(plain=0, models=1, routes=routes) as fleet:
-            first = fleet.workers["model-0"]
-            first.response_delay_ms = 20
-            task = asyncio.create_task(
-                fleet.send_request("/stream/x", request_id="id-0")
-            )
-            await wait_until(lambda: first.runs)
-            await asyncio.sleep(0.01)
-            first.speaking.clear()
-            second = await fleet.add_worker("model-1", "model-service")
-            if "model-1" in silent:
-                second.speaking.clear()
-                await wait_until(lambda: first.abandoned)
-                await fleet.add_worker("model-2", "model-service")
-            _assert_complete([await task])
-            await wait_until(lambda: first.abandoned == 1)
-
-    run(scenario)
-
-
-def test_upstream_that_goes_on_keeps_its_stream() -> None:
-    """The upstream that was asked to take over is left again."""
-
-    async def scenario() -> None:
-        routes = stream_routes(gap_ms=_GAP_MS)
-        async with running_fleet(plain=0, models=1, routes=routes) as fleet:
-            first = fleet.workers["model-0"]
-            first.response_delay_ms = 20
-            task = asyncio.create_task(
-                fleet.send_request("/stream/x", request_id="id-0")
-            )
-            await wait_until(lambda: first.runs)
-            await asyncio.sleep(0.01)
-            second = await fleet.add_worker("model-1", "model-service")
-            second.response_delay_ms = 5_000
-            second.on_run = lambda run: first.speaking.set()
-            first.speaking.clear()
-            _assert_complete([await task])
-            assert len(first.runs) == 1
-            await wait_until(lambda: second.abandoned == 1)
-
-    run(scenario)
-
-
 def test_stalled_stream_waits_for_an_upstream_that_starts_later() -> None:
     """Its upstream ends; the next one starts before the caller's deadline."""
 
@@ -238,6 +186,42 @@
         yield fleet, task
 
 
+@pytest.mark.parametrize("silent", [("model-0",), ("model-0", "model-1")])
+def test_stream_moves_from_an_upstream_that_stays_silent(
+    silent: tuple[str, ...],
+) -> None:
+    """The last permitted attempt is kept, whatever its upstream does."""
+
+    async def scenario() -> None:
+        async with _stalled_stream() as (fleet, task):
+            first = fleet.workers["model-0"]
+            second = await fleet.add_worker("model-1", "model-service")
+            if "model-1" in silent:
+                second.speaking.clear()
+                await wait_until(lambda: first.abandoned)
+                await fleet.add_worker("model-2", "model-service")
+            _assert_complete([await task])
+            await wait_until(lambda: first.abandoned == 1)
+
+    run(scenario)
+
+
+def test_upstream_that_goes_on_keeps_its_stream() -> None:
+    """The upstream that was asked to take over is left again."""
+
+    async def scenario() -> None:
+        async with _stalled_stream() as (fleet, task):
+            first = fleet.workers["model-0"]
+            second = await fleet.add_worker("model-1", "model-service")
+            second.response_delay_ms = 5_000
+            second.on_run = lambda run: first.speaking.set()
+            _assert_complete([await task])
+            assert len(first.runs) == 1
+            await wait_until(lambda: second.abandoned == 1)
+
+    run(scenario)
+
+
 def test_comments_do_not_keep_a_stalled_stream() -> None:
     async def scenario() -> None:
         async with _stalled_stream(comment_interval_ms=30) as (fleet, task):
