--- a/trefoilpitch/platform/tests/test_slow_versions.py
+++ b/trefoilpitch/platform/tests/test_slow_versions.py
@@ -185,3 +185,32 @@
             await _wait_for_rollback(fleet, "model-service")
 
     run(scenario)
+
+
+def test_version_with_a_third_of_the_pace_is_rolled_back() -> None:
+    """Its first events arrive on time."""
+
+    async def scenario() -> None:
+        routes = stream_routes(gap_ms=2_000)
+        async with running_fleet(plain=0, models=1, routes=routes) as fleet:
+            fleet.workers["model-0"].response_delay_ms = _PACE_MS
+            await asyncio.gather(
+                *(
+                    fleet.send_request("/stream/x", request_id=f"old-{number}")
+                    for number in range(8)
+                )
+            )
+            await _start_rollout(fleet, "model-service")
+            for name, worker in fleet.workers.items():
+                worker.response_delay_ms = _PACE_MS
+                if name.startswith("new-"):
+                    worker.event_delay_ms = 3 * _PACE_MS
+            await asyncio.gather(
+                *(
+                    fleet.send_request("/stream/x", request_id=request_id)
+                    for request_id in _canary_ids(_TARGETS)
+                )
+            )
+            await _wait_for_rollback(fleet, "model-service")
+
+    run(scenario)
