Record and log under which whole requests upstreams end

A request now has traits: the shared parts of its prompt and a fingerprint of method, host, target, workspace and body. Endings and sound responses are recorded and exchanged for all of them, with one class for both; whole requests are not weighed yet (_culprits.py leaves them out), so that no decision changes.

upstream_ended has a line for each cut attempt with the endings known for each trait; the request line has the fingerprint, which connects the repeats of one request. Sound requests have a map of their own, as most are seen once and would displace the parts. The modules and events are named after traits now: _crash_evidence.py, quarantine_started, quarantine_ended, quarantine_probed.

--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -1,26 +1,27 @@
-"""Decides which parts of prompts upstreams ended under.
+"""Decides which traits of requests upstreams ended under.
 
-All streams of an upstream that ends are cut, so that each ending speaks against
-sound parts as well. A part is blamed only for endings that no other part
-explains better: one that no response has gone well with comes before one that
-was sound, and one that is present at more endings before one at fewer. In an
-outage for another reason most endings come without it.
+All requests of an upstream that ends are cut, so that each ending speaks
+against sound traits as well. A trait is blamed only for endings that no other
+trait explains better: one that no response has gone well with comes before one
+that was sound, and one that is present at more endings before one at fewer. In
+an outage for another reason most endings come without it.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import statistics
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
-from trefoilpitch.gateway._prompt_parts import PromptEvidence, Suspicion
+from trefoilpitch.gateway._crash_evidence import CrashEvidence, Suspicion
+from trefoilpitch.gateway._request_traits import is_whole_request
 
 # More than a request without other ones can end: routes allow three attempts.
-MIN_ENDINGS = 4
+_MIN_ENDINGS = 4
 # Upstreams that lose power or are stopped together end at one moment.
 _MIN_MOMENTS = 2
-# The same for a part that responses went well with before: in an outage for
-# another reason, streams with the same part are cut time after time.
+# The same for a trait that responses went well with before: in an outage for
+# another reason, streams with the same trait are cut time after time.
 _MIN_MOMENTS_IF_SOUND_BEFORE = 7
 # Share of all upstreams that ended meanwhile.
 _MIN_SHARE = 0.6
@@ -33,25 +34,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Culprit:
-    """Parts that upstreams end under when a prompt holds all of them.
+    """Traits that upstreams end under when a request has all of them.
 
-    Usually this is one part; several are named while the endings cannot tell
+    Usually this is one; several are named while the endings cannot tell
     them apart.
     """
 
-    parts: frozenset[int]
+    traits: frozenset[int]
     # The upstreams that ended.
     upstreams: frozenset[int]
-    # Those of them that had begun to respond to the parts.
+    # Those of them that had begun to respond to the traits.
     responding: int
     # Monotonic time of the last ending.
     last_ms: int
-    # Whether responses with the parts went well before.
+    # Whether responses with the traits went well before.
     was_sound: bool
 
 
-def find_culprits(evidence: PromptEvidence, now_ms: int) -> list[Culprit]:
-    """Returns the parts that are to blame for endings, the surest ones first.
+def find_culprits(evidence: CrashEvidence, now_ms: int) -> list[Culprit]:
+    """Returns the traits that are to blame for endings, the surest ones first.
 
     Args:
         evidence: The fleet's evidence as far as this daemon knows it.
@@ -60,7 +61,7 @@
     newest_ms = evidence.newest_sound_ms
     suspicions = [
         _settled(suspicion, now_ms)
-        for suspicion in evidence.suspicions(MIN_ENDINGS)
+        for suspicion in suspicions_with_enough_endings(evidence)
         if _others_go_well(suspicion, newest_ms)
     ]
     settled_ms = {
@@ -88,6 +89,16 @@
     return culprits
 
 
+def suspicions_with_enough_endings(
+    evidence: CrashEvidence,
+) -> Iterator[Suspicion]:
+    """Yields what speaks against the traits that may be to blame."""
+    for suspicion in evidence.suspicions(_MIN_ENDINGS):
+        # Evidence on whole requests is only logged.
+        if not is_whole_request(suspicion.trait):
+            yield suspicion
+
+
 def _settled(suspicion: Suspicion, now_ms: int) -> Suspicion:
     return dataclasses.replace(
         suspicion,
@@ -100,10 +111,10 @@
 
 
 def _others_go_well(suspicion: Suspicion, newest_sound_ms: int | None) -> bool:
-    """Whether responses to prompts without a part go well.
+    """Whether responses to requests without a trait go well.
 
     If responses with it went well before, one without it must have gone well
-    after most of its endings: an outage also ends a part's luck.
+    after most of its endings: an outage also ends a trait's luck.
     """
     if newest_sound_ms is None:
         return False
@@ -123,7 +134,7 @@
         upstreams = frozenset(suspicion.ended_ms.keys() & unexplained_ms.keys())
         moments = _moments(suspicion.ended_ms[k] for k in upstreams)
         if (
-            len(upstreams) >= MIN_ENDINGS
+            len(upstreams) >= _MIN_ENDINGS
             and moments >= min_moments
             and _is_usual(upstreams, unexplained_ms)
         ):
@@ -135,8 +146,8 @@
     strength = max(ranked)
     first, upstreams = ranked[strength][0]
     return Culprit(
-        parts=frozenset(
-            suspicion.part
+        traits=frozenset(
+            suspicion.trait
             for suspicion, others in ranked[strength]
             if others == upstreams
         ),
--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -12,24 +12,24 @@
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.gateway._crash_evidence import (
+    AttemptProgress,
+    CrashEvidence,
+    run_digest,
+)
 from trefoilpitch.gateway._exceptions import ExchangeError
 from trefoilpitch.gateway._http_client import ResponseHead, connect
 from trefoilpitch.gateway._log import log_event
-from trefoilpitch.gateway._messages import CallerRequest
-from trefoilpitch.gateway._prompt_parts import (
-    AttemptProgress,
-    PromptEvidence,
-    part_digest,
-    run_digest,
-    shared_digests,
-    shared_parts,
+from trefoilpitch.gateway._request_traits import (
+    RequestTraits,
+    trait_name,
 )
 from trefoilpitch.metrics import Label, Metrics
 from trefoilpitch.retries import FailureKind
 
 # Connections within a region open in a few milliseconds.
 _CONNECT_TIMEOUT_MS = 300.0
-# A part ends upstreams as they begin to respond to it: one that they have
+# A trait ends upstreams as they begin to run a request: one that they have
 # responded to for this long is sound.
 _SOUND_AFTER_MS = 3_000
 _CUT = frozenset({FailureKind.RESPONSE_TRUNCATED, FailureKind.CONNECTION_LOST})
@@ -40,7 +40,7 @@
     """An attempt whose response was cut off, as far as can be told."""
 
     entry: UpstreamEntry
-    request: CallerRequest
+    traits: RequestTraits
     responding: bool
     # Monotonic time of the end of its connection.
     cut_ms: int
@@ -49,7 +49,7 @@
 
 
 class CutAttempts:
-    """Collects evidence on parts of prompts from attempts that were cut off.
+    """Collects evidence on traits of requests from attempts that were cut off.
 
     Args:
         evidence: Receives the evidence.
@@ -60,7 +60,7 @@
 
     def __init__(
         self,
-        evidence: PromptEvidence,
+        evidence: CrashEvidence,
         clock: Clock,
         metrics: Metrics,
         on_evidence: Callable[[], None],
@@ -76,53 +76,52 @@
     def record_failure(
         self,
         entry: UpstreamEntry,
-        request: CallerRequest,
+        traits: RequestTraits,
         kind: FailureKind,
         progress: AttemptProgress,
     ) -> None:
         """Examines the upstream of a failed attempt if that was cut off."""
-        if kind not in _CUT or not shared_parts(request):
+        if kind not in _CUT:
             return
         now_ms = self._clock.now_ms()
         first_ms = progress.first_event_ms
         if first_ms is not None and now_ms - first_ms >= _SOUND_AFTER_MS:
-            self._record_sound(request)
+            self._record_sound(traits)
             return
         self._examine_later(
             _CutAttempt(
                 entry=entry,
-                request=request,
+                traits=traits,
                 responding=progress.responding,
                 cut_ms=now_ms,
             )
         )
 
     def record_complete(
-        self, entry: UpstreamEntry, request: CallerRequest, head: ResponseHead
+        self, entry: UpstreamEntry, traits: RequestTraits, head: ResponseHead
     ) -> None:
         """Records that a response was forwarded completely.
 
         A response that its connection delimits also looks complete if its
         upstream has ended.
         """
-        digests = shared_digests(request)
-        cleared = all(self._evidence.is_cleared(part) for part in digests)
+        cleared = all(self._evidence.is_cleared(k) for k in traits.digests)
         if cleared or _is_delimited(head):
-            self._record_sound(request)
+            self._record_sound(traits)
             return
         self._examine_later(
             _CutAttempt(
                 entry=entry,
-                request=request,
+                traits=traits,
                 responding=True,
                 cut_ms=self._clock.now_ms(),
                 complete=True,
             )
         )
 
-    def _record_sound(self, request: CallerRequest) -> None:
-        digests = shared_digests(request)
-        if self._evidence.record_sound(digests, self._clock.now_ms()):
+    def _record_sound(self, traits: RequestTraits) -> None:
+        now_ms = self._clock.now_ms()
+        if self._evidence.record_sound(traits.digests, now_ms):
             self._on_evidence()
 
     def _examine_later(self, attempt: _CutAttempt) -> None:
@@ -147,7 +146,7 @@
             if verdict == "ended":
                 self._record_ending(attempt)
             elif verdict == "running" and attempt.complete:
-                self._record_sound(attempt.request)
+                self._record_sound(attempt.traits)
             if verdict == "ended" or not attempt.complete:
                 self._metrics.count(
                     "cut_attempts", Label(name="upstream", value=verdict)
@@ -158,28 +157,26 @@
     def _record_ending(self, attempt: _CutAttempt) -> None:
         self._evidence.record_ending(
             run_digest(attempt.entry),
-            shared_digests(attempt.request),
+            attempt.traits.digests,
             attempt.cut_ms,
             responding=attempt.responding,
         )
         now_ms = self._clock.now_ms()
-        parts = []
-        for part in shared_parts(attempt.request):
-            digest = part_digest(part.part_id)
-            known = self._evidence.knowledge(digest, now_ms)
-            parts.append(
-                {
-                    "part": part.part_id,
-                    "digest": f"{digest:08x}",
-                    **dataclasses.asdict(known),
-                }
-            )
         log_event(
             "upstream_ended",
-            id=attempt.request.request_id,
+            id=attempt.traits.request_id,
             upstream=attempt.entry.upstream_id,
             responding=attempt.responding,
-            parts=parts,
+            traits=[
+                {
+                    "trait": name,
+                    "digest": trait_name(digest),
+                    **dataclasses.asdict(
+                        self._evidence.knowledge(digest, now_ms)
+                    ),
+                }
+                for name, digest in attempt.traits.names()
+            ],
         )
 
 
--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -16,11 +16,11 @@
 from typing import Any, NoReturn, Protocol, TypeVar
 
 from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.gateway._crash_evidence import AttemptProgress
 from trefoilpitch.gateway._exceptions import ExchangeError
 from trefoilpitch.gateway._http_client import HttpConnection
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import UpstreamResponse
-from trefoilpitch.gateway._prompt_parts import AttemptProgress
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.metrics import Label
 from trefoilpitch.retries import FailureKind
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -20,6 +20,7 @@
     RequestLimits,
     StoreVersion,
 )
+from trefoilpitch.gateway._crash_evidence import CrashEvidence
 from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._dispatcher import Dispatcher
 from trefoilpitch.gateway._exceptions import (
@@ -50,8 +51,7 @@
     min_heartbeat_gap_ms,
     watches_store,
 )
-from trefoilpitch.gateway._prompt_parts import PromptEvidence
-from trefoilpitch.gateway._quarantine import PromptQuarantine
+from trefoilpitch.gateway._quarantine import Quarantine
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
@@ -186,8 +186,8 @@
             clock=clock,
             own_name=settings.name,
         )
-        evidence = PromptEvidence()
-        self._quarantine = PromptQuarantine(
+        evidence = CrashEvidence()
+        self._quarantine = Quarantine(
             evidence,
             clock,
             own_name=settings.name,
@@ -446,7 +446,7 @@
             configuration=self._configuration_version,
             stopped=self._rollout_controller.stopped_orders(),
             unreachable=self._dispatcher.own_unreachable(),
-            prompts=self._quarantine.report(),
+            traits=self._quarantine.report(),
         )
         others = [
             member
@@ -457,7 +457,7 @@
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
-        self._quarantine.merge(heartbeat.prompts)
+        self._quarantine.merge(heartbeat.traits)
         if heartbeat.current and heartbeat.version <= self._view.version:
             self._follower.confirm_current()
         if heartbeat.era == self._view.era:
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -3,8 +3,8 @@
 Heartbeats are small UDP datagrams, sent every 0.4 to 1.6 seconds. They carry
 totals, never deltas, so that the next one makes up for a lost one. They show
 which daemons are alive or leaving, which revision of the fleet state each of
-them has, and its evidence on the versions of a roll-out and on parts of prompts
-under which upstreams end.
+them has, and its evidence on the versions of a roll-out and on traits of
+requests under which upstreams end.
 """
 
 from __future__ import annotations
@@ -19,9 +19,9 @@
 import msgspec
 
 from trefoilpitch.fleet import Item, ItemBatch, Member, StoreVersion
+from trefoilpitch.gateway._crash_evidence import EvidenceReport
 from trefoilpitch.gateway._exceptions import PeerReplyError
 from trefoilpitch.gateway._log import log_event
-from trefoilpitch.gateway._prompt_parts import EvidenceReport
 from trefoilpitch.gateway._rollouts import VersionEvidence
 from trefoilpitch.rendezvous import rank
 
@@ -86,8 +86,8 @@
     stopped: tuple[tuple[str, int], ...] = ()
     # Digests of the upstreams that it cannot reach.
     unreachable: tuple[int, ...] = ()
-    # The fleet's evidence on parts of prompts, as far as it knows it.
-    prompts: EvidenceReport = EvidenceReport()
+    # The fleet's evidence on traits of requests, as far as it knows it.
+    traits: EvidenceReport = EvidenceReport()
 
     @property
     def version(self) -> StoreVersion:
@@ -334,7 +334,7 @@
         if self._transport is None:
             return
         data = msgspec.msgpack.encode(heartbeat)
-        for field, empty in (("in_flight", {}), ("prompts", EvidenceReport())):
+        for field, empty in (("in_flight", {}), ("traits", EvidenceReport())):
             if len(data) > _MAX_DATAGRAM_BYTES:
                 heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
                 data = msgspec.msgpack.encode(heartbeat)
--- a/trefoilpitch/gateway/_quarantine.py
+++ b/trefoilpitch/gateway/_quarantine.py
@@ -1,42 +1,41 @@
-"""Keeps requests with certain parts of prompts away from all upstreams."""
+"""Keeps requests with certain traits away from all upstreams."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
 
 from trefoilpitch.clock import Clock
+from trefoilpitch.gateway._crash_evidence import (
+    CrashEvidence,
+    EvidenceReport,
+)
 from trefoilpitch.gateway._culprits import (
-    MIN_ENDINGS,
     Culprit,
     find_culprits,
+    suspicions_with_enough_endings,
 )
 from trefoilpitch.gateway._log import log_event
-from trefoilpitch.gateway._messages import CallerRequest
-from trefoilpitch.gateway._prompt_parts import (
-    EvidenceReport,
-    PromptEvidence,
-    shared_digests,
-)
+from trefoilpitch.gateway._request_traits import RequestTraits, trait_name
 from trefoilpitch.rendezvous import rank
 
 # Time after the last ending until a request is sent as a probe, and the same
-# for parts that responses went well with before: they may be sound after all.
+# for traits that responses went well with before: they may be sound after all.
 _QUARANTINE_MS = 600_000
 _QUARANTINE_IF_SOUND_BEFORE_MS = 120_000
 # Pause between probes: a failed one renews the quarantine long before.
 _PROBE_INTERVAL_MS = 60_000
-# Pause between decisions while parts are suspected and the evidence stays.
+# Pause between decisions while traits are suspected and the evidence stays.
 _DECISION_INTERVAL_MS = 100
 
-_Parts = frozenset[int]
+_Traits = frozenset[int]
 
 
-class PromptQuarantine:
+class Quarantine:
     """Decides whether a request may be sent, from the fleet's evidence.
 
     After a quarantine one daemon of the fleet sends one request at a time as a
     probe. If its upstream ends, the quarantine begins again; if its response
-    goes well, the evidence does not speak against its parts any more.
+    goes well, the evidence does not speak against its traits any more.
 
     Args:
         evidence: The evidence; changes take effect at the next question.
@@ -47,7 +46,7 @@
 
     def __init__(
         self,
-        evidence: PromptEvidence,
+        evidence: CrashEvidence,
         clock: Clock,
         *,
         own_name: str,
@@ -57,38 +56,38 @@
         self._clock = clock
         self._own_name = own_name
         self._live_peers = live_peers
-        self._culprits: dict[_Parts, Culprit] = {}
+        self._culprits: dict[_Traits, Culprit] = {}
         self._decided_revision = 0
         self._decide_at_ms: int | None = None
         # Monotonic time of the last probe.
-        self._probed_ms: dict[_Parts, int] = {}
+        self._probed_ms: dict[_Traits, int] = {}
 
-    def refused_for_ms(self, request: CallerRequest) -> int | None:
+    def refused_for_ms(self, traits: RequestTraits) -> int | None:
         """Returns for how long a request is refused; None if it may be sent."""
         self._decide()
         if not self._culprits:
             return None
         now_ms = self._clock.now_ms()
-        digests = set(shared_digests(request))
+        digests = set(traits.digests)
         waits_ms = [
             self._wait_ms(culprit, now_ms)
             for culprit in self._culprits.values()
-            if culprit.parts <= digests
+            if culprit.traits <= digests
         ]
         return max(waits_ms, default=0) or None
 
-    def start_attempt(self, request: CallerRequest) -> bool:
+    def start_attempt(self, traits: RequestTraits) -> bool:
         """Returns whether a request may be sent right now; counts a probe."""
-        if self.refused_for_ms(request) is not None:
+        if self.refused_for_ms(traits) is not None:
             return False
-        digests = set(shared_digests(request))
-        for parts in self._culprits:
-            if parts <= digests:
-                self._probed_ms[parts] = self._clock.now_ms()
+        digests = set(traits.digests)
+        for blamed in self._culprits:
+            if blamed <= digests:
+                self._probed_ms[blamed] = self._clock.now_ms()
                 log_event(
-                    "prompt_part_probed",
-                    id=request.request_id,
-                    parts=_names(parts),
+                    "quarantine_probed",
+                    id=traits.request_id,
+                    traits=_names(blamed),
                 )
         return True
 
@@ -110,13 +109,13 @@
         if culprit.was_sound:
             duration_ms = _QUARANTINE_IF_SOUND_BEFORE_MS
         end_ms = culprit.last_ms + duration_ms
-        probed_ms = self._probed_ms.get(culprit.parts)
+        probed_ms = self._probed_ms.get(culprit.traits)
         if probed_ms is not None:
             end_ms = max(end_ms, probed_ms + _PROBE_INTERVAL_MS)
         if now_ms < end_ms:
             return end_ms - now_ms
         names = {self._own_name, *self._live_peers()}
-        key = ",".join(_names(culprit.parts))
+        key = ",".join(_names(culprit.traits))
         if rank(key, names)[0] != self._own_name:
             return _PROBE_INTERVAL_MS
         return 0
@@ -128,44 +127,46 @@
             return
         upstreams = [c.upstreams for c in self._culprits.values()]
         self._evidence.expire(now_ms, frozenset().union(*upstreams))
-        found = {c.parts: c for c in find_culprits(self._evidence, now_ms)}
-        for parts, culprit in found.items():
-            if parts not in self._culprits:
-                self._log_quarantine(culprit, now_ms)
-        for parts in self._culprits.keys() - found.keys():
-            self._probed_ms.pop(parts, None)
-            self._log_release(parts, now_ms)
+        found = {c.traits: c for c in find_culprits(self._evidence, now_ms)}
+        for blamed, culprit in found.items():
+            if blamed not in self._culprits:
+                self._log_start(culprit, now_ms)
+        for blamed in self._culprits.keys() - found.keys():
+            self._probed_ms.pop(blamed, None)
+            self._log_end(blamed, now_ms)
         self._culprits = found
         quarantined = frozenset().union(*found)
         self._decided_revision = self._evidence.revision
         # Endings settle, and others' responses may go well meanwhile.
         suspected = any(
-            s.part not in quarantined
-            for s in self._evidence.suspicions(MIN_ENDINGS)
+            s.trait not in quarantined
+            for s in suspicions_with_enough_endings(self._evidence)
         )
         self._decide_at_ms = (
             now_ms + _DECISION_INTERVAL_MS if suspected else None
         )
 
-    def _log_quarantine(self, culprit: Culprit, now_ms: int) -> None:
+    def _log_start(self, culprit: Culprit, now_ms: int) -> None:
         log_event(
-            "prompt_part_quarantined",
-            parts=_names(culprit.parts),
+            "quarantine_started",
+            traits=_names(culprit.traits),
             endings=len(culprit.upstreams),
             responding=culprit.responding,
             last_ending_age_ms=now_ms - culprit.last_ms,
             was_sound=culprit.was_sound,
         )
 
-    def _log_release(self, parts: _Parts, now_ms: int) -> None:
-        known = [self._evidence.knowledge(part, now_ms) for part in parts]
+    def _log_end(self, blamed: _Traits, now_ms: int) -> None:
+        known = [
+            self._evidence.knowledge(trait, now_ms) for trait in sorted(blamed)
+        ]
         log_event(
-            "prompt_part_released",
-            parts=_names(parts),
+            "quarantine_ended",
+            traits=_names(blamed),
             endings=[k.endings for k in known],
             sound_age_ms=[k.sound_age_ms for k in known],
         )
 
 
-def _names(parts: _Parts) -> list[str]:
-    return sorted(f"{part:08x}" for part in parts)
+def _names(traits: _Traits) -> list[str]:
+    return [trait_name(trait) for trait in sorted(traits)]
--- a/trefoilpitch/gateway/_request_dependencies.py
+++ b/trefoilpitch/gateway/_request_dependencies.py
@@ -12,7 +12,7 @@
 from trefoilpitch.gateway._health import ExpectedLatencies
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelSelector
-from trefoilpitch.gateway._quarantine import PromptQuarantine
+from trefoilpitch.gateway._quarantine import Quarantine
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
@@ -35,10 +35,10 @@
     # Selects a model on routes with model tiers.
     models: ModelSelector
     metrics: Metrics
-    # Learns which parts of prompts end upstreams.
+    # Learns which traits of requests end upstreams.
     cut_attempts: CutAttempts
-    # Refuses requests whose prompt ends upstreams.
-    quarantine: PromptQuarantine
+    # Refuses requests with traits that end upstreams.
+    quarantine: Quarantine
     # Whether no newer configuration can have been missed.
     is_current: Callable[[], bool]
     # Whether the store is known to be unavailable.
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -37,6 +37,7 @@
 )
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
+from trefoilpitch.gateway._request_traits import request_traits, trait_name
 from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.gateway._tier_choice import TierChoice
@@ -53,6 +54,7 @@
 # The same for an attempt beside a stalled one, which is kept for a while.
 _MIN_OFFER_MS = 2 * HANDOVER_MS
 _MS_PER_S = 1_000
+_IN_QUARANTINE = "in quarantine"
 _OK = 200
 _REDIRECTION = 300
 _SERVER_ERROR = 500
@@ -107,6 +109,7 @@
         self._request = request
         self._admitted = admitted
         self._responder = responder
+        self._traits = request_traits(request, admitted.workspace)
         self._attempts = Attempts()
         self._attempts_sent = 0
         self._attempt_log: list[str] = []
@@ -151,11 +154,11 @@
     async def _run_attempts(self) -> str:
         while True:
             successor = self._hand_over.successor
-            refused_ms = self._deps.quarantine.refused_for_ms(self._request)
+            refused_ms = self._deps.quarantine.refused_for_ms(self._traits)
             if successor is not None:
                 entry = successor.entry
             elif refused_ms is not None:
-                self._attempt_log.append("prompt part in quarantine")
+                self._attempt_log.append(_IN_QUARANTINE)
                 return await self._send_failure(refused_ms)
             else:
                 found = await self._find_upstream()
@@ -284,10 +287,8 @@
                     FailureKind.NOT_SENT,
                     "upstream taken out of service while connecting",
                 )
-            if not self._deps.quarantine.start_attempt(self._request):
-                raise ExchangeError(
-                    FailureKind.NOT_SENT, "prompt part in quarantine"
-                )
+            if not self._deps.quarantine.start_attempt(self._traits):
+                raise ExchangeError(FailureKind.NOT_SENT, _IN_QUARANTINE)
             started_ms = self._deps.clock.now_ms()
             self._send(connection, entry, started_ms)
         except BaseException:
@@ -307,7 +308,7 @@
             yield
         except ExchangeError as error:
             self._deps.cut_attempts.record_failure(
-                attempt.entry, self._request, error.kind, attempt.progress
+                attempt.entry, self._traits, error.kind, attempt.progress
             )
             raise
 
@@ -330,7 +331,7 @@
                 self._maybe_escalate(attempt, response, speed)
                 await self._forward_stream(attempt, response, speed)
         self._deps.cut_attempts.record_complete(
-            entry, self._request, response.head
+            entry, self._traits, response.head
         )
 
     @contextlib.contextmanager
@@ -728,6 +729,7 @@
             workspace=self._admitted.workspace,
             configuration=self._admitted.configuration_version,
             session=self._request.session,
+            fingerprint=trait_name(self._traits.fingerprint),
             model=self._tiers.model,
             execution=self._attempts.execution.value,
             trail=self._attempt_log,
--- a/trefoilpitch/gateway/tests/test_crash_replay.py
+++ b/trefoilpitch/gateway/tests/test_crash_replay.py
@@ -16,12 +16,12 @@
 
 from trefoilpitch.clock import ManualClock
 from trefoilpitch.gateway import CallerRequest, HttpRequest, PrefixPart
-from trefoilpitch.gateway._prompt_parts import (
+from trefoilpitch.gateway._crash_evidence import (
+    CrashEvidence,
     EvidenceReport,
-    PromptEvidence,
-    shared_digests,
 )
-from trefoilpitch.gateway._quarantine import PromptQuarantine
+from trefoilpitch.gateway._quarantine import Quarantine
+from trefoilpitch.gateway._request_traits import RequestTraits, request_traits
 
 _DAEMONS = 9
 _UPSTREAMS = 6
@@ -33,9 +33,6 @@
 _CRASHING = "p"
 _AGREEMENT_MS = 3_000
 _LATE_REQUESTS = 3
-_HTTP = HttpRequest(
-    method=b"POST", target=b"/", headers=(), body=b"", arrived_ms=0
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,8 +54,8 @@
     def __init__(self, number: int, clock: ManualClock) -> None:
         names = {f"vm-{n}" for n in range(_DAEMONS)}
         name = f"vm-{number}"
-        self.evidence = PromptEvidence()
-        self.quarantine = PromptQuarantine(
+        self.evidence = CrashEvidence()
+        self.quarantine = Quarantine(
             self.evidence,
             clock,
             own_name=name,
@@ -73,7 +70,7 @@
     daemon: int
     # The run of the daemon that sent it.
     sender: _Daemon
-    request: CallerRequest
+    traits: RequestTraits
     crashing: bool
     # Upstreams that it was sent to, the present one included.
     tried: tuple[int, ...]
@@ -147,8 +144,15 @@
         return f"b{min(int(self._rng.paretovariate(1)), 3)}"
 
     def _arrive(self, crashing: bool, *parts: str) -> None:
+        http = HttpRequest(
+            method=b"POST",
+            target=b"/",
+            headers=(),
+            body=b"%d" % next(self._numbers),
+            arrived_ms=0,
+        )
         request = CallerRequest(
-            http=_HTTP,
+            http=http,
             request_id="id",
             host="",
             path="/",
@@ -160,17 +164,18 @@
         )
         if not crashing:
             self.sound += 1
-        self._attempt(self._rng.randrange(_DAEMONS), request, crashing, ())
+        traits = request_traits(request, None)
+        self._attempt(self._rng.randrange(_DAEMONS), traits, crashing, ())
 
     def _attempt(
         self,
         number: int,
-        request: CallerRequest,
+        traits: RequestTraits,
         crashing: bool,
         tried: tuple[int, ...],
     ) -> None:
         daemon = self._daemons[number]
-        if not daemon.quarantine.start_attempt(request):
+        if not daemon.quarantine.start_attempt(traits):
             self.sound_refused += not crashing
             return
         free = [
@@ -189,7 +194,7 @@
             _Attempt(
                 daemon=number,
                 sender=daemon,
-                request=request,
+                traits=traits,
                 crashing=crashing,
                 tried=(*tried, upstream.run),
             )
@@ -216,7 +221,7 @@
             if upstream not in self._upstreams:
                 return
             upstream.running.remove(attempt)
-            digests = shared_digests(attempt.request)
+            digests = attempt.traits.digests
             if attempt.sender.evidence.record_sound(digests, self._now_ms):
                 self._beat_soon(attempt.daemon)
             self._start_waiting(upstream)
@@ -245,14 +250,14 @@
                 return
             attempt.sender.evidence.record_ending(
                 upstream.run,
-                shared_digests(attempt.request),
+                attempt.traits.digests,
                 self._now_ms,
                 responding=attempt.started,
             )
             self._beat_soon(attempt.daemon)
             self._attempt(
                 attempt.daemon,
-                attempt.request,
+                attempt.traits,
                 attempt.crashing,
                 attempt.tried,
             )
--- a/trefoilpitch/gateway/tests/test_culprits.py
+++ b/trefoilpitch/gateway/tests/test_culprits.py
@@ -9,13 +9,17 @@
 
 from trefoilpitch.clock import ManualClock
 from trefoilpitch.gateway import CallerRequest, HttpRequest, PrefixPart
-from trefoilpitch.gateway._culprits import find_culprits
-from trefoilpitch.gateway._prompt_parts import (
+from trefoilpitch.gateway._crash_evidence import (
+    CrashEvidence,
     EvidenceReport,
-    PromptEvidence,
+)
+from trefoilpitch.gateway._culprits import find_culprits
+from trefoilpitch.gateway._quarantine import Quarantine
+from trefoilpitch.gateway._request_traits import (
+    RequestTraits,
     part_digest,
+    request_traits,
 )
-from trefoilpitch.gateway._quarantine import PromptQuarantine
 
 _MINUTE_MS = 60_000
 _PROBE_AFTER_MS = 10 * _MINUTE_MS
@@ -190,8 +194,8 @@
 ]
 
 
-def _evidence(case: _Case) -> PromptEvidence:
-    evidence = PromptEvidence()
+def _evidence(case: _Case) -> CrashEvidence:
+    evidence = CrashEvidence()
     for time_ms, upstream, parts in sorted(case.events, key=lambda e: e[0]):
         digests = [part_digest(part) for part in parts.lower()]
         if upstream is None:
@@ -209,11 +213,11 @@
     expected = [
         frozenset(part_digest(part) for part in parts) for parts in case.blamed
     ]
-    assert {c.parts for c in culprits} == set(expected)
+    assert {c.traits for c in culprits} == set(expected)
 
 
 def test_endings_count_once_all_daemons_had_time_to_tell_of_them() -> None:
-    evidence = PromptEvidence()
+    evidence = CrashEvidence()
     digest = part_digest("p")
     for upstream, ended_ms in enumerate(_FOUR):
         evidence.record_ending(upstream, [digest], ended_ms, responding=True)
@@ -223,7 +227,7 @@
 
 
 def test_daemons_add_up_what_each_of_them_has_seen() -> None:
-    seen = [PromptEvidence() for _ in range(4)]
+    seen = [CrashEvidence() for _ in range(4)]
     for number, evidence in enumerate(seen):
         evidence.record_ending(
             number,
@@ -232,19 +236,19 @@
             responding=True,
         )
     seen[0].record_sound([part_digest("b")], 1_900)
-    last = PromptEvidence()
+    last = CrashEvidence()
     # The last daemon hears of the first one only through the second one.
     seen[1].merge(seen[0].report(2_000, ()), 2_003)
     for evidence in seen[1:]:
         last.merge(evidence.report(2_000, ()), 2_003)
     last.merge(seen[0].report(2_000, ()), 2_003)
     (culprit,) = find_culprits(last, 3_000)
-    assert culprit.parts == {part_digest("p")}
+    assert culprit.traits == {part_digest("p")}
     assert len(culprit.upstreams) == 4
 
 
 def test_evidence_does_not_grow_younger_as_it_is_passed_on() -> None:
-    first, second = PromptEvidence(), PromptEvidence()
+    first, second = CrashEvidence(), CrashEvidence()
     first.record_ending(1, [7], 1_000, responding=True)
     first.record_sound([7], 1_100)
     for now_ms in range(2_000, 4_000, 10):
@@ -258,7 +262,7 @@
 
 
 def test_report_of_many_endings_fits_into_a_datagram() -> None:
-    evidence = PromptEvidence()
+    evidence = CrashEvidence()
     for number in range(300):
         parts = [part_digest("p"), part_digest(f"q{number}")]
         evidence.record_ending(
@@ -268,18 +272,18 @@
     report = evidence.report(5_000, ())
     # Leaves 300 bytes of a datagram for the rest of the heartbeat.
     assert len(msgspec.msgpack.encode(report)) <= 900
-    assert report.parts[0][0] == part_digest("p")
+    assert report.traits[0][0] == part_digest("p")
     evidence.expire(5_000, ())
-    other = PromptEvidence()
+    other = CrashEvidence()
     other.merge(report, 5_000)
     assert other.knowledge(part_digest("p"), 5_000).endings == 24
 
 
-def _request(*parts: str) -> CallerRequest:
+def _request(*parts: str, own: str = "own") -> RequestTraits:
     http = HttpRequest(
         method=b"POST", target=b"/", headers=(), body=b"", arrived_ms=0
     )
-    return CallerRequest(
+    request = CallerRequest(
         http=http,
         request_id="id",
         host="",
@@ -287,15 +291,16 @@
         api_key=None,
         wait_ms=None,
         prefix=tuple(
-            PrefixPart(part_id=part, tokens=1) for part in (*parts, "own")
+            PrefixPart(part_id=part, tokens=1) for part in (*parts, own)
         ),
     )
+    return request_traits(request, None)
 
 
 def _quarantine(
-    clock: ManualClock, evidence: PromptEvidence, name: str
-) -> PromptQuarantine:
-    return PromptQuarantine(
+    clock: ManualClock, evidence: CrashEvidence, name: str
+) -> Quarantine:
+    return Quarantine(
         evidence,
         clock,
         own_name=name,
@@ -305,11 +310,11 @@
 
 def _fleet(
     parts: str = "p",
-) -> tuple[ManualClock, list[PromptEvidence], list[PromptQuarantine]]:
+) -> tuple[ManualClock, list[CrashEvidence], list[Quarantine]]:
     """Returns three daemons that have seen four endings under some parts."""
     clock = ManualClock()
     clock.advance(10_000)
-    evidences = [PromptEvidence() for _ in range(3)]
+    evidences = [CrashEvidence() for _ in range(3)]
     for evidence in evidences:
         for upstream in range(4):
             evidence.record_ending(
@@ -346,13 +351,7 @@
 
 def test_last_part_belongs_to_the_request_and_is_never_blamed() -> None:
     _, _, (quarantine, *_) = _fleet()
-    request = dataclasses.replace(
-        _request("b"),
-        prefix=(
-            PrefixPart(part_id="b", tokens=1),
-            PrefixPart(part_id="p", tokens=1),
-        ),
-    )
+    request = _request("b", own="p")
     assert quarantine.refused_for_ms(request) is None
 
 
@@ -406,7 +405,7 @@
 def test_daemon_that_has_just_started_learns_from_one_peer() -> None:
     clock, _, (quarantine, *_) = _fleet()
     clock.advance(5 * _MINUTE_MS)
-    late = _quarantine(clock, PromptEvidence(), "vm-4")
+    late = _quarantine(clock, CrashEvidence(), "vm-4")
     request = _request("p")
     assert late.start_attempt(request)
     late.merge(quarantine.report())
@@ -419,12 +418,12 @@
         evidence.record_ending(
             number, [part_digest(f"q{number}")], 9_000, responding=True
         )
-    late = _quarantine(clock, PromptEvidence(), "vm-4")
+    late = _quarantine(clock, CrashEvidence(), "vm-4")
     late.merge(quarantine.report())
     assert not late.start_attempt(_request("p"))
 
 
 def test_empty_report_changes_nothing() -> None:
-    evidence = PromptEvidence()
+    evidence = CrashEvidence()
     evidence.merge(EvidenceReport(), 0)
     assert evidence.revision == 0
--- a/trefoilpitch/gateway/tests/test_cut_attempts.py
+++ b/trefoilpitch/gateway/tests/test_cut_attempts.py
@@ -17,21 +17,25 @@
     PrefixPart,
     ResponseHead,
 )
-from trefoilpitch.gateway._cut_attempts import CutAttempts
-from trefoilpitch.gateway._prompt_parts import (
+from trefoilpitch.gateway._crash_evidence import (
     AttemptProgress,
-    PartKnowledge,
-    PromptEvidence,
+    CrashEvidence,
+    TraitKnowledge,
+)
+from trefoilpitch.gateway._cut_attempts import CutAttempts
+from trefoilpitch.gateway._request_traits import (
+    RequestTraits,
     part_digest,
+    request_traits,
 )
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import FailureKind
 
 _HOST = "127.0.0.1"
 _CHUNKED = ((b"transfer-encoding", b"chunked"),)
-_ENDED = PartKnowledge(endings=1, responding=1, sound_age_ms=None)
-_SOUND = PartKnowledge(endings=0, responding=0, sound_age_ms=0)
-_UNKNOWN = PartKnowledge(endings=0, responding=0, sound_age_ms=None)
+_ENDED = TraitKnowledge(endings=1, responding=1, sound_age_ms=None)
+_SOUND = TraitKnowledge(endings=0, responding=0, sound_age_ms=0)
+_UNKNOWN = TraitKnowledge(endings=0, responding=0, sound_age_ms=None)
 
 
 @contextlib.contextmanager
@@ -55,11 +59,11 @@
         )
 
 
-def _request() -> CallerRequest:
+def _request() -> RequestTraits:
     http = HttpRequest(
         method=b"POST", target=b"/", headers=(), body=b"", arrived_ms=0
     )
-    return CallerRequest(
+    request = CallerRequest(
         http=http,
         request_id="id",
         host="",
@@ -71,6 +75,7 @@
             PrefixPart(part_id="own", tokens=1),
         ),
     )
+    return request_traits(request, None)
 
 
 def _knowledge(
@@ -79,7 +84,7 @@
     kind: FailureKind | None = None,
     headers: tuple[tuple[bytes, bytes], ...] = (),
     responded_ms: int = 0,
-) -> PartKnowledge:
+) -> TraitKnowledge:
     """Returns what is known of the part after the end of a response.
 
     Args:
@@ -89,7 +94,7 @@
         responded_ms: Time from the first event to the end.
     """
     clock = ManualClock()
-    evidence = PromptEvidence()
+    evidence = CrashEvidence()
 
     async def scenario() -> None:
         cut_attempts = CutAttempts(evidence, clock, Metrics(), lambda: None)
@@ -122,7 +127,10 @@
     ],
 )
 def test_cut_response_counts_if_its_upstream_has_ended(
-    kind: FailureKind, running: bool, responded_ms: int, expected: PartKnowledge
+    kind: FailureKind,
+    running: bool,
+    responded_ms: int,
+    expected: TraitKnowledge,
 ) -> None:
     known = _knowledge(running=running, kind=kind, responded_ms=responded_ms)
     assert known == expected
@@ -140,6 +148,6 @@
 def test_response_without_length_may_end_with_its_upstream(
     headers: tuple[tuple[bytes, bytes], ...],
     running: bool,
-    expected: PartKnowledge,
+    expected: TraitKnowledge,
 ) -> None:
     assert _knowledge(running=running, headers=headers) == expected
--- a/trefoilpitch/platform/tests/test_crashing_prompt_part.py
+++ b/trefoilpitch/platform/tests/test_crashing_prompt_part.py
@@ -295,7 +295,7 @@
     run(scenario)
 
 
-def test_ended_upstream_is_logged_with_the_parts_of_the_prompt(
+def test_ended_upstream_is_logged_with_the_traits_of_the_request(
     capfd: pytest.CaptureFixture[str],
 ) -> None:
     async def scenario() -> None:
@@ -314,9 +314,13 @@
     ]
     assert lines
     for number, line in enumerate(lines, start=1):
-        beginning, crashing = line["parts"]
+        beginning, crashing, whole = line["traits"]
         assert line["responding"]
-        assert (beginning["part"], crashing["part"]) == (_BEGINNING, _CRASHING)
+        assert (beginning["trait"], crashing["trait"]) == (
+            _BEGINNING,
+            _CRASHING,
+        )
         assert crashing["endings"] == crashing["responding"] == number
+        assert (whole["trait"], whole["endings"]) == ("request", number)
         assert crashing["sound_age_ms"] is None
         assert beginning["sound_age_ms"] is not None
