Add failing tests of requests that crash upstreams

A request that comes again with the same path, caller and body and ended three upstreams must be refused by all daemons, also if parts of its prompt or other requests were present at the same endings; other requests of the route and the caller must not.

--- a/trefoilpitch/gateway/tests/test_culprits.py
+++ b/trefoilpitch/gateway/tests/test_culprits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Collection
 
 import msgspec
 import pytest
@@ -23,6 +24,8 @@
 
 _MINUTE_MS = 60_000
 _PROBE_AFTER_MS = 10 * _MINUTE_MS
+# Digest of a whole request, to which a number may be added.
+_WHOLE_REQUEST = 1 << 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,8 +33,8 @@
     """Responses to prompts, in order, and the parts to blame.
 
     Each event is the time in milliseconds, the upstream that ended (None for
-    a response that went well) and the shared parts; a part in upper case was
-    not responded to yet.
+    a response that went well) and the traits: letters for shared parts, in
+    upper case if not responded to yet, and digits for whole requests.
     """
 
     name: str
@@ -181,6 +184,77 @@
         ),
         blamed=(),
     ),
+    _Case(
+        name="a request that ended three upstreams",
+        events=(*_OTHERS, *_endings("1", *_FOUR[:3])),
+        blamed=("1",),
+    ),
+    _Case(
+        name="two endings of a request may be chance",
+        events=(*_OTHERS, *_endings("1", *_FOUR[:2])),
+        blamed=(),
+    ),
+    _Case(
+        name="a request whose upstreams had not begun to respond",
+        events=(
+            *_OTHERS,
+            *_endings("B1", *_FOUR),
+            *_endings("q", *_FOUR),
+        ),
+        blamed=("1",),
+    ),
+    _Case(
+        name="a request and not the parts of its prompt",
+        events=(*_OTHERS, *_endings("bp1", *_FOUR)),
+        blamed=("1",),
+    ),
+    _Case(
+        name="a part that several requests ended upstreams with",
+        events=(
+            *_OTHERS,
+            *_endings("p1", *_FOUR[:3]),
+            *_endings("p2", 1_600, 1_800, first=4),
+        ),
+        blamed=("p",),
+    ),
+    _Case(
+        name="another request that was cut by some of the same endings",
+        events=(
+            *_OTHERS,
+            *_endings("1", *_FOUR),
+            *_endings("2", *_FOUR[:3]),
+        ),
+        blamed=("1",),
+    ),
+    _Case(
+        name="requests that the endings cannot tell apart",
+        events=(
+            *_OTHERS,
+            *_endings("1", *_FOUR[:3]),
+            *_endings("2", *_FOUR[:3]),
+        ),
+        blamed=("1", "2"),
+    ),
+    _Case(
+        name="a request that went well afterwards",
+        events=(*_OTHERS, *_endings("1", *_FOUR), (2_000, None, "1")),
+        blamed=(),
+    ),
+    _Case(
+        name="a request, though more upstreams end without it",
+        events=(
+            *_OTHERS,
+            *_endings("1", 1_000, 3_000, 4_000),
+            *_endings("v", 1_100, 1_300, 1_500, first=21),
+            *_endings("w", 2_100, 2_300, 2_500, first=24),
+        ),
+        blamed=("1",),
+    ),
+    _Case(
+        name="a request that went well before and is cut in an outage",
+        events=((500, None, "1"), *_OTHERS, *_endings("1", *_SIX)),
+        blamed=(),
+    ),
     _Case(
         name="several requests end upstreams at almost the same moment",
         events=(*_OTHERS, *_endings("p", 1_000, 1_010, 1_050, 1_060)),
@@ -194,15 +268,21 @@
 ]
 
 
+def _digest(trait: str) -> int:
+    if trait.isdigit():
+        return _WHOLE_REQUEST + int(trait)
+    return part_digest(trait)
+
+
 def _evidence(case: _Case) -> CrashEvidence:
     evidence = CrashEvidence()
     for time_ms, upstream, parts in sorted(case.events, key=lambda e: e[0]):
-        digests = [part_digest(part) for part in parts.lower()]
+        digests = [_digest(trait) for trait in parts.lower()]
         if upstream is None:
             evidence.record_sound(digests, time_ms)
         else:
             evidence.record_ending(
-                upstream, digests, time_ms, responding=parts.islower()
+                upstream, digests, time_ms, responding=not parts.isupper()
             )
     return evidence
 
@@ -211,7 +291,7 @@
 def test_parts_are_blamed_only_for_what_no_other_explains(case: _Case) -> None:
     culprits = find_culprits(_evidence(case), 10_000)
     expected = [
-        frozenset(part_digest(part) for part in parts) for parts in case.blamed
+        frozenset(_digest(trait) for trait in traits) for traits in case.blamed
     ]
     assert {c.traits for c in culprits} == set(expected)
 
@@ -279,9 +359,15 @@
     assert other.knowledge(part_digest("p"), 5_000).endings == 24
 
 
-def _request(*parts: str, own: str = "own") -> RequestTraits:
+def _request(
+    *parts: str,
+    own: str = "own",
+    target: bytes = b"/",
+    workspace: str | None = None,
+    body: bytes = b"",
+) -> RequestTraits:
     http = HttpRequest(
-        method=b"POST", target=b"/", headers=(), body=b"", arrived_ms=0
+        method=b"POST", target=target, headers=(), body=body, arrived_ms=0
     )
     request = CallerRequest(
         http=http,
@@ -294,17 +380,20 @@
             PrefixPart(part_id=part, tokens=1) for part in (*parts, own)
         ),
     )
-    return request_traits(request, None)
+    return request_traits(request, workspace)
 
 
 def _quarantine(
-    clock: ManualClock, evidence: CrashEvidence, name: str
+    clock: ManualClock,
+    evidence: CrashEvidence,
+    name: str,
+    peers: Collection[str] = ("vm-1", "vm-2", "vm-3"),
 ) -> Quarantine:
     return Quarantine(
         evidence,
         clock,
         own_name=name,
-        live_peers=lambda: {"vm-1", "vm-2", "vm-3"} - {name},
+        live_peers=lambda: set(peers) - {name},
     )
 
 
@@ -402,6 +491,59 @@
     assert all(q.start_attempt(request) for q in quarantines for _ in range(3))
 
 
+def test_request_that_ended_three_upstreams_is_refused_by_all_daemons() -> None:
+    clock = ManualClock()
+    clock.advance(10_000)
+    evidences = [CrashEvidence() for _ in range(3)]
+    quarantines = [
+        _quarantine(clock, evidence, f"vm-{number}")
+        for number, evidence in enumerate(evidences, start=1)
+    ]
+    deadly = _request()
+    for number, evidence in enumerate(evidences):
+        evidence.record_sound(_request("x", body=b"other").digests, 1_000)
+        evidence.record_ending(
+            number, deadly.digests, 9_000 + 100 * number, responding=False
+        )
+    assert all(q.start_attempt(deadly) for q in quarantines)
+    for quarantine in quarantines:
+        for other in quarantines:
+            quarantine.merge(other.report())
+    clock.advance(1_000)
+    assert not any(q.start_attempt(deadly) for q in quarantines)
+    for request in (
+        _request(body=b"other"),
+        _request(workspace="other"),
+        _request(target=b"/?a=b"),
+    ):
+        assert all(q.start_attempt(request) for q in quarantines)
+
+
+def test_requests_that_the_endings_cannot_tell_apart_are_probed_soon() -> None:
+    clock = ManualClock()
+    clock.advance(10_000)
+    evidence = CrashEvidence()
+    quarantine = _quarantine(clock, evidence, "vm-1")
+    deadly, sound = _request(), _request(body=b"other")
+    evidence.record_sound(_request("x", body=b"third").digests, 1_000)
+    for upstream in range(3):
+        for request in (deadly, sound):
+            evidence.record_ending(
+                upstream,
+                request.digests,
+                9_000 + 100 * upstream,
+                responding=False,
+            )
+    assert not quarantine.start_attempt(deadly)
+    assert not quarantine.start_attempt(sound)
+    clock.advance(_MINUTE_MS)
+    alone = _quarantine(clock, evidence, "vm-1", peers=())
+    assert alone.start_attempt(sound)
+    evidence.record_sound(sound.digests, clock.now_ms())
+    assert alone.start_attempt(sound)
+    assert alone.refused_for_ms(deadly) is not None
+
+
 def test_daemon_that_has_just_started_learns_from_one_peer() -> None:
     clock, _, (quarantine, *_) = _fleet()
     clock.advance(5 * _MINUTE_MS)
