Refuse requests that crashed three upstreams

Cause: the quarantine knew shared parts of prompts only. A request without a prompt left no evidence, and a repeat of one had nothing that connected it with the endings before.

Change: whole requests are weighed together with parts. Three endings suffice, as three further sends are what is allowed after them and a fourth would use these up. A whole request goes before the parts that its own prompt has at the same endings. Requests that the endings cannot tell apart are refused one by one and probed after 30 s. There is no comparison with other endings for a request that never went well.

--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -5,6 +5,9 @@
 trait explains better: one that no response has gone well with comes before one
 that was sound, and one that is present at more endings before one at fewer. In
 an outage for another reason most endings come without it.
+
+A whole request goes before a part that is present at the same endings, as it
+explains them without other requests.
 """
 
 from __future__ import annotations
@@ -18,6 +21,8 @@
 
 # More than a request without other ones can end: routes allow three attempts.
 _MIN_ENDINGS = 4
+# The same for a whole request, of which each repeat ends further upstreams.
+_MIN_ENDINGS_OF_REQUEST = 3
 # Upstreams that lose power or are stopped together end at one moment.
 _MIN_MOMENTS = 2
 # The same for a trait that responses went well with before: in an outage for
@@ -49,6 +54,8 @@
     last_ms: int
     # Whether responses with the traits went well before.
     was_sound: bool
+    # Whether another request explains the same endings as well.
+    ambiguous: bool = False
 
 
 def find_culprits(evidence: CrashEvidence, now_ms: int) -> list[Culprit]:
@@ -77,14 +84,14 @@
     ):
         group = [s for s in suspicions if s.was_sound is was_sound]
         while True:
-            culprit = _strongest(group, unexplained_ms, min_moments)
-            if culprit is None:
+            strongest = _strongest(group, unexplained_ms, min_moments)
+            if not strongest:
                 break
-            culprits.append(culprit)
+            culprits.extend(strongest)
             unexplained_ms = {
                 upstream: ended_ms
                 for upstream, ended_ms in unexplained_ms.items()
-                if upstream not in culprit.upstreams
+                if upstream not in strongest[0].upstreams
             }
     return culprits
 
@@ -93,12 +100,17 @@
     evidence: CrashEvidence,
 ) -> Iterator[Suspicion]:
     """Yields what speaks against the traits that may be to blame."""
-    for suspicion in evidence.suspicions(_MIN_ENDINGS):
-        # Evidence on whole requests is only logged.
-        if not is_whole_request(suspicion.trait):
+    for suspicion in evidence.suspicions(_MIN_ENDINGS_OF_REQUEST):
+        if len(suspicion.ended_ms) >= _min_endings(suspicion.trait):
             yield suspicion
 
 
+def _min_endings(trait: int) -> int:
+    if is_whole_request(trait):
+        return _MIN_ENDINGS_OF_REQUEST
+    return _MIN_ENDINGS
+
+
 def _settled(suspicion: Suspicion, now_ms: int) -> Suspicion:
     return dataclasses.replace(
         suspicion,
@@ -124,38 +136,97 @@
     return newest_sound_ms > median_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Explanation:
+    """The endings that a trait would explain."""
+
+    suspicion: Suspicion
+    upstreams: frozenset[int]
+
+    @property
+    def trait(self) -> int:
+        return self.suspicion.trait
+
+    @property
+    def responding(self) -> int:
+        """Number of the upstreams that had begun to respond to the trait."""
+        return len(self.suspicion.responding & self.upstreams)
+
+    @property
+    def strength(self) -> tuple[int, int]:
+        """Sorts explanations.
+
+        A request may end an upstream as soon as it runs, before any response.
+        """
+        endings = len(self.upstreams)
+        if is_whole_request(self.trait):
+            return endings, endings
+        return endings, self.responding
+
+    def culprit(
+        self, traits: Iterable[int], *, ambiguous: bool = False
+    ) -> Culprit:
+        times_ms = self.suspicion.ended_ms
+        return Culprit(
+            traits=frozenset(traits),
+            upstreams=self.upstreams,
+            responding=self.responding,
+            last_ms=max(times_ms[k] for k in self.upstreams),
+            was_sound=self.suspicion.was_sound,
+            ambiguous=ambiguous,
+        )
+
+
 def _strongest(
     suspicions: Iterable[Suspicion],
     unexplained_ms: Mapping[int, int],
     min_moments: int,
-) -> Culprit | None:
-    ranked: dict[tuple[int, int], list[tuple[Suspicion, frozenset[int]]]] = {}
-    for suspicion in suspicions:
-        upstreams = frozenset(suspicion.ended_ms.keys() & unexplained_ms.keys())
-        moments = _moments(suspicion.ended_ms[k] for k in upstreams)
-        if (
-            len(upstreams) >= _MIN_ENDINGS
-            and moments >= min_moments
-            and _is_usual(upstreams, unexplained_ms)
-        ):
-            responding = len(suspicion.responding & upstreams)
-            strength = (len(upstreams), responding)
-            ranked.setdefault(strength, []).append((suspicion, upstreams))
-    if not ranked:
-        return None
-    strength = max(ranked)
-    first, upstreams = ranked[strength][0]
-    return Culprit(
-        traits=frozenset(
-            suspicion.trait
-            for suspicion, others in ranked[strength]
-            if others == upstreams
-        ),
-        upstreams=upstreams,
-        responding=strength[1],
-        last_ms=max(first.ended_ms[k] for k in upstreams),
-        was_sound=first.was_sound,
-    )
+) -> list[Culprit]:
+    """Returns the culprits that explain most endings, all the same ones."""
+    explanations = [
+        _Explanation(
+            suspicion=suspicion,
+            upstreams=frozenset(
+                suspicion.ended_ms.keys() & unexplained_ms.keys()
+            ),
+        )
+        for suspicion in suspicions
+    ]
+    valid = [
+        k for k in explanations if _is_valid(k, unexplained_ms, min_moments)
+    ]
+    if not valid:
+        return []
+    first = max(valid, key=lambda k: k.strength)
+    equal = [
+        k
+        for k in valid
+        if k.strength == first.strength and k.upstreams == first.upstreams
+    ]
+    requests = [k for k in equal if is_whole_request(k.trait)]
+    if not requests:
+        return [first.culprit(k.trait for k in equal)]
+    ambiguous = len(requests) > 1
+    return [k.culprit([k.trait], ambiguous=ambiguous) for k in requests]
+
+
+def _is_valid(
+    explanation: _Explanation,
+    unexplained_ms: Mapping[int, int],
+    min_moments: int,
+) -> bool:
+    """Whether the endings suffice to blame a trait for them."""
+    upstreams = explanation.upstreams
+    ended_ms = explanation.suspicion.ended_ms
+    if len(upstreams) < _min_endings(explanation.trait):
+        return False
+    if _moments(ended_ms[k] for k in upstreams) < min_moments:
+        return False
+    # A request that never went well needs no comparison with other ones: each
+    # upstream that got it has ended.
+    certain = is_whole_request(explanation.trait)
+    certain = certain and not explanation.suspicion.was_sound
+    return certain or _is_usual(upstreams, unexplained_ms)
 
 
 def _is_usual(
--- a/trefoilpitch/gateway/_quarantine.py
+++ b/trefoilpitch/gateway/_quarantine.py
@@ -22,6 +22,8 @@
 # for traits that responses went well with before: they may be sound after all.
 _QUARANTINE_MS = 600_000
 _QUARANTINE_IF_SOUND_BEFORE_MS = 120_000
+# The same for requests of which only one is to blame.
+_QUARANTINE_IF_AMBIGUOUS_MS = 30_000
 # Pause between probes: a failed one renews the quarantine long before.
 _PROBE_INTERVAL_MS = 60_000
 # Pause between decisions while traits are suspected and the evidence stays.
@@ -106,7 +108,9 @@
     def _wait_ms(self, culprit: Culprit, now_ms: int) -> int:
         """Returns the time until a request may probe; 0 if it may now."""
         duration_ms = _QUARANTINE_MS
-        if culprit.was_sound:
+        if culprit.ambiguous:
+            duration_ms = _QUARANTINE_IF_AMBIGUOUS_MS
+        elif culprit.was_sound:
             duration_ms = _QUARANTINE_IF_SOUND_BEFORE_MS
         end_ms = culprit.last_ms + duration_ms
         probed_ms = self._probed_ms.get(culprit.traits)
@@ -154,6 +158,7 @@
             responding=culprit.responding,
             last_ending_age_ms=now_ms - culprit.last_ms,
             was_sound=culprit.was_sound,
+            ambiguous=culprit.ambiguous,
         )
 
     def _log_end(self, blamed: _Traits, now_ms: int) -> None:
