Count abandoned attempts whose upstream ends soon after

Cause: evidence came only from attempts that were cut. An attempt that this daemon closed itself (replaced by a larger model, superseded by a hand-over, timed out, withdrawn, its caller gone) left none, though its upstream ran the request and ended some 50 ms later.

Change: abandoned attempts are kept for 2 s by their upstream's run. They count if it ends meanwhile, which this daemon learns from another attempt that was cut, from a refused connection, or from a peer.

--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -32,18 +32,24 @@
 # A trait ends upstreams as they begin to run a request: one that they have
 # responded to for this long is sound.
 _SOUND_AFTER_MS = 3_000
+# For how long an upstream may go on with a request whose connection was closed.
+_ABANDONED_MS = 2_000
 _CUT = frozenset({FailureKind.RESPONSE_TRUNCATED, FailureKind.CONNECTION_LOST})
+# Failures after which this daemon closes the connection of a running request.
+_ABANDONED = frozenset(
+    {FailureKind.RESPONSE_TIMEOUT, FailureKind.MALFORMED_RESPONSE}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _CutAttempt:
-    """An attempt whose response was cut off, as far as can be told."""
+    """An attempt that was cut off or abandoned, as far as can be told."""
 
     entry: UpstreamEntry
     traits: RequestTraits
     responding: bool
     # Monotonic time of the end of its connection.
-    cut_ms: int
+    closed_ms: int
     # Whether the response would be complete if its upstream is running.
     complete: bool = False
 
@@ -72,6 +78,8 @@
         # Attempts by the run of the upstream that is being examined.
         self._examined: dict[int, list[_CutAttempt]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        # Attempts whose upstream may end because of them, by its run.
+        self._abandoned: dict[int, list[_CutAttempt]] = {}
 
     def record_failure(
         self,
@@ -81,6 +89,8 @@
         progress: AttemptProgress,
     ) -> None:
         """Examines the upstream of a failed attempt if that was cut off."""
+        if kind in _ABANDONED:
+            self.record_abandoned(entry, traits, progress)
         if kind not in _CUT:
             return
         now_ms = self._clock.now_ms()
@@ -93,10 +103,41 @@
                 entry=entry,
                 traits=traits,
                 responding=progress.responding,
-                cut_ms=now_ms,
+                closed_ms=now_ms,
             )
         )
 
+    def record_abandoned(
+        self,
+        entry: UpstreamEntry,
+        traits: RequestTraits,
+        progress: AttemptProgress,
+    ) -> None:
+        """Records that this daemon closed the connection of an attempt.
+
+        Its upstream may still run the request for a while, and end.
+        """
+        now_ms = self._clock.now_ms()
+        attempt = _CutAttempt(
+            entry=entry,
+            traits=traits,
+            responding=progress.responding,
+            closed_ms=now_ms,
+        )
+        self._abandoned.setdefault(run_digest(entry), []).append(attempt)
+        self._expire_abandoned(now_ms)
+
+    def record_refused(self, entry: UpstreamEntry) -> None:
+        """Records that an upstream refused a connection."""
+        if run_digest(entry) in self._abandoned:
+            self._record_abandoned_endings(entry, self._clock.now_ms())
+
+    def review_abandoned(self) -> None:
+        """Looks up whether other daemons have seen upstreams end."""
+        for run in self._abandoned.keys() & self._evidence.ended_ms.keys():
+            entry = self._abandoned[run][0].entry
+            self._record_abandoned_endings(entry, self._evidence.ended_ms[run])
+
     def record_complete(
         self, entry: UpstreamEntry, traits: RequestTraits, head: ResponseHead
     ) -> None:
@@ -114,7 +155,7 @@
                 entry=entry,
                 traits=traits,
                 responding=True,
-                cut_ms=self._clock.now_ms(),
+                closed_ms=self._clock.now_ms(),
                 complete=True,
             )
         )
@@ -142,7 +183,8 @@
         except ExchangeError as error:
             refused = error.kind is FailureKind.CONNECT_REFUSED
             verdict = "ended" if refused else "unknown"
-        for attempt in self._examined.pop(run_digest(entry)):
+        attempts = self._examined.pop(run_digest(entry))
+        for attempt in attempts:
             if verdict == "ended":
                 self._record_ending(attempt)
             elif verdict == "running" and attempt.complete:
@@ -152,13 +194,39 @@
                     "cut_attempts", Label(name="upstream", value=verdict)
                 )
         if verdict == "ended":
+            self._record_abandoned_endings(entry, attempts[0].closed_ms)
             self._on_evidence()
 
+    def _record_abandoned_endings(
+        self, entry: UpstreamEntry, ended_ms: int
+    ) -> None:
+        recorded = False
+        for attempt in self._abandoned.pop(run_digest(entry), ()):
+            if 0 <= ended_ms - attempt.closed_ms < _ABANDONED_MS:
+                recorded = True
+                self._record_ending(
+                    dataclasses.replace(attempt, closed_ms=ended_ms)
+                )
+        if recorded:
+            self._on_evidence()
+
+    def _expire_abandoned(self, now_ms: int) -> None:
+        for run, attempts in list(self._abandoned.items()):
+            recent = [
+                attempt
+                for attempt in attempts
+                if now_ms - attempt.closed_ms < _ABANDONED_MS
+            ]
+            if recent:
+                self._abandoned[run] = recent
+            else:
+                del self._abandoned[run]
+
     def _record_ending(self, attempt: _CutAttempt) -> None:
         self._evidence.record_ending(
             run_digest(attempt.entry),
             attempt.traits.digests,
-            attempt.cut_ms,
+            attempt.closed_ms,
             responding=attempt.responding,
         )
         now_ms = self._clock.now_ms()
--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -90,7 +90,7 @@
     def record_stall(self, entry: UpstreamEntry) -> None:
         """Records that an upstream is silent for too long."""
 
-    def record_withdrawn(self) -> None:
+    def record_withdrawn(self, attempt: SentAttempt) -> None:
         """Records an attempt that was abandoned and may have run."""
 
 
@@ -214,7 +214,7 @@
                 sender.record_failure(entry, error)
                 return f"kept: {entry.upstream_id} {error.kind.value}"
             if not accepted:
-                sender.record_withdrawn()
+                sender.record_withdrawn(attempt)
                 return f"kept: resumed before {entry.upstream_id} responded"
             stack.pop_all()
         self._successor = attempt
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -195,6 +195,9 @@
         )
         self._heartbeat_sent_ms = clock.now_ms()
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
+        self._cut_attempts = CutAttempts(
+            evidence, clock, metrics, self._send_urgent_heartbeat
+        )
         request_handler = RequestHandler(
             RequestDependencies(
                 view=self._view,
@@ -206,9 +209,7 @@
                 expected_latencies=ExpectedLatencies(),
                 models=ModelSelector(),
                 metrics=metrics,
-                cut_attempts=CutAttempts(
-                    evidence, clock, metrics, self._send_urgent_heartbeat
-                ),
+                cut_attempts=self._cut_attempts,
                 quarantine=self._quarantine,
                 is_current=self._is_current,
                 store_unavailable=lambda: self._follower.store_unavailable,
@@ -458,6 +459,7 @@
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
         self._quarantine.merge(heartbeat.traits)
+        self._cut_attempts.review_abandoned()
         if heartbeat.current and heartbeat.version <= self._view.version:
             self._follower.confirm_current()
         if heartbeat.era == self._view.era:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -311,6 +311,15 @@
                 attempt.entry, self._traits, error.kind, attempt.progress
             )
             raise
+        except BaseException:
+            # The response is replaced, or the caller has left.
+            self._record_abandoned(attempt)
+            raise
+
+    def _record_abandoned(self, attempt: SentAttempt) -> None:
+        self._deps.cut_attempts.record_abandoned(
+            attempt.entry, self._traits, attempt.progress
+        )
 
     async def _exchange(self, entry: UpstreamEntry) -> None:
         attempt = self._hand_over.take_successor()
@@ -639,6 +648,8 @@
         self._attempts = self._attempts.with_failure(error.kind)
         self._attempt_log.append(f"{entry.upstream_id} {error.kind.value}")
         health = deps.dispatcher.health(entry.upstream_id)
+        if error.kind is FailureKind.CONNECT_REFUSED:
+            deps.cut_attempts.record_refused(entry)
         if classify_failure(error.kind) is Execution.NOT_RUN:
             self._run_ids.discard(entry.upstream_id)
         if error.kind is FailureKind.SERVER_ERROR:
@@ -671,8 +682,9 @@
         health = self._deps.dispatcher.health(entry.upstream_id)
         health.record_failure(self._deps.clock.now_ms(), unreachable=False)
 
-    def record_withdrawn(self) -> None:
+    def record_withdrawn(self, attempt: SentAttempt) -> None:
         """Records an attempt that was abandoned and may have run."""
+        self._record_abandoned(attempt)
         self._attempts = self._attempts.with_replaced_response()
         self._withdrawn = True
 
--- a/trefoilpitch/gateway/tests/test_cut_attempts.py
+++ b/trefoilpitch/gateway/tests/test_cut_attempts.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import enum
 import socket
 from collections.abc import Iterator
 
@@ -21,6 +23,7 @@
     AttemptProgress,
     CrashEvidence,
     TraitKnowledge,
+    run_digest,
 )
 from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._request_traits import (
@@ -151,3 +154,77 @@
     expected: TraitKnowledge,
 ) -> None:
     assert _knowledge(running=running, headers=headers) == expected
+
+
+class _Learnt(enum.Enum):
+    """How a daemon learns that an upstream has ended."""
+
+    CUT_ATTEMPT = "another attempt is cut"
+    REFUSED_CONNECTION = "it refuses a connection"
+    PEER = "a peer reports it"
+    NEVER = "not at all"
+
+
+@pytest.mark.parametrize(
+    ("learnt", "after_ms", "expected"),
+    [
+        (_Learnt.CUT_ATTEMPT, 100, 1),
+        (_Learnt.REFUSED_CONNECTION, 100, 1),
+        (_Learnt.PEER, 100, 1),
+        (_Learnt.NEVER, 100, 0),
+        # It has run for long since.
+        (_Learnt.CUT_ATTEMPT, 5_000, 0),
+        (_Learnt.REFUSED_CONNECTION, 5_000, 0),
+        (_Learnt.PEER, 5_000, 0),
+    ],
+)
+@pytest.mark.parametrize("failure", [None, FailureKind.RESPONSE_TIMEOUT])
+def test_abandoned_attempt_counts_if_its_upstream_ends_soon(
+    failure: FailureKind | None, learnt: _Learnt, after_ms: int, expected: int
+) -> None:
+    clock = ManualClock()
+    evidence = CrashEvidence()
+    traits = _request()
+    other = dataclasses.replace(traits, parts=(), fingerprint=1 << 32)
+
+    async def scenario() -> None:
+        cut_attempts = CutAttempts(evidence, clock, Metrics(), lambda: None)
+        with _upstream(running=False) as entry:
+            progress = AttemptProgress(responding=True)
+            if failure is None:
+                cut_attempts.record_abandoned(entry, traits, progress)
+            else:
+                cut_attempts.record_failure(entry, traits, failure, progress)
+            clock.advance(after_ms)
+            if learnt is _Learnt.CUT_ATTEMPT:
+                cut_attempts.record_failure(
+                    entry, other, FailureKind.CONNECTION_LOST, progress
+                )
+                await asyncio.sleep(0.05)
+            elif learnt is _Learnt.REFUSED_CONNECTION:
+                cut_attempts.record_refused(entry)
+            elif learnt is _Learnt.PEER:
+                peer = CrashEvidence()
+                peer.record_ending(
+                    run_digest(entry), other.digests, 0, responding=False
+                )
+                evidence.merge(peer.report(0, ()), clock.now_ms())
+                cut_attempts.review_abandoned()
+
+    asyncio.run(scenario())
+    known = evidence.knowledge(traits.fingerprint, clock.now_ms())
+    assert known.endings == expected
+
+
+def test_abandoned_attempt_says_nothing_of_an_earlier_ending() -> None:
+    clock = ManualClock()
+    evidence = CrashEvidence()
+    cut_attempts = CutAttempts(evidence, clock, Metrics(), lambda: None)
+    traits = _request()
+    with _upstream(running=False) as entry:
+        evidence.record_ending(run_digest(entry), [7], 0, responding=False)
+        clock.advance(1_000)
+        cut_attempts.record_abandoned(entry, traits, AttemptProgress())
+        cut_attempts.review_abandoned()
+    known = evidence.knowledge(traits.fingerprint, clock.now_ms())
+    assert known.endings == 0
