Test a request that crashes each upstream that runs it

Callers saw 503 for most requests of a service while one request, sent again and again at any daemon, ended its upstreams one after the other. No stand-in could end under a whole request, so that no test showed it.

--- a/trefoilpitch/platform/tests/harness.py
+++ b/trefoilpitch/platform/tests/harness.py
@@ -190,14 +190,16 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(
-    plain: int = 1,
-    models: int = 0,
-    *,
-    retry_slack: float = _RETRY_SLACK,
-    **fields: Any,
+async def running_workers(
+    plain: int = 1, models: int = 0, **fields: Any
 ) -> AsyncIterator[Fleet]:
-    """Runs a store, workers and a daemon that has read their registrations."""
+    """Runs a store and workers, without a daemon.
+
+    Args:
+        plain: Number of workers of the plain service.
+        models: Number of workers of the model service.
+        **fields: Fields of the configuration to add or replace.
+    """
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(PlatformStoreStandIn())
         fleet = Fleet(store, stack)
@@ -206,12 +208,24 @@
             await fleet.add_worker(f"plain-{number}", "plain-service")
         for number in range(models):
             await fleet.add_worker(f"model-{number}", "model-service")
+        yield fleet
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(
+    plain: int = 1,
+    models: int = 0,
+    *,
+    retry_slack: float = _RETRY_SLACK,
+    **fields: Any,
+) -> AsyncIterator[Fleet]:
+    """Runs a store, workers and a daemon that has read their registrations."""
+    async with running_workers(plain, models, **fields) as fleet:
         fleet.settings = dataclasses.replace(
             node_settings(), retry_slack=retry_slack
         )
-        fleet.node = await stack.enter_async_context(
-            running_node(fleet.settings, store)
-        )
-        await wait_until(lambda: fleet.daemon.ready)
-        await fleet.wait_for_upstreams(plain + models)
-        yield fleet
+        async with running_node(fleet.settings, fleet.store) as node:
+            fleet.node = node
+            await wait_until(lambda: fleet.daemon.ready)
+            await fleet.wait_for_upstreams(plain + models)
+            yield fleet
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -120,6 +120,11 @@
         self.crashing_parts: frozenset[str] = frozenset()
         # Number of events that it writes before that.
         self.events_before_crash = 0
+        # Requests on which it crashes before it writes anything, each as its
+        # line (see `WorkerRun.line`) and body.
+        self.crashing_requests: frozenset[tuple[str, bytes]] = frozenset()
+        # Time from the start of such a request to the crash, in milliseconds.
+        self.crash_delay_ms = 40
         # Time for which it is gone, in milliseconds.
         self.restart_delay_ms = 500
         # Called after each restart.
@@ -207,11 +212,15 @@
             return
         if fault is WorkerFault.HANG:
             await self.release.wait()
+        if (run.line, run.body) in self.crashing_requests:
+            await asyncio.sleep(self.crash_delay_ms / _MS_PER_S)
+            self._crash()
+            return
         if self.response_delay_ms:
             await asyncio.sleep(self.response_delay_ms / _MS_PER_S)
         headers = self._headers(run, fault)
         if not self.crashing_parts.isdisjoint(run.parts):
-            await self._crash(run, headers, responder)
+            await self._begin_and_crash(run, headers, responder)
             return
         statuses = {
             WorkerFault.ERROR: 500,
@@ -225,7 +234,7 @@
         else:
             await self._respond_plain(run, fault, headers, responder)
 
-    async def _crash(
+    async def _begin_and_crash(
         self,
         run: WorkerRun,
         headers: list[tuple[bytes, bytes]],
@@ -236,6 +245,9 @@
         for number in range(1, self.events_before_crash + 1):
             await responder.write(_event(run, number))
         await asyncio.sleep(_FLUSH_S)
+        self._crash()
+
+    def _crash(self) -> None:
         if self._restart is None or self._restart.done():
             self.crashed_s.append(asyncio.get_running_loop().time())
             self._restart = asyncio.create_task(self._end_and_restart())
