Keep quarantines in the store

Callers saw (test with all daemons restarted in the middle): a request that had ended three upstreams was sent to upstreams four times more.

Cause: the evidence lived in the daemons and in their heartbeats only. Daemons that restart together know nothing, and daemons that do not hear the others know their own endings only; each group ends three upstreams again.

Change: the record of a quarantine (traits, newest endings with wall-clock times) is written to the store under a lease of ten minutes, by the first live daemon by rendezvous hash, by one of the two after it if it is still missing. A daemon adopts all records with its listing or watch, as evidence, so that a sound response still outweighs them. A start therefore knows of quarantines before it serves anything.

--- a/trefoilpitch/fleet/_store.py
+++ b/trefoilpitch/fleet/_store.py
@@ -8,6 +8,7 @@
 from trefoilpitch.fleet._types import (
     Configuration,
     Member,
+    QuarantineRecord,
     RolloutOrder,
     RolloutRecord,
     UpstreamEntry,
@@ -152,6 +153,7 @@
     | RolloutRecord
     | Evacuation
     | Member
+    | QuarantineRecord
 )
 
 
@@ -179,3 +181,8 @@
 
     def encode_member(self, member: Member, lease_id: int) -> Write:
         """Encodes a daemon's registration."""
+
+    def encode_quarantine(
+        self, record: QuarantineRecord, lease_id: int
+    ) -> Write:
+        """Encodes the record of a quarantine."""
--- a/trefoilpitch/fleet/_types.py
+++ b/trefoilpitch/fleet/_types.py
@@ -221,6 +221,24 @@
         return self.phase.final, self.percent
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineRecord:
+    """Why requests are refused, for daemons that have not seen it."""
+
+    # Identifies the traits.
+    name: str
+    # Digests of the traits that a refused request has.
+    traits: tuple[int, ...]
+    # Digests of the upstreams that ended under them, and the Unix milliseconds
+    # of their endings.
+    endings: tuple[tuple[int, int], ...]
+
+    @property
+    def last_wall_ms(self) -> int:
+        """Unix milliseconds of the last ending."""
+        return max(wall_ms for _, wall_ms in self.endings)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
     """A daemon's registration."""
--- a/trefoilpitch/fleet/_view.py
+++ b/trefoilpitch/fleet/_view.py
@@ -19,6 +19,7 @@
 from trefoilpitch.fleet._types import (
     Configuration,
     Member,
+    QuarantineRecord,
     RolloutOrder,
     RolloutRecord,
     UpstreamEntry,
@@ -113,6 +114,7 @@
         self.rollouts: dict[str, CachedRolloutOrder] = {}
         self.records: dict[str, CachedRolloutRecord] = {}
         self.members: dict[str, Member] = {}
+        self.quarantines: dict[str, QuarantineRecord] = {}
 
     @property
     def version(self) -> StoreVersion:
@@ -450,6 +452,11 @@
                     item,
                     f"daemon registered, incarnation {document.incarnation}",
                 )
+            case QuarantineRecord():
+                self.quarantines[document.name] = document
+                self._log_change(
+                    item, f"quarantine after {len(document.endings)} endings"
+                )
 
     def _apply_configuration(self, item: Item, document: Configuration) -> None:
         current = self.configuration
@@ -522,6 +529,8 @@
                 self.rollouts.pop(order.service, None)
             case Member() as member:
                 self.members.pop(member.name, None)
+            case QuarantineRecord() as record:
+                self.quarantines.pop(record.name, None)
             case _:
                 # The configuration and roll-out records stay in force when
                 # their keys are removed.
--- a/trefoilpitch/fleet/tests/fakes.py
+++ b/trefoilpitch/fleet/tests/fakes.py
@@ -9,6 +9,7 @@
     MalformedDocumentError,
     Member,
     OperationKind,
+    QuarantineRecord,
     RequestLimits,
     RolloutRecord,
     Route,
@@ -49,6 +50,13 @@
     def encode_member(self, member: Member, lease_id: int) -> Write:
         return Write(key=member.name, value=b"", lease_id=lease_id)
 
+    def encode_quarantine(
+        self, record: QuarantineRecord, lease_id: int
+    ) -> Write:
+        item = self.item(record.name, record, 0)
+        assert item.value is not None
+        return Write(key=item.key, value=item.value, lease_id=lease_id)
+
 
 def route(**fields: object) -> Route:
     values: dict[str, object] = {
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -52,6 +52,7 @@
     watches_store,
 )
 from trefoilpitch.gateway._quarantine import Quarantine
+from trefoilpitch.gateway._quarantine_records import QuarantineRecords
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
@@ -64,6 +65,7 @@
 
 _LEASE_RENEWAL_MS = 8_000
 _ROLLOUT_INTERVAL_MS = 200
+_QUARANTINE_SYNC_INTERVAL_MS = 500
 # For this long after a listing all listed members count as alive: by then each
 # has sent a heartbeat, even in a large fleet.
 _MEMBER_GRACE_MS = 1_700
@@ -193,6 +195,16 @@
             own_name=settings.name,
             live_peers=self._peers.alive,
         )
+        self._quarantine_records = QuarantineRecords(
+            self._quarantine,
+            evidence,
+            clock,
+            view=self._view,
+            store=store,
+            codec=documents,
+            own_name=settings.name,
+            live_peers=self._peers.alive,
+        )
         self._heartbeat_sent_ms = clock.now_ms()
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
         self._cut_attempts = CutAttempts(
@@ -309,6 +321,10 @@
             "decider": lambda: run_periodically(
                 _ROLLOUT_INTERVAL_MS, self._rollout_controller.advance_rollouts
             ),
+            "quarantine_records": lambda: run_periodically(
+                _QUARANTINE_SYNC_INTERVAL_MS,
+                self._quarantine_records.synchronize,
+            ),
             "catching_up": lambda: run_periodically(0, self._catch_up),
             "leaving": self._finish_leaving,
         }
@@ -373,6 +389,7 @@
     def _on_view_change(self) -> None:
         self._view.expire(self._clock.now_ms())
         self._dispatcher.evict_removed()
+        self._quarantine_records.adopt()
         if self._should_watch():
             # Notifies the peers, which compare its revision with their own.
             self._send_heartbeat()
--- a/trefoilpitch/gateway/_quarantine.py
+++ b/trefoilpitch/gateway/_quarantine.py
@@ -93,6 +93,11 @@
                 )
         return True
 
+    def culprits(self) -> Collection[Culprit]:
+        """Returns the traits that are in quarantine."""
+        self._decide()
+        return self._culprits.values()
+
     def report(self) -> EvidenceReport:
         """Returns the evidence for the other daemons."""
         self._decide()
--- a/trefoilpitch/platform/_documents.py
+++ b/trefoilpitch/platform/_documents.py
@@ -11,6 +11,7 @@
     MalformedDocumentError,
     Member,
     OperationKind,
+    QuarantineRecord,
     RequestLimits,
     RolloutOrder,
     RolloutPhase,
@@ -32,6 +33,7 @@
 # Keys that only the daemons use.
 _RECORD_PREFIX = "trefoilpitch/rollout/"
 _MEMBER_PREFIX = "trefoilpitch/member/"
+_QUARANTINE_PREFIX = "trefoilpitch/quarantine/"
 _MS_PER_S = 1_000
 
 _OPERATION_KINDS = {
@@ -152,6 +154,12 @@
     failure_domain: str
 
 
+class _Quarantine(msgspec.Struct, frozen=True):
+    traits: tuple[int, ...]
+    # Upstream and Unix milliseconds of its ending.
+    endings: tuple[tuple[int, int], ...]
+
+
 class PlatformDocuments:
     """Implements `trefoilpitch.fleet.DocumentCodec`."""
 
@@ -215,6 +223,17 @@
             lease_id=lease_id,
         )
 
+    def encode_quarantine(
+        self, record: QuarantineRecord, lease_id: int
+    ) -> Write:
+        """Encodes the record of a quarantine."""
+        value = _Quarantine(traits=record.traits, endings=record.endings)
+        return Write(
+            key=f"{_QUARANTINE_PREFIX}{record.name}",
+            value=msgspec.json.encode(value),
+            lease_id=lease_id,
+        )
+
 
 def _decode(key: str, value: bytes) -> Document | None:
     if key == _CONFIGURATION_KEY:
@@ -255,6 +274,15 @@
             heartbeat_port=member.heartbeat_port,
             failure_domain=member.failure_domain,
         )
+    if key.startswith(_QUARANTINE_PREFIX):
+        quarantine = msgspec.json.decode(value, type=_Quarantine)
+        if not (quarantine.traits and quarantine.endings):
+            raise ValueError("quarantine without traits or endings")
+        return QuarantineRecord(
+            name=key.removeprefix(_QUARANTINE_PREFIX),
+            traits=quarantine.traits,
+            endings=quarantine.endings,
+        )
     return None
 
 
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -15,6 +15,7 @@
     MalformedDocumentError,
     Member,
     OperationKind,
+    QuarantineRecord,
     RolloutOrder,
     RolloutPhase,
     RolloutRecord,
@@ -219,6 +220,33 @@
     assert codec.decode(write.key, write.value) == member
 
 
+def test_quarantine_round_trips() -> None:
+    record = QuarantineRecord(
+        name="5c1e07a2",
+        traits=(7, 1 << 32),
+        endings=((1, 1_700_000_000_000), (2, 1_700_000_001_000)),
+    )
+    codec = PlatformDocuments()
+    write = codec.encode_quarantine(record, 7)
+    assert write.lease_id == 7
+    assert codec.decode(write.key, write.value) == record
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"traits": [], "endings": [[1, 2]]},
+        {"traits": [7], "endings": []},
+        {"traits": [7], "endings": [[1]]},
+        {"traits": ["7"], "endings": [[1, 2]]},
+        {"traits": [7]},
+    ],
+)
+def test_malformed_quarantine_is_rejected(fields: dict[str, object]) -> None:
+    with pytest.raises(MalformedDocumentError):
+        _decode("trefoilpitch/quarantine/5c1e07a2", fields)
+
+
 def _http(**headers: str) -> HttpRequest:
     values = {
         "Host": "API.example:8080",
