Limit the number of comments on a stream, not only their bytes

Cause: comments without an event between them were limited to 64 KiB. An empty line is a comment of two bytes, so that an attempt split, classified and held back 32,768 of them before it failed; each is an event of its own, and the work depends on their number.

Change: an attempt fails as malformed after 1,024 comments, or 64 KiB of them, without an event. The counts start anew with each event.

--- a/trefoilpitch/gateway/_event_reader.py
+++ b/trefoilpitch/gateway/_event_reader.py
@@ -20,7 +20,9 @@
 from trefoilpitch.gateway._http_client import HttpConnection
 from trefoilpitch.retries import FailureKind
 
-# Bytes of comments without an event between them.
+# Comments, and their bytes, without an event between them. An empty line is a
+# comment too.
+_MAX_COMMENTS = 1_024
 _MAX_COMMENT_BYTES = 64 * 1024
 # Parts of the body without the end of an event.
 _MAX_PARTS_PER_EVENT = 4_096
@@ -49,6 +51,7 @@
         self._ready: deque[RawEvent] = deque()
         # Events that were read and not returned yet.
         self._held: list[RawEvent] = []
+        self._comments = 0
         self._comment_bytes = 0
         self._parts = 0
         # Whether the end of the body has been read.
@@ -145,15 +148,23 @@
             event = self._ready.popleft()
             events.append(event)
             if event.is_comment:
-                self._comment_bytes += len(event.data)
-                if self._comment_bytes > _MAX_COMMENT_BYTES:
-                    raise _malformed("too many comments without an event")
+                self._count_comment(len(event.data))
             else:
+                self._comments = 0
                 self._comment_bytes = 0
                 self._progressed = True
                 self._started = True
         return events
 
+    def _count_comment(self, size: int) -> None:
+        self._comments += 1
+        self._comment_bytes += size
+        if (
+            self._comments > _MAX_COMMENTS
+            or self._comment_bytes > _MAX_COMMENT_BYTES
+        ):
+            raise _malformed("too many comments without an event")
+
 
 def _malformed(detail: str) -> ExchangeError:
     return ExchangeError(FailureKind.MALFORMED_RESPONSE, detail)
--- a/trefoilpitch/gateway/tests/test_event_reader.py
+++ b/trefoilpitch/gateway/tests/test_event_reader.py
@@ -94,6 +94,34 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("comment", [b"\n\n", b"\r\r", b":\n\n"])
+def test_number_of_comments_without_an_event_is_limited(
+    comment: bytes,
+) -> None:
+    """The work for comments depends on their number more than on their size."""
+
+    async def scenario() -> None:
+        reader = _reader((0, comment * 2_048), (0, None))
+        with pytest.raises(ExchangeError) as raised:
+            await reader.read(_GAP_MS)
+        assert raised.value.kind is FailureKind.MALFORMED_RESPONSE
+
+    asyncio.run(scenario())
+
+
+def test_comments_between_events_are_counted_anew() -> None:
+    async def scenario() -> None:
+        count = 10
+        block = b": ping\n\n" * 1_000 + b"id: 1\n\n"
+        reader = _reader(*[(0, block)] * count, (0, None))
+        total = 0
+        while (events := await reader.read(_GAP_MS)) is not None:
+            total += len(events)
+        assert total == count * 1_001
+
+    asyncio.run(scenario())
+
+
 def test_comments_before_the_first_event_arrive_with_it() -> None:
     """A stream without any event has not begun and may be sent elsewhere."""
 
