Use a connection that opened while the daemon was held up

Found by test_pipelined_requests_are_subject_to_backpressure, which had failed once on a very busy machine.

What callers saw: 503 for about a second, "all upstreams are saturated, cold, paused or ejected", from a daemon that had not run for over 0.3 s (a starved or suspended VM, a long turn of its event loop) while it opened a connection.

Cause: the timeout of a connection, 300 ms, is a timer of the event loop. When the loop runs again it learns in one turn that the socket is ready and that the time is over. asyncio needs five turns to complete the connection, so that the timer cancelled it. The attempt ended as connect_timeout, which ejects the upstream at once for a second, although the kernel had established the connection in time.

Change: when the time is over, the event loop gets ten more turns, which take no time of their own, before the attempt is cancelled. A peer that has not answered still times out after 300 ms.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
 from types import TracebackType
 from typing import Self, TypeAlias
 
@@ -26,6 +27,9 @@
 _READ_AHEAD_BYTES = 64 * 1024
 # Parts of a response that are parsed in a row before other tasks get a turn.
 _PARTS_PER_TURN = 64
+# Turns of the event loop between the readiness of a socket and the completion
+# of its connection; asyncio takes five.
+_CONNECT_TURNS = 10
 _MS_PER_S = 1_000
 
 
@@ -319,15 +323,48 @@
             self._failure = ExchangeError(kind, detail)
 
 
+@contextlib.asynccontextmanager
+async def _connect_timeout(timeout_ms: float) -> AsyncIterator[None]:
+    """Ends its block some turns of the event loop after a time.
+
+    Load pattern: this process did not run for a while. The peer has answered
+    in time, but the loop finds that out in the turn in which the time is over.
+
+    Raises:
+        TimeoutError: If the block has not completed.
+    """
+    loop = asyncio.get_running_loop()
+    handle: asyncio.Handle
+
+    def expire(scope: asyncio.Timeout, turns_left: int) -> None:
+        nonlocal handle
+        if turns_left:
+            handle = loop.call_soon(expire, scope, turns_left - 1)
+        else:
+            scope.reschedule(loop.time())
+
+    async with asyncio.timeout(None) as scope:
+        handle = loop.call_later(
+            timeout_ms / _MS_PER_S, expire, scope, _CONNECT_TURNS
+        )
+        try:
+            yield
+        finally:
+            handle.cancel()
+
+
 async def connect(host: str, port: int, timeout_ms: float) -> HttpConnection:
     """Opens a connection.
 
+    Time in which this process did not run does not end the attempt if the peer
+    has accepted the connection meanwhile.
+
     Raises:
         ExchangeError: If it fails or is not established in time.
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_ms / _MS_PER_S):
+        async with _connect_timeout(timeout_ms):
             _, connection = await loop.create_connection(
                 HttpConnection, host, port
             )
--- a/trefoilpitch/gateway/tests/test_http_client.py
+++ b/trefoilpitch/gateway/tests/test_http_client.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import time
 import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
-from trefoilpitch.gateway import ExchangeError, HttpConnection
+from trefoilpitch.gateway import ExchangeError, HttpConnection, connect
 from trefoilpitch.retries import FailureKind
 
+_HOST = "127.0.0.1"
 _TIMEOUT_MS = 1_000
 _SEGMENT = b"x" * 65_536
 # Bytes that a connection may hold while nobody reads them.
@@ -186,3 +190,43 @@
         assert len(raised.value.detail) < 1_000
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("turn", range(3))
+def test_connection_that_opens_while_the_process_is_held_up_is_used(
+    turn: int,
+) -> None:
+    """The verdict that a sound upstream cannot be reached ejects it."""
+
+    def hold_up(turns_left: int) -> None:
+        if turns_left:
+            asyncio.get_running_loop().call_soon(hold_up, turns_left - 1)
+        else:
+            time.sleep(0.2)
+
+    async def scenario() -> None:
+        with socket.create_server((_HOST, 0)) as server:
+            hold_up(turn + 1)
+            port = server.getsockname()[1]
+            with await connect(_HOST, port, 100) as connection:
+                connection.send(b"GET", b"/", [(b"Host", b"a")], b"")
+
+    asyncio.run(scenario())
+
+
+def test_connection_that_is_not_accepted_times_out() -> None:
+    async def scenario() -> None:
+        with contextlib.ExitStack() as stack:
+            server = stack.enter_context(socket.socket())
+            server.bind((_HOST, 0))
+            server.listen(0)
+            address = server.getsockname()
+            # Fills the queue, so that the kernel drops further requests.
+            stack.enter_context(socket.create_connection(address))
+            started = time.monotonic()
+            with pytest.raises(ExchangeError) as raised:
+                await connect(_HOST, address[1], 100)
+            assert raised.value.kind is FailureKind.CONNECT_TIMEOUT
+            assert 0.1 <= time.monotonic() - started < 1.0
+
+    asyncio.run(scenario())
