Keep connections whose peer acknowledges but reads nothing

What callers saw: a caller that read nothing for over 3 s while its receive window was full lost its connection with a reset, in the middle of a sound stream. An upstream that read a long request late was cut off in the same way.

Cause: TCP_USER_TIMEOUT (3 s, there since the first version for the platform, so that a vanished peer is noticed) counts from the first window probe, although the peer answers each of them. A trial with plain sockets on Linux 6.18: ETIMEDOUT after 3.5 s with large and with small writes; without the option the connection lasted the 20 s of the trial.

Change: PeerMonitor replaces set_tcp_options, for callers and upstreams alike. While data is outstanding it reads TCP_INFO once a second. With data in flight the kernel's timeout holds as before. When nothing is in flight but data waits, the window is closed: the timeout is switched off, probes are sent at least once a second where the kernel can do so (TCP_RTO_MAX_MS), and the connection is ended if they have not been answered for three seconds in three checks. When the window opens, the timeout is set again. An option that the system refuses is logged once (socket_option_refused); without TCP_INFO the user timeout always holds.

Why this keeps both promises: tcpi_probes counts probes without an answer, and any acknowledgement sets it to zero, so that it tells a silent peer from a slow one.

New in test_sockets.py, with a socket filter that drops all packets to the peer: a caller that vanishes with data in flight (3.8 s, passed before), a caller that vanishes during a pause (noticed 5.1 s after it, was reset during the pause before), an upstream that reads late, one that vanishes before it reads (both failed before), and refused options.

What remains is in docs/incidents/endless-responses.md.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -15,7 +15,7 @@
 from trefoilpitch.gateway._exceptions import CallerDisconnectedError
 from trefoilpitch.gateway._http_client import Headers
 from trefoilpitch.gateway._log import log_event, log_failure
-from trefoilpitch.gateway._sockets import set_tcp_options
+from trefoilpitch.gateway._sockets import PeerMonitor
 
 _MS_PER_S = 1_000
 # Bytes buffered for a slow caller; above this writers wait.
@@ -124,6 +124,7 @@
         self._state = state
         self._h11 = self._create_parser()
         self._transport: asyncio.Transport | None = None
+        self._monitor: PeerMonitor | None = None
         self._task: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
         self._parts: list[bytes] = []
@@ -142,7 +143,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
-        set_tcp_options(transport)
+        self._monitor = PeerMonitor(transport, self.abort)
         self._state.connections.add(self)
         self._start_idle_timer()
 
@@ -172,6 +173,8 @@
         self._closed = True
         self._writable.set()
         self._cancel_timer()
+        if self._monitor is not None:
+            self._monitor.close()
         self._state.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -419,6 +422,8 @@
         data = self._h11.send(event)
         if data:
             self._transport.write(data)
+            if self._monitor is not None:
+                self._monitor.data_written()
 
 
 def _head_bytes(head: h11.Request) -> int:
