Report all settings that no daemon can run with as invalid

Found by a property test that replaces single values of the settings file.

What operators saw: an empty port-range, an infinite or huge time, or deeply nested brackets ended the daemon with a stack trace instead of the message that names the fault; on SIGHUP the log had no settings_invalid. An infinite or NaN retry ratio or slack, a negative time and ports outside of 1 to 65535 were accepted, and failed later or switched the retry budget off.

Cause: IndexError, OverflowError and RecursionError are not among the errors that were translated, and numbers were converted without a check of their range.

--- a/trefoilpitch/platform/_settings.py
+++ b/trefoilpitch/platform/_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import os
 import pathlib
 import tomllib
@@ -16,6 +17,7 @@
 # unset, they are not served.
 METRICS_VARIABLE = "TREFOILPITCH_METRICS_PORT"
 _MS_PER_S = 1_000
+_MAX_PORT = 65_535
 
 
 class PlatformSettingsError(Exception):
@@ -81,7 +83,14 @@
         raise PlatformSettingsError(
             f"setting {error.args[0]} is missing"
         ) from error
-    except (TypeError, ValueError, AttributeError) as error:
+    except (
+        TypeError,
+        ValueError,
+        AttributeError,
+        IndexError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise PlatformSettingsError(f"invalid value: {error}") from error
 
 
@@ -90,10 +99,10 @@
 ) -> PlatformSettings:
     listen = table["listen"]
     bounds = table["bounds"]
-    first_port = int(table["port-range"][0])
+    first_port = _port(table["port-range"][0])
     metrics = None
     if metrics_port:
-        metrics = ListenAddress(host=str(table["ip"]), port=int(metrics_port))
+        metrics = ListenAddress(host=str(table["ip"]), port=_port(metrics_port))
     node = NodeSettings(
         name=str(table["node"]),
         incarnation=incarnation,
@@ -104,20 +113,34 @@
         peers=_address(listen["control"]),
         heartbeats=ListenAddress(host=str(table["ip"]), port=first_port),
         seeds=tuple(_address(seed) for seed in table.get("seeds", ())),
-        grace_ms=int(float(bounds["grace-s"]) * _MS_PER_S),
-        retry_ratio=float(bounds["retry-ratio"]),
-        retry_slack=float(bounds["retry-slack"]),
-        retry_window_ms=int(float(bounds["retry-window-s"]) * _MS_PER_S),
+        grace_ms=int(_quantity(bounds["grace-s"]) * _MS_PER_S),
+        retry_ratio=_quantity(bounds["retry-ratio"]),
+        retry_slack=_quantity(bounds["retry-slack"]),
+        retry_window_ms=int(_quantity(bounds["retry-window-s"]) * _MS_PER_S),
         metrics=metrics,
     )
     return PlatformSettings(
         node=node,
         region=str(table["region"]),
         store=_address(table["platform"]["address"]),
-        directory_ttl_s=min(2.0, float(bounds.get("ttl_max_s", 2.0))),
+        directory_ttl_s=min(2.0, _quantity(bounds.get("ttl_max_s", 2.0))),
     )
 
 
 def _address(text: str) -> ListenAddress:
     host, _, port = text.rpartition(":")
-    return ListenAddress(host=host, port=int(port))
+    return ListenAddress(host=host, port=_port(port))
+
+
+def _port(value: str | int) -> int:
+    port = int(value)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return port
+
+
+def _quantity(value: str | float) -> float:
+    number = float(value)
+    if not math.isfinite(number) or number < 0:
+        raise ValueError(f"{value} is negative or not finite")
+    return number
