Treat heartbeats with negative counts as malformed

Found by a property test that sends well-formed heartbeats with any numbers.

What could happen: a negative number of in-flight requests made an upstream look idle to all placements. When the peers' figures for an upstream came from several heartbeats, the sum could pass zero while one was subtracted; the entry was then removed, and the next subtraction left requests in flight that no peer had, for good.

Change: counts in heartbeats are at least 0; others are logged as malformed_heartbeat. A daemon itself never sends negative ones.

Evidence: test_figures_of_any_peers_end_with_their_heartbeats failed before (in_flight {1: -1}) and passes.

--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -14,7 +14,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
-from typing import cast
+from typing import Annotated, TypeAlias, cast
 
 import msgspec
 
@@ -44,6 +44,9 @@
 # Larger datagrams may be fragmented by the network.
 _MAX_DATAGRAM_BYTES = 1_200
 
+# A heartbeat with a negative count is malformed.
+_Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class VersionCount(msgspec.Struct, frozen=True, array_like=True):
     """One daemon's evidence on one version of a service in a roll-out."""
@@ -52,12 +55,12 @@
     version: str
     # Store revision of the roll-out's order.
     order_revision: int
-    good: int
-    failed: int
-    slow: int
+    good: _Count
+    failed: _Count
+    slow: _Count
     # In-flight requests on versions other than the target; the same in all
     # counts of a service.
-    off_target: int
+    off_target: _Count
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -77,7 +80,7 @@
     ready: bool
     versions: tuple[VersionCount, ...]
     # Number of this daemon's in-flight requests by upstream digest.
-    in_flight: dict[int, int] = {}
+    in_flight: dict[int, _Count] = {}
     # Era of the store that the revision belongs to.
     era: int = 0
     # Version of its configuration; 0 if it has none.
