--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
 from types import TracebackType
 from typing import Self, TypeAlias
 
 import h11
 
 from trefoilpitch.gateway._exceptions import ExchangeError
-from trefoilpitch.gateway._sockets import set_tcp_options
+from trefoilpitch.gateway._sockets import PeerMonitor
 from trefoilpitch.retries import FailureKind
 
 Headers: TypeAlias = Sequence[tuple[bytes, bytes]]
@@ -26,6 +27,9 @@
 _READ_AHEAD_BYTES = 64 * 1024
 # Parts of a response that are parsed in a row before other tasks get a turn.
 _PARTS_PER_TURN = 64
+# Turns of the event loop between the readiness of a socket and the completion
+# of its connection; asyncio takes five.
+_CONNECT_TURNS = 10
 _MS_PER_S = 1_000
 
 
@@ -60,6 +64,7 @@
             our_role=h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._transport: asyncio.Transport | None = None
+        self._monitor: PeerMonitor | None = None
         self._received = asyncio.Event()
         self._failure: ExchangeError | None = None
         self._response_started = False
@@ -91,7 +96,7 @@
         """Stores the transport and configures its socket."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_tcp_options(transport)
+        self._monitor = PeerMonitor(transport, self._on_unresponsive)
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser; closes an idle connection."""
@@ -119,11 +124,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Records a reset; `eof_received` handles an orderly close."""
+        if self._monitor is not None:
+            self._monitor.close()
         if exc is not None:
-            kind = FailureKind.CONNECTION_LOST
-            if self._response_started:
-                kind = FailureKind.RESPONSE_TRUNCATED
-            self._fail(kind, str(exc) or type(exc).__name__)
+            self._fail_lost(str(exc) or type(exc).__name__)
         self._received.set()
 
     def send(
@@ -154,6 +158,8 @@
             )
         self._in_exchange = True
         self._transport.write(out)
+        if self._monitor is not None:
+            self._monitor.data_written()
 
     async def receive_head(self, timeout_ms: float) -> ResponseHead:
         """Waits for the head of the response.
@@ -314,20 +320,63 @@
             return FailureKind.RESPONSE_TRUNCATED
         return FailureKind.MALFORMED_RESPONSE
 
+    def _on_unresponsive(self) -> None:
+        self._fail_lost("the peer does not acknowledge")
+        self.close()
+
+    def _fail_lost(self, detail: str) -> None:
+        kind = FailureKind.CONNECTION_LOST
+        if self._response_started:
+            kind = FailureKind.RESPONSE_TRUNCATED
+        self._fail(kind, detail)
+
     def _fail(self, kind: FailureKind, detail: str) -> None:
         if self._failure is None:
             self._failure = ExchangeError(kind, detail)
 
 
+@contextlib.asynccontextmanager
+async def _connect_timeout(timeout_ms: float) -> AsyncIterator[None]:
+    """Ends its block some turns of the event loop after a time.
+
+    Load pattern: this process did not run for a while. The peer has answered
+    in time, but the loop finds that out in the turn in which the time is over.
+
+    Raises:
+        TimeoutError: If the block has not completed.
+    """
+    loop = asyncio.get_running_loop()
+    handle: asyncio.Handle
+
+    def expire(scope: asyncio.Timeout, turns_left: int) -> None:
+        nonlocal handle
+        if turns_left:
+            handle = loop.call_soon(expire, scope, turns_left - 1)
+        else:
+            scope.reschedule(loop.time())
+
+    async with asyncio.timeout(None) as scope:
+        handle = loop.call_later(
+            timeout_ms / _MS_PER_S, expire, scope, _CONNECT_TURNS
+        )
+        try:
+            yield
+        finally:
+            handle.cancel()
+
+
 async def connect(host: str, port: int, timeout_ms: float) -> HttpConnection:
     """Opens a connection.
 
+    Time in which this process did not run does not end the attempt if the peer
+    has accepted the connection meanwhile.
+
     Raises:
         ExchangeError: If it fails or is not established in time.
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_ms / _MS_PER_S):
+        async with _connect_timeout(timeout_ms):
             _, connection = await loop.create_connection(
                 HttpConnection, host, port
             )
