Keep a good response until a larger model has accepted the request

What callers saw: 502 with 4 to 18 s left, for requests that a small model had begun to answer well.

Cause: an escalation closed the response and only then looked for an upstream with the larger model. If all refused, were gone, or the retry budget was spent meanwhile, nothing was left to deliver. What was in use was given up before its replacement was secured, as with stalled attempts.

Change: the request is first offered to an upstream for the larger model. Like a stalled attempt, the response is kept until that upstream has responded with 200 or has not refused it for 150 ms; otherwise the small model's response is forwarded, and the trail says why.

--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -1,10 +1,11 @@
-"""Hands the request of a stalled attempt over to another upstream.
+"""Hands the request of an attempt in progress over to another upstream.
 
 Load pattern: a sound upstream falls silent for about a second, and all of its
 requests stall at the same time, at all daemons. The other upstreams then refuse
 some of them, and the retry budgets are empty. So the stalled attempt is kept
 until another upstream has accepted the request; its silence alone never ends a
-response before the caller's deadline.
+response before the caller's deadline. The same holds for a good response that a
+larger model may replace.
 """
 
 from __future__ import annotations
@@ -25,9 +26,10 @@
 from trefoilpitch.metrics import Label
 from trefoilpitch.retries import FailureKind
 
-# How long a stalled attempt is kept while another upstream has the request too.
+# How long an attempt is kept while another upstream has the request too.
 # Both may work on it for 400 ms at most, and this process may be late.
 HANDOVER_MS = 150
+_OK = 200
 _SERVER_ERROR = 500
 _MS_PER_S = 1_000
 
@@ -47,6 +49,9 @@
     )
     # None until the head has arrived and proved valid.
     response: UpstreamResponse | None = None
+    # Monotonic time of the first part of the response, if it is known before
+    # that part is read.
+    first_part_ms: int | None = None
 
 
 class AttemptSender(Protocol):
@@ -95,7 +100,7 @@
 
 
 class HandOver:
-    """Keeps the stalled attempts of one request until another takes over.
+    """Keeps the attempts of one request until others take over from them.
 
     Args:
         deps: Collaborators that all requests of the daemon share.
@@ -113,7 +118,7 @@
 
     @property
     def successor(self) -> SentAttempt | None:
-        """The attempt that takes over from the stalled one, if any."""
+        """The attempt that takes over from the one in progress, if any."""
         return self._successor
 
     def take_successor(self) -> SentAttempt | None:
@@ -203,6 +208,25 @@
         entry = self._sender.find_successor()
         if not isinstance(entry, UpstreamEntry):
             return f"kept: {entry}"
+        return await self.offer(entry, stalled)
+
+    async def offer(
+        self, entry: UpstreamEntry, stalled: asyncio.Task[Any] | None = None
+    ) -> str:
+        """Offers the request to another upstream.
+
+        Sets `successor` if the upstream has accepted the request, or has not
+        refused it for a while. Until then the attempt in progress is kept.
+
+        Args:
+            entry: The upstream.
+            stalled: Waits for the next part of a stalled response, which is
+                kept if that part arrives; None to replace a response that is
+                not stalled.
+
+        Returns:
+            The decision, for the log.
+        """
         sender = self._sender
         with sender.counted(entry), contextlib.ExitStack() as stack:
             try:
@@ -221,9 +245,9 @@
         return f"moved: {entry.upstream_id}"
 
     async def _accepts(
-        self, attempt: SentAttempt, stalled: asyncio.Task[Any]
+        self, attempt: SentAttempt, stalled: asyncio.Task[Any] | None
     ) -> bool:
-        """Returns whether an attempt takes over from a stalled one.
+        """Returns whether an attempt takes over; see `offer`.
 
         Raises:
             ExchangeError: If its upstream refused the request or failed.
@@ -232,14 +256,16 @@
             self._sender.receive_response(attempt, HANDOVER_MS)
         )
         try:
-            await asyncio.wait(
-                {stalled, response}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if stalled.done() and stalled.exception() is None:
-                return False
+            if stalled is not None:
+                await asyncio.wait(
+                    {stalled, response}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if stalled.done() and stalled.exception() is None:
+                    return False
             attempt.response = await response
             status = attempt.response.head.status
-            if status >= _SERVER_ERROR:
+            replaces_success = stalled is None
+            if status >= _SERVER_ERROR or (replaces_success and status != _OK):
                 raise ExchangeError(
                     FailureKind.SERVER_ERROR, f"status {status}"
                 )
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -75,18 +75,12 @@
 )
 
 
-class _EscalationRequested(Exception):  # noqa: N818 - not an error
-    """The response is to be replaced by one of another model tier.
+class _Escalated(Exception):  # noqa: N818 - not an error
+    """An upstream has accepted the request for a larger model.
 
     Only raised before any part of the response has been sent to the caller.
     """
 
-    def __init__(self, tier: int, confidence: int | None) -> None:
-        super().__init__()
-        self.tier = tier
-        # Confidence of the response that is replaced.
-        self.confidence = confidence
-
 
 class RequestRun:
     """Runs one admitted request to completion.
@@ -251,9 +245,8 @@
         try:
             with self.counted(entry):
                 await self._exchange(entry)
-        except _EscalationRequested as escalation:
+        except _Escalated:
             self._attempts = self._attempts.with_replaced_response()
-            self._tiers.escalate(escalation.tier, escalation.confidence)
             self._attempted_ids.clear()
             return FailureKind.RESPONSE_TRUNCATED
         except ExchangeError as error:
@@ -328,7 +321,7 @@
             if response.head.status != _OK or not streamed:
                 await self._receive_plain(connection, attempt, response, speed)
             else:
-                self._maybe_escalate(attempt, response, speed)
+                await self._maybe_escalate(attempt, response, speed)
                 await self._forward_stream(attempt, response, speed)
         self._deps.cut_attempts.record_complete(
             entry, self._traits, response.head
@@ -354,7 +347,7 @@
             )
         try:
             yield speed
-        except _EscalationRequested:
+        except _Escalated:
             speed.completed()
             raise
         finally:
@@ -462,12 +455,20 @@
                 f"status {response.head.status} on resuming a stream",
             )
 
-    def _maybe_escalate(
+    async def _maybe_escalate(
         self,
         attempt: SentAttempt,
         response: UpstreamResponse,
         speed: ResponseSpeed,
     ) -> None:
+        """Escalates to a larger model if that is worthwhile.
+
+        The response is kept until an upstream has accepted the request for
+        the larger model, and is forwarded if none does.
+
+        Raises:
+            _Escalated: If an upstream has accepted it.
+        """
         if self._responder.started:
             return
         if self._attempts.replaced:
@@ -479,17 +480,29 @@
             return
         entry = attempt.entry
         tier = self._tiers.escalation(entry.service, response.confidence)
-        if tier is not None:
-            now_ms = self._deps.clock.now_ms()
-            elapsed_ms = now_ms - attempt.started_ms
-            speed.first_part_arrived(now_ms)
+        if tier is None:
+            return
+        now_ms = self._deps.clock.now_ms()
+        attempt.first_part_ms = now_ms
+        speed.first_part_arrived(now_ms)
+        summary = (
+            f"{entry.upstream_id} {self._tiers.model}"
+            f" {now_ms - attempt.started_ms} ms"
+            f" of {self._expected_latency_ms():.0f}"
+            f" load {response.load and response.load.running}"
+        )
+        self._tiers.escalate(tier, response.confidence)
+        found = self._find_other()
+        decision = f"kept: {found}"
+        if isinstance(found, UpstreamEntry):
+            decision = await self._hand_over.offer(found)
+        if self._hand_over.successor is not None:
             self._attempt_log.append(
-                f"{entry.upstream_id} {self._tiers.model} {elapsed_ms} ms"
-                f" of {self._expected_latency_ms():.0f}"
-                f" load {response.load and response.load.running}"
-                f" replaced, confidence {response.confidence}"
+                f"{summary} replaced, confidence {response.confidence}"
             )
-            raise _EscalationRequested(tier, response.confidence)
+            raise _Escalated
+        self._tiers.undo_escalation()
+        self._attempt_log.append(f"{summary} escalation {decision}")
 
     async def _receive_plain(
         self,
@@ -596,13 +609,18 @@
 
     def find_successor(self) -> UpstreamEntry | str:
         """Returns another upstream, or why there is none."""
+        return self._find_other(unusable=self._run_ids)
+
+    def _find_other(
+        self, unusable: Collection[str] = ()
+    ) -> UpstreamEntry | str:
         # Once an offer was in vain, an attempt is left for a real failure.
         spare = 1 if self._withdrawn else 0
         if self._attempts.runs + 1 + spare >= self._route.max_attempts:
             return "attempts used up"
         if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_OFFER_MS:
             return "deadline is near"
-        found = self._choose(unusable=self._run_ids)
+        found = self._choose(unusable=unusable)
         return found.reason if isinstance(found, NoUpstream) else found
 
     def _record_success(
@@ -613,7 +631,9 @@
     ) -> None:
         deps = self._deps
         entry = attempt.entry
-        now_ms = deps.clock.now_ms()
+        now_ms = attempt.first_part_ms
+        if now_ms is None:
+            now_ms = deps.clock.now_ms()
         latency_ms = now_ms - attempt.started_ms
         expected_ms = self._expected_latency_ms()
         # The comparison comes before the expected latency is updated.
--- a/trefoilpitch/gateway/_tier_choice.py
+++ b/trefoilpitch/gateway/_tier_choice.py
@@ -24,6 +24,7 @@
         self._request = request
         self._route = route
         self._tier: int | None = None
+        self._previous_tier: int | None = None
         if route.model_tiers:
             self._tier = deps.models.first_tier()
         # Confidence of the response that was replaced.
@@ -88,9 +89,15 @@
             tier: The tier.
             confidence: Confidence of the response that it replaces.
         """
+        self._previous_tier = self._tier
         self._tier = tier
         self._first_confidence = confidence
 
+    def undo_escalation(self) -> None:
+        """Returns to the tier before the last `escalate`."""
+        self._tier = self._previous_tier
+        self._first_confidence = None
+
     def _can_finish_in_time(self, tier: int) -> bool:
         request = self._request
         expected_ms = self._deps.expected_latencies.expected_ms(
