Apply a changed header limit to connections that are open

What callers saw: after a configuration that raises max-header-bytes, 431 on connections that were already open, for request heads that the configuration allows and that arrive in several segments.

Cause: the parser of a connection is created with the limit of that moment.

Change: a connection without a request adopts a changed limit with the first byte of the next one. The test failed with 431 before; heads beyond the new limit are still refused, and so are endless ones.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -122,6 +122,7 @@
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
+        self._max_header_bytes = state.limits().max_header_bytes
         self._h11 = self._create_parser()
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
@@ -149,6 +150,7 @@
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser and handles its events."""
         if self._idle:
+            self._apply_header_limit()
             self._arrived_ms = self._state.now_ms()
             self._start_timer(
                 self._state.limits().header_timeout_ms, self._on_request_timeout
@@ -233,9 +235,16 @@
     def _create_parser(self) -> h11.Connection:
         return h11.Connection(
             our_role=h11.SERVER,
-            max_incomplete_event_size=self._state.limits().max_header_bytes,
+            max_incomplete_event_size=self._max_header_bytes,
         )
 
+    def _apply_header_limit(self) -> None:
+        """Adopts a limit that has changed since the last request."""
+        limit = self._state.limits().max_header_bytes
+        if limit != self._max_header_bytes:
+            self._max_header_bytes = limit
+            self._h11 = self._create_parser()
+
     def _process_events(self) -> None:
         while self._task is None and not self._closed:
             try:
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import time
 
 import pytest
 
@@ -31,6 +33,84 @@
     )
 
 
+_LIMITS = RequestLimits(
+    max_header_bytes=1_000, header_timeout_ms=300, idle_timeout_ms=1_200
+)
+
+
+class _Limited:
+    """A server whose limits change while connections are open."""
+
+    def __init__(self) -> None:
+        self.limits = _LIMITS
+        self.response_delay_s = 0.0
+        self.server = HttpServer(
+            ServerState(
+                handler=self._handle,
+                limits=lambda: self.limits,
+                now_ms=lambda: int(time.monotonic() * 1_000),
+            )
+        )
+
+    async def _handle(self, request: HttpRequest, responder: Responder) -> None:
+        await asyncio.sleep(self.response_delay_s)
+        await responder.respond(200, [], b"ok")
+
+
+def _head(padding: int) -> bytes:
+    return b"GET / HTTP/1.1\r\nHost: h\r\nX-Padding: " + b"x" * padding
+
+
+async def _send_in_segments(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Sends a request head whose end arrives in a segment of its own."""
+    writer.write(data)
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.write(b"\r\n\r\n")
+
+
+async def _status(reader: asyncio.StreamReader) -> bytes:
+    """Reads a response and returns its status."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(2)
+    return head.split(b" ")[1]
+
+
+@pytest.mark.parametrize(
+    ("padding", "status"), [(1_500, b"200"), (5_000, b"431")]
+)
+def test_raised_header_limit_applies_to_connections_that_are_open(
+    padding: int, status: bytes
+) -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            await _send_in_segments(writer, _head(10))
+            assert await _status(reader) == b"200"
+            limited.limits = dataclasses.replace(
+                _LIMITS, max_header_bytes=4_000
+            )
+            await _send_in_segments(writer, _head(padding))
+            assert await _status(reader) == status
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_endless_head_is_refused_at_the_limit() -> None:
+    async def scenario() -> None:
+        with _Limited().server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(_head(2_000))
+            assert await _status(reader) == b"431"
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_request_whose_handler_fails_gets_a_response() -> None:
     async def scenario() -> None:
         with _server(fails_after_start=False) as server:
