Answer a pipelined request whose head does not arrive in time

What callers saw: the connection closed without an answer, after the idle timeout, if the beginning of a request had arrived while another one was in progress on its connection and the rest did not follow. On other connections they get 408 after the header timeout. Found by reading; the test saw the connection end without an answer before.

Cause: the timer of a head starts with its first byte on an idle connection. The first byte behind another request starts none, so that only the idle timer ran.

Change: the header timer also starts as the response before it ends.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -152,9 +152,7 @@
         if self._idle:
             self._apply_header_limit()
             self._arrived_ms = self._state.now_ms()
-            self._start_timer(
-                self._state.limits().header_timeout_ms, self._on_request_timeout
-            )
+            self._start_header_timer()
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError:
@@ -365,8 +363,11 @@
             self._paused = False
             self._transport.resume_reading()
         self._start_idle_timer()
-        # The parser may already have buffered a pipelined request.
+        # The parser may already have buffered a pipelined request or a part of
+        # one.
         self._arrived_ms = self._state.now_ms()
+        if not self._idle:
+            self._start_header_timer()
         self._process_events()
 
     def _reject(self, status: int, detail: str) -> None:
@@ -408,6 +409,11 @@
         self._idle_since_ms = self._state.now_ms()
         self._start_timer(self._idle_left_ms(), self._on_idle_timeout)
 
+    def _start_header_timer(self) -> None:
+        self._start_timer(
+            self._state.limits().header_timeout_ms, self._on_request_timeout
+        )
+
     def _idle_left_ms(self) -> int:
         idle_ms = self._state.now_ms() - self._idle_since_ms
         return self._state.limits().idle_timeout_ms - idle_ms
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -111,6 +111,31 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("rest", [b"", b"st: h\r\nX-Padding: "])
+def test_head_that_begins_behind_another_request_is_refused_in_time(
+    rest: bytes,
+) -> None:
+    """The caller pipelines the beginning of a request and never ends it."""
+
+    async def scenario() -> None:
+        limited = _Limited()
+        limited.response_delay_s = 0.2
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(_head(10) + b"\r\n\r\nGET / HTTP/1.1\r\nHo")
+            assert await _status(reader) == b"200"
+            started = time.monotonic()
+            await asyncio.sleep(0.1)
+            writer.write(rest)
+            assert await _status(reader) == b"408"
+            elapsed_ms = (time.monotonic() - started) * 1_000
+            assert elapsed_ms < _LIMITS.idle_timeout_ms / 2
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_request_whose_handler_fails_gets_a_response() -> None:
     async def scenario() -> None:
         with _server(fails_after_start=False) as server:
