--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -122,6 +122,7 @@
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
+        self._max_header_bytes = state.limits().max_header_bytes
         self._h11 = self._create_parser()
         self._transport: asyncio.Transport | None = None
         self._monitor: PeerMonitor | None = None
@@ -150,10 +151,9 @@
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser and handles its events."""
         if self._idle:
+            self._apply_header_limit()
             self._arrived_ms = self._state.now_ms()
-            self._start_timer(
-                self._state.limits().header_timeout_ms, self._on_request_timeout
-            )
+            self._start_header_timer()
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError:
@@ -236,9 +236,16 @@
     def _create_parser(self) -> h11.Connection:
         return h11.Connection(
             our_role=h11.SERVER,
-            max_incomplete_event_size=self._state.limits().max_header_bytes,
+            max_incomplete_event_size=self._max_header_bytes,
         )
 
+    def _apply_header_limit(self) -> None:
+        """Adopts a limit that has changed since the last request."""
+        limit = self._state.limits().max_header_bytes
+        if limit != self._max_header_bytes:
+            self._max_header_bytes = limit
+            self._h11 = self._create_parser()
+
     def _process_events(self) -> None:
         while self._task is None and not self._closed:
             try:
@@ -359,8 +366,11 @@
             self._paused = False
             self._transport.resume_reading()
         self._start_idle_timer()
-        # The parser may already have buffered a pipelined request.
+        # The parser may already have buffered a pipelined request or a part of
+        # one.
         self._arrived_ms = self._state.now_ms()
+        if not self._idle:
+            self._start_header_timer()
         self._process_events()
 
     def _reject(self, status: int, detail: str) -> None:
@@ -402,6 +412,11 @@
         self._idle_since_ms = self._state.now_ms()
         self._start_timer(self._idle_left_ms(), self._on_idle_timeout)
 
+    def _start_header_timer(self) -> None:
+        self._start_timer(
+            self._state.limits().header_timeout_ms, self._on_request_timeout
+        )
+
     def _idle_left_ms(self) -> int:
         idle_ms = self._state.now_ms() - self._idle_since_ms
         return self._state.limits().idle_timeout_ms - idle_ms
