Keep the entry of a leaving daemon until its exit

Callers that asked a leaving daemon's directory got 503 from 2.5 s after SIGTERM until its exit, up to 5 s later, and kept old addresses.

Cause: the daemon removed its entry in the store as soon as it began to leave. Peers send heartbeats to the listed daemons only, so it took them all for silent and its directory named nobody. The removal had no condition, either: a call that the store executes late could remove the entry of the next start.

The end of a lease removes only what was written under it, and not what the next start has written.

--- a/trefoilpitch/fleet/_store.py
+++ b/trefoilpitch/fleet/_store.py
@@ -137,6 +137,12 @@
             LeaseLostError: If the lease has ended.
         """
 
+    async def end_lease(self, lease_id: int) -> None:
+        """Ends a lease and removes its keys, unless it has already ended.
+
+        A key that was written again under another lease stays.
+        """
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Evacuation:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -289,7 +289,9 @@
         """Starts a graceful shutdown.
 
         Requests in progress are completed; new ones are accepted for a few
-        more seconds.
+        more seconds. The entry in the store stays until the daemon exits:
+        peers send heartbeats to the listed daemons only, and its directory
+        names those that it hears.
         """
         if self._leaving_since_ms is not None:
             return
@@ -319,11 +321,11 @@
             await self._left.wait()
             for task in tasks:
                 task.cancel()
+        await self._registration.withdraw()
 
     async def _finish_leaving(self) -> None:
         while self._leaving_since_ms is None:
             await asyncio.sleep(0.05)
-        await self._registration.withdraw()
         end_ms = self._settings.grace_ms - _LEAVE_MARGIN_MS
         open_ms = min(_LEAVE_OPEN_MS, end_ms // 2)
         while True:
--- a/trefoilpitch/platform/_store.py
+++ b/trefoilpitch/platform/_store.py
@@ -171,6 +171,12 @@
         if status != _OK:
             raise StoreUnavailableError(f"kv-keep: status {status}")
 
+    async def end_lease(self, lease_id: int) -> None:
+        """Ends a lease."""
+        status, _ = await self._call(f"kv-lease-end/{lease_id}", b"DELETE", {})
+        if status not in (_OK, _NOT_FOUND):
+            raise StoreUnavailableError(f"kv-lease-end: status {status}")
+
     async def _call(
         self,
         name: str,
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
+import time
+from collections.abc import AsyncIterator
 
+from trefoilpitch.gateway import ListenAddress, NodeSettings
+from trefoilpitch.platform._store import PlatformStore
 from trefoilpitch.platform.tests.harness import (
     HOST,
     TIMEOUT_MS,
+    Fleet,
+    create_node,
     node_settings,
     run,
     running_fleet,
@@ -17,6 +24,51 @@
 from trefoilpitch.platform.tests.test_whole_path import _get
 from trefoilpitch.standins import WorkerFault, send
 
+_MEMBER = "trefoilpitch/member/vm-2"
+
+
+def _settings(name: str, incarnation: str = "start-1") -> NodeSettings:
+    return dataclasses.replace(
+        node_settings(name), incarnation=incarnation, grace_ms=8_000
+    )
+
+
+def _caller_address(settings: NodeSettings) -> bytes:
+    return f"{settings.callers.host}:{settings.callers.port}".encode()
+
+
+async def _registered(fleet: Fleet, incarnation: str) -> None:
+    await wait_until(
+        lambda: (
+            (fleet.store.value(_MEMBER) or {}).get("incarnation") == incarnation
+        )
+    )
+
+
+@contextlib.asynccontextmanager
+async def _hanging_request(
+    fleet: Fleet, settings: NodeSettings
+) -> AsyncIterator[None]:
+    """Keeps a daemon from exiting before the end of its grace period."""
+    worker = fleet.workers["plain-0"]
+    runs = len(worker.runs)
+    worker.faults.append(WorkerFault.HANG)
+    fleet.settings = settings
+    with await fleet.open_connection() as connection:
+        send(connection, "/once/x", X_Trefoilpitch_Deadline_Ms="9000")
+        await wait_until(lambda: len(worker.runs) > runs)
+        yield
+
+
+@contextlib.asynccontextmanager
+async def _silent_store() -> AsyncIterator[PlatformStore]:
+    """Runs a store that accepts calls but never responds."""
+    server = await asyncio.start_server(lambda reader, writer: None, HOST, 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        address = ListenAddress(host=HOST, port=port)
+        yield PlatformStore(address, lambda name: None)
+
 
 def test_leaving_daemon_still_lists_the_other_daemons_to_callers() -> None:
     async def scenario() -> None:
@@ -66,3 +118,124 @@
                 assert head.status in (502, 504)
 
     run(scenario)
+
+
+def test_daemons_that_leave_together_list_only_those_that_stay() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            staying = fleet.settings
+            assert staying is not None
+            leaving = [_settings("vm-2"), _settings("vm-3")]
+            async with contextlib.AsyncExitStack() as stack:
+                nodes = [
+                    await stack.enter_async_context(
+                        running_node(settings, fleet.store)
+                    )
+                    for settings in leaving
+                ]
+                await wait_until(
+                    lambda: all(
+                        len(node.caller_addresses()) == 3
+                        for node in (fleet.daemon, *nodes)
+                    )
+                )
+                for node, settings in zip(nodes, leaving, strict=True):
+                    await stack.enter_async_context(
+                        _hanging_request(fleet, settings)
+                    )
+                    node.leave()
+                    await asyncio.sleep(0.3)
+                for _ in range(12):
+                    for settings in (staying, *leaving):
+                        status, body = await _get(
+                            settings.directory.port,
+                            "/trefoilpitch/resolve?name=a",
+                        )
+                        assert status == 200
+                        assert _caller_address(staying) in body
+                        for gone in leaving:
+                            assert _caller_address(gone) not in body
+                    for settings in leaving:
+                        status, _ = await _get(
+                            settings.readiness.port, "/trefoilpitch/readiness"
+                        )
+                        assert status == 503
+                    await asyncio.sleep(0.4)
+
+    run(scenario)
+
+
+def test_entry_of_a_leaving_daemon_stays_until_it_exits() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            node = create_node(_settings("vm-2"), fleet.store)
+            task = asyncio.create_task(node.run())
+            await _registered(fleet, "start-1")
+            await wait_until(lambda: node.ready)
+            node.leave()
+            await asyncio.sleep(1)
+            assert fleet.store.keys(_MEMBER)
+            await task
+            assert not fleet.store.keys(_MEMBER)
+
+    run(scenario)
+
+
+def test_late_withdrawal_keeps_the_entry_of_the_next_start() -> None:
+    async def scenario() -> None:
+        async with (
+            running_fleet() as fleet,
+            contextlib.AsyncExitStack() as stack,
+        ):
+            old = await stack.enter_async_context(
+                running_node(_settings("vm-2"), fleet.store)
+            )
+            await _registered(fleet, "start-1")
+            await stack.enter_async_context(
+                running_node(_settings("vm-2", "start-2"), fleet.store)
+            )
+            await _registered(fleet, "start-2")
+            await old._registration.withdraw()
+            await _registered(fleet, "start-2")
+
+    run(scenario)
+
+
+def test_end_of_the_lease_of_a_killed_daemon_keeps_the_next_entry() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            async with running_node(_settings("vm-2"), fleet.store) as killed:
+                await wait_until(lambda: killed._registration._lease_id)
+                old_lease = killed._registration._lease_id
+            assert fleet.store.keys(_MEMBER)
+            settings = _settings("vm-2", "start-2")
+            async with running_node(settings, fleet.store) as node:
+                await wait_until(lambda: node._registration._lease_id)
+                fleet.store.end_lease(old_lease)
+                await _registered(fleet, "start-2")
+                await wait_until(lambda: len(node.caller_addresses()) == 2)
+
+    run(scenario)
+
+
+def test_daemon_exits_in_time_while_the_store_does_not_respond() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            settings = dataclasses.replace(_settings("vm-2"), grace_ms=4_000)
+            node = create_node(settings, fleet.store)
+            task = asyncio.create_task(node.run())
+            await wait_until(lambda: node.ready)
+            await wait_until(lambda: node._registration._lease_id)
+            async with (
+                _hanging_request(fleet, settings),
+                _silent_store() as silent,
+            ):
+                silent._era = node._registration._lease_era
+                node._registration._store = silent
+                started_s = time.monotonic()
+                node.leave()
+                await task
+                assert time.monotonic() - started_s < settings.grace_ms / 1_000
+            assert fleet.store.keys(_MEMBER)
+
+    run(scenario)
--- a/trefoilpitch/standins/_platform_store.py
+++ b/trefoilpitch/standins/_platform_store.py
@@ -249,8 +249,10 @@
                 self._next_lease += 1
                 self._leases.add(lease)
                 return 200, {"lease": lease, "ttl-ms": body["ttl-ms"]}
-            case "kv-keep":
+            case "kv-keep" | "kv-lease-end":
                 is_live = int(argument) in self._leases
+                if name == "kv-lease-end":
+                    self.end_lease(int(argument))
                 return (200, {"ttl-ms": 1}) if is_live else (404, {})
         return 404, {}
 
