Answer requests without a response before a leaving daemon exits

Callers whose request still had no response when a daemon exited at the end of its grace period got a closed connection and no answer.

Cause: the exit cancels all requests and resets their connections, whether their response has begun or not.

200 ms before the exit, the request handler now stops: requests without a response end their attempts and waits and get 503 if nothing was sent to an upstream or all attempts are proven not run, else 502, or an upstream's own failure if there is one. Requests that arrive from then on get 503. Responses that have begun go on. The attempts are cancelled directly and not by a timer, so that no response can begin between the check and the cancellation; a caller that leaves at the same time still cancels its request.

test_request_that_waits_for_an_upstream_is_answered_at_exit failed before, as did test_requests_that_wait_for_a_place_are_refused_at_exit; the tests that call stop() cannot run on the code before.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -85,6 +85,9 @@
 _LEAVE_OPEN_MS = 3_000
 # The daemon exits this long before the platform would kill it.
 _LEAVE_MARGIN_MS = 300
+# Requests without a response get a final one this long before the exit: several
+# turns of the loop that waits for them, also on a busy VM.
+_FINAL_RESPONSE_MS = 200
 _METRICS_PATH = b"/metrics"
 _STATE_PATH = b"/state"
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
@@ -195,7 +198,7 @@
         )
         self._heartbeat_sent_ms = clock.now_ms()
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
-        request_handler = RequestHandler(
+        self._request_handler = RequestHandler(
             RequestDependencies(
                 view=self._view,
                 dispatcher=dispatcher,
@@ -214,7 +217,7 @@
                 store_unavailable=lambda: self._follower.store_unavailable,
             )
         )
-        self._caller_server = self._server(request_handler.handle)
+        self._caller_server = self._server(self._request_handler.handle)
         self._auxiliary_servers = [
             (settings.readiness, self._server(auxiliary.readiness(self))),
             (settings.directory, self._server(auxiliary.directory(self))),
@@ -335,6 +338,8 @@
                 self._caller_server.close_idle()
                 if not self._caller_server.state.active:
                     break
+            if elapsed_ms >= end_ms - _FINAL_RESPONSE_MS:
+                self._request_handler.stop()
             if elapsed_ms >= end_ms:
                 break
             await asyncio.sleep(0.05)
--- a/trefoilpitch/gateway/_request_handler.py
+++ b/trefoilpitch/gateway/_request_handler.py
@@ -12,7 +12,7 @@
 from trefoilpitch.gateway._http_server import HttpRequest, Responder
 from trefoilpitch.gateway._log import log_event, log_failure
 from trefoilpitch.gateway._messages import CallerRequest
-from trefoilpitch.gateway._refusals import retry_after_ms
+from trefoilpitch.gateway._refusals import RETRY_SOON_MS, retry_after_ms
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_run import RequestRun
 from trefoilpitch.metrics import Label
@@ -20,6 +20,9 @@
 # How long a response may go on past its caller's deadline.
 _OVERDUE_MS = 2_000
 _MS_PER_S = 1_000
+_UNAVAILABLE = 503
+# Reason of the refusals shortly before the daemon's exit.
+_EXITING = "daemon_exits"
 
 
 class RequestHandler:
@@ -27,6 +30,19 @@
 
     def __init__(self, deps: RequestDependencies) -> None:
         self._deps = deps
+        # The requests in progress.
+        self._runs: set[RequestRun] = set()
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Ends the requests without a response, and refuses new ones.
+
+        The exit of the daemon would cut them off. Responses that have begun go
+        on.
+        """
+        self._stopped = True
+        for run in self._runs:
+            run.stop()
 
     async def handle(self, http: HttpRequest, responder: Responder) -> None:
         """Handles one request; see `trefoilpitch.gateway.Handler`."""
@@ -38,6 +54,11 @@
             await responder.respond(error.status, headers, b"")
             log_event("request", status=error.status, reason=error.detail)
             return
+        if self._stopped:
+            await self._refuse(
+                request, responder, _UNAVAILABLE, _EXITING, RETRY_SOON_MS
+            )
+            return
         admitted = admit(
             request, deps.view.configuration, current=deps.is_current()
         )
@@ -46,6 +67,7 @@
             return
         run = RequestRun(deps, request, admitted, responder)
         limit = asyncio.timeout(self._limit_s(request))
+        self._runs.add(run)
         try:
             async with limit:
                 await run.serve()
@@ -61,6 +83,8 @@
                     id=request.request_id,
                 )
             await run.fail()
+        finally:
+            self._runs.discard(run)
 
     def _limit_s(self, request: CallerRequest) -> float | None:
         """Returns the time after which a request is given up; None if never."""
@@ -73,28 +97,42 @@
         self, request: CallerRequest, rejection: Rejection, responder: Responder
     ) -> None:
         deps = self._deps
-        configuration = deps.view.configuration
         retry_ms = None
         if rejection is Rejection.UNKNOWN_CONFIGURATION:
             # If this daemon has a configuration, another one may have a newer
             # one, so that an early retry can succeed.
-            outage = configuration is None and deps.store_unavailable()
+            outage = (
+                deps.view.configuration is None and deps.store_unavailable()
+            )
             retry_ms = retry_after_ms(
                 request.wait_ms or 0, store_unavailable=outage
             )
-        headers = deps.codec.encode_refusal(request.request_id, retry_ms)
-        deps.metrics.count(
-            "rejections", Label(name="reason", value=rejection.name.lower())
+        reason = rejection.name.lower()
+        await self._refuse(
+            request, responder, rejection.value, reason, retry_ms
         )
+
+    async def _refuse(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        status: int,
+        reason: str,
+        retry_ms: int | None,
+    ) -> None:
+        deps = self._deps
+        configuration = deps.view.configuration
+        headers = deps.codec.encode_refusal(request.request_id, retry_ms)
+        deps.metrics.count("rejections", Label(name="reason", value=reason))
         log_event(
             "rejected",
             id=request.request_id,
             host=request.host,
             path=request.path,
-            status=rejection.value,
-            reason=rejection.name.lower(),
+            status=status,
+            reason=reason,
             configuration=configuration.version if configuration else None,
             current=deps.is_current(),
             retry_after_ms=retry_ms,
         )
-        await responder.respond(rejection.value, headers, b"")
+        await responder.respond(status, headers, b"")
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -125,6 +125,9 @@
         self._tiers = TierChoice(deps, request, admitted.route)
         self._last_event_id: int | None = None
         self._hand_over = HandOver(deps, request.request_id, self)
+        self._task: asyncio.Task[None] | None = None
+        # Whether its attempts were cancelled because the daemon exits.
+        self._stopped = False
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
         arrived_ms = request.http.arrived_ms
         timeout_ms = admitted.route.timeout_ms
@@ -142,15 +145,39 @@
     async def serve(self) -> None:
         """Runs attempts until a response is sent, and logs the outcome."""
         self._budget.record_first_attempt()
+        self._task = asyncio.current_task()
         outcome = "cancelled"
         try:
             outcome = await self._run_attempts()
+        except asyncio.CancelledError:
+            if not self._is_stopped():
+                raise
+            outcome = await self._send_stopped()
         finally:
             self._hand_over.close()
             if self._credit_reserved:
                 self._budget.release()
             self._log_completion(outcome)
 
+    def stop(self) -> None:
+        """Ends the request with a final response, unless one has begun."""
+        if self._task is None or self._stopped or self._responder.started:
+            return
+        self._stopped = True
+        self._task.cancel()
+
+    def _is_stopped(self) -> bool:
+        """Whether `stop` alone has cancelled the attempts."""
+        if not self._stopped or self._task is None:
+            return False
+        return self._task.uncancel() == 0
+
+    async def _send_stopped(self) -> str:
+        self._attempt_log.append("the daemon exits")
+        if self._run_ids:
+            self.record_withdrawn()
+        return await self._send_failure()
+
     async def _run_attempts(self) -> str:
         while True:
             successor = self._hand_over.successor
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -6,9 +6,12 @@
 import contextlib
 import dataclasses
 import time
+from collections import deque
 from collections.abc import AsyncIterator
 
-from trefoilpitch.gateway import ListenAddress, NodeSettings
+import pytest
+
+from trefoilpitch.gateway import ExchangeError, ListenAddress, NodeSettings
 from trefoilpitch.platform._store import PlatformStore
 from trefoilpitch.platform.tests.harness import (
     HOST,
@@ -22,7 +25,7 @@
     wait_until,
 )
 from trefoilpitch.platform.tests.test_whole_path import _get
-from trefoilpitch.standins import WorkerFault, send
+from trefoilpitch.standins import WorkerFault, config_document, send
 
 _MEMBER = "trefoilpitch/member/vm-2"
 
@@ -239,3 +242,109 @@
             assert fleet.store.keys(_MEMBER)
 
     run(scenario)
+
+
+def test_requests_that_wait_for_a_place_are_refused_at_exit() -> None:
+    async def scenario() -> None:
+        routes = config_document()["routes"]
+        for route in routes:
+            # Requests wait for a place for an eighth of it.
+            route["target-latency-ms"] = 64_000
+        async with running_fleet(routes=routes) as fleet:
+            worker = fleet.workers["plain-0"]
+            fleet.register(worker, "plain-service", slots=1)
+            view = fleet.daemon.view
+            await wait_until(lambda: view.upstreams["plain-0"].entry.slots == 1)
+            worker.faults.extend([WorkerFault.HANG] * 20)
+            waiter = fleet.daemon._waiter
+
+            async def call(number: int) -> tuple[str, int]:
+                request_id = f"id-{number}"
+                head, _ = await fleet.send_request(
+                    "/once/x", request_id=request_id
+                )
+                assert head.header(b"connection") == "close"
+                return request_id, head.status
+
+            calls = [asyncio.create_task(call(n)) for n in range(12)]
+            await wait_until(
+                lambda: (
+                    len(worker.runs) + waiter.waiting().get("plain-service", 0)
+                    == 12
+                )
+            )
+            assert 0 < len(worker.runs) < 12
+            fleet.daemon.leave()
+            statuses = dict(await asyncio.gather(*calls))
+            ran = {executed.request_id for executed in worker.runs}
+            assert statuses == {
+                f"id-{n}": 502 if f"id-{n}" in ran else 503 for n in range(12)
+            }
+
+    run(scenario)
+
+
+def test_request_that_arrives_just_before_the_exit_is_refused() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            fleet.daemon._request_handler.stop()
+            head, _ = await fleet.send_request("/plain/x")
+            assert head.status == 503
+            assert head.header(b"retry-after") is not None
+            assert not fleet.workers["plain-0"].runs
+
+    run(scenario)
+
+
+def test_response_in_progress_goes_on_while_others_are_ended() -> None:
+    async def scenario() -> None:
+        async with running_fleet(models=1) as fleet:
+            worker = fleet.workers["model-0"]
+            worker.event_delay_ms = 100
+            with await fleet.open_connection() as connection:
+                send(connection, "/stream/x", X_Trefoilpitch_Model="*")
+                head = await connection.receive_head(TIMEOUT_MS)
+                assert head.status == 200
+                fleet.daemon._request_handler.stop()
+                body = await connection.receive_body(TIMEOUT_MS, 1 << 20)
+            assert body.count(b"id:") == worker.events
+
+    run(scenario)
+
+
+def test_failure_of_an_upstream_is_delivered_at_exit() -> None:
+    async def scenario() -> None:
+        async with running_fleet(plain=2) as fleet:
+            workers = fleet.workers.values()
+            # The second attempt gets no response.
+            faults = deque([WorkerFault.ERROR, WorkerFault.HANG])
+            for worker in workers:
+                worker.faults = faults
+            call = asyncio.create_task(fleet.send_request("/plain/x"))
+            await wait_until(lambda: sum(len(w.runs) for w in workers) == 2)
+            fleet.daemon._request_handler.stop()
+            head, _ = await call
+            assert head.status == 500
+
+    run(scenario)
+
+
+def test_request_whose_caller_leaves_at_the_exit_gets_no_response() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            worker = fleet.workers["plain-0"]
+            worker.faults.append(WorkerFault.HANG)
+            state = fleet.daemon._caller_server.state
+            with await fleet.open_connection() as connection:
+                send(connection, "/plain/x")
+                await wait_until(lambda: worker.runs)
+                (server_side,) = state.connections
+                assert server_side._task is not None
+                server_side._task.cancel()
+                fleet.daemon._request_handler.stop()
+                with pytest.raises(ExchangeError):
+                    await connection.receive_head(TIMEOUT_MS)
+            await wait_until(lambda: not state.active)
+            await wait_until(lambda: worker.abandoned == 1)
+
+    run(scenario)
