--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -87,6 +87,9 @@
 _LEAVE_OPEN_MS = 3_000
 # The daemon exits this long before the platform would kill it.
 _LEAVE_MARGIN_MS = 300
+# Requests without a response get a final one this long before the exit: several
+# turns of the loop that waits for them, also on a busy VM.
+_FINAL_RESPONSE_MS = 200
 _METRICS_PATH = b"/metrics"
 _STATE_PATH = b"/state"
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
@@ -210,7 +213,7 @@
         self._cut_attempts = CutAttempts(
             evidence, clock, metrics, self._send_urgent_heartbeat
         )
-        request_handler = RequestHandler(
+        self._request_handler = RequestHandler(
             RequestDependencies(
                 view=self._view,
                 dispatcher=dispatcher,
@@ -227,7 +230,7 @@
                 store_unavailable=lambda: self._follower.store_unavailable,
             )
         )
-        self._caller_server = self._server(request_handler.handle)
+        self._caller_server = self._server(self._request_handler.handle)
         self._auxiliary_servers = [
             (settings.readiness, self._server(auxiliary.readiness(self))),
             (settings.directory, self._server(auxiliary.directory(self))),
@@ -302,7 +305,9 @@
         """Starts a graceful shutdown.
 
         Requests in progress are completed; new ones are accepted for a few
-        more seconds.
+        more seconds. The entry in the store stays until the daemon exits:
+        peers send heartbeats to the listed daemons only, and its directory
+        names those that it hears.
         """
         if self._leaving_since_ms is not None:
             return
@@ -336,11 +341,11 @@
             await self._left.wait()
             for task in tasks:
                 task.cancel()
+        await self._registration.withdraw()
 
     async def _finish_leaving(self) -> None:
         while self._leaving_since_ms is None:
             await asyncio.sleep(0.05)
-        await self._registration.withdraw()
         end_ms = self._settings.grace_ms - _LEAVE_MARGIN_MS
         open_ms = min(_LEAVE_OPEN_MS, end_ms // 2)
         while True:
@@ -350,6 +355,8 @@
                 self._caller_server.close_idle()
                 if not self._caller_server.state.active:
                     break
+            if elapsed_ms >= end_ms - _FINAL_RESPONSE_MS:
+                self._request_handler.stop()
             if elapsed_ms >= end_ms:
                 break
             await asyncio.sleep(0.05)
