--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -169,7 +169,7 @@
     async def _send_stopped(self) -> str:
         self._attempt_log.append("the daemon exits")
         if self._run_ids:
-            self.record_withdrawn()
+            self._count_withdrawn()
         return await self._send_failure()
 
     async def _run_attempts(self) -> str:
@@ -732,6 +732,9 @@
     def record_withdrawn(self, attempt: SentAttempt) -> None:
         """Records an attempt that was abandoned and may have run."""
         self._record_abandoned(attempt)
+        self._count_withdrawn()
+
+    def _count_withdrawn(self) -> None:
         self._attempts = self._attempts.with_replaced_response()
         self._withdrawn = True
 
--- a/trefoilpitch/gateway/tests/test_quarantine_records.py
+++ b/trefoilpitch/gateway/tests/test_quarantine_records.py
@@ -88,6 +88,9 @@
     async def renew_lease(self, lease_id: int) -> None:
         raise NotImplementedError
 
+    async def end_lease(self, lease_id: int) -> None:
+        raise NotImplementedError
+
     def _check(self) -> None:
         if not self.available:
             raise StoreUnavailableError("away")
