Treat heartbeats with impossible evidence as malformed

What could happen: a negative age put an ending or a sound response into the future; the ending never expired and was passed on by every daemon, the response cleared a trait of later endings. One datagram with long lists held the event loop for 2 s, as all traits are compared with all endings.

Change: ages are at least 0, and lists no longer than a daemon sends them; others are logged as malformed_heartbeat. A daemon's own reports keep within these bounds.

--- a/trefoilpitch/gateway/_crash_evidence.py
+++ b/trefoilpitch/gateway/_crash_evidence.py
@@ -11,6 +11,7 @@
 import dataclasses
 import zlib
 from collections.abc import Collection, Iterable, Iterator, Mapping
+from typing import Annotated, TypeAlias
 
 import msgspec
 
@@ -35,6 +36,9 @@
 _MAX_REPORTED_SOUND_TRAITS = 16
 _REPORTED_MS = 60_000
 
+# Evidence on the future would never expire.
+_AgeMs: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class AttemptProgress:
@@ -60,20 +64,32 @@
 
 
 class EvidenceReport(msgspec.Struct, frozen=True, array_like=True):
-    """A daemon's view of the fleet's evidence, as its heartbeats carry it."""
+    """A daemon's view of the fleet's evidence, as its heartbeats carry it.
+
+    Longer lists than a daemon sends are malformed.
+    """
 
     # Upstreams that ended, and the time since, in milliseconds.
-    ended: tuple[tuple[int, int], ...] = ()
+    ended: Annotated[
+        tuple[tuple[int, _AgeMs], ...],
+        msgspec.Meta(max_length=_MAX_REPORTED_ENDINGS),
+    ] = ()
     # Traits with bit masks over `ended`: the upstreams that had a request with
     # the trait, and those of them that had begun to respond to it.
-    traits: tuple[tuple[int, int, int], ...] = ()
+    traits: Annotated[
+        tuple[tuple[int, int, int], ...],
+        msgspec.Meta(max_length=_MAX_REPORTED_TRAITS),
+    ] = ()
     # Traits, and the time since this daemon itself last forwarded a complete
     # response with them. Ages that others reported would grow younger each
     # time they are passed on.
-    sound: tuple[tuple[int, int], ...] = ()
+    sound: Annotated[
+        tuple[tuple[int, _AgeMs], ...],
+        msgspec.Meta(max_length=_MAX_REPORTED_SOUND_TRAITS),
+    ] = ()
     # Time since it last forwarded a complete response to any request; None if
     # it has not.
-    newest_sound_age_ms: int | None = None
+    newest_sound_age_ms: _AgeMs | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
