Refuse requests that arrive at a leaving daemon after its open time

Callers lost responses in progress: a request that a daemon took later than 3 s after SIGTERM was cut off midway by the daemon's exit.

Cause: the time for which a leaving daemon takes requests was 3 s, exactly what a request is allowed that is cut by the exit, and it was enforced only by closing the listener and idle connections, from a loop that turns every 50 ms. Requests on connections that were not idle were taken at any time.

The open time is 2.8 s now, and each request is compared with it when it is complete: what comes later gets 503, which promises that it has not run, so that callers repeat it elsewhere at once. A late timer does not matter.

test_request_that_is_complete_3_s_after_the_signal_is_refused and test_late_timers_do_not_let_requests_in_after_the_signal failed before.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -81,8 +81,10 @@
 _BUDGET_SHARE = 0.85
 _MS_PER_S = 1_000
 # How long a leaving daemon accepts new requests: callers cache addresses for a
-# few seconds.
-_LEAVE_OPEN_MS = 3_000
+# few seconds. Requests of the first 3 s after the signal may be cut off by the
+# exit if they run until then, later ones may not; 200 ms are a margin for what
+# arrives while the process is late.
+_LEAVE_OPEN_MS = 2_800
 # The daemon exits this long before the platform would kill it.
 _LEAVE_MARGIN_MS = 300
 # Requests without a response get a final one this long before the exit: several
@@ -241,6 +243,16 @@
         """Local copy of the shared fleet state."""
         return self._view
 
+    @property
+    def _end_ms(self) -> int:
+        """Time from the signal until the latest exit."""
+        return self._settings.grace_ms - _LEAVE_MARGIN_MS
+
+    @property
+    def _open_ms(self) -> int:
+        """Time from the signal until it accepts no new requests."""
+        return min(_LEAVE_OPEN_MS, self._end_ms // 2)
+
     @property
     def _configuration_version(self) -> int:
         """Version of the configuration; 0 if there is none."""
@@ -300,6 +312,9 @@
             return
         self._leaving_since_ms = self._clock.now_ms()
         self._caller_server.state.closing = True
+        self._request_handler.refuse_from(
+            self._leaving_since_ms + self._open_ms
+        )
         log_event("leaving", active=self._caller_server.state.active)
         self._send_heartbeat()
 
@@ -329,18 +344,16 @@
     async def _finish_leaving(self) -> None:
         while self._leaving_since_ms is None:
             await asyncio.sleep(0.05)
-        end_ms = self._settings.grace_ms - _LEAVE_MARGIN_MS
-        open_ms = min(_LEAVE_OPEN_MS, end_ms // 2)
         while True:
             elapsed_ms = self._clock.now_ms() - self._leaving_since_ms
-            if elapsed_ms >= open_ms:
+            if elapsed_ms >= self._open_ms:
                 self._caller_server.stop_listening()
                 self._caller_server.close_idle()
                 if not self._caller_server.state.active:
                     break
-            if elapsed_ms >= end_ms - _FINAL_RESPONSE_MS:
+            if elapsed_ms >= self._end_ms - _FINAL_RESPONSE_MS:
                 self._request_handler.stop()
-            if elapsed_ms >= end_ms:
+            if elapsed_ms >= self._end_ms:
                 break
             await asyncio.sleep(0.05)
         log_event("left", unanswered=self._caller_server.state.active)
--- a/trefoilpitch/gateway/_request_handler.py
+++ b/trefoilpitch/gateway/_request_handler.py
@@ -21,7 +21,7 @@
 _OVERDUE_MS = 2_000
 _MS_PER_S = 1_000
 _UNAVAILABLE = 503
-# Reason of the refusals shortly before the daemon's exit.
+# Reason of the refusals by a daemon that is about to exit.
 _EXITING = "daemon_exits"
 
 
@@ -32,7 +32,20 @@
         self._deps = deps
         # The requests in progress.
         self._runs: set[RequestRun] = set()
-        self._stopped = False
+        # Monotonic time from which new requests are refused; None while the
+        # daemon is not leaving.
+        self._refuse_from_ms: int | None = None
+
+    def refuse_from(self, time_ms: int) -> None:
+        """Refuses requests that arrive completely from some time on.
+
+        Those that come later might not be finished before the exit. The time
+        is compared for each request, as a timer may fire late.
+
+        Args:
+            time_ms: The monotonic time.
+        """
+        self._refuse_from_ms = time_ms
 
     def stop(self) -> None:
         """Ends the requests without a response, and refuses new ones.
@@ -40,7 +53,7 @@
         The exit of the daemon would cut them off. Responses that have begun go
         on.
         """
-        self._stopped = True
+        self.refuse_from(self._deps.clock.now_ms())
         for run in self._runs:
             run.stop()
 
@@ -54,7 +67,7 @@
             await responder.respond(error.status, headers, b"")
             log_event("request", status=error.status, reason=error.detail)
             return
-        if self._stopped:
+        if self._refuses():
             await self._refuse(
                 request, responder, _UNAVAILABLE, _EXITING, RETRY_SOON_MS
             )
@@ -86,6 +99,12 @@
         finally:
             self._runs.discard(run)
 
+    def _refuses(self) -> bool:
+        return (
+            self._refuse_from_ms is not None
+            and self._deps.clock.now_ms() >= self._refuse_from_ms
+        )
+
     def _limit_s(self, request: CallerRequest) -> float | None:
         """Returns the time after which a request is given up; None if never."""
         if request.wait_ms is None:
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -348,3 +348,53 @@
             await wait_until(lambda: worker.abandoned == 1)
 
     run(scenario)
+
+
+def test_request_that_is_complete_3_s_after_the_signal_is_refused() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            settings = _settings("vm-2")
+            async with running_node(settings, fleet.store) as node:
+                await wait_until(lambda: node.ready)
+                worker = fleet.workers["plain-0"]
+                async with _hanging_request(fleet, settings):
+                    reader, writer = await asyncio.open_connection(
+                        settings.callers.host, settings.callers.port
+                    )
+                    writer.write(
+                        b"POST /plain/x HTTP/1.1\r\nHost: api.example\r\n"
+                        b"X-Trefoilpitch-Request-Attempt-Id: id-2\r\n"
+                        b"Api-Key: key-a\r\nContent-Length: 2\r\n\r\na"
+                    )
+                    await asyncio.sleep(0.1)
+                    node.leave()
+                    await asyncio.sleep(3)
+                    writer.write(b"b")
+                    status = await reader.readline()
+                    assert status.split()[1] == b"503"
+                    writer.close()
+                assert len(worker.runs) == 1
+
+    run(scenario)
+
+
+def test_late_timers_do_not_let_requests_in_after_the_signal() -> None:
+    """As when the process gets no processor time for a while."""
+
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            settings = _settings("vm-2")
+            async with running_node(settings, fleet.store) as node:
+                await wait_until(lambda: node.ready)
+                fleet.settings = settings
+                with await fleet.open_connection() as connection:
+                    await asyncio.sleep(0.1)
+                    node.leave()
+                    await asyncio.sleep(2.5)
+                    send(connection, "/plain/x")
+                    time.sleep(0.6)
+                    head = await connection.receive_head(TIMEOUT_MS)
+                    assert head.status == 503
+                assert not fleet.workers["plain-0"].runs
+
+    run(scenario)
