Compare the paces of roll-out versions at the same load

Cause: a response counted as slow against an expected value, whatever its upstream's load. A target with few requests is about as quick as the old version under load.

Change: each daemon counts paces by version, kind, class of load and class of pace, and its heartbeats carry them while a roll-out is in progress (at most eight strata a side, after all other fields). The sums over the fleet are compared with the stratified rank-sum test, a target never with responses at a lower load, and cold upstreams not at all. A target that is slower in 0.75 of the pairs, by three standard errors, is stopped. Ranks need no expected value and no shape of the distribution, and the required share of pairs keeps one slow upstream of a sound version from deciding.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -22,6 +22,11 @@
 from trefoilpitch.gateway._health import UpstreamHealth
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
+from trefoilpitch.gateway._paces import (
+    MeasuredPace,
+    PaceCounts,
+    PaceTable,
+)
 from trefoilpitch.gateway._placement import Candidate, choose, saturation
 from trefoilpitch.gateway._prefix_traffic import PrefixTraffic
 from trefoilpitch.gateway._rollouts import (
@@ -96,6 +101,7 @@
         self._prefix_traffic = PrefixTraffic()
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
+        self._paces = PaceTable()
         # Store revision of the order that was stopped, by service.
         self._stopped_orders: dict[str, int] = {}
 
@@ -146,6 +152,12 @@
             if upstream_id not in self._view.upstreams and not health.in_flight:
                 del self._health[upstream_id]
         self._cold_requests.retain(self._view.upstreams)
+        self._paces.retain(
+            {
+                (cached.entry.service, cached.entry.version)
+                for cached in self._view.upstreams.values()
+            }
+        )
 
     def in_flight_off_target(self, service: str, target: str) -> int:
         """Counts this daemon's in-flight requests on non-target versions."""
@@ -200,6 +212,50 @@
         previous = versions.get(entry.version, VersionEvidence())
         versions[entry.version] = previous.merge(quality.evidence)
 
+    def record_pace(
+        self, entry: UpstreamEntry, started_ms: int, measured: MeasuredPace
+    ) -> None:
+        """Records the pace of a stream; a cold upstream's is no evidence.
+
+        Args:
+            entry: The upstream.
+            started_ms: Monotonic time when the request was sent.
+            measured: The pace.
+        """
+        cached = self._view.upstreams.get(entry.upstream_id)
+        if cached is None or self._is_cold(cached, started_ms):
+            return
+        self._begin_order(entry.service)
+        self._paces.record(
+            entry.service,
+            entry.version,
+            measured,
+            on_target=self._is_target(entry),
+        )
+
+    def own_paces(
+        self, service: str, target: str
+    ) -> tuple[PaceCounts, PaceCounts]:
+        """Returns this daemon's paces of a target and of other versions."""
+        self._begin_order(service)
+        return self._paces.split(service, target)
+
+    def _is_target(self, entry: UpstreamEntry) -> bool:
+        """Returns whether a roll-out in progress has this target."""
+        rollout = self._view.rollouts.get(entry.service)
+        if rollout is None or rollout.order.target != entry.version:
+            return False
+        record = self._view.records.get(entry.service)
+        phase, _ = current_phase(rollout, record)
+        return phase is None or not phase.final
+
+    def _begin_order(self, service: str) -> None:
+        rollout = self._view.rollouts.get(service)
+        if rollout is not None:
+            self._paces.begin_order(
+                service, rollout.order.target, rollout.revision
+            )
+
     def record_notices(
         self, entry: UpstreamEntry, *, leaving: bool, pause_ms: int
     ) -> None:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -447,6 +447,7 @@
             stopped=self._rollout_controller.stopped_orders(),
             unreachable=self._dispatcher.own_unreachable(),
             traits=self._quarantine.report(),
+            paces=self._rollout_controller.own_paces(),
         )
         others = [
             member
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -22,6 +22,7 @@
 from trefoilpitch.gateway._crash_evidence import EvidenceReport
 from trefoilpitch.gateway._exceptions import PeerReplyError
 from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._paces import PaceCounts
 from trefoilpitch.gateway._rollouts import VersionEvidence
 from trefoilpitch.rendezvous import rank
 
@@ -60,6 +61,17 @@
     off_target: int
 
 
+class PaceReport(msgspec.Struct, frozen=True, array_like=True):
+    """One daemon's paces of the versions of a service in a roll-out."""
+
+    service: str
+    # Store revision of the roll-out's order.
+    order_revision: int
+    # Number of paces by class, by stratum.
+    target: dict[int, dict[int, int]]
+    others: dict[int, dict[int, int]]
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """The state that a daemon publishes to its peers."""
 
@@ -88,6 +100,8 @@
     unreachable: tuple[int, ...] = ()
     # The fleet's evidence on traits of requests, as far as it knows it.
     traits: EvidenceReport = EvidenceReport()
+    # Its paces of the services in a roll-out that has not ended.
+    paces: tuple[PaceReport, ...] = ()
 
     @property
     def version(self) -> StoreVersion:
@@ -288,6 +302,22 @@
                 total[count.version] = known.merge(reported)
         return total, off_target
 
+    def paces(
+        self, service: str, order_revision: int
+    ) -> tuple[list[PaceCounts], list[PaceCounts]]:
+        """Returns the peers' paces of a target and of the other versions."""
+        reports = [
+            report
+            for peer in self._peers.values()
+            for report in peer.heartbeat.paces
+            if report.service == service
+            and report.order_revision == order_revision
+        ]
+        return (
+            [report.target for report in reports],
+            [report.others for report in reports],
+        )
+
     def _subtract(self, heartbeat: Heartbeat) -> None:
         self._in_flight.subtract(heartbeat.in_flight)
         self._unreachable.subtract(heartbeat.unreachable)
@@ -334,7 +364,11 @@
         if self._transport is None:
             return
         data = msgspec.msgpack.encode(heartbeat)
-        for field, empty in (("in_flight", {}), ("traits", EvidenceReport())):
+        for field, empty in (
+            ("in_flight", {}),
+            ("traits", EvidenceReport()),
+            ("paces", ()),
+        ):
             if len(data) > _MAX_DATAGRAM_BYTES:
                 heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
                 data = msgspec.msgpack.encode(heartbeat)
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -345,6 +345,14 @@
             record=functools.partial(
                 self._deps.dispatcher.record_evidence, attempt.entry
             ),
+            record_pace=functools.partial(
+                self._deps.dispatcher.record_pace,
+                attempt.entry,
+                attempt.started_ms,
+            ),
+            load=functools.partial(
+                self._deps.dispatcher.load, attempt.entry.upstream_id
+            ),
         )
         timer: asyncio.TimerHandle | None = None
         if speed.due_ms is not None:
@@ -360,6 +368,7 @@
         finally:
             if timer is not None:
                 timer.cancel()
+            speed.ended()
         speed.completed()
 
     async def _await_response(self, attempt: SentAttempt) -> UpstreamResponse:
--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -19,7 +19,13 @@
 )
 from trefoilpitch.gateway._dispatcher import Dispatcher
 from trefoilpitch.gateway._log import log_event
-from trefoilpitch.gateway._peers import PeerTable, VersionCount
+from trefoilpitch.gateway._paces import (
+    PaceComparison,
+    compare_paces,
+    merge_counts,
+    published_counts,
+)
+from trefoilpitch.gateway._peers import PaceReport, PeerTable, VersionCount
 from trefoilpitch.gateway._rollouts import (
     RolloutStep,
     VersionEvidence,
@@ -98,6 +104,25 @@
             )
         return tuple(counts)
 
+    def own_paces(self) -> tuple[PaceReport, ...]:
+        """Returns this daemon's paces for publication in its heartbeat."""
+        reports: list[PaceReport] = []
+        for service, rollout in self._view.rollouts.items():
+            if self._has_ended(rollout):
+                continue
+            target, others = self._dispatcher.own_paces(
+                service, rollout.order.target
+            )
+            reports.append(
+                PaceReport(
+                    service=service,
+                    order_revision=rollout.revision,
+                    target=published_counts(target),
+                    others=published_counts(others),
+                )
+            )
+        return tuple(reports)
+
     async def advance_rollouts(self) -> None:
         """Writes the next step of each roll-out for which one is due."""
         for rollout in list(self._view.rollouts.values()):
@@ -138,16 +163,21 @@
         out, or the daemons with the evidence are killed. Each side of the cut
         stops by itself, and the others as soon as they hear of it.
         """
+        if self._has_ended(rollout):
+            return
         evidence, _ = self._evidence(rollout)
         target = rollout.order.target
         if is_regression(*split_evidence(evidence, target)):
             self._stop(rollout, "evidence of all daemons")
+            return
+        comparison = self._compare_paces(rollout)
+        if comparison.is_slower:
+            self._stop(rollout, f"paces of all daemons: {comparison}")
 
     def _stop(self, rollout: CachedRolloutOrder, reason: str) -> None:
-        service = rollout.order.service
-        phase, _ = current_phase(rollout, self._view.records.get(service))
-        if phase is not None and phase.final:
+        if self._has_ended(rollout):
             return
+        service = rollout.order.service
         if self._dispatcher.stop_rollout(service, rollout.revision):
             log_event(
                 "rollout_stopped",
@@ -157,6 +187,23 @@
                 reason=reason,
             )
 
+    def _has_ended(self, rollout: CachedRolloutOrder) -> bool:
+        record = self._view.records.get(rollout.order.service)
+        phase, _ = current_phase(rollout, record)
+        return phase is not None and phase.final
+
+    def _compare_paces(self, rollout: CachedRolloutOrder) -> PaceComparison:
+        """Compares the paces of all daemons that are heard."""
+        service = rollout.order.service
+        target, others = self._dispatcher.own_paces(
+            service, rollout.order.target
+        )
+        targets, references = self._peers.paces(service, rollout.revision)
+        return compare_paces(
+            merge_counts([target, *targets]),
+            merge_counts([others, *references]),
+        )
+
     def _evidence(
         self, rollout: CachedRolloutOrder
     ) -> tuple[dict[str, VersionEvidence], int]:
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from collections import Counter
+from collections.abc import Sequence
 
 import pytest
 
@@ -51,6 +52,11 @@
     PartialResponse,
     ResponseSize,
 )
+from trefoilpitch.gateway._paces import (
+    MeasuredPace,
+    PaceComparison,
+    compare_paces,
+)
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS, retry_after_ms
 from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import (
@@ -481,6 +487,53 @@
     assert recorded == ([] if expected is None else [expected])
 
 
+@pytest.mark.parametrize(
+    ("events_ms", "expected"),
+    [
+        # The first part and three more events say too little.
+        (range(100, 180, 20), []),
+        # A stream that ends, however it does, before the pace is known.
+        (range(100, 200, 20), [20.0]),
+        # Only the first events count.
+        ([*range(100, 280, 20), 900, 1_900], [20.0]),
+    ],
+)
+def test_pace_of_a_stream_is_measured_once(
+    events_ms: Sequence[int], expected: list[float]
+) -> None:
+    paces: list[MeasuredPace] = []
+    speed = _speed([], paces)
+    speed.first_part_arrived(events_ms[0])
+    for now_ms in events_ms[1:]:
+        speed.events_arrived(1, now_ms)
+    speed.ended()
+    assert [pace.pace_ms for pace in paces] == expected
+
+
+def test_pace_of_a_cold_upstream_is_no_evidence() -> None:
+    """An upstream that has just started is slow for some seconds."""
+    fleet = _Fleet()
+    fleet.put("old", upstream("old", version="v1"))
+    fleet.put("new", upstream("new", version="v2", cold_left_ms=3_000))
+    _rollout(fleet)
+    dispatcher = fleet.dispatchers[0]
+    fast = MeasuredPace(key="k", pace_ms=20, load=2)
+    slow = MeasuredPace(key="k", pace_ms=80, load=2)
+
+    def compare(started_ms: int) -> PaceComparison:
+        for _ in range(20):
+            old, new = (
+                fleet.view.upstreams[name].entry for name in ("old", "new")
+            )
+            dispatcher.record_pace(old, started_ms, fast)
+            dispatcher.record_pace(new, started_ms, slow)
+        return compare_paces(*dispatcher.own_paces("s", "v2"))
+
+    started_ms = fleet.clock.now_ms()
+    assert compare(started_ms) == PaceComparison()
+    assert compare(started_ms + 3_000).is_slower
+
+
 def test_response_is_slow_as_soon_as_its_first_part_is_overdue() -> None:
     recorded: list[ResponseQuality] = []
     speed = _speed(recorded)
@@ -492,7 +545,9 @@
     assert recorded == [ResponseQuality.SLOW]
 
 
-def _speed(recorded: list[ResponseQuality]) -> ResponseSpeed:
+def _speed(
+    recorded: list[ResponseQuality], paces: list[MeasuredPace] | None = None
+) -> ResponseSpeed:
     latencies = ExpectedLatencies()
     latencies.record("first", 100.0)
     latencies.record("pace", 30.0)
@@ -502,6 +557,8 @@
         pace_key="pace",
         started_ms=0,
         record=recorded.append,
+        record_pace=([] if paces is None else paces).append,
+        load=lambda: 1,
     )
 
 
--- a/trefoilpitch/gateway/tests/test_peers.py
+++ b/trefoilpitch/gateway/tests/test_peers.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from trefoilpitch.gateway._peers import Heartbeat, PeerTable, VersionCount
+from trefoilpitch.gateway._peers import (
+    Heartbeat,
+    PaceReport,
+    PeerTable,
+    VersionCount,
+)
 from trefoilpitch.gateway._upstream_digest import upstream_digest
 
 _UPSTREAMS = [f"i-{number:010x}" for number in range(90)]
@@ -70,11 +75,28 @@
         versions=versions,
         era=2,
         configuration=58,
+        paces=(
+            PaceReport(
+                service="dego62a",
+                order_revision=300,
+                target={5: {13: 2}},
+                others={4: {9: 7, 10: 1}},
+            ),
+        ),
     )
     encoded = msgspec.msgpack.encode(heartbeat)
     assert msgspec.msgpack.decode(encoded, type=Heartbeat) == heartbeat
 
 
+def test_paces_of_another_order_are_ignored() -> None:
+    table = PeerTable("own")
+    for node, revision in (("a", 3), ("b", 4)):
+        report = PaceReport("s", revision, {1: {2: 3}}, {4: {5: 6}})
+        table.record(_heartbeat(node, 1, paces=(report,)), 0)
+    assert table.paces("s", 4) == ([{1: {2: 3}}], [{4: {5: 6}}])
+    assert table.paces("other", 4) == ([], [])
+
+
 def test_digests_of_a_large_fleets_upstreams_differ() -> None:
     names = [
         f"i-{number * 2_654_435_761 % 2**40:010x}" for number in range(999)
