Blame a request for endings that another explains in part

Cause: a culprit takes all endings that it explains away from the others. Two such requests are cut by each other, so that of the second one's three endings two are left.

--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -93,7 +93,30 @@
                 for upstream, ended_ms in unexplained_ms.items()
                 if upstream not in strongest[0].upstreams
             }
-    return culprits
+    return culprits + _partly_explained(suspicions, culprits)
+
+
+def _partly_explained(
+    suspicions: Iterable[Suspicion], culprits: Collection[Culprit]
+) -> list[Culprit]:
+    """Returns the requests that some of their endings still speak against.
+
+    Two requests that end upstreams at the same time are cut by each other: the
+    endings that one of them explains may leave too few of the other one's.
+    """
+    explained = frozenset().union(*(c.upstreams for c in culprits))
+    blamed = frozenset().union(*(c.traits for c in culprits))
+    return [
+        _Explanation(
+            suspicion=suspicion, upstreams=frozenset(suspicion.ended_ms)
+        ).culprit([suspicion.trait], ambiguous=True)
+        for suspicion in suspicions
+        if is_whole_request(suspicion.trait)
+        and not suspicion.was_sound
+        and suspicion.trait not in blamed
+        and len(suspicion.ended_ms) >= _MIN_ENDINGS_OF_REQUEST
+        and not suspicion.ended_ms.keys() <= explained
+    ]
 
 
 def suspicions_with_enough_endings(
--- a/trefoilpitch/gateway/tests/test_culprits.py
+++ b/trefoilpitch/gateway/tests/test_culprits.py
@@ -235,6 +235,16 @@
         ),
         blamed=("1", "2"),
     ),
+    _Case(
+        name="two requests that were cut by each other",
+        events=(
+            *_OTHERS,
+            *_endings("1", *_FOUR),
+            *_endings("2", *_FOUR[:2]),
+            (1_800, 5, "2"),
+        ),
+        blamed=("1", "2"),
+    ),
     _Case(
         name="a request that went well afterwards",
         events=(*_OTHERS, *_endings("1", *_FOUR), (2_000, None, "1")),
