Write a daemon's entry again if the store has lost or replaced it

A daemon whose entry was replaced or removed while its lease was alive stayed unlisted until its next start: peers sent it no heartbeats, and its directory answered 503.

Cause: it renewed its lease only. The lease of a killed daemon runs on for up to 30 s, so that a write whose response was lost may still replace the entry of the next start; the end of that lease then removes the key.

Each renewal, every 8 s, now compares the entry in the daemon's view with its own, unless the view is older than the entry, and writes it again under the same lease. It costs no call while the entry is there.

test_late_write_of_a_killed_daemon_does_not_outlast_its_lease and test_entry_that_was_removed_is_written_again failed before (with the view left out of the constructor's arguments).

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -169,7 +169,7 @@
             heartbeat_port=settings.heartbeats.port,
             failure_domain=settings.failure_domain,
         )
-        self._registration = Registration(store, documents, member)
+        self._registration = Registration(store, documents, member, self._view)
         dispatcher = Dispatcher(
             self._view,
             clock,
--- a/trefoilpitch/gateway/_registration.py
+++ b/trefoilpitch/gateway/_registration.py
@@ -2,7 +2,9 @@
 
 Load pattern: calls whose response is lost may be executed seconds later, when
 the daemon has already started again under the same name. All writes of a start
-depend on its own lease, so that none of them changes the entry of the next one.
+depend on its own lease, so that none of them changes the entry of the next one
+once that has ended. The lease of a killed daemon runs on for a while, so that a
+daemon also checks that the store still has its entry.
 """
 
 from __future__ import annotations
@@ -13,9 +15,11 @@
     NO_LEASE,
     DocumentCodec,
     FleetStore,
+    FleetView,
     LeaseLostError,
     Member,
     StoreUnavailableError,
+    StoreVersion,
 )
 from trefoilpitch.gateway._log import log_event
 
@@ -35,6 +39,7 @@
         store: The store.
         codec: Encodes the entry.
         member: The entry to write.
+        view: Local copy of what the store has.
     """
 
     def __init__(
@@ -42,23 +47,26 @@
         store: FleetStore,
         codec: DocumentCodec,
         member: Member,
+        view: FleetView,
     ) -> None:
         self._store = store
         self._codec = codec
         self._member = member
+        self._view = view
         self._lease_id = NO_LEASE
         # Era of the store in which the lease was granted. In a later one the
         # store may have given the lease's id to another daemon.
         self._lease_era = 0
-        # Whether the store has acknowledged the entry under this lease.
-        self._written = False
+        # Where the store has acknowledged the entry under this lease; None if
+        # it has not.
+        self._written: StoreVersion | None = None
 
     async def renew(self) -> None:
-        """Renews the lease, or writes the entry under a new lease."""
+        """Renews the lease, and writes the entry if the store lacks it."""
         try:
             if self._holds_lease():
                 await self._store.renew_lease(self._lease_id)
-            if not (self._holds_lease() and self._written):
+            if not (self._holds_lease() and self._is_listed()):
                 await self._register()
         except LeaseLostError:
             log_event("lease_lost", lease=self._lease_id)
@@ -81,16 +89,32 @@
                 reason=f"no response within {_WITHDRAWAL_TIMEOUT_MS} ms",
             )
 
+    def _is_listed(self) -> bool:
+        """Whether the store has the entry, as far as is known."""
+        if self._written is None:
+            return False
+        if self._view.version < self._written:
+            return True
+        listed = self._view.members.get(self._member.name)
+        if listed == self._member:
+            return True
+        log_event(
+            "entry_replaced",
+            member=self._member.name,
+            incarnation=listed.incarnation if listed else None,
+        )
+        return False
+
     def _holds_lease(self) -> bool:
         return self._lease_id != NO_LEASE and self._store.era == self._lease_era
 
     async def _register(self) -> None:
         if not self._holds_lease():
             self._lease_id = NO_LEASE
-            self._written = False
+            self._written = None
             self._lease_id = await self._store.grant_lease(_LEASE_MS)
             self._lease_era = self._store.era
         entry = self._codec.encode_member(self._member, self._lease_id)
-        await self._store.commit(writes=(entry,))
-        self._written = True
+        revision = await self._store.commit(writes=(entry,))
+        self._written = StoreVersion(self._lease_era, revision)
         log_event("registered", lease=self._lease_id, member=self._member.name)
--- a/trefoilpitch/gateway/tests/test_registration.py
+++ b/trefoilpitch/gateway/tests/test_registration.py
@@ -9,6 +9,8 @@
 from trefoilpitch.fleet import (
     Condition,
     FleetStore,
+    FleetView,
+    Item,
     ItemBatch,
     LeaseLostError,
     Member,
@@ -42,6 +44,7 @@
         self.entries: dict[str, Write] = {}
         self.leases: set[int] = set()
         self.granted = 0
+        self.revision = 0
         # Whether writes get no response and are executed by `execute_late`.
         self.delays_writes = False
         self._late: list[Write] = []
@@ -57,8 +60,18 @@
     def execute_late(self) -> None:
         for write in self._late:
             if write.lease_id in self.leases:
+                self.revision += 1
                 self.entries[write.key] = write
 
+    def list_to(self, view: FleetView) -> None:
+        items = tuple(
+            Item(key=key, value=write.value, revision=self.revision)
+            for key, write in self.entries.items()
+        )
+        view.load(
+            ItemBatch(items=items, revision=self.revision, era=self.era), 0
+        )
+
     async def read_all(self) -> ItemBatch:
         raise NotImplementedError
 
@@ -81,7 +94,8 @@
             self.entries[write.key] = write
         for key in removals:
             self.entries.pop(key, None)
-        return 1
+        self.revision += 1
+        return self.revision
 
     async def grant_lease(self, ttl_ms: int) -> int:
         self.granted += 1
@@ -99,8 +113,16 @@
                 del self.entries[key]
 
 
-def _registration(store: FleetStore, incarnation: str) -> Registration:
-    return Registration(store, PlatformDocuments(), _member(incarnation))
+def _view() -> FleetView:
+    return FleetView(PlatformDocuments(), lambda change: None)
+
+
+def _registration(
+    store: FleetStore, incarnation: str, view: FleetView | None = None
+) -> Registration:
+    return Registration(
+        store, PlatformDocuments(), _member(incarnation), view or _view()
+    )
 
 
 def test_late_write_of_a_left_daemon_keeps_the_entry_of_the_next_start() -> (
@@ -168,3 +190,53 @@
         assert store.values == [_entry("new")]
 
     asyncio.run(scenario())
+
+
+def test_late_write_of_a_killed_daemon_does_not_outlast_its_lease() -> None:
+    async def scenario() -> None:
+        store, view = _Store(), _view()
+        old, new = (
+            _registration(store, "old"),
+            _registration(store, "new", view),
+        )
+        store.delays_writes = True
+        await old.renew()
+        store.delays_writes = False
+        await new.renew()
+        store.list_to(view)
+        store.execute_late()
+        assert store.values == [_entry("old")]
+        store.list_to(view)
+        await new.renew()
+        await store.end_lease(1)
+        assert store.values == [_entry("new")]
+
+    asyncio.run(scenario())
+
+
+def test_entry_is_written_once_while_the_view_is_behind_or_has_it() -> None:
+    async def scenario() -> None:
+        store, view = _Store(), _view()
+        registration = _registration(store, "new", view)
+        await registration.renew()
+        await registration.renew()
+        store.list_to(view)
+        await registration.renew()
+        assert store.revision == 1
+
+    asyncio.run(scenario())
+
+
+def test_entry_that_was_removed_is_written_again() -> None:
+    async def scenario() -> None:
+        store, view = _Store(), _view()
+        registration = _registration(store, "new", view)
+        await registration.renew()
+        store.list_to(view)
+        store.entries.clear()
+        store.revision += 1
+        store.list_to(view)
+        await registration.renew()
+        assert store.values == [_entry("new")]
+
+    asyncio.run(scenario())
