Do not escalate streams that may run only once

What callers saw: a stream of a route with `resumable` false and model tiers is run by two upstreams if the small model has little confidence. Only requests that are idempotent or resumable may run more than once.

Cause: an escalation compared the attempts with the maximum, but did not ask whether the route's requests may run again. Retries and hand-overs of stalled attempts do.

test_stream_that_may_not_be_resumed_is_not_escalated failed before: runs [1, 1] instead of [0, 1]. The response of the small model is now forwarded at once.

--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -505,7 +505,7 @@
         Raises:
             _Escalated: If an upstream has accepted it.
         """
-        if self._responder.started:
+        if self._responder.started or not self._route.repeatable:
             return
         if self._attempts.replaced:
             self._tiers.record_escalated(response.confidence)
--- a/trefoilpitch/platform/tests/test_escalation.py
+++ b/trefoilpitch/platform/tests/test_escalation.py
@@ -9,7 +9,7 @@
     run,
     running_fleet,
 )
-from trefoilpitch.standins import WorkerFault, WorkerRun
+from trefoilpitch.standins import WorkerFault, WorkerRun, config_document
 
 _EVENTS = 5
 
@@ -104,3 +104,20 @@
             assert sum(worker.abandoned for worker in workers) == 1
 
     run(scenario)
+
+
+def test_stream_that_may_not_be_resumed_is_not_escalated() -> None:
+    """An escalation runs a request twice."""
+
+    async def scenario() -> None:
+        routes = config_document()["routes"]
+        for route in routes:
+            route["resumable"] = False
+        async with running_fleet(plain=0, models=2, routes=routes) as fleet:
+            for worker in fleet.workers.values():
+                worker.confidence = {"small": 5, "large": 90}
+            await _escalate(fleet)
+            runs = [len(worker.runs) for worker in fleet.workers.values()]
+            assert sorted(runs) == [0, 1]
+
+    run(scenario)
