Count a successor as in flight until its request has taken it over

What happens: between the acceptance of an offer and the moment at which the request goes on with it, the successor was not counted at its upstream. Leaving the offer gives free places to waiting requests at once, so that its place could go to another request, which the upstream then refuses at the price of a retry credit. Found in the review of the hand-over; the class of fault is the one of lost requests: a place in use is given up before it is taken again.

Change: the hand-over holds the count until the successor is taken, by which time its request has counted it, or is closed.

test_place_of_a_successor_stays_taken_until_it_is_taken_over failed before (0 instead of 1 in flight after the offer). The one on a successor that nobody takes passed before too.

--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -115,6 +115,8 @@
         self._request_id = request_id
         self._sender = sender
         self._successor: SentAttempt | None = None
+        # Counts the successor as in flight until it is taken.
+        self._place = contextlib.ExitStack()
 
     @property
     def successor(self) -> SentAttempt | None:
@@ -122,14 +124,19 @@
         return self._successor
 
     def take_successor(self) -> SentAttempt | None:
-        """Returns the attempt that takes over; the caller then owns it."""
+        """Returns the attempt that takes over; the caller then owns it.
+
+        It is counted as in flight until then; the caller counts it before.
+        """
         successor, self._successor = self._successor, None
+        self._place.close()
         return successor
 
     def close(self) -> None:
         """Closes the connection of an attempt that nobody has taken."""
         if self._successor is not None:
             self._successor.connection.close()
+        self._place.close()
 
     async def keep(
         self,
@@ -228,7 +235,8 @@
             The decision, for the log.
         """
         sender = self._sender
-        with sender.counted(entry), contextlib.ExitStack() as stack:
+        with contextlib.ExitStack() as place, contextlib.ExitStack() as stack:
+            place.enter_context(sender.counted(entry))
             try:
                 attempt = await sender.begin(entry)
                 stack.enter_context(attempt.connection)
@@ -241,6 +249,7 @@
                 sender.record_withdrawn(attempt)
                 return f"kept: resumed before {entry.upstream_id} responded"
             stack.pop_all()
+            self._place = place.pop_all()
         self._successor = attempt
         return f"moved: {entry.upstream_id}"
 
