Give back the retry credit of an offer that was not sent

What happens: a stalled or escalated request reserves a retry credit with the choice of another upstream. If that upstream refuses the connection or is taken out of service meanwhile, the response in progress goes on, and its credit stays reserved until the request ends, up to 20 s later. Requests whose attempt has failed get 502 (`budget`) for want of it.

Cause: the credit of an attempt that was not sent was kept for the next one, which is right for a request without any attempt in progress only.

Change: an offer that fails gives an unused credit back at once. A later offer reserves one again.

test_credit_of_an_offer_that_is_not_sent_is_given_back_at_once failed before (one credit still reserved).

--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -98,6 +98,9 @@
     def record_withdrawn(self, attempt: SentAttempt) -> None:
         """Records an attempt that was abandoned and may have run."""
 
+    def release_credit(self) -> None:
+        """Takes back the retry credit of an attempt that was not sent."""
+
 
 class HandOver:
     """Keeps the attempts of one request until others take over from them.
@@ -244,6 +247,7 @@
                     accepted = await self._accepts(attempt, stalled)
             except ExchangeError as error:
                 sender.record_failure(entry, error)
+                sender.release_credit()
                 return f"kept: {entry.upstream_id} {error.kind.value}"
             if not accepted:
                 sender.record_withdrawn(attempt)
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -149,8 +149,7 @@
             outcome = await self._send_stopped()
         finally:
             self._hand_over.close()
-            if self._credit_reserved:
-                self._budget.release()
+            self.release_credit()
             self._log_completion(outcome)
 
     def stop(self) -> None:
@@ -211,6 +210,12 @@
         if self._attempts_sent > 0 and not self._credit_reserved:
             self._credit_reserved = self._budget.spend()
 
+    def release_credit(self) -> None:
+        """Takes back the retry credit of an attempt that was not sent."""
+        if self._credit_reserved:
+            self._credit_reserved = False
+            self._budget.release()
+
     async def _find_upstream(self) -> UpstreamEntry | NoUpstream:
         """Chooses an upstream; waits a while if none is free at the moment.
 
