--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -220,6 +220,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def unsent(self) -> bool:
+        """Whether a part of a response waits for the caller to read."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def close_if_idle(self) -> None:
         """Closes the connection if no request is in progress on it."""
         if self._idle and self._transport is not None:
@@ -460,6 +466,12 @@
         """State that all connections share."""
         return self._state
 
+    @property
+    def finished(self) -> bool:
+        """Whether all requests are handled and their responses are sent."""
+        unsent = any(c.unsent for c in self._state.connections)
+        return not (self._state.active or unsent)
+
     async def listen(self, host: str, port: int) -> int:
         """Starts to accept connections and returns the bound port.
 
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -160,3 +160,41 @@
                     await connection.receive_body(_TIMEOUT_MS, 100)
 
     asyncio.run(scenario())
+
+
+def test_server_with_a_response_that_is_not_read_yet_is_unfinished() -> None:
+    """A daemon that exits drops what its connections have buffered."""
+    sent = 0
+
+    async def handler(request: HttpRequest, responder: Responder) -> None:
+        nonlocal sent
+        connection = next(iter(server.state.connections))
+        await responder.start(200, [])
+        while not connection.unsent:
+            await responder.write(b"x" * 16_384)
+            sent += 16_384
+        responder.finish()
+
+    server = HttpServer(
+        ServerState(handler=handler, limits=RequestLimits, now_ms=lambda: 0)
+    )
+
+    async def scenario() -> None:
+        with server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            async with asyncio.timeout(_TIMEOUT_MS / 1_000):
+                while not sent or server.state.active:
+                    await asyncio.sleep(0.01)
+            assert not server.finished
+            received = b""
+            async with asyncio.timeout(_TIMEOUT_MS / 1_000):
+                while not server.finished:
+                    received += await reader.read(65_536)
+        received += await reader.read()
+        assert received.endswith(b"0\r\n\r\n")
+        assert received.count(b"x") == sent
+        writer.close()
+
+    asyncio.run(scenario())
