Report evidence on all traits in turn

Cause: a heartbeat reports the 24 traits with most endings. While streams end upstreams at the same time, all parts and requests of the streams there have more endings than a plain request with one, which no report held: each daemon knew one or two of its endings.

Change: 14 places go to the strongest traits, quarantined ones first; the others go in turn to traits with endings that were not reported yet, the newest first, then to the least recently reported. A daemon with unreported endings of its own sends the next heartbeat as soon as the least gap allows. The newest ending of each reported trait is in the report. Whole requests that went well since are not reported. The size stays.

--- a/trefoilpitch/gateway/_crash_evidence.py
+++ b/trefoilpitch/gateway/_crash_evidence.py
@@ -31,6 +31,7 @@
 # datagram. Traits that are not in quarantine are reported for a while only
 # after an ending or a response that went well.
 _MAX_REPORTED_TRAITS = 24
+_MAX_STRONGEST_TRAITS = 14
 _MAX_REPORTED_ENDINGS = 24
 _DECISIVE_ENDINGS = 6
 _MAX_REPORTED_SOUND_TRAITS = 16
@@ -128,6 +129,9 @@
         self._endings: dict[int, dict[int, bool]] = {}
         # Traits with endings that this daemon has seen itself.
         self._own_traits: set[int] = set()
+        # By trait: monotonic time of its last report, and the number of its
+        # endings then.
+        self._reported: dict[int, tuple[int, int]] = {}
         # By trait: monotonic time of the last response that went well, here
         # and at other daemons.
         self._sound_ms = _SoundTimes()
@@ -146,6 +150,14 @@
         """Monotonic time of the fleet's last response that went well."""
         return _newest(self._newest_sound_ms, self._peers_newest_sound_ms)
 
+    def has_unreported(self, now_ms: int) -> bool:
+        """Whether this daemon has seen endings that no report contained."""
+        return any(
+            self._reported.get(trait, (0, 0))[1] != len(self._endings[trait])
+            for trait in self._own_traits
+            if self._is_current(trait, now_ms)
+        )
+
     def record_ending(
         self,
         upstream: int,
@@ -231,39 +243,23 @@
             now_ms: The monotonic time.
             quarantined: Traits that are always reported.
         """
-        ranked = sorted(
-            (
-                trait in quarantined,
-                len(endings),
-                trait in self._own_traits,
-                newest_ms,
-                trait,
-            )
-            for trait, endings in self._endings.items()
-            if now_ms
-            - max(
-                newest_ms := self._newest_ms(endings),
-                self._sound_ms.get(trait) or newest_ms,
-            )
-            < _REPORTED_MS
-            or trait in quarantined
-        )
-        traits = [key[-1] for key in reversed(ranked[-_MAX_REPORTED_TRAITS:])]
-        # Those that suffice for a quarantine come first, then the newest ones.
-        decisive = [
-            upstream
-            for trait in traits
-            if trait in quarantined
-            for upstream in self._newest_first(self._endings[trait])[
-                :_DECISIVE_ENDINGS
-            ]
+        candidates = [
+            trait
+            for trait in self._endings
+            if trait in quarantined or self._is_current(trait, now_ms)
         ]
-        named = {
-            upstream for trait in traits for upstream in self._endings[trait]
-        }
-        upstreams = list(
-            dict.fromkeys([*decisive, *self._newest_first(named)])
-        )[:_MAX_REPORTED_ENDINGS]
+        strongest = sorted(
+            candidates,
+            key=lambda trait: self._strength(trait, quarantined),
+            reverse=True,
+        )
+        traits = strongest[:_MAX_STRONGEST_TRAITS]
+        # The others take turns, so that those with few endings are reported.
+        others = sorted(strongest[_MAX_STRONGEST_TRAITS:], key=self._turn)
+        traits += others[: _MAX_REPORTED_TRAITS - len(traits)]
+        for trait in traits:
+            self._reported[trait] = (now_ms, len(self._endings[trait]))
+        upstreams = self._reported_upstreams(traits, quarantined)
         return EvidenceReport(
             ended=tuple((k, now_ms - self._ended_ms[k]) for k in upstreams),
             traits=tuple(self._masks(trait, upstreams) for trait in traits),
@@ -277,6 +273,64 @@
             else now_ms - self._newest_sound_ms,
         )
 
+    def _is_current(self, trait: int, now_ms: int) -> bool:
+        """Whether other daemons may not know what is known of a trait."""
+        if is_whole_request(trait) and self.suspicion(trait) is None:
+            return False
+        newest_ms = _newest(
+            self._newest_ms(self._endings[trait]), self._sound_ms.get(trait)
+        )
+        return newest_ms is not None and now_ms - newest_ms < _REPORTED_MS
+
+    def _strength(
+        self, trait: int, quarantined: Collection[int]
+    ) -> tuple[bool, int, bool, int, int]:
+        endings = self._endings[trait]
+        return (
+            trait in quarantined,
+            len(endings),
+            trait in self._own_traits,
+            self._newest_ms(endings),
+            trait,
+        )
+
+    def _turn(self, trait: int) -> tuple[int, bool, int]:
+        """Sorts traits by when they are to be reported.
+
+        Those with unreported endings come first, then the least recently
+        reported ones.
+        """
+        endings = self._endings[trait]
+        reported_ms, reported_endings = self._reported.get(trait, (0, 0))
+        if reported_endings != len(endings):
+            reported_ms = 0
+        own = trait in self._own_traits
+        return reported_ms, not own, -self._newest_ms(endings)
+
+    def _reported_upstreams(
+        self, traits: list[int], quarantined: Collection[int]
+    ) -> list[int]:
+        """Returns the upstreams whose endings are reported.
+
+        Those that suffice for a quarantine come first, then the newest one of
+        each trait, and then the newest ones of all.
+        """
+        newest = {
+            trait: self._newest_first(self._endings[trait]) for trait in traits
+        }
+        decisive = [
+            upstream
+            for trait in traits
+            if trait in quarantined
+            for upstream in newest[trait][:_DECISIVE_ENDINGS]
+        ]
+        first = [newest[trait][0] for trait in traits]
+        named = {
+            upstream for endings in newest.values() for upstream in endings
+        }
+        ordered = [*decisive, *first, *self._newest_first(named)]
+        return list(dict.fromkeys(ordered))[:_MAX_REPORTED_ENDINGS]
+
     def merge(self, report: EvidenceReport, now_ms: int) -> None:
         """Adds the evidence that another daemon has reported.
 
@@ -346,6 +400,7 @@
     def _remove_trait(self, trait: int) -> None:
         del self._endings[trait]
         self._own_traits.discard(trait)
+        self._reported.pop(trait, None)
 
     def _newest_first(self, upstreams: Iterable[int]) -> list[int]:
         return sorted(upstreams, key=lambda k: -self._ended_ms[k])
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -493,6 +493,8 @@
             if member.name != self._settings.name
         ]
         self._peer_socket.send(heartbeat, others)
+        if self._quarantine.has_unreported_evidence():
+            self._send_urgent_heartbeat()
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
--- a/trefoilpitch/gateway/_quarantine.py
+++ b/trefoilpitch/gateway/_quarantine.py
@@ -105,6 +105,10 @@
             self._clock.now_ms(), frozenset().union(*self._culprits)
         )
 
+    def has_unreported_evidence(self) -> bool:
+        """Whether another report is due as soon as possible."""
+        return self._evidence.has_unreported(self._clock.now_ms())
+
     def merge(self, report: EvidenceReport) -> None:
         """Adds the evidence of another daemon."""
         self._evidence.merge(report, self._clock.now_ms())
