--- a/trefoilpitch/fleet/_store.py
+++ b/trefoilpitch/fleet/_store.py
@@ -8,6 +8,7 @@
 from trefoilpitch.fleet._types import (
     Configuration,
     Member,
+    QuarantineRecord,
     RolloutOrder,
     RolloutRecord,
     UpstreamEntry,
@@ -137,6 +138,12 @@
             LeaseLostError: If the lease has ended.
         """
 
+    async def end_lease(self, lease_id: int) -> None:
+        """Ends a lease and removes its keys, unless it has already ended.
+
+        A key that was written again under another lease stays.
+        """
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Evacuation:
@@ -152,6 +159,7 @@
     | RolloutRecord
     | Evacuation
     | Member
+    | QuarantineRecord
 )
 
 
@@ -179,3 +187,8 @@
 
     def encode_member(self, member: Member, lease_id: int) -> Write:
         """Encodes a daemon's registration."""
+
+    def encode_quarantine(
+        self, record: QuarantineRecord, lease_id: int
+    ) -> Write:
+        """Encodes the record of a quarantine."""
--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -15,7 +15,7 @@
 from trefoilpitch.gateway._exceptions import CallerDisconnectedError
 from trefoilpitch.gateway._http_client import Headers
 from trefoilpitch.gateway._log import log_event, log_failure
-from trefoilpitch.gateway._sockets import set_tcp_options
+from trefoilpitch.gateway._sockets import PeerMonitor
 
 _MS_PER_S = 1_000
 # Bytes buffered for a slow caller; above this writers wait.
@@ -122,8 +122,10 @@
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
+        self._max_header_bytes = state.limits().max_header_bytes
         self._h11 = self._create_parser()
         self._transport: asyncio.Transport | None = None
+        self._monitor: PeerMonitor | None = None
         self._task: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
         self._parts: list[bytes] = []
@@ -142,17 +144,16 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
-        set_tcp_options(transport)
+        self._monitor = PeerMonitor(transport, self.abort)
         self._state.connections.add(self)
         self._start_idle_timer()
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser and handles its events."""
         if self._idle:
+            self._apply_header_limit()
             self._arrived_ms = self._state.now_ms()
-            self._start_timer(
-                self._state.limits().header_timeout_ms, self._on_request_timeout
-            )
+            self._start_header_timer()
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError:
@@ -172,6 +173,8 @@
         self._closed = True
         self._writable.set()
         self._cancel_timer()
+        if self._monitor is not None:
+            self._monitor.close()
         self._state.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -233,9 +236,16 @@
     def _create_parser(self) -> h11.Connection:
         return h11.Connection(
             our_role=h11.SERVER,
-            max_incomplete_event_size=self._state.limits().max_header_bytes,
+            max_incomplete_event_size=self._max_header_bytes,
         )
 
+    def _apply_header_limit(self) -> None:
+        """Adopts a limit that has changed since the last request."""
+        limit = self._state.limits().max_header_bytes
+        if limit != self._max_header_bytes:
+            self._max_header_bytes = limit
+            self._h11 = self._create_parser()
+
     def _process_events(self) -> None:
         while self._task is None and not self._closed:
             try:
@@ -356,8 +366,11 @@
             self._paused = False
             self._transport.resume_reading()
         self._start_idle_timer()
-        # The parser may already have buffered a pipelined request.
+        # The parser may already have buffered a pipelined request or a part of
+        # one.
         self._arrived_ms = self._state.now_ms()
+        if not self._idle:
+            self._start_header_timer()
         self._process_events()
 
     def _reject(self, status: int, detail: str) -> None:
@@ -399,6 +412,11 @@
         self._idle_since_ms = self._state.now_ms()
         self._start_timer(self._idle_left_ms(), self._on_idle_timeout)
 
+    def _start_header_timer(self) -> None:
+        self._start_timer(
+            self._state.limits().header_timeout_ms, self._on_request_timeout
+        )
+
     def _idle_left_ms(self) -> int:
         idle_ms = self._state.now_ms() - self._idle_since_ms
         return self._state.limits().idle_timeout_ms - idle_ms
@@ -419,6 +437,8 @@
         data = self._h11.send(event)
         if data:
             self._transport.write(data)
+            if self._monitor is not None:
+                self._monitor.data_written()
 
 
 def _head_bytes(head: h11.Request) -> int:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -52,6 +52,7 @@
     watches_store,
 )
 from trefoilpitch.gateway._quarantine import Quarantine
+from trefoilpitch.gateway._quarantine_records import QuarantineRecords
 from trefoilpitch.gateway._registration import Registration
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
@@ -64,6 +65,7 @@
 
 _LEASE_RENEWAL_MS = 8_000
 _ROLLOUT_INTERVAL_MS = 200
+_QUARANTINE_SYNC_INTERVAL_MS = 500
 # For this long after a listing all listed members count as alive: by then each
 # has sent a heartbeat, even in a large fleet.
 _MEMBER_GRACE_MS = 1_700
@@ -81,10 +83,15 @@
 _BUDGET_SHARE = 0.85
 _MS_PER_S = 1_000
 # How long a leaving daemon accepts new requests: callers cache addresses for a
-# few seconds.
-_LEAVE_OPEN_MS = 3_000
+# few seconds. Requests of the first 3 s after the signal may be cut off by the
+# exit if they run until then, later ones may not; 200 ms are a margin for what
+# arrives while the process is late.
+_LEAVE_OPEN_MS = 2_800
 # The daemon exits this long before the platform would kill it.
 _LEAVE_MARGIN_MS = 300
+# Requests without a response get a final one this long before the exit: several
+# turns of the loop that waits for them, also on a busy VM.
+_FINAL_RESPONSE_MS = 200
 _METRICS_PATH = b"/metrics"
 _STATE_PATH = b"/state"
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
@@ -193,9 +200,22 @@
             own_name=settings.name,
             live_peers=self._peers.alive,
         )
+        self._quarantine_records = QuarantineRecords(
+            self._quarantine,
+            evidence,
+            clock,
+            view=self._view,
+            store=store,
+            codec=documents,
+            own_name=settings.name,
+            live_peers=self._peers.alive,
+        )
         self._heartbeat_sent_ms = clock.now_ms()
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
-        request_handler = RequestHandler(
+        self._cut_attempts = CutAttempts(
+            evidence, clock, metrics, self._send_urgent_heartbeat
+        )
+        self._request_handler = RequestHandler(
             RequestDependencies(
                 view=self._view,
                 dispatcher=dispatcher,
@@ -206,15 +226,13 @@
                 expected_latencies=ExpectedLatencies(),
                 models=ModelSelector(),
                 metrics=metrics,
-                cut_attempts=CutAttempts(
-                    evidence, clock, metrics, self._send_urgent_heartbeat
-                ),
+                cut_attempts=self._cut_attempts,
                 quarantine=self._quarantine,
                 is_current=self._is_current,
                 store_unavailable=lambda: self._follower.store_unavailable,
             )
         )
-        self._caller_server = self._server(request_handler.handle)
+        self._caller_server = self._server(self._request_handler.handle)
         self._auxiliary_servers = [
             (settings.readiness, self._server(auxiliary.readiness(self))),
             (settings.directory, self._server(auxiliary.directory(self))),
@@ -238,6 +256,16 @@
         """Local copy of the shared fleet state."""
         return self._view
 
+    @property
+    def _end_ms(self) -> int:
+        """Time from the signal until the latest exit."""
+        return self._settings.grace_ms - _LEAVE_MARGIN_MS
+
+    @property
+    def _open_ms(self) -> int:
+        """Time from the signal until it accepts no new requests."""
+        return min(_LEAVE_OPEN_MS, self._end_ms // 2)
+
     @property
     def _configuration_version(self) -> int:
         """Version of the configuration; 0 if there is none."""
@@ -289,12 +317,17 @@
         """Starts a graceful shutdown.
 
         Requests in progress are completed; new ones are accepted for a few
-        more seconds.
+        more seconds. The entry in the store stays until the daemon exits:
+        peers send heartbeats to the listed daemons only, and its directory
+        names those that it hears.
         """
         if self._leaving_since_ms is not None:
             return
         self._leaving_since_ms = self._clock.now_ms()
         self._caller_server.state.closing = True
+        self._request_handler.refuse_from(
+            self._leaving_since_ms + self._open_ms
+        )
         log_event("leaving", active=self._caller_server.state.active)
         self._send_heartbeat()
 
@@ -308,6 +341,10 @@
             "decider": lambda: run_periodically(
                 _ROLLOUT_INTERVAL_MS, self._rollout_controller.advance_rollouts
             ),
+            "quarantine_records": lambda: run_periodically(
+                _QUARANTINE_SYNC_INTERVAL_MS,
+                self._quarantine_records.synchronize,
+            ),
             "catching_up": lambda: run_periodically(0, self._catch_up),
             "leaving": self._finish_leaving,
         }
@@ -319,21 +356,21 @@
             await self._left.wait()
             for task in tasks:
                 task.cancel()
+        await self._registration.withdraw()
 
     async def _finish_leaving(self) -> None:
         while self._leaving_since_ms is None:
             await asyncio.sleep(0.05)
-        await self._registration.withdraw()
-        end_ms = self._settings.grace_ms - _LEAVE_MARGIN_MS
-        open_ms = min(_LEAVE_OPEN_MS, end_ms // 2)
         while True:
             elapsed_ms = self._clock.now_ms() - self._leaving_since_ms
-            if elapsed_ms >= open_ms:
+            if elapsed_ms >= self._open_ms:
                 self._caller_server.stop_listening()
                 self._caller_server.close_idle()
                 if not self._caller_server.state.active:
                     break
-            if elapsed_ms >= end_ms:
+            if elapsed_ms >= self._end_ms - _FINAL_RESPONSE_MS:
+                self._request_handler.stop()
+            if elapsed_ms >= self._end_ms:
                 break
             await asyncio.sleep(0.05)
         log_event("left", unanswered=self._caller_server.state.active)
@@ -372,6 +409,7 @@
     def _on_view_change(self) -> None:
         self._view.expire(self._clock.now_ms())
         self._dispatcher.evict_removed()
+        self._quarantine_records.adopt()
         if self._should_watch():
             # Notifies the peers, which compare its revision with their own.
             self._send_heartbeat()
@@ -447,6 +485,7 @@
             stopped=self._rollout_controller.stopped_orders(),
             unreachable=self._dispatcher.own_unreachable(),
             traits=self._quarantine.report(),
+            paces=self._rollout_controller.own_paces(),
         )
         others = [
             member
@@ -458,6 +497,7 @@
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
         self._quarantine.merge(heartbeat.traits)
+        self._cut_attempts.review_abandoned()
         if heartbeat.current and heartbeat.version <= self._view.version:
             self._follower.confirm_current()
         if heartbeat.era == self._view.era:
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -14,7 +14,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
-from typing import cast
+from typing import Annotated, TypeAlias, cast
 
 import msgspec
 
@@ -22,6 +22,7 @@
 from trefoilpitch.gateway._crash_evidence import EvidenceReport
 from trefoilpitch.gateway._exceptions import PeerReplyError
 from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._paces import PaceCounts
 from trefoilpitch.gateway._rollouts import VersionEvidence
 from trefoilpitch.rendezvous import rank
 
@@ -44,6 +45,9 @@
 # Larger datagrams may be fragmented by the network.
 _MAX_DATAGRAM_BYTES = 1_200
 
+# A heartbeat with a negative count is malformed.
+_Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class VersionCount(msgspec.Struct, frozen=True, array_like=True):
     """One daemon's evidence on one version of a service in a roll-out."""
@@ -52,12 +56,23 @@
     version: str
     # Store revision of the roll-out's order.
     order_revision: int
-    good: int
-    failed: int
-    slow: int
+    good: _Count
+    failed: _Count
+    slow: _Count
     # In-flight requests on versions other than the target; the same in all
     # counts of a service.
-    off_target: int
+    off_target: _Count
+
+
+class PaceReport(msgspec.Struct, frozen=True, array_like=True):
+    """One daemon's paces of the versions of a service in a roll-out."""
+
+    service: str
+    # Store revision of the roll-out's order.
+    order_revision: int
+    # Number of paces by class, by stratum.
+    target: dict[int, dict[int, int]]
+    others: dict[int, dict[int, int]]
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -77,7 +92,7 @@
     ready: bool
     versions: tuple[VersionCount, ...]
     # Number of this daemon's in-flight requests by upstream digest.
-    in_flight: dict[int, int] = {}
+    in_flight: dict[int, _Count] = {}
     # Era of the store that the revision belongs to.
     era: int = 0
     # Version of its configuration; 0 if it has none.
@@ -88,6 +103,8 @@
     unreachable: tuple[int, ...] = ()
     # The fleet's evidence on traits of requests, as far as it knows it.
     traits: EvidenceReport = EvidenceReport()
+    # Its paces of the services in a roll-out that has not ended.
+    paces: tuple[PaceReport, ...] = ()
 
     @property
     def version(self) -> StoreVersion:
@@ -288,6 +305,22 @@
                 total[count.version] = known.merge(reported)
         return total, off_target
 
+    def paces(
+        self, service: str, order_revision: int
+    ) -> tuple[list[PaceCounts], list[PaceCounts]]:
+        """Returns the peers' paces of a target and of the other versions."""
+        reports = [
+            report
+            for peer in self._peers.values()
+            for report in peer.heartbeat.paces
+            if report.service == service
+            and report.order_revision == order_revision
+        ]
+        return (
+            [report.target for report in reports],
+            [report.others for report in reports],
+        )
+
     def _subtract(self, heartbeat: Heartbeat) -> None:
         self._in_flight.subtract(heartbeat.in_flight)
         self._unreachable.subtract(heartbeat.unreachable)
@@ -334,7 +367,11 @@
         if self._transport is None:
             return
         data = msgspec.msgpack.encode(heartbeat)
-        for field, empty in (("in_flight", {}), ("traits", EvidenceReport())):
+        for field, empty in (
+            ("in_flight", {}),
+            ("traits", EvidenceReport()),
+            ("paces", ()),
+        ):
             if len(data) > _MAX_DATAGRAM_BYTES:
                 heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
                 data = msgspec.msgpack.encode(heartbeat)
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -75,18 +75,12 @@
 )
 
 
-class _EscalationRequested(Exception):  # noqa: N818 - not an error
-    """The response is to be replaced by one of another model tier.
+class _Escalated(Exception):  # noqa: N818 - not an error
+    """An upstream has accepted the request for a larger model.
 
     Only raised before any part of the response has been sent to the caller.
     """
 
-    def __init__(self, tier: int, confidence: int | None) -> None:
-        super().__init__()
-        self.tier = tier
-        # Confidence of the response that is replaced.
-        self.confidence = confidence
-
 
 class RequestRun:
     """Runs one admitted request to completion.
@@ -125,6 +119,9 @@
         self._tiers = TierChoice(deps, request, admitted.route)
         self._last_event_id: int | None = None
         self._hand_over = HandOver(deps, request.request_id, self)
+        self._task: asyncio.Task[None] | None = None
+        # Whether its attempts were cancelled because the daemon exits.
+        self._stopped = False
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
         arrived_ms = request.http.arrived_ms
         timeout_ms = admitted.route.timeout_ms
@@ -142,15 +139,39 @@
     async def serve(self) -> None:
         """Runs attempts until a response is sent, and logs the outcome."""
         self._budget.record_first_attempt()
+        self._task = asyncio.current_task()
         outcome = "cancelled"
         try:
             outcome = await self._run_attempts()
+        except asyncio.CancelledError:
+            if not self._is_stopped():
+                raise
+            outcome = await self._send_stopped()
         finally:
             self._hand_over.close()
             if self._credit_reserved:
                 self._budget.release()
             self._log_completion(outcome)
 
+    def stop(self) -> None:
+        """Ends the request with a final response, unless one has begun."""
+        if self._task is None or self._stopped or self._responder.started:
+            return
+        self._stopped = True
+        self._task.cancel()
+
+    def _is_stopped(self) -> bool:
+        """Whether `stop` alone has cancelled the attempts."""
+        if not self._stopped or self._task is None:
+            return False
+        return self._task.uncancel() == 0
+
+    async def _send_stopped(self) -> str:
+        self._attempt_log.append("the daemon exits")
+        if self._run_ids:
+            self._count_withdrawn()
+        return await self._send_failure()
+
     async def _run_attempts(self) -> str:
         while True:
             successor = self._hand_over.successor
@@ -251,9 +272,8 @@
         try:
             with self.counted(entry):
                 await self._exchange(entry)
-        except _EscalationRequested as escalation:
+        except _Escalated:
             self._attempts = self._attempts.with_replaced_response()
-            self._tiers.escalate(escalation.tier, escalation.confidence)
             self._attempted_ids.clear()
             return FailureKind.RESPONSE_TRUNCATED
         except ExchangeError as error:
@@ -311,6 +331,15 @@
                 attempt.entry, self._traits, error.kind, attempt.progress
             )
             raise
+        except BaseException:
+            # The response is replaced, or the caller has left.
+            self._record_abandoned(attempt)
+            raise
+
+    def _record_abandoned(self, attempt: SentAttempt) -> None:
+        self._deps.cut_attempts.record_abandoned(
+            attempt.entry, self._traits, attempt.progress
+        )
 
     async def _exchange(self, entry: UpstreamEntry) -> None:
         attempt = self._hand_over.take_successor()
@@ -328,7 +357,7 @@
             if response.head.status != _OK or not streamed:
                 await self._receive_plain(connection, attempt, response, speed)
             else:
-                self._maybe_escalate(attempt, response, speed)
+                await self._maybe_escalate(attempt, response, speed)
                 await self._forward_stream(attempt, response, speed)
         self._deps.cut_attempts.record_complete(
             entry, self._traits, response.head
@@ -345,6 +374,14 @@
             record=functools.partial(
                 self._deps.dispatcher.record_evidence, attempt.entry
             ),
+            record_pace=functools.partial(
+                self._deps.dispatcher.record_pace,
+                attempt.entry,
+                attempt.started_ms,
+            ),
+            load=functools.partial(
+                self._deps.dispatcher.load, attempt.entry.upstream_id
+            ),
         )
         timer: asyncio.TimerHandle | None = None
         if speed.due_ms is not None:
@@ -354,12 +391,13 @@
             )
         try:
             yield speed
-        except _EscalationRequested:
+        except _Escalated:
             speed.completed()
             raise
         finally:
             if timer is not None:
                 timer.cancel()
+            speed.ended()
         speed.completed()
 
     async def _await_response(self, attempt: SentAttempt) -> UpstreamResponse:
@@ -462,12 +500,20 @@
                 f"status {response.head.status} on resuming a stream",
             )
 
-    def _maybe_escalate(
+    async def _maybe_escalate(
         self,
         attempt: SentAttempt,
         response: UpstreamResponse,
         speed: ResponseSpeed,
     ) -> None:
+        """Escalates to a larger model if that is worthwhile.
+
+        The response is kept until an upstream has accepted the request for
+        the larger model, and is forwarded if none does.
+
+        Raises:
+            _Escalated: If an upstream has accepted it.
+        """
         if self._responder.started:
             return
         if self._attempts.replaced:
@@ -479,17 +525,29 @@
             return
         entry = attempt.entry
         tier = self._tiers.escalation(entry.service, response.confidence)
-        if tier is not None:
-            now_ms = self._deps.clock.now_ms()
-            elapsed_ms = now_ms - attempt.started_ms
-            speed.first_part_arrived(now_ms)
+        if tier is None:
+            return
+        now_ms = self._deps.clock.now_ms()
+        attempt.first_part_ms = now_ms
+        speed.first_part_arrived(now_ms)
+        summary = (
+            f"{entry.upstream_id} {self._tiers.model}"
+            f" {now_ms - attempt.started_ms} ms"
+            f" of {self._expected_latency_ms():.0f}"
+            f" load {response.load and response.load.running}"
+        )
+        self._tiers.escalate(tier, response.confidence)
+        found = self._find_other()
+        decision = f"kept: {found}"
+        if isinstance(found, UpstreamEntry):
+            decision = await self._hand_over.offer(found)
+        if self._hand_over.successor is not None:
             self._attempt_log.append(
-                f"{entry.upstream_id} {self._tiers.model} {elapsed_ms} ms"
-                f" of {self._expected_latency_ms():.0f}"
-                f" load {response.load and response.load.running}"
-                f" replaced, confidence {response.confidence}"
+                f"{summary} replaced, confidence {response.confidence}"
             )
-            raise _EscalationRequested(tier, response.confidence)
+            raise _Escalated
+        self._tiers.undo_escalation()
+        self._attempt_log.append(f"{summary} escalation {decision}")
 
     async def _receive_plain(
         self,
@@ -596,13 +654,18 @@
 
     def find_successor(self) -> UpstreamEntry | str:
         """Returns another upstream, or why there is none."""
+        return self._find_other(unusable=self._run_ids)
+
+    def _find_other(
+        self, unusable: Collection[str] = ()
+    ) -> UpstreamEntry | str:
         # Once an offer was in vain, an attempt is left for a real failure.
         spare = 1 if self._withdrawn else 0
         if self._attempts.runs + 1 + spare >= self._route.max_attempts:
             return "attempts used up"
         if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_OFFER_MS:
             return "deadline is near"
-        found = self._choose(unusable=self._run_ids)
+        found = self._choose(unusable=unusable)
         return found.reason if isinstance(found, NoUpstream) else found
 
     def _record_success(
@@ -613,7 +676,9 @@
     ) -> None:
         deps = self._deps
         entry = attempt.entry
-        now_ms = deps.clock.now_ms()
+        now_ms = attempt.first_part_ms
+        if now_ms is None:
+            now_ms = deps.clock.now_ms()
         latency_ms = now_ms - attempt.started_ms
         expected_ms = self._expected_latency_ms()
         # The comparison comes before the expected latency is updated.
@@ -639,6 +704,8 @@
         self._attempts = self._attempts.with_failure(error.kind)
         self._attempt_log.append(f"{entry.upstream_id} {error.kind.value}")
         health = deps.dispatcher.health(entry.upstream_id)
+        if error.kind is FailureKind.CONNECT_REFUSED:
+            deps.cut_attempts.record_refused(entry)
         if classify_failure(error.kind) is Execution.NOT_RUN:
             self._run_ids.discard(entry.upstream_id)
         if error.kind is FailureKind.SERVER_ERROR:
@@ -671,8 +738,12 @@
         health = self._deps.dispatcher.health(entry.upstream_id)
         health.record_failure(self._deps.clock.now_ms(), unreachable=False)
 
-    def record_withdrawn(self) -> None:
+    def record_withdrawn(self, attempt: SentAttempt) -> None:
         """Records an attempt that was abandoned and may have run."""
+        self._record_abandoned(attempt)
+        self._count_withdrawn()
+
+    def _count_withdrawn(self) -> None:
         self._attempts = self._attempts.with_replaced_response()
         self._withdrawn = True
 
