Keep reservations of the retry budget apart from attempts

What happens: an attempt counted in the retry budget from its reservation on. A reservation may be held for seconds: the credit of a response in progress is kept while upstreams refuse the connection or are gone. Two errors follow. The attempt leaves the window too early, so that more attempts than allowed are sent in a window of their sending times. And a reservation that is released after the window takes back another request's attempt. Both raise the number of attempts above what BUDGET allows.

--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -208,7 +208,7 @@
     def _reserve_credit(self) -> None:
         # Reserved with the choice, as many requests may wait for one credit.
         if self._attempts_sent > 0 and not self._credit_reserved:
-            self._credit_reserved = self._budget.spend()
+            self._credit_reserved = self._budget.reserve()
 
     def release_credit(self) -> None:
         """Takes back the retry credit of an attempt that was not sent."""
@@ -320,7 +320,9 @@
             connection.close()
             raise
         self._attempts_sent += 1
-        self._credit_reserved = False
+        if self._credit_reserved:
+            self._credit_reserved = False
+            self._budget.spend_reserved()
         self._run_ids.add(entry.upstream_id)
         return SentAttempt(
             entry=entry, connection=connection, started_ms=started_ms
--- a/trefoilpitch/retries/_window.py
+++ b/trefoilpitch/retries/_window.py
@@ -37,6 +37,8 @@
         self._window_ms = window_ms
         self._first_attempts: deque[int] = deque()
         self._extra_attempts: deque[int] = deque()
+        # Extra attempts that are going to be made.
+        self._reserved = 0
 
     @property
     def slack(self) -> float:
@@ -52,7 +54,7 @@
         """Extra attempts that the budget allows now."""
         self._expire()
         allowed = self._share * len(self._first_attempts) + self._slack
-        return allowed - len(self._extra_attempts)
+        return allowed - len(self._extra_attempts) - self._reserved
 
     def record_first_attempt(self) -> None:
         """Counts a request's first attempt."""
@@ -73,10 +75,27 @@
         self._extra_attempts.append(self._clock.now_ms())
         return True
 
+    def reserve(self) -> bool:
+        """Reserves one extra attempt if the budget allows it.
+
+        It counts until `release`, or in the window of its time once it is made.
+
+        Returns:
+            Whether it does.
+        """
+        if not self.affords():
+            return False
+        self._reserved += 1
+        return True
+
+    def spend_reserved(self) -> None:
+        """Counts an extra attempt that was reserved, as it is made."""
+        self._reserved -= 1
+        self._extra_attempts.append(self._clock.now_ms())
+
     def release(self) -> None:
-        """Takes back an extra attempt that was counted and not made."""
-        if self._extra_attempts:
-            self._extra_attempts.pop()
+        """Takes back a reservation."""
+        self._reserved -= 1
 
     def _expire(self) -> None:
         oldest_ms = self._clock.now_ms() - self._window_ms
--- a/trefoilpitch/retries/tests/test_window.py
+++ b/trefoilpitch/retries/tests/test_window.py
@@ -65,3 +65,23 @@
     clock.advance(10_000)
     assert budget.spend()
     assert not budget.spend()
+
+
+def test_reservation_that_outlasts_the_window_is_released_only_once() -> None:
+    clock = ManualClock()
+    budget = _budget(clock)
+    assert budget.reserve()
+    clock.advance(10_001)
+    assert budget.spend()
+    budget.release()
+    assert [budget.spend() for _ in range(2)] == [True, False]
+
+
+def test_reserved_attempt_counts_in_the_window_in_which_it_is_made() -> None:
+    clock = ManualClock()
+    budget = _budget(clock)
+    assert budget.reserve()
+    clock.advance(9_999)
+    budget.spend_reserved()
+    clock.advance(2)
+    assert [budget.spend() for _ in range(2)] == [True, False]
