--- a/trefoilpitch/gateway/_crash_evidence.py
+++ b/trefoilpitch/gateway/_crash_evidence.py
@@ -31,6 +31,7 @@
 # datagram. Traits that are not in quarantine are reported for a while only
 # after an ending or a response that went well.
 _MAX_REPORTED_TRAITS = 24
+# Of these, the places of the strongest traits; the other traits take turns.
 _MAX_STRONGEST_TRAITS = 14
 _MAX_REPORTED_ENDINGS = 24
 _DECISIVE_ENDINGS = 6
--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -245,11 +245,11 @@
         return False
     if _moments(ended_ms[k] for k in upstreams) < min_moments:
         return False
-    # A request that never went well needs no comparison with other ones: each
-    # upstream that got it has ended.
-    certain = is_whole_request(explanation.trait)
-    certain = certain and not explanation.suspicion.was_sound
-    return certain or _is_usual(upstreams, unexplained_ms)
+    was_sound = explanation.suspicion.was_sound
+    if is_whole_request(explanation.trait) and not was_sound:
+        # Each upstream that got the request has ended.
+        return True
+    return _is_usual(upstreams, unexplained_ms)
 
 
 def _is_usual(
