Apply a configuration before requests are admitted under it

Cause, found by reading: ReplicaHost published the replica's new state, and with it the permission to admit new work, and only then put the new configuration into the routing table. Threads of requests read both without the lock. Until the table was replaced (2.4 ms between the two revisions in that log), a request was admitted by the new proof and served by the old table.

Evidence: the new test reads the standing while the configuration is applied; it was CURRENT before, for a proof of a revision that was not in force.

Change: configurations are applied first, then the state is published. A request that sees the new permission sees the new table too, as it reads the table after its admission.

--- a/trefoilpitch/daemon/_replica.py
+++ b/trefoilpitch/daemon/_replica.py
@@ -278,14 +278,20 @@
         """Applies an event; safe to call from any thread."""
         with self._lock:
             now_ms = self._clock.now_ms()
-            self._state, actions = step(self._state, event, now_ms)
+            state, actions = step(self._state, event, now_ms)
+            # Requests read the standing without the lock. It may admit them
+            # only when the configuration that it stands for is in force.
+            for action in actions:
+                if isinstance(action, ApplyConfiguration):
+                    self._apply_configuration(action.configuration)
+            self._state = state
             for action in actions:
                 self._execute(action)
 
     def _execute(self, action: ReplicaAction) -> None:
         match action:
-            case ApplyConfiguration(configuration=configuration):
-                self._apply_configuration(configuration)
+            case ApplyConfiguration():
+                pass  # Applied before the state was replaced.
             case SendMessage(address=address, message=message):
                 self._transport.send(address, message, urgent=action.is_urgent)
             case StartWatch():
