Grant no time to catch up to a node that was not current

What callers may see: a node that comes back from a cut or a pause serves up to two seconds by a configuration that was replaced long before.

Cause: a node that learns of a higher revision may admit new work for max_behind_ms more, since it was current until just then. After a cut it was not: the first contact with another failure domain both renewed the permission and started those two seconds, though the revision was replaced any time ago.

Evidence: test_node_that_missed_a_change_in_a_cut_admits_nothing_before_it (nodes that keep no deltas) admitted work by revision 1 before; with deltas the same reply brings the revision, so that the window is seldom seen.

Change: the state records whether the node admitted new work when it learned of the higher revision. If not, it is behind at once and until it has caught up.

--- a/trefoilpitch/configuration/replication/_freshness.py
+++ b/trefoilpitch/configuration/replication/_freshness.py
@@ -28,7 +28,7 @@
     # without this node learning of it.
     STORE_LOST = "store_lost"
     # A higher revision has been known for ``max_behind_ms`` without being in
-    # force here.
+    # force here, or was first learned of after a time without proof or contact.
     BEHIND = "behind"
     # Neither the store nor most failure domains are reachable.
     CUT_OFF = "cut_off"
@@ -146,4 +146,6 @@
 def _is_behind_too_long(state: ReplicaState, now_ms: int) -> bool:
     if state.behind_since_ms is None:
         return False
+    if not state.was_current_until_behind:
+        return True
     return now_ms - state.behind_since_ms > state.settings.max_behind_ms
--- a/trefoilpitch/configuration/replication/_state.py
+++ b/trefoilpitch/configuration/replication/_state.py
@@ -164,6 +164,9 @@
     # When a revision above the one in force was first learned of; None if
     # there is none.
     behind_since_ms: int | None = None
+    # Whether new work was admitted until then. If not, the higher revision may
+    # be much older.
+    was_current_until_behind: bool = True
     # Address of a peer with a higher revision; empty if none is known.
     peer_ahead: str = ""
     # The highest revision for which a peer was probed for deltas.
--- a/trefoilpitch/configuration/replication/_transition.py
+++ b/trefoilpitch/configuration/replication/_transition.py
@@ -9,6 +9,7 @@
     ReplicaAction,
     SendMessage,
 )
+from trefoilpitch.configuration.replication._freshness import standing
 from trefoilpitch.configuration.replication._messages import (
     ReplicaMessage,
     RevisionProbe,
@@ -61,6 +62,7 @@
     def __init__(
         self, state: ReplicaState, now_ms: int, source: Source
     ) -> None:
+        self._initial = state
         self._state = state
         self._now_ms = now_ms
         self._source = source
@@ -134,7 +136,11 @@
         if revision <= state.revision:
             return
         if state.behind_since_ms is None:
-            self.update(behind_since_ms=self._now_ms)
+            before = standing(self._initial, self._now_ms)
+            self.update(
+                behind_since_ms=self._now_ms,
+                was_current_until_behind=before.admits_new_work,
+            )
         if revision > state.head_revision:
             self.update(head_revision=revision)
         if peer_ahead:
--- a/trefoilpitch/configuration/replication/tests/test_rules.py
+++ b/trefoilpitch/configuration/replication/tests/test_rules.py
@@ -254,3 +254,29 @@
         head = HeadRead(value=None, sent_ms=later_ms)
         state, _ = step(state, head, later_ms)
         assert standing(state, later_ms) is Standing.STARTING
+
+
+@pytest.mark.parametrize("max_delta_bytes", [0, 32_768])
+def test_node_that_missed_a_change_in_a_cut_admits_nothing_before_it(
+    max_delta_bytes: int,
+) -> None:
+    fleet = Fleet("abc", 2)
+    fleet.max_delta_bytes = max_delta_bytes
+    fleet.start()
+    fleet.run(3_000)
+    fleet.commit("a-0", sign_off()).unwrap()
+    fleet.run(3_000)
+    assert fleet.revisions() == {1}
+    fleet.store_unreachable_from = {"b"}
+    fleet.isolated = {"b-0", "b-1"}
+    fleet.run(6_000)
+    assert fleet.standings()["b-0"] is Standing.CUT_OFF
+    fleet.commit("a-0", vm_out("x")).unwrap()
+    fleet.isolated = set()
+    fleet.tick_ms = 1
+    for _ in range(3_000):
+        fleet.run(1)
+        for name, node_standing in fleet.standings().items():
+            if node_standing.admits_new_work and name.startswith("b"):
+                assert fleet.states[name].revision == 2
+    assert fleet.revisions() == {2}
