Send the requests of the pause test when the daemon has stopped

Cause: SIGSTOP returns before the process has stopped. Until then the daemon takes requests under the configuration in force, rightly, and finishes them when it goes on.

Ruled out as the only cause: nothing.

Change: Processes.pause waits until the kernel reports that the process has stopped. The test's assertions are the same, and all of its requests now arrive in the pause, as its comment says.

--- a/tests/endtoend/test_pause.py
+++ b/tests/endtoend/test_pause.py
@@ -22,7 +22,7 @@
     assert first.headers["Model-Version"] == "large@2"
     session = first.headers["Session"]
 
-    fleet.processes.signal("entry-c", signal.SIGSTOP)
+    fleet.processes.pause("entry-c")
     resume_at = time.monotonic() + _PAUSE_S
     # The kernel accepts these connections while the daemon is paused, so the
     # daemon reads these requests first when it resumes.
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -94,6 +94,11 @@
         """Sends a signal to a process."""
         self._running[name].send_signal(number)
 
+    def pause(self, name: str) -> None:
+        """Sends SIGSTOP to a process and waits until all its threads stop."""
+        self.signal(name, signal.SIGSTOP)
+        os.waitid(os.P_PID, self.pid(name), os.WSTOPPED)
+
     def wait(self, name: str, timeout_s: float = _EXIT_TIMEOUT_S) -> int:
         """Waits for a process to end and returns its exit status.
 
