Send evidence that does not fit into a heartbeat by itself

What callers may see: while a version is rolled out and many upstreams end, a request that crashes its upstreams is refused late or by some daemons only.

Cause: a heartbeat above 1,200 bytes was sent without its details: first the requests in progress, then the evidence on traits, then the paces of the roll-out. Evidence at its bounds takes 750 bytes, the rest of a heartbeat some 200, the paces of one service 306 with six classes a stratum and 434 with ten. Where the evidence was left out, it was left out whole, and still counted as reported, so that no urgent heartbeat made up for it.

Change: such evidence follows in a datagram of its own, whose merge needs neither order nor the heartbeat. Details are left out only if the rest is still too large. Heartbeats and evidence carry a tag that tells them apart.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -20,7 +20,10 @@
     RequestLimits,
     StoreVersion,
 )
-from trefoilpitch.gateway._crash_evidence import CrashEvidence
+from trefoilpitch.gateway._crash_evidence import (
+    CrashEvidence,
+    EvidenceReport,
+)
 from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._dispatcher import Dispatcher
 from trefoilpitch.gateway._exceptions import (
@@ -241,7 +244,9 @@
         if settings.metrics is not None:
             inspector = self._server(self._serve_inspection)
             self._auxiliary_servers.append((settings.metrics, inspector))
-        self._peer_socket = PeerSocket(self._receive_heartbeat)
+        self._peer_socket = PeerSocket(
+            self._receive_heartbeat, self._merge_evidence
+        )
 
     @property
     def ready(self) -> bool:
@@ -498,8 +503,7 @@
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
-        self._quarantine.merge(heartbeat.traits)
-        self._cut_attempts.review_abandoned()
+        self._merge_evidence(heartbeat.traits)
         if heartbeat.current and heartbeat.version <= self._view.version:
             self._follower.confirm_current()
         if heartbeat.era == self._view.era:
@@ -510,6 +514,10 @@
             self._peer_ahead.set()
             self._follower.notify_peer_ahead()
 
+    def _merge_evidence(self, report: EvidenceReport) -> None:
+        self._quarantine.merge(report)
+        self._cut_attempts.review_abandoned()
+
     def _is_ahead(self, heartbeat: Heartbeat) -> bool:
         """Returns whether a peer has a newer state or configuration.
 
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -4,7 +4,8 @@
 totals, never deltas, so that the next one makes up for a lost one. They show
 which daemons are alive or leaving, which revision of the fleet state each of
 them has, and its evidence on the versions of a roll-out and on traits of
-requests under which upstreams end.
+requests under which upstreams end. Evidence on traits that does not fit into
+the datagram of a heartbeat follows in one of its own.
 """
 
 from __future__ import annotations
@@ -75,7 +76,7 @@
     others: dict[int, dict[int, int]]
 
 
-class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
     """The state that a daemon publishes to its peers."""
 
     node: str
@@ -112,6 +113,14 @@
         return StoreVersion(self.era, self.revision)
 
 
+class EvidenceMessage(
+    msgspec.Struct, frozen=True, array_like=True, tag="evidence"
+):
+    """Evidence that does not fit into its daemon's heartbeat."""
+
+    traits: EvidenceReport
+
+
 class WireItem(msgspec.Struct, frozen=True, array_like=True):
     """An item of the fleet state as encoded for a peer."""
 
@@ -336,17 +345,45 @@
         log_event("peer", peer=name, outcome=outcome, incarnation=incarnation)
 
 
+def encode_heartbeat(heartbeat: Heartbeat) -> list[bytes]:
+    """Returns the datagrams of a heartbeat.
+
+    If it is too large for one, the evidence on traits gets one of its own, and
+    if that is not enough, details are left out.
+    """
+    data = msgspec.msgpack.encode(heartbeat)
+    if len(data) <= _MAX_DATAGRAM_BYTES:
+        return [data]
+    evidence = msgspec.msgpack.encode(EvidenceMessage(heartbeat.traits))
+    for field, empty in (
+        ("traits", EvidenceReport()),
+        ("in_flight", {}),
+        ("paces", ()),
+    ):
+        if len(data) > _MAX_DATAGRAM_BYTES:
+            heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
+            data = msgspec.msgpack.encode(heartbeat)
+    return [data, evidence]
+
+
 class PeerSocket(asyncio.DatagramProtocol):
     """Sends and receives heartbeats over UDP.
 
     Args:
         on_heartbeat: Called for each received heartbeat.
+        on_evidence: Called for each report of evidence that is received
+            outside of a heartbeat.
     """
 
-    def __init__(self, on_heartbeat: Callable[[Heartbeat], None]) -> None:
+    def __init__(
+        self,
+        on_heartbeat: Callable[[Heartbeat], None],
+        on_evidence: Callable[[EvidenceReport], None],
+    ) -> None:
         self._on_heartbeat = on_heartbeat
+        self._on_evidence = on_evidence
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat | EvidenceMessage)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -356,28 +393,24 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decodes a heartbeat and passes it on; logs malformed ones."""
         try:
-            heartbeat = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.DecodeError as error:
             log_event("malformed_heartbeat", sender=addr[0], reason=str(error))
             return
-        self._on_heartbeat(heartbeat)
+        if isinstance(message, EvidenceMessage):
+            self._on_evidence(message.traits)
+        else:
+            self._on_heartbeat(message)
 
     def send(self, heartbeat: Heartbeat, members: list[Member]) -> None:
-        """Sends a heartbeat, without details if it would be too large."""
+        """Sends a heartbeat."""
         if self._transport is None:
             return
-        data = msgspec.msgpack.encode(heartbeat)
-        for field, empty in (
-            ("in_flight", {}),
-            ("traits", EvidenceReport()),
-            ("paces", ()),
-        ):
-            if len(data) > _MAX_DATAGRAM_BYTES:
-                heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
-                data = msgspec.msgpack.encode(heartbeat)
+        datagrams = encode_heartbeat(heartbeat)
         for member in members:
             address = (member.peer_host, member.heartbeat_port)
-            self._transport.sendto(data, address)
+            for data in datagrams:
+                self._transport.sendto(data, address)
 
     def close(self) -> None:
         """Closes the socket."""
--- a/trefoilpitch/gateway/tests/test_crash_evidence_fuzz.py
+++ b/trefoilpitch/gateway/tests/test_crash_evidence_fuzz.py
@@ -56,7 +56,7 @@
     )
     data = msgspec.msgpack.encode(heartbeat)
     assert len(data) <= _MAX_DATAGRAM_BYTES
-    PeerSocket(merge).datagram_received(data, ("10.0.0.1", 1))
+    PeerSocket(merge, lambda _: None).datagram_received(data, ("10.0.0.1", 1))
 
 
 @_examples
--- a/trefoilpitch/gateway/tests/test_peers.py
+++ b/trefoilpitch/gateway/tests/test_peers.py
@@ -2,17 +2,35 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import cast
+
 import msgspec
 
+from trefoilpitch.fleet import Member
+from trefoilpitch.gateway._crash_evidence import EvidenceReport
 from trefoilpitch.gateway._peers import (
     Heartbeat,
     PaceReport,
+    PeerSocket,
     PeerTable,
     VersionCount,
 )
 from trefoilpitch.gateway._upstream_digest import upstream_digest
 
 _UPSTREAMS = [f"i-{number:010x}" for number in range(90)]
+_VERSIONS = tuple(
+    VersionCount(
+        service="dego62a",
+        version=version,
+        order_revision=300,
+        good=120,
+        failed=3,
+        slow=2,
+        off_target=9,
+    )
+    for version in ("v1", "v2")
+)
 
 
 def _heartbeat(node: str, sequence: int, **fields: object) -> Heartbeat:
@@ -56,23 +74,11 @@
 
 def test_heartbeat_round_trips() -> None:
     in_flight = {upstream_digest(name): 1 for name in _UPSTREAMS[:9]}
-    versions = tuple(
-        VersionCount(
-            service="dego62a",
-            version=version,
-            order_revision=300,
-            good=120,
-            failed=3,
-            slow=2,
-            off_target=9,
-        )
-        for version in ("v1", "v2")
-    )
     heartbeat = _heartbeat(
         "front-suva-central-12",
         900,
         in_flight=in_flight,
-        versions=versions,
+        versions=_VERSIONS,
         era=2,
         configuration=58,
         paces=(
@@ -102,3 +108,58 @@
         f"i-{number * 2_654_435_761 % 2**40:010x}" for number in range(999)
     ]
     assert len({upstream_digest(name) for name in names}) == len(names)
+
+
+class _Datagrams:
+    """Collects the datagrams that a socket sends."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
+    def sendto(self, data: bytes, address: object) -> None:
+        del address
+        self.sent.append(data)
+
+
+def test_evidence_is_reported_beside_the_paces_of_a_rollout() -> None:
+    digests = [upstream_digest(name) for name in _UPSTREAMS]
+    evidence = EvidenceReport(
+        ended=tuple((digest, 60_000) for digest in digests[:24]),
+        traits=tuple((digest, 1 << 23, 1 << 23) for digest in digests[:24]),
+        sound=tuple((digest, 60_000) for digest in digests[:16]),
+        newest_sound_age_ms=100,
+    )
+    strata = {digest >> 4: dict.fromkeys(range(8), 9) for digest in digests[:8]}
+    paces = (PaceReport("dego62a", 300, strata, strata),)
+    heartbeat = _heartbeat(
+        "front-suva-central-12",
+        900,
+        versions=_VERSIONS,
+        in_flight=dict.fromkeys(digests[:9], 1),
+        unreachable=tuple(digests[:6]),
+        traits=evidence,
+        paces=paces,
+    )
+    datagrams = _Datagrams()
+    sender = PeerSocket(lambda _: None, lambda _: None)
+    sender.connection_made(cast(asyncio.BaseTransport, datagrams))
+    member = Member(
+        name="b",
+        incarnation="x",
+        caller_address="",
+        peer_host="h",
+        peer_port=1,
+        heartbeat_port=1,
+        failure_domain="",
+    )
+    sender.send(heartbeat, [member])
+
+    heartbeats: list[Heartbeat] = []
+    reports: list[EvidenceReport] = []
+    receiver = PeerSocket(heartbeats.append, reports.append)
+    for data in datagrams.sent:
+        assert len(data) <= 1_200
+        receiver.datagram_received(data, ("10.0.0.1", 1))
+    (received,) = heartbeats
+    assert received.paces == paces
+    assert evidence in (received.traits, *reports)
--- a/trefoilpitch/gateway/tests/test_peers_fuzz.py
+++ b/trefoilpitch/gateway/tests/test_peers_fuzz.py
@@ -32,7 +32,9 @@
     heartbeats: list[Heartbeat],
 ) -> None:
     table = PeerTable("own")
-    socket = PeerSocket(lambda heartbeat: table.record(heartbeat, 0))
+    socket = PeerSocket(
+        lambda heartbeat: table.record(heartbeat, 0), lambda _: None
+    )
     for heartbeat in heartbeats:
         data = msgspec.msgpack.encode(heartbeat)
         socket.datagram_received(data, ("10.0.0.1", 1))
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -403,7 +403,9 @@
 @given(st.binary(max_size=80))
 def test_malformed_datagram_is_ignored(data: bytes) -> None:
     seen: list[object] = []
-    PeerSocket(seen.append).datagram_received(data, ("10.0.0.1", 1))
+    PeerSocket(seen.append, seen.append).datagram_received(
+        data, ("10.0.0.1", 1)
+    )
     assert not seen
 
 
