Leave out attempts that a leaving upstream cut off

Cause: Attempts.runs counted each attempt that may have run, also one that its upstream cut off because it left as announced.

Ruled out: that upstreams which merely end could be left out as well. A request that crashes its upstreams would get more attempts that way. A leaving upstream gets no new requests, so that a crash is left out only if the departure became known while the request was there.

Change: for a response in progress, a connection that is lost or a response that is cut at an upstream which has announced its leaving, or is listed as draining, does not count against the route's limit. Routes that may run once, the retry budget and the evidence for the quarantine are as before.

--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -39,6 +39,7 @@
 # refused, and the limit up to which it doubles.
 _REFUSAL_DELAY_MS = 50
 _MAX_REFUSAL_DELAY_MS = 1_000
+_CUT = frozenset({FailureKind.CONNECTION_LOST, FailureKind.RESPONSE_TRUNCATED})
 _GONE = frozenset({FailureKind.CONNECT_REFUSED, FailureKind.MISDIRECTED})
 
 
@@ -50,6 +51,8 @@
     failures: tuple[FailureKind, ...] = ()
     # Attempts whose response was dropped in favour of another model's.
     replaced: int = 0
+    # Those of the failures that do not count against the route's limit.
+    uncounted: int = 0
 
     @property
     def execution(self) -> Execution:
@@ -61,15 +64,29 @@
 
     @property
     def runs(self) -> int:
-        """Number of attempts that may have run."""
-        return self.replaced + sum(
+        """Number of attempts that may have run and count against the limit."""
+        runs = self.replaced + sum(
             classify_failure(kind) is not Execution.NOT_RUN
             for kind in self.failures
         )
-
-    def with_failure(self, kind: FailureKind) -> Attempts:
-        """Returns a copy with another failed attempt."""
-        return dataclasses.replace(self, failures=(*self.failures, kind))
+        return runs - self.uncounted
+
+    def with_failure(
+        self, kind: FailureKind, *, leaving: bool = False
+    ) -> Attempts:
+        """Returns a copy with another failed attempt.
+
+        Args:
+            kind: How it failed.
+            leaving: Whether the response was in progress, at an upstream known
+                to be leaving. If that has cut it off, the attempt does not
+                count against the route's limit.
+        """
+        return dataclasses.replace(
+            self,
+            failures=(*self.failures, kind),
+            uncounted=self.uncounted + (leaving and kind in _CUT),
+        )
 
     def with_replaced_response(self) -> Attempts:
         """Returns a copy with another replaced response."""
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -277,6 +277,14 @@
                 pause_ms=pause_ms,
             )
 
+    def is_leaving(self, entry: UpstreamEntry) -> bool:
+        """Returns whether an upstream is known to end soon."""
+        cached = self._view.upstreams.get(entry.upstream_id)
+        draining = (
+            cached is not None and cached.entry.state is UpstreamState.DRAINING
+        )
+        return draining or self._notices.is_leaving(entry)
+
     def may_send(self, entry: UpstreamEntry) -> bool:
         """Returns whether a chosen upstream may still get its request.
 
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -708,7 +708,11 @@
     ) -> None:
         deps = self._deps
         now_ms = deps.clock.now_ms()
-        self._attempts = self._attempts.with_failure(error.kind)
+        # A request without a response may itself be what ends its upstreams.
+        leaving = self._responder.started and deps.dispatcher.is_leaving(entry)
+        self._attempts = self._attempts.with_failure(
+            error.kind, leaving=leaving
+        )
         self._attempt_log.append(f"{entry.upstream_id} {error.kind.value}")
         health = deps.dispatcher.health(entry.upstream_id)
         if error.kind is FailureKind.CONNECT_REFUSED:
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -18,6 +18,7 @@
     RolloutOrder,
     RolloutPhase,
     RolloutRecord,
+    Route,
     UpstreamEntry,
     UpstreamState,
     Workspace,
@@ -612,6 +613,35 @@
     assert may_retry(route(), attempts, affordable=True) is expected
 
 
+@pytest.mark.parametrize(
+    ("tested_route", "kind", "expected"),
+    [
+        (_RESUMABLE, FailureKind.CONNECTION_LOST, None),
+        (_RESUMABLE, FailureKind.RESPONSE_TRUNCATED, None),
+        (_RESUMABLE, FailureKind.RESPONSE_TIMEOUT, StopReason.ATTEMPTS),
+        (_RESUMABLE, FailureKind.MALFORMED_RESPONSE, StopReason.ATTEMPTS),
+        (_STREAM, FailureKind.RESPONSE_TRUNCATED, StopReason.UNSAFE),
+    ],
+)
+def test_only_what_a_leaving_upstream_cuts_off_is_not_counted(
+    tested_route: Route, kind: FailureKind, expected: StopReason | None
+) -> None:
+    attempts = Attempts()
+    for _ in range(4):
+        attempts = attempts.with_failure(kind, leaving=True)
+    reason = stop_reason(tested_route, attempts, affordable=True, started=True)
+    assert reason is expected
+
+
+def test_refusal_of_a_leaving_upstream_is_not_left_out_twice() -> None:
+    attempts = (
+        Attempts()
+        .with_failure(FailureKind.REFUSED_NOT_RUN, leaving=True)
+        .with_failure(FailureKind.RESPONSE_TRUNCATED)
+    )
+    assert attempts.runs == 1
+
+
 def test_replaced_response_counts_as_a_run() -> None:
     attempts = Attempts().with_replaced_response()
     assert attempts.execution is Execution.RAN
