--- a/trefoilpitch/standins/_platform_store.py
+++ b/trefoilpitch/standins/_platform_store.py
@@ -91,6 +91,9 @@
         self.refusal_status: int | None = None
         # Body to send in every response; None for the actual one.
         self.response_override: dict[str, Any] | None = None
+        # Whether calls get no response and are not executed. Their connections
+        # stay silent.
+        self.unresponsive = False
         # Whether to execute writes but close the connection without a response.
         self.drop_write_responses = False
         # Number of calls, by the name of the operation.
@@ -213,6 +216,9 @@
         url = urllib.parse.urlsplit(request.target.decode())
         name, _, argument = url.path.removeprefix(_PREFIX).partition("/")
         self.calls[name] = self.calls.get(name, 0) + 1
+        if self.unresponsive:
+            # Until the caller closes the connection.
+            await asyncio.Event().wait()
         era = self._era_header()
         if self.refusal_status is not None:
             await responder.respond(self.refusal_status, [era], b"")
