Check the store from one daemon in each half second

Cause: a change completes the watches of all daemons at once, and each opened the next one 200 ms later with a wait of 4 s and a margin of 2 s. Watches that are sent while the store is away are lost without a word, so that for 6.1 s no daemon learned that the store was back. Lease renewals of all daemons failed meanwhile (23.04 to 23.27 s).

Ruled out: the exchange between daemons, as all of them were late together.

Change: the waits of the watchers end in turn, one in each quarter of the time in which a configuration has to take effect (new setting, the platform's config-apply-ms), and a watch is given up 500 ms after its wait. The daemon whose turn it is opens a new watch, and its heartbeat has the others fetch what is new. Retries are at most 800 ms apart before jitter, so that a daemon without peers keeps the bound as well.

Weighed: questioning the watch when another call fails needs no further wait, but calls are rare (a renewal in 8 s), and a call that succeeds does not show that a watch on another connection is alive. A shorter wait for all daemons would cost six to nine times the calls; in turn, only the first wait after a change is shorter.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -17,9 +17,6 @@
 )
 from trefoilpitch.gateway._log import log_event
 
-# How long a watch waits for changes. Its response, even an empty one, confirms
-# that the view is current; an unresponsive connection is detected soon after.
-_WATCH_TIMEOUT_MS = 4_000
 # How often a daemon that does not watch checks whether it should.
 _ROLE_CHECK_INTERVAL_MS = 200
 # Changes come in bursts. A short delay between watches fetches a burst with one
@@ -32,7 +29,7 @@
 # Maximum delay before jitter of up to 50% either way. It also bounds how late
 # the end of an outage is detected: until then, and during the grace period
 # below, a planned removal can be mistaken for an expired entry.
-_MAX_BACKOFF_MS = 1_000
+_MAX_BACKOFF_MS = 800
 # Entries that expired in an outage are registered again within two seconds of
 # its end; until then a removal may be such an expiry.
 _REREGISTRATION_GRACE_MS = 2_300
@@ -64,6 +61,8 @@
         rng: Adds jitter to the retries of several daemons.
         should_watch: Returns whether this daemon watches the store; otherwise
             changes come from peers.
+        watch_wait_ms: Returns how long the next watch waits for changes, given
+            whether other daemons open theirs at the same time.
         fetch_from_peers: Returns all items of a peer, or None if no peer has
             any.
         on_change: Called after each batch of changes.
@@ -77,6 +76,7 @@
         rng: random.Random,
         *,
         should_watch: Callable[[], bool],
+        watch_wait_ms: Callable[[bool], int],
         fetch_from_peers: Callable[[], Awaitable[ItemBatch | None]],
         on_change: Callable[[], None],
     ) -> None:
@@ -85,6 +85,7 @@
         self._clock = clock
         self._rng = rng
         self._should_watch = should_watch
+        self._watch_wait_ms = watch_wait_ms
         self._fetch_from_peers = fetch_from_peers
         self._on_change = on_change
         self._loaded = False
@@ -94,6 +95,8 @@
         self._peer_ahead = asyncio.Event()
         self._listed_ms = 0
         self._watch_scope: asyncio.Timeout | None = None
+        # Whether other daemons probably open their watches at the same time.
+        self._in_step = True
 
     @property
     def store_reachable(self) -> bool:
@@ -190,15 +193,17 @@
 
     async def _step(self) -> None:
         if self._loaded:
+            recovering = not self.store_reachable
             wait_ms = (
-                _WATCH_TIMEOUT_MS
-                if self.store_reachable
-                else _RECOVERY_WATCH_TIMEOUT_MS
+                _RECOVERY_WATCH_TIMEOUT_MS
+                if recovering
+                else self._watch_wait_ms(self._in_step)
             )
             batch = await self._watch(wait_ms)
             if batch is None:
                 self._loaded = False
                 return
+            self._in_step = recovering or bool(batch.items)
             self._mark_available()
             if batch.era != self._view.era:
                 # These are changes of another history.
@@ -211,6 +216,7 @@
             )
         else:
             batch = await self._list()
+            self._in_step = True
         self.confirm_current()
         if batch.items:
             self._on_change()
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -49,6 +49,7 @@
     encode_batch,
     heartbeat_interval_ms,
     min_heartbeat_gap_ms,
+    watch_wait_ms,
     watches_store,
 )
 from trefoilpitch.gateway._quarantine import Quarantine
@@ -66,6 +67,11 @@
 _LEASE_RENEWAL_MS = 8_000
 _ROLLOUT_INTERVAL_MS = 200
 _QUARANTINE_SYNC_INTERVAL_MS = 500
+# Checks of the store by any daemon within the time in which a configuration has
+# to take effect. The rest is for the timeout of a lost watch, the next call and
+# the peers' fetches.
+_CHECKS_PER_APPLY_TIME = 4
+_MIN_CHECK_INTERVAL_MS = 250
 # For this long after a listing all listed members count as alive: by then each
 # has sent a heartbeat, even in a large fleet.
 _MEMBER_GRACE_MS = 1_700
@@ -159,6 +165,7 @@
             clock,
             rng,
             should_watch=self._should_watch,
+            watch_wait_ms=self._watch_wait_ms,
             fetch_from_peers=self._fetch_from_seeds,
             on_change=self._on_view_change,
         )
@@ -431,7 +438,8 @@
             interval_ms = heartbeat_interval_ms(len(self._view.members))
             await asyncio.sleep(interval_ms / _MS_PER_S)
 
-    def _should_watch(self) -> bool:
+    def _reachable_peers(self) -> list[str]:
+        """Returns the other daemons that can reach the store."""
         reachable = [
             name
             for name, peer in self._peers.alive().items()
@@ -439,7 +447,21 @@
         ]
         if self._follower.ms_since_listing() < _MEMBER_GRACE_MS:
             reachable.extend(self._view.members)
-        return watches_store(self._settings.name, reachable)
+        return reachable
+
+    def _should_watch(self) -> bool:
+        return watches_store(self._settings.name, self._reachable_peers())
+
+    def _watch_wait_ms(self, in_step: bool) -> int:
+        return watch_wait_ms(
+            self._settings.name,
+            self._reachable_peers(),
+            interval_ms=max(
+                _MIN_CHECK_INTERVAL_MS,
+                self._settings.apply_ms // _CHECKS_PER_APPLY_TIME,
+            ),
+            in_step=in_step,
+        )
 
     def _is_current(self) -> bool:
         """Whether no newer configuration can have been missed."""
--- a/trefoilpitch/gateway/_node_settings.py
+++ b/trefoilpitch/gateway/_node_settings.py
@@ -36,6 +36,9 @@
     heartbeats: ListenAddress
     # Time from the signal to leave until the platform kills the process.
     grace_ms: int
+    # Time from the store's acknowledgement of a configuration until requests
+    # have to be handled by it.
+    apply_ms: int
     # Retry budget of the whole fleet: retries per request, and a fixed number
     # of additional retries.
     retry_ratio: float
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -39,6 +39,8 @@
 # fleet of up to this size all daemons watch; in a larger one there are enough
 # for some to remain when half of the fleet fails at once.
 _MAX_WATCHERS = 9
+# Longest wait of a watch.
+_MAX_WATCH_MS = 4_000
 # The fastest level already compresses configurations to a tenth.
 _COMPRESSION_LEVEL = 1
 _MAX_BATCH_BYTES = 64 * 1024 * 1024
@@ -213,6 +215,34 @@
     return own_name in rank("watchers", names)[:_MAX_WATCHERS]
 
 
+def watch_wait_ms(
+    own_name: str,
+    reachable: Collection[str],
+    *,
+    interval_ms: int,
+    in_step: bool,
+) -> int:
+    """Returns how long a daemon's next watch of the store waits.
+
+    Load pattern: a change completes all watches at once. If the store goes away
+    before the next ones are opened, all of these are lost, and the daemons only
+    notice when their wait is over. The waits therefore end in turn, so that one
+    of the daemons checks the store in each interval.
+
+    Args:
+        own_name: The daemon.
+        reachable: Other live daemons that can reach the store.
+        interval_ms: Time between the ends of two daemons' watches.
+        in_step: Whether the daemons open their watches at the same time, as
+            after a change.
+    """
+    watchers = rank("watchers", {own_name, *reachable})[:_MAX_WATCHERS]
+    turns = len(watchers)
+    if in_step and own_name in watchers:
+        turns = watchers.index(own_name) + 1
+    return min(_MAX_WATCH_MS, turns * interval_ms)
+
+
 class PeerTable:
     """The daemons that recently sent a heartbeat.
 
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -23,11 +23,15 @@
 from trefoilpitch.gateway._peers import (
     heartbeat_interval_ms,
     peer_timeout_ms,
+    watch_wait_ms,
     watches_store,
 )
 
 _REMOVAL = ItemBatch(items=(Item(key="u", value=None, revision=9),), revision=9)
 _NOTHING = ItemBatch(items=(), revision=1)
+# Waits of the first watch after a change, and of the others.
+_FIRST_WAIT_MS = 1_000
+_WAIT_MS = 3_000
 _UNAVAILABLE = StoreUnavailableError("down")
 
 
@@ -74,6 +78,7 @@
             self.clock,
             random.Random(1),
             should_watch=lambda: self.watching,
+            watch_wait_ms=self._watch_wait_ms,
             fetch_from_peers=self._fetch_from_peers,
             on_change=lambda: None,
         )
@@ -81,6 +86,9 @@
         self.store.listing = ItemBatch(items=(item,), revision=1)
         self.from_peer: ItemBatch | None = None
 
+    def _watch_wait_ms(self, in_step: bool) -> int:
+        return _FIRST_WAIT_MS if in_step else _WAIT_MS
+
     async def _fetch_from_peers(self) -> ItemBatch | None:
         return self.from_peer
 
@@ -174,6 +182,7 @@
         harness.clock,
         random.Random(1),
         should_watch=lambda: True,
+        watch_wait_ms=lambda in_step: _WAIT_MS,
         fetch_from_peers=fetch_from_peers,
         on_change=lambda: None,
     )
@@ -282,6 +291,28 @@
     assert waits[2] == waits[0]
 
 
+def test_watches_are_in_step_after_a_change_a_listing_and_an_outage() -> None:
+    harness = _FollowerHarness()
+    change = ItemBatch(
+        items=(harness.codec.item("u", upstream(), 2),), revision=2
+    )
+    harness.store.steps = [
+        (10, _NOTHING),
+        (10, _NOTHING),
+        (10, change),
+        (10, _NOTHING),
+        (10, _UNAVAILABLE),
+        (10, _NOTHING),
+    ]
+    harness.follow()
+    waits = [
+        wait_ms for name, wait_ms in harness.store.calls if name == "watch"
+    ]
+    first, later = _FIRST_WAIT_MS, _WAIT_MS
+    recovery = _follower._RECOVERY_WATCH_TIMEOUT_MS
+    assert waits == [first, later, later, first, later, recovery, first]
+
+
 def test_view_is_current_only_for_a_limited_time() -> None:
     harness = _FollowerHarness()
     assert not harness.follower.is_current()
@@ -308,6 +339,49 @@
     assert len(second) == 9
 
 
+@pytest.mark.parametrize("members", [1, 2, 6, 7])
+def test_store_is_checked_by_one_daemon_in_each_interval(members: int) -> None:
+    names = {f"vm-{number}" for number in range(members)}
+    ends_ms: list[int] = []
+    for name in names:
+        first, later = (
+            watch_wait_ms(
+                name, names - {name}, interval_ms=500, in_step=in_step
+            )
+            for in_step in (True, False)
+        )
+        ends_ms += [first, first + later, first + 2 * later]
+    assert sorted(ends_ms) == [500 * (n + 1) for n in range(3 * members)]
+
+
+@pytest.mark.parametrize("members", [9, 79, 387])
+def test_watches_of_a_large_fleet_wait_four_seconds_at_most(
+    members: int,
+) -> None:
+    names = {f"vm-{number}" for number in range(members)}
+    watchers = [name for name in names if watches_store(name, names - {name})]
+    ends_ms = sorted(
+        watch_wait_ms(name, names - {name}, interval_ms=500, in_step=True)
+        for name in watchers
+    )
+    assert ends_ms == [
+        500,
+        1_000,
+        1_500,
+        2_000,
+        2_500,
+        3_000,
+        3_500,
+        4_000,
+        4_000,
+    ]
+    for name in watchers:
+        assert (
+            watch_wait_ms(name, names - {name}, interval_ms=500, in_step=False)
+            == 4_000
+        )
+
+
 @pytest.mark.parametrize("members", [1, 6, 9, 79, 387])
 def test_peer_timeout_covers_three_heartbeats(members: int) -> None:
     assert peer_timeout_ms(members) >= 3 * heartbeat_interval_ms(members)
--- a/trefoilpitch/platform/_settings.py
+++ b/trefoilpitch/platform/_settings.py
@@ -17,6 +17,8 @@
 # unset, they are not served.
 METRICS_VARIABLE = "TREFOILPITCH_METRICS_PORT"
 _MS_PER_S = 1_000
+# Used if the settings do not say within which time a configuration applies.
+_APPLY_MS = 2_000
 _MAX_PORT = 65_535
 
 
@@ -114,6 +116,7 @@
         heartbeats=ListenAddress(host=str(table["ip"]), port=first_port),
         seeds=tuple(_address(seed) for seed in table.get("seeds", ())),
         grace_ms=int(_quantity(bounds["grace-s"]) * _MS_PER_S),
+        apply_ms=int(_quantity(bounds.get("config-apply-ms", _APPLY_MS))),
         retry_ratio=_quantity(bounds["retry-ratio"]),
         retry_slack=_quantity(bounds["retry-slack"]),
         retry_window_ms=int(_quantity(bounds["retry-window-s"]) * _MS_PER_S),
--- a/trefoilpitch/platform/_store.py
+++ b/trefoilpitch/platform/_store.py
@@ -32,8 +32,9 @@
 # slowly when it is degraded. A call that takes longer counts as failed.
 _CALL_TIMEOUT_MS = 1_500
 _CONNECT_TIMEOUT_MS = 500
-# How much longer than the requested wait a watch may take to respond.
-_WATCH_MARGIN_MS = 2_000
+# How much longer than the requested wait a watch may take to respond: twice as
+# long as the degraded store takes. A lost watch delays configurations by it.
+_WATCH_MARGIN_MS = 500
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 _OK = 200
 _NOT_FOUND = 404
--- a/trefoilpitch/platform/tests/harness.py
+++ b/trefoilpitch/platform/tests/harness.py
@@ -37,6 +37,7 @@
 _SCENARIO_TIMEOUT_S = 60
 _RETRY_SLACK = 60.0
 _GRACE_MS = 2_000
+APPLY_MS = 2_000
 
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
@@ -155,6 +156,7 @@
         peers=address(),
         heartbeats=address(),
         grace_ms=_GRACE_MS,
+        apply_ms=APPLY_MS,
         retry_ratio=0.9,
         retry_slack=_RETRY_SLACK,
         retry_window_ms=10_000,
--- a/trefoilpitch/platform/tests/test_settings_fuzz.py
+++ b/trefoilpitch/platform/tests/test_settings_fuzz.py
@@ -33,6 +33,7 @@
     },
     "bounds": {
         "grace-s": 8,
+        "config-apply-ms": 2000,
         "retry-ratio": 0.9,
         "retry-window-s": 10,
         "retry-slack": 52,
@@ -127,6 +128,8 @@
         (("port-range",), []),
         (("bounds", "grace-s"), math.inf),
         (("bounds", "grace-s"), -1),
+        (("bounds", "config-apply-ms"), -1),
+        (("bounds", "config-apply-ms"), "soon"),
         (("bounds", "grace-s"), 1e306),
         (("bounds", "retry-window-s"), 10**400),
         (("bounds", "retry-ratio"), math.nan),
--- a/trefoilpitch/platform/tests/test_store_outage.py
+++ b/trefoilpitch/platform/tests/test_store_outage.py
@@ -15,6 +15,7 @@
 from trefoilpitch.clock import SystemClock
 from trefoilpitch.gateway import Node
 from trefoilpitch.platform.tests.harness import (
+    APPLY_MS,
     node_settings,
     run,
     running_node,
@@ -22,8 +23,6 @@
 )
 from trefoilpitch.standins import PlatformStoreStandIn, config_document
 
-# Time from the store's acknowledgement of a configuration until it is in force.
-_APPLY_MS = 2_000
 _CLOCK = SystemClock()
 
 
@@ -76,7 +75,7 @@
             store.put("op/config", config_document(3))
             acknowledged_ms = _CLOCK.now_ms()
             await wait_until(lambda: _all_have(nodes, 3))
-            assert _CLOCK.now_ms() - acknowledged_ms < _APPLY_MS
+            assert _CLOCK.now_ms() - acknowledged_ms < APPLY_MS
 
     run(scenario)
 
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -53,6 +53,7 @@
 control = "10.1.0.40:8229"
 [bounds]
 grace-s = 8
+config-apply-ms = 9000
 retry-ratio = 0.9
 retry-window-s = 10
 retry-slack = 52
@@ -66,6 +67,7 @@
     found = parse_settings(_SETTINGS, "start", "9464")
     assert found.node.failure_domain == "a"
     assert found.node.grace_ms == 8_000
+    assert found.node.apply_ms == 9_000
     assert found.node.peers.port == 8_229
     assert found.node.heartbeats.port == 7_340
     assert [seed.host for seed in found.node.seeds] == ["10.2.0.29"]
