Confirm a view only by responses of the store

Cause: a heartbeat said whether its sender was current, and that set the receiver's own confirmation to the present. Two daemons with the same revision confirmed each other for as long as they heard each other, with the store away; the limit of 4.8 s, itself above the 2 s in which a configuration has to take effect, was never reached.

Change: heartbeats carry the age of the last response of the store to their sender, which never passes on what it has heard. A view counts as current for nine tenths of the time in which a configuration has to take effect after a response to any daemon. The flag stays for daemons that do not know the age.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -36,9 +36,10 @@
 # Minimum duration of an outage in which entries can expire: upstreams expire
 # after three missed heartbeats.
 _MIN_EXPIRY_OUTAGE_MS = 2_000
-# How long the view counts as current after a confirmation: longer than a watch
-# without changes.
-_CURRENT_FOR_MS = 4_800
+# Fraction of the time in which a configuration has to take effect for which the
+# view counts as current after a confirmation. The rest covers the time that a
+# confirmation is under way.
+_CURRENT_SHARE = 0.9
 # If a listing takes longer, a peer is queried as well: many times what the
 # store normally needs.
 _LIST_TIMEOUT_MS = 400
@@ -59,6 +60,8 @@
         view: The view to keep up to date.
         clock: Provides monotonic time.
         rng: Adds jitter to the retries of several daemons.
+        apply_ms: Time from the store's acknowledgement of a configuration
+            until it has to take effect.
         should_watch: Returns whether this daemon watches the store; otherwise
             changes come from peers.
         watch_wait_ms: Returns how long the next watch waits for changes, given
@@ -75,6 +78,7 @@
         clock: Clock,
         rng: random.Random,
         *,
+        apply_ms: int,
         should_watch: Callable[[], bool],
         watch_wait_ms: Callable[[bool], int],
         fetch_from_peers: Callable[[], Awaitable[ItemBatch | None]],
@@ -91,7 +95,11 @@
         self._loaded = False
         self._unavailable_since_ms: int | None = None
         self._expiry_until_ms = 0
-        self._confirmed_ms = -_CURRENT_FOR_MS
+        self._current_for_ms = int(apply_ms * _CURRENT_SHARE)
+        # When a response of the store to any daemon last showed that the view
+        # was the latest, and a response to this daemon.
+        self._confirmed_ms: int | None = None
+        self._own_confirmed_ms: int | None = None
         self._peer_ahead = asyncio.Event()
         self._listed_ms = 0
         self._watch_scope: asyncio.Timeout | None = None
@@ -108,18 +116,35 @@
         """Whether the last call failed, or a listing has timed out."""
         return self._unavailable_since_ms is not None
 
+    @property
+    def confirmed_age_ms(self) -> int | None:
+        """Time since a response to this daemon confirmed the view."""
+        if self._own_confirmed_ms is None:
+            return None
+        return self._clock.now_ms() - self._own_confirmed_ms
+
     def is_current(self) -> bool:
-        """Whether no newer configuration can have been missed."""
+        """Whether no configuration that must be in force can be missing."""
+        if not self._loaded or self._confirmed_ms is None:
+            return False
         age_ms = self._clock.now_ms() - self._confirmed_ms
-        return self._loaded and age_ms < _CURRENT_FOR_MS
+        return age_ms < self._current_for_ms
 
     def ms_since_listing(self) -> int:
         """Returns the time since this daemon last loaded a listing."""
         return self._clock.now_ms() - self._listed_ms
 
-    def confirm_current(self) -> None:
-        """Records that the view has just been confirmed as current."""
-        self._confirmed_ms = self._clock.now_ms()
+    def record_peer_confirmation(self, age_ms: int) -> None:
+        """Records that the store has confirmed the view to a peer.
+
+        Args:
+            age_ms: Time since the store's response to that peer. What the peer
+                has heard from others does not count: daemons would confirm each
+                other for as long as the store is unavailable.
+        """
+        at_ms = self._clock.now_ms() - age_ms
+        if self._confirmed_ms is None or at_ms > self._confirmed_ms:
+            self._confirmed_ms = at_ms
 
     def notify_peer_ahead(self) -> None:
         """Reports that a peer has a newer revision than this daemon.
@@ -217,7 +242,7 @@
         else:
             batch = await self._list()
             self._in_step = True
-        self.confirm_current()
+        self._confirmed_ms = self._own_confirmed_ms = self._clock.now_ms()
         if batch.items:
             self._on_change()
             await asyncio.sleep(_BATCH_DELAY_MS / _MS_PER_S)
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -164,6 +164,7 @@
             self._view,
             clock,
             rng,
+            apply_ms=settings.apply_ms,
             should_watch=self._should_watch,
             watch_wait_ms=self._watch_wait_ms,
             fetch_from_peers=self._fetch_from_seeds,
@@ -464,7 +465,7 @@
         )
 
     def _is_current(self) -> bool:
-        """Whether no newer configuration can have been missed."""
+        """Whether no configuration that must be in force can be missing."""
         if self._peers.newest_configuration > self._configuration_version:
             return False
         # A store that was restored from an older copy may lack the newest
@@ -508,6 +509,7 @@
             unreachable=self._dispatcher.own_unreachable(),
             traits=self._quarantine.report(),
             paces=self._rollout_controller.own_paces(),
+            confirmed_age_ms=self._follower.confirmed_age_ms,
         )
         others = [
             member
@@ -522,8 +524,9 @@
         self._peers.record(heartbeat, self._clock.now_ms())
         self._quarantine.merge(heartbeat.traits)
         self._cut_attempts.review_abandoned()
-        if heartbeat.current and heartbeat.version <= self._view.version:
-            self._follower.confirm_current()
+        age_ms = heartbeat.confirmed_age_ms
+        if age_ms is not None and heartbeat.version <= self._view.version:
+            self._follower.record_peer_confirmation(age_ms)
         if heartbeat.era == self._view.era:
             self._rollout_controller.adopt_stopped(heartbeat.stopped)
         if heartbeat.era > self._view.era:
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -86,7 +86,8 @@
     sequence: int
     # Revision of its local copy of the fleet state.
     revision: int
-    # Whether that was recently confirmed as the store's latest revision.
+    # Whether that was recently confirmed as the store's latest revision. For
+    # daemons that do not know `confirmed_age_ms`.
     current: bool
     # Whether it can reach the store.
     store_reachable: bool
@@ -107,6 +108,9 @@
     traits: EvidenceReport = EvidenceReport()
     # Its paces of the services in a roll-out that has not ended.
     paces: tuple[PaceReport, ...] = ()
+    # Time since a response of the store to this daemon last showed that the
+    # revision was the latest; None if none has.
+    confirmed_age_ms: _Count | None = None
 
     @property
     def version(self) -> StoreVersion:
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -29,6 +29,7 @@
 
 _REMOVAL = ItemBatch(items=(Item(key="u", value=None, revision=9),), revision=9)
 _NOTHING = ItemBatch(items=(), revision=1)
+_APPLY_MS = 2_000
 # Waits of the first watch after a change, and of the others.
 _FIRST_WAIT_MS = 1_000
 _WAIT_MS = 3_000
@@ -77,6 +78,7 @@
             self.view,
             self.clock,
             random.Random(1),
+            apply_ms=_APPLY_MS,
             should_watch=lambda: self.watching,
             watch_wait_ms=self._watch_wait_ms,
             fetch_from_peers=self._fetch_from_peers,
@@ -181,6 +183,7 @@
         harness.view,
         harness.clock,
         random.Random(1),
+        apply_ms=_APPLY_MS,
         should_watch=lambda: True,
         watch_wait_ms=lambda in_step: _WAIT_MS,
         fetch_from_peers=fetch_from_peers,
@@ -267,7 +270,7 @@
 
     async def sleep(delay_s: float) -> None:
         delays_ms.append(delay_s * 1_000)
-        harness.follower.confirm_current()
+        harness.follower.record_peer_confirmation(0)
 
     monkeypatch.setattr(asyncio, "sleep", sleep)
     harness = _FollowerHarness()
@@ -318,12 +321,25 @@
     assert not harness.follower.is_current()
     harness.follow()
     assert harness.follower.is_current()
-    harness.clock.advance(10_000)
+    harness.clock.advance(_APPLY_MS)
     assert not harness.follower.is_current()
-    harness.follower.confirm_current()
+    harness.follower.record_peer_confirmation(_APPLY_MS)
+    assert not harness.follower.is_current()
+    harness.follower.record_peer_confirmation(100)
+    assert harness.follower.is_current()
+    harness.follower.record_peer_confirmation(_APPLY_MS)
     assert harness.follower.is_current()
 
 
+def test_confirmation_of_a_peer_is_not_passed_on() -> None:
+    harness = _FollowerHarness()
+    assert harness.follower.confirmed_age_ms is None
+    harness.follow()
+    harness.clock.advance(300)
+    harness.follower.record_peer_confirmation(0)
+    assert harness.follower.confirmed_age_ms == 300
+
+
 @pytest.mark.parametrize("members", [1, 6, 9, 12, 79, 387])
 def test_nine_daemons_watch_or_all_of_a_smaller_fleet(members: int) -> None:
     names = {f"vm-{number}" for number in range(members)}
