Keep expired entries that a peer reports after an outage

Follows from the watches that end in turn: one daemon finds that the store is back while others still wait for a lost watch, for up to 0.5 s more than the interval between the turns. They fetch what the first one read, and applied its removals at once. Entries can expire while the store is away, and their upstreams are back within two seconds, so that such a daemon would have lost these upstreams until then. The daemon that noticed the outage itself keeps them for 2.3 s.

Change: a gap of 2.4 s between the known responses of the store to any daemon, by the ages in the heartbeats, shows an outage (log line store_outage_noticed) and starts the same period, which now holds for items from peers as well. Responses to the daemon itself do not count as a gap: a watch may rightly wait for longer.

test_removal_from_a_peer_after_an_outage_may_be_an_expiry; an old response and a short gap start no period.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -36,6 +36,9 @@
 # Minimum duration of an outage in which entries can expire: upstreams expire
 # after three missed heartbeats.
 _MIN_EXPIRY_OUTAGE_MS = 2_000
+# Time between two responses of the store to any daemon that shows such an
+# outage; longer than daemons usually take to learn of a response to a peer.
+_MIN_EXPIRY_GAP_MS = 2_400
 # Fraction of the time in which a configuration has to take effect for which the
 # view counts as current after a confirmation. The rest covers the time that a
 # confirmation is under way.
@@ -96,6 +99,10 @@
         self._unavailable_since_ms: int | None = None
         self._expiry_until_ms = 0
         self._current_for_ms = int(apply_ms * _CURRENT_SHARE)
+        # The daemons check the store several times in `apply_ms`.
+        self._min_expiry_gap_ms = max(_MIN_EXPIRY_GAP_MS, apply_ms // 2)
+        # When the store last responded to any daemon, as far as is known.
+        self._responded_ms = clock.now_ms()
         # When a response of the store to any daemon last showed that the view
         # was the latest, and a response to this daemon.
         self._confirmed_ms: int | None = None
@@ -134,6 +141,23 @@
         """Returns the time since this daemon last loaded a listing."""
         return self._clock.now_ms() - self._listed_ms
 
+    def record_store_response(self, age_ms: int) -> None:
+        """Records that the store has responded to a peer.
+
+        If it had responded to no daemon for long before, it was away, and
+        removals that the peer has read may be expiries. This daemon may not
+        have noticed, as it waits for the response to a watch that was lost.
+
+        Args:
+            age_ms: Time since that response.
+        """
+        now_ms = self._clock.now_ms()
+        gap_ms = now_ms - age_ms - self._responded_ms
+        if gap_ms >= self._min_expiry_gap_ms:
+            log_event("store_outage_noticed", gap_ms=gap_ms)
+            self._expiry_until_ms = now_ms + _REREGISTRATION_GRACE_MS
+        self._responded_ms = max(self._responded_ms, now_ms - age_ms)
+
     def record_peer_confirmation(self, age_ms: int) -> None:
         """Records that the store has confirmed the view to a peer.
 
@@ -168,7 +192,9 @@
         if batch.era > self._view.era and batch.complete:
             self._restore_view(batch)
         elif batch.era == self._view.era:
-            self._view.apply(batch, now_ms)
+            self._view.apply(
+                batch, now_ms, retain_until_ms=self._expiry_until_ms
+            )
         log_event(
             "view_updated_from_peer",
             peer=peer,
@@ -242,7 +268,9 @@
         else:
             batch = await self._list()
             self._in_step = True
-        self._confirmed_ms = self._own_confirmed_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        self._responded_ms = now_ms
+        self._confirmed_ms = self._own_confirmed_ms = now_ms
         if batch.items:
             self._on_change()
             await asyncio.sleep(_BATCH_DELAY_MS / _MS_PER_S)
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -525,8 +525,10 @@
         self._quarantine.merge(heartbeat.traits)
         self._cut_attempts.review_abandoned()
         age_ms = heartbeat.confirmed_age_ms
-        if age_ms is not None and heartbeat.version <= self._view.version:
-            self._follower.record_peer_confirmation(age_ms)
+        if age_ms is not None:
+            self._follower.record_store_response(age_ms)
+            if heartbeat.version <= self._view.version:
+                self._follower.record_peer_confirmation(age_ms)
         if heartbeat.era == self._view.era:
             self._rollout_controller.adopt_stopped(heartbeat.stopped)
         if heartbeat.era > self._view.era:
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -250,6 +250,31 @@
     assert harness.view.upstreams == {}
 
 
+@pytest.mark.parametrize(
+    ("response_age_ms", "outage_ms", "retained"),
+    [
+        (0, 3_000, True),
+        (100, 3_000, True),
+        (2_900, 3_000, False),
+        (0, 900, False),
+    ],
+)
+def test_removal_from_a_peer_after_an_outage_may_be_an_expiry(
+    response_age_ms: int, outage_ms: int, retained: bool
+) -> None:
+    # The peer has found that the store is back, while this daemon still waits
+    # for the response to a watch that was lost.
+    harness = _FollowerHarness()
+    harness.store.steps = [(10, _NOTHING)]
+    harness.follow()
+    harness.clock.advance(outage_ms)
+    harness.follower.record_store_response(response_age_ms)
+    harness.follower.apply_from_peer(_REMOVAL, "peer")
+    assert ("u" in harness.view.upstreams) == retained
+    harness.view.expire(harness.clock.now_ms() + 2_300)
+    assert harness.view.upstreams == {}
+
+
 def test_removal_some_seconds_after_an_outage_is_no_expiry() -> None:
     """The store refused only this daemon; a scale-in follows its recovery."""
     harness = _FollowerHarness()
