--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -52,6 +52,7 @@
     encode_batch,
     heartbeat_interval_ms,
     min_heartbeat_gap_ms,
+    watch_wait_ms,
     watches_store,
 )
 from trefoilpitch.gateway._quarantine import Quarantine
@@ -69,6 +70,11 @@
 _LEASE_RENEWAL_MS = 8_000
 _ROLLOUT_INTERVAL_MS = 200
 _QUARANTINE_SYNC_INTERVAL_MS = 500
+# Checks of the store by any daemon within the time in which a configuration has
+# to take effect. The rest is for the timeout of a lost watch, the next call and
+# the peers' fetches.
+_CHECKS_PER_APPLY_TIME = 4
+_MIN_CHECK_INTERVAL_MS = 250
 # For this long after a listing all listed members count as alive: by then each
 # has sent a heartbeat, even in a large fleet.
 _MEMBER_GRACE_MS = 1_700
@@ -161,7 +167,9 @@
             self._view,
             clock,
             rng,
+            apply_ms=settings.apply_ms,
             should_watch=self._should_watch,
+            watch_wait_ms=self._watch_wait_ms,
             fetch_from_peers=self._fetch_from_seeds,
             on_change=self._on_view_change,
         )
@@ -436,7 +444,8 @@
             interval_ms = heartbeat_interval_ms(len(self._view.members))
             await asyncio.sleep(interval_ms / _MS_PER_S)
 
-    def _should_watch(self) -> bool:
+    def _reachable_peers(self) -> list[str]:
+        """Returns the other daemons that can reach the store."""
         reachable = [
             name
             for name, peer in self._peers.alive().items()
@@ -444,10 +453,24 @@
         ]
         if self._follower.ms_since_listing() < _MEMBER_GRACE_MS:
             reachable.extend(self._view.members)
-        return watches_store(self._settings.name, reachable)
+        return reachable
+
+    def _should_watch(self) -> bool:
+        return watches_store(self._settings.name, self._reachable_peers())
+
+    def _watch_wait_ms(self, in_step: bool) -> int:
+        return watch_wait_ms(
+            self._settings.name,
+            self._reachable_peers(),
+            interval_ms=max(
+                _MIN_CHECK_INTERVAL_MS,
+                self._settings.apply_ms // _CHECKS_PER_APPLY_TIME,
+            ),
+            in_step=in_step,
+        )
 
     def _is_current(self) -> bool:
-        """Whether no newer configuration can have been missed."""
+        """Whether no configuration that must be in force can be missing."""
         if self._peers.newest_configuration > self._configuration_version:
             return False
         # A store that was restored from an older copy may lack the newest
@@ -491,6 +514,7 @@
             unreachable=self._dispatcher.own_unreachable(),
             traits=self._quarantine.report(),
             paces=self._rollout_controller.own_paces(),
+            confirmed_age_ms=self._follower.confirmed_age_ms,
         )
         others = [
             member
@@ -504,8 +528,11 @@
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
         self._merge_evidence(heartbeat.traits)
-        if heartbeat.current and heartbeat.version <= self._view.version:
-            self._follower.confirm_current()
+        age_ms = heartbeat.confirmed_age_ms
+        if age_ms is not None:
+            self._follower.record_store_response(age_ms)
+            if heartbeat.version <= self._view.version:
+                self._follower.record_peer_confirmation(age_ms)
         if heartbeat.era == self._view.era:
             self._rollout_controller.adopt_stopped(heartbeat.stopped)
         if heartbeat.era > self._view.era:
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -23,11 +23,16 @@
 from trefoilpitch.gateway._peers import (
     heartbeat_interval_ms,
     peer_timeout_ms,
+    watch_wait_ms,
     watches_store,
 )
 
 _REMOVAL = ItemBatch(items=(Item(key="u", value=None, revision=9),), revision=9)
 _NOTHING = ItemBatch(items=(), revision=1)
+_APPLY_MS = 2_000
+# Waits of the first watch after a change, and of the others.
+_FIRST_WAIT_MS = 1_000
+_WAIT_MS = 3_000
 _UNAVAILABLE = StoreUnavailableError("down")
 
 
@@ -73,7 +78,9 @@
             self.view,
             self.clock,
             random.Random(1),
+            apply_ms=_APPLY_MS,
             should_watch=lambda: self.watching,
+            watch_wait_ms=self._watch_wait_ms,
             fetch_from_peers=self._fetch_from_peers,
             on_change=lambda: None,
         )
@@ -81,6 +88,9 @@
         self.store.listing = ItemBatch(items=(item,), revision=1)
         self.from_peer: ItemBatch | None = None
 
+    def _watch_wait_ms(self, in_step: bool) -> int:
+        return _FIRST_WAIT_MS if in_step else _WAIT_MS
+
     async def _fetch_from_peers(self) -> ItemBatch | None:
         return self.from_peer
 
@@ -173,7 +183,9 @@
         harness.view,
         harness.clock,
         random.Random(1),
+        apply_ms=_APPLY_MS,
         should_watch=lambda: True,
+        watch_wait_ms=lambda in_step: _WAIT_MS,
         fetch_from_peers=fetch_from_peers,
         on_change=lambda: None,
     )
@@ -238,6 +250,31 @@
     assert harness.view.upstreams == {}
 
 
+@pytest.mark.parametrize(
+    ("response_age_ms", "outage_ms", "retained"),
+    [
+        (0, 3_000, True),
+        (100, 3_000, True),
+        (2_900, 3_000, False),
+        (0, 900, False),
+    ],
+)
+def test_removal_from_a_peer_after_an_outage_may_be_an_expiry(
+    response_age_ms: int, outage_ms: int, retained: bool
+) -> None:
+    # The peer has found that the store is back, while this daemon still waits
+    # for the response to a watch that was lost.
+    harness = _FollowerHarness()
+    harness.store.steps = [(10, _NOTHING)]
+    harness.follow()
+    harness.clock.advance(outage_ms)
+    harness.follower.record_store_response(response_age_ms)
+    harness.follower.apply_from_peer(_REMOVAL, "peer")
+    assert ("u" in harness.view.upstreams) == retained
+    harness.view.expire(harness.clock.now_ms() + 2_300)
+    assert harness.view.upstreams == {}
+
+
 def test_removal_some_seconds_after_an_outage_is_no_expiry() -> None:
     """The store refused only this daemon; a scale-in follows its recovery."""
     harness = _FollowerHarness()
@@ -258,7 +295,7 @@
 
     async def sleep(delay_s: float) -> None:
         delays_ms.append(delay_s * 1_000)
-        harness.follower.confirm_current()
+        harness.follower.record_peer_confirmation(0)
 
     monkeypatch.setattr(asyncio, "sleep", sleep)
     harness = _FollowerHarness()
@@ -282,17 +319,52 @@
     assert waits[2] == waits[0]
 
 
+def test_watches_are_in_step_after_a_change_a_listing_and_an_outage() -> None:
+    harness = _FollowerHarness()
+    change = ItemBatch(
+        items=(harness.codec.item("u", upstream(), 2),), revision=2
+    )
+    harness.store.steps = [
+        (10, _NOTHING),
+        (10, _NOTHING),
+        (10, change),
+        (10, _NOTHING),
+        (10, _UNAVAILABLE),
+        (10, _NOTHING),
+    ]
+    harness.follow()
+    waits = [
+        wait_ms for name, wait_ms in harness.store.calls if name == "watch"
+    ]
+    first, later = _FIRST_WAIT_MS, _WAIT_MS
+    recovery = _follower._RECOVERY_WATCH_TIMEOUT_MS
+    assert waits == [first, later, later, first, later, recovery, first]
+
+
 def test_view_is_current_only_for_a_limited_time() -> None:
     harness = _FollowerHarness()
     assert not harness.follower.is_current()
     harness.follow()
     assert harness.follower.is_current()
-    harness.clock.advance(10_000)
+    harness.clock.advance(_APPLY_MS)
+    assert not harness.follower.is_current()
+    harness.follower.record_peer_confirmation(_APPLY_MS)
     assert not harness.follower.is_current()
-    harness.follower.confirm_current()
+    harness.follower.record_peer_confirmation(100)
+    assert harness.follower.is_current()
+    harness.follower.record_peer_confirmation(_APPLY_MS)
     assert harness.follower.is_current()
 
 
+def test_confirmation_of_a_peer_is_not_passed_on() -> None:
+    harness = _FollowerHarness()
+    assert harness.follower.confirmed_age_ms is None
+    harness.follow()
+    harness.clock.advance(300)
+    harness.follower.record_peer_confirmation(0)
+    assert harness.follower.confirmed_age_ms == 300
+
+
 @pytest.mark.parametrize("members", [1, 6, 9, 12, 79, 387])
 def test_nine_daemons_watch_or_all_of_a_smaller_fleet(members: int) -> None:
     names = {f"vm-{number}" for number in range(members)}
@@ -308,6 +380,49 @@
     assert len(second) == 9
 
 
+@pytest.mark.parametrize("members", [1, 2, 6, 7])
+def test_store_is_checked_by_one_daemon_in_each_interval(members: int) -> None:
+    names = {f"vm-{number}" for number in range(members)}
+    ends_ms: list[int] = []
+    for name in names:
+        first, later = (
+            watch_wait_ms(
+                name, names - {name}, interval_ms=500, in_step=in_step
+            )
+            for in_step in (True, False)
+        )
+        ends_ms += [first, first + later, first + 2 * later]
+    assert sorted(ends_ms) == [500 * (n + 1) for n in range(3 * members)]
+
+
+@pytest.mark.parametrize("members", [9, 79, 387])
+def test_watches_of_a_large_fleet_wait_four_seconds_at_most(
+    members: int,
+) -> None:
+    names = {f"vm-{number}" for number in range(members)}
+    watchers = [name for name in names if watches_store(name, names - {name})]
+    ends_ms = sorted(
+        watch_wait_ms(name, names - {name}, interval_ms=500, in_step=True)
+        for name in watchers
+    )
+    assert ends_ms == [
+        500,
+        1_000,
+        1_500,
+        2_000,
+        2_500,
+        3_000,
+        3_500,
+        4_000,
+        4_000,
+    ]
+    for name in watchers:
+        assert (
+            watch_wait_ms(name, names - {name}, interval_ms=500, in_step=False)
+            == 4_000
+        )
+
+
 @pytest.mark.parametrize("members", [1, 6, 9, 79, 387])
 def test_peer_timeout_covers_three_heartbeats(members: int) -> None:
     assert peer_timeout_ms(members) >= 3 * heartbeat_interval_ms(members)
