Hold a request in progress to the limits it began with

Callers saw: a request whose body or head was on its way when a configuration lowered its limit got 413 or 431, which callers do not send again, though it was within the limits when it was sent.

Cause: the server compares each part of a body, and each complete head, with the limits of the moment. What a caller has begun under one limit is judged by another one.

Ruled out: the parser's own limit. It is adopted between requests only.

Change: the limits at the beginning of a request hold until its end; a raised one applies at once, as before.

Evidence: test_lowered_limit_does_not_apply_to_a_request_in_progress failed before for the body (413) and the head (431), and passes now. The next request on the connection is held to the lowered limit.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -122,7 +122,9 @@
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
+        # Limits when the request in progress began.
         self._max_header_bytes = state.limits().max_header_bytes
+        self._max_body_bytes = 0
         self._h11 = self._create_parser()
         self._transport: asyncio.Transport | None = None
         self._monitor: PeerMonitor | None = None
@@ -284,7 +286,9 @@
             self._handle_head(event)
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
-            if self._size > self._state.limits().max_body_bytes:
+            # A limit that is lowered does not apply to bodies in progress.
+            limit = self._state.limits().max_body_bytes
+            if self._size > max(self._max_body_bytes, limit):
                 self._reject(_TOO_LARGE, "the body is too large")
                 return
             self._parts.append(bytes(event.data))
@@ -300,11 +304,15 @@
             # Conflicting framing headers allow request smuggling.
             self._reject(_BAD_REQUEST, "two framings of the body")
             return
+        limits = self._state.limits()
         # The parser only limits heads that arrive in several segments.
-        if _head_bytes(head) > self._state.limits().max_header_bytes:
+        if _head_bytes(head) > max(
+            self._max_header_bytes, limits.max_header_bytes
+        ):
             self._reject(_HEAD_TOO_LARGE, "the head is too large")
             return
         self._head = head
+        self._max_body_bytes = limits.max_body_bytes
         self._start_timer(
             self._state.limits().idle_timeout_ms, self._on_request_timeout
         )
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -99,6 +99,39 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("lowered", "beginning", "rest"),
+    [
+        (
+            {"max_body_bytes": 50},
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 80\r\n\r\n"
+            + b"x" * 40,
+            b"x" * 40,
+        ),
+        ({"max_header_bytes": 400}, _head(500), b"\r\n\r\n"),
+    ],
+    ids=["body", "head"],
+)
+def test_lowered_limit_does_not_apply_to_a_request_in_progress(
+    lowered: dict[str, int], beginning: bytes, rest: bytes
+) -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(beginning)
+            await asyncio.sleep(0.1)
+            limited.limits = dataclasses.replace(_LIMITS, **lowered)
+            writer.write(rest)
+            assert await _status(reader) == b"200"
+            writer.write(beginning + rest)
+            assert await _status(reader) in (b"413", b"431")
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_endless_head_is_refused_at_the_limit() -> None:
     async def scenario() -> None:
         with _Limited().server as server:
