Apply raised timeouts to requests in progress

Callers saw: a request whose head or body was on its way when a configuration raised its timeout got 408 at the end of the old one.

Cause: a timer keeps the limit of the moment at which it was started. The same was mended for idle connections before (test_raised_idle_timeout_applies_to_connections_that_are_idle), not for the two timers of requests.

Ruled out: a lowered timeout. A timer in progress keeps the older, longer limit, and ends no connection early.

Change: all three timers compare with the current limit when they expire, and wait on if it was raised.

Evidence: test_raised_timeout_applies_to_a_request_in_progress failed before for a head, a body and the rest of a body (408), and passes now; a request that exceeds the raised limit still gets 408 then.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -133,8 +133,6 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._arrived_ms = 0
-        # Monotonic time since when it has had no request.
-        self._idle_since_ms = 0
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -292,9 +290,7 @@
                 self._reject(_TOO_LARGE, "the body is too large")
                 return
             self._parts.append(bytes(event.data))
-            self._start_timer(
-                self._state.limits().idle_timeout_ms, self._on_request_timeout
-            )
+            self._start_timer(_idle_timeout_ms, self._on_request_timeout)
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
@@ -313,9 +309,7 @@
             return
         self._head = head
         self._max_body_bytes = limits.max_body_bytes
-        self._start_timer(
-            self._state.limits().idle_timeout_ms, self._on_request_timeout
-        )
+        self._start_timer(_idle_timeout_ms, self._on_request_timeout)
 
     def _dispatch(self) -> None:
         head = self._head
@@ -415,30 +409,43 @@
         self._reject(_REQUEST_TIMEOUT, "the request did not arrive in time")
 
     def _on_idle_timeout(self) -> None:
-        # The limit may have been raised since the timer was started.
-        left_ms = self._idle_left_ms()
-        if left_ms > 0:
-            self._start_timer(left_ms, self._on_idle_timeout)
-        elif self._transport is not None:
+        if self._transport is not None:
             self._transport.close()
 
     def _start_idle_timer(self) -> None:
-        self._idle_since_ms = self._state.now_ms()
-        self._start_timer(self._idle_left_ms(), self._on_idle_timeout)
+        self._start_timer(_idle_timeout_ms, self._on_idle_timeout)
 
     def _start_header_timer(self) -> None:
-        self._start_timer(
-            self._state.limits().header_timeout_ms, self._on_request_timeout
-        )
-
-    def _idle_left_ms(self) -> int:
-        idle_ms = self._state.now_ms() - self._idle_since_ms
-        return self._state.limits().idle_timeout_ms - idle_ms
+        self._start_timer(_header_timeout_ms, self._on_request_timeout)
 
-    def _start_timer(self, delay_ms: int, action: Callable[[], None]) -> None:
+    def _start_timer(
+        self,
+        limit_ms: Callable[[RequestLimits], int],
+        action: Callable[[], None],
+    ) -> None:
         self._cancel_timer()
+        self._wait(limit_ms, action, self._state.now_ms())
+
+    def _wait(
+        self,
+        limit_ms: Callable[[RequestLimits], int],
+        action: Callable[[], None],
+        started_ms: int,
+    ) -> None:
+        """Acts at a limit; waits on if it is raised in the meantime."""
+
+        def expire() -> None:
+            if left_ms() > 0:
+                self._wait(limit_ms, action, started_ms)
+            else:
+                action()
+
+        def left_ms() -> int:
+            elapsed_ms = self._state.now_ms() - started_ms
+            return limit_ms(self._state.limits()) - elapsed_ms
+
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_ms / _MS_PER_S, action)
+        self._timer = loop.call_later(left_ms() / _MS_PER_S, expire)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -455,6 +462,14 @@
                 self._monitor.data_written()
 
 
+def _header_timeout_ms(limits: RequestLimits) -> int:
+    return limits.header_timeout_ms
+
+
+def _idle_timeout_ms(limits: RequestLimits) -> int:
+    return limits.idle_timeout_ms
+
+
 def _head_bytes(head: h11.Request) -> int:
     lines = sum(
         len(name) + len(value) + _LINE_BYTES for name, value in head.headers
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -132,6 +132,47 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("timeout", "beginning", "rest"),
+    [
+        ("header_timeout_ms", _head(10), b"\r\n\r\n"),
+        (
+            "idle_timeout_ms",
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n",
+            b"ab",
+        ),
+        (
+            "idle_timeout_ms",
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na",
+            b"b",
+        ),
+    ],
+    ids=["head", "body", "rest of a body"],
+)
+def test_raised_timeout_applies_to_a_request_in_progress(
+    timeout: str, beginning: bytes, rest: bytes
+) -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        limited.limits = dataclasses.replace(_LIMITS, **{timeout: 300})
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(beginning)
+            await asyncio.sleep(0.1)
+            limited.limits = dataclasses.replace(_LIMITS, **{timeout: 1_000})
+            await asyncio.sleep(0.4)
+            writer.write(rest)
+            assert await _status(reader) == b"200"
+            started = time.monotonic()
+            writer.write(beginning)
+            assert await _status(reader) == b"408"
+            assert 0.9 < time.monotonic() - started < 3
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_endless_head_is_refused_at_the_limit() -> None:
     async def scenario() -> None:
         with _Limited().server as server:
