Let callers read the last response before their connection is closed

Callers saw: a refusal of a request that was still being sent (413, 431, 400, 408), or the last response to a caller that had sent more requests behind it, was lost with a reset connection: no answer.

Cause: a socket that is closed with received data unread resets its connection, and the caller's next write fails before it has read.

Ruled out: whole requests. They are read before the handler starts, so that nothing is unread when they are answered.

Change: the server ends its direction, discards what arrives and closes the connection when the caller does, or after a second. Connections without unread data are closed at once as before.

Evidence: test_refusal_reaches_a_caller_that_is_still_sending and test_last_response_reaches_a_caller_that_has_sent_more_requests failed before, three runs of three, and passed in three of three since. Found by reading; callers on record neither pipeline nor exceed the limits.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -23,6 +23,8 @@
 _BACKLOG = 512
 # Bytes of pipelined requests that are buffered while one is in progress.
 _MAX_UNREAD_BYTES = 64 * 1024
+# How long a caller may go on sending after its last response.
+_LINGER_MS = 1_000
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
@@ -138,6 +140,8 @@
         self._writable.set()
         self._closed = False
         self._paused = False
+        # Whether it is only kept until the caller has read its last response.
+        self._lingering = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configures the socket and starts the idle timer."""
@@ -150,6 +154,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser and handles its events."""
+        if self._lingering:
+            return
         if self._idle:
             self._apply_header_limit()
             self._arrived_ms = self._state.now_ms()
@@ -165,7 +171,8 @@
 
     def eof_received(self) -> bool:
         """Aborts the connection: the caller has disconnected."""
-        self.abort()
+        if not self._lingering:
+            self.abort()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -236,6 +243,7 @@
         return (
             self._task is None
             and self._head is None
+            and not self._lingering
             and not self._h11.trailing_data[0]
         )
 
@@ -368,7 +376,10 @@
         try:
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
-            self._transport.close()
+            if self._h11.trailing_data[0]:
+                self._linger()
+            else:
+                self._transport.close()
             return
         if self._paused:
             self._paused = False
@@ -401,9 +412,24 @@
             self._send(h11.Response(status_code=status, headers=headers))
             self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
-        if self._transport is not None:
-            self._transport.close()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Closes the connection once the caller has had time to read.
+
+        A socket that is closed with received data unread resets the
+        connection, and the caller may lose the response.
+        """
         self._closed = True
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._lingering = True
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            _LINGER_MS / _MS_PER_S, self._transport.close
+        )
 
     def _on_request_timeout(self) -> None:
         self._reject(_REQUEST_TIMEOUT, "the request did not arrive in time")
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -210,6 +210,68 @@
     asyncio.run(scenario())
 
 
+async def _send_until_closed(
+    writer: asyncio.StreamWriter, segments: int
+) -> None:
+    """Sends as a caller that does not read before it has sent all."""
+    for _ in range(segments):
+        writer.write(b"x" * 65_536)
+        await writer.drain()
+        await asyncio.sleep(0.002)
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending() -> None:
+    """A connection that is closed with data unread is reset."""
+
+    async def scenario() -> None:
+        limited = _Limited()
+        limited.limits = dataclasses.replace(_LIMITS, max_body_bytes=1_000)
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6553600\r\n\r\n"
+            )
+            await _send_until_closed(writer, 100)
+            assert (await reader.readline()).split()[1] == b"413"
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_last_response_reaches_a_caller_that_has_sent_more_requests() -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        limited.response_delay_s = 0.1
+        with limited.server as server:
+            server.state.closing = True
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(_head(10) + b"\r\n\r\n")
+            await _send_until_closed(writer, 100)
+            assert await _status(reader) == b"200"
+            assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_sends_on_after_a_refusal_is_disconnected() -> None:
+    async def scenario() -> None:
+        with _Limited().server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(_head(2_000))
+            assert await _status(reader) == b"431"
+            async with asyncio.timeout(_TIMEOUT_MS / 1_000):
+                while server.state.connections:
+                    writer.write(b"x")
+                    await asyncio.sleep(0.05)
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_request_whose_handler_fails_gets_a_response() -> None:
     async def scenario() -> None:
         with _server(fails_after_start=False) as server:
