Refuse incomplete requests before a leaving daemon exits

Callers saw: a request whose head or body was still on its way 2.8 s after SIGTERM ended with a closed connection, without an answer, as soon as the daemon had nothing else to do. Whether it had run, its caller could not know.

Cause: the exit waits for requests that are complete, and closes idle connections; those in between were aborted with the process. If something else kept the daemon, they got 503 once they were complete.

Change: from the moment at which no new requests are accepted, incomplete ones get 503 at once, and the exit waits for up to a second until their callers have read it.

Evidence: test_request_that_is_incomplete_at_the_exit_is_refused failed before for a head and a body (closed without an answer) and passes now. Found by reading.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -30,6 +30,7 @@
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
 # Bytes of a header line besides name and value: colon, space and CRLF.
 _LINE_BYTES = 4
 
@@ -231,13 +232,20 @@
     def unsent(self) -> bool:
         """Whether a part of a response waits for the caller to read."""
         transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        if transport is None:
+            return False
+        return self._lingering or transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
         """Closes the connection if no request is in progress on it."""
         if self._idle and self._transport is not None:
             self._transport.close()
 
+    def refuse_if_incomplete(self) -> None:
+        """Refuses a request that has not arrived completely, if any."""
+        if self._task is None and not (self._idle or self._closed):
+            self._reject(_UNAVAILABLE, "the daemon exits")
+
     @property
     def _idle(self) -> bool:
         return (
@@ -548,6 +556,11 @@
         for connection in list(self._state.connections):
             connection.close_if_idle()
 
+    def refuse_incomplete(self) -> None:
+        """Refuses all requests that have not arrived completely."""
+        for connection in list(self._state.connections):
+            connection.refuse_if_incomplete()
+
     def __enter__(self) -> Self:
         return self
 
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -366,6 +366,7 @@
             if elapsed_ms >= self._open_ms:
                 self._caller_server.stop_listening()
                 self._caller_server.close_idle()
+                self._caller_server.refuse_incomplete()
                 if self._caller_server.finished:
                     break
             if elapsed_ms >= self._end_ms - _FINAL_RESPONSE_MS:
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -381,6 +381,40 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        b"POST /plain/x HTTP/1.1\r\nHost: api.exa",
+        b"POST /plain/x HTTP/1.1\r\nHost: api.example\r\n"
+        b"X-Trefoilpitch-Request-Attempt-Id: id-1\r\n"
+        b"Api-Key: key-a\r\nContent-Length: 2\r\n\r\na",
+    ],
+    ids=["head", "body"],
+)
+def test_request_that_is_incomplete_at_the_exit_is_refused(
+    beginning: bytes,
+) -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            node = create_node(_settings("vm-2"), fleet.store)
+            callers = node._settings.callers
+            task = asyncio.create_task(node.run())
+            await wait_until(lambda: node.ready)
+            reader, writer = await asyncio.open_connection(
+                callers.host, callers.port
+            )
+            node.leave()
+            await asyncio.sleep(2)
+            writer.write(beginning)
+            status = await reader.readline()
+            assert status.split()[1:2] == [b"503"]
+            writer.close()
+            await task
+            assert not fleet.workers["plain-0"].runs
+
+    run(scenario)
+
+
 def test_late_timers_do_not_let_requests_in_after_the_signal() -> None:
     """As when the process gets no processor time for a while."""
 
