--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -23,11 +23,14 @@
 _BACKLOG = 512
 # Bytes of pipelined requests that are buffered while one is in progress.
 _MAX_UNREAD_BYTES = 64 * 1024
+# How long a caller may go on sending after its last response.
+_LINGER_MS = 1_000
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
 # Bytes of a header line besides name and value: colon, space and CRLF.
 _LINE_BYTES = 4
 
@@ -122,7 +125,9 @@
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
+        # Limits when the request in progress began.
         self._max_header_bytes = state.limits().max_header_bytes
+        self._max_body_bytes = 0
         self._h11 = self._create_parser()
         self._transport: asyncio.Transport | None = None
         self._monitor: PeerMonitor | None = None
@@ -131,13 +136,13 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._arrived_ms = 0
-        # Monotonic time since when it has had no request.
-        self._idle_since_ms = 0
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._closed = False
         self._paused = False
+        # Whether it is only kept until the caller has read its last response.
+        self._lingering = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configures the socket and starts the idle timer."""
@@ -150,6 +155,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser and handles its events."""
+        if self._lingering:
+            return
         if self._idle:
             self._apply_header_limit()
             self._arrived_ms = self._state.now_ms()
@@ -165,7 +172,8 @@
 
     def eof_received(self) -> bool:
         """Aborts the connection: the caller has disconnected."""
-        self.abort()
+        if not self._lingering:
+            self.abort()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -224,18 +232,26 @@
     def unsent(self) -> bool:
         """Whether a part of a response waits for the caller to read."""
         transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        if transport is None:
+            return False
+        return self._lingering or transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
         """Closes the connection if no request is in progress on it."""
         if self._idle and self._transport is not None:
             self._transport.close()
 
+    def refuse_if_incomplete(self) -> None:
+        """Refuses a request that has not arrived completely, if any."""
+        if self._task is None and not (self._idle or self._closed):
+            self._reject(_UNAVAILABLE, "the daemon exits")
+
     @property
     def _idle(self) -> bool:
         return (
             self._task is None
             and self._head is None
+            and not self._lingering
             and not self._h11.trailing_data[0]
         )
 
@@ -284,13 +300,13 @@
             self._handle_head(event)
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
-            if self._size > self._state.limits().max_body_bytes:
+            # A limit that is lowered does not apply to bodies in progress.
+            limit = self._state.limits().max_body_bytes
+            if self._size > max(self._max_body_bytes, limit):
                 self._reject(_TOO_LARGE, "the body is too large")
                 return
             self._parts.append(bytes(event.data))
-            self._start_timer(
-                self._state.limits().idle_timeout_ms, self._on_request_timeout
-            )
+            self._start_timer(_idle_timeout_ms, self._on_request_timeout)
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
@@ -300,14 +316,16 @@
             # Conflicting framing headers allow request smuggling.
             self._reject(_BAD_REQUEST, "two framings of the body")
             return
+        limits = self._state.limits()
         # The parser only limits heads that arrive in several segments.
-        if _head_bytes(head) > self._state.limits().max_header_bytes:
+        if _head_bytes(head) > max(
+            self._max_header_bytes, limits.max_header_bytes
+        ):
             self._reject(_HEAD_TOO_LARGE, "the head is too large")
             return
         self._head = head
-        self._start_timer(
-            self._state.limits().idle_timeout_ms, self._on_request_timeout
-        )
+        self._max_body_bytes = limits.max_body_bytes
+        self._start_timer(_idle_timeout_ms, self._on_request_timeout)
 
     def _dispatch(self) -> None:
         head = self._head
@@ -366,7 +384,10 @@
         try:
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
-            self._transport.close()
+            if self._h11.trailing_data[0]:
+                self._linger()
+            else:
+                self._transport.close()
             return
         if self._paused:
             self._paused = False
@@ -399,38 +420,66 @@
             self._send(h11.Response(status_code=status, headers=headers))
             self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
-        if self._transport is not None:
-            self._transport.close()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Closes the connection once the caller has had time to read.
+
+        A socket that is closed with received data unread resets the
+        connection, and the caller may lose the response.
+        """
         self._closed = True
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._lingering = True
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(
+            _LINGER_MS / _MS_PER_S, self._transport.close
+        )
 
     def _on_request_timeout(self) -> None:
         self._reject(_REQUEST_TIMEOUT, "the request did not arrive in time")
 
     def _on_idle_timeout(self) -> None:
-        # The limit may have been raised since the timer was started.
-        left_ms = self._idle_left_ms()
-        if left_ms > 0:
-            self._start_timer(left_ms, self._on_idle_timeout)
-        elif self._transport is not None:
+        if self._transport is not None:
             self._transport.close()
 
     def _start_idle_timer(self) -> None:
-        self._idle_since_ms = self._state.now_ms()
-        self._start_timer(self._idle_left_ms(), self._on_idle_timeout)
+        self._start_timer(_idle_timeout_ms, self._on_idle_timeout)
 
     def _start_header_timer(self) -> None:
-        self._start_timer(
-            self._state.limits().header_timeout_ms, self._on_request_timeout
-        )
+        self._start_timer(_header_timeout_ms, self._on_request_timeout)
 
-    def _idle_left_ms(self) -> int:
-        idle_ms = self._state.now_ms() - self._idle_since_ms
-        return self._state.limits().idle_timeout_ms - idle_ms
-
-    def _start_timer(self, delay_ms: int, action: Callable[[], None]) -> None:
+    def _start_timer(
+        self,
+        limit_ms: Callable[[RequestLimits], int],
+        action: Callable[[], None],
+    ) -> None:
         self._cancel_timer()
+        self._wait(limit_ms, action, self._state.now_ms())
+
+    def _wait(
+        self,
+        limit_ms: Callable[[RequestLimits], int],
+        action: Callable[[], None],
+        started_ms: int,
+    ) -> None:
+        """Acts at a limit; waits on if it is raised in the meantime."""
+
+        def expire() -> None:
+            if left_ms() > 0:
+                self._wait(limit_ms, action, started_ms)
+            else:
+                action()
+
+        def left_ms() -> int:
+            elapsed_ms = self._state.now_ms() - started_ms
+            return limit_ms(self._state.limits()) - elapsed_ms
+
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_ms / _MS_PER_S, action)
+        self._timer = loop.call_later(left_ms() / _MS_PER_S, expire)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -447,6 +496,14 @@
                 self._monitor.data_written()
 
 
+def _header_timeout_ms(limits: RequestLimits) -> int:
+    return limits.header_timeout_ms
+
+
+def _idle_timeout_ms(limits: RequestLimits) -> int:
+    return limits.idle_timeout_ms
+
+
 def _head_bytes(head: h11.Request) -> int:
     lines = sum(
         len(name) + len(value) + _LINE_BYTES for name, value in head.headers
@@ -499,6 +556,11 @@
         for connection in list(self._state.connections):
             connection.close_if_idle()
 
+    def refuse_incomplete(self) -> None:
+        """Refuses all requests that have not arrived completely."""
+        for connection in list(self._state.connections):
+            connection.refuse_if_incomplete()
+
     def __enter__(self) -> Self:
         return self
 
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -99,6 +99,80 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("lowered", "beginning", "rest"),
+    [
+        (
+            {"max_body_bytes": 50},
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 80\r\n\r\n"
+            + b"x" * 40,
+            b"x" * 40,
+        ),
+        ({"max_header_bytes": 400}, _head(500), b"\r\n\r\n"),
+    ],
+    ids=["body", "head"],
+)
+def test_lowered_limit_does_not_apply_to_a_request_in_progress(
+    lowered: dict[str, int], beginning: bytes, rest: bytes
+) -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(beginning)
+            await asyncio.sleep(0.1)
+            limited.limits = dataclasses.replace(_LIMITS, **lowered)
+            writer.write(rest)
+            assert await _status(reader) == b"200"
+            writer.write(beginning + rest)
+            assert await _status(reader) in (b"413", b"431")
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("timeout", "beginning", "rest"),
+    [
+        ("header_timeout_ms", _head(10), b"\r\n\r\n"),
+        (
+            "idle_timeout_ms",
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n",
+            b"ab",
+        ),
+        (
+            "idle_timeout_ms",
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na",
+            b"b",
+        ),
+    ],
+    ids=["head", "body", "rest of a body"],
+)
+def test_raised_timeout_applies_to_a_request_in_progress(
+    timeout: str, beginning: bytes, rest: bytes
+) -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        limited.limits = dataclasses.replace(_LIMITS, **{timeout: 300})
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(beginning)
+            await asyncio.sleep(0.1)
+            limited.limits = dataclasses.replace(_LIMITS, **{timeout: 1_000})
+            await asyncio.sleep(0.4)
+            writer.write(rest)
+            assert await _status(reader) == b"200"
+            started = time.monotonic()
+            writer.write(beginning)
+            assert await _status(reader) == b"408"
+            assert 0.9 < time.monotonic() - started < 3
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_endless_head_is_refused_at_the_limit() -> None:
     async def scenario() -> None:
         with _Limited().server as server:
@@ -136,6 +210,68 @@
     asyncio.run(scenario())
 
 
+async def _send_until_closed(
+    writer: asyncio.StreamWriter, segments: int
+) -> None:
+    """Sends as a caller that does not read before it has sent all."""
+    for _ in range(segments):
+        writer.write(b"x" * 65_536)
+        await writer.drain()
+        await asyncio.sleep(0.002)
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending() -> None:
+    """A connection that is closed with data unread is reset."""
+
+    async def scenario() -> None:
+        limited = _Limited()
+        limited.limits = dataclasses.replace(_LIMITS, max_body_bytes=1_000)
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6553600\r\n\r\n"
+            )
+            await _send_until_closed(writer, 100)
+            assert (await reader.readline()).split()[1] == b"413"
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_last_response_reaches_a_caller_that_has_sent_more_requests() -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        limited.response_delay_s = 0.1
+        with limited.server as server:
+            server.state.closing = True
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(_head(10) + b"\r\n\r\n")
+            await _send_until_closed(writer, 100)
+            assert await _status(reader) == b"200"
+            assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_sends_on_after_a_refusal_is_disconnected() -> None:
+    async def scenario() -> None:
+        with _Limited().server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            writer.write(_head(2_000))
+            assert await _status(reader) == b"431"
+            async with asyncio.timeout(_TIMEOUT_MS / 1_000):
+                while server.state.connections:
+                    writer.write(b"x")
+                    await asyncio.sleep(0.05)
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_request_whose_handler_fails_gets_a_response() -> None:
     async def scenario() -> None:
         with _server(fails_after_start=False) as server:
