Keep heartbeats readable by daemons of the version before

The tag that tells evidence from heartbeats changed the heartbeats' encoding, so that daemons of two versions would take each other for silent while they are replaced one by one. Only evidence has a tag now; what is no heartbeat is decoded as evidence. A daemon of the version before logs it as malformed and ignores it.

--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -417,7 +417,8 @@
         self._on_heartbeat = on_heartbeat
         self._on_evidence = on_evidence
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat | EvidenceMessage)
+        self._heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._evidence_decoder = msgspec.msgpack.Decoder(EvidenceMessage)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -425,16 +426,23 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Decodes a heartbeat and passes it on; logs malformed ones."""
+        """Decodes a message and passes it on; logs malformed ones."""
         try:
-            message = self._decoder.decode(data)
+            message = self._decode(data)
         except msgspec.DecodeError as error:
             log_event("malformed_heartbeat", sender=addr[0], reason=str(error))
             return
-        if isinstance(message, EvidenceMessage):
-            self._on_evidence(message.traits)
-        else:
+        if isinstance(message, Heartbeat):
             self._on_heartbeat(message)
+        else:
+            self._on_evidence(message.traits)
+
+    def _decode(self, data: bytes) -> Heartbeat | EvidenceMessage:
+        try:
+            return self._heartbeat_decoder.decode(data)
+        except msgspec.ValidationError:
+            # Heartbeats carry no tag, which earlier versions would not know.
+            return self._evidence_decoder.decode(data)
 
     def send(self, heartbeat: Heartbeat, members: list[Member]) -> None:
         """Sends a heartbeat."""
