Finish the restart of an engine stand-in before its response

test_engine_restarted_cold_under_load_does_not_crash failed once beside a load of 33, on: the request after the restart was closed without a response.

Cause: the stand-in answered first and dropped its connections afterwards, so that on a busy machine it also dropped the next connection of the test.

Change: the connections are dropped before the response, but for its own one.

--- a/trefoilpitch/standins/_engine.py
+++ b/trefoilpitch/standins/_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from types import TracebackType
 from typing import Self
 
@@ -64,10 +65,14 @@
         """Queues a fault for the next requests that it matches."""
         self._faults.add(fault)
 
-    def restart(self) -> None:
-        """Simulates a crash: drops completions, cache and connections."""
+    def restart(self, kept: socket.socket | None = None) -> None:
+        """Simulates a crash: drops completions, cache and connections.
+
+        Args:
+            kept: A connection that is not dropped.
+        """
         self._state.restart()
-        self._server.drop_connections()
+        self._server.drop_connections(kept)
 
     def run_counts(self) -> dict[str, int]:
         """Returns how often each request started to run, by request ID."""
--- a/trefoilpitch/standins/_engine_handler.py
+++ b/trefoilpitch/standins/_engine_handler.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 import urllib.parse
 from collections.abc import Callable
@@ -72,7 +73,7 @@
 
     state: ClassVar[EngineState]
     faults: ClassVar[FaultQueue]
-    on_restart: ClassVar[Callable[[], None]]
+    on_restart: ClassVar[Callable[[socket.socket | None], None]]
 
     def do_GET(self) -> None:  # noqa: N802
         """Serves resumed streams, load reports, cache events and counts."""
@@ -131,7 +132,7 @@
             self._refuse(str(error), _UNAVAILABLE)
             return
         if completion is None:
-            type(self).on_restart()
+            type(self).on_restart(None)
             return
         self._stream(completion, 0)
 
@@ -208,8 +209,10 @@
 
     def _restart(self) -> None:
         self.read_body()
+        # The restart is over before its caller goes on; only the connection of
+        # the response is kept.
+        type(self).on_restart(self.connection)
         self.respond_json({})
-        type(self).on_restart()
 
     def _respond_cache_events(self, after: int) -> None:
         incarnation = self.state.incarnation
--- a/trefoilpitch/standins/_http_server.py
+++ b/trefoilpitch/standins/_http_server.py
@@ -122,9 +122,9 @@
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Suppresses tracebacks: clients may disconnect at any moment."""
 
-    def drop_connections(self) -> None:
+    def drop_connections(self, kept: socket.socket | None = None) -> None:
         with self._sockets_lock:
-            sockets = list(self._sockets)
+            sockets = [sock for sock in self._sockets if sock is not kept]
         for sock in sockets:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
@@ -166,9 +166,9 @@
         """Where it listens, as ``host:port``."""
         return f"{LOOPBACK}:{self._server.server_address[1]}"
 
-    def drop_connections(self) -> None:
-        """Shuts down every open connection."""
-        self._server.drop_connections()
+    def drop_connections(self, kept: socket.socket | None = None) -> None:
+        """Shuts down every open connection but one that is kept."""
+        self._server.drop_connections(kept)
 
     def wait(self) -> None:
         """Blocks until the server is closed."""
