Close the idle connections to the store when a call is lost

Each call takes an idle connection, and each lost one costs a call its 1.5 s. A daemon that had had three calls in progress at once would lose three calls after the store is back, such as the steps of a roll-out.

Change: a call that fails closes the idle connections as well, so that the next one connects. test_only_one_call_is_lost_with_the_connections: the second call failed as well before.

--- a/trefoilpitch/platform/_store.py
+++ b/trefoilpitch/platform/_store.py
@@ -194,13 +194,23 @@
                 candidate.close()
         if connection is None:
             connection = await self._connect()
-        result = await self._exchange(connection, name, method, query, body)
+        try:
+            result = await self._exchange(connection, name, method, query, body)
+        except StoreUnavailableError:
+            # The other connections were probably lost as well.
+            self._close_idle_connections()
+            raise
         if connection.reusable:
             self._idle_connections.append(connection)
         else:
             connection.close()
         return result
 
+    def _close_idle_connections(self) -> None:
+        for connection in self._idle_connections:
+            connection.close()
+        self._idle_connections.clear()
+
     async def _connect(self) -> HttpConnection:
         try:
             return await connect(
