Ask another peer for changes when one does not reply

A daemon that fetches its changes from peers chose one at random each time, so that it could wait for the silent one again, up to 1 s and a pause of 250 ms each.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -83,6 +83,9 @@
 # Peers are a few milliseconds away; one that is down does not respond at all.
 _PEER_CONNECT_MS = 200
 _PEER_TIMEOUT_MS = 800
+# How long a peer that did not reply is only asked if no other one has the
+# changes: about as long as one that has ended still counts as alive.
+_UNRESPONSIVE_PEER_MS = 5_000
 _MAX_PEER_BYTES = 16 * 1024 * 1024
 # Fraction of the fleet's retry budget that is used; the rest is a margin for
 # requests that are counted twice and for daemons that join and leave.
@@ -155,6 +158,8 @@
         self._sequence = 0
         self._started_ms = clock.now_ms()
         self._peer_ahead = asyncio.Event()
+        # Monotonic time until which a peer that did not reply is avoided.
+        self._unresponsive_until_ms: dict[str, int] = {}
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self._view = FleetView(documents, self._log_change)
         self._peers = PeerTable(settings.name)
@@ -563,7 +568,14 @@
             if self._is_ahead(peer.heartbeat) and name in self._view.members
         ]
         if ahead:
-            await self._fetch_from(self._view.members[self._rng.choice(ahead)])
+            now_ms = self._clock.now_ms()
+            responsive = [
+                name
+                for name in ahead
+                if now_ms >= self._unresponsive_until_ms.get(name, now_ms)
+            ]
+            name = self._rng.choice(responsive or ahead)
+            await self._fetch_from(self._view.members[name])
 
     async def _fetch_from(self, member: Member) -> None:
         address = ListenAddress(host=member.peer_host, port=member.peer_port)
@@ -573,8 +585,13 @@
             # Only its configuration is newer.
             after = StoreVersion(after.era, 0)
         batch = await self._fetch_items(address, after)
-        if batch is not None:
-            self._follower.apply_from_peer(batch, member.name)
+        if batch is None:
+            self._unresponsive_until_ms[member.name] = (
+                self._clock.now_ms() + _UNRESPONSIVE_PEER_MS
+            )
+            return
+        self._unresponsive_until_ms.pop(member.name, None)
+        self._follower.apply_from_peer(batch, member.name)
 
     async def _fetch_from_seeds(self) -> ItemBatch | None:
         """Fetches all items from a seed; None if no seed has any."""
