Count an outage of the store from its last response

A daemon that had just opened its watch notices an outage up to 4.5 s late, and counted only the time from then on. If that was below 2 s, it took entries that had expired in the outage for upstreams that had left, and removed them at once, until they registered again.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -355,7 +355,12 @@
         now_ms = self._clock.now_ms()
         outage_ms = now_ms - self._unavailable_since_ms
         self._unavailable_since_ms = None
-        if outage_ms >= _MIN_EXPIRY_OUTAGE_MS:
+        # The outage may have begun long before the daemon noticed it.
+        gap_ms = now_ms - self._responded_ms
+        if (
+            outage_ms >= _MIN_EXPIRY_OUTAGE_MS
+            or gap_ms >= self._min_expiry_gap_ms
+        ):
             self._expiry_until_ms = now_ms + _REREGISTRATION_GRACE_MS
         log_event(
             "store_recovered", revision=self._view.revision, away_ms=outage_ms
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -275,6 +275,22 @@
     assert harness.view.upstreams == {}
 
 
+def test_removal_after_an_outage_that_was_noticed_late_may_be_an_expiry() -> (
+    None
+):
+    # The store went away when the watch had just been opened.
+    harness = _FollowerHarness()
+    harness.store.steps = [
+        (10, _NOTHING),
+        (3_500, _UNAVAILABLE),
+        (500, _REMOVAL),
+    ]
+    harness.follow()
+    assert "u" in harness.view.upstreams
+    harness.view.expire(harness.clock.now_ms() + 2_300)
+    assert harness.view.upstreams == {}
+
+
 def test_removal_some_seconds_after_an_outage_is_no_expiry() -> None:
     """The store refused only this daemon; a scale-in follows its recovery."""
     harness = _FollowerHarness()
