Deliver responses that have arrived when the others are ended at exit

Callers saw: a request whose response was complete in the daemon 0.2 s before its exit could get 502 instead. Where it runs once only, its caller does not send it again.

Cause: the requests without a response are cancelled at once, and a task that has been woken by data gets the cancellation first.

Change: they are cancelled behind the tasks of the same turn of the event loop. A response in the middle of a hand-over takes more turns and may still be dropped, as is one that arrives a moment later.

Evidence: test_response_that_has_just_arrived_is_delivered_at_exit failed before (502) and passes now.

--- a/trefoilpitch/gateway/_request_handler.py
+++ b/trefoilpitch/gateway/_request_handler.py
@@ -54,8 +54,10 @@
         on.
         """
         self.refuse_from(self._deps.clock.now_ms())
+        loop = asyncio.get_running_loop()
         for run in self._runs:
-            run.stop()
+            # After the tasks whose response has arrived in this turn.
+            loop.call_soon(run.stop)
 
     async def handle(self, http: HttpRequest, responder: Responder) -> None:
         """Handles one request; see `trefoilpitch.gateway.Handler`."""
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -12,7 +12,14 @@
 
 import pytest
 
-from trefoilpitch.gateway import ExchangeError, ListenAddress, NodeSettings
+from trefoilpitch.gateway import (
+    ExchangeError,
+    HttpConnection,
+    ListenAddress,
+    NodeSettings,
+    _request_run,
+    connect,
+)
 from trefoilpitch.platform._store import PlatformStore
 from trefoilpitch.platform.tests.harness import (
     HOST,
@@ -368,6 +375,37 @@
     run(scenario)
 
 
+def test_response_that_has_just_arrived_is_delivered_at_exit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    opened: list[HttpConnection] = []
+
+    async def recorded_connect(
+        host: str, port: int, timeout_ms: float
+    ) -> HttpConnection:
+        opened.append(await connect(host, port, timeout_ms))
+        return opened[-1]
+
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            worker = fleet.workers["plain-0"]
+            worker.faults.append(WorkerFault.HANG)
+            monkeypatch.setattr(_request_run, "connect", recorded_connect)
+            call = asyncio.create_task(fleet.send_request("/once/x"))
+            await wait_until(lambda: worker.runs)
+            # The task that waits for the response has not run in between.
+            opened[-1].data_received(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                b"X-Trefoilpitch-Request-Attempt-Id: id-1\r\n"
+                b"X-Trefoilpitch-Response-Seal: seal\r\n\r\nok"
+            )
+            fleet.daemon._request_handler.stop()
+            head, body = await call
+            assert (head.status, body) == (200, b"ok")
+
+    run(scenario)
+
+
 def test_failure_of_an_upstream_is_delivered_at_exit() -> None:
     async def scenario() -> None:
         async with running_fleet(plain=2) as fleet:
