Hold the pauses of a request to the timeout it began with

Callers saw: a request whose body was on its way when a configuration lowered idle-timeout-ms got 408 after a pause that was allowed when it began.

Change: all limits of a request are the larger of those at its beginning and those of the moment, in one place.

Evidence: test_lowered_timeout_does_not_apply_to_a_request_in_progress failed before (408) and passes now; the next request is held to the lowered timeout. Found by reading.

--- a/trefoilpitch/gateway/_http_server.py
+++ b/trefoilpitch/gateway/_http_server.py
@@ -125,9 +125,9 @@
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
-        # Limits when the request in progress began.
-        self._max_header_bytes = state.limits().max_header_bytes
-        self._max_body_bytes = 0
+        # Limits when the request, or the pause between two, began.
+        self._begun_limits = state.limits()
+        self._max_header_bytes = self._begun_limits.max_header_bytes
         self._h11 = self._create_parser()
         self._transport: asyncio.Transport | None = None
         self._monitor: PeerMonitor | None = None
@@ -158,6 +158,7 @@
         if self._lingering:
             return
         if self._idle:
+            self._adopt_limits()
             self._apply_header_limit()
             self._arrived_ms = self._state.now_ms()
             self._start_header_timer()
@@ -261,9 +262,16 @@
             max_incomplete_event_size=self._max_header_bytes,
         )
 
+    def _adopt_limits(self) -> None:
+        self._begun_limits = self._state.limits()
+
+    def _limit(self, field: Callable[[RequestLimits], int]) -> int:
+        """Returns a limit; one that is lowered applies to later requests."""
+        return max(field(self._begun_limits), field(self._state.limits()))
+
     def _apply_header_limit(self) -> None:
         """Adopts a limit that has changed since the last request."""
-        limit = self._state.limits().max_header_bytes
+        limit = self._begun_limits.max_header_bytes
         if limit != self._max_header_bytes:
             self._max_header_bytes = limit
             self._h11 = self._create_parser()
@@ -300,9 +308,7 @@
             self._handle_head(event)
         elif isinstance(event, h11.Data):
             self._size += len(event.data)
-            # A limit that is lowered does not apply to bodies in progress.
-            limit = self._state.limits().max_body_bytes
-            if self._size > max(self._max_body_bytes, limit):
+            if self._size > self._limit(_max_body_bytes):
                 self._reject(_TOO_LARGE, "the body is too large")
                 return
             self._parts.append(bytes(event.data))
@@ -316,15 +322,11 @@
             # Conflicting framing headers allow request smuggling.
             self._reject(_BAD_REQUEST, "two framings of the body")
             return
-        limits = self._state.limits()
         # The parser only limits heads that arrive in several segments.
-        if _head_bytes(head) > max(
-            self._max_header_bytes, limits.max_header_bytes
-        ):
+        if _head_bytes(head) > self._limit(_max_header_bytes):
             self._reject(_HEAD_TOO_LARGE, "the head is too large")
             return
         self._head = head
-        self._max_body_bytes = limits.max_body_bytes
         self._start_timer(_idle_timeout_ms, self._on_request_timeout)
 
     def _dispatch(self) -> None:
@@ -392,6 +394,7 @@
         if self._paused:
             self._paused = False
             self._transport.resume_reading()
+        self._adopt_limits()
         self._start_idle_timer()
         # The parser may already have buffered a pipelined request or a part of
         # one.
@@ -476,7 +479,7 @@
 
         def left_ms() -> int:
             elapsed_ms = self._state.now_ms() - started_ms
-            return limit_ms(self._state.limits()) - elapsed_ms
+            return self._limit(limit_ms) - elapsed_ms
 
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(left_ms() / _MS_PER_S, expire)
@@ -496,6 +499,14 @@
                 self._monitor.data_written()
 
 
+def _max_header_bytes(limits: RequestLimits) -> int:
+    return limits.max_header_bytes
+
+
+def _max_body_bytes(limits: RequestLimits) -> int:
+    return limits.max_body_bytes
+
+
 def _header_timeout_ms(limits: RequestLimits) -> int:
     return limits.header_timeout_ms
 
--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -173,6 +173,30 @@
     asyncio.run(scenario())
 
 
+def test_lowered_timeout_does_not_apply_to_a_request_in_progress() -> None:
+    async def scenario() -> None:
+        limited = _Limited()
+        with limited.server as server:
+            port = await server.listen(_HOST, 0)
+            reader, writer = await asyncio.open_connection(_HOST, port)
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+            writer.write(head + b"a")
+            await asyncio.sleep(0.1)
+            limited.limits = dataclasses.replace(_LIMITS, idle_timeout_ms=200)
+            writer.write(b"b")
+            await asyncio.sleep(0.5)
+            writer.write(b"c")
+            assert await _status(reader) == b"200"
+            started = time.monotonic()
+            writer.write(head + b"a")
+            assert await _status(reader) == b"408"
+            elapsed_ms = (time.monotonic() - started) * 1_000
+            assert elapsed_ms < _LIMITS.idle_timeout_ms / 2
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_endless_head_is_refused_at_the_limit() -> None:
     async def scenario() -> None:
         with _Limited().server as server:
