--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -112,6 +112,8 @@
     # Time since a response of the store to this daemon last showed that the
     # revision was the latest; None if none has.
     confirmed_age_ms: _Count | None = None
+    # For how long it goes on accepting requests although it is leaving.
+    open_ms: _Count = 0
 
     @property
     def version(self) -> StoreVersion:
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -5,13 +5,21 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 import time
 from collections import deque
 from collections.abc import AsyncIterator
 
 import pytest
 
-from trefoilpitch.gateway import ExchangeError, ListenAddress, NodeSettings
+from trefoilpitch.gateway import (
+    ExchangeError,
+    HttpConnection,
+    ListenAddress,
+    NodeSettings,
+    _request_run,
+    connect,
+)
 from trefoilpitch.platform._store import PlatformStore
 from trefoilpitch.platform.tests.harness import (
     HOST,
@@ -172,6 +180,58 @@
     run(scenario)
 
 
+def test_leaving_daemons_that_accept_are_listed_while_none_is_ready() -> None:
+    async def scenario() -> None:
+        async with running_fleet(grace_ms=8_000) as fleet:
+            first = fleet.settings
+            assert first is not None
+            last = _settings("vm-2")
+            both = (first, last)
+            first_address, last_address = (
+                _caller_address(settings).decode() for settings in both
+            )
+            async with running_node(last, fleet.store) as node:
+                await wait_until(
+                    lambda: all(
+                        len(n.caller_addresses()) == 2
+                        for n in (fleet.daemon, node)
+                    )
+                )
+
+                async def until_listed(expected: list[str]) -> None:
+                    """Polls until the directories of both name some daemons."""
+                    for settings in both:
+                        named = None
+                        while named != expected:
+                            await asyncio.sleep(0.02)
+                            status, body = await _get(
+                                settings.directory.port,
+                                "/trefoilpitch/resolve?name=a",
+                            )
+                            found = status == 200
+                            named = (
+                                json.loads(body)["addresses"] if found else []
+                            )
+
+                async with (
+                    asyncio.timeout(TIMEOUT_MS / 1_000),
+                    _hanging_request(fleet, first),
+                    _hanging_request(fleet, last),
+                ):
+                    fleet.daemon.leave()
+                    await until_listed([last_address])
+                    await asyncio.sleep(1)
+                    node.leave()
+                    await until_listed([last_address, first_address])
+                    await until_listed([last_address])
+                    fleet.settings = last
+                    head, _ = await fleet.send_request("/plain/x")
+                    assert head.status == 200
+                    await until_listed([])
+
+    run(scenario)
+
+
 def test_entry_of_a_leaving_daemon_stays_until_it_exits() -> None:
     async def scenario() -> None:
         async with running_fleet() as fleet:
@@ -316,6 +376,37 @@
     run(scenario)
 
 
+def test_response_that_has_just_arrived_is_delivered_at_exit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    opened: list[HttpConnection] = []
+
+    async def recorded_connect(
+        host: str, port: int, timeout_ms: float
+    ) -> HttpConnection:
+        opened.append(await connect(host, port, timeout_ms))
+        return opened[-1]
+
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            worker = fleet.workers["plain-0"]
+            worker.faults.append(WorkerFault.HANG)
+            monkeypatch.setattr(_request_run, "connect", recorded_connect)
+            call = asyncio.create_task(fleet.send_request("/once/x"))
+            await wait_until(lambda: worker.runs)
+            # The task that waits for the response has not run in between.
+            opened[-1].data_received(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                b"X-Trefoilpitch-Request-Attempt-Id: id-1\r\n"
+                b"X-Trefoilpitch-Response-Seal: seal\r\n\r\nok"
+            )
+            fleet.daemon._request_handler.stop()
+            head, body = await call
+            assert (head.status, body) == (200, b"ok")
+
+    run(scenario)
+
+
 def test_failure_of_an_upstream_is_delivered_at_exit() -> None:
     async def scenario() -> None:
         async with running_fleet(plain=2) as fleet:
