Count the upstreams of a stream in progress, not its attempts

Cause: max-attempts is the number of workers that may get a request, and the daemon counted attempts. An escalation, a superseded attempt and a connection that was reset used up all three, although the upstreams that had run the stream were there, or had crashed and were not listed any more.

Ruled out: leaving out attempts at upstreams that ended. A request that crashes its upstreams would get more of them. Also ruled out: excluding each request with an ending.

Change: a response in progress may get twice as many attempts, at upstreams that have run it, or at others while fewer of those that have run it are listed than its route allows. Each attempt draws on the retry budget, routes that may run once are as before, and a request without a delivered event has the attempts that it had.

--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -39,6 +39,8 @@
 # refused, and the limit up to which it doubles.
 _REFUSAL_DELAY_MS = 50
 _MAX_REFUSAL_DELAY_MS = 1_000
+# Runs of a response in progress, per upstream that its route allows.
+_MAX_RUNS_PER_UPSTREAM = 2
 _CUT = frozenset({FailureKind.CONNECTION_LOST, FailureKind.RESPONSE_TRUNCATED})
 _GONE = frozenset({FailureKind.CONNECT_REFUSED, FailureKind.MISDIRECTED})
 
@@ -53,6 +55,8 @@
     replaced: int = 0
     # Those of the failures that do not count against the route's limit.
     uncounted: int = 0
+    # Upstreams at which the runs that count were.
+    run_ids: frozenset[str] = frozenset()
 
     @property
     def execution(self) -> Execution:
@@ -71,26 +75,54 @@
         )
         return runs - self.uncounted
 
+    @property
+    def refused_too_often(self) -> bool:
+        """Whether too many attempts did not run for a further one."""
+        gone = sum(kind in _GONE for kind in self.failures)
+        not_run = sum(
+            classify_failure(kind) is Execution.NOT_RUN
+            for kind in self.failures
+        )
+        return gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN
+
     def with_failure(
-        self, kind: FailureKind, *, leaving: bool = False
+        self,
+        kind: FailureKind,
+        upstream_id: str | None = None,
+        *,
+        leaving: bool = False,
     ) -> Attempts:
         """Returns a copy with another failed attempt.
 
         Args:
             kind: How it failed.
+            upstream_id: The upstream; None if it is not known.
             leaving: Whether the response was in progress, at an upstream known
                 to be leaving. If that has cut it off, the attempt does not
                 count against the route's limit.
         """
-        return dataclasses.replace(
-            self,
-            failures=(*self.failures, kind),
-            uncounted=self.uncounted + (leaving and kind in _CUT),
-        )
+        attempts = dataclasses.replace(self, failures=(*self.failures, kind))
+        if classify_failure(kind) is Execution.NOT_RUN:
+            return attempts
+        if leaving and kind in _CUT:
+            return dataclasses.replace(attempts, uncounted=self.uncounted + 1)
+        return attempts._with_run(upstream_id)
+
+    def with_replaced_response(
+        self, upstream_id: str | None = None
+    ) -> Attempts:
+        """Returns a copy with another replaced response.
+
+        Args:
+            upstream_id: The upstream; None if it is not known.
+        """
+        attempts = dataclasses.replace(self, replaced=self.replaced + 1)
+        return attempts._with_run(upstream_id)
 
-    def with_replaced_response(self) -> Attempts:
-        """Returns a copy with another replaced response."""
-        return dataclasses.replace(self, replaced=self.replaced + 1)
+    def _with_run(self, upstream_id: str | None) -> Attempts:
+        if upstream_id is None:
+            return self
+        return dataclasses.replace(self, run_ids=self.run_ids | {upstream_id})
 
 
 def may_retry(route: Route, attempts: Attempts, *, affordable: bool) -> bool:
@@ -100,7 +132,12 @@
 
 
 def stop_reason(
-    route: Route, attempts: Attempts, *, affordable: bool, started: bool
+    route: Route,
+    attempts: Attempts,
+    *,
+    affordable: bool,
+    started: bool,
+    may_repeat: bool = False,
 ) -> StopReason | None:
     """Returns why a failed request is not retried; None if it is.
 
@@ -112,23 +149,23 @@
         attempts: The attempts so far, at least one.
         affordable: Whether the retry budget allows another attempt.
         started: Whether the caller has received a part of the response.
+        may_repeat: Whether a response in progress may get more attempts, at no
+            more upstreams than the route allows.
     """
     if not started:
         if not affordable:
             return StopReason.BUDGET
-        gone = sum(kind in _GONE for kind in attempts.failures)
-        not_run = sum(
-            classify_failure(kind) is Execution.NOT_RUN
-            for kind in attempts.failures
-        )
-        if gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN:
+        if attempts.refused_too_often:
             return StopReason.REFUSALS
     if attempts.execution is Execution.NOT_RUN:
         return None
     if not route.repeatable:
         return StopReason.UNSAFE
-    if attempts.runs >= max(1, route.max_attempts):
-        return StopReason.ATTEMPTS
+    limit = max(1, route.max_attempts)
+    if attempts.runs >= limit:
+        run_left = attempts.runs < _MAX_RUNS_PER_UPSTREAM * limit
+        if not (started and may_repeat and run_left):
+            return StopReason.ATTEMPTS
     return None
 
 
