Let more end-to-end test runs share a machine

Fleet tests failed with "all port ranges are in use by other test runs" when several runs shared a machine: there were eight ranges, and a run takes up to three.

Change: 80 ranges, from 24000 to 31999: below the kernel's ephemeral ports, above those of the stand-ins (10000 to 18999), the examples and the demo (19101 to 19401), the benches (21090 to 22010 and up, ten per daemon) and the two fictitious peers (20998 and 20999, which lay in the last range before). Ruled out: random ports, which a process could lose between their choice and its start.

Evidence: a test reserves 32 ranges at once; with eight ranges, that raises the error. test_peer_port, test_malformed and it passed (55 tests) at a load of 35. The other end-to-end tests have not been run on this commit.

--- a/tests/endtoend/conftest.py
+++ b/tests/endtoend/conftest.py
@@ -10,7 +10,9 @@
 from tests.endtoend.fleet import Fleet
 from tools.processes import Processes
 
-_FIRST_PORTS = range(20_200, 21_000, 100)
+# Below the ephemeral ports of the kernel, and apart from the ports of other
+# tests and tools.
+_FIRST_PORTS = range(24_000, 32_000, 100)
 _LAST_PORT = 99
 
 
