Weigh endings at which a suspected trait may have waited

Causes: (1) an ending counted in full against a trait that no upstream had begun to respond to, though others at that upstream had been responded to: what waits does not end an upstream. (2) The endings of a request that was blamed for three of them no longer counted in favour of parts, even if that request had waited there.

Change: such endings count half in the share of endings that a part explains, and stay open for others if a culprit may have waited there. A part that ends upstreams before they respond to it is still blamed for four endings if few others end without it.

More requests that are told apart would not help, as a crashing part is repeated too.

Of the new cases of the table two fail without the change.

--- a/trefoilpitch/gateway/_crash_evidence.py
+++ b/trefoilpitch/gateway/_crash_evidence.py
@@ -104,6 +104,8 @@
     ended_ms: dict[int, int]
     # Those of the upstreams that had begun to respond to the trait.
     responding: frozenset[int]
+    # Those that had begun to respond to other requests only.
+    waiting: frozenset[int]
     # Whether any response with it ever went well.
     was_sound: bool
 
@@ -128,6 +130,8 @@
         # By trait: the upstreams that ended, and whether they had begun to
         # respond to a request with the trait.
         self._endings: dict[int, dict[int, bool]] = {}
+        # Upstreams that had begun to respond to any request.
+        self._responding: set[int] = set()
         # Traits with endings that this daemon has seen itself.
         self._own_traits: set[int] = set()
         # By trait: monotonic time of its last report, and the number of its
@@ -224,6 +228,9 @@
             trait=trait,
             ended_ms=ended_ms,
             responding=frozenset(k for k in ended_ms if endings[k]),
+            waiting=frozenset(
+                k for k in ended_ms if k in self._responding and not endings[k]
+            ),
             was_sound=sound_ms is not None,
         )
 
@@ -389,9 +396,12 @@
         if known is None or (responding and not known):
             endings[upstream] = responding
             self.revision += 1
+        if responding:
+            self._responding.add(upstream)
 
     def _remove_ending(self, upstream: int) -> None:
         del self._ended_ms[upstream]
+        self._responding.discard(upstream)
         self.revision += 1
         for trait, endings in list(self._endings.items()):
             endings.pop(upstream, None)
--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -6,6 +6,10 @@
 that was sound, and one that is present at more endings before one at fewer. In
 an outage for another reason most endings come without it.
 
+An upstream ends under a request that it runs, not under one that waits. Where
+it had begun to respond to other requests but to none with a trait, these may
+have waited, so that the ending says less about the trait.
+
 A whole request goes before a part that is present at the same endings, as it
 explains them without other requests.
 """
@@ -30,6 +34,9 @@
 _MIN_MOMENTS_IF_SOUND_BEFORE = 7
 # Share of all upstreams that ended meanwhile.
 _MIN_SHARE = 0.6
+# What an ending counts in that share if the trait may have waited there while
+# others were responded to.
+_WAITING_WEIGHT = 0.5
 # Time within which upstreams that end together are seen to have ended.
 _SAME_MOMENT_MS = 25
 # Time until all daemons have told what they know about an ending; heartbeats
@@ -52,6 +59,8 @@
     responding: int
     # Monotonic time of the last ending.
     last_ms: int
+    # Those that had begun to respond to other requests only.
+    waiting: frozenset[int]
     # Whether responses with the traits went well before.
     was_sound: bool
     # Whether another request explains the same endings as well.
@@ -78,24 +87,33 @@
     }
     culprits: list[Culprit] = []
     unexplained_ms = settled_ms
+    # Endings that count against traits that are absent: culprits that may have
+    # waited at an ending leave it open.
+    counted_ms = settled_ms
     for was_sound, min_moments in (
         (False, _MIN_MOMENTS),
         (True, _MIN_MOMENTS_IF_SOUND_BEFORE),
     ):
         group = [s for s in suspicions if s.was_sound is was_sound]
         while True:
-            strongest = _strongest(group, unexplained_ms, min_moments)
+            strongest = _strongest(
+                group, unexplained_ms, counted_ms, min_moments
+            )
             if not strongest:
                 break
             culprits.extend(strongest)
-            unexplained_ms = {
-                upstream: ended_ms
-                for upstream, ended_ms in unexplained_ms.items()
-                if upstream not in strongest[0].upstreams
-            }
+            first = strongest[0]
+            unexplained_ms = _without(unexplained_ms, first.upstreams)
+            counted_ms = _without(counted_ms, first.upstreams - first.waiting)
     return culprits + _partly_explained(suspicions, culprits)
 
 
+def _without(
+    ended_ms: Mapping[int, int], upstreams: Collection[int]
+) -> dict[int, int]:
+    return {k: t for k, t in ended_ms.items() if k not in upstreams}
+
+
 def _partly_explained(
     suspicions: Iterable[Suspicion], culprits: Collection[Culprit]
 ) -> list[Culprit]:
@@ -175,6 +193,11 @@
         """Number of the upstreams that had begun to respond to the trait."""
         return len(self.suspicion.responding & self.upstreams)
 
+    @property
+    def waiting(self) -> frozenset[int]:
+        """Those that had begun to respond to other requests only."""
+        return self.suspicion.waiting & self.upstreams
+
     @property
     def strength(self) -> tuple[int, int]:
         """Sorts explanations.
@@ -194,6 +217,7 @@
             traits=frozenset(traits),
             upstreams=self.upstreams,
             responding=self.responding,
+            waiting=self.waiting,
             last_ms=max(times_ms[k] for k in self.upstreams),
             was_sound=self.suspicion.was_sound,
             ambiguous=ambiguous,
@@ -203,6 +227,7 @@
 def _strongest(
     suspicions: Iterable[Suspicion],
     unexplained_ms: Mapping[int, int],
+    counted_ms: Mapping[int, int],
     min_moments: int,
 ) -> list[Culprit]:
     """Returns the culprits that explain most endings, all the same ones."""
@@ -215,9 +240,7 @@
         )
         for suspicion in suspicions
     ]
-    valid = [
-        k for k in explanations if _is_valid(k, unexplained_ms, min_moments)
-    ]
+    valid = [k for k in explanations if _is_valid(k, counted_ms, min_moments)]
     if not valid:
         return []
     first = max(valid, key=lambda k: k.strength)
@@ -235,7 +258,7 @@
 
 def _is_valid(
     explanation: _Explanation,
-    unexplained_ms: Mapping[int, int],
+    counted_ms: Mapping[int, int],
     min_moments: int,
 ) -> bool:
     """Whether the endings suffice to blame a trait for them."""
@@ -249,17 +272,20 @@
     if is_whole_request(explanation.trait) and not was_sound:
         # Each upstream that got the request has ended.
         return True
-    return _is_usual(upstreams, unexplained_ms)
+    return _is_usual(explanation, counted_ms)
 
 
-def _is_usual(
-    upstreams: Collection[int], unexplained_ms: Mapping[int, int]
-) -> bool:
-    """Whether most upstreams that ended in a time are among some of them."""
-    times_ms = [unexplained_ms[upstream] for upstream in upstreams]
+def _is_usual(explanation: _Explanation, counted_ms: Mapping[int, int]) -> bool:
+    """Whether a trait explains most endings between its first and last one."""
+    upstreams = explanation.upstreams
+    times_ms = [explanation.suspicion.ended_ms[k] for k in upstreams]
     first_ms, last_ms = min(times_ms), max(times_ms)
-    ended = sum(first_ms <= t <= last_ms for t in unexplained_ms.values())
-    return len(upstreams) >= _MIN_SHARE * ended
+    others = sum(
+        first_ms <= ended_ms <= last_ms
+        for ended_ms in _without(counted_ms, upstreams).values()
+    )
+    weight = len(upstreams) - (1 - _WAITING_WEIGHT) * len(explanation.waiting)
+    return weight >= _MIN_SHARE * (weight + others)
 
 
 def _moments(times_ms: Iterable[int]) -> int:
--- a/trefoilpitch/gateway/tests/test_culprits.py
+++ b/trefoilpitch/gateway/tests/test_culprits.py
@@ -175,6 +175,50 @@
         ),
         blamed=("p",),
     ),
+    _Case(
+        name="a part that waited while others were responded to",
+        events=(
+            *_OTHERS,
+            *_endings("P", *_FOUR[:3]),
+            *_endings("s", *_FOUR[:3]),
+            (1_600, 4, "p"),
+            *_endings("v", 1_100, first=21),
+            *_endings("w", 1_300, first=22),
+        ),
+        blamed=(),
+    ),
+    _Case(
+        name="a part that ends upstreams before they respond to it",
+        events=(
+            *_OTHERS,
+            *_endings("P", *_FOUR),
+            *_endings("s", *_FOUR[:2]),
+            *_endings("t", *_FOUR[2:], first=3),
+            *_endings("v", 1_100, first=21),
+        ),
+        blamed=("p",),
+    ),
+    _Case(
+        name="endings that a waiting request was cut by have another cause",
+        events=(
+            *_OTHERS,
+            *_endings("p", *_FOUR),
+            *_endings("B1", 1_100, 1_300, 1_500, first=21),
+            *_endings("v", 1_100, first=21),
+            *_endings("w", 1_300, first=22),
+            *_endings("y", 1_500, first=23),
+        ),
+        blamed=("1",),
+    ),
+    _Case(
+        name="endings that a request explains that was responded to",
+        events=(
+            *_OTHERS,
+            *_endings("p", *_FOUR),
+            *_endings("1", 1_100, 1_300, 1_500, first=21),
+        ),
+        blamed=("1", "p"),
+    ),
     _Case(
         name="a response that goes well ends the suspicion",
         events=(
