Measure the tests of outages in the time of the event loop

test_change_after_an_outage_takes_effect_in_time failed for 1 and 3 daemons on beside a load of 33: 2,972 and 2,823 ms, bound 2,000. The bound stays; processor time, blocking calls and waits still count.

--- a/trefoilpitch/platform/tests/test_silent_peers.py
+++ b/trefoilpitch/platform/tests/test_silent_peers.py
@@ -8,7 +8,6 @@
 from collections.abc import AsyncIterator, MutableSequence
 from typing import TYPE_CHECKING, Any
 
-from trefoilpitch.clock import SystemClock
 from trefoilpitch.fleet import Member
 from trefoilpitch.gateway import Node, NodeSettings
 from trefoilpitch.gateway._peers import Heartbeat
@@ -21,7 +20,11 @@
     running_node,
     wait_until,
 )
-from trefoilpitch.standins import PlatformStoreStandIn, config_document
+from trefoilpitch.standins import (
+    PlatformStoreStandIn,
+    config_document,
+    event_loop_ms,
+)
 
 if TYPE_CHECKING:
     from _typeshed import SupportsLenAndGetItem
@@ -119,11 +122,11 @@
                     newer_store.put("op/config", config_document(2))
                     async with running_node(ahead, newer_store):
                         await wait_until(lambda: "vm-2" in node._peers.alive())
-                        heard_ms = SystemClock().now_ms()
+                        heard_ms = event_loop_ms()
                         await wait_until(
                             lambda: node._configuration_version == 2
                         )
-                        elapsed_ms = SystemClock().now_ms() - heard_ms
+                        elapsed_ms = event_loop_ms() - heard_ms
             assert elapsed_ms < APPLY_MS
 
     run(scenario)
--- a/trefoilpitch/platform/tests/test_store_outage.py
+++ b/trefoilpitch/platform/tests/test_store_outage.py
@@ -12,7 +12,6 @@
 
 import pytest
 
-from trefoilpitch.clock import SystemClock
 from trefoilpitch.gateway import Node
 from trefoilpitch.platform.tests.harness import (
     APPLY_MS,
@@ -21,9 +20,11 @@
     running_node,
     wait_until,
 )
-from trefoilpitch.standins import PlatformStoreStandIn, config_document
-
-_CLOCK = SystemClock()
+from trefoilpitch.standins import (
+    PlatformStoreStandIn,
+    config_document,
+    event_loop_ms,
+)
 
 
 @contextlib.asynccontextmanager
@@ -73,9 +74,9 @@
             await _lose_watches(nodes, store)
             store.unresponsive = False
             store.put("op/config", config_document(3))
-            acknowledged_ms = _CLOCK.now_ms()
+            acknowledged_ms = event_loop_ms()
             await wait_until(lambda: _all_have(nodes, 3))
-            assert _CLOCK.now_ms() - acknowledged_ms < APPLY_MS
+            assert event_loop_ms() - acknowledged_ms < APPLY_MS
 
     run(scenario)
 
