Dispatch the streams of the shutdown test before its calls

test_sigterm_under_load_completes_and_bills_all_requests failed once beside a load of 33, on: 30 requests were never in flight together within 30 s.

Cause: the test's set-up. All 30 are sent at once, and each call takes 3 s: beside other processes the first call was answered before the last stream was accepted. Trials with calls of 8 and 5 s failed otherwise: two of ten wait for a place, so that they are over their deadline of 10 s (504).

Change: the calls are sent once the streams are in flight, which take 500 ms a token now. The signal still finds all 30 requests in flight, and all must be completed and billed.

--- a/tests/endtoend/test_shutdown.py
+++ b/tests/endtoend/test_shutdown.py
@@ -9,7 +9,7 @@
 _STREAMS = 20
 _CALLS = 10
 # Slow enough that all requests are still in flight when the signal arrives.
-_TOKEN_MS = 250
+_TOKEN_MS = 500
 _CALL_MS = 3_000
 
 
@@ -29,6 +29,10 @@
         streams = [
             pool.submit(_stream, fleet, number) for number in range(_STREAMS)
         ]
+        wait_until(
+            lambda: fleet.dump("c")["in_flight"] == _STREAMS,
+            "dispatch of all streams",
+        )
         calls = [
             pool.submit(fleet.create_loan, "c", f"{prefix}loan-{number}")
             for number in range(_CALLS)
