--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -125,12 +125,6 @@
         return dataclasses.replace(self, run_ids=self.run_ids | {upstream_id})
 
 
-def may_retry(route: Route, attempts: Attempts, *, affordable: bool) -> bool:
-    """Decides whether a failed request is retried; see `stop_reason`."""
-    reason = stop_reason(route, attempts, affordable=affordable, started=False)
-    return reason is None
-
-
 def stop_reason(
     route: Route,
     attempts: Attempts,
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -33,7 +33,6 @@
 from trefoilpitch.gateway._admission import Admitted, Rejection, admit
 from trefoilpitch.gateway._attempts import (
     Attempts,
-    may_retry,
     refusal_delay_ms,
     response_timeout_ms,
     stop_reason,
@@ -569,6 +568,11 @@
 _RESUMABLE = route(kind=OperationKind.STREAM, max_attempts=3, resumable=True)
 
 
+def _may_retry(route: Route, attempts: Attempts, *, affordable: bool) -> bool:
+    reason = stop_reason(route, attempts, affordable=affordable, started=False)
+    return reason is None
+
+
 @pytest.mark.parametrize(
     ("tested_route", "failures", "expected"),
     [
@@ -587,12 +591,12 @@
     ],
 )
 def test_which_failures_are_retried(
-    tested_route: object, failures: list[FailureKind], expected: bool
+    tested_route: Route, failures: list[FailureKind], expected: bool
 ) -> None:
     attempts = Attempts(failures=tuple(failures))
-    found = may_retry(tested_route, attempts, affordable=True)  # type: ignore[arg-type]
+    found = _may_retry(tested_route, attempts, affordable=True)
     assert found is expected
-    assert not may_retry(tested_route, attempts, affordable=False)  # type: ignore[arg-type]
+    assert not _may_retry(tested_route, attempts, affordable=False)
 
 
 @pytest.mark.parametrize(
@@ -610,7 +614,7 @@
     failures: tuple[FailureKind, ...], expected: bool
 ) -> None:
     attempts = Attempts(failures=failures)
-    assert may_retry(route(), attempts, affordable=True) is expected
+    assert _may_retry(route(), attempts, affordable=True) is expected
 
 
 @pytest.mark.parametrize(
