--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -54,6 +54,20 @@
     complete: bool = False
 
 
+def _cut_attempt(
+    entry: UpstreamEntry,
+    traits: RequestTraits,
+    progress: AttemptProgress,
+    closed_ms: int,
+) -> _CutAttempt:
+    return _CutAttempt(
+        entry=entry,
+        traits=traits,
+        responding=progress.responding,
+        closed_ms=closed_ms,
+    )
+
+
 class CutAttempts:
     """Collects evidence on traits of requests from attempts that were cut off.
 
@@ -98,14 +112,7 @@
         if first_ms is not None and now_ms - first_ms >= _SOUND_AFTER_MS:
             self._record_sound(traits)
             return
-        self._examine_later(
-            _CutAttempt(
-                entry=entry,
-                traits=traits,
-                responding=progress.responding,
-                closed_ms=now_ms,
-            )
-        )
+        self._examine_later(_cut_attempt(entry, traits, progress, now_ms))
 
     def record_abandoned(
         self,
@@ -118,12 +125,7 @@
         Its upstream may still run the request for a while, and end.
         """
         now_ms = self._clock.now_ms()
-        attempt = _CutAttempt(
-            entry=entry,
-            traits=traits,
-            responding=progress.responding,
-            closed_ms=now_ms,
-        )
+        attempt = _cut_attempt(entry, traits, progress, now_ms)
         self._abandoned.setdefault(run_digest(entry), []).append(attempt)
         self._expire_abandoned(now_ms)
 
