Read changes from a store that takes longer than a watch's margin

Change: one of four such watches in a row waits for 1 s; a store that has changes responds to it within its wait.

test_one_of_four_watches_in_an_outage_is_longer.

--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -52,6 +52,10 @@
 # Timeout of the first watch after a failure: short, to detect the end of the
 # outage soon.
 _RECOVERY_WATCH_TIMEOUT_MS = 50
+# A store that is so slow that these watches fail still responds to a longer one
+# if there are changes. One of so many watches in a row is longer.
+_SLOW_STORE_WATCH_TIMEOUT_MS = 1_000
+_WATCHES_PER_LONGER_ONE = 4
 _MS_PER_S = 1_000
 
 
@@ -112,6 +116,8 @@
         self._watch_scope: asyncio.Timeout | None = None
         # Whether other daemons probably open their watches at the same time.
         self._in_step = True
+        # Number of watches in a row that failed.
+        self._failed_watches = 0
 
     @property
     def store_reachable(self) -> bool:
@@ -216,6 +222,7 @@
             if self._loaded and not self._should_watch():
                 await asyncio.sleep(_ROLE_CHECK_INTERVAL_MS / _MS_PER_S)
                 continue
+            started_ms = self._clock.now_ms()
             try:
                 await self._step()
                 backoff_ms = _MIN_BACKOFF_MS
@@ -224,8 +231,14 @@
                 self._loaded = False
             except StoreUnavailableError as error:
                 self._mark_unavailable(str(error))
+                if self._loaded:
+                    self._failed_watches += 1
+                # A call that got no response has taken part of the delay.
+                elapsed_ms = self._clock.now_ms() - started_ms
                 spread = 0.5 + self._rng.random()
-                await self._pause(backoff_ms * spread)
+                await self._pause(
+                    max(_MIN_BACKOFF_MS, backoff_ms * spread - elapsed_ms)
+                )
                 backoff_ms = min(_MAX_BACKOFF_MS, 2 * backoff_ms)
 
     async def _pause(self, pause_ms: float) -> None:
@@ -245,16 +258,12 @@
     async def _step(self) -> None:
         if self._loaded:
             recovering = not self.store_reachable
-            wait_ms = (
-                _RECOVERY_WATCH_TIMEOUT_MS
-                if recovering
-                else self._watch_wait_ms(self._in_step)
-            )
-            batch = await self._watch(wait_ms)
+            batch = await self._watch(self._next_wait_ms())
             if batch is None:
                 self._loaded = False
                 return
             self._in_step = recovering or bool(batch.items)
+            self._failed_watches = 0
             self._mark_available()
             if batch.era != self._view.era:
                 # These are changes of another history.
@@ -275,6 +284,14 @@
             self._on_change()
             await asyncio.sleep(_BATCH_DELAY_MS / _MS_PER_S)
 
+    def _next_wait_ms(self) -> int:
+        if self.store_reachable:
+            return self._watch_wait_ms(self._in_step)
+        failed = self._failed_watches
+        if failed > 0 and failed % _WATCHES_PER_LONGER_ONE == 0:
+            return _SLOW_STORE_WATCH_TIMEOUT_MS
+        return _RECOVERY_WATCH_TIMEOUT_MS
+
     async def _watch(self, wait_ms: int) -> ItemBatch | None:
         """Watches the store; returns None once a peer is in a newer era.
 
--- a/trefoilpitch/gateway/tests/test_follower.py
+++ b/trefoilpitch/gateway/tests/test_follower.py
@@ -335,6 +335,29 @@
     assert waits[2] == waits[0]
 
 
+def test_one_of_four_watches_in_an_outage_is_longer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A slow store responds to it at once if there are changes, but does not
+    # respond to the others in time.
+    monkeypatch.setattr(_follower, "_MIN_BACKOFF_MS", 0)
+    harness = _FollowerHarness()
+    harness.store.steps = [(10, _UNAVAILABLE)] * 9 + [(10, _NOTHING)]
+    harness.follow()
+    waits = [
+        wait_ms for name, wait_ms in harness.store.calls if name == "watch"
+    ]
+    short = _follower._RECOVERY_WATCH_TIMEOUT_MS
+    longer = _follower._SLOW_STORE_WATCH_TIMEOUT_MS
+    assert waits == [
+        _FIRST_WAIT_MS,
+        *(short, short, short, longer),
+        *(short, short, short, longer),
+        short,
+        _FIRST_WAIT_MS,
+    ]
+
+
 def test_watches_are_in_step_after_a_change_a_listing_and_an_outage() -> None:
     harness = _FollowerHarness()
     change = ItemBatch(
