--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import random
 import re
 from collections.abc import Callable, Coroutine
@@ -93,9 +92,6 @@
 # Requests without a response get a final one this long before the exit: several
 # turns of the loop that waits for them, also on a busy VM.
 _FINAL_RESPONSE_MS = 200
-# How long callers may use addresses of leaving daemons, which close soon: they
-# ask again until another daemon is ready.
-_CLOSING_LIFETIME_MS = 200
 _METRICS_PATH = b"/metrics"
 _STATE_PATH = b"/state"
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
@@ -109,15 +105,6 @@
 _PEER_GRACE_MS = 2_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class AddressListing:
-    """Addresses for callers."""
-
-    addresses: list[str]
-    # How long callers may use them; None if there is no limit.
-    lifetime_ms: int | None = None
-
-
 class AuxiliaryHandlers(Protocol):
     """Creates the handlers of the servers besides the callers' one."""
 
@@ -279,14 +266,6 @@
         """Time from the signal until it accepts no new requests."""
         return min(_LEAVE_OPEN_MS, self._end_ms // 2)
 
-    @property
-    def _open_left_ms(self) -> int:
-        """For how long it still accepts requests; 0 if it is not leaving."""
-        if self._leaving_since_ms is None:
-            return 0
-        elapsed_ms = self._clock.now_ms() - self._leaving_since_ms
-        return max(0, self._open_ms - elapsed_ms)
-
     @property
     def _configuration_version(self) -> int:
         """Version of the configuration; 0 if there is none."""
@@ -307,38 +286,6 @@
                 addresses.append(member.caller_address)
         return addresses
 
-    def address_listing(self) -> AddressListing:
-        """Returns the addresses that callers are given.
-
-        While no daemon is ready, they are those of the leaving ones that still
-        accept requests.
-        """
-        ready = self.caller_addresses()
-        if ready:
-            return AddressListing(addresses=ready)
-        return AddressListing(
-            addresses=self._closing_addresses(),
-            lifetime_ms=_CLOSING_LIFETIME_MS,
-        )
-
-    def _closing_addresses(self) -> list[str]:
-        """Returns the addresses of leaving daemons, the last to close first."""
-        now_ms = self._clock.now_ms()
-        own = self._settings.callers
-        open_ms = {f"{own.host}:{own.port}": self._open_left_ms}
-        for name, peer in self._peers.alive().items():
-            member = self._view.members.get(name)
-            if member is None:
-                continue
-            if member.incarnation == peer.heartbeat.incarnation:
-                age_ms = now_ms - peer.received_ms
-                left_ms = peer.heartbeat.open_ms - age_ms
-                open_ms[member.caller_address] = left_ms
-        return sorted(
-            (a for a, left in open_ms.items() if left > _CLOSING_LIFETIME_MS),
-            key=lambda address: -open_ms[address],
-        )
-
     async def run(self) -> None:
         """Runs the daemon until it has left the fleet.
 
@@ -540,7 +487,6 @@
             unreachable=self._dispatcher.own_unreachable(),
             traits=self._quarantine.report(),
             paces=self._rollout_controller.own_paces(),
-            open_ms=self._open_left_ms,
         )
         others = [
             member
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -105,8 +105,6 @@
     traits: EvidenceReport = EvidenceReport()
     # Its paces of the services in a roll-out that has not ended.
     paces: tuple[PaceReport, ...] = ()
-    # For how long it goes on accepting requests although it is leaving.
-    open_ms: _Count = 0
 
     @property
     def version(self) -> StoreVersion:
--- a/trefoilpitch/platform/_interfaces.py
+++ b/trefoilpitch/platform/_interfaces.py
@@ -11,7 +11,6 @@
 _JSON = (b"Content-Type", b"application/json")
 # Maximum number of addresses in a response.
 _MAX_ADDRESSES = 64
-_MS_PER_S = 1_000
 
 
 class PlatformInterfaces:
@@ -42,15 +41,13 @@
             if request.target.partition(b"?")[0] != _RESOLVE_PATH:
                 await responder.respond(404, [], b"")
                 return
-            listing = node.address_listing()
-            addresses = listing.addresses[:_MAX_ADDRESSES]
+            addresses = node.caller_addresses()[:_MAX_ADDRESSES]
             if not addresses:
                 await responder.respond(503, [], b"")
                 return
-            ttl_s = self._ttl_s
-            if listing.lifetime_ms is not None:
-                ttl_s = min(ttl_s, listing.lifetime_ms / _MS_PER_S)
-            body = msgspec.json.encode({"addresses": addresses, "ttl-s": ttl_s})
+            body = msgspec.json.encode(
+                {"addresses": addresses, "ttl-s": self._ttl_s}
+            )
             await responder.respond(200, [_JSON], body)
 
         return handle
