--- a/trefoilpitch/gateway/tests/test_http_server.py
+++ b/trefoilpitch/gateway/tests/test_http_server.py
@@ -129,7 +129,7 @@
             assert await _status(reader) in (b"413", b"431")
             writer.close()
 
-    asyncio.run(scenario())
+    run_undelayed(scenario)
 
 
 @pytest.mark.parametrize(
@@ -164,13 +164,13 @@
             await asyncio.sleep(0.4)
             writer.write(rest)
             assert await _status(reader) == b"200"
-            started = time.monotonic()
+            started_ms = event_loop_ms()
             writer.write(beginning)
             assert await _status(reader) == b"408"
-            assert 0.9 < time.monotonic() - started < 3
+            assert 900 < event_loop_ms() - started_ms < 3_000
             writer.close()
 
-    asyncio.run(scenario())
+    run_undelayed(scenario)
 
 
 def test_lowered_timeout_does_not_apply_to_a_request_in_progress() -> None:
@@ -187,14 +187,14 @@
             await asyncio.sleep(0.5)
             writer.write(b"c")
             assert await _status(reader) == b"200"
-            started = time.monotonic()
+            started_ms = event_loop_ms()
             writer.write(head + b"a")
             assert await _status(reader) == b"408"
-            elapsed_ms = (time.monotonic() - started) * 1_000
+            elapsed_ms = event_loop_ms() - started_ms
             assert elapsed_ms < _LIMITS.idle_timeout_ms / 2
             writer.close()
 
-    asyncio.run(scenario())
+    run_undelayed(scenario)
 
 
 def test_endless_head_is_refused_at_the_limit() -> None:
@@ -260,7 +260,7 @@
             assert (await reader.readline()).split()[1] == b"413"
             writer.close()
 
-    asyncio.run(scenario())
+    run_undelayed(scenario)
 
 
 def test_last_response_reaches_a_caller_that_has_sent_more_requests() -> None:
@@ -277,7 +277,7 @@
             assert await reader.read() == b""
             writer.close()
 
-    asyncio.run(scenario())
+    run_undelayed(scenario)
 
 
 def test_caller_that_sends_on_after_a_refusal_is_disconnected() -> None:
@@ -293,7 +293,7 @@
                     await asyncio.sleep(0.05)
             writer.close()
 
-    asyncio.run(scenario())
+    run_undelayed(scenario)
 
 
 def test_request_whose_handler_fails_gets_a_response() -> None:
