Let no upstream get a stream more than twice when attempts are used up

Callers saw: a stream that its only upstream cuts off was sent there six times. test_stream_that_cannot_be_resumed_does_not_look_complete and test_truncated_stream_logs_its_last_event failed: they have one upstream that cuts the stream off three times.

Cause: bounds the attempts of a stream, not those at one upstream.

Change: once the attempts are used up, an upstream that has run the stream twice does not get it again, and the stream ends if no other may. The two tests pass unchanged.

--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import Counter
 
 from trefoilpitch.fleet import OperationKind, Route
 from trefoilpitch.retries import (
@@ -39,7 +40,8 @@
 # refused, and the limit up to which it doubles.
 _REFUSAL_DELAY_MS = 50
 _MAX_REFUSAL_DELAY_MS = 1_000
-# Runs of a response in progress, per upstream that its route allows.
+# Runs of a response in progress at one upstream, if its route's attempts are
+# used up.
 _MAX_RUNS_PER_UPSTREAM = 2
 _CUT = frozenset({FailureKind.CONNECTION_LOST, FailureKind.RESPONSE_TRUNCATED})
 _GONE = frozenset({FailureKind.CONNECT_REFUSED, FailureKind.MISDIRECTED})
@@ -55,8 +57,8 @@
     replaced: int = 0
     # Those of the failures that do not count against the route's limit.
     uncounted: int = 0
-    # Upstreams at which the runs that count were.
-    run_ids: frozenset[str] = frozenset()
+    # Upstreams at which the runs that count were, one for each run.
+    run_ids: tuple[str, ...] = ()
 
     @property
     def execution(self) -> Execution:
@@ -75,6 +77,15 @@
         )
         return runs - self.uncounted
 
+    @property
+    def exhausted_ids(self) -> frozenset[str]:
+        """Upstreams that have run the request as often as they may."""
+        return frozenset(
+            upstream_id
+            for upstream_id, runs in Counter(self.run_ids).items()
+            if runs >= _MAX_RUNS_PER_UPSTREAM
+        )
+
     @property
     def refused_too_often(self) -> bool:
         """Whether too many attempts did not run for a further one."""
@@ -122,7 +133,7 @@
     def _with_run(self, upstream_id: str | None) -> Attempts:
         if upstream_id is None:
             return self
-        return dataclasses.replace(self, run_ids=self.run_ids | {upstream_id})
+        return dataclasses.replace(self, run_ids=(*self.run_ids, upstream_id))
 
 
 def stop_reason(
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -286,11 +286,12 @@
         return draining or self._notices.is_leaving(entry)
 
     def in_service(
-        self, upstream_ids: Iterable[str], model: str | None
+        self, service: str, upstream_ids: Iterable[str], model: str | None
     ) -> list[UpstreamEntry]:
-        """Returns those of some upstreams that may get requests.
+        """Returns those of some upstreams that may get a service's requests.
 
         Args:
+            service: The service.
             upstream_ids: The upstreams.
             model: The model that they must serve; None for any.
         """
@@ -298,7 +299,9 @@
         return [
             cached.entry
             for cached in found
-            if cached is not None and self._is_eligible(cached, model)
+            if cached is not None
+            and cached.entry.service == service
+            and self._is_eligible(cached, model)
         ]
 
     def may_send(self, entry: UpstreamEntry) -> bool:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -254,8 +254,7 @@
             return NoUpstream(
                 reason="retry budget exhausted", available_in_ms=None
             )
-        if self._has_enough_upstreams():
-            # Only upstreams that have run the request may get it again.
+        if self._attempts.runs >= self._max_upstreams:
             others = self._deps.view.upstreams.keys() - self._repeatable_ids()
             unusable = others.union(unusable)
         found = self._deps.dispatcher.choose(
@@ -269,14 +268,6 @@
             self._reserve_credit()
         return found
 
-    def _has_enough_upstreams(self) -> bool:
-        """Whether no other upstream than those so far may get the request.
-
-        Upstreams that are not listed any more have ended.
-        """
-        listed = self._attempts.run_ids & self._deps.view.upstreams.keys()
-        return len(listed) >= self._max_upstreams
-
     @property
     def _max_upstreams(self) -> int:
         return max(1, self._route.max_attempts)
@@ -293,13 +284,22 @@
         endings = await self._deps.cut_attempts.endings(self._traits)
         if endings > _MAX_ENDINGS_OF_REPEATED:
             return False
-        return not self._has_enough_upstreams() or bool(self._repeatable_ids())
+        return bool(self._repeatable_ids())
 
     def _repeatable_ids(self) -> set[str]:
-        """Returns the upstreams that may get the request once more."""
+        """Returns the upstreams that may get the request once more.
+
+        Upstreams that are not listed any more have ended, and others may take
+        their places.
+        """
         deps = self._deps
+        listed = deps.view.upstreams.keys()
+        ran = listed & set(self._attempts.run_ids)
+        allowed = ran if len(ran) >= self._max_upstreams else set(listed)
         entries = deps.dispatcher.in_service(
-            self._attempts.run_ids, self._tiers.model
+            self._service,
+            allowed - self._attempts.exhausted_ids,
+            self._tiers.model,
         )
         return {
             entry.upstream_id
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -662,7 +662,7 @@
         )
 
 
-def test_upstreams_that_run_a_request_again_count_once() -> None:
+def test_upstreams_that_run_a_request_twice_are_exhausted() -> None:
     attempts = (
         Attempts()
         .with_replaced_response("a")
@@ -672,7 +672,8 @@
         .with_failure(FailureKind.RESPONSE_TRUNCATED, "d", leaving=True)
     )
     assert attempts.runs == 3
-    assert attempts.run_ids == {"a", "b"}
+    assert attempts.run_ids == ("a", "b", "a")
+    assert attempts.exhausted_ids == {"a"}
 
 
 def test_refusal_of_a_leaving_upstream_is_not_left_out_twice() -> None:
