Run the parts of the test suite at the same time

Its parts (end to end, the platform's host, the gateway, the rest) run as four pytest processes now, whose output is printed part by part. Every test runs as before, KNOWN-RED.txt works as before, and any failing part fails the run.

Weighed: a plug-in that spreads single tests would be another package, and start the fleets of tests/endtoend once in each worker.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -3,10 +3,14 @@
 An entry of KNOWN-RED.txt starts with a line ``test: <pytest node id>``. The
 listed tests run separately, before the suite, and their outcomes are printed so
 that a test that passes again is noticed; they do not affect the exit status.
+
+The suite mostly waits for real processes and sockets, so its parts run at the
+same time. Arguments are passed on to a single pytest that runs the whole suite.
 """
 
 from __future__ import annotations
 
+import concurrent.futures
 import pathlib
 import subprocess
 import sys
@@ -14,6 +18,15 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _KNOWN_RED = _ROOT / "KNOWN-RED.txt"
 _ENTRY_PREFIX = "test:"
+_PLATFORM = "trefoilpitch/platform"
+_GATEWAY = "trefoilpitch/gateway"
+# Every test is in one of these parts; each is a list of pytest's arguments.
+_PARTS = (
+    ("tests",),
+    (_PLATFORM,),
+    (_GATEWAY,),
+    ("trefoilpitch", f"--ignore={_PLATFORM}", f"--ignore={_GATEWAY}"),
+)
 
 
 def _listed_tests() -> list[str]:
@@ -29,6 +42,31 @@
     return subprocess.run(command, cwd=_ROOT, check=False).returncode
 
 
+def _run_part(arguments: list[str]) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "pytest", *arguments]
+    return subprocess.run(
+        command,
+        cwd=_ROOT,
+        check=False,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors="replace",
+    )
+
+
+def _run_parts(deselected: list[str]) -> int:
+    """Runs the parts at the same time; returns the first failing status."""
+    with concurrent.futures.ThreadPoolExecutor(len(_PARTS)) as pool:
+        runs = [pool.submit(_run_part, [*part, *deselected]) for part in _PARTS]
+        statuses = []
+        for part, run in zip(_PARTS, runs, strict=True):
+            completed = run.result()
+            print(f"{' '.join(part)}:\n{completed.stdout}", flush=True)
+            statuses.append(completed.returncode)
+    return next((status for status in statuses if status), 0)
+
+
 def _report_known_red(listed: list[str]) -> None:
     print(_KNOWN_RED.read_text())
     for test in listed:
@@ -42,7 +80,9 @@
     if listed:
         _report_known_red(listed)
     deselected = [f"--deselect={test}" for test in listed]
-    return _pytest([*deselected, *sys.argv[1:]])
+    if sys.argv[1:]:
+        return _pytest([*deselected, *sys.argv[1:]])
+    return _run_parts(deselected)
 
 
 if __name__ == "__main__":
