Revert "Count the upstreams of a stream in progress, not its attempts"

Reverts; the attempts that leaving upstreams cut off stay uncounted.

An upstream that the store no longer lists also counted as ended, so that a request might reach more upstreams than its route allows.

--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import dataclasses
-from collections import Counter
 
 from trefoilpitch.fleet import OperationKind, Route
 from trefoilpitch.retries import (
@@ -40,9 +39,6 @@
 # refused, and the limit up to which it doubles.
 _REFUSAL_DELAY_MS = 50
 _MAX_REFUSAL_DELAY_MS = 1_000
-# Runs of a response in progress at one upstream, if its route's attempts are
-# used up.
-_MAX_RUNS_PER_UPSTREAM = 2
 _CUT = frozenset({FailureKind.CONNECTION_LOST, FailureKind.RESPONSE_TRUNCATED})
 _GONE = frozenset({FailureKind.CONNECT_REFUSED, FailureKind.MISDIRECTED})
 
@@ -57,8 +53,6 @@
     replaced: int = 0
     # Those of the failures that do not count against the route's limit.
     uncounted: int = 0
-    # Upstreams at which the runs that count were, one for each run.
-    run_ids: tuple[str, ...] = ()
 
     @property
     def execution(self) -> Execution:
@@ -77,72 +71,30 @@
         )
         return runs - self.uncounted
 
-    @property
-    def exhausted_ids(self) -> frozenset[str]:
-        """Upstreams that have run the request as often as they may."""
-        return frozenset(
-            upstream_id
-            for upstream_id, runs in Counter(self.run_ids).items()
-            if runs >= _MAX_RUNS_PER_UPSTREAM
-        )
-
-    @property
-    def refused_too_often(self) -> bool:
-        """Whether too many attempts did not run for a further one."""
-        gone = sum(kind in _GONE for kind in self.failures)
-        not_run = sum(
-            classify_failure(kind) is Execution.NOT_RUN
-            for kind in self.failures
-        )
-        return gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN
-
     def with_failure(
-        self,
-        kind: FailureKind,
-        upstream_id: str | None = None,
-        *,
-        leaving: bool = False,
+        self, kind: FailureKind, *, leaving: bool = False
     ) -> Attempts:
         """Returns a copy with another failed attempt.
 
         Args:
             kind: How it failed.
-            upstream_id: The upstream; None if it is not known.
             leaving: Whether the response was in progress, at an upstream known
                 to be leaving. If that has cut it off, the attempt does not
                 count against the route's limit.
         """
-        attempts = dataclasses.replace(self, failures=(*self.failures, kind))
-        if classify_failure(kind) is Execution.NOT_RUN:
-            return attempts
-        if leaving and kind in _CUT:
-            return dataclasses.replace(attempts, uncounted=self.uncounted + 1)
-        return attempts._with_run(upstream_id)
-
-    def with_replaced_response(
-        self, upstream_id: str | None = None
-    ) -> Attempts:
-        """Returns a copy with another replaced response.
-
-        Args:
-            upstream_id: The upstream; None if it is not known.
-        """
-        attempts = dataclasses.replace(self, replaced=self.replaced + 1)
-        return attempts._with_run(upstream_id)
+        return dataclasses.replace(
+            self,
+            failures=(*self.failures, kind),
+            uncounted=self.uncounted + (leaving and kind in _CUT),
+        )
 
-    def _with_run(self, upstream_id: str | None) -> Attempts:
-        if upstream_id is None:
-            return self
-        return dataclasses.replace(self, run_ids=(*self.run_ids, upstream_id))
+    def with_replaced_response(self) -> Attempts:
+        """Returns a copy with another replaced response."""
+        return dataclasses.replace(self, replaced=self.replaced + 1)
 
 
 def stop_reason(
-    route: Route,
-    attempts: Attempts,
-    *,
-    affordable: bool,
-    started: bool,
-    may_repeat: bool = False,
+    route: Route, attempts: Attempts, *, affordable: bool, started: bool
 ) -> StopReason | None:
     """Returns why a failed request is not retried; None if it is.
 
@@ -154,23 +106,23 @@
         attempts: The attempts so far, at least one.
         affordable: Whether the retry budget allows another attempt.
         started: Whether the caller has received a part of the response.
-        may_repeat: Whether a response in progress may get more attempts, at no
-            more upstreams than the route allows.
     """
     if not started:
         if not affordable:
             return StopReason.BUDGET
-        if attempts.refused_too_often:
+        gone = sum(kind in _GONE for kind in attempts.failures)
+        not_run = sum(
+            classify_failure(kind) is Execution.NOT_RUN
+            for kind in attempts.failures
+        )
+        if gone >= _MAX_GONE or not_run - gone >= _MAX_NOT_RUN:
             return StopReason.REFUSALS
     if attempts.execution is Execution.NOT_RUN:
         return None
     if not route.repeatable:
         return StopReason.UNSAFE
-    limit = max(1, route.max_attempts)
-    if attempts.runs >= limit:
-        run_left = attempts.runs < _MAX_RUNS_PER_UPSTREAM * limit
-        if not (started and may_repeat and run_left):
-            return StopReason.ATTEMPTS
+    if attempts.runs >= max(1, route.max_attempts):
+        return StopReason.ATTEMPTS
     return None
 
 
--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -129,20 +129,6 @@
         self._abandoned.setdefault(run_digest(entry), []).append(attempt)
         self._expire_abandoned(now_ms)
 
-    async def endings(self, traits: RequestTraits) -> int:
-        """Returns how many upstreams ended under a request and its repeats.
-
-        Waits until the upstreams of attempts that were cut off are examined.
-        """
-        if self._tasks:
-            await asyncio.wait(set(self._tasks))
-        now_ms = self._clock.now_ms()
-        return self._evidence.knowledge(traits.fingerprint, now_ms).endings
-
-    def has_ended(self, entry: UpstreamEntry) -> bool:
-        """Returns whether an upstream is known to have ended in use."""
-        return run_digest(entry) in self._evidence.ended_ms
-
     def record_refused(self, entry: UpstreamEntry) -> None:
         """Records that an upstream refused a connection."""
         if run_digest(entry) in self._abandoned:
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import (
@@ -285,25 +285,6 @@
         )
         return draining or self._notices.is_leaving(entry)
 
-    def in_service(
-        self, service: str, upstream_ids: Iterable[str], model: str | None
-    ) -> list[UpstreamEntry]:
-        """Returns those of some upstreams that may get a service's requests.
-
-        Args:
-            service: The service.
-            upstream_ids: The upstreams.
-            model: The model that they must serve; None for any.
-        """
-        found = (self._view.upstreams.get(k) for k in upstream_ids)
-        return [
-            cached.entry
-            for cached in found
-            if cached is not None
-            and cached.entry.service == service
-            and self._is_eligible(cached, model)
-        ]
-
     def may_send(self, entry: UpstreamEntry) -> bool:
         """Returns whether a chosen upstream may still get its request.
 
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -53,9 +53,6 @@
 _MIN_ATTEMPT_MS = 10
 # The same for an attempt beside a stalled one, which is kept for a while.
 _MIN_OFFER_MS = 2 * HANDOVER_MS
-# Upstreams that may have ended under a request that gets more attempts than its
-# route allows upstreams. Three endings put a request into quarantine.
-_MAX_ENDINGS_OF_REPEATED = 1
 _MS_PER_S = 1_000
 _IN_QUARANTINE = "in quarantine"
 _OK = 200
@@ -199,7 +196,6 @@
                 self._attempts,
                 affordable=self._affords_attempt(),
                 started=self._responder.started,
-                may_repeat=await self._may_repeat(),
             )
             if reason is not None:
                 self._attempt_log.append(f"not retried: {reason.value}")
@@ -254,9 +250,6 @@
             return NoUpstream(
                 reason="retry budget exhausted", available_in_ms=None
             )
-        if self._attempts.runs >= self._max_upstreams:
-            others = self._deps.view.upstreams.keys() - self._repeatable_ids()
-            unusable = others.union(unusable)
         found = self._deps.dispatcher.choose(
             self._request,
             self._service,
@@ -268,45 +261,6 @@
             self._reserve_credit()
         return found
 
-    @property
-    def _max_upstreams(self) -> int:
-        return max(1, self._route.max_attempts)
-
-    async def _may_repeat(self) -> bool:
-        """Whether a response in progress may be resumed once more.
-
-        The route limits the number of upstreams. They must not be ended by the
-        request, one after the other.
-        """
-        used_up = self._attempts.runs >= self._max_upstreams
-        if not self._responder.started or not used_up:
-            return False
-        endings = await self._deps.cut_attempts.endings(self._traits)
-        if endings > _MAX_ENDINGS_OF_REPEATED:
-            return False
-        return bool(self._repeatable_ids())
-
-    def _repeatable_ids(self) -> set[str]:
-        """Returns the upstreams that may get the request once more.
-
-        Upstreams that are not listed any more have ended, and others may take
-        their places.
-        """
-        deps = self._deps
-        listed = deps.view.upstreams.keys()
-        ran = listed & set(self._attempts.run_ids)
-        allowed = ran if len(ran) >= self._max_upstreams else set(listed)
-        entries = deps.dispatcher.in_service(
-            self._service,
-            allowed - self._attempts.exhausted_ids,
-            self._tiers.model,
-        )
-        return {
-            entry.upstream_id
-            for entry in entries
-            if not deps.cut_attempts.has_ended(entry)
-        }
-
     def _remaining_ms(self, now_ms: int) -> int:
         if self._responder.started:
             return self._caller_deadline_ms - now_ms
@@ -324,9 +278,7 @@
             with self.counted(entry):
                 await self._exchange(entry)
         except _Escalated:
-            self._attempts = self._attempts.with_replaced_response(
-                entry.upstream_id
-            )
+            self._attempts = self._attempts.with_replaced_response()
             self._attempted_ids.clear()
             return FailureKind.RESPONSE_TRUNCATED
         except ExchangeError as error:
@@ -759,14 +711,13 @@
         # A request without a response may itself be what ends its upstreams.
         leaving = self._responder.started and deps.dispatcher.is_leaving(entry)
         self._attempts = self._attempts.with_failure(
-            error.kind, entry.upstream_id, leaving=leaving
+            error.kind, leaving=leaving
         )
         self._attempt_log.append(f"{entry.upstream_id} {error.kind.value}")
         health = deps.dispatcher.health(entry.upstream_id)
         if error.kind is FailureKind.CONNECT_REFUSED:
             deps.cut_attempts.record_refused(entry)
-        not_run = classify_failure(error.kind) is Execution.NOT_RUN
-        if not_run and entry.upstream_id not in self._attempts.run_ids:
+        if classify_failure(error.kind) is Execution.NOT_RUN:
             self._run_ids.discard(entry.upstream_id)
         if error.kind is FailureKind.SERVER_ERROR:
             deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
@@ -801,10 +752,10 @@
     def record_withdrawn(self, attempt: SentAttempt) -> None:
         """Records an attempt that was abandoned and may have run."""
         self._record_abandoned(attempt)
-        self._count_withdrawn(attempt.entry.upstream_id)
+        self._count_withdrawn()
 
-    def _count_withdrawn(self, upstream_id: str | None = None) -> None:
-        self._attempts = self._attempts.with_replaced_response(upstream_id)
+    def _count_withdrawn(self) -> None:
+        self._attempts = self._attempts.with_replaced_response()
         self._withdrawn = True
 
     async def fail(self) -> None:
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -637,45 +637,6 @@
     assert reason is expected
 
 
-@pytest.mark.parametrize(
-    ("runs", "may_repeat", "expected"),
-    [
-        (2, False, None),
-        (3, False, StopReason.ATTEMPTS),
-        (3, True, None),
-        (5, True, None),
-        (6, True, StopReason.ATTEMPTS),
-    ],
-)
-def test_only_a_response_in_progress_may_get_more_attempts(
-    runs: int, may_repeat: bool, expected: StopReason | None
-) -> None:
-    attempts = Attempts(failures=(FailureKind.RESPONSE_TRUNCATED,) * runs)
-    refused = StopReason.ATTEMPTS if runs >= 3 else None
-    for started, reason in ((True, expected), (False, refused)):
-        assert reason is stop_reason(
-            _RESUMABLE,
-            attempts,
-            affordable=True,
-            started=started,
-            may_repeat=may_repeat,
-        )
-
-
-def test_upstreams_that_run_a_request_twice_are_exhausted() -> None:
-    attempts = (
-        Attempts()
-        .with_replaced_response("a")
-        .with_failure(FailureKind.RESPONSE_TRUNCATED, "b")
-        .with_failure(FailureKind.REFUSED_NOT_RUN, "c")
-        .with_failure(FailureKind.RESPONSE_TRUNCATED, "a")
-        .with_failure(FailureKind.RESPONSE_TRUNCATED, "d", leaving=True)
-    )
-    assert attempts.runs == 3
-    assert attempts.run_ids == ("a", "b", "a")
-    assert attempts.exhausted_ids == {"a"}
-
-
 def test_refusal_of_a_leaving_upstream_is_not_left_out_twice() -> None:
     attempts = (
         Attempts()
