--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -17,9 +17,6 @@
 )
 from trefoilpitch.gateway._log import log_event
 
-# How long a watch waits for changes. Its response, even an empty one, confirms
-# that the view is current; an unresponsive connection is detected soon after.
-_WATCH_TIMEOUT_MS = 4_000
 # How often a daemon that does not watch checks whether it should.
 _ROLE_CHECK_INTERVAL_MS = 200
 # Changes come in bursts. A short delay between watches fetches a burst with one
@@ -32,16 +29,20 @@
 # Maximum delay before jitter of up to 50% either way. It also bounds how late
 # the end of an outage is detected: until then, and during the grace period
 # below, a planned removal can be mistaken for an expired entry.
-_MAX_BACKOFF_MS = 1_000
+_MAX_BACKOFF_MS = 800
 # Entries that expired in an outage are registered again within two seconds of
 # its end; until then a removal may be such an expiry.
 _REREGISTRATION_GRACE_MS = 2_300
 # Minimum duration of an outage in which entries can expire: upstreams expire
 # after three missed heartbeats.
 _MIN_EXPIRY_OUTAGE_MS = 2_000
-# How long the view counts as current after a confirmation: longer than a watch
-# without changes.
-_CURRENT_FOR_MS = 4_800
+# Time between two responses of the store to any daemon that shows such an
+# outage; longer than daemons usually take to learn of a response to a peer.
+_MIN_EXPIRY_GAP_MS = 2_400
+# Fraction of the time in which a configuration has to take effect for which the
+# view counts as current after a confirmation. The rest covers the time that a
+# confirmation is under way.
+_CURRENT_SHARE = 0.9
 # If a listing takes longer, a peer is queried as well: many times what the
 # store normally needs.
 _LIST_TIMEOUT_MS = 400
@@ -62,8 +63,12 @@
         view: The view to keep up to date.
         clock: Provides monotonic time.
         rng: Adds jitter to the retries of several daemons.
+        apply_ms: Time from the store's acknowledgement of a configuration
+            until it has to take effect.
         should_watch: Returns whether this daemon watches the store; otherwise
             changes come from peers.
+        watch_wait_ms: Returns how long the next watch waits for changes, given
+            whether other daemons open theirs at the same time.
         fetch_from_peers: Returns all items of a peer, or None if no peer has
             any.
         on_change: Called after each batch of changes.
@@ -76,7 +81,9 @@
         clock: Clock,
         rng: random.Random,
         *,
+        apply_ms: int,
         should_watch: Callable[[], bool],
+        watch_wait_ms: Callable[[bool], int],
         fetch_from_peers: Callable[[], Awaitable[ItemBatch | None]],
         on_change: Callable[[], None],
     ) -> None:
@@ -85,15 +92,26 @@
         self._clock = clock
         self._rng = rng
         self._should_watch = should_watch
+        self._watch_wait_ms = watch_wait_ms
         self._fetch_from_peers = fetch_from_peers
         self._on_change = on_change
         self._loaded = False
         self._unavailable_since_ms: int | None = None
         self._expiry_until_ms = 0
-        self._confirmed_ms = -_CURRENT_FOR_MS
+        self._current_for_ms = int(apply_ms * _CURRENT_SHARE)
+        # The daemons check the store several times in `apply_ms`.
+        self._min_expiry_gap_ms = max(_MIN_EXPIRY_GAP_MS, apply_ms // 2)
+        # When the store last responded to any daemon, as far as is known.
+        self._responded_ms = clock.now_ms()
+        # When a response of the store to any daemon last showed that the view
+        # was the latest, and a response to this daemon.
+        self._confirmed_ms: int | None = None
+        self._own_confirmed_ms: int | None = None
         self._peer_ahead = asyncio.Event()
         self._listed_ms = 0
         self._watch_scope: asyncio.Timeout | None = None
+        # Whether other daemons probably open their watches at the same time.
+        self._in_step = True
 
     @property
     def store_reachable(self) -> bool:
@@ -105,18 +123,52 @@
         """Whether the last call failed, or a listing has timed out."""
         return self._unavailable_since_ms is not None
 
+    @property
+    def confirmed_age_ms(self) -> int | None:
+        """Time since a response to this daemon confirmed the view."""
+        if self._own_confirmed_ms is None:
+            return None
+        return self._clock.now_ms() - self._own_confirmed_ms
+
     def is_current(self) -> bool:
-        """Whether no newer configuration can have been missed."""
+        """Whether no configuration that must be in force can be missing."""
+        if not self._loaded or self._confirmed_ms is None:
+            return False
         age_ms = self._clock.now_ms() - self._confirmed_ms
-        return self._loaded and age_ms < _CURRENT_FOR_MS
+        return age_ms < self._current_for_ms
 
     def ms_since_listing(self) -> int:
         """Returns the time since this daemon last loaded a listing."""
         return self._clock.now_ms() - self._listed_ms
 
-    def confirm_current(self) -> None:
-        """Records that the view has just been confirmed as current."""
-        self._confirmed_ms = self._clock.now_ms()
+    def record_store_response(self, age_ms: int) -> None:
+        """Records that the store has responded to a peer.
+
+        If it had responded to no daemon for long before, it was away, and
+        removals that the peer has read may be expiries. This daemon may not
+        have noticed, as it waits for the response to a watch that was lost.
+
+        Args:
+            age_ms: Time since that response.
+        """
+        now_ms = self._clock.now_ms()
+        gap_ms = now_ms - age_ms - self._responded_ms
+        if gap_ms >= self._min_expiry_gap_ms:
+            log_event("store_outage_noticed", gap_ms=gap_ms)
+            self._expiry_until_ms = now_ms + _REREGISTRATION_GRACE_MS
+        self._responded_ms = max(self._responded_ms, now_ms - age_ms)
+
+    def record_peer_confirmation(self, age_ms: int) -> None:
+        """Records that the store has confirmed the view to a peer.
+
+        Args:
+            age_ms: Time since the store's response to that peer. What the peer
+                has heard from others does not count: daemons would confirm each
+                other for as long as the store is unavailable.
+        """
+        at_ms = self._clock.now_ms() - age_ms
+        if self._confirmed_ms is None or at_ms > self._confirmed_ms:
+            self._confirmed_ms = at_ms
 
     def notify_peer_ahead(self) -> None:
         """Reports that a peer has a newer revision than this daemon.
@@ -140,7 +192,9 @@
         if batch.era > self._view.era and batch.complete:
             self._restore_view(batch)
         elif batch.era == self._view.era:
-            self._view.apply(batch, now_ms)
+            self._view.apply(
+                batch, now_ms, retain_until_ms=self._expiry_until_ms
+            )
         log_event(
             "view_updated_from_peer",
             peer=peer,
@@ -190,15 +244,17 @@
 
     async def _step(self) -> None:
         if self._loaded:
+            recovering = not self.store_reachable
             wait_ms = (
-                _WATCH_TIMEOUT_MS
-                if self.store_reachable
-                else _RECOVERY_WATCH_TIMEOUT_MS
+                _RECOVERY_WATCH_TIMEOUT_MS
+                if recovering
+                else self._watch_wait_ms(self._in_step)
             )
             batch = await self._watch(wait_ms)
             if batch is None:
                 self._loaded = False
                 return
+            self._in_step = recovering or bool(batch.items)
             self._mark_available()
             if batch.era != self._view.era:
                 # These are changes of another history.
@@ -211,7 +267,10 @@
             )
         else:
             batch = await self._list()
-        self.confirm_current()
+            self._in_step = True
+        now_ms = self._clock.now_ms()
+        self._responded_ms = now_ms
+        self._confirmed_ms = self._own_confirmed_ms = now_ms
         if batch.items:
             self._on_change()
             await asyncio.sleep(_BATCH_DELAY_MS / _MS_PER_S)
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -4,7 +4,8 @@
 totals, never deltas, so that the next one makes up for a lost one. They show
 which daemons are alive or leaving, which revision of the fleet state each of
 them has, and its evidence on the versions of a roll-out and on traits of
-requests under which upstreams end.
+requests under which upstreams end. Evidence on traits that does not fit into
+the datagram of a heartbeat follows in one of its own.
 """
 
 from __future__ import annotations
@@ -39,6 +40,8 @@
 # fleet of up to this size all daemons watch; in a larger one there are enough
 # for some to remain when half of the fleet fails at once.
 _MAX_WATCHERS = 9
+# Longest wait of a watch.
+_MAX_WATCH_MS = 4_000
 # The fastest level already compresses configurations to a tenth.
 _COMPRESSION_LEVEL = 1
 _MAX_BATCH_BYTES = 64 * 1024 * 1024
@@ -75,7 +78,7 @@
     others: dict[int, dict[int, int]]
 
 
-class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
     """The state that a daemon publishes to its peers."""
 
     node: str
@@ -84,7 +87,8 @@
     sequence: int
     # Revision of its local copy of the fleet state.
     revision: int
-    # Whether that was recently confirmed as the store's latest revision.
+    # Whether that was recently confirmed as the store's latest revision. For
+    # daemons that do not know `confirmed_age_ms`.
     current: bool
     # Whether it can reach the store.
     store_reachable: bool
@@ -105,6 +109,9 @@
     traits: EvidenceReport = EvidenceReport()
     # Its paces of the services in a roll-out that has not ended.
     paces: tuple[PaceReport, ...] = ()
+    # Time since a response of the store to this daemon last showed that the
+    # revision was the latest; None if none has.
+    confirmed_age_ms: _Count | None = None
 
     @property
     def version(self) -> StoreVersion:
@@ -112,6 +119,14 @@
         return StoreVersion(self.era, self.revision)
 
 
+class EvidenceMessage(
+    msgspec.Struct, frozen=True, array_like=True, tag="evidence"
+):
+    """Evidence that does not fit into its daemon's heartbeat."""
+
+    traits: EvidenceReport
+
+
 class WireItem(msgspec.Struct, frozen=True, array_like=True):
     """An item of the fleet state as encoded for a peer."""
 
@@ -213,6 +228,34 @@
     return own_name in rank("watchers", names)[:_MAX_WATCHERS]
 
 
+def watch_wait_ms(
+    own_name: str,
+    reachable: Collection[str],
+    *,
+    interval_ms: int,
+    in_step: bool,
+) -> int:
+    """Returns how long a daemon's next watch of the store waits.
+
+    Load pattern: a change completes all watches at once. If the store goes away
+    before the next ones are opened, all of these are lost, and the daemons only
+    notice when their wait is over. The waits therefore end in turn, so that one
+    of the daemons checks the store in each interval.
+
+    Args:
+        own_name: The daemon.
+        reachable: Other live daemons that can reach the store.
+        interval_ms: Time between the ends of two daemons' watches.
+        in_step: Whether the daemons open their watches at the same time, as
+            after a change.
+    """
+    watchers = rank("watchers", {own_name, *reachable})[:_MAX_WATCHERS]
+    turns = len(watchers)
+    if in_step and own_name in watchers:
+        turns = watchers.index(own_name) + 1
+    return min(_MAX_WATCH_MS, turns * interval_ms)
+
+
 class PeerTable:
     """The daemons that recently sent a heartbeat.
 
@@ -336,17 +379,46 @@
         log_event("peer", peer=name, outcome=outcome, incarnation=incarnation)
 
 
+def encode_heartbeat(heartbeat: Heartbeat) -> list[bytes]:
+    """Returns the datagrams of a heartbeat.
+
+    If it is too large for one, the evidence on traits gets one of its own, and
+    if that is not enough, details are left out.
+    """
+    data = msgspec.msgpack.encode(heartbeat)
+    if len(data) <= _MAX_DATAGRAM_BYTES:
+        return [data]
+    evidence = msgspec.msgpack.encode(EvidenceMessage(heartbeat.traits))
+    for field, empty in (
+        ("traits", EvidenceReport()),
+        ("in_flight", {}),
+        ("paces", ()),
+    ):
+        if len(data) > _MAX_DATAGRAM_BYTES:
+            heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
+            data = msgspec.msgpack.encode(heartbeat)
+    return [data, evidence]
+
+
 class PeerSocket(asyncio.DatagramProtocol):
     """Sends and receives heartbeats over UDP.
 
     Args:
         on_heartbeat: Called for each received heartbeat.
+        on_evidence: Called for each report of evidence that is received
+            outside of a heartbeat.
     """
 
-    def __init__(self, on_heartbeat: Callable[[Heartbeat], None]) -> None:
+    def __init__(
+        self,
+        on_heartbeat: Callable[[Heartbeat], None],
+        on_evidence: Callable[[EvidenceReport], None],
+    ) -> None:
         self._on_heartbeat = on_heartbeat
+        self._on_evidence = on_evidence
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
+        self._evidence_decoder = msgspec.msgpack.Decoder(EvidenceMessage)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -354,30 +426,33 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Decodes a heartbeat and passes it on; logs malformed ones."""
+        """Decodes a message and passes it on; logs malformed ones."""
         try:
-            heartbeat = self._decoder.decode(data)
+            message = self._decode(data)
         except msgspec.DecodeError as error:
             log_event("malformed_heartbeat", sender=addr[0], reason=str(error))
             return
-        self._on_heartbeat(heartbeat)
+        if isinstance(message, Heartbeat):
+            self._on_heartbeat(message)
+        else:
+            self._on_evidence(message.traits)
+
+    def _decode(self, data: bytes) -> Heartbeat | EvidenceMessage:
+        try:
+            return self._heartbeat_decoder.decode(data)
+        except msgspec.ValidationError:
+            # Heartbeats carry no tag, which earlier versions would not know.
+            return self._evidence_decoder.decode(data)
 
     def send(self, heartbeat: Heartbeat, members: list[Member]) -> None:
-        """Sends a heartbeat, without details if it would be too large."""
+        """Sends a heartbeat."""
         if self._transport is None:
             return
-        data = msgspec.msgpack.encode(heartbeat)
-        for field, empty in (
-            ("in_flight", {}),
-            ("traits", EvidenceReport()),
-            ("paces", ()),
-        ):
-            if len(data) > _MAX_DATAGRAM_BYTES:
-                heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
-                data = msgspec.msgpack.encode(heartbeat)
+        datagrams = encode_heartbeat(heartbeat)
         for member in members:
             address = (member.peer_host, member.heartbeat_port)
-            self._transport.sendto(data, address)
+            for data in datagrams:
+                self._transport.sendto(data, address)
 
     def close(self) -> None:
         """Closes the socket."""
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -18,6 +18,7 @@
     TIMEOUT_MS,
     Fleet,
     create_node,
+    loop_time_s,
     node_settings,
     run,
     running_fleet,
@@ -97,8 +98,8 @@
                     await wait_until(lambda: worker.runs)
                     node.leave()
                     # It exits 7.5 s after the signal.
-                    end_s = time.monotonic() + 6.5
-                    while time.monotonic() < end_s:
+                    end_s = loop_time_s() + 6.5
+                    while loop_time_s() < end_s:
                         await asyncio.sleep(0.5)
                         status, body = await _get(
                             settings.directory.port,
@@ -150,8 +151,8 @@
                     )
                     node.leave()
                     await asyncio.sleep(0.3)
-                end_s = time.monotonic() + 5
-                while time.monotonic() < end_s:
+                end_s = loop_time_s() + 5
+                while loop_time_s() < end_s:
                     for settings in (staying, *leaving):
                         status, body = await _get(
                             settings.directory.port,
@@ -238,10 +239,10 @@
             ):
                 silent._era = node._registration._lease_era
                 node._registration._store = silent
-                started_s = time.monotonic()
+                started_s = loop_time_s()
                 node.leave()
                 await task
-                assert time.monotonic() - started_s < settings.grace_ms / 1_000
+                assert loop_time_s() - started_s < settings.grace_ms / 1_000
             assert fleet.store.keys(_MEMBER)
 
     run(scenario)
@@ -381,6 +382,40 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        b"POST /plain/x HTTP/1.1\r\nHost: api.exa",
+        b"POST /plain/x HTTP/1.1\r\nHost: api.example\r\n"
+        b"X-Trefoilpitch-Request-Attempt-Id: id-1\r\n"
+        b"Api-Key: key-a\r\nContent-Length: 2\r\n\r\na",
+    ],
+    ids=["head", "body"],
+)
+def test_request_that_is_incomplete_at_the_exit_is_refused(
+    beginning: bytes,
+) -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            node = create_node(_settings("vm-2"), fleet.store)
+            callers = node._settings.callers
+            task = asyncio.create_task(node.run())
+            await wait_until(lambda: node.ready)
+            reader, writer = await asyncio.open_connection(
+                callers.host, callers.port
+            )
+            node.leave()
+            await asyncio.sleep(2)
+            writer.write(beginning)
+            status = await reader.readline()
+            assert status.split()[1:2] == [b"503"]
+            writer.close()
+            await task
+            assert not fleet.workers["plain-0"].runs
+
+    run(scenario)
+
+
 def test_late_timers_do_not_let_requests_in_after_the_signal() -> None:
     """As when the process gets no processor time for a while."""
 
--- a/trefoilpitch/standins/_platform_store.py
+++ b/trefoilpitch/standins/_platform_store.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import dataclasses
-import time
 import urllib.parse
 from types import TracebackType
 from typing import Any, Self
@@ -20,6 +19,7 @@
     Responder,
     ServerState,
 )
+from trefoilpitch.standins._event_loop import event_loop_ms
 
 _LOOPBACK = "127.0.0.1"
 _MS_PER_S = 1_000
@@ -62,10 +62,6 @@
     next_lease: int
 
 
-def _now_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
-
-
 class PlatformStoreStandIn:
     """Serves keys, watches, conditional writes and leases over HTTP.
 
@@ -83,7 +79,7 @@
         self._changed = asyncio.Event()
         self._server = HttpServer(
             ServerState(
-                handler=self._handle, limits=RequestLimits, now_ms=_now_ms
+                handler=self._handle, limits=RequestLimits, now_ms=event_loop_ms
             )
         )
         self._port = 0
@@ -91,6 +87,9 @@
         self.refusal_status: int | None = None
         # Body to send in every response; None for the actual one.
         self.response_override: dict[str, Any] | None = None
+        # Whether calls get no response and are not executed. Their connections
+        # stay silent.
+        self.unresponsive = False
         # Whether to execute writes but close the connection without a response.
         self.drop_write_responses = False
         # Number of calls, by the name of the operation.
@@ -213,6 +212,9 @@
         url = urllib.parse.urlsplit(request.target.decode())
         name, _, argument = url.path.removeprefix(_PREFIX).partition("/")
         self.calls[name] = self.calls.get(name, 0) + 1
+        if self.unresponsive:
+            # Until the caller closes the connection.
+            await asyncio.Event().wait()
         era = self._era_header()
         if self.refusal_status is not None:
             await responder.respond(self.refusal_status, [era], b"")
@@ -268,7 +270,8 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
-        end_s = time.monotonic() + int(query["wait-timeout-ms"]) / _MS_PER_S
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + int(query["wait-timeout-ms"]) / _MS_PER_S
         while True:
             if after < self._compacted_revision or after > self._revision:
                 return 410, {}
@@ -278,7 +281,7 @@
                 if stored.revision > after
                 and stored.key.startswith(query["path-prefix"])
             ]
-            left_s = end_s - time.monotonic()
+            left_s = end_s - loop.time()
             if events or left_s <= 0:
                 return 200, {"events": events, "at": self._revision}
             changed = self._changed
