Name the obstacles of upstreams in refusals, and log lost links

A refusal said 'all upstreams are saturated, cold, paused or ejected', which fits each hypothesis on the incident of unreachable upstreams. It now counts the upstreams by obstacle and says how many of them some peer may reach. Links to upstreams are tracked apart from the upstreams' health, and logged as they are lost and restored. No decision changes.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import random
+from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 
 from trefoilpitch.clock import Clock
@@ -59,6 +61,20 @@
     available_in_ms: int | None
 
 
+class _Obstacle(enum.Enum):
+    """Why an upstream cannot get a request at the moment."""
+
+    # This daemon could not connect to it.
+    UNREACHABLE = "unreachable"
+    # Several requests in a row failed.
+    FAILING = "failing"
+    # It asked for a pause.
+    PAUSED = "paused"
+    SATURATED = "saturated"
+    # It is cold, and this daemon's share of its requests is used up.
+    COLD = "cold"
+
+
 class Dispatcher:
     """Selects upstreams and tracks their health and roll-out evidence.
 
@@ -357,10 +373,52 @@
         now_ms = self._clock.now_ms()
         available_ms = min(self._available_ms(k, now_ms) for k in allowed)
         return NoUpstream(
-            reason="all upstreams are saturated, cold, paused or ejected",
+            reason=self._describe_obstacles(allowed, now_ms),
             available_in_ms=max(0, available_ms - now_ms),
         )
 
+    def _describe_obstacles(
+        self, cached: list[CachedUpstream], now_ms: int
+    ) -> str:
+        """Counts the obstacles of upstreams and how many peers share them."""
+        obstacles = Counter(self._obstacle(k, now_ms) for k in cached)
+        counts = [
+            f"{count} {obstacle.value}"
+            for obstacle, count in obstacles.items()
+            if obstacle is not None
+        ]
+        others = max(0, len(self._members()) - 1)
+        unreachable = self._peers_unreachable()
+        reached = sum(
+            unreachable.get(upstream_digest(k.entry.upstream_id), 0) < others
+            for k in cached
+        )
+        return (
+            f"no upstream is available: {', '.join(counts) or '0'};"
+            f" {reached} of {len(cached)} not reported unreachable by all peers"
+        )
+
+    def _obstacle(
+        self, cached: CachedUpstream, now_ms: int
+    ) -> _Obstacle | None:
+        entry = cached.entry
+        health = self.health(entry.upstream_id)
+        if self._notices.paused_until_ms(entry) > now_ms:
+            return _Obstacle.PAUSED
+        if health.is_ejected(now_ms):
+            return (
+                _Obstacle.UNREACHABLE
+                if health.unreachable
+                else _Obstacle.FAILING
+            )
+        if self.load(entry.upstream_id) >= _FULL_LOAD * entry.slots:
+            return _Obstacle.SATURATED
+        if self._is_cold(cached, now_ms) and not self._has_cold_quota(
+            entry, now_ms
+        ):
+            return _Obstacle.COLD
+        return None
+
     def _is_eligible(self, cached: CachedUpstream, model: str | None) -> bool:
         entry = cached.entry
         return (
@@ -441,15 +499,7 @@
             entry = cached.entry
             health = self.health(entry.upstream_id)
             load = self.load(entry.upstream_id)
-            if (
-                self._available_ms(cached, now_ms) > now_ms
-                or health.is_ejected(now_ms)
-                or load >= _FULL_LOAD * entry.slots
-            ):
-                continue
-            if self._is_cold(cached, now_ms) and not self._has_cold_quota(
-                entry, now_ms
-            ):
+            if self._obstacle(cached, now_ms) is not None:
                 continue
             entries[entry.upstream_id] = cached
             candidates.append(
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -63,6 +63,7 @@
 from trefoilpitch.gateway._rollout_controller import RolloutController
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.gateway._supervision import supervise
+from trefoilpitch.gateway._upstream_links import UpstreamLinks
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
@@ -199,6 +200,7 @@
             peers_unreachable=self._peers.unreachable,
         )
         self._dispatcher = dispatcher
+        self._links = UpstreamLinks(clock)
         self._waiter = UpstreamWaiter(clock)
         self._rollout_controller = RolloutController(
             store=store,
@@ -235,6 +237,7 @@
             RequestDependencies(
                 view=self._view,
                 dispatcher=dispatcher,
+                links=self._links,
                 waiter=self._waiter,
                 codec=requests,
                 clock=clock,
@@ -428,6 +431,7 @@
     def _on_view_change(self) -> None:
         self._view.expire(self._clock.now_ms())
         self._dispatcher.evict_removed()
+        self._links.retain(self._view.upstreams)
         self._quarantine_records.adopt()
         if self._should_watch():
             # Notifies the peers, which compare its revision with their own.
@@ -658,6 +662,7 @@
             "configuration_version": self._configuration_version,
             "view_revision": self._view.revision,
             "upstreams": len(self._view.upstreams),
+            "upstream_links_lost": len(self._links.lost),
             "peers": len(self._peers.alive()),
             "waiting_requests": sum(self._waiter.waiting().values()),
             "active_requests": self._caller_server.state.active,
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -27,7 +27,7 @@
     HandOver,
     SentAttempt,
 )
-from trefoilpitch.gateway._http_client import HttpConnection, connect
+from trefoilpitch.gateway._http_client import HttpConnection
 from trefoilpitch.gateway._http_server import Responder
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import (
@@ -301,10 +301,8 @@
     async def begin(self, entry: UpstreamEntry) -> SentAttempt:
         """Connects to an upstream and sends it the request."""
         now_ms = self._deps.clock.now_ms()
-        connection = await connect(
-            entry.host,
-            entry.port,
-            connect_timeout_ms(self._remaining_ms(now_ms)),
+        connection = await self._deps.links.connect(
+            entry, connect_timeout_ms(self._remaining_ms(now_ms))
         )
         try:
             if not self._deps.dispatcher.may_send(entry):
--- a/trefoilpitch/gateway/tests/test_decisions.py
+++ b/trefoilpitch/gateway/tests/test_decisions.py
@@ -246,6 +246,39 @@
     assert fleet.chosen() is None
 
 
+@pytest.mark.parametrize(
+    ("obstacle", "expected"),
+    [
+        ("unreachable", "1 unreachable; 1 of 1 not reported"),
+        ("unreachable_for_all", "1 unreachable; 0 of 1 not reported"),
+        ("failing", "1 failing; 1 of 1 not reported"),
+        ("paused", "1 paused; 1 of 1 not reported"),
+        ("saturated", "1 saturated; 1 of 1 not reported"),
+    ],
+)
+def test_refusal_names_the_obstacles(obstacle: str, expected: str) -> None:
+    """A lost link, a failing upstream and an overload need other measures."""
+    fleet = _Fleet(members=3)
+    fleet.put("u", upstream("u", slots=1))
+    now_ms = fleet.clock.now_ms()
+    dispatcher = fleet.dispatchers[0]
+    if obstacle == "paused":
+        dispatcher.record_notices(upstream("u"), leaving=False, pause_ms=500)
+    elif obstacle == "saturated":
+        fleet.peers_in_flight = {"u": 50}
+    else:
+        unreachable = obstacle != "failing"
+        for _ in range(3):
+            dispatcher.health("u").record_failure(
+                now_ms, unreachable=unreachable
+            )
+    if obstacle == "unreachable_for_all":
+        fleet.peers_unreachable = {"u": 2}
+    found = fleet.choose()
+    assert isinstance(found, NoUpstream)
+    assert expected in found.reason
+
+
 def test_one_silence_ejects_an_upstream_once() -> None:
     """All streams of an upstream stall at the same time, within a second."""
     health = UpstreamHealth()
