--- a/trefoilpitch/gateway/_upstream_links.py
+++ b/trefoilpitch/gateway/_upstream_links.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Collection
+from collections.abc import Awaitable, Callable, Collection
+from typing import TypeAlias
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import UpstreamEntry
@@ -16,6 +17,11 @@
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._log import log_event
 
+# Opens a connection to a host and port, within a timeout in milliseconds.
+OpenConnection: TypeAlias = Callable[
+    [str, int, float], Awaitable[HttpConnection]
+]
+
 
 @dataclasses.dataclass(slots=True)
 class _LostLink:
@@ -29,10 +35,14 @@
 
     Args:
         clock: Provides monotonic time.
+        open_connection: Opens connections; raises `ExchangeError`.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, open_connection: OpenConnection = connect
+    ) -> None:
         self._clock = clock
+        self._open_connection = open_connection
         self._lost: dict[str, _LostLink] = {}
 
     @property
@@ -58,7 +68,9 @@
             ExchangeError: If it fails or takes too long.
         """
         try:
-            connection = await connect(entry.host, entry.port, timeout_ms)
+            connection = await self._open_connection(
+                entry.host, entry.port, timeout_ms
+            )
         except ExchangeError as error:
             self._record_failure(entry, error)
             raise
