Relay requests through daemons that reach the upstreams

Cause: a daemon had one path to an upstream, its own link, and took a connection that failed for a property of the upstream. With the last link lost it refused every request, though the other daemons, which it hears, reached all upstreams.

Change: links are tracked apart from the health of upstreams. Requests for an upstream whose link is lost, or while several links failed in a row, go through a peer that reports no lost link to it. The origin keeps all decisions (admission, placement, attempts, retry budget, deadline); the peer connects, checks that the upstream may get requests, and forwards both messages. What it could not send is reported as such and draws on no budget; a connection that ends before the response is of unknown outcome. Links are tried again in the background, at most four at a time. While a relay is available, a connection that is not established within 150 ms is given up, and the request's next attempts are relayed.

--- a/trefoilpitch/gateway/_attempts.py
+++ b/trefoilpitch/gateway/_attempts.py
@@ -20,6 +20,8 @@
 # Connections within a region open in a few milliseconds; a longer wait means a
 # lost packet or a dead machine.
 _CONNECT_TIMEOUT_MS = 300.0
+# The same if the request can be relayed instead.
+_RELAYABLE_TIMEOUT_MS = 150.0
 # Multiple of the route's latency objective to wait for the first event of a
 # stream; the rest of the objective is left for a retry at another upstream.
 _FIRST_EVENT_TIMEOUT_FACTOR = 0.6
@@ -138,9 +140,15 @@
     return min(_MAX_REFUSAL_DELAY_MS, delay_ms)
 
 
-def connect_timeout_ms(remaining_ms: float) -> float:
-    """Returns the timeout for establishing a connection."""
-    return min(_CONNECT_TIMEOUT_MS, max(1.0, remaining_ms / 2))
+def connect_timeout_ms(remaining_ms: float, *, relayable: bool) -> float:
+    """Returns the timeout for establishing a connection.
+
+    Args:
+        remaining_ms: Time left until the request's deadline.
+        relayable: Whether another daemon may reach the upstream.
+    """
+    limit_ms = _RELAYABLE_TIMEOUT_MS if relayable else _CONNECT_TIMEOUT_MS
+    return min(limit_ms, max(1.0, remaining_ms / 2))
 
 
 def response_timeout_ms(
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -31,6 +31,7 @@
 )
 from trefoilpitch.gateway._placement import Candidate, choose, saturation
 from trefoilpitch.gateway._prefix_traffic import PrefixTraffic
+from trefoilpitch.gateway._relays import Relays
 from trefoilpitch.gateway._rollouts import (
     ResponseQuality,
     VersionEvidence,
@@ -89,6 +90,7 @@
             upstream digest.
         peers_unreachable: Returns how many other daemons cannot reach an
             upstream, by its digest.
+        relays: The peers that relay requests; None if there are none.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         members: Callable[[], Collection[str]],
         peers_in_flight: Callable[[], Mapping[int, int]],
         peers_unreachable: Callable[[], Mapping[int, int]] = dict,
+        relays: Relays | None = None,
     ) -> None:
         self._view = view
         self._clock = clock
@@ -111,6 +114,7 @@
         self._members = members
         self._peers_in_flight = peers_in_flight
         self._peers_unreachable = peers_unreachable
+        self._relays = relays
         self._cold_requests = ColdRequestCounter()
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
@@ -406,11 +410,10 @@
         if self._notices.paused_until_ms(entry) > now_ms:
             return _Obstacle.PAUSED
         if health.is_ejected(now_ms):
-            return (
-                _Obstacle.UNREACHABLE
-                if health.unreachable
-                else _Obstacle.FAILING
-            )
+            if not health.unreachable:
+                return _Obstacle.FAILING
+            if not self._is_relayed(entry):
+                return _Obstacle.UNREACHABLE
         if self.load(entry.upstream_id) >= _FULL_LOAD * entry.slots:
             return _Obstacle.SATURATED
         if self._is_cold(cached, now_ms) and not self._has_cold_quota(
@@ -495,6 +498,7 @@
         unreachable = self._peers_unreachable()
         entries: dict[str, CachedUpstream] = {}
         candidates: list[Candidate] = []
+        unproven: list[Candidate] = []
         for cached in group:
             entry = cached.entry
             health = self.health(entry.upstream_id)
@@ -502,25 +506,29 @@
             if self._obstacle(cached, now_ms) is not None:
                 continue
             entries[entry.upstream_id] = cached
-            candidates.append(
-                Candidate(
-                    upstream_id=entry.upstream_id,
-                    load=load,
-                    slots=entry.slots,
-                    failure_rate=health.failure_rate(now_ms),
-                    latency_ratio=health.recent_latency_ratio(now_ms),
-                    local=entry.failure_domain == self._failure_domain,
-                    prefix_rank=prefix_ranks.get(entry.upstream_id),
-                    suspected=unreachable.get(
-                        upstream_digest(entry.upstream_id), 0
-                    )
-                    >= _MIN_UNREACHABLE_REPORTS,
-                )
+            relayed = self._is_relayed(entry)
+            candidate = Candidate(
+                upstream_id=entry.upstream_id,
+                load=load,
+                slots=entry.slots,
+                failure_rate=health.failure_rate(now_ms),
+                latency_ratio=health.recent_latency_ratio(now_ms),
+                local=entry.failure_domain == self._failure_domain,
+                prefix_rank=prefix_ranks.get(entry.upstream_id),
+                suspected=unreachable.get(upstream_digest(entry.upstream_id), 0)
+                >= _MIN_UNREACHABLE_REPORTS,
+                relayed=relayed,
             )
+            if relayed and not self._is_relay_proven(entry):
+                unproven.append(candidate)
+            else:
+                candidates.append(candidate)
         prefix_share = 0.0
         if prefix_key is not None:
             prefix_share = self._prefix_traffic.share(prefix_key, now_ms)
-        chosen = choose(candidates, self._rng, prefix_share=prefix_share)
+        chosen = choose(
+            candidates or unproven, self._rng, prefix_share=prefix_share
+        )
         if chosen is None:
             return None
         if prefix_key is not None:
@@ -539,6 +547,12 @@
             self._notices.paused_until_ms(entry),
         )
 
+    def _is_relayed(self, entry: UpstreamEntry) -> bool:
+        return self._relays is not None and self._relays.is_needed(entry)
+
+    def _is_relay_proven(self, entry: UpstreamEntry) -> bool:
+        return self._relays is not None and self._relays.is_proven(entry)
+
     def _is_cold(self, cached: CachedUpstream, now_ms: int) -> bool:
         return now_ms < cached.cold_until_ms
 
--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -16,7 +16,7 @@
 from collections.abc import Coroutine
 from typing import Any, NoReturn, Protocol, TypeVar
 
-from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.fleet import Member, UpstreamEntry
 from trefoilpitch.gateway._crash_evidence import AttemptProgress
 from trefoilpitch.gateway._exceptions import ExchangeError
 from trefoilpitch.gateway._http_client import HttpConnection
@@ -44,6 +44,10 @@
     connection: HttpConnection
     # Monotonic time when the request was sent.
     started_ms: int
+    # The daemon that relays it; None if it was sent to the upstream itself.
+    relay: Member | None = None
+    # Whether it has drawn on the retry budget.
+    charged: bool = False
     progress: AttemptProgress = dataclasses.field(
         default_factory=AttemptProgress
     )
--- a/trefoilpitch/gateway/_health.py
+++ b/trefoilpitch/gateway/_health.py
@@ -136,6 +136,14 @@
             )
             self.latency_ratio_ms = now_ms
 
+    def record_reachable(self) -> None:
+        """Ends the ejection of an upstream that could not be reached."""
+        if self.unreachable:
+            self.unreachable = False
+            self.consecutive_failures = 0
+            self.ejection_ms = 0
+            self.ejected_until_ms = 0
+
     def record_failure(self, now_ms: int, *, unreachable: bool) -> None:
         """Records a failed attempt.
 
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import re
 from collections.abc import Callable, Coroutine
@@ -19,6 +20,7 @@
     Member,
     RequestLimits,
     StoreVersion,
+    UpstreamEntry,
 )
 from trefoilpitch.gateway._crash_evidence import (
     CrashEvidence,
@@ -58,11 +60,15 @@
 from trefoilpitch.gateway._quarantine import Quarantine
 from trefoilpitch.gateway._quarantine_records import QuarantineRecords
 from trefoilpitch.gateway._registration import Registration
+from trefoilpitch.gateway._relay_messages import is_relayed
+from trefoilpitch.gateway._relay_server import RelayServer
+from trefoilpitch.gateway._relays import Relays
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
 from trefoilpitch.gateway._rollout_controller import RolloutController
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.gateway._supervision import supervise
+from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.gateway._upstream_links import UpstreamLinks
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
@@ -105,6 +111,16 @@
 # Requests without a response get a final one this long before the exit: several
 # turns of the loop that waits for them, also on a busy VM.
 _FINAL_RESPONSE_MS = 200
+# Interval of the trials of lost links, the number of links that are tried at
+# once, and the time after which a trial has failed.
+_LINK_TRIAL_INTERVAL_MS = 250
+_LINK_TRIALS_AT_ONCE = 4
+_LINK_TRIAL_TIMEOUT_MS = 300
+# Upstreams that a heartbeat reports as unreachable, so that it fits into one
+# datagram.
+_MAX_UNREACHABLE_REPORTS = 128
+# Headers that are added to a request for its upstream and its relay.
+_RELAY_HEADER_BYTES = 4_096
 _METRICS_PATH = b"/metrics"
 _STATE_PATH = b"/state"
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
@@ -189,6 +205,15 @@
             failure_domain=settings.failure_domain,
         )
         self._registration = Registration(store, documents, member, self._view)
+        self._links = UpstreamLinks(clock, self._record_link_restored)
+        self._relays = Relays(
+            self._view,
+            self._peers,
+            self._links,
+            clock,
+            rng,
+            failure_domain=settings.failure_domain,
+        )
         dispatcher = Dispatcher(
             self._view,
             clock,
@@ -198,9 +223,18 @@
             members=self._member_names,
             peers_in_flight=self._peers.in_flight,
             peers_unreachable=self._peers.unreachable,
+            relays=self._relays,
         )
         self._dispatcher = dispatcher
-        self._links = UpstreamLinks(clock)
+        self._relay_server = RelayServer(
+            self._view,
+            dispatcher,
+            self._links,
+            requests,
+            clock=clock,
+            metrics=metrics,
+            accepts=lambda: self.ready,
+        )
         self._waiter = UpstreamWaiter(clock)
         self._rollout_controller = RolloutController(
             store=store,
@@ -237,7 +271,9 @@
             RequestDependencies(
                 view=self._view,
                 dispatcher=dispatcher,
+                own_name=settings.name,
                 links=self._links,
+                relays=self._relays,
                 waiter=self._waiter,
                 codec=requests,
                 clock=clock,
@@ -252,10 +288,17 @@
             )
         )
         self._caller_server = self._server(self._request_handler.handle)
+        self._peer_server = HttpServer(
+            ServerState(
+                handler=self._serve_peer,
+                limits=self._peer_limits,
+                now_ms=clock.now_ms,
+            )
+        )
         self._auxiliary_servers = [
             (settings.readiness, self._server(auxiliary.readiness(self))),
             (settings.directory, self._server(auxiliary.directory(self))),
-            (settings.peers, self._server(self._serve_peer)),
+            (settings.peers, self._peer_server),
         ]
         if settings.metrics is not None:
             inspector = self._server(self._serve_inspection)
@@ -367,6 +410,9 @@
                 self._quarantine_records.synchronize,
             ),
             "catching_up": lambda: run_periodically(0, self._catch_up),
+            "link_trials": lambda: run_periodically(
+                _LINK_TRIAL_INTERVAL_MS, self._try_lost_links
+            ),
             "leaving": self._finish_leaving,
         }
         async with asyncio.TaskGroup() as group:
@@ -379,6 +425,22 @@
                 task.cancel()
         await self._registration.withdraw()
 
+    async def _try_lost_links(self) -> None:
+        """Finds out whether upstreams can be reached again."""
+        due = self._links.due_trials(self._view.upstreams, _LINK_TRIALS_AT_ONCE)
+        await asyncio.gather(*(self._try_link(entry) for entry in due))
+
+    async def _try_link(self, entry: UpstreamEntry) -> None:
+        # The links have logged a failure.
+        with contextlib.suppress(ExchangeError):
+            connection = await self._links.connect(
+                entry, _LINK_TRIAL_TIMEOUT_MS
+            )
+            connection.close()
+
+    def _record_link_restored(self, upstream_id: str) -> None:
+        self._dispatcher.health(upstream_id).record_reachable()
+
     async def _finish_leaving(self) -> None:
         while self._leaving_since_ms is None:
             await asyncio.sleep(0.05)
@@ -388,7 +450,10 @@
                 self._caller_server.stop_listening()
                 self._caller_server.close_idle()
                 self._caller_server.refuse_incomplete()
-                if self._caller_server.finished:
+                if (
+                    self._caller_server.finished
+                    and not self._relay_server.active
+                ):
                     break
             if elapsed_ms >= self._end_ms - _FINAL_RESPONSE_MS:
                 self._request_handler.stop()
@@ -409,6 +474,14 @@
         configuration = self._view.configuration
         return configuration.limits if configuration else RequestLimits()
 
+    def _peer_limits(self) -> RequestLimits:
+        """Limits of peers' requests, which add headers to the callers'."""
+        limits = self._limits()
+        return dataclasses.replace(
+            limits,
+            max_header_bytes=limits.max_header_bytes + _RELAY_HEADER_BYTES,
+        )
+
     def _member_names(self) -> set[str]:
         return set(self._view.members) | set(self._peers.alive())
 
@@ -432,6 +505,7 @@
         self._view.expire(self._clock.now_ms())
         self._dispatcher.evict_removed()
         self._links.retain(self._view.upstreams)
+        self._relays.retain(self._view.upstreams)
         self._quarantine_records.adopt()
         if self._should_watch():
             # Notifies the peers, which compare its revision with their own.
@@ -521,10 +595,11 @@
             era=self._view.era,
             configuration=self._configuration_version,
             stopped=self._rollout_controller.stopped_orders(),
-            unreachable=self._dispatcher.own_unreachable(),
+            unreachable=self._unreachable_digests(),
             traits=self._quarantine.report(),
             paces=self._rollout_controller.own_paces(),
             confirmed_age_ms=self._follower.confirmed_age_ms,
+            relay_room=self._relay_server.room,
         )
         others = [
             member
@@ -535,6 +610,13 @@
         if self._quarantine.has_unreported_evidence():
             self._send_urgent_heartbeat()
 
+    def _unreachable_digests(self) -> tuple[int, ...]:
+        digests = {
+            *self._dispatcher.own_unreachable(),
+            *(upstream_digest(upstream_id) for upstream_id in self._links.lost),
+        }
+        return tuple(sorted(digests)[:_MAX_UNREACHABLE_REPORTS])
+
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
         self._merge_evidence(heartbeat.traits)
@@ -663,6 +745,7 @@
             "view_revision": self._view.revision,
             "upstreams": len(self._view.upstreams),
             "upstream_links_lost": len(self._links.lost),
+            "relayed_for_peers": self._relay_server.active,
             "peers": len(self._peers.alive()),
             "waiting_requests": sum(self._waiter.waiting().values()),
             "active_requests": self._caller_server.state.active,
@@ -674,6 +757,9 @@
     async def _serve_peer(
         self, request: HttpRequest, responder: Responder
     ) -> None:
+        if is_relayed(request):
+            await self._relay_server.handle(request, responder)
+            return
         target = request.target.decode("latin-1")
         match = _ITEMS_TARGET.fullmatch(target)
         if match is None:
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -112,6 +112,8 @@
     # Time since a response of the store to this daemon last showed that the
     # revision was the latest; None if none has.
     confirmed_age_ms: _Count | None = None
+    # Number of requests that it would relay to upstreams for peers now.
+    relay_room: _Count = 0
 
     @property
     def version(self) -> StoreVersion:
--- a/trefoilpitch/gateway/_placement.py
+++ b/trefoilpitch/gateway/_placement.py
@@ -23,6 +23,8 @@
 _FAILURE_WEIGHT = 8.0
 # Penalty for an upstream in another failure domain.
 _REMOTE_FACTOR = 1.15
+# Penalty for an upstream that only another daemon can reach.
+_RELAYED_FACTOR = 1.3
 # Preference for the prefix's home, as it probably has the prefix cached.
 _HOME_FACTOR = 0.25
 # An upstream can be a home while its utilization is at most this multiple of
@@ -30,9 +32,10 @@
 _HOME_LOAD_FACTOR = 1.5
 _HOME_MIN_UTILIZATION = 1 / 8
 # Number of upstreams that are compared for a request, by whether they are in
-# this failure domain.
+# this failure domain or reached through another daemon.
 _LOCAL_CHOICES = 2
 _REMOTE_CHOICES = 2
+_RELAYED_CHOICES = 2
 # Random jitter of the scores, against herd behaviour of the daemons.
 _JITTER = 0.1
 
@@ -56,6 +59,8 @@
     prefix_rank: int | None = None
     # Whether other daemons cannot reach it.
     suspected: bool = False
+    # Whether requests for it go through another daemon.
+    relayed: bool = False
 
 
 def choose(
@@ -92,11 +97,13 @@
     that are a second old, while requests arrive at hundreds of daemons. Each of
     them would prefer it until the next reports show its load.
     """
-    local = [candidate for candidate in candidates if candidate.local]
-    remote = [candidate for candidate in candidates if not candidate.local]
+    relayed = [c for c in candidates if c.relayed]
+    local = [c for c in candidates if c.local and not c.relayed]
+    remote = [c for c in candidates if not c.local and not c.relayed]
     return [
         *rng.sample(local, min(_LOCAL_CHOICES, len(local))),
         *rng.sample(remote, min(_REMOTE_CHOICES, len(remote))),
+        *rng.sample(relayed, min(_RELAYED_CHOICES, len(relayed))),
     ]
 
 
@@ -139,7 +146,9 @@
     cost = 1.0 + saturation(candidate.load, candidate.slots)
     cost *= max(_MIN_LATENCY_RATIO, candidate.latency_ratio)
     cost *= 1.0 + _FAILURE_WEIGHT * candidate.failure_rate
-    if not candidate.local:
+    if candidate.relayed:
+        cost *= _RELAYED_FACTOR
+    elif not candidate.local:
         cost *= _REMOTE_FACTOR
     if is_home:
         cost *= _HOME_FACTOR
--- /dev/null
+++ b/trefoilpitch/gateway/_relay_messages.py
@@ -0,0 +1,132 @@
+"""Messages between daemons that relay requests to upstreams.
+
+A relayed request is the request as the upstream gets it, with headers that name
+the upstream and the time left. A response without a failure header is the
+upstream's own. The upstream's authentication of callers has happened before:
+no API key is relayed.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.gateway._exceptions import BadRequestError, ExchangeError
+from trefoilpitch.gateway._http_client import Headers, ResponseHead
+from trefoilpitch.gateway._http_server import HttpRequest
+from trefoilpitch.retries import FailureKind
+
+_PREFIX = b"trefoilpitch-relay-"
+# Id of the upstream, and Unix milliseconds of its start.
+_UPSTREAM = _PREFIX + b"upstream"
+_STARTED = _PREFIX + b"started-ms"
+# Name of the daemon that has the caller.
+_ORIGIN = _PREFIX + b"origin"
+# Milliseconds that the origin waits for the response.
+_TIMEOUT = _PREFIX + b"timeout-ms"
+# The kind of a failure, and its description for the log.
+_FAILURE = _PREFIX + b"failure"
+_DETAIL = _PREFIX + b"detail"
+_BAD_REQUEST = 400
+# Bounds of the numbers, far above what is in use.
+_MAX_DIGITS = 15
+_FAILURE_KINDS = {kind.value: kind for kind in FailureKind}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RelayOrder:
+    """To which upstream a request is relayed, and for how long."""
+
+    upstream_id: str
+    # Unix milliseconds of the upstream's start, as the origin knows it.
+    started_wall_ms: int
+    # The daemon that has the caller.
+    origin: str
+    # How long the origin waits for the response.
+    timeout_ms: int
+
+
+def is_relayed(request: HttpRequest) -> bool:
+    """Returns whether a peer asks to relay a request to an upstream."""
+    return request.header(_UPSTREAM) is not None
+
+
+def relay_headers(
+    headers: Headers, entry: UpstreamEntry, *, origin: str, timeout_ms: int
+) -> Headers:
+    """Returns the headers of a request that a peer relays.
+
+    Args:
+        headers: The request's headers for the upstream.
+        entry: The upstream.
+        origin: Name of this VM.
+        timeout_ms: How long this daemon waits for the response.
+    """
+    return [
+        *without_relay_headers(headers),
+        (_UPSTREAM, entry.upstream_id.encode()),
+        (_STARTED, str(entry.started_wall_ms).encode()),
+        (_ORIGIN, origin.encode()),
+        (_TIMEOUT, str(timeout_ms).encode()),
+    ]
+
+
+def without_relay_headers(headers: Headers) -> Headers:
+    """Removes the headers of this protocol, also those of a caller."""
+    return [
+        (name, value)
+        for name, value in headers
+        if not name.lower().startswith(_PREFIX)
+    ]
+
+
+def decode_order(request: HttpRequest) -> RelayOrder:
+    """Decodes the order of a relayed request.
+
+    Raises:
+        BadRequestError: If a header is missing, repeated or malformed.
+    """
+    return RelayOrder(
+        upstream_id=_text(request, _UPSTREAM),
+        started_wall_ms=_number(request, _STARTED),
+        origin=_text(request, _ORIGIN),
+        timeout_ms=max(1, _number(request, _TIMEOUT)),
+    )
+
+
+def failure_headers(error: ExchangeError) -> Headers:
+    """Returns the headers of a response that reports a failure."""
+    detail = error.detail.encode("ascii", "replace").translate(_PRINTABLE)
+    return [
+        (_FAILURE, error.kind.value.encode()),
+        (_DETAIL, detail.strip()),
+    ]
+
+
+def relay_failure(head: ResponseHead) -> ExchangeError | None:
+    """Returns the failure that a response reports; None if it is none."""
+    kind = head.header(_FAILURE)
+    if kind is None:
+        return None
+    return ExchangeError(
+        _FAILURE_KINDS.get(kind, FailureKind.MALFORMED_RESPONSE),
+        head.header(_DETAIL) or "",
+    )
+
+
+# Control characters do not belong into headers.
+_PRINTABLE = bytes(c if 0x20 <= c < 0x7F else 0x3F for c in range(256))
+
+
+def _text(request: HttpRequest, name: bytes) -> str:
+    values = [v for n, v in request.headers if n.lower() == name]
+    if len(values) != 1 or not values[0]:
+        raise BadRequestError(_BAD_REQUEST, f"invalid {name.decode()}")
+    return values[0].decode("latin-1")
+
+
+def _number(request: HttpRequest, name: bytes) -> int:
+    text = _text(request, name)
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
+        raise BadRequestError(_BAD_REQUEST, f"invalid {name.decode()}")
+    return int(text)
--- /dev/null
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -0,0 +1,200 @@
+"""Relays requests of other daemons to upstreams that they cannot reach."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from trefoilpitch.clock import Clock
+from trefoilpitch.fleet import FleetView, UpstreamEntry
+from trefoilpitch.gateway._dispatcher import Dispatcher
+from trefoilpitch.gateway._exceptions import BadRequestError, ExchangeError
+from trefoilpitch.gateway._http_client import HttpConnection, ResponseHead
+from trefoilpitch.gateway._http_server import HttpRequest, Responder
+from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._messages import RequestCodec
+from trefoilpitch.gateway._relay_messages import (
+    RelayOrder,
+    decode_order,
+    failure_headers,
+    without_relay_headers,
+)
+from trefoilpitch.gateway._upstream_links import UpstreamLinks
+from trefoilpitch.metrics import Label, Metrics
+from trefoilpitch.retries import FailureKind
+
+# Relayed requests at the same time; the origin refuses what finds no room.
+MAX_RELAYED = 128
+# The origin still has time to ask another daemon after that.
+_CONNECT_TIMEOUT_MS = 150.0
+_BAD_GATEWAY = 502
+_CONTENT_LENGTH = b"content-length"
+
+
+class RelayServer:
+    """Sends requests of peers to upstreams and forwards the responses.
+
+    An origin that closes its connection ends the request at the upstream.
+
+    Args:
+        view: Local copy of the shared fleet state.
+        dispatcher: Knows which upstreams may get requests.
+        links: Connects to upstreams.
+        codec: Decodes what upstreams announce in responses.
+        clock: Provides monotonic time.
+        metrics: Counts the relayed requests.
+        accepts: Returns whether this daemon takes requests.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        dispatcher: Dispatcher,
+        links: UpstreamLinks,
+        codec: RequestCodec,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        accepts: Callable[[], bool],
+    ) -> None:
+        self._view = view
+        self._dispatcher = dispatcher
+        self._links = links
+        self._codec = codec
+        self._clock = clock
+        self._metrics = metrics
+        self._accepts = accepts
+        self._active = 0
+
+    @property
+    def active(self) -> int:
+        """Number of relayed requests in progress."""
+        return self._active
+
+    @property
+    def room(self) -> int:
+        """Number of further requests that peers may send now."""
+        lost = self._links.lost
+        isolated = self._links.all_doubted or (
+            bool(lost) and len(lost) >= len(self._view.upstreams)
+        )
+        if isolated or not self._accepts():
+            return 0
+        return max(0, MAX_RELAYED - self._active)
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Handles a peer's request; see `trefoilpitch.gateway.Handler`."""
+        try:
+            order = decode_order(request)
+            request_id = self._codec.decode_request(request).request_id
+        except BadRequestError as error:
+            log_event("malformed_relay_order", reason=error.detail)
+            await responder.respond(error.status, [], b"")
+            return
+        self._active += 1
+        outcome = "cancelled"
+        try:
+            outcome = await self._relay(request, order, responder)
+        finally:
+            self._active -= 1
+            self._metrics.count("relayed", Label(name="outcome", value=outcome))
+            log_event(
+                "relayed",
+                id=request_id,
+                origin=order.origin,
+                upstream=order.upstream_id,
+                elapsed_ms=self._clock.now_ms() - request.arrived_ms,
+                outcome=outcome,
+            )
+
+    async def _relay(
+        self, request: HttpRequest, order: RelayOrder, responder: Responder
+    ) -> str:
+        try:
+            with await self._connect(order) as connection:
+                connection.send(
+                    request.method,
+                    request.target,
+                    without_relay_headers(request.headers),
+                    request.body,
+                )
+                head = await connection.receive_head(
+                    self._left_ms(request, order)
+                )
+                await self._forward(request, order, connection, head, responder)
+        except ExchangeError as error:
+            if responder.started:
+                responder.abort()
+            else:
+                await responder.respond(
+                    _BAD_GATEWAY, failure_headers(error), b""
+                )
+            return error.kind.value
+        return "forwarded"
+
+    async def _connect(self, order: RelayOrder) -> HttpConnection:
+        entry = self._permitted(order)
+        if self._links.is_lost(entry.upstream_id):
+            raise ExchangeError(
+                FailureKind.CONNECT_TIMEOUT, "the link is lost here as well"
+            )
+        connection = await self._links.connect(entry, _CONNECT_TIMEOUT_MS)
+        try:
+            self._permitted(order)
+        except ExchangeError:
+            connection.close()
+            raise
+        return connection
+
+    def _permitted(self, order: RelayOrder) -> UpstreamEntry:
+        """Returns the upstream of an order.
+
+        Raises:
+            ExchangeError: If it must not get the request from this daemon.
+        """
+        if not self._accepts() or self._active > MAX_RELAYED:
+            raise ExchangeError(FailureKind.NOT_SENT, "no room")
+        cached = self._view.upstreams.get(order.upstream_id)
+        if cached is None:
+            raise ExchangeError(FailureKind.NOT_SENT, "unknown upstream")
+        entry = cached.entry
+        if entry.started_wall_ms != order.started_wall_ms:
+            raise ExchangeError(FailureKind.NOT_SENT, "another start")
+        if not self._dispatcher.may_send(entry):
+            raise ExchangeError(FailureKind.NOT_SENT, "out of service")
+        return entry
+
+    def _left_ms(self, request: HttpRequest, order: RelayOrder) -> int:
+        elapsed_ms = self._clock.now_ms() - request.arrived_ms
+        return max(1, order.timeout_ms - elapsed_ms)
+
+    async def _forward(
+        self,
+        request: HttpRequest,
+        order: RelayOrder,
+        connection: HttpConnection,
+        head: ResponseHead,
+        responder: Responder,
+    ) -> None:
+        response = self._codec.decode_response(
+            self._codec.decode_request(request), head
+        )
+        cached = self._view.upstreams.get(order.upstream_id)
+        if cached is not None and response.matches:
+            self._dispatcher.record_notices(
+                cached.entry,
+                leaving=response.leaving,
+                pause_ms=response.pause_ms,
+            )
+        headers = [
+            *without_relay_headers(self._codec.encode_response(response))
+        ]
+        length = head.header(_CONTENT_LENGTH)
+        if length is not None:
+            headers.append((_CONTENT_LENGTH, length.encode("latin-1")))
+        await responder.start(head.status, headers)
+        while True:
+            part = await connection.receive_data(self._left_ms(request, order))
+            if part is None:
+                break
+            await responder.write(part)
+        responder.finish()
--- a/trefoilpitch/gateway/_request_dependencies.py
+++ b/trefoilpitch/gateway/_request_dependencies.py
@@ -13,6 +13,7 @@
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelSelector
 from trefoilpitch.gateway._quarantine import Quarantine
+from trefoilpitch.gateway._relays import Relays
 from trefoilpitch.gateway._upstream_links import UpstreamLinks
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
@@ -26,8 +27,12 @@
     # Local copy of the shared fleet state.
     view: FleetView
     dispatcher: Dispatcher
+    # Name of this VM.
+    own_name: str
     # Connects to upstreams.
     links: UpstreamLinks
+    # Peers that relay requests to upstreams.
+    relays: Relays
     # The requests that wait for an upstream.
     waiter: UpstreamWaiter
     codec: RequestCodec
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -8,7 +8,12 @@
 from collections.abc import Collection, Iterator
 from typing import TypeVar
 
-from trefoilpitch.fleet import OperationKind, Route, UpstreamEntry
+from trefoilpitch.fleet import (
+    Member,
+    OperationKind,
+    Route,
+    UpstreamEntry,
+)
 from trefoilpitch.gateway._admission import Admitted
 from trefoilpitch.gateway._attempts import (
     Attempts,
@@ -27,7 +32,11 @@
     HandOver,
     SentAttempt,
 )
-from trefoilpitch.gateway._http_client import HttpConnection
+from trefoilpitch.gateway._http_client import (
+    HttpConnection,
+    ResponseHead,
+    connect,
+)
 from trefoilpitch.gateway._http_server import Responder
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import (
@@ -36,6 +45,10 @@
     UpstreamResponse,
 )
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
+from trefoilpitch.gateway._relay_messages import (
+    relay_failure,
+    relay_headers,
+)
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_traits import request_traits, trait_name
 from trefoilpitch.gateway._response_speed import ResponseSpeed
@@ -299,32 +312,58 @@
             self._deps.waiter.offer_places(entry.service)
 
     async def begin(self, entry: UpstreamEntry) -> SentAttempt:
-        """Connects to an upstream and sends it the request."""
-        now_ms = self._deps.clock.now_ms()
-        connection = await self._deps.links.connect(
-            entry, connect_timeout_ms(self._remaining_ms(now_ms))
+        """Connects to an upstream or a relay and sends it the request."""
+        deps = self._deps
+        relay = deps.relays.choose(
+            entry, forced=FailureKind.CONNECT_TIMEOUT in self._attempts.failures
         )
+        connection = await self._connect(entry, relay)
         try:
-            if not self._deps.dispatcher.may_send(entry):
+            if not deps.dispatcher.may_send(entry):
                 raise ExchangeError(
                     FailureKind.NOT_SENT,
                     "upstream taken out of service while connecting",
                 )
-            if not self._deps.quarantine.start_attempt(self._traits):
+            if not deps.quarantine.start_attempt(self._traits):
                 raise ExchangeError(FailureKind.NOT_SENT, _IN_QUARANTINE)
-            started_ms = self._deps.clock.now_ms()
-            self._send(connection, entry, started_ms)
+            started_ms = deps.clock.now_ms()
+            self._send(connection, entry, relay, started_ms)
         except BaseException:
             connection.close()
             raise
+        attempt = SentAttempt(
+            entry=entry,
+            connection=connection,
+            started_ms=started_ms,
+            relay=relay,
+            charged=self._credit_reserved,
+        )
         self._attempts_sent += 1
         if self._credit_reserved:
             self._credit_reserved = False
             self._budget.spend_reserved()
         self._run_ids.add(entry.upstream_id)
-        return SentAttempt(
-            entry=entry, connection=connection, started_ms=started_ms
-        )
+        return attempt
+
+    async def _connect(
+        self, entry: UpstreamEntry, relay: Member | None
+    ) -> HttpConnection:
+        """Connects to an upstream, or to the peer that relays the request."""
+        deps = self._deps
+        remaining_ms = self._remaining_ms(deps.clock.now_ms())
+        if relay is None:
+            timeout_ms = connect_timeout_ms(
+                remaining_ms, relayable=deps.relays.is_available(entry)
+            )
+            return await deps.links.connect(entry, timeout_ms)
+        timeout_ms = connect_timeout_ms(remaining_ms, relayable=True)
+        try:
+            return await connect(relay.peer_host, relay.peer_port, timeout_ms)
+        except ExchangeError as error:
+            deps.relays.avoid(relay, None)
+            raise ExchangeError(
+                FailureKind.NOT_SENT, f"relay {relay.name}: {error}"
+            ) from error
 
     @contextlib.contextmanager
     def watched(self, attempt: SentAttempt) -> Iterator[None]:
@@ -341,6 +380,18 @@
             self._record_abandoned(attempt)
             raise
 
+    @contextlib.contextmanager
+    def _relayed(self, attempt: SentAttempt) -> Iterator[None]:
+        """Counts an attempt as in flight at its relay, if it has one."""
+        if attempt.relay is None:
+            yield
+            return
+        self._deps.relays.record_started(attempt.relay)
+        try:
+            yield
+        finally:
+            self._deps.relays.record_ended(attempt.relay)
+
     def _record_abandoned(self, attempt: SentAttempt) -> None:
         self._deps.cut_attempts.record_abandoned(
             attempt.entry, self._traits, attempt.progress
@@ -352,6 +403,7 @@
             attempt = await self.begin(entry)
         with (
             attempt.connection as connection,
+            self._relayed(attempt),
             self.watched(attempt),
             self._judged(attempt) as speed,
         ):
@@ -439,18 +491,46 @@
         head = await attempt.connection.receive_head(
             max(1, min(timeout_ms, remaining_ms))
         )
+        if attempt.relay is not None:
+            self._check_relay(attempt, attempt.relay, head)
         attempt.progress.responding = True
         response = self._deps.codec.decode_response(self._request, head)
         self._check_response(attempt.entry, response)
         return response
 
+    def _check_relay(
+        self, attempt: SentAttempt, relay: Member, head: ResponseHead
+    ) -> None:
+        """Raises the failure that a relay reports instead of a response."""
+        failure = relay_failure(head)
+        if failure is None:
+            self._deps.relays.record_response(attempt.entry)
+            return
+        not_run = classify_failure(failure.kind) is Execution.NOT_RUN
+        detail = f"relay {relay.name}: {failure}"
+        if not not_run:
+            raise ExchangeError(failure.kind, detail)
+        self._deps.relays.avoid(
+            relay,
+            attempt.entry,
+            refused=failure.kind is FailureKind.NOT_SENT,
+        )
+        self._attempts_sent -= 1
+        if attempt.charged:
+            self._budget.refund()
+        raise ExchangeError(FailureKind.NOT_SENT, detail)
+
     def _expected_latency_ms(self) -> float:
         return self._deps.expected_latencies.expected_ms(
             self._tiers.latency_key, default_ms=0.0
         )
 
     def _send(
-        self, connection: HttpConnection, entry: UpstreamEntry, now_ms: int
+        self,
+        connection: HttpConnection,
+        entry: UpstreamEntry,
+        relay: Member | None,
+        now_ms: int,
     ) -> None:
         remaining_ms = self._remaining_ms(now_ms)
         if self._route.kind is OperationKind.STREAM:
@@ -463,10 +543,18 @@
             priority=self._admitted.priority,
             last_event_id=self._last_event_id,
         )
+        headers = self._deps.codec.encode_attempt(self._request, attempt)
+        if relay is not None:
+            headers = relay_headers(
+                headers,
+                entry,
+                origin=self._deps.own_name,
+                timeout_ms=attempt.remaining_ms,
+            )
         connection.send(
             self._request.http.method,
             self._request.http.target,
-            self._deps.codec.encode_attempt(self._request, attempt),
+            headers,
             self._request.http.body,
         )
 
@@ -694,9 +782,10 @@
         health = deps.dispatcher.health(entry.upstream_id)
         health.record_success(latency_ratio, now_ms)
         load = deps.dispatcher.load(entry.upstream_id)
+        via = f" via {attempt.relay.name}" if attempt.relay else ""
         self._attempt_log.append(
-            f"{entry.upstream_id} {self._tiers.model or '-'} {latency_ms} ms"
-            f" of {expected_ms:.0f} load {load}"
+            f"{entry.upstream_id}{via} {self._tiers.model or '-'}"
+            f" {latency_ms} ms of {expected_ms:.0f} load {load}"
             f" confidence {response.confidence}"
         )
         deps.metrics.observe_ms("upstream_first_answer", latency_ms)
--- a/trefoilpitch/gateway/_upstream_links.py
+++ b/trefoilpitch/gateway/_upstream_links.py
@@ -8,15 +8,22 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import TypeAlias
 
 from trefoilpitch.clock import Clock
-from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.fleet import CachedUpstream, UpstreamEntry
 from trefoilpitch.gateway._exceptions import ExchangeError
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._log import log_event
 
+# Links that must fail one after the other, without a connection in between,
+# until all other links are doubted as well.
+_MIN_LOST_IN_ROW = 2
+# Interval of the trials of a lost link, which doubles up to the second figure.
+_MIN_TRIAL_INTERVAL_MS = 500
+_MAX_TRIAL_INTERVAL_MS = 2_000
+
 # Opens a connection to a host and port, within a timeout in milliseconds.
 OpenConnection: TypeAlias = Callable[
     [str, int, float], Awaitable[HttpConnection]
@@ -25,8 +32,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _LostLink:
-    # Monotonic time of the first connection that failed.
+    # Monotonic times of the first connection that failed and of the next trial.
     lost_ms: int
+    trial_due_ms: int
+    trial_interval_ms: int = _MIN_TRIAL_INTERVAL_MS
     failures: int = 0
 
 
@@ -35,15 +44,23 @@
 
     Args:
         clock: Provides monotonic time.
+        on_restored: Called with the id of an upstream that can be reached
+            again.
         open_connection: Opens connections; raises `ExchangeError`.
     """
 
     def __init__(
-        self, clock: Clock, open_connection: OpenConnection = connect
+        self,
+        clock: Clock,
+        on_restored: Callable[[str], None] = lambda upstream_id: None,
+        open_connection: OpenConnection = connect,
     ) -> None:
         self._clock = clock
+        self._on_restored = on_restored
         self._open_connection = open_connection
         self._lost: dict[str, _LostLink] = {}
+        # Links that were lost since the last successful connection.
+        self._lost_in_row: set[str] = set()
 
     @property
     def lost(self) -> Collection[str]:
@@ -54,10 +71,42 @@
         """Returns whether the last connection to an upstream failed."""
         return upstream_id in self._lost
 
+    @property
+    def all_doubted(self) -> bool:
+        """Whether several links failed in a row, so that others may be lost.
+
+        A daemon without any links would otherwise find that out with one
+        request for each upstream.
+        """
+        return len(self._lost_in_row) >= _MIN_LOST_IN_ROW
+
     def retain(self, upstream_ids: Collection[str]) -> None:
         """Drops the records of all other upstreams."""
         for upstream_id in self._lost.keys() - set(upstream_ids):
             del self._lost[upstream_id]
+        self._lost_in_row.intersection_update(self._lost)
+
+    def due_trials(
+        self, upstreams: Mapping[str, CachedUpstream], limit: int
+    ) -> list[UpstreamEntry]:
+        """Returns the upstreams to which a connection should be tried now.
+
+        Args:
+            upstreams: The known upstreams.
+            limit: Maximum number of upstreams.
+        """
+        now_ms = self._clock.now_ms()
+        due = sorted(
+            (link.trial_due_ms, upstream_id)
+            for upstream_id, link in self._lost.items()
+            if link.trial_due_ms <= now_ms and upstream_id in upstreams
+        )
+        chosen = [upstream_id for _, upstream_id in due[:limit]]
+        if self.all_doubted:
+            # Shows whether the doubt is justified.
+            others = [k for k in upstreams if k not in self._lost]
+            chosen = [*others[:1], *chosen]
+        return [upstreams[k].entry for k in chosen[:limit]]
 
     async def connect(
         self, entry: UpstreamEntry, timeout_ms: float
@@ -80,9 +129,11 @@
     def _record_failure(
         self, entry: UpstreamEntry, error: ExchangeError
     ) -> None:
+        now_ms = self._clock.now_ms()
+        self._lost_in_row.add(entry.upstream_id)
         link = self._lost.get(entry.upstream_id)
         if link is None:
-            link = _LostLink(self._clock.now_ms())
+            link = _LostLink(now_ms, now_ms + _MIN_TRIAL_INTERVAL_MS)
             self._lost[entry.upstream_id] = link
             log_event(
                 "upstream_link_lost",
@@ -92,15 +143,27 @@
                 kind=error.kind.value,
                 lost_links=len(self._lost),
             )
+        elif now_ms >= link.trial_due_ms:
+            link.trial_interval_ms = min(
+                _MAX_TRIAL_INTERVAL_MS, 2 * link.trial_interval_ms
+            )
+            link.trial_due_ms = now_ms + link.trial_interval_ms
         link.failures += 1
 
     def _record_connected(self, entry: UpstreamEntry) -> None:
+        self._lost_in_row.clear()
         link = self._lost.pop(entry.upstream_id, None)
-        if link is not None:
-            log_event(
-                "upstream_link_restored",
-                upstream=entry.upstream_id,
-                lost_for_ms=self._clock.now_ms() - link.lost_ms,
-                failures=link.failures,
-                lost_links=len(self._lost),
-            )
+        if link is None:
+            return
+        now_ms = self._clock.now_ms()
+        log_event(
+            "upstream_link_restored",
+            upstream=entry.upstream_id,
+            lost_for_ms=now_ms - link.lost_ms,
+            failures=link.failures,
+            lost_links=len(self._lost),
+        )
+        # What restored this link has probably restored others too.
+        for other in self._lost.values():
+            other.trial_due_ms = min(other.trial_due_ms, now_ms)
+        self._on_restored(entry.upstream_id)
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -16,7 +16,6 @@
     HttpConnection,
     ListenAddress,
     NodeSettings,
-    _request_run,
     connect,
 )
 from trefoilpitch.platform._store import PlatformStore
@@ -323,9 +322,7 @@
     run(scenario)
 
 
-def test_response_that_has_just_arrived_is_delivered_at_exit(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_response_that_has_just_arrived_is_delivered_at_exit() -> None:
     opened: list[HttpConnection] = []
 
     async def recorded_connect(
@@ -338,7 +335,7 @@
         async with running_fleet() as fleet:
             worker = fleet.workers["plain-0"]
             worker.faults.append(WorkerFault.HANG)
-            monkeypatch.setattr(_request_run, "connect", recorded_connect)
+            fleet.daemon._links._open_connection = recorded_connect
             call = asyncio.create_task(fleet.send_request("/once/x"))
             await wait_until(lambda: worker.runs)
             # The task that waits for the response has not run in between.
--- a/trefoilpitch/retries/_window.py
+++ b/trefoilpitch/retries/_window.py
@@ -93,6 +93,11 @@
         self._reserved -= 1
         self._extra_attempts.append(self._clock.now_ms())
 
+    def refund(self) -> None:
+        """Takes back the last extra attempt, which did not arrive."""
+        if self._extra_attempts:
+            self._extra_attempts.pop()
+
     def release(self) -> None:
         """Takes back a reservation."""
         self._reserved -= 1
