Tell responses of upstreams from those of a relay's server

A relay's HTTP server may answer by itself (408, 413, 431) before its handler sees the request. Such a response had neither a failure header nor a seal and would have been passed on to the caller as the upstream's 4xx. Relays now mark what they forward; the origin takes a response without the mark as of unknown outcome, and removes the protocol's headers.

--- a/trefoilpitch/gateway/_relay_messages.py
+++ b/trefoilpitch/gateway/_relay_messages.py
@@ -1,9 +1,9 @@
 """Messages between daemons that relay requests to upstreams.
 
 A relayed request is the request as the upstream gets it, with headers that name
-the upstream and the time left. A response without a failure header is the
-upstream's own. The upstream's authentication of callers has happened before:
-no API key is relayed.
+the upstream and the time left. Callers are authenticated before: no API key is
+relayed. A response says whether it is the upstream's or reports a failure; one
+that says neither comes from a server that has not understood the request.
 """
 
 from __future__ import annotations
@@ -24,6 +24,8 @@
 _ORIGIN = _PREFIX + b"origin"
 # Milliseconds that the origin waits for the response.
 _TIMEOUT = _PREFIX + b"timeout-ms"
+# In the responses of upstreams.
+_FORWARDED = _PREFIX + b"forwarded"
 # The kind of a failure, and its description for the log.
 _FAILURE = _PREFIX + b"failure"
 _DETAIL = _PREFIX + b"detail"
@@ -103,15 +105,30 @@
     ]
 
 
-def relay_failure(head: ResponseHead) -> ExchangeError | None:
-    """Returns the failure that a response reports; None if it is none."""
+def forwarded_headers(headers: Headers) -> Headers:
+    """Returns the headers of an upstream's response for the origin."""
+    return [*without_relay_headers(headers), (_FORWARDED, b"1")]
+
+
+def decode_relayed_head(head: ResponseHead) -> ResponseHead:
+    """Returns the head of an upstream's response, as the upstream sent it.
+
+    Raises:
+        ExchangeError: If the relay reports a failure, or did not understand
+            the request.
+    """
     kind = head.header(_FAILURE)
-    if kind is None:
-        return None
-    return ExchangeError(
-        _FAILURE_KINDS.get(kind, FailureKind.MALFORMED_RESPONSE),
-        head.header(_DETAIL) or "",
-    )
+    if kind is not None:
+        raise ExchangeError(
+            _FAILURE_KINDS.get(kind, FailureKind.MALFORMED_RESPONSE),
+            head.header(_DETAIL) or "",
+        )
+    if head.header(_FORWARDED) is None:
+        raise ExchangeError(
+            FailureKind.MALFORMED_RESPONSE, f"status {head.status} of the relay"
+        )
+    headers = tuple(without_relay_headers(head.headers))
+    return ResponseHead(status=head.status, headers=headers)
 
 
 # Control characters do not belong into headers.
--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -16,6 +16,7 @@
     RelayOrder,
     decode_order,
     failure_headers,
+    forwarded_headers,
     without_relay_headers,
 )
 from trefoilpitch.gateway._upstream_links import UpstreamLinks
@@ -185,9 +186,7 @@
                 leaving=response.leaving,
                 pause_ms=response.pause_ms,
             )
-        headers = [
-            *without_relay_headers(self._codec.encode_response(response))
-        ]
+        headers = [*forwarded_headers(self._codec.encode_response(response))]
         length = head.header(_CONTENT_LENGTH)
         if length is not None:
             headers.append((_CONTENT_LENGTH, length.encode("latin-1")))
--- a/trefoilpitch/gateway/_relays.py
+++ b/trefoilpitch/gateway/_relays.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import FleetView, Member, UpstreamEntry
@@ -66,11 +66,11 @@
 
     def is_needed(self, entry: UpstreamEntry) -> bool:
         """Returns whether requests for an upstream go through a peer."""
-        return self._is_doubted(entry) and bool(self._usable(entry))
+        return self._is_doubted(entry) and self.is_available(entry)
 
     def is_available(self, entry: UpstreamEntry) -> bool:
         """Returns whether a peer may reach an upstream."""
-        return bool(self._usable(entry))
+        return next(self._usable(entry), None) is not None
 
     def is_proven(self, entry: UpstreamEntry) -> bool:
         """Returns whether a peer has recently reached an upstream.
@@ -92,7 +92,7 @@
         """
         if not (forced or self._is_doubted(entry)):
             return None
-        usable = self._usable(entry)
+        usable = list(self._usable(entry))
         near = [
             member
             for member in usable
@@ -155,10 +155,9 @@
     def _is_doubted(self, entry: UpstreamEntry) -> bool:
         return self._links.all_doubted or self._links.is_lost(entry.upstream_id)
 
-    def _usable(self, entry: UpstreamEntry) -> list[Member]:
+    def _usable(self, entry: UpstreamEntry) -> Iterator[Member]:
         now_ms = self._clock.now_ms()
         digest = upstream_digest(entry.upstream_id)
-        usable = []
         for name, peer in self._peers.alive().items():
             member = self._view.members.get(name)
             if (
@@ -167,8 +166,7 @@
                 and not self._is_avoided(name, None, now_ms)
                 and not self._is_avoided(name, entry.upstream_id, now_ms)
             ):
-                usable.append(member)
-        return usable
+                yield member
 
     def _is_avoided(
         self, name: str, upstream_id: str | None, now_ms: int
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -46,7 +46,7 @@
 )
 from trefoilpitch.gateway._refusals import RETRY_SOON_MS
 from trefoilpitch.gateway._relay_messages import (
-    relay_failure,
+    decode_relayed_head,
     relay_headers,
 )
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
@@ -492,33 +492,35 @@
             max(1, min(timeout_ms, remaining_ms))
         )
         if attempt.relay is not None:
-            self._check_relay(attempt, attempt.relay, head)
+            head = self._decode_relayed(attempt, attempt.relay, head)
         attempt.progress.responding = True
         response = self._deps.codec.decode_response(self._request, head)
         self._check_response(attempt.entry, response)
         return response
 
-    def _check_relay(
+    def _decode_relayed(
         self, attempt: SentAttempt, relay: Member, head: ResponseHead
-    ) -> None:
-        """Raises the failure that a relay reports instead of a response."""
-        failure = relay_failure(head)
-        if failure is None:
-            self._deps.relays.record_response(attempt.entry)
-            return
-        not_run = classify_failure(failure.kind) is Execution.NOT_RUN
-        detail = f"relay {relay.name}: {failure}"
-        if not not_run:
-            raise ExchangeError(failure.kind, detail)
-        self._deps.relays.avoid(
-            relay,
-            attempt.entry,
-            refused=failure.kind is FailureKind.NOT_SENT,
-        )
-        self._attempts_sent -= 1
-        if attempt.charged:
-            self._budget.refund()
-        raise ExchangeError(FailureKind.NOT_SENT, detail)
+    ) -> ResponseHead:
+        """Returns the head of the upstream's response.
+
+        Raises:
+            ExchangeError: If the relay reports a failure instead.
+        """
+        relays = self._deps.relays
+        try:
+            relayed = decode_relayed_head(head)
+        except ExchangeError as error:
+            detail = f"relay {relay.name}: {error}"
+            if classify_failure(error.kind) is not Execution.NOT_RUN:
+                raise ExchangeError(error.kind, detail) from error
+            refused = error.kind is FailureKind.NOT_SENT
+            relays.avoid(relay, attempt.entry, refused=refused)
+            self._attempts_sent -= 1
+            if attempt.charged:
+                self._budget.refund()
+            raise ExchangeError(FailureKind.NOT_SENT, detail) from error
+        relays.record_response(attempt.entry)
+        return relayed
 
     def _expected_latency_ms(self) -> float:
         return self._deps.expected_latencies.expected_ms(
