Keep lost links out of an upstream's health while relays reach it

What callers saw: an idempotent request whose relayed response was truncated was not retried (test_truncated_response_does_not_look_complete: 502 after one run of two).

Cause: the failed direct connection had put the upstream three failures ahead and ejected it as unreachable; the next failure, of another kind, replaced that reason, and the upstream was ejected as failing for all paths. Change: a connection that fails while a peer may reach the upstream is recorded as a lost link only.

--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -87,6 +87,11 @@
     }
 )
 
+# Failures of the link, which other daemons may not share.
+_LINK_FAILURES = frozenset(
+    {FailureKind.CONNECT_REFUSED, FailureKind.CONNECT_TIMEOUT}
+)
+
 
 class _Escalated(Exception):  # noqa: N818 - not an error
     """An upstream has accepted the request for a larger model.
@@ -810,10 +815,7 @@
             self._run_ids.discard(entry.upstream_id)
         if error.kind is FailureKind.SERVER_ERROR:
             deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
-        if error.kind not in (
-            FailureKind.REFUSED_NOT_RUN,
-            FailureKind.NOT_SENT,
-        ):
+        if not self._is_spared(entry, error.kind):
             health.record_failure(
                 now_ms,
                 unreachable=error.kind in _UNREACHABLE,
@@ -833,6 +835,13 @@
             ejected_ms=max(0, health.ejected_until_ms - now_ms),
         )
 
+    def _is_spared(self, entry: UpstreamEntry, kind: FailureKind) -> bool:
+        """Returns whether a failure says nothing about the upstream."""
+        if kind in (FailureKind.REFUSED_NOT_RUN, FailureKind.NOT_SENT):
+            return True
+        relays = self._deps.relays
+        return kind in _LINK_FAILURES and relays.is_available(entry)
+
     def record_stall(self, entry: UpstreamEntry) -> None:
         """Records that an upstream is silent for too long."""
         health = self._deps.dispatcher.health(entry.upstream_id)
