Add a failing test for lost links that are taken for ended upstreams

The examination of a cut-off attempt now connects through the daemon's links, as all connections to upstreams do, so that the test can cut it.

--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import UpstreamEntry
@@ -17,18 +17,16 @@
     CrashEvidence,
     run_digest,
 )
-from trefoilpitch.gateway._exceptions import ExchangeError
-from trefoilpitch.gateway._http_client import ResponseHead, connect
+from trefoilpitch.gateway._http_client import ResponseHead
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._request_traits import (
     RequestTraits,
     trait_name,
 )
+from trefoilpitch.gateway._upstream_links import Reachability
 from trefoilpitch.metrics import Label, Metrics
 from trefoilpitch.retries import FailureKind
 
-# Connections within a region open in a few milliseconds.
-_CONNECT_TIMEOUT_MS = 300.0
 # A trait ends upstreams as they begin to run a request: one that they have
 # responded to for this long is sound.
 _SOUND_AFTER_MS = 3_000
@@ -76,6 +74,7 @@
         clock: Provides monotonic time.
         metrics: Counts the attempts by what became of their upstreams.
         on_evidence: Called after a change that other daemons should know soon.
+        probe: Returns whether an upstream is running.
     """
 
     def __init__(
@@ -84,11 +83,14 @@
         clock: Clock,
         metrics: Metrics,
         on_evidence: Callable[[], None],
+        *,
+        probe: Callable[[UpstreamEntry], Awaitable[Reachability]],
     ) -> None:
         self._evidence = evidence
         self._clock = clock
         self._metrics = metrics
         self._on_evidence = on_evidence
+        self._probe = probe
         # Attempts by the run of the upstream that is being examined.
         self._examined: dict[int, list[_CutAttempt]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -178,24 +180,18 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _examine(self, entry: UpstreamEntry) -> None:
-        verdict = "running"
-        try:
-            with await connect(entry.host, entry.port, _CONNECT_TIMEOUT_MS):
-                pass
-        except ExchangeError as error:
-            refused = error.kind is FailureKind.CONNECT_REFUSED
-            verdict = "ended" if refused else "unknown"
+        verdict = await self._probe(entry)
         attempts = self._examined.pop(run_digest(entry))
         for attempt in attempts:
-            if verdict == "ended":
+            if verdict is Reachability.REFUSED:
                 self._record_ending(attempt)
-            elif verdict == "running" and attempt.complete:
+            elif verdict is Reachability.REACHED and attempt.complete:
                 self._record_sound(attempt.traits)
-            if verdict == "ended" or not attempt.complete:
+            if verdict is Reachability.REFUSED or not attempt.complete:
                 self._metrics.count(
-                    "cut_attempts", Label(name="upstream", value=verdict)
+                    "cut_attempts", Label(name="upstream", value=verdict.value)
                 )
-        if verdict == "ended":
+        if verdict is Reachability.REFUSED:
             self._record_abandoned_endings(entry, attempts[0].closed_ms)
             self._on_evidence()
 
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -20,7 +20,6 @@
     Member,
     RequestLimits,
     StoreVersion,
-    UpstreamEntry,
 )
 from trefoilpitch.gateway._crash_evidence import (
     CrashEvidence,
@@ -111,11 +110,9 @@
 # Requests without a response get a final one this long before the exit: several
 # turns of the loop that waits for them, also on a busy VM.
 _FINAL_RESPONSE_MS = 200
-# Interval of the trials of lost links, the number of links that are tried at
-# once, and the time after which a trial has failed.
+# Interval of the trials of lost links, and their number at a time.
 _LINK_TRIAL_INTERVAL_MS = 250
 _LINK_TRIALS_AT_ONCE = 4
-_LINK_TRIAL_TIMEOUT_MS = 300
 # Upstreams that a heartbeat reports as unreachable, so that it fits into one
 # datagram.
 _MAX_UNREACHABLE_REPORTS = 128
@@ -265,7 +262,11 @@
         self._heartbeat_sent_ms = clock.now_ms()
         self._urgent_heartbeat: asyncio.TimerHandle | None = None
         self._cut_attempts = CutAttempts(
-            evidence, clock, metrics, self._send_urgent_heartbeat
+            evidence,
+            clock,
+            metrics,
+            self._send_urgent_heartbeat,
+            probe=self._links.probe,
         )
         self._request_handler = RequestHandler(
             RequestDependencies(
@@ -428,15 +429,7 @@
     async def _try_lost_links(self) -> None:
         """Finds out whether upstreams can be reached again."""
         due = self._links.due_trials(self._view.upstreams, _LINK_TRIALS_AT_ONCE)
-        await asyncio.gather(*(self._try_link(entry) for entry in due))
-
-    async def _try_link(self, entry: UpstreamEntry) -> None:
-        # The links have logged a failure.
-        with contextlib.suppress(ExchangeError):
-            connection = await self._links.connect(
-                entry, _LINK_TRIAL_TIMEOUT_MS
-            )
-            connection.close()
+        await asyncio.gather(*(self._links.probe(entry) for entry in due))
 
     def _record_link_restored(self, upstream_id: str) -> None:
         self._dispatcher.health(upstream_id).record_reachable()
--- a/trefoilpitch/gateway/_upstream_links.py
+++ b/trefoilpitch/gateway/_upstream_links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import TypeAlias
 
@@ -16,6 +17,7 @@
 from trefoilpitch.gateway._exceptions import ExchangeError
 from trefoilpitch.gateway._http_client import HttpConnection, connect
 from trefoilpitch.gateway._log import log_event
+from trefoilpitch.retries import FailureKind
 
 # Links that must fail one after the other, without a connection in between,
 # until all other links are doubted as well.
@@ -23,6 +25,8 @@
 # Interval of the trials of a lost link, which doubles up to the second figure.
 _MIN_TRIAL_INTERVAL_MS = 500
 _MAX_TRIAL_INTERVAL_MS = 2_000
+# Connections within a region open in a few milliseconds.
+_PROBE_TIMEOUT_MS = 300.0
 
 # Opens a connection to a host and port, within a timeout in milliseconds.
 OpenConnection: TypeAlias = Callable[
@@ -30,6 +34,15 @@
 ]
 
 
+class Reachability(enum.Enum):
+    """What a connection attempt shows of an upstream."""
+
+    REACHED = "running"
+    # The VM responds, but nothing listens there.
+    REFUSED = "ended"
+    UNKNOWN = "unknown"
+
+
 @dataclasses.dataclass(slots=True)
 class _LostLink:
     # Monotonic times of the first connection that failed and of the next trial.
@@ -126,6 +139,17 @@
         self._record_connected(entry)
         return connection
 
+    async def probe(self, entry: UpstreamEntry) -> Reachability:
+        """Returns whether an upstream accepts connections."""
+        try:
+            connection = await self.connect(entry, _PROBE_TIMEOUT_MS)
+        except ExchangeError as error:
+            if error.kind is FailureKind.CONNECT_REFUSED:
+                return Reachability.REFUSED
+            return Reachability.UNKNOWN
+        connection.close()
+        return Reachability.REACHED
+
     def _record_failure(
         self, entry: UpstreamEntry, error: ExchangeError
     ) -> None:
--- a/trefoilpitch/gateway/tests/test_cut_attempts.py
+++ b/trefoilpitch/gateway/tests/test_cut_attempts.py
@@ -31,6 +31,7 @@
     part_digest,
     request_traits,
 )
+from trefoilpitch.gateway._upstream_links import UpstreamLinks
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import FailureKind
 
@@ -41,6 +42,16 @@
 _UNKNOWN = TraitKnowledge(endings=0, responding=0, sound_age_ms=None)
 
 
+def _cut_attempts(evidence: CrashEvidence, clock: ManualClock) -> CutAttempts:
+    return CutAttempts(
+        evidence,
+        clock,
+        Metrics(),
+        lambda: None,
+        probe=UpstreamLinks(clock).probe,
+    )
+
+
 @contextlib.contextmanager
 def _upstream(*, running: bool) -> Iterator[UpstreamEntry]:
     """Yields an upstream that accepts or refuses connections."""
@@ -100,7 +111,7 @@
     evidence = CrashEvidence()
 
     async def scenario() -> None:
-        cut_attempts = CutAttempts(evidence, clock, Metrics(), lambda: None)
+        cut_attempts = _cut_attempts(evidence, clock)
         with _upstream(running=running) as entry:
             if kind is None:
                 head = ResponseHead(status=200, headers=headers)
@@ -188,7 +199,7 @@
     other = dataclasses.replace(traits, parts=(), fingerprint=1 << 32)
 
     async def scenario() -> None:
-        cut_attempts = CutAttempts(evidence, clock, Metrics(), lambda: None)
+        cut_attempts = _cut_attempts(evidence, clock)
         with _upstream(running=False) as entry:
             progress = AttemptProgress(responding=True)
             if failure is None:
@@ -219,7 +230,7 @@
 def test_abandoned_attempt_says_nothing_of_an_earlier_ending() -> None:
     clock = ManualClock()
     evidence = CrashEvidence()
-    cut_attempts = CutAttempts(evidence, clock, Metrics(), lambda: None)
+    cut_attempts = _cut_attempts(evidence, clock)
     traits = _request()
     with _upstream(running=False) as entry:
         evidence.record_ending(run_digest(entry), [7], 0, responding=False)
--- a/trefoilpitch/platform/tests/test_unreachable_upstreams.py
+++ b/trefoilpitch/platform/tests/test_unreachable_upstreams.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from trefoilpitch.platform.tests.cut_links import CutMode, running_daemons
-from trefoilpitch.platform.tests.harness import run, stream_routes
+from trefoilpitch.platform.tests.harness import (
+    run,
+    stream_routes,
+    wait_until,
+)
 
 _GAP_MS = 400
 
@@ -39,3 +45,35 @@
             assert sorted(runs) == [f"id-{number}" for number in range(6)]
 
     run(scenario)
+
+
+def test_lost_link_is_not_taken_for_the_end_of_an_upstream() -> None:
+    """Its responses are cut off, as if they had crashed under the requests."""
+
+    async def scenario() -> None:
+        async with running_daemons(
+            4, plain=2, models=2, routes=stream_routes(gap_ms=_GAP_MS)
+        ) as (fleet, daemons):
+            for worker in fleet.workers.values():
+                worker.response_delay_ms = 200
+            calls = [
+                asyncio.create_task(daemon.send_request(target, f"{name}-{n}"))
+                for n, daemon in enumerate(daemons)
+                for name, target in (("plain", "/plain/x"), ("s", "/stream/x"))
+            ]
+            await wait_until(
+                lambda: (
+                    sum(len(w.runs) for w in fleet.workers.values())
+                    == len(calls)
+                )
+            )
+            # Two of four, so that each has a peer that is cut off as well.
+            for daemon in daemons[:2]:
+                daemon.links.cut(CutMode.RESET)
+            statuses = [head.status for head, _ in await asyncio.gather(*calls)]
+            assert statuses == [200] * len(calls)
+            await asyncio.sleep(0.5)
+            for daemon in daemons:
+                assert not daemon.node._quarantine._evidence.ended_ms
+
+    run(scenario)
