Ask peers before an upstream counts as ended

What callers could see: after links were reset, a quarantine of sound requests at all daemons.

An upstream whose connection breaks and which then refuses a new one counted as ended under the request, on the word of one daemon and its own link. Change: a daemon that is refused asks up to six peers that report no lost link to that upstream; it has ended if none reaches it and one is refused as well. Without such peers its own finding holds, as before. A refused connection after an abandoned attempt is examined in the same way instead of being believed; test_abandoned_attempt_counts_if_its_upstream_ends_soon therefore waits for that, with the same expectations.

The tests of crashing requests and prompt parts pass.

--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -133,8 +133,10 @@
 
     def record_refused(self, entry: UpstreamEntry) -> None:
         """Records that an upstream refused a connection."""
-        if run_digest(entry) in self._abandoned:
-            self._record_abandoned_endings(entry, self._clock.now_ms())
+        run = run_digest(entry)
+        if run in self._abandoned and run not in self._examined:
+            self._examined[run] = []
+            self._start_examination(entry)
 
     def review_abandoned(self) -> None:
         """Looks up whether other daemons have seen upstreams end."""
@@ -175,11 +177,15 @@
             self._examined[run].append(attempt)
             return
         self._examined[run] = [attempt]
-        task = asyncio.create_task(self._examine(attempt.entry))
+        self._start_examination(attempt.entry)
+
+    def _start_examination(self, entry: UpstreamEntry) -> None:
+        task = asyncio.create_task(self._examine(entry))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _examine(self, entry: UpstreamEntry) -> None:
+        started_ms = self._clock.now_ms()
         verdict = await self._probe(entry)
         attempts = self._examined.pop(run_digest(entry))
         for attempt in attempts:
@@ -192,7 +198,8 @@
                     "cut_attempts", Label(name="upstream", value=verdict.value)
                 )
         if verdict is Reachability.REFUSED:
-            self._record_abandoned_endings(entry, attempts[0].closed_ms)
+            ended_ms = attempts[0].closed_ms if attempts else started_ms
+            self._record_abandoned_endings(entry, ended_ms)
             self._on_evidence()
 
     def _record_abandoned_endings(
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -69,6 +69,7 @@
 from trefoilpitch.gateway._supervision import supervise
 from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.gateway._upstream_links import UpstreamLinks
+from trefoilpitch.gateway._upstream_probes import UpstreamProbes
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
@@ -266,7 +267,9 @@
             clock,
             metrics,
             self._send_urgent_heartbeat,
-            probe=self._links.probe,
+            probe=UpstreamProbes(
+                self._links, self._relays, own_name=settings.name
+            ).probe,
         )
         self._request_handler = RequestHandler(
             RequestDependencies(
--- a/trefoilpitch/gateway/_relay_messages.py
+++ b/trefoilpitch/gateway/_relay_messages.py
@@ -14,6 +14,7 @@
 from trefoilpitch.gateway._exceptions import BadRequestError, ExchangeError
 from trefoilpitch.gateway._http_client import Headers, ResponseHead
 from trefoilpitch.gateway._http_server import HttpRequest
+from trefoilpitch.gateway._upstream_links import Reachability
 from trefoilpitch.retries import FailureKind
 
 _PREFIX = b"trefoilpitch-relay-"
@@ -29,9 +30,15 @@
 # The kind of a failure, and its description for the log.
 _FAILURE = _PREFIX + b"failure"
 _DETAIL = _PREFIX + b"detail"
+# What a probe has shown.
+_REACHABILITY = _PREFIX + b"reachability"
+# A request with an order that asks only whether the upstream is running.
+PROBE_TARGET = b"/v1/probe"
+_OK = 200
 _BAD_REQUEST = 400
 # Bounds of the numbers, far above what is in use.
 _MAX_DIGITS = 15
+_REACHABILITIES = {result.value for result in Reachability}
 _FAILURE_KINDS = {kind.value: kind for kind in FailureKind}
 
 
@@ -131,6 +138,19 @@
     return ResponseHead(status=head.status, headers=headers)
 
 
+def probe_headers(result: Reachability) -> Headers:
+    """Returns the headers of a response to a probe."""
+    return [(_REACHABILITY, result.value.encode())]
+
+
+def decode_probe_result(head: ResponseHead) -> Reachability:
+    """Decodes a response to a probe."""
+    text = head.header(_REACHABILITY)
+    if head.status != _OK or text not in _REACHABILITIES:
+        return Reachability.UNKNOWN
+    return Reachability(text)
+
+
 # Control characters do not belong into headers.
 _PRINTABLE = bytes(c if 0x20 <= c < 0x7F else 0x3F for c in range(256))
 
--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -13,13 +13,15 @@
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._relay_messages import (
+    PROBE_TARGET,
     RelayOrder,
     decode_order,
     failure_headers,
     forwarded_headers,
+    probe_headers,
     without_relay_headers,
 )
-from trefoilpitch.gateway._upstream_links import UpstreamLinks
+from trefoilpitch.gateway._upstream_links import Reachability, UpstreamLinks
 from trefoilpitch.metrics import Label, Metrics
 from trefoilpitch.retries import FailureKind
 
@@ -27,6 +29,7 @@
 MAX_RELAYED = 128
 # The origin still has time to ask another daemon after that.
 _CONNECT_TIMEOUT_MS = 150.0
+_OK = 200
 _BAD_GATEWAY = 502
 _CONTENT_LENGTH = b"content-length"
 
@@ -86,11 +89,16 @@
         """Handles a peer's request; see `trefoilpitch.gateway.Handler`."""
         try:
             order = decode_order(request)
-            request_id = self._codec.decode_request(request).request_id
+            request_id = ""
+            if request.target != PROBE_TARGET:
+                request_id = self._codec.decode_request(request).request_id
         except BadRequestError as error:
             log_event("malformed_relay_order", reason=error.detail)
             await responder.respond(error.status, [], b"")
             return
+        if request.target == PROBE_TARGET:
+            await self._answer_probe(order, responder)
+            return
         self._active += 1
         outcome = "cancelled"
         try:
@@ -107,6 +115,18 @@
                 outcome=outcome,
             )
 
+    async def _answer_probe(
+        self, order: RelayOrder, responder: Responder
+    ) -> None:
+        result = Reachability.UNKNOWN
+        cached = self._view.upstreams.get(order.upstream_id)
+        if (
+            cached is not None
+            and cached.entry.started_wall_ms == order.started_wall_ms
+        ):
+            result = await self._links.probe(cached.entry)
+        await responder.respond(_OK, probe_headers(result), b"")
+
     async def _relay(
         self, request: HttpRequest, order: RelayOrder, responder: Responder
     ) -> str:
--- a/trefoilpitch/gateway/_relays.py
+++ b/trefoilpitch/gateway/_relays.py
@@ -105,6 +105,11 @@
         sample = self._rng.sample(candidates, min(_CHOICES, len(candidates)))
         return min(sample, key=lambda m: self._in_flight.get(m.name, 0))
 
+    def witnesses(self, entry: UpstreamEntry, limit: int) -> list[Member]:
+        """Returns peers that may know whether an upstream is running."""
+        usable = list(self._usable(entry))
+        return self._rng.sample(usable, min(limit, len(usable)))
+
     def record_started(self, member: Member) -> None:
         """Counts a request as in flight at a peer."""
         self._in_flight[member.name] = self._in_flight.get(member.name, 0) + 1
--- /dev/null
+++ b/trefoilpitch/gateway/_upstream_probes.py
@@ -0,0 +1,99 @@
+"""Finds out from several daemons whether an upstream is running.
+
+Load pattern: a VM loses its links to the upstreams, and connections to them are
+refused on the way. To this VM all upstreams seem to have ended at once, under
+the requests that it had sent to them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from trefoilpitch.fleet import Member, UpstreamEntry
+from trefoilpitch.gateway._exceptions import ExchangeError
+from trefoilpitch.gateway._http_client import connect
+from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._relay_messages import (
+    PROBE_TARGET,
+    decode_probe_result,
+    relay_headers,
+)
+from trefoilpitch.gateway._relays import Relays
+from trefoilpitch.gateway._upstream_links import Reachability, UpstreamLinks
+
+# Peers that are asked about an upstream that refuses connections here.
+_WITNESSES = 6
+# Time for a connection to a peer, and for its reply, in milliseconds: it waits
+# for a connection to the upstream.
+_CONNECT_TIMEOUT_MS = 200
+_REPLY_TIMEOUT_MS = 500
+
+
+class UpstreamProbes:
+    """Examines upstreams from this daemon and from its peers.
+
+    Args:
+        links: This daemon's own links.
+        relays: The peers.
+        own_name: Name of this VM.
+    """
+
+    def __init__(
+        self, links: UpstreamLinks, relays: Relays, *, own_name: str
+    ) -> None:
+        self._links = links
+        self._relays = relays
+        self._own_name = own_name
+
+    async def probe(self, entry: UpstreamEntry) -> Reachability:
+        """Returns whether an upstream is running.
+
+        One that refuses connections here has ended if no peer reaches it.
+        """
+        own = await self._links.probe(entry)
+        if own is not Reachability.REFUSED:
+            return own
+        witnesses = self._relays.witnesses(entry, _WITNESSES)
+        if not witnesses:
+            return own
+        seen = await asyncio.gather(*(self._ask(m, entry) for m in witnesses))
+        result = Reachability.UNKNOWN
+        for reachability in (Reachability.REACHED, Reachability.REFUSED):
+            if reachability in seen:
+                result = reachability
+                break
+        log_event(
+            "upstream_probed",
+            upstream=entry.upstream_id,
+            own=own.value,
+            peers={
+                member.name: reachability.value
+                for member, reachability in zip(witnesses, seen, strict=True)
+            },
+            outcome=result.value,
+        )
+        return result
+
+    async def _ask(self, member: Member, entry: UpstreamEntry) -> Reachability:
+        host = f"{member.peer_host}:{member.peer_port}".encode()
+        headers = relay_headers(
+            [(b"Host", host)],
+            entry,
+            origin=self._own_name,
+            timeout_ms=_REPLY_TIMEOUT_MS,
+        )
+        try:
+            with await connect(
+                member.peer_host, member.peer_port, _CONNECT_TIMEOUT_MS
+            ) as connection:
+                connection.send(b"GET", PROBE_TARGET, headers, b"")
+                head = await connection.receive_head(_REPLY_TIMEOUT_MS)
+        except ExchangeError as error:
+            log_event(
+                "probe_failed",
+                peer=member.name,
+                upstream=entry.upstream_id,
+                reason=str(error),
+            )
+            return Reachability.UNKNOWN
+        return decode_probe_result(head)
--- a/trefoilpitch/gateway/tests/test_cut_attempts.py
+++ b/trefoilpitch/gateway/tests/test_cut_attempts.py
@@ -214,6 +214,7 @@
                 await asyncio.sleep(0.05)
             elif learnt is _Learnt.REFUSED_CONNECTION:
                 cut_attempts.record_refused(entry)
+                await asyncio.sleep(0.05)
             elif learnt is _Learnt.PEER:
                 peer = CrashEvidence()
                 peer.record_ending(
--- a/trefoilpitch/gateway/tests/test_relay_messages.py
+++ b/trefoilpitch/gateway/tests/test_relay_messages.py
@@ -17,13 +17,16 @@
 from trefoilpitch.gateway._relay_messages import (
     RelayOrder,
     decode_order,
+    decode_probe_result,
     decode_relayed_head,
     failure_headers,
     forwarded_headers,
     is_relayed,
+    probe_headers,
     relay_headers,
     without_relay_headers,
 )
+from trefoilpitch.gateway._upstream_links import Reachability
 from trefoilpitch.retries import FailureKind
 
 _ENTRY = UpstreamEntry(
@@ -145,3 +148,27 @@
     sent = [(b"trefoilpitch-relay-failure", b"not_sent"), (b"a", b"b")]
     head = decode_relayed_head(_head(forwarded_headers(sent)))
     assert head.headers == ((b"a", b"b"),)
+
+
+@pytest.mark.parametrize("result", Reachability)
+def test_result_of_a_probe_is_decoded_as_it_was_encoded(
+    result: Reachability,
+) -> None:
+    assert decode_probe_result(_head(probe_headers(result))) is result
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ([], 200),
+        ([(b"trefoilpitch-relay-reachability", b"unheard_of")], 200),
+        ([(b"trefoilpitch-relay-reachability", b"ended")], 503),
+        ([], 404),
+    ],
+)
+def test_malformed_result_of_a_probe_shows_nothing(
+    headers: Headers, status: int
+) -> None:
+    """As that of a peer which does not know probes."""
+    head = _head(headers, status=status)
+    assert decode_probe_result(head) is Reachability.UNKNOWN
