Ignore what daemons without links report on upstreams

Two peers that cannot reach an upstream made it a last resort for all daemons, also where the links of these peers are at fault. Change: heartbeats say whether a daemon has lost half of the links to a service, or several in a row; such reports do not count against upstreams. They still show which peers cannot relay.

What remains: links to less than half of a service that several daemons lose still make these upstreams a last resort for the others, as long as the rest is not saturated.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -596,6 +596,7 @@
             paces=self._rollout_controller.own_paces(),
             confirmed_age_ms=self._follower.confirmed_age_ms,
             relay_room=self._relay_server.room,
+            links_doubted=self._links.are_doubted(self._view.upstreams),
         )
         others = [
             member
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -114,6 +114,8 @@
     confirmed_age_ms: _Count | None = None
     # Number of requests that it would relay to upstreams for peers now.
     relay_room: _Count = 0
+    # Whether it has lost so many links that the upstreams are hardly at fault.
+    links_doubted: bool = False
 
     @property
     def version(self) -> StoreVersion:
@@ -299,7 +301,8 @@
         if known is not None:
             self._subtract(known.heartbeat)
         self._in_flight.update(heartbeat.in_flight)
-        self._unreachable.update(heartbeat.unreachable)
+        if not heartbeat.links_doubted:
+            self._unreachable.update(heartbeat.unreachable)
 
     def expire(self, now_ms: int) -> None:
         """Removes the daemons whose heartbeats have stopped."""
@@ -319,7 +322,10 @@
         return self._in_flight
 
     def unreachable(self) -> Mapping[int, int]:
-        """Returns how many peers cannot reach an upstream, by its digest."""
+        """Returns how many peers cannot reach an upstream, by its digest.
+
+        Peers that have lost most of their links do not count.
+        """
         return self._unreachable
 
     def evidence(
@@ -368,7 +374,8 @@
 
     def _subtract(self, heartbeat: Heartbeat) -> None:
         self._in_flight.subtract(heartbeat.in_flight)
-        self._unreachable.subtract(heartbeat.unreachable)
+        if not heartbeat.links_doubted:
+            self._unreachable.subtract(heartbeat.unreachable)
         # Zero counts would keep every upstream that ever existed.
         for digest in heartbeat.unreachable:
             if self._unreachable[digest] <= 0:
--- a/trefoilpitch/gateway/_upstream_links.py
+++ b/trefoilpitch/gateway/_upstream_links.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import TypeAlias
 
@@ -93,6 +94,25 @@
         """
         return len(self._lost_in_row) >= _MIN_LOST_IN_ROW
 
+    def are_doubted(self, upstreams: Mapping[str, CachedUpstream]) -> bool:
+        """Returns whether so many links are lost that the VM is at fault.
+
+        Args:
+            upstreams: The known upstreams.
+        """
+        if self.all_doubted:
+            return True
+        if len(self._lost) < _MIN_LOST_IN_ROW:
+            return False
+        services = Counter(k.entry.service for k in upstreams.values())
+        lost = Counter(
+            upstreams[k].entry.service for k in self._lost if k in upstreams
+        )
+        return any(
+            count >= _MIN_LOST_IN_ROW and 2 * count >= services[service]
+            for service, count in lost.items()
+        )
+
     def retain(self, upstream_ids: Collection[str]) -> None:
         """Drops the records of all other upstreams."""
         for upstream_id in self._lost.keys() - set(upstream_ids):
--- a/trefoilpitch/platform/tests/test_unreachable_upstreams.py
+++ b/trefoilpitch/platform/tests/test_unreachable_upstreams.py
@@ -77,3 +77,25 @@
                 assert not daemon.node._quarantine._evidence.ended_ms
 
     run(scenario)
+
+
+def test_reports_of_daemons_without_links_move_no_requests() -> None:
+    """All other daemons would prefer the one upstream that is not reported."""
+
+    async def scenario() -> None:
+        async with running_daemons(4, plain=4) as (fleet, daemons):
+            reached = fleet.workers["plain-3"]
+            lost = frozenset(w.port for w in fleet.workers.values())
+            for daemon in daemons[:2]:
+                daemon.links.cut(CutMode.RESET, lost - {reached.port})
+                links = daemon.node._links
+                while len(links.lost) < len(lost) - 1:
+                    await daemon.send_request("/plain/x", "id-cut")
+            # Two heartbeats of each daemon.
+            await asyncio.sleep(1.0)
+            for number in range(40):
+                await daemons[3].send_request("/plain/x", str(number))
+            runs = [r for r in reached.runs if r.request_id.isdecimal()]
+            assert len(runs) < 20
+
+    run(scenario)
