Ask each relay once for a request

Cause: for some hundred milliseconds the daemons do not know which of their peers were cut off with them, and a peer that had just failed for one upstream was asked for the next; five refusals end a request. Change: a peer that could not relay a request is not asked again for it, and a connection that failed at a peer counts like one that failed here.

test_request_finds_the_one_daemon_that_has_links failed before (four of four refused).

--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -156,7 +156,7 @@
         entry = self._permitted(order)
         if self._links.is_lost(entry.upstream_id):
             raise ExchangeError(
-                FailureKind.CONNECT_TIMEOUT, "the link is lost here as well"
+                FailureKind.CONNECT_REFUSED, "the link is lost here as well"
             )
         connection = await self._links.connect(entry, _CONNECT_TIMEOUT_MS)
         try:
--- a/trefoilpitch/gateway/_relays.py
+++ b/trefoilpitch/gateway/_relays.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import FleetView, Member, UpstreamEntry
@@ -83,16 +83,24 @@
             and self._clock.now_ms() - responded_ms < _PROVEN_MS
         )
 
-    def choose(self, entry: UpstreamEntry, *, forced: bool) -> Member | None:
+    def choose(
+        self,
+        entry: UpstreamEntry,
+        *,
+        forced: bool,
+        excluded: Collection[str] = (),
+    ) -> Member | None:
         """Returns the peer that relays a request; None to connect directly.
 
         Args:
             entry: The upstream.
             forced: Whether a peer is used although the own link may be intact.
+            excluded: Names of peers that could not relay the request before:
+                they may have lost all links in the same moment.
         """
         if not (forced or self._is_doubted(entry)):
             return None
-        usable = list(self._usable(entry))
+        usable = [m for m in self._usable(entry) if m.name not in excluded]
         near = [
             member
             for member in usable
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -130,6 +130,8 @@
         self._run_ids: set[str] = set()
         # Whether a stalled upstream went on after another was asked.
         self._withdrawn = False
+        # Names of peers that could not relay it.
+        self._failed_relays: set[str] = set()
         # Whether the retry budget was spent for the next attempt.
         self._credit_reserved = False
         self._service = deps.dispatcher.pick_service(admitted.route)
@@ -320,7 +322,9 @@
         """Connects to an upstream or a relay and sends it the request."""
         deps = self._deps
         relay = deps.relays.choose(
-            entry, forced=FailureKind.CONNECT_TIMEOUT in self._attempts.failures
+            entry,
+            forced=FailureKind.CONNECT_TIMEOUT in self._attempts.failures,
+            excluded=self._failed_relays,
         )
         connection = await self._connect(entry, relay)
         try:
@@ -366,6 +370,7 @@
             return await connect(relay.peer_host, relay.peer_port, timeout_ms)
         except ExchangeError as error:
             deps.relays.avoid(relay, None)
+            self._failed_relays.add(relay.name)
             raise ExchangeError(
                 FailureKind.NOT_SENT, f"relay {relay.name}: {error}"
             ) from error
@@ -516,14 +521,16 @@
             relayed = decode_relayed_head(head)
         except ExchangeError as error:
             detail = f"relay {relay.name}: {error}"
+            failure = ExchangeError(error.kind, detail)
             if classify_failure(error.kind) is not Execution.NOT_RUN:
-                raise ExchangeError(error.kind, detail) from error
+                raise failure from error
             refused = error.kind is FailureKind.NOT_SENT
             relays.avoid(relay, attempt.entry, refused=refused)
+            self._failed_relays.add(relay.name)
             self._attempts_sent -= 1
             if attempt.charged:
                 self._budget.refund()
-            raise ExchangeError(FailureKind.NOT_SENT, detail) from error
+            raise failure from error
         relays.record_response(attempt.entry)
         return relayed
 
--- a/trefoilpitch/platform/tests/test_unreachable_upstreams.py
+++ b/trefoilpitch/platform/tests/test_unreachable_upstreams.py
@@ -99,3 +99,19 @@
             assert len(runs) < 20
 
     run(scenario)
+
+
+def test_request_finds_the_one_daemon_that_has_links() -> None:
+    """The links of the others are lost in the same moment, unknown to all."""
+
+    async def scenario() -> None:
+        async with running_daemons(9, plain=3) as (_, daemons):
+            for daemon in daemons[:8]:
+                daemon.links.cut(CutMode.REFUSE_NEW)
+            statuses = [
+                (await daemon.send_request("/once/x", f"id-{n}"))[0].status
+                for n, daemon in enumerate(daemons[:4])
+            ]
+            assert statuses == [200] * 4
+
+    run(scenario)
