Keep the fleet's rejections below what brittle upstreams withstand

Daemons filled each upstream up to three requests a slot, each by itself, and took rejections as a sign to try elsewhere.

Nothing falls without a burst.

Change: Server-Brittle is decoded, shared by heartbeats, and bounds what a daemon sends: its share of the places, parts of what is known as free less a margin, and a pause after each rejection that lets all daemons together stay below half of the limit.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -21,7 +21,7 @@
     ColdRequestCounter,
     share_per_window,
 )
-from trefoilpitch.gateway._health import UpstreamHealth
+from trefoilpitch.gateway._health import LoadReport, UpstreamHealth
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
 from trefoilpitch.gateway._paces import (
@@ -31,6 +31,7 @@
 )
 from trefoilpitch.gateway._placement import Candidate, choose, saturation
 from trefoilpitch.gateway._prefix_traffic import PrefixTraffic
+from trefoilpitch.gateway._rejections import RejectionLimits
 from trefoilpitch.gateway._relays import Relays
 from trefoilpitch.gateway._rollouts import (
     ResponseQuality,
@@ -118,6 +119,7 @@
         self._cold_requests = ColdRequestCounter()
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
+        self._rejections = RejectionLimits(clock, own_name)
         self._prefix_traffic = PrefixTraffic()
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
@@ -172,6 +174,7 @@
             if upstream_id not in self._view.upstreams and not health.in_flight:
                 del self._health[upstream_id]
         self._cold_requests.retain(self._view.upstreams)
+        self._rejections.retain(self._view.upstreams)
         self._paces.retain(
             {
                 (cached.entry.service, cached.entry.version)
@@ -277,7 +280,12 @@
             )
 
     def record_notices(
-        self, entry: UpstreamEntry, *, leaving: bool, pause_ms: int
+        self,
+        entry: UpstreamEntry,
+        *,
+        leaving: bool,
+        pause_ms: int,
+        rejection_limit: int | None = None,
     ) -> None:
         """Records what an upstream announced in a response.
 
@@ -285,7 +293,12 @@
             entry: The upstream.
             leaving: Whether it is leaving.
             pause_ms: How long it wants no requests; 0 for no pause.
+            rejection_limit: Rejections in a second after which it falls over;
+                None if it has announced none.
         """
+        self._rejections.announce(
+            entry.service, entry.upstream_id, rejection_limit
+        )
         if leaving and self._notices.record_leaving(entry):
             log_event("upstream_leaving", upstream=entry.upstream_id)
         if pause_ms > 0:
@@ -297,6 +310,32 @@
                 pause_ms=pause_ms,
             )
 
+    def record_load(self, entry: UpstreamEntry, report: LoadReport) -> None:
+        """Records the load that an upstream reports in a response."""
+        self.health(entry.upstream_id).record_report(
+            report, self._clock.now_ms()
+        )
+        self._rejections.record_report(
+            entry.upstream_id,
+            running=report.running,
+            waiting=report.waiting,
+            slots=report.slots,
+        )
+
+    def record_rejection(self, entry: UpstreamEntry) -> None:
+        """Records that an upstream had no room for a request."""
+        self._rejections.record_rejection(
+            entry.service, entry.upstream_id, len(self._members())
+        )
+
+    def own_rejection_limits(self) -> dict[str, int]:
+        """Returns the limits that upstreams have announced, by service."""
+        return self._rejections.announced()
+
+    def adopt_rejection_limits(self, limits: Mapping[str, int]) -> None:
+        """Adopts the limits that a peer has heard of."""
+        self._rejections.adopt(limits)
+
     def is_leaving(self, entry: UpstreamEntry) -> bool:
         """Returns whether an upstream is known to end soon."""
         cached = self._view.upstreams.get(entry.upstream_id)
@@ -414,7 +453,15 @@
                 return _Obstacle.FAILING
             if not self._is_relayed(entry):
                 return _Obstacle.UNREACHABLE
-        if self.load(entry.upstream_id) >= _FULL_LOAD * entry.slots:
+        load = self.load(entry.upstream_id)
+        if load >= _FULL_LOAD * entry.slots or not self._rejections.allows(
+            entry.service,
+            entry.upstream_id,
+            slots=entry.slots,
+            in_flight=health.in_flight,
+            load=load,
+            members=self._members(),
+        ):
             return _Obstacle.SATURATED
         if self._is_cold(cached, now_ms) and not self._has_cold_quota(
             entry, now_ms
--- a/trefoilpitch/gateway/_messages.py
+++ b/trefoilpitch/gateway/_messages.py
@@ -94,6 +94,9 @@
     # How long the upstream wants no requests from this daemon; 0 if it did not
     # ask for a pause.
     pause_ms: int = 0
+    # Rejections in a second after which the upstream falls over; None if it
+    # announces no limit.
+    rejection_limit: int | None = None
 
 
 class RequestCodec(Protocol):
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -596,6 +596,7 @@
             paces=self._rollout_controller.own_paces(),
             confirmed_age_ms=self._follower.confirmed_age_ms,
             relay_room=self._relay_server.room,
+            rejection_limits=self._dispatcher.own_rejection_limits(),
             links_doubted=self._links.are_doubted(self._view.upstreams),
         )
         others = [
@@ -617,6 +618,7 @@
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
         self._merge_evidence(heartbeat.traits)
+        self._dispatcher.adopt_rejection_limits(heartbeat.rejection_limits)
         age_ms = heartbeat.confirmed_age_ms
         if age_ms is not None:
             self._follower.record_store_response(age_ms)
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -116,6 +116,9 @@
     relay_room: _Count = 0
     # Whether it has lost so many links that the upstreams are hardly at fault.
     links_doubted: bool = False
+    # Rejections in a second that upstreams withstand, by service; only what
+    # its own responses announced.
+    rejection_limits: dict[str, _Count] = {}
 
     @property
     def version(self) -> StoreVersion:
--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -205,6 +205,7 @@
                 cached.entry,
                 leaving=response.leaving,
                 pause_ms=response.pause_ms,
+                rejection_limit=response.rejection_limit,
             )
         headers = [*forwarded_headers(self._codec.encode_response(response))]
         length = head.header(_CONTENT_LENGTH)
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -575,23 +575,26 @@
     def _check_response(
         self, entry: UpstreamEntry, response: UpstreamResponse
     ) -> None:
-        now_ms = self._deps.clock.now_ms()
-        health = self._deps.dispatcher.health(entry.upstream_id)
+        dispatcher = self._deps.dispatcher
         if not response.matches:
             raise ExchangeError(
                 FailureKind.MALFORMED_RESPONSE,
                 "response belongs to another request",
             )
-        self._deps.dispatcher.record_notices(
-            entry, leaving=response.leaving, pause_ms=response.pause_ms
+        dispatcher.record_notices(
+            entry,
+            leaving=response.leaving,
+            pause_ms=response.pause_ms,
+            rejection_limit=response.rejection_limit,
         )
         if response.load is not None:
-            health.record_report(response.load, now_ms)
+            dispatcher.record_load(entry, response.load)
         if response.wrong_instance:
             raise ExchangeError(
                 FailureKind.MISDIRECTED, f"status {response.head.status}"
             )
         if response.not_run:
+            dispatcher.record_rejection(entry)
             raise ExchangeError(
                 FailureKind.REFUSED_NOT_RUN, f"status {response.head.status}"
             )
--- a/trefoilpitch/platform/_requests.py
+++ b/trefoilpitch/platform/_requests.py
@@ -38,6 +38,8 @@
 _LEAVING = b"server-leaving"
 # With status 503: seconds for which a worker wants no further requests.
 _RETRY_AFTER = b"retry-after"
+# Rejections for want of room in a second after which a worker falls over.
+_BRITTLE = b"server-brittle"
 _API_KEY = b"api-key"
 _SESSION = b"session"
 _LAST_EVENT_ID = b"last-event-id"
@@ -46,6 +48,10 @@
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _LOWEST_PRIORITY = 9
+# Limits of rejections above this one mean the same. A malformed one is taken
+# for the strictest that lets a worker be tried at all.
+_MAX_REJECTION_LIMIT = 10_000
+_STRICT_REJECTION_LIMIT = 1
 _MS_PER_S = 1_000
 
 # Headers of one connection; not forwarded or set again for the next hop.
@@ -179,6 +185,9 @@
             pause_ms=_pause_ms(head.header(_RETRY_AFTER))
             if head.status == _UNAVAILABLE
             else 0,
+            rejection_limit=None
+            if head.status == _MISDIRECTED
+            else _rejection_limit(head.header(_BRITTLE)),
         )
 
     def encode_response(self, response: UpstreamResponse) -> Headers:
@@ -237,6 +246,19 @@
     return math.ceil(seconds * _MS_PER_S)
 
 
+def _rejection_limit(text: str | None) -> int | None:
+    if text is None:
+        return None
+    limit = text.strip()
+    if not (limit.isascii() and limit.isdigit()):
+        log_event("malformed_header", name=_BRITTLE.decode(), value=text)
+        return _STRICT_REJECTION_LIMIT
+    digits = limit.lstrip("0") or "0"
+    if len(digits) > len(str(_MAX_REJECTION_LIMIT)):
+        return _MAX_REJECTION_LIMIT
+    return min(_MAX_REJECTION_LIMIT, int(digits))
+
+
 def _token_counts(text: str | None) -> tuple[int, int]:
     if text is None:
         return 0, 0
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -104,6 +104,8 @@
         self.confidence: dict[str, int] = {}
         # Whether all responses announce that the worker is leaving.
         self.leaving = False
+        # Value of the Server-Brittle header of all responses; None for none.
+        self.brittle: str | None = None
         # Value of the Retry-After header of shed requests; None for none.
         self.retry_after: str | None = None
         # Number of requests that it has shed.
@@ -270,6 +272,8 @@
         headers = [(b"X-Trefoilpitch-Not-Executed", b"1")]
         if self.leaving:
             headers.append((b"Server-Leaving", b"1"))
+        if self.brittle is not None:
+            headers.append((b"Server-Brittle", self.brittle.encode()))
         if self.retry_after is not None:
             headers.append((b"Retry-After", self.retry_after.encode()))
         return headers
@@ -293,6 +297,8 @@
             headers.append((b"X-Trefoilpitch-Confidence", confidence))
         if self.leaving:
             headers.append((b"Server-Leaving", b"1"))
+        if self.brittle is not None:
+            headers.append((b"Server-Brittle", self.brittle.encode()))
         return headers
 
     async def _respond_plain(
