Look up the members only for brittle upstreams

The set of members was built for each upstream of each choice, also where no upstream is brittle: at 195 daemons 195 names for each of 60 upstreams. No decision changes.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -454,13 +454,8 @@
             if not self._is_relayed(entry):
                 return _Obstacle.UNREACHABLE
         load = self.load(entry.upstream_id)
-        if load >= _FULL_LOAD * entry.slots or not self._rejections.allows(
-            entry.service,
-            entry.upstream_id,
-            slots=entry.slots,
-            in_flight=health.in_flight,
-            load=load,
-            members=self._members(),
+        if load >= _FULL_LOAD * entry.slots or self._may_be_rejected(
+            entry, load
         ):
             return _Obstacle.SATURATED
         if self._is_cold(cached, now_ms) and not self._has_cold_quota(
@@ -469,6 +464,20 @@
             return _Obstacle.COLD
         return None
 
+    def _may_be_rejected(self, entry: UpstreamEntry, load: int) -> bool:
+        """Returns whether a brittle upstream might have no room."""
+        rejections = self._rejections
+        if rejections.limit_per_s(entry.service, entry.upstream_id) is None:
+            return False
+        return not rejections.allows(
+            entry.service,
+            entry.upstream_id,
+            slots=entry.slots,
+            in_flight=self.health(entry.upstream_id).in_flight,
+            load=load,
+            members=self._members(),
+        )
+
     def _is_eligible(self, cached: CachedUpstream, model: str | None) -> bool:
         entry = cached.entry
         return (
--- a/trefoilpitch/gateway/_rejections.py
+++ b/trefoilpitch/gateway/_rejections.py
@@ -239,15 +239,16 @@
             return False
         places = max(1.0, self._fraction(room) * slots)
         margin = _MARGIN + _LIMIT_MARGIN / max(1, limit_per_s)
-        shared_out = places - margin * math.sqrt(places)
-        # What others may have beyond their shares is withstood anyway.
-        harmless = shared_out <= limit_per_s
+        # Places that daemons may have beyond their shares.
+        lendable = places - margin * math.sqrt(places)
+        # The upstream withstands it if all of these are rejected.
+        harmless = lendable <= limit_per_s
         within_share = in_flight < self._own_share(
             upstream_id, int(places), members
         )
         if within_share and (harmless or load < places):
             return True
-        free = shared_out - load
+        free = lendable - load
         if free <= 0:
             return False
         # In proportion to what each has, and in equal parts.
