--- a/trefoilpitch/gateway/tests/test_sockets.py
+++ b/trefoilpitch/gateway/tests/test_sockets.py
@@ -254,3 +254,32 @@
         monitor.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("probes", [None, 9])
+def test_user_timeout_ends_an_idle_connection_whatever_the_probes(
+    probes: int | None,
+) -> None:
+    """An upstream vanishes while it works on a request and sends nothing."""
+
+    async def scenario() -> None:
+        with socket.create_server((_HOST, 0)) as listener:
+            port = listener.getsockname()[1]
+            with await connect(_HOST, port, _TIMEOUT_MS) as connection:
+                upstream, _ = listener.accept()
+                transport = connection._transport
+                assert transport is not None
+                sock = transport.get_extra_info("socket")
+                if probes is not None:
+                    tcp = socket.IPPROTO_TCP
+                    sock.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
+                connection.send(b"GET", b"/", [(b"Host", b"a")], b"")
+                await asyncio.sleep(0.5)
+                _vanish(upstream)
+                started_s = time.monotonic()
+                with upstream, pytest.raises(ExchangeError) as raised:
+                    await connection.receive_head(2_000 * _NOTICED_S)
+                assert raised.value.kind is FailureKind.CONNECTION_LOST
+                assert 1.5 < time.monotonic() - started_s < _NOTICED_S
+
+    asyncio.run(scenario())
