--- a/trefoilpitch/gateway/_relay_messages.py
+++ b/trefoilpitch/gateway/_relay_messages.py
@@ -38,6 +38,8 @@
 _BAD_REQUEST = 400
 # Bounds of the numbers, far above what is in use.
 _MAX_DIGITS = 15
+# Replaces control characters, which do not belong into headers.
+_PRINTABLE = bytes(c if 0x20 <= c < 0x7F else 0x3F for c in range(256))
 _REACHABILITIES = {result.value for result in Reachability}
 _FAILURE_KINDS = {kind.value: kind for kind in FailureKind}
 
@@ -151,10 +153,6 @@
     return Reachability(text)
 
 
-# Control characters do not belong into headers.
-_PRINTABLE = bytes(c if 0x20 <= c < 0x7F else 0x3F for c in range(256))
-
-
 def _text(request: HttpRequest, name: bytes) -> str:
     values = [v for n, v in request.headers if n.lower() == name]
     if len(values) != 1 or not values[0]:
--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -11,7 +11,7 @@
 from trefoilpitch.gateway._http_client import HttpConnection, ResponseHead
 from trefoilpitch.gateway._http_server import HttpRequest, Responder
 from trefoilpitch.gateway._log import log_event
-from trefoilpitch.gateway._messages import RequestCodec
+from trefoilpitch.gateway._messages import CallerRequest, RequestCodec
 from trefoilpitch.gateway._relay_messages import (
     PROBE_TARGET,
     RelayOrder,
@@ -89,26 +89,24 @@
         """Handles a peer's request; see `trefoilpitch.gateway.Handler`."""
         try:
             order = decode_order(request)
-            request_id = ""
-            if request.target != PROBE_TARGET:
-                request_id = self._codec.decode_request(request).request_id
+            if request.target == PROBE_TARGET:
+                await self._answer_probe(order, responder)
+                return
+            relayed = self._codec.decode_request(request)
         except BadRequestError as error:
             log_event("malformed_relay_order", reason=error.detail)
             await responder.respond(error.status, [], b"")
             return
-        if request.target == PROBE_TARGET:
-            await self._answer_probe(order, responder)
-            return
         self._active += 1
         outcome = "cancelled"
         try:
-            outcome = await self._relay(request, order, responder)
+            outcome = await self._relay(relayed, order, responder)
         finally:
             self._active -= 1
             self._metrics.count("relayed", Label(name="outcome", value=outcome))
             log_event(
                 "relayed",
-                id=request_id,
+                id=relayed.request_id,
                 origin=order.origin,
                 upstream=order.upstream_id,
                 elapsed_ms=self._clock.now_ms() - request.arrived_ms,
@@ -128,15 +126,15 @@
         await responder.respond(_OK, probe_headers(result), b"")
 
     async def _relay(
-        self, request: HttpRequest, order: RelayOrder, responder: Responder
+        self, request: CallerRequest, order: RelayOrder, responder: Responder
     ) -> str:
         try:
             with await self._connect(order) as connection:
                 connection.send(
-                    request.method,
-                    request.target,
-                    without_relay_headers(request.headers),
-                    request.body,
+                    request.http.method,
+                    request.http.target,
+                    without_relay_headers(request.http.headers),
+                    request.http.body,
                 )
                 head = await connection.receive_head(
                     self._left_ms(request, order)
@@ -184,21 +182,19 @@
             raise ExchangeError(FailureKind.NOT_SENT, "out of service")
         return entry
 
-    def _left_ms(self, request: HttpRequest, order: RelayOrder) -> int:
-        elapsed_ms = self._clock.now_ms() - request.arrived_ms
+    def _left_ms(self, request: CallerRequest, order: RelayOrder) -> int:
+        elapsed_ms = self._clock.now_ms() - request.http.arrived_ms
         return max(1, order.timeout_ms - elapsed_ms)
 
     async def _forward(
         self,
-        request: HttpRequest,
+        request: CallerRequest,
         order: RelayOrder,
         connection: HttpConnection,
         head: ResponseHead,
         responder: Responder,
     ) -> None:
-        response = self._codec.decode_response(
-            self._codec.decode_request(request), head
-        )
+        response = self._codec.decode_response(request, head)
         cached = self._view.upstreams.get(order.upstream_id)
         if cached is not None and response.matches:
             self._dispatcher.record_notices(
--- a/trefoilpitch/gateway/_upstream_links.py
+++ b/trefoilpitch/gateway/_upstream_links.py
@@ -81,10 +81,6 @@
         """The upstreams to which the last connection failed."""
         return self._lost.keys()
 
-    def is_lost(self, upstream_id: str) -> bool:
-        """Returns whether the last connection to an upstream failed."""
-        return upstream_id in self._lost
-
     @property
     def all_doubted(self) -> bool:
         """Whether several links failed in a row, so that others may be lost.
@@ -94,6 +90,10 @@
         """
         return len(self._lost_in_row) >= _MIN_LOST_IN_ROW
 
+    def is_lost(self, upstream_id: str) -> bool:
+        """Returns whether the last connection to an upstream failed."""
+        return upstream_id in self._lost
+
     def are_doubted(self, upstreams: Mapping[str, CachedUpstream]) -> bool:
         """Returns whether so many links are lost that the VM is at fault.
 
