Let the rating stand-in refuse a request once

Cause: the stand-in read its setting 'down' for the refusal and again for whether it had refused. The test had the refusal and changed the setting in between, so that a second response followed on the kept connection and met the next request. The client noticed the crossed response, as it should; the fault is the stand-in's.

--- a/trefoilpitch/ratings/tests/test_client.py
+++ b/trefoilpitch/ratings/tests/test_client.py
@@ -1,3 +1,7 @@
+import contextlib
+import socket
+from typing import Any
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -97,3 +101,28 @@
     decoded = _decode(status, data)
     if isinstance(decoded, Failure):
         assert isinstance(decoded.failure(), RatingError)
+
+
+class _RestoredSettings(RatingSettings):
+    """Settings of a service that is up again right after a refusal."""
+
+    def __getattribute__(self, name: str) -> Any:
+        value = super().__getattribute__(name)
+        if name == "down":
+            self.down = False
+        return value
+
+
+def test_refusal_of_the_stand_in_is_its_only_response() -> None:
+    """A second one would be taken for the next response of the connection."""
+    with open_rating_stand_in(_RestoredSettings(down=True)) as service:
+        host, _, port = service.address.rpartition(":")
+        with socket.create_connection((host, int(port)), 5.0) as caller:
+            caller.sendall(b"GET /v1/ratings/t0 HTTP/1.1\r\nHost: a\r\n\r\n")
+            received = b""
+            caller.settimeout(0.5)
+            with contextlib.suppress(TimeoutError):
+                while part := caller.recv(65_536):
+                    received += part
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert received.count(b"HTTP/1.1 ") == 1
--- a/trefoilpitch/standins/_rating.py
+++ b/trefoilpitch/standins/_rating.py
@@ -133,9 +133,11 @@
         self.respond_json({"ticket": self.state.add(body)}, status=202)
 
     def _reject_if_down(self) -> bool:
-        if self.state.settings.down:
+        # Read once: after the response, the test may have changed it already.
+        down = self.state.settings.down
+        if down:
             self.respond_json({"error": "down"}, status=503)
-        return self.state.settings.down
+        return down
 
 
 class RatingStandIn:
