--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review."""
--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that the cases of the review share."""
