--- a/review/support/cold.py
+++ b/review/support/cold.py
@@ -43,9 +43,9 @@
     return configuration([route], [service])
 
 
-def brittle_while_cold() -> Serve:
+def brittle_while_cold(work_s: float = WORK_S) -> Serve:
     """Returns a way to respond that crashes a cold worker at a high rate."""
-    respond = plain(WORK_S)
+    respond = plain(work_s)
 
     async def serve(
         worker: Worker, request: Message, writer: asyncio.StreamWriter
--- a/review/support/load.py
+++ b/review/support/load.py
@@ -18,7 +18,9 @@
 _HOST = "archive.example"
 _KEY = "parish-key"
 _ATTEMPT_ID = "X-Trefoilpitch-Request-Attempt-Id"
-_RESOLVE_S = 1.0
+# How many clients there are, and how long they keep an answer on average.
+_CLIENTS = 44
+_RESOLVE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -69,14 +71,21 @@
         self._path = path
         self._deadline_ms = deadline_ms
         self._numbers = itertools.count()
-        self._ports: list[int] = []
+        # The ports that each client knows.
+        self._ports: dict[int, list[int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def resolve(self) -> None:
-        """Asks one directory after the other, at random, until cancelled."""
+        """Asks directories for addresses until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for client in range(_CLIENTS):
+                group.create_task(self._resolve_as(client))
+
+    async def _resolve_as(self, client: int) -> None:
         while True:
             name = random.choice(self._daemons.names)
-            try:
+            addresses = None
+            with contextlib.suppress(OSError, TimeoutError):
                 answer = await exchange(
                     self._daemons.ports[name]["directory"],
                     "GET /trefoilpitch/resolve?name=archive.example HTTP/1.1",
@@ -84,11 +93,10 @@
                     timeout_s=1.0,
                 )
                 addresses = json.loads(answer.body or b"{}").get("addresses")
-            except (OSError, TimeoutError):
-                addresses = None
             if addresses:
-                self._ports = [int(a.rpartition(":")[2]) for a in addresses]
-            await asyncio.sleep(_RESOLVE_S * random.random())
+                ports = [int(a.rpartition(":")[2]) for a in addresses]
+                self._ports[client] = ports
+            await asyncio.sleep(_RESOLVE_S * (0.5 + random.random()))
 
     async def send_at_rate(self, rate_per_s: float) -> None:
         """Sends requests at random times until cancelled."""
@@ -107,7 +115,7 @@
     async def send(self) -> None:
         """Sends a request and records how it ended."""
         request_id = f"request-{next(self._numbers)}"
-        port = random.choice(self._ports)
+        port = random.choice(random.choice(list(self._ports.values())))
         sent_s = time.monotonic()
         fields = {
             "Host": _HOST,
