--- a/review/support/record.py
+++ b/review/support/record.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -65,9 +66,11 @@
             await asyncio.sleep(0.1)
             return held
 
+    # A run that takes too long still ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         held = asyncio.run(run())
-    except (CannotRunError, OSError) as error:
+    except (CannotRunError, OSError, KeyboardInterrupt) as error:
         record.say(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
     record.say("the rule held" if held else "the rule is broken")
