--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -119,6 +119,14 @@
     # Rejections in a second that upstreams withstand, by service; only what
     # its own responses announced.
     rejection_limits: dict[str, _Count] = {}
+    # Remaining work of the requests in `in_flight`, in its order, in tenths of
+    # a second; empty if the daemon does not estimate it.
+    work: tuple[_Count, ...] = ()
+    # Its requests in flight and waiting, by service.
+    demand: dict[str, _Count] = {}
+    # Time for which upstreams that have restarted are still cold, in
+    # milliseconds by upstream digest.
+    cold_ms: dict[int, _Count] = {}
 
     @property
     def version(self) -> StoreVersion:
