Read load reports with a fourth figure

Cause: some upstreams add how long work takes on them at the moment. A report with anything but three figures was dropped, so that no load was known there.

Change: three figures or more are read; the fourth is the duration of work in per cent of the usual one, further ones are ignored. A malformed fourth figure does not lose the others. A report whose counts are malformed or negative is logged and dropped; before, negative counts were taken as they were.

--- a/trefoilpitch/gateway/_health.py
+++ b/trefoilpitch/gateway/_health.py
@@ -38,6 +38,9 @@
     waiting: int
     # Requests that it can process at the same time.
     slots: int
+    # How long work takes there at the moment, where 100 is as usual; None if
+    # it does not say.
+    duration_percent: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/trefoilpitch/platform/_requests.py
+++ b/trefoilpitch/platform/_requests.py
@@ -52,6 +52,15 @@
 # for the strictest that lets a worker be tried at all.
 _MAX_REJECTION_LIMIT = 10_000
 _STRICT_REJECTION_LIMIT = 1
+# Figures of a load report: counts of requests, and the duration of work.
+_LOAD_COUNTS = 3
+_LOAD_FIGURES = 4
+# Larger values mean the same; these bounds keep sums of them small.
+_MAX_LOAD_COUNT = 1_000_000
+_MAX_DURATION_PERCENT = 10_000
+_MAX_LOAD_DIGITS = 10
+# Characters of a malformed header that are logged.
+_MAX_LOGGED_VALUE = 200
 _MS_PER_S = 1_000
 
 # Headers of one connection; not forwarded or set again for the next hop.
@@ -278,11 +287,50 @@
 
 
 def _load(text: str | None) -> LoadReport | None:
-    numbers = [_number(part) for part in (text or "").split(",")]
-    if len(numbers) != 3 or None in numbers:
+    """Decodes running, waiting, slots and, if present, the duration of work.
+
+    Figures after these are ignored, as later versions of the upstreams may
+    add some.
+    """
+    if text is None:
+        return None
+    numbers = [_figure(part) for part in text.split(",")[:_LOAD_FIGURES]]
+    counts = [n for n in numbers[:_LOAD_COUNTS] if n is not None and n >= 0]
+    if len(counts) < _LOAD_COUNTS:
+        _log_malformed(_LOAD, text)
         return None
-    running, waiting, slots = (number or 0 for number in numbers)
-    return LoadReport(running=running, waiting=waiting, slots=slots)
+    durations = numbers[_LOAD_COUNTS:]
+    duration = durations[0] if durations else None
+    huge = max(counts) > _MAX_LOAD_COUNT
+    if huge or (durations and not _is_duration(duration)):
+        _log_malformed(_LOAD, text)
+    if duration is not None:
+        duration = min(duration, _MAX_DURATION_PERCENT)
+        duration = duration if duration > 0 else None
+    running, waiting, slots = (min(_MAX_LOAD_COUNT, n) for n in counts)
+    return LoadReport(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        duration_percent=duration,
+    )
+
+
+def _figure(text: str) -> int | None:
+    digits = text.strip()
+    if digits.isascii() and digits.isdigit():
+        # Python refuses to convert very long texts.
+        return int(digits.lstrip("0")[:_MAX_LOAD_DIGITS] or "0")
+    return _number(text)
+
+
+def _is_duration(percent: int | None) -> bool:
+    return percent is not None and 0 < percent <= _MAX_DURATION_PERCENT
+
+
+def _log_malformed(name: bytes, text: str) -> None:
+    value = text[:_MAX_LOGGED_VALUE]
+    log_event("malformed_header", name=name.decode(), value=value)
 
 
 def _listed_in_connection(request: HttpRequest) -> frozenset[bytes]:
