--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -47,6 +47,8 @@
 _MAX_BATCH_BYTES = 64 * 1024 * 1024
 # Larger datagrams may be fragmented by the network.
 _MAX_DATAGRAM_BYTES = 1_200
+# Senders and reasons of malformed messages that are remembered.
+_MAX_LOGGED_MALFORMED = 1_024
 
 # A heartbeat with a negative count is malformed.
 _Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
@@ -189,7 +191,7 @@
         if not decompressor.eof:
             raise PeerReplyError("the batch is truncated or too large")
         batch = msgspec.msgpack.decode(encoded, type=WireBatch)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise PeerReplyError(str(error)) from error
     items = tuple(
         Item(key=item.key, value=item.value, revision=item.revision)
@@ -402,10 +404,15 @@
 def encode_heartbeat(heartbeat: Heartbeat) -> list[bytes]:
     """Returns the datagrams of a heartbeat.
 
-    If it is too large for one, the evidence on traits gets one of its own, and
-    if that is not enough, details are left out.
+    If it is too large for one, the remaining work is left out, then the
+    evidence on traits gets a datagram of its own, and if that is not enough,
+    further details are left out.
     """
     data = msgspec.msgpack.encode(heartbeat)
+    if len(data) <= _MAX_DATAGRAM_BYTES:
+        return [data]
+    heartbeat = msgspec.structs.replace(heartbeat, work=())
+    data = msgspec.msgpack.encode(heartbeat)
     if len(data) <= _MAX_DATAGRAM_BYTES:
         return [data]
     evidence = msgspec.msgpack.encode(EvidenceMessage(heartbeat.traits))
@@ -413,6 +420,7 @@
         ("traits", EvidenceReport()),
         ("in_flight", {}),
         ("paces", ()),
+        ("demand", {}),
     ):
         if len(data) > _MAX_DATAGRAM_BYTES:
             heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
@@ -437,8 +445,9 @@
         self._on_heartbeat = on_heartbeat
         self._on_evidence = on_evidence
         self._transport: asyncio.DatagramTransport | None = None
-        self._heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
-        self._evidence_decoder = msgspec.msgpack.Decoder(EvidenceMessage)
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat | EvidenceMessage)
+        # Senders and reasons of the malformed messages that were logged.
+        self._malformed: set[tuple[str, str]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -448,21 +457,27 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decodes a message and passes it on; logs malformed ones."""
         try:
-            message = self._decode(data)
-        except msgspec.DecodeError as error:
-            log_event("malformed_heartbeat", sender=addr[0], reason=str(error))
+            message = self._decoder.decode(data)
+        except (msgspec.DecodeError, RecursionError) as error:
+            self._log_malformed(addr[0], str(error))
             return
         if isinstance(message, Heartbeat):
             self._on_heartbeat(message)
         else:
             self._on_evidence(message.traits)
 
-    def _decode(self, data: bytes) -> Heartbeat | EvidenceMessage:
-        try:
-            return self._heartbeat_decoder.decode(data)
-        except msgspec.ValidationError:
-            # Heartbeats carry no tag, which earlier versions would not know.
-            return self._evidence_decoder.decode(data)
+    def _log_malformed(self, sender: str, reason: str) -> None:
+        """Logs the first of a sender's messages that fail for a reason.
+
+        A daemon of a later build may send messages that this one cannot read
+        with each heartbeat.
+        """
+        if (sender, reason) in self._malformed:
+            return
+        if len(self._malformed) >= _MAX_LOGGED_MALFORMED:
+            self._malformed.clear()
+        self._malformed.add((sender, reason))
+        log_event("malformed_heartbeat", sender=sender, reason=reason)
 
     def send(self, heartbeat: Heartbeat, members: list[Member]) -> None:
         """Sends a heartbeat."""
