Keep daemons known to each other when all their leases have ended

After an outage of the store that is longer than the leases, no daemon had an entry for up to 16 s: Registration.renew forgot a lost lease and wrote the entry with the next renewal only, and the view dropped members at once. Each daemon took itself for the only one, sent no heartbeats, named itself alone in its directory and used the whole fleet's limits.

A member stays for as long as it is heard, and for 2.3 s after an outage. The entry is written again at once when the lease is lost, when the removal is seen, or when the store returns after more than 18 s without a renewal, spread over 0.7 s. A daemon that hears nobody although it knows or expects others presumes a large fleet (KnownMembers) for cold credit, retry budget and rejections, and takes no step of a roll-out but a rollback.

--- a/trefoilpitch/fleet/_view.py
+++ b/trefoilpitch/fleet/_view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from trefoilpitch.fleet._exceptions import MalformedDocumentError
 from trefoilpitch.fleet._restore import DeferredItem, adoption_delay_ms
@@ -113,7 +113,11 @@
         self.evacuated: set[str] = set()
         self.rollouts: dict[str, CachedRolloutOrder] = {}
         self.records: dict[str, CachedRolloutRecord] = {}
+        # Daemons that may be running. Those whose entries were removed stay for
+        # as long as they are heard, see `expire`.
         self.members: dict[str, Member] = {}
+        # Monotonic time until which members without an entry are kept anyway.
+        self._unlisted_until_ms: dict[str, int] = {}
         self.quarantines: dict[str, QuarantineRecord] = {}
 
     @property
@@ -121,6 +125,10 @@
         """The point in the store's history that the view corresponds to."""
         return StoreVersion(self.era, self.revision)
 
+    def is_listed(self, name: str) -> bool:
+        """Returns whether a daemon has an entry in the store."""
+        return name in self.members and name not in self._unlisted_until_ms
+
     def changes_after(self, version: StoreVersion) -> ItemBatch:
         """Returns what a peer at some version lacks.
 
@@ -307,10 +315,11 @@
             replay: Whether the items come from a listing, so that an unchanged
                 entry may be one that was applied before and does not restart
                 the upstream's cold time.
-            retain_until_ms: Monotonic time until which upstreams are kept after
-                their entries are removed. Upstreams can't renew their entries
-                during a store outage, so the removal may be an expiry rather
-                than a departure. A time in the past removes them at once.
+            retain_until_ms: Monotonic time until which upstreams and members
+                are kept after their entries are removed. They can't renew their
+                entries during a store outage, so the removal may be an expiry
+                rather than a departure. A time in the past removes upstreams at
+                once, and members as soon as they are not heard.
         """
         for item in batch.items:
             self._apply_item(item, now_ms, retain_until_ms, replay=replay)
@@ -329,9 +338,19 @@
             seen_ms=now_ms,
         )
 
-    def expire(self, now_ms: int) -> None:
-        """Removes what was not written again after an outage or a restore."""
+    def expire(self, now_ms: int, heard: Collection[str] = ()) -> None:
+        """Removes what was not written again after an outage or a restore.
+
+        Args:
+            now_ms: The monotonic time.
+            heard: Daemons that recently sent a heartbeat. They are running,
+                whatever the store has.
+        """
         self._apply_deferred(now_ms)
+        for name, until_ms in list(self._unlisted_until_ms.items()):
+            if now_ms >= until_ms and name not in heard:
+                del self._unlisted_until_ms[name]
+                self.members.pop(name, None)
         for upstream_id, cached in list(self.upstreams.items()):
             until = cached.retain_until_ms
             if until is not None and now_ms >= until:
@@ -448,6 +467,7 @@
                 self._log_change(item, f"roll-out phase {document.phase.value}")
             case Member():
                 self.members[document.name] = document
+                self._unlisted_until_ms.pop(document.name, None)
                 self._log_change(
                     item,
                     f"daemon registered, incarnation {document.incarnation}",
@@ -528,7 +548,7 @@
             case RolloutOrder() as order:
                 self.rollouts.pop(order.service, None)
             case Member() as member:
-                self.members.pop(member.name, None)
+                self._unlisted_until_ms[member.name] = retain_until_ms
             case QuarantineRecord() as record:
                 self.quarantines.pop(record.name, None)
             case _:
--- a/trefoilpitch/fleet/tests/test_view.py
+++ b/trefoilpitch/fleet/tests/test_view.py
@@ -11,6 +11,7 @@
     FleetView,
     Item,
     ItemBatch,
+    Member,
     RolloutOrder,
     StoreVersion,
 )
@@ -109,6 +110,41 @@
     assert harness.view.upstreams == {}
 
 
+def _member(name: str = "vm-2") -> Member:
+    return Member(
+        name=name,
+        incarnation=f"{name}-start",
+        caller_address="10.0.0.1:80",
+        peer_host="10.0.0.1",
+        peer_port=81,
+        heartbeat_port=82,
+        failure_domain="zone-a",
+    )
+
+
+def test_daemon_that_is_heard_stays_a_member_without_its_entry() -> None:
+    """All leases end in a long outage of the store; the daemons go on."""
+    harness = _ViewHarness()
+    harness.put("m", _member())
+    harness.remove("m", now_ms=10_000)
+    harness.view.expire(10_000, heard={"vm-2"})
+    assert set(harness.view.members) == {"vm-2"}
+    assert not harness.view.is_listed("vm-2")
+    harness.view.expire(30_000)
+    assert harness.view.members == {}
+
+
+def test_silent_member_that_expired_in_an_outage_may_register_again() -> None:
+    harness = _ViewHarness()
+    harness.put("m", _member())
+    harness.remove("m", now_ms=10_000, retain_until_ms=12_300)
+    harness.view.expire(12_000)
+    assert set(harness.view.members) == {"vm-2"}
+    harness.put("m", _member(), now_ms=12_100)
+    harness.view.expire(20_000)
+    assert harness.view.is_listed("vm-2")
+
+
 def test_retained_upstream_that_registers_again_stays() -> None:
     harness = _ViewHarness()
     harness.put("u", upstream())
--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -76,6 +76,8 @@
         fetch_from_peers: Returns all items of a peer, or None if no peer has
             any.
         on_change: Called after each batch of changes.
+        on_store_return: Called after an outage in which entries may have
+            expired.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         watch_wait_ms: Callable[[bool], int],
         fetch_from_peers: Callable[[], Awaitable[ItemBatch | None]],
         on_change: Callable[[], None],
+        on_store_return: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._view = view
@@ -99,6 +102,7 @@
         self._watch_wait_ms = watch_wait_ms
         self._fetch_from_peers = fetch_from_peers
         self._on_change = on_change
+        self._on_store_return = on_store_return
         self._loaded = False
         self._unavailable_since_ms: int | None = None
         self._expiry_until_ms = 0
@@ -162,6 +166,7 @@
         if gap_ms >= self._min_expiry_gap_ms:
             log_event("store_outage_noticed", gap_ms=gap_ms)
             self._expiry_until_ms = now_ms + _REREGISTRATION_GRACE_MS
+            self._on_store_return()
         self._responded_ms = max(self._responded_ms, now_ms - age_ms)
 
     def record_peer_confirmation(self, age_ms: int) -> None:
@@ -379,6 +384,7 @@
             or gap_ms >= self._min_expiry_gap_ms
         ):
             self._expiry_until_ms = now_ms + _REREGISTRATION_GRACE_MS
+            self._on_store_return()
         log_event(
             "store_recovered", revision=self._view.revision, away_ms=outage_ms
         )
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -41,6 +41,7 @@
     Responder,
     ServerState,
 )
+from trefoilpitch.gateway._known_members import KnownMembers
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelSelector
@@ -64,6 +65,7 @@
 from trefoilpitch.gateway._relays import Relays
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
+from trefoilpitch.gateway._retry_budgets import RetryBudgets
 from trefoilpitch.gateway._rollout_controller import RolloutController
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.gateway._supervision import supervise
@@ -72,9 +74,7 @@
 from trefoilpitch.gateway._upstream_probes import UpstreamProbes
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.metrics import Metrics
-from trefoilpitch.retries import WindowedRetryBudget
 
-_LEASE_RENEWAL_MS = 8_000
 _ROLLOUT_INTERVAL_MS = 200
 _QUARANTINE_SYNC_INTERVAL_MS = 500
 # Checks of the store by any daemon within the time in which a configuration has
@@ -97,9 +97,6 @@
 # changes: about as long as one that has ended still counts as alive.
 _UNRESPONSIVE_PEER_MS = 5_000
 _MAX_PEER_BYTES = 16 * 1024 * 1024
-# Fraction of the fleet's retry budget that is used; the rest is a margin for
-# requests that are counted twice and for daemons that join and leave.
-_BUDGET_SHARE = 0.85
 _MS_PER_S = 1_000
 # How long a leaving daemon accepts new requests: callers cache addresses for a
 # few seconds. Requests of the first 3 s after the signal may be cut off by the
@@ -178,10 +175,21 @@
         self._peer_ahead = asyncio.Event()
         # Monotonic time until which a peer that did not reply is avoided.
         self._unresponsive_until_ms: dict[str, int] = {}
-        self._budgets: dict[str, WindowedRetryBudget] = {}
         self._view = FleetView(documents, self._log_change)
         self._peers = PeerTable(settings.name)
         self._rng = rng
+        member = Member(
+            name=settings.name,
+            incarnation=settings.incarnation,
+            caller_address=f"{settings.callers.host}:{settings.callers.port}",
+            peer_host=settings.peers.host,
+            peer_port=settings.peers.port,
+            heartbeat_port=settings.heartbeats.port,
+            failure_domain=settings.failure_domain,
+        )
+        self._registration = Registration(
+            store, documents, member, self._view, clock=clock, rng=rng
+        )
         self._follower = StoreFollower(
             store,
             self._view,
@@ -192,17 +200,17 @@
             watch_wait_ms=self._watch_wait_ms,
             fetch_from_peers=self._fetch_from_seeds,
             on_change=self._on_view_change,
+            on_store_return=self._registration.notify_store_returned,
         )
-        member = Member(
-            name=settings.name,
-            incarnation=settings.incarnation,
-            caller_address=f"{settings.callers.host}:{settings.callers.port}",
-            peer_host=settings.peers.host,
-            peer_port=settings.peers.port,
-            heartbeat_port=settings.heartbeats.port,
-            failure_domain=settings.failure_domain,
+        self._members = KnownMembers(
+            self._view,
+            self._peers,
+            clock,
+            own_name=settings.name,
+            expects_peers=bool({*settings.seeds} - {settings.peers}),
+            is_current=self._follower.is_current,
         )
-        self._registration = Registration(store, documents, member, self._view)
+        self._budgets = RetryBudgets(settings, clock, self._members.names)
         self._links = UpstreamLinks(clock, self._record_link_restored)
         self._relays = Relays(
             self._view,
@@ -218,7 +226,7 @@
             rng,
             own_name=settings.name,
             failure_domain=settings.failure_domain,
-            members=self._member_names,
+            members=self._members.names,
             peers_in_flight=self._peers.in_flight,
             peers_unreachable=self._peers.unreachable,
             relays=self._relays,
@@ -242,6 +250,7 @@
             peers=self._peers,
             clock=clock,
             own_name=settings.name,
+            is_uncertain=lambda: self._members.are_uncertain,
         )
         evidence = CrashEvidence()
         self._quarantine = Quarantine(
@@ -281,7 +290,7 @@
                 waiter=self._waiter,
                 codec=requests,
                 clock=clock,
-                budget=self._budget,
+                budget=self._budgets.budget,
                 expected_latencies=ExpectedLatencies(),
                 models=ModelSelector(),
                 metrics=metrics,
@@ -402,9 +411,7 @@
     async def _run_tasks(self) -> None:
         jobs: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
             "follower": self._follower.run,
-            "registration": lambda: run_periodically(
-                _LEASE_RENEWAL_MS, self._registration.renew
-            ),
+            "registration": self._registration.run,
             "heartbeats": self._send_heartbeats,
             "decider": lambda: run_periodically(
                 _ROLLOUT_INTERVAL_MS, self._rollout_controller.advance_rollouts
@@ -478,27 +485,9 @@
             max_header_bytes=limits.max_header_bytes + _RELAY_HEADER_BYTES,
         )
 
-    def _member_names(self) -> set[str]:
-        return set(self._view.members) | set(self._peers.alive())
-
-    def _budget(self, service: str) -> WindowedRetryBudget:
-        # The fleet grows while it starts, and all shares must sum to the slack.
-        members = max(1, len(self._member_names()))
-        slack = max(1.0, self._settings.retry_slack * _BUDGET_SHARE / members)
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = WindowedRetryBudget(
-                self._clock,
-                share=self._settings.retry_ratio * _BUDGET_SHARE,
-                slack=slack,
-                window_ms=self._settings.retry_window_ms,
-            )
-            self._budgets[service] = budget
-        budget.slack = slack
-        return budget
-
     def _on_view_change(self) -> None:
-        self._view.expire(self._clock.now_ms())
+        self._view.expire(self._clock.now_ms(), self._peers.alive())
+        self._registration.notify_view_changed()
         self._dispatcher.evict_removed()
         self._links.retain(self._view.upstreams)
         self._relays.retain(self._view.upstreams)
@@ -519,7 +508,7 @@
         while True:
             now_ms = self._clock.now_ms()
             self._peers.expire(now_ms)
-            self._view.expire(now_ms)
+            self._view.expire(now_ms, self._peers.alive())
             self._send_heartbeat()
             interval_ms = heartbeat_interval_ms(len(self._view.members))
             await asyncio.sleep(interval_ms / _MS_PER_S)
@@ -746,6 +735,7 @@
             "upstream_links_lost": len(self._links.lost),
             "relayed_for_peers": self._relay_server.active,
             "peers": len(self._peers.alive()),
+            "members_uncertain": int(self._members.are_uncertain),
             "waiting_requests": sum(self._waiter.waiting().values()),
             "active_requests": self._caller_server.state.active,
             "caller_connections": len(self._caller_server.state.connections),
--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import (
@@ -14,6 +14,7 @@
     DocumentCodec,
     FleetStore,
     FleetView,
+    RolloutPhase,
     RolloutRecord,
     StoreUnavailableError,
 )
@@ -60,6 +61,8 @@
         peers: Provides the other daemons' evidence.
         clock: Provides monotonic time.
         own_name: Name of this VM.
+        is_uncertain: Returns whether there are probably other daemons that are
+            not heard, so that their evidence is missing.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         peers: PeerTable,
         clock: Clock,
         own_name: str,
+        is_uncertain: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._codec = codec
@@ -80,6 +84,7 @@
         self._peers = peers
         self._clock = clock
         self._own_name = own_name
+        self._is_uncertain = is_uncertain
 
     def own_counts(self) -> tuple[VersionCount, ...]:
         """Returns this daemon's evidence for publication in its heartbeat."""
@@ -234,7 +239,7 @@
             and now_ms - rollout.seen_ms < _LISTED_ORDER_DELAY_MS
         ):
             return None
-        return next_step(
+        step = next_step(
             rollout,
             record,
             evidence,
@@ -242,6 +247,9 @@
             now_ms,
             stopped=self._dispatcher.is_stopped(service, rollout.revision),
         )
+        if step is None or step.phase is RolloutPhase.ROLLED_BACK:
+            return step
+        return None if self._is_uncertain() else step
 
     async def _write(
         self, rollout: CachedRolloutOrder, step: RolloutStep
--- a/trefoilpitch/platform/tests/test_store_outage.py
+++ b/trefoilpitch/platform/tests/test_store_outage.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator
 
 import pytest
 
-from trefoilpitch.gateway import Node
+from trefoilpitch.gateway import ListenAddress, Node, NodeSettings
 from trefoilpitch.platform.tests.harness import (
     APPLY_MS,
     node_settings,
@@ -107,3 +108,62 @@
                 await asyncio.sleep(0.01)
 
     run(scenario)
+
+
+def _known_names(node: Node) -> set[str]:
+    return set(node._members.names())
+
+
+def test_daemons_whose_leases_have_ended_know_each_other() -> None:
+    """Each took itself for the only one and used the whole fleet's limits."""
+
+    async def scenario() -> None:
+        async with (
+            PlatformStoreStandIn() as store,
+            _running_daemons(3, store) as nodes,
+        ):
+            names = {f"vm-{number}" for number in range(3)}
+            for key in store.keys("trefoilpitch/member/"):
+                store.remove(key)
+            await wait_until(
+                lambda: (
+                    not any(
+                        node.view.is_listed(name)
+                        for node in nodes
+                        for name in names
+                    )
+                )
+            )
+            assert all(_known_names(node) == names for node in nodes)
+            assert all(len(node.caller_addresses()) == 3 for node in nodes)
+            await wait_until(
+                lambda: len(store.keys("trefoilpitch/member/")) == 3
+            )
+            assert all(_known_names(node) == names for node in nodes)
+
+    run(scenario)
+
+
+def test_daemon_that_has_just_started_presumes_peers_until_it_hears_one() -> (
+    None
+):
+    async def scenario() -> None:
+        async with PlatformStoreStandIn() as store:
+            store.put("op/config", config_document())
+            first, second = node_settings("vm-1"), node_settings("vm-2")
+            seeds = (first.peers, second.peers)
+            async with running_node(_seeded(first, seeds), store) as node:
+                await wait_until(lambda: node.ready)
+                assert len(_known_names(node)) > 100
+                async with running_node(_seeded(second, seeds), store):
+                    await wait_until(
+                        lambda: _known_names(node) == {"vm-1", "vm-2"}
+                    )
+
+    run(scenario)
+
+
+def _seeded(
+    settings: NodeSettings, seeds: tuple[ListenAddress, ...]
+) -> NodeSettings:
+    return dataclasses.replace(settings, seeds=seeds)
