Order waiting requests by time left, session and subject as well

The queue knew priority, responses in progress, the workspace's grants and the latest start. A request that will be late now goes behind those of its priority that can be in time, as serving it first would make them late too; after the workspace's share come those of the session and of the subject (the last shared part of the prompt). A workspace in excess goes behind all others.

A queue asks once for all requests that can use the same places: 500 requests of one group cost one choice per offer, 500 before. Size still plays no part. Ranking every request by its exact slack was ruled out: the workspace's share would then only break ties, and a workspace with short deadlines would starve the others.

--- a/trefoilpitch/gateway/_upstream_waiter.py
+++ b/trefoilpitch/gateway/_upstream_waiter.py
@@ -17,8 +17,9 @@
 # How often places are offered besides when a request ends here: upstreams also
 # become free by other daemons' requests, or as their ejection ends.
 _OFFER_INTERVAL_MS = 20
-# The same for each waiting request, so that a long queue costs no more.
-_OFFER_INTERVAL_PER_REQUEST_MS = 2
+# The same for each choice that an offer takes, so that a long queue costs no
+# more.
+_OFFER_INTERVAL_PER_CHOICE_MS = 2
 _MS_PER_S = 1_000
 
 
@@ -73,7 +74,7 @@
         """Gives a service's free places to the requests that wait for it."""
         queue = self._queues.get(service)
         if queue is not None:
-            queue.offer_places()
+            queue.offer_places(self._clock.now_ms())
 
     async def _wait_for_place(
         self,
@@ -116,7 +117,7 @@
             return
         interval_ms = max(
             _OFFER_INTERVAL_MS,
-            _OFFER_INTERVAL_PER_REQUEST_MS * len(self._queues[service]),
+            _OFFER_INTERVAL_PER_CHOICE_MS * self._queues[service].groups,
         )
         loop = asyncio.get_running_loop()
         self._timers[service] = loop.call_later(
--- a/trefoilpitch/gateway/_waiting.py
+++ b/trefoilpitch/gateway/_waiting.py
@@ -1,24 +1,37 @@
 """Order in which requests wait for an upstream.
 
 Load pattern: the upstreams of a service are saturated, cold, paused or ejected
-for a moment, while requests of many workspaces and priorities arrive. A place
-that becomes free goes to the most urgent request, then to responses in
-progress, then to the workspace that got the fewest places lately, then to the
-request that has to start first. Newcomers get only what those that wait cannot
-use. The size of a request plays no part, so that large ones are not starved.
+for a moment, while requests of many workspaces and priorities arrive; one
+workspace, session or shared part of a prompt may have most of them. A place
+that becomes free goes
+
+1. to a workspace within its usual rate,
+2. to the most urgent request,
+3. to a response in progress,
+4. to a request that can still begin in time,
+5. to the workspace, the session and the subject that got the fewest places
+   lately,
+6. to the request that has to begin first.
+
+Newcomers get only what those that wait cannot use. The size of a request plays
+no part, so that large ones are not starved. A queue asks for a place only once
+for all requests that can use the same places.
 """
 
 from __future__ import annotations
 
 import dataclasses
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Hashable, Iterator
 from typing import Generic, TypeVar
 
 _Place = TypeVar("_Place")
-# Places granted after which the counts by workspace are halved: long enough to
+# Places granted after which the counts of grants are halved: long enough to
 # tell a workspace that floods the service, short enough to forgive it.
 _GRANTS_PER_HALVING = 64
+# Grants that a session or a subject has before it goes behind requests without
+# any, which have no grants.
+_SMALL_SHARE = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,8 +44,27 @@
     workspace: str | None
     # Monotonic time at which it gives up waiting.
     until_ms: int
+    # Latest monotonic time to begin in time; None if that is `until_ms`.
+    due_ms: int | None = None
     # Whether the caller has received a part of the response.
     started: bool = False
+    # Whether its workspace sends far more than usual.
+    excess: bool = False
+    # The session, and the last part of the prompt that others share.
+    session: str | None = None
+    subject: str | None = None
+    # Equal for requests that can use the same places; None if it has no equals.
+    group: Hashable | None = None
+
+    @property
+    def latest_begin_ms(self) -> int:
+        """Latest monotonic time to begin in time."""
+        return self.until_ms if self.due_ms is None else self.due_ms
+
+    def rank(self, now_ms: int) -> tuple[bool, int, bool, bool]:
+        """Returns the part of the order that grants do not change."""
+        late = now_ms > self.latest_begin_ms
+        return (self.excess, self.priority, not self.started, late)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,12 +84,30 @@
     def __init__(self) -> None:
         self._waiting: dict[int, WaitingRequest[_Place]] = {}
         self._next_ticket = 0
-        self._grants: Counter[str | None] = Counter()
+        # Grants by kind of share and its name.
+        self._grants: Counter[tuple[str, str | None]] = Counter()
         self._granted = 0
 
     def __len__(self) -> int:
         return len(self._waiting)
 
+    @property
+    def groups(self) -> int:
+        """Number of choices that one offer of places takes at most."""
+        return len({self._group(ticket) for ticket in self._waiting})
+
+    def by_priority(self) -> Counter[int]:
+        """Returns the number of requests by priority."""
+        return Counter(r.terms.priority for r in self._waiting.values())
+
+    def count_ahead(self, terms: WaitTerms, now_ms: int) -> int:
+        """Returns how many requests go before one, or are its equals."""
+        rank = terms.rank(now_ms)
+        return sum(
+            request.terms.rank(now_ms) <= rank
+            for request in self._waiting.values()
+        )
+
     def add(self, request: WaitingRequest[_Place]) -> int:
         """Adds a request and returns its ticket."""
         self._next_ticket += 1
@@ -68,44 +118,61 @@
         """Removes a request that gave up or whose caller has left."""
         self._waiting.pop(ticket, None)
 
-    def offer_places(self) -> int:
+    def offer_places(self, now_ms: int) -> int:
         """Gives the free places to those that wait, in their order.
 
+        Args:
+            now_ms: The monotonic time.
+
         Returns:
             How many places were given.
         """
         count = 0
-        while self._offer_place():
+        without_place: set[Hashable] = set()
+        while self._offer_place(now_ms, without_place):
             count += 1
         return count
 
-    def _offer_place(self) -> bool:
-        for ticket in self._in_order():
+    def _offer_place(self, now_ms: int, without_place: set[Hashable]) -> bool:
+        for ticket in self._in_order(now_ms):
+            group = self._group(ticket)
+            if group in without_place:
+                continue
             request = self._waiting[ticket]
             place = request.choose()
             if place is None:
+                without_place.add(group)
                 continue
             del self._waiting[ticket]
-            self._record_grant(request.terms.workspace)
+            self._record_grant(request.terms)
             request.grant(place)
             return True
         return False
 
-    def _in_order(self) -> Iterator[int]:
-        def order(ticket: int) -> tuple[int, bool, int, int, int]:
+    def _group(self, ticket: int) -> Hashable:
+        group = self._waiting[ticket].terms.group
+        return ("ticket", ticket) if group is None else ("group", group)
+
+    def _in_order(self, now_ms: int) -> Iterator[int]:
+        def order(ticket: int) -> tuple[object, ...]:
             terms = self._waiting[ticket].terms
             return (
-                terms.priority,
-                not terms.started,
-                self._grants[terms.workspace],
-                terms.until_ms,
+                *terms.rank(now_ms),
+                self._grants["workspace", terms.workspace],
+                self._grants["session", terms.session] // _SMALL_SHARE,
+                self._grants["subject", terms.subject] // _SMALL_SHARE,
+                terms.latest_begin_ms,
                 ticket,
             )
 
         return iter(sorted(self._waiting, key=order))
 
-    def _record_grant(self, workspace: str | None) -> None:
-        self._grants[workspace] += 1
+    def _record_grant(self, terms: WaitTerms) -> None:
+        self._grants["workspace", terms.workspace] += 1
+        if terms.session is not None:
+            self._grants["session", terms.session] += 1
+        if terms.subject is not None:
+            self._grants["subject", terms.subject] += 1
         self._granted += 1
         if self._granted >= _GRANTS_PER_HALVING:
             self._granted = 0
--- a/trefoilpitch/gateway/tests/test_waiting.py
+++ b/trefoilpitch/gateway/tests/test_waiting.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from trefoilpitch.clock import SystemClock
 from trefoilpitch.fleet import UpstreamEntry
 from trefoilpitch.fleet.tests.fakes import upstream
@@ -16,6 +18,7 @@
     WaitTerms,
 )
 
+_NOW_MS = 0
 _BUSY = NoUpstream(reason="busy", available_in_ms=0)
 
 
@@ -25,6 +28,7 @@
     def __init__(self) -> None:
         self.free = {"v1": 0, "v2": 0}
         self.granted: list[str] = []
+        self.choices = 0
         self.queue: WaitingQueue[str] = WaitingQueue()
 
     def add(
@@ -36,8 +40,10 @@
         until_ms: int = 100,
         version: str = "v1",
         started: bool = False,
+        **fields: object,
     ) -> int:
         def choose() -> str | None:
+            self.choices += 1
             if not self.free[version]:
                 return None
             self.free[version] -= 1
@@ -50,6 +56,7 @@
                     workspace=workspace,
                     until_ms=until_ms,
                     started=started,
+                    **fields,  # type: ignore[arg-type]
                 ),
                 choose=choose,
                 grant=lambda place: self.granted.append(name),
@@ -63,7 +70,7 @@
         places.add(f"bulk-{number}", priority=7)
     places.add("urgent", priority=0)
     places.free["v1"] = 1
-    assert places.queue.offer_places() == 1
+    assert places.queue.offer_places(_NOW_MS) == 1
     assert places.granted == ["urgent"]
     assert len(places.queue) == 50
 
@@ -73,7 +80,7 @@
     places.add("later", until_ms=300)
     places.add("sooner", until_ms=200)
     places.free["v1"] = 2
-    places.queue.offer_places()
+    places.queue.offer_places(_NOW_MS)
     assert places.granted == ["sooner", "later"]
 
 
@@ -83,7 +90,7 @@
     places.add("newcomer", until_ms=100)
     places.add("in progress", until_ms=9_000, started=True)
     places.free["v1"] = 3
-    places.queue.offer_places()
+    places.queue.offer_places(_NOW_MS)
     assert places.granted == ["urgent", "in progress", "newcomer"]
 
 
@@ -95,17 +102,63 @@
         places.add(f"small-{number}", workspace="small", until_ms=500)
     for _ in range(24):
         places.free["v1"] = 1
-        places.queue.offer_places()
+        places.queue.offer_places(_NOW_MS)
     small = [name for name in places.granted if name.startswith("small")]
     assert len(small) == 10
 
 
+def test_request_that_will_be_late_goes_behind_those_of_its_priority() -> None:
+    """Serving it first would make the others late as well."""
+    places = _Places()
+    places.add("less urgent", priority=6)
+    places.add("late", until_ms=9_000, due_ms=_NOW_MS - 1)
+    places.add("in time", until_ms=9_000, due_ms=100)
+    places.free["v1"] = 3
+    places.queue.offer_places(_NOW_MS)
+    assert places.granted == ["in time", "late", "less urgent"]
+
+
+def test_workspace_far_over_its_usual_rate_goes_behind_all_others() -> None:
+    places = _Places()
+    places.add("excess", priority=0, workspace="large", excess=True)
+    places.add("usual", priority=7, workspace="small")
+    places.free["v1"] = 2
+    places.queue.offer_places(_NOW_MS)
+    assert places.granted == ["usual", "excess"]
+
+
+@pytest.mark.parametrize("share", ["session", "subject"])
+def test_session_or_subject_with_most_requests_does_not_starve_others(
+    share: str,
+) -> None:
+    places = _Places()
+    for number in range(100):
+        places.add(f"hot-{number}", **{share: "hot"})  # type: ignore[arg-type]
+    places.add("none", until_ms=200)
+    places.add("other", until_ms=200, **{share: "other"})  # type: ignore[arg-type]
+    for _ in range(6):
+        places.free["v1"] = 1
+        places.queue.offer_places(_NOW_MS)
+    assert places.granted[-2:] == ["none", "other"]
+
+
+def test_requests_for_the_same_places_cost_one_choice() -> None:
+    places = _Places()
+    for number in range(500):
+        places.add(f"r-{number}", group=("model", False))
+    places.queue.offer_places(_NOW_MS)
+    assert places.choices == 1
+    places.free["v1"] = 2
+    places.queue.offer_places(_NOW_MS)
+    assert places.granted == ["r-0", "r-1"]
+
+
 def test_place_that_the_first_cannot_use_goes_to_the_next() -> None:
     places = _Places()
     places.add("needs-v2", priority=0, version="v2")
     places.add("needs-v1", priority=5, version="v1")
     places.free["v1"] = 1
-    places.queue.offer_places()
+    places.queue.offer_places(_NOW_MS)
     assert places.granted == ["needs-v1"]
 
 
@@ -115,7 +168,7 @@
     places.add("stays")
     places.queue.remove(ticket)
     places.free["v1"] = 2
-    assert places.queue.offer_places() == 1
+    assert places.queue.offer_places(_NOW_MS) == 1
     assert places.granted == ["stays"]
 
 
