Take upstreams that came back for cold until they report otherwise

Coldness was learned from the store's entries only. An upstream that restarted under its id while the store was unavailable was sent the full traffic as soon as it accepted connections, with its old entry.

A connection that is accepted after a refused one now means a restart: the upstream is held for cold for the cold time of its service, and its health response (health-path, X-Trefoilpitch-Cold-Ms) is read, four at a time. A broken connection to an upstream that runs leads to a read as well. Peers are told in the heartbeats' cold_ms, unless this daemon's own links are doubted, and then do not read the report again. Malformed values count as missing.

--- a/trefoilpitch/fleet/_types.py
+++ b/trefoilpitch/fleet/_types.py
@@ -76,6 +76,8 @@
     cold_rate_per_s: float
     # Model and its cost per 1,000 generated tokens; empty for plain services.
     model_costs: tuple[tuple[str, float], ...] = ()
+    # Path of its upstreams' health responses; empty if it has none.
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -75,6 +75,8 @@
         metrics: Counts the attempts by what became of their upstreams.
         on_evidence: Called after a change that other daemons should know soon.
         probe: Returns whether an upstream is running.
+        on_running: Called with an upstream that runs although a response was
+            cut off.
     """
 
     def __init__(
@@ -85,12 +87,14 @@
         on_evidence: Callable[[], None],
         *,
         probe: Callable[[UpstreamEntry], Awaitable[Reachability]],
+        on_running: Callable[[UpstreamEntry], None] = lambda entry: None,
     ) -> None:
         self._evidence = evidence
         self._clock = clock
         self._metrics = metrics
         self._on_evidence = on_evidence
         self._probe = probe
+        self._on_running = on_running
         # Attempts by the run of the upstream that is being examined.
         self._examined: dict[int, list[_CutAttempt]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -197,6 +201,10 @@
                 self._metrics.count(
                     "cut_attempts", Label(name="upstream", value=verdict.value)
                 )
+        if verdict is Reachability.REACHED and not all(
+            attempt.complete for attempt in attempts
+        ):
+            self._on_running(entry)
         if verdict is Reachability.REFUSED:
             ended_ms = attempts[0].closed_ms if attempts else started_ms
             self._record_abandoned_endings(entry, ended_ms)
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -92,6 +92,8 @@
         peers_unreachable: Returns how many other daemons cannot reach an
             upstream, by its digest.
         relays: The peers that relay requests; None if there are none.
+        has_restarted_cold: Returns whether an upstream is cold after a restart
+            that its entry does not show.
     """
 
     def __init__(
@@ -106,6 +108,9 @@
         peers_in_flight: Callable[[], Mapping[int, int]],
         peers_unreachable: Callable[[], Mapping[int, int]] = dict,
         relays: Relays | None = None,
+        has_restarted_cold: Callable[[UpstreamEntry], bool] = lambda entry: (
+            False
+        ),
     ) -> None:
         self._view = view
         self._clock = clock
@@ -116,6 +121,7 @@
         self._peers_in_flight = peers_in_flight
         self._peers_unreachable = peers_unreachable
         self._relays = relays
+        self._has_restarted_cold = has_restarted_cold
         self._cold_requests = ColdRequestCounter()
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
@@ -145,6 +151,10 @@
         """Returns the health record of an upstream; creates it if needed."""
         return self._health.setdefault(upstream_id, UpstreamHealth())
 
+    def record_reachable(self, upstream_id: str) -> None:
+        """Records that an upstream can be reached again."""
+        self.health(upstream_id).record_reachable()
+
     def load(self, upstream_id: str) -> int:
         """Estimates the load that all daemons together put on an upstream."""
         digest = upstream_digest(upstream_id)
@@ -609,8 +619,17 @@
     def _is_relay_proven(self, entry: UpstreamEntry) -> bool:
         return self._relays is not None and self._relays.is_proven(entry)
 
+    def is_cold(self, upstream_id: str) -> bool:
+        """Returns whether an upstream is cold by its entry or a restart."""
+        cached = self._view.upstreams.get(upstream_id)
+        return cached is not None and self._is_cold(
+            cached, self._clock.now_ms()
+        )
+
     def _is_cold(self, cached: CachedUpstream, now_ms: int) -> bool:
-        return now_ms < cached.cold_until_ms
+        return now_ms < cached.cold_until_ms or self._has_restarted_cold(
+            cached.entry
+        )
 
     def _has_cold_quota(self, entry: UpstreamEntry, now_ms: int) -> bool:
         configuration = self._view.configuration
--- a/trefoilpitch/gateway/_messages.py
+++ b/trefoilpitch/gateway/_messages.py
@@ -109,6 +109,13 @@
             BadRequestError: If a mandatory header is missing.
         """
 
+    def decode_cold_ms(self, head: ResponseHead) -> int | None:
+        """Decodes for how long an upstream's health response says it is cold.
+
+        Returns:
+            0 if it is warm; None if the response does not say.
+        """
+
     def encode_attempt(
         self, request: CallerRequest, attempt: UpstreamAttempt
     ) -> Headers:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -21,6 +21,7 @@
     RequestLimits,
     StoreVersion,
 )
+from trefoilpitch.gateway._cold_reports import ColdReports
 from trefoilpitch.gateway._crash_evidence import (
     CrashEvidence,
     EvidenceReport,
@@ -65,6 +66,7 @@
 from trefoilpitch.gateway._relays import Relays
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
+from trefoilpitch.gateway._restarted_upstreams import RestartedUpstreams
 from trefoilpitch.gateway._retry_budgets import RetryBudgets
 from trefoilpitch.gateway._rollout_controller import RolloutController
 from trefoilpitch.gateway._state_dump import describe_state
@@ -108,9 +110,8 @@
 # Requests without a response get a final one this long before the exit: several
 # turns of the loop that waits for them, also on a busy VM.
 _FINAL_RESPONSE_MS = 200
-# Interval of the trials of lost links, and their number at a time.
+# Interval of the trials of lost links.
 _LINK_TRIAL_INTERVAL_MS = 250
-_LINK_TRIALS_AT_ONCE = 4
 # Upstreams that a heartbeat reports as unreachable, so that it fits into one
 # datagram.
 _MAX_UNREACHABLE_REPORTS = 128
@@ -211,7 +212,20 @@
             is_current=self._follower.is_current,
         )
         self._budgets = RetryBudgets(settings, clock, self._members.names)
-        self._links = UpstreamLinks(clock, self._record_link_restored)
+        self._restarts = RestartedUpstreams(clock, self._peers.cold_until_ms)
+        self._cold_reports = ColdReports(
+            self._restarts,
+            self._view,
+            requests,
+            self._send_urgent_heartbeat,
+            links_doubted=lambda: self._links.are_doubted(self._view.upstreams),
+        )
+        self._links = UpstreamLinks(
+            clock,
+            # The dispatcher is created later.
+            lambda name: self._dispatcher.record_reachable(name),  # noqa: PLW0108
+            on_restarted=self._cold_reports.record_restarted,
+        )
         self._relays = Relays(
             self._view,
             self._peers,
@@ -230,6 +244,7 @@
             peers_in_flight=self._peers.in_flight,
             peers_unreachable=self._peers.unreachable,
             relays=self._relays,
+            has_restarted_cold=self._restarts.is_cold,
         )
         self._dispatcher = dispatcher
         self._relay_server = RelayServer(
@@ -279,6 +294,7 @@
             probe=UpstreamProbes(
                 self._links, self._relays, own_name=settings.name
             ).probe,
+            on_running=self._cold_reports.record_broken,
         )
         self._request_handler = RequestHandler(
             RequestDependencies(
@@ -422,7 +438,8 @@
             ),
             "catching_up": lambda: run_periodically(0, self._catch_up),
             "link_trials": lambda: run_periodically(
-                _LINK_TRIAL_INTERVAL_MS, self._try_lost_links
+                _LINK_TRIAL_INTERVAL_MS,
+                lambda: self._links.try_lost(self._view.upstreams),
             ),
             "leaving": self._finish_leaving,
         }
@@ -436,14 +453,6 @@
                 task.cancel()
         await self._registration.withdraw()
 
-    async def _try_lost_links(self) -> None:
-        """Finds out whether upstreams can be reached again."""
-        due = self._links.due_trials(self._view.upstreams, _LINK_TRIALS_AT_ONCE)
-        await asyncio.gather(*(self._links.probe(entry) for entry in due))
-
-    def _record_link_restored(self, upstream_id: str) -> None:
-        self._dispatcher.health(upstream_id).record_reachable()
-
     async def _finish_leaving(self) -> None:
         while self._leaving_since_ms is None:
             await asyncio.sleep(0.05)
@@ -490,6 +499,7 @@
         self._registration.notify_view_changed()
         self._dispatcher.evict_removed()
         self._links.retain(self._view.upstreams)
+        self._restarts.retain(self._view.upstreams)
         self._relays.retain(self._view.upstreams)
         self._quarantine_records.adopt()
         if self._should_watch():
@@ -586,6 +596,7 @@
             confirmed_age_ms=self._follower.confirmed_age_ms,
             relay_room=self._relay_server.room,
             rejection_limits=self._dispatcher.own_rejection_limits(),
+            cold_ms=self._restarts.own_cold_ms(),
             links_doubted=self._links.are_doubted(self._view.upstreams),
         )
         others = [
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -45,6 +45,8 @@
 # The fastest level already compresses configurations to a tenth.
 _COMPRESSION_LEVEL = 1
 _MAX_BATCH_BYTES = 64 * 1024 * 1024
+# Longer cold times in a heartbeat are limited to this.
+_MAX_PEER_COLD_MS = 60_000
 # Larger datagrams may be fragmented by the network.
 _MAX_DATAGRAM_BYTES = 1_200
 
@@ -283,6 +285,8 @@
         self._peers: dict[str, Peer] = {}
         self._in_flight: Counter[int] = Counter()
         self._unreachable: Counter[int] = Counter()
+        # Monotonic time until which peers hold upstreams for cold, by digest.
+        self._cold_until_ms: dict[int, int] = {}
         self._newest_configuration = 0
 
     @property
@@ -312,6 +316,11 @@
         if known is not None:
             self._subtract(known.heartbeat)
         self._in_flight.update(heartbeat.in_flight)
+        for digest, cold_ms in heartbeat.cold_ms.items():
+            until_ms = now_ms + min(cold_ms, _MAX_PEER_COLD_MS)
+            self._cold_until_ms[digest] = max(
+                until_ms, self._cold_until_ms.get(digest, 0)
+            )
         if not heartbeat.links_doubted:
             self._unreachable.update(heartbeat.unreachable)
 
@@ -323,6 +332,9 @@
                 del self._peers[name]
                 self._subtract(peer.heartbeat)
                 self._log(name, "silent", peer.heartbeat.incarnation)
+        for digest, until_ms in list(self._cold_until_ms.items()):
+            if now_ms >= until_ms:
+                del self._cold_until_ms[digest]
 
     def alive(self) -> Mapping[str, Peer]:
         """Returns the live daemons by VM name."""
@@ -332,6 +344,10 @@
         """Returns the peers' in-flight requests, summed by upstream digest."""
         return self._in_flight
 
+    def cold_until_ms(self, digest: int) -> int:
+        """Returns until when peers hold an upstream for cold; 0 if not."""
+        return self._cold_until_ms.get(digest, 0)
+
     def unreachable(self) -> Mapping[int, int]:
         """Returns how many peers cannot reach an upstream, by its digest.
 
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -73,6 +73,7 @@
         "failure_domain": entry.failure_domain,
         "state": entry.state.value,
         "cold_ms": max(0, cached.cold_until_ms - now_ms),
+        "cold": dispatcher.is_cold(entry.upstream_id),
         "missing": cached.retain_until_ms is not None,
         "in_flight": health.in_flight,
         "load": dispatcher.load(entry.upstream_id),
--- a/trefoilpitch/gateway/_upstream_links.py
+++ b/trefoilpitch/gateway/_upstream_links.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import enum
 from collections import Counter
@@ -26,6 +27,7 @@
 # Interval of the trials of a lost link, which doubles up to the second figure.
 _MIN_TRIAL_INTERVAL_MS = 500
 _MAX_TRIAL_INTERVAL_MS = 2_000
+_TRIALS_AT_ONCE = 4
 # Connections within a region open in a few milliseconds.
 _PROBE_TIMEOUT_MS = 300.0
 
@@ -50,6 +52,8 @@
     lost_ms: int
     trial_due_ms: int
     trial_interval_ms: int = _MIN_TRIAL_INTERVAL_MS
+    # Whether the upstream's VM responded, so that it may have restarted.
+    refused: bool = False
     failures: int = 0
 
 
@@ -60,6 +64,8 @@
         clock: Provides monotonic time.
         on_restored: Called with the id of an upstream that can be reached
             again.
+        on_restarted: Called with an upstream that accepts a connection after
+            it has refused one, before the connection is used.
         open_connection: Opens connections; raises `ExchangeError`.
     """
 
@@ -68,9 +74,12 @@
         clock: Clock,
         on_restored: Callable[[str], None] = lambda upstream_id: None,
         open_connection: OpenConnection = connect,
+        *,
+        on_restarted: Callable[[UpstreamEntry], None] = lambda entry: None,
     ) -> None:
         self._clock = clock
         self._on_restored = on_restored
+        self._on_restarted = on_restarted
         self._open_connection = open_connection
         self._lost: dict[str, _LostLink] = {}
         # Links that were lost since the last successful connection.
@@ -141,6 +150,11 @@
             chosen = [*others[:1], *chosen]
         return [upstreams[k].entry for k in chosen[:limit]]
 
+    async def try_lost(self, upstreams: Mapping[str, CachedUpstream]) -> None:
+        """Finds out whether upstreams can be reached again."""
+        due = self.due_trials(upstreams, _TRIALS_AT_ONCE)
+        await asyncio.gather(*(self.probe(entry) for entry in due))
+
     async def connect(
         self, entry: UpstreamEntry, timeout_ms: float
     ) -> HttpConnection:
@@ -193,6 +207,7 @@
             )
             link.trial_due_ms = now_ms + link.trial_interval_ms
         link.failures += 1
+        link.refused |= error.kind is FailureKind.CONNECT_REFUSED
 
     def _record_connected(self, entry: UpstreamEntry) -> None:
         self._lost_in_row.clear()
@@ -211,3 +226,5 @@
         for other in self._lost.values():
             other.trial_due_ms = min(other.trial_due_ms, now_ms)
         self._on_restored(entry.upstream_id)
+        if link.refused:
+            self._on_restarted(entry)
--- a/trefoilpitch/gateway/tests/test_upstream_links.py
+++ b/trefoilpitch/gateway/tests/test_upstream_links.py
@@ -35,7 +35,14 @@
         self.cut: set[int] = set()
         self.attempts = 0
         self.restored: list[str] = []
-        self.links = UpstreamLinks(self.clock, self.restored.append, self._open)
+        self.restarted: list[str] = []
+        self.links = UpstreamLinks(
+            self.clock,
+            self.restored.append,
+            self._open,
+            on_restarted=lambda entry: self.restarted.append(entry.upstream_id),
+        )
+        self.failure = FailureKind.CONNECT_REFUSED
         self.upstreams = {
             f"u{number}": CachedUpstream(
                 entry=dataclasses.replace(
@@ -51,7 +58,7 @@
     ) -> HttpConnection:
         self.attempts += 1
         if port in self.cut:
-            raise ExchangeError(FailureKind.CONNECT_REFUSED, "cut")
+            raise ExchangeError(self.failure, "cut")
         return HttpConnection()
 
     def probe(self, number: int) -> Reachability:
@@ -135,3 +142,24 @@
     network.links.retain({"u1": None, "u2": None})
     assert set(network.links.lost) == {"u1"}
     assert not network.links.all_doubted
+
+
+@pytest.mark.parametrize(
+    ("failure", "restarted"),
+    [
+        (FailureKind.CONNECT_REFUSED, ["u0"]),
+        # Its VM did not respond, which a lost link explains.
+        (FailureKind.CONNECT_TIMEOUT, []),
+    ],
+)
+def test_connection_after_a_refused_one_shows_a_restart(
+    failure: FailureKind, restarted: list[str]
+) -> None:
+    network = _Network()
+    network.failure = failure
+    network.cut.add(0)
+    network.probe(0)
+    network.cut.clear()
+    network.probe(0)
+    network.probe(0)
+    assert network.restarted == restarted
--- a/trefoilpitch/platform/_documents.py
+++ b/trefoilpitch/platform/_documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from trefoilpitch.fleet import (
@@ -35,6 +37,8 @@
 _MEMBER_PREFIX = "trefoilpitch/member/"
 _QUARANTINE_PREFIX = "trefoilpitch/quarantine/"
 _MS_PER_S = 1_000
+# A path in printable ASCII, as in the first line of a request.
+_HEALTH_PATH = re.compile(r"/[!-~]{0,255}")
 
 _OPERATION_KINDS = {
     "stream": OperationKind.STREAM,
@@ -89,6 +93,8 @@
     cold_start_s: float = 0.0
     # Requests a second to a cold upstream, from all daemons together.
     cold_per_s: float = 0.0
+    # Path of the workers' health responses; empty for none.
+    health_path: object = ""
     engine: _Engine | None = None
 
 
@@ -343,10 +349,18 @@
         name=service.name,
         cold_start_ms=int(service.cold_start_s * _MS_PER_S),
         cold_rate_per_s=service.cold_per_s,
+        health_path=_health_path(service.health_path),
         model_costs=tuple((model.name, model.cost) for model in models),
     )
 
 
+def _health_path(value: object) -> str:
+    """Returns a path that can be requested; a service works without one."""
+    if isinstance(value, str) and _HEALTH_PATH.fullmatch(value):
+        return value
+    return ""
+
+
 def _upstream(upstream_id: str, server: _Server) -> UpstreamEntry:
     host, _, port = server.address.rpartition(":")
     return UpstreamEntry(
--- a/trefoilpitch/platform/_requests.py
+++ b/trefoilpitch/platform/_requests.py
@@ -40,6 +40,8 @@
 _RETRY_AFTER = b"retry-after"
 # Rejections for want of room in a second after which a worker falls over.
 _BRITTLE = b"server-brittle"
+# In health responses: milliseconds for which a worker stays cold.
+_COLD_MS = b"x-trefoilpitch-cold-ms"
 _API_KEY = b"api-key"
 _SESSION = b"session"
 _LAST_EVENT_ID = b"last-event-id"
@@ -47,6 +49,7 @@
 _BAD_REQUEST = 400
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+_OK = 200
 _LOWEST_PRIORITY = 9
 # Limits of rejections above this one mean the same. A malformed one is taken
 # for the strictest that lets a worker be tried at all.
@@ -190,6 +193,17 @@
             else _rejection_limit(head.header(_BRITTLE)),
         )
 
+    def decode_cold_ms(self, head: ResponseHead) -> int | None:
+        """Decodes for how long a worker stays cold; None if it does not say."""
+        text = head.header(_COLD_MS)
+        if head.status != _OK or text is None:
+            return None
+        cold_ms = _number(text)
+        if cold_ms is None or cold_ms < 0:
+            log_event("malformed_header", name=_COLD_MS.decode(), value=text)
+            return None
+        return cold_ms
+
     def encode_response(self, response: UpstreamResponse) -> Headers:
         """Returns a worker's response headers for the caller."""
         return [
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -19,6 +19,7 @@
 )
 
 _LOOPBACK = "127.0.0.1"
+_HEALTH_TARGET = b"/health"
 _MS_PER_S = 1_000
 _ATTEMPT_ID_HEADER = "X-Trefoilpitch-Request-Attempt-Id"
 _PREFIX_HEADER = "x-trefoilpitch-prompt-prefix-hash"
@@ -110,6 +111,10 @@
         self.retry_after: str | None = None
         # Number of requests that it has shed.
         self.shed = 0
+        # Value of X-Trefoilpitch-Cold-Ms in health responses; None for none.
+        self.cold_ms: str | None = None
+        # Number of health responses.
+        self.health_reads = 0
         # Cleared while the worker is silent: it accepts requests and goes on
         # with them, but sends nothing.
         self.speaking = asyncio.Event()
@@ -176,6 +181,11 @@
             **fields,
         }
 
+    def _health_headers(self) -> list[tuple[bytes, bytes]]:
+        if self.cold_ms is None:
+            return []
+        return [(b"X-Trefoilpitch-Cold-Ms", self.cold_ms.encode())]
+
     async def _handle(self, request: HttpRequest, responder: Responder) -> None:
         headers = {
             name.decode().lower(): value.decode()
@@ -183,6 +193,10 @@
         }
         expected = headers.get("x-trefoilpitch-expect-instance")
         await self.speaking.wait()
+        if expected is None and request.target == _HEALTH_TARGET:
+            self.health_reads += 1
+            await responder.respond(200, self._health_headers(), b"")
+            return
         if expected != self.worker_id:
             await responder.respond(421, [], b"")
             return
