Take the end of a resumed stream without further events for its end

An upstream broke a resumable stream off between its last event and its end. The one that resumed it had no event to add and ended the stream, which counted as a truncated response: a third was tried, and the caller's connection was reset although all events had been delivered.

A stream that was resumed after an event is complete if the body ends without another one, and its end shows before the connection ends.

--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -157,7 +157,7 @@
         upstream has ended.
         """
         cleared = all(self._evidence.is_cleared(k) for k in traits.digests)
-        if cleared or _is_delimited(head):
+        if cleared or head.is_delimited:
             self._record_sound(traits)
             return
         self._examine_later(
@@ -259,11 +259,3 @@
                 for name, digest in attempt.traits.names()
             ],
         )
-
-
-def _is_delimited(head: ResponseHead) -> bool:
-    """Whether the end of the body shows without the end of the connection."""
-    return (
-        head.header(b"content-length") is not None
-        or head.header(b"transfer-encoding") is not None
-    )
--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -41,6 +41,14 @@
     # Header names are in lower case.
     headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the end of the body shows before the connection ends."""
+        return (
+            self.header(b"content-length") is not None
+            or self.header(b"transfer-encoding") is not None
+        )
+
     def header(self, name: bytes) -> str | None:
         """Returns the first value of a header, by its lower-case name."""
         for known, value in self.headers:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -20,12 +20,9 @@
     connect_timeout_ms,
     refusal_delay_ms,
     response_timeout_ms,
-    stall_timeout_ms,
     stop_reason,
 )
 from trefoilpitch.gateway._dispatcher import NoUpstream
-from trefoilpitch.gateway._event_reader import EventReader
-from trefoilpitch.gateway._events import RawEvent
 from trefoilpitch.gateway._exceptions import ExchangeError
 from trefoilpitch.gateway._handover import (
     HANDOVER_MS,
@@ -53,6 +50,7 @@
 from trefoilpitch.gateway._request_traits import request_traits, trait_name
 from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import ResponseQuality
+from trefoilpitch.gateway._stream_forwarding import StreamForwarder
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._waiting import WaitTerms
 from trefoilpitch.metrics import Label
@@ -137,8 +135,14 @@
         self._service = deps.dispatcher.pick_service(admitted.route)
         self._budget = deps.budget(self._service)
         self._tiers = TierChoice(deps, request, admitted.route)
-        self._last_event_id: int | None = None
         self._hand_over = HandOver(deps, request.request_id, self)
+        self._stream = StreamForwarder(
+            deps,
+            admitted.route,
+            responder,
+            self._hand_over,
+            self._remaining_ms,
+        )
         self._task: asyncio.Task[None] | None = None
         # Whether its attempts were cancelled because the daemon exits.
         self._stopped = False
@@ -425,7 +429,14 @@
                 await self._receive_plain(connection, attempt, response, speed)
             else:
                 await self._maybe_escalate(attempt, response, speed)
-                await self._forward_stream(attempt, response, speed)
+                await self._stream.forward(
+                    attempt,
+                    response,
+                    speed,
+                    functools.partial(
+                        self._record_success, attempt, response, speed
+                    ),
+                )
         self._deps.cut_attempts.record_complete(
             entry, self._traits, response.head
         )
@@ -555,7 +566,7 @@
             workspace=self._admitted.workspace,
             model=self._tiers.model,
             priority=self._admitted.priority,
-            last_event_id=self._last_event_id,
+            last_event_id=self._stream.last_event_id,
         )
         headers = self._deps.codec.encode_attempt(self._request, attempt)
         if relay is not None:
@@ -684,84 +695,6 @@
         headers = self._deps.codec.encode_response(response)
         await self._responder.respond(response.head.status, headers, body)
 
-    async def _forward_stream(
-        self,
-        attempt: SentAttempt,
-        response: UpstreamResponse,
-        speed: ResponseSpeed,
-    ) -> None:
-        reader = EventReader(attempt.connection, self._deps.clock)
-        first = True
-        while True:
-            events = await self._next_events(reader, attempt)
-            if events is None:
-                break
-            if first:
-                first = False
-                attempt.progress.first_event_ms = self._deps.clock.now_ms()
-                self._record_success(attempt, response, speed)
-            else:
-                speed.events_arrived(len(events), self._deps.clock.now_ms())
-            for event in events:
-                await self._forward_event(response, event.data, event.event_id)
-        if reader.pending or first:
-            raise ExchangeError(
-                FailureKind.RESPONSE_TRUNCATED,
-                "stream ended inside an event or without one",
-            )
-        self._responder.finish()
-
-    async def _forward_event(
-        self, response: UpstreamResponse, data: bytes, event_id: int | None
-    ) -> None:
-        last = self._last_event_id
-        if event_id is not None and last is not None and event_id != last + 1:
-            raise ExchangeError(
-                FailureKind.MALFORMED_RESPONSE,
-                f"event id {event_id} does not follow {last}",
-            )
-        if not self._responder.started:
-            headers = self._deps.codec.encode_response(response)
-            await self._responder.start(response.head.status, headers)
-        await self._responder.write(data)
-        if event_id is not None:
-            self._last_event_id = event_id
-
-    async def _next_events(
-        self,
-        reader: EventReader,
-        attempt: SentAttempt,
-    ) -> list[RawEvent] | None:
-        """Waits for events; a stalled stream is kept until another resumes it.
-
-        Raises:
-            ExchangeError: If another upstream has taken over the stream, the
-                deadline is reached, or the stream is truncated or malformed.
-        """
-        remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
-        if remaining_ms <= 0:
-            raise ExchangeError(
-                FailureKind.RESPONSE_TIMEOUT, "deadline reached"
-            )
-        limit_ms = float(reader.paused_ms + remaining_ms)
-        gap_ms = limit_ms
-        if self._route.repeatable:
-            gap_ms = min(limit_ms, stall_timeout_ms(self._route))
-        try:
-            return await reader.read(gap_ms)
-        except ExchangeError as error:
-            stalled = error.kind is FailureKind.RESPONSE_TIMEOUT
-            if not stalled or gap_ms >= limit_ms:
-                raise
-        events = await self._hand_over.keep(
-            attempt, reader.read(limit_ms, with_content=True), gap_ms
-        )
-        if events is not None:
-            # An upstream that goes on is not ejected any more.
-            health = self._deps.dispatcher.health(attempt.entry.upstream_id)
-            health.record_success(None, self._deps.clock.now_ms())
-        return events
-
     def find_successor(self) -> UpstreamEntry | str:
         """Returns another upstream, or why there is none."""
         return self._find_other(unusable=self._run_ids)
@@ -840,7 +773,7 @@
             domain=entry.failure_domain,
             kind=error.kind.value,
             detail=error.detail,
-            event_id=self._last_event_id,
+            event_id=self._stream.last_event_id,
             failures_in_row=health.consecutive_failures,
             ejected_ms=max(0, health.ejected_until_ms - now_ms),
         )
@@ -923,7 +856,7 @@
             model=self._tiers.model,
             execution=self._attempts.execution.value,
             trail=self._attempt_log,
-            last_event_id=self._last_event_id,
+            last_event_id=self._stream.last_event_id,
             elapsed_ms=elapsed_ms,
             deadline_ms=self._caller_deadline_ms
             - self._request.http.arrived_ms,
--- a/trefoilpitch/platform/tests/test_whole_path.py
+++ b/trefoilpitch/platform/tests/test_whole_path.py
@@ -26,6 +26,7 @@
     PlatformStoreStandIn,
     PlatformWorkerStandIn,
     WorkerFault,
+    WorkerRun,
     config_document,
     send,
 )
@@ -257,6 +258,48 @@
     run(scenario)
 
 
+def test_stream_broken_off_after_its_last_event_is_complete() -> None:
+    """The worker that resumes it has no event to add, which is no failure."""
+
+    async def scenario() -> None:
+        async with running_fleet(plain=0, models=3) as fleet:
+            for worker in fleet.workers.values():
+                worker.faults.append(WorkerFault.CUT_AT_END)
+            first = True
+
+            def end_properly(run: WorkerRun) -> None:
+                nonlocal first
+                if first:
+                    for worker in fleet.workers.values():
+                        worker.faults.clear()
+                first = False
+
+            for worker in fleet.workers.values():
+                worker.on_run = end_properly
+            head, body = await fleet.send_request(
+                "/stream/x", X_Trefoilpitch_Model="*"
+            )
+            assert head.status == 200
+            assert body == _events(1, 5)
+            runs = [r for w in fleet.workers.values() for r in w.runs]
+            assert len(runs) == 2
+
+    run(scenario)
+
+
+def test_stream_without_any_event_is_a_failure() -> None:
+    async def scenario() -> None:
+        async with running_fleet(plain=0, models=1) as fleet:
+            for worker in fleet.workers.values():
+                worker.events = 0
+            head, _ = await fleet.send_request(
+                "/stream/x", X_Trefoilpitch_Model="*"
+            )
+            assert head.status == 502
+
+    run(scenario)
+
+
 def test_stream_that_cannot_be_resumed_does_not_look_complete() -> None:
     async def scenario() -> None:
         async with running_fleet(plain=0, models=1) as fleet:
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -40,6 +40,8 @@
     CROSSED = "crossed"
     # The body is truncated; a stream is truncated in mid-event.
     CUT = "cut"
+    # A stream is broken off after its last event, before the end of the body.
+    CUT_AT_END = "cut_at_end"
     # Executed; no response until the stand-in's `release` is set.
     HANG = "hang"
     # Status 200 without the worker's seal.
@@ -361,6 +363,10 @@
             await responder.write(event)
             if delay_ms:
                 await asyncio.sleep(delay_ms / _MS_PER_S)
+        if fault is WorkerFault.CUT_AT_END:
+            await asyncio.sleep(_FLUSH_S)
+            responder.abort()
+            return
         responder.finish()
 
 
