Place requests by expected finish time where upstreams report their speed

Cause: placement counts requests and knows nothing of speeds. Where a quarter of the upstreams takes 2.2 times as long as the others, they get as many requests as equalises the counts, and the 99th percentile is that of the slow ones. A daemon of 83 hears from a given upstream every ten seconds, which does not tell a slow one from one that is slow for a moment.

Change: the work left at an upstream, its speed from the reports to all daemons, and the learned slowdown by concurrent requests give the expected finish time, with the wait behind the work ahead. Only where reports carry the duration of work; elsewhere requests are counted as before. Obstacles and loads are computed for the upstreams that are drawn only. Nothing feeds the costs in the request path yet.

--- a/trefoilpitch/fleet/_types.py
+++ b/trefoilpitch/fleet/_types.py
@@ -76,6 +76,8 @@
     cold_rate_per_s: float
     # Model and its cost per 1,000 generated tokens; empty for plain services.
     model_costs: tuple[tuple[str, float], ...] = ()
+    # Tokens that an upstream can keep in memory; None if that is not known.
+    memory_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
@@ -29,7 +30,18 @@
     PaceCounts,
     PaceTable,
 )
-from trefoilpitch.gateway._placement import Candidate, choose, saturation
+from trefoilpitch.gateway._placement import (
+    LOCAL_CHOICES,
+    RELAYED_CHOICES,
+    Candidate,
+    choose,
+    choose_from,
+    draw,
+    find_homes,
+    home_terms,
+    remote_choices,
+    saturation,
+)
 from trefoilpitch.gateway._prefix_traffic import PrefixTraffic
 from trefoilpitch.gateway._rejections import RejectionLimits
 from trefoilpitch.gateway._relays import Relays
@@ -43,6 +55,7 @@
 )
 from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.gateway._upstream_notices import UpstreamNotices
+from trefoilpitch.gateway._work_tracking import RequestCost, WorkTracker
 from trefoilpitch.rendezvous import rank
 
 # Number of other daemons that must have failed to reach an upstream before this
@@ -50,6 +63,8 @@
 _MIN_UNREACHABLE_REPORTS = 2
 # Requests per slot at which an upstream gets no further requests.
 _FULL_LOAD = 3.0
+# Prefixes whose ranks of the upstreams are remembered.
+_CACHED_RANKS = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,6 +107,8 @@
         peers_unreachable: Returns how many other daemons cannot reach an
             upstream, by its digest.
         relays: The peers that relay requests; None if there are none.
+        work: Estimates costs of requests and work left at upstreams; without
+            it, requests are counted.
     """
 
     def __init__(
@@ -106,6 +123,7 @@
         peers_in_flight: Callable[[], Mapping[int, int]],
         peers_unreachable: Callable[[], Mapping[int, int]] = dict,
         relays: Relays | None = None,
+        work: WorkTracker | None = None,
     ) -> None:
         self._view = view
         self._clock = clock
@@ -116,6 +134,7 @@
         self._peers_in_flight = peers_in_flight
         self._peers_unreachable = peers_unreachable
         self._relays = relays
+        self._work = work or WorkTracker(clock)
         self._cold_requests = ColdRequestCounter()
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
@@ -127,6 +146,11 @@
         # Store revision of the order that was stopped, by service.
         self._stopped_orders: dict[str, int] = {}
 
+    @property
+    def work(self) -> WorkTracker:
+        """Estimates costs of requests and the work left at upstreams."""
+        return self._work
+
     def own_evidence(self, service: str) -> Mapping[str, VersionEvidence]:
         """Returns this daemon's evidence since the service's last order.
 
@@ -159,6 +183,16 @@
             if health.in_flight
         }
 
+    def own_work(self) -> tuple[int, ...]:
+        """Returns the work left of `own_in_flight`, in its order.
+
+        Returns:
+            Tenths of a second at the usual speed.
+        """
+        return self._work.own_work(
+            [name for name, health in self._health.items() if health.in_flight]
+        )
+
     def own_unreachable(self) -> tuple[int, ...]:
         """Returns the digests of the upstreams that it cannot reach now."""
         now_ms = self._clock.now_ms()
@@ -175,6 +209,7 @@
                 del self._health[upstream_id]
         self._cold_requests.retain(self._view.upstreams)
         self._rejections.retain(self._view.upstreams)
+        self._work.retain(self._view.upstreams)
         self._paces.retain(
             {
                 (cached.entry.service, cached.entry.version)
@@ -315,6 +350,10 @@
         self.health(entry.upstream_id).record_report(
             report, self._clock.now_ms()
         )
+        if report.duration_percent is not None:
+            self._work.record_duration(
+                entry.upstream_id, report.duration_percent
+            )
         self._rejections.record_report(
             entry.upstream_id,
             running=report.running,
@@ -373,6 +412,7 @@
         model: str | None,
         excluded: Collection[str],
         unusable: Collection[str] = (),
+        route: str = "",
     ) -> UpstreamEntry | NoUpstream:
         """Chooses an upstream and, if it is cold, uses one unit of its quota.
 
@@ -383,6 +423,7 @@
             excluded: Upstreams that were already attempted; chosen again only
                 if there is no other.
             unusable: Upstreams that are not chosen.
+            route: Name of the request's route.
         """
         ready = [
             cached
@@ -409,22 +450,23 @@
             # Without a session a request may run on the previous version if
             # the target's upstreams are not available.
             groups.append(self._on_previous_version(service, ready))
+        cost = self._work.cost(request, service, route, model)
         for group in groups:
-            entry = self._choose_from(request, group, model)
+            entry = self._choose_from(request, group, model, cost)
             if entry is not None:
                 return entry
         now_ms = self._clock.now_ms()
         available_ms = min(self._available_ms(k, now_ms) for k in allowed)
         return NoUpstream(
-            reason=self._describe_obstacles(allowed, now_ms),
+            reason=self._describe_obstacles(allowed, now_ms, cost),
             available_in_ms=max(0, available_ms - now_ms),
         )
 
     def _describe_obstacles(
-        self, cached: list[CachedUpstream], now_ms: int
+        self, cached: list[CachedUpstream], now_ms: int, cost: RequestCost
     ) -> str:
         """Counts the obstacles of upstreams and how many peers share them."""
-        obstacles = Counter(self._obstacle(k, now_ms) for k in cached)
+        obstacles = Counter(self._obstacle(k, now_ms, cost) for k in cached)
         counts = [
             f"{count} {obstacle.value}"
             for obstacle, count in obstacles.items()
@@ -442,7 +484,7 @@
         )
 
     def _obstacle(
-        self, cached: CachedUpstream, now_ms: int
+        self, cached: CachedUpstream, now_ms: int, cost: RequestCost
     ) -> _Obstacle | None:
         entry = cached.entry
         health = self.health(entry.upstream_id)
@@ -547,53 +589,133 @@
         request: CallerRequest,
         group: list[CachedUpstream],
         model: str | None,
+        cost: RequestCost,
     ) -> UpstreamEntry | None:
         now_ms = self._clock.now_ms()
         prefix_key = _prefix_key(request, model)
-        prefix_ranks = _prefix_ranks(prefix_key, group)
-        unreachable = self._peers_unreachable()
-        entries: dict[str, CachedUpstream] = {}
-        candidates: list[Candidate] = []
-        unproven: list[Candidate] = []
-        for cached in group:
-            entry = cached.entry
-            health = self.health(entry.upstream_id)
-            load = self.load(entry.upstream_id)
-            if self._obstacle(cached, now_ms) is not None:
-                continue
-            entries[entry.upstream_id] = cached
-            relayed = self._is_relayed(entry)
-            candidate = Candidate(
-                upstream_id=entry.upstream_id,
-                load=load,
-                slots=entry.slots,
-                failure_rate=health.failure_rate(now_ms),
-                latency_ratio=health.recent_latency_ratio(now_ms),
-                local=entry.failure_domain == self._failure_domain,
-                prefix_rank=prefix_ranks.get(entry.upstream_id),
-                suspected=unreachable.get(upstream_digest(entry.upstream_id), 0)
-                >= _MIN_UNREACHABLE_REPORTS,
-                relayed=relayed,
+        inspection = _Inspection(self._inspect, cost, now_ms)
+        local, remote, relayed, unproven = self._split(group)
+        sample = self._draw(local, LOCAL_CHOICES, inspection)
+        others = remote_choices(sample, costs_known=cost.known)
+        sample += self._draw(remote, others, inspection)
+        sample += self._draw(relayed, RELAYED_CHOICES, inspection)
+        chosen: Candidate | None
+        if sample:
+            homes: list[Candidate] = []
+            if prefix_key is not None:
+                homes = self._find_homes(prefix_key, group, inspection)
+            chosen = choose_from(
+                sample,
+                homes,
+                self._rng,
+                relative_cost=cost.relative,
+                home_saving=cost.home_saving,
             )
-            if relayed and not self._is_relay_proven(entry):
-                unproven.append(candidate)
-            else:
-                candidates.append(candidate)
-        prefix_share = 0.0
-        if prefix_key is not None:
-            prefix_share = self._prefix_traffic.share(prefix_key, now_ms)
-        chosen = choose(
-            candidates or unproven, self._rng, prefix_share=prefix_share
-        )
+        else:
+            # Nothing is left but upstreams that are hardly reachable.
+            suspected = inspection.suspected()
+            if not suspected:
+                for cached in unproven:
+                    inspection.trusted(cached)
+                suspected = inspection.all()
+            chosen = choose(suspected, self._rng, relative_cost=cost.relative)
         if chosen is None:
             return None
         if prefix_key is not None:
             self._prefix_traffic.record(prefix_key, now_ms)
-        cached = entries[chosen.upstream_id]
+        cached = self._view.upstreams[chosen.upstream_id]
         if self._is_cold(cached, now_ms):
             self._cold_requests.record(chosen.upstream_id, now_ms)
         return cached.entry
 
+    def _draw(
+        self,
+        group: list[CachedUpstream],
+        count: int,
+        inspection: _Inspection,
+    ) -> list[Candidate]:
+        return draw(group, count, inspection.trusted, self._rng)
+
+    def _split(
+        self, group: list[CachedUpstream]
+    ) -> tuple[
+        list[CachedUpstream],
+        list[CachedUpstream],
+        list[CachedUpstream],
+        list[CachedUpstream],
+    ]:
+        """Returns the local, remote, relayed and unproven upstreams."""
+        local: list[CachedUpstream] = []
+        remote: list[CachedUpstream] = []
+        relayed: list[CachedUpstream] = []
+        unproven: list[CachedUpstream] = []
+        for cached in group:
+            entry = cached.entry
+            if self._is_relayed(entry):
+                proven = self._is_relay_proven(entry)
+                (relayed if proven else unproven).append(cached)
+            elif entry.failure_domain == self._failure_domain:
+                local.append(cached)
+            else:
+                remote.append(cached)
+        return local, remote, relayed, unproven
+
+    def _inspect(
+        self, cached: CachedUpstream, cost: RequestCost, now_ms: int
+    ) -> Candidate | None:
+        """Returns an upstream as a candidate; None if it has an obstacle."""
+        if self._obstacle(cached, now_ms, cost) is not None:
+            return None
+        entry = cached.entry
+        health = self.health(entry.upstream_id)
+        load = self.load(entry.upstream_id)
+        work = self._work.describe(entry, load)
+        digest = upstream_digest(entry.upstream_id)
+        return Candidate(
+            upstream_id=entry.upstream_id,
+            load=load,
+            slots=entry.slots,
+            failure_rate=health.failure_rate(now_ms),
+            latency_ratio=health.recent_latency_ratio(now_ms),
+            local=entry.failure_domain == self._failure_domain,
+            suspected=self._peers_unreachable().get(digest, 0)
+            >= _MIN_UNREACHABLE_REPORTS,
+            relayed=self._is_relayed(entry),
+            work_load=work.load,
+            duration=work.duration,
+            slowdown=work.slowdown,
+        )
+
+    def _find_homes(
+        self,
+        prefix_key: str,
+        group: list[CachedUpstream],
+        inspection: _Inspection,
+    ) -> list[Candidate]:
+        """Returns the upstreams that should have a prefix cached."""
+        by_id = {cached.entry.upstream_id: cached for cached in group}
+        load = 0.0
+        slots = 0
+        for cached in group:
+            entry = cached.entry
+            requests = self.load(entry.upstream_id)
+            work = self._work.describe(entry, requests).load
+            load += requests if work is None else work
+            slots += entry.slots
+        terms = home_terms(
+            load=load,
+            slots=slots,
+            upstreams=len(group),
+            prefix_share=self._prefix_traffic.share(
+                prefix_key, inspection.now_ms
+            ),
+        )
+        ranked = (
+            inspection.trusted(by_id[upstream_id])
+            for upstream_id in _ranked(prefix_key, tuple(by_id))
+        )
+        return find_homes((c for c in ranked if c is not None), terms)
+
     def _available_ms(self, cached: CachedUpstream, now_ms: int) -> int:
         """Returns when an upstream may be available; `now_ms` if unknown."""
         entry = cached.entry
@@ -636,12 +758,51 @@
     return f"{model or request.model}/{shared[-1].part_id}"
 
 
-def _prefix_ranks(
-    key: str | None, group: list[CachedUpstream]
-) -> dict[str, int]:
-    if key is None:
-        return {}
-    ordered = rank(key, [cached.entry.upstream_id for cached in group])
-    return {
-        upstream_id: position for position, upstream_id in enumerate(ordered)
-    }
+@functools.lru_cache(maxsize=_CACHED_RANKS)
+def _ranked(key: str, upstream_ids: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(rank(key, upstream_ids))
+
+
+class _Inspection:
+    """The upstreams that were inspected for one choice, each once.
+
+    Args:
+        inspect: Returns an upstream as a candidate; None if it has an obstacle.
+        cost: Expected cost of the request.
+        now_ms: The monotonic time.
+    """
+
+    def __init__(
+        self,
+        inspect: Callable[[CachedUpstream, RequestCost, int], Candidate | None],
+        cost: RequestCost,
+        now_ms: int,
+    ) -> None:
+        self._inspect = inspect
+        self._cost = cost
+        self._found: dict[str, Candidate | None] = {}
+        self.now_ms = now_ms
+
+    def trusted(self, cached: CachedUpstream) -> Candidate | None:
+        """Returns a candidate; None if other daemons cannot reach it.
+
+        Upstreams that have just crashed look idle and would attract all
+        requests.
+        """
+        upstream_id = cached.entry.upstream_id
+        if upstream_id not in self._found:
+            self._found[upstream_id] = self._inspect(
+                cached, self._cost, self.now_ms
+            )
+        candidate = self._found[upstream_id]
+        if candidate is not None and candidate.suspected:
+            return None
+        return candidate
+
+    def all(self) -> list[Candidate]:
+        """Returns the candidates that were inspected."""
+        return [c for c in self._found.values() if c is not None]
+
+    def suspected(self) -> list[Candidate]:
+        """Returns those of them that other daemons cannot reach."""
+        return [candidate for candidate in self.all() if candidate.suspected]
--- /dev/null
+++ b/trefoilpitch/gateway/_peer_work.py
@@ -0,0 +1,64 @@
+"""The work that the other daemons have at upstreams, from their heartbeats."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerWork:
+    """Work of all other daemons at one upstream."""
+
+    # Work left, in tenths of a second at the usual speed.
+    tenths: int = 0
+    # Requests that this work is of; those of daemons that do not estimate it
+    # are not among them.
+    counted: int = 0
+
+
+class PeerWorkTable:
+    """Sums the work in the last heartbeats of all other daemons."""
+
+    def __init__(self) -> None:
+        self._work: dict[int, PeerWork] = {}
+
+    def add(self, in_flight: Mapping[int, int], work: Sequence[int]) -> None:
+        """Adds a heartbeat's requests in flight and their work.
+
+        Args:
+            in_flight: Number of requests by upstream digest.
+            work: Work in the same order; ignored if it does not fit.
+        """
+        self._update(in_flight, work, 1)
+
+    def subtract(
+        self, in_flight: Mapping[int, int], work: Sequence[int]
+    ) -> None:
+        """Subtracts what `add` has added."""
+        self._update(in_flight, work, -1)
+
+    def by_digest(self) -> Mapping[int, PeerWork]:
+        """Returns the work by upstream digest."""
+        return self._work
+
+    def _update(
+        self, in_flight: Mapping[int, int], work: Sequence[int], sign: int
+    ) -> None:
+        if len(work) != len(in_flight):
+            return
+        for (digest, count), tenths in zip(
+            in_flight.items(), work, strict=True
+        ):
+            if tenths < count:
+                # Requests of less than a tenth each; the unit is too coarse.
+                continue
+            known = self._work.get(digest, PeerWork())
+            total = PeerWork(
+                tenths=known.tenths + sign * tenths,
+                counted=known.counted + sign * count,
+            )
+            if total.counted > 0:
+                self._work[digest] = total
+            else:
+                self._work.pop(digest, None)
--- /dev/null
+++ b/trefoilpitch/gateway/_work_tracking.py
@@ -0,0 +1,285 @@
+"""Work that is left at upstreams, and their speeds, as known to this daemon.
+
+Load pattern: requests differ tenfold in their work, and upstreams fourfold in
+their speed, so that a count of requests says little about the time until an
+upstream can run another one.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Collection, Mapping
+
+from trefoilpitch.clock import Clock
+from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.gateway._messages import CallerRequest
+from trefoilpitch.gateway._peer_work import PeerWork
+from trefoilpitch.gateway._upstream_digest import upstream_digest
+from trefoilpitch.gateway._upstream_speeds import UpstreamSpeeds
+from trefoilpitch.workload import (
+    MeasuredWork,
+    RemainingWork,
+    RequestSize,
+    WorkEstimate,
+    WorkEstimator,
+    WorkKind,
+    WorkTicket,
+)
+
+# Work that is left on average of a request in flight, as a fraction of it.
+_MEAN_LEFT = 0.5
+# Limit of what a cached prefix saves, as a fraction of the cost.
+_MAX_SAVING = 0.75
+_MS_PER_TENTH = 100
+_MAX_TENTHS = 60_000
+_NO_PEER_WORK = PeerWork()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestCost:
+    """Expected cost of a request that is to be placed."""
+
+    kind: WorkKind
+    size: RequestSize
+    # Cost relative to the mean of its service; 1 if that is unknown.
+    relative: float = 1.0
+    # What of it is saved where the shared part of its prompt is cached.
+    home_saving: float = 0.0
+    # Whether the cost is known.
+    known: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamWork:
+    """What is known of the work at an upstream."""
+
+    # Work left, in requests of the mean remaining work; None if the costs of
+    # requests are unknown.
+    load: float | None = None
+    # How long work takes there, relative to the usual time; None if it has
+    # never reported that.
+    duration: float | None = None
+    # By how much longer requests take if all of its slots are in use; None
+    # together with `load`.
+    slowdown: float | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class TrackedAttempt:
+    """An attempt whose work counts as left at its upstream."""
+
+    ticket: WorkTicket
+    cost: RequestCost
+    entry: UpstreamEntry
+    started_ms: int
+    # Requests at the upstream when it was sent.
+    load: int
+    # Monotonic time of the first part of the response; None until then.
+    first_ms: int | None = None
+
+
+class WorkTracker:
+    """Estimates costs, remaining work and speeds for the choice of upstreams.
+
+    Args:
+        clock: Provides monotonic time.
+        peers_work: Returns the other daemons' work by upstream digest.
+        record_ratio: Called with the ratio of measured to expected time of
+            each finished request.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        peers_work: Callable[[], Mapping[int, PeerWork]] = dict,
+        record_ratio: Callable[[float], None] = lambda ratio: None,
+    ) -> None:
+        self._clock = clock
+        self._peers_work = peers_work
+        self._record_ratio = record_ratio
+        self._estimator = WorkEstimator()
+        self._remaining = RemainingWork()
+        self._speeds = UpstreamSpeeds()
+
+    def cost(
+        self,
+        request: CallerRequest,
+        service: str,
+        route: str,
+        model: str | None,
+    ) -> RequestCost:
+        """Returns the expected cost of a request."""
+        kind = WorkKind(
+            service=service, route=route, model=model or request.model
+        )
+        size = RequestSize(
+            prompt_tokens=max(0, request.prompt_tokens),
+            output_tokens=max(
+                0, request.expected_output_tokens or request.max_output_tokens
+            ),
+            body_bytes=len(request.http.body),
+        )
+        mean_ms = self._mean_ms(service)
+        if mean_ms is None:
+            return RequestCost(kind=kind, size=size)
+        total_ms = self._estimator.estimate(kind, size).total_ms
+        saving_ms = 0.0
+        if len(request.prefix) > 1:
+            shared = sum(max(0, part.tokens) for part in request.prefix[:-1])
+            cached = dataclasses.replace(size, cached_tokens=shared)
+            saving_ms = (
+                total_ms - self._estimator.estimate(kind, cached).total_ms
+            )
+        # What is not read again also leaves the upstream to others.
+        saving_ms = min(_MAX_SAVING * total_ms, max(0.0, 2.0 * saving_ms))
+        return RequestCost(
+            kind=kind,
+            size=size,
+            relative=total_ms / mean_ms,
+            home_saving=saving_ms / mean_ms,
+            known=True,
+        )
+
+    def describe(self, entry: UpstreamEntry, load: int) -> UpstreamWork:
+        """Returns what is known of the work at an upstream.
+
+        Args:
+            entry: The upstream.
+            load: Estimated number of requests there.
+        """
+        now_ms = self._clock.now_ms()
+        upstream_id = entry.upstream_id
+        self._speeds.note_service(upstream_id, entry.service)
+        duration = self._speeds.duration(upstream_id, now_ms)
+        mean_ms = self._mean_ms(entry.service)
+        slowdown = self._estimator.slowdown(entry.service)
+        if mean_ms is None or slowdown is None:
+            return UpstreamWork(duration=duration)
+        peers = self._peers_work().get(
+            upstream_digest(upstream_id), _NO_PEER_WORK
+        )
+        left_ms = _MEAN_LEFT * mean_ms
+        unknown = load - self._remaining.count(upstream_id) - peers.counted
+        work_ms = (
+            self._remaining.work_ms(upstream_id, now_ms)
+            + peers.tenths * _MS_PER_TENTH
+            + max(0, unknown) * left_ms
+        )
+        return UpstreamWork(
+            load=work_ms / left_ms, duration=duration, slowdown=slowdown
+        )
+
+    def record_duration(self, upstream_id: str, duration_percent: int) -> None:
+        """Records how long an upstream says that work takes on it."""
+        self._speeds.record_report(
+            upstream_id, duration_percent, self._clock.now_ms()
+        )
+
+    @property
+    def speeds(self) -> UpstreamSpeeds:
+        """Speeds that upstreams report."""
+        return self._speeds
+
+    def begin(
+        self, entry: UpstreamEntry, cost: RequestCost, load: int
+    ) -> TrackedAttempt:
+        """Adds the work of an attempt to its upstream.
+
+        Args:
+            entry: The upstream.
+            cost: Expected cost of the request.
+            load: Estimated number of requests at the upstream.
+        """
+        now_ms = self._clock.now_ms()
+        ticket = self._remaining.begin(
+            entry.upstream_id,
+            cost.size,
+            self._estimate(cost),
+            duration=self._duration(entry.upstream_id),
+            now_ms=now_ms,
+        )
+        return TrackedAttempt(
+            ticket=ticket, cost=cost, entry=entry, started_ms=now_ms, load=load
+        )
+
+    def progress(self, attempt: TrackedAttempt, events: int, load: int) -> None:
+        """Records that parts of a response have arrived.
+
+        Args:
+            attempt: The attempt.
+            events: Number of new events.
+            load: Estimated number of requests at the upstream.
+        """
+        if attempt.first_ms is None:
+            attempt.first_ms = self._clock.now_ms()
+            # The head of the response carries a load report.
+            attempt.load = max(1, load)
+        attempt.ticket.events += events
+
+    def end(self, attempt: TrackedAttempt) -> None:
+        """Removes the work of an attempt, however it has ended."""
+        self._remaining.end(attempt.ticket)
+
+    def complete(self, attempt: TrackedAttempt, output_tokens: int) -> None:
+        """Learns from an attempt whose response is complete.
+
+        Args:
+            attempt: The attempt.
+            output_tokens: Length of the response; 0 if unknown.
+        """
+        self.end(attempt)
+        now_ms = self._clock.now_ms()
+        entry, cost = attempt.entry, attempt.cost
+        total_ms = float(max(1, now_ms - attempt.started_ms))
+        first_ms = total_ms
+        if attempt.first_ms is not None:
+            first_ms = float(max(1, attempt.first_ms - attempt.started_ms))
+        measured = MeasuredWork(
+            first_ms=first_ms,
+            total_ms=total_ms,
+            duration=self._duration(entry.upstream_id),
+            utilization=attempt.load / max(1, entry.slots),
+        )
+        expected = self._estimator.expected_ms(cost.kind, cost.size, measured)
+        ratio = total_ms / max(1.0, expected)
+        self._record_ratio(ratio)
+        self._speeds.record_measured(
+            entry.upstream_id, ratio * measured.duration
+        )
+        size = cost.size
+        if output_tokens > 0:
+            size = dataclasses.replace(size, output_tokens=output_tokens)
+        self._estimator.record(cost.kind, size, measured, now_ms)
+
+    def own_work(self, upstream_ids: Collection[str]) -> tuple[int, ...]:
+        """Returns the work left at upstreams, in tenths of a second."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            min(
+                _MAX_TENTHS,
+                round(self._remaining.work_ms(name, now_ms) / _MS_PER_TENTH),
+            )
+            for name in upstream_ids
+        )
+
+    def retain(self, upstream_ids: Collection[str]) -> None:
+        """Drops the speeds of all other upstreams."""
+        self._speeds.retain(upstream_ids)
+
+    def _mean_ms(self, service: str) -> float | None:
+        """Returns the mean cost of a service's requests.
+
+        Returns:
+            None if it is unknown, or if the service's upstreams do not report
+            their speed: without it, times say little about the work.
+        """
+        if not self._speeds.are_reported(service, self._clock.now_ms()):
+            return None
+        return self._estimator.mean_ms(service)
+
+    def _duration(self, upstream_id: str) -> float:
+        duration = self._speeds.duration(upstream_id, self._clock.now_ms())
+        return 1.0 if duration is None else duration
+
+    def _estimate(self, cost: RequestCost) -> WorkEstimate:
+        return self._estimator.estimate(cost.kind, cost.size)
--- a/trefoilpitch/workload/_estimator.py
+++ b/trefoilpitch/workload/_estimator.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 
 from trefoilpitch.workload._averages import DecayingMean
+from trefoilpitch.workload._concurrency import ConcurrencyEffect
 from trefoilpitch.workload._types import (
     MeasuredWork,
     RequestSize,
@@ -31,8 +32,6 @@
 _MIN_FINISHED = 8
 # Kinds and size classes that are remembered, those used last.
 _MAX_CLASSES = 1_024
-# How much longer a request takes at an upstream all of whose slots are in use.
-_FULL_SLOWDOWN = 1.0
 # Ratios to the first guess outside of these are faults, not costs.
 _MIN_RATIO = 0.01
 _MAX_RATIO = 100.0
@@ -54,6 +53,7 @@
         self._ratios: OrderedDict[object, _Ratios] = OrderedDict()
         # Cost of all requests by service.
         self._services: dict[str, DecayingMean] = {}
+        self._effects: dict[str, ConcurrencyEffect] = {}
 
     def estimate(self, kind: WorkKind, size: RequestSize) -> WorkEstimate:
         """Returns the expected cost of a request."""
@@ -94,7 +94,10 @@
             measured: How long it took.
             now_ms: The monotonic time.
         """
-        correction = usual_time(measured)
+        effect = self._effects.setdefault(kind.service, ConcurrencyEffect())
+        alone_ms = self.estimate(kind, size).total_ms * measured.duration
+        effect.record(measured.utilization, measured.total_ms / alone_ms)
+        correction = 1.0 / self._time_factor(kind.service, measured)
         first_ms, total_ms = _first_guess(kind, size)
         first = _clamp(measured.first_ms * correction / first_ms)
         total = _clamp(measured.total_ms * correction / total_ms)
@@ -119,16 +122,37 @@
             return None
         return max(1.0, costs.mean)
 
-    def retain(self, services: set[str]) -> None:
-        """Forgets the services that do not exist any more."""
-        for service in self._services.keys() - services:
-            del self._services[service]
+    def slowdown(self, service: str) -> float | None:
+        """Returns by how much longer requests take on a full upstream.
 
+        Returns:
+            The time added at full utilization, relative to the one alone;
+            None if too few requests have finished to tell.
+        """
+        effect = self._effects.get(service)
+        return effect.slowdown if effect and effect.known else None
 
-def usual_time(measured: MeasuredWork) -> float:
-    """Returns the factor from a measured time to the one under no load."""
-    slowdown = 1.0 + _FULL_SLOWDOWN * min(1.0, measured.utilization)
-    return 1.0 / (max(0.1, measured.duration) * slowdown)
+    def expected_ms(
+        self, kind: WorkKind, size: RequestSize, measured: MeasuredWork
+    ) -> float:
+        """Returns the expected time under the conditions of a measured one."""
+        alone_ms = self.estimate(kind, size).total_ms
+        return alone_ms * self._time_factor(kind.service, measured)
+
+    def retain(self, services: set[str]) -> None:
+        """Forgets the services that do not exist any more."""
+        for known in (self._services, self._effects):
+            for service in known.keys() - services:
+                del known[service]
+
+    def _time_factor(self, service: str, measured: MeasuredWork) -> float:
+        """Returns a time under some conditions relative to the usual one."""
+        effect = self._effects.get(service)
+        slowdown = 0.0 if effect is None else effect.slowdown
+        factor = 1.0 + slowdown * min(1.0, measured.utilization)
+        # Requests beyond the slots wait for one of them.
+        factor *= max(1.0, measured.utilization)
+        return factor * max(0.1, measured.duration)
 
 
 def _first_guess(kind: WorkKind, size: RequestSize) -> tuple[float, float]:
--- a/trefoilpitch/workload/_speed.py
+++ b/trefoilpitch/workload/_speed.py
@@ -47,9 +47,9 @@
         self._updated_ms = 0
 
     @property
-    def reported(self) -> bool:
-        """Whether the upstream has ever reported its speed."""
-        return self._reported
+    def updated_ms(self) -> int:
+        """Monotonic time of the last report; 0 without any."""
+        return self._updated_ms
 
     def age_ms(self, now_ms: int) -> int | None:
         """Returns the time since the last report; None without any."""
--- a/trefoilpitch/workload/tests/test_workload.py
+++ b/trefoilpitch/workload/tests/test_workload.py
@@ -87,12 +87,23 @@
     """Guards against learning that slow upstreams' requests are large."""
     estimator = WorkEstimator()
     size = RequestSize(output_tokens=100)
-    for number in range(30):
+    rng = random.Random(1)
+    assert estimator.slowdown("s") is None
+    for number in range(300):
+        utilization = rng.uniform(0.2, 0.9)
+        duration = rng.choice((0.8, 1.8))
+        took_ms = 200.0 * duration * (1.0 + utilization)
+        took_ms *= rng.uniform(0.7, 1.3)
         measured = MeasuredWork(
-            first_ms=150.0, total_ms=600.0, duration=2.0, utilization=0.5
+            first_ms=took_ms / 4,
+            total_ms=took_ms,
+            duration=duration,
+            utilization=utilization,
         )
         estimator.record(_KIND, size, measured, number * 100)
-    assert estimator.estimate(_KIND, size).total_ms == pytest.approx(200.0)
+    assert estimator.slowdown("s") == pytest.approx(1.0, abs=0.3)
+    expected_ms = estimator.estimate(_KIND, size).total_ms
+    assert expected_ms == pytest.approx(200.0, rel=0.1)
 
 
 def test_memory_is_bounded() -> None:
