Feed the costs of requests in the request path and share them with peers

RequestRun tells RequestWork when an attempt begins, when parts of its response arrive and when it is complete. Heartbeats carry the work left (the field was there), and two new last fields: the tokens in upstreams' memory, without which no daemon of a large fleet knows that an engine is full, and the durations of work that upstreams have reported to the daemon since its last heartbeat. A heartbeat that is too large omits the three first.

A service's kv-capacity is decoded; an upstream without room for a prompt and its response is full for it. A malformed capacity is logged and no limit.

/state shows work and duration with their ages; trefoilpitch_work_estimates counts the ratios of measured to expected time.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -88,6 +88,8 @@
     # It asked for a pause.
     PAUSED = "paused"
     SATURATED = "saturated"
+    # Its memory has no room for the prompt.
+    OUT_OF_MEMORY = "out of token memory"
     # It is cold, and this daemon's share of its requests is used up.
     COLD = "cold"
 
@@ -189,9 +191,21 @@
         Returns:
             Tenths of a second at the usual speed.
         """
-        return self._work.own_work(
-            [name for name, health in self._health.items() if health.in_flight]
-        )
+        return self._work.own_work(self._busy())
+
+    def own_kilotokens(self) -> tuple[int, ...]:
+        """Returns the memory used by `own_in_flight`, in its order.
+
+        Returns:
+            Thousands of tokens.
+        """
+        return self._work.own_kilotokens(self._busy())
+
+    def _busy(self) -> list[str]:
+        """Returns the upstreams that have requests of this daemon."""
+        return [
+            name for name, health in self._health.items() if health.in_flight
+        ]
 
     def own_unreachable(self) -> tuple[int, ...]:
         """Returns the digests of the upstreams that it cannot reach now."""
@@ -490,22 +504,34 @@
         health = self.health(entry.upstream_id)
         if self._notices.paused_until_ms(entry) > now_ms:
             return _Obstacle.PAUSED
-        if health.is_ejected(now_ms):
-            if not health.unreachable:
-                return _Obstacle.FAILING
-            if not self._is_relayed(entry):
-                return _Obstacle.UNREACHABLE
+        if health.is_ejected(now_ms) and not (
+            health.unreachable and self._is_relayed(entry)
+        ):
+            return (
+                _Obstacle.UNREACHABLE
+                if health.unreachable
+                else _Obstacle.FAILING
+            )
         load = self.load(entry.upstream_id)
         if load >= _FULL_LOAD * entry.slots or self._may_be_rejected(
             entry, load
         ):
             return _Obstacle.SATURATED
+        if not self._work.has_memory(
+            entry, cost, self._memory_tokens(entry.service)
+        ):
+            return _Obstacle.OUT_OF_MEMORY
         if self._is_cold(cached, now_ms) and not self._has_cold_quota(
             entry, now_ms
         ):
             return _Obstacle.COLD
         return None
 
+    def _memory_tokens(self, service: str) -> int | None:
+        configuration = self._view.configuration
+        known = configuration.services.get(service) if configuration else None
+        return known.memory_tokens if known else None
+
     def _may_be_rejected(self, entry: UpstreamEntry, load: int) -> bool:
         """Returns whether a brittle upstream might have no room."""
         rejections = self._rejections
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -71,6 +71,7 @@
 from trefoilpitch.gateway._upstream_links import UpstreamLinks
 from trefoilpitch.gateway._upstream_probes import UpstreamProbes
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
+from trefoilpitch.gateway._work_tracking import WorkTracker
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import WindowedRetryBudget
 
@@ -222,6 +223,7 @@
             peers_in_flight=self._peers.in_flight,
             peers_unreachable=self._peers.unreachable,
             relays=self._relays,
+            work=WorkTracker(clock, self._peers.work, metrics),
         )
         self._dispatcher = dispatcher
         self._relay_server = RelayServer(
@@ -598,6 +600,9 @@
             relay_room=self._relay_server.room,
             rejection_limits=self._dispatcher.own_rejection_limits(),
             links_doubted=self._links.are_doubted(self._view.upstreams),
+            work=self._dispatcher.own_work(),
+            kilotokens=self._dispatcher.own_kilotokens(),
+            durations=self._dispatcher.work.speeds.take_unshared(),
         )
         others = [
             member
@@ -619,6 +624,9 @@
         self._peers.record(heartbeat, self._clock.now_ms())
         self._merge_evidence(heartbeat.traits)
         self._dispatcher.adopt_rejection_limits(heartbeat.rejection_limits)
+        self._dispatcher.work.speeds.adopt(
+            heartbeat.durations, self._clock.now_ms()
+        )
         age_ms = heartbeat.confirmed_age_ms
         if age_ms is not None:
             self._follower.record_store_response(age_ms)
--- a/trefoilpitch/gateway/_peer_work.py
+++ b/trefoilpitch/gateway/_peer_work.py
@@ -15,6 +15,8 @@
     # Requests that this work is of; those of daemons that do not estimate it
     # are not among them.
     counted: int = 0
+    # Thousands of tokens that requests keep in the upstream's memory.
+    kilotokens: int = 0
 
 
 class PeerWorkTable:
@@ -23,42 +25,59 @@
     def __init__(self) -> None:
         self._work: dict[int, PeerWork] = {}
 
-    def add(self, in_flight: Mapping[int, int], work: Sequence[int]) -> None:
+    def add(
+        self,
+        in_flight: Mapping[int, int],
+        work: Sequence[int],
+        kilotokens: Sequence[int] = (),
+    ) -> None:
         """Adds a heartbeat's requests in flight and their work.
 
         Args:
             in_flight: Number of requests by upstream digest.
             work: Work in the same order; ignored if it does not fit.
+            kilotokens: Thousands of tokens in the same order; likewise.
         """
-        self._update(in_flight, work, 1)
+        self._update(in_flight, work, kilotokens, 1)
 
     def subtract(
-        self, in_flight: Mapping[int, int], work: Sequence[int]
+        self,
+        in_flight: Mapping[int, int],
+        work: Sequence[int],
+        kilotokens: Sequence[int] = (),
     ) -> None:
         """Subtracts what `add` has added."""
-        self._update(in_flight, work, -1)
+        self._update(in_flight, work, kilotokens, -1)
 
     def by_digest(self) -> Mapping[int, PeerWork]:
         """Returns the work by upstream digest."""
         return self._work
 
     def _update(
-        self, in_flight: Mapping[int, int], work: Sequence[int], sign: int
+        self,
+        in_flight: Mapping[int, int],
+        work: Sequence[int],
+        kilotokens: Sequence[int],
+        sign: int,
     ) -> None:
-        if len(work) != len(in_flight):
-            return
-        for (digest, count), tenths in zip(
-            in_flight.items(), work, strict=True
+        none = (0,) * len(in_flight)
+        work = work if len(work) == len(in_flight) else none
+        if len(kilotokens) != len(in_flight):
+            kilotokens = none
+        for (digest, count), tenths, tokens in zip(
+            in_flight.items(), work, kilotokens, strict=True
         ):
-            if tenths < count:
-                # Requests of less than a tenth each; the unit is too coarse.
+            # Of requests of less than a tenth each the unit says nothing.
+            resolved = tenths >= max(1, count)
+            if not resolved and not tokens:
                 continue
             known = self._work.get(digest, PeerWork())
             total = PeerWork(
-                tenths=known.tenths + sign * tenths,
-                counted=known.counted + sign * count,
+                tenths=known.tenths + sign * tenths * resolved,
+                counted=known.counted + sign * count * resolved,
+                kilotokens=known.kilotokens + sign * tokens,
             )
-            if total.counted > 0:
+            if total.counted > 0 or total.kilotokens > 0:
                 self._work[digest] = total
             else:
                 self._work.pop(digest, None)
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -24,7 +24,9 @@
 from trefoilpitch.gateway._exceptions import PeerReplyError
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._paces import PaceCounts
+from trefoilpitch.gateway._peer_work import PeerWork, PeerWorkTable
 from trefoilpitch.gateway._rollouts import VersionEvidence
+from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.rendezvous import rank
 
 # Every daemon sends heartbeats to every other one. The interval grows with the
@@ -127,6 +129,12 @@
     # Time for which upstreams that have restarted are still cold, in
     # milliseconds by upstream digest.
     cold_ms: dict[int, _Count] = {}
+    # Tokens that the requests in `in_flight` keep in the upstreams' memory, in
+    # its order, in thousands.
+    kilotokens: tuple[_Count, ...] = ()
+    # Mean duration of work, in per cent of the usual one, that upstreams have
+    # reported to it since its last heartbeat; by upstream digest.
+    durations: dict[int, _Count] = {}
 
     @property
     def version(self) -> StoreVersion:
@@ -282,6 +290,7 @@
         self._own_name = own_name
         self._peers: dict[str, Peer] = {}
         self._in_flight: Counter[int] = Counter()
+        self._work = PeerWorkTable()
         self._unreachable: Counter[int] = Counter()
         self._newest_configuration = 0
 
@@ -312,6 +321,9 @@
         if known is not None:
             self._subtract(known.heartbeat)
         self._in_flight.update(heartbeat.in_flight)
+        self._work.add(
+            heartbeat.in_flight, heartbeat.work, heartbeat.kilotokens
+        )
         if not heartbeat.links_doubted:
             self._unreachable.update(heartbeat.unreachable)
 
@@ -332,6 +344,20 @@
         """Returns the peers' in-flight requests, summed by upstream digest."""
         return self._in_flight
 
+    def work(self) -> Mapping[int, PeerWork]:
+        """Returns the peers' work left, summed by upstream digest."""
+        return self._work.by_digest()
+
+    def work_age_ms(self, upstream_id: str, now_ms: int) -> int | None:
+        """Returns the age of the oldest heartbeat with work at an upstream."""
+        digest = upstream_digest(upstream_id)
+        ages_ms = (
+            now_ms - peer.received_ms
+            for peer in self._peers.values()
+            if digest in peer.heartbeat.in_flight
+        )
+        return max(ages_ms, default=None)
+
     def unreachable(self) -> Mapping[int, int]:
         """Returns how many peers cannot reach an upstream, by its digest.
 
@@ -385,6 +411,9 @@
 
     def _subtract(self, heartbeat: Heartbeat) -> None:
         self._in_flight.subtract(heartbeat.in_flight)
+        self._work.subtract(
+            heartbeat.in_flight, heartbeat.work, heartbeat.kilotokens
+        )
         if not heartbeat.links_doubted:
             self._unreachable.subtract(heartbeat.unreachable)
         # Zero counts would keep every upstream that ever existed.
@@ -402,10 +431,16 @@
 def encode_heartbeat(heartbeat: Heartbeat) -> list[bytes]:
     """Returns the datagrams of a heartbeat.
 
-    If it is too large for one, the evidence on traits gets one of its own, and
-    if that is not enough, details are left out.
+    If it is too large for one, the estimates of work are left out; if that is
+    not enough, the evidence on traits gets one of its own, and then further
+    details are left out.
     """
     data = msgspec.msgpack.encode(heartbeat)
+    if len(data) > _MAX_DATAGRAM_BYTES:
+        heartbeat = msgspec.structs.replace(
+            heartbeat, work=(), kilotokens=(), durations={}
+        )
+        data = msgspec.msgpack.encode(heartbeat)
     if len(data) <= _MAX_DATAGRAM_BYTES:
         return [data]
     evidence = msgspec.msgpack.encode(EvidenceMessage(heartbeat.traits))
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -51,6 +51,7 @@
 )
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_traits import request_traits, trait_name
+from trefoilpitch.gateway._request_work import RequestWork
 from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.gateway._tier_choice import TierChoice
@@ -137,6 +138,13 @@
         self._service = deps.dispatcher.pick_service(admitted.route)
         self._budget = deps.budget(self._service)
         self._tiers = TierChoice(deps, request, admitted.route)
+        self._work = RequestWork(
+            deps.dispatcher.work,
+            deps.dispatcher.load,
+            lambda: deps.dispatcher.work.cost(
+                request, self._service, admitted.route.name, self._tiers.model
+            ),
+        )
         self._last_event_id: int | None = None
         self._hand_over = HandOver(deps, request.request_id, self)
         self._task: asyncio.Task[None] | None = None
@@ -276,6 +284,7 @@
             model=self._tiers.model,
             excluded=self._attempted_ids,
             unusable=unusable,
+            route=self._route.name,
         )
         if isinstance(found, UpstreamEntry):
             self._reserve_credit()
@@ -313,7 +322,8 @@
         self._attempted_ids.append(entry.upstream_id)
         health.in_flight += 1
         try:
-            yield
+            with self._work.counted(entry):
+                yield
         finally:
             health.in_flight -= 1
             self._deps.waiter.offer_places(entry.service)
@@ -426,6 +436,7 @@
             else:
                 await self._maybe_escalate(attempt, response, speed)
                 await self._forward_stream(attempt, response, speed)
+        self._work.completed(entry, response.head.status)
         self._deps.cut_attempts.record_complete(
             entry, self._traits, response.head
         )
@@ -702,6 +713,7 @@
                 self._record_success(attempt, response, speed)
             else:
                 speed.events_arrived(len(events), self._deps.clock.now_ms())
+                self._work.events_arrived(attempt.entry, len(events))
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
         if reader.pending or first:
@@ -798,6 +810,7 @@
         )
         health = deps.dispatcher.health(entry.upstream_id)
         health.record_success(latency_ratio, now_ms)
+        self._work.responded(entry, attempt.started_ms)
         load = deps.dispatcher.load(entry.upstream_id)
         via = f" via {attempt.relay.name}" if attempt.relay else ""
         self._attempt_log.append(
--- /dev/null
+++ b/trefoilpitch/gateway/_request_work.py
@@ -0,0 +1,79 @@
+"""The work of one request at the upstreams that it is sent to."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+
+from trefoilpitch.fleet import UpstreamEntry
+from trefoilpitch.gateway._work_tracking import (
+    RequestCost,
+    TrackedAttempt,
+    WorkTracker,
+)
+
+# Tokens that one event of a stream holds.
+_TOKENS_PER_EVENT = 10
+_OK = 200
+
+
+class RequestWork:
+    """Tracks the attempts of one request.
+
+    Args:
+        tracker: Estimates costs and remaining work.
+        load: Estimates the number of requests at an upstream.
+        cost: Returns the expected cost of the request as it runs now.
+    """
+
+    def __init__(
+        self,
+        tracker: WorkTracker,
+        load: Callable[[str], int],
+        cost: Callable[[], RequestCost],
+    ) -> None:
+        self._tracker = tracker
+        self._load = load
+        self._cost = cost
+        # The last attempt at each upstream.
+        self._attempts: dict[str, TrackedAttempt] = {}
+
+    @contextlib.contextmanager
+    def counted(self, entry: UpstreamEntry) -> Iterator[None]:
+        """Counts the work of an attempt at its upstream."""
+        upstream_id = entry.upstream_id
+        attempt = self._tracker.begin(
+            entry, self._cost(), self._load(upstream_id)
+        )
+        self._attempts[upstream_id] = attempt
+        try:
+            yield
+        finally:
+            self._tracker.end(attempt)
+
+    def responded(self, entry: UpstreamEntry, started_ms: int) -> None:
+        """Records the first part of a response.
+
+        Args:
+            entry: The upstream.
+            started_ms: Monotonic time when the request was sent.
+        """
+        attempt = self._attempts.get(entry.upstream_id)
+        if attempt is not None:
+            attempt.started_ms = started_ms
+            self._tracker.progress(attempt, 0, self._load(entry.upstream_id))
+
+    def events_arrived(self, entry: UpstreamEntry, count: int) -> None:
+        """Records events of a stream after the first part."""
+        attempt = self._attempts.get(entry.upstream_id)
+        if attempt is not None:
+            self._tracker.progress(
+                attempt, count, self._load(entry.upstream_id)
+            )
+
+    def completed(self, entry: UpstreamEntry, status: int) -> None:
+        """Learns from a complete response."""
+        attempt = self._attempts.get(entry.upstream_id)
+        if attempt is not None and status == _OK:
+            tokens = attempt.ticket.events * _TOKENS_PER_EVENT
+            self._tracker.complete(attempt, tokens)
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -46,7 +46,7 @@
             for service, cached in view.records.items()
         },
         "upstreams": {
-            upstream_id: _describe_upstream(cached, dispatcher, now_ms)
+            upstream_id: _describe_upstream(cached, dispatcher, peers, now_ms)
             for upstream_id, cached in view.upstreams.items()
         },
         "peers": {
@@ -63,9 +63,14 @@
 
 
 def _describe_upstream(
-    cached: CachedUpstream, dispatcher: Dispatcher, now_ms: int
+    cached: CachedUpstream,
+    dispatcher: Dispatcher,
+    peers: PeerTable,
+    now_ms: int,
 ) -> dict[str, Any]:
     entry = cached.entry
+    speeds = dispatcher.work.speeds
+    duration = speeds.duration(entry.upstream_id, now_ms)
     health = dispatcher.health(entry.upstream_id)
     return {
         "service": entry.service,
@@ -79,4 +84,8 @@
         "failure_share": round(health.failure_rate(now_ms), 3),
         "pace": round(health.recent_latency_ratio(now_ms), 2),
         "ejected": health.is_ejected(now_ms),
+        "work_ms": dispatcher.work.work_ms(entry),
+        "work_age_ms": peers.work_age_ms(entry.upstream_id, now_ms),
+        "duration": None if duration is None else round(duration, 2),
+        "duration_age_ms": speeds.age_ms(entry.upstream_id, now_ms),
     }
--- a/trefoilpitch/gateway/_upstream_speeds.py
+++ b/trefoilpitch/gateway/_upstream_speeds.py
@@ -16,6 +16,8 @@
 # Upstreams whose reports are passed on in one heartbeat, the latest first, so
 # that it fits into a datagram.
 _MAX_SHARED = 32
+# Upstreams that are remembered; peers may know others than this daemon does.
+_MAX_UPSTREAMS = 8_192
 # How long a report shows that the upstreams of a service tell their speed.
 _REPORTING_MS = 30_000
 
@@ -107,5 +109,7 @@
     def _record(self, digest: int, duration_percent: int, now_ms: int) -> None:
         speed = self._speeds.get(digest)
         if speed is None:
+            while len(self._speeds) >= _MAX_UPSTREAMS:
+                del self._speeds[next(iter(self._speeds))]
             speed = self._speeds[digest] = SpeedAverage()
         speed.record_report(duration_percent, now_ms)
--- a/trefoilpitch/gateway/_work_tracking.py
+++ b/trefoilpitch/gateway/_work_tracking.py
@@ -16,6 +16,7 @@
 from trefoilpitch.gateway._peer_work import PeerWork
 from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.gateway._upstream_speeds import UpstreamSpeeds
+from trefoilpitch.metrics import Label, Metrics
 from trefoilpitch.workload import (
     MeasuredWork,
     RemainingWork,
@@ -31,7 +32,11 @@
 # Limit of what a cached prefix saves, as a fraction of the cost.
 _MAX_SAVING = 0.75
 _MS_PER_TENTH = 100
+# Larger amounts are hardly correct, and would enlarge the heartbeat.
 _MAX_TENTHS = 60_000
+_KILO = 1_000
+# Upper bounds of the classes of measured to expected time in the metrics.
+_RATIO_BOUNDS = (0.25, 0.5, 0.8, 1.25, 2.0, 4.0)
 _NO_PEER_WORK = PeerWork()
 
 
@@ -84,19 +89,18 @@
     Args:
         clock: Provides monotonic time.
         peers_work: Returns the other daemons' work by upstream digest.
-        record_ratio: Called with the ratio of measured to expected time of
-            each finished request.
+        metrics: Counts the errors of the estimates; None for no metrics.
     """
 
     def __init__(
         self,
         clock: Clock,
         peers_work: Callable[[], Mapping[int, PeerWork]] = dict,
-        record_ratio: Callable[[float], None] = lambda ratio: None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._clock = clock
         self._peers_work = peers_work
-        self._record_ratio = record_ratio
+        self._metrics = metrics
         self._estimator = WorkEstimator()
         self._remaining = RemainingWork()
         self._speeds = UpstreamSpeeds()
@@ -169,6 +173,28 @@
             load=work_ms / left_ms, duration=duration, slowdown=slowdown
         )
 
+    def has_memory(
+        self, entry: UpstreamEntry, cost: RequestCost, memory_tokens: int | None
+    ) -> bool:
+        """Returns whether a prompt and its response fit into the memory.
+
+        An upstream without any known tokens in its memory has room for all.
+
+        Args:
+            entry: The upstream.
+            cost: Expected cost of the request.
+            memory_tokens: Tokens that fit; None if no limit is known.
+        """
+        if memory_tokens is None or not cost.size.prompt_tokens:
+            return True
+        upstream_id = entry.upstream_id
+        peers = self._peers_work().get(
+            upstream_digest(upstream_id), _NO_PEER_WORK
+        )
+        used = self._remaining.memory_tokens(upstream_id)
+        used += _KILO * peers.kilotokens
+        return not used or used + cost.size.memory_tokens <= memory_tokens
+
     def record_duration(self, upstream_id: str, duration_percent: int) -> None:
         """Records how long an upstream says that work takes on it."""
         self._speeds.record_report(
@@ -242,7 +268,8 @@
         )
         expected = self._estimator.expected_ms(cost.kind, cost.size, measured)
         ratio = total_ms / max(1.0, expected)
-        self._record_ratio(ratio)
+        if self._metrics is not None:
+            self._metrics.count("work_estimates", _ratio_label(ratio))
         self._speeds.record_measured(
             entry.upstream_id, ratio * measured.duration
         )
@@ -251,6 +278,16 @@
             size = dataclasses.replace(size, output_tokens=output_tokens)
         self._estimator.record(cost.kind, size, measured, now_ms)
 
+    def work_ms(self, entry: UpstreamEntry) -> int:
+        """Returns the known work left at an upstream, of all daemons."""
+        peers = self._peers_work().get(
+            upstream_digest(entry.upstream_id), _NO_PEER_WORK
+        )
+        own_ms = self._remaining.work_ms(
+            entry.upstream_id, self._clock.now_ms()
+        )
+        return round(own_ms) + peers.tenths * _MS_PER_TENTH
+
     def own_work(self, upstream_ids: Collection[str]) -> tuple[int, ...]:
         """Returns the work left at upstreams, in tenths of a second."""
         now_ms = self._clock.now_ms()
@@ -262,6 +299,13 @@
             for name in upstream_ids
         )
 
+    def own_kilotokens(self, upstream_ids: Collection[str]) -> tuple[int, ...]:
+        """Returns the tokens in upstreams' memory, in thousands."""
+        return tuple(
+            min(_MAX_TENTHS, round(self._remaining.memory_tokens(n) / _KILO))
+            for n in upstream_ids
+        )
+
     def retain(self, upstream_ids: Collection[str]) -> None:
         """Drops the speeds of all other upstreams."""
         self._speeds.retain(upstream_ids)
@@ -283,3 +327,11 @@
 
     def _estimate(self, cost: RequestCost) -> WorkEstimate:
         return self._estimator.estimate(cost.kind, cost.size)
+
+
+def _ratio_label(ratio: float) -> Label:
+    """Returns the class of a measured time relative to the expected one."""
+    for bound in _RATIO_BOUNDS:
+        if ratio <= bound:
+            return Label(name="up_to", value=str(bound))
+    return Label(name="up_to", value="more")
--- a/trefoilpitch/gateway/tests/uneven_fleet.py
+++ b/trefoilpitch/gateway/tests/uneven_fleet.py
@@ -90,6 +90,10 @@
     duration_ms: int = 25_000
 
 
+# Requests in flight, their work and their tokens, as in a heartbeat.
+_Published = tuple[dict[int, int], tuple[int, ...], tuple[int, ...]]
+
+
 class _Others(Mapping[int, int]):
     """What a daemon has heard of all others, without a copy."""
 
@@ -212,7 +216,9 @@
             name="s",
             cold_start_ms=0,
             cold_rate_per_s=0.0,
-            memory_tokens=load.memory_tokens or None,
+            memory_tokens=(load.memory_tokens or None)
+            if policy == Policy.WORK
+            else None,
         )
         self._put("config", configuration(services={"s": service}))
         self._upstreams: dict[str, _Upstream] = {}
@@ -229,7 +235,7 @@
             )
             self._put(entry.upstream_id, entry)
         self._in_flight: Counter[int] = Counter()
-        self._published: list[tuple[dict[int, int], tuple[int, ...]]] = []
+        self._published: list[_Published] = []
         self._peers_work = PeerWorkTable()
         self._dispatchers = [self._daemon(n) for n in range(load.daemons)]
         self._latencies = [ExpectedLatencies() for _ in self._dispatchers]
@@ -262,7 +268,7 @@
         )
 
     def _daemon(self, number: int) -> Dispatcher:
-        self._published.append(({}, ()))
+        self._published.append(({}, (), ()))
         names = {f"vm-{n}" for n in range(self._load.daemons)}
         return Dispatcher(
             self._view,
@@ -291,20 +297,21 @@
     def _beat(self, number: int) -> Callable[[], None]:
         def beat() -> None:
             dispatcher = self._dispatchers[number]
-            in_flight, work = self._published[number]
-            self._in_flight.subtract(in_flight)
-            self._peers_work.subtract(in_flight, work)
+            self._in_flight.subtract(self._published[number][0])
+            self._peers_work.subtract(*self._published[number])
             in_flight = dispatcher.own_in_flight()
-            work = dispatcher.own_work()
-            if self._policy == Policy.BEFORE:
-                work = ()
-            self._published[number] = in_flight, work
+            published = (
+                in_flight,
+                dispatcher.own_work(),
+                dispatcher.own_kilotokens(),
+            )
+            self._published[number] = published
             self._in_flight.update(in_flight)
+            self._peers_work.add(*published)
             durations = dispatcher.work.speeds.take_unshared()
             for other in self._dispatchers:
                 if other is not dispatcher:
                     other.work.speeds.adopt(durations, self._clock.now_ms())
-            self._peers_work.add(in_flight, work)
             self._after(heartbeat_interval_ms(self._load.daemons), beat)
 
         return beat
--- a/trefoilpitch/platform/_documents.py
+++ b/trefoilpitch/platform/_documents.py
@@ -24,6 +24,7 @@
     Workspace,
     Write,
 )
+from trefoilpitch.gateway import log_event
 
 _CONFIGURATION_KEY = "op/config"
 _ROLLOUT_PREFIX = "op/rollout/"
@@ -35,6 +36,8 @@
 _MEMBER_PREFIX = "trefoilpitch/member/"
 _QUARANTINE_PREFIX = "trefoilpitch/quarantine/"
 _MS_PER_S = 1_000
+# Larger engines are taken as having no limit.
+_MAX_MEMORY_TOKENS = 1_000_000_000
 
 _OPERATION_KINDS = {
     "stream": OperationKind.STREAM,
@@ -82,6 +85,9 @@
 
 class _Engine(_Wire, frozen=True, rename="kebab"):
     models: tuple[_Model, ...] = ()
+    # Tokens that fit into its memory. A malformed value must not lose the
+    # whole configuration.
+    kv_capacity: object = None
 
 
 class _Service(_Wire, frozen=True, rename="kebab"):
@@ -337,16 +343,34 @@
 
 def _service(service: _Service) -> Service:
     models: tuple[_Model, ...] = ()
+    memory_tokens: int | None = None
     if service.engine is not None:
         models = service.engine.models
+        memory_tokens = _memory_tokens(service.name, service.engine.kv_capacity)
     return Service(
         name=service.name,
         cold_start_ms=int(service.cold_start_s * _MS_PER_S),
         cold_rate_per_s=service.cold_per_s,
         model_costs=tuple((model.name, model.cost) for model in models),
+        memory_tokens=memory_tokens,
     )
 
 
+def _memory_tokens(service: str, capacity: object) -> int | None:
+    """Returns an engine's token memory; None if no limit is known."""
+    if capacity is None:
+        return None
+    number = isinstance(capacity, int | float) and not isinstance(
+        capacity, bool
+    )
+    if not number or not 1 <= float(str(capacity)) <= _MAX_MEMORY_TOKENS:
+        log_event(
+            "malformed_kv_capacity", service=service, value=str(capacity)[:100]
+        )
+        return None
+    return int(float(str(capacity)))
+
+
 def _upstream(upstream_id: str, server: _Server) -> UpstreamEntry:
     host, _, port = server.address.rpartition(":")
     return UpstreamEntry(
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -111,6 +111,31 @@
     assert found.limits.max_body_bytes == 10_000
 
 
+@pytest.mark.parametrize(
+    ("capacity", "tokens"),
+    [
+        (336_620, 336_620),
+        (2.5e5, 250_000),
+        (None, None),
+        (0, None),
+        (-5, None),
+        (True, None),
+        ("many", None),
+        (1e300, None),
+        ([1], None),
+    ],
+)
+def test_malformed_token_memory_does_not_lose_the_configuration(
+    capacity: object, tokens: int | None
+) -> None:
+    document = config_document()
+    document["services"][0]["engine"] = {"slots": 16, "kv-capacity": capacity}
+    found = _decode("op/config", document)
+    assert isinstance(found, Configuration)
+    name = document["services"][0]["name"]
+    assert found.services[name].memory_tokens == tokens
+
+
 def test_traffic_split_is_decoded() -> None:
     document = config_document()
     document["routes"][0]["traffic-split"] = [
