--- a/trefoilpitch/fleet/_types.py
+++ b/trefoilpitch/fleet/_types.py
@@ -78,6 +78,8 @@
     model_costs: tuple[tuple[str, float], ...] = ()
     # Path of its upstreams' health responses; empty if it has none.
     health_path: str = ""
+    # Tokens that an upstream can keep in memory; None if that is not known.
+    memory_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/trefoilpitch/gateway/_stream_forwarding.py
+++ b/trefoilpitch/gateway/_stream_forwarding.py
@@ -61,6 +61,7 @@
         response: UpstreamResponse,
         speed: ResponseSpeed,
         on_success: Callable[[], None],
+        on_events: Callable[[int], None],
     ) -> None:
         """Forwards what an attempt adds to the stream, and ends it.
 
@@ -69,6 +70,8 @@
             response: The head of its response.
             speed: Receives the times of the events.
             on_success: Called once the upstream has responded properly.
+            on_events: Called with the number of events that arrive after the
+                first ones.
 
         Raises:
             ExchangeError: If another upstream has taken over the stream, the
@@ -86,6 +89,7 @@
                 on_success()
             else:
                 speed.events_arrived(len(events), self._deps.clock.now_ms())
+                on_events(len(events))
             for event in events:
                 await self._forward_event(response, event.data, event.event_id)
         if reader.pending or (first and not self._is_at_end(response)):
