Add tests of clients that misbehave, against a process of the host

Nothing bounds the memory that a process holds for its clients (part 7 of docs/design/hard-load.md). The tests start `python -m trefoilpitch.platform` with `memory-mb` 96 and `max-fds` 256 in its settings and a small crowd: bodies that stop just short of their end in one piece, in small pieces and in chunks, bodies far over the limit, heads of very many short fields, very many tiny chunks, pipelined requests whose responses are not read, large responses that are read slowly or not at all, and connections that send nothing, stop half-way or trickle; at a route, at a path without a route, and at the readiness, directory and peers' ports.

They check that the process lives, that its peak resident memory and its open descriptors stay under the two limits of its settings, and that one ordinary request is answered while the crowd's connections are still open.

They run alone, as the last part of tools/run_tests.py, since other load on the machine would disturb them.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,7 +5,8 @@
 that a test that passes again is noticed; they do not affect the exit status.
 
 The suite mostly waits for real processes and sockets, so its parts run at the
-same time. Arguments are passed on to a single pytest that runs the whole suite.
+same time. Tests that measure a process run alone after them. Arguments are
+passed on to a single pytest that runs the whole suite.
 """
 
 from __future__ import annotations
@@ -20,10 +21,13 @@
 _ENTRY_PREFIX = "test:"
 _PLATFORM = "trefoilpitch/platform"
 _GATEWAY = "trefoilpitch/gateway"
-# Every test is in one of these parts; each is a list of pytest's arguments.
+# Tests of the memory that a process holds, which other load would disturb.
+_MEMORY = "trefoilpitch/platform/tests/memory"
+# Every test is in one of these parts or in the last one; each is a list of
+# pytest's arguments.
 _PARTS = (
     ("tests",),
-    (_PLATFORM,),
+    (_PLATFORM, f"--ignore={_MEMORY}"),
     (_GATEWAY,),
     ("trefoilpitch", f"--ignore={_PLATFORM}", f"--ignore={_GATEWAY}"),
 )
@@ -56,7 +60,11 @@
 
 
 def _run_parts(deselected: list[str]) -> int:
-    """Runs the parts at the same time; returns the first failing status."""
+    """Runs the parts at the same time, and then the last one.
+
+    Returns:
+        The first failing status; 0 if there is none.
+    """
     with concurrent.futures.ThreadPoolExecutor(len(_PARTS)) as pool:
         runs = [pool.submit(_run_part, [*part, *deselected]) for part in _PARTS]
         statuses = []
@@ -64,6 +72,7 @@
             completed = run.result()
             print(f"{' '.join(part)}:\n{completed.stdout}", flush=True)
             statuses.append(completed.returncode)
+    statuses.append(_pytest([_MEMORY, *deselected]))
     return next((status for status in statuses if status), 0)
 
 
