Free a request at its end, without the cyclic collector

Three further cycles held a request after a failed attempt: an exception that is kept by its connection refers to the frames that it has passed, tasks and their exceptions refer to frames that hold the task, and a connection and its monitor refer to each other.

The hand-over refers to its sender weakly, exceptions that are kept are copied before they are raised, frames drop their tasks, and the monitor drops its callback when it is closed. The fingerprint of a request no longer copies the body; its value is the same.

--- a/trefoilpitch/gateway/_exceptions.py
+++ b/trefoilpitch/gateway/_exceptions.py
@@ -26,6 +26,14 @@
         self.kind = kind
         self.detail = detail
 
+    def copy(self) -> ExchangeError:
+        """Returns one to raise, if this one is kept.
+
+        An exception that is raised refers to the frames that it has passed, and
+        to all that they hold.
+        """
+        return ExchangeError(self.kind, self.detail)
+
 
 class CallerDisconnectedError(GatewayError):
     """The caller has closed its connection."""
--- a/trefoilpitch/gateway/_handover.py
+++ b/trefoilpitch/gateway/_handover.py
@@ -13,6 +13,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import weakref
 from collections.abc import Coroutine
 from typing import Any, NoReturn, Protocol, TypeVar
 
@@ -112,7 +113,8 @@
     Args:
         deps: Collaborators that all requests of the daemon share.
         request_id: The request, for the log.
-        sender: Sends its attempts.
+        sender: Sends its attempts, and owns this object, which therefore does
+            not keep it alive.
     """
 
     def __init__(
@@ -120,11 +122,17 @@
     ) -> None:
         self._deps = deps
         self._request_id = request_id
-        self._sender = sender
+        self._sender_reference = weakref.ref(sender)
         self._successor: SentAttempt | None = None
         # Counts the successor as in flight until it is taken.
         self._place = contextlib.ExitStack()
 
+    @property
+    def _sender(self) -> AttemptSender:
+        sender = self._sender_reference()
+        assert sender is not None
+        return sender
+
     @property
     def successor(self) -> SentAttempt | None:
         """The attempt that takes over from the one in progress, if any."""
@@ -187,13 +195,14 @@
         finally:
             waiting.cancel()
             await asyncio.gather(waiting, return_exceptions=True)
+            # Its exception refers to this frame.
+            del waiting
 
     def _raise_superseded(
         self, waiting: asyncio.Task[Any], silent_ms: float
     ) -> NoReturn:
-        failure = waiting.exception() if waiting.done() else None
-        if failure is not None:
-            raise failure
+        if waiting.done() and waiting.exception() is not None:
+            waiting.result()
         raise ExchangeError(
             FailureKind.RESPONSE_TIMEOUT,
             f"superseded after {silent_ms:.0f} ms",
@@ -292,4 +301,6 @@
         finally:
             response.cancel()
             await asyncio.gather(response, return_exceptions=True)
+            # Its exception refers to this frame.
+            del response
         return True
--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -245,7 +245,7 @@
                 return event
             self._parts_in_row = 0
             if self._failure is not None:
-                raise self._failure
+                raise self._failure.copy()
             self._received.clear()
             try:
                 async with asyncio.timeout_at(end):
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -168,6 +168,7 @@
                 raise
             outcome = await self._send_stopped()
         finally:
+            self._task = None
             self._hand_over.close()
             self.release_credit()
             self._log_completion(outcome)
--- a/trefoilpitch/gateway/_request_traits.py
+++ b/trefoilpitch/gateway/_request_traits.py
@@ -59,7 +59,8 @@
         request.http.body,
     ):
         # The length keeps fields apart that would be the same if joined.
-        digest = zlib.crc32(b"%d:" % len(field) + field, digest)
+        digest = zlib.crc32(b"%d:" % len(field), digest)
+        digest = zlib.crc32(field, digest)
     return RequestTraits(
         request_id=request.request_id,
         parts=request.prefix[:-1],
--- a/trefoilpitch/gateway/_sockets.py
+++ b/trefoilpitch/gateway/_sockets.py
@@ -79,7 +79,7 @@
         on_unresponsive: Callable[[], None],
     ) -> None:
         self._transport = transport
-        self._on_unresponsive = on_unresponsive
+        self._on_unresponsive: Callable[[], None] | None = on_unresponsive
         self._socket: TransportSocket | None = transport.get_extra_info(
             "socket"
         )
@@ -101,6 +101,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self._socket = None
+        # The owner refers to this object.
+        self._on_unresponsive = None
 
     def _check(self) -> None:
         self._timer = None
@@ -135,8 +137,10 @@
             acknowledged_age_ms=state.acknowledged_age_ms,
             unsent_bytes=state.unsent_bytes,
         )
+        on_unresponsive = self._on_unresponsive
         self.close()
-        self._on_unresponsive()
+        if on_unresponsive is not None:
+            on_unresponsive()
 
 
 def _set_options(sock: TransportSocket) -> None:
--- a/trefoilpitch/gateway/tests/test_handover.py
+++ b/trefoilpitch/gateway/tests/test_handover.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import gc
 import types
+import weakref
 from collections.abc import Iterator
 from typing import cast
 
@@ -117,3 +119,22 @@
         assert sender.credits == 0
 
     asyncio.run(scenario())
+
+
+def test_sender_is_freed_without_the_cyclic_collector() -> None:
+    """The sender holds its request's body, and refers to its hand-over."""
+
+    async def scenario() -> None:
+        sender = _Sender()
+        hand_over = HandOver(_DEPS, "id-1", sender)
+        await hand_over.offer(_ENTRY)
+        hand_over.close()
+        reference = weakref.ref(sender)
+        gc.disable()
+        try:
+            del sender
+            assert reference() is None
+        finally:
+            gc.enable()
+
+    asyncio.run(scenario())
