Pass a body on to an upstream without copies

`HttpConnection.send` joined the body with the head and gave the result to the transport at once, which keeps a copy of all that the socket does not accept. While an upstream read slowly, one request took twice the size of its body in addition to the body itself.

The client now writes views of 64 KiB of the body itself, and goes on when the transport asks for more. Requests of up to 64 KiB still go out in one segment.

--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+from collections import deque
 from collections.abc import AsyncIterator, Sequence
 from types import TracebackType
 from typing import Self, TypeAlias
@@ -27,6 +28,9 @@
 _READ_AHEAD_BYTES = 64 * 1024
 # Parts of a response that are parsed in a row before other tasks get a turn.
 _PARTS_PER_TURN = 64
+# Parts of a request that are given to the transport at a time. It copies what
+# the socket does not accept at once.
+_SEND_BYTES = 64 * 1024
 # Turns of the event loop between the readiness of a socket and the completion
 # of its connection; asyncio takes five.
 _CONNECT_TURNS = 10
@@ -68,6 +72,9 @@
         self._received = asyncio.Event()
         self._failure: ExchangeError | None = None
         self._response_started = False
+        # What the transport has not been given yet of the request.
+        self._unsent: deque[memoryview] = deque()
+        self._writable = True
         # Whether a request has been sent and its response has not ended.
         self._in_exchange = False
         # Of the response in progress: bytes received, bytes of its body, and
@@ -87,6 +94,7 @@
             self._failure is None
             and self._transport is not None
             and not self._transport.is_closing()
+            and not self._unsent
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
             and not self._h11.trailing_data[0]
@@ -124,17 +132,29 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Records a reset; `eof_received` handles an orderly close."""
+        self._unsent.clear()
         if self._monitor is not None:
             self._monitor.close()
         if exc is not None:
             self._fail_lost(str(exc) or type(exc).__name__)
         self._received.set()
 
+    def pause_writing(self) -> None:
+        """Holds the rest of the request back, as the send buffer is full."""
+        self._writable = False
+
+    def resume_writing(self) -> None:
+        """Goes on with the request."""
+        self._writable = True
+        self._write_on()
+
     def send(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
     ) -> None:
         """Sends a complete request.
 
+        Its body is kept, but not copied, until all of it is sent.
+
         Raises:
             ExchangeError: If the connection is closed.
         """
@@ -147,19 +167,21 @@
         request = h11.Request(
             method=method, target=target, headers=list(headers)
         )
-        out = self._h11.send(request) or b""
+        parts = self._h11.send_with_data_passthrough(request) or []
         if body:
-            out += self._h11.send(h11.Data(data=body)) or b""
-        out += self._h11.send(h11.EndOfMessage()) or b""
+            data = h11.Data(data=body)
+            parts += self._h11.send_with_data_passthrough(data) or []
+        parts += self._h11.send_with_data_passthrough(h11.EndOfMessage()) or []
         if self._transport is None or self._transport.is_closing():
-            raise self._failure or ExchangeError(
+            if self._failure is not None:
+                raise self._failure.copy()
+            raise ExchangeError(
                 FailureKind.CONNECTION_LOST,
                 "connection closed before the request was sent",
             )
         self._in_exchange = True
-        self._transport.write(out)
-        if self._monitor is not None:
-            self._monitor.data_written()
+        self._queue(parts)
+        self._write_on()
 
     async def receive_head(self, timeout_ms: float) -> ResponseHead:
         """Waits for the head of the response.
@@ -218,6 +240,7 @@
 
     def close(self) -> None:
         """Closes the connection at once and drops buffered data."""
+        self._unsent.clear()
         if self._transport is not None:
             self._transport.abort()
 
@@ -232,6 +255,27 @@
     ) -> None:
         self.close()
 
+    def _queue(self, parts: list[bytes]) -> None:
+        """Queues a request; its head and a small body go into one segment."""
+        if sum(map(len, parts)) <= _SEND_BYTES:
+            self._unsent.append(memoryview(b"".join(parts)))
+            return
+        for part in parts:
+            view = memoryview(part)
+            self._unsent.extend(
+                view[start : start + _SEND_BYTES]
+                for start in range(0, len(view), _SEND_BYTES)
+            )
+
+    def _write_on(self) -> None:
+        """Writes until the request is sent or the send buffer is full."""
+        if self._transport is None:
+            return
+        while self._unsent and self._writable:
+            self._transport.write(self._unsent.popleft())
+        if self._monitor is not None:
+            self._monitor.data_written()
+
     async def _next_event(self, timeout_ms: float) -> object:
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_ms / _MS_PER_S
--- a/trefoilpitch/gateway/tests/test_http_client.py
+++ b/trefoilpitch/gateway/tests/test_http_client.py
@@ -56,6 +56,26 @@
         pass
 
 
+class _SlowTransport(_Transport):
+    """Its send buffer is full after each write."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        super().__init__(connection)
+        self.written: list[memoryview] = []
+
+    def write(self, data: Any) -> None:
+        self.written.append(data)
+        self._connection.pause_writing()
+
+    def drain(self) -> bytes:
+        """Lets the rest of the request through; returns all of it."""
+        count = 0
+        while count != len(self.written):
+            count = len(self.written)
+            self._connection.resume_writing()
+        return b"".join(self.written)
+
+
 def _connected() -> tuple[HttpConnection, _Transport]:
     connection = HttpConnection()
     transport = _Transport(connection)
@@ -232,3 +252,48 @@
             assert 0.1 <= loop.time() - started < 1.0
 
     run_undelayed(scenario)
+
+
+@pytest.mark.parametrize(
+    ("framing", "start", "end"),
+    [
+        ((b"Content-Length", b"4194304"), b"", b""),
+        ((b"Transfer-Encoding", b"chunked"), b"400000\r\n", b"\r\n0\r\n\r\n"),
+    ],
+)
+def test_large_body_is_neither_copied_nor_written_at_once(
+    framing: tuple[bytes, bytes], start: bytes, end: bytes
+) -> None:
+    """The transport copies what a slow upstream does not take."""
+
+    async def scenario() -> None:
+        connection = HttpConnection()
+        transport = _SlowTransport(connection)
+        connection.connection_made(transport)
+        body = bytes(range(256)) * 16_384
+        connection.send(b"POST", b"/x", [(b"Host", b"a"), framing], body)
+        assert sum(map(len, transport.written)) <= len(_SEGMENT)
+        sent = transport.drain()
+        head, _, rest = sent.partition(b"\r\n\r\n")
+        assert head.startswith(b"POST /x HTTP/1.1")
+        assert rest == start + body + end
+        parts = [view for view in transport.written if view.obj is body]
+        assert sum(map(len, parts)) == len(body)
+
+    run_undelayed(scenario)
+
+
+def test_rest_of_a_body_is_dropped_when_the_connection_is_closed() -> None:
+    async def scenario() -> None:
+        connection = HttpConnection()
+        transport = _SlowTransport(connection)
+        connection.connection_made(transport)
+        length = (b"Content-Length", b"1000000")
+        body = b"x" * 1_000_000
+        connection.send(b"POST", b"/x", [(b"Host", b"a"), length], body)
+        connection.close()
+        written = len(transport.written)
+        transport.drain()
+        assert len(transport.written) == written
+
+    run_undelayed(scenario)
