--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -180,6 +180,7 @@
                 raise
             outcome = await self._send_stopped()
         finally:
+            self._task = None
             self._hand_over.close()
             self.release_credit()
             self._log_completion(outcome)
@@ -691,7 +692,7 @@
     ) -> None:
         now_ms = self._deps.clock.now_ms()
         body = await connection.receive_body(
-            self._remaining_ms(now_ms), _MAX_PLAIN_BYTES
+            self._remaining_ms(now_ms), _MAX_PLAIN_BYTES, self._responder.hold
         )
         failed = response.head.status >= _SERVER_ERROR
         if failed:
