--- a/trefoilpitch/gateway/_caller_connection.py
+++ b/trefoilpitch/gateway/_caller_connection.py
@@ -41,6 +41,8 @@
 # Delay before a retry of a request that found no room: uploads of a few seconds
 # have ended by then.
 _RETRY_AFTER_S = b"1"
+# What an upstream's connection holds while its response is not forwarded.
+_READ_AHEAD_BYTES = 128 * 1024
 # Memory of a connection without a request.
 _CONNECTION_BYTES = 16 * 1024
 
@@ -210,17 +212,26 @@
         Raises:
             CallerDisconnectedError: If the connection is closed.
         """
-        guard = self._state.guard
-        if guard.limited and self._watch is not None and self._watch.exceeded:
+        watch = self._watch
+        if watch is None or not self._state.guard.limited:
+            await self.drain()
+            return
+        if not self._writable.is_set():
+            # The upstream's connection goes on to receive a little.
+            watch.hold(_READ_AHEAD_BYTES)
+        if watch.exceeded:
             self._give_up_unread()
-        elif guard.limited and not self._writable.is_set():
-            limit_s = guard.clients.max_blocked_ms / _MS_PER_S
-            try:
-                async with asyncio.timeout(limit_s):
-                    await self._writable.wait()
-            except TimeoutError:
-                self._give_up_unread()
-        await self.drain()
+        if self._writable.is_set():
+            await self.drain()
+            return
+        try:
+            limit_ms = self._state.guard.clients.max_blocked_ms
+            async with asyncio.timeout(limit_ms / _MS_PER_S):
+                await self.drain()
+        except TimeoutError:
+            self._give_up_unread()
+            raise CallerDisconnectedError from None
+        watch.hold(0)
 
     def hold_response(self, size: int) -> bool:
         """Accounts for a response that is not sent yet; see `Responder`."""
--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -31,6 +31,8 @@
 # Parts of a request that are given to the transport at a time. It copies what
 # the socket does not accept at once.
 _SEND_BYTES = 64 * 1024
+# What connections receive into; each takes its bytes at once.
+_RECEIVE_BUFFER = memoryview(bytearray(64 * 1024))
 # Turns of the event loop between the readiness of a socket and the completion
 # of its connection; asyncio takes five.
 _CONNECT_TURNS = 10
@@ -53,7 +55,7 @@
         return None
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """One connection, which carries one exchange at a time.
 
     While its reader is slower than the other side, the socket is left unread,
@@ -106,6 +108,14 @@
         self._transport = transport
         self._monitor = PeerMonitor(transport, self._on_unresponsive)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer that all connections receive into."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handles the bytes in the buffer."""
+        self.data_received(bytes(_RECEIVE_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser; closes an idle connection."""
         if not self._in_exchange:
--- a/trefoilpitch/gateway/_memory_budget.py
+++ b/trefoilpitch/gateway/_memory_budget.py
@@ -216,6 +216,8 @@
         if most is not None and len(self._accounts) >= most:
             batch = max(1, int(most * _BATCH_FRACTION))
             for victim in _ranked(self._accounts, now_ms)[:batch]:
+                if evicted and not _is_stalled(victim, now_ms):
+                    break
                 evicted.append(victim.owner)
                 self.close(victim)
             if not evicted:
@@ -324,7 +326,9 @@
         candidates = (
             account
             for account in self._accounts
-            if account is not demand.account and among(account)
+            if account is not demand.account
+            and not account.closing
+            and among(account)
         )
         for account in _ranked(candidates, demand.now_ms):
             stalled = _is_stalled(account, demand.now_ms)
