Keep evidence on deadly requests through a kill of all daemons

A request ended three upstreams while the store was unavailable, and all daemons were killed: nobody knew of the endings, and the request was sent on until three more had ended. Only quarantines were stored, never the endings before.

Whole requests are stored after their second ending, up to eight of them, at once (0.1 s instead of 0.5 s) or when the store is back. A daemon that started while the store was unavailable, or that was killed and finds all upstreams restarted, is cautious for ten minutes: it refuses a request for two minutes after two endings at two moments instead of three, without waiting for others.

Fetches from peers move from _node.py to a module of their own.

--- a/trefoilpitch/gateway/_culprits.py
+++ b/trefoilpitch/gateway/_culprits.py
@@ -27,6 +27,12 @@
 _MIN_ENDINGS = 4
 # The same for a whole request, of which each repeat ends further upstreams.
 _MIN_ENDINGS_OF_REQUEST = 3
+# The same for a whole request while evidence may have been lost: other daemons
+# may have seen it end further upstreams.
+_MIN_ENDINGS_IF_CAUTIOUS = 2
+# Requests that are stored before they are blamed; a crash of many upstreams
+# makes many of them suspect.
+_MAX_SUSPECTS = 8
 # Upstreams that lose power or are stopped together end at one moment.
 _MIN_MOMENTS = 2
 # The same for a trait that responses went well with before: in an outage for
@@ -44,6 +50,25 @@
 _SETTLING_MS = 300
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Thresholds:
+    """How much evidence a decision takes."""
+
+    # Endings under a whole request.
+    min_endings_of_request: int
+    # Time until an ending counts.
+    settling_ms: int
+
+
+USUAL = Thresholds(
+    min_endings_of_request=_MIN_ENDINGS_OF_REQUEST, settling_ms=_SETTLING_MS
+)
+# Endings count at once, as the request may have ended many upstreams before.
+CAUTIOUS = Thresholds(
+    min_endings_of_request=_MIN_ENDINGS_IF_CAUTIOUS, settling_ms=0
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Culprit:
     """Traits that upstreams end under when a request has all of them.
@@ -66,24 +91,32 @@
     # Whether another request explains the same endings as well.
     ambiguous: bool = False
 
+    @property
+    def is_presumed(self) -> bool:
+        """Whether it is blamed for fewer endings than usually."""
+        return len(self.upstreams) < _MIN_ENDINGS_OF_REQUEST
+
 
-def find_culprits(evidence: CrashEvidence, now_ms: int) -> list[Culprit]:
+def find_culprits(
+    evidence: CrashEvidence, now_ms: int, thresholds: Thresholds = USUAL
+) -> list[Culprit]:
     """Returns the traits that are to blame for endings, the surest ones first.
 
     Args:
         evidence: The fleet's evidence as far as this daemon knows it.
         now_ms: The monotonic time.
+        thresholds: How much evidence it takes.
     """
     newest_ms = evidence.newest_sound_ms
     suspicions = [
-        _settled(suspicion, now_ms)
-        for suspicion in suspicions_with_enough_endings(evidence)
+        _settled(suspicion, now_ms - thresholds.settling_ms)
+        for suspicion in suspicions_with_enough_endings(evidence, thresholds)
         if _others_go_well(suspicion, newest_ms)
     ]
     settled_ms = {
         upstream: ended_ms
         for upstream, ended_ms in evidence.ended_ms.items()
-        if now_ms - ended_ms >= _SETTLING_MS
+        if now_ms - ended_ms >= thresholds.settling_ms
     }
     culprits: list[Culprit] = []
     unexplained_ms = settled_ms
@@ -97,7 +130,11 @@
         group = [s for s in suspicions if s.was_sound is was_sound]
         while True:
             strongest = _strongest(
-                group, unexplained_ms, counted_ms, min_moments
+                group,
+                unexplained_ms,
+                counted_ms,
+                min_moments,
+                thresholds,
             )
             if not strongest:
                 break
@@ -108,6 +145,30 @@
     return culprits + _partly_explained(suspicions, culprits)
 
 
+def find_suspects(
+    evidence: CrashEvidence, culprits: Collection[Culprit]
+) -> list[Culprit]:
+    """Returns whole requests that are not blamed, for lack of one ending.
+
+    Args:
+        evidence: The fleet's evidence as far as this daemon knows it.
+        culprits: The traits that are blamed.
+    """
+    blamed = frozenset().union(*(c.traits for c in culprits))
+    found = [
+        _Explanation(
+            suspicion=suspicion, upstreams=frozenset(suspicion.ended_ms)
+        ).culprit([suspicion.trait], ambiguous=True)
+        for suspicion in suspicions_with_enough_endings(evidence, CAUTIOUS)
+        if is_whole_request(suspicion.trait)
+        and not suspicion.was_sound
+        and suspicion.trait not in blamed
+        and _moments(suspicion.ended_ms.values()) >= _MIN_MOMENTS
+    ]
+    found.sort(key=lambda culprit: culprit.last_ms, reverse=True)
+    return found[:_MAX_SUSPECTS]
+
+
 def _without(
     ended_ms: Mapping[int, int], upstreams: Collection[int]
 ) -> dict[int, int]:
@@ -138,27 +199,28 @@
 
 
 def suspicions_with_enough_endings(
-    evidence: CrashEvidence,
+    evidence: CrashEvidence, thresholds: Thresholds = USUAL
 ) -> Iterator[Suspicion]:
     """Yields what speaks against the traits that may be to blame."""
-    for suspicion in evidence.suspicions(_MIN_ENDINGS_OF_REQUEST):
-        if len(suspicion.ended_ms) >= _min_endings(suspicion.trait):
+    for suspicion in evidence.suspicions(thresholds.min_endings_of_request):
+        min_endings = _min_endings(suspicion.trait, thresholds)
+        if len(suspicion.ended_ms) >= min_endings:
             yield suspicion
 
 
-def _min_endings(trait: int) -> int:
+def _min_endings(trait: int, thresholds: Thresholds) -> int:
     if is_whole_request(trait):
-        return _MIN_ENDINGS_OF_REQUEST
+        return thresholds.min_endings_of_request
     return _MIN_ENDINGS
 
 
-def _settled(suspicion: Suspicion, now_ms: int) -> Suspicion:
+def _settled(suspicion: Suspicion, until_ms: int) -> Suspicion:
     return dataclasses.replace(
         suspicion,
         ended_ms={
             upstream: ended_ms
             for upstream, ended_ms in suspicion.ended_ms.items()
-            if now_ms - ended_ms >= _SETTLING_MS
+            if ended_ms <= until_ms
         },
     )
 
@@ -229,6 +291,7 @@
     unexplained_ms: Mapping[int, int],
     counted_ms: Mapping[int, int],
     min_moments: int,
+    thresholds: Thresholds,
 ) -> list[Culprit]:
     """Returns the culprits that explain most endings, all the same ones."""
     explanations = [
@@ -240,7 +303,12 @@
         )
         for suspicion in suspicions
     ]
-    valid = [k for k in explanations if _is_valid(k, counted_ms, min_moments)]
+    valid = [
+        k
+        for k in explanations
+        if len(k.upstreams) >= _min_endings(k.trait, thresholds)
+        and _is_valid(k, counted_ms, min_moments)
+    ]
     if not valid:
         return []
     first = max(valid, key=lambda k: k.strength)
@@ -261,11 +329,9 @@
     counted_ms: Mapping[int, int],
     min_moments: int,
 ) -> bool:
-    """Whether the endings suffice to blame a trait for them."""
+    """Whether endings of sufficient number speak against a trait."""
     upstreams = explanation.upstreams
     ended_ms = explanation.suspicion.ended_ms
-    if len(upstreams) < _min_endings(explanation.trait):
-        return False
     if _moments(ended_ms[k] for k in upstreams) < min_moments:
         return False
     was_sound = explanation.suspicion.was_sound
--- a/trefoilpitch/gateway/_follower.py
+++ b/trefoilpitch/gateway/_follower.py
@@ -104,6 +104,7 @@
         self._on_change = on_change
         self._on_store_return = on_store_return
         self._loaded = False
+        self._started_in_outage = False
         self._unavailable_since_ms: int | None = None
         self._expiry_until_ms = 0
         self._current_for_ms = int(apply_ms * _CURRENT_SHARE)
@@ -133,6 +134,11 @@
         """Whether the last call failed, or a listing has timed out."""
         return self._unavailable_since_ms is not None
 
+    @property
+    def started_in_outage(self) -> bool:
+        """Whether the store was unavailable before the first listing."""
+        return self._started_in_outage
+
     @property
     def confirmed_age_ms(self) -> int | None:
         """Time since a response to this daemon confirmed the view."""
@@ -367,6 +373,8 @@
         )
 
     def _mark_unavailable(self, reason: str) -> None:
+        if not self._loaded and self._listed_ms == 0:
+            self._started_in_outage = True
         if self._unavailable_since_ms is None:
             self._unavailable_since_ms = self._clock.now_ms()
             log_event("store_lost", reason=reason, revision=self._view.revision)
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -6,7 +6,6 @@
 import contextlib
 import dataclasses
 import random
-import re
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
@@ -16,7 +15,6 @@
     DocumentCodec,
     FleetStore,
     FleetView,
-    ItemBatch,
     Member,
     RequestLimits,
     StoreVersion,
@@ -28,13 +26,8 @@
 )
 from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._dispatcher import Dispatcher
-from trefoilpitch.gateway._exceptions import (
-    ExchangeError,
-    PeerReplyError,
-)
 from trefoilpitch.gateway._follower import StoreFollower, run_periodically
 from trefoilpitch.gateway._health import ExpectedLatencies
-from trefoilpitch.gateway._http_client import connect
 from trefoilpitch.gateway._http_server import (
     Handler,
     HttpRequest,
@@ -44,14 +37,15 @@
 )
 from trefoilpitch.gateway._known_members import KnownMembers
 from trefoilpitch.gateway._log import log_event
+from trefoilpitch.gateway._lost_evidence import LostEvidence
 from trefoilpitch.gateway._messages import RequestCodec
 from trefoilpitch.gateway._model_tiers import ModelSelector
 from trefoilpitch.gateway._node_settings import ListenAddress, NodeSettings
+from trefoilpitch.gateway._peer_items import PeerItems, decode_items_target
 from trefoilpitch.gateway._peers import (
     Heartbeat,
     PeerSocket,
     PeerTable,
-    decode_batch,
     encode_batch,
     heartbeat_interval_ms,
     min_heartbeat_gap_ms,
@@ -78,7 +72,8 @@
 from trefoilpitch.metrics import Metrics
 
 _ROLLOUT_INTERVAL_MS = 200
-_QUARANTINE_SYNC_INTERVAL_MS = 500
+# Short, as all daemons may be killed right after an ending.
+_QUARANTINE_SYNC_INTERVAL_MS = 100
 # Checks of the store by any daemon within the time in which a configuration has
 # to take effect. The rest is for the timeout of a lost watch, the next call and
 # the peers' fetches.
@@ -92,13 +87,9 @@
 _PEER_AHEAD_DELAY_MS = 250
 # Daemons that do not watch spread their fetches from peers over this time.
 _FETCH_JITTER_MS = 150
-# Peers are a few milliseconds away; one that is down does not respond at all.
-_PEER_CONNECT_MS = 200
-_PEER_TIMEOUT_MS = 800
 # How long a peer that did not reply is only asked if no other one has the
 # changes: about as long as one that has ended still counts as alive.
 _UNRESPONSIVE_PEER_MS = 5_000
-_MAX_PEER_BYTES = 16 * 1024 * 1024
 _MS_PER_S = 1_000
 # How long a leaving daemon accepts new requests: callers cache addresses for a
 # few seconds. Requests of the first 3 s after the signal may be cut off by the
@@ -121,10 +112,6 @@
 _STATE_PATH = b"/state"
 _TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
 _JSON = (b"Content-Type", b"application/json")
-_ITEMS_PATH = "/v1/items?after="
-_ITEMS_TARGET = re.compile(
-    re.escape(_ITEMS_PATH) + r"(?P<era>\d{1,18})\.(?P<revision>\d{1,18})"
-)
 # How long a daemon that has just started waits for a peer's heartbeat before it
 # relies on the store alone.
 _PEER_GRACE_MS = 2_000
@@ -179,6 +166,7 @@
         self._view = FleetView(documents, self._log_change)
         self._peers = PeerTable(settings.name)
         self._rng = rng
+        self._peer_items = PeerItems(settings, rng)
         member = Member(
             name=settings.name,
             incarnation=settings.incarnation,
@@ -199,9 +187,9 @@
             apply_ms=settings.apply_ms,
             should_watch=self._should_watch,
             watch_wait_ms=self._watch_wait_ms,
-            fetch_from_peers=self._fetch_from_seeds,
+            fetch_from_peers=self._peer_items.fetch_from_seeds,
             on_change=self._on_view_change,
-            on_store_return=self._registration.notify_store_returned,
+            on_store_return=self._record_store_return,
         )
         self._members = KnownMembers(
             self._view,
@@ -268,11 +256,19 @@
             is_uncertain=lambda: self._members.are_uncertain,
         )
         evidence = CrashEvidence()
+        self._lost_evidence = LostEvidence(
+            self._view,
+            clock,
+            lambda: self._follower.started_in_outage,
+            own_name=settings.name,
+            incarnation=settings.incarnation,
+        )
         self._quarantine = Quarantine(
             evidence,
             clock,
             own_name=settings.name,
             live_peers=self._peers.alive,
+            is_cautious=self._lost_evidence.is_likely,
         )
         self._quarantine_records = QuarantineRecords(
             self._quarantine,
@@ -494,9 +490,14 @@
             max_header_bytes=limits.max_header_bytes + _RELAY_HEADER_BYTES,
         )
 
+    def _record_store_return(self) -> None:
+        self._registration.notify_store_returned()
+        self._quarantine_records.notify_store_returned()
+
     def _on_view_change(self) -> None:
         self._view.expire(self._clock.now_ms(), self._peers.alive())
         self._registration.notify_view_changed()
+        self._lost_evidence.record_view()
         self._dispatcher.evict_removed()
         self._links.retain(self._view.upstreams)
         self._restarts.retain(self._view.upstreams)
@@ -678,7 +679,7 @@
         if peer is not None and peer.heartbeat.version <= after:
             # Only its configuration is newer.
             after = StoreVersion(after.era, 0)
-        batch = await self._fetch_items(address, after)
+        batch = await self._peer_items.fetch(address, after)
         if batch is None:
             self._unresponsive_until_ms[member.name] = (
                 self._clock.now_ms() + _UNRESPONSIVE_PEER_MS
@@ -687,41 +688,6 @@
         self._unresponsive_until_ms.pop(member.name, None)
         self._follower.apply_from_peer(batch, member.name)
 
-    async def _fetch_from_seeds(self) -> ItemBatch | None:
-        """Fetches all items from a seed; None if no seed has any."""
-        seeds = [s for s in self._settings.seeds if s != self._settings.peers]
-        self._rng.shuffle(seeds)
-        for seed in seeds:
-            batch = await self._fetch_items(seed, StoreVersion(0, 0))
-            if batch is not None and batch.items:
-                log_event(
-                    "view_loaded_from_peer",
-                    peer=str(seed),
-                    revision=batch.revision,
-                    items=len(batch.items),
-                )
-                return batch
-        return None
-
-    async def _fetch_items(
-        self, address: ListenAddress, after: StoreVersion
-    ) -> ItemBatch | None:
-        target = f"{_ITEMS_PATH}{after.era}.{after.revision}".encode()
-        host = f"{address.host}:{address.port}".encode()
-        try:
-            with await connect(
-                address.host, address.port, _PEER_CONNECT_MS
-            ) as connection:
-                connection.send(b"GET", target, [(b"Host", host)], b"")
-                await connection.receive_head(_PEER_TIMEOUT_MS)
-                body = await connection.receive_body(
-                    _PEER_TIMEOUT_MS, _MAX_PEER_BYTES
-                )
-            return decode_batch(body)
-        except (ExchangeError, PeerReplyError) as error:
-            log_event("peer_fetch_failed", peer=str(address), reason=str(error))
-            return None
-
     async def _serve_inspection(
         self, request: HttpRequest, responder: Responder
     ) -> None:
@@ -760,11 +726,9 @@
         if is_relayed(request):
             await self._relay_server.handle(request, responder)
             return
-        target = request.target.decode("latin-1")
-        match = _ITEMS_TARGET.fullmatch(target)
-        if match is None:
+        after = decode_items_target(request.target)
+        if after is None:
             await responder.respond(404, [], b"")
             return
-        after = StoreVersion(int(match["era"]), int(match["revision"]))
         batch = self._view.changes_after(after)
         await responder.respond(200, [], encode_batch(batch))
--- a/trefoilpitch/gateway/_quarantine.py
+++ b/trefoilpitch/gateway/_quarantine.py
@@ -10,8 +10,11 @@
     EvidenceReport,
 )
 from trefoilpitch.gateway._culprits import (
+    CAUTIOUS,
+    USUAL,
     Culprit,
     find_culprits,
+    find_suspects,
     suspicions_with_enough_endings,
 )
 from trefoilpitch.gateway._log import log_event
@@ -22,6 +25,7 @@
 # for traits that responses went well with before: they may be sound after all.
 _QUARANTINE_MS = 600_000
 _QUARANTINE_IF_SOUND_BEFORE_MS = 120_000
+# The latter also holds for those that are blamed out of caution.
 # The same for requests of which only one is to blame.
 _QUARANTINE_IF_AMBIGUOUS_MS = 30_000
 # Pause between probes: a failed one renews the quarantine long before.
@@ -44,6 +48,7 @@
         clock: Provides monotonic time.
         own_name: Name of this VM.
         live_peers: Returns the names of the other live daemons.
+        is_cautious: Returns whether evidence may have been lost.
     """
 
     def __init__(
@@ -53,16 +58,19 @@
         *,
         own_name: str,
         live_peers: Callable[[], Collection[str]],
+        is_cautious: Callable[[], bool] = lambda: False,
     ) -> None:
         self._evidence = evidence
         self._clock = clock
         self._own_name = own_name
         self._live_peers = live_peers
+        self._is_cautious = is_cautious
         self._culprits: dict[_Traits, Culprit] = {}
         self._decided_revision = 0
         self._decide_at_ms: int | None = None
         # Monotonic time of the last probe.
         self._probed_ms: dict[_Traits, int] = {}
+        self._suspects: Collection[Culprit] = ()
 
     def refused_for_ms(self, traits: RequestTraits) -> int | None:
         """Returns for how long a request is refused; None if it may be sent."""
@@ -98,6 +106,14 @@
         self._decide()
         return self._culprits.values()
 
+    def suspects(self) -> Collection[Culprit]:
+        """Returns requests that may be in quarantine after one more ending.
+
+        The strongest of those under which several upstreams have ended.
+        """
+        self._decide()
+        return self._suspects
+
     def report(self) -> EvidenceReport:
         """Returns the evidence for the other daemons."""
         self._decide()
@@ -119,7 +135,7 @@
         duration_ms = _QUARANTINE_MS
         if culprit.ambiguous:
             duration_ms = _QUARANTINE_IF_AMBIGUOUS_MS
-        elif culprit.was_sound:
+        elif culprit.was_sound or culprit.is_presumed:
             duration_ms = _QUARANTINE_IF_SOUND_BEFORE_MS
         end_ms = culprit.last_ms + duration_ms
         probed_ms = self._probed_ms.get(culprit.traits)
@@ -140,7 +156,9 @@
             return
         upstreams = [c.upstreams for c in self._culprits.values()]
         self._evidence.expire(now_ms, frozenset().union(*upstreams))
-        found = {c.traits: c for c in find_culprits(self._evidence, now_ms)}
+        thresholds = CAUTIOUS if self._is_cautious() else USUAL
+        culprits = find_culprits(self._evidence, now_ms, thresholds)
+        found = {c.traits: c for c in culprits}
         for blamed, culprit in found.items():
             if blamed not in self._culprits:
                 self._log_start(culprit, now_ms)
@@ -148,6 +166,7 @@
             self._probed_ms.pop(blamed, None)
             self._log_end(blamed, now_ms)
         self._culprits = found
+        self._suspects = find_suspects(self._evidence, found.values())
         quarantined = frozenset().union(*found)
         self._decided_revision = self._evidence.revision
         # Endings settle, and others' responses may go well meanwhile.
@@ -168,6 +187,7 @@
             last_ending_age_ms=now_ms - culprit.last_ms,
             was_sound=culprit.was_sound,
             ambiguous=culprit.ambiguous,
+            presumed=culprit.is_presumed,
         )
 
     def _log_end(self, blamed: _Traits, now_ms: int) -> None:
--- a/trefoilpitch/gateway/_quarantine_records.py
+++ b/trefoilpitch/gateway/_quarantine_records.py
@@ -1,4 +1,4 @@
-"""Keeps quarantines in the store.
+"""Keeps quarantines in the store, and requests that are close to one.
 
 Load pattern: daemons restart together, or cannot reach each other, while a
 request that ends upstreams comes again. Daemons that have not seen the endings
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import (
@@ -94,7 +94,7 @@
         now_ms = self._clock.now_ms()
         records = {
             record.name: record
-            for record in map(self._record, self._quarantine.culprits())
+            for record in map(self._record, self._known())
             if self._is_due(record)
         }
         for name in self._due_since_ms.keys() - records.keys():
@@ -111,6 +111,15 @@
                 self._retry_at_ms[name] = now_ms + _RETRY_MS
                 await self._write(record)
 
+    def notify_store_returned(self) -> None:
+        """Writes at once what could not be written in an outage."""
+        self._retry_at_ms.clear()
+
+    def _known(self) -> Iterator[Culprit]:
+        """Yields what others should know if all daemons are killed now."""
+        yield from self._quarantine.culprits()
+        yield from self._quarantine.suspects()
+
     def _record(self, culprit: Culprit) -> QuarantineRecord:
         traits = tuple(sorted(culprit.traits))
         names = ",".join(trait_name(trait) for trait in traits)
--- a/trefoilpitch/gateway/tests/test_quarantine_records.py
+++ b/trefoilpitch/gateway/tests/test_quarantine_records.py
@@ -9,14 +9,21 @@
 from trefoilpitch.clock import ManualClock
 from trefoilpitch.fleet import (
     Condition,
+    Document,
     FleetView,
     ItemBatch,
+    Member,
     StoreUnavailableError,
     Write,
 )
-from trefoilpitch.fleet.tests.fakes import InMemoryCodec
+from trefoilpitch.fleet.tests.fakes import (
+    InMemoryCodec,
+    configuration,
+    upstream,
+)
 from trefoilpitch.gateway import CallerRequest, HttpRequest
 from trefoilpitch.gateway._crash_evidence import CrashEvidence
+from trefoilpitch.gateway._lost_evidence import LostEvidence
 from trefoilpitch.gateway._quarantine import Quarantine
 from trefoilpitch.gateway._quarantine_records import QuarantineRecords
 from trefoilpitch.gateway._request_traits import RequestTraits, request_traits
@@ -114,8 +121,13 @@
         self.view = FleetView(store.codec, lambda change: None)
         store.views.append(self.view)
         self.evidence = CrashEvidence()
+        self.is_cautious = False
         self.quarantine = Quarantine(
-            self.evidence, clock, own_name=name, live_peers=lambda: peers
+            self.evidence,
+            clock,
+            own_name=name,
+            live_peers=lambda: peers,
+            is_cautious=lambda: self.is_cautious,
         )
         self.records = QuarantineRecords(
             self.quarantine,
@@ -128,11 +140,11 @@
             live_peers=lambda: peers,
         )
 
-    def see_endings(self) -> None:
+    def see_endings(self, count: int = len(_ENDED_MS)) -> None:
         self.evidence.record_sound(_SOUND.digests, 1_000)
-        for upstream, ended_ms in enumerate(_ENDED_MS):
+        for number, ended_ms in enumerate(_ENDED_MS[:count]):
             self.evidence.record_ending(
-                upstream, _DEADLY.digests, ended_ms, responding=False
+                number, _DEADLY.digests, ended_ms, responding=False
             )
 
     def refuses(self, request: RequestTraits) -> bool:
@@ -149,13 +161,15 @@
     asyncio.run(steps())
 
 
-def _fleet() -> tuple[ManualClock, _Store, list[_Daemon]]:
+def _fleet(
+    endings: int = len(_ENDED_MS),
+) -> tuple[ManualClock, _Store, list[_Daemon]]:
     """Returns three daemons of which each has seen the endings."""
     clock = ManualClock(10_000)
     store = _Store()
     daemons = [_Daemon(name, clock, store) for name in _NAMES]
     for daemon in daemons:
-        daemon.see_endings()
+        daemon.see_endings(endings)
     return clock, store, daemons
 
 
@@ -213,3 +227,107 @@
     late.evidence.record_sound(_DEADLY.digests, clock.now_ms())
     late.records.adopt()
     assert not late.refuses(_DEADLY)
+
+
+def test_second_ending_is_stored_so_that_the_third_one_suffices() -> None:
+    """All daemons are killed before the request ends a third upstream."""
+    clock, store, daemons = _fleet(endings=2)
+    _synchronize(daemons, clock, 1_000)
+    assert len(store.writes) == 1
+    late = _Daemon("vm-4", clock, store)
+    late.view.quarantines.update(daemons[0].view.quarantines)
+    late.evidence.record_sound(_SOUND.digests, clock.now_ms())
+    late.records.adopt()
+    assert not late.refuses(_DEADLY)
+    late.evidence.record_ending(
+        7, _DEADLY.digests, clock.now_ms(), responding=False
+    )
+    clock.advance(500)
+    assert late.refuses(_DEADLY)
+    assert not late.refuses(_SOUND)
+
+
+def test_sound_request_that_was_cut_off_with_it_is_not_stored_for_long() -> (
+    None
+):
+    clock, store, daemons = _fleet(endings=2)
+    for daemon in daemons:
+        daemon.evidence.record_sound(_DEADLY.digests, clock.now_ms())
+    _synchronize(daemons, clock, 1_000)
+    assert store.writes == []
+
+
+def test_records_are_written_as_soon_as_the_store_is_back() -> None:
+    clock, store, daemons = _fleet()
+    store.available = False
+    _synchronize(daemons[:1], clock, 5_000)
+    store.available = True
+    for daemon in daemons:
+        daemon.records.notify_store_returned()
+    _synchronize(daemons, clock, 500)
+    assert len(store.writes) == 1
+
+
+def test_cautious_daemon_refuses_after_two_endings_for_a_while() -> None:
+    """Evidence may have been lost with the daemons that had it."""
+    clock = ManualClock(10_000)
+    store = _Store()
+    usual, cautious = (_Daemon(name, clock, store) for name in _NAMES[:2])
+    cautious.is_cautious = True
+    for daemon in (usual, cautious):
+        daemon.see_endings(2)
+    assert not usual.refuses(_DEADLY)
+    assert cautious.refuses(_DEADLY)
+    assert not cautious.refuses(_SOUND)
+    clock.advance(119_000)
+    assert cautious.refuses(_DEADLY)
+
+
+@pytest.mark.parametrize(
+    ("in_outage", "former", "started_wall_ms", "cautious"),
+    [
+        (False, "start-1", [0, 200_000], False),
+        (False, "start-1", [100_000, 200_000], False),
+        (True, "start-1", [100_000, 200_000], True),
+        # A power loss may have ended them, or a request.
+        (False, "start-1", [150_000, 200_000], True),
+        # The whole site has just started.
+        (False, "start-2", [150_000, 200_000], False),
+        (False, "start-1", [], False),
+    ],
+)
+def test_daemon_is_cautious_if_others_may_have_known_more(
+    in_outage: bool, former: str, started_wall_ms: list[int], cautious: bool
+) -> None:
+    clock = ManualClock(200_000)
+    codec = InMemoryCodec()
+    view = FleetView(codec, lambda change: None)
+    lost = LostEvidence(
+        view,
+        clock,
+        lambda: in_outage,
+        own_name="vm-1",
+        incarnation="start-2",
+    )
+    documents: dict[str, Document] = {
+        f"u{number}": upstream(
+            f"u{number}", port=number, started_wall_ms=wall_ms
+        )
+        for number, wall_ms in enumerate(started_wall_ms)
+    }
+    documents["config"] = configuration()
+    documents["vm-1"] = Member(
+        name="vm-1",
+        incarnation=former,
+        caller_address="10.0.0.1:80",
+        peer_host="10.0.0.1",
+        peer_port=81,
+        heartbeat_port=82,
+        failure_domain="zone-a",
+    )
+    items = tuple(codec.item(k, d, 1) for k, d in documents.items())
+    view.load(ItemBatch(items=items, revision=1), 0)
+    lost.record_view()
+    assert lost.is_likely() is cautious
+    clock.advance(600_000)
+    assert not lost.is_likely()
--- a/trefoilpitch/platform/tests/test_crashing_request.py
+++ b/trefoilpitch/platform/tests/test_crashing_request.py
@@ -224,6 +224,32 @@
     run(scenario)
 
 
+@_all_cases
+def test_few_repeats_reach_upstreams_after_a_kill_in_a_store_outage(
+    case: _Case,
+) -> None:
+    """No daemon knows of the endings, and nothing could be stored."""
+
+    async def scenario() -> None:
+        async with _crashing_fleet(case) as fleet:
+            await _send_sound(fleet, case, 0.5)
+            fleet.fleet.store.refusal_status = 503
+            await _crash_three_times(fleet, case)
+            await fleet.stop_daemons()
+            starting = asyncio.create_task(fleet.start_daemons())
+            await asyncio.sleep(0.5)
+            fleet.fleet.store.refusal_status = None
+            await starting
+            started_s = now_s()
+            await _send_sound(fleet, case, AGREEMENT_S)
+            await _send_both(fleet, case, OBSERVED_S)
+            await fleet.complete()
+            late = _late_arrivals(fleet, case, started_s)
+            assert len(late) <= LATE_REQUESTS
+
+    run(scenario)
+
+
 @_all_cases
 def test_crashing_request_is_known_to_daemons_without_heartbeats(
     case: _Case, monkeypatch: pytest.MonkeyPatch
--- a/trefoilpitch/platform/tests/test_endless_responses.py
+++ b/trefoilpitch/platform/tests/test_endless_responses.py
@@ -327,7 +327,9 @@
         ):
             address = ListenAddress(host=HOST, port=endless.port)
             started = loop_time_s()
-            batch = await fleet.daemon._fetch_items(address, StoreVersion(0, 0))
+            batch = await fleet.daemon._peer_items.fetch(
+                address, StoreVersion(0, 0)
+            )
             assert batch is None
             assert loop_time_s() - started < _SOON_S
             await wait_until(lambda: not endless.open)
