Judge the versions of a roll-out route by route

Failures were compared over all routes and the whole time of the order. Usual failures of another route, or of an old upstream for some seconds, hid a version that failed a fifth of the bookings; slow responses of upstreams with more load than the others counted against sound versions.

Responses are compared by route and class of load (requests per slot), in windows of a second, and the differences added up (Cochran, Mantel, Haenszel). Evidence by stratum travels in a new last field of VersionCount and is left out first of a heartbeat that is too large. Where most of the target's responses cannot be compared (daemons of the build before, no traffic on the old version), the totals decide as before. A route without 20 compared responses delays completion until 0.92 of the duration. A slow response of a cold upstream is no evidence. A daemon on its own stops on failures only.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -37,12 +37,13 @@
     ResponseQuality,
     VersionEvidence,
     current_phase,
-    is_regression,
+    fails_more,
     runs_on_target,
     split_evidence,
 )
 from trefoilpitch.gateway._upstream_digest import upstream_digest
 from trefoilpitch.gateway._upstream_notices import UpstreamNotices
+from trefoilpitch.gateway._version_comparison import VersionStrata, stratum
 from trefoilpitch.rendezvous import rank
 
 # Number of other daemons that must have failed to reach an upstream before this
@@ -129,6 +130,7 @@
         self._prefix_traffic = PrefixTraffic()
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
+        self._strata = VersionStrata()
         self._paces = PaceTable()
         # Store revision of the order that was stopped, by service.
         self._stopped_orders: dict[str, int] = {}
@@ -147,6 +149,15 @@
             return {}
         return self._evidence[service]
 
+    def own_strata(
+        self, service: str
+    ) -> Mapping[str, Mapping[int, VersionEvidence]]:
+        """Returns the same evidence by stratum."""
+        rollout = self._view.rollouts.get(service)
+        if rollout is None:
+            return {}
+        return self._strata.own(service, rollout.revision)
+
     def health(self, upstream_id: str) -> UpstreamHealth:
         """Returns the health record of an upstream; creates it if needed."""
         return self._health.setdefault(upstream_id, UpstreamHealth())
@@ -232,12 +243,25 @@
         return self._stopped_orders.get(service) == order_revision
 
     def record_evidence(
-        self, entry: UpstreamEntry, quality: ResponseQuality
+        self, entry: UpstreamEntry, quality: ResponseQuality, route: str = ""
     ) -> None:
-        """Records a response of a service that has a roll-out order."""
+        """Records a response of a service that has a roll-out order.
+
+        A slow one of a cold upstream says nothing about its version.
+        """
         rollout = self._view.rollouts.get(entry.service)
         if rollout is None:
             return
+        if quality is ResponseQuality.SLOW and self.is_cold(entry.upstream_id):
+            return
+        load = self.load(entry.upstream_id) / max(1, entry.slots)
+        self._strata.record(
+            entry.service,
+            rollout.revision,
+            entry.version,
+            stratum(route, load),
+            quality.evidence,
+        )
         if self._evidence_orders.get(entry.service) != rollout.revision:
             self._evidence_orders[entry.service] = rollout.revision
             self._evidence[entry.service] = {}
@@ -548,9 +572,7 @@
         return [k for k in ready if k.entry.version != target]
 
     def _own_evidence_is_bad(self, service: str, target: str) -> bool:
-        return is_regression(
-            *split_evidence(self.own_evidence(service), target)
-        )
+        return fails_more(*split_evidence(self.own_evidence(service), target))
 
     def _choose_from(
         self,
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -14,7 +14,7 @@
 import dataclasses
 import zlib
 from collections import Counter
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import Annotated, TypeAlias, cast
 
 import msgspec
@@ -67,6 +67,9 @@
     # In-flight requests on versions other than the target; the same in all
     # counts of a service.
     off_target: _Count
+    # Stratum (see `_version_comparison`) and its good, failed and slow
+    # responses; empty from a daemon that does not tell them apart.
+    strata: tuple[tuple[int, _Count, _Count, _Count], ...] = ()
 
 
 class PaceReport(msgspec.Struct, frozen=True, array_like=True):
@@ -383,6 +386,26 @@
                 total[count.version] = known.merge(reported)
         return total, off_target
 
+    def strata(
+        self, service: str, order_revision: int
+    ) -> Iterator[tuple[str, dict[str, dict[int, VersionEvidence]]]]:
+        """Yields each peer's start and its evidence on an order by stratum."""
+        for peer in self._peers.values():
+            yield (
+                f"{peer.heartbeat.node}/{peer.heartbeat.incarnation}",
+                {
+                    count.version: {
+                        key: VersionEvidence(
+                            good=good, failed=failed, slow=slow
+                        )
+                        for key, good, failed, slow in count.strata
+                    }
+                    for count in peer.heartbeat.versions
+                    if count.service == service
+                    and count.order_revision == order_revision
+                },
+            )
+
     def paces(
         self, service: str, order_revision: int
     ) -> tuple[list[PaceCounts], list[PaceCounts]]:
@@ -429,6 +452,7 @@
         ("traits", EvidenceReport()),
         ("in_flight", {}),
         ("paces", ()),
+        ("versions", _without_strata(heartbeat.versions)),
     ):
         if len(data) > _MAX_DATAGRAM_BYTES:
             heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
@@ -436,6 +460,14 @@
     return [data, evidence]
 
 
+def _without_strata(
+    versions: tuple[VersionCount, ...],
+) -> tuple[VersionCount, ...]:
+    return tuple(
+        msgspec.structs.replace(count, strata=()) for count in versions
+    )
+
+
 class PeerSocket(asyncio.DatagramProtocol):
     """Sends and receives heartbeats over UDP.
 
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -450,7 +450,9 @@
             pace_key=self._tiers.pace_key,
             started_ms=attempt.started_ms,
             record=functools.partial(
-                self._deps.dispatcher.record_evidence, attempt.entry
+                self._deps.dispatcher.record_evidence,
+                attempt.entry,
+                route=self._route.name,
             ),
             record_pace=functools.partial(
                 self._deps.dispatcher.record_pace,
@@ -757,7 +759,9 @@
         if classify_failure(error.kind) is Execution.NOT_RUN:
             self._run_ids.discard(entry.upstream_id)
         if error.kind is FailureKind.SERVER_ERROR:
-            deps.dispatcher.record_evidence(entry, ResponseQuality.FAILED)
+            deps.dispatcher.record_evidence(
+                entry, ResponseQuality.FAILED, self._route.name
+            )
         if not self._is_spared(entry, error.kind):
             health.record_failure(
                 now_ms,
--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import (
@@ -36,6 +36,10 @@
     next_step,
     split_evidence,
 )
+from trefoilpitch.gateway._version_comparison import (
+    StratifiedEvidence,
+    VersionComparison,
+)
 from trefoilpitch.rendezvous import rank
 
 # A daemon waits this long for each daemon that ranks before it, so that usually
@@ -85,6 +89,8 @@
         self._clock = clock
         self._own_name = own_name
         self._is_uncertain = is_uncertain
+        # Order revision and comparison by service.
+        self._comparisons: dict[str, tuple[int, VersionComparison]] = {}
 
     def own_counts(self) -> tuple[VersionCount, ...]:
         """Returns this daemon's evidence for publication in its heartbeat."""
@@ -94,6 +100,7 @@
                 service, rollout.order.target
             )
             own = dict(self._dispatcher.own_evidence(service))
+            strata = self._dispatcher.own_strata(service)
             own.setdefault(rollout.order.target, VersionEvidence())
             counts.extend(
                 VersionCount(
@@ -104,6 +111,7 @@
                     failed=evidence.failed,
                     slow=evidence.slow,
                     off_target=off_target,
+                    strata=_reported(strata.get(version, {})),
                 )
                 for version, evidence in own.items()
             )
@@ -172,12 +180,48 @@
             return
         evidence, _ = self._evidence(rollout)
         target = rollout.order.target
-        if is_regression(*split_evidence(evidence, target)):
+        comparison = self._compare_versions(rollout)
+        finding = comparison.finding()
+        if finding is not None:
+            self._stop(rollout, finding)
+            return
+        if not self._is_compared(rollout, evidence) and is_regression(
+            *split_evidence(evidence, target)
+        ):
             self._stop(rollout, "evidence of all daemons")
             return
-        comparison = self._compare_paces(rollout)
-        if comparison.is_slower:
-            self._stop(rollout, f"paces of all daemons: {comparison}")
+        paces = self._compare_paces(rollout)
+        if paces.is_slower:
+            self._stop(rollout, f"paces of all daemons: {paces}")
+
+    def _compare_versions(
+        self, rollout: CachedRolloutOrder
+    ) -> VersionComparison:
+        """Compares the versions by route with what all daemons have told."""
+        service = rollout.order.service
+        revision, comparison = self._comparisons.get(service, (ABSENT, None))
+        if comparison is None or revision != rollout.revision:
+            comparison = VersionComparison(rollout.order.target)
+            self._comparisons[service] = rollout.revision, comparison
+        reports: dict[str, StratifiedEvidence]
+        reports = dict(self._peers.strata(service, rollout.revision))
+        reports[self._own_name] = self._dispatcher.own_strata(service)
+        comparison.update(reports, self._clock.now_ms())
+        return comparison
+
+    def _is_compared(
+        self,
+        rollout: CachedRolloutOrder,
+        evidence: Mapping[str, VersionEvidence],
+    ) -> bool:
+        """Whether most of the target's responses could be compared.
+
+        Daemons of the build before tell totals only, and the old version may
+        have no traffic.
+        """
+        target = evidence.get(rollout.order.target, VersionEvidence())
+        total = target.good + target.failed + target.slow
+        return 2 * self._compare_versions(rollout).compared >= total
 
     def _stop(self, rollout: CachedRolloutOrder, reason: str) -> None:
         if self._has_ended(rollout):
@@ -246,6 +290,8 @@
             off_target,
             now_ms,
             stopped=self._dispatcher.is_stopped(service, rollout.revision),
+            compared=self._is_compared(rollout, evidence),
+            enough=self._compare_versions(rollout).has_enough(),
         )
         if step is None or step.phase is RolloutPhase.ROLLED_BACK:
             return step
@@ -297,3 +343,12 @@
             reason=step.reason,
             outcome=outcome,
         )
+
+
+def _reported(
+    strata: Mapping[int, VersionEvidence],
+) -> tuple[tuple[int, int, int, int], ...]:
+    return tuple(
+        (key, evidence.good, evidence.failed, evidence.slow)
+        for key, evidence in strata.items()
+    )
--- a/trefoilpitch/gateway/_rollouts.py
+++ b/trefoilpitch/gateway/_rollouts.py
@@ -126,12 +126,16 @@
 
 def is_regression(target: VersionEvidence, others: VersionEvidence) -> bool:
     """Returns whether a target does significantly worse than the others."""
-    fails_more = (
+    return fails_more(target, others) or _is_slower(target, others)
+
+
+def fails_more(target: VersionEvidence, others: VersionEvidence) -> bool:
+    """Returns whether a target fails significantly more than the others."""
+    return (
         target.failed >= _MIN_FAILURES
         and target.failed_share >= _MIN_FAILED_SHARE
         and target.failed_share >= _WORSE_FACTOR * others.failed_share
     )
-    return fails_more or _is_slower(target, others)
 
 
 def _is_slower(target: VersionEvidence, others: VersionEvidence) -> bool:
@@ -191,6 +195,8 @@
     now_ms: int,
     *,
     stopped: bool = False,
+    compared: bool = False,
+    enough: bool = True,
 ) -> RolloutStep | None:
     """Decides the next step of a roll-out.
 
@@ -202,6 +208,10 @@
         now_ms: The monotonic time.
         stopped: Whether a daemon has found the target bad before, on evidence
             that may be lost since.
+        compared: Whether the versions have been compared route by route, which
+            replaces the comparison of the totals.
+        enough: Whether the target has enough responses on each route to
+            complete before its time.
 
     Returns:
         The step, or None if none is due.
@@ -210,21 +220,21 @@
     if phase is not None and phase.final:
         return None
     target, others = split_evidence(evidence, rollout.order.target)
-    compared = f"target: {target}; others: {others}"
-    if stopped or is_regression(target, others):
+    totals = f"target: {target}; others: {others}"
+    if stopped or (not compared and is_regression(target, others)):
         return RolloutStep(
             phase=RolloutPhase.ROLLED_BACK,
             percent=0,
-            reason=compared,
+            reason=totals,
         )
     if phase is None:
         return RolloutStep(
             phase=RolloutPhase.CANARY, percent=0, reason="ordered"
         )
-    due = _scheduled_step(rollout, record, old_in_flight, now_ms)
+    due = _scheduled_step(rollout, record, old_in_flight, now_ms, enough=enough)
     if due is None:
         return None
-    return dataclasses.replace(due, reason=f"{due.reason}; {compared}")
+    return dataclasses.replace(due, reason=f"{due.reason}; {totals}")
 
 
 def _scheduled_step(
@@ -232,6 +242,8 @@
     record: CachedRolloutRecord | None,
     old_in_flight: int,
     now_ms: int,
+    *,
+    enough: bool,
 ) -> RolloutStep | None:
     """Returns the step that the schedule of a sound target prescribes."""
     phase, percent = current_phase(rollout, record)
@@ -245,7 +257,7 @@
         return None
     if percent >= 100 and (
         elapsed >= _COMPLETE_AFTER
-        or (elapsed >= _COMPLETE_IDLE_AFTER and old_in_flight == 0)
+        or (enough and elapsed >= _COMPLETE_IDLE_AFTER and old_in_flight == 0)
     ):
         return RolloutStep(
             phase=RolloutPhase.COMPLETED,
