--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -288,7 +288,10 @@
             metrics,
             self._send_urgent_heartbeat,
             probe=UpstreamProbes(
-                self._links, self._relays, own_name=settings.name
+                self._links,
+                self._relays,
+                own_name=settings.name,
+                is_uncertain=lambda: self._members.are_uncertain,
             ).probe,
             on_running=self._cold_reports.record_broken,
         )
@@ -558,7 +561,7 @@
         age_ms = self._clock.now_ms() - self._started_ms
         if age_ms < _PEER_GRACE_MS and not self._peers.alive():
             others = self._view.members.keys() - {self._settings.name}
-            if others:
+            if others or self._members.are_uncertain:
                 return False
         return self._follower.is_current()
 
--- a/trefoilpitch/gateway/_upstream_probes.py
+++ b/trefoilpitch/gateway/_upstream_probes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from trefoilpitch.fleet import Member, UpstreamEntry
 from trefoilpitch.gateway._exceptions import ExchangeError
@@ -36,14 +37,22 @@
         links: This daemon's own links.
         relays: The peers.
         own_name: Name of this VM.
+        is_uncertain: Returns whether there are probably peers that are not
+            known.
     """
 
     def __init__(
-        self, links: UpstreamLinks, relays: Relays, *, own_name: str
+        self,
+        links: UpstreamLinks,
+        relays: Relays,
+        *,
+        own_name: str,
+        is_uncertain: Callable[[], bool] = lambda: False,
     ) -> None:
         self._links = links
         self._relays = relays
         self._own_name = own_name
+        self._is_uncertain = is_uncertain
 
     async def probe(self, entry: UpstreamEntry) -> Reachability:
         """Returns whether an upstream is running.
@@ -55,7 +64,8 @@
             return own
         witnesses = self._relays.witnesses(entry, _WITNESSES)
         if not witnesses:
-            return own
+            # Without a peer to ask, a lost link looks the same.
+            return Reachability.UNKNOWN if self._is_uncertain() else own
         seen = await asyncio.gather(*(self._ask(m, entry) for m in witnesses))
         result = Reachability.UNKNOWN
         for reachability in (Reachability.REACHED, Reachability.REFUSED):
