--- a/trefoilpitch/gateway/_waiting.py
+++ b/trefoilpitch/gateway/_waiting.py
@@ -6,13 +6,16 @@
 that becomes free goes
 
 1. to a workspace within its usual rate,
-2. to the most urgent request,
-3. to a response in progress,
-4. to a request that can still begin in time,
+2. to a request that has to begin soon, then to one that has time left, then to
+   one that is late already and has time until its deadline,
+3. to the most urgent of these,
+4. to a response in progress,
 5. to the workspace, the session and the subject that got the fewest places
    lately,
 6. to the request that has to begin first.
 
+Requests that have time left can wait for less urgent ones without harm. When
+all have to begin soon, urgency alone decides.
 Newcomers get only what those that wait cannot use. The size of a request plays
 no part, so that large ones are not starved. A queue asks for a place only once
 for all requests that can use the same places.
@@ -21,6 +24,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from collections import Counter
 from collections.abc import Callable, Hashable, Iterator
 from typing import Generic, TypeVar
@@ -29,11 +33,28 @@
 # Places granted after which the counts of grants are halved: long enough to
 # tell a workspace that floods the service, short enough to forgive it.
 _GRANTS_PER_HALVING = 64
+# Part of the time to begin in time in which a request yields to less urgent
+# ones that have to begin soon. With none, a wave of 0.9 of the capacity lost a
+# quarter of the least urgent.
+_YIELDING_SHARE = 0.5
+# Part of the time from then to the deadline in which a request that is late
+# already yields to all that can be in time.
+_LATE_SHARE = 0.75
 # Grants that a session or a subject has before it goes behind requests without
 # any, which have no grants.
 _SMALL_SHARE = 4
 
 
+class Pressure(enum.Enum):
+    """How soon a request has to begin; the most pressing first."""
+
+    # It will be late, or lost, unless it begins soon.
+    SOON = 0
+    LATER = 1
+    # It is late already and has time until its deadline.
+    MISSED = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WaitTerms:
     """What decides when a request gets a place, and until when it waits."""
@@ -46,6 +67,8 @@
     until_ms: int
     # Latest monotonic time to begin in time; None if that is `until_ms`.
     due_ms: int | None = None
+    # Monotonic time of its arrival; None if it never yields to others.
+    since_ms: int | None = None
     # Whether the caller has received a part of the response.
     started: bool = False
     # Whether its workspace sends far more than usual.
@@ -61,10 +84,26 @@
         """Latest monotonic time to begin in time."""
         return self.until_ms if self.due_ms is None else self.due_ms
 
-    def rank(self, now_ms: int) -> tuple[bool, int, bool, bool]:
+    def pressure(self, now_ms: int) -> Pressure:
+        """Returns how soon the request has to begin."""
+        if self.started or self.since_ms is None:
+            return Pressure.SOON
+        start_ms, end_ms = self.since_ms, self.latest_begin_ms
+        if now_ms > end_ms:
+            start_ms, end_ms = end_ms, self.until_ms
+            return (
+                Pressure.SOON
+                if now_ms >= start_ms + _LATE_SHARE * (end_ms - start_ms)
+                else Pressure.MISSED
+            )
+        if now_ms >= start_ms + _YIELDING_SHARE * (end_ms - start_ms):
+            return Pressure.SOON
+        return Pressure.LATER
+
+    def rank(self, now_ms: int) -> tuple[bool, int, int, bool]:
         """Returns the part of the order that grants do not change."""
-        late = now_ms > self.latest_begin_ms
-        return (self.excess, self.priority, not self.started, late)
+        pressure = self.pressure(now_ms)
+        return (self.excess, pressure.value, self.priority, not self.started)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,11 +139,11 @@
         """Returns the number of requests by priority."""
         return Counter(r.terms.priority for r in self._waiting.values())
 
-    def count_ahead(self, terms: WaitTerms, now_ms: int) -> int:
-        """Returns how many requests go before one, or are its equals."""
-        rank = terms.rank(now_ms)
+    def count_ahead(self, terms: WaitTerms) -> int:
+        """Returns how many requests are as urgent as one, or more."""
+        rank = (terms.excess, terms.priority)
         return sum(
-            request.terms.rank(now_ms) <= rank
+            (request.terms.excess, request.terms.priority) <= rank
             for request in self._waiting.values()
         )
 
@@ -118,22 +157,16 @@
         """Removes a request that gave up or whose caller has left."""
         self._waiting.pop(ticket, None)
 
-    def offer_places(self, now_ms: int) -> int:
-        """Gives the free places to those that wait, in their order.
+    def offer_place(self, now_ms: int) -> bool:
+        """Gives a free place to the first that can use it.
 
         Args:
             now_ms: The monotonic time.
 
         Returns:
-            How many places were given.
+            Whether a place was given.
         """
-        count = 0
         without_place: set[Hashable] = set()
-        while self._offer_place(now_ms, without_place):
-            count += 1
-        return count
-
-    def _offer_place(self, now_ms: int, without_place: set[Hashable]) -> bool:
         for ticket in self._in_order(now_ms):
             group = self._group(ticket)
             if group in without_place:
