Keep long prompts away from upstreams whose streams nearly pause too long

Prompts are read in chunks between the tokens of other requests. A daemon records the pauses of its streams relative to target-gap-ms of their route; an upstream above half of that within the last second costs a long prompt more. Only where the costs of requests are known.

--- a/tools/measure_choice.py
+++ b/tools/measure_choice.py
@@ -39,6 +39,8 @@
     """Time of a choice in microseconds."""
 
     request: str
+    # Whether upstreams report their speed, so that costs count.
+    speeds: bool
     median_us: float
     fastest_us: float
 
@@ -85,8 +87,27 @@
     )
 
 
-def measure(*, prefix: bool, seed: int = 1) -> ChoiceTime:
-    """Measures choices for requests with or without a shared prefix."""
+def _finish_some(
+    dispatcher: Dispatcher, view: FleetView, clock: ManualClock
+) -> None:
+    """Lets the daemon learn costs, and leaves a request at each upstream."""
+    request = _request(0, prefix=False)
+    cost = dispatcher.work.cost(request, "engines", "", None)
+    for cached in view.upstreams.values():
+        attempt = dispatcher.work.begin(cached.entry, cost, 4)
+        clock.advance(400)
+        dispatcher.work.complete(attempt, 100)
+        dispatcher.work.begin(cached.entry, cost, 4)
+
+
+def measure(*, prefix: bool, speeds: bool, seed: int = 1) -> ChoiceTime:
+    """Measures choices.
+
+    Args:
+        prefix: Whether the requests have shared prefixes.
+        speeds: Whether upstreams report their speed.
+        seed: Seed of loads and choices.
+    """
     rng = random.Random(seed)
     view = _view()
     clock = ManualClock(10_000)
@@ -101,8 +122,15 @@
         members=lambda: members,
         peers_in_flight=lambda: peers,
     )
+    if speeds:
+        _finish_some(dispatcher, view, clock)
     for cached in view.upstreams.values():
-        report = LoadReport(running=rng.randrange(9), waiting=0, slots=16)
+        report = LoadReport(
+            running=rng.randrange(9),
+            waiting=0,
+            slots=16,
+            duration_percent=rng.choice((83, 182)) if speeds else None,
+        )
         dispatcher.record_load(cached.entry, report)
     requests = [_request(n, prefix=prefix) for n in range(_CHOICES)]
     times = []
@@ -114,6 +142,7 @@
         times.append((time.perf_counter() - started) / _CHOICES * _US_PER_S)
     return ChoiceTime(
         request="shared prefix" if prefix else "no prefix",
+        speeds=speeds,
         median_us=round(statistics.median(times), 1),
         fastest_us=round(min(times), 1),
     )
@@ -122,7 +151,11 @@
 def main(arguments: Sequence[str]) -> None:
     """Prints the times."""
     del arguments
-    rows = [measure(prefix=prefix) for prefix in (False, True)]
+    rows = [
+        measure(prefix=prefix, speeds=speeds)
+        for speeds in (False, True)
+        for prefix in (False, True)
+    ]
     print(format_table([dataclasses.asdict(row) for row in rows]))
 
 
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -636,6 +636,7 @@
                 self._rng,
                 relative_cost=cost.relative,
                 home_saving=cost.home_saving,
+                reads_long=cost.reads_long,
             )
         else:
             # Nothing is left but upstreams that are hardly reachable.
@@ -710,6 +711,7 @@
             work_load=work.load,
             duration=work.duration,
             slowdown=work.slowdown,
+            pause=work.pause,
         )
 
     def _find_homes(
@@ -720,17 +722,11 @@
     ) -> list[Candidate]:
         """Returns the upstreams that should have a prefix cached."""
         by_id = {cached.entry.upstream_id: cached for cached in group}
-        load = 0.0
-        slots = 0
-        for cached in group:
-            entry = cached.entry
-            requests = self.load(entry.upstream_id)
-            work = self._work.describe(entry, requests).load
-            load += requests if work is None else work
-            slots += entry.slots
+        loads = {upstream_id: self.load(upstream_id) for upstream_id in by_id}
+        work = self._work.total_load(group[0].entry.service, loads)
         terms = home_terms(
-            load=load,
-            slots=slots,
+            load=sum(loads.values()) if work is None else work,
+            slots=sum(cached.entry.slots for cached in group),
             upstreams=len(group),
             prefix_share=self._prefix_traffic.share(
                 prefix_key, inspection.now_ms
--- a/trefoilpitch/gateway/_placement.py
+++ b/trefoilpitch/gateway/_placement.py
@@ -48,6 +48,10 @@
 # Multiple of the reported duration of work from which on the measured latency
 # shows that an upstream is slower than it says.
 _UNEXPLAINED_RATIO = 3.0
+# Pause of a stream, relative to the permitted one, from which on an upstream is
+# avoided by long prompts, and the weight of what is beyond.
+_NEAR_PAUSE = 0.5
+_PAUSE_WEIGHT = 4.0
 # Random jitter of the scores, against herd behaviour of the daemons.
 _JITTER = 0.1
 # Variance of the work that is found at an upstream, relative to the expected.
@@ -86,6 +90,8 @@
     # By how much longer requests take if all of its slots are in use; None
     # together with `work_load`.
     slowdown: float | None = None
+    # Longest recent pause of a stream there, relative to the permitted one.
+    pause: float = 0.0
 
     @property
     def effective_load(self) -> float:
@@ -144,6 +150,7 @@
     *,
     relative_cost: float = 1.0,
     home_saving: float = 0.0,
+    reads_long: bool = False,
 ) -> Candidate | None:
     """Returns the best of a sample and of one of the prefix's homes.
 
@@ -154,6 +161,7 @@
         relative_cost: Cost of the request, relative to the mean.
         home_saving: What of it is saved at a home; only used where costs are
             known.
+        reads_long: Whether the prompt delays the streams beside it.
     """
     home = None
     if homes:
@@ -162,16 +170,18 @@
             rng.choices(homes, k=2), key=lambda c: c.effective_load / c.slots
         )
     compared = [*sample, home] if home is not None else sample
-    return min(
-        compared,
-        key=lambda c: _cost(
-            c,
-            rng,
-            relative_cost - home_saving if c is home else relative_cost,
-            is_home=c is home,
-        ),
-        default=None,
-    )
+
+    def expected(candidate: Candidate) -> float:
+        is_home = candidate is home
+        own = relative_cost - home_saving if is_home else relative_cost
+        cost = _cost(candidate, rng, own, is_home=is_home)
+        if reads_long:
+            cost *= 1.0 + _PAUSE_WEIGHT * max(
+                0.0, candidate.pause - _NEAR_PAUSE
+            )
+        return cost
+
+    return min(compared, key=expected, default=None)
 
 
 def remote_choices(local: Sequence[Candidate], *, costs_known: bool) -> int:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -144,6 +144,8 @@
             lambda: deps.dispatcher.work.cost(
                 request, self._service, admitted.route.name, self._tiers.model
             ),
+            deps.clock,
+            admitted.route.target_gap_ms,
         )
         self._last_event_id: int | None = None
         self._hand_over = HandOver(deps, request.request_id, self)
--- a/trefoilpitch/gateway/_request_work.py
+++ b/trefoilpitch/gateway/_request_work.py
@@ -5,6 +5,7 @@
 import contextlib
 from collections.abc import Callable, Iterator
 
+from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import UpstreamEntry
 from trefoilpitch.gateway._work_tracking import (
     RequestCost,
@@ -24,6 +25,9 @@
         tracker: Estimates costs and remaining work.
         load: Estimates the number of requests at an upstream.
         cost: Returns the expected cost of the request as it runs now.
+        clock: Provides monotonic time.
+        permitted_pause_ms: Longest pause between the events of its response;
+            0 for no limit.
     """
 
     def __init__(
@@ -31,10 +35,16 @@
         tracker: WorkTracker,
         load: Callable[[str], int],
         cost: Callable[[], RequestCost],
+        clock: Clock,
+        permitted_pause_ms: int,
     ) -> None:
         self._tracker = tracker
         self._load = load
         self._cost = cost
+        self._clock = clock
+        self._permitted_pause_ms = permitted_pause_ms
+        # Monotonic time of the last part of the response.
+        self._last_ms = 0
         # The last attempt at each upstream.
         self._attempts: dict[str, TrackedAttempt] = {}
 
@@ -61,10 +71,18 @@
         attempt = self._attempts.get(entry.upstream_id)
         if attempt is not None:
             attempt.started_ms = started_ms
+            self._last_ms = self._clock.now_ms()
             self._tracker.progress(attempt, 0, self._load(entry.upstream_id))
 
     def events_arrived(self, entry: UpstreamEntry, count: int) -> None:
         """Records events of a stream after the first part."""
+        now_ms = self._clock.now_ms()
+        if self._permitted_pause_ms > 0:
+            pause_ms = now_ms - self._last_ms
+            self._tracker.record_pause(
+                entry.upstream_id, pause_ms / self._permitted_pause_ms
+            )
+        self._last_ms = now_ms
         attempt = self._attempts.get(entry.upstream_id)
         if attempt is not None:
             self._tracker.progress(
--- a/trefoilpitch/gateway/_work_tracking.py
+++ b/trefoilpitch/gateway/_work_tracking.py
@@ -18,6 +18,7 @@
 from trefoilpitch.gateway._upstream_speeds import UpstreamSpeeds
 from trefoilpitch.metrics import Label, Metrics
 from trefoilpitch.workload import (
+    DecayingMaximum,
     MeasuredWork,
     RemainingWork,
     RequestSize,
@@ -31,6 +32,9 @@
 _MEAN_LEFT = 0.5
 # Limit of what a cached prefix saves, as a fraction of the cost.
 _MAX_SAVING = 0.75
+# Prompts are read in chunks between the tokens of other requests, at some 70
+# tokens a millisecond: this many delay a stream noticeably.
+_LONG_PROMPT_TOKENS = 4_096
 _MS_PER_TENTH = 100
 # Larger amounts are hardly correct, and would enlarge the heartbeat.
 _MAX_TENTHS = 60_000
@@ -53,6 +57,11 @@
     # Whether the cost is known.
     known: bool = False
 
+    @property
+    def reads_long(self) -> bool:
+        """Whether its prompt delays the events of streams beside it."""
+        return self.size.prompt_tokens >= _LONG_PROMPT_TOKENS
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamWork:
@@ -67,6 +76,9 @@
     # By how much longer requests take if all of its slots are in use; None
     # together with `load`.
     slowdown: float | None = None
+    # Longest recent pause of a stream of this daemon there, relative to the
+    # permitted one.
+    pause: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -104,6 +116,8 @@
         self._estimator = WorkEstimator()
         self._remaining = RemainingWork()
         self._speeds = UpstreamSpeeds()
+        # Pauses of streams relative to the permitted ones, by upstream.
+        self._pauses: dict[str, DecayingMaximum] = {}
 
     def cost(
         self,
@@ -159,6 +173,39 @@
         slowdown = self._estimator.slowdown(entry.service)
         if mean_ms is None or slowdown is None:
             return UpstreamWork(duration=duration)
+        return UpstreamWork(
+            load=self._load(upstream_id, load, mean_ms, now_ms),
+            duration=duration,
+            slowdown=slowdown,
+            pause=self._pause(upstream_id, now_ms),
+        )
+
+    def total_load(
+        self, service: str, loads: Mapping[str, int]
+    ) -> float | None:
+        """Returns the work left at several upstreams of a service.
+
+        Args:
+            service: The service.
+            loads: Estimated number of requests by upstream.
+
+        Returns:
+            In requests of the mean remaining work; None if the costs of
+            requests are unknown.
+        """
+        mean_ms = self._mean_ms(service)
+        if mean_ms is None:
+            return None
+        now_ms = self._clock.now_ms()
+        return sum(
+            self._load(upstream_id, load, mean_ms, now_ms)
+            for upstream_id, load in loads.items()
+        )
+
+    def _load(
+        self, upstream_id: str, load: int, mean_ms: float, now_ms: int
+    ) -> float:
+        """Returns the work left, in requests of the mean remaining work."""
         peers = self._peers_work().get(
             upstream_digest(upstream_id), _NO_PEER_WORK
         )
@@ -169,9 +216,16 @@
             + peers.tenths * _MS_PER_TENTH
             + max(0, unknown) * left_ms
         )
-        return UpstreamWork(
-            load=work_ms / left_ms, duration=duration, slowdown=slowdown
-        )
+        return work_ms / left_ms
+
+    def record_pause(self, upstream_id: str, share: float) -> None:
+        """Records a pause of a stream, relative to the permitted one."""
+        pauses = self._pauses.setdefault(upstream_id, DecayingMaximum())
+        pauses.record(share, self._clock.now_ms())
+
+    def _pause(self, upstream_id: str, now_ms: int) -> float:
+        pauses = self._pauses.get(upstream_id)
+        return 0.0 if pauses is None else pauses.value(now_ms)
 
     def has_memory(
         self, entry: UpstreamEntry, cost: RequestCost, memory_tokens: int | None
@@ -307,8 +361,10 @@
         )
 
     def retain(self, upstream_ids: Collection[str]) -> None:
-        """Drops the speeds of all other upstreams."""
+        """Drops the speeds and pauses of all other upstreams."""
         self._speeds.retain(upstream_ids)
+        for upstream_id in self._pauses.keys() - set(upstream_ids):
+            del self._pauses[upstream_id]
 
     def _mean_ms(self, service: str) -> float | None:
         """Returns the mean cost of a service's requests.
--- a/trefoilpitch/gateway/tests/test_work_tracking.py
+++ b/trefoilpitch/gateway/tests/test_work_tracking.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
+from collections import Counter
 
 import msgspec
 import pytest
@@ -22,6 +24,7 @@
     PeerTable,
     encode_heartbeat,
 )
+from trefoilpitch.gateway._placement import Candidate, choose_from
 from trefoilpitch.gateway._request_work import RequestWork
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.gateway._upstream_digest import upstream_digest
@@ -97,6 +100,8 @@
             work,
             self.dispatcher.load,
             lambda: work.cost(request, "s", "r", None),
+            self.clock,
+            1_000,
         )
 
     def run(self, took_ms: int, status: int = 200) -> None:
@@ -226,6 +231,49 @@
     assert len(peer._speeds) <= 8_192
 
 
+def test_long_prompts_avoid_upstreams_with_pausing_streams() -> None:
+    """Guards against pauses over the permitted ones by chunks of prompts."""
+    daemon = _Daemon()
+    for _ in range(40):
+        daemon.report(100)
+        daemon.run(400)
+    work = daemon.work()
+    tracker = daemon.dispatcher.work
+    with work.counted(_ENTRY):
+        work.responded(_ENTRY, daemon.clock.now_ms())
+        daemon.clock.advance(900)
+        work.events_arrived(_ENTRY, 1)
+    assert tracker.describe(_ENTRY, 1).pause == pytest.approx(0.9)
+    usual = Candidate(
+        upstream_id="a",
+        load=3,
+        slots=16,
+        failure_rate=0.0,
+        latency_ratio=1.0,
+        local=True,
+        work_load=3.0,
+        duration=1.0,
+        slowdown=1.0,
+    )
+    pausing = dataclasses.replace(
+        usual, upstream_id="b", work_load=2.0, pause=0.9
+    )
+    rng = random.Random(1)
+    for reads_long, name, at_least in ((True, "a", 200), (False, "b", 110)):
+        chosen = Counter(
+            found.upstream_id
+            for _ in range(200)
+            if (
+                found := choose_from(
+                    [usual, pausing], [], rng, reads_long=reads_long
+                )
+            )
+        )
+        assert chosen[name] >= at_least
+    daemon.clock.advance(5_000)
+    assert tracker.describe(_ENTRY, 1).pause < 0.1
+
+
 def test_state_shows_work_and_speed_with_their_ages() -> None:
     daemon = _Daemon()
     daemon.report(200)
--- a/trefoilpitch/workload/__init__.py
+++ b/trefoilpitch/workload/__init__.py
@@ -1,6 +1,6 @@
 """Expected cost of requests, and the work that upstreams have left."""
 
-from trefoilpitch.workload._averages import DecayingMean
+from trefoilpitch.workload._averages import DecayingMaximum, DecayingMean
 from trefoilpitch.workload._estimator import WorkEstimator
 from trefoilpitch.workload._remaining import RemainingWork, WorkTicket
 from trefoilpitch.workload._speed import SpeedAverage
@@ -21,4 +21,5 @@
     "WorkTicket",
     "SpeedAverage",
     "DecayingMean",
+    "DecayingMaximum",
 ]
--- a/trefoilpitch/workload/_averages.py
+++ b/trefoilpitch/workload/_averages.py
@@ -1,4 +1,4 @@
-"""Averages that forget exponentially."""
+"""Averages and maxima that forget exponentially."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 _HALF_LIFE_MS = 5_000.0
 _MIN_WEIGHT = 0.05
 _MAX_WEIGHT = 0.3
+_MAXIMUM_HALF_LIFE_MS = 1_000.0
 
 
 class DecayingMean:
@@ -51,3 +52,24 @@
         self._variance = (1.0 - weight) * (
             self._variance + weight * change * change
         )
+
+
+class DecayingMaximum:
+    """The largest recent value of a quantity, which fades with its age."""
+
+    __slots__ = ("_updated_ms", "_value")
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._updated_ms = 0
+
+    def record(self, value: float, now_ms: int) -> None:
+        """Adds a value."""
+        if value >= self.value(now_ms):
+            self._value = value
+            self._updated_ms = now_ms
+
+    def value(self, now_ms: int) -> float:
+        """Returns the maximum; it halves in the time of a few events."""
+        elapsed_ms = max(0, now_ms - self._updated_ms)
+        return self._value * math.exp2(-elapsed_ms / _MAXIMUM_HALF_LIFE_MS)
