--- a/trefoilpitch/gateway/_placement.py
+++ b/trefoilpitch/gateway/_placement.py
@@ -48,6 +48,10 @@
 # Multiple of the reported duration of work from which on the measured latency
 # shows that an upstream is slower than it says.
 _UNEXPLAINED_RATIO = 3.0
+# Pause of a stream, relative to the permitted one, from which on an upstream is
+# avoided by long prompts, and the weight of what is beyond.
+_NEAR_PAUSE = 0.5
+_PAUSE_WEIGHT = 4.0
 # Random jitter of the scores, against herd behaviour of the daemons.
 _JITTER = 0.1
 # Variance of the work that is found at an upstream, relative to the expected.
@@ -86,6 +90,8 @@
     # By how much longer requests take if all of its slots are in use; None
     # together with `work_load`.
     slowdown: float | None = None
+    # Longest recent pause of a stream there, relative to the permitted one.
+    pause: float = 0.0
 
     @property
     def effective_load(self) -> float:
@@ -144,6 +150,7 @@
     *,
     relative_cost: float = 1.0,
     home_saving: float = 0.0,
+    reads_long: bool = False,
 ) -> Candidate | None:
     """Returns the best of a sample and of one of the prefix's homes.
 
@@ -154,24 +161,28 @@
         relative_cost: Cost of the request, relative to the mean.
         home_saving: What of it is saved at a home; only used where costs are
             known.
+        reads_long: Whether the prompt delays the streams beside it.
     """
     home = None
     if homes:
         # Two choices, as the loads are outdated.
         home = min(
-            rng.choices(homes, k=2), key=lambda c: c.effective_load / c.slots
+            rng.choices(homes, k=2),
+            key=lambda c: c.effective_load / max(1, c.slots),
         )
     compared = [*sample, home] if home is not None else sample
-    return min(
-        compared,
-        key=lambda c: _cost(
-            c,
-            rng,
-            relative_cost - home_saving if c is home else relative_cost,
-            is_home=c is home,
-        ),
-        default=None,
-    )
+
+    def expected(candidate: Candidate) -> float:
+        is_home = candidate is home
+        own = relative_cost - home_saving if is_home else relative_cost
+        cost = _cost(candidate, rng, own, is_home=is_home)
+        if reads_long:
+            cost *= 1.0 + _PAUSE_WEIGHT * max(
+                0.0, candidate.pause - _NEAR_PAUSE
+            )
+        return cost
+
+    return min(compared, key=expected, default=None)
 
 
 def remote_choices(local: Sequence[Candidate], *, costs_known: bool) -> int:
@@ -183,7 +194,7 @@
     """
     if not costs_known:
         return _REMOTE_CHOICES
-    crowded = all(c.effective_load > _CROWDED * c.slots for c in local)
+    crowded = all(c.load > _CROWDED * c.slots for c in local)
     return max(
         _REMOTE_CHOICES if crowded else 1, _CHOICES_BY_SPEED - len(local)
     )
@@ -300,13 +311,15 @@
 def _finish_time(candidate: Candidate, relative_cost: float) -> float:
     """Returns the expected time at the usual speed, in requests of mean cost.
 
-    The work of an upstream is known as of heartbeats that are a second old. It
-    is taken as spread like a count of independent requests, so that there is
-    some wait to expect before all slots are in use.
+    A request waits for a slot as long as those before it have work left; a
+    large one occupies no more slots than a small one. The number of requests is
+    known as of heartbeats that are a second old, and taken as spread like a
+    count of independent requests, so that there is some wait to expect before
+    all slots are in use.
     """
-    load, slots = candidate.effective_load, candidate.slots
+    load, slots = candidate.load, candidate.slots
     if candidate.slowdown is None:
-        return 1.0 + saturation(load, slots)
+        return 1.0 + saturation(candidate.effective_load, slots)
     spread = math.sqrt(_LOAD_VARIANCE * max(1.0, load))
     excess = load + 1.0 - slots
     ratio = excess / spread
@@ -314,7 +327,8 @@
     queued += spread * math.exp(-ratio * ratio / 2.0) / math.sqrt(math.tau)
     utilization = min(1.0, load / max(1, slots))
     own = relative_cost * (1.0 + candidate.slowdown * utilization)
-    return own + queued * (1.0 + candidate.slowdown) / max(1, slots)
+    mean_left = candidate.effective_load / max(1, load)
+    return own + queued * mean_left * (1.0 + candidate.slowdown) / max(1, slots)
 
 
 def _time_factor(candidate: Candidate) -> float:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -142,6 +142,8 @@
             lambda: deps.dispatcher.work.cost(
                 request, self._service, admitted.route.name, self._tiers.model
             ),
+            deps.clock,
+            admitted.route.target_gap_ms,
         )
         self._hand_over = HandOver(deps, request.request_id, self)
         self._stream = StreamForwarder(
