Compare failures of a version at all loads, and slowness where others lack it

The comparison by route and load ignored what the target showed at a load that the old version does not have: a version that was slow or failed only under the load of the last step was not found where the totals had found it.

Failures are compared by route at all loads together. Slow responses at a load that the others lack count from three fifths on; the totals decide only where the strata are not known or the old version has no traffic.

--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -31,10 +31,8 @@
     RolloutStep,
     VersionEvidence,
     current_phase,
-    is_regression,
     lost_step,
     next_step,
-    split_evidence,
 )
 from trefoilpitch.gateway._version_comparison import (
     StratifiedEvidence,
@@ -179,17 +177,10 @@
         if self._has_ended(rollout):
             return
         evidence, _ = self._evidence(rollout)
-        target = rollout.order.target
-        comparison = self._compare_versions(rollout)
-        finding = comparison.finding()
+        finding = self._compare_versions(rollout).finding(evidence)
         if finding is not None:
             self._stop(rollout, finding)
             return
-        if not self._is_compared(rollout, evidence) and is_regression(
-            *split_evidence(evidence, target)
-        ):
-            self._stop(rollout, "evidence of all daemons")
-            return
         paces = self._compare_paces(rollout)
         if paces.is_slower:
             self._stop(rollout, f"paces of all daemons: {paces}")
@@ -209,20 +200,6 @@
         comparison.update(reports, self._clock.now_ms())
         return comparison
 
-    def _is_compared(
-        self,
-        rollout: CachedRolloutOrder,
-        evidence: Mapping[str, VersionEvidence],
-    ) -> bool:
-        """Whether most of the target's responses could be compared.
-
-        Daemons of the build before tell totals only, and the old version may
-        have no traffic.
-        """
-        target = evidence.get(rollout.order.target, VersionEvidence())
-        total = target.good + target.failed + target.slow
-        return 2 * self._compare_versions(rollout).compared >= total
-
     def _stop(self, rollout: CachedRolloutOrder, reason: str) -> None:
         if self._has_ended(rollout):
             return
@@ -290,7 +267,7 @@
             off_target,
             now_ms,
             stopped=self._dispatcher.is_stopped(service, rollout.revision),
-            compared=self._is_compared(rollout, evidence),
+            compared=True,
             enough=self._compare_versions(rollout).has_enough(),
         )
         if step is None or step.phase is RolloutPhase.ROLLED_BACK:
--- a/trefoilpitch/gateway/_version_comparison.py
+++ b/trefoilpitch/gateway/_version_comparison.py
@@ -6,6 +6,8 @@
 more of its responses are slow. So responses are compared with those of the
 other versions on the same route, at a similar load and in the same seconds, and
 the differences are added up (the test of Cochran, Mantel and Haenszel).
+Failures are compared at all loads together, as a version may fail at a high
+load only, which the others do not have.
 """
 
 from __future__ import annotations
@@ -16,7 +18,11 @@
 from collections.abc import Iterator, Mapping
 from typing import TypeAlias
 
-from trefoilpitch.gateway._rollouts import VersionEvidence
+from trefoilpitch.gateway._rollouts import (
+    VersionEvidence,
+    is_regression,
+    split_evidence,
+)
 
 # Evidence by stratum, see `stratum`, by version.
 StratifiedEvidence: TypeAlias = Mapping[str, Mapping[int, VersionEvidence]]
@@ -44,6 +50,10 @@
 _MIN_SLOW_SHARE = 0.25
 _MIN_SLOW_FACTOR = 2.0
 _MIN_SLOW_ERRORS = 4.0
+# Responses of the target at a load that the others do not have, and the
+# fraction of slow ones that load alone does not explain.
+_MIN_UNCOMPARED = 12
+_UNCOMPARED_SLOW_SHARE = 0.6
 # Responses of the target on a route that suffice to complete a roll-out early.
 _ENOUGH_RESPONSES = 20
 # Least responses of the other versions to compare a window's with.
@@ -136,24 +146,35 @@
         self._differences: dict[int, _Difference] = {}
         self._carried: dict[int, _Counts] = {}
 
-    def add(self, key: int, target: _Counts, others: _Counts) -> None:
-        """Adds the responses of a window."""
+    def add(self, key: int, target: _Counts, others: _Counts) -> bool:
+        """Adds the responses of a window.
+
+        Returns:
+            Whether there were others to compare the target's with.
+        """
         carried = self._carried.get(key, _Counts())
         compared = others
         if others.total < 2 * target.total:
             compared = others.plus(carried)
         self._carried[key] = others.plus(carried, _CARRIED_SHARE)
-        if not target.total or compared.total < _MIN_OTHERS:
-            return
+        if compared.total < _MIN_OTHERS:
+            return False
+        if not target.total:
+            return True
         difference = self._differences.setdefault(key, _Difference())
         difference.add(target, compared)
+        return True
 
-    def by_route(self) -> Iterator[tuple[int, _Difference]]:
-        """Yields the differences of each route, over all loads."""
-        routes: dict[int, _Difference] = {}
-        for key, difference in self._differences.items():
-            routes.setdefault(_route_of(key), _Difference()).merge(difference)
-        yield from routes.items()
+    def items(self) -> Iterator[tuple[int, _Difference]]:
+        """Yields the differences by key."""
+        yield from self._differences.items()
+
+    def have_all(self, count: int) -> bool:
+        """Returns whether so many responses were compared for each key."""
+        return all(
+            key in self._differences and self._differences[key].total >= count
+            for key in self._carried
+        )
 
     def all_routes(self) -> _Difference:
         """Returns the differences of all routes together."""
@@ -181,7 +202,9 @@
         self._known: dict[tuple[str, str, int], VersionEvidence] = {}
         self._failures = _Track()
         self._slowness = _Track()
-        self._seen_routes: set[int] = set()
+        # The target's responses that had no others at a similar load to be
+        # compared with.
+        self._uncompared = _Counts()
 
     def update(
         self, reports: Mapping[str, StratifiedEvidence], now_ms: int
@@ -208,10 +231,17 @@
                 else:
                     others = others.merge(delta)
                 added[key] = target, others
+        routes: dict[int, tuple[VersionEvidence, VersionEvidence]] = {}
         for key, (target, others) in added.items():
-            self._seen_routes.add(_route_of(key))
-            self._failures.add(key, _failed(target), _failed(others))
-            self._slowness.add(key, _slow(target), _slow(others))
+            route = _route_of(key)
+            known = routes.get(route, (VersionEvidence(), VersionEvidence()))
+            routes[route] = known[0].merge(target), known[1].merge(others)
+            answered = _slow(target)
+            compared = self._slowness.add(key, answered, _slow(others))
+            if not compared:
+                self._uncompared = self._uncompared.plus(answered)
+        for route, (target, others) in routes.items():
+            self._failures.add(route, _failed(target), _failed(others))
 
     def _added(
         self, start: str, evidence: StratifiedEvidence
@@ -227,11 +257,37 @@
     @property
     def compared(self) -> float:
         """Number of the target's responses that could be compared."""
-        return self._failures.all_routes().total
+        return self._slowness.all_routes().total
+
+    def finding(self, totals: Mapping[str, VersionEvidence]) -> str | None:
+        """Returns in what the target is worse; None if in nothing.
 
-    def finding(self) -> str | None:
-        """Returns in what the target is worse; None if in nothing."""
-        for route, difference in self._failures.by_route():
+        Args:
+            totals: Evidence by version of all daemons, also of those of the
+                build before, which do not tell strata apart.
+        """
+        finding = self._finding()
+        if finding is not None or self._covers(totals):
+            return finding
+        target, others = split_evidence(totals, self._target)
+        if is_regression(target, others):
+            return f"all routes: {target}; others: {others}"
+        return None
+
+    def _covers(self, totals: Mapping[str, VersionEvidence]) -> bool:
+        """Whether the strata are known of most responses, and of both versions.
+
+        Otherwise the totals decide.
+        """
+        target, others = split_evidence(totals, self._target)
+        known = self.compared + self._uncompared.total
+        return (
+            2 * known >= target.good + target.slow
+            and others.good + others.failed + others.slow >= _MIN_OTHERS
+        )
+
+    def _finding(self) -> str | None:
+        for route, difference in self._failures.items():
             if _fails_more(difference):
                 return (
                     f"route {route:04x}: {difference.bad:.0f} of"
@@ -241,7 +297,7 @@
         if _fails_more(self._failures.all_routes()):
             return "more failures over all routes"
         slowness = (
-            *self._slowness.by_route(),
+            *self._slow_routes(),
             (0, self._slowness.all_routes()),
         )
         for route, difference in slowness:
@@ -253,18 +309,27 @@
                     f" {difference.total:.0f} slow,"
                     f" {difference.usual:.1f} usual"
                 )
+        uncompared = self._uncompared
+        if (
+            uncompared.total >= _MIN_UNCOMPARED
+            and uncompared.bad >= _UNCOMPARED_SLOW_SHARE * uncompared.total
+        ):
+            return (
+                f"{uncompared.bad:.0f} of {uncompared.total:.0f} slow at a load"
+                " that the others do not have"
+            )
         return None
 
+    def _slow_routes(self) -> Iterator[tuple[int, _Difference]]:
+        """Yields the differences of each route, over all loads."""
+        routes: dict[int, _Difference] = {}
+        for key, difference in self._slowness.items():
+            routes.setdefault(_route_of(key), _Difference()).merge(difference)
+        yield from routes.items()
+
     def has_enough(self) -> bool:
         """Returns whether the target has enough responses on each route."""
-        totals = {
-            route: difference.total
-            for route, difference in self._failures.by_route()
-        }
-        return all(
-            totals.get(route, 0) >= _ENOUGH_RESPONSES
-            for route in self._seen_routes
-        )
+        return self._failures.have_all(_ENOUGH_RESPONSES)
 
 
 class VersionStrata:
