Take no step of a roll-out on the evidence of a daemon that hears nobody

That it has heard of no failure shows nothing: the daemon may be cut off from those that have. Strata go before the requests in flight if a heartbeat is too large for a datagram.

--- a/trefoilpitch/gateway/_known_members.py
+++ b/trefoilpitch/gateway/_known_members.py
@@ -72,6 +72,18 @@
             self._unheard_since_ms = now_ms
         return now_ms - self._unheard_since_ms < _ALONE_AFTER_MS
 
+    @property
+    def may_decide(self) -> bool:
+        """Whether this daemon knows enough to decide for the fleet.
+
+        One that hears nobody although the store lists others does not: that it
+        has heard of no failure shows nothing.
+        """
+        if self._peers.alive():
+            return True
+        others = self._view.members.keys() - {self._own_name}
+        return not others and not self.are_uncertain
+
     def names(self) -> Collection[str]:
         """Returns the names of all daemons that may be running.
 
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -253,7 +253,7 @@
             peers=self._peers,
             clock=clock,
             own_name=settings.name,
-            is_uncertain=lambda: self._members.are_uncertain,
+            may_decide=lambda: self._members.may_decide,
         )
         evidence = CrashEvidence()
         self._lost_evidence = LostEvidence(
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -450,9 +450,9 @@
     evidence = msgspec.msgpack.encode(EvidenceMessage(heartbeat.traits))
     for field, empty in (
         ("traits", EvidenceReport()),
+        ("versions", _without_strata(heartbeat.versions)),
         ("in_flight", {}),
         ("paces", ()),
-        ("versions", _without_strata(heartbeat.versions)),
     ):
         if len(data) > _MAX_DATAGRAM_BYTES:
             heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -63,8 +63,8 @@
         peers: Provides the other daemons' evidence.
         clock: Provides monotonic time.
         own_name: Name of this VM.
-        is_uncertain: Returns whether there are probably other daemons that are
-            not heard, so that their evidence is missing.
+        may_decide: Returns whether this daemon hears other daemons, or is the
+            only one; otherwise their evidence is missing.
     """
 
     def __init__(
@@ -77,7 +77,7 @@
         peers: PeerTable,
         clock: Clock,
         own_name: str,
-        is_uncertain: Callable[[], bool] = lambda: False,
+        may_decide: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._codec = codec
@@ -86,7 +86,7 @@
         self._peers = peers
         self._clock = clock
         self._own_name = own_name
-        self._is_uncertain = is_uncertain
+        self._may_decide = may_decide
         # Order revision and comparison by service.
         self._comparisons: dict[str, tuple[int, VersionComparison]] = {}
 
@@ -272,7 +272,7 @@
         )
         if step is None or step.phase is RolloutPhase.ROLLED_BACK:
             return step
-        return None if self._is_uncertain() else step
+        return step if self._may_decide() else None
 
     async def _write(
         self, rollout: CachedRolloutOrder, step: RolloutStep
--- a/trefoilpitch/gateway/tests/test_known_members.py
+++ b/trefoilpitch/gateway/tests/test_known_members.py
@@ -109,3 +109,15 @@
 def test_daemon_without_any_peer_in_its_settings_is_the_only_one() -> None:
     harness = _Harness(expects_peers=False)
     assert set(harness.members.names()) == {"vm-1"}
+
+
+def test_daemon_that_hears_nobody_does_not_decide_for_the_fleet() -> None:
+    """It would complete a roll-out on its own evidence alone."""
+    harness = _Harness(expects_peers=False)
+    assert harness.members.may_decide
+    harness.list_member("vm-2")
+    assert not harness.members.may_decide
+    harness.hear("vm-2")
+    assert harness.members.may_decide
+    harness.pass_time(5_000)
+    assert not harness.members.may_decide
