--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -31,10 +31,8 @@
     RolloutStep,
     VersionEvidence,
     current_phase,
-    is_regression,
     lost_step,
     next_step,
-    split_evidence,
 )
 from trefoilpitch.gateway._version_comparison import (
     StratifiedEvidence,
@@ -65,8 +63,8 @@
         peers: Provides the other daemons' evidence.
         clock: Provides monotonic time.
         own_name: Name of this VM.
-        is_uncertain: Returns whether there are probably other daemons that are
-            not heard, so that their evidence is missing.
+        may_decide: Returns whether this daemon hears other daemons, or is the
+            only one; otherwise their evidence is missing.
     """
 
     def __init__(
@@ -79,7 +77,7 @@
         peers: PeerTable,
         clock: Clock,
         own_name: str,
-        is_uncertain: Callable[[], bool] = lambda: False,
+        may_decide: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._codec = codec
@@ -88,7 +86,7 @@
         self._peers = peers
         self._clock = clock
         self._own_name = own_name
-        self._is_uncertain = is_uncertain
+        self._may_decide = may_decide
         # Order revision and comparison by service.
         self._comparisons: dict[str, tuple[int, VersionComparison]] = {}
 
@@ -179,17 +177,10 @@
         if self._has_ended(rollout):
             return
         evidence, _ = self._evidence(rollout)
-        target = rollout.order.target
-        comparison = self._compare_versions(rollout)
-        finding = comparison.finding()
+        finding = self._compare_versions(rollout).finding(evidence)
         if finding is not None:
             self._stop(rollout, finding)
             return
-        if not self._is_compared(rollout, evidence) and is_regression(
-            *split_evidence(evidence, target)
-        ):
-            self._stop(rollout, "evidence of all daemons")
-            return
         paces = self._compare_paces(rollout)
         if paces.is_slower:
             self._stop(rollout, f"paces of all daemons: {paces}")
@@ -209,20 +200,6 @@
         comparison.update(reports, self._clock.now_ms())
         return comparison
 
-    def _is_compared(
-        self,
-        rollout: CachedRolloutOrder,
-        evidence: Mapping[str, VersionEvidence],
-    ) -> bool:
-        """Whether most of the target's responses could be compared.
-
-        Daemons of the build before tell totals only, and the old version may
-        have no traffic.
-        """
-        target = evidence.get(rollout.order.target, VersionEvidence())
-        total = target.good + target.failed + target.slow
-        return 2 * self._compare_versions(rollout).compared >= total
-
     def _stop(self, rollout: CachedRolloutOrder, reason: str) -> None:
         if self._has_ended(rollout):
             return
@@ -290,12 +267,12 @@
             off_target,
             now_ms,
             stopped=self._dispatcher.is_stopped(service, rollout.revision),
-            compared=self._is_compared(rollout, evidence),
+            compared=True,
             enough=self._compare_versions(rollout).has_enough(),
         )
         if step is None or step.phase is RolloutPhase.ROLLED_BACK:
             return step
-        return None if self._is_uncertain() else step
+        return step if self._may_decide() else None
 
     async def _write(
         self, rollout: CachedRolloutOrder, step: RolloutStep
