Read the limits of the process strictly

A limit that is not a number is rejected like other settings; a huge one, which would overflow when the budget is derived, means the same as 10^9.

--- a/trefoilpitch/platform/_settings.py
+++ b/trefoilpitch/platform/_settings.py
@@ -20,6 +20,8 @@
 # Used if the settings do not say within which time a configuration applies.
 _APPLY_MS = 2_000
 _MAX_PORT = 65_535
+# Limits of the process above this one mean the same.
+_MAX_LIMIT = 1e9
 
 
 class PlatformSettingsError(Exception):
@@ -147,7 +149,7 @@
 def _limit(table: dict[str, Any], name: str) -> float | None:
     """Returns a limit of the process; None if there is none."""
     value = table.get("limits", {}).get(name)
-    return None if value is None else _quantity(value)
+    return None if value is None else min(_MAX_LIMIT, _quantity(value))
 
 
 def _descriptors(table: dict[str, Any]) -> int | None:
--- a/trefoilpitch/platform/tests/test_settings_fuzz.py
+++ b/trefoilpitch/platform/tests/test_settings_fuzz.py
@@ -147,3 +147,27 @@
 def test_deeply_nested_settings_are_rejected() -> None:
     with pytest.raises(PlatformSettingsError):
         parse_settings("a = " + "[" * 20_000, "start")
+
+
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({}, (None, None)),
+        ({"cores": 2}, (None, None)),
+        ({"memory-mb": 150, "max-fds": 4_100}, (150.0, 4_100)),
+        ({"memory-mb": 1e306}, (1e9, None)),
+    ],
+)
+def test_limits_of_the_process_are_optional(
+    limits: dict[str, float], expected: tuple[float | None, int | None]
+) -> None:
+    table = {**_SETTINGS, "limits": limits}
+    node = parse_settings(_document(table), "start").node
+    assert (node.memory_mb, node.max_descriptors) == expected
+
+
+@pytest.mark.parametrize("limits", [5, {"memory-mb": "x"}, {"max-fds": -1}])
+def test_limits_that_are_no_limits_are_rejected(limits: object) -> None:
+    table = {**_SETTINGS, "limits": limits}
+    with pytest.raises(PlatformSettingsError):
+        parse_settings(_document(table), "start")
