Free a closed connection without the cyclic collector

Its account and its receiver referred back to it, so that a partial body could stay until the collector ran. The new test fails without the change.

--- a/trefoilpitch/gateway/_caller_connection.py
+++ b/trefoilpitch/gateway/_caller_connection.py
@@ -183,6 +183,10 @@
             self._watch.close()
         if self._account is not None:
             self._state.guard.close(self._account)
+        # They refer to this connection.
+        self._account = None
+        self._receiver = None
+        self._watch = None
         self._state.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -31,7 +31,8 @@
 # Parts of a request that are given to the transport at a time. It copies what
 # the socket does not accept at once.
 _SEND_BYTES = 64 * 1024
-# What connections receive into; each takes its bytes at once.
+# What all connections receive into; each takes its bytes at once, on the one
+# event loop of the process.
 _RECEIVE_BUFFER = memoryview(bytearray(64 * 1024))
 # Turns of the event loop between the readiness of a socket and the completion
 # of its connection; asyncio takes five.
--- a/trefoilpitch/gateway/tests/test_client_limits.py
+++ b/trefoilpitch/gateway/tests/test_client_limits.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import gc
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
@@ -303,3 +305,28 @@
             writer.close()
 
     run_undelayed(scenario)
+
+
+def test_closed_connection_is_freed_without_the_cyclic_collector() -> None:
+    """It may hold a part of a body."""
+
+    async def scenario() -> None:
+        async with _serving() as server:
+            reader, writer = await server.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"ok")
+            writer.write(_declared(50_000) + b"x" * 40_000)
+            await asyncio.sleep(0.1)
+            connections = server.http.state.connections
+            (reference,) = [
+                weakref.ref(connection) for connection in connections
+            ]
+            gc.disable()
+            try:
+                writer.close()
+                await asyncio.sleep(0.1)
+                assert reference() is None
+            finally:
+                gc.enable()
+
+    run_undelayed(scenario)
