Answer a peer whose address holds more than its share

A peer takes a connection that is closed without a response for a request that may have run, so that it could not repeat a non-idempotent one.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -304,6 +304,7 @@
         self._caller_server = self._server(self._request_handler.handle)
         self._peer_server = self._server(self._serve_peer)
         self._peer_server.state.limits = self._peer_limits
+        self._peer_server.state.answers_over_share = True
         self._peer_server.state.refusal_headers = (
             self._identity.relay_refusal_headers
         )
--- a/trefoilpitch/gateway/_request_receiver.py
+++ b/trefoilpitch/gateway/_request_receiver.py
@@ -80,15 +80,16 @@
             RequestRefusedError: If the budget has no room for it.
         """
         outcome = self._state.guard.hold(self._account, kind, size)
+        status = _UNAVAILABLE if self._head is not None else None
         if outcome is Outcome.OVER_SHARE:
             raise RequestRefusedError(
-                None, RefusalReason.OVER_SHARE, "the address holds too much"
+                status if self._state.answers_over_share else None,
+                RefusalReason.OVER_SHARE,
+                "the address holds too much",
             )
         if outcome is Outcome.NO_ROOM:
             raise RequestRefusedError(
-                _UNAVAILABLE if self._head is not None else None,
-                RefusalReason.NO_ROOM,
-                "no memory for the request",
+                status, RefusalReason.NO_ROOM, "no memory for the request"
             )
 
     def begin(self, event: h11.Request, arrived_ms: int) -> None:
--- a/trefoilpitch/gateway/_server_state.py
+++ b/trefoilpitch/gateway/_server_state.py
@@ -113,6 +113,9 @@
     workspace: Callable[[HttpRequest], str | None] = lambda request: None
     # Returns headers of the response to a request that found no room.
     refusal_headers: Callable[[HttpRequest], Headers] = lambda request: []
+    # Whether a client whose address holds more than its share gets a response.
+    # A peer would take a closed connection for a request that may have run.
+    answers_over_share: bool = False
     # Whether responses carry "Connection: close", as the daemon is leaving.
     closing: bool = False
     # Requests that are being handled.
--- a/trefoilpitch/gateway/tests/test_client_limits.py
+++ b/trefoilpitch/gateway/tests/test_client_limits.py
@@ -330,3 +330,46 @@
                 gc.enable()
 
     run_undelayed(scenario)
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_client_over_its_share_is_only_answered_if_it_is_a_peer(
+    answers: bool,
+) -> None:
+    """A peer takes a closed connection for a request that may have run."""
+
+    async def scenario() -> None:
+        async with _serving() as server:
+            server.http.state.answers_over_share = answers
+            release = asyncio.Event()
+
+            async def handle(responder: Responder) -> None:
+                await release.wait()
+                await responder.respond(200, [], b"ok")
+
+            server.handle = handle
+            server.http.state.workspace = lambda request: None
+            writers = []
+            response = b""
+            while not server.refusals("over_share"):
+                reader, writer = await server.connect()
+                writers.append(writer)
+                writer.write(_declared(200_000) + b"x" * 200_000)
+                await asyncio.sleep(0.01)
+                if server.refusals("no_room"):
+                    break
+            held = server.guard.held_bytes()
+            while not server.refusals("over_share"):
+                reader, writer = await server.connect()
+                writers.append(writer)
+                writer.write(_declared(60_000) + b"x" * 60_000)
+                await asyncio.sleep(0.01)
+            with contextlib.suppress(ConnectionError):
+                response = await reader.read()
+            assert held[HeldKind.BODY] > 4 * _MB
+            assert response.startswith(b"HTTP/1.1 503") == answers
+            release.set()
+            for writer in writers:
+                writer.close()
+
+    run_undelayed(scenario)
