Spend less time on the budget of ordinary requests

Most holds of a small request change nothing, and its body needs no timer if it has arrived with its head.

--- a/trefoilpitch/gateway/_caller_connection.py
+++ b/trefoilpitch/gateway/_caller_connection.py
@@ -141,8 +141,12 @@
             self.abort()
             return
         self._process_events()
-        if not self._closed and self._receives_head:
+        if self._closed or self._task is not None:
+            return
+        if self._receives_head:
             self._hold(HeldKind.UNPARSED, len(self._h11.trailing_data[0]))
+        elif self._body_timer is None and self._state.guard.limited:
+            self._start_body_timer()
 
     def _keep_pipelined(self, data: bytes) -> None:
         """Keeps bytes behind a request in progress, within limits."""
@@ -360,7 +364,7 @@
         try:
             if isinstance(event, h11.Request):
                 self._receiver.begin(event, self._arrived_ms)
-                self._start_body_timers()
+                self._timer.start(_idle_timeout_ms, self._on_request_timeout)
             elif isinstance(event, h11.Data):
                 self._receiver.add(event)
                 self._timer.start(_idle_timeout_ms, self._on_request_timeout)
@@ -369,11 +373,6 @@
         except RequestRefusedError as refusal:
             self._refuse(refusal)
 
-    def _start_body_timers(self) -> None:
-        self._timer.start(_idle_timeout_ms, self._on_request_timeout)
-        if self._state.guard.limited:
-            self._start_body_timer()
-
     def _refuse(self, refusal: RequestRefusedError) -> None:
         if refusal.status is not None:
             self._reject(refusal.status, refusal.detail, refusal.reason)
--- a/trefoilpitch/gateway/_memory_budget.py
+++ b/trefoilpitch/gateway/_memory_budget.py
@@ -16,7 +16,7 @@
 import enum
 from collections import Counter
 from collections.abc import Callable, Iterable
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 _BYTES_PER_MB = 1024 * 1024
 # Memory of a process without clients: code, the view of the fleet, and what the
@@ -177,6 +177,9 @@
     evicted: tuple[_T, ...] = ()
 
 
+_GRANTED: Decision[Any] = Decision(outcome=Outcome.GRANTED)
+
+
 class MemoryBudget(Generic[_T]):
     """The accounts of a process.
 
@@ -263,9 +266,9 @@
             Whether there is room, and the owners of the accounts that were
             released to make it.
         """
-        if account.closing:
-            return Decision(outcome=Outcome.GRANTED)
         more = size - account.held.get(kind, 0)
+        if account.closing or not more:
+            return _GRANTED
         if more > 0 and self._limits.total_bytes is not None:
             demand = _Demand(
                 account=account, kind=kind, more=more, now_ms=now_ms
@@ -276,7 +279,7 @@
             self._set(account, kind, size)
             return decision
         self._set(account, kind, size)
-        return Decision(outcome=Outcome.GRANTED)
+        return _GRANTED
 
     def _make_room(self, demand: _Demand[_T], total: int) -> Decision[_T]:
         """Releases accounts until all limits permit a demand."""
@@ -301,6 +304,8 @@
         outcome = Outcome.GRANTED
         if not self._free(demand, excess, evicted, lambda a: True):
             outcome = Outcome.NO_ROOM
+        elif not evicted:
+            return _GRANTED
         return Decision(outcome=outcome, evicted=tuple(evicted))
 
     def _free(
