--- a/trefoilpitch/gateway/_caller_connection.py
+++ b/trefoilpitch/gateway/_caller_connection.py
@@ -496,14 +496,16 @@
         return bool(self._pipelined or self._h11.trailing_data[0])
 
     @property
-    def _incomplete_head(self) -> HttpRequest | None:
-        """The head of the request that is being received, if it is known."""
-        return self._receiver.head if self._receiver is not None else None
+    def _current_head(self) -> HttpRequest | None:
+        """The head of the request that is being received or handled."""
+        if self._receiver is not None and self._receiver.head is not None:
+            return self._receiver.head
+        return self._head
 
     def _record_refusal(
         self, reason: RefusalReason, detail: str, status: int | None = None
     ) -> None:
-        head = self._incomplete_head
+        head = self._current_head
         self._state.guard.record_refusal(
             reason,
             detail or reason.value,
@@ -517,7 +519,7 @@
         self._timer.cancel()
         self._cancel_body_timer()
         extra: list[tuple[bytes, bytes]] = []
-        head = self._incomplete_head
+        head = self._current_head
         if status == _UNAVAILABLE and head is not None:
             extra.extend(self._state.refusal_headers(head))
             extra.append((b"Retry-After", _RETRY_AFTER_S))
