--- a/trefoilpitch/gateway/_caller_connection.py
+++ b/trefoilpitch/gateway/_caller_connection.py
@@ -141,8 +141,12 @@
             self.abort()
             return
         self._process_events()
-        if not self._closed and self._receives_head:
+        if self._closed or self._task is not None:
+            return
+        if self._receives_head:
             self._hold(HeldKind.UNPARSED, len(self._h11.trailing_data[0]))
+        elif self._body_timer is None and self._state.guard.limited:
+            self._start_body_timer()
 
     def _keep_pipelined(self, data: bytes) -> None:
         """Keeps bytes behind a request in progress, within limits."""
@@ -183,6 +187,10 @@
             self._watch.close()
         if self._account is not None:
             self._state.guard.close(self._account)
+        # They refer to this connection.
+        self._account = None
+        self._receiver = None
+        self._watch = None
         self._state.connections.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -356,7 +364,7 @@
         try:
             if isinstance(event, h11.Request):
                 self._receiver.begin(event, self._arrived_ms)
-                self._start_body_timers()
+                self._timer.start(_idle_timeout_ms, self._on_request_timeout)
             elif isinstance(event, h11.Data):
                 self._receiver.add(event)
                 self._timer.start(_idle_timeout_ms, self._on_request_timeout)
@@ -365,11 +373,6 @@
         except RequestRefusedError as refusal:
             self._refuse(refusal)
 
-    def _start_body_timers(self) -> None:
-        self._timer.start(_idle_timeout_ms, self._on_request_timeout)
-        if self._state.guard.limited:
-            self._start_body_timer()
-
     def _refuse(self, refusal: RequestRefusedError) -> None:
         if refusal.status is not None:
             self._reject(refusal.status, refusal.detail, refusal.reason)
@@ -493,14 +496,16 @@
         return bool(self._pipelined or self._h11.trailing_data[0])
 
     @property
-    def _incomplete_head(self) -> HttpRequest | None:
-        """The head of the request that is being received, if it is known."""
-        return self._receiver.head if self._receiver is not None else None
+    def _current_head(self) -> HttpRequest | None:
+        """The head of the request that is being received or handled."""
+        if self._receiver is not None and self._receiver.head is not None:
+            return self._receiver.head
+        return self._head
 
     def _record_refusal(
         self, reason: RefusalReason, detail: str, status: int | None = None
     ) -> None:
-        head = self._incomplete_head
+        head = self._current_head
         self._state.guard.record_refusal(
             reason,
             detail or reason.value,
@@ -514,7 +519,7 @@
         self._timer.cancel()
         self._cancel_body_timer()
         extra: list[tuple[bytes, bytes]] = []
-        head = self._incomplete_head
+        head = self._current_head
         if status == _UNAVAILABLE and head is not None:
             extra.extend(self._state.refusal_headers(head))
             extra.append((b"Retry-After", _RETRY_AFTER_S))
--- a/trefoilpitch/gateway/tests/test_client_limits.py
+++ b/trefoilpitch/gateway/tests/test_client_limits.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import gc
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
@@ -303,3 +305,71 @@
             writer.close()
 
     run_undelayed(scenario)
+
+
+def test_closed_connection_is_freed_without_the_cyclic_collector() -> None:
+    """It may hold a part of a body."""
+
+    async def scenario() -> None:
+        async with _serving() as server:
+            reader, writer = await server.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"ok")
+            writer.write(_declared(50_000) + b"x" * 40_000)
+            await asyncio.sleep(0.1)
+            connections = server.http.state.connections
+            (reference,) = [
+                weakref.ref(connection) for connection in connections
+            ]
+            gc.disable()
+            try:
+                writer.close()
+                await asyncio.sleep(0.1)
+                assert reference() is None
+            finally:
+                gc.enable()
+
+    run_undelayed(scenario)
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_client_over_its_share_is_only_answered_if_it_is_a_peer(
+    answers: bool,
+) -> None:
+    """A peer takes a closed connection for a request that may have run."""
+
+    async def scenario() -> None:
+        async with _serving() as server:
+            server.http.state.answers_over_share = answers
+            release = asyncio.Event()
+
+            async def handle(responder: Responder) -> None:
+                await release.wait()
+                await responder.respond(200, [], b"ok")
+
+            server.handle = handle
+            server.http.state.workspace = lambda request: None
+            writers = []
+            response = b""
+            while not server.refusals("over_share"):
+                reader, writer = await server.connect()
+                writers.append(writer)
+                writer.write(_declared(200_000) + b"x" * 200_000)
+                await asyncio.sleep(0.01)
+                if server.refusals("no_room"):
+                    break
+            held = server.guard.held_bytes()
+            while not server.refusals("over_share"):
+                reader, writer = await server.connect()
+                writers.append(writer)
+                writer.write(_declared(60_000) + b"x" * 60_000)
+                await asyncio.sleep(0.01)
+            with contextlib.suppress(ConnectionError):
+                response = await reader.read()
+            assert held[HeldKind.BODY] > 4 * _MB
+            assert response.startswith(b"HTTP/1.1 503") == answers
+            release.set()
+            for writer in writers:
+                writer.close()
+
+    run_undelayed(scenario)
