Decide by the forecast how long a request waits for an upstream

A request waited at most an eighth of its objective. It now waits while the forecast lets it begin before its deadline, and is refused at once, or at that eighth at the latest, where it does not.

Choosing and waiting move from RequestRun to UpstreamSearch, the final status to _refusals.py, the decisions to AdmissionControl. Daemons publish their demand by service in the heartbeat, from which each takes its part of scarce places. `_FULL_LOAD` stays: that part keeps the upstreams' queues short by itself.

--- a/trefoilpitch/gateway/_admission_forecast.py
+++ b/trefoilpitch/gateway/_admission_forecast.py
@@ -155,7 +155,7 @@
     """
     if load.is_half_free:
         return Admit()
-    if terms.started or expected is None:
+    if not terms.may_be_refused or expected is None:
         return Wait()
     left_ms = terms.until_ms - now_ms
     if expected.wait_ms <= tolerance * left_ms:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -21,6 +21,7 @@
     RequestLimits,
     StoreVersion,
 )
+from trefoilpitch.gateway._admission_control import AdmissionControl
 from trefoilpitch.gateway._crash_evidence import (
     CrashEvidence,
     EvidenceReport,
@@ -65,6 +66,7 @@
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_handler import RequestHandler
 from trefoilpitch.gateway._rollout_controller import RolloutController
+from trefoilpitch.gateway._service_load import ServiceLoads
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.gateway._supervision import supervise
 from trefoilpitch.gateway._upstream_digest import upstream_digest
@@ -233,7 +235,17 @@
             metrics=metrics,
             accepts=lambda: self.ready,
         )
-        self._waiter = UpstreamWaiter(clock)
+        self._waiter = UpstreamWaiter(
+            clock,
+            AdmissionControl(
+                ServiceLoads(
+                    self._view, dispatcher, clock, self._peers.demands
+                ),
+                clock,
+                rng,
+                metrics,
+            ),
+        )
         self._rollout_controller = RolloutController(
             store=store,
             codec=documents,
@@ -598,6 +610,7 @@
             relay_room=self._relay_server.room,
             rejection_limits=self._dispatcher.own_rejection_limits(),
             links_doubted=self._links.are_doubted(self._view.upstreams),
+            demand=self._waiter.demand(),
         )
         others = [
             member
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -332,6 +332,13 @@
         """Returns the peers' in-flight requests, summed by upstream digest."""
         return self._in_flight
 
+    def demands(self, service: str) -> list[int]:
+        """Returns what each peer has in flight and waiting for a service."""
+        return [
+            peer.heartbeat.demand.get(service, 0)
+            for peer in self._peers.values()
+        ]
+
     def unreachable(self) -> Mapping[int, int]:
         """Returns how many peers cannot reach an upstream, by its digest.
 
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -18,7 +18,6 @@
 from trefoilpitch.gateway._attempts import (
     Attempts,
     connect_timeout_ms,
-    refusal_delay_ms,
     response_timeout_ms,
     stall_timeout_ms,
     stop_reason,
@@ -44,7 +43,7 @@
     UpstreamAttempt,
     UpstreamResponse,
 )
-from trefoilpitch.gateway._refusals import RETRY_SOON_MS
+from trefoilpitch.gateway._refusals import final_status
 from trefoilpitch.gateway._relay_messages import (
     decode_relayed_head,
     relay_headers,
@@ -54,17 +53,14 @@
 from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.gateway._rollouts import ResponseQuality
 from trefoilpitch.gateway._tier_choice import TierChoice
-from trefoilpitch.gateway._waiting import WaitTerms
+from trefoilpitch.gateway._upstream_search import UpstreamSearch
 from trefoilpitch.metrics import Label
 from trefoilpitch.retries import Execution, FailureKind, classify_failure
 
 # Maximum size of a plain response; it is buffered until it is complete.
 _MAX_PLAIN_BYTES = 8 * 1024 * 1024
-# Fraction of the latency objective that a request may wait for a free upstream.
-_SLOT_WAIT_SHARE = 0.125
-# Minimum remaining time for which an attempt is worthwhile.
-_MIN_ATTEMPT_MS = 10
-# The same for an attempt beside a stalled one, which is kept for a while.
+# Minimum remaining time for an attempt beside a stalled one, which is kept for
+# a while.
 _MIN_OFFER_MS = 2 * HANDOVER_MS
 _MS_PER_S = 1_000
 _IN_QUARANTINE = "in quarantine"
@@ -72,8 +68,6 @@
 _REDIRECTION = 300
 _SERVER_ERROR = 500
 _BAD_GATEWAY = 502
-_UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
 
 
 _T = TypeVar("_T")
@@ -137,6 +131,16 @@
         self._service = deps.dispatcher.pick_service(admitted.route)
         self._budget = deps.budget(self._service)
         self._tiers = TierChoice(deps, request, admitted.route)
+        self._search = UpstreamSearch(
+            deps,
+            request,
+            admitted,
+            self._service,
+            self._tiers,
+            attempted=self._attempted_ids,
+            affords=self._affords_attempt,
+            reserve=self._reserve_credit,
+        )
         self._last_event_id: int | None = None
         self._hand_over = HandOver(deps, request.request_id, self)
         self._task: asyncio.Task[None] | None = None
@@ -201,7 +205,11 @@
                 self._attempt_log.append(_IN_QUARANTINE)
                 return await self._send_failure(refused_ms)
             else:
-                found = await self._find_upstream()
+                found = await self._search.find(
+                    self._attempts,
+                    self._deadline_ms,
+                    started=self._responder.started,
+                )
                 if isinstance(found, NoUpstream):
                     self._attempt_log.append(found.reason)
                     return await self._send_failure(found.available_in_ms)
@@ -236,55 +244,14 @@
             self._credit_reserved = False
             self._budget.release()
 
-    async def _find_upstream(self) -> UpstreamEntry | NoUpstream:
-        """Chooses an upstream; waits a while if none is free at the moment.
-
-        A response in progress waits until its caller's deadline.
-        """
-        started = self._responder.started
-        if started:
-            await asyncio.sleep(refusal_delay_ms(self._attempts) / _MS_PER_S)
-        now_ms = self._deps.clock.now_ms()
-        remaining_ms = self._remaining_ms(now_ms)
-        if remaining_ms < _MIN_ATTEMPT_MS:
-            return NoUpstream(reason="deadline reached", available_in_ms=None)
-        wait_ms = remaining_ms - _MIN_ATTEMPT_MS
-        if not started:
-            slot_wait_ms = _SLOT_WAIT_SHARE * self._route.target_latency_ms
-            wait_ms = min(wait_ms, int(slot_wait_ms))
-        return await self._deps.waiter.wait(
-            self._service,
-            self._choose,
-            WaitTerms(
-                priority=self._admitted.priority,
-                workspace=self._admitted.workspace,
-                until_ms=now_ms + wait_ms,
-                started=started,
-            ),
-        )
-
-    def _choose(
-        self, unusable: Collection[str] = ()
-    ) -> UpstreamEntry | NoUpstream:
-        if not self._affords_attempt():
-            return NoUpstream(
-                reason="retry budget exhausted", available_in_ms=None
-            )
-        found = self._deps.dispatcher.choose(
-            self._request,
-            self._service,
-            model=self._tiers.model,
-            excluded=self._attempted_ids,
-            unusable=unusable,
-        )
-        if isinstance(found, UpstreamEntry):
-            self._reserve_credit()
-        return found
+    @property
+    def _deadline_ms(self) -> int:
+        if self._responder.started:
+            return self._caller_deadline_ms
+        return self._response_deadline_ms
 
     def _remaining_ms(self, now_ms: int) -> int:
-        if self._responder.started:
-            return self._caller_deadline_ms - now_ms
-        return self._response_deadline_ms - now_ms
+        return self._deadline_ms - now_ms
 
     async def _run_attempt(self, entry: UpstreamEntry) -> FailureKind | None:
         """Runs one attempt.
@@ -312,8 +279,11 @@
         health = self._deps.dispatcher.health(entry.upstream_id)
         self._attempted_ids.append(entry.upstream_id)
         health.in_flight += 1
+        started_ms = self._deps.clock.now_ms()
         try:
             yield
+            duration_ms = self._deps.clock.now_ms() - started_ms
+            self._deps.waiter.record_completion(entry.service, duration_ms)
         finally:
             health.in_flight -= 1
             self._deps.waiter.offer_places(entry.service)
@@ -775,7 +745,7 @@
             return "attempts used up"
         if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_OFFER_MS:
             return "deadline is near"
-        found = self._choose(unusable=unusable)
+        found = self._search.choose(unusable=unusable)
         return found.reason if isinstance(found, NoUpstream) else found
 
     def _record_success(
@@ -892,20 +862,17 @@
         if self._last_error_response is not None:
             await self._deliver(*self._last_error_response)
             return "failure_delivered"
-        status, retry_after_ms = self._final_status(available_in_ms or 0)
+        status, retry_after_ms = final_status(
+            self._attempts.execution,
+            self._remaining_ms(self._deps.clock.now_ms()),
+            available_in_ms,
+        )
         headers = self._deps.codec.encode_refusal(
             self._request.request_id, retry_after_ms
         )
         await self._responder.respond(status, headers, b"")
         return f"gave_up_{status}"
 
-    def _final_status(self, available_in_ms: int) -> tuple[int, int | None]:
-        if self._attempts.execution is Execution.NOT_RUN:
-            return _UNAVAILABLE, max(RETRY_SOON_MS, available_in_ms)
-        if self._remaining_ms(self._deps.clock.now_ms()) < _MIN_ATTEMPT_MS:
-            return _GATEWAY_TIMEOUT, None
-        return _BAD_GATEWAY, None
-
     def _log_completion(self, outcome: str) -> None:
         deps = self._deps
         elapsed_ms = deps.clock.now_ms() - self._request.http.arrived_ms
--- a/trefoilpitch/gateway/_service_load.py
+++ b/trefoilpitch/gateway/_service_load.py
@@ -22,6 +22,8 @@
 # Time for which a rate derived from all upstreams counts beside the daemon's
 # own completions, which are few at a daemon with little to do.
 _PRIOR_MS = 500.0
+# Completions, weighted by their age, that a forecast needs.
+_MIN_COMPLETIONS = 2.0
 # Weight of one request in the mean time that requests take.
 _MEAN_WEIGHT = 0.05
 # How long a description is used; it takes a look at each upstream.
@@ -145,6 +147,14 @@
             if cached.entry.service == service
         )
 
+    def all_in_flight(self) -> Counter[str]:
+        """Returns this daemon's requests in flight by service."""
+        counts: Counter[str] = Counter()
+        for upstream_id, cached in self._view.upstreams.items():
+            in_flight = self._dispatcher.health(upstream_id).in_flight
+            counts[cached.entry.service] += in_flight
+        return counts
+
     def describe(self, service: str, waiting: Counter[int]) -> ServiceLoad:
         """Describes a service's load.
 
@@ -201,6 +211,8 @@
         if traffic.mean_ms is None:
             return 0.0
         now_ms = self._clock.now_ms()
+        if traffic.completions.weight(now_ms) < _MIN_COMPLETIONS:
+            return 0.0
         # By Little's law.
         prior = in_flight / max(1.0, traffic.mean_ms) * part
         weight = traffic.completions.weight(now_ms)
--- a/trefoilpitch/gateway/_upstream_waiter.py
+++ b/trefoilpitch/gateway/_upstream_waiter.py
@@ -9,29 +9,20 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import functools
-import random
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import UpstreamEntry
-from trefoilpitch.gateway._admission_forecast import (
-    Forecast,
-    Refuse,
-    Tolerance,
-    decide,
-    forecast,
-)
+from trefoilpitch.gateway._admission_control import AdmissionControl, Waiting
+from trefoilpitch.gateway._admission_forecast import Forecast
 from trefoilpitch.gateway._dispatcher import NoUpstream
-from trefoilpitch.gateway._service_load import ServiceLoad, ServiceLoads
 from trefoilpitch.gateway._waiting import (
     WaitingQueue,
     WaitingRequest,
     WaitTerms,
 )
-from trefoilpitch.gateway._workspace_rates import WorkspaceRates
 
 # How often places are offered besides when a request ends here: upstreams also
 # become free by other daemons' requests, or as their ejection ends.
@@ -39,9 +30,6 @@
 # The same for each choice that an offer takes, so that a long queue costs no
 # more.
 _OFFER_INTERVAL_PER_CHOICE_MS = 2
-# Fraction of the time to begin in time after which a refusal harms a caller.
-# The decision to wait is reviewed then, for the last time.
-_REVIEW_SHARE = 0.125
 _MS_PER_S = 1_000
 _OTHERS_WAIT = NoUpstream(
     reason="others wait for an upstream", available_in_ms=0
@@ -51,50 +39,56 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class NotInTime(NoUpstream):
-    """A request is refused because its wait would be too long."""
-
-    # The forecast; None if there was none when its time was up.
-    expected: Forecast | None
-    # Whether its workspace sends far more than usual.
-    excess: bool
-
-
 class UpstreamWaiter:
     """The waiting requests of a daemon, by service.
 
     Args:
         clock: Provides monotonic time.
-        loads: Describes the load of services; None for no forecasts.
-        rng: Spreads the times at which refused callers come back.
+        admission: Refuses requests that cannot begin in time; None to let all
+            wait.
     """
 
     def __init__(
-        self,
-        clock: Clock,
-        loads: ServiceLoads | None = None,
-        rng: random.Random | None = None,
+        self, clock: Clock, admission: AdmissionControl | None = None
     ) -> None:
         self._clock = clock
-        self._loads = loads
-        self._rng = rng or random.Random(0)
+        self._admission = admission
         self._queues: dict[str, WaitingQueue[UpstreamEntry | NoUpstream]] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
-        self._workspaces: dict[str, WorkspaceRates] = {}
-        # By service, priority and whether requests are in excess.
-        self._tolerances: defaultdict[tuple[str, int, bool], Tolerance] = (
-            defaultdict(Tolerance)
-        )
 
     def waiting(self) -> dict[str, int]:
         """Returns the number of waiting requests by service."""
         return {service: len(queue) for service, queue in self._queues.items()}
 
+    def waiting_by_priority(self) -> dict[str, Counter[int]]:
+        """Returns the number of waiting requests by service and priority."""
+        return {
+            service: queue.by_priority()
+            for service, queue in self._queues.items()
+        }
+
+    def demand(self) -> dict[str, int]:
+        """Returns what this daemon has in flight and waiting, by service."""
+        if self._admission is None:
+            return {}
+        return self._admission.demand(self.waiting())
+
+    def record_arrival(
+        self, service: str, priority: int, workspace: str | None
+    ) -> bool:
+        """Records a caller's request.
+
+        Returns:
+            Whether it is in excess of its workspace's usual rate.
+        """
+        return self._admission is not None and self._admission.record_arrival(
+            service, priority, workspace
+        )
+
     def record_completion(self, service: str, duration_ms: int) -> None:
         """Records a request that has run at an upstream."""
-        if self._loads is not None:
-            self._loads.record_completion(service, duration_ms)
+        if self._admission is not None:
+            self._admission.record_completion(service, duration_ms)
 
     async def wait(
         self,
@@ -113,25 +107,33 @@
             choose: Chooses an upstream, or says why there is none.
             terms: When the request gets a place, and until when it may wait.
         """
-        terms = self._record_arrival(service, terms)
         choose = functools.partial(self._choose_within_share, service, choose)
         found: UpstreamEntry | NoUpstream = _OTHERS_WAIT
         if not self._offer_place(service):
             found = choose()
         if not isinstance(found, NoUpstream):
             return found
-        available_in_ms = found.available_in_ms
-        hopeless = (
-            available_in_ms is None
-            or self._clock.now_ms() + available_in_ms >= terms.latest_begin_ms
-        )
-        if hopeless and not terms.started:
+        if terms.started:
+            return await self._wait_for_place(service, choose, terms, found)
+        if self._is_hopeless(found, terms):
             return found
-        refusal = self._review(service, terms, waits=False)
+        refusal = self._refusal(service, terms, waits=False)
         if refusal is not None:
             return refusal
         return await self._wait_for_place(service, choose, terms, found)
 
+    def _is_hopeless(self, found: NoUpstream, terms: WaitTerms) -> bool:
+        """Returns whether it is known that there is no place soon.
+
+        If the upstreams are ejected or paused for longer, the caller knows best
+        how to spend the time.
+        """
+        if found.available_in_ms is None:
+            return True
+        known = found.available_in_ms > 0
+        limit_ms = terms.last_review_ms if known else terms.until_ms
+        return self._clock.now_ms() + found.available_in_ms >= limit_ms
+
     def offer_places(self, service: str) -> None:
         """Gives a service's free places to the requests that wait for it.
 
@@ -148,70 +150,39 @@
     def _choose_within_share(
         self, service: str, choose: Callable[[], UpstreamEntry | NoUpstream]
     ) -> UpstreamEntry | NoUpstream:
-        if self._loads is None:
-            return choose()
-        share = self._describe(service).share
-        if share is not None and self._loads.own_in_flight(service) >= share:
+        admission = self._admission
+        if admission is not None and not admission.has_place(
+            service, self._by_priority(service)
+        ):
             return _SHARE_IN_USE
         return choose()
 
-    def _describe(self, service: str) -> ServiceLoad:
-        assert self._loads is not None
+    def _by_priority(self, service: str) -> Counter[int]:
         queue = self._queues.get(service)
-        waiting = Counter[int]() if queue is None else queue.by_priority()
-        return self._loads.describe(service, waiting)
-
-    def _record_arrival(self, service: str, terms: WaitTerms) -> WaitTerms:
-        """Returns the terms with what the workspace's rate says."""
-        if self._loads is None:
-            return terms
-        excess = False
-        if terms.workspace is not None and not terms.started:
-            now_ms = self._clock.now_ms()
-            rates = self._workspaces.get(service)
-            if rates is None:
-                rates = self._workspaces[service] = WorkspaceRates(now_ms)
-            excess = rates.record(terms.workspace, now_ms)
-        if not excess:
-            # Those in excess overtake no others.
-            self._loads.record_arrival(service, terms.priority)
-        return dataclasses.replace(terms, excess=excess)
-
-    def _review(
+        return Counter() if queue is None else queue.by_priority()
+
+    def _waiting(
         self, service: str, terms: WaitTerms, *, waits: bool
-    ) -> NotInTime | None:
-        """Returns why a request is refused; None if it may wait.
+    ) -> Waiting:
+        queue = self._queues.get(service)
+        ahead = 0 if queue is None else queue.count_ahead(terms) - waits
+        return Waiting(by_priority=self._by_priority(service), ahead=ahead)
 
-        Args:
-            service: The service.
-            terms: The terms of the request.
-            waits: Whether it waits already.
-        """
-        if self._loads is None or terms.started:
+    def _refusal(
+        self, service: str, terms: WaitTerms, *, waits: bool
+    ) -> NoUpstream | None:
+        if self._admission is None:
             return None
-        now_ms = self._clock.now_ms()
-        queue = self._queues.get(service)
-        load = self._describe(service)
-        ahead = 0 if queue is None else queue.count_ahead(terms)
-        expected = forecast(load, terms, ahead=ahead - waits, now_ms=now_ms)
-        tolerance = self._tolerances[service, terms.priority, terms.excess]
-        decision = decide(
-            load,
-            expected,
-            terms,
-            self._rng,
-            now_ms=now_ms,
-            tolerance=1.0 if waits else tolerance.share(now_ms),
-        )
-        if not isinstance(decision, Refuse):
+        waiting = self._waiting(service, terms, waits=waits)
+        return self._admission.refusal(service, terms, waiting, waits=waits)
+
+    def _forecast(
+        self, service: str, terms: WaitTerms, *, waits: bool
+    ) -> Forecast | None:
+        if self._admission is None:
             return None
-        tolerance.record_refused(now_ms)
-        return NotInTime(
-            reason="no place is expected before the deadline",
-            available_in_ms=decision.retry_after_ms,
-            expected=expected,
-            excess=terms.excess,
-        )
+        waiting = self._waiting(service, terms, waits=waits)
+        return self._admission.forecast(service, terms, waiting)
 
     async def _wait_for_place(
         self,
@@ -239,19 +210,13 @@
             place = choose()
             return None if isinstance(place, NoUpstream) else place
 
-        def end(refusal: NoUpstream | None) -> None:
-            if refusal is not None and not granted.done():
+        def end_if(refused: Callable[[], NoUpstream | None]) -> None:
+            refusal = None if granted.done() else refused()
+            if refusal is not None:
                 granted.set_result(refusal)
 
-        def review() -> None:
-            if not granted.done():
-                end(self._review(service, terms, waits=True))
-
-        def end_unless_forecast() -> None:
-            # A refusal now harms more than the late response that it waits for.
-            if self._loads is None and not terms.started:
-                end(found)
-
+        now_ms = self._clock.now_ms()
+        expected = self._forecast(service, terms, waits=False)
         queue = self._queues.setdefault(service, WaitingQueue())
         ticket = queue.add(
             WaitingRequest(
@@ -261,21 +226,39 @@
             )
         )
         self._start_timer(service)
-        now_ms = self._clock.now_ms()
-        in_time_ms = max(0, terms.latest_begin_ms - now_ms)
-        with contextlib.ExitStack() as timers:
-            for delay_ms, action in (
-                (_REVIEW_SHARE * in_time_ms, review),
-                (in_time_ms, end_unless_forecast),
-                (
-                    max(0, terms.until_ms - now_ms),
-                    functools.partial(end, found),
-                ),
-            ):
-                timer = loop.call_later(delay_ms / _MS_PER_S, action)
-                timers.callback(timer.cancel)
-            timers.callback(queue.remove, ticket)
-            return await granted
+        with contextlib.ExitStack() as stack:
+            stack.callback(queue.remove, ticket)
+            for time_ms, refused in self._reviews(service, terms, found):
+                delay_ms = max(0.0, time_ms - now_ms)
+                timer = loop.call_later(delay_ms / _MS_PER_S, end_if, refused)
+                stack.callback(timer.cancel)
+            place = await granted
+        if self._admission is not None:
+            waited_ms = self._clock.now_ms() - now_ms
+            self._admission.record_wait(waited_ms, expected)
+        return place
+
+    def _reviews(
+        self, service: str, terms: WaitTerms, found: NoUpstream
+    ) -> list[tuple[float, Callable[[], NoUpstream | None]]]:
+        """Returns when a request that waits may be refused, and how."""
+        end = functools.partial(self._refusal_after_wait, terms, found)
+        if not terms.may_be_refused:
+            return [(terms.until_ms, end)]
+
+        def review() -> NoUpstream | None:
+            if self._forecast(service, terms, waits=True) is None:
+                return end()
+            return self._refusal(service, terms, waits=True)
+
+        return [(terms.last_review_ms, review), (terms.until_ms, end)]
+
+    def _refusal_after_wait(
+        self, terms: WaitTerms, found: NoUpstream
+    ) -> NoUpstream:
+        if self._admission is None or not terms.may_be_refused:
+            return found
+        return self._admission.refusal_after_wait(terms, found)
 
     def _start_timer(self, service: str) -> None:
         if service in self._timers:
--- a/trefoilpitch/gateway/_waiting.py
+++ b/trefoilpitch/gateway/_waiting.py
@@ -67,10 +67,15 @@
     until_ms: int
     # Latest monotonic time to begin in time; None if that is `until_ms`.
     due_ms: int | None = None
+    # Monotonic time of the last review: a refusal after it harms the caller. A
+    # request whose wait cannot be predicted gives up then. None: `until_ms`.
+    review_ms: int | None = None
     # Monotonic time of its arrival; None if it never yields to others.
     since_ms: int | None = None
     # Whether the caller has received a part of the response.
     started: bool = False
+    # Whether no attempt may have run, so that it can be refused.
+    refusable: bool = True
     # Whether its workspace sends far more than usual.
     excess: bool = False
     # The session, and the last part of the prompt that others share.
@@ -84,6 +89,18 @@
         """Latest monotonic time to begin in time."""
         return self.until_ms if self.due_ms is None else self.due_ms
 
+    @property
+    def last_review_ms(self) -> int:
+        """Monotonic time of the last review."""
+        if self.review_ms is None:
+            return self.until_ms
+        return min(self.review_ms, self.until_ms)
+
+    @property
+    def may_be_refused(self) -> bool:
+        """Whether it can still be refused."""
+        return self.refusable and not self.started
+
     def pressure(self, now_ms: int) -> Pressure:
         """Returns how soon the request has to begin."""
         if self.started or self.since_ms is None:
--- a/trefoilpitch/gateway/tests/scarce_fleet.py
+++ b/trefoilpitch/gateway/tests/scarce_fleet.py
@@ -32,6 +32,7 @@
     LoadReport,
     PrefixPart,
 )
+from trefoilpitch.gateway._admission_control import AdmissionControl
 from trefoilpitch.gateway._dispatcher import Dispatcher, NoUpstream
 from trefoilpitch.gateway._health import ExpectedLatencies
 from trefoilpitch.gateway._peers import heartbeat_interval_ms
@@ -39,9 +40,9 @@
 from trefoilpitch.gateway._service_load import ServiceLoads
 from trefoilpitch.gateway._upstream_waiter import UpstreamWaiter
 from trefoilpitch.gateway._waiting import WaitTerms
+from trefoilpitch.metrics import Metrics
 
 _SERVICE = "s"
-NEED = 2
 _SLOTS = 16
 _QUEUE = 48
 _LOST_DATAGRAMS = 0.03
@@ -274,7 +275,13 @@
             lambda service: self.demands.values(),
         )
         self.waiter = UpstreamWaiter(
-            fleet.clock, self.loads, random.Random(f"{fleet.seed}/{number}")
+            fleet.clock,
+            AdmissionControl(
+                self.loads,
+                fleet.clock,
+                random.Random(f"{fleet.seed}/{number}"),
+                Metrics(),
+            ),
         )
         self.latencies = ExpectedLatencies()
 
@@ -284,8 +291,12 @@
         Returns:
             `Retry-After` if it is refused; None if it is served.
         """
+        excess = self.waiter.record_arrival(
+            _SERVICE, call.kind.priority, f"w{call.workspace}"
+        )
+        sent_ms = self._fleet.clock.now_ms()
         for _ in range(_ATTEMPTS):
-            found = await self._find(call, left_ms)
+            found = await self._find(call, sent_ms, left_ms, excess=excess)
             if isinstance(found, NoUpstream):
                 return max(RETRY_SOON_MS, found.available_in_ms or 0)
             if await self._run(call, found):
@@ -293,13 +304,11 @@
         return RETRY_SOON_MS
 
     async def _find(
-        self, call: Call, left_ms: int
+        self, call: Call, sent_ms: int, left_ms: int, *, excess: bool
     ) -> UpstreamEntry | NoUpstream:
-        now_ms = self._fleet.clock.now_ms()
         key = f"p{call.kind.priority}"
         need_ms = int(self.latencies.expected_ms(key, default_ms=0.0))
-        sent_ms = now_ms - call.kind.deadline_ms + left_ms
-        until_ms = now_ms + left_ms - int(NEED * need_ms)
+        until_ms = sent_ms + left_ms - 2 * need_ms
         return await self.waiter.wait(
             _SERVICE,
             lambda: self.dispatcher.choose(
@@ -311,6 +320,8 @@
                 until_ms=until_ms,
                 due_ms=min(until_ms, sent_ms + call.kind.target_ms - need_ms),
                 since_ms=sent_ms,
+                review_ms=self._fleet.clock.now_ms() + call.kind.target_ms // 8,
+                excess=excess,
                 subject=call.request.prefix[0].part_id,
                 group="same",
             ),
