--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -743,7 +743,11 @@
             await responder.respond(200, [_TEXT], self._metrics.render())
         elif request.target == _STATE_PATH:
             state = describe_state(
-                self._view, self._dispatcher, self._peers, self._clock.now_ms()
+                self._view,
+                self._dispatcher,
+                self._peers,
+                self._waiter.waiting_by_priority(),
+                self._clock.now_ms(),
             )
             await responder.respond(200, [_JSON], state)
         else:
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -12,9 +13,13 @@
 
 
 def describe_state(
-    view: FleetView, dispatcher: Dispatcher, peers: PeerTable, now_ms: int
+    view: FleetView,
+    dispatcher: Dispatcher,
+    peers: PeerTable,
+    waiting: Mapping[str, Mapping[int, int]],
+    now_ms: int,
 ) -> bytes:
-    """Encodes the view, the upstreams' health and the peers.
+    """Encodes the view, the upstreams' health, the peers and who waits.
 
     The dump contains no API keys.
 
@@ -22,6 +27,7 @@
         view: Local copy of the shared fleet state.
         dispatcher: Provides the upstreams' health.
         peers: The other daemons.
+        waiting: Waiting requests by service and priority.
         now_ms: The monotonic time that ages are relative to.
     """
     configuration = view.configuration
@@ -58,6 +64,10 @@
             }
             for name, peer in peers.alive().items()
         },
+        "waiting": {
+            service: {str(p): count for p, count in sorted(counts.items())}
+            for service, counts in waiting.items()
+        },
     }
     return msgspec.json.encode(state)
 
--- a/trefoilpitch/gateway/tests/test_waiting.py
+++ b/trefoilpitch/gateway/tests/test_waiting.py
@@ -234,6 +234,36 @@
     asyncio.run(scenario())
 
 
+def test_place_is_offered_to_one_request_in_each_turn() -> None:
+    """A request counts at its upstream only once its task runs again."""
+
+    async def scenario() -> None:
+        clock = SystemClock()
+        waiter = UpstreamWaiter(clock)
+        in_flight = 1
+
+        def choose() -> UpstreamEntry | NoUpstream:
+            return upstream() if in_flight < 1 else _BUSY
+
+        async def run() -> bool:
+            nonlocal in_flight
+            until_ms = clock.now_ms() + 100
+            terms = WaitTerms(priority=1, workspace="w", until_ms=until_ms)
+            found = await waiter.wait("s", choose, terms)
+            if isinstance(found, NoUpstream):
+                return False
+            in_flight += 1
+            return True
+
+        tasks = [asyncio.create_task(run()) for _ in range(5)]
+        await asyncio.sleep(0)
+        in_flight = 0
+        waiter.offer_places("s")
+        assert sum(await asyncio.gather(*tasks)) == 1
+
+    asyncio.run(scenario())
+
+
 def test_wait_ends_at_once_if_none_can_be_available_in_time() -> None:
     async def scenario() -> None:
         clock = SystemClock()
