--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -19,6 +19,7 @@
     RequestLimits,
     StoreVersion,
 )
+from trefoilpitch.gateway._admission_control import AdmissionControl
 from trefoilpitch.gateway._client_identity import ClientIdentity
 from trefoilpitch.gateway._cold_reports import ColdReports
 from trefoilpitch.gateway._crash_evidence import (
@@ -66,6 +67,7 @@
 from trefoilpitch.gateway._restarted_upstreams import RestartedUpstreams
 from trefoilpitch.gateway._retry_budgets import RetryBudgets
 from trefoilpitch.gateway._rollout_controller import RolloutController
+from trefoilpitch.gateway._service_load import ServiceLoads
 from trefoilpitch.gateway._state_dump import describe_state
 from trefoilpitch.gateway._supervision import supervise
 from trefoilpitch.gateway._upstream_digest import upstream_digest
@@ -249,7 +251,17 @@
             metrics=metrics,
             accepts=lambda: self.ready,
         )
-        self._waiter = UpstreamWaiter(clock)
+        self._waiter = UpstreamWaiter(
+            clock,
+            AdmissionControl(
+                ServiceLoads(
+                    self._view, dispatcher, clock, self._peers.demands
+                ),
+                clock,
+                rng,
+                metrics,
+            ),
+        )
         self._rollout_controller = RolloutController(
             store=store,
             codec=documents,
@@ -621,6 +633,7 @@
             work=self._dispatcher.own_work(),
             kilotokens=self._dispatcher.own_kilotokens(),
             durations=self._dispatcher.work.speeds.take_unshared(),
+            demand=self._waiter.demand(),
         )
         others = [
             member
@@ -721,7 +734,11 @@
             await responder.respond(200, [_TEXT], self._metrics.render())
         elif request.target == _STATE_PATH:
             state = describe_state(
-                self._view, self._dispatcher, self._peers, self._clock.now_ms()
+                self._view,
+                self._dispatcher,
+                self._peers,
+                self._waiter.waiting_by_priority(),
+                self._clock.now_ms(),
             )
             await responder.respond(200, [_JSON], state)
         else:
--- a/trefoilpitch/gateway/tests/test_work_tracking.py
+++ b/trefoilpitch/gateway/tests/test_work_tracking.py
@@ -282,7 +282,11 @@
     )
     daemon.clock.advance(700)
     dump = describe_state(
-        daemon.view, daemon.dispatcher, daemon.peers, daemon.clock.now_ms()
+        daemon.view,
+        daemon.dispatcher,
+        daemon.peers,
+        {},
+        daemon.clock.now_ms(),
     )
     found = msgspec.json.decode(dump)["upstreams"]["u"]
     assert (found["work_ms"], found["work_age_ms"]) == (1_200, 700)
