--- a/trefoilpitch/gateway/_placement.py
+++ b/trefoilpitch/gateway/_placement.py
@@ -54,7 +54,9 @@
 _PAUSE_WEIGHT = 4.0
 # Random jitter of the scores, against herd behaviour of the daemons.
 _JITTER = 0.1
-# Variance of the work that is found at an upstream, relative to the expected.
+# Variance of the number of requests that are found at an upstream, relative to
+# the expected number: more than that of independent requests, as many daemons
+# prefer the same upstreams between two heartbeats.
 _LOAD_VARIANCE = 4.0
 
 _T = TypeVar("_T")
--- a/trefoilpitch/workload/_estimator.py
+++ b/trefoilpitch/workload/_estimator.py
@@ -51,7 +51,7 @@
     def __init__(self) -> None:
         # By kind, and by kind and size class.
         self._ratios: OrderedDict[object, _Ratios] = OrderedDict()
-        # Cost of all requests by service.
+        # Cost of all requests by service; a configuration has a few.
         self._services: dict[str, DecayingMean] = {}
         self._effects: dict[str, ConcurrencyEffect] = {}
 
@@ -139,12 +139,6 @@
         alone_ms = self.estimate(kind, size).total_ms
         return alone_ms * self._time_factor(kind.service, measured)
 
-    def retain(self, services: set[str]) -> None:
-        """Forgets the services that do not exist any more."""
-        for known in (self._services, self._effects):
-            for service in known.keys() - services:
-                del known[service]
-
     def _time_factor(self, service: str, measured: MeasuredWork) -> float:
         """Returns a time under some conditions relative to the usual one."""
         effect = self._effects.get(service)
