--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -104,6 +104,8 @@
         self.confidence: dict[str, int] = {}
         # Whether all responses announce that the worker is leaving.
         self.leaving = False
+        # Load report of its responses.
+        self.load = "1,0,8"
         # Value of the Server-Brittle header of all responses; None for none.
         self.brittle: str | None = None
         # Value of the Retry-After header of shed requests; None for none.
@@ -286,7 +288,7 @@
             request_id = "another"
         headers = [
             (_ATTEMPT_ID_HEADER.encode(), request_id.encode()),
-            (b"X-Trefoilpitch-Instance-Load", b"1,0,8"),
+            (b"X-Trefoilpitch-Instance-Load", self.load.encode()),
         ]
         if fault not in (WorkerFault.UNSEALED, WorkerFault.UNSEALED_CREATED):
             seal = f"seal-{self.worker_id}".encode()
