Leave the places of cold upstreams to their own limits

While all upstreams of a service are cold, as after a restart of all of them, they counted as no capacity, and each daemon's part was one request. With a cold upstream there is no part now; its own limit per second holds.

--- a/trefoilpitch/gateway/_service_load.py
+++ b/trefoilpitch/gateway/_service_load.py
@@ -62,6 +62,17 @@
         return 2 * self.in_flight < self.capacity
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Usable:
+    """The upstreams of a service that may get requests now."""
+
+    # Of those that are not cold: slots, and estimated requests of all daemons.
+    slots: int
+    in_flight: int
+    # Cold ones have their own limits, and are not scarce for long.
+    any_cold: bool
+
+
 class _Rate:
     """Events in a second, where older ones count exponentially less."""
 
@@ -167,30 +178,19 @@
         known = traffic.description
         if known is not None and now_ms - known.measured_ms < _REFRESH_MS:
             return dataclasses.replace(known, waiting=waiting)
-        capacity = in_flight = 0
-        for upstream_id, cached in self._view.upstreams.items():
-            entry = cached.entry
-            health = self._dispatcher.health(upstream_id)
-            if (
-                entry.service != service
-                or now_ms < cached.cold_until_ms
-                or health.is_ejected(now_ms)
-                or not self._dispatcher.may_send(entry)
-            ):
-                continue
-            capacity += entry.slots
-            in_flight += self._dispatcher.load(upstream_id)
+        usable = self._usable(service, now_ms)
         demand = self.own_in_flight(service) + waiting.total()
         total = demand + sum(self._peer_demands(service))
         part = demand / max(1, total)
-        places = PLACES_PER_SLOT * capacity
+        places = PLACES_PER_SLOT * usable.slots
+        scarce = 0 < places < total and not usable.any_cold
         traffic.description = ServiceLoad(
             measured_ms=now_ms,
-            capacity=capacity,
-            in_flight=in_flight,
-            share=None if total <= places else max(1, round(places * part)),
+            capacity=usable.slots,
+            in_flight=usable.in_flight,
+            share=max(1, round(places * part)) if scarce else None,
             waiting=waiting,
-            places_per_s=self._places_per_s(traffic, in_flight, part),
+            places_per_s=self._places_per_s(traffic, usable.in_flight, part),
             arrivals_per_s={
                 priority: rate.per_s(now_ms)
                 for priority, rate in traffic.arrivals.items()
@@ -198,6 +198,25 @@
         )
         return traffic.description
 
+    def _usable(self, service: str, now_ms: int) -> _Usable:
+        """Returns what the service's available upstreams offer."""
+        slots = in_flight = 0
+        any_cold = False
+        for upstream_id, cached in self._view.upstreams.items():
+            entry = cached.entry
+            if (
+                entry.service != service
+                or self._dispatcher.health(upstream_id).is_ejected(now_ms)
+                or not self._dispatcher.may_send(entry)
+            ):
+                continue
+            if now_ms < cached.cold_until_ms:
+                any_cold = True
+                continue
+            slots += entry.slots
+            in_flight += self._dispatcher.load(upstream_id)
+        return _Usable(slots=slots, in_flight=in_flight, any_cold=any_cold)
+
     def _places_per_s(
         self, traffic: _Traffic, in_flight: int, part: float
     ) -> float:
--- a/trefoilpitch/gateway/tests/test_service_load.py
+++ b/trefoilpitch/gateway/tests/test_service_load.py
@@ -22,14 +22,16 @@
 
 
 def _loads(
-    peer_demands: list[int], in_flight: int = 0
+    peer_demands: list[int], in_flight: int = 0, cold_left_ms: int = 0
 ) -> tuple[ServiceLoads, ManualClock]:
     clock = ManualClock(10_000)
     codec = InMemoryCodec()
     view = FleetView(codec, lambda change: None)
     items = (
         codec.item("config", configuration(), 1),
-        codec.item("u", upstream("u", slots=_SLOTS), 2),
+        codec.item(
+            "u", upstream("u", slots=_SLOTS, cold_left_ms=cold_left_ms), 2
+        ),
     )
     view.apply(ItemBatch(items=items, revision=2), clock.now_ms())
     dispatcher = Dispatcher(
@@ -57,6 +59,12 @@
     assert loads.describe("s", Counter({1: 50})).share == _PLACES
 
 
+def test_cold_upstreams_are_left_to_their_own_limits() -> None:
+    """After a restart of all of them there would be no places at all."""
+    loads, _ = _loads([], in_flight=5, cold_left_ms=3_000)
+    assert loads.describe("s", Counter({1: 50})).share is None
+
+
 def test_daemon_whose_requests_only_wait_has_its_part() -> None:
     """The others' requests in flight would otherwise keep all places."""
     loads, _ = _loads([_PLACES * 2, _PLACES], in_flight=0)
