Test when a request without a forecast gives up

A request that waited on without a forecast would be refused when its caller cannot come back any more; one that may have run would be lost if it gave up.

--- a/trefoilpitch/gateway/tests/test_waiting.py
+++ b/trefoilpitch/gateway/tests/test_waiting.py
@@ -289,6 +289,39 @@
     asyncio.run(scenario())
 
 
+def test_request_without_a_forecast_gives_up_while_its_caller_can_return() -> (
+    None
+):
+    """One that may have run cannot be refused, and waits on."""
+
+    async def scenario() -> None:
+        clock = SystemClock()
+        waiter = UpstreamWaiter(clock)
+        free = False
+
+        def choose() -> UpstreamEntry | NoUpstream:
+            return upstream() if free else _BUSY
+
+        async def wait(*, refusable: bool) -> UpstreamEntry | NoUpstream:
+            now_ms = clock.now_ms()
+            terms = WaitTerms(
+                priority=1,
+                workspace="w",
+                until_ms=now_ms + 60_000,
+                review_ms=now_ms + 20,
+                refusable=refusable,
+            )
+            return await waiter.wait("s", choose, terms)
+
+        may_have_run = asyncio.create_task(wait(refusable=False))
+        assert isinstance(await wait(refusable=True), NoUpstream)
+        assert not may_have_run.done()
+        free = True
+        assert isinstance(await may_have_run, UpstreamEntry)
+
+    asyncio.run(scenario())
+
+
 def test_place_is_not_given_to_a_request_whose_caller_has_just_left() -> None:
     async def scenario() -> None:
         clock = SystemClock()
