Share the rate of cold upstreams by the daemons' demand

Each daemon had a static share of a cold upstream's rate: 12 a second between 83 daemons are one each for 12 of them, whoever has the requests.

Heartbeats now carry each daemon's demand by service: requests in flight and waiting, averaged over a second, from the dispatcher and the waiter. A daemon uses the demand that it has reported itself, so that all compute the shares from the same figures; members without a report count like the mean. An increase of a share may be used a second later, when the requests of the daemon that gave it up have left the window. The field's default is None, which tells a daemon of the build before from one without demand.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -19,8 +19,9 @@
 )
 from trefoilpitch.gateway._cold_share import (
     ColdRequestCounter,
-    share_per_window,
+    ColdShares,
 )
+from trefoilpitch.gateway._demands import FleetDemands
 from trefoilpitch.gateway._health import LoadReport, UpstreamHealth
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
@@ -92,6 +93,10 @@
         peers_unreachable: Returns how many other daemons cannot reach an
             upstream, by its digest.
         relays: The peers that relay requests; None if there are none.
+        peers_demand: Returns the demands for a service that other daemons
+            have reported, by name.
+        waiting: Returns the number of this daemon's waiting requests by
+            service.
     """
 
     def __init__(
@@ -106,6 +111,8 @@
         peers_in_flight: Callable[[], Mapping[int, int]],
         peers_unreachable: Callable[[], Mapping[int, int]] = dict,
         relays: Relays | None = None,
+        peers_demand: Callable[[str], Mapping[str, int]] = lambda service: {},
+        waiting: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._view = view
         self._clock = clock
@@ -116,7 +123,16 @@
         self._peers_in_flight = peers_in_flight
         self._peers_unreachable = peers_unreachable
         self._relays = relays
+        self._waiting = waiting
+        self._demands = FleetDemands(
+            clock,
+            own_name=own_name,
+            members=members,
+            peers_demand=peers_demand,
+            own_demand=self._own_demand,
+        )
         self._cold_requests = ColdRequestCounter()
+        self._cold_shares = ColdShares(own_name)
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
         self._rejections = RejectionLimits(clock, own_name)
@@ -159,6 +175,24 @@
             if health.in_flight
         }
 
+    @property
+    def reported_demand(self) -> Mapping[str, int]:
+        """This daemon's demand by service, as last reported."""
+        return self._demands.reported
+
+    def report_demand(self) -> dict[str, int]:
+        """Returns this daemon's demand by service, for a heartbeat."""
+        return self._demands.report()
+
+    def _own_demand(self) -> Counter[str]:
+        """Returns this daemon's requests in flight and waiting by service."""
+        demand = Counter(self._waiting())
+        for upstream_id, health in self._health.items():
+            cached = self._view.upstreams.get(upstream_id)
+            if cached is not None:
+                demand[cached.entry.service] += health.in_flight
+        return demand
+
     def own_unreachable(self) -> tuple[int, ...]:
         """Returns the digests of the upstreams that it cannot reach now."""
         now_ms = self._clock.now_ms()
@@ -174,6 +208,7 @@
             if upstream_id not in self._view.upstreams and not health.in_flight:
                 del self._health[upstream_id]
         self._cold_requests.retain(self._view.upstreams)
+        self._cold_shares.retain(self._view.upstreams)
         self._rejections.retain(self._view.upstreams)
         self._paces.retain(
             {
@@ -619,13 +654,14 @@
         service = configuration.services.get(entry.service)
         if service is None or service.cold_rate_per_s <= 0:
             return True
-        share = share_per_window(
+        settled = self._cold_shares.settled(
             entry.upstream_id,
             service.cold_rate_per_s,
-            self._own_name,
             self._members(),
+            self._demands.of_service(entry.service),
+            now_ms,
         )
-        return self._cold_requests.used(entry.upstream_id, now_ms) < share
+        return self._cold_requests.used(entry.upstream_id, now_ms) < settled
 
 
 def _prefix_key(request: CallerRequest, model: str | None) -> str | None:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -212,6 +212,7 @@
             rng,
             failure_domain=settings.failure_domain,
         )
+        self._waiter = UpstreamWaiter(clock)
         dispatcher = Dispatcher(
             self._view,
             clock,
@@ -222,6 +223,8 @@
             peers_in_flight=self._peers.in_flight,
             peers_unreachable=self._peers.unreachable,
             relays=self._relays,
+            peers_demand=self._peers.demand,
+            waiting=self._waiter.waiting,
         )
         self._dispatcher = dispatcher
         self._relay_server = RelayServer(
@@ -233,7 +236,6 @@
             metrics=metrics,
             accepts=lambda: self.ready,
         )
-        self._waiter = UpstreamWaiter(clock)
         self._rollout_controller = RolloutController(
             store=store,
             codec=documents,
@@ -598,6 +600,7 @@
             relay_room=self._relay_server.room,
             rejection_limits=self._dispatcher.own_rejection_limits(),
             links_doubted=self._links.are_doubted(self._view.upstreams),
+            demand=self._dispatcher.report_demand(),
         )
         others = [
             member
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -47,6 +47,8 @@
 _MAX_BATCH_BYTES = 64 * 1024 * 1024
 # Larger datagrams may be fragmented by the network.
 _MAX_DATAGRAM_BYTES = 1_200
+# Bounds what a peer's wrong figure can take of the others' shares.
+_MAX_DEMAND = 100_000
 # Senders and reasons of malformed messages that are remembered.
 _MAX_LOGGED_MALFORMED = 1_024
 
@@ -124,8 +126,9 @@
     # Remaining work of the requests in `in_flight`, in its order, in tenths of
     # a second; empty if the daemon does not estimate it.
     work: tuple[_Count, ...] = ()
-    # Its requests in flight and waiting, by service.
-    demand: dict[str, _Count] = {}
+    # Its requests in flight and waiting, by service, averaged over a second;
+    # None if the daemon does not report it.
+    demand: dict[str, _Count] | None = None
     # Time for which upstreams that have restarted are still cold, in
     # milliseconds by upstream digest.
     cold_ms: dict[int, _Count] = {}
@@ -341,6 +344,17 @@
         """
         return self._unreachable
 
+    def demand(self, service: str) -> dict[str, int]:
+        """Returns the peers' demands for a service, by name.
+
+        Peers that do not report their demand are missing.
+        """
+        return {
+            name: min(_MAX_DEMAND, peer.heartbeat.demand.get(service, 0))
+            for name, peer in self._peers.items()
+            if peer.heartbeat.demand is not None
+        }
+
     def evidence(
         self, service: str, order_revision: int
     ) -> tuple[dict[str, VersionEvidence], int]:
@@ -420,7 +434,7 @@
         ("traits", EvidenceReport()),
         ("in_flight", {}),
         ("paces", ()),
-        ("demand", {}),
+        ("demand", None),
     ):
         if len(data) > _MAX_DATAGRAM_BYTES:
             heartbeat = msgspec.structs.replace(heartbeat, **{field: empty})
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -30,6 +30,7 @@
         "revision": view.revision,
         "configuration": configuration.version if configuration else None,
         "evacuated": sorted(view.evacuated),
+        "demand": dispatcher.reported_demand,
         "rollouts": {
             service: {
                 "target": cached.order.target,
@@ -55,6 +56,7 @@
                 "revision": peer.heartbeat.revision,
                 "ready": peer.heartbeat.ready,
                 "age_ms": now_ms - peer.received_ms,
+                "demand": peer.heartbeat.demand,
             }
             for name, peer in peers.alive().items()
         },
--- a/trefoilpitch/gateway/tests/test_mixed_builds.py
+++ b/trefoilpitch/gateway/tests/test_mixed_builds.py
@@ -141,7 +141,8 @@
     fields = msgspec.structs.asdict(old)
     for name, value in fields.items():
         assert _as_json(getattr(heartbeat, name)) == _as_json(value)
-    assert (heartbeat.work, heartbeat.demand, heartbeat.cold_ms) == ((), {}, {})
+    assert (heartbeat.work, heartbeat.cold_ms) == ((), {})
+    assert heartbeat.demand is None
     assert logged == []
 
 
--- a/trefoilpitch/gateway/tests/test_peers.py
+++ b/trefoilpitch/gateway/tests/test_peers.py
@@ -64,6 +64,19 @@
     assert table.unreachable() == {}
 
 
+def test_demand_of_peers_is_that_of_their_last_heartbeats() -> None:
+    """A peer of the build before reports none, which is not a demand of 0."""
+    table = PeerTable("own")
+    table.record(_heartbeat("a", 1, demand={"s": 3}), 0)
+    table.record(_heartbeat("b", 1, demand={"other": 3}), 0)
+    table.record(_heartbeat("old", 1), 0)
+    table.record(_heartbeat("wrong", 1, demand={"s": 1 << 63}), 0)
+    assert table.demand("s") == {"a": 3, "b": 0, "wrong": 100_000}
+    table.record(_heartbeat("a", 2, demand={}), 2_000)
+    table.expire(4_000)
+    assert table.demand("s") == {"a": 0}
+
+
 def test_reordered_heartbeat_is_ignored() -> None:
     table = PeerTable("own")
     digest = upstream_digest(_UPSTREAMS[0])
