--- a/trefoilpitch/gateway/_admission_control.py
+++ b/trefoilpitch/gateway/_admission_control.py
@@ -11,7 +11,6 @@
 import dataclasses
 import random
 from collections import Counter, defaultdict
-from collections.abc import Mapping
 
 from trefoilpitch.clock import Clock
 from trefoilpitch.gateway._admission_forecast import (
@@ -106,12 +105,6 @@
             error_ms = abs(wait_ms - expected.wait_ms)
             self._metrics.observe_ms("wait_forecast_error", error_ms)
 
-    def demand(self, waiting: Mapping[str, int]) -> dict[str, int]:
-        """Returns what this daemon has in flight and waiting, by service."""
-        demand = Counter(self._loads.all_in_flight())
-        demand.update(waiting)
-        return {service: count for service, count in demand.items() if count}
-
     def has_place(self, service: str, waiting: Counter[int]) -> bool:
         """Returns whether this daemon's part of the places is not used up."""
         share = self._loads.describe(service, waiting).share
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -20,8 +20,9 @@
 )
 from trefoilpitch.gateway._cold_share import (
     ColdRequestCounter,
-    share_per_window,
+    ColdShares,
 )
+from trefoilpitch.gateway._demands import FleetDemands
 from trefoilpitch.gateway._health import LoadReport, UpstreamHealth
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
@@ -114,6 +115,10 @@
             that its entry does not show.
         work: Estimates costs of requests and work left at upstreams; without
             it, requests are counted.
+        peers_demand: Returns the demands for a service that other daemons
+            have reported, by name.
+        waiting: Returns the number of this daemon's waiting requests by
+            service.
     """
 
     def __init__(
@@ -132,6 +137,8 @@
             False
         ),
         work: WorkTracker | None = None,
+        peers_demand: Callable[[str], Mapping[str, int]] = lambda service: {},
+        waiting: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._view = view
         self._clock = clock
@@ -144,7 +151,16 @@
         self._relays = relays
         self._has_restarted_cold = has_restarted_cold
         self._work = work or WorkTracker(clock)
+        self._waiting = waiting
+        self._demands = FleetDemands(
+            clock,
+            own_name=own_name,
+            members=members,
+            peers_demand=peers_demand,
+            own_demand=self._own_demand,
+        )
         self._cold_requests = ColdRequestCounter()
+        self._cold_shares = ColdShares(own_name)
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
         self._rejections = RejectionLimits(clock, own_name)
@@ -228,6 +244,24 @@
             name for name, health in self._health.items() if health.in_flight
         ]
 
+    @property
+    def reported_demand(self) -> Mapping[str, int]:
+        """This daemon's demand by service, as last reported."""
+        return self._demands.reported
+
+    def report_demand(self) -> dict[str, int]:
+        """Returns this daemon's demand by service, for a heartbeat."""
+        return self._demands.report()
+
+    def _own_demand(self) -> Counter[str]:
+        """Returns this daemon's requests in flight and waiting by service."""
+        demand = Counter(self._waiting())
+        for upstream_id, health in self._health.items():
+            cached = self._view.upstreams.get(upstream_id)
+            if cached is not None:
+                demand[cached.entry.service] += health.in_flight
+        return demand
+
     def own_unreachable(self) -> tuple[int, ...]:
         """Returns the digests of the upstreams that it cannot reach now."""
         now_ms = self._clock.now_ms()
@@ -243,6 +277,7 @@
             if upstream_id not in self._view.upstreams and not health.in_flight:
                 del self._health[upstream_id]
         self._cold_requests.retain(self._view.upstreams)
+        self._cold_shares.retain(self._view.upstreams)
         self._rejections.retain(self._view.upstreams)
         self._work.retain(self._view.upstreams)
         self._paces.retain(
@@ -804,13 +839,14 @@
         service = configuration.services.get(entry.service)
         if service is None or service.cold_rate_per_s <= 0:
             return True
-        share = share_per_window(
+        settled = self._cold_shares.settled(
             entry.upstream_id,
             service.cold_rate_per_s,
-            self._own_name,
             self._members(),
+            self._demands.of_service(entry.service),
+            now_ms,
         )
-        return self._cold_requests.used(entry.upstream_id, now_ms) < share
+        return self._cold_requests.used(entry.upstream_id, now_ms) < settled
 
 
 def _prefix_key(request: CallerRequest, model: str | None) -> str | None:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -228,6 +228,7 @@
             rng,
             failure_domain=settings.failure_domain,
         )
+        self._waiter = UpstreamWaiter(clock)
         dispatcher = Dispatcher(
             self._view,
             clock,
@@ -240,6 +241,8 @@
             relays=self._relays,
             has_restarted_cold=self._restarts.is_cold,
             work=WorkTracker(clock, self._peers.work, metrics),
+            peers_demand=self._peers.demand,
+            waiting=self._waiting_by_service,
         )
         self._dispatcher = dispatcher
         self._relay_server = RelayServer(
@@ -255,7 +258,10 @@
             clock,
             AdmissionControl(
                 ServiceLoads(
-                    self._view, dispatcher, clock, self._peers.demands
+                    self._view,
+                    dispatcher,
+                    clock,
+                    lambda service: self._peers.demand(service).values(),
                 ),
                 clock,
                 rng,
@@ -525,6 +531,10 @@
         self._registration.notify_store_returned()
         self._quarantine_records.notify_store_returned()
 
+    def _waiting_by_service(self) -> dict[str, int]:
+        # The waiter itself is created with the dispatcher.
+        return self._waiter.waiting()
+
     def _on_view_change(self) -> None:
         self._view.expire(self._clock.now_ms(), self._peers.alive())
         self._registration.notify_view_changed()
@@ -633,7 +643,7 @@
             work=self._dispatcher.own_work(),
             kilotokens=self._dispatcher.own_kilotokens(),
             durations=self._dispatcher.work.speeds.take_unshared(),
-            demand=self._waiter.demand(),
+            demand=self._dispatcher.report_demand(),
         )
         others = [
             member
--- a/trefoilpitch/gateway/_service_load.py
+++ b/trefoilpitch/gateway/_service_load.py
@@ -158,14 +158,6 @@
             if cached.entry.service == service
         )
 
-    def all_in_flight(self) -> Counter[str]:
-        """Returns this daemon's requests in flight by service."""
-        counts: Counter[str] = Counter()
-        for upstream_id, cached in self._view.upstreams.items():
-            in_flight = self._dispatcher.health(upstream_id).in_flight
-            counts[cached.entry.service] += in_flight
-        return counts
-
     def describe(self, service: str, waiting: Counter[int]) -> ServiceLoad:
         """Describes a service's load.
 
--- a/trefoilpitch/gateway/_upstream_waiter.py
+++ b/trefoilpitch/gateway/_upstream_waiter.py
@@ -67,12 +67,6 @@
             for service, queue in self._queues.items()
         }
 
-    def demand(self) -> dict[str, int]:
-        """Returns what this daemon has in flight and waiting, by service."""
-        if self._admission is None:
-            return {}
-        return self._admission.demand(self.waiting())
-
     def record_arrival(
         self, service: str, priority: int, workspace: str | None
     ) -> bool:
