Share the places of brittle upstreams by uneven demand

Each daemon had a fixed share of the places of an upstream that falls over when it rejects too much. Where a quarter of the daemons has all callers, the shares of the others stayed idle.

The shares now follow the demand in heartbeats.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -510,7 +510,7 @@
             slots=entry.slots,
             in_flight=self.health(entry.upstream_id).in_flight,
             load=load,
-            members=self._members(),
+            demands=self._demands.of_service(entry.service),
         )
 
     def _is_eligible(self, cached: CachedUpstream, model: str | None) -> bool:
--- a/trefoilpitch/gateway/_rejections.py
+++ b/trefoilpitch/gateway/_rejections.py
@@ -7,11 +7,12 @@
 their last heartbeats.
 
 A daemon may have its share of such an upstream's room in flight; the shares of
-all daemons add up to the room. It may have more while the upstream is not
-nearly full, but only a part more than at its last look, so that what all
-daemons add between two heartbeats stays within what is left. A rejection lowers
-the room that the daemon assumes, and ends its requests for a time that is long
-enough for all daemons together to stay below the limit.
+all daemons add up to the room, and follow the demand where it is uneven. It may
+have more while the upstream is not nearly full, but only a part more than at
+its last look, so that what all daemons add between two heartbeats stays within
+what is left. A rejection lowers the room that the daemon assumes, and ends its
+requests for a time that is long enough for all daemons together to stay below
+the limit.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 from trefoilpitch.clock import Clock
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._peers import heartbeat_interval_ms
-from trefoilpitch.rendezvous import rank
+from trefoilpitch.gateway._room_shares import leveled_demands, share
 
 # For how long an announcement holds without another one.
 _EXPIRY_MS = 10_000
@@ -55,12 +56,13 @@
     heard_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Rank:
-    """This daemon's position among the members for one upstream."""
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Share:
+    """This daemon's share of an upstream's places, and its inputs."""
 
-    members: frozenset[str]
-    position: int
+    demands: Mapping[str, int]
+    places: int
+    own: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,7 +94,7 @@
         self._by_service: dict[str, _Announcement] = {}
         self._by_peers: dict[str, _Announcement] = {}
         self._rooms: dict[str, _Room] = {}
-        self._ranks: dict[str, _Rank] = {}
+        self._shares: dict[str, _Share] = {}
 
     def announce(
         self, service: str, upstream_id: str, limit_per_s: int | None
@@ -154,7 +156,7 @@
 
     def retain(self, upstream_ids: Collection[str]) -> None:
         """Drops the records of all other upstreams."""
-        for records in (self._by_upstream, self._rooms, self._ranks):
+        for records in (self._by_upstream, self._rooms, self._shares):
             for upstream_id in records.keys() - set(upstream_ids):
                 del records[upstream_id]
 
@@ -212,7 +214,7 @@
         slots: int,
         in_flight: int,
         load: int,
-        members: Collection[str],
+        demands: Mapping[str, int],
     ) -> bool:
         """Returns whether an upstream may get another request.
 
@@ -222,13 +224,13 @@
             slots: Requests that it runs concurrently.
             in_flight: This daemon's requests there.
             load: Estimate of all daemons' requests there.
-            members: Names of all daemons that may be running.
+            demands: The demands of all daemons for the service, by name.
         """
         limit_per_s = self.limit_per_s(service, upstream_id)
         if limit_per_s is None:
             return True
         now_ms = self._clock.now_ms()
-        daemons = max(1, len(members))
+        daemons = max(1, len(demands))
         room = self._rooms.get(upstream_id)
         if room is None:
             room = _Room(now_ms, in_flight)
@@ -244,7 +246,7 @@
         # The upstream withstands it if all of these are rejected.
         harmless = lendable <= limit_per_s
         within_share = in_flight < self._own_share(
-            upstream_id, int(places), members
+            upstream_id, int(places), demands
         )
         if within_share and (harmless or load < places):
             return True
@@ -282,16 +284,27 @@
         return min(1.0, room.fraction + growth)
 
     def _own_share(
-        self, upstream_id: str, places: int, members: Collection[str]
+        self, upstream_id: str, places: int, demands: Mapping[str, int]
     ) -> int:
         """Returns this daemon's share of an upstream's places."""
-        ranks = self._ranks.get(upstream_id)
-        if ranks is None or ranks.members != members:
-            ordered = rank(upstream_id, {*members, self._own_name})
-            ranks = _Rank(frozenset(members), ordered.index(self._own_name))
-            self._ranks[upstream_id] = ranks
-        share, remainder = divmod(places, max(1, len(members)))
-        return share + (ranks.position < remainder)
+        known = self._shares.get(upstream_id)
+        if (
+            known is None
+            or known.demands is not demands
+            or known.places != places
+        ):
+            known = _Share(
+                demands=demands,
+                places=places,
+                own=share(
+                    upstream_id,
+                    places,
+                    leveled_demands(demands),
+                    self._own_name,
+                ),
+            )
+            self._shares[upstream_id] = known
+        return known.own
 
     def _drawn_part(self, upstream_id: str, places: float, daemons: int) -> int:
         """Returns this daemon's part of places; on average they add up."""
--- a/trefoilpitch/gateway/_room_shares.py
+++ b/trefoilpitch/gateway/_room_shares.py
@@ -6,9 +6,9 @@
 no place, while another one leaves its own unused.
 
 Each daemon computes the shares of all from the demands in the last heartbeats.
-The unit m of a daemon's demand has the score (m + u) / demand, where u is a
-hash of daemon and upstream between 0 and 1, and the units with the lowest
-scores get the places. Shares are therefore proportional to the demand, rounded
+The unit m of a daemon's demand has the rank (m + u) / demand, where u is 0 to 1
+by the rendezvous score of daemon and upstream, and the units with the lowest
+ranks get the places. Shares are therefore proportional to the demand, rounded
 up or down at random but alike in all views, and a change of one daemon's demand
 moves few other places: views that differ by the age of their heartbeats yield
 nearly the same shares.
@@ -22,6 +22,8 @@
 from trefoilpitch.rendezvous import score
 
 _SCORES = 1 << 64
+# Demands that differ from the mean by less than this factor count as alike.
+_SIMILAR_FACTOR = 3
 
 
 def share(
@@ -75,6 +77,28 @@
     return demands
 
 
+def leveled_demands(demands: Mapping[str, int]) -> dict[str, int]:
+    """Returns demands in which those that are similar are equal.
+
+    Load pattern: requests are shorter than the interval of heartbeats, and come
+    to all daemons alike. Shares that follow each small difference would move
+    while the requests of the daemon that had them before are still running. A
+    daemon without demand counts as one with one request, as its next request
+    may come before its next heartbeat.
+
+    Args:
+        demands: The demands of all daemons, by name.
+    """
+    least = {name: max(1, demand) for name, demand in demands.items()}
+    mean = -(-sum(least.values()) // max(1, len(least)))
+    return {
+        name: mean
+        if mean <= _SIMILAR_FACTOR * demand and demand <= _SIMILAR_FACTOR * mean
+        else demand
+        for name, demand in least.items()
+    }
+
+
 def _contested_share(
     upstream_id: str,
     places: int,
@@ -83,7 +107,7 @@
 ) -> int:
     """Returns a share where the demand exceeds the places."""
     offsets = {
-        name: score(upstream_id, name) / _SCORES
+        name: 1.0 - score(upstream_id, name) / _SCORES
         for name, demand in demands.items()
         if demand > 0
     }
--- a/trefoilpitch/gateway/tests/brittle_fleet.py
+++ b/trefoilpitch/gateway/tests/brittle_fleet.py
@@ -99,6 +99,8 @@
     arrived_ms: int
     attempts: int = 0
     returned: bool = False
+    # Whether it counts as waiting at its daemon.
+    waiting: bool = False
 
 
 class BrittleFleet:
@@ -138,6 +140,9 @@
         self._last: list[list[dict[int, int]]] = [
             [{} for _ in names] for _ in names
         ]
+        # Requests that wait for a place, and the demands in heartbeats.
+        self._waiting = [0 for _ in names]
+        self._demands: list[dict[str, int]] = [{} for _ in names]
         self._dispatchers = [
             Dispatcher(
                 self._view,
@@ -147,6 +152,8 @@
                 failure_domain=f"domain-{number % 3}",
                 members=lambda: members,
                 peers_in_flight=self._in_flight_heard_by(number),
+                peers_demand=self._demand_heard_by(number),
+                waiting=self._waiting_at(number),
             )
             for number, name in enumerate(names)
         ]
@@ -166,6 +173,12 @@
     def _in_flight_heard_by(self, number: int) -> Callable[[], Counter[int]]:
         return lambda: self._heard[number]
 
+    def _demand_heard_by(self, number: int) -> Callable[[str], dict[str, int]]:
+        return lambda service: self._demands[number]
+
+    def _waiting_at(self, number: int) -> Callable[[], dict[str, int]]:
+        return lambda: {"s": self._waiting[number]}
+
     def _put(self, key: str, document: object) -> None:
         self._revision += 1
         item = self._codec.item(key, document, self._revision)  # type: ignore[arg-type]
@@ -189,12 +202,14 @@
     def _beats(self, number: int) -> Callable[[], None]:
         def beat() -> None:
             published = self._dispatchers[number].own_in_flight()
+            demand = self._dispatchers[number].report_demand().get("s", 0)
             for other in range(self._load.daemons):
                 if other != number and self._rng.random() > _LOST_DATAGRAMS:
                     heard = self._heard[other]
                     heard.subtract(self._last[other][number])
                     heard.update(published)
                     self._last[other][number] = published
+                    self._demands[other][f"vm-{number}"] = demand
                     self._share_limits(number, other)
             self._after(heartbeat_interval_ms(self._load.daemons), beat)
 
@@ -248,8 +263,13 @@
         dispatcher = self._dispatchers[request.daemon]
         found = dispatcher.choose(request.request, "s", model=None, excluded=())
         waited_ms = self._clock.now_ms() - request.arrived_ms
+        self._set_waiting(
+            request,
+            waiting=not isinstance(found, UpstreamEntry)
+            and waited_ms < _WAIT_MS,
+        )
         if not isinstance(found, UpstreamEntry):
-            if waited_ms < _WAIT_MS:
+            if request.waiting:
                 self._after(_LOOK_MS, lambda: self._try(request))
             else:
                 self._refuse(request)
@@ -257,6 +277,10 @@
         dispatcher.health(found.upstream_id).in_flight += 1
         self._after(_ONE_WAY_MS, lambda: self._reach(request, found))
 
+    def _set_waiting(self, request: _Request, *, waiting: bool) -> None:
+        self._waiting[request.daemon] += waiting - request.waiting
+        request.waiting = waiting
+
     def _refuse(self, request: _Request) -> None:
         if request.returned:
             return
--- a/trefoilpitch/gateway/tests/test_rejections.py
+++ b/trefoilpitch/gateway/tests/test_rejections.py
@@ -7,7 +7,7 @@
 from trefoilpitch.clock import ManualClock
 from trefoilpitch.gateway._rejections import RejectionLimits
 
-_MEMBERS = frozenset(f"vm-{number}" for number in range(9))
+_DEMANDS = {f"vm-{number}": 40 for number in range(9)}
 
 
 def _limits(name: str = "vm-0") -> RejectionLimits:
@@ -27,7 +27,7 @@
         slots=64,
         in_flight=in_flight,
         load=load,
-        members=_MEMBERS,
+        demands=_DEMANDS,
     )
 
 
@@ -74,7 +74,7 @@
 def test_shares_of_all_daemons_fill_the_room_and_no_more() -> None:
     """A burst at all daemons at once, none of which knows of the others."""
     sent = 0
-    for name in _MEMBERS:
+    for name in _DEMANDS:
         limits = _limits(name)
         limits.announce("s", "u", 10)
         in_flight = 0
@@ -90,10 +90,10 @@
     limits = RejectionLimits(clock, "vm-0")
     limits.announce("s", "u", 6)
     assert _allows(limits)
-    limits.record_rejection("s", "u", len(_MEMBERS))
-    clock.advance(int(1_000 * len(_MEMBERS) / 6))
+    limits.record_rejection("s", "u", len(_DEMANDS))
+    clock.advance(int(1_000 * len(_DEMANDS) / 6))
     assert not _allows(limits)
-    clock.advance(int(1_000 * len(_MEMBERS) / 6))
+    clock.advance(int(1_000 * len(_DEMANDS) / 6))
     assert _allows(limits)
 
 
--- a/trefoilpitch/gateway/tests/test_room_shares.py
+++ b/trefoilpitch/gateway/tests/test_room_shares.py
@@ -7,7 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from trefoilpitch.gateway._room_shares import expected_demands, share
+from trefoilpitch.gateway._room_shares import (
+    expected_demands,
+    leveled_demands,
+    share,
+)
 
 _names = st.sampled_from([f"vm-{number}" for number in range(90)])
 _demands = st.dictionaries(
@@ -137,3 +141,12 @@
             demands = expected_demands(members, heard)
             sent += sum(share(f"u-{upstream}", 16, demands, n) for n in heard)
         assert sent <= 16 + 6
+
+
+def test_similar_demands_are_equal_and_others_are_kept() -> None:
+    """Shares that follow noise would move while requests still run."""
+    even = {"a": 2, "b": 5, "c": 0, "d": 3}
+    assert leveled_demands(even) == dict.fromkeys(even, 3)
+    uneven = {"a": 100, "b": 80, "c": 0} | {f"d-{n}": 1 for n in range(6)}
+    assert leveled_demands(uneven) == uneven | {"c": 1}
+    assert leveled_demands({}) == {}
