--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -15,6 +15,7 @@
     UpstreamEntry,
 )
 from trefoilpitch.gateway._admission import Admitted
+from trefoilpitch.gateway._attempt_credit import AttemptCredit
 from trefoilpitch.gateway._attempts import (
     Attempts,
     connect_timeout_ms,
@@ -45,6 +46,7 @@
     decode_relayed_head,
     relay_headers,
 )
+from trefoilpitch.gateway._request_deadline import RequestDeadline
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._request_traits import request_traits, trait_name
 from trefoilpitch.gateway._request_work import RequestWork
@@ -53,6 +55,7 @@
 from trefoilpitch.gateway._stream_forwarding import StreamForwarder
 from trefoilpitch.gateway._tier_choice import TierChoice
 from trefoilpitch.gateway._upstream_search import UpstreamSearch
+from trefoilpitch.gateway._work_tracking import RequestCost
 from trefoilpitch.metrics import Label
 from trefoilpitch.retries import Execution, FailureKind, classify_failure
 
@@ -116,7 +119,6 @@
         self._responder = responder
         self._traits = request_traits(request, admitted.workspace)
         self._attempts = Attempts()
-        self._attempts_sent = 0
         self._attempt_log: list[str] = []
         self._attempted_ids: list[str] = []
         # Upstreams that may have run the request.
@@ -125,16 +127,23 @@
         self._withdrawn = False
         # Names of peers that could not relay it.
         self._failed_relays: set[str] = set()
-        # Whether the retry budget was spent for the next attempt.
-        self._credit_reserved = False
         self._service = deps.dispatcher.pick_service(admitted.route)
         self._budget = deps.budget(self._service)
+        # These parts do not refer to this object: a cycle would keep the body
+        # in memory until the garbage collector runs.
+        self._credit = AttemptCredit(self._budget)
+        self._deadline = RequestDeadline(request, admitted.route, responder)
         self._tiers = TierChoice(deps, request, admitted.route)
         self._work = RequestWork(
             deps.dispatcher.work,
             deps.dispatcher.load,
-            lambda: deps.dispatcher.work.cost(
-                request, self._service, admitted.route.name, self._tiers.model
+            functools.partial(
+                _expected_cost,
+                deps,
+                request,
+                admitted,
+                self._service,
+                self._tiers,
             ),
             deps.clock,
             admitted.route.target_gap_ms,
@@ -146,8 +155,7 @@
             self._service,
             self._tiers,
             attempted=self._attempted_ids,
-            affords=self._affords_attempt,
-            reserve=self._reserve_credit,
+            credit=self._credit,
         )
         self._hand_over = HandOver(deps, request.request_id, self)
         self._stream = StreamForwarder(
@@ -155,20 +163,12 @@
             admitted.route,
             responder,
             self._hand_over,
-            self._remaining_ms,
+            self._deadline,
         )
         self._task: asyncio.Task[None] | None = None
         # Whether its attempts were cancelled because the daemon exits.
         self._stopped = False
         self._last_error_response: tuple[UpstreamResponse, bytes] | None = None
-        arrived_ms = request.http.arrived_ms
-        timeout_ms = admitted.route.timeout_ms
-        self._caller_deadline_ms = arrived_ms + (
-            timeout_ms if request.wait_ms is None else request.wait_ms
-        )
-        self._response_deadline_ms = min(
-            self._caller_deadline_ms, arrived_ms + timeout_ms
-        )
 
     @property
     def _route(self) -> Route:
@@ -188,7 +188,7 @@
         finally:
             self._task = None
             self._hand_over.close()
-            self.release_credit()
+            self._credit.release()
             self._log_completion(outcome)
 
     def stop(self) -> None:
@@ -222,7 +222,7 @@
             else:
                 found = await self._search.find(
                     self._attempts,
-                    self._deadline_ms,
+                    self._deadline.at_ms,
                     started=self._responder.started,
                 )
                 if isinstance(found, NoUpstream):
@@ -237,36 +237,19 @@
             reason = stop_reason(
                 self._route,
                 self._attempts,
-                affordable=self._affords_attempt(),
+                affordable=self._credit.affords(),
                 started=self._responder.started,
             )
             if reason is not None:
                 self._attempt_log.append(f"not retried: {reason.value}")
                 return await self._send_failure()
 
-    def _affords_attempt(self) -> bool:
-        free = self._attempts_sent == 0 or self._credit_reserved
-        return free or self._budget.affords()
-
-    def _reserve_credit(self) -> None:
-        # Reserved with the choice, as many requests may wait for one credit.
-        if self._attempts_sent > 0 and not self._credit_reserved:
-            self._credit_reserved = self._budget.reserve()
-
     def release_credit(self) -> None:
         """Takes back the retry credit of an attempt that was not sent."""
-        if self._credit_reserved:
-            self._credit_reserved = False
-            self._budget.release()
-
-    @property
-    def _deadline_ms(self) -> int:
-        if self._responder.started:
-            return self._caller_deadline_ms
-        return self._response_deadline_ms
+        self._credit.release()
 
     def _remaining_ms(self, now_ms: int) -> int:
-        return self._deadline_ms - now_ms
+        return self._deadline.remaining_ms(now_ms)
 
     async def _run_attempt(self, entry: UpstreamEntry) -> FailureKind | None:
         """Runs one attempt.
@@ -331,12 +314,8 @@
             connection=connection,
             started_ms=started_ms,
             relay=relay,
-            charged=self._credit_reserved,
+            charged=self._credit.record_sent(),
         )
-        self._attempts_sent += 1
-        if self._credit_reserved:
-            self._credit_reserved = False
-            self._budget.spend_reserved()
         self._run_ids.add(entry.upstream_id)
         return attempt
 
@@ -477,7 +456,7 @@
             self._attempts,
             remaining_ms,
             self._expected_latency_ms(),
-            affordable=self._budget.affords(),
+            affordable=self._credit.affords_retry(),
         )
         try:
             return await self.receive_response(attempt, timeout_ms)
@@ -524,9 +503,7 @@
             refused = error.kind is FailureKind.NOT_SENT
             relays.avoid(relay, attempt.entry, refused=refused)
             self._failed_relays.add(relay.name)
-            self._attempts_sent -= 1
-            if attempt.charged:
-                self._budget.refund()
+            self._credit.record_not_sent(charged=attempt.charged)
             raise failure from error
         relays.record_response(attempt.entry)
         return relayed
@@ -545,7 +522,7 @@
     ) -> None:
         remaining_ms = self._remaining_ms(now_ms)
         if self._route.kind is OperationKind.STREAM:
-            remaining_ms = self._caller_deadline_ms - now_ms
+            remaining_ms = self._deadline.caller_ms - now_ms
         attempt = UpstreamAttempt(
             upstream=entry,
             remaining_ms=max(1, remaining_ms),
@@ -628,7 +605,7 @@
             return
         if self._attempts.runs + 1 >= self._route.max_attempts:
             return
-        if not self._budget.affords():
+        if not self._credit.affords_retry():
             return
         entry = attempt.entry
         tier = self._tiers.escalation(entry.service, response.confidence)
@@ -844,7 +821,20 @@
             trail=self._attempt_log,
             last_event_id=self._stream.last_event_id,
             elapsed_ms=elapsed_ms,
-            deadline_ms=self._caller_deadline_ms
+            deadline_ms=self._deadline.caller_ms
             - self._request.http.arrived_ms,
             outcome=outcome,
         )
+
+
+def _expected_cost(
+    deps: RequestDependencies,
+    request: CallerRequest,
+    admitted: Admitted,
+    service: str,
+    tiers: TierChoice,
+) -> RequestCost:
+    """Returns the expected cost of a request on its present model."""
+    return deps.dispatcher.work.cost(
+        request, service, admitted.route.name, tiers.model
+    )
--- a/trefoilpitch/gateway/_stream_forwarding.py
+++ b/trefoilpitch/gateway/_stream_forwarding.py
@@ -18,6 +18,7 @@
 from trefoilpitch.gateway._handover import HandOver, SentAttempt
 from trefoilpitch.gateway._http_server import Responder
 from trefoilpitch.gateway._messages import UpstreamResponse
+from trefoilpitch.gateway._request_deadline import RequestDeadline
 from trefoilpitch.gateway._request_dependencies import RequestDependencies
 from trefoilpitch.gateway._response_speed import ResponseSpeed
 from trefoilpitch.retries import FailureKind
@@ -31,8 +32,7 @@
         route: The request's route.
         responder: Sends the response.
         hand_over: Keeps a stalled attempt until another upstream takes over.
-        remaining_ms: Returns the time until the deadline, given the monotonic
-            time.
+        deadline: The request's deadline.
     """
 
     def __init__(
@@ -41,13 +41,13 @@
         route: Route,
         responder: Responder,
         hand_over: HandOver,
-        remaining_ms: Callable[[int], int],
+        deadline: RequestDeadline,
     ) -> None:
         self._deps = deps
         self._route = route
         self._responder = responder
         self._hand_over = hand_over
-        self._remaining_ms = remaining_ms
+        self._deadline = deadline
         self._last_event_id: int | None = None
 
     @property
@@ -134,7 +134,7 @@
             ExchangeError: If another upstream has taken over the stream, the
                 deadline is reached, or the stream is truncated or malformed.
         """
-        remaining_ms = self._remaining_ms(self._deps.clock.now_ms())
+        remaining_ms = self._deadline.remaining_ms(self._deps.clock.now_ms())
         if remaining_ms <= 0:
             raise ExchangeError(
                 FailureKind.RESPONSE_TIMEOUT, "deadline reached"
--- a/trefoilpitch/gateway/_upstream_search.py
+++ b/trefoilpitch/gateway/_upstream_search.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Hashable
+from collections.abc import Collection, Hashable
 
 from trefoilpitch.fleet import UpstreamEntry
 from trefoilpitch.gateway._admission import Admitted
 from trefoilpitch.gateway._admission_control import NotInTime
+from trefoilpitch.gateway._attempt_credit import AttemptCredit
 from trefoilpitch.gateway._attempts import Attempts, refusal_delay_ms
 from trefoilpitch.gateway._dispatcher import NoUpstream
 from trefoilpitch.gateway._log import log_event
@@ -45,8 +46,7 @@
         tiers: Names its model.
         attempted: Upstreams that were attempted; chosen again only if there is
             no other. Changes with the attempts.
-        affords: Returns whether the retry budget allows another attempt.
-        reserve: Reserves the retry budget for an attempt.
+        credit: The retry budget that its attempts use.
     """
 
     def __init__(
@@ -58,8 +58,7 @@
         tiers: TierChoice,
         *,
         attempted: Collection[str],
-        affords: Callable[[], bool],
-        reserve: Callable[[], None],
+        credit: AttemptCredit,
     ) -> None:
         self._deps = deps
         self._request = request
@@ -67,8 +66,7 @@
         self._service = service
         self._tiers = tiers
         self._attempted = attempted
-        self._affords = affords
-        self._reserve = reserve
+        self._credit = credit
         # Whether it exceeds its workspace's usual rate; None before the first
         # attempt.
         self._excess: bool | None = None
@@ -109,7 +107,7 @@
         Args:
             unusable: Upstreams that are not chosen.
         """
-        if not self._affords():
+        if not self._credit.affords():
             return NoUpstream(
                 reason="retry budget exhausted", available_in_ms=None
             )
@@ -122,7 +120,7 @@
             route=self._admitted.route.name,
         )
         if isinstance(found, UpstreamEntry):
-            self._reserve()
+            self._credit.reserve()
         return found
 
     def _terms(
