--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -151,6 +151,10 @@
         return "forwarded"
 
     async def _connect(self, order: RelayOrder) -> HttpConnection:
+        if not self._accepts() or self._active > MAX_RELAYED:
+            raise ExchangeError(FailureKind.NOT_SENT, "no room")
+        # Not asked again after connecting: a daemon that begins to leave
+        # finishes what it has accepted.
         entry = self._permitted(order)
         if self._links.is_lost(entry.upstream_id):
             raise ExchangeError(
@@ -170,8 +174,6 @@
         Raises:
             ExchangeError: If it must not get the request from this daemon.
         """
-        if not self._accepts() or self._active > MAX_RELAYED:
-            raise ExchangeError(FailureKind.NOT_SENT, "no room")
         cached = self._view.upstreams.get(order.upstream_id)
         if cached is None:
             raise ExchangeError(FailureKind.NOT_SENT, "unknown upstream")
