--- a/trefoilpitch/gateway/_work_tracking.py
+++ b/trefoilpitch/gateway/_work_tracking.py
@@ -171,14 +171,15 @@
         now_ms = self._clock.now_ms()
         upstream_id = entry.upstream_id
         self._speeds.note_service(upstream_id, entry.service)
-        duration = self._speeds.duration(upstream_id, now_ms)
         mean_ms = self._mean_ms(entry.service)
         slowdown = self._estimator.slowdown(entry.service)
         if mean_ms is None or slowdown is None:
-            return UpstreamWork(duration=duration)
+            # Plain requests end within some 60 ms; the speed changes faster
+            # than reports of it reach the daemons.
+            return UpstreamWork()
         return UpstreamWork(
             load=self._load(upstream_id, load, mean_ms, now_ms),
-            duration=duration,
+            duration=self._speeds.duration(upstream_id, now_ms),
             slowdown=slowdown,
             pause=self._pause(upstream_id, now_ms),
         )
