Count peers' work in place instead of in new objects for each heartbeat

Cause: PeerWorkTable built a frozen object for each upstream of each heartbeat, twice, beside PeerTable's plain counters of the same figures. Ruled out: decoding (the longer message costs some 2 us more to encode, 3 to decode).

--- a/trefoilpitch/gateway/_peer_work.py
+++ b/trefoilpitch/gateway/_peer_work.py
@@ -6,9 +6,12 @@
 from collections.abc import Mapping, Sequence
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class PeerWork:
-    """Work of all other daemons at one upstream."""
+    """Work of all other daemons at one upstream.
+
+    Changed in place: each heartbeat of each daemon changes several of them.
+    """
 
     # Work left, in tenths of a second at the usual speed.
     tenths: int = 0
@@ -60,6 +63,8 @@
         kilotokens: Sequence[int],
         sign: int,
     ) -> None:
+        if not (work or kilotokens):
+            return
         none = (0,) * len(in_flight)
         work = work if len(work) == len(in_flight) else none
         if len(kilotokens) != len(in_flight):
@@ -71,13 +76,12 @@
             resolved = tenths >= max(1, count)
             if not resolved and not tokens:
                 continue
-            known = self._work.get(digest, PeerWork())
-            total = PeerWork(
-                tenths=known.tenths + sign * tenths * resolved,
-                counted=known.counted + sign * count * resolved,
-                kilotokens=known.kilotokens + sign * tokens,
-            )
-            if total.counted > 0 or total.kilotokens > 0:
-                self._work[digest] = total
-            else:
-                self._work.pop(digest, None)
+            total = self._work.get(digest)
+            if total is None:
+                total = self._work[digest] = PeerWork()
+            if resolved:
+                total.tenths += sign * tenths
+                total.counted += sign * count
+            total.kilotokens += sign * tokens
+            if total.counted <= 0 and total.kilotokens <= 0:
+                del self._work[digest]
