Collect the evidence by route only when it is compared

Cause: each daemon asked its VersionComparison ten times a second (two looks in each tick of 200 ms) and collected the strata of all peers each time, of which the comparison uses one in a second and drops the others.

The comparison says whether it is due, and only then are the reports collected. What it is given, and when, is unchanged; so are its tests.

--- a/trefoilpitch/gateway/_rollout_controller.py
+++ b/trefoilpitch/gateway/_rollout_controller.py
@@ -194,10 +194,13 @@
         if comparison is None or revision != rollout.revision:
             comparison = VersionComparison(rollout.order.target)
             self._comparisons[service] = rollout.revision, comparison
-        reports: dict[str, StratifiedEvidence]
-        reports = dict(self._peers.strata(service, rollout.revision))
-        reports[self._own_name] = self._dispatcher.own_strata(service)
-        comparison.update(reports, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if comparison.is_due(now_ms):
+            # Collecting the reports of a large fleet takes milliseconds.
+            reports: dict[str, StratifiedEvidence]
+            reports = dict(self._peers.strata(service, rollout.revision))
+            reports[self._own_name] = self._dispatcher.own_strata(service)
+            comparison.update(reports, now_ms)
         return comparison
 
     def _stop(self, rollout: CachedRolloutOrder, reason: str) -> None:
--- a/trefoilpitch/gateway/_version_comparison.py
+++ b/trefoilpitch/gateway/_version_comparison.py
@@ -206,6 +206,10 @@
         # compared with.
         self._uncompared = _Counts()
 
+    def is_due(self, now_ms: int) -> bool:
+        """Returns whether `update` would use the daemons' totals now."""
+        return self._window_end_ms is None or now_ms >= self._window_end_ms
+
     def update(
         self, reports: Mapping[str, StratifiedEvidence], now_ms: int
     ) -> None:
@@ -215,9 +219,7 @@
             reports: The totals, by start of a daemon.
             now_ms: The monotonic time.
         """
-        if self._window_end_ms is None:
-            self._window_end_ms = now_ms
-        if now_ms < self._window_end_ms:
+        if not self.is_due(now_ms):
             return
         self._window_end_ms = now_ms + _WINDOW_MS
         added: dict[int, tuple[VersionEvidence, VersionEvidence]] = {}
