Drop work that is done twice, and what nothing reads

Found in reading the change once more, none of it changes a decision:

* RequestWork computed an upstream's load for each batch of events of a stream, which the tracker used for the first part of the response only; the two are now separate (responded, and the ticket's events).
* RequestRun computed the cost of an attempt relative to others, two estimates, although the tracker estimates by kind and size itself (identify).
* ServiceLoad.waiting was read by nothing, and a description was copied for it with each request that needs a place.
* Node built a second UpstreamWaiter that the next lines replaced.
* Dispatcher.own_in_flight repeated the loop of _busy.
* A comment on a quarantine's duration stood between another one and its constant.

Tests keep their assertions; two pass one argument less or call the parts by name.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -217,9 +217,8 @@
     def own_in_flight(self) -> dict[int, int]:
         """Returns this daemon's in-flight requests by upstream digest."""
         return {
-            upstream_digest(upstream_id): health.in_flight
-            for upstream_id, health in self._health.items()
-            if health.in_flight
+            upstream_digest(upstream_id): self._health[upstream_id].in_flight
+            for upstream_id in self._busy()
         }
 
     def own_work(self) -> tuple[int, ...]:
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -228,7 +228,6 @@
             rng,
             failure_domain=settings.failure_domain,
         )
-        self._waiter = UpstreamWaiter(clock)
         dispatcher = Dispatcher(
             self._view,
             clock,
--- a/trefoilpitch/gateway/_quarantine.py
+++ b/trefoilpitch/gateway/_quarantine.py
@@ -22,10 +22,10 @@
 from trefoilpitch.rendezvous import rank
 
 # Time after the last ending until a request is sent as a probe, and the same
-# for traits that responses went well with before: they may be sound after all.
+# for traits that responses went well with before, or that are blamed out of
+# caution: they may be sound after all.
 _QUARANTINE_MS = 600_000
 _QUARANTINE_IF_SOUND_BEFORE_MS = 120_000
-# The latter also holds for those that are blamed out of caution.
 # The same for requests of which only one is to blame.
 _QUARANTINE_IF_AMBIGUOUS_MS = 30_000
 # Pause between probes: a failed one renews the quarantine long before.
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -138,7 +138,7 @@
             deps.dispatcher.work,
             deps.dispatcher.load,
             functools.partial(
-                _expected_cost,
+                _identify_cost,
                 deps,
                 request,
                 admitted,
@@ -827,14 +827,14 @@
         )
 
 
-def _expected_cost(
+def _identify_cost(
     deps: RequestDependencies,
     request: CallerRequest,
     admitted: Admitted,
     service: str,
     tiers: TierChoice,
 ) -> RequestCost:
-    """Returns the expected cost of a request on its present model."""
-    return deps.dispatcher.work.cost(
+    """Returns what the cost of a request on its present model depends on."""
+    return deps.dispatcher.work.identify(
         request, service, admitted.route.name, tiers.model
     )
--- a/trefoilpitch/gateway/_request_work.py
+++ b/trefoilpitch/gateway/_request_work.py
@@ -24,7 +24,7 @@
     Args:
         tracker: Estimates costs and remaining work.
         load: Estimates the number of requests at an upstream.
-        cost: Returns the expected cost of the request as it runs now.
+        cost: Returns what the cost of the request depends on as it runs now.
         clock: Provides monotonic time.
         permitted_pause_ms: Longest pause between the events of its response;
             0 for no limit.
@@ -72,7 +72,7 @@
         if attempt is not None:
             attempt.started_ms = started_ms
             self._last_ms = self._clock.now_ms()
-            self._tracker.progress(attempt, 0, self._load(entry.upstream_id))
+            self._tracker.responded(attempt, self._load(entry.upstream_id))
 
     def events_arrived(self, entry: UpstreamEntry, count: int) -> None:
         """Records events of a stream after the first part."""
@@ -85,9 +85,7 @@
         self._last_ms = now_ms
         attempt = self._attempts.get(entry.upstream_id)
         if attempt is not None:
-            self._tracker.progress(
-                attempt, count, self._load(entry.upstream_id)
-            )
+            attempt.ticket.events += count
 
     def completed(self, entry: UpstreamEntry, status: int) -> None:
         """Learns from a complete response."""
--- a/trefoilpitch/gateway/_service_load.py
+++ b/trefoilpitch/gateway/_service_load.py
@@ -48,8 +48,6 @@
     in_flight: int
     # Requests that this daemon may have in flight; None for no limit.
     share: int | None
-    # This daemon's requests that wait, by priority.
-    waiting: Mapping[int, int]
     # Places that this daemon's requests get in a second while requests wait; 0
     # if unknown.
     places_per_s: float
@@ -169,7 +167,7 @@
         traffic = self._traffic_of(service)
         known = traffic.description
         if known is not None and now_ms - known.measured_ms < _REFRESH_MS:
-            return dataclasses.replace(known, waiting=waiting)
+            return known
         usable = self._usable(service, now_ms)
         demand = self.own_in_flight(service) + waiting.total()
         total = demand + sum(self._peer_demands(service))
@@ -181,7 +179,6 @@
             capacity=usable.slots,
             in_flight=usable.in_flight,
             share=max(1, round(places * part)) if scarce else None,
-            waiting=waiting,
             places_per_s=self._places_per_s(traffic, usable.in_flight, part),
             arrivals_per_s={
                 priority: rate.per_s(now_ms)
--- a/trefoilpitch/gateway/_work_tracking.py
+++ b/trefoilpitch/gateway/_work_tracking.py
@@ -122,14 +122,14 @@
         # Pauses of streams relative to the permitted ones, by upstream.
         self._pauses: dict[str, DecayingMaximum] = {}
 
-    def cost(
+    def identify(
         self,
         request: CallerRequest,
         service: str,
         route: str,
         model: str | None,
     ) -> RequestCost:
-        """Returns the expected cost of a request."""
+        """Returns what the cost of a request depends on, without the cost."""
         kind = WorkKind(
             service=service, route=route, model=model or request.model
         )
@@ -140,9 +140,21 @@
             ),
             body_bytes=len(request.http.body),
         )
+        return RequestCost(kind=kind, size=size)
+
+    def cost(
+        self,
+        request: CallerRequest,
+        service: str,
+        route: str,
+        model: str | None,
+    ) -> RequestCost:
+        """Returns the expected cost of a request, for its placement."""
+        unknown = self.identify(request, service, route, model)
         mean_ms = self._mean_ms(service)
         if mean_ms is None:
-            return RequestCost(kind=kind, size=size)
+            return unknown
+        kind, size = unknown.kind, unknown.size
         total_ms = self._estimator.estimate(kind, size).total_ms
         saving_ms = 0.0
         if len(request.prefix) > 1:
@@ -286,19 +298,17 @@
             ticket=ticket, cost=cost, entry=entry, started_ms=now_ms, load=load
         )
 
-    def progress(self, attempt: TrackedAttempt, events: int, load: int) -> None:
-        """Records that parts of a response have arrived.
+    def responded(self, attempt: TrackedAttempt, load: int) -> None:
+        """Records that the first part of a response has arrived.
 
         Args:
             attempt: The attempt.
-            events: Number of new events.
             load: Estimated number of requests at the upstream.
         """
         if attempt.first_ms is None:
             attempt.first_ms = self._clock.now_ms()
             # The head of the response carries a load report.
             attempt.load = max(1, load)
-        attempt.ticket.events += events
 
     def end(self, attempt: TrackedAttempt) -> None:
         """Removes the work of an attempt, however it has ended."""
--- a/trefoilpitch/gateway/tests/test_admission_forecast.py
+++ b/trefoilpitch/gateway/tests/test_admission_forecast.py
@@ -35,7 +35,6 @@
         capacity=100,
         in_flight=in_flight,
         share=None,
-        waiting={},
         places_per_s=places_per_s,
         arrivals_per_s=arrivals_per_s or {},
     )
--- a/trefoilpitch/gateway/tests/uneven_fleet.py
+++ b/trefoilpitch/gateway/tests/uneven_fleet.py
@@ -457,7 +457,8 @@
                 events = int(done * job.output_tokens / _TOKENS_PER_EVENT)
                 new = max(0, events - job.attempt.ticket.events)
                 load = dispatcher.load(target.entry.upstream_id)
-                dispatcher.work.progress(job.attempt, new, load)
+                dispatcher.work.responded(job.attempt, load)
+                job.attempt.ticket.events += new
             self._schedule(target)
             return
         del target.running[number]
