--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# A machine without links to the workers, and a request that ends workers.
+# A machine that comes back alone, and a request that ends workers.
 set -euo pipefail
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
 export PYTHONPATH="$PWD:$PWD/target/deps" PYTHONDONTWRITEBYTECODE=1
-exec python3 -m review.support_2.partition "$folder"
+exec python3 -m review.support_2.alone "$folder"
