Exit with 2 if a case of the review cannot run

Cause: a missing build or an unexpected error of a script ended it with 1, the status of a broken rule.

Unused members of the stand-ins are removed.

--- a/review/support_2/deployment.py
+++ b/review/support_2/deployment.py
@@ -197,11 +197,6 @@
                 stderr=subprocess.STDOUT,
             )
 
-    def signal(self, number: int) -> None:
-        """Sends a signal to the daemon."""
-        if self._process is not None:
-            self._process.send_signal(number)
-
     def kill(self) -> None:
         """Kills the daemon, if it runs."""
         if self._process is not None:
@@ -395,7 +390,7 @@
 
     try:
         held = asyncio.run(bounded())
-    except (CaseError, TimeoutError, OSError) as error:
+    except Exception as error:
         record.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         return NOT_RUN
--- a/review/support_2/standins.py
+++ b/review/support_2/standins.py
@@ -34,7 +34,6 @@
 
 PlatformStoreStandIn = _store.PlatformStoreStandIn
 PlatformWorkerStandIn = _worker.PlatformWorkerStandIn
-WorkerFault = _worker.WorkerFault
 config_document = _config.config_document
 send = _client.send
 free_port = _ports.free_port
