Log and measure the request limits that upstreams announce

Cause: Server-Limit reached the callers like any other header. Neither logs nor metrics could tell a limit that nobody reads from one that each daemon takes for its own or learns late.

Change: the header is decoded; a line rate_limit when a limit comes, changes or ends, the gauge upstream_rate_limits, and in the state dump an upstream's limit and the requests sent lately under it. No decision reads it yet.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -44,6 +44,7 @@
     saturation,
 )
 from trefoilpitch.gateway._prefix_traffic import PrefixTraffic
+from trefoilpitch.gateway._rate_limits import RateLimits
 from trefoilpitch.gateway._rejections import RejectionLimits
 from trefoilpitch.gateway._relays import Relays
 from trefoilpitch.gateway._rollouts import (
@@ -164,6 +165,7 @@
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
         self._rejections = RejectionLimits(clock, own_name)
+        self._rate_limits = RateLimits(clock)
         self._prefix_traffic = PrefixTraffic()
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
@@ -177,6 +179,11 @@
         """Estimates costs of requests and the work left at upstreams."""
         return self._work
 
+    @property
+    def rate_limits(self) -> RateLimits:
+        """The request rates that upstreams have announced."""
+        return self._rate_limits
+
     def own_evidence(self, service: str) -> Mapping[str, VersionEvidence]:
         """Returns this daemon's evidence since the service's last order.
 
@@ -278,6 +285,7 @@
         self._cold_requests.retain(self._view.upstreams)
         self._cold_shares.retain(self._view.upstreams)
         self._rejections.retain(self._view.upstreams)
+        self._rate_limits.retain(self._view.upstreams)
         self._work.retain(self._view.upstreams)
         self._paces.retain(
             {
@@ -403,6 +411,7 @@
         leaving: bool,
         pause_ms: int,
         rejection_limit: int | None = None,
+        rate_limit_per_s: float | None = None,
     ) -> None:
         """Records what an upstream announced in a response.
 
@@ -412,7 +421,10 @@
             pause_ms: How long it wants no requests; 0 for no pause.
             rejection_limit: Rejections in a second after which it falls over;
                 None if it has announced none.
+            rate_limit_per_s: Requests a second that it takes from all daemons
+                together; None if it has announced no limit.
         """
+        self._rate_limits.announce(entry, rate_limit_per_s)
         self._rejections.announce(
             entry.service, entry.upstream_id, rejection_limit
         )
@@ -719,6 +731,7 @@
         cached = self._view.upstreams[chosen.upstream_id]
         if self._is_cold(cached, now_ms):
             self._cold_requests.record(chosen.upstream_id, now_ms)
+        self._rate_limits.record_sent(cached.entry)
         return cached.entry
 
     def _draw(
--- a/trefoilpitch/gateway/_messages.py
+++ b/trefoilpitch/gateway/_messages.py
@@ -97,6 +97,9 @@
     # Rejections in a second after which the upstream falls over; None if it
     # announces no limit.
     rejection_limit: int | None = None
+    # Requests a second that the upstream takes from all daemons together; None
+    # if it announces no limit.
+    rate_limit_per_s: float | None = None
 
 
 class RequestCodec(Protocol):
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -761,6 +761,7 @@
             "view_revision": self._view.revision,
             "upstreams": len(self._view.upstreams),
             "upstream_links_lost": len(self._links.lost),
+            "upstream_rate_limits": self._dispatcher.rate_limits.count,
             "relayed_for_peers": self._relay_server.active,
             "peers": len(self._peers.alive()),
             "members_uncertain": int(self._members.are_uncertain),
--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -204,6 +204,7 @@
                 leaving=response.leaving,
                 pause_ms=response.pause_ms,
                 rejection_limit=response.rejection_limit,
+                rate_limit_per_s=response.rate_limit_per_s,
             )
         headers = [*forwarded_headers(self._codec.encode_response(response))]
         length = head.header(_CONTENT_LENGTH)
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -560,6 +560,7 @@
             leaving=response.leaving,
             pause_ms=response.pause_ms,
             rejection_limit=response.rejection_limit,
+            rate_limit_per_s=response.rate_limit_per_s,
         )
         if response.load is not None:
             dispatcher.record_load(entry, response.load)
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -94,6 +94,8 @@
         "missing": cached.retain_until_ms is not None,
         "in_flight": health.in_flight,
         "load": dispatcher.load(entry.upstream_id),
+        "rate_limit_per_s": dispatcher.rate_limits.limit_per_s(entry),
+        "sent_under_limit": dispatcher.rate_limits.sent(entry),
         "failure_share": round(health.failure_rate(now_ms), 3),
         "pace": round(health.recent_latency_ratio(now_ms), 2),
         "ejected": health.is_ejected(now_ms),
--- a/trefoilpitch/platform/_requests.py
+++ b/trefoilpitch/platform/_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 
 from trefoilpitch.gateway import (
     BadRequestError,
@@ -40,6 +41,8 @@
 _RETRY_AFTER = b"retry-after"
 # Rejections for want of room in a second after which a worker falls over.
 _BRITTLE = b"server-brittle"
+# Requests a second that a worker takes from all daemons together.
+_RATE_LIMIT = b"server-limit"
 # In health responses: milliseconds for which a worker stays cold.
 _COLD_MS = b"x-trefoilpitch-cold-ms"
 _API_KEY = b"api-key"
@@ -55,6 +58,10 @@
 # for the strictest that lets a worker be tried at all.
 _MAX_REJECTION_LIMIT = 10_000
 _STRICT_REJECTION_LIMIT = 1
+# The same for the limits of requests a second.
+_MAX_RATE_LIMIT = 1_000_000.0
+_STRICT_RATE_LIMIT = 1.0
+_DECIMAL = re.compile(r"\d{1,30}(\.\d{0,30})?|\.\d{1,30}", re.ASCII)
 # Figures of a load report: counts of requests, and the duration of work.
 _LOAD_COUNTS = 3
 _LOAD_FIGURES = 4
@@ -200,6 +207,9 @@
             rejection_limit=None
             if head.status == _MISDIRECTED
             else _rejection_limit(head.header(_BRITTLE)),
+            rate_limit_per_s=None
+            if head.status == _MISDIRECTED
+            else _rate_limit(head.header(_RATE_LIMIT)),
         )
 
     def decode_cold_ms(self, head: ResponseHead) -> int | None:
@@ -282,6 +292,15 @@
     return min(_MAX_REJECTION_LIMIT, int(digits))
 
 
+def _rate_limit(text: str | None) -> float | None:
+    if text is None:
+        return None
+    if not _DECIMAL.fullmatch(text.strip()):
+        _log_malformed(_RATE_LIMIT, text)
+        return _STRICT_RATE_LIMIT
+    return min(_MAX_RATE_LIMIT, float(text))
+
+
 def _token_counts(text: str | None) -> tuple[int, int]:
     if text is None:
         return 0, 0
--- a/trefoilpitch/standins/_platform_worker.py
+++ b/trefoilpitch/standins/_platform_worker.py
@@ -111,6 +111,8 @@
         self.load = "1,0,8"
         # Value of the Server-Brittle header of all responses; None for none.
         self.brittle: str | None = None
+        # Value of the Server-Limit header of all responses; None for none.
+        self.rate_limit: str | None = None
         # Value of the Retry-After header of shed requests; None for none.
         self.retry_after: str | None = None
         # Number of requests that it has shed.
@@ -286,12 +288,20 @@
             await asyncio.sleep(self.comment_interval_ms / _MS_PER_S)
         await self.speaking.wait()
 
-    def _shed_headers(self) -> list[tuple[bytes, bytes]]:
-        headers = [(b"X-Trefoilpitch-Not-Executed", b"1")]
+    def _announcements(self) -> list[tuple[bytes, bytes]]:
+        """Returns what all responses say of the worker."""
+        headers = []
         if self.leaving:
             headers.append((b"Server-Leaving", b"1"))
         if self.brittle is not None:
             headers.append((b"Server-Brittle", self.brittle.encode()))
+        if self.rate_limit is not None:
+            headers.append((b"Server-Limit", self.rate_limit.encode()))
+        return headers
+
+    def _shed_headers(self) -> list[tuple[bytes, bytes]]:
+        headers = [(b"X-Trefoilpitch-Not-Executed", b"1")]
+        headers.extend(self._announcements())
         if self.retry_after is not None:
             headers.append((b"Retry-After", self.retry_after.encode()))
         return headers
@@ -313,10 +323,7 @@
         if model in self.confidence:
             confidence = str(self.confidence[model]).encode()
             headers.append((b"X-Trefoilpitch-Confidence", confidence))
-        if self.leaving:
-            headers.append((b"Server-Leaving", b"1"))
-        if self.brittle is not None:
-            headers.append((b"Server-Brittle", self.brittle.encode()))
+        headers.extend(self._announcements())
         return headers
 
     async def _respond_plain(
