Show that upstreams get more requests than their announced limit

The replay plays the real dispatchers of 9 to 195 daemons on 6 to 30 upstreams; the other test runs three daemons on loopback.

--- a/trefoilpitch/gateway/tests/brittle_fleet.py
+++ b/trefoilpitch/gateway/tests/brittle_fleet.py
@@ -93,7 +93,9 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Request:
+class SimulatedRequest:
+    """A caller's request on its way."""
+
     request: CallerRequest
     daemon: int
     arrived_ms: int
@@ -254,12 +256,12 @@
         daemons = max(1, round(self._load.busy_daemons * self._load.daemons))
         self.arrived += 1
         self._try(
-            _Request(
+            SimulatedRequest(
                 request, self._rng.randrange(daemons), self._clock.now_ms()
             )
         )
 
-    def _try(self, request: _Request) -> None:
+    def _try(self, request: SimulatedRequest) -> None:
         dispatcher = self._dispatchers[request.daemon]
         found = dispatcher.choose(request.request, "s", model=None, excluded=())
         waited_ms = self._clock.now_ms() - request.arrived_ms
@@ -277,14 +279,14 @@
         dispatcher.health(found.upstream_id).in_flight += 1
         self._after(_ONE_WAY_MS, lambda: self._reach(request, found))
 
-    def _set_waiting(self, request: _Request, *, waiting: bool) -> None:
+    def _set_waiting(self, request: SimulatedRequest, *, waiting: bool) -> None:
         self._waiting[request.daemon] += waiting - request.waiting
         request.waiting = waiting
 
-    def _refuse(self, request: _Request) -> None:
+    def _refuse(self, request: SimulatedRequest) -> None:
         if request.returned:
             return
-        again = _Request(
+        again = SimulatedRequest(
             request.request,
             self._rng.randrange(
                 max(1, round(self._load.busy_daemons * self._load.daemons))
@@ -296,7 +298,7 @@
             _RETURN_MS * self._rng.uniform(0.7, 1.3), lambda: self._try(again)
         )
 
-    def _reach(self, request: _Request, entry: UpstreamEntry) -> None:
+    def _reach(self, request: SimulatedRequest, entry: UpstreamEntry) -> None:
         load = self._load
         target = self._upstreams[entry.upstream_id]
         if target.down:
@@ -351,7 +353,7 @@
         )
         self._view.apply(batch, self._clock.now_ms())
 
-    def _run(self, request: _Request, target: _Upstream) -> None:
+    def _run(self, request: SimulatedRequest, target: _Upstream) -> None:
         duration_ms = self._rng.expovariate(1 / self._load.mean_ms)
         self._after(duration_ms, lambda: self._complete(request, target))
 
@@ -362,7 +364,7 @@
             slots=target.entry.slots,
         )
 
-    def _complete(self, request: _Request, target: _Upstream) -> None:
+    def _complete(self, request: SimulatedRequest, target: _Upstream) -> None:
         if target.down:
             self._fail(request, target.entry, refused=False)
             return
@@ -374,7 +376,7 @@
         self._after(_ONE_WAY_MS, lambda: self._receive(request, target, report))
 
     def _receive(
-        self, request: _Request, target: _Upstream, report: LoadReport
+        self, request: SimulatedRequest, target: _Upstream, report: LoadReport
     ) -> None:
         dispatcher = self._dispatchers[request.daemon]
         health = dispatcher.health(target.entry.upstream_id)
@@ -404,7 +406,7 @@
 
     def _fail(
         self,
-        request: _Request,
+        request: SimulatedRequest,
         entry: UpstreamEntry,
         *,
         refused: bool,
--- /dev/null
+++ b/trefoilpitch/gateway/tests/test_rate_limit_replay.py
@@ -0,0 +1,77 @@
+"""Replays of load on upstreams that announce how many requests they take."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+import pytest
+
+from trefoilpitch.gateway.tests.limited_fleet import LimitedFleet, LimitedLoad
+
+_ENGINES = LimitedLoad(
+    name="engines",
+    daemons=9,
+    upstreams=6,
+    slots=64,
+    queue=64,
+    short_queue=64,
+    limit=0,
+    limit_per_s=1.7,
+    mean_ms=1_500.0,
+    # 26 requests a second, and 51 in the burst.
+    usual=0.1,
+    burst=0.2,
+    burst_ms=(6_000, 9_000),
+    end_ms=20_000,
+)
+_LOADS = [
+    _ENGINES,
+    dataclasses.replace(_ENGINES, name="least", limit_per_s=0.2),
+    dataclasses.replace(_ENGINES, name="none", limit_per_s=0.0),
+    dataclasses.replace(_ENGINES, name="half-limited", limited_share=0.5),
+    dataclasses.replace(_ENGINES, name="hot-prefix", hot=0.5),
+    dataclasses.replace(_ENGINES, name="few-daemons-busy", busy_daemons=0.25),
+    dataclasses.replace(
+        _ENGINES,
+        name="short-requests",
+        slots=6,
+        queue=12,
+        mean_ms=100.0,
+        usual=0.6,
+        burst=1.0,
+        limit_per_s=15.0,
+    ),
+    dataclasses.replace(
+        _ENGINES,
+        name="79-daemons",
+        daemons=79,
+        upstreams=20,
+        limit_per_s=3.5,
+        usual=0.15,
+    ),
+    dataclasses.replace(
+        _ENGINES,
+        name="195-daemons",
+        daemons=195,
+        upstreams=30,
+        limit_per_s=3.5,
+        usual=0.6,
+        limited_ms=(2_000, 10_000),
+        end_ms=12_000,
+    ),
+]
+
+
+@functools.lru_cache
+def _play(load: LimitedLoad) -> LimitedFleet:
+    fleet = LimitedFleet(load, 1)
+    fleet.play()
+    return fleet
+
+
+@pytest.mark.parametrize("load", _LOADS, ids=lambda load: load.name)
+def test_upstream_gets_no_more_requests_than_its_rate_limit(
+    load: LimitedLoad,
+) -> None:
+    assert _play(load).excess() <= 0
--- a/trefoilpitch/platform/tests/test_rate_limits.py
+++ b/trefoilpitch/platform/tests/test_rate_limits.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from trefoilpitch.gateway import HttpRequest, ResponseHead
 from trefoilpitch.platform._requests import PlatformRequests
-from trefoilpitch.platform.tests.harness import run, running_fleet
+from trefoilpitch.platform.tests.cut_links import Daemon, running_daemons
+from trefoilpitch.platform.tests.harness import (
+    loop_time_s,
+    run,
+    running_fleet,
+)
 
 
 def _decoded(value: str | None, status: int = 200) -> float | None:
@@ -70,3 +77,38 @@
             assert limits.count == 0
 
     run(scenario)
+
+
+async def _send_often(daemon: Daemon, until_s: float) -> None:
+    """Sends ten requests a second, whatever becomes of them."""
+    number = 0
+    async with asyncio.TaskGroup() as group:
+        while loop_time_s() < until_s:
+            number += 1
+            request_id = f"{daemon.settings.name}-{number}"
+            group.create_task(daemon.send_request("/plain/x", request_id))
+            await asyncio.sleep(0.1)
+
+
+def test_daemons_together_send_no_more_than_the_rate_limit() -> None:
+    """Each of them alone would send four times as much."""
+
+    async def scenario() -> None:
+        async with running_daemons(3, plain=1) as (fleet, daemons):
+            (worker,) = fleet.workers.values()
+            arrivals_s: list[float] = []
+            worker.on_run = lambda run: arrivals_s.append(loop_time_s())
+            worker.rate_limit = "2.5"
+            announced_s = loop_time_s()
+            async with asyncio.TaskGroup() as group:
+                for daemon in daemons:
+                    group.create_task(_send_often(daemon, announced_s + 8.0))
+            for end_s in arrivals_s:
+                if end_s >= announced_s + 4.5:
+                    # The limit and the tolerance above it, in any four seconds.
+                    counted = [
+                        t for t in arrivals_s if end_s - 4.0 < t <= end_s
+                    ]
+                    assert len(counted) <= 1.5 * 2.5 * 4.0 + 5
+
+    run(scenario)
