Keep the fleet's requests below the rates that upstreams announce

Ruled out: that each daemon takes the limit for its own, and that it is heard late.

Change: a daemon's heartbeats carry what upstreams announced to it, with its age; the latest announcement holds until a response says otherwise. The limit is divided into whole requests a window (1 or 4 s), shared by demand as the places of cold and brittle upstreams are; a share that grows counts only after a window. A limit that permits less than a request in 10 s still permits one, so that its end is heard. While all upstreams of a service are limited, the forecast of waits uses this daemon's part of the limits: what cannot be served in time is refused at once. Obstacles of upstreams move from the dispatcher to a module of their own.

--- a/trefoilpitch/gateway/_crash_evidence.py
+++ b/trefoilpitch/gateway/_crash_evidence.py
@@ -9,13 +9,11 @@
 from __future__ import annotations
 
 import dataclasses
-import zlib
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import Annotated, TypeAlias
 
 import msgspec
 
-from trefoilpitch.fleet import UpstreamEntry
 from trefoilpitch.gateway._request_traits import is_whole_request
 
 # Bounds of the memory: traits with endings, endings, sound parts of prompts and
@@ -110,12 +108,6 @@
     was_sound: bool
 
 
-def run_digest(entry: UpstreamEntry) -> int:
-    """Returns a 32-bit digest of one run of an upstream."""
-    run = f"{entry.upstream_id}@{entry.started_wall_ms}"
-    return zlib.crc32(run.encode())
-
-
 class CrashEvidence:
     """Records under which traits upstreams ended and responses went well.
 
--- a/trefoilpitch/gateway/_cut_attempts.py
+++ b/trefoilpitch/gateway/_cut_attempts.py
@@ -15,7 +15,6 @@
 from trefoilpitch.gateway._crash_evidence import (
     AttemptProgress,
     CrashEvidence,
-    run_digest,
 )
 from trefoilpitch.gateway._http_client import ResponseHead
 from trefoilpitch.gateway._log import log_event
@@ -23,6 +22,7 @@
     RequestTraits,
     trait_name,
 )
+from trefoilpitch.gateway._upstream_digest import run_digest
 from trefoilpitch.gateway._upstream_links import Reachability
 from trefoilpitch.metrics import Label, Metrics
 from trefoilpitch.retries import FailureKind
--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import functools
 import random
 from collections import Counter
@@ -26,6 +25,7 @@
 from trefoilpitch.gateway._health import LoadReport, UpstreamHealth
 from trefoilpitch.gateway._log import log_event
 from trefoilpitch.gateway._messages import CallerRequest
+from trefoilpitch.gateway._obstacles import UpstreamObstacles
 from trefoilpitch.gateway._paces import (
     MeasuredPace,
     PaceCounts,
@@ -64,8 +64,6 @@
 # Number of other daemons that must have failed to reach an upstream before this
 # one avoids it too; a single one may itself be cut off.
 _MIN_UNREACHABLE_REPORTS = 2
-# Requests per slot at which an upstream gets no further requests.
-_FULL_LOAD = 3.0
 # Prefixes whose ranks of the upstreams are remembered.
 _CACHED_RANKS = 256
 
@@ -81,22 +79,6 @@
     available_in_ms: int | None
 
 
-class _Obstacle(enum.Enum):
-    """Why an upstream cannot get a request at the moment."""
-
-    # This daemon could not connect to it.
-    UNREACHABLE = "unreachable"
-    # Several requests in a row failed.
-    FAILING = "failing"
-    # It asked for a pause.
-    PAUSED = "paused"
-    SATURATED = "saturated"
-    # Its memory has no room for the prompt.
-    OUT_OF_MEMORY = "out of token memory"
-    # It is cold, and this daemon's share of its requests is used up.
-    COLD = "cold"
-
-
 class Dispatcher:
     """Selects upstreams and tracks their health and roll-out evidence.
 
@@ -165,7 +147,21 @@
         self._health: dict[str, UpstreamHealth] = {}
         self._notices = UpstreamNotices()
         self._rejections = RejectionLimits(clock, own_name)
-        self._rate_limits = RateLimits(clock)
+        self._rate_limits = RateLimits(
+            clock, own_name, self._demands.of_service
+        )
+        self._obstacles = UpstreamObstacles(
+            view,
+            notices=self._notices,
+            rejections=self._rejections,
+            rate_limits=self._rate_limits,
+            work=self._work,
+            demands=self._demands,
+            health=self.health,
+            load=self.load,
+            is_relayed=self._is_relayed,
+            has_quota=self._has_quota,
+        )
         self._prefix_traffic = PrefixTraffic()
         self._evidence: dict[str, dict[str, VersionEvidence]] = {}
         self._evidence_orders: dict[str, int] = {}
@@ -285,7 +281,9 @@
         self._cold_requests.retain(self._view.upstreams)
         self._cold_shares.retain(self._view.upstreams)
         self._rejections.retain(self._view.upstreams)
-        self._rate_limits.retain(self._view.upstreams)
+        self._rate_limits.retain(
+            [cached.entry for cached in self._view.upstreams.values()]
+        )
         self._work.retain(self._view.upstreams)
         self._paces.retain(
             {
@@ -536,10 +534,11 @@
                 reason="no upstream runs the version that the roll-out selects",
                 available_in_ms=None,
             )
-        unattempted = [
-            k for k in allowed if k.entry.upstream_id not in excluded
-        ]
-        groups = [unattempted, allowed]
+        groups = [allowed]
+        if excluded:
+            groups.insert(
+                0, [k for k in allowed if k.entry.upstream_id not in excluded]
+            )
         if request.session is None:
             # Without a session a request may run on the previous version if
             # the target's upstreams are not available.
@@ -550,7 +549,9 @@
             if entry is not None:
                 return entry
         now_ms = self._clock.now_ms()
-        available_ms = min(self._available_ms(k, now_ms) for k in allowed)
+        available_ms = min(
+            self._obstacles.available_ms(k.entry, now_ms) for k in allowed
+        )
         return NoUpstream(
             reason=self._describe_obstacles(allowed, now_ms, cost),
             available_in_ms=max(0, available_ms - now_ms),
@@ -560,7 +561,7 @@
         self, cached: list[CachedUpstream], now_ms: int, cost: RequestCost
     ) -> str:
         """Counts the obstacles of upstreams and how many peers share them."""
-        obstacles = Counter(self._obstacle(k, now_ms, cost) for k in cached)
+        obstacles = Counter(self._obstacles.of(k, now_ms, cost) for k in cached)
         counts = [
             f"{count} {obstacle.value}"
             for obstacle, count in obstacles.items()
@@ -577,55 +578,6 @@
             f" {reached} of {len(cached)} not reported unreachable by all peers"
         )
 
-    def _obstacle(
-        self, cached: CachedUpstream, now_ms: int, cost: RequestCost
-    ) -> _Obstacle | None:
-        entry = cached.entry
-        health = self.health(entry.upstream_id)
-        if self._notices.paused_until_ms(entry) > now_ms:
-            return _Obstacle.PAUSED
-        if health.is_ejected(now_ms) and not (
-            health.unreachable and self._is_relayed(entry)
-        ):
-            return (
-                _Obstacle.UNREACHABLE
-                if health.unreachable
-                else _Obstacle.FAILING
-            )
-        load = self.load(entry.upstream_id)
-        if load >= _FULL_LOAD * entry.slots or self._may_be_rejected(
-            entry, load
-        ):
-            return _Obstacle.SATURATED
-        if not self._work.has_memory(
-            entry, cost, self._memory_tokens(entry.service)
-        ):
-            return _Obstacle.OUT_OF_MEMORY
-        if self._is_cold(cached, now_ms) and not self._has_cold_quota(
-            entry, now_ms
-        ):
-            return _Obstacle.COLD
-        return None
-
-    def _memory_tokens(self, service: str) -> int | None:
-        configuration = self._view.configuration
-        known = configuration.services.get(service) if configuration else None
-        return known.memory_tokens if known else None
-
-    def _may_be_rejected(self, entry: UpstreamEntry, load: int) -> bool:
-        """Returns whether a brittle upstream might have no room."""
-        rejections = self._rejections
-        if rejections.limit_per_s(entry.service, entry.upstream_id) is None:
-            return False
-        return not rejections.allows(
-            entry.service,
-            entry.upstream_id,
-            slots=entry.slots,
-            in_flight=self.health(entry.upstream_id).in_flight,
-            load=load,
-            demands=self._demands.of_service(entry.service),
-        )
-
     def _is_eligible(self, cached: CachedUpstream, model: str | None) -> bool:
         entry = cached.entry
         return (
@@ -770,7 +722,7 @@
         self, cached: CachedUpstream, cost: RequestCost, now_ms: int
     ) -> Candidate | None:
         """Returns an upstream as a candidate; None if it has an obstacle."""
-        if self._obstacle(cached, now_ms, cost) is not None:
+        if self._obstacles.of(cached, now_ms, cost) is not None:
             return None
         entry = cached.entry
         health = self.health(entry.upstream_id)
@@ -817,15 +769,6 @@
         )
         return find_homes((c for c in ranked if c is not None), terms)
 
-    def _available_ms(self, cached: CachedUpstream, now_ms: int) -> int:
-        """Returns when an upstream may be available; `now_ms` if unknown."""
-        entry = cached.entry
-        return max(
-            now_ms,
-            self.health(entry.upstream_id).ejected_until_ms,
-            self._notices.paused_until_ms(entry),
-        )
-
     def _is_relayed(self, entry: UpstreamEntry) -> bool:
         return self._relays is not None and self._relays.is_needed(entry)
 
@@ -844,7 +787,11 @@
             cached.entry
         )
 
-    def _has_cold_quota(self, entry: UpstreamEntry, now_ms: int) -> bool:
+    def _has_quota(self, cached: CachedUpstream, now_ms: int) -> bool:
+        """Returns whether an upstream is warm or may get another request."""
+        if not self._is_cold(cached, now_ms):
+            return True
+        entry = cached.entry
         configuration = self._view.configuration
         if configuration is None:
             return False
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -643,6 +643,7 @@
             kilotokens=self._dispatcher.own_kilotokens(),
             durations=self._dispatcher.work.speeds.take_unshared(),
             demand=self._dispatcher.report_demand(),
+            rate_limits=self._dispatcher.rate_limits.reports(),
         )
         others = [
             member
@@ -664,6 +665,7 @@
         self._peers.record(heartbeat, self._clock.now_ms())
         self._merge_evidence(heartbeat.traits)
         self._dispatcher.adopt_rejection_limits(heartbeat.rejection_limits)
+        self._dispatcher.rate_limits.adopt(heartbeat.rate_limits)
         self._dispatcher.work.speeds.adopt(
             heartbeat.durations, self._clock.now_ms()
         )
--- a/trefoilpitch/gateway/_peers.py
+++ b/trefoilpitch/gateway/_peers.py
@@ -145,6 +145,10 @@
     # Mean duration of work, in per cent of the usual one, that upstreams have
     # reported to it since its last heartbeat; by upstream digest.
     durations: dict[int, _Count] = {}
+    # What upstreams announced to this daemon, by digest of their run: requests
+    # a second that they take from all daemons, in thousandths (None if they
+    # have no limit any more), and the age of the announcement in milliseconds.
+    rate_limits: dict[int, tuple[_Count | None, _Count]] = {}
 
     @property
     def version(self) -> StoreVersion:
--- a/trefoilpitch/gateway/_service_load.py
+++ b/trefoilpitch/gateway/_service_load.py
@@ -69,6 +69,14 @@
     in_flight: int
     # Cold ones have their own limits, and are not scarce for long.
     any_cold: bool
+    # Requests a second that this daemon may send to those that have announced
+    # a rate limit, which do not count among the others.
+    limited_per_s: float
+
+    @property
+    def are_all_limited(self) -> bool:
+        """Whether nothing but rate limits decides on the next places."""
+        return self.limited_per_s > 0 and not (self.slots or self.any_cold)
 
 
 class _Rate:
@@ -179,7 +187,9 @@
             capacity=usable.slots,
             in_flight=usable.in_flight,
             share=max(1, round(places * part)) if scarce else None,
-            places_per_s=self._places_per_s(traffic, usable.in_flight, part),
+            places_per_s=usable.limited_per_s
+            if usable.are_all_limited
+            else self._places_per_s(traffic, usable.in_flight, part),
             arrivals_per_s={
                 priority: rate.per_s(now_ms)
                 for priority, rate in traffic.arrivals.items()
@@ -191,6 +201,7 @@
         """Returns what the service's available upstreams offer."""
         slots = in_flight = 0
         any_cold = False
+        limited_per_s = 0.0
         for upstream_id, cached in self._view.upstreams.items():
             entry = cached.entry
             if (
@@ -202,9 +213,18 @@
             if now_ms < cached.cold_until_ms:
                 any_cold = True
                 continue
+            own_rate_per_s = self._dispatcher.rate_limits.own_rate_per_s(entry)
+            if own_rate_per_s is not None:
+                limited_per_s += own_rate_per_s
+                continue
             slots += entry.slots
             in_flight += self._dispatcher.load(upstream_id)
-        return _Usable(slots=slots, in_flight=in_flight, any_cold=any_cold)
+        return _Usable(
+            slots=slots,
+            in_flight=in_flight,
+            any_cold=any_cold,
+            limited_per_s=limited_per_s,
+        )
 
     def _places_per_s(
         self, traffic: _Traffic, in_flight: int, part: float
--- a/trefoilpitch/gateway/_state_dump.py
+++ b/trefoilpitch/gateway/_state_dump.py
@@ -95,7 +95,7 @@
         "in_flight": health.in_flight,
         "load": dispatcher.load(entry.upstream_id),
         "rate_limit_per_s": dispatcher.rate_limits.limit_per_s(entry),
-        "sent_under_limit": dispatcher.rate_limits.sent(entry),
+        "own_rate_per_s": dispatcher.rate_limits.own_rate_per_s(entry),
         "failure_share": round(health.failure_rate(now_ms), 3),
         "pace": round(health.recent_latency_ratio(now_ms), 2),
         "ejected": health.is_ejected(now_ms),
--- a/trefoilpitch/gateway/_upstream_digest.py
+++ b/trefoilpitch/gateway/_upstream_digest.py
@@ -9,6 +9,8 @@
 import functools
 import zlib
 
+from trefoilpitch.fleet import UpstreamEntry
+
 # More than the upstreams that a daemon follows at a time.
 _CACHED_DIGESTS = 8_192
 
@@ -21,3 +23,9 @@
     makes a placement less exact.
     """
     return zlib.crc32(upstream_id.encode())
+
+
+def run_digest(entry: UpstreamEntry) -> int:
+    """Returns a 32-bit digest of one run of an upstream."""
+    run = f"{entry.upstream_id}@{entry.started_wall_ms}"
+    return zlib.crc32(run.encode())
--- a/trefoilpitch/gateway/tests/brittle_fleet.py
+++ b/trefoilpitch/gateway/tests/brittle_fleet.py
@@ -221,6 +221,9 @@
         self._dispatchers[other].adopt_rejection_limits(
             self._dispatchers[number].own_rejection_limits()
         )
+        self._dispatchers[other].rate_limits.adopt(
+            self._dispatchers[number].rate_limits.reports()
+        )
 
     def _arrive(self) -> None:
         load = self._load
--- a/trefoilpitch/gateway/tests/test_cut_attempts.py
+++ b/trefoilpitch/gateway/tests/test_cut_attempts.py
@@ -23,7 +23,6 @@
     AttemptProgress,
     CrashEvidence,
     TraitKnowledge,
-    run_digest,
 )
 from trefoilpitch.gateway._cut_attempts import CutAttempts
 from trefoilpitch.gateway._request_traits import (
@@ -31,6 +30,7 @@
     part_digest,
     request_traits,
 )
+from trefoilpitch.gateway._upstream_digest import run_digest
 from trefoilpitch.gateway._upstream_links import UpstreamLinks
 from trefoilpitch.metrics import Metrics
 from trefoilpitch.retries import FailureKind
--- a/trefoilpitch/gateway/tests/test_mixed_builds.py
+++ b/trefoilpitch/gateway/tests/test_mixed_builds.py
@@ -82,6 +82,7 @@
     cold_ms={_DIGESTS[0]: 4_000},
     kilotokens=tuple(range(9)),
     durations={_DIGESTS[0]: 180},
+    rate_limits={_DIGESTS[0]: (1_700, 250), _DIGESTS[1]: (None, 40)},
 )
 _ENTRY = UpstreamEntry(
     upstream_id="i-0123456789",
--- a/trefoilpitch/gateway/tests/test_rate_limit_replay.py
+++ b/trefoilpitch/gateway/tests/test_rate_limit_replay.py
@@ -9,6 +9,9 @@
 
 from trefoilpitch.gateway.tests.limited_fleet import LimitedFleet, LimitedLoad
 
+# Time after which the daemons know what has changed.
+_SETTLED_MS = 1_000
+
 _ENGINES = LimitedLoad(
     name="engines",
     daemons=9,
@@ -28,7 +31,7 @@
 _LOADS = [
     _ENGINES,
     dataclasses.replace(_ENGINES, name="least", limit_per_s=0.2),
-    dataclasses.replace(_ENGINES, name="none", limit_per_s=0.0),
+    dataclasses.replace(_ENGINES, name="none", limit_per_s=0.0, end_ms=30_000),
     dataclasses.replace(_ENGINES, name="half-limited", limited_share=0.5),
     dataclasses.replace(_ENGINES, name="hot-prefix", hot=0.5),
     dataclasses.replace(_ENGINES, name="few-daemons-busy", busy_daemons=0.25),
@@ -75,3 +78,28 @@
     load: LimitedLoad,
 ) -> None:
     assert _play(load).excess() <= 0
+
+
+@pytest.mark.parametrize("load", _LOADS, ids=lambda load: load.name)
+def test_most_of_a_rate_limit_is_used(load: LimitedLoad) -> None:
+    fleet = _play(load)
+    from_ms, until_ms = load.limited_ms
+    used = fleet.arrived_at_limited(from_ms + _SETTLED_MS, until_ms)
+    limited_s = (until_ms - from_ms - _SETTLED_MS) / 1_000
+    upstreams = load.limited_share * load.upstreams
+    assert used >= 0.75 * load.limit_per_s * limited_s * upstreams
+
+
+@pytest.mark.parametrize("load", _LOADS, ids=lambda load: load.name)
+def test_requests_return_when_a_rate_limit_ends(load: LimitedLoad) -> None:
+    fleet = _play(load)
+    from_ms, until_ms = load.limited_ms
+    # One response has to say so, which may be the only one in a window.
+    began_ms = until_ms + max(_SETTLED_MS, _window_ms(load))
+    before = fleet.arrived_at_limited(0, from_ms) / from_ms
+    returned = fleet.arrived_at_limited(began_ms, load.end_ms)
+    assert returned / (load.end_ms - began_ms) >= 0.75 * before
+
+
+def _window_ms(load: LimitedLoad) -> int:
+    return min(10_000, round(1_000 / max(0.01, load.limit_per_s)))
--- a/trefoilpitch/platform/tests/test_rate_limits.py
+++ b/trefoilpitch/platform/tests/test_rate_limits.py
@@ -70,10 +70,9 @@
             await fleet.send_request("/plain/x", request_id="id-1")
             assert limits.count == 1
             assert limits.limit_per_s(cached.entry) == 2.5
-            await fleet.send_request("/plain/x", request_id="id-2")
-            assert limits.sent(cached.entry) == 1
+            assert limits.own_rate_per_s(cached.entry) == pytest.approx(2.5)
             worker.rate_limit = None
-            await fleet.send_request("/plain/x", request_id="id-3")
+            await fleet.send_request("/plain/x", request_id="id-2")
             assert limits.count == 0
 
     run(scenario)
@@ -112,3 +111,22 @@
                     assert len(counted) <= 1.5 * 2.5 * 4.0 + 5
 
     run(scenario)
+
+
+def test_request_that_a_rate_limit_delays_too_long_is_refused_at_once() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            (worker,) = fleet.workers.values()
+            worker.rate_limit = "0.25"
+            await fleet.send_request("/plain/x", request_id="id-1")
+            await fleet.send_request("/plain/x", request_id="id-2")
+            # A description of the service's load is used for 100 ms.
+            await asyncio.sleep(0.15)
+            began_s = loop_time_s()
+            head, _ = await fleet.send_request("/plain/x", request_id="id-3")
+            assert head.status == 503
+            assert float(head.header(b"retry-after") or 0) > 0
+            assert loop_time_s() - began_s < 0.1
+            assert len(worker.runs) == 2
+
+    run(scenario)
