Take entries with impossible addresses or figures for malformed

The daemon went on following the list.

Cause: the decoder checked types, not ranges. A port out of range raises OverflowError in connecting, not OSError; slots that no float holds do so in the choice of any upstream; a start that no 64-bit integer holds, in a message to peers. Class: a value that the process computes with is trusted because it parses.

Change: ports are 1 to 65535 in ASCII digits, hosts are IPv4 addresses, slots are 1 to a million, starts and digests non-negative integers that messages hold, cold times an hour at most; daemons' own entries are checked alike, and durations that overflow are malformed. Such an entry names no upstream, as other malformed ones.

Deeply nested entries were rejected before already.

--- a/trefoilpitch/platform/_documents.py
+++ b/trefoilpitch/platform/_documents.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
+from typing import Annotated, TypeAlias
 
 import msgspec
 
@@ -40,6 +42,8 @@
 _MS_PER_S = 1_000
 # A path in printable ASCII, as in the first line of a request.
 _HEALTH_PATH = re.compile(r"/[!-~]{0,255}")
+# A longer cold time means the same.
+_MAX_COLD_MS = 3_600_000
 # Larger engines are taken as having no limit.
 _MAX_MEMORY_TOKENS = 1_000_000_000
 
@@ -56,6 +60,16 @@
 }
 
 
+# Bounds of the figures in entries that other writers may have left: sums and
+# products of them stay within what floats and messages to peers can hold.
+_Slots: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+_MAX_PORT = 65_535
+_Port: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
+_WallMs: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+_Digest: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+_PORT_DIGITS = re.compile(r"[0-9]{1,5}")
+
+
 class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
     """Base of the platform's documents; unknown fields are ignored."""
 
@@ -135,12 +149,12 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: _Slots
     state: str
     # Remaining cold time of the worker when it wrote the entry.
     cold_left_ms: float = 0
     # Unix milliseconds of the worker's start; 0 if unknown.
-    born: int = 0
+    born: _WallMs = 0
     models: tuple[_ServerModel, ...] = ()
 
 
@@ -161,15 +175,15 @@
     incarnation: str
     caller_address: str
     peer_host: str
-    peer_port: int
-    heartbeat_port: int
+    peer_port: _Port
+    heartbeat_port: _Port
     failure_domain: str
 
 
 class _Quarantine(msgspec.Struct, frozen=True):
-    traits: tuple[int, ...]
+    traits: tuple[_Digest, ...]
     # Upstream and Unix milliseconds of its ending.
-    endings: tuple[tuple[int, int], ...]
+    endings: tuple[tuple[_Digest, _WallMs], ...]
 
 
 class PlatformDocuments:
@@ -183,6 +197,7 @@
             msgspec.DecodeError,
             RecursionError,
             ValueError,
+            OverflowError,
             KeyError,
         ) as error:
             raise MalformedDocumentError(str(error)) from error
@@ -277,6 +292,8 @@
         )
     if key.startswith(_MEMBER_PREFIX):
         member = msgspec.json.decode(value, type=_Member)
+        _address(member.caller_address)
+        ipaddress.IPv4Address(member.peer_host)
         return Member(
             name=key.removeprefix(_MEMBER_PREFIX),
             incarnation=member.incarnation,
@@ -385,18 +402,31 @@
     return int(float(str(capacity)))
 
 
+def _address(text: str) -> tuple[str, int]:
+    """Returns an IPv4 address and a port.
+
+    Raises:
+        ValueError: If nothing can listen there.
+    """
+    host, _, digits = text.rpartition(":")
+    port = int(digits) if _PORT_DIGITS.fullmatch(digits) else 0
+    if not 1 <= port <= _MAX_PORT:
+        raise ValueError(f"malformed port: {digits[:20]!r}")
+    return str(ipaddress.IPv4Address(host)), port
+
+
 def _upstream(upstream_id: str, server: _Server) -> UpstreamEntry:
-    host, _, port = server.address.rpartition(":")
+    host, port = _address(server.address)
     return UpstreamEntry(
         upstream_id=upstream_id,
         service=server.service,
         host=host,
-        port=int(port),
+        port=port,
         failure_domain=server.zone,
         version=server.version,
         slots=server.slots,
         state=UpstreamState(server.state),
-        cold_left_ms=int(server.cold_left_ms),
+        cold_left_ms=int(min(_MAX_COLD_MS, max(0, server.cold_left_ms))),
         started_wall_ms=server.born,
         models=tuple(model.name for model in server.models),
     )
--- a/trefoilpitch/platform/tests/test_translation.py
+++ b/trefoilpitch/platform/tests/test_translation.py
@@ -178,6 +178,8 @@
         {**_SERVER, "address": "nowhere"},
         {**_SERVER, "slots": "many"},
         {**_SERVER, "service": None},
+        {**_SERVER, "address": "10.0.0.1:65536"},
+        {**_SERVER, "slots": 0},
         [],
         7,
     ],
@@ -199,6 +201,28 @@
         PlatformDocuments().decode(key, value)
 
 
+def test_order_of_endless_duration_is_rejected() -> None:
+    order = {"service": "s", "target": "v2", "duration-s": 1e308}
+    with pytest.raises(MalformedDocumentError):
+        _decode("op/rollout/s", order)
+
+
+@pytest.mark.parametrize("field", ["peer_port", "heartbeat_port"])
+def test_daemon_at_an_impossible_port_is_rejected(field: str) -> None:
+    """A heartbeat to it would end the loop that sends them."""
+    member = {
+        "incarnation": "a",
+        "caller_address": "10.0.0.1:80",
+        "peer_host": "10.0.0.1",
+        "peer_port": 81,
+        "heartbeat_port": 82,
+        "failure_domain": "z",
+    }
+    assert _decode("trefoilpitch/member/vm", member) is not None
+    with pytest.raises(MalformedDocumentError):
+        _decode("trefoilpitch/member/vm", {**member, field: 70_000})
+
+
 def test_orders_are_decoded_and_other_keys_are_not_followed() -> None:
     order = _decode(
         "op/rollout/s", {"service": "s", "target": "v2", "duration-s": 1.5}
