--- a/trefoilpitch/gateway/_http_client.py
+++ b/trefoilpitch/gateway/_http_client.py
@@ -20,6 +20,8 @@
 
 _MAX_HEAD_BYTES = 64 * 1024
 _MAX_INFORMATIONAL_RESPONSES = 100
+# Above this one HTTP knows no status; h11 rejects those below 100.
+_MAX_STATUS = 599
 # Bytes of a response besides its body: heads, chunk headers and trailers. Small
 # chunks add several bytes to each of theirs.
 _MAX_FRAMING_BYTES = 2 * _MAX_HEAD_BYTES
@@ -206,7 +208,8 @@
         """Waits for the head of the response.
 
         Raises:
-            ExchangeError: If the timeout expires or the connection closes.
+            ExchangeError: If the timeout expires, the connection closes or the
+                response is malformed.
         """
         event = await self._next_event(timeout_ms)
         if not isinstance(event, h11.Response):
@@ -214,6 +217,10 @@
                 FailureKind.CONNECTION_LOST,
                 "connection closed without a response",
             )
+        if event.status_code > _MAX_STATUS:
+            raise ExchangeError(
+                FailureKind.MALFORMED_RESPONSE, f"status {event.status_code}"
+            )
         headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
         return ResponseHead(status=event.status_code, headers=headers)
 
--- /dev/null
+++ b/trefoilpitch/platform/tests/test_broken_responses.py
@@ -0,0 +1,207 @@
+"""Responses that upstreams in trouble break off, or that are none."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import Any, Self
+
+import pytest
+
+from trefoilpitch.gateway import ExchangeError, ResponseHead
+from trefoilpitch.platform.tests.cut_links import CutMode, running_daemons
+from trefoilpitch.platform.tests.harness import (
+    Fleet,
+    run,
+    running_fleet,
+    stream_routes,
+)
+from trefoilpitch.standins import PlatformWorkerStandIn
+
+_LOOPBACK = "127.0.0.1"
+_HEAD = (
+    b"X-Trefoilpitch-Request-Attempt-Id: id-1\r\n"
+    b"X-Trefoilpitch-Response-Seal: seal\r\n"
+)
+_PART = b"first part of the"
+_EVENT = b"id: 1\ndata: a\n\n"
+# Far more than the buffers of a connection hold.
+_UPLOAD = b"u" * (8 << 20)
+_FIELDS: dict[str, Any] = {
+    "routes": stream_routes(gap_ms=400),
+    "limits": {
+        "max-header-bytes": 16_384,
+        "max-body-bytes": len(_UPLOAD),
+        "header-timeout-ms": 5_000,
+        "idle-timeout-ms": 5_000,
+    },
+}
+# Closing the connection resets it.
+_RESET = struct.pack("ii", 1, 0)
+
+_Answer = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
+
+class _RawWorker:
+    """A worker that writes any bytes.
+
+    Args:
+        answer: Reads and writes on each connection.
+    """
+
+    def __init__(self, answer: _Answer) -> None:
+        self._answer = answer
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(self._answer, _LOOPBACK, 0)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    def entry(self, service: str) -> dict[str, Any]:
+        assert self._server is not None
+        stand_in = PlatformWorkerStandIn("raw")
+        stand_in.port = self._server.sockets[0].getsockname()[1]
+        return stand_in.entry(service)
+
+
+def _break_off(head: bytes, part: bytes, delay_s: float) -> _Answer:
+    """Answers before the upload is read, and resets the connection."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        # The rest of the upload is left in the buffers, and being written.
+        sock = writer.get_extra_info("socket")
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(b"HTTP/1.1 200 OK\r\n" + _HEAD + head + b"\r\n" + part)
+        await asyncio.sleep(delay_s)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        writer.transport.abort()
+
+    return answer
+
+
+async def _send(
+    fleet: Fleet, target: str, body: bytes
+) -> tuple[ResponseHead, bytes] | None:
+    """Returns a complete response; None if it was broken off."""
+    try:
+        return await fleet.send_request(target, body=body)
+    except ExchangeError:
+        return None
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.001, 0.05, 0.3])
+@pytest.mark.parametrize(
+    "head",
+    [b"", b"Connection: close\r\n", b"Transfer-Encoding: chunked\r\n"],
+    ids=["no-length", "close", "chunked"],
+)
+@pytest.mark.parametrize("target", ["/plain/x", "/once/x", "/stream/x"])
+def test_response_reset_during_the_upload_is_not_complete(
+    target: str, head: bytes, delay_s: float
+) -> None:
+    part = _EVENT if target == "/stream/x" else _PART
+    if b"chunked" in head:
+        part = b"%x\r\n%s\r\n" % (len(part), part)
+    service = "model-service" if target == "/stream/x" else "plain-service"
+
+    async def scenario() -> None:
+        async with (
+            _RawWorker(_break_off(head, part, delay_s)) as worker,
+            running_fleet(plain=0, **_FIELDS) as fleet,
+        ):
+            fleet.store.put("servers/raw", worker.entry(service))
+            await fleet.wait_for_upstreams(1)
+            response = await _send(fleet, target, _UPLOAD)
+            if response is not None:
+                assert response[0].status >= 500
+
+    run(scenario)
+
+
+def _write_status(status: bytes) -> _Answer:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 " + status + b"\r\n" + _HEAD + b"Content-Length: 2\r\n"
+            b"\r\nok"
+        )
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    "status",
+    [
+        b"000 OK",
+        b"000",
+        b"099 X",
+        b"600 X",
+        b"999 X",
+        b"-20 X",
+        b"20 OK",
+        b"2000 OK",
+        b"0x0 OK",
+    ],
+    ids=lambda status: status.decode(),
+)
+@pytest.mark.parametrize("target", ["/plain/x", "/stream/x"])
+def test_status_that_does_not_exist_is_no_answer(
+    target: str, status: bytes
+) -> None:
+    service = "model-service" if target == "/stream/x" else "plain-service"
+
+    async def scenario() -> None:
+        async with (
+            _RawWorker(_write_status(status)) as worker,
+            running_fleet(plain=0, **_FIELDS) as fleet,
+        ):
+            fleet.store.put("servers/raw", worker.entry(service))
+            await fleet.wait_for_upstreams(1)
+            response = await _send(fleet, target, b"")
+            assert response is not None
+            assert response[0].status in (502, 503, 504)
+            assert response[0].header(b"x-trefoilpitch-response-seal") is None
+
+    run(scenario)
+
+
+def test_relayed_response_reset_during_the_upload_is_not_complete() -> None:
+    async def scenario() -> None:
+        async with (
+            _RawWorker(_break_off(b"", _PART, 0.05)) as worker,
+            running_daemons(2, plain=0, **_FIELDS) as (fleet, daemons),
+        ):
+            fleet.store.put("servers/raw", worker.entry("plain-service"))
+            for daemon in daemons:
+                view = daemon.node.view
+                while "raw" not in view.upstreams:
+                    await asyncio.sleep(0.01)
+            daemons[0].links.cut(CutMode.REFUSE_NEW)
+            try:
+                head, _ = await daemons[0].send_request(
+                    "/plain/x", "id-1", body=_UPLOAD
+                )
+            except ExchangeError:
+                return
+            assert head.status >= 500
+
+    run(scenario)
