--- a/trefoilpitch/platform/tests/memory/daemon.py
+++ b/trefoilpitch/platform/tests/memory/daemon.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import AsyncIterator
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 from trefoilpitch.gateway import ExchangeError, ListenAddress, connect
 from trefoilpitch.platform.tests.harness import (
@@ -18,7 +18,7 @@
     TIMEOUT_MS,
     running_workers,
 )
-from trefoilpitch.standins import free_port, send
+from trefoilpitch.standins import PlatformStoreStandIn, free_port, send
 
 # Limits in the settings; both are the bounds of the tests. A process without
 # clients holds about 35 MB and 20 descriptors.
@@ -80,16 +80,19 @@
 
     Args:
         folder: Holds its settings and its log.
-        store: Address of the store.
+        store: Its store.
     """
 
-    def __init__(self, folder: pathlib.Path, store: ListenAddress) -> None:
+    def __init__(
+        self, folder: pathlib.Path, store: PlatformStoreStandIn
+    ) -> None:
+        self.store = store
         self._folder = folder
         self._ports = {name: free_port() for name in _PORTS}
         self._descriptors = 0
         self._sampling: asyncio.Task[None] | None = None
         settings = _SETTINGS.format(
-            store=f"{store.host}:{store.port}",
+            store=f"{store.address.host}:{store.address.port}",
             memory_mb=MEMORY_MB,
             max_fds=MAX_DESCRIPTORS,
             **self._ports,
@@ -189,12 +192,17 @@
 
 @contextlib.asynccontextmanager
 async def running_daemon(
-    folder: pathlib.Path,
+    folder: pathlib.Path, **fields: Any
 ) -> AsyncIterator[DaemonProcess]:
-    """Runs a store, a worker and a daemon that is ready to serve."""
-    async with running_workers(plain=0, limits=_LIMITS) as fleet:
+    """Runs a store, a worker and a daemon that is ready to serve.
+
+    Args:
+        folder: Holds the daemon's settings and its log.
+        **fields: Fields of the configuration to add or replace.
+    """
+    async with running_workers(plain=0, limits=_LIMITS, **fields) as fleet:
         worker = await fleet.add_worker("plain-0", "plain-service")
         fleet.register(worker, "plain-service", slots=_SLOTS)
-        async with DaemonProcess(folder, fleet.store.address) as daemon:
+        async with DaemonProcess(folder, fleet.store) as daemon:
             await daemon.wait_until_ready()
             yield daemon
--- a/trefoilpitch/platform/tests/test_leaving_daemon.py
+++ b/trefoilpitch/platform/tests/test_leaving_daemon.py
@@ -474,3 +474,42 @@
                 assert not fleet.workers["plain-0"].runs
 
     run(scenario)
+
+
+def test_requests_late_in_the_grace_are_not_passed_on_and_none_is_cut() -> None:
+    """On connections that their callers keep using, until the process ends."""
+
+    async def scenario() -> None:
+        routes = config_document()["routes"]
+        for route in routes:
+            route["timeout-ms"] = 20_000
+        async with running_fleet(routes=routes) as fleet:
+            settings = _settings("vm-2")
+            fleet.settings = settings
+            worker = fleet.workers["plain-0"]
+            node = create_node(settings, fleet.store)
+            task = asyncio.create_task(node.run())
+            await wait_until(lambda: node.ready)
+            worker.faults.append(WorkerFault.HANG)
+            with await fleet.open_connection() as running:
+                send(running, "/once/x", X_Trefoilpitch_Deadline_Ms="20000")
+                await wait_until(lambda: worker.runs)
+                kept = [await fleet.open_connection() for _ in range(4)]
+                node.leave()
+                left_s = loop_time_s()
+                for late_s, connection in zip(
+                    (2.9, 3.5, 5.0, 7.0), kept, strict=True
+                ):
+                    await asyncio.sleep(left_s + late_s - loop_time_s())
+                    # It is closed without an answer, or the request refused.
+                    with contextlib.suppress(ExchangeError), connection:
+                        send(connection, "/once/x", request_id="late")
+                        head = await connection.receive_head(TIMEOUT_MS)
+                        assert head.status == 503
+                # The one that may have run is answered, without a promise.
+                head = await running.receive_head(TIMEOUT_MS)
+                assert head.status == 502
+            await task
+            assert len(worker.runs) == 1
+
+    run(scenario)
