Log announcements of upstreams that nothing reads

Change: the first header of each name that begins with Server- and is not known is logged with its value, 32 names at most.

Evidence: test_announcement_that_nothing_reads_is_logged_once fails before.

--- a/trefoilpitch/platform/_requests.py
+++ b/trefoilpitch/platform/_requests.py
@@ -43,6 +43,13 @@
 _BRITTLE = b"server-brittle"
 # Requests a second that a worker takes from all daemons together.
 _RATE_LIMIT = b"server-limit"
+# What workers say of themselves in all their responses.
+_ANNOUNCEMENT_PREFIX = b"server-"
+_KNOWN_ANNOUNCEMENTS = frozenset(
+    {_LEAVING, _BRITTLE, _RATE_LIMIT, b"server-timing"}
+)
+# Names of others that are logged, once each.
+_MAX_LOGGED_ANNOUNCEMENTS = 32
 # In health responses: milliseconds for which a worker stays cold.
 _COLD_MS = b"x-trefoilpitch-cold-ms"
 _API_KEY = b"api-key"
@@ -113,6 +120,9 @@
 class PlatformRequests:
     """Implements `trefoilpitch.gateway.RequestCodec`."""
 
+    def __init__(self) -> None:
+        self._logged_announcements: set[bytes] = set()
+
     def decode_request(self, request: HttpRequest) -> CallerRequest:
         """Decodes a caller's request."""
         request_id = request.header(_REQUEST_ID)
@@ -184,6 +194,7 @@
         self, request: CallerRequest, head: ResponseHead
     ) -> UpstreamResponse:
         """Decodes the head of a worker's response."""
+        self._log_unknown_announcements(head)
         return UpstreamResponse(
             head=head,
             # A response may lack the request id only if it is not sealed.
@@ -212,6 +223,23 @@
             else _rate_limit(head.header(_RATE_LIMIT)),
         )
 
+    def _log_unknown_announcements(self, head: ResponseHead) -> None:
+        """Logs what workers say of themselves and nothing here reads."""
+        logged = self._logged_announcements
+        for name, value in head.headers:
+            if (
+                name.startswith(_ANNOUNCEMENT_PREFIX)
+                and name not in _KNOWN_ANNOUNCEMENTS
+                and name not in logged
+                and len(logged) < _MAX_LOGGED_ANNOUNCEMENTS
+            ):
+                logged.add(name)
+                log_event(
+                    "unknown_announcement",
+                    name=name.decode("latin-1")[:_MAX_LOGGED_VALUE],
+                    value=value.decode("latin-1")[:_MAX_LOGGED_VALUE],
+                )
+
     def decode_cold_ms(self, head: ResponseHead) -> int | None:
         """Decodes for how long a worker stays cold; None if it does not say."""
         text = head.header(_COLD_MS)
--- a/trefoilpitch/platform/tests/test_rate_limits.py
+++ b/trefoilpitch/platform/tests/test_rate_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from trefoilpitch.gateway import HttpRequest, ResponseHead
@@ -15,18 +16,18 @@
     running_fleet,
 )
 
+_REQUEST = HttpRequest(
+    method=b"GET",
+    target=b"/",
+    headers=((b"X-Trefoilpitch-Request-Attempt-Id", b"id"),),
+    body=b"",
+    arrived_ms=0,
+)
+
 
 def _decoded(value: str | None, status: int = 200) -> float | None:
     codec = PlatformRequests()
-    request = codec.decode_request(
-        HttpRequest(
-            method=b"GET",
-            target=b"/",
-            headers=((b"X-Trefoilpitch-Request-Attempt-Id", b"id"),),
-            body=b"",
-            arrived_ms=0,
-        )
-    )
+    request = codec.decode_request(_REQUEST)
     headers = () if value is None else ((b"server-limit", value.encode()),)
     head = ResponseHead(status=status, headers=headers)
     return codec.decode_response(request, head).rate_limit_per_s
@@ -60,6 +61,24 @@
     assert _decoded(value, status) == expected
 
 
+def test_announcement_that_nothing_reads_is_logged_once() -> None:
+    codec = PlatformRequests()
+    request = codec.decode_request(_REQUEST)
+    headers = (
+        (b"server", b"engine"),
+        (b"server-limit", b"2"),
+        (b"server-mood", b"low"),
+    )
+    head = ResponseHead(status=200, headers=headers)
+    with logbook.TestHandler() as log:
+        for _ in range(3):
+            codec.decode_response(request, head)
+    records = [(r.message, r.kwargs) for r in log.records]
+    assert records == [
+        ("unknown_announcement", {"name": "server-mood", "value": "low"})
+    ]
+
+
 def test_rate_limit_can_be_observed() -> None:
     async def scenario() -> None:
         async with running_fleet() as fleet:
