Let the test of reports from daemons without links not depend on pace

test_reports_of_daemons_without_links_move_no_requests failed once beside the gateway's tests (20 requests, less than 20 allowed).

The check and its bound stay. With the rule for doubted links taken out, the test fails as before.

--- a/trefoilpitch/platform/tests/test_unreachable_upstreams.py
+++ b/trefoilpitch/platform/tests/test_unreachable_upstreams.py
@@ -85,6 +85,9 @@
     async def scenario() -> None:
         async with running_daemons(4, plain=4) as (fleet, daemons):
             reached = fleet.workers["plain-3"]
+            for worker in fleet.workers.values():
+                # The noise of a busy machine is no difference in pace then.
+                worker.response_delay_ms = 30
             lost = frozenset(w.port for w in fleet.workers.values())
             for daemon in daemons[:2]:
                 daemon.links.cut(CutMode.RESET, lost - {reached.port})
