Let a daemon that stays behind its peers follow the store itself

Cause: its listing was older than all registrations, so that its view had no members. It heard the peers, left the store to those that watch it, and knew no address to fetch their changes from. Nothing ended that state. Class: passive in the belief that another one acts, without a look at whether that works.

Change: a daemon that lacks for a quarter to a half of config-apply-ms what a peer has reported follows the store until it has it, whoever watches.

--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -46,6 +46,7 @@
 from trefoilpitch.gateway._model_tiers import ModelSelector
 from trefoilpitch.gateway._node_settings import ListenAddress, NodeSettings
 from trefoilpitch.gateway._peer_items import PeerItems, decode_items_target
+from trefoilpitch.gateway._peer_lag import PeerLag
 from trefoilpitch.gateway._peers import (
     Heartbeat,
     PeerSocket,
@@ -171,6 +172,12 @@
         self._unresponsive_until_ms: dict[str, int] = {}
         self._view = FleetView(documents, self._log_change)
         self._peers = PeerTable(settings.name)
+        self._lag = PeerLag(
+            clock,
+            rng,
+            lambda: (self._view.version, self._configuration_version),
+            settings.apply_ms,
+        )
         self._rng = rng
         self._peer_items = PeerItems(settings, rng)
         member = Member(
@@ -576,7 +583,9 @@
         return reachable
 
     def _should_watch(self) -> bool:
-        return watches_store(self._settings.name, self._reachable_peers())
+        return self._lag.needs_store or watches_store(
+            self._settings.name, self._reachable_peers()
+        )
 
     def _watch_wait_ms(self, in_step: bool) -> int:
         return watch_wait_ms(
@@ -663,6 +672,7 @@
 
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._peers.record(heartbeat, self._clock.now_ms())
+        self._lag.record(heartbeat.version, heartbeat.configuration)
         self._merge_evidence(heartbeat.traits)
         self._dispatcher.adopt_rejection_limits(heartbeat.rejection_limits)
         self._dispatcher.rate_limits.adopt(heartbeat.rate_limits)
@@ -761,6 +771,7 @@
             "store_answers": int(self._follower.store_reachable),
             "configuration_version": self._configuration_version,
             "view_revision": self._view.revision,
+            "behind_ms": self._lag.behind_ms,
             "upstreams": len(self._view.upstreams),
             "upstream_links_lost": len(self._links.lost),
             "upstream_rate_limits": self._dispatcher.rate_limits.count,
