--- a/trefoilpitch/gateway/_rate_limits.py
+++ b/trefoilpitch/gateway/_rate_limits.py
@@ -7,12 +7,9 @@
 
 The daemons tell each other what the responses to them announced, and the latest
 announcement holds until a response says otherwise, however old it is: only a
-response can show that an upstream has recovered. In each window of a limit the
-daemons together send as many requests as it permits; their shares are whole
-requests, add up to it, and follow the demand. One request in a window is always
-permitted, as the end of a limit would remain unknown without it. The tolerance
-above a limit is left for lost heartbeats and for daemons that start, or resume
-after a freeze.
+response can show that an upstream has recovered. Each daemon has a share of the
+requests that a limit permits (`_rate_share.py`). The tolerance above a limit is
+left for lost heartbeats and for daemons that start, or resume after a freeze.
 """
 
 from __future__ import annotations
@@ -25,17 +22,9 @@
 from trefoilpitch.clock import Clock
 from trefoilpitch.fleet import UpstreamEntry
 from trefoilpitch.gateway._log import log_event
-from trefoilpitch.gateway._peers import heartbeat_interval_ms
-from trefoilpitch.gateway._room_shares import leveled_demands, share
+from trefoilpitch.gateway._rate_share import RateShare
 from trefoilpitch.gateway._upstream_digest import run_digest
 
-# Window of a limit that permits each daemon two requests a second, and of a
-# lower one, which then permits as many as possible of the daemons a request.
-_SHORT_WINDOW_S = 1
-_LONG_WINDOW_S = 4
-# Longest window of a limit that permits less than a request in that time.
-_MAX_WINDOW_MS = 10_000
-_AMPLE_REQUESTS = 2
 # Announcements to this daemon are reported to peers for this time, the latest
 # ones if there are more.
 _REPORTED_MS = 10_000
@@ -51,31 +40,6 @@
 RateLimitReport: TypeAlias = tuple[int | None, int]
 
 
-@dataclasses.dataclass(slots=True)
-class _Share:
-    """This daemon's part of the requests in a window."""
-
-    # The limit that it was computed for, and its window.
-    per_s: float | None
-    window_ms: int
-    # Monotonic time of the next computation.
-    due_ms: int
-    # Monotonic times from which a share was known, and the share.
-    known: deque[tuple[int, int]]
-
-    def settled(self, now_ms: int) -> int:
-        """Returns the share that may be used now.
-
-        A share that grows counts only after a window: until then the requests
-        of the daemons that had it before count as well.
-        """
-        while len(self.known) > 1 and (
-            self.known[1][0] <= now_ms - self.window_ms
-        ):
-            self.known.popleft()
-        return min(own_share for _, own_share in self.known)
-
-
 @dataclasses.dataclass(slots=True)
 class _Limit:
     """What is known of the limit of one run of an upstream."""
@@ -87,7 +51,7 @@
     # Whether that response came to this daemon.
     is_own: bool
     logged_per_s: float | None = None
-    share: _Share | None = None
+    share: RateShare | None = None
     # Monotonic time before which this daemon's share cannot be free again.
     used_up_until_ms: int = 0
     # Monotonic times of the requests that this daemon has sent under it.
@@ -167,9 +131,7 @@
 
     def limit_per_s(self, entry: UpstreamEntry) -> float | None:
         """Returns the rate that an upstream takes; None for no limit."""
-        if not self._limits:
-            return None
-        known = self._limits.get(run_digest(entry))
+        known = self._limited(entry)
         return None if known is None else known.per_s
 
     def allows(self, entry: UpstreamEntry) -> bool:
@@ -180,7 +142,7 @@
         now_ms = self._clock.now_ms()
         if now_ms < known.used_up_until_ms:
             return False
-        own_share = self._share(entry, known)
+        own_share = self._updated_share(entry, known)
         sent_ms = known.sent_ms
         while sent_ms and sent_ms[0] <= now_ms - own_share.window_ms:
             sent_ms.popleft()
@@ -201,7 +163,7 @@
         known = self._limited(entry)
         if known is None:
             return None
-        own_share = self._share(entry, known)
+        own_share = self._updated_share(entry, known)
         places = own_share.settled(self._clock.now_ms())
         return _MS_PER_S * places / own_share.window_ms
 
@@ -222,6 +184,17 @@
             if has_ended or run not in runs:
                 del self._limits[run]
 
+    def _updated_share(self, entry: UpstreamEntry, limit: _Limit) -> RateShare:
+        """Returns this daemon's share, computed anew once a heartbeat."""
+        if limit.share is None:
+            limit.share = RateShare(entry.upstream_id, self._own_name)
+        assert limit.per_s is not None
+        now_ms = self._clock.now_ms()
+        if limit.share.is_due(limit.per_s, now_ms):
+            demands = self._demands(entry.service)
+            limit.share.update(limit.per_s, demands, now_ms)
+        return limit.share
+
     def _limited(self, entry: UpstreamEntry) -> _Limit | None:
         if not self._limits:
             return None
@@ -254,52 +227,6 @@
                 age_ms=self._clock.now_ms() - latest.observed_ms,
             )
 
-    def _share(self, entry: UpstreamEntry, limit: _Limit) -> _Share:
-        """Returns this daemon's share, computed anew once a heartbeat."""
-        now_ms = self._clock.now_ms()
-        known = limit.share
-        if known is None:
-            known = limit.share = _Share(None, 0, 0, deque())
-        elif known.per_s == limit.per_s and now_ms < known.due_ms:
-            return known
-        demands = self._demands(entry.service)
-        places, window_ms = _window(limit.per_s or 0.0, len(demands))
-        known.per_s, known.window_ms = limit.per_s, window_ms
-        known.due_ms = now_ms + heartbeat_interval_ms(len(demands))
-        own_share = share(
-            entry.upstream_id, places, _claims(demands), self._own_name
-        )
-        if not known.known or known.known[-1][1] != own_share:
-            known.known.append((now_ms, own_share))
-        return known
-
-
-def _window(per_s: float, daemons: int) -> tuple[int, int]:
-    """Returns how many requests a limit permits in which time.
-
-    Args:
-        per_s: Requests a second of all daemons.
-        daemons: Number of the daemons.
-
-    Returns:
-        The requests, one at least, and the milliseconds.
-    """
-    ample = per_s >= _AMPLE_REQUESTS * daemons
-    places = max(1, int(per_s * (_SHORT_WINDOW_S if ample else _LONG_WINDOW_S)))
-    if per_s * _MAX_WINDOW_MS <= _MS_PER_S * places:
-        return places, _MAX_WINDOW_MS
-    return places, round(_MS_PER_S * places / per_s)
-
-
-def _claims(demands: Mapping[str, int]) -> Mapping[str, int]:
-    """Returns by which demands daemons share a limit.
-
-    Load pattern: the requests come to a few daemons. What the others got would
-    be lost, as a limit permits less than a request for each daemon.
-    """
-    positive = {name: demand for name, demand in demands.items() if demand > 0}
-    return leveled_demands(positive)
-
 
 def _differs(known: float | None, latest: float | None) -> bool:
     if known is None or latest is None:
