Keep a rate limit when another upstream responds at its address

Found by reading the change: a 421 has no Server-Limit, and was taken for the end of the limit, for the whole fleet. The same held for an unsealed success.

Change: only a response of the expected upstream, sealed or rejected, ends a limit.

Evidence: test_rate_limit_outlasts_responses_of_others_at_the_address fails before.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -24,7 +24,7 @@
 from trefoilpitch.gateway._demands import FleetDemands
 from trefoilpitch.gateway._health import LoadReport, UpstreamHealth
 from trefoilpitch.gateway._log import log_event
-from trefoilpitch.gateway._messages import CallerRequest
+from trefoilpitch.gateway._messages import CallerRequest, UpstreamResponse
 from trefoilpitch.gateway._obstacles import UpstreamObstacles
 from trefoilpitch.gateway._paces import (
     MeasuredPace,
@@ -402,6 +402,19 @@
                 service, rollout.order.target, rollout.revision
             )
 
+    def record_announcements(
+        self, entry: UpstreamEntry, response: UpstreamResponse
+    ) -> None:
+        """Records what a response says of its upstream."""
+        self.record_notices(
+            entry,
+            leaving=response.leaving,
+            pause_ms=response.pause_ms,
+            rejection_limit=response.rejection_limit,
+        )
+        if response.rate_limit_per_s is not None or response.is_from_upstream:
+            self._rate_limits.announce(entry, response.rate_limit_per_s)
+
     def record_notices(
         self,
         entry: UpstreamEntry,
@@ -409,7 +422,6 @@
         leaving: bool,
         pause_ms: int,
         rejection_limit: int | None = None,
-        rate_limit_per_s: float | None = None,
     ) -> None:
         """Records what an upstream announced in a response.
 
@@ -419,10 +431,7 @@
             pause_ms: How long it wants no requests; 0 for no pause.
             rejection_limit: Rejections in a second after which it falls over;
                 None if it has announced none.
-            rate_limit_per_s: Requests a second that it takes from all daemons
-                together; None if it has announced no limit.
         """
-        self._rate_limits.announce(entry, rate_limit_per_s)
         self._rejections.announce(
             entry.service, entry.upstream_id, rejection_limit
         )
--- a/trefoilpitch/gateway/_messages.py
+++ b/trefoilpitch/gateway/_messages.py
@@ -101,6 +101,15 @@
     # if it announces no limit.
     rate_limit_per_s: float | None = None
 
+    @property
+    def is_from_upstream(self) -> bool:
+        """Whether the expected upstream has generated it.
+
+        What another one at its address, or one in trouble, leaves out says
+        nothing about the upstream.
+        """
+        return not self.wrong_instance and (self.sealed or self.not_run)
+
 
 class RequestCodec(Protocol):
     """Translates between HTTP messages and the types of this module."""
--- a/trefoilpitch/gateway/_relay_server.py
+++ b/trefoilpitch/gateway/_relay_server.py
@@ -199,13 +199,7 @@
         response = self._codec.decode_response(request, head)
         cached = self._view.upstreams.get(order.upstream_id)
         if cached is not None and response.matches:
-            self._dispatcher.record_notices(
-                cached.entry,
-                leaving=response.leaving,
-                pause_ms=response.pause_ms,
-                rejection_limit=response.rejection_limit,
-                rate_limit_per_s=response.rate_limit_per_s,
-            )
+            self._dispatcher.record_announcements(cached.entry, response)
         headers = [*forwarded_headers(self._codec.encode_response(response))]
         length = head.header(_CONTENT_LENGTH)
         if length is not None:
--- a/trefoilpitch/gateway/_request_run.py
+++ b/trefoilpitch/gateway/_request_run.py
@@ -555,13 +555,7 @@
                 FailureKind.MALFORMED_RESPONSE,
                 "response belongs to another request",
             )
-        dispatcher.record_notices(
-            entry,
-            leaving=response.leaving,
-            pause_ms=response.pause_ms,
-            rejection_limit=response.rejection_limit,
-            rate_limit_per_s=response.rate_limit_per_s,
-        )
+        dispatcher.record_announcements(entry, response)
         if response.load is not None:
             dispatcher.record_load(entry, response.load)
         if response.wrong_instance:
--- a/trefoilpitch/gateway/tests/limited_fleet.py
+++ b/trefoilpitch/gateway/tests/limited_fleet.py
@@ -102,10 +102,7 @@
         if limited:
             self._heard_ms.setdefault((entry.upstream_id, daemon), now_ms)
         dispatcher = self._dispatchers[daemon]
-        dispatcher.record_notices(
-            entry,
-            leaving=False,
-            pause_ms=0,
-            rate_limit_per_s=self._limits.limit_per_s if limited else None,
+        dispatcher.rate_limits.announce(
+            entry, self._limits.limit_per_s if limited else None
         )
         dispatcher.record_load(entry, report)
--- a/trefoilpitch/platform/tests/test_rate_limits.py
+++ b/trefoilpitch/platform/tests/test_rate_limits.py
@@ -149,3 +149,21 @@
             assert len(worker.runs) == 2
 
     run(scenario)
+
+
+def test_rate_limit_outlasts_responses_of_others_at_the_address() -> None:
+    """Only the upstream itself can say that it has no limit any more."""
+
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            (worker,) = fleet.workers.values()
+            limits = fleet.daemon._dispatcher.rate_limits
+            (cached,) = fleet.daemon.view.upstreams.values()
+            worker.rate_limit = "2.5"
+            await fleet.send_request("/plain/x", request_id="id-1")
+            worker.rate_limit = None
+            worker.worker_id = "another"
+            await fleet.send_request("/plain/x", request_id="id-2")
+            assert limits.limit_per_s(cached.entry) == 2.5
+
+    run(scenario)
