Keep a rejection limit when another upstream responds at its address

Only a response of the expected upstream ends it. Evidence: test_limit_outlasts_responses_of_others_at_the_address of the brittle upstreams fails before.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -175,6 +175,11 @@
         """Estimates costs of requests and the work left at upstreams."""
         return self._work
 
+    @property
+    def rejection_limits(self) -> RejectionLimits:
+        """The limits of rejections that upstreams have announced."""
+        return self._rejections
+
     @property
     def rate_limits(self) -> RateLimits:
         """The request rates that upstreams have announced."""
@@ -407,34 +412,27 @@
     ) -> None:
         """Records what a response says of its upstream."""
         self.record_notices(
-            entry,
-            leaving=response.leaving,
-            pause_ms=response.pause_ms,
-            rejection_limit=response.rejection_limit,
+            entry, leaving=response.leaving, pause_ms=response.pause_ms
         )
-        if response.rate_limit_per_s is not None or response.is_from_upstream:
-            self._rate_limits.announce(entry, response.rate_limit_per_s)
+        rejection_limit = response.rejection_limit
+        if rejection_limit is not None or response.is_from_upstream:
+            self._rejections.announce(
+                entry.service, entry.upstream_id, rejection_limit
+            )
+        rate_limit_per_s = response.rate_limit_per_s
+        if rate_limit_per_s is not None or response.is_from_upstream:
+            self._rate_limits.announce(entry, rate_limit_per_s)
 
     def record_notices(
-        self,
-        entry: UpstreamEntry,
-        *,
-        leaving: bool,
-        pause_ms: int,
-        rejection_limit: int | None = None,
+        self, entry: UpstreamEntry, *, leaving: bool, pause_ms: int
     ) -> None:
-        """Records what an upstream announced in a response.
+        """Records for how long an upstream wants no requests.
 
         Args:
             entry: The upstream.
             leaving: Whether it is leaving.
             pause_ms: How long it wants no requests; 0 for no pause.
-            rejection_limit: Rejections in a second after which it falls over;
-                None if it has announced none.
         """
-        self._rejections.announce(
-            entry.service, entry.upstream_id, rejection_limit
-        )
         if leaving and self._notices.record_leaving(entry):
             log_event("upstream_leaving", upstream=entry.upstream_id)
         if pause_ms > 0:
@@ -468,14 +466,6 @@
             entry.service, entry.upstream_id, len(self._members())
         )
 
-    def own_rejection_limits(self) -> dict[str, int]:
-        """Returns the limits that upstreams have announced, by service."""
-        return self._rejections.announced()
-
-    def adopt_rejection_limits(self, limits: Mapping[str, int]) -> None:
-        """Adopts the limits that a peer has heard of."""
-        self._rejections.adopt(limits)
-
     def is_leaving(self, entry: UpstreamEntry) -> bool:
         """Returns whether an upstream is known to end soon."""
         cached = self._view.upstreams.get(entry.upstream_id)
--- a/trefoilpitch/gateway/_node.py
+++ b/trefoilpitch/gateway/_node.py
@@ -645,7 +645,7 @@
             paces=self._rollout_controller.own_paces(),
             confirmed_age_ms=self._follower.confirmed_age_ms,
             relay_room=self._relay_server.room,
-            rejection_limits=self._dispatcher.own_rejection_limits(),
+            rejection_limits=self._dispatcher.rejection_limits.announced(),
             cold_ms=self._restarts.own_cold_ms(),
             links_doubted=self._links.are_doubted(self._view.upstreams),
             work=self._dispatcher.own_work(),
@@ -674,7 +674,7 @@
         self._peers.record(heartbeat, self._clock.now_ms())
         self._lag.record(heartbeat.version, heartbeat.configuration)
         self._merge_evidence(heartbeat.traits)
-        self._dispatcher.adopt_rejection_limits(heartbeat.rejection_limits)
+        self._dispatcher.rejection_limits.adopt(heartbeat.rejection_limits)
         self._dispatcher.rate_limits.adopt(heartbeat.rate_limits)
         self._dispatcher.work.speeds.adopt(
             heartbeat.durations, self._clock.now_ms()
--- a/trefoilpitch/gateway/tests/brittle_fleet.py
+++ b/trefoilpitch/gateway/tests/brittle_fleet.py
@@ -218,8 +218,8 @@
         return beat
 
     def _share_limits(self, number: int, other: int) -> None:
-        self._dispatchers[other].adopt_rejection_limits(
-            self._dispatchers[number].own_rejection_limits()
+        self._dispatchers[other].rejection_limits.adopt(
+            self._dispatchers[number].rejection_limits.announced()
         )
         self._dispatchers[other].rate_limits.adopt(
             self._dispatchers[number].rate_limits.reports()
@@ -399,11 +399,10 @@
             and self._upstreams[entry.upstream_id].brittle
             and now_ms >= self._load.announced_ms
         )
-        dispatcher.record_notices(
-            entry,
-            leaving=False,
-            pause_ms=0,
-            rejection_limit=self._load.limit if announced else None,
+        dispatcher.rejection_limits.announce(
+            entry.service,
+            entry.upstream_id,
+            self._load.limit if announced else None,
         )
         dispatcher.record_load(entry, report)
 
--- a/trefoilpitch/platform/tests/test_brittle_upstreams.py
+++ b/trefoilpitch/platform/tests/test_brittle_upstreams.py
@@ -9,7 +9,7 @@
 from trefoilpitch.gateway import HttpRequest, ResponseHead
 from trefoilpitch.platform._requests import PlatformRequests
 from trefoilpitch.platform.tests.cut_links import running_daemons
-from trefoilpitch.platform.tests.harness import run, wait_until
+from trefoilpitch.platform.tests.harness import run, running_fleet, wait_until
 from trefoilpitch.standins import WorkerFault
 
 
@@ -62,7 +62,7 @@
             (worker,) = fleet.workers.values()
             worker.brittle = "6"
             await daemons[0].send_request("/plain/x", "id-1")
-            limits = [d.node._dispatcher._rejections for d in daemons]
+            limits = [d.node._dispatcher.rejection_limits for d in daemons]
             assert limits[0].limit_per_s("plain-service", "new") == 6
             await wait_until(
                 lambda: limits[1].limit_per_s("plain-service", "new") == 6
@@ -94,3 +94,20 @@
             assert 0 < worker.shed <= 6
 
     run(scenario)
+
+
+def test_limit_outlasts_responses_of_others_at_the_address() -> None:
+    """Only the upstream itself can say that it is brittle no more."""
+
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            (worker,) = fleet.workers.values()
+            limits = fleet.daemon._dispatcher.rejection_limits
+            worker.brittle = "6"
+            await fleet.send_request("/plain/x", request_id="id-1")
+            worker.brittle = None
+            worker.worker_id = "another"
+            await fleet.send_request("/plain/x", request_id="id-2")
+            assert limits.limit_per_s("plain-service", "plain-0") == 6
+
+    run(scenario)
