Give the sound upstream of a test a measurable pace

Latencies are whole milliseconds and the expected one is 1 ms at least; on an idle fast machine the sound upstream takes 0 ms, a tenth of what is expected, and is preferred in each choice, so that the loop that waits for the endless worker's first request does not end.

The sound worker now takes 30 ms; what is checked, and every bound, stays.

--- a/trefoilpitch/platform/tests/test_endless_responses.py
+++ b/trefoilpitch/platform/tests/test_endless_responses.py
@@ -171,6 +171,9 @@
         ):
             sound = "plain-0" if target == "/plain/x" else "model-0"
             service = sound.replace("-0", "-service")
+            # Responses within a millisecond have no pace to compare by, and
+            # the endless worker might never be chosen.
+            fleet.workers[sound].response_delay_ms = 30
             fleet.store.put("servers/endless", endless.entry(service))
             await fleet.wait_for_upstreams(3)
             number = 0
