Let cold and limited upstreams use one settling share

Cause: the shares of a rate limit repeated what the shares of cold upstreams already had: the share with its times, and the least of a window.

Change: SettlingShare in _room_shares.py holds both; behaviour stays.

--- a/trefoilpitch/gateway/_cold_share.py
+++ b/trefoilpitch/gateway/_cold_share.py
@@ -15,7 +15,11 @@
 from collections import deque
 from collections.abc import Collection, Mapping
 
-from trefoilpitch.gateway._room_shares import expected_demands, share
+from trefoilpitch.gateway._room_shares import (
+    SettlingShare,
+    expected_demands,
+    share,
+)
 
 _WINDOW_MS = 1_000
 # Time for which a share must have lasted: the window in which the requests of
@@ -51,8 +55,7 @@
 
     rate_per_s: float
     demands: Mapping[str, int]
-    # Monotonic times from which a share was known, and the share.
-    shares: deque[tuple[int, int]]
+    share: SettlingShare
 
 
 class ColdShares:
@@ -90,16 +93,11 @@
             own_share = share_per_window(
                 upstream_id, rate_per_s, self._own_name, members, demands
             )
-            shares = known.shares if known is not None else deque()
-            known = _KnownShare(rate_per_s, demands, shares)
+            settling = known.share if known is not None else SettlingShare()
+            known = _KnownShare(rate_per_s, demands, settling)
             self._known[upstream_id] = known
-            if not shares or shares[-1][1] != own_share:
-                shares.append((now_ms, own_share))
-        shares = known.shares
-        # The first one left was known when the last second began.
-        while len(shares) > 1 and shares[1][0] <= now_ms - _SETTLING_MS:
-            shares.popleft()
-        return min(own_share for _, own_share in shares)
+            settling.record(own_share, now_ms)
+        return known.share.settled(now_ms, _SETTLING_MS)
 
     def retain(self, upstream_ids: Collection[str]) -> None:
         """Evicts the shares of all upstreams except the given ones."""
--- a/trefoilpitch/gateway/_rate_share.py
+++ b/trefoilpitch/gateway/_rate_share.py
@@ -12,11 +12,14 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Mapping
 
 from trefoilpitch.gateway._peers import heartbeat_interval_ms
-from trefoilpitch.gateway._room_shares import leveled_demands, share
+from trefoilpitch.gateway._room_shares import (
+    SettlingShare,
+    leveled_demands,
+    share,
+)
 
 # Window of a limit that permits each daemon two requests a second, and of a
 # lower one, which then permits as many as possible of the daemons a request.
@@ -43,8 +46,7 @@
         self._per_s: float | None = None
         self._window_ms = 0
         self._due_ms = 0
-        # Monotonic times from which a share was known, and the share.
-        self._known: deque[tuple[int, int]] = deque()
+        self._share = SettlingShare()
 
     @property
     def window_ms(self) -> int:
@@ -76,19 +78,11 @@
         own_share = share(
             self._upstream_id, places, _claims(demands), self._own_name
         )
-        if not self._known or self._known[-1][1] != own_share:
-            self._known.append((now_ms, own_share))
+        self._share.record(own_share, now_ms)
 
     def settled(self, now_ms: int) -> int:
-        """Returns how many requests may be sent in the window that ends now.
-
-        A share that grows counts only after a window: until then the requests
-        of the daemons that had it before count as well.
-        """
-        known = self._known
-        while len(known) > 1 and known[1][0] <= now_ms - self._window_ms:
-            known.popleft()
-        return min(own_share for _, own_share in known)
+        """Returns how many requests may be sent in the window that ends now."""
+        return self._share.settled(now_ms, self._window_ms)
 
 
 def _window(per_s: float, daemons: int) -> tuple[int, int]:
--- a/trefoilpitch/gateway/_room_shares.py
+++ b/trefoilpitch/gateway/_room_shares.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from collections.abc import Collection, Mapping
 
 from trefoilpitch.rendezvous import score
@@ -26,6 +27,33 @@
 _SIMILAR_FACTOR = 3
 
 
+class SettlingShare:
+    """A share that counts less at once, and more only after a window.
+
+    Until then the requests of the daemons that had it before count as well.
+    """
+
+    def __init__(self) -> None:
+        # Monotonic times from which a share was known, and the share.
+        self._known: deque[tuple[int, int]] = deque()
+
+    def record(self, own_share: int, now_ms: int) -> None:
+        """Records the share that was computed now."""
+        if not self._known or self._known[-1][1] != own_share:
+            self._known.append((now_ms, own_share))
+
+    def settled(self, now_ms: int, window_ms: int) -> int:
+        """Returns the least share of the window that ends now.
+
+        One that is the first may be used at once.
+        """
+        known = self._known
+        # The first one left was known when the window began.
+        while len(known) > 1 and known[1][0] <= now_ms - window_ms:
+            known.popleft()
+        return min(own_share for _, own_share in known)
+
+
 def share(
     upstream_id: str,
     places: int,
