Record announcements without a record that only carries them

Cause: a limit was built to pass three values on, and the entries of all upstreams were copied to a list at each change of the view, also while no upstream has a limit.

Change: the values are arguments, and whose response it was follows from the upstream's id; the entries are read only if there are limits. Behaviour stays.

--- a/trefoilpitch/gateway/_dispatcher.py
+++ b/trefoilpitch/gateway/_dispatcher.py
@@ -287,7 +287,7 @@
         self._cold_shares.retain(self._view.upstreams)
         self._rejections.retain(self._view.upstreams)
         self._rate_limits.retain(
-            [cached.entry for cached in self._view.upstreams.values()]
+            cached.entry for cached in self._view.upstreams.values()
         )
         self._work.retain(self._view.upstreams)
         self._paces.retain(
--- a/trefoilpitch/gateway/_rate_limits.py
+++ b/trefoilpitch/gateway/_rate_limits.py
@@ -16,7 +16,7 @@
 
 import dataclasses
 from collections import deque
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import TypeAlias
 
 from trefoilpitch.clock import Clock
@@ -95,8 +95,7 @@
         run = run_digest(entry)
         if per_s is None and run not in self._limits:
             return
-        latest = _Limit(per_s, self._clock.now_ms(), is_own=True)
-        self._record(run, latest, entry.upstream_id)
+        self._record(run, per_s, self._clock.now_ms(), entry.upstream_id)
 
     def adopt(self, reports: Mapping[int, RateLimitReport]) -> None:
         """Records what the responses to a peer said.
@@ -110,7 +109,7 @@
             if known is not None and observed_ms <= known.observed_ms:
                 continue
             per_s = None if milli_per_s is None else milli_per_s / _MS_PER_S
-            self._record(run, _Limit(per_s, observed_ms, is_own=False), None)
+            self._record(run, per_s, observed_ms, None)
 
     def reports(self) -> dict[int, RateLimitReport]:
         """Returns what recent responses to this daemon said, for peers.
@@ -173,7 +172,7 @@
         if known is not None:
             known.sent_ms.append(self._clock.now_ms())
 
-    def retain(self, entries: Collection[UpstreamEntry]) -> None:
+    def retain(self, entries: Iterable[UpstreamEntry]) -> None:
         """Evicts limits that have ended, or are of none of these runs."""
         if not self._limits:
             return
@@ -202,29 +201,41 @@
         return None if known is None or known.per_s is None else known
 
     def _record(
-        self, run: int, latest: _Limit, upstream_id: str | None
+        self,
+        run: int,
+        per_s: float | None,
+        observed_ms: int,
+        upstream_id: str | None,
     ) -> None:
+        """Records the latest announcement.
+
+        Args:
+            run: Digest of the upstream's run.
+            per_s: What it says.
+            observed_ms: Monotonic time of the response.
+            upstream_id: The upstream; None if the response came to a peer, who
+                knows the upstream of a run.
+        """
         known = self._limits.get(run)
         if known is None:
             if len(self._limits) >= _MAX_LIMITS:
                 return
             known = self._limits[run] = _Limit(None, 0, is_own=False)
-        known.per_s = latest.per_s
-        known.observed_ms = latest.observed_ms
+        known.per_s = per_s
+        known.observed_ms = observed_ms
         known.used_up_until_ms = 0
-        known.is_own = latest.is_own
-        if latest.per_s is None:
+        known.is_own = upstream_id is not None
+        if per_s is None:
             known.share = None
             known.sent_ms.clear()
-        if _differs(known.logged_per_s, latest.per_s):
-            known.logged_per_s = latest.per_s
+        if _differs(known.logged_per_s, per_s):
+            known.logged_per_s = per_s
             log_event(
                 "rate_limit",
-                # None if a peer has heard it, who knows the upstream of a run.
                 upstream=upstream_id,
                 run=run,
-                per_s=latest.per_s,
-                age_ms=self._clock.now_ms() - latest.observed_ms,
+                per_s=per_s,
+                age_ms=self._clock.now_ms() - observed_ms,
             )
 
 
