Use the server's own context and the harness's wait in a test

Cause: the raw worker of test_broken_responses.py wrote again the start and end that asyncio's server has as a context, and a poll that the harness has as wait_until.

Change: a context manager of five lines. The worker of endless.py keeps its own: it counts bytes and connections.

--- a/trefoilpitch/platform/tests/test_broken_responses.py
+++ b/trefoilpitch/platform/tests/test_broken_responses.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
-from collections.abc import Awaitable, Callable
-from types import TracebackType
-from typing import Any, Self
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import pytest
 
@@ -18,6 +18,7 @@
     run,
     running_fleet,
     stream_routes,
+    wait_until,
 )
 from trefoilpitch.standins import PlatformWorkerStandIn
 
@@ -47,35 +48,15 @@
 ]
 
 
-class _RawWorker:
-    """A worker that writes any bytes.
-
-    Args:
-        answer: Reads and writes on each connection.
-    """
-
-    def __init__(self, answer: _Answer) -> None:
-        self._answer = answer
-        self._server: asyncio.Server | None = None
-
-    async def __aenter__(self) -> Self:
-        self._server = await asyncio.start_server(self._answer, _LOOPBACK, 0)
-        return self
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        assert self._server is not None
-        self._server.close()
-
-    def entry(self, service: str) -> dict[str, Any]:
-        assert self._server is not None
+@contextlib.asynccontextmanager
+async def _raw_worker(
+    answer: _Answer, service: str
+) -> AsyncIterator[dict[str, Any]]:
+    """Runs a worker that writes any bytes; yields its entry in the store."""
+    async with await asyncio.start_server(answer, _LOOPBACK, 0) as server:
         stand_in = PlatformWorkerStandIn("raw")
-        stand_in.port = self._server.sockets[0].getsockname()[1]
-        return stand_in.entry(service)
+        stand_in.port = server.sockets[0].getsockname()[1]
+        yield stand_in.entry(service)
 
 
 def _break_off(head: bytes, part: bytes, delay_s: float) -> _Answer:
@@ -123,10 +104,10 @@
 
     async def scenario() -> None:
         async with (
-            _RawWorker(_break_off(head, part, delay_s)) as worker,
+            _raw_worker(_break_off(head, part, delay_s), service) as entry,
             running_fleet(plain=0, **_FIELDS) as fleet,
         ):
-            fleet.store.put("servers/raw", worker.entry(service))
+            fleet.store.put("servers/raw", entry)
             await fleet.wait_for_upstreams(1)
             response = await _send(fleet, target, _UPLOAD)
             if response is not None:
@@ -171,10 +152,10 @@
 
     async def scenario() -> None:
         async with (
-            _RawWorker(_write_status(status)) as worker,
+            _raw_worker(_write_status(status), service) as entry,
             running_fleet(plain=0, **_FIELDS) as fleet,
         ):
-            fleet.store.put("servers/raw", worker.entry(service))
+            fleet.store.put("servers/raw", entry)
             await fleet.wait_for_upstreams(1)
             response = await _send(fleet, target, b"")
             assert response is not None
@@ -187,14 +168,13 @@
 def test_relayed_response_reset_during_the_upload_is_not_complete() -> None:
     async def scenario() -> None:
         async with (
-            _RawWorker(_break_off(b"", _PART, 0.05)) as worker,
+            _raw_worker(_break_off(b"", _PART, 0.05), "plain-service") as entry,
             running_daemons(2, plain=0, **_FIELDS) as (fleet, daemons),
         ):
-            fleet.store.put("servers/raw", worker.entry("plain-service"))
-            for daemon in daemons:
-                view = daemon.node.view
-                while "raw" not in view.upstreams:
-                    await asyncio.sleep(0.01)
+            fleet.store.put("servers/raw", entry)
+            await wait_until(
+                lambda: all("raw" in d.node.view.upstreams for d in daemons)
+            )
             daemons[0].links.cut(CutMode.REFUSE_NEW)
             try:
                 head, _ = await daemons[0].send_request(
